Lay out the workspace, the base package and the shared headers

Cause: nothing stood yet; several people start on separate packages at once. Conclusion: packages can be written against these headers.

--- /dev/null
+++ b/packages/base/err.h
@@ -0,0 +1,49 @@
+/* Errors: negative numbers, with the step and the peer at which they arose.
+   Functions that can fail return 0 or an ERR_ number and fill a struct err
+   that the caller owns.  */
+#ifndef ERR_H
+#define ERR_H
+
+#include <glib.h>
+
+/* X (name, number, text) */
+#define ERR_LIST(X)                                                            \
+  X (INVALID, -1, "invalid input")                                             \
+  X (TOO_LARGE, -2, "too large")                                               \
+  X (NOT_FOUND, -3, "not found")                                               \
+  X (CONFLICT, -4, "conflict")                                                 \
+  X (UNAVAILABLE, -5, "unavailable")                                           \
+  X (TIMEOUT, -6, "timed out")                                                 \
+  X (CLOSED, -7, "connection closed")                                          \
+  X (PROTOCOL, -8, "protocol error")                                           \
+  X (AUTH, -9, "not authorized")                                               \
+  X (LIMIT, -10, "limit reached")                                              \
+  X (UNKNOWN_OUTCOME, -11, "outcome unknown")                                  \
+  X (IO, -12, "input/output error")                                            \
+  X (CANCELLED, -13, "cancelled")
+
+enum err_code
+{
+#define ERR_ENUM(name, number, text) ERR_##name = (number),
+  ERR_LIST (ERR_ENUM)
+#undef ERR_ENUM
+};
+
+#define ERR_STEP_MAX 32  /* bytes with the NUL */
+#define ERR_PEER_MAX 64  /* bytes with the NUL */
+#define ERR_TEXT_MAX 192 /* bytes with the NUL */
+
+struct err
+{
+  int code;                /* 0 or an enum err_code */
+  char step[ERR_STEP_MAX]; /* what was being done, such as "backend.open" */
+  char peer[ERR_PEER_MAX]; /* instance, server or address; "" for local */
+  char text[ERR_TEXT_MAX];
+};
+
+int err_set (struct err *err, int code, const char *step, const char *peer,
+             const char *format, ...) G_GNUC_PRINTF (5, 6);
+const char *err_name (int code);
+const char *err_text (int code);
+
+#endif
--- /dev/null
+++ b/packages/base/str.c
@@ -0,0 +1,65 @@
+#include "base/str.h"
+
+#include <string.h>
+
+#define FNV_OFFSET G_GUINT64_CONSTANT (0xcbf29ce484222325)
+#define FNV_PRIME G_GUINT64_CONSTANT (0x100000001b3)
+
+/* Returns a view of NUL-terminated TEXT; NULL gives the empty string.  */
+struct str
+str_of (const char *text)
+{
+  return (struct str){ text, text ? strlen (text) : 0 };
+}
+
+gboolean
+str_eq (struct str a, struct str b)
+{
+  return a.n == b.n && (a.n == 0 || memcmp (a.p, b.p, a.n) == 0);
+}
+
+/* Returns a NUL-terminated copy of S that the caller frees by g_free.  */
+char *
+str_dup (struct str s)
+{
+  return g_strndup (s.p ? s.p : "", s.n);
+}
+
+/* Returns a 64-bit hash of S, the same on every instance and release: FNV-1a
+   with a final mix so that near names spread over all bits.  */
+guint64
+str_hash (struct str s, guint64 seed)
+{
+  guint64 h = FNV_OFFSET ^ seed;
+  for (gsize i = 0; i < s.n; i++)
+    h = (h ^ (guint8)s.p[i]) * FNV_PRIME;
+  h ^= h >> 33;
+  h *= G_GUINT64_CONSTANT (0xff51afd7ed558ccd);
+  h ^= h >> 33;
+  h *= G_GUINT64_CONSTANT (0xc4ceb9fe1a85ec53);
+  return h ^ (h >> 33);
+}
+
+/* Copies S into ID. Returns FALSE, leaving ID empty, if S is too long.  */
+gboolean
+str_id_set (struct str_id *id, struct str s)
+{
+  memset (id, 0, sizeof *id);
+  if (s.n > STR_ID_MAX)
+    return FALSE;
+  if (s.n > 0)
+    memcpy (id->s, s.p, s.n);
+  return TRUE;
+}
+
+/* Tells whether S may name an object: 1 to STR_ID_MAX of [A-Za-z0-9._-].  */
+gboolean
+str_id_ok (struct str s)
+{
+  if (s.n == 0 || s.n > STR_ID_MAX)
+    return FALSE;
+  for (gsize i = 0; i < s.n; i++)
+    if (!g_ascii_isalnum (s.p[i]) && strchr ("._-", s.p[i]) == NULL)
+      return FALSE;
+  return TRUE;
+}
--- /dev/null
+++ b/packages/member/mem.h
@@ -0,0 +1,73 @@
+/* Membership: which instances are alive, by heartbeats within the failure
+   domain; who owns what, by rendezvous hashing over the live ones. A pure
+   state machine.  */
+#ifndef MEM_H
+#define MEM_H
+
+#include "base/clk.h"
+#include <json-glib/json-glib.h>
+#include "base/str.h"
+#include "msg/msg.h"
+
+#define MEM_HEARTBEAT_US (400 * CLK_MS) /* between heartbeats to a peer */
+#define MEM_SUSPECT_US                                                         \
+  (1600 * CLK_MS)                   /* silence after which a peer is down      \
+                                     */
+#define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
+#define MEM_INSTANCES_MAX 256       /* of one failure domain */
+
+struct mem;
+
+struct mem_instance
+{
+  struct str_id id;
+  struct str_id domain;
+  struct str_id region;
+  char address[64]; /* IP:PORT for peers */
+  guint64 incarnation;
+  guint64 sequence; /* of the last heartbeat */
+  gint64 heard;     /* clock time of the last heartbeat, microseconds */
+  gboolean live;
+  gboolean leaving;
+  guint64 config_version; /* in force there */
+  guint64 fleet_version;
+};
+
+/* What changed by an event. */
+struct mem_change
+{
+  gboolean view;      /* some instance came, went or started to leave */
+  struct str_id lost; /* instance that went or was restarted; "" if none */
+};
+
+struct mem_options
+{
+  const struct clk *clk;    /* borrowed */
+  struct mem_instance self; /* id, domain, region, address, incarnation */
+};
+
+struct mem *mem_new (const struct mem_options *options);
+void mem_free (struct mem *mem);
+/* Takes a heartbeat from instance FROM. Old incarnations and sequences are
+   ignored. Returns < 0 if it cannot be taken (limit, or own id twice). */
+int mem_heartbeat (struct mem *mem, const char *from,
+                   const struct msg_heartbeat *heartbeat,
+                   struct mem_change *change);
+/* Marks one silent instance down; call until CHANGE says nothing changed. */
+void mem_tick (struct mem *mem, struct mem_change *change);
+void mem_set_leaving (struct mem *mem, gboolean leaving);
+void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
+
+const struct mem_instance *mem_find (const struct mem *mem, const char *id);
+/* Calls VISIT for each instance, self included, in the order of their ids. */
+void mem_each (const struct mem *mem,
+               void (*visit) (void *ctx, const struct mem_instance *instance),
+               void *ctx);
+/* Owner of NAME among the live, not leaving instances of the own failure
+   domain; the own instance if no other is left. RANK 0 is the first choice.
+   Returns NULL if there are not that many. */
+const struct mem_instance *mem_owner (const struct mem *mem, struct str name,
+                                      guint rank);
+void mem_dump (const struct mem *mem, JsonBuilder *json);
+
+#endif
--- /dev/null
+++ b/packages/wire/wir.h
@@ -0,0 +1,59 @@
+/* Connections between instances: TCP, frames of a 4-byte big-endian length
+   and a msgpack body, opened by a challenge with HMAC-SHA-256 over the shared
+   key. One loop, one thread.  */
+#ifndef WIR_H
+#define WIR_H
+
+#include <gio/gio.h>
+
+#include "base/ctr.h"
+#include "base/err.h"
+#include "msg/msg.h"
+
+#define WIR_FRAME_MAX (2 * 1024 * 1024) /* bytes of a frame's body */
+#define WIR_QUEUE_MAX (8 * 1024 * 1024) /* bytes waiting for one peer */
+#define WIR_PEERS_MAX 1024
+#define WIR_KEY_MIN 16 /* bytes of the shared key */
+
+/* Appends the frame body of MSG to OUT. */
+void wir_encode (const struct msg *msg, GByteArray *out);
+/* Reads one frame body. MSG borrows from DATA and from ARENA, which the
+   caller frees by wir_arena_free after use. Returns < 0 on bad input. */
+struct wir_arena;
+struct wir_arena *wir_arena_new (void);
+void wir_arena_free (struct wir_arena *arena);
+int wir_decode (struct str data, struct msg *msg, struct wir_arena *arena,
+                struct err *err);
+
+struct wir;
+
+struct wir_options
+{
+  const char *listen; /* IP:PORT; port 0: chosen by the kernel */
+  struct str key;     /* shared key, copied */
+  struct str_id self;
+  struct ctr *ctr; /* borrowed */
+  /* A whole message from the authenticated instance FROM. */
+  void (*receive) (void *ctx, const char *from, const struct msg *msg);
+  /* No connection to instance ID is left. */
+  void (*lost) (void *ctx, const char *id);
+  void *ctx;
+};
+
+int wir_new (const struct wir_options *options, struct wir **wir,
+             struct err *err);
+void wir_free (struct wir *wir);
+guint wir_port (const struct wir *wir);
+/* Keeps a connection to ADDRESS (IP:PORT) up; its instance's id is learnt in
+   the handshake. Dialling twice does nothing. */
+void wir_dial (struct wir *wir, const char *address);
+void wir_hang_up (struct wir *wir, const char *address);
+/* Queues MSG for instance TO; messages of one loop turn leave in one write.
+   Returns ERR_CLOSED if there is no connection, ERR_LIMIT if its queue is
+   full. */
+int wir_send (struct wir *wir, const char *to, const struct msg *msg);
+/* Sends to every connected instance. */
+void wir_broadcast (struct wir *wir, const struct msg *msg);
+void wir_dump (const struct wir *wir, JsonBuilder *json);
+
+#endif
