Add the node: requests, routing, cells, peers and ledger shards of an instance

Cause: the decisions of an instance need one place without I/O, so that the daemon, the bench and the tests run the same code. Weighed: actions by return list against a sink; the sink needs no copies. Change: packages/node with the request life cycle as a chart, msg_copy. Conclusion: to be wired and tested next.

--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -58,6 +58,8 @@
 void mem_set_leaving (struct mem *mem, gboolean leaving);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
 
+/* Live, not leaving instances of the own failure domain, self included. */
+guint mem_live_count (const struct mem *mem);
 const struct mem_instance *mem_find (const struct mem *mem, const char *id);
 /* Calls VISIT for each instance, self included, in the order of their ids. */
 void mem_each (const struct mem *mem,
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -1,5 +1,90 @@
 #include "msg/msg.h"
 
+static const void *
+copy_array (const void *items, gsize bytes)
+{
+  return bytes > 0 ? g_memdup2 (items, bytes) : NULL;
+}
+
+static void
+copy_str (struct str *s)
+{
+  s->p = s->n > 0 ? g_memdup2 (s->p, s->n) : NULL;
+}
+
+/* Returns a copy of MSG that owns its lists and strings.  */
+struct msg *
+msg_copy (const struct msg *msg)
+{
+  struct msg *copy = g_memdup2 (msg, sizeof *msg);
+  switch (msg->kind)
+    {
+    case MSG_MEMBERS:
+      copy->members.items
+          = copy_array (msg->members.items, msg->members.n_items
+                                                * sizeof *msg->members.items);
+      break;
+    case MSG_PROGRESS:
+      copy->progress.items = copy_array (
+          msg->progress.items,
+          msg->progress.n_items * sizeof *msg->progress.items);
+      break;
+    case MSG_SUMMARY:
+      copy->summary.cells
+          = copy_array (msg->summary.cells, msg->summary.n_cells
+                                                * sizeof *msg->summary.cells);
+      break;
+    case MSG_OBJECT_BODY:
+      copy_str (&copy->object_body.body);
+      break;
+    case MSG_LEDGER_VERDICT:
+      copy_str (&copy->ledger_verdict.content_type);
+      copy_str (&copy->ledger_verdict.answer);
+      break;
+    case MSG_LEDGER_RESULT:
+      copy_str (&copy->ledger_result.content_type);
+      copy_str (&copy->ledger_result.answer);
+      break;
+    default:
+      break;
+    }
+  return copy;
+}
+
+/* Frees a message made by msg_copy; NULL is allowed.  */
+void
+msg_free (struct msg *copy)
+{
+  if (copy == NULL)
+    return;
+  switch (copy->kind)
+    {
+    case MSG_MEMBERS:
+      g_free ((void *) copy->members.items);
+      break;
+    case MSG_PROGRESS:
+      g_free ((void *) copy->progress.items);
+      break;
+    case MSG_SUMMARY:
+      g_free ((void *) copy->summary.cells);
+      break;
+    case MSG_OBJECT_BODY:
+      g_free ((void *) copy->object_body.body.p);
+      break;
+    case MSG_LEDGER_VERDICT:
+      g_free ((void *) copy->ledger_verdict.content_type.p);
+      g_free ((void *) copy->ledger_verdict.answer.p);
+      break;
+    case MSG_LEDGER_RESULT:
+      g_free ((void *) copy->ledger_result.content_type.p);
+      g_free ((void *) copy->ledger_result.answer.p);
+      break;
+    default:
+      break;
+    }
+  g_free (copy);
+}
+
 /* Returns the name of KIND for dumps and logs.  */
 const char *
 msg_kind_name (enum msg_kind kind)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -14,6 +14,7 @@
   X (PREEMPT, preempt, "preempt")                                              \
   X (PROGRESS, progress, "progress")                                           \
   X (RELEASE, release, "release")                                              \
+  X (MEMBERS, members, "members")                                             \
   X (SUMMARY, summary, "summary")                                              \
   X (OBJECT_ASK, object_ask, "object_ask")                                     \
   X (OBJECT_BODY, object_body, "object_body")                                  \
@@ -84,6 +85,20 @@
   guint64 fleet_version;  /* of the list of servers; 0: none */
 };
 
+struct msg_member
+{
+  struct str_id id;
+  struct str_id domain;
+  char address[64]; /* IP:PORT for peers */
+};
+
+/* The sender's live instances, so that others learn of them. */
+struct msg_members
+{
+  const struct msg_member *items; /* borrowed */
+  guint n_items;
+};
+
 struct msg_offer
 {
   guint64 ticket; /* unique within the sender's incarnation */
@@ -239,6 +254,10 @@
   };
 };
 
+/* Returns a copy of MSG that owns all it refers to; freed by msg_free. */
+struct msg *msg_copy (const struct msg *msg);
+void msg_free (struct msg *copy);
+
 const char *msg_kind_name (enum msg_kind kind);
 const char *msg_reason_name (enum msg_reason reason);
 const char *msg_result_name (enum msg_result result);
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -92,7 +92,8 @@
       const char *from; /* borrowed */
       const struct msg *msg;
     } message;
-    const char *peer_lost;
+    const char *peer_up;   /* instance id, borrowed */
+    const char *peer_lost; /* instance id, borrowed */
     struct
     {
       guint64 token;
--- /dev/null
+++ b/packages/node/nod_budget.c
@@ -0,0 +1,75 @@
+/* Budgets per class at one entry: retries as a share of first tries, and
+   bytes over the paid link between regions.  */
+#include "node/nod_int.h"
+
+#include <string.h>
+
+#define RETRY_TOKENS_MAX 10.0 /* unused share that is kept */
+#define LINK_BURST_S 2.0      /* seconds of the link budget that are kept */
+
+/* The class's link budget holds for a whole region; each of its entries
+   takes an equal part.  */
+static guint
+entries_of_region (const struct nod *nod)
+{
+  guint domains = 0;
+  for (guint i = 0; i < nod->cfg->n_domains; i++)
+    if (strcmp (nod->cfg->domains[i].region.s, nod->region.s) == 0)
+      domains++;
+  guint live = mem_live_count (nod->mem);
+  return MAX (1, live * MAX (1, domains));
+}
+
+/* Refills the link budgets for the time that has passed.  */
+void
+nod_budget_refill (struct nod *nod)
+{
+  gint64 now = clk_now (nod->clk);
+  double seconds = (double) (now - nod->budget_at) / CLK_S;
+  nod->budget_at = now;
+  if (nod->cfg == NULL)
+    return;
+  guint entries = entries_of_region (nod);
+  for (guint i = 0; i < nod->cfg->n_classes; i++)
+    {
+      double rate = (double) nod->cfg->classes[i].link_bytes_per_s / entries;
+      double *left = &nod->budgets[i].link_bytes;
+      *left = MIN (*left + rate * seconds, rate * LINK_BURST_S);
+    }
+}
+
+/* Counts a first try of the class, which earns its share of a retry.  */
+void
+nod_budget_first_try (struct nod *nod, guint class_index)
+{
+  double *tokens = &nod->budgets[class_index].retries;
+  *tokens += nod->cfg->classes[class_index].retry_share;
+  *tokens = MIN (*tokens, RETRY_TOKENS_MAX);
+}
+
+/* Takes one retry from the class's budget; FALSE if there is none.  */
+gboolean
+nod_budget_retry (struct nod *nod, guint class_index)
+{
+  double *tokens = &nod->budgets[class_index].retries;
+  if (*tokens < 1.0)
+    {
+      ctr_add (nod->ctr, CTR_RETRY_DENIED, 1);
+      return FALSE;
+    }
+  *tokens -= 1.0;
+  return TRUE;
+}
+
+/* Takes BYTES from the class's link budget; FALSE if it is used up. The
+   budget may go below zero once, so that large requests can pass too.  */
+gboolean
+nod_budget_link (struct nod *nod, guint class_index, guint64 bytes)
+{
+  double *left = &nod->budgets[class_index].link_bytes;
+  if (*left <= 0.0)
+    return FALSE;
+  *left -= (double) bytes;
+  ctr_add (nod->ctr, CTR_LINK_BYTES, bytes);
+  return TRUE;
+}
--- /dev/null
+++ b/packages/node/nod_cell.c
@@ -0,0 +1,380 @@
+/* Cells that this instance serves as an owner, and the summaries by which
+   entries choose between cells. An offer for any cell of the own failure
+   domain is served: two owners at once can only over-commit servers for a
+   while, and a refused offer would have to wait for the views to agree.  */
+#include "node/nod_int.h"
+
+#include <string.h>
+
+static void
+send_from_cell (void *ctx, const char *to, const struct msg *msg)
+{
+  nod_send (ctx, to, msg);
+}
+
+static gboolean
+is_own_domain (const struct nod *nod, guint domain)
+{
+  return strcmp (nod->cfg->domains[domain].name.s, nod->domain.s) == 0;
+}
+
+static void
+apply_known_leaving (const struct nod *nod, struct cel *cel)
+{
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, nod->leaving_servers);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    cel_set_leaving (cel, name, TRUE);
+}
+
+/* Returns the cell NAME, made if it was not served here yet; NULL if NAME is
+   no cell of this failure domain.  */
+struct cel *
+nod_cell_get (struct nod *nod, struct str name)
+{
+  int i = nod->cfg ? cfg_find_cell (nod->cfg, name) : -1;
+  if (i < 0 || !is_own_domain (nod, nod->cfg->cells[i].domain))
+    return NULL;
+  const struct str_id *id = &nod->cfg->cells[i].name;
+  struct cel *cel = g_hash_table_lookup (nod->cells, id->s);
+  if (cel != NULL)
+    return cel;
+  const struct cel_options options = {
+    .clk = nod->clk,
+    .seed = g_rand_int (nod->rand),
+    .ctr = nod->ctr,
+    .cfg = nod->cfg,
+    .cell = *id,
+    .send = send_from_cell,
+    .ctx = nod,
+  };
+  cel = cel_new (&options);
+  apply_known_leaving (nod, cel);
+  g_hash_table_insert (nod->cells, g_strdup (id->s), cel);
+  return cel;
+}
+
+static void
+refuse_offer (struct nod *nod, const char *from, guint64 ticket,
+              enum msg_reason reason)
+{
+  struct msg msg = { .kind = MSG_REFUSE };
+  msg.refuse.ticket = ticket;
+  msg.refuse.reason = reason;
+  ctr_add (nod->ctr, CTR_REFUSALS, 1);
+  nod_send (nod, from, &msg);
+}
+
+static void
+take_offer (struct nod *nod, const char *from, const struct msg_offer *offer)
+{
+  if (nod->cfg == NULL)
+    {
+      refuse_offer (nod, from, offer->ticket, MSG_REASON_NO_CONFIG);
+      return;
+    }
+  struct cel *cel = nod_cell_get (nod, str_of (offer->cell.s));
+  if (cel == NULL)
+    refuse_offer (nod, from, offer->ticket, MSG_REASON_NOT_OWNER);
+  else
+    cel_offer (cel, from, offer);
+}
+
+/* Hands a message of an entry to the cells served here. Only an offer names
+   its cell; the others are known by their ticket.  */
+void
+nod_cell_message (struct nod *nod, const char *from, const struct msg *msg)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  if (msg->kind == MSG_OFFER)
+    {
+      take_offer (nod, from, &msg->offer);
+      return;
+    }
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    switch (msg->kind)
+      {
+      case MSG_WITHDRAW:
+        cel_withdraw (cel, from, msg->withdraw.ticket);
+        break;
+      case MSG_PROGRESS:
+        cel_progress (cel, from, &msg->progress);
+        break;
+      case MSG_RELEASE:
+        cel_release (cel, from, &msg->release);
+        break;
+      default:
+        break;
+      }
+}
+
+/* Instance ID went or was restarted: its tickets are void.  */
+void
+nod_cell_entry_lost (struct nod *nod, const char *id)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    cel_entry_lost (cel, id);
+}
+
+/* Brings the configuration in force to the cells served here; those that it
+   no longer has are dropped, and their entries route anew.  */
+void
+nod_cell_config (struct nod *nod)
+{
+  GHashTableIter iter;
+  gpointer name, cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, &name, &cel))
+    if (cfg_find_cell (nod->cfg, str_of (name)) >= 0)
+      cel_set_config (cel, nod->cfg);
+    else
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Notes a server's load report and its own word on leaving.  */
+void
+nod_cell_load (struct nod *nod, const char *backend,
+               const struct cel_load *load, gboolean leaving)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  gboolean was = g_hash_table_contains (nod->leaving_servers, backend);
+  if (leaving && !was)
+    g_hash_table_add (nod->leaving_servers, g_strdup (backend));
+  else if (!leaving && was)
+    g_hash_table_remove (nod->leaving_servers, backend);
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    {
+      if (leaving != was)
+        cel_set_leaving (cel, backend, leaving);
+      cel_load_report (cel, backend, load);
+    }
+}
+
+/* Notes that BACKEND's cache holds, or no longer holds, PREFIX.  */
+void
+nod_cell_cache (struct nod *nod, const char *backend, guint64 prefix,
+                gboolean held)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    cel_cache_event (cel, backend, prefix, held);
+}
+
+static gboolean
+owns (struct nod *nod, const char *cell)
+{
+  const char *owner = nod_owner (nod, str_of (cell));
+  return owner != NULL && strcmp (owner, nod->self.s) == 0;
+}
+
+/* Runs the cells' timers; a cell without tickets that is another's goes.  */
+void
+nod_cell_tick (struct nod *nod)
+{
+  GHashTableIter iter;
+  gpointer name, cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, &name, &cel))
+    {
+      cel_tick (cel);
+      if (cel_is_idle (cel) && !owns (nod, name))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Tells whether no ticket is left in any cell served here.  */
+gboolean
+nod_cell_idle (const struct nod *nod)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    if (!cel_is_idle (cel))
+      return FALSE;
+  return TRUE;
+}
+
+static GArray *
+own_summaries (struct nod *nod)
+{
+  GArray *cells
+      = g_array_new (FALSE, TRUE, sizeof (struct msg_cell_summary));
+  for (guint i = 0; i < nod->cfg->n_cells; i++)
+    {
+      const struct cfg_cell *cell = &nod->cfg->cells[i];
+      if (!is_own_domain (nod, cell->domain) || !owns (nod, cell->name.s))
+        continue;
+      struct msg_cell_summary summary;
+      cel_summary (nod_cell_get (nod, str_of (cell->name.s)), &summary);
+      summary.owner = nod->self;
+      mem_self_address (nod->mem, summary.owner_address);
+      g_array_append_val (cells, summary);
+    }
+  return cells;
+}
+
+/* Adds the summaries heard from other owners of this failure domain.  */
+static void
+add_heard (const struct nod *nod, GArray *cells)
+{
+  GHashTableIter iter;
+  gpointer value;
+  gint64 now = clk_now (nod->clk);
+  g_hash_table_iter_init (&iter, nod->infos);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct nod_cell_info *info = value;
+      if (strcmp (info->domain.s, nod->domain.s) == 0
+          && now - info->heard <= NOD_SUMMARY_FRESH_US)
+        g_array_append_val (cells, info->summary);
+    }
+}
+
+static void
+send_cells (struct nod *nod, const char *to, GArray *cells)
+{
+  struct msg msg = { .kind = MSG_SUMMARY };
+  msg.summary.domain = nod->domain;
+  msg.summary.cells = (struct msg_cell_summary *) cells->data;
+  msg.summary.n_cells = cells->len;
+  nod_send (nod, to, &msg);
+}
+
+struct summary_round
+{
+  struct nod *nod;
+  GArray *own;          /* cells owned here */
+  GArray *all;          /* all known cells of the domain */
+  GHashTable *reached;  /* other domains that got a copy; borrowed names */
+};
+
+/* Tells whether this instance speaks for its failure domain to DOMAIN. The
+   task is spread: another instance may speak to another domain.  */
+static gboolean
+speaks_to (const struct nod *nod, const char *domain)
+{
+  char *name = g_strdup_printf ("summary/%s", domain);
+  const struct mem_instance *speaker
+      = mem_owner (nod->mem, str_of (name), 0);
+  g_free (name);
+  return speaker == NULL || strcmp (speaker->id.s, nod->self.s) == 0;
+}
+
+static void
+send_round (void *ctx, const struct mem_instance *instance)
+{
+  struct summary_round *round = ctx;
+  struct nod *nod = round->nod;
+  if (!instance->live || strcmp (instance->id.s, nod->self.s) == 0)
+    return;
+  if (strcmp (instance->domain.s, nod->domain.s) == 0)
+    {
+      if (round->own->len > 0)
+        send_cells (nod, instance->id.s, round->own);
+      return;
+    }
+  if (round->all->len == 0
+      || g_hash_table_contains (round->reached, instance->domain.s)
+      || !speaks_to (nod, instance->domain.s))
+    return;
+  g_hash_table_add (round->reached, (gpointer) instance->domain.s);
+  send_cells (nod, instance->id.s, round->all);
+}
+
+/* Sends the cells owned here to the own failure domain and, to each other
+   domain that this instance speaks to, all cells of this one.  */
+void
+nod_cell_send_summaries (struct nod *nod)
+{
+  if (nod->cfg == NULL || nod->leaving)
+    return;
+  struct summary_round round = { .nod = nod };
+  round.own = own_summaries (nod);
+  round.all = g_array_copy (round.own);
+  add_heard (nod, round.all);
+  round.reached = g_hash_table_new (g_str_hash, g_str_equal);
+  mem_each (nod->mem, send_round, &round);
+  g_hash_table_unref (round.reached);
+  g_array_unref (round.all);
+  g_array_unref (round.own);
+}
+
+struct relay
+{
+  struct nod *nod;
+  const struct msg *msg;
+};
+
+static void
+relay_to (void *ctx, const struct mem_instance *instance)
+{
+  const struct relay *relay = ctx;
+  if (instance->live
+      && strcmp (instance->domain.s, relay->nod->domain.s) == 0
+      && strcmp (instance->id.s, relay->nod->self.s) != 0)
+    nod_send (relay->nod, instance->id.s, relay->msg);
+}
+
+static void
+note_cell (struct nod *nod, const struct msg_summary *summary,
+           const struct msg_cell_summary *cell)
+{
+  struct nod_cell_info *info = g_hash_table_lookup (nod->infos, cell->cell.s);
+  if (info == NULL)
+    {
+      if (g_hash_table_size (nod->infos) >= CFG_BACKENDS_MAX)
+        return;
+      info = g_new0 (struct nod_cell_info, 1);
+      g_hash_table_insert (nod->infos, g_strdup (cell->cell.s), info);
+    }
+  info->summary = *cell;
+  info->domain = summary->domain;
+  info->heard = clk_now (nod->clk);
+}
+
+/* Takes a summary. One that came from another failure domain itself is
+   passed on to the own one, and the owners named in it are dialled.  */
+void
+nod_cell_take_summary (struct nod *nod, const char *from,
+                       const struct msg_summary *summary)
+{
+  gboolean foreign = strcmp (summary->domain.s, nod->domain.s) != 0;
+  const struct mem_instance *sender = mem_find (nod->mem, from);
+  for (guint i = 0; i < summary->n_cells; i++)
+    {
+      note_cell (nod, summary, &summary->cells[i]);
+      if (foreign)
+        nod_dial (nod, summary->cells[i].owner_address);
+    }
+  if (foreign && sender != NULL
+      && strcmp (sender->domain.s, summary->domain.s) == 0)
+    {
+      const struct msg msg = { .kind = MSG_SUMMARY, .summary = *summary };
+      const struct relay relay = { nod, &msg };
+      mem_each (nod->mem, relay_to, (void *) &relay);
+    }
+}
+
+/* Adds the cells served here to JSON as an array.  */
+void
+nod_cell_dump (const struct nod *nod, JsonBuilder *json)
+{
+  GHashTableIter iter;
+  gpointer cel;
+  json_builder_begin_array (json);
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    cel_dump (cel, json);
+  json_builder_end_array (json);
+}
--- /dev/null
+++ b/packages/node/nod_int.h
@@ -0,0 +1,260 @@
+/* What the files of this package share; not for others.  */
+#ifndef NOD_INT_H
+#define NOD_INT_H
+
+#include "chart/chr.h"
+#include "ledger/led.h"
+#include "node/nod.h"
+
+#define NOD_REQUESTS_MAX 65536        /* in progress at one entry */
+#define NOD_CELLS_TRIED_MAX 4         /* cells that may refuse one request */
+#define NOD_PROGRESS_US (1 * CLK_S)   /* between progress reports */
+#define NOD_MEMBERS_US (5 * CLK_S)    /* between lists of instances */
+#define NOD_SUMMARY_US (500 * CLK_MS) /* between summaries, small domains */
+/* Summaries of large failure domains come less often, so that a sender's
+   bytes a second do not grow with the domain. */
+#define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
+#define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
+#define NOD_GATHER_US (600 * CLK_MS)  /* after the start, before owning */
+#define NOD_RECONNECT_US (200 * CLK_MS) /* for a lost connection to return */
+#define NOD_REQUEUE_US (50 * CLK_MS)  /* before asking the same owner again */
+
+/* X (NAME, "name") in the order of charts/request.chart */
+#define REQ_STATES(X)                                                         \
+  X (WAITING, "waiting")                                                      \
+  X (RECORDING, "recording")                                                  \
+  X (RUNNING, "running")                                                      \
+  X (ANSWERED, "answered")                                                    \
+  X (REFUSED, "refused")                                                      \
+  X (FAILED, "failed")                                                        \
+  X (GONE, "gone")
+
+enum req_state
+{
+#define REQ_STATE_ENUM(id, name) REQ_##id,
+  REQ_STATES (REQ_STATE_ENUM)
+#undef REQ_STATE_ENUM
+      REQ_STATE_N
+};
+
+/* X (NAME, "name") */
+#define REQ_EVENTS(X)                                                         \
+  X (GRANT, "grant")                                                          \
+  X (GRANT_KEYED, "grant_keyed")                                              \
+  X (FRESH, "fresh")                                                          \
+  X (REPLAY, "replay")                                                        \
+  X (REFUSE, "refuse")                                                        \
+  X (REQUEUE, "requeue")                                                      \
+  X (COMPLETE, "complete")                                                    \
+  X (FAIL, "fail")                                                            \
+  X (CALLER_GONE, "caller_gone")
+
+enum req_event
+{
+#define REQ_EVENT_ENUM(id, name) REQ_EV_##id,
+  REQ_EVENTS (REQ_EVENT_ENUM)
+#undef REQ_EVENT_ENUM
+      REQ_EVENT_N
+};
+
+/* A caller's request in progress. */
+struct nod_req
+{
+  struct nod_request spec;
+  struct cfg *cfg;        /* under which it was admitted, a reference */
+  int state;              /* of the chart */
+  gint64 arrived;         /* microseconds */
+  gint64 deadline;        /* for the whole request, microseconds */
+  guint64 ticket;         /* with the owner; 0: none */
+  struct str_id cell;     /* where the ticket is */
+  struct str_id owner;    /* instance that has the ticket */
+  gint64 offer_at;        /* >0: offer again at this time, microseconds */
+  struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
+  guint n_tried;
+  struct str_id backend;  /* of the running attempt or of the grant */
+  guint32 priority;       /* for the engine, from the grant */
+  guint32 attempt;        /* of the last attempt; 0: none */
+  guint sent_attempts;    /* that may have left */
+  guint32 generated;      /* tokens that the caller got, all attempts */
+  guint32 unreported;     /* tokens since the last progress report */
+  gint64 first_token;     /* of this attempt, microseconds; 0: none */
+  gint64 last_token;      /* of this attempt, microseconds */
+  guint32 attempt_tokens; /* of this attempt */
+  struct str_id avoid[MSG_AVOID_MAX];
+  guint n_avoid;
+  gboolean recorded;      /* the ledger holds this request's intent */
+  gint64 intent_at;       /* when the intent was sent, microseconds */
+  gboolean crossed;       /* counted against the link's budget */
+};
+
+/* What another failure domain or another owner said of a cell. */
+struct nod_cell_info
+{
+  struct msg_cell_summary summary;
+  struct str_id domain;
+  gint64 heard; /* microseconds */
+};
+
+struct nod_led_shard
+{
+  struct nod *nod;  /* borrowed */
+  guint number;
+  struct led *led;  /* NULL: not served here */
+};
+
+struct nod_budget
+{
+  double retries;    /* tokens of the retry budget */
+  double link_bytes; /* left on the link between regions */
+};
+
+struct nod
+{
+  const struct clk *clk;
+  struct ctr *ctr;
+  GRand *rand;
+  struct str_id self;
+  struct str_id domain;
+  struct str_id region;
+  guint64 incarnation;
+  gint64 started;       /* microseconds */
+  void (*act) (void *ctx, const struct nod_action *action);
+  void *ctx;
+
+  struct cfg *cfg;      /* in force; NULL: none */
+  struct chr *chart;    /* request.chart */
+  struct mem *mem;
+  struct chr *member_chart;
+  GHashTable *dialled;  /* addresses kept connected, char * */
+  GQueue local;         /* struct msg *, from this instance to itself */
+  gboolean leaving;
+  gboolean drained;     /* told by NOD_DO_DRAINED */
+
+  GHashTable *requests; /* guint64 id -> struct nod_req * */
+  GHashTable *tickets;  /* guint64 ticket -> struct nod_req *, borrowed */
+  guint64 next_ticket;
+  struct nod_budget budgets[CFG_CLASSES_MAX];
+  gint64 budget_at;     /* last refill, microseconds */
+
+  GHashTable *cells;    /* cell name -> struct cel * served here */
+  GHashTable *infos;    /* cell name -> struct nod_cell_info * */
+  GHashTable *leaving_servers; /* name -> itself; by their own word */
+  struct nod_led_shard shards[LED_SHARDS];
+  guint64 next_token;   /* of calls to the platform */
+  GHashTable *calls;    /* token -> struct nod_call * */
+
+  gint64 heartbeat_at;  /* next, microseconds */
+  gint64 far_heartbeat_at;
+  gint64 progress_at;
+  gint64 members_at;
+  gint64 summary_at;
+  gint64 cell_tick_at;
+  gint64 config_at;     /* next read of the configuration */
+};
+
+/* Who waits for an answer of the platform: a ledger shard, or a followed
+   object by its number above the shards. */
+#define NOD_CALLER_OBJECT LED_SHARDS
+struct nod_call
+{
+  guint caller;  /* 0 to LED_SHARDS - 1, or NOD_CALLER_OBJECT + object */
+  guint64 token; /* of the caller's own count */
+};
+
+/* Codes of errors that are no refusal. */
+extern const char nod_backend_failed[];
+extern const char nod_outcome_unknown[];
+
+/* nod.c */
+void nod_send (struct nod *nod, const char *to, const struct msg *msg);
+void nod_dial (struct nod *nod, const char *address);
+void nod_store (struct nod *nod, guint caller, guint64 token,
+                const struct sto_call *call);
+
+/* nod_req.c: requests taken as an entry */
+int nod_req_init (struct nod *nod, const char *chart_folder, struct err *err);
+void nod_req_arrive (struct nod *nod, const struct nod_request *spec);
+void nod_req_caller_gone (struct nod *nod, guint64 id);
+void nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt,
+                     guint32 count);
+void nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end);
+void nod_req_grant (struct nod *nod, const char *from,
+                    const struct msg_grant *grant);
+void nod_req_refuse (struct nod *nod, const char *from,
+                     const struct msg_refuse *refuse);
+void nod_req_preempt (struct nod *nod, const char *from,
+                      const struct msg_preempt *preempt);
+void nod_req_verdict (struct nod *nod,
+                      const struct msg_ledger_verdict *verdict);
+void nod_req_view_changed (struct nod *nod, const char *lost);
+void nod_req_peer_lost (struct nod *nod, const char *id);
+void nod_req_tick (struct nod *nod);
+void nod_req_progress (struct nod *nod);
+void nod_req_free (void *data);
+void nod_req_dump (const struct nod *nod, JsonBuilder *json);
+
+/* nod_route.c: choice of a cell and of its owner */
+gboolean nod_route (struct nod *nod, struct nod_req *req);
+const char *nod_owner (struct nod *nod, struct str cell);
+gboolean nod_crosses_link (const struct nod *nod, const struct cfg *cfg,
+                           guint domain);
+
+/* nod_budget.c: retry and link budgets per class */
+void nod_budget_refill (struct nod *nod);
+void nod_budget_first_try (struct nod *nod, guint class_index);
+gboolean nod_budget_retry (struct nod *nod, guint class_index);
+gboolean nod_budget_link (struct nod *nod, guint class_index, guint64 bytes);
+
+/* nod_cell.c: cells served as an owner, summaries */
+struct cel *nod_cell_get (struct nod *nod, struct str name);
+void nod_cell_message (struct nod *nod, const char *from,
+                       const struct msg *msg);
+void nod_cell_entry_lost (struct nod *nod, const char *id);
+void nod_cell_config (struct nod *nod);
+void nod_cell_load (struct nod *nod, const char *backend,
+                    const struct cel_load *load, gboolean leaving);
+void nod_cell_cache (struct nod *nod, const char *backend, guint64 prefix,
+                     gboolean held);
+void nod_cell_tick (struct nod *nod);
+void nod_cell_send_summaries (struct nod *nod);
+void nod_cell_take_summary (struct nod *nod, const char *from,
+                            const struct msg_summary *summary);
+gboolean nod_cell_idle (const struct nod *nod);
+void nod_cell_dump (const struct nod *nod, JsonBuilder *json);
+
+/* nod_peer.c: heartbeats, lists of instances */
+int nod_peer_init (struct nod *nod, const struct nod_options *options,
+                   struct err *err);
+void nod_peer_free (struct nod *nod);
+void nod_peer_heartbeat (struct nod *nod, const char *from,
+                         const struct msg_heartbeat *heartbeat);
+void nod_peer_greet (struct nod *nod, const char *id);
+void nod_peer_members (struct nod *nod, const struct msg_members *members);
+void nod_peer_tick (struct nod *nod);
+
+/* nod_led.c: ledger shards served */
+void nod_led_intent (struct nod *nod, const char *from,
+                     const struct msg_ledger_intent *intent);
+void nod_led_result (struct nod *nod, const char *from,
+                     const struct msg_ledger_result *result);
+void nod_led_answer (struct nod *nod, guint number, guint64 token,
+                     const struct sto_answer *answer);
+void nod_led_tick (struct nod *nod);
+const char *nod_led_owner (struct nod *nod, const guint8 *key);
+void nod_led_free (struct nod *nod);
+void nod_led_dump (const struct nod *nod, JsonBuilder *json);
+
+/* nod_config.c: the configuration and the list of servers */
+void nod_config_init (struct nod *nod);
+void nod_config_free (struct nod *nod);
+void nod_config_tick (struct nod *nod);
+void nod_config_answer (struct nod *nod, guint object, guint64 token,
+                        const struct sto_answer *answer);
+void nod_config_ask (struct nod *nod, const char *from,
+                     const struct msg_object_ask *ask);
+void nod_config_body (struct nod *nod, const char *from,
+                      const struct msg_object_body *body);
+void nod_config_peer (struct nod *nod, const char *from,
+                      const struct msg_heartbeat *heartbeat);
+
+#endif
--- /dev/null
+++ b/packages/node/nod_route.c
@@ -0,0 +1,218 @@
+/* Choice of the cell to which a request's ticket goes, and of its owner.  */
+#include "node/nod_int.h"
+
+#include <string.h>
+
+/* A request leaves its failure domain for one with free slots once the wait
+   at home is longer than this share of its first-token target. */
+#define SPILL_WAIT_SHARE 0.5
+#define SPILL_WAIT_DEFAULT_US (1 * CLK_S) /* classes without a target */
+#define WAIT_UNKNOWN_US (3600 * CLK_S)
+#define CANDIDATES_MAX 64
+
+/* How far a cell is from this instance. */
+enum distance
+{
+  DISTANCE_DOMAIN,
+  DISTANCE_REGION,
+  DISTANCE_LINK,
+  DISTANCE_N
+};
+
+struct candidates
+{
+  const struct cfg_cell *cells[CANDIDATES_MAX];
+  guint n;
+};
+
+/* Tells whether work for failure domain DOMAIN of CFG crosses the link
+   between regions.  */
+gboolean
+nod_crosses_link (const struct nod *nod, const struct cfg *cfg, guint domain)
+{
+  return strcmp (cfg->domains[domain].region.s, nod->region.s) != 0;
+}
+
+static enum distance
+distance_to (const struct nod *nod, const struct cfg *cfg, guint domain)
+{
+  if (strcmp (cfg->domains[domain].name.s, nod->domain.s) == 0)
+    return DISTANCE_DOMAIN;
+  return nod_crosses_link (nod, cfg, domain) ? DISTANCE_LINK
+                                             : DISTANCE_REGION;
+}
+
+static const struct nod_cell_info *
+fresh_info (const struct nod *nod, const char *cell)
+{
+  const struct nod_cell_info *info = g_hash_table_lookup (nod->infos, cell);
+  if (info == NULL || clk_now (nod->clk) - info->heard > NOD_SUMMARY_FRESH_US)
+    return NULL;
+  return info;
+}
+
+/* Fills SUMMARY for CELL: exact if it is served here, else the last one
+   heard. Returns FALSE if nothing recent is known.  */
+static gboolean
+find_summary (const struct nod *nod, const char *cell,
+              struct msg_cell_summary *summary)
+{
+  const struct cel *cel = g_hash_table_lookup (nod->cells, cell);
+  if (cel != NULL)
+    {
+      cel_summary (cel, summary);
+      return TRUE;
+    }
+  const struct nod_cell_info *info = fresh_info (nod, cell);
+  if (info == NULL)
+    return FALSE;
+  *summary = info->summary;
+  return TRUE;
+}
+
+/* Returns the instance that owns CELL, a name that stays valid until the
+   next event, or NULL if none is known.  */
+const char *
+nod_owner (struct nod *nod, struct str cell)
+{
+  const struct cfg *cfg = nod->cfg;
+  int i = cfg ? cfg_find_cell (cfg, cell) : -1;
+  if (i < 0)
+    return NULL;
+  if (distance_to (nod, cfg, cfg->cells[i].domain) == DISTANCE_DOMAIN)
+    {
+      const struct mem_instance *owner = mem_owner (nod->mem, cell, 0);
+      return owner ? owner->id.s : nod->self.s;
+    }
+  const struct nod_cell_info *info = fresh_info (nod, cfg->cells[i].name.s);
+  return info ? info->summary.owner.s : NULL;
+}
+
+/* Expected wait of a ticket of TIER at CELL, in microseconds.  */
+static gint64
+expected_wait (const struct nod *nod, const struct cfg_cell *cell, guint tier)
+{
+  struct msg_cell_summary summary;
+  if (!find_summary (nod, cell->name.s, &summary))
+    return distance_to (nod, nod->cfg, cell->domain) == DISTANCE_DOMAIN
+               ? 0
+               : WAIT_UNKNOWN_US;
+  if (summary.servers == 0)
+    return WAIT_UNKNOWN_US;
+  if (summary.free_slots > 0)
+    return 0;
+  guint ahead = 1;
+  for (guint t = 0; t <= tier && t < G_N_ELEMENTS (summary.waiting); t++)
+    ahead += summary.waiting[t];
+  return ahead * CLK_S / MAX (1, summary.starts_per_s);
+}
+
+static gboolean
+was_tried (const struct nod_req *req, const char *cell)
+{
+  for (guint i = 0; i < req->n_tried; i++)
+    if (strcmp (req->tried[i].s, cell) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+find_candidates (const struct nod *nod, const struct nod_req *req, guint pool,
+                 struct candidates found[DISTANCE_N])
+{
+  const struct cfg *cfg = nod->cfg;
+  for (guint i = 0; i < cfg->n_cells; i++)
+    {
+      const struct cfg_cell *cell = &cfg->cells[i];
+      if (cell->pool != pool || was_tried (req, cell->name.s))
+        continue;
+      enum distance d = distance_to (nod, cfg, cell->domain);
+      if (d != DISTANCE_DOMAIN && fresh_info (nod, cell->name.s) == NULL)
+        continue;
+      if (found[d].n < CANDIDATES_MAX)
+        found[d].cells[found[d].n++] = cell;
+    }
+}
+
+/* Returns the better of two random cells of C, NULL if there is none.  */
+static const struct cfg_cell *
+pick_of_two (struct nod *nod, const struct candidates *c, guint tier)
+{
+  if (c->n == 0)
+    return NULL;
+  guint a = (guint) g_rand_int_range (nod->rand, 0, (gint32) c->n);
+  guint b = (guint) g_rand_int_range (nod->rand, 0, (gint32) c->n);
+  gint64 wait_a = expected_wait (nod, c->cells[a], tier);
+  gint64 wait_b = expected_wait (nod, c->cells[b], tier);
+  return wait_b < wait_a ? c->cells[b] : c->cells[a];
+}
+
+static gint64
+bearable_wait (const struct cfg_class *class)
+{
+  if (class->ttft_us == 0)
+    return SPILL_WAIT_DEFAULT_US;
+  return (gint64) (SPILL_WAIT_SHARE * class->ttft_us);
+}
+
+/* Picks among the found cells: at home, then within the region, last over
+   the link. Work leaves a crowded home early only for a cell of the region
+   that has free slots.  */
+static const struct cfg_cell *
+pick (struct nod *nod, const struct candidates found[DISTANCE_N],
+      const struct cfg_class *class, enum cfg_spill spill, gboolean may_cross)
+{
+  const struct cfg_cell *home
+      = pick_of_two (nod, &found[DISTANCE_DOMAIN], class->tier);
+  gint64 home_wait
+      = home ? expected_wait (nod, home, class->tier) : WAIT_UNKNOWN_US;
+  if (home != NULL && home_wait <= bearable_wait (class))
+    return home;
+  const struct cfg_cell *near = NULL;
+  if (spill >= CFG_SPILL_REGION)
+    near = pick_of_two (nod, &found[DISTANCE_REGION], class->tier);
+  gint64 near_wait
+      = near ? expected_wait (nod, near, class->tier) : WAIT_UNKNOWN_US;
+  if (near != NULL && (near_wait == 0 || home_wait == WAIT_UNKNOWN_US))
+    return near;
+  if (home != NULL && home_wait < WAIT_UNKNOWN_US)
+    return home;
+  if (near != NULL)
+    return near;
+  const struct cfg_cell *far = NULL;
+  if (spill >= CFG_SPILL_ANYWHERE && may_cross)
+    far = pick_of_two (nod, &found[DISTANCE_LINK], class->tier);
+  if (far != NULL && expected_wait (nod, far, class->tier) < WAIT_UNKNOWN_US)
+    return far;
+  return home;
+}
+
+/* Chooses REQ's cell and owner. Returns FALSE if there is none to try.  */
+gboolean
+nod_route (struct nod *nod, struct nod_req *req)
+{
+  const struct cfg_pool *pool = &req->cfg->pools[req->spec.pool];
+  const struct cfg_class *class = &req->cfg->classes[req->spec.class_index];
+  int pool_now = cfg_find_pool (nod->cfg, pool->kind, str_of (pool->name.s));
+  if (pool_now < 0)
+    return FALSE;
+  struct candidates found[DISTANCE_N] = { 0 };
+  find_candidates (nod, req, (guint) pool_now, found);
+  enum cfg_spill spill = MIN (class->spill, req->cfg->spill);
+  gboolean may_cross
+      = nod->budgets[req->spec.class_index].link_bytes > 0.0;
+  const struct cfg_cell *cell = pick (nod, found, class, spill, may_cross);
+  if (cell == NULL)
+    return FALSE;
+  const char *owner = nod_owner (nod, str_of (cell->name.s));
+  if (owner == NULL)
+    return FALSE;
+  if (nod_crosses_link (nod, nod->cfg, cell->domain) && !req->crossed)
+    {
+      nod_budget_link (nod, req->spec.class_index, req->spec.bytes);
+      req->crossed = TRUE;
+    }
+  req->cell = cell->name;
+  str_id_set (&req->owner, str_of (owner));
+  return TRUE;
+}
--- a/packages/wire/wir.h
+++ b/packages/wire/wir.h
@@ -35,6 +35,8 @@
   struct ctr *ctr; /* borrowed */
   /* A whole message from the authenticated instance FROM. */
   void (*receive) (void *ctx, const char *from, const struct msg *msg);
+  /* The first connection to instance ID stands. */
+  void (*up) (void *ctx, const char *id);
   /* No connection to instance ID is left. */
   void (*lost) (void *ctx, const char *id);
   void *ctx;
