Add a thin cell owner: tier order, hard limits, grants that expire

Cause: the other packages need a working cel.h to be wired up against. Ruled out: one file for everything; tickets, classes, servers and events are separate modules so that the policies can be added one by one. Change: packages/cell with tickets by entry instance, class queues by age, fixed limits, re-offers, leaving servers, expiry of grants, deadlines and silent tickets; a fixture that builds struct cfg by hand.

--- /dev/null
+++ b/packages/cell/cel_dump.c
@@ -0,0 +1,73 @@
+#include "cell/cel_int.h"
+
+/* Fills SUMMARY with what entries need to pick a cell; owner and its address
+   are left to the caller.  */
+void
+cel_summary (const struct cel *cel, struct msg_cell_summary *summary)
+{
+  *summary = (struct msg_cell_summary){ .cell = cel->cell };
+  for (guint i = 0; i < cel->servers->len; i++)
+    {
+      const struct srv *srv = cel->servers->pdata[i];
+      summary->free_slots += srv_free_slots (srv);
+      summary->servers += srv_takes_work (srv) ? 1 : 0;
+    }
+  for (guint i = 0; i < cel->classes->len; i++)
+    {
+      const struct cls *cls = cel->classes->pdata[i];
+      summary->waiting[MIN (cls->cfg.tier, CFG_TIERS_MAX - 1)]
+          += cls_n_waiting (cls);
+    }
+}
+
+static void
+add_int (JsonBuilder *json, const char *name, gint64 value)
+{
+  json_builder_set_member_name (json, name);
+  json_builder_add_int_value (json, value);
+}
+
+static void
+dump_server (const struct srv *srv, JsonBuilder *json)
+{
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "name");
+  json_builder_add_string_value (json, srv->cfg.name.s);
+  add_int (json, "limit", srv_limit (srv));
+  add_int (json, "in_flight", srv->in_flight.length);
+  json_builder_set_member_name (json, "takes_work");
+  json_builder_add_boolean_value (json, srv_takes_work (srv));
+  json_builder_end_object (json);
+}
+
+static void
+dump_class (const struct cls *cls, JsonBuilder *json)
+{
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "name");
+  json_builder_add_string_value (json, cls->cfg.name.s);
+  add_int (json, "tier", cls->cfg.tier);
+  add_int (json, "waiting", cls_n_waiting (cls));
+  add_int (json, "running", cls->n_running);
+  json_builder_end_object (json);
+}
+
+/* Adds one JSON object with the cell's servers and queues.  */
+void
+cel_dump (const struct cel *cel, JsonBuilder *json)
+{
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "cell");
+  json_builder_add_string_value (json, cel->cell.s);
+  json_builder_set_member_name (json, "servers");
+  json_builder_begin_array (json);
+  for (guint i = 0; i < cel->servers->len; i++)
+    dump_server (cel->servers->pdata[i], json);
+  json_builder_end_array (json);
+  json_builder_set_member_name (json, "classes");
+  json_builder_begin_array (json);
+  for (guint i = 0; i < cel->classes->len; i++)
+    dump_class (cel->classes->pdata[i], json);
+  json_builder_end_array (json);
+  json_builder_end_object (json);
+}
--- /dev/null
+++ b/tests/unit/test_cel.c
@@ -0,0 +1,179 @@
+#include "unit/cell_fixture.h"
+#include "unit/unit.h"
+
+static void
+test_tier_order (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_BATCH);
+  fix_offer (&fix, 2, FIX_BATCH);
+  fix_offer (&fix, 3, FIX_URGENT);
+  fix_offer (&fix, 4, FIX_URGENT);
+  CU_ASSERT_TRUE (fix_granted (&fix, 1));
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  fix_release (&fix, 3, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 4));
+  fix_release (&fix, 4, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
+static void
+test_unused_grant_expires (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_TRUE (fix_find (&fix, MSG_GRANT, 1)->grant.use_within_us
+                  <= 2 * CLK_S);
+  fix_wait (&fix, 2 * CLK_S);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 1);
+  fix_close (&fix);
+}
+
+static void
+test_used_grant_stays (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  for (guint i = 0; i < 20; i++)
+    {
+      fix_wait (&fix, CLK_S);
+      fix_progress (&fix, 1, 0, 0);
+      fix_progress (&fix, 2, 0, 0);
+    }
+  CU_ASSERT_FALSE (fix_granted (&fix, 2));
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 0);
+  fix_close (&fix);
+}
+
+static void
+test_deadline (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
+  offer.wait_us = CLK_S;
+  cel_offer (fix.cel, "e1", &offer);
+  fix_wait (&fix, CLK_S);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_DEADLINE);
+  CU_ASSERT_TRUE (fix_find (&fix, MSG_REFUSE, 2)->refuse.retry_after_us > 0);
+  fix_close (&fix);
+}
+
+static void
+test_leaving_gets_nothing (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  cel_set_leaving (fix.cel, "sa", TRUE);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_FALSE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
+static void
+test_offers_are_idempotent (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  CU_ASSERT_EQUAL (fix.sent[1].msg.kind, MSG_GRANT);
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.waiting[1], 1);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_close (&fix);
+}
+
+static void
+test_reoffer_counts_running_work (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
+  offer.running = fix_id ("sa");
+  cel_offer (fix.cel, "e1", &offer);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 0);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
+static void
+test_entry_lost (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
+  cel_offer (fix.cel, "e2", &offer);
+  cel_entry_lost (fix.cel, "e1");
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  CU_ASSERT_STRING_EQUAL (fix.sent[1].to.s, "e2");
+  fix_close (&fix);
+}
+
+static void
+test_silent_entry (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
+  offer.running = fix_id ("sa");
+  cel_offer (fix.cel, "e1", &offer);
+  fix_wait (&fix, 9 * CLK_S);
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_wait (&fix, CLK_S);
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 1);
+  fix_close (&fix);
+}
+
+static CU_TestInfo tests[] = {
+  { "the highest tier starts first", test_tier_order },
+  { "an unused grant expires", test_unused_grant_expires },
+  { "a used grant stays while its entry speaks", test_used_grant_stays },
+  { "a ticket past its deadline is refused", test_deadline },
+  { "a leaving server gets nothing", test_leaving_gets_nothing },
+  { "an offer sent twice counts once", test_offers_are_idempotent },
+  { "a new owner counts running work", test_reoffer_counts_running_work },
+  { "a lost entry's tickets go", test_entry_lost },
+  { "a silent entry's tickets go", test_silent_entry },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "cell", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
