Add state charts and membership

Cause: the other packages need the chart interpreter and the view of live instances to build the whole path. Ruled out: deciding an instance's state by branches in mem.c; the chart file holds it (charts/instance.chart), mem_options takes the loaded chart. Change: chr.c, mem.c, instance.chart, mem_chart_load; mem_instance gets its state, mem_options the chart.

--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -5,6 +5,8 @@
 #define MEM_H
 
 #include "base/clk.h"
+#include "base/err.h"
+#include "chart/chr.h"
 #include <json-glib/json-glib.h>
 #include "base/str.h"
 #include "msg/msg.h"
@@ -15,6 +17,23 @@
                                      */
 #define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
 #define MEM_INSTANCES_MAX 256       /* of one failure domain */
+#define MEM_TOTAL_MAX 1024          /* of all failure domains */
+
+/* States of charts/instance.chart. X (NAME, "name") */
+#define MEM_STATES(X)                                                          \
+  X (UNKNOWN, "unknown")                                                       \
+  X (LIVE, "live")                                                             \
+  X (LEAVING, "leaving")                                                       \
+  X (DOWN, "down")                                                             \
+  X (GONE, "gone")
+
+enum mem_state
+{
+#define MEM_STATE_ENUM(id, name) MEM_##id,
+  MEM_STATES (MEM_STATE_ENUM)
+#undef MEM_STATE_ENUM
+      MEM_STATE_N
+};
 
 struct mem;
 
@@ -27,8 +46,9 @@
   guint64 incarnation;
   guint64 sequence; /* of the last heartbeat */
   gint64 heard;     /* clock time of the last heartbeat, microseconds */
-  gboolean live;
-  gboolean leaving;
+  enum mem_state state;
+  gboolean live;          /* MEM_LIVE or MEM_LEAVING */
+  gboolean leaving;       /* MEM_LEAVING */
   guint64 config_version; /* in force there */
   guint64 fleet_version;
 };
@@ -43,9 +63,12 @@
 struct mem_options
 {
   const struct clk *clk;    /* borrowed */
+  const struct chr *chart;  /* by mem_chart_load, borrowed */
   struct mem_instance self; /* id, domain, region, address, incarnation */
 };
 
+/* Loads instance.chart from FOLDER; the caller frees it by chr_free. */
+int mem_chart_load (const char *folder, struct chr **chart, struct err *err);
 struct mem *mem_new (const struct mem_options *options);
 void mem_free (struct mem *mem);
 /* Takes a heartbeat from instance FROM. Old incarnations and sequences are
