Parse and check the configuration object

Cause: nothing read the configuration object yet; the path from caller to backend server needs it first. Ruled out: reading keys one by one with branches (each check stands many times); GKeyFile's own getters (they accept "12 apples" as 12, merge groups that stand twice and drop localised keys without a word). A model and a service may not share a name, since cells and backend servers refer to a pool by name alone. min_share must be at least 0.01 and reserved_waiting at least 1, so that no class can be starved by configuration.

--- /dev/null
+++ b/packages/config/cfg.c
@@ -0,0 +1,239 @@
+#include "config/cfg.h"
+
+#include <string.h>
+
+#include "config/cfg_read.h"
+
+static struct cfg_index *
+index_new (void)
+{
+  struct cfg_index *index = g_new0 (struct cfg_index, 1);
+  GHashTable **tables = (GHashTable **)index;
+  for (gsize i = 0; i < sizeof *index / sizeof *tables; i++)
+    tables[i] = g_hash_table_new (g_str_hash, g_str_equal);
+  return index;
+}
+
+static void
+index_free (struct cfg_index *index)
+{
+  GHashTable **tables = (GHashTable **)index;
+  for (gsize i = 0; i < sizeof *index / sizeof *tables; i++)
+    g_hash_table_unref (tables[i]);
+  g_free (index);
+}
+
+/* Parses and checks BODY, the text of VERSION. Returns a configuration with
+   one reference; NULL if anything is wrong, with every problem added to
+   PROBLEMS as a newly allocated string.  */
+struct cfg *
+cfg_parse (GBytes *body, guint64 version, GPtrArray *problems)
+{
+  guint before = problems->len;
+  gsize n;
+  const char *text = g_bytes_get_data (body, &n);
+  if (n > CFG_BODY_MAX)
+    {
+      g_ptr_array_add (problems,
+                       g_strdup_printf ("the object has %zu bytes; allowed: at "
+                                        "most %d",
+                                        n, CFG_BODY_MAX));
+      return NULL;
+    }
+  struct ini ini = { .problems = problems };
+  struct cfg *cfg = g_new0 (struct cfg, 1);
+  cfg->refs = 1;
+  cfg->version = version;
+  cfg->body = g_bytes_ref (body);
+  cfg->index = index_new ();
+  if (ini_open (&ini, text, n) == 0)
+    cfg_read (cfg, &ini);
+  ini_close (&ini);
+  if (problems->len > before)
+    g_clear_pointer (&cfg, cfg_unref);
+  return cfg;
+}
+
+/* Returns CFG with one more reference.  */
+struct cfg *
+cfg_ref (struct cfg *cfg)
+{
+  cfg->refs++;
+  return cfg;
+}
+
+/* Drops a reference; NULL is allowed.  */
+void
+cfg_unref (struct cfg *cfg)
+{
+  if (cfg == NULL || --cfg->refs > 0)
+    return;
+  index_free (cfg->index);
+  g_bytes_unref (cfg->body);
+  g_free (cfg->classes);
+  g_free (cfg->teams);
+  g_free (cfg->domains);
+  g_free (cfg->pools);
+  g_free (cfg->backends);
+  g_free (cfg->cells);
+  g_free (cfg->operators);
+  g_free (cfg->presets);
+  g_free (cfg);
+}
+
+/* Returns the index of NAME in TABLE, ERR_NOT_FOUND if it is not there.  */
+static int
+find (GHashTable *table, struct str name)
+{
+  struct str_id key;
+  if (name.n == 0 || memchr (name.p, '\0', name.n) != NULL
+      || !str_id_set (&key, name))
+    return ERR_NOT_FOUND;
+  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (table, key.s));
+  return found > 0 ? (int)found - 1 : ERR_NOT_FOUND;
+}
+
+/* Returns the index of the SHA-256 of SECRET in TABLE, ERR_NOT_FOUND if it is
+   not there.  */
+static int
+find_secret (GHashTable *table, struct str secret)
+{
+  if (secret.n == 0)
+    return ERR_NOT_FOUND;
+  g_autofree char *digest = g_compute_checksum_for_data (
+      G_CHECKSUM_SHA256, (const guchar *)secret.p, secret.n);
+  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (table, digest));
+  return found > 0 ? (int)found - 1 : ERR_NOT_FOUND;
+}
+
+/* Returns the index of class NAME; < 0 if it is not there.  */
+int
+cfg_find_class (const struct cfg *cfg, struct str name)
+{
+  return find (cfg->index->classes, name);
+}
+
+/* Returns the index of team NAME; < 0 if it is not there.  */
+int
+cfg_find_team (const struct cfg *cfg, struct str name)
+{
+  return find (cfg->index->teams, name);
+}
+
+/* Returns the index of the team with API key KEY; < 0 if there is none.  */
+int
+cfg_find_team_by_key (const struct cfg *cfg, struct str key)
+{
+  return find_secret (cfg->index->team_keys, key);
+}
+
+/* Returns the index of the operator with TOKEN; < 0 if there is none.  */
+int
+cfg_find_operator_by_token (const struct cfg *cfg, struct str token)
+{
+  return find_secret (cfg->index->operator_tokens, token);
+}
+
+/* Returns the index of pool NAME; < 0 if it is not there or not of KIND.  */
+int
+cfg_find_pool (const struct cfg *cfg, enum cfg_kind kind, struct str name)
+{
+  int i = find (cfg->index->pools, name);
+  return i >= 0 && cfg->pools[i].kind != kind ? ERR_NOT_FOUND : i;
+}
+
+/* Returns the index of backend server NAME; < 0 if it is not there.  */
+int
+cfg_find_backend (const struct cfg *cfg, struct str name)
+{
+  return find (cfg->index->backends, name);
+}
+
+/* Returns the index of cell NAME; < 0 if it is not there.  */
+int
+cfg_find_cell (const struct cfg *cfg, struct str name)
+{
+  return find (cfg->index->cells, name);
+}
+
+/* Returns the index of failure domain NAME; < 0 if it is not there.  */
+int
+cfg_find_domain (const struct cfg *cfg, struct str name)
+{
+  return find (cfg->index->domains, name);
+}
+
+/* Returns the name of KIND as in the INI text; static.  */
+const char *
+cfg_kind_name (enum cfg_kind kind)
+{
+  switch (kind)
+    {
+#define KIND_CASE(id, name)                                                    \
+  case CFG_##id:                                                               \
+    return name;
+      CFG_KINDS (KIND_CASE)
+#undef KIND_CASE
+    }
+  return "";
+}
+
+/* Returns the name of SPILL as in the INI text; static.  */
+const char *
+cfg_spill_name (enum cfg_spill spill)
+{
+  switch (spill)
+    {
+#define SPILL_CASE(id, name)                                                   \
+  case CFG_SPILL_##id:                                                         \
+    return name;
+      CFG_SPILLS (SPILL_CASE)
+#undef SPILL_CASE
+    }
+  return "";
+}
+
+/* Returns BODY with KEY of GROUP set to VALUE; NULL with ERR set if BODY has
+   no group NEEDED.  */
+static GBytes *
+edit (GBytes *body, const char *needed, const char *group, const char *key,
+      const char *value, struct err *err)
+{
+  g_autoptr (GKeyFile) file = g_key_file_new ();
+  g_autoptr (GError) error = NULL;
+  GKeyFileFlags flags = G_KEY_FILE_KEEP_COMMENTS | G_KEY_FILE_KEEP_TRANSLATIONS;
+  if (!g_key_file_load_from_bytes (file, body, flags, &error))
+    {
+      err_set (err, ERR_INVALID, "config.edit", NULL, "%s", error->message);
+      return NULL;
+    }
+  if (!g_key_file_has_group (file, needed))
+    {
+      err_set (err, ERR_NOT_FOUND, "config.edit", NULL,
+               "the configuration has no group [%s]", needed);
+      return NULL;
+    }
+  g_key_file_set_value (file, group, key, value);
+  gsize n;
+  char *text = g_key_file_to_data (file, &n, NULL);
+  return g_bytes_new_take (text, n);
+}
+
+/* Returns BODY with PRESET in force; the caller unrefs it. Returns NULL with
+   ERR set if there is no such preset.  */
+GBytes *
+cfg_with_preset (GBytes *body, const char *preset, struct err *err)
+{
+  g_autofree char *needed = g_strdup_printf ("preset:%s", preset);
+  return edit (body, needed, "jacinthward", "preset", preset, err);
+}
+
+/* Returns BODY with the drain mark of BACKEND set to DRAIN; the caller unrefs
+   it. Returns NULL with ERR set if there is no such backend server.  */
+GBytes *
+cfg_with_drain (GBytes *body, const char *backend, gboolean drain,
+                struct err *err)
+{
+  g_autofree char *group = g_strdup_printf ("backend:%s", backend);
+  return edit (body, group, group, "drain", drain ? "yes" : "no", err);
+}
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -74,7 +74,8 @@
   struct str_id region;
 };
 
-/* A model or a plain service. */
+/* A model or a plain service; a name stands for one of them only, since cells
+   and backend servers refer to a pool by its name. */
 struct cfg_pool
 {
   struct str_id name;
@@ -109,31 +110,35 @@
   gboolean may_write;
 };
 
+struct cfg_index; /* internal */
+
 struct cfg
 {
-  guint refs;
   guint64 version;      /* of the object; higher is newer */
   GBytes *body;         /* the INI text, owned */
   struct str_id preset; /* in force */
-  enum cfg_spill spill; /* widest spill of the preset */
   double limit_scale;   /* of the adaptive limits, by the preset */
+  enum cfg_spill spill; /* widest spill of the preset */
+  guint refs;
 
   struct cfg_class *classes;
-  guint n_classes;
   struct cfg_team *teams;
-  guint n_teams;
   struct cfg_domain *domains;
-  guint n_domains;
   struct cfg_pool *pools;
-  guint n_pools;
   struct cfg_backend *backends; /* sorted by name */
-  guint n_backends;
   struct cfg_cell *cells;
-  guint n_cells;
   struct cfg_operator *operators;
-  guint n_operators;
   struct str_id *presets;
+  guint n_classes;
+  guint n_teams;
+  guint n_domains;
+  guint n_pools;
+  guint n_backends;
+  guint n_cells;
+  guint n_operators;
   guint n_presets;
+
+  struct cfg_index *index; /* hashed look-ups, owned */
 };
 
 struct cfg *cfg_parse (GBytes *body, guint64 version, GPtrArray *problems);
--- /dev/null
+++ b/packages/config/cfg_read.c
@@ -0,0 +1,635 @@
+#include "config/cfg_read.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SHARE_SUM_MAX 0.9 /* of the classes' least shares of starts */
+#define SHARE_ROUNDING 1e-9
+#define HOUR_MS 3600000.0 /* milliseconds */
+
+#define KEY(type, name, field, required, ...)                                  \
+  {                                                                            \
+    name, INI_##type, required, offsetof (TARGET, field), __VA_ARGS__          \
+  }
+#define REQUIRED TRUE
+#define OPTIONAL FALSE
+
+static const char *const spill_names[] = {
+#define SPILL_NAME(id, name) name,
+  CFG_SPILLS (SPILL_NAME)
+#undef SPILL_NAME
+      NULL
+};
+
+struct raw_preset
+{
+  struct str_id name;
+  int spill;
+  double limit_scale;
+};
+
+struct raw_team
+{
+  struct cfg_team team; /* its name comes first */
+  struct str_id default_class;
+  char **classes;
+};
+
+struct raw_backend
+{
+  struct cfg_backend backend; /* its name comes first */
+  struct str_id pool;
+  struct str_id domain;
+};
+
+struct raw_main
+{
+  struct str_id preset;
+};
+
+#define TARGET struct raw_main
+static const struct ini_key main_keys[] = {
+  KEY (ID, "preset", preset, REQUIRED),
+};
+#undef TARGET
+
+#define TARGET struct raw_preset
+static const struct ini_key preset_keys[] = {
+  KEY (CHOICE, "spill", spill, REQUIRED, 0, 0, 0, spill_names),
+  KEY (NUMBER, "limit_scale", limit_scale, OPTIONAL, 0.1, 2, 1),
+};
+#undef TARGET
+
+#define TARGET struct cfg_domain
+static const struct ini_key domain_keys[] = {
+  KEY (ID, "region", region, REQUIRED),
+};
+#undef TARGET
+
+#define TARGET struct cfg_class
+static const struct ini_key class_keys[] = {
+  KEY (COUNT, "tier", tier, REQUIRED, 0, CFG_TIERS_MAX - 1, 0),
+  KEY (MS, "ttft_ms", ttft_us, OPTIONAL, 0, HOUR_MS, 0),
+  KEY (MS, "tbt_ms", tbt_us, OPTIONAL, 0, HOUR_MS, 0),
+  KEY (MS, "deadline_ms", deadline_us, REQUIRED, 1, 24 * HOUR_MS, 0),
+  KEY (NUMBER, "min_share", min_share, REQUIRED, 0.01, SHARE_SUM_MAX, 0),
+  KEY (COUNT, "max_waiting", max_waiting, REQUIRED, 1, 100000, 0),
+  KEY (COUNT, "reserved_waiting", reserved_waiting, OPTIONAL, 1, 100000, 1),
+  KEY (NUMBER, "retry_share", retry_share, OPTIONAL, 0, 1, 0.1),
+  KEY (BYTES, "link_bytes_per_s", link_bytes_per_s, OPTIONAL, 0, 1e10, 0),
+  KEY (CHOICE, "spill", spill, OPTIONAL, 0, 0, CFG_SPILL_REGION, spill_names),
+};
+#undef TARGET
+
+#define TARGET struct raw_team
+static const struct ini_key team_keys[] = {
+  KEY (DIGEST, "key_sha256", team.key_sha256, REQUIRED),
+  KEY (NUMBER, "weight", team.weight, OPTIONAL, 0.01, 1000, 1),
+  KEY (COUNT, "max_running", team.max_running, OPTIONAL, 0, 100000, 0),
+  KEY (LIST, "classes", classes, REQUIRED),
+  KEY (ID, "default_class", default_class, REQUIRED),
+};
+#undef TARGET
+
+#define TARGET struct cfg_pool
+static const struct ini_key service_keys[] = {
+  KEY (BOOL, "repeatable", any_method_repeatable, OPTIONAL, 0, 0, FALSE),
+};
+#undef TARGET
+
+#define TARGET struct raw_backend
+static const struct ini_key backend_keys[] = {
+  KEY (ADDRESS, "address", backend.address, REQUIRED),
+  KEY (ID, "pool", pool, REQUIRED),
+  KEY (ID, "domain", domain, REQUIRED),
+  KEY (COUNT, "max_running", backend.max_running, REQUIRED, 1, 4096, 0),
+  KEY (BOOL, "checks_fence", backend.checks_fence, OPTIONAL, 0, 0, FALSE),
+  KEY (BOOL, "drain", backend.drain, OPTIONAL, 0, 0, FALSE),
+};
+#undef TARGET
+
+#define TARGET struct cfg_operator
+static const struct ini_key operator_keys[] = {
+  KEY (DIGEST, "token_sha256", token_sha256, REQUIRED),
+  KEY (BOOL, "write", may_write, OPTIONAL, 0, 0, FALSE),
+};
+#undef TARGET
+
+/* A kind of group "[PREFIX:NAME]", read into an array of elements that start
+   with their name. X (ID, "prefix", element, keys, n_keys, max) */
+#define SECTIONS(X)                                                            \
+  X (DOMAIN, "domain", struct cfg_domain, domain_keys,                         \
+     G_N_ELEMENTS (domain_keys), CFG_DOMAINS_MAX)                              \
+  X (CLASS, "class", struct cfg_class, class_keys, G_N_ELEMENTS (class_keys),  \
+     CFG_CLASSES_MAX)                                                          \
+  X (PRESET, "preset", struct raw_preset, preset_keys,                         \
+     G_N_ELEMENTS (preset_keys), CFG_PRESETS_MAX)                              \
+  X (TEAM, "team", struct raw_team, team_keys, G_N_ELEMENTS (team_keys),       \
+     CFG_TEAMS_MAX)                                                            \
+  X (MODEL, "model", struct cfg_pool, NULL, 0, CFG_POOLS_MAX)                  \
+  X (SERVICE, "service", struct cfg_pool, service_keys,                        \
+     G_N_ELEMENTS (service_keys), CFG_POOLS_MAX)                               \
+  X (BACKEND, "backend", struct raw_backend, backend_keys,                     \
+     G_N_ELEMENTS (backend_keys), CFG_BACKENDS_MAX)                            \
+  X (OPERATOR, "operator", struct cfg_operator, operator_keys,                 \
+     G_N_ELEMENTS (operator_keys), CFG_OPERATORS_MAX)
+
+enum section_id
+{
+#define SECTION_ENUM(id, prefix, element, keys, n_keys, max) SECTION_##id,
+  SECTIONS (SECTION_ENUM)
+#undef SECTION_ENUM
+      SECTION_N
+};
+
+struct section
+{
+  const char *prefix;
+  gsize size; /* bytes of an element */
+  const struct ini_key *keys;
+  guint n_keys;
+  guint max; /* groups */
+};
+
+static const struct section sections[] = {
+#define SECTION_ROW(id, prefix, element, keys, n_keys, max)                    \
+  { prefix, sizeof (element), keys, n_keys, max },
+  SECTIONS (SECTION_ROW)
+#undef SECTION_ROW
+};
+
+#define MAIN_GROUP "jacinthward"
+
+/* Returns the NAME of a group "[PREFIX:NAME]" of section S; NULL if GROUP is
+   of another section.  */
+static const char *
+section_name (const struct section *s, const char *group)
+{
+  gsize n = strlen (s->prefix);
+  if (strncmp (group, s->prefix, n) != 0 || group[n] != ':')
+    return NULL;
+  return group + n + 1;
+}
+
+/* Reads all groups of section ID in their order. Returns an array of *N
+   elements that the caller frees.  */
+static void *
+read_section (struct ini *ini, enum section_id id, guint *n)
+{
+  const struct section *s = &sections[id];
+  g_auto (GStrv) groups = g_key_file_get_groups (ini->file, NULL);
+  char *array = g_malloc0_n (g_strv_length (groups) + 1, s->size);
+  *n = 0;
+  for (guint i = 0; groups[i] != NULL; i++)
+    {
+      const char *name = section_name (s, groups[i]);
+      if (name == NULL)
+        continue;
+      if (*n == s->max)
+        {
+          ini_problem (ini, groups[i], NULL,
+                       "is one too many; allowed: %u %s "
+                       "groups",
+                       s->max, s->prefix);
+          break;
+        }
+      char *element = array + (gsize)(*n)++ * s->size;
+      if (!str_id_ok (str_of (name)))
+        ini_problem (ini, groups[i], NULL,
+                     "has a wrong name; allowed: 1 to 63 of A-Z a-z 0-9 . _ -");
+      str_id_set ((struct str_id *)element, str_of (name));
+      ini_read_group (ini, groups[i], s->keys, s->n_keys,
+                      id == SECTION_PRESET ? "class." : NULL, element);
+    }
+  return array;
+}
+
+static char *
+group_of (enum section_id id, const char *name)
+{
+  return g_strdup_printf ("%s:%s", sections[id].prefix, name);
+}
+
+static void
+check_groups (struct ini *ini)
+{
+  g_auto (GStrv) groups = g_key_file_get_groups (ini->file, NULL);
+  for (guint i = 0; groups[i] != NULL; i++)
+    {
+      gboolean known = strcmp (groups[i], MAIN_GROUP) == 0;
+      for (guint s = 0; s < SECTION_N && !known; s++)
+        known = section_name (&sections[s], groups[i]) != NULL;
+      if (!known)
+        ini_problem (ini, groups[i], NULL,
+                     "is unknown; allowed: " MAIN_GROUP
+                     ", preset:NAME, domain:NAME, class:NAME, team:NAME, "
+                     "model:NAME, service:NAME, backend:NAME, operator:NAME");
+    }
+}
+
+/* Adds KEY to TABLE with INDEX. Returns FALSE if it is there already.  */
+static gboolean
+index_add (GHashTable *table, const char *key, guint index)
+{
+  if (g_hash_table_contains (table, key))
+    return FALSE;
+  return g_hash_table_insert (table, (gpointer)key,
+                              GUINT_TO_POINTER (index + 1));
+}
+
+/* Returns the index of KEY, -1 if it is not there.  */
+static int
+index_get (GHashTable *table, const char *key)
+{
+  return (int)GPOINTER_TO_UINT (g_hash_table_lookup (table, key)) - 1;
+}
+
+static void
+read_domains (struct cfg *cfg, struct ini *ini)
+{
+  cfg->domains = read_section (ini, SECTION_DOMAIN, &cfg->n_domains);
+  for (guint i = 0; i < cfg->n_domains; i++)
+    index_add (cfg->index->domains, cfg->domains[i].name.s, i);
+  if (cfg->n_domains == 0)
+    ini_problem (ini, "domain:NAME", NULL, "is missing; allowed: at least one");
+}
+
+static void
+read_classes (struct cfg *cfg, struct ini *ini)
+{
+  cfg->classes = read_section (ini, SECTION_CLASS, &cfg->n_classes);
+  for (guint i = 0; i < cfg->n_classes; i++)
+    index_add (cfg->index->classes, cfg->classes[i].name.s, i);
+  if (cfg->n_classes == 0)
+    ini_problem (ini, "class:NAME", NULL, "is missing; allowed: at least one");
+}
+
+/* Reads the override "class.NAME.KEY" of GROUP into CLASSES.  */
+static void
+read_override (const struct cfg *cfg, struct ini *ini, const char *group,
+               const char *override, struct cfg_class *classes)
+{
+  const char *name = override + strlen ("class.");
+  const char *dot = strrchr (name, '.');
+  if (dot == NULL)
+    {
+      ini_problem (ini, group, override,
+                   "is unknown; allowed: class.NAME.KEY with a key of a class");
+      return;
+    }
+  g_autofree char *class_name = g_strndup (name, (gsize)(dot - name));
+  int class_index = index_get (cfg->index->classes, class_name);
+  if (class_index < 0)
+    {
+      ini_problem (ini, group, override,
+                   "names the class %s, which is not there; allowed: a class "
+                   "of this object",
+                   class_name);
+      return;
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (class_keys); i++)
+    if (strcmp (class_keys[i].name, dot + 1) == 0)
+      {
+        ini_read_key (ini, group, override, &class_keys[i],
+                      &classes[class_index]);
+        return;
+      }
+  ini_problem (ini, group, override,
+               "names no key of a class; allowed: tier, "
+               "ttft_ms, tbt_ms, deadline_ms, min_share, max_waiting, "
+               "reserved_waiting, retry_share, link_bytes_per_s, spill");
+}
+
+/* Checks what must hold between the keys of CLASSES as GROUP sets them.  */
+static void
+check_classes (const struct cfg *cfg, struct ini *ini, const char *group,
+               const struct cfg_class *classes)
+{
+  double sum = 0;
+  for (guint i = 0; i < cfg->n_classes; i++)
+    {
+      sum += classes[i].min_share;
+      if (classes[i].reserved_waiting > classes[i].max_waiting)
+        ini_problem (ini, group, NULL,
+                     "class %s gets reserved_waiting %u above max_waiting %u; "
+                     "allowed: at most max_waiting",
+                     classes[i].name.s, classes[i].reserved_waiting,
+                     classes[i].max_waiting);
+    }
+  if (sum > SHARE_SUM_MAX + SHARE_ROUNDING)
+    ini_problem (ini, group, NULL,
+                 "min_share of all classes adds up to %.6g; allowed: at most "
+                 "%.6g",
+                 sum, SHARE_SUM_MAX);
+}
+
+/* Returns the classes with the overrides of PRESET; the caller frees them.  */
+static struct cfg_class *
+classes_of_preset (const struct cfg *cfg, struct ini *ini,
+                   const struct raw_preset *preset)
+{
+  struct cfg_class *classes
+      = g_memdup2 (cfg->classes, cfg->n_classes * sizeof *classes);
+  g_autofree char *group = group_of (SECTION_PRESET, preset->name.s);
+  g_auto (GStrv) keys = g_key_file_get_keys (ini->file, group, NULL, NULL);
+  for (guint i = 0; keys != NULL && keys[i] != NULL; i++)
+    if (g_str_has_prefix (keys[i], "class."))
+      read_override (cfg, ini, group, keys[i], classes);
+  check_classes (cfg, ini, group, classes);
+  return classes;
+}
+
+static void
+check_preset_names (const struct cfg *cfg, struct ini *ini)
+{
+  static const char *const needed[] = { "ordinary", "peak", "maintenance" };
+  for (guint i = 0; i < G_N_ELEMENTS (needed); i++)
+    {
+      gboolean found = FALSE;
+      for (guint p = 0; p < cfg->n_presets && !found; p++)
+        found = strcmp (cfg->presets[p].s, needed[i]) == 0;
+      g_autofree char *group = group_of (SECTION_PRESET, needed[i]);
+      if (!found)
+        ini_problem (ini, group, NULL,
+                     "is missing; allowed: preset:ordinary, "
+                     "preset:peak and preset:maintenance in every object");
+    }
+}
+
+/* Puts PRESET with its CLASSES in force. The index borrows the names of the
+   array of classes, so that it is filled in place.  */
+static void
+take_preset (struct cfg *cfg, const struct raw_preset *preset,
+             const struct cfg_class *classes)
+{
+  cfg->spill = (enum cfg_spill)preset->spill;
+  cfg->limit_scale = preset->limit_scale;
+  for (guint i = 0; i < cfg->n_classes; i++)
+    cfg->classes[i] = classes[i];
+}
+
+/* Reads and checks every preset and takes over the one in force.  */
+static void
+read_presets (struct cfg *cfg, struct ini *ini)
+{
+  struct raw_main main_group = { 0 };
+  ini_read_group (ini, MAIN_GROUP, main_keys, G_N_ELEMENTS (main_keys), NULL,
+                  &main_group);
+  cfg->preset = main_group.preset;
+  struct raw_preset *raw = read_section (ini, SECTION_PRESET, &cfg->n_presets);
+  cfg->presets = g_new0 (struct str_id, cfg->n_presets + 1);
+  struct cfg_class **classes = g_new0 (struct cfg_class *, cfg->n_presets + 1);
+  int in_force = -1;
+  for (guint i = 0; i < cfg->n_presets; i++)
+    {
+      cfg->presets[i] = raw[i].name;
+      classes[i] = classes_of_preset (cfg, ini, &raw[i]);
+      if (strcmp (raw[i].name.s, cfg->preset.s) == 0)
+        in_force = (int)i;
+    }
+  check_preset_names (cfg, ini);
+  if (in_force >= 0)
+    take_preset (cfg, &raw[in_force], classes[in_force]);
+  else if (cfg->preset.s[0] != '\0')
+    ini_problem (ini, MAIN_GROUP, "preset",
+                 "\"%s\" is not there; allowed: the NAME of a group "
+                 "preset:NAME",
+                 cfg->preset.s);
+  for (guint i = 0; i < cfg->n_presets; i++)
+    g_free (classes[i]);
+  g_free (classes);
+  g_free (raw);
+}
+
+/* Turns the class names of RAW into the bit set of its team.  */
+static void
+resolve_team (const struct cfg *cfg, struct ini *ini, struct raw_team *raw)
+{
+  g_autofree char *group = group_of (SECTION_TEAM, raw->team.name.s);
+  for (guint i = 0; raw->classes != NULL && raw->classes[i] != NULL; i++)
+    {
+      int class_index = index_get (cfg->index->classes, raw->classes[i]);
+      if (class_index < 0)
+        ini_problem (ini, group, "classes",
+                     "names the class %.63s, which is not there; allowed: "
+                     "classes of this object",
+                     raw->classes[i]);
+      else
+        raw->team.classes |= G_GUINT64_CONSTANT (1) << class_index;
+    }
+  if (raw->classes != NULL && raw->classes[0] == NULL)
+    ini_problem (ini, group, "classes",
+                 "is empty; allowed: at least one class");
+  if (raw->default_class.s[0] == '\0')
+    return;
+  int index = index_get (cfg->index->classes, raw->default_class.s);
+  if (index < 0 || (raw->team.classes >> index & 1) == 0)
+    ini_problem (ini, group, "default_class",
+                 "names the class %s, which the team may not use; allowed: one "
+                 "of its classes",
+                 raw->default_class.s);
+  else
+    raw->team.default_class = (guint)index;
+}
+
+static void
+read_teams (struct cfg *cfg, struct ini *ini)
+{
+  struct raw_team *raw = read_section (ini, SECTION_TEAM, &cfg->n_teams);
+  cfg->teams = g_new0 (struct cfg_team, cfg->n_teams + 1);
+  for (guint i = 0; i < cfg->n_teams; i++)
+    {
+      struct cfg_team *team = &cfg->teams[i];
+      resolve_team (cfg, ini, &raw[i]);
+      *team = raw[i].team;
+      g_strfreev (raw[i].classes);
+      index_add (cfg->index->teams, team->name.s, i);
+      g_autofree char *group = group_of (SECTION_TEAM, team->name.s);
+      if (team->key_sha256[0] != '\0'
+          && !index_add (cfg->index->team_keys, team->key_sha256, i))
+        ini_problem (ini, group, "key_sha256",
+                     "is the key of another team; allowed: a key of its own");
+    }
+  g_free (raw);
+}
+
+static void
+take_pool (struct cfg *cfg, struct ini *ini, struct cfg_pool pool,
+           enum cfg_kind kind)
+{
+  guint i = cfg->n_pools;
+  enum section_id id = kind == CFG_ENGINE ? SECTION_MODEL : SECTION_SERVICE;
+  g_autofree char *group = group_of (id, pool.name.s);
+  if (i == CFG_POOLS_MAX)
+    {
+      ini_problem (ini, group, NULL,
+                   "is one too many; allowed: %d models and services together",
+                   CFG_POOLS_MAX);
+      return;
+    }
+  pool.kind = kind;
+  pool.any_method_repeatable |= kind == CFG_ENGINE;
+  cfg->pools[i] = pool;
+  if (!index_add (cfg->index->pools, cfg->pools[i].name.s, i))
+    ini_problem (ini, group, NULL,
+                 "has the name of a model; allowed: names "
+                 "that no model and no other service has");
+  cfg->n_pools++;
+}
+
+static void
+read_pools (struct cfg *cfg, struct ini *ini)
+{
+  guint n_models;
+  guint n_services;
+  struct cfg_pool *models = read_section (ini, SECTION_MODEL, &n_models);
+  struct cfg_pool *services = read_section (ini, SECTION_SERVICE, &n_services);
+  cfg->pools = g_new0 (struct cfg_pool, CFG_POOLS_MAX);
+  for (guint i = 0; i < n_models; i++)
+    take_pool (cfg, ini, models[i], CFG_ENGINE);
+  for (guint i = 0; i < n_services; i++)
+    take_pool (cfg, ini, services[i], CFG_SERVICE);
+  g_free (services);
+  g_free (models);
+}
+
+/* Resolves the names in RAW. Returns FALSE if one is not there.  */
+static gboolean
+resolve_backend (const struct cfg *cfg, struct ini *ini,
+                 struct raw_backend *raw)
+{
+  g_autofree char *group = group_of (SECTION_BACKEND, raw->backend.name.s);
+  int pool = index_get (cfg->index->pools, raw->pool.s);
+  int domain = index_get (cfg->index->domains, raw->domain.s);
+  if (pool < 0 && raw->pool.s[0] != '\0')
+    ini_problem (ini, group, "pool",
+                 "\"%s\" is not there; allowed: the NAME "
+                 "of a group model:NAME or service:NAME",
+                 raw->pool.s);
+  if (domain < 0 && raw->domain.s[0] != '\0')
+    ini_problem (ini, group, "domain",
+                 "\"%s\" is not there; allowed: the NAME "
+                 "of a group domain:NAME",
+                 raw->domain.s);
+  raw->backend.pool = (guint)MAX (pool, 0);
+  raw->backend.domain = (guint)MAX (domain, 0);
+  return pool >= 0 && domain >= 0;
+}
+
+static int
+compare_backends (const void *a, const void *b)
+{
+  const struct raw_backend *x = a;
+  const struct raw_backend *y = b;
+  return strcmp (x->backend.name.s, y->backend.name.s);
+}
+
+static void
+check_address (GHashTable *seen, struct ini *ini,
+               const struct cfg_backend *backend)
+{
+  g_autofree char *group = group_of (SECTION_BACKEND, backend->name.s);
+  if (backend->address[0] != '\0'
+      && !g_hash_table_add (seen, (gpointer)backend->address))
+    ini_problem (ini, group, "address",
+                 "%s is the address of another backend "
+                 "server; allowed: an address of its own",
+                 backend->address);
+}
+
+/* Adds a cell for BACKEND with the NUMBER within its pool and domain.  */
+static void
+add_cell (struct cfg *cfg, struct ini *ini, const struct cfg_backend *backend,
+          guint number)
+{
+  struct cfg_cell *cell = &cfg->cells[cfg->n_cells];
+  const char *domain = cfg->domains[backend->domain].name.s;
+  const char *pool = cfg->pools[backend->pool].name.s;
+  g_autofree char *name = g_strdup_printf ("%s:%s:%u", domain, pool, number);
+  cell->pool = backend->pool;
+  cell->domain = backend->domain;
+  if (!str_id_set (&cell->name, str_of (name)))
+    ini_problem (ini, NULL, NULL,
+                 "the cell name %s has %zu bytes; allowed: "
+                 "names of domain and pool that make at most %d bytes",
+                 name, strlen (name), STR_ID_MAX);
+  index_add (cfg->index->cells, cell->name.s, cfg->n_cells);
+  cfg->n_cells++;
+}
+
+/* Puts the backend servers of each pool and domain, in the order of their
+   names, into cells of up to CFG_CELL_SIZE.  */
+static void
+make_cells (struct cfg *cfg, struct ini *ini)
+{
+  guint n_pairs = cfg->n_domains * cfg->n_pools;
+  guint *servers = g_new0 (guint, n_pairs + 1);
+  guint *newest = g_new0 (guint, n_pairs + 1);
+  cfg->cells = g_new0 (struct cfg_cell, cfg->n_backends + 1);
+  for (guint i = 0; i < cfg->n_backends; i++)
+    {
+      struct cfg_backend *backend = &cfg->backends[i];
+      guint pair = backend->domain * cfg->n_pools + backend->pool;
+      if (servers[pair] % CFG_CELL_SIZE == 0)
+        {
+          newest[pair] = cfg->n_cells;
+          add_cell (cfg, ini, backend, servers[pair] / CFG_CELL_SIZE);
+        }
+      backend->cell = newest[pair];
+      servers[pair]++;
+    }
+  g_free (newest);
+  g_free (servers);
+}
+
+static void
+read_backends (struct cfg *cfg, struct ini *ini)
+{
+  struct raw_backend *raw
+      = read_section (ini, SECTION_BACKEND, &cfg->n_backends);
+  g_autoptr (GHashTable) addresses = g_hash_table_new (g_str_hash, g_str_equal);
+  gboolean resolved = TRUE;
+  cfg->backends = g_new0 (struct cfg_backend, cfg->n_backends + 1);
+  qsort (raw, cfg->n_backends, sizeof *raw, compare_backends);
+  for (guint i = 0; i < cfg->n_backends; i++)
+    {
+      resolved &= resolve_backend (cfg, ini, &raw[i]);
+      cfg->backends[i] = raw[i].backend;
+      check_address (addresses, ini, &cfg->backends[i]);
+      index_add (cfg->index->backends, cfg->backends[i].name.s, i);
+    }
+  if (resolved)
+    make_cells (cfg, ini);
+  g_free (raw);
+}
+
+static void
+read_operators (struct cfg *cfg, struct ini *ini)
+{
+  cfg->operators = read_section (ini, SECTION_OPERATOR, &cfg->n_operators);
+  for (guint i = 0; i < cfg->n_operators; i++)
+    {
+      const struct cfg_operator *op = &cfg->operators[i];
+      g_autofree char *group = group_of (SECTION_OPERATOR, op->name.s);
+      index_add (cfg->index->operators, op->name.s, i);
+      if (op->token_sha256[0] != '\0'
+          && !index_add (cfg->index->operator_tokens, op->token_sha256, i))
+        ini_problem (ini, group, "token_sha256",
+                     "is the token of another "
+                     "operator; allowed: a token of its own");
+    }
+}
+
+/* Fills CFG from INI, each part after those that it refers to.  */
+void
+cfg_read (struct cfg *cfg, struct ini *ini)
+{
+  check_groups (ini);
+  read_domains (cfg, ini);
+  read_classes (cfg, ini);
+  read_presets (cfg, ini);
+  read_teams (cfg, ini);
+  read_pools (cfg, ini);
+  read_backends (cfg, ini);
+  read_operators (cfg, ini);
+}
--- /dev/null
+++ b/packages/config/ini.c
@@ -0,0 +1,336 @@
+#include "config/ini.h"
+
+#include <math.h>
+#include <stdarg.h>
+#include <string.h>
+
+#define MS_US 1000 /* microseconds in a millisecond */
+
+/* Adds one problem: "group [GROUP], key KEY: TEXT", after the source's name
+   if there is one. GROUP and KEY may be NULL.  */
+void
+ini_problem (struct ini *ini, const char *group, const char *key,
+             const char *format, ...)
+{
+  GString *line = g_string_new (NULL);
+  if (ini->source != NULL)
+    g_string_append_printf (line, "file %s%s", ini->source,
+                            group ? ", " : ": ");
+  if (group != NULL)
+    g_string_append_printf (line, "group [%s]%s", group, key ? ", " : ": ");
+  if (group != NULL && key != NULL)
+    g_string_append_printf (line, "key %s: ", key);
+  va_list args;
+  va_start (args, format);
+  g_string_append_vprintf (line, format, args);
+  va_end (args);
+  g_ptr_array_add (ini->problems, g_string_free (line, FALSE));
+}
+
+/* Tells whether TEXT is an IP number and a port above 0, with brackets
+   around an IPv6 number.  */
+gboolean
+ini_address_ok (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL || strlen (text) >= ERR_PEER_MAX)
+    return FALSE;
+  guint64 port;
+  if (!g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
+    return FALSE;
+  g_autofree char *host = g_strndup (text, (gsize)(colon - text));
+  gsize n = strlen (host);
+  if (n > 2 && host[0] == '[' && host[n - 1] == ']')
+    {
+      host[n - 1] = '\0';
+      return strchr (host + 1, ':') != NULL
+             && g_hostname_is_ip_address (host + 1);
+    }
+  return strchr (host, ':') == NULL && g_hostname_is_ip_address (host);
+}
+
+/* Reports a group or key that stands twice; GKeyFile would merge the groups
+   and keep the last value.  */
+static void
+check_duplicates (struct ini *ini, const char *text)
+{
+  g_autoptr (GHashTable) seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  g_autofree char *group = g_strdup ("");
+  for (guint i = 0; lines[i] != NULL; i++)
+    {
+      char *line = g_strstrip (lines[i]);
+      char *equals = strchr (line, '=');
+      if (line[0] == '[' && strrchr (line, ']') != NULL)
+        {
+          *strrchr (line, ']') = '\0';
+          g_free (group);
+          group = g_strdup (line + 1);
+          if (!g_hash_table_add (seen, g_strdup (group)))
+            ini_problem (ini, group, NULL, "is there twice; allowed: once");
+        }
+      else if (line[0] != '#' && equals != NULL)
+        {
+          *equals = '\0';
+          char *name = g_strchomp (line);
+          if (!g_hash_table_add (seen, g_strdup_printf ("%s]%s", group, name)))
+            ini_problem (ini, group, name, "is there twice; allowed: once");
+        }
+    }
+}
+
+/* Opens TEXT of N bytes with the source and problems set by the caller.
+   Returns < 0, with a problem added, if it is no INI text; the caller calls
+   ini_close in either case.  */
+int
+ini_open (struct ini *ini, const char *text, gsize n)
+{
+  ini->file = g_key_file_new ();
+  if (n > 0 && !g_utf8_validate_len (text, n, NULL))
+    {
+      ini_problem (ini, NULL, NULL, "is no text; allowed: UTF-8 without NUL");
+      return ERR_INVALID;
+    }
+  g_autoptr (GError) error = NULL;
+  if (!g_key_file_load_from_data (ini->file, n > 0 ? text : "", n,
+                                  G_KEY_FILE_KEEP_TRANSLATIONS, &error))
+    {
+      ini_problem (ini, NULL, NULL, "is no INI text: %s", error->message);
+      return ERR_INVALID;
+    }
+  g_autofree char *copy = g_strndup (text, n);
+  check_duplicates (ini, copy);
+  return 0;
+}
+
+void
+ini_close (struct ini *ini)
+{
+  g_clear_pointer (&ini->file, g_key_file_unref);
+}
+
+static const char *
+type_allowed (enum ini_type type)
+{
+  switch (type)
+    {
+#define TYPE_CASE(id, allowed)                                                 \
+  case INI_##id:                                                               \
+    return allowed;
+      INI_TYPES (TYPE_CASE)
+#undef TYPE_CASE
+    }
+  return "";
+}
+
+/* Returns what KEY allows, for messages; the caller frees it.  */
+static char *
+allowed_text (const struct ini_key *key)
+{
+  if (key->type == INI_CHOICE)
+    return g_strjoinv (", ", (char **)key->choices);
+  if (key->type >= INI_COUNT && key->type <= INI_NUMBER)
+    return g_strdup_printf ("%s from %.12g to %.12g", type_allowed (key->type),
+                            key->min, key->max);
+  return g_strdup (type_allowed (key->type));
+}
+
+static void
+store_number (const struct ini_key *key, double value, void *field)
+{
+  switch (key->type)
+    {
+    case INI_COUNT:
+      *(guint *)field = (guint)value;
+      break;
+    case INI_BYTES:
+      *(guint64 *)field = (guint64)value;
+      break;
+    case INI_MS:
+      *(gint64 *)field = (gint64)value * MS_US;
+      break;
+    case INI_NUMBER:
+      *(double *)field = value;
+      break;
+    case INI_BOOL:
+    case INI_CHOICE:
+      *(int *)field = (int)value;
+      break;
+    default:
+      break;
+    }
+}
+
+static gboolean
+parse_number (const struct ini_key *key, const char *text, void *field)
+{
+  double value;
+  if (key->type == INI_NUMBER)
+    {
+      char *end;
+      value = g_ascii_strtod (text, &end);
+      if (end == text || *end != '\0' || !isfinite (value))
+        return FALSE;
+    }
+  else
+    {
+      guint64 whole;
+      if (!g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &whole, NULL))
+        return FALSE;
+      value = (double)whole;
+    }
+  if (value < key->min || value > key->max)
+    return FALSE;
+  store_number (key, value, field);
+  return TRUE;
+}
+
+static gboolean
+parse_choice (const struct ini_key *key, const char *text, void *field)
+{
+  for (int i = 0; key->choices[i] != NULL; i++)
+    if (strcmp (key->choices[i], text) == 0)
+      {
+        *(int *)field = i;
+        return TRUE;
+      }
+  return FALSE;
+}
+
+static gboolean
+parse_bool (const char *text, void *field)
+{
+  gboolean yes = strcmp (text, "yes") == 0;
+  *(gboolean *)field = yes;
+  return yes || strcmp (text, "no") == 0;
+}
+
+static gboolean
+parse_digest (const char *text, char *field)
+{
+  for (gsize i = 0; i < INI_DIGEST_BYTES - 1; i++)
+    if (!g_ascii_isxdigit (text[i]))
+      return FALSE;
+  if (text[INI_DIGEST_BYTES - 1] != '\0')
+    return FALSE;
+  for (gsize i = 0; i < INI_DIGEST_BYTES; i++)
+    field[i] = g_ascii_tolower (text[i]);
+  return TRUE;
+}
+
+static gboolean
+parse_address (const char *text, char *field)
+{
+  if (!ini_address_ok (text))
+    return FALSE;
+  g_strlcpy (field, text, ERR_PEER_MAX);
+  return TRUE;
+}
+
+/* Splits TEXT at ';', drops blanks and empty entries.  */
+static void
+parse_list (const char *text, char ***field)
+{
+  g_auto (GStrv) parts = g_strsplit (text, ";", -1);
+  GPtrArray *list = g_ptr_array_new ();
+  for (guint i = 0; parts[i] != NULL; i++)
+    if (*g_strstrip (parts[i]) != '\0')
+      g_ptr_array_add (list, g_strdup (parts[i]));
+  g_ptr_array_add (list, NULL);
+  *field = (char **)g_ptr_array_free (list, FALSE);
+}
+
+/* Stores TEXT in FIELD. Returns FALSE if KEY does not allow it.  */
+static gboolean
+parse_value (const struct ini_key *key, const char *text, void *field)
+{
+  switch (key->type)
+    {
+    case INI_BOOL:
+      return parse_bool (text, field);
+    case INI_COUNT:
+    case INI_BYTES:
+    case INI_MS:
+    case INI_NUMBER:
+      return parse_number (key, text, field);
+    case INI_CHOICE:
+      return parse_choice (key, text, field);
+    case INI_ID:
+      return str_id_ok (str_of (text)) && str_id_set (field, str_of (text));
+    case INI_ADDRESS:
+      return parse_address (text, field);
+    case INI_DIGEST:
+      return parse_digest (text, field);
+    case INI_PATH:
+      *(char **)field = g_strdup (text);
+      return *text != '\0';
+    case INI_LIST:
+      parse_list (text, field);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Reads key NAME of GROUP as KEY describes it into its field of TARGET. An
+   absent key gets its fallback, or a problem if it is required.  */
+void
+ini_read_key (struct ini *ini, const char *group, const char *name,
+              const struct ini_key *key, void *target)
+{
+  void *field = (char *)target + key->offset;
+  g_autofree char *text = g_key_file_get_value (ini->file, group, name, NULL);
+  if (text == NULL)
+    {
+      store_number (key, key->fallback, field);
+      if (!key->required)
+        return;
+    }
+  else if (parse_value (key, g_strstrip (text), field))
+    return;
+  g_autofree char *allowed = allowed_text (key);
+  /* Secrets put in place of a digest must not reach a log. */
+  if (text == NULL)
+    ini_problem (ini, group, name, "is missing; allowed: %s", allowed);
+  else if (key->type == INI_DIGEST)
+    ini_problem (ini, group, name, "is no digest; allowed: %s", allowed);
+  else
+    ini_problem (ini, group, name, "\"%.80s\" is wrong; allowed: %s", text,
+                 allowed);
+}
+
+static gboolean
+key_known (const struct ini_key *keys, guint n_keys, const char *name)
+{
+  for (guint i = 0; i < n_keys; i++)
+    if (strcmp (keys[i].name, name) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+report_unknown_key (struct ini *ini, const char *group, const char *name,
+                    const struct ini_key *keys, guint n_keys)
+{
+  GString *allowed = g_string_new (NULL);
+  for (guint i = 0; i < n_keys; i++)
+    g_string_append_printf (allowed, "%s%s", i ? ", " : "", keys[i].name);
+  ini_problem (ini, group, name, "is unknown; allowed: %s", allowed->str);
+  g_string_free (allowed, TRUE);
+}
+
+/* Reads GROUP into TARGET by the table KEYS and reports keys that are not in
+   it, but for those that start with OPEN_PREFIX (NULL: none). An absent group
+   counts as an empty one.  */
+void
+ini_read_group (struct ini *ini, const char *group, const struct ini_key *keys,
+                guint n_keys, const char *open_prefix, void *target)
+{
+  for (guint i = 0; i < n_keys; i++)
+    ini_read_key (ini, group, keys[i].name, &keys[i], target);
+  g_auto (GStrv) names = g_key_file_get_keys (ini->file, group, NULL, NULL);
+  for (guint i = 0; names != NULL && names[i] != NULL; i++)
+    if (!key_known (keys, n_keys, names[i])
+        && !(open_prefix != NULL && g_str_has_prefix (names[i], open_prefix)))
+      report_unknown_key (ini, group, names[i], keys, n_keys);
+}
