--- /dev/null
+++ b/packages/backend/bkd.c
@@ -0,0 +1,285 @@
+#include "backend/bkd.h"
+
+#include "base/clk.h"
+
+#include <string.h>
+
+#define CONNECTIONS_MAX 512 /* to one backend server */
+#define IDLE_TIMEOUT_S 5    /* a server may close idle connections sooner */
+#define READ_BYTES 16384
+
+struct bkd
+{
+  GHashTable *sessions; /* address -> SoupSession *, owned */
+  GHashTable *calls;    /* set of struct bkd_call *, owned */
+};
+
+struct bkd_call
+{
+  struct bkd *bkd;         /* NULL: ended, waits for its callbacks to return */
+  struct bkd_options ops;  /* only callbacks, limits and ctx are kept */
+  char peer[ERR_PEER_MAX]; /* name of the backend server */
+  SoupMessage *message;
+  GInputStream *stream; /* NULL before the head */
+  GCancellable *cancellable;
+  guint deadline_timer; /* GLib source; 0: none */
+  guint stall_timer;
+  gint64 last_byte; /* microseconds */
+  gboolean sent;
+  gboolean reading; /* a read is under way */
+  gboolean paused;
+  gboolean busy; /* an asynchronous call of libsoup is under way */
+  char buffer[READ_BYTES];
+};
+
+struct bkd *
+bkd_new (void)
+{
+  struct bkd *bkd = g_new0 (struct bkd, 1);
+  bkd->sessions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
+  bkd->calls = g_hash_table_new (NULL, NULL);
+  return bkd;
+}
+
+void
+bkd_free (struct bkd *bkd)
+{
+  if (bkd == NULL)
+    return;
+  GList *calls = g_hash_table_get_keys (bkd->calls);
+  for (GList *l = calls; l != NULL; l = l->next)
+    bkd_cancel (l->data);
+  g_list_free (calls);
+  g_hash_table_unref (bkd->calls);
+  g_hash_table_unref (bkd->sessions);
+  g_free (bkd);
+}
+
+/* One session a server keeps the list of idle connections short; libsoup
+   polls each of them for every request.  */
+static SoupSession *
+session_for (struct bkd *bkd, const char *address)
+{
+  SoupSession *session = g_hash_table_lookup (bkd->sessions, address);
+  if (session != NULL)
+    return session;
+  session = soup_session_new_with_options (
+      "max-conns", CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_MAX,
+      "idle-timeout", IDLE_TIMEOUT_S, "timeout", 0, "proxy-resolver", NULL,
+      "user-agent", "jacinthward", NULL);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_AUTH_MANAGER);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
+  g_hash_table_insert (bkd->sessions, g_strdup (address), session);
+  return session;
+}
+
+static void
+free_call (struct bkd_call *call)
+{
+  g_clear_object (&call->stream);
+  g_object_unref (call->message);
+  g_object_unref (call->cancellable);
+  g_free (call);
+}
+
+/* Takes CALL out of use. Memory is freed once libsoup lets go of it.  */
+static void
+retire (struct bkd_call *call)
+{
+  g_hash_table_remove (call->bkd->calls, call);
+  call->bkd = NULL;
+  g_clear_handle_id (&call->deadline_timer, g_source_remove);
+  g_clear_handle_id (&call->stall_timer, g_source_remove);
+  g_signal_handlers_disconnect_by_data (call->message, call);
+  g_cancellable_cancel (call->cancellable);
+  if (!call->busy)
+    free_call (call);
+}
+
+static void
+end_call (struct bkd_call *call, enum msg_result result, const char *text)
+{
+  struct err err = { 0 };
+  struct bkd_options ops = call->ops;
+  gboolean sent = call->sent;
+  if (result != MSG_RESULT_OK)
+    err_set (&err, result == MSG_RESULT_TIMED_OUT ? ERR_TIMEOUT : ERR_IO,
+             sent ? "backend.read" : "backend.connect", call->peer, "%s", text);
+  retire (call);
+  ops.end (ops.ctx, result, sent, &err);
+}
+
+/* Cancels CALL without a callback.  */
+void
+bkd_cancel (struct bkd_call *call)
+{
+  if (call != NULL && call->bkd != NULL)
+    retire (call);
+}
+
+static void start_read (struct bkd_call *call);
+
+static void
+on_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct bkd_call *call = data;
+  GError *error = NULL;
+  gssize n
+      = g_input_stream_read_finish (G_INPUT_STREAM (source), result, &error);
+  call->busy = FALSE;
+  call->reading = FALSE;
+  if (call->bkd == NULL)
+    free_call (call);
+  else if (n < 0)
+    end_call (call, MSG_RESULT_BROKEN, error->message);
+  else if (n == 0)
+    end_call (call, MSG_RESULT_OK, "");
+  else
+    {
+      struct str chunk = { call->buffer, (gsize)n };
+      call->last_byte = g_get_monotonic_time ();
+      call->busy = TRUE; /* CALL outlives a cancel within the callback */
+      call->ops.data (call->ops.ctx, chunk);
+      call->busy = FALSE;
+      if (call->bkd == NULL)
+        free_call (call);
+      else if (!call->paused)
+        start_read (call);
+    }
+  g_clear_error (&error);
+}
+
+static void
+start_read (struct bkd_call *call)
+{
+  call->reading = TRUE;
+  call->busy = TRUE;
+  g_input_stream_read_async (call->stream, call->buffer, sizeof call->buffer,
+                             G_PRIORITY_DEFAULT, call->cancellable, on_read,
+                             call);
+}
+
+static void
+on_head (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct bkd_call *call = data;
+  GError *error = NULL;
+  call->stream
+      = soup_session_send_finish (SOUP_SESSION (source), result, &error);
+  call->busy = FALSE;
+  if (call->bkd == NULL)
+    free_call (call);
+  else if (call->stream == NULL)
+    end_call (call, call->sent ? MSG_RESULT_BROKEN : MSG_RESULT_NOT_SENT,
+              error->message);
+  else
+    {
+      call->last_byte = g_get_monotonic_time ();
+      call->busy = TRUE;
+      call->ops.head (call->ops.ctx, soup_message_get_status (call->message),
+                      soup_message_get_response_headers (call->message));
+      call->busy = FALSE;
+      if (call->bkd == NULL)
+        free_call (call);
+      else if (!call->paused)
+        start_read (call);
+    }
+  g_clear_error (&error);
+}
+
+/* From here on bytes of the request may have left.  */
+static void
+on_starting (SoupMessage *message, gpointer data)
+{
+  (void)message;
+  ((struct bkd_call *)data)->sent = TRUE;
+}
+
+static gboolean
+on_deadline (gpointer data)
+{
+  struct bkd_call *call = data;
+  call->deadline_timer = 0;
+  end_call (call, MSG_RESULT_TIMED_OUT, "deadline");
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_stall_check (gpointer data)
+{
+  struct bkd_call *call = data;
+  gint64 silent = g_get_monotonic_time () - call->last_byte;
+  if (call->paused || silent < call->ops.stall_us)
+    return G_SOURCE_CONTINUE;
+  call->stall_timer = 0;
+  end_call (call, MSG_RESULT_TIMED_OUT, "no byte from the server");
+  return G_SOURCE_REMOVE;
+}
+
+static void
+copy_header (const char *name, const char *value, gpointer data)
+{
+  soup_message_headers_append (data, name, value);
+}
+
+static SoupMessage *
+make_message (const struct bkd_options *options)
+{
+  char *uri = g_strdup_printf ("http://%s%s", options->backend->address,
+                               options->path);
+  SoupMessage *message = soup_message_new (options->method, uri);
+  g_free (uri);
+  if (message == NULL)
+    return NULL;
+  guint flags = SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE;
+  if (options->fresh)
+    flags |= SOUP_MESSAGE_NEW_CONNECTION;
+  soup_message_set_flags (message, flags);
+  soup_message_headers_foreach (options->headers, copy_header,
+                                soup_message_get_request_headers (message));
+  if (options->body != NULL)
+    soup_message_set_request_body_from_bytes (message, options->content_type,
+                                              options->body);
+  return message;
+}
+
+/* Starts a call. Returns a handle that is valid until its end callback or
+   bkd_cancel, or NULL if the path is no valid part of a URI.  */
+struct bkd_call *
+bkd_open (struct bkd *bkd, const struct bkd_options *options)
+{
+  SoupMessage *message = make_message (options);
+  if (message == NULL)
+    return NULL;
+  struct bkd_call *call = g_new0 (struct bkd_call, 1);
+  call->bkd = bkd;
+  call->ops = *options;
+  call->message = message;
+  call->cancellable = g_cancellable_new ();
+  call->last_byte = g_get_monotonic_time ();
+  g_strlcpy (call->peer, options->backend->name.s, sizeof call->peer);
+  g_hash_table_add (bkd->calls, call);
+  g_signal_connect (message, "starting", G_CALLBACK (on_starting), call);
+  call->deadline_timer = g_timeout_add ((guint)(options->timeout_us / CLK_MS),
+                                        on_deadline, call);
+  call->stall_timer
+      = g_timeout_add ((guint)CLAMP (options->stall_us / CLK_MS / 4, 10, 1000),
+                       on_stall_check, call);
+  call->busy = TRUE;
+  soup_session_send_async (session_for (bkd, options->backend->address),
+                           message, G_PRIORITY_DEFAULT, call->cancellable,
+                           on_head, call);
+  return call;
+}
+
+void
+bkd_pause (struct bkd_call *call, gboolean paused)
+{
+  if (call->paused == paused)
+    return;
+  call->paused = paused;
+  call->last_byte = g_get_monotonic_time ();
+  if (!paused && call->stream != NULL && !call->reading && !call->busy)
+    start_read (call);
+}
--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -529,3 +529,9 @@
   free_idle_gone (cel);
   pump (cel);
 }
+
+gboolean
+cel_is_idle (const struct cel *cel)
+{
+  return g_hash_table_size (cel->tickets.tickets) == 0;
+}
--- /dev/null
+++ b/packages/entry/ent_text.c
@@ -0,0 +1,78 @@
+/* What the entry reads in an engine's answer: tokens and text.  */
+#include "entry/ent_int.h"
+
+#include <string.h>
+
+static JsonObject *
+first_choice (JsonNode *root)
+{
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return NULL;
+  JsonNode *node
+      = json_object_get_member (json_node_get_object (root), "choices");
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node)
+      || json_array_get_length (json_node_get_array (node)) == 0)
+    return NULL;
+  node = json_array_get_element (json_node_get_array (node), 0);
+  return JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
+}
+
+static const char *
+string_member (JsonObject *object, const char *name)
+{
+  JsonNode *node = json_object_get_member (object, name);
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_STRING)
+    return NULL;
+  return json_node_get_string (node);
+}
+
+static const char *
+text_of_choice (JsonObject *choice)
+{
+  JsonNode *delta = json_object_get_member (choice, "delta");
+  if (delta != NULL && JSON_NODE_HOLDS_OBJECT (delta))
+    return string_member (json_node_get_object (delta), "content");
+  return string_member (choice, "text");
+}
+
+/* Adds the text of one event's DATA to what the caller has, for resuming.
+   Returns the tokens in it: one for each event with text.  */
+guint32
+ent_note_event (struct ent_call *call, struct str data)
+{
+  JsonParser *parser = json_parser_new_immutable ();
+  guint32 tokens = 0;
+  if (json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
+    {
+      JsonObject *choice = first_choice (json_parser_get_root (parser));
+      const char *text = choice ? text_of_choice (choice) : NULL;
+      if (text != NULL && *text != '\0')
+        {
+          tokens = 1;
+          if (call->text->len <= ENT_RESUME_MAX)
+            g_string_append (call->text, text);
+        }
+    }
+  g_object_unref (parser);
+  return tokens;
+}
+
+/* Returns usage.completion_tokens of a whole ANSWER, 0 if it has none.  */
+guint32
+ent_completion_tokens (struct str answer)
+{
+  JsonParser *parser = json_parser_new_immutable ();
+  gint64 tokens = 0;
+  if (json_parser_load_from_data (parser, answer.p, (gssize)answer.n, NULL)
+      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+    {
+      JsonNode *usage = json_object_get_member (
+          json_node_get_object (json_parser_get_root (parser)), "usage");
+      if (usage != NULL && JSON_NODE_HOLDS_OBJECT (usage))
+        tokens = json_object_get_int_member_with_default (
+            json_node_get_object (usage), "completion_tokens", 0);
+    }
+  g_object_unref (parser);
+  return (guint32)CLAMP (tokens, 0, G_MAXINT32);
+}
--- /dev/null
+++ b/packages/entry/sse.c
@@ -0,0 +1,94 @@
+#include "entry/sse.h"
+
+#include "base/err.h"
+
+#include <string.h>
+
+void
+sse_init (struct sse *sse)
+{
+  sse->rest = g_string_new (NULL);
+  sse->taken = 0;
+}
+
+void
+sse_clear (struct sse *sse)
+{
+  if (sse->rest != NULL)
+    g_string_free (sse->rest, TRUE);
+  sse->rest = NULL;
+}
+
+static void
+drop_taken (struct sse *sse)
+{
+  if (sse->taken > 0)
+    g_string_erase (sse->rest, 0, (gssize)sse->taken);
+  sse->taken = 0;
+}
+
+int
+sse_add (struct sse *sse, struct str data)
+{
+  drop_taken (sse);
+  if (sse->rest->len + data.n > SSE_EVENT_MAX)
+    return ERR_TOO_LARGE;
+  g_string_append_len (sse->rest, data.p, (gssize)data.n);
+  return 0;
+}
+
+/* Returns the length of the whole event at the start of P, 0 if it is not
+   whole. Lines end with LF or CR LF.  */
+static gsize
+event_length (const char *p, gsize n)
+{
+  for (const char *at = p;
+       (at = memchr (at, '\n', n - (gsize)(at - p))) != NULL;)
+    {
+      at++;
+      gsize left = n - (gsize)(at - p);
+      if (left >= 1 && at[0] == '\n')
+        return (gsize)(at - p) + 1;
+      if (left >= 2 && at[0] == '\r' && at[1] == '\n')
+        return (gsize)(at - p) + 2;
+    }
+  return 0;
+}
+
+gboolean
+sse_next (struct sse *sse, struct str *event)
+{
+  const char *p = sse->rest->str + sse->taken;
+  gsize n = event_length (p, sse->rest->len - sse->taken);
+  if (n == 0)
+    return FALSE;
+  *event = (struct str){ p, n };
+  sse->taken += n;
+  return TRUE;
+}
+
+struct str
+sse_data (struct str event)
+{
+  static const char field[] = "data:";
+  gsize at = 0;
+  while (at + sizeof field - 1 <= event.n)
+    {
+      const char *line = event.p + at;
+      const char *end = memchr (line, '\n', event.n - at);
+      gsize length = end ? (gsize)(end - line) : event.n - at;
+      if (length >= sizeof field - 1
+          && memcmp (line, field, sizeof field - 1) == 0)
+        {
+          struct str data
+              = { line + sizeof field - 1, length - (sizeof field - 1) };
+          if (data.n > 0 && data.p[0] == ' ')
+            data = (struct str){ data.p + 1, data.n - 1 };
+          if (data.n > 0 && data.p[data.n - 1] == '\r')
+            data.n--;
+          return data;
+        }
+      at += length + 1;
+    }
+  return (struct str){ "", 0 };
+}
--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -198,6 +198,14 @@
   return 0;
 }
 
+static gint64
+suspect_after (const struct mem *mem, const struct mem_instance *instance)
+{
+  return strcmp (instance->domain.s, mem->self->domain.s) == 0
+             ? MEM_SUSPECT_US
+             : MEM_FAR_SUSPECT_US;
+}
+
 /* Marks one silent instance down and reports it as lost, and forgets those
    down for MEM_FORGET_US; pointers to these end. Call it until CHANGE says
    that nothing changed.  */
@@ -219,7 +227,8 @@
           g_ptr_array_remove_index (mem->instances, i);
           continue;
         }
-      if (silent < MEM_SUSPECT_US || !step (mem, at, MEM_EVENT_SILENCE))
+      if (silent < suspect_after (mem, at)
+          || !step (mem, at, MEM_EVENT_SILENCE))
         continue;
       change->view = TRUE;
       change->lost = at->id;
@@ -234,6 +243,12 @@
   step (mem, mem->self, leaving ? MEM_EVENT_LEAVE : MEM_EVENT_ALIVE);
 }
 
+void
+mem_self_address (const struct mem *mem, char address[64])
+{
+  g_strlcpy (address, mem->self->address, 64);
+}
+
 /* Fills HEARTBEAT with the own instance and the next sequence number; the
    caller sets the versions in force.  */
 void
@@ -275,6 +290,15 @@
          && strcmp (instance->domain.s, mem->self->domain.s) == 0;
 }
 
+guint
+mem_live_count (const struct mem *mem)
+{
+  guint n = 0;
+  for (guint i = 0; i < mem->instances->len; i++)
+    n += may_own (mem, g_ptr_array_index (mem->instances, i));
+  return n;
+}
+
 /* Returns the best candidate for the name hashed to SEED that comes after
    ABOVE (NULL: none yet) in the order of scores; equal scores go by id.  */
 static const struct mem_instance *
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -13,8 +13,11 @@
 
 #define MEM_HEARTBEAT_US (400 * CLK_MS) /* between heartbeats to a peer */
 #define MEM_SUSPECT_US                                                         \
-  (1600 * CLK_MS)                   /* silence after which a peer is down      \
-                                     */
+  (1600 * CLK_MS) /* silence after which a peer is down                        \
+                   */
+/* Instances of other failure domains are heard of less often. */
+#define MEM_FAR_HEARTBEAT_US (1600 * CLK_MS)
+#define MEM_FAR_SUSPECT_US (5 * CLK_S)
 #define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
 #define MEM_INSTANCES_MAX 256       /* of one failure domain */
 #define MEM_TOTAL_MAX 1024          /* of all failure domains */
@@ -79,6 +82,8 @@
 /* Marks one silent instance down; call until CHANGE says nothing changed. */
 void mem_tick (struct mem *mem, struct mem_change *change);
 void mem_set_leaving (struct mem *mem, gboolean leaving);
+/* Copies the own address for peers into the 64 bytes of ADDRESS. */
+void mem_self_address (const struct mem *mem, char address[64]);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
 
 /* Live, not leaving instances of the own failure domain, self included. */
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -21,18 +21,18 @@
     {
     case MSG_MEMBERS:
       copy->members.items
-          = copy_array (msg->members.items, msg->members.n_items
-                                                * sizeof *msg->members.items);
+          = copy_array (msg->members.items,
+                        msg->members.n_items * sizeof *msg->members.items);
       break;
     case MSG_PROGRESS:
-      copy->progress.items = copy_array (
-          msg->progress.items,
-          msg->progress.n_items * sizeof *msg->progress.items);
+      copy->progress.items
+          = copy_array (msg->progress.items,
+                        msg->progress.n_items * sizeof *msg->progress.items);
       break;
     case MSG_SUMMARY:
       copy->summary.cells
-          = copy_array (msg->summary.cells, msg->summary.n_cells
-                                                * sizeof *msg->summary.cells);
+          = copy_array (msg->summary.cells,
+                        msg->summary.n_cells * sizeof *msg->summary.cells);
       break;
     case MSG_OBJECT_BODY:
       copy_str (&copy->object_body.body);
@@ -60,24 +60,24 @@
   switch (copy->kind)
     {
     case MSG_MEMBERS:
-      g_free ((void *) copy->members.items);
+      g_free ((void *)copy->members.items);
       break;
     case MSG_PROGRESS:
-      g_free ((void *) copy->progress.items);
+      g_free ((void *)copy->progress.items);
       break;
     case MSG_SUMMARY:
-      g_free ((void *) copy->summary.cells);
+      g_free ((void *)copy->summary.cells);
       break;
     case MSG_OBJECT_BODY:
-      g_free ((void *) copy->object_body.body.p);
+      g_free ((void *)copy->object_body.body.p);
       break;
     case MSG_LEDGER_VERDICT:
-      g_free ((void *) copy->ledger_verdict.content_type.p);
-      g_free ((void *) copy->ledger_verdict.answer.p);
+      g_free ((void *)copy->ledger_verdict.content_type.p);
+      g_free ((void *)copy->ledger_verdict.answer.p);
       break;
     case MSG_LEDGER_RESULT:
-      g_free ((void *) copy->ledger_result.content_type.p);
-      g_free ((void *) copy->ledger_result.answer.p);
+      g_free ((void *)copy->ledger_result.content_type.p);
+      g_free ((void *)copy->ledger_result.answer.p);
       break;
     default:
       break;
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -14,7 +14,7 @@
   X (PREEMPT, preempt, "preempt")                                              \
   X (PROGRESS, progress, "progress")                                           \
   X (RELEASE, release, "release")                                              \
-  X (MEMBERS, members, "members")                                             \
+  X (MEMBERS, members, "members")                                              \
   X (SUMMARY, summary, "summary")                                              \
   X (OBJECT_ASK, object_ask, "object_ask")                                     \
   X (OBJECT_BODY, object_body, "object_body")                                  \
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -37,8 +37,7 @@
 void
 nod_dial (struct nod *nod, const char *address)
 {
-  if (address[0] == '\0'
-      || g_hash_table_contains (nod->dialled, address))
+  if (address[0] == '\0' || g_hash_table_contains (nod->dialled, address))
     return;
   g_hash_table_add (nod->dialled, g_strdup (address));
   struct nod_action action = { .kind = NOD_DO_DIAL };
@@ -65,8 +64,7 @@
 }
 
 static void
-take_store_answer (struct nod *nod, guint64 id,
-                   const struct sto_answer *answer)
+take_store_answer (struct nod *nod, guint64 id, const struct sto_answer *answer)
 {
   struct nod_call *waiting = g_hash_table_lookup (nod->calls, &id);
   if (waiting == NULL)
@@ -98,15 +96,13 @@
   nod->rand = g_rand_new_with_seed (options->seed);
   nod->budget_at = clk_now (nod->clk);
   g_queue_init (&nod->local);
-  nod->dialled
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  nod->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                         nod_req_free);
+  nod->dialled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  nod->requests
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, nod_req_free);
   nod->tickets = g_hash_table_new (g_int64_hash, g_int64_equal);
   nod->cells = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                      (GDestroyNotify) cel_free);
-  nod->infos
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+                                      (GDestroyNotify)cel_free);
+  nod->infos = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   nod->leaving_servers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   nod->calls
@@ -141,7 +137,7 @@
   g_hash_table_unref (nod->infos);
   g_hash_table_unref (nod->leaving_servers);
   g_hash_table_unref (nod->dialled);
-  g_queue_clear_full (&nod->local, (GDestroyNotify) msg_free);
+  g_queue_clear_full (&nod->local, (GDestroyNotify)msg_free);
   nod_peer_free (nod);
   chr_free (nod->chart);
   cfg_unref (nod->cfg);
@@ -201,8 +197,8 @@
 static void
 tell_drained (struct nod *nod)
 {
-  if (!nod->leaving || nod->drained
-      || g_hash_table_size (nod->requests) > 0 || !nod_cell_idle (nod))
+  if (!nod->leaving || nod->drained || g_hash_table_size (nod->requests) > 0
+      || !nod_cell_idle (nod))
     return;
   struct nod_action action = { .kind = NOD_DO_DRAINED };
   nod->drained = TRUE;
@@ -342,8 +338,8 @@
       json_builder_set_member_name (json, "free_slots");
       json_builder_add_int_value (json, info->summary.free_slots);
       json_builder_set_member_name (json, "age_ms");
-      json_builder_add_int_value (
-          json, (clk_now (nod->clk) - info->heard) / CLK_MS);
+      json_builder_add_int_value (json,
+                                  (clk_now (nod->clk) - info->heard) / CLK_MS);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
@@ -364,8 +360,7 @@
   json_builder_set_member_name (json, "leaving");
   json_builder_add_boolean_value (json, nod->leaving);
   json_builder_set_member_name (json, "config_version");
-  json_builder_add_int_value (json,
-                              nod->cfg ? (gint64) nod->cfg->version : 0);
+  json_builder_add_int_value (json, nod->cfg ? (gint64)nod->cfg->version : 0);
   json_builder_set_member_name (json, "preset");
   json_builder_add_string_value (json, nod->cfg ? nod->cfg->preset.s : "");
   json_builder_set_member_name (json, "counters");
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -44,9 +44,7 @@
   gboolean sent;           /* some byte may have left */
   gboolean delivered;      /* some byte of the answer went to the caller */
   gboolean resumable;      /* the stream can go on elsewhere */
-  guint32 ttft_us;         /* 0: no token */
-  guint32 tbt_us;          /* mean; 0: fewer than two tokens */
-  guint32 tokens;          /* of this attempt */
+  guint32 tokens;          /* of an answer that was not streamed */
   guint32 status;          /* HTTP status; 0: none */
   struct str content_type; /* of the answer, borrowed; keyed requests only */
   struct str answer;       /* borrowed; keyed requests only */
@@ -59,6 +57,7 @@
   X (TOKENS)       /* a running attempt got tokens */                          \
   X (ATTEMPT_END)  /* a running attempt ended */                               \
   X (MESSAGE)      /* from another instance */                                 \
+  X (PEER_UP)      /* a connection to an instance stands */                    \
   X (PEER_LOST)    /* no connection to an instance is left */                  \
   X (STORE_ANSWER) /* the platform answered a call */                          \
   X (LOAD)         /* a backend server's load report */                        \
--- a/packages/node/nod_budget.c
+++ b/packages/node/nod_budget.c
@@ -25,14 +25,14 @@
 nod_budget_refill (struct nod *nod)
 {
   gint64 now = clk_now (nod->clk);
-  double seconds = (double) (now - nod->budget_at) / CLK_S;
+  double seconds = (double)(now - nod->budget_at) / CLK_S;
   nod->budget_at = now;
   if (nod->cfg == NULL)
     return;
   guint entries = entries_of_region (nod);
   for (guint i = 0; i < nod->cfg->n_classes; i++)
     {
-      double rate = (double) nod->cfg->classes[i].link_bytes_per_s / entries;
+      double rate = (double)nod->cfg->classes[i].link_bytes_per_s / entries;
       double *left = &nod->budgets[i].link_bytes;
       *left = MIN (*left + rate * seconds, rate * LINK_BURST_S);
     }
@@ -69,7 +69,7 @@
   double *left = &nod->budgets[class_index].link_bytes;
   if (*left <= 0.0)
     return FALSE;
-  *left -= (double) bytes;
+  *left -= (double)bytes;
   ctr_add (nod->ctr, CTR_LINK_BYTES, bytes);
   return TRUE;
 }
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -208,8 +208,7 @@
 static GArray *
 own_summaries (struct nod *nod)
 {
-  GArray *cells
-      = g_array_new (FALSE, TRUE, sizeof (struct msg_cell_summary));
+  GArray *cells = g_array_new (FALSE, TRUE, sizeof (struct msg_cell_summary));
   for (guint i = 0; i < nod->cfg->n_cells; i++)
     {
       const struct cfg_cell *cell = &nod->cfg->cells[i];
@@ -246,7 +245,7 @@
 {
   struct msg msg = { .kind = MSG_SUMMARY };
   msg.summary.domain = nod->domain;
-  msg.summary.cells = (struct msg_cell_summary *) cells->data;
+  msg.summary.cells = (struct msg_cell_summary *)cells->data;
   msg.summary.n_cells = cells->len;
   nod_send (nod, to, &msg);
 }
@@ -254,9 +253,9 @@
 struct summary_round
 {
   struct nod *nod;
-  GArray *own;          /* cells owned here */
-  GArray *all;          /* all known cells of the domain */
-  GHashTable *reached;  /* other domains that got a copy; borrowed names */
+  GArray *own;         /* cells owned here */
+  GArray *all;         /* all known cells of the domain */
+  GHashTable *reached; /* other domains that got a copy; borrowed names */
 };
 
 /* Tells whether this instance speaks for its failure domain to DOMAIN. The
@@ -265,8 +264,7 @@
 speaks_to (const struct nod *nod, const char *domain)
 {
   char *name = g_strdup_printf ("summary/%s", domain);
-  const struct mem_instance *speaker
-      = mem_owner (nod->mem, str_of (name), 0);
+  const struct mem_instance *speaker = mem_owner (nod->mem, str_of (name), 0);
   g_free (name);
   return speaker == NULL || strcmp (speaker->id.s, nod->self.s) == 0;
 }
@@ -288,7 +286,7 @@
       || g_hash_table_contains (round->reached, instance->domain.s)
       || !speaks_to (nod, instance->domain.s))
     return;
-  g_hash_table_add (round->reached, (gpointer) instance->domain.s);
+  g_hash_table_add (round->reached, (gpointer)instance->domain.s);
   send_cells (nod, instance->id.s, round->all);
 }
 
@@ -320,8 +318,7 @@
 relay_to (void *ctx, const struct mem_instance *instance)
 {
   const struct relay *relay = ctx;
-  if (instance->live
-      && strcmp (instance->domain.s, relay->nod->domain.s) == 0
+  if (instance->live && strcmp (instance->domain.s, relay->nod->domain.s) == 0
       && strcmp (instance->id.s, relay->nod->self.s) != 0)
     nod_send (relay->nod, instance->id.s, relay->msg);
 }
@@ -362,7 +359,7 @@
     {
       const struct msg msg = { .kind = MSG_SUMMARY, .summary = *summary };
       const struct relay relay = { nod, &msg };
-      mem_each (nod->mem, relay_to, (void *) &relay);
+      mem_each (nod->mem, relay_to, (void *)&relay);
     }
 }
 
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -12,7 +12,7 @@
 void
 nod_config_free (struct nod *nod)
 {
-  (void) nod;
+  (void)nod;
 }
 
 /* Takes over CFG if it is newer than what is in force. Returns whether it
@@ -52,8 +52,8 @@
 nod_config_answer (struct nod *nod, guint object, guint64 token,
                    const struct sto_answer *answer)
 {
-  (void) object;
-  (void) token;
+  (void)object;
+  (void)token;
   if (answer->code != 0)
     return;
   if (nod->cfg != NULL && answer->version <= nod->cfg->version)
@@ -72,25 +72,25 @@
 nod_config_ask (struct nod *nod, const char *from,
                 const struct msg_object_ask *ask)
 {
-  (void) nod;
-  (void) from;
-  (void) ask;
+  (void)nod;
+  (void)from;
+  (void)ask;
 }
 
 void
 nod_config_body (struct nod *nod, const char *from,
                  const struct msg_object_body *body)
 {
-  (void) nod;
-  (void) from;
-  (void) body;
+  (void)nod;
+  (void)from;
+  (void)body;
 }
 
 void
 nod_config_peer (struct nod *nod, const char *from,
                  const struct msg_heartbeat *heartbeat)
 {
-  (void) nod;
-  (void) from;
-  (void) heartbeat;
+  (void)nod;
+  (void)from;
+  (void)heartbeat;
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -15,18 +15,18 @@
    bytes a second do not grow with the domain. */
 #define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
-#define NOD_GATHER_US (600 * CLK_MS)  /* after the start, before owning */
-#define NOD_RECONNECT_US (200 * CLK_MS) /* for a lost connection to return */
-#define NOD_REQUEUE_US (50 * CLK_MS)  /* before asking the same owner again */
+#define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
+#define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
+#define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
 /* X (NAME, "name") in the order of charts/request.chart */
-#define REQ_STATES(X)                                                         \
-  X (WAITING, "waiting")                                                      \
-  X (RECORDING, "recording")                                                  \
-  X (RUNNING, "running")                                                      \
-  X (ANSWERED, "answered")                                                    \
-  X (REFUSED, "refused")                                                      \
-  X (FAILED, "failed")                                                        \
+#define REQ_STATES(X)                                                          \
+  X (WAITING, "waiting")                                                       \
+  X (RECORDING, "recording")                                                   \
+  X (RUNNING, "running")                                                       \
+  X (ANSWERED, "answered")                                                     \
+  X (REFUSED, "refused")                                                       \
+  X (FAILED, "failed")                                                         \
   X (GONE, "gone")
 
 enum req_state
@@ -38,15 +38,15 @@
 };
 
 /* X (NAME, "name") */
-#define REQ_EVENTS(X)                                                         \
-  X (GRANT, "grant")                                                          \
-  X (GRANT_KEYED, "grant_keyed")                                              \
-  X (FRESH, "fresh")                                                          \
-  X (REPLAY, "replay")                                                        \
-  X (REFUSE, "refuse")                                                        \
-  X (REQUEUE, "requeue")                                                      \
-  X (COMPLETE, "complete")                                                    \
-  X (FAIL, "fail")                                                            \
+#define REQ_EVENTS(X)                                                          \
+  X (GRANT, "grant")                                                           \
+  X (GRANT_KEYED, "grant_keyed")                                               \
+  X (FRESH, "fresh")                                                           \
+  X (REPLAY, "replay")                                                         \
+  X (REFUSE, "refuse")                                                         \
+  X (REQUEUE, "requeue")                                                       \
+  X (COMPLETE, "complete")                                                     \
+  X (FAIL, "fail")                                                             \
   X (CALLER_GONE, "caller_gone")
 
 enum req_event
@@ -61,14 +61,14 @@
 struct nod_req
 {
   struct nod_request spec;
-  struct cfg *cfg;        /* under which it was admitted, a reference */
-  int state;              /* of the chart */
-  gint64 arrived;         /* microseconds */
-  gint64 deadline;        /* for the whole request, microseconds */
-  guint64 ticket;         /* with the owner; 0: none */
-  struct str_id cell;     /* where the ticket is */
-  struct str_id owner;    /* instance that has the ticket */
-  gint64 offer_at;        /* >0: offer again at this time, microseconds */
+  struct cfg *cfg;     /* under which it was admitted, a reference */
+  int state;           /* of the chart */
+  gint64 arrived;      /* microseconds */
+  gint64 deadline;     /* for the whole request, microseconds */
+  guint64 ticket;      /* with the owner; 0: none */
+  struct str_id cell;  /* where the ticket is */
+  struct str_id owner; /* instance that has the ticket */
+  gint64 offer_at;     /* >0: offer again at this time, microseconds */
   struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
   guint n_tried;
   struct str_id backend;  /* of the running attempt or of the grant */
@@ -77,14 +77,15 @@
   guint sent_attempts;    /* that may have left */
   guint32 generated;      /* tokens that the caller got, all attempts */
   guint32 unreported;     /* tokens since the last progress report */
+  gint64 opened;          /* start of this attempt, microseconds */
   gint64 first_token;     /* of this attempt, microseconds; 0: none */
   gint64 last_token;      /* of this attempt, microseconds */
   guint32 attempt_tokens; /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
-  gboolean recorded;      /* the ledger holds this request's intent */
-  gint64 intent_at;       /* when the intent was sent, microseconds */
-  gboolean crossed;       /* counted against the link's budget */
+  gboolean recorded; /* the ledger holds this request's intent */
+  gint64 intent_at;  /* when the intent was sent, microseconds */
+  gboolean crossed;  /* counted against the link's budget */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -97,9 +98,9 @@
 
 struct nod_led_shard
 {
-  struct nod *nod;  /* borrowed */
+  struct nod *nod; /* borrowed */
   guint number;
-  struct led *led;  /* NULL: not served here */
+  struct led *led; /* NULL: not served here */
 };
 
 struct nod_budget
@@ -117,39 +118,39 @@
   struct str_id domain;
   struct str_id region;
   guint64 incarnation;
-  gint64 started;       /* microseconds */
+  gint64 started; /* microseconds */
   void (*act) (void *ctx, const struct nod_action *action);
   void *ctx;
 
-  struct cfg *cfg;      /* in force; NULL: none */
-  struct chr *chart;    /* request.chart */
+  struct cfg *cfg;   /* in force; NULL: none */
+  struct chr *chart; /* request.chart */
   struct mem *mem;
   struct chr *member_chart;
-  GHashTable *dialled;  /* addresses kept connected, char * */
-  GQueue local;         /* struct msg *, from this instance to itself */
+  GHashTable *dialled; /* addresses kept connected, char * */
+  GQueue local;        /* struct msg *, from this instance to itself */
   gboolean leaving;
-  gboolean drained;     /* told by NOD_DO_DRAINED */
+  gboolean drained; /* told by NOD_DO_DRAINED */
 
   GHashTable *requests; /* guint64 id -> struct nod_req * */
   GHashTable *tickets;  /* guint64 ticket -> struct nod_req *, borrowed */
   guint64 next_ticket;
   struct nod_budget budgets[CFG_CLASSES_MAX];
-  gint64 budget_at;     /* last refill, microseconds */
+  gint64 budget_at; /* last refill, microseconds */
 
-  GHashTable *cells;    /* cell name -> struct cel * served here */
-  GHashTable *infos;    /* cell name -> struct nod_cell_info * */
+  GHashTable *cells;           /* cell name -> struct cel * served here */
+  GHashTable *infos;           /* cell name -> struct nod_cell_info * */
   GHashTable *leaving_servers; /* name -> itself; by their own word */
   struct nod_led_shard shards[LED_SHARDS];
-  guint64 next_token;   /* of calls to the platform */
-  GHashTable *calls;    /* token -> struct nod_call * */
+  guint64 next_token; /* of calls to the platform */
+  GHashTable *calls;  /* token -> struct nod_call * */
 
-  gint64 heartbeat_at;  /* next, microseconds */
+  gint64 heartbeat_at; /* next, microseconds */
   gint64 far_heartbeat_at;
   gint64 progress_at;
   gint64 members_at;
   gint64 summary_at;
   gint64 cell_tick_at;
-  gint64 config_at;     /* next read of the configuration */
+  gint64 config_at; /* next read of the configuration */
 };
 
 /* Who waits for an answer of the platform: a ledger shard, or a followed
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -129,7 +129,7 @@
   mem_each (nod->mem, add_member, &list);
   if (list.n < 2)
     return;
-  guint to = (guint) g_rand_int_range (nod->rand, 0, (gint32) list.n);
+  guint to = (guint)g_rand_int_range (nod->rand, 0, (gint32)list.n);
   if (strcmp (list.items[to].id.s, nod->self.s) == 0)
     to = (to + 1) % list.n;
   struct msg msg = { .kind = MSG_MEMBERS };
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -7,16 +7,16 @@
 #define INTENT_WAIT_US (4 * CLK_S) /* for the ledger's verdict */
 
 /* X (REASON, HTTP status) of refusals that end a request */
-#define REFUSAL_STATUSES(X)                                                   \
-  X (OVERLOAD, 429)                                                           \
-  X (DISPLACED, 429)                                                          \
-  X (DEADLINE, 504)                                                           \
-  X (NO_SERVER, 503)                                                          \
-  X (NOT_OWNER, 503)                                                          \
-  X (TEAM_LIMIT, 429)                                                         \
-  X (DRAINING, 503)                                                           \
-  X (NO_CONFIG, 503)                                                          \
-  X (LEDGER_AWAY, 503)                                                        \
+#define REFUSAL_STATUSES(X)                                                    \
+  X (OVERLOAD, 429)                                                            \
+  X (DISPLACED, 429)                                                           \
+  X (DEADLINE, 504)                                                            \
+  X (NO_SERVER, 503)                                                           \
+  X (NOT_OWNER, 503)                                                           \
+  X (TEAM_LIMIT, 429)                                                          \
+  X (DRAINING, 503)                                                            \
+  X (NO_CONFIG, 503)                                                           \
+  X (LEDGER_AWAY, 503)                                                         \
   X (LINK_BUDGET, 429)
 
 static const guint32 refusal_status[MSG_REASON_N] = {
@@ -86,7 +86,7 @@
 static gboolean
 step (struct nod *nod, struct nod_req *req, enum req_event event)
 {
-  int next = chr_next (nod->chart, req->state, (int) event);
+  int next = chr_next (nod->chart, req->state, (int)event);
   if (next == CHR_NONE)
     return FALSE;
   req->state = next;
@@ -152,7 +152,7 @@
   if (req->recorded && ran == NOD_RAN_NO)
     free_key (nod, req);
   ctr_add (nod->ctr,
-           ran == NOD_RAN_NO                     ? CTR_REFUSED
+           ran == NOD_RAN_NO                      ? CTR_REFUSED
            : failure->code == nod_outcome_unknown ? CTR_OUTCOME_UNKNOWN
                                                   : CTR_FAILED,
            1);
@@ -160,18 +160,40 @@
   forget (nod, req);
 }
 
+/* Mean time between the tokens of the running attempt, 0 if unknown.  */
+static guint32
+mean_tbt (const struct nod_req *req)
+{
+  if (req->attempt_tokens < 2)
+    return 0;
+  return (guint32)((req->last_token - req->first_token)
+                   / (req->attempt_tokens - 1));
+}
+
+/* Ends the grant of REQ's attempt at its owner with what was seen.  */
+static void
+send_release (struct nod *nod, struct nod_req *req, enum msg_result result)
+{
+  struct msg msg = { .kind = MSG_RELEASE };
+  msg.release.ticket = req->ticket;
+  msg.release.backend = req->backend;
+  msg.release.result = result;
+  if (req->first_token != 0)
+    msg.release.ttft_us = (guint32)(req->first_token - req->opened);
+  msg.release.tbt_us = mean_tbt (req);
+  msg.release.tokens = req->unreported;
+  req->unreported = 0;
+  nod_send (nod, req->owner.s, &msg);
+}
+
+/* Gives back a grant that is not used.  */
 static void
-send_release (struct nod *nod, const char *to, guint64 ticket,
-              const char *backend, const struct nod_attempt_end *end,
-              guint32 tokens)
+send_unused (struct nod *nod, const char *to, const struct msg_grant *grant)
 {
   struct msg msg = { .kind = MSG_RELEASE };
-  msg.release.ticket = ticket;
-  str_id_set (&msg.release.backend, str_of (backend));
-  msg.release.result = end->result;
-  msg.release.ttft_us = end->ttft_us;
-  msg.release.tbt_us = end->tbt_us;
-  msg.release.tokens = tokens;
+  msg.release.ticket = grant->ticket;
+  msg.release.backend = grant->backend;
+  msg.release.result = MSG_RESULT_UNUSED;
   nod_send (nod, to, &msg);
 }
 
@@ -269,28 +291,14 @@
   nod->act (nod->ctx, &action);
 }
 
-/* What the shell would have said of an attempt that is cancelled here.  */
-static struct nod_attempt_end
-cancelled_end (const struct nod_req *req)
-{
-  struct nod_attempt_end end = { .result = MSG_RESULT_CANCELLED };
-  if (req->attempt_tokens > 1)
-    end.tbt_us = (guint32) ((req->last_token - req->first_token)
-                            / (req->attempt_tokens - 1));
-  return end;
-}
-
 /* Ends REQ's hold on its owner, whatever its state.  */
 static void
 let_go (struct nod *nod, struct nod_req *req)
 {
   if (req->state == REQ_RUNNING)
     {
-      struct nod_attempt_end end = cancelled_end (req);
       cancel_attempt (nod, req);
-      send_release (nod, req->owner.s, req->ticket, req->backend.s, &end,
-                    req->unreported);
-      req->unreported = 0;
+      send_release (nod, req, MSG_RESULT_CANCELLED);
     }
   else if (req->ticket != 0)
     send_withdraw (nod, req->owner.s, req->ticket);
@@ -319,6 +327,7 @@
   int i = cfg_find_backend (nod->cfg, str_of (req->backend.s));
   struct nod_action action = { .kind = NOD_DO_OPEN };
   req->attempt++;
+  req->opened = clk_now (nod->clk);
   req->first_token = 0;
   req->attempt_tokens = 0;
   action.open.request = req->spec.id;
@@ -348,18 +357,15 @@
 /* A cell's owner granted a server. A grant that is no longer wanted is
    given back at once.  */
 void
-nod_req_grant (struct nod *nod, const char *from,
-               const struct msg_grant *grant)
+nod_req_grant (struct nod *nod, const char *from, const struct msg_grant *grant)
 {
   struct nod_req *req = g_hash_table_lookup (nod->tickets, &grant->ticket);
   gboolean current = req != NULL && strcmp (req->owner.s, from) == 0;
   if (current && req->state != REQ_WAITING)
     return; /* the grant in use, sent again */
-  if (!current
-      || cfg_find_backend (nod->cfg, str_of (grant->backend.s)) < 0)
+  if (!current || cfg_find_backend (nod->cfg, str_of (grant->backend.s)) < 0)
     {
-      const struct nod_attempt_end unused = { .result = MSG_RESULT_UNUSED };
-      send_release (nod, from, grant->ticket, grant->backend.s, &unused, 0);
+      send_unused (nod, from, grant);
       if (current)
         req->offer_at = clk_now (nod->clk) + NOD_REQUEUE_US;
       return;
@@ -537,12 +543,15 @@
 nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &end->request);
-  if (req == NULL || req->attempt != end->attempt
-      || req->state != REQ_RUNNING)
+  if (req == NULL || req->attempt != end->attempt || req->state != REQ_RUNNING)
     return;
-  send_release (nod, req->owner.s, req->ticket, req->backend.s, end,
-                req->unreported);
-  req->unreported = 0;
+  if (end->tokens > 0)
+    {
+      req->generated += end->tokens;
+      req->unreported += end->tokens;
+      ctr_add (nod->ctr, CTR_TOKENS, end->tokens);
+    }
+  send_release (nod, req, end->result);
   switch (end->result)
     {
     case MSG_RESULT_OK:
@@ -587,15 +596,14 @@
 
 /* X (VERDICT, HTTP status, code, ran) of verdicts that end a request with
    an error */
-#define VERDICT_FAILURES(X)                                                   \
-  X (IN_PROGRESS, 409, "in_progress", NO)                                     \
-  X (UNKNOWN, 502, "outcome_unknown", UNKNOWN)                                \
-  X (MISMATCH, 422, "key_mismatch", NO)                                       \
+#define VERDICT_FAILURES(X)                                                    \
+  X (IN_PROGRESS, 409, "in_progress", NO)                                      \
+  X (UNKNOWN, 502, "outcome_unknown", UNKNOWN)                                 \
+  X (MISMATCH, 422, "key_mismatch", NO)                                        \
   X (AWAY, 503, "ledger_away", NO)
 
 static void
-fail_by_verdict (struct nod *nod, struct nod_req *req,
-                 enum msg_verdict verdict)
+fail_by_verdict (struct nod *nod, struct nod_req *req, enum msg_verdict verdict)
 {
   static const struct
   {
@@ -603,7 +611,7 @@
     const char *code;
     enum nod_ran ran;
   } failures[MSG_VERDICT_N] = {
-#define VERDICT_FAILURE(id, status, code, ran)                                \
+#define VERDICT_FAILURE(id, status, code, ran)                                 \
   [MSG_VERDICT_##id] = { (status), (code), NOD_RAN_##ran },
     VERDICT_FAILURES (VERDICT_FAILURE)
 #undef VERDICT_FAILURE
@@ -739,22 +747,13 @@
   g_list_free (all);
 }
 
-static guint32
-mean_tbt (const struct nod_req *req)
-{
-  if (req->state != REQ_RUNNING || req->attempt_tokens < 2)
-    return 0;
-  return (guint32) ((req->last_token - req->first_token)
-                    / (req->attempt_tokens - 1));
-}
-
 /* Sends one progress report to each owner: it charges the tokens and keeps
    the tickets alive.  */
 void
 nod_req_progress (struct nod *nod)
 {
-  GHashTable *by_owner = g_hash_table_new_full (
-      g_str_hash, g_str_equal, NULL, (GDestroyNotify) g_array_unref);
+  GHashTable *by_owner = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                                (GDestroyNotify)g_array_unref);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, nod->tickets);
@@ -762,7 +761,8 @@
     {
       struct nod_req *req = value;
       struct msg_progress_item item
-          = { req->ticket, req->unreported, mean_tbt (req) };
+          = { req->ticket, req->unreported,
+              req->state == REQ_RUNNING ? mean_tbt (req) : 0 };
       GArray *items = g_hash_table_lookup (by_owner, req->owner.s);
       if (items == NULL)
         {
@@ -778,7 +778,7 @@
     {
       GArray *items = value;
       struct msg msg = { .kind = MSG_PROGRESS };
-      msg.progress.items = (struct msg_progress_item *) items->data;
+      msg.progress.items = (struct msg_progress_item *)items->data;
       msg.progress.n_items = items->len;
       nod_send (nod, owner, &msg);
     }
@@ -812,7 +812,7 @@
     {
       const struct nod_req *req = value;
       json_builder_begin_object (json);
-      dump_int (json, "id", (gint64) req->spec.id);
+      dump_int (json, "id", (gint64)req->spec.id);
       dump_str (json, "state", chr_state_name (nod->chart, req->state));
       dump_str (json, "class", class_of (req)->name.s);
       dump_str (json, "team", req->cfg->teams[req->spec.team_index].name.s);
--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -38,8 +38,7 @@
 {
   if (strcmp (cfg->domains[domain].name.s, nod->domain.s) == 0)
     return DISTANCE_DOMAIN;
-  return nod_crosses_link (nod, cfg, domain) ? DISTANCE_LINK
-                                             : DISTANCE_REGION;
+  return nod_crosses_link (nod, cfg, domain) ? DISTANCE_LINK : DISTANCE_REGION;
 }
 
 static const struct nod_cell_info *
@@ -140,8 +139,8 @@
 {
   if (c->n == 0)
     return NULL;
-  guint a = (guint) g_rand_int_range (nod->rand, 0, (gint32) c->n);
-  guint b = (guint) g_rand_int_range (nod->rand, 0, (gint32) c->n);
+  guint a = (guint)g_rand_int_range (nod->rand, 0, (gint32)c->n);
+  guint b = (guint)g_rand_int_range (nod->rand, 0, (gint32)c->n);
   gint64 wait_a = expected_wait (nod, c->cells[a], tier);
   gint64 wait_b = expected_wait (nod, c->cells[b], tier);
   return wait_b < wait_a ? c->cells[b] : c->cells[a];
@@ -152,7 +151,7 @@
 {
   if (class->ttft_us == 0)
     return SPILL_WAIT_DEFAULT_US;
-  return (gint64) (SPILL_WAIT_SHARE * class->ttft_us);
+  return (gint64)(SPILL_WAIT_SHARE * class->ttft_us);
 }
 
 /* Picks among the found cells: at home, then within the region, last over
@@ -197,10 +196,9 @@
   if (pool_now < 0)
     return FALSE;
   struct candidates found[DISTANCE_N] = { 0 };
-  find_candidates (nod, req, (guint) pool_now, found);
+  find_candidates (nod, req, (guint)pool_now, found);
   enum cfg_spill spill = MIN (class->spill, req->cfg->spill);
-  gboolean may_cross
-      = nod->budgets[req->spec.class_index].link_bytes > 0.0;
+  gboolean may_cross = nod->budgets[req->spec.class_index].link_bytes > 0.0;
   const struct cfg_cell *cell = pick (nod, found, class, spill, may_cross);
   if (cell == NULL)
     return FALSE;
