Share a class among teams by cost, with team limits

Cause: within a class the oldest ticket went first, so one team's burst held up all others. Ruled out: deficit round robin (needs the cost before the start; output lengths are unknown); counting starts (a team with long answers takes more). Change: policy/dfq, start-time fair queueing whose flows are charged the prompt at the start and tokens as they are reported; a start that did not run is refunded; cell/tem counts running work per team; classes of one tier share by the same rule; cel.c split by step, pump, configuration and dump.

--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -16,7 +16,7 @@
     {
       const struct cls *cls = cel->classes->pdata[i];
       summary->waiting[MIN (cls->cfg.tier, CFG_TIERS_MAX - 1)]
-          += cls_n_waiting (cls);
+          += cls->n_waiting;
     }
 }
 
@@ -47,7 +47,7 @@
   json_builder_set_member_name (json, "name");
   json_builder_add_string_value (json, cls->cfg.name.s);
   add_int (json, "tier", cls->cfg.tier);
-  add_int (json, "waiting", cls_n_waiting (cls));
+  add_int (json, "waiting", cls->n_waiting);
   add_int (json, "running", cls->n_running);
   json_builder_end_object (json);
 }
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -1,10 +1,11 @@
-/* The cell owner's state, shared by cel.c and cel_dump.c only.  */
+/* The cell owner's state and the steps shared by its files.  */
 #ifndef CEL_INT_H
 #define CEL_INT_H
 
 #include "cell/cel.h"
 #include "cell/cls.h"
 #include "cell/srv.h"
+#include "cell/tem.h"
 #include "cell/tkt.h"
 
 #define CEL_USE_WITHIN_US (1500 * CLK_MS)   /* told to the entry */
@@ -23,10 +24,33 @@
   void (*send) (void *ctx, const char *to, const struct msg *msg);
   void *ctx;
 
-  GPtrArray *classes;   /* of struct cls, owned, the highest tier first */
-  GPtrArray *servers;   /* of struct srv, owned */
-  GSequence *deadlines; /* of waiting struct tkt, the next due first */
+  GPtrArray *classes; /* of struct cls, owned, the highest tier first */
+  GPtrArray *servers; /* of struct srv, owned */
+  struct tem_table teams;
   struct tkt_table tickets;
+  GSequence *deadlines; /* of waiting struct tkt, the next due first */
+  struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
 
+/* cel_cfg.c */
+struct cls *cel_find_class (const struct cel *cel, const char *name);
+struct srv *cel_find_server (const struct cel *cel, const char *name);
+void cel_free_idle_gone (struct cel *cel);
+
+/* cel_step.c */
+void cel_enqueue (struct cel *cel, struct tkt *tkt, struct cls *cls,
+                  struct tem *team);
+void cel_unqueue (struct cel *cel, struct tkt *tkt);
+void cel_start (struct cel *cel, struct tkt *tkt, struct srv *srv);
+void cel_adopt (struct cel *cel, struct tkt *tkt, struct srv *srv,
+                struct cls *cls, struct tem *team);
+void cel_drop (struct cel *cel, struct tkt *tkt);
+void cel_refuse (struct cel *cel, struct tkt *tkt, enum msg_reason reason);
+void cel_send_grant (struct cel *cel, const struct tkt *tkt);
+void cel_send_refuse (struct cel *cel, const char *to, guint64 ticket,
+                      enum msg_reason reason);
+
+/* cel_pump.c */
+void cel_pump (struct cel *cel);
+
 #endif
--- a/packages/cell/cls.c
+++ b/packages/cell/cls.c
@@ -1,12 +1,26 @@
 #include "cell/cls.h"
 
+/* Tickets of a team tried when the first ones avoid all free servers. */
+#define CLS_LOOK_AHEAD 4
+
+static void
+flow_free (gpointer p)
+{
+  struct flw *flow = p;
+  g_sequence_free (flow->waiting);
+  g_free (flow);
+}
+
 /* Returns an empty queue for class CFG; freed by cls_free.  */
 struct cls *
 cls_new (const struct cfg_class *cfg)
 {
   struct cls *cls = g_new0 (struct cls, 1);
-  cls->cfg = *cfg;
+  cls->flows = g_hash_table_new_full (NULL, NULL, NULL, flow_free);
+  cls->active = g_ptr_array_new ();
   cls->waiting = g_sequence_new (NULL);
+  dfq_flow_init (&cls->own, 1);
+  cls_set_config (cls, cfg);
   return cls;
 }
 
@@ -14,10 +28,51 @@
 void
 cls_free (struct cls *cls)
 {
+  g_ptr_array_free (cls->active, TRUE);
+  g_hash_table_destroy (cls->flows);
   g_sequence_free (cls->waiting);
   g_free (cls);
 }
 
+/* Takes over the class's settings and its teams' weights.  */
+void
+cls_set_config (struct cls *cls, const struct cfg_class *cfg)
+{
+  GHashTableIter iter;
+  gpointer value;
+  cls->cfg = *cfg;
+  g_hash_table_iter_init (&iter, cls->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct flw *flow = value;
+      double tag = flow->dfq.tag;
+      dfq_flow_init (&flow->dfq, flow->team->weight);
+      flow->dfq.tag = tag;
+    }
+}
+
+/* Returns TEAM's flow, made on first use.  */
+struct flw *
+cls_flow (struct cls *cls, struct tem *team)
+{
+  struct flw *flow = g_hash_table_lookup (cls->flows, team);
+  if (flow)
+    return flow;
+  flow = g_new0 (struct flw, 1);
+  flow->team = team;
+  flow->waiting = g_sequence_new (NULL);
+  dfq_flow_init (&flow->dfq, team->weight);
+  g_hash_table_insert (cls->flows, team, flow);
+  return flow;
+}
+
+/* Frees the flow of TEAM, which has no tickets.  */
+void
+cls_forget_team (struct cls *cls, struct tem *team)
+{
+  g_hash_table_remove (cls->flows, team);
+}
+
 static gint
 by_age (gconstpointer a, gconstpointer b, gpointer unused)
 {
@@ -27,34 +82,100 @@
   return (x->arrived > y->arrived) - (x->arrived < y->arrived);
 }
 
-/* Queues TKT by its age.  */
+/* Queues TKT, whose cls and flw are set, by its age.  */
 void
 cls_push (struct cls *cls, struct tkt *tkt)
 {
-  tkt->cls = cls;
+  struct flw *flow = tkt->flw;
+  if (g_sequence_is_empty (flow->waiting))
+    {
+      dfq_wake (&cls->dfq, &flow->dfq);
+      g_ptr_array_add (cls->active, flow);
+    }
+  tkt->in_flow = g_sequence_insert_sorted (flow->waiting, tkt, by_age, NULL);
   tkt->in_class = g_sequence_insert_sorted (cls->waiting, tkt, by_age, NULL);
+  cls->n_waiting++;
 }
 
 /* Takes TKT out of the queue; it stays a ticket of the class.  */
 void
 cls_remove (struct cls *cls, struct tkt *tkt)
 {
-  (void)cls;
+  g_sequence_remove (tkt->in_flow);
   g_sequence_remove (tkt->in_class);
+  tkt->in_flow = NULL;
   tkt->in_class = NULL;
-}
-
-guint
-cls_n_waiting (const struct cls *cls)
-{
-  return (guint)g_sequence_get_length (cls->waiting);
+  cls->n_waiting--;
+  if (g_sequence_is_empty (tkt->flw->waiting))
+    g_ptr_array_remove_fast (cls->active, tkt->flw);
 }
 
 /* Returns the ticket that has waited longest, or NULL.  */
 struct tkt *
 cls_oldest (const struct cls *cls)
 {
-  if (g_sequence_is_empty (cls->waiting))
+  if (cls->n_waiting == 0)
     return NULL;
   return g_sequence_get (g_sequence_get_begin_iter (cls->waiting));
 }
+
+/* Returns the ticket that has waited least, or NULL.  */
+struct tkt *
+cls_youngest (const struct cls *cls)
+{
+  if (cls->n_waiting == 0)
+    return NULL;
+  GSequenceIter *end = g_sequence_get_end_iter (cls->waiting);
+  return g_sequence_get (g_sequence_iter_prev (end));
+}
+
+static struct tkt *
+pick_in_flow (const struct flw *flow, cls_startable startable, void *ctx)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting);
+  for (guint i = 0; i < CLS_LOOK_AHEAD && !g_sequence_iter_is_end (iter); i++)
+    {
+      struct tkt *tkt = g_sequence_get (iter);
+      if (startable (ctx, tkt))
+        return tkt;
+      iter = g_sequence_iter_next (iter);
+    }
+  return NULL;
+}
+
+/* Returns the next ticket in fair order whose team is below its limit and
+   which is STARTABLE, or NULL.  */
+struct tkt *
+cls_pick (const struct cls *cls, cls_startable startable, void *ctx)
+{
+  const struct flw *best = NULL;
+  struct tkt *picked = NULL;
+  for (guint i = 0; i < cls->active->len; i++)
+    {
+      const struct flw *flow = cls->active->pdata[i];
+      if (tem_at_limit (flow->team)
+          || (best && !dfq_before (&flow->dfq, &best->dfq)))
+        continue;
+      struct tkt *tkt = pick_in_flow (flow, startable, ctx);
+      if (!tkt)
+        continue;
+      best = flow;
+      picked = tkt;
+    }
+  return picked;
+}
+
+/* Notes that TKT starts.  */
+void
+cls_serve (struct cls *cls, const struct tkt *tkt)
+{
+  dfq_serve (&cls->dfq, &tkt->flw->dfq);
+}
+
+/* Charges TOKENS, prompt or generated, to TKT's team and to the class.  */
+void
+cls_charge (struct cls *cls, const struct tkt *tkt, double tokens)
+{
+  dfq_charge (&tkt->flw->dfq, tokens);
+  dfq_charge (&cls->own, tokens);
+}
--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -1,22 +1,48 @@
-/* The classes of one cell and their queues of waiting tickets.  */
+/* The classes of one cell and their queues of waiting tickets: within a
+   class, fair queueing over teams; within a team, the oldest first.  */
 #ifndef CLS_H
 #define CLS_H
 
+#include "cell/tem.h"
 #include "cell/tkt.h"
 #include "config/cfg.h"
+#include "policy/dfq.h"
+
+/* One team's work within a class. */
+struct flw
+{
+  struct tem *team;    /* borrowed */
+  GSequence *waiting;  /* of struct tkt, the oldest first */
+  struct dfq_flow dfq; /* among the flows of the class */
+};
 
 struct cls
 {
   struct cfg_class cfg; /* copy of the configuration's entry */
+  GHashTable *flows;    /* struct tem -> struct flw, owned */
+  GPtrArray *active;    /* of struct flw with waiting tickets */
   GSequence *waiting;   /* of struct tkt, the oldest first */
-  guint n_running;      /* tickets granted or running */
+  guint n_waiting;
+  guint n_running;     /* tickets granted or running */
+  struct dfq dfq;      /* over its flows */
+  struct dfq_flow own; /* among the classes of its tier */
 };
 
+/* Tells whether TKT could start now. */
+typedef gboolean (*cls_startable) (void *ctx, const struct tkt *tkt);
+
 struct cls *cls_new (const struct cfg_class *cfg);
 void cls_free (struct cls *cls);
+void cls_set_config (struct cls *cls, const struct cfg_class *cfg);
+struct flw *cls_flow (struct cls *cls, struct tem *team);
+void cls_forget_team (struct cls *cls, struct tem *team);
 void cls_push (struct cls *cls, struct tkt *tkt);
 void cls_remove (struct cls *cls, struct tkt *tkt);
-guint cls_n_waiting (const struct cls *cls);
 struct tkt *cls_oldest (const struct cls *cls);
+struct tkt *cls_youngest (const struct cls *cls);
+struct tkt *cls_pick (const struct cls *cls, cls_startable startable,
+                      void *ctx);
+void cls_serve (struct cls *cls, const struct tkt *tkt);
+void cls_charge (struct cls *cls, const struct tkt *tkt, double tokens);
 
 #endif
--- a/packages/cell/tkt.h
+++ b/packages/cell/tkt.h
@@ -10,6 +10,7 @@
 
 struct cls;
 struct flw;
+struct tem;
 struct srv;
 
 enum tkt_state
@@ -32,7 +33,8 @@
   guint64 id;      /* unique within ent */
   enum tkt_state state;
   struct cls *cls; /* NULL: its class left the configuration */
-  struct flw *flw; /* its team's flow within cls */
+  struct tem *team;
+  struct flw *flw; /* its team's flow within cls; NULL if cls is */
   struct srv *srv; /* NULL while waiting */
 
   gint64 arrived;  /* when the request arrived, clock time */
@@ -43,6 +45,7 @@
   guint32 prompt_tokens;
   guint32 generated; /* tokens so far */
   gboolean resumable;
+  guint32 charged;    /* tokens charged at its start */
   gboolean preempted; /* PREEMPT was sent */
   struct str_id avoid[MSG_AVOID_MAX];
 
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -158,6 +158,94 @@
   fix_close (&fix);
 }
 
+/* Keeps one slot busy for N starts, each generating TOKENS_A for team a and
+   TOKENS_B for team b, and returns how many of the starts were team b's.  */
+static guint
+starts_of_b (struct fix *fix, guint n, guint32 tokens_a, guint32 tokens_b)
+{
+  guint b = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      gboolean is_b = ticket >= 1000;
+      b += is_b;
+      fix_progress (fix, ticket, is_b ? tokens_b : tokens_a, 10 * CLK_MS);
+      fix_release (fix, ticket, MSG_RESULT_OK);
+    }
+  return b;
+}
+
+static void
+offer_teams (struct fix *fix, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, 1 + i, FIX_NORMAL);
+  for (guint i = 0; i < n; i++)
+    {
+      struct msg_offer offer = fix_offer_of (fix, 1000 + i, FIX_NORMAL, "b");
+      cel_offer (fix->cel, "e1", &offer);
+    }
+}
+
+static void
+test_teams_share_a_class (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 19 && b <= 21);
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_tokens (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 300, 0);
+  CU_ASSERT_TRUE (b >= 31 && b <= 33); /* 100 to 400 tokens a start */
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_weight (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix.teams[1].weight = 3;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 29 && b <= 31);
+  fix_close (&fix);
+}
+
+static void
+test_team_limit (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 8);
+  fix.teams[0].max_running = 2;
+  fix_start (&fix);
+  for (guint i = 1; i <= 5; i++)
+    fix_offer (&fix, i, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  struct msg_offer offer = fix_offer_of (&fix, 9, FIX_BATCH, "b");
+  cel_offer (fix.cel, "e1", &offer);
+  CU_ASSERT_TRUE (fix_granted (&fix, 9));
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  CU_ASSERT_FALSE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -168,6 +256,10 @@
   { "a new owner counts running work", test_reoffer_counts_running_work },
   { "a lost entry's tickets go", test_entry_lost },
   { "a silent entry's tickets go", test_silent_entry },
+  { "teams share a class evenly", test_teams_share_a_class },
+  { "teams share by tokens, not by starts", test_teams_share_by_tokens },
+  { "teams share by weight", test_teams_share_by_weight },
+  { "a team at its limit waits, others pass", test_team_limit },
   CU_TEST_INFO_NULL,
 };
 
