Give each class its minimum share of starts

Cause: strict tier order starved lower tiers while a higher one had work. Ruled out: reserved slots (idle when the class has no work); an ageing priority (gives no floor that can be checked); a share of running time (output lengths are unknown). Of 100 starts with all classes waiting, shares 0.2 and 0.1 got 19 to 20 and 9 to 10. The floor is share * N - 1 over any N starts.

--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -27,6 +27,13 @@
   json_builder_add_int_value (json, value);
 }
 
+static void
+add_double (JsonBuilder *json, const char *name, double value)
+{
+  json_builder_set_member_name (json, name);
+  json_builder_add_double_value (json, value);
+}
+
 static void
 dump_server (const struct srv *srv, JsonBuilder *json)
 {
@@ -49,6 +56,8 @@
   add_int (json, "tier", cls->cfg.tier);
   add_int (json, "waiting", cls->n_waiting);
   add_int (json, "running", cls->n_running);
+  add_double (json, "share", cls->shr.share);
+  add_double (json, "starts_due", cls->shr.credit);
   json_builder_end_object (json);
 }
 
--- a/packages/cell/cel_pump.c
+++ b/packages/cell/cel_pump.c
@@ -72,13 +72,36 @@
   return picked;
 }
 
+/* Returns the next ticket of the class to which most is due of its minimum
+   share of starts, or NULL. Equal dues go by tier.  */
+static struct tkt *
+pick_by_share (struct cel *cel)
+{
+  const struct cls *best = NULL;
+  struct tkt *picked = NULL;
+  for (guint i = 0; i < cel->classes->len; i++)
+    {
+      const struct cls *cls = cel->classes->pdata[i];
+      if (!shr_due (&cls->shr) || (best && cls->shr.credit <= best->shr.credit))
+        continue;
+      struct tkt *tkt = cls_pick (cls, startable, cel);
+      if (!tkt)
+        continue;
+      best = cls;
+      picked = tkt;
+    }
+  return picked;
+}
+
 /* Starts waiting tickets as long as there are slots for them.  */
 void
 cel_pump (struct cel *cel)
 {
   while (any_free_slot (cel))
     {
-      struct tkt *tkt = pick_by_tier (cel);
+      struct tkt *tkt = pick_by_share (cel);
+      if (!tkt)
+        tkt = pick_by_tier (cel);
       if (!tkt)
         return;
       cel_start (cel, tkt, choose_server (cel, tkt));
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -64,6 +64,8 @@
 {
   (void)cel;
   cls_remove (tkt->cls, tkt);
+  if (tkt->cls->n_waiting == 0)
+    shr_idle (&tkt->cls->shr);
   g_sequence_remove (tkt->in_deadline);
   tkt->in_deadline = NULL;
 }
@@ -87,10 +89,23 @@
   cls_charge (cls, tkt, tkt->charged);
 }
 
+static void
+count_shares (struct cel *cel, struct cls *started)
+{
+  for (guint i = 0; i < cel->classes->len; i++)
+    {
+      struct cls *cls = cel->classes->pdata[i];
+      if (cls->n_waiting > 0)
+        shr_earn (&cls->shr);
+    }
+  shr_spend (&started->shr);
+}
+
 /* Grants a waiting TKT a slot of SRV.  */
 void
 cel_start (struct cel *cel, struct tkt *tkt, struct srv *srv)
 {
+  count_shares (cel, tkt->cls);
   cel_unqueue (cel, tkt);
   tkt->state = TKT_GRANTED;
   tkt->granted = clk_now (cel->clk);
--- a/packages/cell/cls.c
+++ b/packages/cell/cls.c
@@ -41,6 +41,7 @@
   GHashTableIter iter;
   gpointer value;
   cls->cfg = *cfg;
+  cls->shr.share = cfg->min_share;
   g_hash_table_iter_init (&iter, cls->flows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -7,6 +7,7 @@
 #include "cell/tkt.h"
 #include "config/cfg.h"
 #include "policy/dfq.h"
+#include "policy/shr.h"
 
 /* One team's work within a class. */
 struct flw
@@ -26,6 +27,7 @@
   guint n_running;     /* tickets granted or running */
   struct dfq dfq;      /* over its flows */
   struct dfq_flow own; /* among the classes of its tier */
+  struct shr shr;      /* its minimum share of starts */
 };
 
 /* Tells whether TKT could start now. */
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -246,6 +246,60 @@
   fix_close (&fix);
 }
 
+/* Offers N tickets of a class whose numbers start at FIRST.  */
+static void
+offer_many (struct fix *fix, guint64 first, guint n, guint class_index)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, first + i, class_index);
+}
+
+/* Ends the work granted last, N times, and counts the starts that follow by
+   the thousands of their tickets' numbers.  */
+static void
+count_starts (struct fix *fix, guint n, guint counts[3])
+{
+  for (guint i = 0; i < n; i++)
+    {
+      fix_release (fix, fix->sent[fix->n_sent - 1].msg.grant.ticket,
+                   MSG_RESULT_OK);
+      counts[fix->sent[fix->n_sent - 1].msg.grant.ticket / 1000]++;
+    }
+}
+
+static void
+test_minimum_share (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_URGENT].max_waiting = 200;
+  fix.classes[FIX_NORMAL].min_share = 0.2;
+  fix.classes[FIX_BATCH].min_share = 0.1;
+  fix_start (&fix);
+  offer_many (&fix, 1, 150, FIX_URGENT);
+  offer_many (&fix, 1000, 40, FIX_NORMAL);
+  offer_many (&fix, 2000, 40, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 100, counts);
+  CU_ASSERT_TRUE (counts[1] == 19 || counts[1] == 20);
+  CU_ASSERT_TRUE (counts[2] == 9 || counts[2] == 10);
+  fix_close (&fix);
+}
+
+static void
+test_no_share_no_start (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 40, FIX_URGENT);
+  offer_many (&fix, 1000, 5, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 39, counts);
+  CU_ASSERT_EQUAL (counts[0], 39);
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -260,6 +314,8 @@
   { "teams share by tokens, not by starts", test_teams_share_by_tokens },
   { "teams share by weight", test_teams_share_by_weight },
   { "a team at its limit waits, others pass", test_team_limit },
+  { "a class gets its minimum share of starts", test_minimum_share },
+  { "tier order is strict beyond the shares", test_no_share_no_start },
   CU_TEST_INFO_NULL,
 };
 
