Tell whether a cell owner is idle

Cause: the node frees an owner that lost its cell once nothing is left there. Ruled out: reading it from the summary (it has no running work). Change: cel_is_idle.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -290,3 +290,10 @@
   cel_free_idle_gone (cel);
   cel_pump (cel);
 }
+
+/* Tells whether no ticket waits or runs, so that the owner may be freed.  */
+gboolean
+cel_is_idle (const struct cel *cel)
+{
+  return g_hash_table_size (cel->tickets.tickets) == 0;
+}
--- a/packages/cell/cel.h
+++ b/packages/cell/cel.h
@@ -58,6 +58,9 @@
 #define CEL_TICK_US (50 * CLK_MS)
 void cel_tick (struct cel *cel);
 
+/* Has no tickets, waiting or running. */
+gboolean cel_is_idle (const struct cel *cel);
+
 void cel_summary (const struct cel *cel, struct msg_cell_summary *summary);
 void cel_dump (const struct cel *cel, JsonBuilder *json);
 
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -149,12 +149,14 @@
   offer.running = fix_id ("sa");
   cel_offer (fix.cel, "e1", &offer);
   fix_wait (&fix, 9 * CLK_S);
+  CU_ASSERT_FALSE (cel_is_idle (fix.cel));
   struct msg_cell_summary summary;
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 0);
   fix_wait (&fix, CLK_S);
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 1);
+  CU_ASSERT_TRUE (cel_is_idle (fix.cel));
   fix_close (&fix);
 }
 
