--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -149,12 +149,156 @@
   offer.running = fix_id ("sa");
   cel_offer (fix.cel, "e1", &offer);
   fix_wait (&fix, 9 * CLK_S);
+  CU_ASSERT_FALSE (cel_is_idle (fix.cel));
   struct msg_cell_summary summary;
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 0);
   fix_wait (&fix, CLK_S);
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 1);
+  CU_ASSERT_TRUE (cel_is_idle (fix.cel));
+  fix_close (&fix);
+}
+
+/* Keeps one slot busy for N starts, each generating TOKENS_A for team a and
+   TOKENS_B for team b, and returns how many of the starts were team b's.  */
+static guint
+starts_of_b (struct fix *fix, guint n, guint32 tokens_a, guint32 tokens_b)
+{
+  guint b = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      gboolean is_b = ticket >= 1000;
+      b += is_b;
+      fix_progress (fix, ticket, is_b ? tokens_b : tokens_a, 10 * CLK_MS);
+      fix_release (fix, ticket, MSG_RESULT_OK);
+    }
+  return b;
+}
+
+static void
+offer_teams (struct fix *fix, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, 1 + i, FIX_NORMAL);
+  for (guint i = 0; i < n; i++)
+    {
+      struct msg_offer offer = fix_offer_of (fix, 1000 + i, FIX_NORMAL, "b");
+      cel_offer (fix->cel, "e1", &offer);
+    }
+}
+
+static void
+test_teams_share_a_class (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 19 && b <= 21);
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_tokens (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 300, 0);
+  CU_ASSERT_TRUE (b >= 31 && b <= 33); /* 100 to 400 tokens a start */
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_weight (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix.teams[1].weight = 3;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 29 && b <= 31);
+  fix_close (&fix);
+}
+
+static void
+test_team_limit (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 8);
+  fix.teams[0].max_running = 2;
+  fix_start (&fix);
+  for (guint i = 1; i <= 5; i++)
+    fix_offer (&fix, i, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  struct msg_offer offer = fix_offer_of (&fix, 9, FIX_BATCH, "b");
+  cel_offer (fix.cel, "e1", &offer);
+  CU_ASSERT_TRUE (fix_granted (&fix, 9));
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  CU_ASSERT_FALSE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
+/* Offers N tickets of a class whose numbers start at FIRST.  */
+static void
+offer_many (struct fix *fix, guint64 first, guint n, guint class_index)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, first + i, class_index);
+}
+
+/* Ends the work granted last, N times, and counts the starts that follow by
+   the thousands of their tickets' numbers.  */
+static void
+count_starts (struct fix *fix, guint n, guint counts[3])
+{
+  for (guint i = 0; i < n; i++)
+    {
+      fix_release (fix, fix->sent[fix->n_sent - 1].msg.grant.ticket,
+                   MSG_RESULT_OK);
+      counts[fix->sent[fix->n_sent - 1].msg.grant.ticket / 1000]++;
+    }
+}
+
+static void
+test_minimum_share (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_URGENT].max_waiting = 200;
+  fix.classes[FIX_NORMAL].min_share = 0.2;
+  fix.classes[FIX_BATCH].min_share = 0.1;
+  fix_start (&fix);
+  offer_many (&fix, 1, 150, FIX_URGENT);
+  offer_many (&fix, 1000, 40, FIX_NORMAL);
+  offer_many (&fix, 2000, 40, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 100, counts);
+  CU_ASSERT_TRUE (counts[1] == 19 || counts[1] == 20);
+  CU_ASSERT_TRUE (counts[2] == 9 || counts[2] == 10);
+  fix_close (&fix);
+}
+
+static void
+test_no_share_no_start (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 40, FIX_URGENT);
+  offer_many (&fix, 1000, 5, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 39, counts);
+  CU_ASSERT_EQUAL (counts[0], 39);
   fix_close (&fix);
 }
 
@@ -168,6 +312,12 @@
   { "a new owner counts running work", test_reoffer_counts_running_work },
   { "a lost entry's tickets go", test_entry_lost },
   { "a silent entry's tickets go", test_silent_entry },
+  { "teams share a class evenly", test_teams_share_a_class },
+  { "teams share by tokens, not by starts", test_teams_share_by_tokens },
+  { "teams share by weight", test_teams_share_by_weight },
+  { "a team at its limit waits, others pass", test_team_limit },
+  { "a class gets its minimum share of starts", test_minimum_share },
+  { "tier order is strict beyond the shares", test_no_share_no_start },
   CU_TEST_INFO_NULL,
 };
 
