Add the codec and connections between instances

Cause: the lead can wire the whole path only with a transport. Ruled out: a tag per message; messages of one loop turn share a frame and a tag. A counter on the wire; TCP keeps order, so both sides count. Closing one of two connections of a pair; both go on, the newest carries what is sent.

--- a/packages/chart/chr.c
+++ b/packages/chart/chr.c
@@ -189,6 +189,7 @@
 check_paths (const struct loader *l)
 {
   const struct chr *c = l->chart;
+  g_assert (c->n_states > 0); /* else the initial one were unknown */
   gboolean *set = g_new0 (gboolean, c->n_states);
   set[c->initial] = TRUE;
   spread (c, set, TRUE);
--- a/packages/wire/wir.h
+++ b/packages/wire/wir.h
@@ -1,6 +1,16 @@
 /* Connections between instances: TCP, frames of a 4-byte big-endian length
-   and a msgpack body, opened by a challenge with HMAC-SHA-256 over the shared
-   key. One loop, one thread.  */
+   and a body, opened by a challenge with HMAC-SHA-256 over the shared key.
+
+   Handshake, each frame's body one msgpack array of at most 256 bytes:
+     both      ["jacinthward", version, id, nonce (16 bytes)]
+     dialer    [proof (32 bytes)]
+     listener  [proof (32 bytes)], only after the dialer's is right
+   Then each body is a run of messages [kind, fields...] and a 16-byte tag: the
+   head of an HMAC over the frame's number (8 bytes, from 0, not sent) and the
+   messages, under a key of this connection and direction. Both are proved and
+   every byte is protected from change; nothing is encrypted.
+
+   One loop, one thread.  */
 #ifndef WIR_H
 #define WIR_H
 
@@ -32,16 +42,20 @@
   const char *listen; /* IP:PORT; port 0: chosen by the kernel */
   struct str key;     /* shared key, copied */
   struct str_id self;
-  struct ctr *ctr; /* borrowed */
+  struct ctr *ctr;    /* borrowed */
+  guint handshake_ms; /* longest handshake; 0: WIR_HANDSHAKE_MS */
   /* A whole message from the authenticated instance FROM. */
   void (*receive) (void *ctx, const char *from, const struct msg *msg);
-  /* No connection to instance ID is left. */
+  /* No connection to instance ID is left. Comes from the loop or from
+     wir_hang_up. */
   void (*lost) (void *ctx, const char *id);
   void *ctx;
 };
 
+/* Listens on the thread's default main context. */
 int wir_new (const struct wir_options *options, struct wir **wir,
              struct err *err);
+/* Closes all connections, without calling lost. Not from a callback. */
 void wir_free (struct wir *wir);
 guint wir_port (const struct wir *wir);
 /* Keeps a connection to ADDRESS (IP:PORT) up; its instance's id is learnt in
@@ -49,8 +63,9 @@
 void wir_dial (struct wir *wir, const char *address);
 void wir_hang_up (struct wir *wir, const char *address);
 /* Queues MSG for instance TO; messages of one loop turn leave in one write.
-   Returns ERR_CLOSED if there is no connection, ERR_LIMIT if its queue is
-   full. */
+   They go over the newest connection to TO and arrive in order unless it
+   changes or is lost. Returns ERR_CLOSED if there is no connection, ERR_LIMIT
+   if its queue is full, ERR_TOO_LARGE over WIR_FRAME_MAX. */
 int wir_send (struct wir *wir, const char *to, const struct msg *msg);
 /* Sends to every connected instance. */
 void wir_broadcast (struct wir *wir, const struct msg *msg);
--- /dev/null
+++ b/packages/wire/wir_codec.c
@@ -0,0 +1,576 @@
+#include "wire/wir_codec.h"
+#include "wire/wir.h"
+
+#include <msgpack.h>
+#include <stddef.h>
+#include <string.h>
+
+#define STEP "wire.decode"
+
+enum field_type
+{
+  FIELD_U64,
+  FIELD_I64,
+  FIELD_U32,
+  FIELD_BOOL,
+  FIELD_ENUM,    /* below limit */
+  FIELD_ID,      /* struct str_id */
+  FIELD_ADDRESS, /* char[ADDRESS_BYTES] */
+  FIELD_DIGEST,  /* guint8[MSG_KEY_BYTES] */
+  FIELD_STR,     /* struct str of at most limit bytes */
+  FIELD_IDS,     /* struct str_id[limit]; trailing empty ones are not sent */
+  FIELD_COUNTS,  /* guint32[limit] */
+  FIELD_LIST     /* pointer to items and guint count */
+};
+
+#define ADDRESS_BYTES 64 /* with the NUL */
+
+struct record;
+
+struct field
+{
+  enum field_type type;
+  guint limit;
+  gsize offset;              /* in the message's struct */
+  gsize count_offset;        /* of a list's count */
+  const struct record *item; /* of a list */
+};
+
+struct record
+{
+  const struct field *fields;
+  guint n_fields;
+  gsize size; /* bytes of the struct */
+};
+
+/* The fields of each record in their order on the wire: the one source of
+   encoder and decoder. New fields go to the end. X (TYPE, member, limit) */
+#define FIELDS_HEARTBEAT(X)                                                    \
+  X (U64, incarnation, 0)                                                      \
+  X (U64, sequence, 0)                                                         \
+  X (ID, domain, 0)                                                            \
+  X (ID, region, 0)                                                            \
+  X (ADDRESS, address, 0)                                                      \
+  X (BOOL, leaving, 0)                                                         \
+  X (U64, config_version, 0)                                                   \
+  X (U64, fleet_version, 0)
+
+#define FIELDS_OFFER(X)                                                        \
+  X (U64, ticket, 0)                                                           \
+  X (ID, cell, 0)                                                              \
+  X (ID, class_name, 0)                                                        \
+  X (ID, team, 0)                                                              \
+  X (I64, wait_us, 0)                                                          \
+  X (I64, waited_us, 0)                                                        \
+  X (U64, prefix, 0)                                                           \
+  X (U32, prompt_tokens, 0)                                                    \
+  X (U32, max_tokens, 0)                                                       \
+  X (U32, generated, 0)                                                        \
+  X (BOOL, resumable, 0)                                                       \
+  X (ID, running, 0)                                                           \
+  X (IDS, avoid, MSG_AVOID_MAX)
+
+#define FIELDS_WITHDRAW(X) X (U64, ticket, 0)
+
+#define FIELDS_GRANT(X)                                                        \
+  X (U64, ticket, 0)                                                           \
+  X (ID, backend, 0)                                                           \
+  X (U32, priority, 0)                                                         \
+  X (I64, use_within_us, 0)
+
+#define FIELDS_REFUSE(X)                                                       \
+  X (U64, ticket, 0)                                                           \
+  X (ENUM, reason, MSG_REASON_N)                                               \
+  X (I64, retry_after_us, 0)
+
+#define FIELDS_PREEMPT(X) X (U64, ticket, 0)
+
+#define FIELDS_PROGRESS_ITEM(X)                                                \
+  X (U64, ticket, 0)                                                           \
+  X (U32, tokens, 0)                                                           \
+  X (U32, tbt_us, 0)
+
+#define FIELDS_RELEASE(X)                                                      \
+  X (U64, ticket, 0)                                                           \
+  X (ID, backend, 0)                                                           \
+  X (ENUM, result, MSG_RESULT_N)                                               \
+  X (U32, ttft_us, 0)                                                          \
+  X (U32, tbt_us, 0)                                                           \
+  X (U32, tokens, 0)
+
+#define TIERS 8 /* of msg_cell_summary */
+#define FIELDS_CELL_SUMMARY(X)                                                 \
+  X (ID, cell, 0)                                                              \
+  X (ID, owner, 0)                                                             \
+  X (ADDRESS, owner_address, 0)                                                \
+  X (U32, free_slots, 0)                                                       \
+  X (U32, servers, 0)                                                          \
+  X (COUNTS, waiting, TIERS)                                                   \
+  X (U32, starts_per_s, 0)
+
+#define FIELDS_OBJECT_ASK(X)                                                   \
+  X (ID, object, 0)                                                            \
+  X (U64, version, 0)
+
+#define FIELDS_OBJECT_BODY(X)                                                  \
+  X (ID, object, 0)                                                            \
+  X (U64, version, 0)                                                          \
+  X (STR, body, WIR_BODY_MAX)
+
+#define FIELDS_LEDGER_INTENT(X)                                                \
+  X (U64, ticket, 0)                                                           \
+  X (DIGEST, key, 0)                                                           \
+  X (DIGEST, body, 0)
+
+#define FIELDS_LEDGER_VERDICT(X)                                               \
+  X (U64, ticket, 0)                                                           \
+  X (ENUM, verdict, MSG_VERDICT_N)                                             \
+  X (U32, status, 0)                                                           \
+  X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
+  X (STR, answer, MSG_ANSWER_MAX)
+
+#define FIELDS_LEDGER_RESULT(X)                                                \
+  X (DIGEST, key, 0)                                                           \
+  X (BOOL, did_not_run, 0)                                                     \
+  X (U32, status, 0)                                                           \
+  X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
+  X (STR, answer, MSG_ANSWER_MAX)
+
+#define FIELD(type, member, limit)                                             \
+  { FIELD_##type, (limit), offsetof (struct RECORD, member), 0, NULL },
+#define LIST(member, count, record)                                            \
+  {                                                                            \
+    FIELD_LIST, WIR_ITEMS_MAX, offsetof (struct RECORD, member),               \
+        offsetof (struct RECORD, count), &(record)                             \
+  }
+#define DEFINE_RECORD(name)                                                    \
+  static const struct record name##_record                                     \
+      = { name##_fields, G_N_ELEMENTS (name##_fields),                         \
+          sizeof (struct RECORD) }
+
+#define RECORD msg_heartbeat
+static const struct field heartbeat_fields[] = { FIELDS_HEARTBEAT (FIELD) };
+DEFINE_RECORD (heartbeat);
+#undef RECORD
+#define RECORD msg_offer
+static const struct field offer_fields[] = { FIELDS_OFFER (FIELD) };
+DEFINE_RECORD (offer);
+#undef RECORD
+#define RECORD msg_withdraw
+static const struct field withdraw_fields[] = { FIELDS_WITHDRAW (FIELD) };
+DEFINE_RECORD (withdraw);
+#undef RECORD
+#define RECORD msg_grant
+static const struct field grant_fields[] = { FIELDS_GRANT (FIELD) };
+DEFINE_RECORD (grant);
+#undef RECORD
+#define RECORD msg_refuse
+static const struct field refuse_fields[] = { FIELDS_REFUSE (FIELD) };
+DEFINE_RECORD (refuse);
+#undef RECORD
+#define RECORD msg_preempt
+static const struct field preempt_fields[] = { FIELDS_PREEMPT (FIELD) };
+DEFINE_RECORD (preempt);
+#undef RECORD
+#define RECORD msg_progress_item
+static const struct field progress_item_fields[]
+    = { FIELDS_PROGRESS_ITEM (FIELD) };
+DEFINE_RECORD (progress_item);
+#undef RECORD
+#define RECORD msg_progress
+static const struct field progress_fields[]
+    = { LIST (items, n_items, progress_item_record) };
+DEFINE_RECORD (progress);
+#undef RECORD
+#define RECORD msg_release
+static const struct field release_fields[] = { FIELDS_RELEASE (FIELD) };
+DEFINE_RECORD (release);
+#undef RECORD
+#define RECORD msg_cell_summary
+static const struct field cell_summary_fields[]
+    = { FIELDS_CELL_SUMMARY (FIELD) };
+DEFINE_RECORD (cell_summary);
+#undef RECORD
+#define RECORD msg_summary
+static const struct field summary_fields[]
+    = { FIELD (ID, domain, 0) LIST (cells, n_cells, cell_summary_record) };
+DEFINE_RECORD (summary);
+#undef RECORD
+#define RECORD msg_object_ask
+static const struct field object_ask_fields[] = { FIELDS_OBJECT_ASK (FIELD) };
+DEFINE_RECORD (object_ask);
+#undef RECORD
+#define RECORD msg_object_body
+static const struct field object_body_fields[] = { FIELDS_OBJECT_BODY (FIELD) };
+DEFINE_RECORD (object_body);
+#undef RECORD
+#define RECORD msg_ledger_intent
+static const struct field ledger_intent_fields[]
+    = { FIELDS_LEDGER_INTENT (FIELD) };
+DEFINE_RECORD (ledger_intent);
+#undef RECORD
+#define RECORD msg_ledger_verdict
+static const struct field ledger_verdict_fields[]
+    = { FIELDS_LEDGER_VERDICT (FIELD) };
+DEFINE_RECORD (ledger_verdict);
+#undef RECORD
+#define RECORD msg_ledger_result
+static const struct field ledger_result_fields[]
+    = { FIELDS_LEDGER_RESULT (FIELD) };
+DEFINE_RECORD (ledger_result);
+#undef RECORD
+
+#define RECORD_OF_KIND(id, member, name) [MSG_##id] = &member##_record,
+static const struct record *const records[] = { MSG_KINDS (RECORD_OF_KIND) };
+#undef RECORD_OF_KIND
+
+G_STATIC_ASSERT (sizeof (enum msg_reason) == sizeof (guint32));
+G_STATIC_ASSERT (sizeof (enum msg_result) == sizeof (guint32));
+G_STATIC_ASSERT (sizeof (enum msg_verdict) == sizeof (guint32));
+G_STATIC_ASSERT (sizeof (((struct msg_cell_summary *)0)->waiting)
+                 == TIERS * sizeof (guint32));
+G_STATIC_ASSERT (sizeof (((struct msg_heartbeat *)0)->address)
+                 == ADDRESS_BYTES);
+
+static int
+append (void *out, const char *bytes, size_t n)
+{
+  g_byte_array_append (out, (const guint8 *)bytes, (guint)n);
+  return 0;
+}
+
+static void
+pack_str (msgpack_packer *pk, struct str s)
+{
+  msgpack_pack_str (pk, s.n);
+  msgpack_pack_str_body (pk, s.p ? s.p : "", s.n);
+}
+
+static void
+pack_ids (msgpack_packer *pk, const struct str_id *ids, guint limit)
+{
+  guint n = limit;
+  while (n > 0 && ids[n - 1].s[0] == '\0')
+    n--;
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    pack_str (pk, str_of (ids[i].s));
+}
+
+static void
+pack_counts (msgpack_packer *pk, const guint32 *counts, guint limit)
+{
+  msgpack_pack_array (pk, limit);
+  for (guint i = 0; i < limit; i++)
+    msgpack_pack_uint32 (pk, counts[i]);
+}
+
+static void pack_record (msgpack_packer *pk, const struct record *record,
+                         const void *data);
+
+static void
+pack_list (msgpack_packer *pk, const struct field *field, const char *data)
+{
+  const char *items = *(const char *const *)(data + field->offset);
+  guint n = *(const guint *)(data + field->count_offset);
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    {
+      msgpack_pack_array (pk, field->item->n_fields);
+      pack_record (pk, field->item, items + i * field->item->size);
+    }
+}
+
+static void
+pack_field (msgpack_packer *pk, const struct field *field, const char *data)
+{
+  const void *at = data + field->offset;
+  switch (field->type)
+    {
+    case FIELD_U64:
+      msgpack_pack_uint64 (pk, *(const guint64 *)at);
+      break;
+    case FIELD_I64:
+      msgpack_pack_int64 (pk, *(const gint64 *)at);
+      break;
+    case FIELD_U32:
+    case FIELD_ENUM:
+      msgpack_pack_uint32 (pk, *(const guint32 *)at);
+      break;
+    case FIELD_BOOL:
+      *(const gboolean *)at ? msgpack_pack_true (pk) : msgpack_pack_false (pk);
+      break;
+    case FIELD_ID:
+    case FIELD_ADDRESS:
+      pack_str (pk, str_of (at));
+      break;
+    case FIELD_DIGEST:
+      msgpack_pack_bin_with_body (pk, at, MSG_KEY_BYTES);
+      break;
+    case FIELD_STR:
+      pack_str (pk, *(const struct str *)at);
+      break;
+    case FIELD_IDS:
+      pack_ids (pk, at, field->limit);
+      break;
+    case FIELD_COUNTS:
+      pack_counts (pk, at, field->limit);
+      break;
+    case FIELD_LIST:
+      pack_list (pk, field, data);
+      break;
+    }
+}
+
+static void
+pack_record (msgpack_packer *pk, const struct record *record, const void *data)
+{
+  for (guint i = 0; i < record->n_fields; i++)
+    pack_field (pk, &record->fields[i], data);
+}
+
+/* Appends the frame body of MSG to OUT: [kind, fields...]. Strings and lists
+   over the limits of the table are sent as they are and refused by the
+   reader.  */
+void
+wir_encode (const struct msg *msg, GByteArray *out)
+{
+  const struct record *record = records[msg->kind];
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, out, append);
+  msgpack_pack_array (&pk, 1 + record->n_fields);
+  msgpack_pack_uint32 (&pk, (guint32)msg->kind);
+  pack_record (&pk, record, &msg->heartbeat);
+}
+
+struct wir_arena
+{
+  msgpack_zone zone;
+};
+
+/* Makes the memory that decoded messages borrow from.  */
+struct wir_arena *
+wir_arena_new (void)
+{
+  struct wir_arena *arena = g_new0 (struct wir_arena, 1);
+  if (!msgpack_zone_init (&arena->zone, MSGPACK_ZONE_CHUNK_SIZE))
+    g_error ("out of memory");
+  return arena;
+}
+
+/* Frees ARENA; NULL is allowed.  */
+void
+wir_arena_free (struct wir_arena *arena)
+{
+  if (arena == NULL)
+    return;
+  msgpack_zone_destroy (&arena->zone);
+  g_free (arena);
+}
+
+static gboolean
+read_number (const msgpack_object *object, guint64 max, guint64 *value)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
+    return FALSE;
+  *value = object->via.u64;
+  return TRUE;
+}
+
+static gboolean
+read_signed (const msgpack_object *object, gint64 *value)
+{
+  if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    {
+      *value = object->via.i64;
+      return TRUE;
+    }
+  guint64 positive;
+  if (!read_number (object, G_MAXINT64, &positive))
+    return FALSE;
+  *value = (gint64)positive;
+  return TRUE;
+}
+
+static gboolean
+read_u32 (const msgpack_object *object, guint64 max, guint32 *value)
+{
+  guint64 number;
+  if (!read_number (object, max, &number))
+    return FALSE;
+  *value = (guint32)number;
+  return TRUE;
+}
+
+static gboolean
+read_bool (const msgpack_object *object, gboolean *value)
+{
+  if (object->type != MSGPACK_OBJECT_BOOLEAN)
+    return FALSE;
+  *value = object->via.boolean;
+  return TRUE;
+}
+
+static gboolean
+read_str (const msgpack_object *object, guint limit, struct str *value)
+{
+  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size > limit)
+    return FALSE;
+  *value = (struct str){ object->via.str.ptr, object->via.str.size };
+  return TRUE;
+}
+
+/* Reads printable ASCII without spaces into TEXT of SIZE bytes.  */
+static gboolean
+read_text (const msgpack_object *object, char *text, gsize size)
+{
+  struct str s;
+  if (!read_str (object, (guint)size - 1, &s))
+    return FALSE;
+  for (gsize i = 0; i < s.n; i++)
+    if (!g_ascii_isgraph (s.p[i]))
+      return FALSE;
+  memcpy (text, s.p, s.n);
+  memset (text + s.n, 0, size - s.n);
+  return TRUE;
+}
+
+static gboolean
+read_digest (const msgpack_object *object, guint8 *digest)
+{
+  if (object->type != MSGPACK_OBJECT_BIN
+      || object->via.bin.size != MSG_KEY_BYTES)
+    return FALSE;
+  memcpy (digest, object->via.bin.ptr, MSG_KEY_BYTES);
+  return TRUE;
+}
+
+static gboolean
+read_ids (const msgpack_object *object, guint limit, struct str_id *ids)
+{
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > limit)
+    return FALSE;
+  memset (ids, 0, limit * sizeof *ids);
+  for (guint i = 0; i < object->via.array.size; i++)
+    if (!read_text (&object->via.array.ptr[i], ids[i].s, sizeof ids[i].s))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+read_counts (const msgpack_object *object, guint limit, guint32 *counts)
+{
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != limit)
+    return FALSE;
+  for (guint i = 0; i < limit; i++)
+    if (!read_u32 (&object->via.array.ptr[i], G_MAXUINT32, &counts[i]))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean read_record (const msgpack_object *objects, guint n,
+                             const struct record *record, char *data,
+                             msgpack_zone *zone);
+
+static gboolean
+read_list (const msgpack_object *object, const struct field *field, char *data,
+           msgpack_zone *zone)
+{
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size > field->limit)
+    return FALSE;
+  guint n = object->via.array.size;
+  gsize size = field->item->size;
+  char *items = n ? msgpack_zone_malloc (zone, n * size) : NULL;
+  if (n > 0 && items == NULL)
+    return FALSE;
+  for (guint i = 0; i < n; i++)
+    {
+      const msgpack_object *item = &object->via.array.ptr[i];
+      memset (items + i * size, 0, size);
+      if (item->type != MSGPACK_OBJECT_ARRAY
+          || !read_record (item->via.array.ptr, item->via.array.size,
+                           field->item, items + i * size, zone))
+        return FALSE;
+    }
+  *(const char **)(data + field->offset) = items;
+  *(guint *)(data + field->count_offset) = n;
+  return TRUE;
+}
+
+static gboolean
+read_field (const msgpack_object *object, const struct field *field, char *data,
+            msgpack_zone *zone)
+{
+  void *at = data + field->offset;
+  switch (field->type)
+    {
+    case FIELD_U64:
+      return read_number (object, G_MAXUINT64, at);
+    case FIELD_I64:
+      return read_signed (object, at);
+    case FIELD_U32:
+      return read_u32 (object, G_MAXUINT32, at);
+    case FIELD_ENUM:
+      return read_u32 (object, field->limit - 1, at);
+    case FIELD_BOOL:
+      return read_bool (object, at);
+    case FIELD_ID:
+      return read_text (object, at, sizeof (struct str_id));
+    case FIELD_ADDRESS:
+      return read_text (object, at, ADDRESS_BYTES);
+    case FIELD_DIGEST:
+      return read_digest (object, at);
+    case FIELD_STR:
+      return read_str (object, field->limit, at);
+    case FIELD_IDS:
+      return read_ids (object, field->limit, at);
+    case FIELD_COUNTS:
+      return read_counts (object, field->limit, at);
+    case FIELD_LIST:
+      return read_list (object, field, data, zone);
+    }
+  return FALSE;
+}
+
+/* Reads OBJECTS into DATA. Objects after the last field come from a newer
+   release and are ignored.  */
+static gboolean
+read_record (const msgpack_object *objects, guint n,
+             const struct record *record, char *data, msgpack_zone *zone)
+{
+  if (n < record->n_fields)
+    return FALSE;
+  for (guint i = 0; i < record->n_fields; i++)
+    if (!read_field (&objects[i], &record->fields[i], data, zone))
+      return FALSE;
+  return TRUE;
+}
+
+/* Reads one frame body DATA into MSG, which borrows from DATA and ARENA until
+   ARENA is used again or freed. Returns 0, or ERR_PROTOCOL for anything but
+   one whole message of a known kind within the limits.  */
+int
+wir_decode (struct str data, struct msg *msg, struct wir_arena *arena,
+            struct err *err)
+{
+  msgpack_object root;
+  size_t end = 0;
+  guint64 kind;
+  msgpack_zone_clear (&arena->zone);
+  if (data.n == 0 || wir_scan (data) != data.n
+      || msgpack_unpack (data.p, data.n, &end, &arena->zone, &root)
+             != MSGPACK_UNPACK_SUCCESS)
+    return err_set (err, ERR_PROTOCOL, STEP, "",
+                    "no message in %" G_GSIZE_FORMAT " bytes", data.n);
+  if (root.type != MSGPACK_OBJECT_ARRAY || root.via.array.size == 0
+      || !read_number (&root.via.array.ptr[0], MSG_N - 1, &kind))
+    return err_set (err, ERR_PROTOCOL, STEP, "", "unknown kind of message");
+  memset (msg, 0, sizeof *msg);
+  msg->kind = (enum msg_kind)kind;
+  if (!read_record (root.via.array.ptr + 1, root.via.array.size - 1,
+                    records[kind], (char *)&msg->heartbeat, &arena->zone))
+    return err_set (err, ERR_PROTOCOL, STEP, "", "bad field in %s",
+                    msg_kind_name (msg->kind));
+  return 0;
+}
--- /dev/null
+++ b/packages/wire/wir_hello.c
@@ -0,0 +1,115 @@
+#include "wire/wir_hello.h"
+#include "wire/wir_codec.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define MAGIC "jacinthward"
+#define HELLO_FIELDS 4 /* magic, version, id, nonce */
+#define PROOF_FIELDS 1
+
+static int
+append (void *out, const char *bytes, size_t n)
+{
+  g_byte_array_append (out, (const guint8 *)bytes, (guint)n);
+  return 0;
+}
+
+/* Appends the body of SIDE's HELLO to OUT.  */
+void
+wir_encode_hello (const struct wir_side *side, GByteArray *out)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, out, append);
+  msgpack_pack_array (&pk, HELLO_FIELDS);
+  msgpack_pack_str_with_body (&pk, MAGIC, strlen (MAGIC));
+  msgpack_pack_uint32 (&pk, WIR_VERSION);
+  msgpack_pack_str_with_body (&pk, side->id.s, strlen (side->id.s));
+  msgpack_pack_bin_with_body (&pk, side->nonce, WIR_NONCE_BYTES);
+}
+
+/* Appends the body of a PROOF to OUT.  */
+void
+wir_encode_proof (const guint8 proof[WIR_PROOF_BYTES], GByteArray *out)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, out, append);
+  msgpack_pack_array (&pk, PROOF_FIELDS);
+  msgpack_pack_bin_with_body (&pk, proof, WIR_PROOF_BYTES);
+}
+
+/* Unpacks DATA, an array of at least N fields, into ROOT and ZONE.  */
+static gboolean
+unpack (struct str data, guint n, msgpack_zone *zone, msgpack_object *root)
+{
+  size_t end = 0;
+  return data.n > 0 && data.n <= WIR_HANDSHAKE_FRAME_MAX
+         && wir_scan (data) == data.n
+         && msgpack_unpack (data.p, data.n, &end, zone, root)
+                == MSGPACK_UNPACK_SUCCESS
+         && root->type == MSGPACK_OBJECT_ARRAY && root->via.array.size >= n;
+}
+
+static struct str
+text_of (const msgpack_object *object)
+{
+  if (object->type != MSGPACK_OBJECT_STR)
+    return (struct str){ NULL, 0 };
+  return (struct str){ object->via.str.ptr, object->via.str.size };
+}
+
+static gboolean
+copy_bytes (const msgpack_object *object, guint8 *bytes, gsize n)
+{
+  if (object->type != MSGPACK_OBJECT_BIN || object->via.bin.size != n)
+    return FALSE;
+  memcpy (bytes, object->via.bin.ptr, n);
+  return TRUE;
+}
+
+static int
+read_hello (const msgpack_object *fields, struct wir_side *side,
+            struct err *err)
+{
+  if (!str_eq (text_of (&fields[0]), STR_LIT (MAGIC)))
+    return err_set (err, ERR_PROTOCOL, "wire.hello", "", "not an instance");
+  if (fields[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || fields[1].via.u64 != WIR_VERSION)
+    return err_set (err, ERR_PROTOCOL, "wire.hello", "",
+                    "protocol version is not %d", WIR_VERSION);
+  struct str id = text_of (&fields[2]);
+  if (!str_id_ok (id) || !str_id_set (&side->id, id)
+      || !copy_bytes (&fields[3], side->nonce, WIR_NONCE_BYTES))
+    return err_set (err, ERR_PROTOCOL, "wire.hello", "", "bad id or nonce");
+  return 0;
+}
+
+/* Reads a HELLO into SIDE. Returns 0 or ERR_PROTOCOL.  */
+int
+wir_decode_hello (struct str data, struct wir_side *side, struct err *err)
+{
+  msgpack_zone zone;
+  msgpack_object root;
+  if (!msgpack_zone_init (&zone, WIR_HANDSHAKE_FRAME_MAX))
+    g_error ("out of memory");
+  int r = unpack (data, HELLO_FIELDS, &zone, &root)
+              ? read_hello (root.via.array.ptr, side, err)
+              : err_set (err, ERR_PROTOCOL, "wire.hello", "", "no HELLO");
+  msgpack_zone_destroy (&zone);
+  return r;
+}
+
+/* Reads a PROOF. Returns 0 or ERR_PROTOCOL.  */
+int
+wir_decode_proof (struct str data, guint8 proof[WIR_PROOF_BYTES],
+                  struct err *err)
+{
+  msgpack_zone zone;
+  msgpack_object root;
+  if (!msgpack_zone_init (&zone, WIR_HANDSHAKE_FRAME_MAX))
+    g_error ("out of memory");
+  gboolean ok = unpack (data, PROOF_FIELDS, &zone, &root)
+                && copy_bytes (root.via.array.ptr, proof, WIR_PROOF_BYTES);
+  msgpack_zone_destroy (&zone);
+  return ok ? 0 : err_set (err, ERR_PROTOCOL, "wire.proof", "", "no PROOF");
+}
