Test the configuration object's checks; edit it line by line

Cause: the checks had no test for each problem, and the edits by GKeyFile moved blank lines and comments (seen by the new test: a blank line came between a comment and its group). Ruled out: G_KEY_FILE_KEEP_COMMENTS, for that reason; an operator's diff would show lines that nobody changed. Change: edits replace or add one line and leave all others.

--- a/packages/config/cfg.c
+++ b/packages/config/cfg.c
@@ -193,30 +193,74 @@
   return "";
 }
 
-/* Returns BODY with KEY of GROUP set to VALUE; NULL with ERR set if BODY has
-   no group NEEDED.  */
+/* Tells whether LINE, without blanks around it, sets KEY.  */
+static gboolean
+sets_key (const char *line, const char *key)
+{
+  gsize n = strlen (key);
+  if (strncmp (line, key, n) != 0)
+    return FALSE;
+  return line[n + strspn (line + n, " \t")] == '=';
+}
+
+/* Sets KEY of group "[GROUP]" in LINES, behind the group's last key if it is
+   new. Returns FALSE if the group is not there.  */
+static gboolean
+edit_lines (char **lines, const char *group, const char *key, const char *value)
+{
+  g_autofree char *header = g_strdup_printf ("[%s]", group);
+  gboolean inside = FALSE;
+  int last = -1;
+  for (int i = 0; lines[i] != NULL; i++)
+    {
+      g_autofree char *line = g_strstrip (g_strdup (lines[i]));
+      if (line[0] == '[')
+        inside = strcmp (line, header) == 0;
+      if (!inside || line[0] == '#' || line[0] == '\0')
+        continue;
+      last = i;
+      if (sets_key (line, key))
+        {
+          g_free (lines[i]);
+          lines[i] = g_strdup_printf ("%s=%s", key, value);
+          return TRUE;
+        }
+    }
+  if (last < 0)
+    return FALSE;
+  char *old = lines[last];
+  lines[last] = g_strdup_printf ("%s\n%s=%s", old, key, value);
+  g_free (old);
+  return TRUE;
+}
+
+/* Returns BODY with KEY of GROUP set to VALUE and every other line as it is;
+   NULL with ERR set if BODY lacks group NEEDED or GROUP. GKeyFile could edit
+   too, but moves blank lines and comments.  */
 static GBytes *
 edit (GBytes *body, const char *needed, const char *group, const char *key,
       const char *value, struct err *err)
 {
+  gsize n;
+  const char *data = g_bytes_get_data (body, &n);
+  g_autofree char *text = g_strndup (data, n);
   g_autoptr (GKeyFile) file = g_key_file_new ();
   g_autoptr (GError) error = NULL;
-  GKeyFileFlags flags = G_KEY_FILE_KEEP_COMMENTS | G_KEY_FILE_KEEP_TRANSLATIONS;
-  if (!g_key_file_load_from_bytes (file, body, flags, &error))
+  if (!g_key_file_load_from_data (file, text, n, G_KEY_FILE_NONE, &error))
     {
       err_set (err, ERR_INVALID, "config.edit", NULL, "%s", error->message);
       return NULL;
     }
-  if (!g_key_file_has_group (file, needed))
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  if (!g_key_file_has_group (file, needed)
+      || !edit_lines (lines, group, key, value))
     {
       err_set (err, ERR_NOT_FOUND, "config.edit", NULL,
                "the configuration has no group [%s]", needed);
       return NULL;
     }
-  g_key_file_set_value (file, group, key, value);
-  gsize n;
-  char *text = g_key_file_to_data (file, &n, NULL);
-  return g_bytes_new_take (text, n);
+  char *edited = g_strjoinv ("\n", lines);
+  return g_bytes_new_take (edited, strlen (edited));
 }
 
 /* Returns BODY with PRESET in force; the caller unrefs it. Returns NULL with
--- a/tests/unit/test_cfg.c
+++ b/tests/unit/test_cfg.c
@@ -4,18 +4,68 @@
 
 #include <string.h>
 
+#define DIGEST_A                                                               \
+  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define DIGEST_B                                                               \
+  "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+
+/* A small valid object; the tests replace parts of it. */
+static const char valid[]
+    = "# first line\n"
+      "[jacinthward]\npreset=ordinary\n"
+      "[preset:ordinary]\nspill=region\n"
+      "[preset:peak]\nspill=anywhere\nclass.low.min_share=0.2\n"
+      "class.low.spill=none\n"
+      "[preset:maintenance]\nspill=none\nlimit_scale=0.5\n"
+      "[domain:d1]\nregion=r1\n"
+      "[class:high]\ntier=0\nttft_ms=360\ndeadline_ms=1000\nmin_share=0.5\n"
+      "max_waiting=20\nreserved_waiting=5\n"
+      "[class:low]\ntier=3\ndeadline_ms=60000\nmin_share=0.1\nmax_waiting=9\n"
+      "[team:t1]\nkey_sha256=" DIGEST_A "\nclasses=high;low\n"
+      "default_class=low\n"
+      "[team:t2]\nkey_sha256=" DIGEST_B "\nclasses=low\ndefault_class=low\n"
+      "[model:m]\n[service:s]\n"
+      "# the only engine\n"
+      "[backend:e1]\naddress=127.0.0.1:9001\npool=m\ndomain=d1\n"
+      "max_running=8\nchecks_fence=yes\n"
+      "[backend:s1]\naddress=[::1]:9002\npool=s\ndomain=d1\nmax_running=4\n"
+      "[operator:ops]\ntoken_sha256=" DIGEST_A "\nwrite=yes\n";
+
+static GPtrArray *
+new_problems (void)
+{
+  return g_ptr_array_new_with_free_func (g_free);
+}
+
+static struct cfg *
+parse_text (const char *text, GPtrArray *problems)
+{
+  g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+  return cfg_parse (body, 7, problems);
+}
+
+/* Returns TEXT with its first OLD replaced by REPLACEMENT; g_free.  */
+static char *
+replaced (const char *text, const char *old, const char *replacement)
+{
+  const char *at = strstr (text, old);
+  CU_ASSERT_PTR_NOT_NULL (at);
+  if (at == NULL)
+    return g_strdup (text);
+  return g_strdup_printf ("%.*s%s%s", (int)(at - text), text, replacement,
+                          at + strlen (old));
+}
+
 /* Parses file NAME of the examples. Prints its problems.  */
 static struct cfg *
 parse_example (const char *name)
 {
   g_autofree char *path
       = g_build_filename (JW_SOURCE_DIR, "examples", name, "config.ini", NULL);
-  char *text = NULL;
-  gsize n = 0;
-  CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, &n, NULL));
-  g_autoptr (GBytes) body = g_bytes_new_take (text, n);
-  g_autoptr (GPtrArray) problems = g_ptr_array_new_with_free_func (g_free);
-  struct cfg *cfg = cfg_parse (body, 7, problems);
+  g_autofree char *text = NULL;
+  CU_ASSERT_TRUE (g_file_get_contents (path, &text, NULL, NULL));
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (text ? text : "", problems);
   for (guint i = 0; i < problems->len; i++)
     g_print ("%s\n", (char *)problems->pdata[i]);
   return cfg;
@@ -40,8 +90,289 @@
     }
 }
 
+static void
+test_values (void)
+{
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (valid, problems);
+  CU_ASSERT_EQUAL (problems->len, 0);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
+  CU_ASSERT_STRING_EQUAL (cfg->preset.s, "ordinary");
+  CU_ASSERT_EQUAL (cfg->spill, CFG_SPILL_REGION);
+  CU_ASSERT_DOUBLE_EQUAL (cfg->limit_scale, 1, 0);
+  const struct cfg_class *high
+      = &cfg->classes[cfg_find_class (cfg, STR_LIT ("high"))];
+  CU_ASSERT_EQUAL (high->ttft_us, 360000);
+  CU_ASSERT_EQUAL (high->tbt_us, 0);
+  CU_ASSERT_EQUAL (high->reserved_waiting, 5);
+  const struct cfg_team *t1 = &cfg->teams[cfg_find_team (cfg, STR_LIT ("t1"))];
+  CU_ASSERT_EQUAL (t1->classes, 3);
+  CU_ASSERT_EQUAL (t1->default_class, 1);
+  CU_ASSERT_TRUE (cfg->pools[0].any_method_repeatable);
+  CU_ASSERT_FALSE (cfg->pools[1].any_method_repeatable);
+  CU_ASSERT_TRUE (cfg->backends[0].checks_fence);
+  CU_ASSERT_STRING_EQUAL (cfg->backends[1].address, "[::1]:9002");
+  CU_ASSERT_TRUE (cfg->operators[0].may_write);
+  cfg_unref (cfg);
+}
+
+static void
+test_preset_overrides (void)
+{
+  g_autofree char *text = replaced (valid, "preset=ordinary", "preset=peak");
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (text, problems);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
+  int low = cfg_find_class (cfg, STR_LIT ("low"));
+  CU_ASSERT_EQUAL (cfg->spill, CFG_SPILL_ANYWHERE);
+  CU_ASSERT_DOUBLE_EQUAL (cfg->classes[low].min_share, 0.2, 0);
+  CU_ASSERT_EQUAL (cfg->classes[low].spill, CFG_SPILL_NONE);
+  CU_ASSERT_EQUAL (cfg->classes[low].max_waiting, 9);
+  cfg_unref (cfg);
+}
+
+static void
+test_finders (void)
+{
+  g_autofree char *key_sha
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "secret", -1);
+  g_autofree char *text = replaced (valid, DIGEST_A, key_sha);
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (text, problems);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
+  CU_ASSERT_EQUAL (cfg_find_team_by_key (cfg, STR_LIT ("secret")), 0);
+  CU_ASSERT_TRUE (cfg_find_team_by_key (cfg, STR_LIT ("secre")) < 0);
+  CU_ASSERT_TRUE (cfg_find_team_by_key (cfg, STR_LIT ("")) < 0);
+  CU_ASSERT_TRUE (cfg_find_operator_by_token (cfg, STR_LIT ("secret")) < 0);
+  CU_ASSERT_EQUAL (cfg_find_pool (cfg, CFG_SERVICE, STR_LIT ("s")), 1);
+  CU_ASSERT_TRUE (cfg_find_pool (cfg, CFG_ENGINE, STR_LIT ("s")) < 0);
+  CU_ASSERT_EQUAL (cfg_find_backend (cfg, STR_LIT ("e1")), 0);
+  CU_ASSERT_TRUE (cfg_find_backend (cfg, STR_LIT ("e1\0x")) < 0);
+  CU_ASSERT_EQUAL (cfg_find_cell (cfg, STR_LIT ("d1:s:0")), 1);
+  CU_ASSERT_EQUAL (cfg_find_domain (cfg, STR_LIT ("d1")), 0);
+  CU_ASSERT_TRUE (cfg_find_class (cfg, STR_LIT ("none")) < 0);
+  cfg_unref (cfg);
+}
+
+static void
+test_cells (void)
+{
+  GString *text = g_string_new (valid);
+  for (guint i = 0; i < 2 * CFG_CELL_SIZE; i++)
+    g_string_append_printf (text,
+                            "[backend:x%02u]\naddress=127.0.0.2:%u\npool=m\n"
+                            "domain=d1\nmax_running=1\n",
+                            i, 1000 + i);
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (text->str, problems);
+  g_string_free (text, TRUE);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
+  guint sizes[8] = { 0 };
+  for (guint i = 0; i < cfg->n_backends; i++)
+    sizes[cfg->backends[i].cell]++;
+  CU_ASSERT_EQUAL (cfg->n_cells, 4);
+  CU_ASSERT_EQUAL (sizes[cfg_find_cell (cfg, STR_LIT ("d1:m:0"))],
+                   CFG_CELL_SIZE);
+  CU_ASSERT_EQUAL (sizes[cfg_find_cell (cfg, STR_LIT ("d1:m:1"))],
+                   CFG_CELL_SIZE);
+  CU_ASSERT_EQUAL (sizes[cfg_find_cell (cfg, STR_LIT ("d1:m:2"))], 1);
+  CU_ASSERT_STRING_EQUAL (cfg->backends[0].name.s, "e1");
+  cfg_unref (cfg);
+}
+
+/* A change that makes the valid object wrong, and the problem it gives. */
+struct bad_case
+{
+  const char *old;
+  const char *replacement;
+  const char *problem;
+};
+
+static const struct bad_case bad_cases[] = {
+  { "[domain:d1]", "[zone:d1]\nregion=r1\n[domain:d1]",
+    "group [zone:d1]: is unknown; allowed: " },
+  { "tier=0", "tier=0\ncolour=red",
+    "group [class:high], key colour: is unknown; allowed: tier, " },
+  { "tier=0", "tier=8",
+    "key tier: \"8\" is wrong; allowed: a whole number "
+    "from 0 to 7" },
+  { "tier=0", "tier=1x", "key tier: \"1x\" is wrong" },
+  { "tier=0", "tier=-1", "key tier: \"-1\" is wrong" },
+  { "tier=0\n", "", "group [class:high], key tier: is missing; allowed: " },
+  { "min_share=0.5", "min_share=nan", "key min_share: \"nan\" is wrong" },
+  { "min_share=0.5", "min_share=0", "key min_share: \"0\" is wrong" },
+  { "min_share=0.5", "min_share=0.85",
+    "group [preset:peak]: min_share of all classes adds up to 1.05" },
+  { "min_share=0.5", "min_share=0.75",
+    "group [preset:peak]: min_share of all classes adds up to 0.95" },
+  { "reserved_waiting=5", "reserved_waiting=21",
+    "class high gets reserved_waiting 21 above max_waiting 20" },
+  { "class.low.min_share", "class.none.min_share",
+    "key class.none.min_share: names the class none, which is not there" },
+  { "class.low.min_share", "class.low.size",
+    "key class.low.size: names no key of a class" },
+  { "class.low.min_share=0.2", "class.low.min_share=2",
+    "group [preset:peak], key class.low.min_share: \"2\" is wrong" },
+  { "class.low.spill=none", "class.spill=none",
+    "key class.spill: is unknown; allowed: class.NAME.KEY" },
+  { "spill=region", "spill=far",
+    "key spill: \"far\" is wrong; allowed: none, "
+    "region, anywhere" },
+  { "preset=ordinary", "preset=night",
+    "group [jacinthward], key preset: \"night\" is not there" },
+  { "[preset:maintenance]\nspill=none\nlimit_scale=0.5\n", "",
+    "group [preset:maintenance]: is missing" },
+  { "classes=high;low", "classes=high;lo",
+    "group [team:t1], key classes: names the class lo, which is not there" },
+  { "classes=high;low", "classes=high",
+    "key default_class: names the class low, which the team may not use" },
+  { "classes=high;low", "classes=;", "key classes: is empty" },
+  { DIGEST_B, DIGEST_A,
+    "group [team:t2], key key_sha256: is the key of "
+    "another team" },
+  { DIGEST_B, "plain-secret", "group [team:t2], key key_sha256: is no digest" },
+  { "[service:s]", "[service:m]\n[service:s]",
+    "group [service:m]: has the name of a model" },
+  { "pool=m", "pool=x", "group [backend:e1], key pool: \"x\" is not there" },
+  { "domain=d1", "domain=d9",
+    "group [backend:e1], key domain: \"d9\" is not there" },
+  { "127.0.0.1:9001", "localhost:9001",
+    "key address: \"localhost:9001\" is wrong; allowed: IP:PORT" },
+  { "127.0.0.1:9001", "127.0.0.1:0", "key address: \"127.0.0.1:0\" is wrong" },
+  { "127.0.0.1:9001", "::1:9001", "key address: \"::1:9001\" is wrong" },
+  { "127.0.0.1:9001", "[::1]:9002",
+    "group [backend:s1], key address: [::1]:9002 is the address of another" },
+  { "checks_fence=yes", "checks_fence=true",
+    "key checks_fence: \"true\" is wrong; allowed: yes or no" },
+  { "max_running=8", "max_running=8\nmax_running=9",
+    "group [backend:e1], key max_running: is there twice" },
+  { "[model:m]", "[model:m]\n[model:m]", "group [model:m]: is there twice" },
+  { "[team:t1]", "[team:t 1]", "group [team:t 1]: has a wrong name" },
+  { "tier=0", "tier=0\ntier[de]=2",
+    "group [class:high], key tier[de]: is unknown" },
+  { "[domain:d1]\nregion=r1\n", "", "group [domain:NAME]: is missing" },
+  { "[jacinthward]", "nonsense\n[jacinthward]", "is no INI text" },
+  { "region=r1", "region=\xff", "is no text; allowed: UTF-8" },
+};
+
+static gboolean
+has_problem (const GPtrArray *problems, const char *part)
+{
+  for (guint i = 0; i < problems->len; i++)
+    if (strstr (problems->pdata[i], part) != NULL)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+test_each_problem_is_named (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (bad_cases); i++)
+    {
+      const struct bad_case *c = &bad_cases[i];
+      g_autofree char *text = replaced (valid, c->old, c->replacement);
+      g_autoptr (GPtrArray) problems = new_problems ();
+      CU_ASSERT_PTR_NULL (parse_text (text, problems));
+      gboolean found = has_problem (problems, c->problem);
+      CU_ASSERT_TRUE (found);
+      if (!found)
+        g_print ("missing: %s\n", c->problem);
+    }
+}
+
+static void
+test_all_problems_in_one_go (void)
+{
+  g_autofree char *one = replaced (valid, "tier=0", "tier=9");
+  g_autofree char *two = replaced (one, "pool=m", "pool=x");
+  g_autofree char *three = replaced (two, "region=r1", "region=");
+  g_autofree char *four = replaced (three, "write=yes", "write=maybe");
+  g_autoptr (GPtrArray) problems = new_problems ();
+  CU_ASSERT_PTR_NULL (parse_text (four, problems));
+  CU_ASSERT_EQUAL (problems->len, 4);
+}
+
+static void
+test_secrets_stay_out_of_problems (void)
+{
+  g_autofree char *text = replaced (valid, DIGEST_A, "plain-secret");
+  g_autoptr (GPtrArray) problems = new_problems ();
+  CU_ASSERT_PTR_NULL (parse_text (text, problems));
+  CU_ASSERT_FALSE (has_problem (problems, "plain-secret"));
+}
+
+static void
+test_limits (void)
+{
+  GString *text = g_string_new (valid);
+  for (guint i = 0; i < CFG_OPERATORS_MAX; i++)
+    g_string_append_printf (text, "[operator:o%u]\ntoken_sha256=%064x\n", i,
+                            i + 1);
+  g_autoptr (GPtrArray) problems = new_problems ();
+  CU_ASSERT_PTR_NULL (parse_text (text->str, problems));
+  CU_ASSERT_TRUE (has_problem (problems, "is one too many; allowed: 64"));
+  g_ptr_array_set_size (problems, 0);
+  while (text->len <= CFG_BODY_MAX)
+    g_string_append (text, "# a comment that fills the object up\n");
+  CU_ASSERT_PTR_NULL (parse_text (text->str, problems));
+  CU_ASSERT_TRUE (has_problem (problems, "the object has "));
+  CU_ASSERT_EQUAL (problems->len, 1);
+  g_string_free (text, TRUE);
+}
+
+static void
+test_edits_keep_the_rest (void)
+{
+  g_autoptr (GBytes) body = g_bytes_new_static (valid, strlen (valid));
+  struct err err = { 0 };
+  g_autoptr (GBytes) peak = cfg_with_preset (body, "peak", &err);
+  CU_ASSERT_PTR_NOT_NULL (peak);
+  g_autoptr (GBytes) drained = cfg_with_drain (peak, "e1", TRUE, &err);
+  CU_ASSERT_PTR_NOT_NULL (drained);
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = cfg_parse (drained, 8, problems);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
+  CU_ASSERT_STRING_EQUAL (cfg->preset.s, "peak");
+  CU_ASSERT_TRUE (cfg->backends[0].drain);
+  CU_ASSERT_FALSE (cfg->backends[1].drain);
+  g_autofree char *text = g_strndup (g_bytes_get_data (drained, NULL),
+                                     g_bytes_get_size (drained));
+  g_autofree char *wanted_preset
+      = replaced (valid, "preset=ordinary", "preset=peak");
+  g_autofree char *wanted = replaced (wanted_preset, "checks_fence=yes\n",
+                                      "checks_fence=yes\ndrain=yes\n");
+  CU_ASSERT_STRING_EQUAL (text, wanted);
+  g_autoptr (GBytes) undrained = cfg_with_drain (drained, "e1", FALSE, &err);
+  CU_ASSERT_EQUAL (g_bytes_get_size (undrained),
+                   g_bytes_get_size (drained) - 1);
+  cfg_unref (cfg);
+  CU_ASSERT_PTR_NULL (cfg_with_preset (body, "night", &err));
+  CU_ASSERT_EQUAL (err.code, ERR_NOT_FOUND);
+  CU_ASSERT_PTR_NULL (cfg_with_drain (body, "e9", TRUE, &err));
+}
+
 static CU_TestInfo tests[] = {
   { "the examples are valid", test_examples },
+  { "values arrive in their units", test_values },
+  { "the preset in force overrides keys of classes", test_preset_overrides },
+  { "finders find by name and by digest", test_finders },
+  { "cells hold up to CFG_CELL_SIZE servers", test_cells },
+  { "each problem names group, key and what is allowed",
+    test_each_problem_is_named },
+  { "all problems come in one go", test_all_problems_in_one_go },
+  { "secrets stay out of problems", test_secrets_stay_out_of_problems },
+  { "limits are kept", test_limits },
+  { "edits keep the rest of the text", test_edits_keep_the_rest },
   CU_TEST_INFO_NULL,
 };
 
