--- a/packages/config/ini.c
+++ b/packages/config/ini.c
@@ -27,16 +27,17 @@
   g_ptr_array_add (ini->problems, g_string_free (line, FALSE));
 }
 
-/* Tells whether TEXT is an IP number and a port above 0, with brackets
-   around an IPv6 number.  */
+/* Tells whether TEXT is an IP number and a port, with brackets around an IPv6
+   number. Port 0 is allowed if ANY_PORT.  */
 gboolean
-ini_address_ok (const char *text)
+ini_address_ok (const char *text, gboolean any_port)
 {
   const char *colon = strrchr (text, ':');
   if (colon == NULL || strlen (text) >= ERR_PEER_MAX)
     return FALSE;
   guint64 port;
-  if (!g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
+  if (!g_ascii_string_to_unsigned (colon + 1, 10, any_port ? 0 : 1, G_MAXUINT16,
+                                   &port, NULL))
     return FALSE;
   g_autofree char *host = g_strndup (text, (gsize)(colon - text));
   gsize n = strlen (host);
@@ -220,9 +221,9 @@
 }
 
 static gboolean
-parse_address (const char *text, char *field)
+parse_address (const char *text, gboolean any_port, char *field)
 {
-  if (!ini_address_ok (text))
+  if (!ini_address_ok (text, any_port))
     return FALSE;
   g_strlcpy (field, text, ERR_PEER_MAX);
   return TRUE;
@@ -259,7 +260,8 @@
     case INI_ID:
       return str_id_ok (str_of (text)) && str_id_set (field, str_of (text));
     case INI_ADDRESS:
-      return parse_address (text, field);
+    case INI_LISTEN:
+      return parse_address (text, key->type == INI_LISTEN, field);
     case INI_DIGEST:
       return parse_digest (text, field);
     case INI_PATH:
--- a/packages/config/ini.h
+++ b/packages/config/ini.h
@@ -20,6 +20,7 @@
   X (CHOICE, "one of the names")           /* int, index of the name */        \
   X (ID, "1 to 63 of A-Z a-z 0-9 . _ -")   /* struct str_id */                 \
   X (ADDRESS, "IP:PORT, such as 10.0.0.1:80 or [::1]:80") /* char[64] */       \
+  X (LISTEN, "IP:PORT, with port 0 the kernel chooses")   /* char[64] */       \
   X (DIGEST, "64 hexadecimal digits of a SHA-256") /* char[65], lower case */  \
   X (PATH, "the name of a file or folder")         /* char *, g_free */        \
   X (LIST, "names separated by ;")                 /* char **, g_strfreev */
@@ -59,6 +60,6 @@
                      const char *open_prefix, void *target);
 void ini_read_key (struct ini *ini, const char *group, const char *name,
                    const struct ini_key *key, void *target);
-gboolean ini_address_ok (const char *text);
+gboolean ini_address_ok (const char *text, gboolean any_port);
 
 #endif
--- /dev/null
+++ b/packages/settings/set.c
@@ -0,0 +1,249 @@
+#include "settings/set.h"
+
+#include <string.h>
+
+#include "config/ini.h"
+
+#define MIB 1048576.0 /* bytes */
+#define HOUR_MS 3600000.0
+
+#define KEY(type, name, field, required, ...)                                  \
+  {                                                                            \
+    name, INI_##type, required, offsetof (struct set_settings, field),         \
+        __VA_ARGS__                                                            \
+  }
+#define REQUIRED TRUE
+#define OPTIONAL FALSE
+
+/* In the order of enum log_level. */
+static const char *const log_levels[]
+    = { "error", "warn", "info", "debug", NULL };
+
+static const struct ini_key instance_keys[] = {
+  KEY (ID, "id", id, REQUIRED),
+  KEY (ID, "domain", domain, REQUIRED),
+  KEY (ID, "region", region, REQUIRED),
+  KEY (CHOICE, "log_level", log_level, OPTIONAL, 0, 0, LOG_INFO, log_levels),
+  KEY (PATH, "charts", charts, REQUIRED),
+};
+
+static const struct ini_key listen_keys[] = {
+  KEY (LISTEN, "callers", listen_callers, REQUIRED),
+  KEY (LISTEN, "admin", listen_admin, REQUIRED),
+  KEY (LISTEN, "peers", listen_peers, REQUIRED),
+};
+
+static const struct ini_key peers_keys[] = {
+  KEY (LIST, "addresses", peers, REQUIRED),
+  KEY (PATH, "key_file", peer_key_file, REQUIRED),
+};
+
+static const struct ini_key platform_keys[] = {
+  KEY (ADDRESS, "address", platform, REQUIRED),
+  KEY (PATH, "token_file", platform_token_file, OPTIONAL),
+};
+
+static const struct ini_key limits_keys[] = {
+  KEY (BYTES, "max_body_bytes", max_body_bytes, OPTIONAL, 1024, 64 * MIB, MIB),
+  KEY (BYTES, "max_header_bytes", max_header_bytes, OPTIONAL, 1024, MIB, 16384),
+  KEY (COUNT, "max_requests", max_requests, OPTIONAL, 1, 100000, 2000),
+  KEY (MS, "header_timeout_ms", header_timeout_us, OPTIONAL, 10, HOUR_MS,
+       10000),
+  KEY (MS, "caller_stall_ms", caller_stall_us, OPTIONAL, 10, HOUR_MS, 30000),
+  KEY (MS, "shutdown_grace_ms", shutdown_grace_us, OPTIONAL, 0, HOUR_MS, 5000),
+};
+
+struct group
+{
+  const char *name;
+  const struct ini_key *keys;
+  guint n_keys;
+};
+
+#define GROUP(name, keys)                                                      \
+  {                                                                            \
+    name, keys, G_N_ELEMENTS (keys)                                            \
+  }
+static const struct group groups[] = {
+  GROUP ("instance", instance_keys), GROUP ("listen", listen_keys),
+  GROUP ("peers", peers_keys),       GROUP ("platform", platform_keys),
+  GROUP ("limits", limits_keys),
+};
+
+static void
+check_groups (struct ini *ini)
+{
+  g_auto (GStrv) names = g_key_file_get_groups (ini->file, NULL);
+  for (guint i = 0; names[i] != NULL; i++)
+    {
+      gboolean known = FALSE;
+      for (guint g = 0; g < G_N_ELEMENTS (groups) && !known; g++)
+        known = strcmp (names[i], groups[g].name) == 0;
+      if (!known)
+        ini_problem (ini, names[i], NULL,
+                     "is unknown; allowed: instance, listen, peers, platform, "
+                     "limits");
+    }
+}
+
+/* Makes the relative *PATH relative to the folder of the settings file.  */
+static void
+resolve_path (const char *settings_path, char **path)
+{
+  if (*path == NULL || **path == '\0' || g_path_is_absolute (*path))
+    return;
+  g_autofree char *folder = g_path_get_dirname (settings_path);
+  char *resolved = g_build_filename (folder, *path, NULL);
+  g_free (*path);
+  *path = resolved;
+}
+
+/* Returns the text of the file PATH without white space at its end; g_free.
+   Adds a problem and returns NULL if it has fewer than MIN or more than
+   SET_KEY_MAX bytes.  */
+static char *
+read_secret (struct ini *ini, const char *group, const char *key,
+             const char *path, gsize min)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  gsize n;
+  if (path == NULL || *path == '\0')
+    return NULL;
+  if (!g_file_get_contents (path, &text, &n, &error))
+    {
+      ini_problem (ini, group, key, "%s; allowed: a file that can be read",
+                   error->message);
+      return NULL;
+    }
+  g_strchomp (text);
+  if (n > SET_KEY_MAX || strlen (text) < min)
+    {
+      ini_problem (ini, group, key,
+                   "the file %s holds too few or too many bytes; allowed: text "
+                   "of %zu to %d bytes",
+                   path, min, SET_KEY_MAX);
+      return NULL;
+    }
+  return g_steal_pointer (&text);
+}
+
+static void
+read_secrets (struct ini *ini, struct set_settings *settings)
+{
+  char *key = read_secret (ini, "peers", "key_file", settings->peer_key_file,
+                           SET_KEY_MIN);
+  if (key != NULL)
+    settings->peer_key = g_bytes_new_take (key, strlen (key));
+  settings->platform_token = read_secret (ini, "platform", "token_file",
+                                          settings->platform_token_file, 1);
+}
+
+static void
+check_peers (struct ini *ini, char *const *peers)
+{
+  guint n = 0;
+  for (; peers != NULL && peers[n] != NULL; n++)
+    {
+      if (!ini_address_ok (peers[n], FALSE))
+        ini_problem (ini, "peers", "addresses",
+                     "\"%.80s\" is wrong; allowed: IP:PORT;IP:PORT, or nothing",
+                     peers[n]);
+      if (g_strv_contains ((const char *const *)peers + n + 1, peers[n]))
+        ini_problem (ini, "peers", "addresses",
+                     "%.80s is there twice; allowed: once", peers[n]);
+    }
+  if (n > SET_PEERS_MAX)
+    ini_problem (ini, "peers", "addresses",
+                 "has %u addresses; allowed: at most %d", n, SET_PEERS_MAX);
+}
+
+static gboolean
+same_address (const char *a, const char *b)
+{
+  return *a != '\0' && !g_str_has_suffix (a, ":0") && strcmp (a, b) == 0;
+}
+
+static void
+check_listeners (struct ini *ini, const struct set_settings *settings)
+{
+  if (same_address (settings->listen_admin, settings->listen_callers))
+    ini_problem (ini, "listen", "admin",
+                 "%s is the callers' address; allowed: "
+                 "an address of its own",
+                 settings->listen_admin);
+  if (same_address (settings->listen_peers, settings->listen_callers)
+      || same_address (settings->listen_peers, settings->listen_admin))
+    ini_problem (ini, "listen", "peers",
+                 "%s is the address of another "
+                 "listener; allowed: an address of its own",
+                 settings->listen_peers);
+}
+
+static void
+check_charts (struct ini *ini, const char *charts)
+{
+  if (charts != NULL && *charts != '\0'
+      && !g_file_test (charts, G_FILE_TEST_IS_DIR))
+    ini_problem (ini, "instance", "charts",
+                 "%s is no folder; allowed: the folder of the state charts",
+                 charts);
+}
+
+static void
+read_groups (struct ini *ini, struct set_settings *settings)
+{
+  check_groups (ini);
+  for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
+    ini_read_group (ini, groups[i].name, groups[i].keys, groups[i].n_keys, NULL,
+                    settings);
+  resolve_path (ini->source, &settings->charts);
+  resolve_path (ini->source, &settings->peer_key_file);
+  resolve_path (ini->source, &settings->platform_token_file);
+  check_charts (ini, settings->charts);
+  check_listeners (ini, settings);
+  check_peers (ini, settings->peers);
+  read_secrets (ini, settings);
+}
+
+/* Reads the settings file PATH and the key files that it names into SETTINGS,
+   which the caller clears by set_clear in every case. Relative names of files
+   and folders start at the folder of PATH. Returns < 0 if anything is wrong,
+   with every problem added to PROBLEMS as a newly allocated string. Blocks;
+   for use at the start only.  */
+int
+set_read (struct set_settings *settings, const char *path, GPtrArray *problems)
+{
+  memset (settings, 0, sizeof *settings);
+  guint before = problems->len;
+  struct ini ini = { .source = path, .problems = problems };
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  gsize n;
+  if (!g_file_get_contents (path, &text, &n, &error))
+    {
+      ini_problem (&ini, NULL, NULL, "%s", error->message);
+      return ERR_NOT_FOUND;
+    }
+  if (n > SET_FILE_MAX)
+    ini_problem (&ini, NULL, NULL, "has %zu bytes; allowed: at most %d", n,
+                 SET_FILE_MAX);
+  else if (ini_open (&ini, text, n) == 0)
+    read_groups (&ini, settings);
+  ini_close (&ini);
+  return problems->len > before ? ERR_INVALID : 0;
+}
+
+/* Frees what SETTINGS owns.  */
+void
+set_clear (struct set_settings *settings)
+{
+  g_free (settings->charts);
+  g_strfreev (settings->peers);
+  g_free (settings->peer_key_file);
+  if (settings->peer_key != NULL)
+    g_bytes_unref (settings->peer_key);
+  g_free (settings->platform_token_file);
+  g_free (settings->platform_token);
+  memset (settings, 0, sizeof *settings);
+}
