Ledger messages carry the entry's incarnation and ticket

Cause: ticket numbers are unique only within an incarnation of the entry, and a verdict of a paused shard owner can reach a restarted entry that uses the same number for another key; a result named no ticket, so a late "did not run" could free a later try's intent. Ruled out: tickets that start at the start time (a clock set back repeats them). Conclusion: the codec in wire/ has to carry the new fields.

--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -203,8 +203,11 @@
 #define MSG_KEY_BYTES 16    /* digest of team, service and key */
 #define MSG_ANSWER_MAX 4096 /* bytes of an answer kept in the ledger */
 
+/* Ledger tickets are numbers that an entry never uses for two intents within
+   its incarnation.  */
 struct msg_ledger_intent
 {
+  guint64 incarnation; /* of the entry */
   guint64 ticket;
   guint8 key[MSG_KEY_BYTES];
   guint8 body[MSG_KEY_BYTES]; /* digest of method, path and body */
@@ -212,15 +215,22 @@
 
 struct msg_ledger_verdict
 {
+  guint64 incarnation; /* of the entry; others ignore the verdict */
   guint64 ticket;
   enum msg_verdict verdict;
+  gboolean unsettled;      /* AWAY: the intent may yet be recorded */
   guint32 status;          /* HTTP status of the stored answer */
   struct str content_type; /* borrowed */
   struct str answer;       /* borrowed */
 };
 
+/* Acknowledged by a verdict on its ticket: DONE once the answer is stored,
+   AWAY once no intent of the ticket stands, UNKNOWN if the answer is too large
+   to be kept.  */
 struct msg_ledger_result
 {
+  guint64 incarnation; /* of the entry */
+  guint64 ticket;      /* of the intent that this ends */
   guint8 key[MSG_KEY_BYTES];
   gboolean did_not_run; /* frees the key for another try */
   guint32 status;
