--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,719 @@
+/* The stand-in for a model engine: a process that speaks the engines' side of
+   docs/INTERFACES.md and generates texts that a test can compute.  */
+#include "standin/cmp.h"
+#include "standin/eng.h"
+#include "standin/ord.h"
+#include "standin/std.h"
+#include "standin/txt.h"
+
+#include <glib-unix.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#define EVENTS_KEPT 4096      /* cache events that GET /events can give */
+#define EVENTS_ANSWER_MAX 512 /* cache events in an answer */
+#define EXIT_CRASHED 70       /* status of a crash by exit_after_tokens */
+#define CHUNK_FAULT_EVERY 8   /* tokens between late or repeated chunks */
+#define US_PER_MS 1000
+
+struct faults
+{
+  double slow_factor;        /* of the time of a step; 0: 1 */
+  double refuse;             /* share of requests answered by 503 */
+  gint64 crash_after_tokens; /* drops the connection after so many; 0: no */
+  gint64 crash_requests;     /* requests that are still to be dropped */
+  gint64 exit_after_tokens;  /* ends the process after so many; 0: no */
+  gint64 late_chunk_ms;      /* holds every eighth chunk back */
+  gboolean repeat_chunk;     /* sends every eighth chunk twice */
+  gboolean leaving;          /* draining: 503 and Jacinthward-Leaving */
+  gboolean lying_load;       /* GET /load gives the next three */
+  gint64 running;
+  gint64 waiting;
+  gint64 tbt_us;
+};
+
+#define FIELD(name, type)                                                      \
+  {                                                                            \
+#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
+  }
+
+static struct std_field fields[] = {
+  FIELD (slow_factor, STD_DOUBLE),
+  FIELD (refuse, STD_DOUBLE),
+  FIELD (crash_after_tokens, STD_INT),
+  FIELD (crash_requests, STD_INT),
+  FIELD (exit_after_tokens, STD_INT),
+  FIELD (late_chunk_ms, STD_INT),
+  FIELD (repeat_chunk, STD_BOOL),
+  FIELD (leaving, STD_BOOL),
+  FIELD (lying_load, STD_BOOL),
+  FIELD (running, STD_INT),
+  FIELD (waiting, STD_INT),
+  FIELD (tbt_us, STD_INT),
+};
+
+struct load
+{
+  gint64 t; /* monotonic, microseconds */
+  guint running;
+  guint waiting;
+  double kv_used;
+  gint64 tbt_us;
+};
+
+struct cache_event
+{
+  gint64 t; /* monotonic, microseconds */
+  guint64 n;
+  guint64 prefix;
+  gboolean held;
+};
+
+struct counts
+{
+  gint64 started;
+  gint64 done;
+  gint64 cancelled;
+  gint64 refused;
+  gint64 tokens;
+  gint64 resumed;
+};
+
+struct engine
+{
+  struct std std; /* first, so that a struct std leads to it */
+  struct eng_options options;
+  struct eng *eng;
+  struct ord ord;
+  struct faults faults;
+  struct counts counts;
+  struct load reported; /* what GET /load gives */
+  GQueue events;        /* struct cache_event, owned; oldest first */
+  guint64 next_event;
+  gint64 load_lag_ms;
+  gint64 events_delay_ms;
+  gint64 events_gap; /* every so many events one is lost; 0: none */
+  char *checks_fence;
+  guint64 requests;
+  double refuse_sum; /* shares of refusals since the last one */
+  gint64 exit_left;  /* tokens until the process ends */
+  int timer;         /* timerfd of the step */
+  gboolean stepping;
+  gint64 step_us;
+  gint64 step_end; /* monotonic, microseconds */
+};
+
+/* A completion in progress; freed when libsoup has finished its message. */
+struct stream
+{
+  struct engine *engine;
+  SoupServerMessage *msg; /* ref */
+  struct eng_seq *seq;    /* NULL once it is done or cancelled */
+  struct cmp cmp;
+  char *attempt; /* may be NULL */
+  GSource *hangup;
+  GString *pending; /* bytes that are held back */
+  guint late;       /* timeout that ends the hold; 0: none */
+  guint first;      /* tokens that the caller had */
+  gint64 crash_after;
+  gboolean ended; /* all bytes are handed to libsoup */
+};
+
+static struct engine the_engine = {
+  .options = { .base_us = 5000,
+               .seq_us = 50,
+               .prefill_per_s = 20000,
+               .max_batch = 256,
+               .max_waiting = 1024,
+               .kv_tokens = 200000 },
+};
+
+static void schedule (struct engine *engine);
+
+static void
+stream_event (struct stream *stream, const char *kind, gint64 n)
+{
+  struct std_event event = {
+    .kind = kind, .id = stream->cmp.id, .attempt = stream->attempt, .n = n
+  };
+  std_history (&stream->engine->std, &event);
+}
+
+static guint
+stream_tokens (const struct stream *stream)
+{
+  return stream->seq != NULL ? stream->seq->done : stream->cmp.total;
+}
+
+static void
+stop_watching (struct stream *stream)
+{
+  if (stream->hangup == NULL)
+    return;
+  g_source_destroy (stream->hangup);
+  g_clear_pointer (&stream->hangup, g_source_unref);
+}
+
+static void
+cancel (struct stream *stream)
+{
+  if (stream->seq == NULL)
+    return;
+  stream_event (stream, "cancel", stream_tokens (stream));
+  stream->engine->counts.cancelled++;
+  eng_cancel (stream->engine->eng, stream->seq);
+  stream->seq = NULL;
+}
+
+static void
+on_finished (SoupServerMessage *msg, gpointer ctx)
+{
+  (void)msg;
+  struct stream *stream = ctx;
+  cancel (stream);
+  stop_watching (stream);
+  if (stream->late != 0)
+    g_source_remove (stream->late);
+  g_signal_handlers_disconnect_by_data (stream->msg, stream);
+  g_object_unref (stream->msg);
+  g_string_free (stream->pending, TRUE);
+  cmp_clear (&stream->cmp);
+  g_free (stream->attempt);
+  g_free (stream);
+}
+
+/* The caller sent something or hung up while it waits for its answer.  */
+static gboolean
+on_hangup (GSocket *socket, GIOCondition condition, gpointer ctx)
+{
+  (void)condition;
+  struct stream *stream = ctx;
+  char byte;
+  gboolean open
+      = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  stop_watching (stream);
+  if (open)
+    return G_SOURCE_REMOVE;
+  cancel (stream);
+  std_drop (stream->msg);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+watch_hangup (struct stream *stream)
+{
+  GSocket *socket = soup_server_message_get_socket (stream->msg);
+  stream->hangup = g_socket_create_source (
+      socket, (GIOCondition)(G_IO_IN | G_IO_HUP | G_IO_ERR), NULL);
+  g_source_set_callback (stream->hangup, G_SOURCE_FUNC (on_hangup), stream,
+                         NULL);
+  g_source_attach (stream->hangup, NULL);
+}
+
+static void
+flush (struct stream *stream)
+{
+  SoupMessageBody *body = soup_server_message_get_response_body (stream->msg);
+  if (stream->pending->len > 0)
+    soup_message_body_append (body, SOUP_MEMORY_COPY, stream->pending->str,
+                              stream->pending->len);
+  g_string_truncate (stream->pending, 0);
+  if (stream->ended)
+    {
+      stop_watching (stream);
+      soup_message_body_complete (body);
+    }
+  soup_server_message_unpause (stream->msg);
+}
+
+static gboolean
+on_late (gpointer ctx)
+{
+  struct stream *stream = ctx;
+  stream->late = 0;
+  flush (stream);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+end_whole (struct stream *stream)
+{
+  GString *out = g_string_new (NULL);
+  cmp_whole (&stream->cmp, stream->first, out);
+  stop_watching (stream);
+  std_reply (stream->msg, SOUP_STATUS_OK, out->str);
+  g_string_free (out, TRUE);
+}
+
+static void
+count_token (struct engine *engine)
+{
+  engine->counts.tokens++;
+  if (engine->exit_left > 0 && --engine->exit_left == 0)
+    {
+      struct std_event event = { .kind = "crash" };
+      std_history (&engine->std, &event);
+      _exit (EXIT_CRASHED);
+    }
+}
+
+static void
+write_chunk (struct stream *stream, guint n)
+{
+  struct faults *faults = &stream->engine->faults;
+  gboolean faulty = n % CHUNK_FAULT_EVERY == CHUNK_FAULT_EVERY - 1;
+  cmp_chunk (&stream->cmp, n, stream->pending);
+  if (faults->repeat_chunk && faulty)
+    cmp_chunk (&stream->cmp, n, stream->pending);
+  if (n + 1 == stream->cmp.total)
+    {
+      cmp_last_chunk (&stream->cmp, stream->pending);
+      stream->ended = TRUE;
+    }
+  if (faults->late_chunk_ms > 0 && faulty && stream->late == 0)
+    stream->late
+        = g_timeout_add ((guint)faults->late_chunk_ms, on_late, stream);
+  if (stream->late == 0)
+    flush (stream);
+}
+
+static void
+on_token (struct eng_seq *seq)
+{
+  struct stream *stream = seq->request.ctx;
+  struct engine *engine = stream->engine;
+  count_token (engine);
+  if (stream->crash_after > 0 && seq->done >= stream->crash_after)
+    {
+      cancel (stream);
+      stop_watching (stream);
+      std_drop (stream->msg);
+      return;
+    }
+  gboolean last = seq->done >= seq->request.total;
+  if (last)
+    {
+      stream_event (stream, "done", seq->done);
+      engine->counts.done++;
+      stream->seq = NULL;
+    }
+  if (stream->cmp.stream)
+    write_chunk (stream, seq->done - 1);
+  else if (last)
+    end_whole (stream);
+}
+
+static gboolean
+on_step (gint fd, GIOCondition condition, gpointer ctx)
+{
+  (void)condition;
+  struct engine *engine = ctx;
+  guint64 expirations;
+  if (read (fd, &expirations, sizeof expirations) < 0)
+    return G_SOURCE_CONTINUE;
+  engine->stepping = FALSE;
+  if (!engine->std.frozen)
+    eng_end_step (engine->eng, on_token);
+  schedule (engine);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Starts the next step unless one is under way. Steps that follow each other
+   are timed from the end that the last one should have had.  */
+static void
+schedule (struct engine *engine)
+{
+  if (engine->stepping || engine->std.frozen)
+    return;
+  gint64 us = eng_begin_step (engine->eng);
+  if (us == 0)
+    return;
+  if (engine->faults.slow_factor > 0)
+    us = (gint64)((double)us * engine->faults.slow_factor);
+  gint64 now = g_get_monotonic_time ();
+  engine->step_us = us;
+  engine->step_end = MAX (engine->step_end, now - us) + us;
+  gint64 wait = MAX (engine->step_end - now, 1);
+  struct itimerspec at
+      = { .it_value = { .tv_sec = wait / G_USEC_PER_SEC,
+                        .tv_nsec = wait % G_USEC_PER_SEC * 1000 } };
+  timerfd_settime (engine->timer, 0, &at, NULL);
+  engine->stepping = TRUE;
+}
+
+static void
+on_cache (void *ctx, guint64 prefix, gboolean held)
+{
+  struct engine *engine = ctx;
+  guint64 n = ++engine->next_event;
+  if (engine->events_gap > 0 && n % (guint64)engine->events_gap == 0)
+    return;
+  struct cache_event *event = g_new (struct cache_event, 1);
+  *event = (struct cache_event){ g_get_monotonic_time (), n, prefix, held };
+  g_queue_push_tail (&engine->events, event);
+  if (engine->events.length > EVENTS_KEPT)
+    g_free (g_queue_pop_head (&engine->events));
+}
+
+/* Takes over what the caller has of a resumed answer. Returns FALSE if it is
+   not the beginning of this answer.  */
+static gboolean
+parse_resume (struct stream *stream)
+{
+  const char *tokens = std_header (stream->msg, "Jacinthward-Resume-Tokens");
+  const char *text = std_header (stream->msg, "Jacinthward-Resume-Text");
+  if (tokens == NULL)
+    return TRUE;
+  guint64 first;
+  if (!g_ascii_string_to_unsigned (tokens, 10, 0, stream->cmp.total, &first,
+                                   NULL))
+    return FALSE;
+  stream->first = (guint)first;
+  stream->engine->counts.resumed++;
+  if (text == NULL)
+    return first == 0;
+  GString *expected = g_string_new (NULL);
+  txt_append (expected, stream->cmp.hash, 0, stream->first);
+  char *base64 = g_base64_encode ((const guchar *)expected->str, expected->len);
+  gboolean ok = strcmp (base64, text) == 0;
+  g_free (base64);
+  g_string_free (expected, TRUE);
+  return ok;
+}
+
+static void
+begin_stream (struct stream *stream)
+{
+  SoupServerMessage *msg = stream->msg;
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (msg);
+  soup_server_message_set_status (msg, SOUP_STATUS_OK, NULL);
+  soup_message_headers_set_encoding (headers, SOUP_ENCODING_CHUNKED);
+  soup_message_headers_replace (headers, "Content-Type", "text/event-stream");
+  soup_message_headers_replace (headers, "Cache-Control", "no-cache");
+  soup_message_body_set_accumulate (soup_server_message_get_response_body (msg),
+                                    FALSE);
+}
+
+static gboolean
+refuses (struct engine *engine)
+{
+  engine->refuse_sum += engine->faults.refuse;
+  if (engine->refuse_sum < 1)
+    return FALSE;
+  engine->refuse_sum -= 1;
+  return TRUE;
+}
+
+/* Answers MSG if the engine takes no work now. Returns whether it did.  */
+static gboolean
+refuse (struct engine *engine, SoupServerMessage *msg)
+{
+  if (engine->faults.leaving)
+    {
+      soup_message_headers_replace (
+          soup_server_message_get_response_headers (msg), "Jacinthward-Leaving",
+          "yes");
+      std_error (msg, SOUP_STATUS_SERVICE_UNAVAILABLE, "leaving");
+    }
+  else if (refuses (engine))
+    std_error (msg, SOUP_STATUS_SERVICE_UNAVAILABLE, "refused");
+  else
+    return FALSE;
+  engine->counts.refused++;
+  return TRUE;
+}
+
+static guint
+priority_of (SoupServerMessage *msg)
+{
+  const char *text = std_header (msg, "Jacinthward-Priority");
+  return text == NULL ? 0 : (guint)g_ascii_strtoull (text, NULL, 10);
+}
+
+static void
+enqueue (struct stream *stream)
+{
+  struct engine *engine = stream->engine;
+  const struct cmp *cmp = &stream->cmp;
+  struct eng_request request = { .priority = priority_of (stream->msg),
+                                 .prefix = cmp->prefix,
+                                 .prefix_tokens = cmp->prefix_tokens,
+                                 .prompt_tokens = cmp->prompt_tokens,
+                                 .done = stream->first,
+                                 .total = cmp->total,
+                                 .ctx = stream };
+  stream->seq = eng_add (engine->eng, &request);
+  if (stream->seq == NULL)
+    {
+      engine->counts.refused++;
+      std_error (stream->msg, STD_TOO_MANY_REQUESTS, "full");
+      return;
+    }
+  if (engine->faults.crash_requests > 0)
+    {
+      engine->faults.crash_requests--;
+      stream->crash_after = engine->faults.crash_after_tokens;
+    }
+  stream_event (stream, "start", stream->first);
+  engine->counts.started++;
+  watch_hangup (stream);
+  if (cmp->stream)
+    begin_stream (stream);
+  schedule (engine);
+}
+
+static void
+handle_completion (struct engine *engine, SoupServerMessage *msg, gboolean chat)
+{
+  if (refuse (engine, msg))
+    return;
+  struct cmp cmp;
+  JsonNode *body = std_body (msg);
+  gboolean ok = body != NULL
+                && cmp_parse (&cmp, json_node_get_object (body), chat,
+                              ++engine->requests);
+  g_clear_pointer (&body, json_node_unref);
+  if (!ok)
+    {
+      std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_request");
+      return;
+    }
+  struct stream *stream = g_new0 (struct stream, 1);
+  stream->engine = engine;
+  stream->msg = g_object_ref (msg);
+  stream->cmp = cmp;
+  stream->attempt = g_strdup (std_header (msg, "Jacinthward-Attempt"));
+  stream->pending = g_string_new (NULL);
+  g_signal_connect (msg, "finished", G_CALLBACK (on_finished), stream);
+  if (!parse_resume (stream) || stream->first >= cmp.total)
+    std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_resume");
+  else
+    enqueue (stream);
+}
+
+static struct load
+take_load (struct engine *engine)
+{
+  double kv = (double)eng_kv_used (engine->eng);
+  return (struct load){ .t = g_get_monotonic_time (),
+                        .running = eng_running (engine->eng),
+                        .waiting = eng_waiting (engine->eng),
+                        .kv_used = kv / (double)engine->options.kv_tokens,
+                        .tbt_us = engine->step_us };
+}
+
+static gboolean
+on_load_timer (gpointer ctx)
+{
+  struct engine *engine = ctx;
+  engine->reported = take_load (engine);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+handle_load (struct engine *engine, SoupServerMessage *msg)
+{
+  struct load load = engine->reported;
+  struct faults *faults = &engine->faults;
+  if (engine->load_lag_ms == 0)
+    load = take_load (engine);
+  gint64 age_ms = (g_get_monotonic_time () - load.t) / US_PER_MS;
+  gboolean lying = faults->lying_load;
+  char kv[G_ASCII_DTOSTR_BUF_SIZE];
+  g_ascii_formatd (kv, sizeof kv, "%.4f", MIN (load.kv_used, 1));
+  char *json = g_strdup_printf (
+      "{\"running\": %" G_GINT64_FORMAT ", \"waiting\": %" G_GINT64_FORMAT
+      ", \"kv_used\": %s, \"tbt_us\": %" G_GINT64_FORMAT
+      ", \"age_ms\": %" G_GINT64_FORMAT ", \"leaving\": %s}",
+      lying ? faults->running : load.running,
+      lying ? faults->waiting : load.waiting, kv,
+      lying ? faults->tbt_us : load.tbt_us, lying ? 0 : age_ms,
+      faults->leaving ? "true" : "false");
+  std_reply (msg, SOUP_STATUS_OK, json);
+  g_free (json);
+}
+
+static void
+handle_events (struct engine *engine, SoupServerMessage *msg, GHashTable *query)
+{
+  const char *after = query ? g_hash_table_lookup (query, "after") : NULL;
+  guint64 next = after != NULL ? g_ascii_strtoull (after, NULL, 10) : 0;
+  gint64 until = g_get_monotonic_time () - engine->events_delay_ms * US_PER_MS;
+  GString *list = g_string_new (NULL);
+  guint count = 0;
+  for (GList *l = engine->events.head; l != NULL; l = l->next)
+    {
+      const struct cache_event *event = l->data;
+      if (event->n <= next)
+        continue;
+      if (event->t > until || count == EVENTS_ANSWER_MAX)
+        break;
+      g_string_append_printf (list,
+                              "%s{\"n\": %" G_GUINT64_FORMAT
+                              ", \"prefix\": \"%016" G_GINT64_MODIFIER
+                              "x\", \"held\": %s}",
+                              count > 0 ? ", " : "", event->n, event->prefix,
+                              event->held ? "true" : "false");
+      next = event->n;
+      count++;
+    }
+  char *json = g_strdup_printf (
+      "{\"next\": %" G_GUINT64_FORMAT ", \"events\": [%s]}", next, list->str);
+  std_reply (msg, SOUP_STATUS_OK, json);
+  g_free (json);
+  g_string_free (list, TRUE);
+}
+
+static void
+answer_order (struct engine *engine, SoupServerMessage *msg,
+              const struct ord_order *order)
+{
+  static const char *const kinds[]
+      = { "order_applied", "order_repeated", "order_refused", "order_invalid" };
+  enum ord_result result = ord_apply (&engine->ord, order);
+  struct std_event event = { .kind = kinds[result],
+                             .id = order->id,
+                             .name = order->name,
+                             .version = order->fence };
+  std_history (&engine->std, &event);
+  char *json;
+  switch (result)
+    {
+    case ORD_APPLIED:
+    case ORD_REPEATED:
+      std_reply (msg, SOUP_STATUS_OK, "{\"applied\": true}");
+      break;
+    case ORD_OLD_FENCE:
+      json = g_strdup_printf ("{\"fence\": %" G_GUINT64_FORMAT "}",
+                              engine->ord.fence);
+      std_reply (msg, SOUP_STATUS_CONFLICT, json);
+      g_free (json);
+      break;
+    case ORD_INVALID:
+      std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_order");
+      break;
+    }
+}
+
+static void
+handle_orders (struct engine *engine, SoupServerMessage *msg)
+{
+  if (strcmp (soup_server_message_get_method (msg), "GET") == 0)
+    {
+      char *json = ord_to_json (&engine->ord);
+      std_reply (msg, SOUP_STATUS_OK, json);
+      g_free (json);
+      return;
+    }
+  struct ord_order order;
+  JsonNode *body = std_body (msg);
+  if (body != NULL && ord_parse (&order, json_node_get_object (body)))
+    answer_order (engine, msg, &order);
+  else
+    std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_order");
+  g_clear_pointer (&body, json_node_unref);
+}
+
+static void
+handle (struct std *std, SoupServerMessage *msg, const char *path,
+        GHashTable *query)
+{
+  struct engine *engine = (struct engine *)std;
+  if (strcmp (path, "/v1/chat/completions") == 0)
+    handle_completion (engine, msg, TRUE);
+  else if (strcmp (path, "/v1/completions") == 0)
+    handle_completion (engine, msg, FALSE);
+  else if (strcmp (path, "/load") == 0)
+    handle_load (engine, msg);
+  else if (strcmp (path, "/events") == 0)
+    handle_events (engine, msg, query);
+  else if (strcmp (path, "/orders") == 0)
+    handle_orders (engine, msg);
+  else
+    std_error (msg, SOUP_STATUS_NOT_FOUND, "unknown_path");
+}
+
+static void
+changed (struct std *std)
+{
+  struct engine *engine = (struct engine *)std;
+  struct faults *faults = &engine->faults;
+  engine->exit_left = faults->exit_after_tokens;
+  if (faults->crash_after_tokens > 0 && faults->crash_requests == 0)
+    faults->crash_requests = 1;
+  schedule (engine);
+}
+
+static char *
+counts_json (struct std *std)
+{
+  const struct engine *engine = (const struct engine *)std;
+  const struct counts *c = &engine->counts;
+  return g_strdup_printf (
+      "{\"started\": %" G_GINT64_FORMAT ", \"done\": %" G_GINT64_FORMAT
+      ", \"cancelled\": %" G_GINT64_FORMAT ", \"refused\": %" G_GINT64_FORMAT
+      ", \"tokens\": %" G_GINT64_FORMAT ", \"resumed\": %" G_GINT64_FORMAT
+      ", \"running\": %u, \"waiting\": %u}",
+      c->started, c->done, c->cancelled, c->refused, c->tokens, c->resumed,
+      eng_running (engine->eng), eng_waiting (engine->eng));
+}
+
+static gboolean
+prepare (struct std *std)
+{
+  struct engine *engine = (struct engine *)std;
+  const char *checks = engine->checks_fence;
+  const struct eng_options *o = &engine->options;
+  if (o->base_us < 0 || o->seq_us < 0 || o->prefill_per_s < 1
+      || engine->load_lag_ms < 0)
+    return FALSE;
+  engine->eng = eng_new (&engine->options, on_cache, engine);
+  ord_init (&engine->ord, checks == NULL || strcmp (checks, "yes") == 0);
+  engine->timer = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  g_unix_fd_add (engine->timer, G_IO_IN, on_step, engine);
+  engine->reported = take_load (engine);
+  if (engine->load_lag_ms > 0)
+    g_timeout_add ((guint)engine->load_lag_ms, on_load_timer, engine);
+  return TRUE;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct engine *e = &the_engine;
+  GOptionEntry entries[] = {
+    { "base-us", 0, 0, G_OPTION_ARG_INT64, &e->options.base_us,
+      "Time of a step with an empty batch", "US" },
+    { "seq-us", 0, 0, G_OPTION_ARG_INT64, &e->options.seq_us,
+      "Time that each sequence adds to a step", "US" },
+    { "prefill-per-s", 0, 0, G_OPTION_ARG_INT64, &e->options.prefill_per_s,
+      "Prompt tokens processed a second", "N" },
+    { "max-batch", 0, 0, G_OPTION_ARG_INT, &e->options.max_batch,
+      "Sequences in a batch", "N" },
+    { "max-waiting", 0, 0, G_OPTION_ARG_INT, &e->options.max_waiting,
+      "Sequences that may wait", "N" },
+    { "kv-tokens", 0, 0, G_OPTION_ARG_INT64, &e->options.kv_tokens,
+      "Tokens that fit into memory", "N" },
+    { "load-lag-ms", 0, 0, G_OPTION_ARG_INT64, &e->load_lag_ms,
+      "Age that the load report reaches; 0: it is live", "MS" },
+    { "events-delay-ms", 0, 0, G_OPTION_ARG_INT64, &e->events_delay_ms,
+      "Delay of cache events", "MS" },
+    { "events-gap", 0, 0, G_OPTION_ARG_INT64, &e->events_gap,
+      "Loses every Nth cache event", "N" },
+    { "checks-fence", 0, 0, G_OPTION_ARG_STRING, &e->checks_fence,
+      "Whether orders with an old fencing number are refused", "yes|no" },
+    G_OPTION_ENTRY_NULL,
+  };
+  struct std_options options = { .kind = "engine",
+                                 .entries = entries,
+                                 .handler = handle,
+                                 .prepare = prepare,
+                                 .counts = counts_json,
+                                 .changed = changed,
+                                 .faults = &e->faults,
+                                 .fields = fields,
+                                 .n_fields = G_N_ELEMENTS (fields) };
+  return std_main (&e->std, &options, argc, argv);
+}
--- /dev/null
+++ b/tests/standin/platform.c
@@ -0,0 +1,395 @@
+/* The stand-in for the platform's object API of docs/INTERFACES.md.  */
+#include "standin/obj.h"
+#include "standin/std.h"
+
+#include <string.h>
+
+#define OBJECTS "/objects"
+#define WATCH_MAX_MS 60000
+#define NO_VERSION G_MAXUINT64 /* a condition that is missing or wrong */
+
+struct faults
+{
+  gboolean down;                /* 503, nothing changes */
+  gint64 lose_answer_after_put; /* PUTs that take effect unanswered */
+  gint64 lose_before_put;       /* PUTs that get lost */
+};
+
+#define FIELD(name, type)                                                      \
+  {                                                                            \
+#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
+  }
+
+static struct std_field fields[] = {
+  FIELD (down, STD_BOOL),
+  FIELD (lose_answer_after_put, STD_INT),
+  FIELD (lose_before_put, STD_INT),
+};
+
+/* X (NAME, "name") */
+#define CALLS(X)                                                               \
+  X (GET, "get")                                                               \
+  X (PUT, "put")                                                               \
+  X (DELETE, "delete")                                                         \
+  X (WATCH, "watch")                                                           \
+  X (LIST, "list")                                                             \
+  X (LIMITED, "limited")                                                       \
+  X (DOWN, "down")
+
+enum call
+{
+#define CALL_ENUM(id, name) CALL_##id,
+  CALLS (CALL_ENUM)
+#undef CALL_ENUM
+      CALL_N
+};
+
+static const char *const call_names[] = {
+#define CALL_NAME(id, name) [CALL_##id] = (name),
+  CALLS (CALL_NAME)
+#undef CALL_NAME
+};
+
+struct platform
+{
+  struct std std; /* first, so that a struct std leads to it */
+  struct faults faults;
+  struct obj_store *store;
+  GList *watches; /* struct watch, owned */
+  struct obj_bucket reads;
+  struct obj_bucket writes;
+  gint64 counts[CALL_N];
+};
+
+struct watch
+{
+  struct platform *platform;
+  SoupServerMessage *msg; /* ref */
+  char *name;
+  guint64 above; /* version */
+  guint timeout;
+};
+
+static void
+set_etag (SoupServerMessage *msg, guint64 version)
+{
+  char *etag = g_strdup_printf ("\"%" G_GUINT64_FORMAT "\"", version);
+  soup_message_headers_replace (soup_server_message_get_response_headers (msg),
+                                "ETag", etag);
+  g_free (etag);
+}
+
+static void
+reply_object (SoupServerMessage *msg, const struct obj *obj)
+{
+  gsize size;
+  const char *value = g_bytes_get_data (obj->value, &size);
+  set_etag (msg, obj->version);
+  soup_server_message_set_status (msg, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (msg, "application/octet-stream",
+                                    SOUP_MEMORY_COPY, value, size);
+  soup_server_message_unpause (msg);
+}
+
+static void
+object_event (struct platform *platform, const char *kind, const char *name,
+              guint64 version)
+{
+  struct std_event event = { .kind = kind, .name = name, .version = version };
+  std_history (&platform->std, &event);
+}
+
+static void
+watch_end (struct watch *watch)
+{
+  struct platform *platform = watch->platform;
+  platform->watches = g_list_remove (platform->watches, watch);
+  if (watch->timeout != 0)
+    g_source_remove (watch->timeout);
+  g_signal_handlers_disconnect_by_data (watch->msg, watch);
+  g_object_unref (watch->msg);
+  g_free (watch->name);
+  g_free (watch);
+}
+
+static void
+on_watch_finished (SoupServerMessage *msg, gpointer ctx)
+{
+  (void)msg;
+  watch_end (ctx);
+}
+
+static gboolean
+on_watch_timeout (gpointer ctx)
+{
+  struct watch *watch = ctx;
+  watch->timeout = 0;
+  soup_server_message_set_status (watch->msg, SOUP_STATUS_NO_CONTENT, NULL);
+  soup_server_message_unpause (watch->msg);
+  watch_end (watch);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+notify_watches (struct platform *platform, const struct obj *obj)
+{
+  GList *next;
+  for (GList *l = platform->watches; l != NULL; l = next)
+    {
+      next = l->next;
+      struct watch *watch = l->data;
+      if (strcmp (watch->name, obj->name) != 0 || obj->version <= watch->above)
+        continue;
+      reply_object (watch->msg, obj);
+      watch_end (watch);
+    }
+}
+
+static void
+start_watch (struct platform *platform, SoupServerMessage *msg,
+             const char *name, guint64 above, guint timeout_ms)
+{
+  struct watch *watch = g_new0 (struct watch, 1);
+  watch->platform = platform;
+  watch->msg = g_object_ref (msg);
+  watch->name = g_strdup (name);
+  watch->above = above;
+  watch->timeout
+      = g_timeout_add (MIN (timeout_ms, WATCH_MAX_MS), on_watch_timeout, watch);
+  g_signal_connect (msg, "finished", G_CALLBACK (on_watch_finished), watch);
+  platform->watches = g_list_prepend (platform->watches, watch);
+}
+
+static const char *
+query_text (GHashTable *query, const char *name)
+{
+  return query != NULL ? g_hash_table_lookup (query, name) : NULL;
+}
+
+static void
+handle_get (struct platform *platform, SoupServerMessage *msg, const char *name,
+            GHashTable *query)
+{
+  const struct obj *obj = obj_get (platform->store, name);
+  const char *above = query_text (query, "watch");
+  const char *timeout = query_text (query, "timeout_ms");
+  platform->counts[above != NULL ? CALL_WATCH : CALL_GET]++;
+  if (above != NULL)
+    {
+      guint64 version = g_ascii_strtoull (above, NULL, 10);
+      guint64 ms = timeout != NULL ? g_ascii_strtoull (timeout, NULL, 10) : 0;
+      if (obj != NULL && obj->version > version)
+        reply_object (msg, obj);
+      else
+        start_watch (platform, msg, name, version,
+                     (guint)MIN (ms, WATCH_MAX_MS));
+      return;
+    }
+  if (obj != NULL)
+    reply_object (msg, obj);
+  else
+    std_error (msg, SOUP_STATUS_NOT_FOUND, "not_found");
+}
+
+/* Returns the version that the call asks for, 0: that there is no object.  */
+static guint64
+expected_version (SoupServerMessage *msg)
+{
+  const char *match = std_header (msg, "If-Match");
+  const char *none = std_header (msg, "If-None-Match");
+  if (match == NULL)
+    return none != NULL && strcmp (none, "*") == 0 ? 0 : NO_VERSION;
+  char *end;
+  if (*match != '"')
+    return NO_VERSION;
+  guint64 version = g_ascii_strtoull (match + 1, &end, 10);
+  return version > 0 && strcmp (end, "\"") == 0 ? version : NO_VERSION;
+}
+
+static void
+reply_conflict (struct platform *platform, SoupServerMessage *msg,
+                const char *name)
+{
+  const struct obj *obj = obj_get (platform->store, name);
+  if (obj != NULL)
+    set_etag (msg, obj->version);
+  object_event (platform, "conflict", name, obj != NULL ? obj->version : 0);
+  std_error (msg, SOUP_STATUS_PRECONDITION_FAILED, "conflict");
+}
+
+/* Answers the call that has changed the object, unless the answer is to be
+   lost. VERSION is 0 if it is deleted.  */
+static void
+reply_changed (struct platform *platform, SoupServerMessage *msg,
+               guint64 version)
+{
+  if (platform->faults.lose_answer_after_put > 0)
+    {
+      platform->faults.lose_answer_after_put--;
+      std_drop (msg);
+      return;
+    }
+  if (version != 0)
+    set_etag (msg, version);
+  std_reply (msg, SOUP_STATUS_OK, "{}");
+}
+
+static void
+handle_put (struct platform *platform, SoupServerMessage *msg, const char *name)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (msg);
+  guint64 expected = expected_version (msg);
+  platform->counts[CALL_PUT]++;
+  if (platform->faults.lose_before_put > 0)
+    {
+      platform->faults.lose_before_put--;
+      std_drop (msg);
+      return;
+    }
+  if (expected == NO_VERSION || body->length > OBJ_VALUE_MAX)
+    {
+      std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_request");
+      return;
+    }
+  GBytes *value = g_bytes_new (body->data, (gsize)body->length);
+  enum obj_result result = obj_put (platform->store, name, expected, value);
+  g_bytes_unref (value);
+  if (result == OBJ_CONFLICT)
+    {
+      reply_conflict (platform, msg, name);
+      return;
+    }
+  const struct obj *obj = obj_get (platform->store, name);
+  object_event (platform, "put", name, obj->version);
+  reply_changed (platform, msg, obj->version);
+  notify_watches (platform, obj);
+}
+
+static void
+handle_delete (struct platform *platform, SoupServerMessage *msg,
+               const char *name)
+{
+  guint64 expected = expected_version (msg);
+  platform->counts[CALL_DELETE]++;
+  if (obj_delete (platform->store, name, expected) == OBJ_CONFLICT)
+    {
+      reply_conflict (platform, msg, name);
+      return;
+    }
+  object_event (platform, "delete", name, expected);
+  reply_changed (platform, msg, 0);
+}
+
+static void
+handle_list (struct platform *platform, SoupServerMessage *msg,
+             GHashTable *query)
+{
+  const char *prefix = query_text (query, "prefix");
+  GPtrArray *found = obj_list (platform->store, prefix != NULL ? prefix : "");
+  JsonBuilder *json = json_builder_new ();
+  platform->counts[CALL_LIST]++;
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "objects");
+  json_builder_begin_array (json);
+  for (guint i = 0; i < found->len; i++)
+    {
+      const struct obj *obj = found->pdata[i];
+      json_builder_begin_object (json);
+      json_builder_set_member_name (json, "name");
+      json_builder_add_string_value (json, obj->name);
+      json_builder_set_member_name (json, "version");
+      json_builder_add_int_value (json, (gint64)obj->version);
+      json_builder_end_object (json);
+    }
+  json_builder_end_array (json);
+  json_builder_end_object (json);
+  JsonNode *root = json_builder_get_root (json);
+  char *text = json_to_string (root, FALSE);
+  std_reply (msg, SOUP_STATUS_OK, text);
+  g_free (text);
+  json_node_unref (root);
+  g_object_unref (json);
+  g_ptr_array_unref (found);
+}
+
+/* Answers MSG if the platform is down or its rate is used up. Returns whether
+   it did.  */
+static gboolean
+refuse (struct platform *platform, SoupServerMessage *msg, gboolean writes)
+{
+  struct obj_bucket *bucket = writes ? &platform->writes : &platform->reads;
+  if (platform->faults.down)
+    {
+      platform->counts[CALL_DOWN]++;
+      std_error (msg, SOUP_STATUS_SERVICE_UNAVAILABLE, "down");
+      return TRUE;
+    }
+  if (obj_bucket_take (bucket, g_get_monotonic_time ()))
+    return FALSE;
+  platform->counts[CALL_LIMITED]++;
+  soup_message_headers_replace (soup_server_message_get_response_headers (msg),
+                                "Retry-After", "1");
+  std_error (msg, STD_TOO_MANY_REQUESTS, "limited");
+  return TRUE;
+}
+
+static void
+handle (struct std *std, SoupServerMessage *msg, const char *path,
+        GHashTable *query)
+{
+  struct platform *platform = (struct platform *)std;
+  const char *method = soup_server_message_get_method (msg);
+  gboolean reads = strcmp (method, "GET") == 0;
+  const char *name = g_str_has_prefix (path, OBJECTS "/")
+                         ? path + strlen (OBJECTS "/")
+                         : NULL;
+  if (refuse (platform, msg, !reads))
+    return;
+  if (reads && strcmp (path, OBJECTS) == 0)
+    handle_list (platform, msg, query);
+  else if (name == NULL || *name == '\0')
+    std_error (msg, SOUP_STATUS_NOT_FOUND, "unknown_path");
+  else if (reads)
+    handle_get (platform, msg, name, query);
+  else if (strcmp (method, "PUT") == 0)
+    handle_put (platform, msg, name);
+  else if (strcmp (method, "DELETE") == 0)
+    handle_delete (platform, msg, name);
+  else
+    std_error (msg, SOUP_STATUS_METHOD_NOT_ALLOWED, "bad_method");
+}
+
+static char *
+counts_json (struct std *std)
+{
+  struct platform *platform = (struct platform *)std;
+  GString *out = g_string_new ("{");
+  for (guint i = 0; i < CALL_N; i++)
+    g_string_append_printf (out, "%s\"%s\": %" G_GINT64_FORMAT,
+                            i > 0 ? ", " : "", call_names[i],
+                            platform->counts[i]);
+  g_string_append (out, "}");
+  return g_string_free (out, FALSE);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct platform platform;
+  platform.store = obj_store_new ();
+  GOptionEntry entries[] = {
+    { "reads-per-s", 0, 0, G_OPTION_ARG_DOUBLE, &platform.reads.per_s,
+      "Rate limit of GET; 0: none", "N" },
+    { "writes-per-s", 0, 0, G_OPTION_ARG_DOUBLE, &platform.writes.per_s,
+      "Rate limit of PUT and DELETE; 0: none", "N" },
+    G_OPTION_ENTRY_NULL,
+  };
+  struct std_options options = { .kind = "platform",
+                                 .entries = entries,
+                                 .handler = handle,
+                                 .counts = counts_json,
+                                 .faults = &platform.faults,
+                                 .fields = fields,
+                                 .n_fields = G_N_ELEMENTS (fields) };
+  return std_main (&platform.std, &options, argc, argv);
+}
--- /dev/null
+++ b/tests/standin/service.c
@@ -0,0 +1,190 @@
+/* The stand-in for a plain service, such as one that activates subscriptions:
+   it counts how often each call was executed.  */
+#include "standin/std.h"
+
+#include <string.h>
+
+struct faults
+{
+  gint64 drop_before; /* calls whose connection closes before they run */
+  gint64 drop_after;  /* calls that run, but whose answer is lost */
+};
+
+#define FIELD(name, type)                                                      \
+  {                                                                            \
+#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
+  }
+
+static struct std_field fields[] = {
+  FIELD (drop_before, STD_INT),
+  FIELD (drop_after, STD_INT),
+};
+
+struct service
+{
+  struct std std; /* first, so that a struct std leads to it */
+  struct faults faults;
+  GHashTable *executions; /* id: number of executions */
+  gint64 total;
+  gint64 work_ms; /* from the execution to the answer */
+};
+
+struct answer
+{
+  SoupServerMessage *msg; /* ref */
+  char *json;
+};
+
+static gboolean
+send_answer (gpointer ctx)
+{
+  struct answer *answer = ctx;
+  std_reply (answer->msg, SOUP_STATUS_OK, answer->json);
+  g_object_unref (answer->msg);
+  g_free (answer->json);
+  g_free (answer);
+  return G_SOURCE_REMOVE;
+}
+
+/* Returns the id of the call, freed by the caller: the one in the body, else
+   the Idempotency-Key, else the path.  */
+static char *
+call_id (SoupServerMessage *msg, const char *path)
+{
+  JsonNode *body = std_body (msg);
+  const char *id = NULL;
+  if (body != NULL)
+    id = json_object_get_string_member_with_default (
+        json_node_get_object (body), "id", NULL);
+  if (id == NULL)
+    id = std_header (msg, "Idempotency-Key");
+  char *copy = g_strdup (id != NULL ? id : path);
+  g_clear_pointer (&body, json_node_unref);
+  return copy;
+}
+
+static char *
+quote (const char *text)
+{
+  JsonNode *node = json_node_init_string (json_node_alloc (), text);
+  char *quoted = json_to_string (node, FALSE);
+  json_node_unref (node);
+  return quoted;
+}
+
+static gint64
+execute (struct service *service, const char *id)
+{
+  gint64 n = GPOINTER_TO_SIZE (g_hash_table_lookup (service->executions, id));
+  n++;
+  g_hash_table_insert (service->executions, g_strdup (id),
+                       GSIZE_TO_POINTER (n));
+  service->total++;
+  return n;
+}
+
+static void
+service_event (struct service *service, const char *kind, const char *id,
+               SoupServerMessage *msg, gint64 n)
+{
+  struct std_event event = { .kind = kind,
+                             .id = id,
+                             .attempt = std_header (msg, "Jacinthward-Attempt"),
+                             .n = n };
+  std_history (&service->std, &event);
+}
+
+static void
+answer_call (struct service *service, SoupServerMessage *msg, const char *id,
+             gint64 n)
+{
+  char *quoted = quote (id);
+  struct answer *answer = g_new (struct answer, 1);
+  answer->msg = g_object_ref (msg);
+  answer->json = g_strdup_printf (
+      "{\"done\": true, \"n\": %" G_GINT64_FORMAT ", \"id\": %s}", n, quoted);
+  g_free (quoted);
+  if (service->work_ms > 0)
+    g_timeout_add ((guint)service->work_ms, send_answer, answer);
+  else
+    send_answer (answer);
+}
+
+static void
+handle (struct std *std, SoupServerMessage *msg, const char *path,
+        GHashTable *query)
+{
+  (void)query;
+  struct service *service = (struct service *)std;
+  struct faults *faults = &service->faults;
+  char *id = call_id (msg, path);
+  if (faults->drop_before > 0)
+    {
+      faults->drop_before--;
+      service_event (service, "drop_before", id, msg, 0);
+      std_drop (msg);
+      g_free (id);
+      return;
+    }
+  gint64 n = execute (service, id);
+  service_event (service, "execute", id, msg, n);
+  if (faults->drop_after > 0)
+    {
+      faults->drop_after--;
+      service_event (service, "drop_after", id, msg, n);
+      std_drop (msg);
+    }
+  else
+    answer_call (service, msg, id, n);
+  g_free (id);
+}
+
+static void
+add_count (gpointer id, gpointer n, gpointer ctx)
+{
+  JsonBuilder *json = ctx;
+  json_builder_set_member_name (json, id);
+  json_builder_add_int_value (json, (gint64)GPOINTER_TO_SIZE (n));
+}
+
+/* Gives the executions of each id and their sum.  */
+static char *
+counts_json (struct std *std)
+{
+  struct service *service = (struct service *)std;
+  JsonBuilder *json = json_builder_new ();
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "total");
+  json_builder_add_int_value (json, service->total);
+  json_builder_set_member_name (json, "executions");
+  json_builder_begin_object (json);
+  g_hash_table_foreach (service->executions, add_count, json);
+  json_builder_end_object (json);
+  json_builder_end_object (json);
+  JsonNode *root = json_builder_get_root (json);
+  char *text = json_to_string (root, FALSE);
+  json_node_unref (root);
+  g_object_unref (json);
+  return text;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct service service;
+  service.executions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GOptionEntry entries[] = {
+    { "work-ms", 0, 0, G_OPTION_ARG_INT64, &service.work_ms,
+      "Time from the execution to the answer", "MS" },
+    G_OPTION_ENTRY_NULL,
+  };
+  struct std_options options = { .kind = "service",
+                                 .entries = entries,
+                                 .handler = handle,
+                                 .counts = counts_json,
+                                 .faults = &service.faults,
+                                 .fields = fields,
+                                 .n_fields = G_N_ELEMENTS (fields) };
+  return std_main (&service.std, &options, argc, argv);
+}
--- /dev/null
+++ b/tests/standin/std.c
@@ -0,0 +1,359 @@
+#include "standin/std.h"
+
+#include <sys/socket.h>
+#include <string.h>
+
+#define LISTEN_DEFAULT "127.0.0.1:0"
+
+/* A request that waits for the end of a freeze or of a delay. */
+struct held
+{
+  struct std *std;
+  SoupServerMessage *msg; /* ref */
+  char *path;
+  GHashTable *query; /* ref; may be NULL */
+};
+
+/* Returns the value of header NAME of the request, or NULL.  */
+const char *
+std_header (SoupServerMessage *msg, const char *name)
+{
+  return soup_message_headers_get_one (
+      soup_server_message_get_request_headers (msg), name);
+}
+
+/* Answers the paused MSG with STATUS and a JSON text.  */
+void
+std_reply (SoupServerMessage *msg, guint status, const char *json)
+{
+  soup_server_message_set_status (msg, status, NULL);
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY,
+                                    json, strlen (json));
+  soup_server_message_unpause (msg);
+}
+
+/* Answers the paused MSG with STATUS and an error body with CODE.  */
+void
+std_error (SoupServerMessage *msg, guint status, const char *code)
+{
+  char *json = g_strdup_printf ("{\"error\": {\"message\": \"%s\", "
+                                "\"code\": \"%s\"}}",
+                                code, code);
+  std_reply (msg, status, json);
+  g_free (json);
+}
+
+/* Cuts the connection of the paused MSG; what was not yet written is lost.  */
+void
+std_drop (SoupServerMessage *msg)
+{
+  GSocket *socket = soup_server_message_get_socket (msg);
+  if (socket != NULL)
+    shutdown (g_socket_get_fd (socket), SHUT_RDWR);
+  if (soup_server_message_get_status (msg) == 0)
+    soup_server_message_set_status (msg, SOUP_STATUS_INTERNAL_SERVER_ERROR,
+                                    NULL);
+  soup_message_body_append (soup_server_message_get_response_body (msg),
+                            SOUP_MEMORY_STATIC, "\n", 1);
+  soup_server_message_unpause (msg);
+}
+
+/* Returns the JSON object in the request's body, freed by json_node_unref, or
+   NULL if there is none.  */
+JsonNode *
+std_body (SoupServerMessage *msg)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (msg);
+  if (body->data == NULL || body->length == 0)
+    return NULL;
+  JsonParser *parser = json_parser_new ();
+  JsonNode *node = NULL;
+  if (json_parser_load_from_data (parser, body->data, (gssize)body->length,
+                                  NULL))
+    node = json_parser_steal_root (parser);
+  g_object_unref (parser);
+  if (node != NULL && !JSON_NODE_HOLDS_OBJECT (node))
+    g_clear_pointer (&node, json_node_unref);
+  return node;
+}
+
+static void
+add_string (JsonBuilder *json, const char *name, const char *value)
+{
+  if (value == NULL)
+    return;
+  json_builder_set_member_name (json, name);
+  json_builder_add_string_value (json, value);
+}
+
+static void
+add_int (JsonBuilder *json, const char *name, gint64 value)
+{
+  json_builder_set_member_name (json, name);
+  json_builder_add_int_value (json, value);
+}
+
+/* Writes EVENT as one JSON line to the history.  */
+void
+std_history (struct std *std, const struct std_event *event)
+{
+  JsonBuilder *json = json_builder_new ();
+  json_builder_begin_object (json);
+  add_int (json, "t_us", g_get_real_time ());
+  add_string (json, "process", std->name);
+  add_string (json, "kind", event->kind);
+  add_string (json, "id", event->id);
+  add_string (json, "attempt", event->attempt);
+  add_string (json, "name", event->name);
+  add_int (json, "n", event->n);
+  if (event->version != 0)
+    add_int (json, "version", (gint64)event->version);
+  json_builder_end_object (json);
+  JsonNode *root = json_builder_get_root (json);
+  char *line = json_to_string (root, FALSE);
+  fprintf (std->history, "%s\n", line);
+  g_free (line);
+  json_node_unref (root);
+  g_object_unref (json);
+}
+
+static const struct std_field *
+find_field (struct std *std, const char *name)
+{
+  for (guint i = 0; i < std->options.n_fields; i++)
+    if (strcmp (std->options.fields[i].name, name) == 0)
+      return &std->options.fields[i];
+  return NULL;
+}
+
+static void
+set_field (void *faults, const struct std_field *field, JsonNode *node)
+{
+  char *at = (char *)faults + field->offset;
+  switch (field->type)
+    {
+    case STD_INT:
+      *(gint64 *)(void *)at = json_node_get_int (node);
+      break;
+    case STD_DOUBLE:
+      *(double *)(void *)at = json_node_get_double (node);
+      break;
+    case STD_BOOL:
+      *(gboolean *)(void *)at = json_node_get_boolean (node);
+      break;
+    }
+}
+
+static void
+set_member (JsonObject *object, const char *name, JsonNode *node, void *ctx)
+{
+  (void)object;
+  struct std *std = ctx;
+  const struct std_field *field = find_field (std, name);
+  if (strcmp (name, "frozen") == 0)
+    std->frozen = json_node_get_boolean (node);
+  else if (strcmp (name, "slow_ms") == 0)
+    std->slow_ms = json_node_get_int (node);
+  else if (field != NULL)
+    set_field (std->options.faults, field, node);
+}
+
+static gboolean
+member_ok (struct std *std, JsonObject *object, const char *name)
+{
+  JsonNode *node = json_object_get_member (object, name);
+  return JSON_NODE_HOLDS_VALUE (node)
+         && (strcmp (name, "frozen") == 0 || strcmp (name, "slow_ms") == 0
+             || find_field (std, name) != NULL);
+}
+
+static void
+held_free (struct held *held)
+{
+  g_object_unref (held->msg);
+  g_free (held->path);
+  if (held->query != NULL)
+    g_hash_table_unref (held->query);
+  g_free (held);
+}
+
+static void
+held_handle (struct held *held)
+{
+  struct std *std = held->std;
+  if (std->frozen)
+    {
+      g_queue_push_tail (&std->held, held);
+      return;
+    }
+  std->options.handler (std, held->msg, held->path, held->query);
+  held_free (held);
+}
+
+static gboolean
+held_delayed (void *ctx)
+{
+  held_handle (ctx);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+release_held (struct std *std)
+{
+  while (!std->frozen && !g_queue_is_empty (&std->held))
+    held_handle (g_queue_pop_head (&std->held));
+}
+
+/* Takes all members of the body or, if one is unknown, none.  */
+static void
+handle_fault (struct std *std, SoupServerMessage *msg)
+{
+  JsonNode *body = std_body (msg);
+  gboolean ok = body != NULL;
+  GList *names
+      = ok ? json_object_get_members (json_node_get_object (body)) : NULL;
+  for (GList *l = names; l != NULL && ok; l = l->next)
+    ok = member_ok (std, json_node_get_object (body), l->data);
+  if (ok)
+    json_object_foreach_member (json_node_get_object (body), set_member, std);
+  g_list_free (names);
+  if (body != NULL)
+    json_node_unref (body);
+  if (!ok)
+    {
+      std_error (msg, SOUP_STATUS_BAD_REQUEST, "bad_fault");
+      return;
+    }
+  if (std->options.changed != NULL)
+    std->options.changed (std);
+  std_reply (msg, SOUP_STATUS_OK, "{}");
+  release_held (std);
+}
+
+static void
+on_request (SoupServer *server, SoupServerMessage *msg, const char *path,
+            GHashTable *query, gpointer ctx)
+{
+  (void)server;
+  struct std *std = ctx;
+  soup_server_message_pause (msg);
+  if (strcmp (path, "/fault") == 0)
+    {
+      handle_fault (std, msg);
+      return;
+    }
+  if (strcmp (path, "/counts") == 0)
+    {
+      char *json = std->options.counts (std);
+      std_reply (msg, SOUP_STATUS_OK, json);
+      g_free (json);
+      return;
+    }
+  struct held *held = g_new0 (struct held, 1);
+  held->std = std;
+  held->msg = g_object_ref (msg);
+  held->path = g_strdup (path);
+  held->query = query == NULL ? NULL : g_hash_table_ref (query);
+  if (std->slow_ms > 0)
+    g_timeout_add ((guint)std->slow_ms, held_delayed, held);
+  else
+    held_handle (held);
+}
+
+static int
+parse_options (struct std *std, int *argc, char ***argv)
+{
+  GOptionEntry common[] = {
+    { "listen", 0, 0, G_OPTION_ARG_STRING, &std->listen,
+      "Address to listen on; port 0: chosen by the kernel", "IP:PORT" },
+    { "name", 0, 0, G_OPTION_ARG_STRING, &std->name,
+      "Name of the process in its history", "NAME" },
+    { "history", 0, 0, G_OPTION_ARG_FILENAME, &std->history_path,
+      "File that history lines are appended to", "FILE" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new (NULL);
+  g_option_context_add_main_entries (context, common, NULL);
+  if (std->options.entries != NULL)
+    g_option_context_add_main_entries (context, std->options.entries, NULL);
+  gboolean ok = g_option_context_parse (context, argc, argv, &error);
+  if (!ok)
+    fprintf (stderr, "%s\n", error->message);
+  g_clear_error (&error);
+  g_option_context_free (context);
+  return ok ? 0 : -1;
+}
+
+static int
+open_history (struct std *std)
+{
+  std->history = stderr;
+  if (std->history_path == NULL)
+    return 0;
+  std->history = fopen (std->history_path, "a");
+  if (std->history == NULL)
+    return -1;
+  setvbuf (std->history, NULL, _IOLBF, 0);
+  return 0;
+}
+
+/* Listens on std->listen. Returns the port, < 0 if error.  */
+static int
+listen_on (struct std *std)
+{
+  const char *address = std->listen != NULL ? std->listen : LISTEN_DEFAULT;
+  GError *error = NULL;
+  int port = -1;
+  GSocketConnectable *to = g_network_address_parse (address, 0, &error);
+  if (to == NULL)
+    goto fail;
+  GSocketAddress *at = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (G_NETWORK_ADDRESS (to)),
+      g_network_address_get_port (G_NETWORK_ADDRESS (to)));
+  g_object_unref (to);
+  if (at == NULL)
+    goto fail;
+  if (soup_server_listen (std->server, at, 0, &error))
+    {
+      GSList *uris = soup_server_get_uris (std->server);
+      port = g_uri_get_port (uris->data);
+      g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+    }
+  g_object_unref (at);
+fail:
+  if (port < 0)
+    fprintf (stderr, "cannot listen on %s: %s\n", address,
+             error != NULL ? error->message : "not an IP address");
+  g_clear_error (&error);
+  return port;
+}
+
+/* Runs a stand-in until it is killed. Prints "ready PORT" once it listens.
+   Returns the exit status: 2 if the command line is wrong.  */
+int
+std_main (struct std *std, const struct std_options *options, int argc,
+          char **argv)
+{
+  std->options = *options;
+  g_queue_init (&std->held);
+  if (parse_options (std, &argc, &argv) < 0 || open_history (std) < 0)
+    return 2;
+  if (std->name == NULL)
+    std->name = g_strdup (options->kind);
+  std->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (std->server, NULL, on_request, std, NULL);
+  if (options->prepare != NULL && !options->prepare (std))
+    {
+      fprintf (stderr, "option out of range\n");
+      return 2;
+    }
+  int port = listen_on (std);
+  if (port < 0)
+    return 2;
+  printf ("ready %d\n", port);
+  fflush (stdout);
+  std->loop = g_main_loop_new (NULL, FALSE);
+  g_main_loop_run (std->loop);
+  return 0;
+}
