Serve the whole path with separate processes

Cause: caller -> any entry -> cell owner -> backend server had to stand first. Found on the way: libsoup hands out no socket for connections accepted outside it (soup_server_message_get_socket is NULL), so connections are known by their remote address object; log4c's stream appender puts its name before each line, so an appender of our own writes the JSON lines.

--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -1,8 +1,8 @@
 #include "base/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 #include <json-glib/json-glib.h>
+#include <stdio.h>
 #include <string.h>
 #include <time.h>
 
@@ -39,6 +39,17 @@
   return line->str;
 }
 
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+/* log4c's own stream type puts the appender's name before each line.  */
+static const log4c_appender_type_t line_appender_type
+    = { "json_line", NULL, append_line, NULL };
+
 static const log4c_layout_type_t json_line_type
     = { "json_line", json_line_format };
 
@@ -54,10 +65,10 @@
     return -1;
   log4c_layout_t *layout = log4c_layout_get ("json_line");
   log4c_layout_set_type (layout, &json_line_type);
-  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  log4c_appender_t *appender = log4c_appender_get ("json_line");
   if (layout == NULL || appender == NULL)
     return -1;
-  log4c_appender_set_type (appender, &log4c_appender_type_stream);
+  log4c_appender_set_type (appender, &line_appender_type);
   log4c_appender_set_layout (appender, layout);
   state.category = log4c_category_get ("jacinthward");
   log4c_category_set_appender (state.category, appender);
--- a/packages/entry/ent.c
+++ b/packages/entry/ent.c
@@ -13,16 +13,18 @@
 /* A caller's connection. */
 struct ent_conn
 {
-  GSocket *socket;  /* a reference */
-  gint64 due;       /* a whole request must be there, microseconds */
-  gboolean started; /* the first bytes of a request have come */
-  gboolean busy;    /* a request is being answered */
+  GSocketAddress *remote; /* a reference; libsoup hands the same object out */
+  GSocket *socket;        /* a reference */
+  gint64 due;             /* a whole request must be there, microseconds */
+  gboolean started;       /* the first bytes of a request have come */
+  gboolean busy;          /* a request is being answered */
 };
 
 static void
 free_conn (gpointer data)
 {
   struct ent_conn *conn = data;
+  g_object_unref (conn->remote);
   g_object_unref (conn->socket);
   g_free (conn);
 }
@@ -31,7 +33,16 @@
 find_conn (struct ent *ent, SoupServerMessage *message)
 {
   return g_hash_table_lookup (ent->conns,
-                              soup_server_message_get_socket (message));
+                              soup_server_message_get_remote_address (message));
+}
+
+/* Returns the socket of MESSAGE's connection, borrowed; libsoup does not know
+   it, since the connection was accepted here. NULL if it is closed.  */
+GSocket *
+ent_socket (struct ent *ent, SoupServerMessage *message)
+{
+  struct ent_conn *conn = find_conn (ent, message);
+  return conn ? conn->socket : NULL;
 }
 
 static void
@@ -185,24 +196,33 @@
   conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
 }
 
-static gboolean
-on_connection (GSocketService *service, GSocketConnection *connection,
-               GObject *source, gpointer data)
+static void
+accept_conn (struct ent *ent, GSocketConnection *connection,
+             GSocketAddress *local, GSocketAddress *remote)
 {
-  struct ent *ent = data;
   struct ent_conn *conn = g_new0 (struct ent_conn, 1);
-  (void)service;
-  (void)source;
+  conn->remote = g_object_ref (remote);
   conn->socket = g_object_ref (g_socket_connection_get_socket (connection));
   conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
   g_socket_set_option (conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_hash_table_insert (ent->conns, conn->socket, conn);
+  g_hash_table_insert (ent->conns, conn->remote, conn);
+  soup_server_accept_iostream (ent->server, G_IO_STREAM (connection), local,
+                               remote, NULL);
+}
+
+static gboolean
+on_connection (GSocketService *service, GSocketConnection *connection,
+               GObject *source, gpointer data)
+{
+  struct ent *ent = data;
   GSocketAddress *local
       = g_socket_connection_get_local_address (connection, NULL);
   GSocketAddress *remote
       = g_socket_connection_get_remote_address (connection, NULL);
-  soup_server_accept_iostream (ent->server, G_IO_STREAM (connection), local,
-                               remote, NULL);
+  (void)service;
+  (void)source;
+  if (local != NULL && remote != NULL)
+    accept_conn (ent, connection, local, remote);
   g_clear_object (&local);
   g_clear_object (&remote);
   return TRUE;
--- a/packages/entry/ent.h
+++ b/packages/entry/ent.h
@@ -32,7 +32,7 @@
   struct ent_limits limits;
 };
 
-int ent_new (const struct ent_options *options, struct ent **ent,
+int ent_new (const struct ent_options *options, struct ent **result,
              struct err *err);
 void ent_free (struct ent *ent);
 guint ent_port (const struct ent *ent);
--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -177,14 +177,17 @@
   struct ent_call *call = new_call (ent, message);
   struct nod_event event = { .kind = NOD_REQUEST };
   struct ent_refusal refusal = { 0 };
+  GSocket *socket = ent_socket (ent, message);
   event.request.id = call->id;
-  if (ent_parse (call, &event.request, &refusal) < 0)
+  int code = ent_parse (call, &event.request, &refusal);
+  if (code < 0)
+    refuse_call (call, &refusal);
+  if (code < 0 || socket == NULL)
     {
-      refuse_call (call, &refusal);
       ent_call_free (call);
       return;
     }
-  call->socket = g_object_ref (soup_server_message_get_socket (message));
+  call->socket = g_object_ref (socket);
   call->wrote_at = g_get_monotonic_time ();
   g_signal_connect (message, "finished", G_CALLBACK (on_finished), call);
   g_signal_connect (message, "wrote-body-data", G_CALLBACK (on_wrote_data),
@@ -221,7 +224,7 @@
       end->answer
           = (struct str){ (const char *)call->answer->data, call->answer->len };
       end->content_type = str_of (call->answer_type);
-      if (call->engine)
+      if (call->engine && end->answer.n > 0)
         end->tokens = ent_completion_tokens (end->answer);
     }
   raise_event (call, &event);
--- a/packages/entry/ent_int.h
+++ b/packages/entry/ent_int.h
@@ -64,6 +64,9 @@
   guint sweep;       /* GLib source */
 };
 
+/* ent.c */
+GSocket *ent_socket (struct ent *ent, SoupServerMessage *message);
+
 /* ent_parse.c: from HTTP to the node's terms */
 struct ent_refusal
 {
--- /dev/null
+++ b/packages/jacinthward/dmn.c
@@ -0,0 +1,302 @@
+#include "jacinthward/dmn.h"
+
+#include "backend/bkd.h"
+#include "base/clk.h"
+#include "base/ctr.h"
+#include "base/log.h"
+#include "entry/ent.h"
+#include "node/nod.h"
+#include "platform/plt_http.h"
+#include "wire/wir.h"
+
+#include <string.h>
+
+#define TICK_MS ((guint)(NOD_TICK_US / CLK_MS))
+
+struct dmn
+{
+  const struct set_settings *settings; /* borrowed */
+  GMainLoop *loop;
+  struct ctr ctr;
+  struct nod *nod;
+  struct wir *wir;
+  struct bkd *bkd;
+  struct ent *ent;
+  struct plt_http *platform;
+  guint tick;        /* GLib source */
+  guint grace;       /* GLib source; 0: none */
+  gboolean stopping; /* a shutdown has begun */
+  gboolean deaf;     /* the callers' listener is closed */
+  gboolean drained;  /* the node has nothing in progress */
+};
+
+static void
+raise_event (struct dmn *dmn, const struct nod_event *event)
+{
+  if (dmn->nod != NULL)
+    nod_handle (dmn->nod, event);
+}
+
+static void
+on_message (void *ctx, const char *from, const struct msg *msg)
+{
+  struct nod_event event = { .kind = NOD_MESSAGE };
+  event.message.from = from;
+  event.message.msg = msg;
+  raise_event (ctx, &event);
+}
+
+static void
+on_peer_up (void *ctx, const char *id)
+{
+  struct nod_event event = { .kind = NOD_PEER_UP };
+  event.peer_up = id;
+  raise_event (ctx, &event);
+}
+
+static void
+on_peer_lost (void *ctx, const char *id)
+{
+  struct nod_event event = { .kind = NOD_PEER_LOST };
+  event.peer_lost = id;
+  raise_event (ctx, &event);
+}
+
+struct store_call
+{
+  struct dmn *dmn;
+  guint64 token;
+};
+
+static void
+on_store_answer (void *ctx, const struct sto_answer *answer)
+{
+  struct store_call *call = ctx;
+  struct nod_event event = { .kind = NOD_STORE_ANSWER };
+  event.store_answer.token = call->token;
+  event.store_answer.answer = answer;
+  raise_event (call->dmn, &event);
+  g_free (call);
+}
+
+static void
+start_store_call (struct dmn *dmn, guint64 token, const struct sto_call *call)
+{
+  struct store_call *waiting = g_new (struct store_call, 1);
+  waiting->dmn = dmn;
+  waiting->token = token;
+  plt_http_start (dmn->platform, call, on_store_answer, waiting);
+}
+
+/* Carries out one action of the node.  */
+static void
+act (void *ctx, const struct nod_action *action)
+{
+  struct dmn *dmn = ctx;
+  switch (action->kind)
+    {
+    case NOD_DO_SEND:
+      wir_send (dmn->wir, action->send.to, action->send.msg);
+      break;
+    case NOD_DO_DIAL:
+      wir_dial (dmn->wir, action->dial);
+      break;
+    case NOD_DO_OPEN:
+    case NOD_DO_CANCEL:
+    case NOD_DO_FAIL:
+    case NOD_DO_REPLAY:
+    case NOD_DO_FINISH:
+      ent_act (dmn->ent, action);
+      break;
+    case NOD_DO_STORE:
+      start_store_call (dmn, action->store.token, action->store.call);
+      break;
+    case NOD_DO_CONFIG:
+      log_event (LOG_INFO, "config.applied",
+                 "version %" G_GUINT64_FORMAT ", preset %s",
+                 action->config->version, action->config->preset.s);
+      break;
+    case NOD_DO_DRAINED:
+      dmn->drained = TRUE;
+      break;
+    }
+}
+
+static void
+end_if_drained (struct dmn *dmn)
+{
+  if (dmn->deaf && dmn->drained && ent_unfinished (dmn->ent) == 0)
+    g_main_loop_quit (dmn->loop);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  struct dmn *dmn = data;
+  const struct nod_event event = { .kind = NOD_TICK };
+  raise_event (dmn, &event);
+  if (dmn->stopping)
+    end_if_drained (dmn);
+  return G_SOURCE_CONTINUE;
+}
+
+static int
+open_wire (struct dmn *dmn, struct err *err)
+{
+  const struct set_settings *settings = dmn->settings;
+  gsize n;
+  const char *key = g_bytes_get_data (settings->peer_key, &n);
+  const struct wir_options options = {
+    .listen = settings->listen_peers,
+    .key = { key, n },
+    .self = settings->id,
+    .ctr = &dmn->ctr,
+    .receive = on_message,
+    .up = on_peer_up,
+    .lost = on_peer_lost,
+    .ctx = dmn,
+  };
+  return wir_new (&options, &dmn->wir, err);
+}
+
+/* The address at which other instances reach this one: the listener's host
+   with the port that it got.  */
+static char *
+peer_address (const struct dmn *dmn)
+{
+  const char *listen = dmn->settings->listen_peers;
+  const char *colon = strrchr (listen, ':');
+  return g_strdup_printf ("%.*s:%u", (int)(colon - listen), listen,
+                          wir_port (dmn->wir));
+}
+
+static int
+make_node (struct dmn *dmn, struct err *err)
+{
+  const struct set_settings *settings = dmn->settings;
+  char *address = peer_address (dmn);
+  const struct nod_options options = {
+    .clk = clk_system (),
+    .seed = g_random_int (),
+    .ctr = &dmn->ctr,
+    .self = settings->id,
+    .domain = settings->domain,
+    .region = settings->region,
+    .address = address,
+    .peers = (const char *const *)settings->peers,
+    .incarnation = (guint64)g_get_real_time (),
+    .chart_folder = settings->charts,
+    .act = act,
+    .ctx = dmn,
+  };
+  int code = nod_new (&options, &dmn->nod, err);
+  g_free (address);
+  return code;
+}
+
+static int
+open_entry (struct dmn *dmn, struct err *err)
+{
+  const struct set_settings *settings = dmn->settings;
+  const struct ent_options options = {
+    .listen = settings->listen_callers,
+    .self = settings->id,
+    .nod = dmn->nod,
+    .bkd = dmn->bkd,
+    .ctr = &dmn->ctr,
+    .limits = {
+      .body_bytes = settings->max_body_bytes,
+      .header_bytes = settings->max_header_bytes,
+      .requests = settings->max_requests,
+      .arrival_us = settings->header_timeout_us,
+      .caller_stall_us = settings->caller_stall_us,
+      .backend_stall_us = settings->backend_stall_us,
+    },
+  };
+  return ent_new (&options, &dmn->ent, err);
+}
+
+int
+dmn_new (const struct set_settings *settings, struct dmn **result,
+         struct err *err)
+{
+  struct dmn *dmn = g_new0 (struct dmn, 1);
+  const struct plt_http_options platform = {
+    .address = settings->platform,
+    .token = settings->platform_token,
+    .ctr = &dmn->ctr,
+  };
+  int code;
+  dmn->settings = settings;
+  dmn->loop = g_main_loop_new (NULL, FALSE);
+  dmn->platform = plt_http_new (&platform);
+  dmn->bkd = bkd_new ();
+  if ((code = open_wire (dmn, err)) < 0 || (code = make_node (dmn, err)) < 0
+      || (code = open_entry (dmn, err)) < 0)
+    {
+      dmn_free (dmn);
+      return code;
+    }
+  dmn->tick = g_timeout_add (TICK_MS, on_tick, dmn);
+  *result = dmn;
+  return 0;
+}
+
+void
+dmn_free (struct dmn *dmn)
+{
+  if (dmn == NULL)
+    return;
+  g_clear_handle_id (&dmn->tick, g_source_remove);
+  g_clear_handle_id (&dmn->grace, g_source_remove);
+  ent_free (dmn->ent);
+  bkd_free (dmn->bkd);
+  plt_http_free (dmn->platform);
+  nod_free (dmn->nod);
+  dmn->nod = NULL;
+  wir_free (dmn->wir);
+  g_main_loop_unref (dmn->loop);
+  g_free (dmn);
+}
+
+void
+dmn_announce (const struct dmn *dmn)
+{
+  g_print ("ready peer=%u http=%u admin=%u\n", wir_port (dmn->wir),
+           ent_port (dmn->ent), 0U);
+}
+
+void
+dmn_run (struct dmn *dmn)
+{
+  g_main_loop_run (dmn->loop);
+}
+
+static gboolean
+on_grace_over (gpointer data)
+{
+  struct dmn *dmn = data;
+  dmn->grace = 0;
+  dmn->deaf = TRUE;
+  ent_stop_listening (dmn->ent);
+  log_event (LOG_INFO, "shutdown.listener_closed", "%u requests in progress",
+             nod_in_progress (dmn->nod));
+  return G_SOURCE_REMOVE;
+}
+
+void
+dmn_shut_down (struct dmn *dmn)
+{
+  const struct nod_event event = { .kind = NOD_SHUTDOWN };
+  if (dmn->stopping)
+    {
+      g_main_loop_quit (dmn->loop);
+      return;
+    }
+  dmn->stopping = TRUE;
+  log_event (LOG_INFO, "shutdown.begin", "%u requests in progress",
+             nod_in_progress (dmn->nod));
+  raise_event (dmn, &event);
+  dmn->grace = g_timeout_add (
+      (guint)(dmn->settings->shutdown_grace_us / CLK_MS), on_grace_over, dmn);
+}
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -37,7 +37,10 @@
 void
 nod_dial (struct nod *nod, const char *address)
 {
-  if (address[0] == '\0' || g_hash_table_contains (nod->dialled, address))
+  char own[64];
+  mem_self_address (nod->mem, own);
+  if (address[0] == '\0' || strcmp (address, own) == 0
+      || g_hash_table_contains (nod->dialled, address))
     return;
   g_hash_table_add (nod->dialled, g_strdup (address));
   struct nod_action action = { .kind = NOD_DO_DIAL };
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -215,7 +215,7 @@
   void *ctx;
 };
 
-int nod_new (const struct nod_options *options, struct nod **nod,
+int nod_new (const struct nod_options *options, struct nod **result,
              struct err *err);
 void nod_free (struct nod *nod);
 void nod_handle (struct nod *nod, const struct nod_event *event);
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -83,9 +83,10 @@
   guint32 attempt_tokens; /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
-  gboolean recorded; /* the ledger holds this request's intent */
-  gint64 intent_at;  /* when the intent was sent, microseconds */
-  gboolean crossed;  /* counted against the link's budget */
+  gboolean recorded;     /* the ledger holds this request's intent */
+  guint64 intent_ticket; /* of the recorded intent */
+  gint64 intent_at;      /* when the intent was sent, microseconds */
+  gboolean crossed;      /* counted against the link's budget */
 };
 
 /* What another failure domain or another owner said of a cell. */
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -113,6 +113,8 @@
 free_key (struct nod *nod, const struct nod_req *req)
 {
   struct msg msg = { .kind = MSG_LEDGER_RESULT };
+  msg.ledger_result.incarnation = nod->incarnation;
+  msg.ledger_result.ticket = req->recorded ? req->intent_ticket : req->ticket;
   memcpy (msg.ledger_result.key, req->spec.key, MSG_KEY_BYTES);
   msg.ledger_result.did_not_run = TRUE;
   nod_send (nod, nod_led_owner (nod, req->spec.key), &msg);
@@ -347,6 +349,7 @@
 send_intent (struct nod *nod, struct nod_req *req)
 {
   struct msg msg = { .kind = MSG_LEDGER_INTENT };
+  msg.ledger_intent.incarnation = nod->incarnation;
   msg.ledger_intent.ticket = req->ticket;
   memcpy (msg.ledger_intent.key, req->spec.key, MSG_KEY_BYTES);
   memcpy (msg.ledger_intent.body, req->spec.body, MSG_KEY_BYTES);
@@ -460,6 +463,8 @@
 {
   struct msg msg = { .kind = MSG_LEDGER_RESULT };
   struct msg_ledger_result *result = &msg.ledger_result;
+  result->incarnation = nod->incarnation;
+  result->ticket = req->intent_ticket;
   memcpy (result->key, req->spec.key, MSG_KEY_BYTES);
   if (end->answer.n <= MSG_ANSWER_MAX)
     {
@@ -638,11 +643,13 @@
 nod_req_verdict (struct nod *nod, const struct msg_ledger_verdict *verdict)
 {
   struct nod_req *req = g_hash_table_lookup (nod->tickets, &verdict->ticket);
-  if (req == NULL || req->state != REQ_RECORDING)
+  if (req == NULL || req->state != REQ_RECORDING
+      || verdict->incarnation != nod->incarnation)
     return;
   if (verdict->verdict == MSG_VERDICT_FRESH)
     {
       req->recorded = TRUE;
+      req->intent_ticket = req->ticket;
       if (step (nod, req, REQ_EV_FRESH))
         open_attempt (nod, req);
       return;
--- a/packages/settings/set.c
+++ b/packages/settings/set.c
@@ -50,6 +50,7 @@
   KEY (MS, "header_timeout_ms", header_timeout_us, OPTIONAL, 10, HOUR_MS,
        10000),
   KEY (MS, "caller_stall_ms", caller_stall_us, OPTIONAL, 10, HOUR_MS, 30000),
+  KEY (MS, "backend_stall_ms", backend_stall_us, OPTIONAL, 10, HOUR_MS, 10000),
   KEY (MS, "shutdown_grace_ms", shutdown_grace_us, OPTIONAL, 0, HOUR_MS, 5000),
 };
 
--- a/packages/settings/set.h
+++ b/packages/settings/set.h
@@ -36,6 +36,7 @@
   guint max_requests;       /* in progress */
   gint64 header_timeout_us; /* for a request's headers to arrive */
   gint64 caller_stall_us;   /* longest time without a byte read or sent */
+  gint64 backend_stall_us;  /* an engine that sends nothing is left */
   gint64 shutdown_grace_us; /* serving on, until the balancer has noticed */
 };
 
--- a/packages/wire/wir_codec.c
+++ b/packages/wire/wir_codec.c
@@ -123,18 +123,23 @@
   X (STR, body, WIR_BODY_MAX)
 
 #define FIELDS_LEDGER_INTENT(X)                                                \
+  X (U64, incarnation, 0)                                                      \
   X (U64, ticket, 0)                                                           \
   X (DIGEST, key, 0)                                                           \
   X (DIGEST, body, 0)
 
 #define FIELDS_LEDGER_VERDICT(X)                                               \
+  X (U64, incarnation, 0)                                                      \
   X (U64, ticket, 0)                                                           \
   X (ENUM, verdict, MSG_VERDICT_N)                                             \
+  X (BOOL, unsettled, 0)                                                       \
   X (U32, status, 0)                                                           \
   X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
   X (STR, answer, MSG_ANSWER_MAX)
 
 #define FIELDS_LEDGER_RESULT(X)                                                \
+  X (U64, incarnation, 0)                                                      \
+  X (U64, ticket, 0)                                                           \
   X (DIGEST, key, 0)                                                           \
   X (BOOL, did_not_run, 0)                                                     \
   X (U32, status, 0)                                                           \
--- a/packages/wire/wir_conn.c
+++ b/packages/wire/wir_conn.c
@@ -357,12 +357,9 @@
   struct str key = conn->hooks->key;
   conn->send_key = wir_frame_key (key, conn->role, conn->sides);
   conn->receive_key = wir_frame_key (key, peer, conn->sides);
-  int r = conn->hooks->opened (conn->hooks->ctx, conn, err);
-  if (r < 0)
-    return r;
-  conn->state = CONN_OPEN;
+  conn->state = CONN_OPEN; /* the hook may send */
   drop_source (&conn->deadline);
-  return 0;
+  return conn->hooks->opened (conn->hooks->ctx, conn, err);
 }
 
 /* A listener answers a proof by its own, so that only holders of the key ever
