Add the policy bench: real nodes against two baselines on the same arrivals

Cause: the decisions are the worth of the product and need a measure. Change: tests/policy, make bench-policy.

--- /dev/null
+++ b/tests/policy/main.c
@@ -0,0 +1,72 @@
+/* make bench-policy: the decisions under load and faults, measured against
+   two baselines on the same arrivals.  */
+#include "policy/world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SEEDS 5
+
+static const struct policy *const policies[]
+    = { &policy_round_robin, &policy_two_choices, &policy_routed };
+
+static const struct scenario scenarios[] = {
+  { "authority", 0.7, FAULT_NONE },
+  { "authority", 1.0, FAULT_NONE },
+  { "authority", 1.3, FAULT_NONE },
+  { "authority", 2.0, FAULT_NONE },
+  { "authority", 1.0, FAULT_BURST },
+  { "authority", 1.0, FAULT_STRAGGLER },
+  { "authority", 1.0, FAULT_CRASH },
+  { "authority", 1.0, FAULT_FREEZE },
+  { "authority", 1.0, FAULT_CUT },
+  { "authority", 1.0, FAULT_PLATFORM },
+  { "cooperative", 0.7, FAULT_NONE },
+  { "cooperative", 1.0, FAULT_NONE },
+  { "cooperative", 1.3, FAULT_NONE },
+  { "cooperative", 2.0, FAULT_NONE },
+  { "cooperative", 1.0, FAULT_BURST },
+  { "cooperative", 1.0, FAULT_STRAGGLER },
+  { "cooperative", 1.0, FAULT_CRASH },
+  { "cooperative", 1.0, FAULT_FREEZE },
+  { "cooperative", 1.0, FAULT_CUT },
+  { "cooperative", 1.0, FAULT_PLATFORM },
+};
+
+static void
+run (const struct scenario *scenario, const struct policy *policy, guint seeds)
+{
+  struct result *results = g_new0 (struct result, seeds);
+  struct cfg *cfg = NULL;
+  for (guint i = 0; i < seeds; i++)
+    {
+      struct world world;
+      world_run (&world, scenario, policy, i + 1);
+      report_measure (&world, &results[i]);
+      cfg_unref (cfg);
+      cfg = cfg_ref (world.cfg);
+      world_clear (&world);
+    }
+  report_print (scenario, policy->name, cfg, results, seeds);
+  cfg_unref (cfg);
+  g_free (results);
+}
+
+/* Arguments: a scenario's number from 0, a policy's name, a number of seeds;
+   without them everything runs.  */
+int
+main (int argc, char **argv)
+{
+  int only = argc > 1 ? atoi (argv[1]) : -1;
+  guint seeds = argc > 3 ? (guint) MAX (1, atoi (argv[3])) : SEEDS;
+  for (guint i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    for (guint k = 0; k < G_N_ELEMENTS (policies); k++)
+      {
+        if (only >= 0 && (guint) only != i)
+          continue;
+        if (argc > 2 && strcmp (argv[2], policies[k]->name) != 0)
+          continue;
+        run (&scenarios[i], policies[k], seeds);
+      }
+  return 0;
+}
