Share the room to wait; displace lower tiers for higher ones

Cause: a full class refused its tickets while lower tiers kept theirs waiting. Ruled out: one common room without reserves (a burst fills it all); a hard max_waiting for each class (refuses a higher tier while a lower one waits). Change: the cell's room is the sum of max_waiting; a class fills its own part less what others reserved and did not fill, beyond that it displaces the youngest ticket of the lowest tier that is above its reserve; a cell in which no server takes work refuses all waiting tickets with NO_SERVER.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -101,29 +101,35 @@
     }
 }
 
+static void
+offer_new (struct cel *cel, const char *from, const struct msg_offer *offer)
+{
+  struct cls *cls = cel_find_class (cel, offer->class_name.s);
+  struct tkt *tkt = NULL;
+  if (!cls || !cel_takes_work (cel))
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
+  else if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls)
+           || !(tkt = tkt_add (&cel->tickets, from, offer->ticket,
+                               clk_now (cel->clk))))
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
+  if (!tkt)
+    return;
+  fill_ticket (cel, tkt, offer);
+  cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
+  cel_pump (cel);
+}
+
 /* Takes a ticket: queues it, grants it, or refuses it at once.  */
 void
 cel_offer (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct tkt *tkt = tkt_find (&cel->tickets, from, offer->ticket);
-  struct cls *cls = cel_find_class (cel, offer->class_name.s);
   if (tkt)
     offer_again (cel, from, tkt, offer);
   else if (offer->running.s[0])
     offer_running (cel, from, offer);
-  else if (!cls)
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
-  else if (cls->n_waiting >= cls->cfg.max_waiting)
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
-  else if (!(tkt = tkt_add (&cel->tickets, from, offer->ticket,
-                            clk_now (cel->clk))))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
   else
-    {
-      fill_ticket (cel, tkt, offer);
-      cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
-      cel_pump (cel);
-    }
+    offer_new (cel, from, offer);
 }
 
 /* Forgets a ticket that its entry gave up.  */
@@ -191,6 +197,7 @@
     cls_charge (tkt->cls, tkt, -(double)tkt->charged);
   cel_drop (cel, tkt);
   cel_free_idle_gone (cel);
+  cel_refuse_unless_served (cel);
   cel_pump (cel);
 }
 
@@ -213,6 +220,7 @@
   if (!srv)
     return;
   srv->leaving = leaving;
+  cel_refuse_unless_served (cel);
   cel_pump (cel);
 }
 
--- a/packages/cell/cel_cfg.c
+++ b/packages/cell/cel_cfg.c
@@ -153,5 +153,6 @@
   take_classes (cel, cfg);
   free_idle_teams (cel);
   take_servers (cel, cfg);
+  cel_refuse_unless_served (cel);
   cel_pump (cel);
 }
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -50,6 +50,12 @@
 void cel_send_refuse (struct cel *cel, const char *to, guint64 ticket,
                       enum msg_reason reason);
 
+/* cel_room.c */
+gboolean cel_make_room (struct cel *cel, const struct cls *cls);
+
+gboolean cel_takes_work (const struct cel *cel);
+void cel_refuse_unless_served (struct cel *cel);
+
 /* cel_pump.c */
 void cel_pump (struct cel *cel);
 
--- a/packages/cell/tkt.c
+++ b/packages/cell/tkt.c
@@ -50,20 +50,24 @@
   return key.ent ? g_hash_table_lookup (table->tickets, &key) : NULL;
 }
 
+/* Tells whether tkt_add can take one more ticket of instance FROM.  */
+gboolean
+tkt_room (const struct tkt_table *table, const char *from)
+{
+  return strlen (from) <= STR_ID_MAX
+         && g_hash_table_size (table->tickets) < TKT_MAX
+         && (tkt_entry (table, from)
+             || g_hash_table_size (table->entries) < TKT_ENTRIES_MAX);
+}
+
 static struct ent *
 entry_add (struct tkt_table *table, const char *from)
 {
   struct ent *ent = tkt_entry (table, from);
   if (ent)
     return ent;
-  if (g_hash_table_size (table->entries) >= TKT_ENTRIES_MAX)
-    return NULL;
   ent = g_new0 (struct ent, 1);
-  if (!str_id_set (&ent->id, str_of (from)))
-    {
-      g_free (ent);
-      return NULL;
-    }
+  str_id_set (&ent->id, str_of (from));
   g_queue_init (&ent->tickets);
   g_hash_table_insert (table->entries, ent->id.s, ent);
   return ent;
@@ -74,11 +78,9 @@
 struct tkt *
 tkt_add (struct tkt_table *table, const char *from, guint64 id, gint64 now)
 {
-  if (g_hash_table_size (table->tickets) >= TKT_MAX)
+  if (!tkt_room (table, from))
     return NULL;
   struct ent *ent = entry_add (table, from);
-  if (!ent)
-    return NULL;
   struct tkt *tkt = g_new0 (struct tkt, 1);
   tkt->ent = ent;
   tkt->id = id;
--- a/packages/cell/tkt.h
+++ b/packages/cell/tkt.h
@@ -69,6 +69,7 @@
 struct ent *tkt_entry (const struct tkt_table *table, const char *from);
 struct tkt *tkt_find (const struct tkt_table *table, const char *from,
                       guint64 id);
+gboolean tkt_room (const struct tkt_table *table, const char *from);
 struct tkt *tkt_add (struct tkt_table *table, const char *from, guint64 id,
                      gint64 now);
 void tkt_touch (struct tkt_table *table, struct tkt *tkt, gint64 now);
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -77,13 +77,18 @@
 test_leaving_gets_nothing (void)
 {
   struct fix fix;
-  fix_init (&fix, 1, 1);
+  fix_init (&fix, 2, 1);
   fix_start (&fix);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
+  fix_offer (&fix, 3, FIX_NORMAL);
   cel_set_leaving (fix.cel, "sa", TRUE);
   fix_release (&fix, 1, MSG_RESULT_OK);
-  CU_ASSERT_FALSE (fix_granted (&fix, 2));
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  CU_ASSERT_STRING_EQUAL (fix_find (&fix, MSG_GRANT, 2)->grant.backend.s, "sb");
+  CU_ASSERT_FALSE (fix_granted (&fix, 3));
+  cel_set_leaving (fix.cel, "sb", TRUE);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
   fix_close (&fix);
 }
 
@@ -302,6 +307,65 @@
   fix_close (&fix);
 }
 
+static void
+test_higher_tier_displaces (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 50, FIX_NORMAL);
+  offer_many (&fix, 200, 50, FIX_BATCH);
+  fix.clock.t += CLK_MS;
+  offer_many (&fix, 300, 50, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  /* Beyond its own room the urgent class takes the youngest batch work down
+     to the reserved room, then normal work, then is refused.  */
+  offer_many (&fix, 400, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 249), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 205), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 204), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  offer_many (&fix, 500, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_DISPLACED], 90);
+  fix_offer (&fix, 600, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 600), MSG_REASON_OVERLOAD);
+  fix_close (&fix);
+}
+
+static void
+test_reserved_room (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 60, FIX_BATCH);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 150), MSG_REASON_OVERLOAD);
+  offer_many (&fix, 200, 95, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  /* The normal class's reserved room is left to it. */
+  offer_many (&fix, 300, 5, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 304), MSG_REASON_N);
+  fix_close (&fix);
+}
+
+static void
+test_no_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  cel_set_leaving (fix.cel, "sa", TRUE);
+  fix_offer (&fix, 1, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 1), MSG_REASON_NO_SERVER);
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -318,6 +382,9 @@
   { "a team at its limit waits, others pass", test_team_limit },
   { "a class gets its minimum share of starts", test_minimum_share },
   { "tier order is strict beyond the shares", test_no_share_no_start },
+  { "a higher tier displaces the lowest", test_higher_tier_displaces },
+  { "reserved room is left to its class", test_reserved_room },
+  { "a cell without servers refuses", test_no_server },
   CU_TEST_INFO_NULL,
 };
 
