Limit each engine by its measured time between tokens

Cause: a fixed limit either breaks the tbt target or leaves engines idle. Ruled out: additive increase with halving (needs tens of one-second windows at a limit of 64); lagged load reports as the driver (they describe the past). Change: policy/lim moves the limit once a second to what the requests in flight bore, by target over the 95th percentile estimated from mean and deviation; growth at most 1.5 a window and only if the limit was used; the tightest target holds for 10 s after its work; reports only stop growth (full KV cache, queue) and count others' requests, discounted over 5 s of age.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -144,12 +144,14 @@
   cel_pump (cel);
 }
 
-/* Charges TOKENS that TKT generated since its last report.  */
+/* Charges TOKENS that TKT generated since its last report and learns their
+   mean distance TBT_US, 0 if none was seen.  */
 static void
-note_tokens (struct tkt *tkt, guint32 tokens)
+note_tokens (struct tkt *tkt, guint32 tokens, guint32 tbt_us)
 {
   if (tkt->state == TKT_WAITING)
     return;
+  srv_tokens (tkt->srv, tbt_us, tokens);
   tkt->generated += tokens;
   if (tkt->cls)
     cls_charge (tkt->cls, tkt, tokens);
@@ -178,7 +180,7 @@
       tkt_touch (&cel->tickets, tkt, now);
       if (tkt->state == TKT_GRANTED && now - tkt->granted >= CEL_USE_SEEN_US)
         tkt->state = TKT_RUNNING;
-      note_tokens (tkt, progress->items[i].tokens);
+      note_tokens (tkt, progress->items[i].tokens, progress->items[i].tbt_us);
     }
 }
 
@@ -192,7 +194,7 @@
     return;
   if (release->result == MSG_RESULT_LEAVING && tkt->srv)
     tkt->srv->leaving = TRUE;
-  note_tokens (tkt, release->tokens);
+  note_tokens (tkt, release->tokens, release->tbt_us);
   if (did_not_run (release->result) && tkt->cls && tkt->state != TKT_WAITING)
     cls_charge (tkt->cls, tkt, -(double)tkt->charged);
   cel_drop (cel, tkt);
@@ -224,13 +226,14 @@
   cel_pump (cel);
 }
 
+/* Takes BACKEND's own load report, a hint that lags.  */
 void
 cel_load_report (struct cel *cel, const char *backend,
                  const struct cel_load *load)
 {
-  (void)cel;
-  (void)backend;
-  (void)load;
+  struct srv *srv = cel_find_server (cel, backend);
+  if (srv)
+    srv_load (srv, load, clk_now (cel->clk));
 }
 
 void
@@ -295,6 +298,8 @@
   expire_deadlines (cel, now);
   expire_grants (cel, now);
   expire_silent (cel, now);
+  for (guint i = 0; i < cel->servers->len; i++)
+    srv_tick (cel->servers->pdata[i], now);
   cel_free_idle_gone (cel);
   cel_pump (cel);
 }
--- a/packages/cell/cel_cfg.c
+++ b/packages/cell/cel_cfg.c
@@ -121,6 +121,13 @@
     }
 }
 
+static gboolean
+is_engine (const struct cfg *cfg, const struct cfg_backend *backend)
+{
+  return backend->pool < cfg->n_pools
+         && cfg->pools[backend->pool].kind == CFG_ENGINE;
+}
+
 static void
 take_servers (struct cel *cel, const struct cfg *cfg)
 {
@@ -132,8 +139,12 @@
         continue;
       struct srv *srv = cel_find_server (cel, cfg->backends[j].name.s);
       if (!srv)
-        g_ptr_array_add (cel->servers, srv = srv_new (&cfg->backends[j]));
+        g_ptr_array_add (cel->servers,
+                         srv = srv_new (&cfg->backends[j],
+                                        is_engine (cfg, &cfg->backends[j]),
+                                        clk_now (cel->clk)));
       srv->cfg = cfg->backends[j];
+      srv->scale = cfg->limit_scale;
       srv->gone = FALSE;
     }
   cel_free_idle_gone (cel);
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -71,9 +71,10 @@
 }
 
 static void
-count_running (struct tkt *tkt, struct srv *srv)
+count_running (struct cel *cel, struct tkt *tkt, struct srv *srv)
 {
-  srv_take (srv, tkt);
+  tkt->granted = clk_now (cel->clk);
+  srv_take (srv, tkt, tkt->granted);
   tkt->team->n_running++;
   if (tkt->cls)
     tkt->cls->n_running++;
@@ -108,8 +109,7 @@
   count_shares (cel, tkt->cls);
   cel_unqueue (cel, tkt);
   tkt->state = TKT_GRANTED;
-  tkt->granted = clk_now (cel->clk);
-  count_running (tkt, srv);
+  count_running (cel, tkt, srv);
   charge_start (cel, tkt);
   ctr_add (cel->ctr, CTR_GRANTS, 1);
   cel_send_grant (cel, tkt);
@@ -122,8 +122,7 @@
 {
   attach (tkt, cls, team);
   tkt->state = TKT_RUNNING;
-  tkt->granted = clk_now (cel->clk);
-  count_running (tkt, srv);
+  count_running (cel, tkt, srv);
 }
 
 /* Forgets TKT in whatever state it is, without a message.  */
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -366,6 +366,65 @@
   fix_close (&fix);
 }
 
+/* Serves urgent work for SECONDS on an engine whose time between tokens is
+   10 ms and 1 ms more for each request in flight; all stay in flight.  */
+static guint
+settle_limit (struct fix *fix, guint seconds)
+{
+  guint granted = 0;
+  for (guint i = 0; i < seconds; i++)
+    {
+      offer_many (fix, 1 + 100 * i, 20, FIX_URGENT);
+      granted = (guint)fix->ctr.v[CTR_GRANTS];
+      for (guint j = 0; j < fix->n_sent; j++)
+        if (fix->sent[j].msg.kind == MSG_GRANT)
+          fix_progress (fix, fix->sent[j].msg.grant.ticket, 50,
+                        10 * CLK_MS + granted * CLK_MS);
+      fix_wait (fix, CLK_S);
+    }
+  return granted;
+}
+
+static void
+test_limit_meets_the_target (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 64);
+  fix_start (&fix);
+  /* 20 requests take 30 ms between tokens; the hard limit is 64. */
+  guint granted = settle_limit (&fix, 8);
+  CU_ASSERT_EQUAL (granted, 32); /* the start; all stay in flight */
+  fix_close (&fix);
+  fix_init (&fix, 1, 24);
+  fix_start (&fix);
+  granted = settle_limit (&fix, 8);
+  CU_ASSERT_TRUE (granted >= 16 && granted <= 20);
+  fix_close (&fix);
+}
+
+static void
+test_foreign_load (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 4);
+  fix_start (&fix);
+  struct cel_load load = { .running = 3, .age_us = 0 };
+  cel_load_report (fix.cel, "sa", &load);
+  fix_wait (&fix, CEL_TICK_US);
+  offer_many (&fix, 1, 4, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 2); /* others' 3, discounted by age */
+  fix_progress (&fix, 1, 0, 0);
+  fix_progress (&fix, 2, 0, 0);
+  for (guint i = 0; i < 5; i++)
+    {
+      fix_wait (&fix, CLK_S);
+      for (guint64 t = 1; t <= 4; t++)
+        fix_progress (&fix, t, 0, 0);
+    }
+  CU_ASSERT_TRUE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -385,6 +444,8 @@
   { "a higher tier displaces the lowest", test_higher_tier_displaces },
   { "reserved room is left to its class", test_reserved_room },
   { "a cell without servers refuses", test_no_server },
+  { "the limit meets the tightest target", test_limit_meets_the_target },
+  { "others' load counts while its report is fresh", test_foreign_load },
   CU_TEST_INFO_NULL,
 };
 
