--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -101,29 +101,35 @@
     }
 }
 
+static void
+offer_new (struct cel *cel, const char *from, const struct msg_offer *offer)
+{
+  struct cls *cls = cel_find_class (cel, offer->class_name.s);
+  struct tkt *tkt = NULL;
+  if (!cls || !cel_takes_work (cel))
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
+  else if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls)
+           || !(tkt = tkt_add (&cel->tickets, from, offer->ticket,
+                               clk_now (cel->clk))))
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
+  if (!tkt)
+    return;
+  fill_ticket (cel, tkt, offer);
+  cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
+  cel_pump (cel);
+}
+
 /* Takes a ticket: queues it, grants it, or refuses it at once.  */
 void
 cel_offer (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct tkt *tkt = tkt_find (&cel->tickets, from, offer->ticket);
-  struct cls *cls = cel_find_class (cel, offer->class_name.s);
   if (tkt)
     offer_again (cel, from, tkt, offer);
   else if (offer->running.s[0])
     offer_running (cel, from, offer);
-  else if (!cls)
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
-  else if (cls->n_waiting >= cls->cfg.max_waiting)
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
-  else if (!(tkt = tkt_add (&cel->tickets, from, offer->ticket,
-                            clk_now (cel->clk))))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
   else
-    {
-      fill_ticket (cel, tkt, offer);
-      cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
-      cel_pump (cel);
-    }
+    offer_new (cel, from, offer);
 }
 
 /* Forgets a ticket that its entry gave up.  */
@@ -138,12 +144,14 @@
   cel_pump (cel);
 }
 
-/* Charges TOKENS that TKT generated since its last report.  */
+/* Charges TOKENS that TKT generated since its last report and learns their
+   mean distance TBT_US, 0 if none was seen.  */
 static void
-note_tokens (struct tkt *tkt, guint32 tokens)
+note_tokens (struct cel *cel, struct tkt *tkt, guint32 tokens, guint32 tbt_us)
 {
   if (tkt->state == TKT_WAITING)
     return;
+  srv_tokens (tkt->srv, tbt_us, tokens, clk_now (cel->clk));
   tkt->generated += tokens;
   if (tkt->cls)
     cls_charge (tkt->cls, tkt, tokens);
@@ -172,7 +180,8 @@
       tkt_touch (&cel->tickets, tkt, now);
       if (tkt->state == TKT_GRANTED && now - tkt->granted >= CEL_USE_SEEN_US)
         tkt->state = TKT_RUNNING;
-      note_tokens (tkt, progress->items[i].tokens);
+      note_tokens (cel, tkt, progress->items[i].tokens,
+                   progress->items[i].tbt_us);
     }
 }
 
@@ -184,13 +193,14 @@
   struct tkt *tkt = tkt_find (&cel->tickets, from, release->ticket);
   if (!tkt)
     return;
-  if (release->result == MSG_RESULT_LEAVING && tkt->srv)
-    tkt->srv->leaving = TRUE;
-  note_tokens (tkt, release->tokens);
+  if (tkt->srv)
+    srv_result (tkt->srv, release);
+  note_tokens (cel, tkt, release->tokens, release->tbt_us);
   if (did_not_run (release->result) && tkt->cls && tkt->state != TKT_WAITING)
     cls_charge (tkt->cls, tkt, -(double)tkt->charged);
   cel_drop (cel, tkt);
   cel_free_idle_gone (cel);
+  cel_refuse_unless_served (cel);
   cel_pump (cel);
 }
 
@@ -213,16 +223,18 @@
   if (!srv)
     return;
   srv->leaving = leaving;
+  cel_refuse_unless_served (cel);
   cel_pump (cel);
 }
 
+/* Takes BACKEND's own load report, a hint that lags.  */
 void
 cel_load_report (struct cel *cel, const char *backend,
                  const struct cel_load *load)
 {
-  (void)cel;
-  (void)backend;
-  (void)load;
+  struct srv *srv = cel_find_server (cel, backend);
+  if (srv)
+    srv_load (srv, load, clk_now (cel->clk));
 }
 
 void
@@ -280,6 +292,22 @@
     }
 }
 
+static void
+review_health (struct cel *cel, gint64 now)
+{
+  struct hea *peers[CEL_SERVERS_MAX];
+  guint n = 0;
+  for (guint i = 0; i < cel->servers->len && n < CEL_SERVERS_MAX; i++)
+    {
+      struct srv *srv = cel->servers->pdata[i];
+      srv_tick (srv, now);
+      if (srv_takes_work (srv))
+        peers[n++] = &srv->hea;
+    }
+  ctr_add (cel->ctr, CTR_EJECTIONS, hea_review (peers, n, now, cel->rand));
+}
+
+/* Expires deadlines, grants and silent tickets, reviews the servers.  */
 void
 cel_tick (struct cel *cel)
 {
@@ -287,6 +315,7 @@
   expire_deadlines (cel, now);
   expire_grants (cel, now);
   expire_silent (cel, now);
+  review_health (cel, now);
   cel_free_idle_gone (cel);
   cel_pump (cel);
 }
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -77,13 +77,19 @@
 test_leaving_gets_nothing (void)
 {
   struct fix fix;
-  fix_init (&fix, 1, 1);
+  fix_init (&fix, 2, 1);
   fix_start (&fix);
-  fix_offer (&fix, 1, FIX_NORMAL);
-  fix_offer (&fix, 2, FIX_NORMAL);
-  cel_set_leaving (fix.cel, "sa", TRUE);
+  for (guint64 t = 1; t <= 4; t++)
+    fix_offer (&fix, t, FIX_NORMAL);
+  struct str_id left = fix_find (&fix, MSG_GRANT, 1)->grant.backend;
+  struct str_id stays = fix_find (&fix, MSG_GRANT, 2)->grant.backend;
+  CU_ASSERT_STRING_NOT_EQUAL (left.s, stays.s);
+  cel_set_leaving (fix.cel, left.s, TRUE);
   fix_release (&fix, 1, MSG_RESULT_OK);
-  CU_ASSERT_FALSE (fix_granted (&fix, 2));
+  CU_ASSERT_FALSE (fix_granted (&fix, 3));
+  fix_release (&fix, 2, MSG_RESULT_LEAVING);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
   fix_close (&fix);
 }
 
@@ -302,6 +308,189 @@
   fix_close (&fix);
 }
 
+static void
+test_higher_tier_displaces (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 50, FIX_NORMAL);
+  offer_many (&fix, 200, 50, FIX_BATCH);
+  fix.clock.t += CLK_MS;
+  offer_many (&fix, 300, 50, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  /* Beyond its own room the urgent class takes the youngest batch work down
+     to the reserved room, then normal work, then is refused.  */
+  offer_many (&fix, 400, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 249), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 205), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 204), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  offer_many (&fix, 500, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_DISPLACED], 90);
+  fix_offer (&fix, 600, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 600), MSG_REASON_OVERLOAD);
+  fix_close (&fix);
+}
+
+static void
+test_reserved_room (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 60, FIX_BATCH);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 150), MSG_REASON_OVERLOAD);
+  offer_many (&fix, 200, 95, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  /* The normal class's reserved room is left to it. */
+  offer_many (&fix, 300, 5, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 304), MSG_REASON_N);
+  fix_close (&fix);
+}
+
+static void
+test_no_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  cel_set_leaving (fix.cel, "sa", TRUE);
+  fix_offer (&fix, 1, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 1), MSG_REASON_NO_SERVER);
+  fix_close (&fix);
+}
+
+/* Serves urgent work for SECONDS on an engine whose time between tokens is
+   10 ms and 1 ms more for each request in flight; all stay in flight.  */
+static guint
+settle_limit (struct fix *fix, guint seconds)
+{
+  guint granted = 0;
+  for (guint i = 0; i < seconds; i++)
+    {
+      offer_many (fix, 1 + 100 * i, 20, FIX_URGENT);
+      granted = (guint)fix->ctr.v[CTR_GRANTS];
+      for (guint j = 0; j < fix->n_sent; j++)
+        if (fix->sent[j].msg.kind == MSG_GRANT)
+          fix_progress (fix, fix->sent[j].msg.grant.ticket, 50,
+                        10 * CLK_MS + granted * CLK_MS);
+      fix_wait (fix, CLK_S);
+    }
+  return granted;
+}
+
+static void
+test_limit_meets_the_target (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 64);
+  fix_start (&fix);
+  /* 20 requests take 30 ms between tokens; the hard limit is 64. */
+  guint granted = settle_limit (&fix, 8);
+  CU_ASSERT_EQUAL (granted, 32); /* the start; all stay in flight */
+  fix_close (&fix);
+  fix_init (&fix, 1, 24);
+  fix_start (&fix);
+  granted = settle_limit (&fix, 8);
+  CU_ASSERT_TRUE (granted >= 16 && granted <= 20);
+  fix_close (&fix);
+}
+
+static void
+test_foreign_load (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 4);
+  fix_start (&fix);
+  struct cel_load load = { .running = 3, .age_us = 0 };
+  cel_load_report (fix.cel, "sa", &load);
+  fix_wait (&fix, CEL_TICK_US);
+  offer_many (&fix, 1, 4, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 2); /* others' 3, discounted by age */
+  fix_progress (&fix, 1, 0, 0);
+  fix_progress (&fix, 2, 0, 0);
+  for (guint i = 0; i < 5; i++)
+    {
+      fix_wait (&fix, CLK_S);
+      for (guint64 t = 1; t <= 4; t++)
+        fix_progress (&fix, t, 0, 0);
+    }
+  CU_ASSERT_TRUE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
+#define ROUND 14 /* requests at once, more than three servers start with */
+
+/* Ends ticket TICKET if it was granted. Returns whether BAD had it.  */
+static gboolean
+serve_one (struct fix *fix, guint64 ticket, const char *bad, guint32 tbt_us,
+           enum msg_result result)
+{
+  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
+  gboolean is_bad = msg && strcmp (msg->grant.backend.s, bad) == 0;
+  if (msg)
+    fix_progress (fix, ticket, 20, is_bad ? tbt_us : 20 * CLK_MS);
+  fix_release (fix, ticket, is_bad ? result : MSG_RESULT_OK);
+  return is_bad;
+}
+
+/* Serves ROUNDS rounds of short requests of normal work; the server BAD takes
+   TBT_US between tokens and ends with RESULT. Returns how many BAD got.  */
+static guint
+serve_rounds (struct fix *fix, guint rounds, const char *bad, guint32 tbt_us,
+              enum msg_result result)
+{
+  static guint64 ticket = 1;
+  guint count = 0;
+  for (guint i = 0; i < rounds; i++)
+    {
+      offer_many (fix, ticket, ROUND, FIX_NORMAL);
+      for (guint j = 0; j < ROUND; j++)
+        count += serve_one (fix, ticket++, bad, tbt_us, result);
+      fix_wait (fix, CEL_TICK_US);
+    }
+  return count;
+}
+
+static void
+test_straggler_with_good_reports (void)
+{
+  struct fix fix;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  for (guint i = 0; i < 8; i++)
+    {
+      struct cel_load load = { .running = 0, .kv_used = 0.1 };
+      cel_load_report (fix.cel, "sb", &load);
+      serve_rounds (&fix, 2, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+    }
+  CU_ASSERT_TRUE (fix.ctr.v[CTR_EJECTIONS] >= 1);
+  guint count = serve_rounds (&fix, 400, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (count > 0 && count <= 40);
+  serve_rounds (&fix, 800, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  count = serve_rounds (&fix, 400, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (count >= 700); /* half its even part of 1400 */
+  fix_close (&fix);
+}
+
+static void
+test_crashed_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  guint count = serve_rounds (&fix, 400, "sb", 0, MSG_RESULT_NOT_SENT);
+  CU_ASSERT_TRUE (count <= 20); /* 1400 by an even share */
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -318,6 +507,13 @@
   { "a team at its limit waits, others pass", test_team_limit },
   { "a class gets its minimum share of starts", test_minimum_share },
   { "tier order is strict beyond the shares", test_no_share_no_start },
+  { "a higher tier displaces the lowest", test_higher_tier_displaces },
+  { "reserved room is left to its class", test_reserved_room },
+  { "a cell without servers refuses", test_no_server },
+  { "the limit meets the tightest target", test_limit_meets_the_target },
+  { "others' load counts while its report is fresh", test_foreign_load },
+  { "good reports do not save a straggler", test_straggler_with_good_reports },
+  { "a crashed server gets few requests", test_crashed_server },
   CU_TEST_INFO_NULL,
 };
 
