--- a/packages/wire/wir_codec.c
+++ b/packages/wire/wir_codec.c
@@ -430,8 +430,9 @@
   for (gsize i = 0; i < s.n; i++)
     if (!g_ascii_isgraph (s.p[i]))
       return FALSE;
-  memcpy (text, s.p, s.n);
-  memset (text + s.n, 0, size - s.n);
+  memset (text, 0, size);
+  if (s.n > 0)
+    memcpy (text, s.p, s.n);
   return TRUE;
 }
 
--- /dev/null
+++ b/tests/unit/test_mem.c
@@ -0,0 +1,438 @@
+#include "unit/unit.h"
+
+#include "member/mem.h"
+
+#include <string.h>
+
+#define NODES 6
+#define SEEDS 300
+#define DELAY_MAX_MS 900 /* of a heartbeat while faults last */
+#define FAULT_STEPS 200  /* of STEP_MS */
+#define STEP_MS 100
+#define NAMES 500
+
+static struct chr *chart;
+
+static int
+load_chart (void)
+{
+  return mem_chart_load (JW_SOURCE_DIR "/charts", &chart, NULL);
+}
+
+static int
+free_chart (void)
+{
+  chr_free (chart);
+  return 0;
+}
+
+static struct mem *
+make (const struct clk *clk, const char *id, const char *domain,
+      guint64 incarnation)
+{
+  struct mem_options options = { .clk = clk, .chart = chart };
+  str_id_set (&options.self.id, str_of (id));
+  str_id_set (&options.self.domain, str_of (domain));
+  options.self.incarnation = incarnation;
+  return mem_new (&options);
+}
+
+static struct msg_heartbeat
+beat (guint64 incarnation, guint64 sequence, gboolean leaving)
+{
+  return (struct msg_heartbeat){ .incarnation = incarnation,
+                                 .sequence = sequence,
+                                 .domain = { "kgn-a" },
+                                 .leaving = leaving };
+}
+
+static int
+hear (struct mem *mem, const char *from, struct msg_heartbeat heartbeat,
+      struct mem_change *change)
+{
+  return mem_heartbeat (mem, from, &heartbeat, change);
+}
+
+static void
+test_life (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  CU_ASSERT_TRUE (mem_find (mem, "a")->live);
+  CU_ASSERT_EQUAL (hear (mem, "b", beat (5, 1, FALSE), &change), 0);
+  CU_ASSERT_TRUE (change.view);
+  hear (mem, "b", beat (5, 2, FALSE), &change);
+  CU_ASSERT_FALSE (change.view);
+  hear (mem, "b", beat (5, 3, TRUE), &change);
+  CU_ASSERT_TRUE (change.view);
+  CU_ASSERT_EQUAL (mem_find (mem, "b")->state, MEM_LEAVING);
+  CU_ASSERT_STRING_EQUAL (change.lost.s, "");
+  clk.t += MEM_SUSPECT_US - 1;
+  mem_tick (mem, &change);
+  CU_ASSERT_FALSE (change.view);
+  clk.t += 1;
+  mem_tick (mem, &change);
+  CU_ASSERT_STRING_EQUAL (change.lost.s, "b");
+  CU_ASSERT_EQUAL (mem_find (mem, "b")->state, MEM_DOWN);
+  hear (mem, "b", beat (5, 3, FALSE), &change); /* a repeat changes nothing */
+  CU_ASSERT_FALSE (mem_find (mem, "b")->live);
+  clk.t += MEM_FORGET_US;
+  mem_tick (mem, &change);
+  CU_ASSERT_FALSE (change.view);
+  CU_ASSERT_PTR_NULL (mem_find (mem, "b"));
+  CU_ASSERT_TRUE (mem_find (mem, "a")->live);
+  mem_free (mem);
+}
+
+static void
+test_incarnations (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 7);
+  hear (mem, "b", beat (5, 9, FALSE), &change);
+  hear (mem, "b", beat (4, 10, TRUE), &change);
+  CU_ASSERT_EQUAL (mem_find (mem, "b")->sequence, 9);
+  CU_ASSERT_EQUAL (mem_find (mem, "b")->state, MEM_LIVE);
+  hear (mem, "b", beat (6, 1, FALSE), &change);
+  CU_ASSERT_STRING_EQUAL (change.lost.s, "b");
+  CU_ASSERT_TRUE (change.view);
+  CU_ASSERT_TRUE (mem_find (mem, "b")->live);
+  CU_ASSERT_EQUAL (hear (mem, "a", beat (7, 3, FALSE), &change), 0);
+  CU_ASSERT_EQUAL (hear (mem, "a", beat (8, 1, FALSE), &change), ERR_CONFLICT);
+  CU_ASSERT_EQUAL (hear (mem, "", beat (8, 1, FALSE), &change), ERR_INVALID);
+  mem_free (mem);
+}
+
+static void
+test_limit (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  char id[16];
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  for (guint i = 1; i < MEM_INSTANCES_MAX; i++)
+    {
+      g_snprintf (id, sizeof id, "n%u", i);
+      CU_ASSERT_EQUAL (hear (mem, id, beat (1, 1, FALSE), &change), 0);
+    }
+  CU_ASSERT_EQUAL (hear (mem, "z", beat (1, 1, FALSE), &change), ERR_LIMIT);
+  mem_free (mem);
+}
+
+static void
+name_of (guint i, char *text, gsize size)
+{
+  g_snprintf (text, (gulong)size, "kgn-a.chat.%u", i);
+}
+
+static const char *
+owner_id (const struct mem *mem, guint name, guint rank)
+{
+  char text[32];
+  name_of (name, text, sizeof text);
+  const struct mem_instance *owner = mem_owner (mem, str_of (text), rank);
+  return owner ? owner->id.s : "";
+}
+
+/* Only live, not leaving instances of the own failure domain own names; the
+   ranks name each of them once.  */
+static void
+test_owner_candidates (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  CU_ASSERT_STRING_EQUAL (owner_id (mem, 1, 0), "a");
+  CU_ASSERT_STRING_EQUAL (owner_id (mem, 1, 1), "");
+  struct msg_heartbeat far = beat (1, 1, FALSE);
+  str_id_set (&far.domain, STR_LIT ("mbj-a"));
+  hear (mem, "far", far, &change);
+  hear (mem, "b", beat (1, 1, FALSE), &change);
+  hear (mem, "c", beat (1, 1, TRUE), &change);
+  for (guint i = 0; i < NAMES; i++)
+    {
+      const char *first = owner_id (mem, i, 0);
+      const char *second = owner_id (mem, i, 1);
+      CU_ASSERT_TRUE (strcmp (first, "a") == 0 || strcmp (first, "b") == 0);
+      CU_ASSERT_TRUE (strcmp (second, "a") == 0 || strcmp (second, "b") == 0);
+      CU_ASSERT_STRING_NOT_EQUAL (first, second);
+      CU_ASSERT_STRING_EQUAL (owner_id (mem, i, 2), "");
+    }
+  mem_set_leaving (mem, TRUE);
+  CU_ASSERT_STRING_EQUAL (owner_id (mem, 1, 0), "b");
+  hear (mem, "b", beat (1, 2, TRUE), &change);
+  CU_ASSERT_STRING_EQUAL (owner_id (mem, 1, 0), "a");
+  mem_free (mem);
+}
+
+/* The loss of an instance moves its names, and only these, to their second
+   choice; the shares are near even.  */
+static void
+test_owner_moves (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  hear (mem, "b", beat (1, 1, FALSE), &change);
+  hear (mem, "c", beat (1, 1, FALSE), &change);
+  hear (mem, "d", beat (1, 1, FALSE), &change);
+  char before[NAMES][2][8];
+  guint owned = 0;
+  for (guint i = 0; i < NAMES; i++)
+    for (guint rank = 0; rank < 2; rank++)
+      g_strlcpy (before[i][rank], owner_id (mem, i, rank), 8);
+  hear (mem, "b", beat (1, 2, TRUE), &change);
+  for (guint i = 0; i < NAMES; i++)
+    {
+      gboolean was_lost = strcmp (before[i][0], "b") == 0;
+      owned += was_lost;
+      CU_ASSERT_STRING_EQUAL (owner_id (mem, i, 0),
+                              before[i][was_lost ? 1 : 0]);
+    }
+  CU_ASSERT_TRUE (owned > NAMES / 8 && owned < NAMES / 2);
+  mem_free (mem);
+}
+
+/* A heartbeat on its way. */
+struct flight
+{
+  gint64 due;
+  guint from;
+  guint to;
+  struct msg_heartbeat heartbeat;
+};
+
+/* Several cores, one clock, and a network that a seed makes faulty. */
+struct fleet
+{
+  struct clk_fake clk;
+  GRand *rand;
+  struct mem *mem[NODES]; /* NULL: down */
+  guint64 incarnation[NODES];
+  GArray *flights; /* struct flight */
+  gboolean faulty;
+};
+
+static const char *const ids[NODES] = { "a", "b", "c", "d", "e", "f" };
+
+static void
+start (struct fleet *fleet, guint node)
+{
+  fleet->incarnation[node]++;
+  fleet->mem[node]
+      = make (&fleet->clk.clk, ids[node], "kgn-a", fleet->incarnation[node]);
+}
+
+static void
+send_one (struct fleet *fleet, guint from, guint to,
+          const struct msg_heartbeat *heartbeat)
+{
+  guint copies = 1;
+  if (fleet->faulty && g_rand_int_range (fleet->rand, 0, 100) < 30)
+    copies = (guint)g_rand_int_range (fleet->rand, 0, 2) * 2; /* 0 or 2 */
+  for (guint i = 0; i < copies; i++)
+    {
+      gint32 delay_ms
+          = fleet->faulty ? g_rand_int_range (fleet->rand, 0, DELAY_MAX_MS) : 1;
+      struct flight flight
+          = { fleet->clk.t + delay_ms * CLK_MS, from, to, *heartbeat };
+      g_array_append_val (fleet->flights, flight);
+    }
+}
+
+static void
+send_all (struct fleet *fleet, guint from)
+{
+  struct msg_heartbeat heartbeat;
+  mem_fill_heartbeat (fleet->mem[from], &heartbeat);
+  for (guint to = 0; to < NODES; to++)
+    if (to != from)
+      send_one (fleet, from, to, &heartbeat);
+}
+
+/* The view never goes back to an older incarnation.  */
+static void
+deliver (struct fleet *fleet, const struct flight *flight)
+{
+  struct mem *mem = fleet->mem[flight->to];
+  struct mem_change change;
+  if (mem == NULL)
+    return;
+  const struct mem_instance *known = mem_find (mem, ids[flight->from]);
+  guint64 before = known ? known->incarnation : 0;
+  CU_ASSERT_EQUAL (
+      mem_heartbeat (mem, ids[flight->from], &flight->heartbeat, &change), 0);
+  known = mem_find (mem, ids[flight->from]);
+  CU_ASSERT_TRUE (known->incarnation >= before);
+}
+
+/* After a tick nobody who is silent for too long is live.  */
+static void
+check_not_silent (void *ctx, const struct mem_instance *instance)
+{
+  const struct clk_fake *clk = ctx;
+  CU_ASSERT_TRUE (!instance->live || clk->t - instance->heard < MEM_SUSPECT_US);
+}
+
+static void
+step (struct fleet *fleet)
+{
+  fleet->clk.t += STEP_MS * CLK_MS;
+  for (guint i = fleet->flights->len; i-- > 0;)
+    {
+      struct flight flight = g_array_index (fleet->flights, struct flight, i);
+      if (flight.due > fleet->clk.t)
+        continue;
+      g_array_remove_index_fast (fleet->flights, i);
+      deliver (fleet, &flight);
+    }
+  gboolean beat_due = fleet->clk.t % MEM_HEARTBEAT_US == 0;
+  for (guint i = 0; i < NODES; i++)
+    {
+      struct mem_change change = { 0 };
+      if (fleet->mem[i] == NULL)
+        continue;
+      if (beat_due)
+        send_all (fleet, i);
+      do
+        mem_tick (fleet->mem[i], &change);
+      while (change.view);
+      mem_each (fleet->mem[i], check_not_silent, &fleet->clk);
+    }
+}
+
+static void
+restart_some (struct fleet *fleet)
+{
+  guint node = (guint)g_rand_int_range (fleet->rand, 0, NODES);
+  if (fleet->mem[node] == NULL)
+    start (fleet, node);
+  else if (g_rand_boolean (fleet->rand))
+    g_clear_pointer (&fleet->mem[node], mem_free);
+  else
+    mem_set_leaving (fleet->mem[node], g_rand_boolean (fleet->rand));
+}
+
+/* Tells whether MEM shows node J as it is.  */
+static gboolean
+shows (const struct fleet *fleet, const struct mem *mem, guint j)
+{
+  const struct mem_instance *at = mem_find (mem, ids[j]);
+  gboolean live = at != NULL && at->live;
+  if (live != (fleet->mem[j] != NULL))
+    return FALSE;
+  return !live
+         || (at->incarnation == fleet->incarnation[j]
+             && at->leaving == mem_find (fleet->mem[j], ids[j])->leaving);
+}
+
+static gboolean
+same_owners (const struct mem *a, const struct mem *b)
+{
+  for (guint name = 0; name < 20; name++)
+    if (strcmp (owner_id (a, name, 0), owner_id (b, name, 0)) != 0)
+      return FALSE;
+  return TRUE;
+}
+
+/* Every running view holds the same live set, that of the running nodes, and
+   the same owners, unless all are leaving.  */
+static gboolean
+converged (const struct fleet *fleet)
+{
+  const struct mem *staying = NULL;
+  for (guint i = 0; i < NODES; i++)
+    if (fleet->mem[i] != NULL && !mem_find (fleet->mem[i], ids[i])->leaving)
+      staying = fleet->mem[i];
+  for (guint i = 0; i < NODES; i++)
+    {
+      if (fleet->mem[i] == NULL)
+        continue;
+      for (guint j = 0; j < NODES; j++)
+        if (!shows (fleet, fleet->mem[i], j))
+          return FALSE;
+      if (staying != NULL && !same_owners (staying, fleet->mem[i]))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+run_seed (guint32 seed)
+{
+  struct fleet fleet = { .rand = g_rand_new_with_seed (seed), .faulty = TRUE };
+  clk_fake_init (&fleet.clk, 0);
+  fleet.flights = g_array_new (FALSE, FALSE, sizeof (struct flight));
+  for (guint i = 0; i < NODES; i++)
+    start (&fleet, i);
+  for (guint i = 0; i < FAULT_STEPS; i++)
+    {
+      step (&fleet);
+      if (g_rand_int_range (fleet.rand, 0, 10) == 0)
+        restart_some (&fleet);
+    }
+  fleet.faulty = FALSE;
+  gint64 quiet = DELAY_MAX_MS * CLK_MS + MEM_SUSPECT_US + MEM_HEARTBEAT_US;
+  for (gint64 t = 0; t <= quiet; t += STEP_MS * CLK_MS)
+    step (&fleet);
+  gboolean ok = converged (&fleet);
+  for (guint i = 0; i < NODES; i++)
+    mem_free (fleet.mem[i]);
+  g_array_unref (fleet.flights);
+  g_rand_free (fleet.rand);
+  return ok;
+}
+
+static void
+test_schedules (void)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    if (!run_seed (seed))
+      {
+        g_print ("seed %u does not converge\n", seed);
+        CU_FAIL ("views differ after the faults stopped");
+      }
+}
+
+static void
+test_dump (void)
+{
+  struct clk_fake clk;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  JsonBuilder *json = json_builder_new ();
+  mem_dump (mem, json);
+  JsonNode *root = json_builder_get_root (json);
+  JsonObject *self
+      = json_array_get_object_element (json_node_get_array (root), 0);
+  CU_ASSERT_STRING_EQUAL (json_object_get_string_member (self, "state"),
+                          "live");
+  json_node_unref (root);
+  g_object_unref (json);
+  mem_free (mem);
+}
+
+static CU_TestInfo tests[] = {
+  { "an instance comes, leaves, falls silent and is forgotten", test_life },
+  { "restarts and own-id conflicts are told", test_incarnations },
+  { "a failure domain's instances are bounded", test_limit },
+  { "owners are live, staying and of the domain", test_owner_candidates },
+  { "a loss moves only the lost one's names", test_owner_moves },
+  { "views converge after faults", test_schedules },
+  { "the dump shows the state's name", test_dump },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "member", load_chart, free_chart, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
