Follow the platform's objects in the node; ask engines for their load

Cause: instances read the configuration once a second from the store; the target needs few watches and versions that never go back. The tree was taken. Change: nod_config over the follower cft, prb asks for load and cache events. Conclusion: to be shown by the process tests.

--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -1,6 +1,7 @@
 #include "jacinthward/dmn.h"
 
 #include "backend/bkd.h"
+#include "backend/prb.h"
 #include "base/clk.h"
 #include "base/ctr.h"
 #include "base/log.h"
@@ -21,8 +22,10 @@
   struct nod *nod;
   struct wir *wir;
   struct bkd *bkd;
+  struct prb *prb;
   struct ent *ent;
   struct plt_http *platform;
+  guint ask;           /* GLib source */
   guint tick;        /* GLib source */
   guint grace;       /* GLib source; 0: none */
   gboolean stopping; /* a shutdown has begun */
@@ -140,6 +143,51 @@
   return G_SOURCE_CONTINUE;
 }
 
+static void
+on_load (void *ctx, const char *backend, const struct cel_load *load,
+         gboolean leaving)
+{
+  struct nod_event event = { .kind = NOD_LOAD };
+  event.load.backend = backend;
+  event.load.load = *load;
+  event.load.leaving = leaving;
+  raise_event (ctx, &event);
+}
+
+static void
+on_cache (void *ctx, const char *backend, guint64 prefix, gboolean held)
+{
+  struct nod_event event = { .kind = NOD_CACHE };
+  event.cache.backend = backend;
+  event.cache.prefix = prefix;
+  event.cache.held = held;
+  raise_event (ctx, &event);
+}
+
+/* Asks the engines of the cells served here.  */
+static gboolean
+on_ask (gpointer data)
+{
+  struct dmn *dmn = data;
+  const struct cfg *cfg = nod_config (dmn->nod);
+  for (guint i = 0; cfg != NULL && i < cfg->n_backends; i++)
+    {
+      const struct cfg_backend *backend = &cfg->backends[i];
+      if (cfg->pools[backend->pool].kind == CFG_ENGINE
+          && nod_serves (dmn->nod, backend))
+        prb_ask (dmn->prb, backend);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+make_probes (struct dmn *dmn)
+{
+  const struct prb_options options
+      = { .load = on_load, .cache = on_cache, .ctx = dmn };
+  dmn->prb = prb_new (&options);
+}
+
 static int
 open_wire (struct dmn *dmn, struct err *err)
 {
@@ -231,6 +279,7 @@
   dmn->loop = g_main_loop_new (NULL, FALSE);
   dmn->platform = plt_http_new (&platform);
   dmn->bkd = bkd_new ();
+  make_probes (dmn);
   if ((code = open_wire (dmn, err)) < 0 || (code = make_node (dmn, err)) < 0
       || (code = open_entry (dmn, err)) < 0)
     {
@@ -238,6 +287,7 @@
       return code;
     }
   dmn->tick = g_timeout_add (TICK_MS, on_tick, dmn);
+  dmn->ask = g_timeout_add ((guint)(PRB_ASK_US / CLK_MS), on_ask, dmn);
   *result = dmn;
   return 0;
 }
@@ -248,9 +298,11 @@
   if (dmn == NULL)
     return;
   g_clear_handle_id (&dmn->tick, g_source_remove);
+  g_clear_handle_id (&dmn->ask, g_source_remove);
   g_clear_handle_id (&dmn->grace, g_source_remove);
   ent_free (dmn->ent);
   bkd_free (dmn->bkd);
+  prb_free (dmn->prb);
   plt_http_free (dmn->platform);
   nod_free (dmn->nod);
   dmn->nod = NULL;
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -97,7 +97,8 @@
   nod->act = options->act;
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
-  nod->budget_at = clk_now (nod->clk);
+  nod->started = clk_now (nod->clk);
+  nod->budget_at = nod->started;
   g_queue_init (&nod->local);
   nod->dialled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   nod->requests
@@ -108,6 +109,8 @@
   nod->infos = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   nod->leaving_servers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  nod->listed_leaving
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   nod->calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   int code = nod_req_init (nod, options->chart_folder, err);
@@ -139,6 +142,7 @@
   g_hash_table_unref (nod->cells);
   g_hash_table_unref (nod->infos);
   g_hash_table_unref (nod->leaving_servers);
+  g_hash_table_unref (nod->listed_leaving);
   g_hash_table_unref (nod->dialled);
   g_queue_clear_full (&nod->local, (GDestroyNotify)msg_free);
   nod_peer_free (nod);
@@ -181,7 +185,7 @@
       nod_config_ask (nod, from, &msg->object_ask);
       break;
     case MSG_OBJECT_BODY:
-      nod_config_body (nod, from, &msg->object_body);
+      nod_config_body (nod, &msg->object_body);
       break;
     case MSG_LEDGER_INTENT:
       nod_led_intent (nod, from, &msg->ledger_intent);
@@ -310,6 +314,13 @@
   return nod->mem;
 }
 
+gboolean
+nod_serves (const struct nod *nod, const struct cfg_backend *backend)
+{
+  return g_hash_table_contains (nod->cells,
+                                nod->cfg->cells[backend->cell].name.s);
+}
+
 gboolean
 nod_ready (const struct nod *nod)
 {
@@ -370,6 +381,8 @@
   ctr_dump (nod->ctr, json);
   json_builder_set_member_name (json, "members");
   mem_dump (nod->mem, json);
+  json_builder_set_member_name (json, "followed");
+  nod_config_dump (nod, json);
   json_builder_set_member_name (json, "requests");
   nod_req_dump (nod, json);
   json_builder_set_member_name (json, "cells");
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -9,6 +9,7 @@
 #include "base/ctr.h"
 #include "cell/cel.h"
 #include "config/cfg.h"
+#include "config/cft.h"
 #include "member/mem.h"
 #include "msg/msg.h"
 #include "store/sto.h"
@@ -222,8 +223,13 @@
 
 /* Takes over configuration CFG if it is newer than the one in force. */
 gboolean nod_set_config (struct nod *nod, struct cfg *cfg);
+int nod_update_config (struct nod *nod, guint64 expected, GBytes *body,
+                       cft_done done, void *ctx);
 const struct cfg *nod_config (const struct nod *nod); /* NULL: none yet */
 const struct mem *nod_members (const struct nod *nod);
+/* Whether this instance serves the cell of BACKEND, so that it should hear of
+   its load. */
+gboolean nod_serves (const struct nod *nod, const struct cfg_backend *backend);
 /* Has a configuration and is not shutting down. */
 gboolean nod_ready (const struct nod *nod);
 guint nod_in_progress (const struct nod *nod);
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -18,14 +18,33 @@
   return strcmp (nod->cfg->domains[domain].name.s, nod->domain.s) == 0;
 }
 
+static gboolean
+is_leaving (const struct nod *nod, const char *server)
+{
+  return g_hash_table_contains (nod->leaving_servers, server)
+         || g_hash_table_contains (nod->listed_leaving, server);
+}
+
+/* Tells CEL which of its servers are leaving.  */
 static void
-apply_known_leaving (const struct nod *nod, struct cel *cel)
+tell_leaving (const struct nod *nod, struct cel *cel)
+{
+  for (guint i = 0; i < nod->cfg->n_backends; i++)
+    {
+      const char *name = nod->cfg->backends[i].name.s;
+      cel_set_leaving (cel, name, is_leaving (nod, name));
+    }
+}
+
+/* Brings the platform's list of leaving servers to the cells.  */
+void
+nod_cell_leaving_changed (struct nod *nod)
 {
   GHashTableIter iter;
-  gpointer name;
-  g_hash_table_iter_init (&iter, nod->leaving_servers);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    cel_set_leaving (cel, name, TRUE);
+  gpointer cel;
+  g_hash_table_iter_init (&iter, nod->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cel))
+    tell_leaving (nod, cel);
 }
 
 /* Returns the cell NAME, made if it was not served here yet; NULL if NAME is
@@ -50,7 +69,7 @@
     .ctx = nod,
   };
   cel = cel_new (&options);
-  apply_known_leaving (nod, cel);
+  tell_leaving (nod, cel);
   g_hash_table_insert (nod->cells, g_strdup (id->s), cel);
   return cel;
 }
@@ -132,7 +151,10 @@
   g_hash_table_iter_init (&iter, nod->cells);
   while (g_hash_table_iter_next (&iter, &name, &cel))
     if (cfg_find_cell (nod->cfg, str_of (name)) >= 0)
-      cel_set_config (cel, nod->cfg);
+      {
+        cel_set_config (cel, nod->cfg);
+        tell_leaving (nod, cel);
+      }
     else
       g_hash_table_iter_remove (&iter);
 }
@@ -153,7 +175,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &cel))
     {
       if (leaving != was)
-        cel_set_leaving (cel, backend, leaving);
+        cel_set_leaving (cel, backend, is_leaving (nod, backend));
       cel_load_report (cel, backend, load);
     }
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -17,6 +17,7 @@
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
 #define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
+#define NOD_WATCHERS_US (200 * CLK_MS) /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
 #define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
@@ -105,6 +106,23 @@
   struct led *led; /* NULL: not served here */
 };
 
+/* An object of the platform that every instance follows. */
+enum nod_followed
+{
+  NOD_CONFIG,
+  NOD_FLEET,
+  NOD_FOLLOWED /* count */
+};
+
+struct nod_follow
+{
+  struct nod *nod;     /* borrowed */
+  guint object;        /* enum nod_followed */
+  struct cft *cft;
+  gboolean push;       /* a version was taken over and is not pushed yet */
+  gboolean from_store; /* it did not come from a peer */
+};
+
 struct nod_budget
 {
   double retries;    /* tokens of the retry budget */
@@ -139,9 +157,11 @@
   struct nod_budget budgets[CFG_CLASSES_MAX];
   gint64 budget_at; /* last refill, microseconds */
 
+  struct nod_follow follows[NOD_FOLLOWED];
   GHashTable *cells;           /* cell name -> struct cel * served here */
   GHashTable *infos;           /* cell name -> struct nod_cell_info * */
   GHashTable *leaving_servers; /* name -> itself; by their own word */
+  GHashTable *listed_leaving;  /* name -> itself; by the platform's list */
   struct nod_led_shard shards[LED_SHARDS];
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
@@ -152,7 +172,7 @@
   gint64 members_at;
   gint64 summary_at;
   gint64 cell_tick_at;
-  gint64 config_at; /* next read of the configuration */
+  gint64 watch_at; /* next choice of the watchers */
 };
 
 /* Who waits for an answer of the platform: a ledger shard, or a followed
@@ -218,6 +238,7 @@
                     const struct cel_load *load, gboolean leaving);
 void nod_cell_cache (struct nod *nod, const char *backend, guint64 prefix,
                      gboolean held);
+void nod_cell_leaving_changed (struct nod *nod);
 void nod_cell_tick (struct nod *nod);
 void nod_cell_send_summaries (struct nod *nod);
 void nod_cell_take_summary (struct nod *nod, const char *from,
@@ -255,8 +276,9 @@
                         const struct sto_answer *answer);
 void nod_config_ask (struct nod *nod, const char *from,
                      const struct msg_object_ask *ask);
-void nod_config_body (struct nod *nod, const char *from,
-                      const struct msg_object_body *body);
+void nod_config_body (struct nod *nod, const struct msg_object_body *body);
+void nod_config_fill (const struct nod *nod, struct msg_heartbeat *heartbeat);
+void nod_config_dump (const struct nod *nod, JsonBuilder *json);
 void nod_config_peer (struct nod *nod, const char *from,
                       const struct msg_heartbeat *heartbeat);
 
