Follow the configuration object: watches, pushes, asks and settled updates

Cause: an accepted configuration must be in force everywhere within seconds and never revert, with two paid watches a failure domain, outages and lost answers. Ruled out: every instance watching (a paid call each); a poll by every instance (seconds late or many reads); telling the operator "failed" when a write's answer is lost (it may stand in the platform); a read-back alone as proof that a write did not run (a delayed one can still take effect: the update writes again with the same expected version and settles the conflict by another read).

--- /dev/null
+++ b/tests/unit/test_cft_sched.c
@@ -0,0 +1,254 @@
+/* Each seed gives one schedule of racing operators, restarts, outages, lost
+   answers and partitions. Everything is checked against the platform's
+   history.  */
+#include "unit/unit.h"
+
+#include "unit/cft_sim.h"
+
+#define SEEDS 300
+#define FAULTS_US (40 * CLK_S)
+#define HEAL_US (15 * CLK_S) /* to converge after the last fault */
+
+static void
+on_result (void *ctx, const struct cft_result *result)
+{
+  struct attempt *attempt = ctx;
+  struct sim *sim = attempt->sim;
+  if (attempt->ended)
+    fault (sim, "an update ended twice");
+  attempt->ended = TRUE;
+  attempt->result = *result;
+  sim->outcomes[result->outcome]++;
+  if (result->outcome != CFT_ACCEPTED)
+    return;
+  if (result->version > newest (sim)
+      || !g_bytes_equal (attempt->body, body_of (sim, result->version)))
+    fault (sim, "an accepted update is not in the platform");
+}
+
+/* An operator updates through instance INDEX what it reads there, or what it
+   heard to be the newest.  */
+static void
+operate (struct sim *sim, guint index)
+{
+  struct cft *cft = sim->nodes[index].cft;
+  struct attempt *attempt = g_new0 (struct attempt, 1);
+  attempt->sim = sim;
+  attempt->body = new_body (sim, 'b');
+  guint64 expected = chance (sim, 0.8) ? cft_version (cft) : newest (sim);
+  if (expected > 0
+      && cft_update (cft, expected, attempt->body, on_result, attempt) == 0)
+    {
+      g_ptr_array_add (sim->attempts, attempt);
+      return;
+    }
+  g_bytes_unref (attempt->body);
+  g_free (attempt);
+}
+
+static void
+start_fault (struct sim *sim)
+{
+  gint64 until = sim->clk.t + between (sim, 200 * CLK_MS, 8 * CLK_S);
+  guint a = (guint)g_rand_int_range (sim->rand, 0, DOMAINS);
+  guint b = (guint)g_rand_int_range (sim->rand, 0, DOMAINS + 1);
+  switch (g_rand_int_range (sim->rand, 0, 6))
+    {
+    case 0:
+      sim->store_down = until;
+      end_watches (sim, NODES, ERR_IO);
+      break;
+    case 1:
+      sim->store_slow = until;
+      break;
+    case 2:
+      sim->store_loses = until;
+      break;
+    case 3:
+      sim->cut[a][b] = sim->cut[b][a] = until;
+      break;
+    case 4:
+      node_start (sim, (guint)g_rand_int_range (sim->rand, 0, NODES));
+      break;
+    default:
+      if (chance (sim, 0.3) && newest (sim) > 0)
+        {
+          g_autoptr (GBytes) bad = new_body (sim, '!');
+          store_write (sim, bad);
+        }
+    }
+}
+
+static void
+act (struct sim *sim)
+{
+  if (chance (sim, 0.015))
+    {
+      guint n = (guint)g_rand_int_range (sim->rand, 1, 4);
+      while (n-- > 0)
+        operate (sim, (guint)g_rand_int_range (sim->rand, 0, NODES));
+    }
+  if (sim->faults && chance (sim, 0.012))
+    start_fault (sim);
+}
+
+static gboolean
+has_converged (const struct sim *sim)
+{
+  for (guint i = 0; i < NODES; i++)
+    if (cft_version (sim->nodes[i].cft) != newest (sim))
+      return FALSE;
+  return TRUE;
+}
+
+/* Ends every fault, and replaces a bad value as its operator would.  */
+static void
+heal (struct sim *sim)
+{
+  sim->faults = FALSE;
+  sim->store_down = sim->store_slow = sim->store_loses = 0;
+  memset (sim->cut, 0, sizeof sim->cut);
+  if (*(const char *)g_bytes_get_data (body_of (sim, newest (sim)), NULL)
+      == '!')
+    {
+      g_autoptr (GBytes) good = new_body (sim, 'b');
+      store_write (sim, good);
+    }
+}
+
+/* An update said not to be in the platform must not be in its history.  */
+static void
+check_attempts (struct sim *sim)
+{
+  for (guint i = 0; i < sim->attempts->len; i++)
+    {
+      const struct attempt *attempt = sim->attempts->pdata[i];
+      gboolean sure = attempt->ended
+                      && (attempt->result.outcome == CFT_REFUSED
+                          || (attempt->result.outcome == CFT_CONFLICT
+                              && !attempt->result.may_have_run));
+      for (guint v = 0; v < sim->history->len && sure; v++)
+        if (g_bytes_equal (sim->history->pdata[v], attempt->body))
+          fault (sim, "an update said not to have run is in the platform");
+    }
+}
+
+struct totals
+{
+  guint outcomes[4];
+  guint restarts;
+  gint64 slowest; /* to converge after the last fault, microseconds */
+  guint64 stale;
+  guint64 rejected;
+};
+
+static void
+run_seed (guint32 seed, struct totals *totals)
+{
+  struct sim sim;
+  sim_init (&sim, seed);
+  sim.faults = TRUE;
+  for (gint64 end = sim.clk.t + FAULTS_US; sim.clk.t < end;)
+    {
+      act (&sim);
+      step (&sim);
+    }
+  heal (&sim);
+  gint64 healed = sim.clk.t;
+  gint64 converged = healed;
+  while (sim.clk.t < healed + HEAL_US)
+    {
+      step (&sim);
+      if (!has_converged (&sim))
+        converged = sim.clk.t;
+    }
+  if (!has_converged (&sim))
+    fault (&sim, "the instances do not converge");
+  check_attempts (&sim);
+  CU_ASSERT_FALSE (sim.failed);
+  if (sim.failed)
+    g_print ("seed %u\n", seed);
+  for (guint i = 0; i < G_N_ELEMENTS (totals->outcomes); i++)
+    totals->outcomes[i] += sim.outcomes[i];
+  totals->slowest = MAX (totals->slowest, converged - healed);
+  for (guint i = 0; i < NODES; i++)
+    {
+      totals->restarts += sim.nodes[i].life - 1;
+      totals->stale += sim.nodes[i].ctr.v[CTR_CONFIG_STALE];
+      totals->rejected += sim.nodes[i].ctr.v[CTR_CONFIG_REJECTED];
+    }
+  sim_clear (&sim);
+}
+
+static void
+test_schedules (void)
+{
+  struct totals totals = { 0 };
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed, &totals);
+  g_print ("%d seeds: %u accepted, %u conflicts, %u refused, %u unknown; %u "
+           "restarts, %" G_GUINT64_FORMAT " stale, %" G_GUINT64_FORMAT
+           " rejected; slowest to converge %.2f s\n",
+           SEEDS, totals.outcomes[CFT_ACCEPTED], totals.outcomes[CFT_CONFLICT],
+           totals.outcomes[CFT_REFUSED], totals.outcomes[CFT_UNKNOWN],
+           totals.restarts, totals.stale, totals.rejected,
+           (double)totals.slowest / CLK_S);
+  for (guint i = 0; i < G_N_ELEMENTS (totals.outcomes); i++)
+    CU_ASSERT_TRUE (totals.outcomes[i] > 0);
+  CU_ASSERT_TRUE (totals.stale > 0);
+  CU_ASSERT_TRUE (totals.rejected > 0);
+}
+
+/* Without faults: the time until an accepted update is in force everywhere,
+   and the calls to the platform, two watches a failure domain.  */
+static void
+test_calm_days (void)
+{
+  gint64 slowest = 0;
+  struct sim sim;
+  sim_init (&sim, 1);
+  while (!has_converged (&sim))
+    step (&sim);
+  for (gint64 end = sim.clk.t + 4 * CLK_S; sim.clk.t < end;)
+    step (&sim);
+  CU_ASSERT_EQUAL (sim.reads, 2 * DOMAINS);
+  guint before = sim.watch_calls;
+  for (gint64 end = sim.clk.t + 60 * CLK_S; sim.clk.t < end;)
+    step (&sim);
+  guint watches = sim.watch_calls - before;
+  CU_ASSERT_EQUAL (watches, 2 * 2 * DOMAINS);
+  for (guint i = 0; i < 100; i++)
+    {
+      gint64 from = sim.clk.t;
+      operate (&sim, i % NODES);
+      step (&sim);
+      step (&sim);
+      while (!has_converged (&sim))
+        step (&sim);
+      slowest = MAX (slowest, sim.clk.t - from);
+      for (gint64 end = sim.clk.t + CLK_S; sim.clk.t < end;)
+        step (&sim);
+    }
+  g_print ("calm: %u reads at the start, %u watches in 60 s of %d domains; "
+           "in force everywhere after at most %.0f ms\n",
+           sim.reads, watches, DOMAINS, (double)slowest / CLK_MS);
+  CU_ASSERT_EQUAL (sim.outcomes[CFT_ACCEPTED], sim.attempts->len);
+  CU_ASSERT_EQUAL (sim.writes, sim.attempts->len);
+  CU_ASSERT_EQUAL (sim.reads, 2 * DOMAINS);
+  CU_ASSERT_TRUE (slowest < CLK_S);
+  CU_ASSERT_FALSE (sim.failed);
+  sim_clear (&sim);
+}
+
+static CU_TestInfo tests[] = {
+  { "seeded schedules keep what must hold", test_schedules },
+  { "calm days cost two watches a failure domain", test_calm_days },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "cft_sched", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
