Eject outliers among the servers and probe them back

Cause: a straggler or a crashed server kept getting its part of the work, a crashed one even more, as it looks idle. Ruled out: trusting load reports (they describe the past; they have no say here); fixed thresholds (they differ by model and load). Change: policy/hea compares tbt, ttft and failures with the median of the peers, at like load; ejection for 2 s doubling up to 64 s with jitter, then probes of at most 2 requests, one in 250 ms (2 s for the highest tier while another server is well); at most a third is ejected, one at least stays; outliers beyond that are held to probes. The choice of a server goes by the share of its limit in use. Growth of the limit now goes by the model tbt ~ requests in flight and so needs no full limit.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -147,11 +147,11 @@
 /* Charges TOKENS that TKT generated since its last report and learns their
    mean distance TBT_US, 0 if none was seen.  */
 static void
-note_tokens (struct tkt *tkt, guint32 tokens, guint32 tbt_us)
+note_tokens (struct cel *cel, struct tkt *tkt, guint32 tokens, guint32 tbt_us)
 {
   if (tkt->state == TKT_WAITING)
     return;
-  srv_tokens (tkt->srv, tbt_us, tokens);
+  srv_tokens (tkt->srv, tbt_us, tokens, clk_now (cel->clk));
   tkt->generated += tokens;
   if (tkt->cls)
     cls_charge (tkt->cls, tkt, tokens);
@@ -180,7 +180,8 @@
       tkt_touch (&cel->tickets, tkt, now);
       if (tkt->state == TKT_GRANTED && now - tkt->granted >= CEL_USE_SEEN_US)
         tkt->state = TKT_RUNNING;
-      note_tokens (tkt, progress->items[i].tokens, progress->items[i].tbt_us);
+      note_tokens (cel, tkt, progress->items[i].tokens,
+                   progress->items[i].tbt_us);
     }
 }
 
@@ -192,9 +193,9 @@
   struct tkt *tkt = tkt_find (&cel->tickets, from, release->ticket);
   if (!tkt)
     return;
-  if (release->result == MSG_RESULT_LEAVING && tkt->srv)
-    tkt->srv->leaving = TRUE;
-  note_tokens (tkt, release->tokens, release->tbt_us);
+  if (tkt->srv)
+    srv_result (tkt->srv, release);
+  note_tokens (cel, tkt, release->tokens, release->tbt_us);
   if (did_not_run (release->result) && tkt->cls && tkt->state != TKT_WAITING)
     cls_charge (tkt->cls, tkt, -(double)tkt->charged);
   cel_drop (cel, tkt);
@@ -291,6 +292,22 @@
     }
 }
 
+static void
+review_health (struct cel *cel, gint64 now)
+{
+  struct hea *peers[CEL_SERVERS_MAX];
+  guint n = 0;
+  for (guint i = 0; i < cel->servers->len && n < CEL_SERVERS_MAX; i++)
+    {
+      struct srv *srv = cel->servers->pdata[i];
+      srv_tick (srv, now);
+      if (srv_takes_work (srv))
+        peers[n++] = &srv->hea;
+    }
+  ctr_add (cel->ctr, CTR_EJECTIONS, hea_review (peers, n, now, cel->rand));
+}
+
+/* Expires deadlines, grants and silent tickets, reviews the servers.  */
 void
 cel_tick (struct cel *cel)
 {
@@ -298,8 +315,7 @@
   expire_deadlines (cel, now);
   expire_grants (cel, now);
   expire_silent (cel, now);
-  for (guint i = 0; i < cel->servers->len; i++)
-    srv_tick (cel->servers->pdata[i], now);
+  review_health (cel, now);
   cel_free_idle_gone (cel);
   cel_pump (cel);
 }
--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -42,6 +42,12 @@
   json_builder_add_string_value (json, srv->cfg.name.s);
   add_int (json, "limit", srv_limit (srv));
   add_int (json, "in_flight", srv->in_flight.length);
+  json_builder_set_member_name (json, "health");
+  json_builder_add_string_value (json, hea_state_name (srv->hea.state));
+  add_int (json, "tbt_us", (gint64)srv->hea.tbt.value);
+  add_int (json, "ttft_us", (gint64)srv->hea.ttft.value);
+  add_double (json, "error_share", srv->hea.errors.value);
+  add_int (json, "foreign", srv->foreign);
   json_builder_set_member_name (json, "takes_work");
   json_builder_add_boolean_value (json, srv_takes_work (srv));
   json_builder_end_object (json);
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -8,6 +8,7 @@
 #include "cell/tem.h"
 #include "cell/tkt.h"
 
+#define CEL_SERVERS_MAX 64 /* with those that left and still have work */
 #define CEL_USE_WITHIN_US (1500 * CLK_MS)   /* told to the entry */
 #define CEL_GRANT_EXPIRY_US (2000 * CLK_MS) /* the slot is freed */
 #define CEL_USE_SEEN_US (250 * CLK_MS)      /* later progress proves the use */
@@ -26,6 +27,7 @@
 
   GPtrArray *classes; /* of struct cls, owned, the highest tier first */
   GPtrArray *servers; /* of struct srv, owned */
+  gboolean any_well;  /* some server takes work and is not on probation */
   struct tem_table teams;
   struct tkt_table tickets;
   GSequence *deadlines; /* of waiting struct tkt, the next due first */
--- a/packages/cell/cel_pump.c
+++ b/packages/cell/cel_pump.c
@@ -12,16 +12,53 @@
   return FALSE;
 }
 
+/* Tells whether A has the lower share of its limit in use. Half a request
+   on top prefers the greater limit among idle servers, yet tries one with a
+   small limit before the others are full, so that its limit can grow.  */
+static gboolean
+is_better (const struct srv *a, const struct srv *b)
+{
+  guint64 a_used = 2 * (a->in_flight.length + a->foreign) + 1;
+  guint64 b_used = 2 * (b->in_flight.length + b->foreign) + 1;
+  return a_used * srv_limit (b) < b_used * srv_limit (a);
+}
+
+static gboolean
+is_highest_tier (const struct cel *cel, const struct tkt *tkt)
+{
+  const struct cls *first = cel->classes->pdata[0];
+  return tkt->cls->cfg.tier == first->cfg.tier;
+}
+
+/* Tells whether TKT may start on SRV now. One on probation takes a request
+   now and then; the highest tier is spared while another server is well.  */
+static gboolean
+is_open (const struct cel *cel, const struct srv *srv, const struct tkt *tkt)
+{
+  if (srv_free_slots (srv) == 0 || avoids (tkt, srv))
+    return FALSE;
+  if (srv->hea.state == HEA_OK)
+    return TRUE;
+  gboolean spare = cel->any_well && is_highest_tier (cel, tkt);
+  return hea_wants_probe (&srv->hea, clk_now (cel->clk), spare);
+}
+
+/* Returns the server for TKT, NULL if none is open to it. A due probe goes
+   first. Starts at a random one, so that equals share.  */
 static struct srv *
-choose_server (const struct cel *cel, const struct tkt *tkt)
+choose_server (struct cel *cel, const struct tkt *tkt)
 {
   struct srv *best = NULL;
-  for (guint i = 0; i < cel->servers->len; i++)
+  guint n = cel->servers->len;
+  guint first = (guint)g_rand_int_range (cel->rand, 0, (gint32)MAX (n, 1));
+  for (guint i = 0; i < n; i++)
     {
-      struct srv *srv = cel->servers->pdata[i];
-      if (srv_free_slots (srv) == 0 || avoids (tkt, srv))
+      struct srv *srv = cel->servers->pdata[(first + i) % n];
+      if (!is_open (cel, srv, tkt))
         continue;
-      if (!best || srv_free_slots (srv) > srv_free_slots (best))
+      if (srv->hea.state != HEA_OK)
+        return srv;
+      if (!best || is_better (srv, best))
         best = srv;
     }
   return best;
@@ -32,21 +69,23 @@
 {
   const struct cel *cel = ctx;
   for (guint i = 0; i < cel->servers->len; i++)
-    {
-      const struct srv *srv = cel->servers->pdata[i];
-      if (srv_free_slots (srv) > 0 && !avoids (tkt, srv))
-        return TRUE;
-    }
+    if (is_open (cel, cel->servers->pdata[i], tkt))
+      return TRUE;
   return FALSE;
 }
 
 static gboolean
-any_free_slot (const struct cel *cel)
+any_free_slot (struct cel *cel)
 {
+  gboolean free_slot = FALSE;
+  cel->any_well = FALSE;
   for (guint i = 0; i < cel->servers->len; i++)
-    if (srv_free_slots (cel->servers->pdata[i]) > 0)
-      return TRUE;
-  return FALSE;
+    {
+      const struct srv *srv = cel->servers->pdata[i];
+      free_slot |= srv_free_slots (srv) > 0;
+      cel->any_well |= srv_takes_work (srv) && srv->hea.state == HEA_OK;
+    }
+  return free_slot;
 }
 
 /* Returns the next ticket of the highest tier that has a startable one. Within
@@ -104,6 +143,8 @@
         tkt = pick_by_tier (cel);
       if (!tkt)
         return;
-      cel_start (cel, tkt, choose_server (cel, tkt));
+      struct srv *srv = choose_server (cel, tkt);
+      hea_probe (&srv->hea, clk_now (cel->clk));
+      cel_start (cel, tkt, srv);
     }
 }
--- a/packages/cell/srv.c
+++ b/packages/cell/srv.c
@@ -5,6 +5,7 @@
 #define SRV_TARGET_HOLD_US (10 * CLK_S) /* a target counts after its work */
 #define SRV_PEAK_US (3 * CLK_S)         /* window of the peak in flight */
 #define SRV_LOAD_AGE_US (5 * CLK_S)     /* age at which a report is worthless */
+#define SRV_STALL_US (5 * CLK_S)        /* without a token from any request */
 #define SRV_KV_FULL 0.95                /* share of the KV cache */
 
 /* Returns an idle server for CFG; freed by srv_free.  */
@@ -17,6 +18,7 @@
   srv->scale = 1;
   g_queue_init (&srv->in_flight);
   lim_init (&srv->lim, cfg->max_running, now);
+  hea_init (&srv->hea, now);
   srv->peak_start = now;
   srv->load_at = now - SRV_LOAD_AGE_US;
   return srv;
@@ -51,6 +53,7 @@
 srv_free_slots (const struct srv *srv)
 {
   guint limit = srv_takes_work (srv) ? srv_limit (srv) : 0;
+  limit = hea_slots (&srv->hea, limit);
   guint used = srv->in_flight.length;
   if (used >= limit)
     return 0;
@@ -63,6 +66,8 @@
 srv_take (struct srv *srv, struct tkt *tkt, gint64 now)
 {
   tkt->srv = srv;
+  if (srv->in_flight.length == 0)
+    srv->active = now;
   g_queue_push_tail_link (&srv->in_flight, &tkt->srv_link);
   srv->peak = MAX (srv->peak, srv->in_flight.length);
   lim_count (&srv->lim, srv->in_flight.length);
@@ -83,9 +88,46 @@
 
 /* Takes a mean of TBT_US over TOKENS tokens of one request.  */
 void
-srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens)
+srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens, gint64 now)
 {
+  if (tokens > 0)
+    srv->active = now;
+  if (tokens == 0 || tbt_us <= 0)
+    return;
   lim_sample (&srv->lim, tbt_us, tokens, srv->in_flight.length);
+  hea_tbt (&srv->hea, tbt_us, srv->in_flight.length);
+}
+
+/* Learns from how an attempt ended. Answers that a retry would not change,
+   cancelled and unused attempts say nothing of the server.  */
+void
+srv_result (struct srv *srv, const struct msg_release *release)
+{
+  if (release->ttft_us > 0)
+    hea_ttft (&srv->hea, release->ttft_us);
+  switch (release->result)
+    {
+    case MSG_RESULT_OK:
+      hea_result (&srv->hea, HEA_PASSED);
+      break;
+    case MSG_RESULT_NOT_SENT:
+      hea_result (&srv->hea, HEA_UNREACHABLE);
+      break;
+    case MSG_RESULT_LEAVING:
+      srv->leaving = TRUE;
+      hea_result (&srv->hea, HEA_FAILED);
+      break;
+    case MSG_RESULT_BUSY:
+    case MSG_RESULT_BROKEN:
+    case MSG_RESULT_TIMED_OUT:
+      hea_result (&srv->hea, HEA_FAILED);
+      break;
+    case MSG_RESULT_UNUSED:
+    case MSG_RESULT_REJECTED:
+    case MSG_RESULT_CANCELLED:
+    case MSG_RESULT_N:
+      break;
+    }
 }
 
 /* Takes a load report. Requests beyond the most that this owner had in flight
@@ -155,7 +197,11 @@
                              .pressed = is_pressed (srv, now) };
   double worth = load_worth (srv, now);
   srv->foreign = (guint)(srv->foreign_at_load * worth);
+  srv->hea.stalled = srv->engine && srv->in_flight.length > 0
+                     && now - srv->active >= SRV_STALL_US;
   rotate_peak (srv, now);
+  if (srv->hea.state == HEA_EJECTED) /* its samples are of the past */
+    lim_init (&srv->lim, srv->cfg.max_running, now);
   if (lim_adjust (&srv->lim, &state))
     {
       lim_count (&srv->lim, srv->in_flight.length);
--- a/packages/cell/srv.h
+++ b/packages/cell/srv.h
@@ -5,6 +5,7 @@
 #include "cell/cel.h"
 #include "cell/tkt.h"
 #include "config/cfg.h"
+#include "policy/hea.h"
 #include "policy/lim.h"
 
 struct srv
@@ -16,6 +17,8 @@
   gboolean leaving;       /* by the list of servers or its own word */
   GQueue in_flight;       /* of struct tkt, granted or running */
   struct lim lim;
+  struct hea hea;
+  gint64 active; /* clock time of the last token, or of the first start */
 
   gint64 target_us;      /* tightest tbt target served; 0: none */
   gint64 target_seen;    /* clock time it was last served */
@@ -36,7 +39,8 @@
 guint srv_free_slots (const struct srv *srv);
 void srv_take (struct srv *srv, struct tkt *tkt, gint64 now);
 void srv_drop (struct srv *srv, struct tkt *tkt);
-void srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens);
+void srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens, gint64 now);
+void srv_result (struct srv *srv, const struct msg_release *release);
 void srv_load (struct srv *srv, const struct cel_load *load, gint64 now);
 void srv_tick (struct srv *srv, gint64 now);
 
--- a/packages/policy/lim.c
+++ b/packages/policy/lim.c
@@ -51,13 +51,13 @@
   return mean + LIM_QUANTILE * sqrt (MAX (variance, 0));
 }
 
+/* Grows towards AIM requests.  */
 static void
-grow (struct lim *lim, const struct lim_state *state, double factor)
+grow (struct lim *lim, const struct lim_state *state, double aim)
 {
-  guint value = lim_value (lim, state->scale, state->max);
-  if (state->pressed || lim->peak < value * LIM_USED)
-    return;
-  lim->limit += MAX (1, lim->limit * (MIN (factor, LIM_GROWTH_MAX) - 1));
+  double most = MAX (lim->limit + 1, lim->limit * LIM_GROWTH_MAX);
+  if (!state->pressed)
+    lim->limit = MAX (lim->limit, MIN (aim, most));
 }
 
 /* Shrinks towards what the requests in flight bore, so that a limit below
@@ -76,8 +76,12 @@
 {
   if (state->now - lim->window_start < LIM_WINDOW_US)
     return FALSE;
+  guint value = lim_value (lim, state->scale, state->max);
   if (state->target_us <= 0)
-    grow (lim, state, LIM_GROWTH_MAX);
+    {
+      if (lim->peak >= value * LIM_USED)
+        grow (lim, state, state->max);
+    }
   else if (lim->weight >= LIM_SAMPLE_MIN)
     {
       double target = (double)state->target_us;
@@ -85,7 +89,7 @@
       if (tbt > target)
         shrink (lim, LIM_AIM * target / tbt);
       else if (tbt < LIM_LOW * target)
-        grow (lim, state, LIM_AIM * target / tbt);
+        grow (lim, state, lim->peak * LIM_AIM * target / tbt);
     }
   lim->limit = CLAMP (lim->limit, 1, (double)MAX (state->max, 1));
   double limit = lim->limit;
--- /dev/null
+++ b/tests/unit/test_hea.c
@@ -0,0 +1,177 @@
+#include "unit/unit.h"
+
+#include "policy/hea.h"
+
+#define PEERS 12
+
+struct peers
+{
+  struct hea hea[PEERS];
+  struct hea *list[PEERS];
+  GRand *rand;
+  gint64 now;
+};
+
+static void
+peers_init (struct peers *peers)
+{
+  peers->now = 1000 * CLK_S;
+  peers->rand = g_rand_new_with_seed (1);
+  for (guint i = 0; i < PEERS; i++)
+    {
+      hea_init (&peers->hea[i], peers->now);
+      peers->list[i] = &peers->hea[i];
+    }
+}
+
+/* Gives the first N servers samples; the first BAD of them are slow.  */
+static void
+sample (struct peers *peers, guint n, guint bad, guint times)
+{
+  for (guint t = 0; t < times; t++)
+    for (guint i = 0; i < n; i++)
+      {
+        if (peers->hea[i].state == HEA_EJECTED)
+          continue;
+        hea_tbt (&peers->hea[i], (i < bad ? 90 : 30) * CLK_MS, 10);
+        hea_result (&peers->hea[i], HEA_PASSED);
+      }
+}
+
+static guint
+review (struct peers *peers, guint n)
+{
+  peers->now += 50 * CLK_MS;
+  return hea_review (peers->list, n, peers->now, peers->rand);
+}
+
+static void
+test_straggler (void)
+{
+  struct peers peers;
+  peers_init (&peers);
+  sample (&peers, PEERS, 1, 10);
+  CU_ASSERT_EQUAL (review (&peers, PEERS), 1);
+  CU_ASSERT_EQUAL (peers.hea[0].state, HEA_EJECTED);
+  CU_ASSERT_EQUAL (hea_slots (&peers.hea[0], 32), 0);
+  CU_ASSERT_EQUAL (hea_slots (&peers.hea[1], 32), 32);
+  peers.now += 3 * CLK_S;
+  review (&peers, PEERS);
+  CU_ASSERT_EQUAL (peers.hea[0].state, HEA_PROBING);
+  CU_ASSERT_EQUAL (hea_slots (&peers.hea[0], 32), HEA_PROBE_SLOTS);
+  sample (&peers, PEERS, 1, 4);
+  review (&peers, PEERS);
+  CU_ASSERT_EQUAL (peers.hea[0].state, HEA_EJECTED);
+  gint64 second = peers.hea[0].until - peers.now;
+  CU_ASSERT_TRUE (second > 3 * CLK_S && second < 5 * CLK_S);
+  peers.now += second;
+  review (&peers, PEERS);
+  sample (&peers, PEERS, 0, 4);
+  review (&peers, PEERS);
+  CU_ASSERT_EQUAL (peers.hea[0].state, HEA_OK);
+  g_rand_free (peers.rand);
+}
+
+static void
+test_more_load_may_be_slower (void)
+{
+  struct peers peers;
+  peers_init (&peers);
+  for (guint t = 0; t < 10; t++)
+    for (guint i = 0; i < 4; i++)
+      hea_tbt (&peers.hea[i], (i ? 30 : 90) * CLK_MS, i ? 10 : 40);
+  CU_ASSERT_EQUAL (review (&peers, 4), 0);
+  CU_ASSERT_EQUAL (peers.hea[0].state, HEA_OK);
+  g_rand_free (peers.rand);
+}
+
+static void
+test_failures (void)
+{
+  struct peers peers;
+  peers_init (&peers);
+  for (guint i = 1; i < 4; i++)
+    hea_result (&peers.hea[i], HEA_PASSED);
+  hea_result (&peers.hea[0], HEA_FAILED);
+  hea_result (&peers.hea[0], HEA_FAILED);
+  CU_ASSERT_EQUAL (review (&peers, 4), 0);
+  hea_result (&peers.hea[0], HEA_FAILED);
+  CU_ASSERT_EQUAL (review (&peers, 4), 1);
+  g_rand_free (peers.rand);
+}
+
+static void
+test_common_failures_are_no_outlier (void)
+{
+  struct peers peers;
+  peers_init (&peers);
+  for (guint t = 0; t < 20; t++)
+    for (guint i = 0; i < 4; i++)
+      hea_result (&peers.hea[i], HEA_FAILED);
+  CU_ASSERT_EQUAL (review (&peers, 4), 0);
+  g_rand_free (peers.rand);
+}
+
+static void
+test_bounded_share (void)
+{
+  struct peers peers;
+  for (guint n = 1; n <= PEERS; n++)
+    {
+      peers_init (&peers);
+      for (guint i = 0; i < n; i++)
+        for (guint t = 0; t < 6; t++)
+          hea_result (&peers.hea[i], HEA_UNREACHABLE);
+      guint ejected = review (&peers, n);
+      CU_ASSERT_EQUAL (ejected, n == 1 ? 0 : MAX (1, n / 3));
+      /* The rest stays, held to a few requests. */
+      CU_ASSERT_EQUAL (peers.hea[n - 1].state, HEA_SUSPECT);
+      CU_ASSERT_EQUAL (hea_slots (&peers.hea[n - 1], 32), HEA_PROBE_SLOTS);
+      g_rand_free (peers.rand);
+    }
+}
+
+static void
+test_stall (void)
+{
+  struct peers peers;
+  peers_init (&peers);
+  sample (&peers, 3, 0, 10);
+  peers.hea[0].stalled = TRUE;
+  CU_ASSERT_EQUAL (review (&peers, 3), 1);
+  peers.hea[1].stalled = peers.hea[2].stalled = TRUE;
+  CU_ASSERT_EQUAL (review (&peers, 3), 0);
+  g_rand_free (peers.rand);
+}
+
+static void
+test_probe_pace (void)
+{
+  struct hea hea;
+  hea_init (&hea, 0);
+  CU_ASSERT_FALSE (hea_wants_probe (&hea, CLK_S, FALSE));
+  hea.state = HEA_PROBING;
+  CU_ASSERT_TRUE (hea_wants_probe (&hea, CLK_S, FALSE));
+  CU_ASSERT_FALSE (hea_wants_probe (&hea, CLK_S, TRUE));
+  hea_probe (&hea, CLK_S);
+  CU_ASSERT_FALSE (hea_wants_probe (&hea, CLK_S, FALSE));
+  CU_ASSERT_TRUE (hea_wants_probe (&hea, CLK_S + HEA_PROBE_URGENT_US, TRUE));
+}
+
+static CU_TestInfo tests[] = {
+  { "a straggler is ejected and probed back", test_straggler },
+  { "more load may be slower", test_more_load_may_be_slower },
+  { "three failures in a row eject", test_failures },
+  { "failures that all share eject none", test_common_failures_are_no_outlier },
+  { "a bounded share is ejected", test_bounded_share },
+  { "a stalled server is ejected", test_stall },
+  { "probes keep their pace", test_probe_pace },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "hea", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
