Prefer servers that hold the prompt's prefix, within bounded load

Cause: repeated prefixes were prefilled anew on whichever server was free. Ruled out: consistent hashing of prefixes (moves hot prefixes onto one server whatever its load); waiting for the holder (a free server now is worth more).

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -20,6 +20,7 @@
   cel->deadlines = g_sequence_new (NULL);
   tkt_table_init (&cel->tickets);
   tem_table_init (&cel->teams);
+  cel->aff = aff_new (AFF_PREFIXES_MAX);
   cel_set_config (cel, options->cfg);
   return cel;
 }
@@ -38,6 +39,7 @@
   g_ptr_array_free (cel->servers, TRUE);
   tkt_table_clear (&cel->tickets);
   tem_table_clear (&cel->teams);
+  aff_free (cel->aff);
   g_rand_free (cel->rand);
   cfg_unref (cel->cfg);
   g_free (cel);
@@ -185,6 +187,31 @@
     }
 }
 
+/* Learns how long a prompt token takes from the time to first token.  */
+static void
+learn_prefill (struct cel *cel, const struct tkt *tkt, guint32 ttft_us)
+{
+  if (ttft_us > 0 && tkt->prompt_tokens >= CEL_PREFILL_TOKENS_MIN)
+    hea_mean_add (&cel->prefill, (double)ttft_us / tkt->prompt_tokens,
+                  CEL_PREFILL_WEIGHT);
+}
+
+/* Learns from the end of an attempt on SRV. What the start of one that did
+   not run counted is taken back.  */
+static void
+learn_end (struct cel *cel, struct tkt *tkt, struct srv *srv,
+           const struct msg_release *release)
+{
+  note_tokens (cel, tkt, release->tokens, release->tbt_us);
+  srv_result (srv, release);
+  learn_prefill (cel, tkt, release->ttft_us);
+  if (!did_not_run (release->result))
+    return;
+  if (tkt->cls)
+    cls_charge (tkt->cls, tkt, -(double)tkt->charged);
+  aff_drop (cel->aff, tkt->prefix, srv->slot);
+}
+
 /* Frees the slot of a ticket whose attempt ended.  */
 void
 cel_release (struct cel *cel, const char *from,
@@ -194,10 +221,7 @@
   if (!tkt)
     return;
   if (tkt->srv)
-    srv_result (tkt->srv, release);
-  note_tokens (cel, tkt, release->tokens, release->tbt_us);
-  if (did_not_run (release->result) && tkt->cls && tkt->state != TKT_WAITING)
-    cls_charge (tkt->cls, tkt, -(double)tkt->charged);
+    learn_end (cel, tkt, tkt->srv, release);
   cel_drop (cel, tkt);
   cel_free_idle_gone (cel);
   cel_refuse_unless_served (cel);
@@ -237,14 +261,18 @@
     srv_load (srv, load, clk_now (cel->clk));
 }
 
+/* Takes a hint that BACKEND's cache holds, or no longer holds, PREFIX.  */
 void
 cel_cache_event (struct cel *cel, const char *backend, guint64 prefix,
                  gboolean held)
 {
-  (void)cel;
-  (void)backend;
-  (void)prefix;
-  (void)held;
+  const struct srv *srv = cel_find_server (cel, backend);
+  if (!srv || prefix == 0)
+    return;
+  if (held)
+    aff_note (cel->aff, prefix, srv->slot, clk_now (cel->clk));
+  else
+    aff_drop (cel->aff, prefix, srv->slot);
 }
 
 static void
--- a/packages/cell/cel_cfg.c
+++ b/packages/cell/cel_cfg.c
@@ -116,6 +116,7 @@
       struct srv *srv = cel->servers->pdata[i];
       if (!srv->gone || srv->in_flight.length > 0)
         continue;
+      aff_drop_slot (cel->aff, srv->slot);
       g_ptr_array_remove_index (cel->servers, i);
       srv_free (srv);
     }
@@ -128,25 +129,47 @@
          && cfg->pools[backend->pool].kind == CFG_ENGINE;
 }
 
+/* Returns the lowest slot that no server has; CEL_SERVERS_MAX if none is.  */
+static guint
+free_slot (const struct cel *cel)
+{
+  guint64 used = 0;
+  for (guint i = 0; i < cel->servers->len; i++)
+    used |= G_GUINT64_CONSTANT (1)
+            << ((const struct srv *)cel->servers->pdata[i])->slot;
+  guint slot = 0;
+  while (slot < CEL_SERVERS_MAX && (used >> slot & 1))
+    slot++;
+  return slot;
+}
+
+static void
+take_server (struct cel *cel, const struct cfg *cfg,
+             const struct cfg_backend *backend)
+{
+  struct srv *srv = cel_find_server (cel, backend->name.s);
+  guint slot = free_slot (cel);
+  if (!srv && slot < CEL_SERVERS_MAX)
+    {
+      srv = srv_new (backend, is_engine (cfg, backend), clk_now (cel->clk));
+      srv->slot = slot;
+      g_ptr_array_add (cel->servers, srv);
+    }
+  if (!srv)
+    return;
+  srv->cfg = *backend;
+  srv->scale = cfg->limit_scale;
+  srv->gone = FALSE;
+}
+
 static void
 take_servers (struct cel *cel, const struct cfg *cfg)
 {
   for (guint i = 0; i < cel->servers->len; i++)
     ((struct srv *)cel->servers->pdata[i])->gone = TRUE;
-  for (guint j = 0; j < cfg->n_backends; j++)
-    {
-      if (!in_cell (cel, cfg, j))
-        continue;
-      struct srv *srv = cel_find_server (cel, cfg->backends[j].name.s);
-      if (!srv)
-        g_ptr_array_add (cel->servers,
-                         srv = srv_new (&cfg->backends[j],
-                                        is_engine (cfg, &cfg->backends[j]),
-                                        clk_now (cel->clk)));
-      srv->cfg = cfg->backends[j];
-      srv->scale = cfg->limit_scale;
-      srv->gone = FALSE;
-    }
+  for (guint i = 0; i < cfg->n_backends; i++)
+    if (in_cell (cel, cfg, i))
+      take_server (cel, cfg, &cfg->backends[i]);
   cel_free_idle_gone (cel);
 }
 
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -7,12 +7,18 @@
 #include "cell/srv.h"
 #include "cell/tem.h"
 #include "cell/tkt.h"
+#include "policy/aff.h"
 
-#define CEL_SERVERS_MAX 64 /* with those that left and still have work */
+#define CEL_SERVERS_MAX                                                        \
+  AFF_SLOTS /* with those that left and still have work                        \
+             */
 #define CEL_USE_WITHIN_US (1500 * CLK_MS)   /* told to the entry */
 #define CEL_GRANT_EXPIRY_US (2000 * CLK_MS) /* the slot is freed */
 #define CEL_USE_SEEN_US (250 * CLK_MS)      /* later progress proves the use */
 #define CEL_SILENT_US (10 * CLK_S)          /* silence that drops a ticket */
+#define CEL_PREFILL_US 50.0       /* a prompt token, before any was measured */
+#define CEL_PREFILL_WEIGHT 0.05   /* of a new sample */
+#define CEL_PREFILL_TOKENS_MIN 64 /* prompt of a sample */
 #define CEL_RETRY_MIN_US (200 * CLK_MS)
 
 struct cel
@@ -30,7 +36,9 @@
   gboolean any_well;  /* some server takes work and is not on probation */
   struct tem_table teams;
   struct tkt_table tickets;
-  GSequence *deadlines; /* of waiting struct tkt, the next due first */
+  struct aff *aff;
+  struct hea_mean prefill; /* microseconds per prompt token */
+  GSequence *deadlines;    /* of waiting struct tkt, the next due first */
   struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
 
@@ -58,6 +66,11 @@
 gboolean cel_takes_work (const struct cel *cel);
 void cel_refuse_unless_served (struct cel *cel);
 
+/* cel_place.c */
+gboolean cel_is_open (const struct cel *cel, const struct srv *srv,
+                      const struct tkt *tkt);
+struct srv *cel_place (struct cel *cel, const struct tkt *tkt);
+
 /* cel_pump.c */
 void cel_pump (struct cel *cel);
 
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -111,6 +111,9 @@
   tkt->state = TKT_GRANTED;
   count_running (cel, tkt, srv);
   charge_start (cel, tkt);
+  hea_probe (&srv->hea, tkt->granted);
+  if (tkt->prefix != 0)
+    aff_note (cel->aff, tkt->prefix, srv->slot, tkt->granted);
   ctr_add (cel->ctr, CTR_GRANTS, 1);
   cel_send_grant (cel, tkt);
 }
--- a/packages/cell/srv.h
+++ b/packages/cell/srv.h
@@ -11,6 +11,7 @@
 struct srv
 {
   struct cfg_backend cfg; /* copy of the configuration's entry */
+  guint slot;             /* its number in the table of prefixes */
   double scale;           /* of the limit, by the preset */
   gboolean engine;        /* streams tokens; otherwise a plain service */
   gboolean gone;          /* left the configuration; drops when idle */
--- a/packages/policy/hea.c
+++ b/packages/policy/hea.c
@@ -37,8 +37,9 @@
   *hea = (struct hea){ .state = HEA_OK, .since = now };
 }
 
-static void
-mean_add (struct hea_mean *mean, double value, double weight)
+/* Adds a sample with WEIGHT; the first ones count evenly.  */
+void
+hea_mean_add (struct hea_mean *mean, double value, double weight)
 {
   mean->n++;
   weight = MAX (weight, 1.0 / mean->n);
@@ -49,15 +50,15 @@
 void
 hea_tbt (struct hea *hea, gint64 tbt_us, guint in_flight)
 {
-  mean_add (&hea->tbt, (double)tbt_us, HEA_WEIGHT);
-  mean_add (&hea->in_flight, in_flight, HEA_WEIGHT);
+  hea_mean_add (&hea->tbt, (double)tbt_us, HEA_WEIGHT);
+  hea_mean_add (&hea->in_flight, in_flight, HEA_WEIGHT);
 }
 
 /* Takes the time to first token of one request.  */
 void
 hea_ttft (struct hea *hea, gint64 ttft_us)
 {
-  mean_add (&hea->ttft, (double)ttft_us, HEA_WEIGHT);
+  hea_mean_add (&hea->ttft, (double)ttft_us, HEA_WEIGHT);
 }
 
 /* Takes the result of one attempt.  */
@@ -65,7 +66,7 @@
 hea_result (struct hea *hea, enum hea_result result)
 {
   gboolean failed = result != HEA_PASSED;
-  mean_add (&hea->errors, failed, HEA_ERROR_WEIGHT);
+  hea_mean_add (&hea->errors, failed, HEA_ERROR_WEIGHT);
   hea->failed_in_row = failed ? hea->failed_in_row + 1 : 0;
   hea->unreachable_in_row
       = result == HEA_UNREACHABLE ? hea->unreachable_in_row + 1 : 0;
--- a/packages/policy/hea.h
+++ b/packages/policy/hea.h
@@ -58,6 +58,7 @@
   HEA_UNREACHABLE
 };
 
+void hea_mean_add (struct hea_mean *mean, double value, double weight);
 void hea_init (struct hea *hea, gint64 now);
 void hea_tbt (struct hea *hea, gint64 tbt_us, guint in_flight);
 void hea_ttft (struct hea *hea, gint64 ttft_us);
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -491,6 +491,76 @@
   fix_close (&fix);
 }
 
+/* Offers ticket TICKET with PREFIX and returns where it was granted.  */
+static const char *
+offer_prefix (struct fix *fix, guint64 ticket, guint64 prefix, guint32 tokens)
+{
+  struct msg_offer offer = fix_offer_of (fix, ticket, FIX_NORMAL, "a");
+  offer.prefix = prefix;
+  offer.prompt_tokens = tokens;
+  cel_offer (fix->cel, "e1", &offer);
+  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
+  return msg ? msg->grant.backend.s : "";
+}
+
+static void
+test_prefix_returns (void)
+{
+  struct fix fix;
+  guint same = 0;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  for (guint64 prefix = 1; prefix <= 10; prefix++)
+    {
+      char first[STR_ID_MAX + 1];
+      g_strlcpy (first, offer_prefix (&fix, prefix * 10, prefix, 1000),
+                 sizeof first);
+      fix_release (&fix, prefix * 10, MSG_RESULT_OK);
+      for (guint64 t = prefix * 10 + 1; t < prefix * 10 + 5; t++)
+        {
+          same += strcmp (offer_prefix (&fix, t, prefix, 1000), first) == 0;
+          fix_release (&fix, t, MSG_RESULT_OK);
+        }
+    }
+  CU_ASSERT_EQUAL (same, 40);
+  cel_cache_event (fix.cel, "sc", 99, TRUE);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 1, 99, 1000), "sc");
+  fix_close (&fix);
+}
+
+static void
+test_hot_prefix_is_bounded (void)
+{
+  struct fix fix;
+  guint counts[4] = { 0 };
+  fix_init (&fix, 4, 16);
+  fix_start (&fix);
+  for (guint64 t = 1; t <= 16; t++)
+    counts[offer_prefix (&fix, t, 5, 100000)[1] - 'a']++;
+  for (guint i = 0; i < 4; i++)
+    CU_ASSERT_TRUE (counts[i] <= 6);
+  fix_close (&fix);
+}
+
+static void
+test_short_prefix_yields_to_load (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 4);
+  fix_start (&fix);
+  /* 10 ms between tokens: a slot of 4 costs 80 ms over 32 tokens. */
+  for (guint64 t = 1; t <= 2; t++)
+    {
+      fix_offer (&fix, t, FIX_NORMAL);
+      fix_progress (&fix, t, 10, 10 * CLK_MS);
+      fix_release (&fix, t, MSG_RESULT_OK);
+    }
+  cel_cache_event (fix.cel, "sa", 5, TRUE);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 11, 5, 100), "sa");
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 12, 5, 100), "sb");
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -514,6 +584,9 @@
   { "others' load counts while its report is fresh", test_foreign_load },
   { "good reports do not save a straggler", test_straggler_with_good_reports },
   { "a crashed server gets few requests", test_crashed_server },
+  { "a prefix returns to its server", test_prefix_returns },
+  { "a hot prefix spreads", test_hot_prefix_is_bounded },
+  { "a short prefix yields to load", test_short_prefix_yields_to_load },
   CU_TEST_INFO_NULL,
 };
 
