Add the test harness and unit tests of the stand-ins

Cause: process tests need to start, signal, reap and call processes, and to know the whole text that an engine will answer. Ruled out: taking the end of a chunked body for the end of an answer. libsoup 3.2 reports no error when a connection closes between two chunks; a stream is only complete with its [DONE]. Change: har_ library; CUnit programs for the batch, the objects and the three processes over HTTP.

--- /dev/null
+++ b/tests/harness/har.c
@@ -0,0 +1,482 @@
+#include "harness/har.h"
+#include "standin/txt.h"
+
+#include <glib/gstdio.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/prctl.h>
+
+#define POLL_MS 5
+#define EVENT_HEAD "data: "
+#define EVENT_DONE "data: [DONE]"
+
+struct har
+{
+  char *dir;
+  GPtrArray *procs; /* struct har_proc, owned */
+};
+
+struct har_stream
+{
+  SoupSession *session;
+  SoupMessage *msg;
+  GDataInputStream *in; /* NULL: no answer */
+};
+
+static void
+proc_free (gpointer data)
+{
+  struct har_proc *proc = data;
+  if (g_subprocess_get_identifier (proc->process) != NULL)
+    {
+      g_subprocess_send_signal (proc->process, SIGCONT);
+      g_subprocess_force_exit (proc->process);
+      g_subprocess_wait (proc->process, NULL, NULL);
+    }
+  g_object_unref (proc->out);
+  g_object_unref (proc->process);
+  g_free (proc->name);
+  g_free (proc);
+}
+
+/* Makes a run with an empty temporary folder.  */
+struct har *
+har_new (void)
+{
+  struct har *har = g_new0 (struct har, 1);
+  har->dir = g_dir_make_tmp ("jacinthward-XXXXXX", NULL);
+  har->procs = g_ptr_array_new_with_free_func (proc_free);
+  return har;
+}
+
+static void
+remove_dir (const char *path)
+{
+  GDir *dir = g_dir_open (path, 0, NULL);
+  const char *name;
+  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *file = g_build_filename (path, name, NULL);
+      g_remove (file);
+      g_free (file);
+    }
+  if (dir != NULL)
+    g_dir_close (dir);
+  g_rmdir (path);
+}
+
+/* Kills and reaps all processes of the run and removes its folder.  */
+void
+har_free (struct har *har)
+{
+  g_ptr_array_unref (har->procs);
+  remove_dir (har->dir);
+  g_free (har->dir);
+  g_free (har);
+}
+
+/* Returns the run's temporary folder; files in it go with the run.  */
+const char *
+har_dir (const struct har *har)
+{
+  return har->dir;
+}
+
+/* The child ends with the test, however that ends.  */
+static void
+child_setup (gpointer ctx)
+{
+  (void)ctx;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/* Starts ARGV, which ends with NULL; its program is a path in the build folder
+   and its standard error goes to the file
+   NAME.err of the run's folder. The run owns the result; NULL if it cannot be
+   started.  */
+struct har_proc *
+har_start (struct har *har, const char *name, const char *const *argv)
+{
+  GSubprocessLauncher *launcher
+      = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE);
+  char *errors = g_strdup_printf ("%s/%s.err", har->dir, name);
+  GError *error = NULL;
+  g_subprocess_launcher_set_stderr_file_path (launcher, errors);
+  g_subprocess_launcher_set_child_setup (launcher, child_setup, NULL, NULL);
+  char **args = g_strdupv ((char **)argv);
+  g_free (args[0]);
+  args[0] = g_build_filename (JW_BUILD_DIR, argv[0], NULL);
+  GSubprocess *process = g_subprocess_launcher_spawnv (
+      launcher, (const char *const *)args, &error);
+  g_strfreev (args);
+  g_free (errors);
+  g_object_unref (launcher);
+  if (process == NULL)
+    {
+      g_printerr ("%s: %s\n", argv[0], error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  struct har_proc *proc = g_new0 (struct har_proc, 1);
+  proc->name = g_strdup (name);
+  proc->process = process;
+  proc->out = g_data_input_stream_new (g_subprocess_get_stdout_pipe (process));
+  g_ptr_array_add (har->procs, proc);
+  return proc;
+}
+
+static int
+port_in (const char *line, const char *key)
+{
+  const char *at = strstr (line, key);
+  return at == NULL ? 0 : (int)g_ascii_strtoll (at + strlen (key), NULL, 10);
+}
+
+/* Reads the line "ready ..." and the ports in it. Returns FALSE if the process
+   ends without one.  */
+gboolean
+har_wait_ready (struct har_proc *proc)
+{
+  char *line = g_data_input_stream_read_line (proc->out, NULL, NULL, NULL);
+  gboolean ready = line != NULL && g_str_has_prefix (line, "ready ");
+  if (ready)
+    {
+      proc->port = port_in (line, "ready ");
+      proc->peer_port = port_in (line, "peer=");
+      proc->http_port = port_in (line, "http=");
+      proc->admin_port = port_in (line, "admin=");
+    }
+  else
+    g_printerr ("%s: not ready: %s\n", proc->name, line ? line : "ended");
+  g_free (line);
+  return ready;
+}
+
+/* Sends SIGNAL (SIGKILL, SIGTERM, SIGSTOP, SIGCONT) to the process.  */
+void
+har_signal (struct har_proc *proc, int signal)
+{
+  g_subprocess_send_signal (proc->process, signal);
+}
+
+int
+har_pid (const struct har_proc *proc)
+{
+  const char *id = g_subprocess_get_identifier (proc->process);
+  return id == NULL ? 0 : (int)g_ascii_strtoll (id, NULL, 10);
+}
+
+static gboolean
+has_ended (void *ctx)
+{
+  struct har_proc *proc = ctx;
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  return g_subprocess_get_identifier (proc->process) == NULL;
+}
+
+/* Waits for the end of the process. Returns its exit status, 128 + the signal
+   that killed it, or -1 if it still runs after TIMEOUT_MS.  */
+int
+har_reap (struct har_proc *proc, gint64 timeout_ms)
+{
+  if (!har_wait_until (has_ended, proc, timeout_ms))
+    return -1;
+  if (g_subprocess_get_if_signaled (proc->process))
+    return 128 + g_subprocess_get_term_sig (proc->process);
+  return g_subprocess_get_exit_status (proc->process);
+}
+
+static SoupMessage *
+make_message (const struct har_call *call)
+{
+  const char *method = call->method;
+  if (method == NULL)
+    method = call->body != NULL ? "POST" : "GET";
+  char *uri = g_strdup_printf ("http://127.0.0.1:%d%s", call->port, call->path);
+  SoupMessage *msg = soup_message_new (method, uri);
+  g_free (uri);
+  soup_message_add_flags (msg, SOUP_MESSAGE_NO_REDIRECT
+                                   | SOUP_MESSAGE_NEW_CONNECTION);
+  SoupMessageHeaders *headers = soup_message_get_request_headers (msg);
+  for (const char *const *h = call->headers; h != NULL && h[0] != NULL; h += 2)
+    soup_message_headers_append (headers, h[0], h[1]);
+  if (call->body != NULL)
+    {
+      GBytes *body = g_bytes_new (call->body, strlen (call->body));
+      soup_message_set_request_body_from_bytes (msg, "application/json", body);
+      g_bytes_unref (body);
+    }
+  return msg;
+}
+
+/* Sends CALL and waits for the answer's headers. STATUS becomes its status, 0
+   if there is none. The caller frees the result by har_close.  */
+struct har_stream *
+har_open (const struct har_call *call, guint *status)
+{
+  struct har_stream *stream = g_new0 (struct har_stream, 1);
+  gint64 ms = call->timeout_ms > 0 ? call->timeout_ms : HAR_DEADLINE_MS;
+  guint timeout_s = (guint)((ms + 999) / 1000);
+  stream->session = soup_session_new_with_options (
+      "timeout", timeout_s, "proxy-resolver", NULL, NULL);
+  stream->msg = make_message (call);
+  GInputStream *in
+      = soup_session_send (stream->session, stream->msg, NULL, NULL);
+  *status = in == NULL ? 0 : soup_message_get_status (stream->msg);
+  if (in != NULL)
+    {
+      stream->in = g_data_input_stream_new (in);
+      g_object_unref (in);
+    }
+  return stream;
+}
+
+static char *
+read_line (struct har_stream *stream, gboolean *cut)
+{
+  GError *error = NULL;
+  if (stream->in == NULL)
+    return NULL;
+  char *line = g_data_input_stream_read_line (stream->in, NULL, NULL, &error);
+  *cut = error != NULL;
+  g_clear_error (&error);
+  return line;
+}
+
+/* Returns the next event's data, freed by the caller; NULL at the end of the
+   answer, also if it ends early.  */
+char *
+har_next (struct har_stream *stream)
+{
+  gboolean cut;
+  for (;;)
+    {
+      char *line = read_line (stream, &cut);
+      if (line == NULL)
+        return NULL;
+      char *data = g_str_has_prefix (line, EVENT_HEAD)
+                       ? g_strdup (line + strlen (EVENT_HEAD))
+                       : NULL;
+      g_free (line);
+      if (data != NULL)
+        return data;
+    }
+}
+
+/* Closes the connection, also in the middle of an answer.  */
+void
+har_close (struct har_stream *stream)
+{
+  if (stream->in != NULL)
+    g_object_unref (stream->in);
+  soup_session_abort (stream->session);
+  g_object_unref (stream->msg);
+  g_object_unref (stream->session);
+  g_free (stream);
+}
+
+/* libsoup takes a chunked body that is cut between chunks for a whole one, so
+   that a stream is only whole with its last event.  */
+static gboolean
+is_complete (const struct har_reply *reply)
+{
+  const char *type = g_hash_table_lookup (reply->headers, "content-type");
+  if (type == NULL || !g_str_has_prefix (type, "text/event-stream"))
+    return TRUE;
+  return strstr (reply->body->str, EVENT_DONE) != NULL;
+}
+
+static void
+copy_header (const char *name, const char *value, gpointer headers)
+{
+  g_hash_table_insert (headers, g_ascii_strdown (name, -1), g_strdup (value));
+}
+
+/* Sends CALL and reads the whole answer, line by line with their times. The
+   caller frees it by har_reply_free.  */
+struct har_reply *
+har_call (const struct har_call *call)
+{
+  struct har_reply *reply = g_new0 (struct har_reply, 1);
+  reply->headers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  reply->body = g_string_new (NULL);
+  reply->times = g_array_new (FALSE, FALSE, sizeof (gint64));
+  struct har_stream *stream = har_open (call, &reply->status);
+  gboolean cut = FALSE;
+  char *line;
+  soup_message_headers_foreach (soup_message_get_response_headers (stream->msg),
+                                copy_header, reply->headers);
+  while ((line = read_line (stream, &cut)) != NULL)
+    {
+      gint64 now = g_get_monotonic_time ();
+      g_array_append_val (reply->times, now);
+      if (reply->body->len > 0 || reply->times->len > 1)
+        g_string_append_c (reply->body, '\n');
+      g_string_append (reply->body, line);
+      g_free (line);
+    }
+  reply->complete = reply->status != 0 && !cut && is_complete (reply);
+  har_close (stream);
+  return reply;
+}
+
+void
+har_reply_free (struct har_reply *reply)
+{
+  g_hash_table_unref (reply->headers);
+  g_string_free (reply->body, TRUE);
+  g_array_unref (reply->times);
+  g_free (reply);
+}
+
+/* Returns the body as JSON, freed by json_node_unref, or NULL.  */
+JsonNode *
+har_reply_json (const struct har_reply *reply)
+{
+  return json_from_string (reply->body->str, NULL);
+}
+
+/* Returns the integer MEMBER of the JSON object at PATH, or -1.  */
+gint64
+har_get_int (int port, const char *path, const char *member)
+{
+  struct har_call call = { .port = port, .path = path };
+  struct har_reply *reply = har_call (&call);
+  JsonNode *node = har_reply_json (reply);
+  gint64 value = -1;
+  if (node != NULL && JSON_NODE_HOLDS_OBJECT (node))
+    value = json_object_get_int_member_with_default (
+        json_node_get_object (node), member, -1);
+  g_clear_pointer (&node, json_node_unref);
+  har_reply_free (reply);
+  return value;
+}
+
+/* Sets faults of a stand-in. Returns whether it took them.  */
+gboolean
+har_fault (int port, const char *json)
+{
+  struct har_call call = { .port = port, .path = "/fault", .body = json };
+  struct har_reply *reply = har_call (&call);
+  gboolean ok = reply->status == SOUP_STATUS_OK;
+  har_reply_free (reply);
+  return ok;
+}
+
+static void
+append_choice (GString *text, JsonObject *choice)
+{
+  static const char *const holders[] = { "delta", "message" };
+  const char *part
+      = json_object_get_string_member_with_default (choice, "text", "");
+  for (guint i = 0; i < G_N_ELEMENTS (holders); i++)
+    if (json_object_has_member (choice, holders[i]))
+      part = json_object_get_string_member_with_default (
+          json_object_get_object_member (choice, holders[i]), "content", "");
+  g_string_append (text, part);
+}
+
+static void
+append_answer (GString *text, const char *json)
+{
+  JsonNode *node = json_from_string (json, NULL);
+  if (node != NULL && JSON_NODE_HOLDS_OBJECT (node)
+      && json_object_has_member (json_node_get_object (node), "choices"))
+    append_choice (text, json_array_get_object_element (
+                             json_object_get_array_member (
+                                 json_node_get_object (node), "choices"),
+                             0));
+  g_clear_pointer (&node, json_node_unref);
+}
+
+/* Returns the text of a completion, streamed or not, freed by the caller.  */
+char *
+har_answer_text (const char *body)
+{
+  GString *text = g_string_new (NULL);
+  char **lines = g_strsplit (body, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    if (g_str_has_prefix (*line, EVENT_HEAD))
+      append_answer (text, *line + strlen (EVENT_HEAD));
+  if (!g_str_has_prefix (body, EVENT_HEAD))
+    append_answer (text, body);
+  g_strfreev (lines);
+  return g_string_free (text, FALSE);
+}
+
+/* Returns the text with which the stand-in engine answers PROMPT, freed by the
+   caller; MAX_TOKENS 0: no limit.  */
+char *
+har_expected_text (const char *prompt, guint max_tokens)
+{
+  struct str s = str_of (prompt);
+  guint64 hash = txt_hash (s);
+  guint total = txt_length (s, hash);
+  GString *text = g_string_new (NULL);
+  txt_append (text, hash, 0, max_tokens > 0 ? MIN (max_tokens, total) : total);
+  return g_string_free (text, FALSE);
+}
+
+/* Asks CONDITION until it holds. Returns FALSE if it does not within
+   TIMEOUT_MS.  */
+gboolean
+har_wait_until (har_condition condition, void *ctx, gint64 timeout_ms)
+{
+  gint64 end = g_get_monotonic_time () + timeout_ms * 1000;
+  while (!condition (ctx))
+    {
+      if (g_get_monotonic_time () >= end)
+        return FALSE;
+      g_usleep (POLL_MS * 1000);
+    }
+  return TRUE;
+}
+
+/* Returns a TCP port that is free now, chosen by the kernel; 0 if error.  */
+int
+har_free_port (void)
+{
+  GInetAddress *loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  GSocketAddress *any = g_inet_socket_address_new (loopback, 0);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+  int port = 0;
+  if (socket != NULL && g_socket_bind (socket, any, TRUE, NULL))
+    {
+      GSocketAddress *bound = g_socket_get_local_address (socket, NULL);
+      port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
+      g_object_unref (bound);
+    }
+  g_clear_object (&socket);
+  g_object_unref (any);
+  g_object_unref (loopback);
+  return port;
+}
+
+/* Copies the file TEMPLATE_PATH to NAME in the run's folder with each "@KEY@"
+   replaced; VALUES is key, value, ..., NULL. Returns the new path, freed by
+   the caller, or NULL.  */
+char *
+har_template (struct har *har, const char *template_path, const char *name,
+              const char *const *values)
+{
+  char *contents;
+  if (!g_file_get_contents (template_path, &contents, NULL, NULL))
+    return NULL;
+  GString *text = g_string_new (contents);
+  g_free (contents);
+  for (const char *const *v = values; v[0] != NULL; v += 2)
+    {
+      char *key = g_strdup_printf ("@%s@", v[0]);
+      g_string_replace (text, key, v[1], 0);
+      g_free (key);
+    }
+  char *path = g_build_filename (har->dir, name, NULL);
+  if (!g_file_set_contents (path, text->str, (gssize)text->len, NULL))
+    g_clear_pointer (&path, g_free);
+  g_string_free (text, TRUE);
+  return path;
+}
--- /dev/null
+++ b/tests/unit/test_standin_engine.c
@@ -0,0 +1,346 @@
+#include "harness/har.h"
+#include "standin/eng.h"
+#include "standin/txt.h"
+#include "unit/unit.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define ENGINE "tests/standin/standin_engine"
+
+static guint tokens;       /* seen by count_token */
+static guint cache_events; /* seen by count_cache */
+
+static void
+count_token (struct eng_seq *seq)
+{
+  (void)seq;
+  tokens++;
+}
+
+static void
+count_cache (void *ctx, guint64 prefix, gboolean held)
+{
+  (void)ctx;
+  (void)prefix;
+  (void)held;
+  cache_events++;
+}
+
+static struct eng *
+make_engine (gint64 kv_tokens, int max_batch)
+{
+  struct eng_options options = { .base_us = 1000,
+                                 .seq_us = 100,
+                                 .prefill_per_s = 1000000,
+                                 .max_batch = max_batch,
+                                 .max_waiting = 8,
+                                 .kv_tokens = kv_tokens };
+  tokens = 0;
+  cache_events = 0;
+  return eng_new (&options, count_cache, NULL);
+}
+
+static struct eng_seq *
+add (struct eng *eng, guint priority, guint prompt, guint total)
+{
+  struct eng_request request = { .priority = priority,
+                                 .prefix = prompt,
+                                 .prefix_tokens = prompt / 2,
+                                 .prompt_tokens = prompt,
+                                 .total = total };
+  return eng_add (eng, &request);
+}
+
+static void
+test_step_grows_with_batch (void)
+{
+  struct eng *eng = make_engine (10000, 4);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 0);
+  add (eng, 0, 10, 3);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 1000 + 100 + 10);
+  eng_end_step (eng, count_token);
+  add (eng, 0, 20, 3);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 1000 + 200 + 20);
+  eng_end_step (eng, count_token);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 1000 + 200);
+  eng_end_step (eng, count_token);
+  CU_ASSERT_EQUAL (tokens, 5);
+  CU_ASSERT_EQUAL (eng_running (eng), 1);
+  eng_free (eng);
+}
+
+static void
+test_prefix_cache_saves_prefill (void)
+{
+  struct eng *eng = make_engine (10000, 4);
+  add (eng, 0, 100, 1);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 1000 + 100 + 100);
+  eng_end_step (eng, count_token);
+  add (eng, 0, 100, 1);
+  CU_ASSERT_EQUAL (eng_begin_step (eng), 1000 + 100 + 50);
+  CU_ASSERT_EQUAL (cache_events, 1);
+  eng_free (eng);
+}
+
+static void
+test_cache_gives_way_to_sequences (void)
+{
+  struct eng *eng = make_engine (160, 4);
+  add (eng, 0, 100, 1);
+  eng_begin_step (eng);
+  eng_end_step (eng, count_token);
+  CU_ASSERT_EQUAL (eng_kv_used (eng), 50);
+  add (eng, 0, 120, 2);
+  eng_begin_step (eng);
+  CU_ASSERT_TRUE (eng_kv_used (eng) <= 160);
+  CU_ASSERT_TRUE (cache_events >= 3);
+  eng_free (eng);
+}
+
+static void
+test_priority_then_arrival (void)
+{
+  struct eng *eng = make_engine (10000, 1);
+  struct eng_seq *low = add (eng, 3, 10, 1);
+  struct eng_seq *high = add (eng, 1, 10, 1);
+  struct eng_seq *later = add (eng, 1, 10, 1);
+  eng_begin_step (eng);
+  CU_ASSERT_EQUAL (high->state, ENG_RUNNING);
+  eng_end_step (eng, count_token);
+  eng_begin_step (eng);
+  CU_ASSERT_EQUAL (later->state, ENG_RUNNING);
+  CU_ASSERT_EQUAL (low->state, ENG_WAITING);
+  eng_free (eng);
+}
+
+static void
+test_memory_limits_batch (void)
+{
+  struct eng *eng = make_engine (100, 4);
+  struct eng_seq *first = add (eng, 0, 45, 20);
+  struct eng_seq *second = add (eng, 1, 45, 20);
+  struct eng_seq *third = add (eng, 2, 45, 20);
+  eng_begin_step (eng);
+  CU_ASSERT_EQUAL (second->state, ENG_RUNNING);
+  CU_ASSERT_EQUAL (third->state, ENG_WAITING);
+  for (int i = 0; i < 6; i++)
+    {
+      eng_end_step (eng, count_token);
+      eng_begin_step (eng);
+    }
+  CU_ASSERT_EQUAL (first->state, ENG_RUNNING);
+  CU_ASSERT_EQUAL (second->state, ENG_WAITING);
+  CU_ASSERT_EQUAL (second->done, 6);
+  CU_ASSERT_TRUE (eng_kv_used (eng) <= 100);
+  eng_free (eng);
+}
+
+static void
+test_cancel_frees_memory (void)
+{
+  struct eng *eng = make_engine (100, 4);
+  struct eng_seq *running = add (eng, 0, 60, 20);
+  struct eng_seq *waiting = add (eng, 0, 60, 20);
+  eng_begin_step (eng);
+  eng_cancel (eng, running);
+  eng_end_step (eng, count_token);
+  CU_ASSERT_EQUAL (tokens, 0);
+  eng_begin_step (eng);
+  CU_ASSERT_EQUAL (waiting->state, ENG_RUNNING);
+  eng_cancel (eng, waiting);
+  CU_ASSERT_EQUAL (eng_running (eng) + eng_waiting (eng), 0);
+  eng_free (eng);
+}
+
+static void
+test_full_queue_refuses (void)
+{
+  struct eng *eng = make_engine (100, 4);
+  for (int i = 0; i < 8; i++)
+    CU_ASSERT_PTR_NOT_NULL (add (eng, 0, 10, 1));
+  CU_ASSERT_PTR_NULL (add (eng, 0, 10, 1));
+  eng_free (eng);
+}
+
+static struct har_proc *
+start_engine (struct har *har)
+{
+  const char *argv[]
+      = { ENGINE, "--base-us", "1000", "--history", "/dev/null", NULL };
+  struct har_proc *proc = har_start (har, "engine", argv);
+  return proc != NULL && har_wait_ready (proc) ? proc : NULL;
+}
+
+/* Posts a text completion and checks status and text (NULL: no check).  */
+static void
+expect_answer (int port, const char *body, guint status, const char *text)
+{
+  struct har_call call
+      = { .port = port, .path = "/v1/completions", .body = body };
+  struct har_reply *reply = har_call (&call);
+  CU_ASSERT_EQUAL (reply->status, status);
+  if (text != NULL)
+    {
+      CU_ASSERT_TRUE (reply->complete);
+      char *got = har_answer_text (reply->body->str);
+      CU_ASSERT_STRING_EQUAL (got, text);
+      g_free (got);
+    }
+  har_reply_free (reply);
+}
+
+static void
+test_answers_over_http (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  char *text = har_expected_text ("p [len=9]", 0);
+  char *cut = har_expected_text ("p [len=9]", 4);
+  expect_answer (proc->port, "{\"model\":\"m\",\"prompt\":\"p [len=9]\"}", 200,
+                 text);
+  expect_answer (proc->port,
+                 "{\"model\":\"m\",\"prompt\":\"p [len=9]\",\"stream\":true}",
+                 200, text);
+  expect_answer (proc->port,
+                 "{\"model\":\"m\",\"prompt\":\"p [len=9]\",\"max_tokens\":4}",
+                 200, cut);
+  expect_answer (proc->port, "{}", 400, NULL);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"leaving\": true}"));
+  expect_answer (proc->port, "{\"model\":\"m\",\"prompt\":\"p\"}", 503, NULL);
+  CU_ASSERT_FALSE (har_fault (proc->port, "{\"no_such_fault\": true}"));
+  g_free (text);
+  g_free (cut);
+  har_free (har);
+}
+
+static void
+test_crash_and_resume (void)
+{
+  const char *body
+      = "{\"model\":\"m\",\"prompt\":\"p [len=9]\",\"stream\":true}";
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"crash_after_tokens\": 4}"));
+  struct har_call call
+      = { .port = proc->port, .path = "/v1/completions", .body = body };
+  struct har_reply *cut = har_call (&call);
+  CU_ASSERT_EQUAL (cut->status, 200);
+  CU_ASSERT_FALSE (cut->complete);
+  har_reply_free (cut);
+
+  char *had = har_expected_text ("p [len=9]", 3);
+  char *all = har_expected_text ("p [len=9]", 0);
+  char *base64 = g_base64_encode ((const guchar *)had, strlen (had));
+  const char *headers[] = { "Jacinthward-Resume-Tokens", "3",
+                            "Jacinthward-Resume-Text", base64, NULL };
+  call.headers = headers;
+  struct har_reply *reply = har_call (&call);
+  char *rest = har_answer_text (reply->body->str);
+  CU_ASSERT_STRING_EQUAL (rest, all + strlen (had));
+  har_reply_free (reply);
+  g_free (rest);
+  g_free (base64);
+  g_free (all);
+  g_free (had);
+  har_free (har);
+}
+
+static gboolean
+is_idle (void *ctx)
+{
+  struct har_proc *proc = ctx;
+  return har_get_int (proc->port, "/counts", "running") == 0
+         && har_get_int (proc->port, "/counts", "cancelled") == 1;
+}
+
+static void
+test_hangup_cancels (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  struct har_call call
+      = { .port = proc->port,
+          .path = "/v1/completions",
+          .body
+          = "{\"model\":\"m\",\"prompt\":\"p [len=90000]\",\"stream\":true}" };
+  guint status;
+  struct har_stream *stream = har_open (&call, &status);
+  char *event = har_next (stream);
+  CU_ASSERT_EQUAL (status, 200);
+  CU_ASSERT_PTR_NOT_NULL (event);
+  g_free (event);
+  har_close (stream);
+  CU_ASSERT_TRUE (har_wait_until (is_idle, proc, HAR_DEADLINE_MS));
+  har_free (har);
+}
+
+static void
+test_exit_is_a_crash (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"exit_after_tokens\": 2}"));
+  expect_answer (proc->port, "{\"model\":\"m\",\"prompt\":\"p [len=9]\"}", 0,
+                 NULL);
+  CU_ASSERT_EQUAL (har_reap (proc, HAR_DEADLINE_MS), 70);
+  har_free (har);
+}
+
+static guint
+post_order (int port, const char *body)
+{
+  struct har_call call = { .port = port, .path = "/orders", .body = body };
+  struct har_reply *reply = har_call (&call);
+  guint status = reply->status;
+  har_reply_free (reply);
+  return status;
+}
+
+static void
+test_orders_are_fenced (void)
+{
+  static const char newer[] = "{\"fence\": 7, \"id\": \"a\", "
+                              "\"kind\": \"load_model\", \"name\": \"m\"}";
+  static const char older[] = "{\"fence\": 6, \"id\": \"b\", "
+                              "\"kind\": \"set_role\", \"name\": \"r\"}";
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_EQUAL (post_order (proc->port, newer), 200);
+  CU_ASSERT_EQUAL (post_order (proc->port, older), 409);
+  CU_ASSERT_EQUAL (har_get_int (proc->port, "/orders", "fence"), 7);
+  har_free (har);
+}
+
+static CU_TestInfo batch_tests[] = {
+  { "a step grows with its batch", test_step_grows_with_batch },
+  { "a cached prefix saves prefill", test_prefix_cache_saves_prefill },
+  { "the cache gives way to sequences", test_cache_gives_way_to_sequences },
+  { "waiting is by priority, then arrival", test_priority_then_arrival },
+  { "memory limits the batch", test_memory_limits_batch },
+  { "a cancel frees memory", test_cancel_frees_memory },
+  { "a full queue refuses", test_full_queue_refuses },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_TestInfo http_tests[] = {
+  { "answers are the expected text", test_answers_over_http },
+  { "a cut stream is resumed", test_crash_and_resume },
+  { "a caller that hangs up cancels", test_hangup_cancels },
+  { "the process ends on demand", test_exit_is_a_crash },
+  { "an old fencing number is refused", test_orders_are_fenced },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "standin_engine_batch", NULL, NULL, NULL, NULL, batch_tests },
+  { "standin_engine_http", NULL, NULL, NULL, NULL, http_tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/unit/test_standin_platform.c
@@ -0,0 +1,215 @@
+#include "harness/har.h"
+#include "standin/obj.h"
+#include "unit/unit.h"
+
+#include <string.h>
+
+#define PLATFORM "tests/standin/standin_platform"
+#define SERVICE "tests/standin/standin_service"
+
+static enum obj_result
+put (struct obj_store *store, const char *name, guint64 expected)
+{
+  GBytes *value = g_bytes_new_static ("v", 1);
+  enum obj_result result = obj_put (store, name, expected, value);
+  g_bytes_unref (value);
+  return result;
+}
+
+static void
+test_conditional_update (void)
+{
+  struct obj_store *store = obj_store_new ();
+  CU_ASSERT_EQUAL (put (store, "a", 1), OBJ_CONFLICT);
+  CU_ASSERT_EQUAL (put (store, "a", 0), OBJ_OK);
+  CU_ASSERT_EQUAL (put (store, "a", 0), OBJ_CONFLICT);
+  guint64 first = obj_get (store, "a")->version;
+  CU_ASSERT_EQUAL (put (store, "a", first), OBJ_OK);
+  CU_ASSERT_EQUAL (put (store, "a", first), OBJ_CONFLICT);
+  guint64 second = obj_get (store, "a")->version;
+  CU_ASSERT_TRUE (second > first);
+  CU_ASSERT_EQUAL (obj_delete (store, "a", first), OBJ_CONFLICT);
+  CU_ASSERT_EQUAL (obj_delete (store, "a", second), OBJ_OK);
+  CU_ASSERT_EQUAL (put (store, "a", 0), OBJ_OK);
+  CU_ASSERT_TRUE (obj_get (store, "a")->version > second);
+  obj_store_free (store);
+}
+
+static void
+test_list_by_prefix (void)
+{
+  struct obj_store *store = obj_store_new ();
+  put (store, "ledger/2", 0);
+  put (store, "config", 0);
+  put (store, "ledger/1", 0);
+  GPtrArray *found = obj_list (store, "ledger/");
+  CU_ASSERT_EQUAL_FATAL (found->len, 2);
+  CU_ASSERT_STRING_EQUAL (((struct obj *)found->pdata[0])->name, "ledger/1");
+  g_ptr_array_unref (found);
+  obj_store_free (store);
+}
+
+static void
+test_bucket_limits_rate (void)
+{
+  struct obj_bucket bucket = { .per_s = 10 };
+  int taken = 0;
+  for (int i = 0; i < 50; i++)
+    taken += obj_bucket_take (&bucket, 1000000);
+  CU_ASSERT_EQUAL (taken, 10);
+  CU_ASSERT_TRUE (obj_bucket_take (&bucket, 1100000));
+  CU_ASSERT_FALSE (obj_bucket_take (&bucket, 1100000));
+}
+
+static struct har_proc *
+start (struct har *har, const char *program)
+{
+  const char *argv[] = { program, "--history", "/dev/null", NULL };
+  struct har_proc *proc = har_start (har, "standin", argv);
+  return proc != NULL && har_wait_ready (proc) ? proc : NULL;
+}
+
+/* Calls PATH with one header and checks the status and, unless it is NULL, the
+   ETag.  */
+static void
+expect (int port, const char *method, const char *path, const char *header,
+        const char *value, guint status, const char *etag)
+{
+  const char *headers[] = { header, value, NULL };
+  struct har_call call = { .method = method,
+                           .port = port,
+                           .path = path,
+                           .headers = header != NULL ? headers : NULL,
+                           .body = strcmp (method, "PUT") == 0 ? "v" : NULL };
+  struct har_reply *reply = har_call (&call);
+  CU_ASSERT_EQUAL (reply->status, status);
+  const char *got = g_hash_table_lookup (reply->headers, "etag");
+  if (etag != NULL)
+    CU_ASSERT_STRING_EQUAL (got != NULL ? got : "", etag);
+  har_reply_free (reply);
+}
+
+static void
+test_objects_over_http (void)
+{
+  static const char a[] = "/objects/lease/a";
+  struct har *har = har_new ();
+  struct har_proc *proc = start (har, PLATFORM);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  int port = proc->port;
+  expect (port, "GET", a, NULL, NULL, 404, NULL);
+  expect (port, "PUT", a, NULL, NULL, 400, NULL);
+  expect (port, "PUT", a, "If-None-Match", "*", 200, "\"1\"");
+  expect (port, "PUT", a, "If-None-Match", "*", 412, "\"1\"");
+  expect (port, "PUT", a, "If-Match", "\"1\"", 200, "\"2\"");
+  expect (port, "PUT", a, "If-Match", "\"1\"", 412, "\"2\"");
+  expect (port, "GET", "/objects/lease/a?watch=1&timeout_ms=9000", NULL, NULL,
+          200, "\"2\"");
+  expect (port, "GET", "/objects/lease/a?watch=2&timeout_ms=1", NULL, NULL, 204,
+          NULL);
+  expect (port, "DELETE", a, "If-Match", "\"2\"", 200, NULL);
+  expect (port, "PUT", a, "If-None-Match", "*", 200, "\"3\"");
+  CU_ASSERT_EQUAL (har_get_int (port, "/counts", "watch"), 2);
+  har_free (har);
+}
+
+static void
+test_lost_answers (void)
+{
+  static const char a[] = "/objects/a";
+  struct har *har = har_new ();
+  struct har_proc *proc = start (har, PLATFORM);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  int port = proc->port;
+  CU_ASSERT_TRUE (har_fault (port, "{\"lose_before_put\": 1}"));
+  expect (port, "PUT", a, "If-None-Match", "*", 0, NULL);
+  expect (port, "GET", a, NULL, NULL, 404, NULL);
+  CU_ASSERT_TRUE (har_fault (port, "{\"lose_answer_after_put\": 1}"));
+  expect (port, "PUT", a, "If-None-Match", "*", 0, NULL);
+  expect (port, "GET", a, NULL, NULL, 200, "\"1\"");
+  CU_ASSERT_TRUE (har_fault (port, "{\"down\": true}"));
+  expect (port, "GET", a, NULL, NULL, 503, NULL);
+  har_free (har);
+}
+
+static void *
+watch_thread (void *ctx)
+{
+  struct har_proc *proc = ctx;
+  struct har_call call
+      = { .port = proc->port, .path = "/objects/a?watch=0&timeout_ms=15000" };
+  struct har_reply *reply = har_call (&call);
+  guint status = reply->status;
+  har_reply_free (reply);
+  return GUINT_TO_POINTER (status);
+}
+
+static gboolean
+is_watched (void *ctx)
+{
+  struct har_proc *proc = ctx;
+  return har_get_int (proc->port, "/counts", "watch") == 1;
+}
+
+static void
+test_watch_sees_change (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start (har, PLATFORM);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  GThread *thread = g_thread_new ("watch", watch_thread, proc);
+  CU_ASSERT_TRUE (har_wait_until (is_watched, proc, HAR_DEADLINE_MS));
+  expect (proc->port, "PUT", "/objects/a", "If-None-Match", "*", 200, NULL);
+  CU_ASSERT_EQUAL (GPOINTER_TO_UINT (g_thread_join (thread)), 200);
+  har_free (har);
+}
+
+static guint
+activate (int port)
+{
+  struct har_call call
+      = { .port = port, .path = "/activate", .body = "{\"id\": \"x\"}" };
+  struct har_reply *reply = har_call (&call);
+  guint status = reply->status;
+  har_reply_free (reply);
+  return status;
+}
+
+static void
+test_service_counts_executions (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start (har, SERVICE);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_EQUAL (activate (proc->port), 200);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"drop_before\": 1}"));
+  CU_ASSERT_EQUAL (activate (proc->port), 0);
+  CU_ASSERT_EQUAL (har_get_int (proc->port, "/counts", "total"), 1);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"drop_after\": 1}"));
+  CU_ASSERT_EQUAL (activate (proc->port), 0);
+  CU_ASSERT_EQUAL (har_get_int (proc->port, "/counts", "total"), 2);
+  har_free (har);
+}
+
+static CU_TestInfo store_tests[] = {
+  { "an update needs the version", test_conditional_update },
+  { "objects are listed by prefix", test_list_by_prefix },
+  { "a bucket limits the rate", test_bucket_limits_rate },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_TestInfo http_tests[] = {
+  { "conditional updates over HTTP", test_objects_over_http },
+  { "answers are lost before and after", test_lost_answers },
+  { "a watch sees a change", test_watch_sees_change },
+  { "the service counts executions", test_service_counts_executions },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "standin_objects", NULL, NULL, NULL, NULL, store_tests },
+  { "standin_http", NULL, NULL, NULL, NULL, http_tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
