Add the load tool; cork streams and widen the listener's backlog

Under 200 callers at once the stand-ins reset connections (libsoup's listener has a backlog of 10), and prompts longer than 256 bytes lost their length marker.

--- /dev/null
+++ b/tests/bench/load.c
@@ -0,0 +1,70 @@
+/* jw_load: puts load on entry instances or engines and prints what callers
+   saw as lines "name value unit".  */
+#include "bench/lod.h"
+
+#include <stdio.h>
+
+#define US_PER_MS 1000
+
+int
+main (int argc, char **argv)
+{
+  static struct lod_options options
+      = { .model = "m", .callers = 32, .prompt_size = 400, .prefixes = 16 };
+  char **targets = NULL;
+  char **classes = NULL;
+  double seconds = 5;
+  gint64 warmup_ms = 500;
+  gint64 think_ms = 0;
+  gint64 seed = 1;
+  GOptionEntry entries[] = {
+    { "target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &targets,
+      "Address to call; may be repeated", "IP:PORT" },
+    { "key", 0, 0, G_OPTION_ARG_STRING, &options.key, "The team's key", "KEY" },
+    { "model", 0, 0, G_OPTION_ARG_STRING, &options.model, "Model", "NAME" },
+    { "class", 0, 0, G_OPTION_ARG_STRING_ARRAY, &classes,
+      "Class and its share of the requests; may be repeated", "NAME=SHARE" },
+    { "rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.rate_per_s,
+      "Arrivals a second (open loop)", "N" },
+    { "callers", 0, 0, G_OPTION_ARG_INT, &options.callers,
+      "Callers; with --rate, the most at once", "N" },
+    { "think-ms", 0, 0, G_OPTION_ARG_INT64, &think_ms,
+      "Mean time from an answer to the next request", "MS" },
+    { "stream", 0, 0, G_OPTION_ARG_NONE, &options.stream, "Streamed answers",
+      NULL },
+    { "tokens", 0, 0, G_OPTION_ARG_INT, &options.tokens,
+      "Tokens of each answer; 0: by the prompt", "N" },
+    { "prompt-size", 0, 0, G_OPTION_ARG_INT, &options.prompt_size,
+      "Size of a prompt", "BYTES" },
+    { "prefixes", 0, 0, G_OPTION_ARG_INT, &options.prefixes,
+      "Number of different prefixes", "N" },
+    { "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Seed", "N" },
+    { "warmup-ms", 0, 0, G_OPTION_ARG_INT64, &warmup_ms,
+      "Time before the measurement", "MS" },
+    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &seconds, "Measured time", "S" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new ("- put load on a router");
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || targets == NULL
+      || options.callers < 1 || seconds <= 0)
+    {
+      fprintf (stderr, "%s\n",
+               error != NULL ? error->message : "--target is missing");
+      return 2;
+    }
+  g_option_context_free (context);
+  options.targets = (const char *const *)targets;
+  options.classes = (const char *const *)classes;
+  options.seed = (guint64)seed;
+  options.think_us = think_ms * US_PER_MS;
+  options.warmup_us = warmup_ms * US_PER_MS;
+  options.duration_us = (gint64)(seconds * G_USEC_PER_SEC);
+  struct lod_result result;
+  lod_run (&options, &result);
+  lod_print (&result, "");
+  int status = lod_errors (&result) > 0 ? 1 : 0;
+  lod_result_clear (&result);
+  return status;
+}
--- a/tests/standin/cmp.c
+++ b/tests/standin/cmp.c
@@ -63,8 +63,7 @@
   cmp->hash = txt_hash (prompt);
   cmp->prefix = txt_prefix_hash (prompt);
   cmp->prompt_tokens = txt_prompt_tokens (prompt);
-  prompt.n = MIN (prompt.n, TXT_PREFIX_BYTES);
-  cmp->prefix_tokens = txt_prompt_tokens (prompt) - 1;
+  cmp->prefix_tokens = MIN (prompt.n, TXT_PREFIX_BYTES) / TXT_BYTES_PER_TOKEN;
   cmp->total = txt_length (prompt, cmp->hash);
   cmp->cut = max_tokens > 0 && max_tokens < cmp->total;
   if (cmp->cut)
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -7,6 +7,8 @@
 #include "standin/txt.h"
 
 #include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
@@ -167,11 +169,34 @@
   stream->seq = NULL;
 }
 
+/* Sends what is written since the last call as one segment, and holds further
+   bytes back if CORK.  */
+static void
+push_segment (SoupServerMessage *msg, int cork)
+{
+  GSocket *socket = soup_server_message_get_socket (msg);
+  static const int off = 0;
+  if (socket == NULL)
+    return;
+  int fd = g_socket_get_fd (socket);
+  setsockopt (fd, IPPROTO_TCP, TCP_CORK, &off, sizeof off);
+  if (cork)
+    setsockopt (fd, IPPROTO_TCP, TCP_CORK, &cork, sizeof cork);
+}
+
+/* libsoup writes a chunk in three pieces.  */
+static void
+on_wrote_chunk (SoupServerMessage *msg, gpointer ctx)
+{
+  const struct stream *stream = ctx;
+  push_segment (msg, !stream->ended);
+}
+
 static void
 on_finished (SoupServerMessage *msg, gpointer ctx)
 {
-  (void)msg;
   struct stream *stream = ctx;
+  push_segment (msg, 0);
   cancel (stream);
   stop_watching (stream);
   if (stream->late != 0)
@@ -394,6 +419,8 @@
   soup_message_headers_replace (headers, "Cache-Control", "no-cache");
   soup_message_body_set_accumulate (soup_server_message_get_response_body (msg),
                                     FALSE);
+  push_segment (msg, 1);
+  g_signal_connect (msg, "wrote-chunk", G_CALLBACK (on_wrote_chunk), stream);
 }
 
 static gboolean
--- a/tests/standin/std.c
+++ b/tests/standin/std.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define LISTEN_DEFAULT "127.0.0.1:0"
+#define LISTEN_BACKLOG 1024 /* connections */
 
 /* A request that waits for the end of a freeze or of a delay. */
 struct held
@@ -298,34 +299,65 @@
   return 0;
 }
 
+/* libsoup's own listener has a backlog of 10 and resets a burst of callers.  */
+static GSocket *
+make_listener (GSocketAddress *at, GError **error)
+{
+  GSocket *socket
+      = g_socket_new (g_socket_address_get_family (at), G_SOCKET_TYPE_STREAM,
+                      G_SOCKET_PROTOCOL_TCP, error);
+  if (socket == NULL)
+    return NULL;
+  g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
+  if (!g_socket_bind (socket, at, TRUE, error)
+      || !g_socket_listen (socket, error))
+    g_clear_object (&socket);
+  return socket;
+}
+
+/* Returns the address that TEXT of the form IP:PORT gives, or NULL.  */
+static GSocketAddress *
+parse_address (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL)
+    return NULL;
+  char *ip = g_strndup (text, (gsize)(colon - text));
+  guint64 port;
+  GSocketAddress *at = NULL;
+  if (g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
+    at = g_inet_socket_address_new_from_string (ip, (guint)port);
+  g_free (ip);
+  return at;
+}
+
+static int
+bound_port (GSocket *socket)
+{
+  GSocketAddress *at = g_socket_get_local_address (socket, NULL);
+  int port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (at));
+  g_object_unref (at);
+  return port;
+}
+
 /* Listens on std->listen. Returns the port, < 0 if error.  */
 static int
 listen_on (struct std *std)
 {
-  const char *address = std->listen != NULL ? std->listen : LISTEN_DEFAULT;
+  const char *text = std->listen != NULL ? std->listen : LISTEN_DEFAULT;
   GError *error = NULL;
   int port = -1;
-  GSocketConnectable *to = g_network_address_parse (address, 0, &error);
-  if (to == NULL)
-    goto fail;
-  GSocketAddress *at = g_inet_socket_address_new_from_string (
-      g_network_address_get_hostname (G_NETWORK_ADDRESS (to)),
-      g_network_address_get_port (G_NETWORK_ADDRESS (to)));
-  g_object_unref (to);
-  if (at == NULL)
-    goto fail;
-  if (soup_server_listen (std->server, at, 0, &error))
-    {
-      GSList *uris = soup_server_get_uris (std->server);
-      port = g_uri_get_port (uris->data);
-      g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
-    }
-  g_object_unref (at);
-fail:
+  GSocketAddress *at = parse_address (text);
+  GSocket *socket = at != NULL ? make_listener (at, &error) : NULL;
+  if (socket != NULL
+      && soup_server_listen_socket (std->server, socket, 0, &error))
+    port = bound_port (socket);
   if (port < 0)
-    fprintf (stderr, "cannot listen on %s: %s\n", address,
-             error != NULL ? error->message : "not an IP address");
+    fprintf (stderr, "cannot listen on %s: %s\n", text,
+             error != NULL ? error->message : "not IP:PORT");
   g_clear_error (&error);
+  g_clear_object (&socket);
+  g_clear_object (&at);
   return port;
 }
 
