--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -5,16 +5,38 @@
 #define MEM_H
 
 #include "base/clk.h"
+#include "base/err.h"
+#include "chart/chr.h"
 #include <json-glib/json-glib.h>
 #include "base/str.h"
 #include "msg/msg.h"
 
 #define MEM_HEARTBEAT_US (400 * CLK_MS) /* between heartbeats to a peer */
 #define MEM_SUSPECT_US                                                         \
-  (1600 * CLK_MS)                   /* silence after which a peer is down      \
-                                     */
+  (1600 * CLK_MS) /* silence after which a peer is down                        \
+                   */
+/* Instances of other failure domains are heard of less often. */
+#define MEM_FAR_HEARTBEAT_US (1600 * CLK_MS)
+#define MEM_FAR_SUSPECT_US (5 * CLK_S)
 #define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
 #define MEM_INSTANCES_MAX 256       /* of one failure domain */
+#define MEM_TOTAL_MAX 1024          /* of all failure domains */
+
+/* States of charts/instance.chart. X (NAME, "name") */
+#define MEM_STATES(X)                                                          \
+  X (UNKNOWN, "unknown")                                                       \
+  X (LIVE, "live")                                                             \
+  X (LEAVING, "leaving")                                                       \
+  X (DOWN, "down")                                                             \
+  X (GONE, "gone")
+
+enum mem_state
+{
+#define MEM_STATE_ENUM(id, name) MEM_##id,
+  MEM_STATES (MEM_STATE_ENUM)
+#undef MEM_STATE_ENUM
+      MEM_STATE_N
+};
 
 struct mem;
 
@@ -27,8 +49,9 @@
   guint64 incarnation;
   guint64 sequence; /* of the last heartbeat */
   gint64 heard;     /* clock time of the last heartbeat, microseconds */
-  gboolean live;
-  gboolean leaving;
+  enum mem_state state;
+  gboolean live;          /* MEM_LIVE or MEM_LEAVING */
+  gboolean leaving;       /* MEM_LEAVING */
   guint64 config_version; /* in force there */
   guint64 fleet_version;
 };
@@ -43,9 +66,12 @@
 struct mem_options
 {
   const struct clk *clk;    /* borrowed */
+  const struct chr *chart;  /* by mem_chart_load, borrowed */
   struct mem_instance self; /* id, domain, region, address, incarnation */
 };
 
+/* Loads instance.chart from FOLDER; the caller frees it by chr_free. */
+int mem_chart_load (const char *folder, struct chr **chart, struct err *err);
 struct mem *mem_new (const struct mem_options *options);
 void mem_free (struct mem *mem);
 /* Takes a heartbeat from instance FROM. Old incarnations and sequences are
@@ -56,8 +82,12 @@
 /* Marks one silent instance down; call until CHANGE says nothing changed. */
 void mem_tick (struct mem *mem, struct mem_change *change);
 void mem_set_leaving (struct mem *mem, gboolean leaving);
+/* Copies the own address for peers into the 64 bytes of ADDRESS. */
+void mem_self_address (const struct mem *mem, char address[64]);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
 
+/* Live, not leaving instances of the own failure domain, self included. */
+guint mem_live_count (const struct mem *mem);
 const struct mem_instance *mem_find (const struct mem *mem, const char *id);
 /* Calls VISIT for each instance, self included, in the order of their ids. */
 void mem_each (const struct mem *mem,
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -44,9 +44,7 @@
   gboolean sent;           /* some byte may have left */
   gboolean delivered;      /* some byte of the answer went to the caller */
   gboolean resumable;      /* the stream can go on elsewhere */
-  guint32 ttft_us;         /* 0: no token */
-  guint32 tbt_us;          /* mean; 0: fewer than two tokens */
-  guint32 tokens;          /* of this attempt */
+  guint32 tokens;          /* of an answer that was not streamed */
   guint32 status;          /* HTTP status; 0: none */
   struct str content_type; /* of the answer, borrowed; keyed requests only */
   struct str answer;       /* borrowed; keyed requests only */
@@ -59,6 +57,7 @@
   X (TOKENS)       /* a running attempt got tokens */                          \
   X (ATTEMPT_END)  /* a running attempt ended */                               \
   X (MESSAGE)      /* from another instance */                                 \
+  X (PEER_UP)      /* a connection to an instance stands */                    \
   X (PEER_LOST)    /* no connection to an instance is left */                  \
   X (STORE_ANSWER) /* the platform answered a call */                          \
   X (LOAD)         /* a backend server's load report */                        \
@@ -92,7 +91,8 @@
       const char *from; /* borrowed */
       const struct msg *msg;
     } message;
-    const char *peer_lost;
+    const char *peer_up;   /* instance id, borrowed */
+    const char *peer_lost; /* instance id, borrowed */
     struct
     {
       guint64 token;
@@ -215,7 +215,7 @@
   void *ctx;
 };
 
-int nod_new (const struct nod_options *options, struct nod **nod,
+int nod_new (const struct nod_options *options, struct nod **result,
              struct err *err);
 void nod_free (struct nod *nod);
 void nod_handle (struct nod *nod, const struct nod_event *event);
--- /dev/null
+++ b/tests/unit/test_cel.c
@@ -0,0 +1,525 @@
+#include "unit/cell_fixture.h"
+#include "unit/unit.h"
+
+static void
+test_tier_order (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_BATCH);
+  fix_offer (&fix, 2, FIX_BATCH);
+  fix_offer (&fix, 3, FIX_URGENT);
+  fix_offer (&fix, 4, FIX_URGENT);
+  CU_ASSERT_TRUE (fix_granted (&fix, 1));
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  fix_release (&fix, 3, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 4));
+  fix_release (&fix, 4, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
+static void
+test_unused_grant_expires (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_TRUE (fix_find (&fix, MSG_GRANT, 1)->grant.use_within_us
+                  <= 2 * CLK_S);
+  fix_wait (&fix, 2 * CLK_S);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 1);
+  fix_close (&fix);
+}
+
+static void
+test_used_grant_stays (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  for (guint i = 0; i < 20; i++)
+    {
+      fix_wait (&fix, CLK_S);
+      fix_progress (&fix, 1, 0, 0);
+      fix_progress (&fix, 2, 0, 0);
+    }
+  CU_ASSERT_FALSE (fix_granted (&fix, 2));
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 0);
+  fix_close (&fix);
+}
+
+static void
+test_deadline (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
+  offer.wait_us = CLK_S;
+  cel_offer (fix.cel, "e1", &offer);
+  fix_wait (&fix, CLK_S);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_DEADLINE);
+  CU_ASSERT_TRUE (fix_find (&fix, MSG_REFUSE, 2)->refuse.retry_after_us > 0);
+  fix_close (&fix);
+}
+
+static void
+test_leaving_gets_nothing (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 1);
+  fix_start (&fix);
+  for (guint64 t = 1; t <= 4; t++)
+    fix_offer (&fix, t, FIX_NORMAL);
+  struct str_id left = fix_find (&fix, MSG_GRANT, 1)->grant.backend;
+  struct str_id stays = fix_find (&fix, MSG_GRANT, 2)->grant.backend;
+  CU_ASSERT_STRING_NOT_EQUAL (left.s, stays.s);
+  cel_set_leaving (fix.cel, left.s, TRUE);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_FALSE (fix_granted (&fix, 3));
+  fix_release (&fix, 2, MSG_RESULT_LEAVING);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
+  fix_close (&fix);
+}
+
+static void
+test_offers_are_idempotent (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  CU_ASSERT_EQUAL (fix.sent[1].msg.kind, MSG_GRANT);
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.waiting[1], 1);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_close (&fix);
+}
+
+static void
+test_reoffer_counts_running_work (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
+  offer.running = fix_id ("sa");
+  cel_offer (fix.cel, "e1", &offer);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 0);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
+static void
+test_entry_lost (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  fix_offer (&fix, 2, FIX_NORMAL);
+  struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
+  cel_offer (fix.cel, "e2", &offer);
+  cel_entry_lost (fix.cel, "e1");
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  CU_ASSERT_STRING_EQUAL (fix.sent[1].to.s, "e2");
+  fix_close (&fix);
+}
+
+static void
+test_silent_entry (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
+  offer.running = fix_id ("sa");
+  cel_offer (fix.cel, "e1", &offer);
+  fix_wait (&fix, 9 * CLK_S);
+  CU_ASSERT_FALSE (cel_is_idle (fix.cel));
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_wait (&fix, CLK_S);
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 1);
+  CU_ASSERT_TRUE (cel_is_idle (fix.cel));
+  fix_close (&fix);
+}
+
+/* Keeps one slot busy for N starts, each generating TOKENS_A for team a and
+   TOKENS_B for team b, and returns how many of the starts were team b's.  */
+static guint
+starts_of_b (struct fix *fix, guint n, guint32 tokens_a, guint32 tokens_b)
+{
+  guint b = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      gboolean is_b = ticket >= 1000;
+      b += is_b;
+      fix_progress (fix, ticket, is_b ? tokens_b : tokens_a, 10 * CLK_MS);
+      fix_release (fix, ticket, MSG_RESULT_OK);
+    }
+  return b;
+}
+
+static void
+offer_teams (struct fix *fix, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, 1 + i, FIX_NORMAL);
+  for (guint i = 0; i < n; i++)
+    {
+      struct msg_offer offer = fix_offer_of (fix, 1000 + i, FIX_NORMAL, "b");
+      cel_offer (fix->cel, "e1", &offer);
+    }
+}
+
+static void
+test_teams_share_a_class (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 19 && b <= 21);
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_tokens (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 300, 0);
+  CU_ASSERT_TRUE (b >= 31 && b <= 33); /* 100 to 400 tokens a start */
+  fix_close (&fix);
+}
+
+static void
+test_teams_share_by_weight (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_NORMAL].max_waiting = 100;
+  fix.teams[1].weight = 3;
+  fix_start (&fix);
+  offer_teams (&fix, 40);
+  guint b = starts_of_b (&fix, 40, 100, 100);
+  CU_ASSERT_TRUE (b >= 29 && b <= 31);
+  fix_close (&fix);
+}
+
+static void
+test_team_limit (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 8);
+  fix.teams[0].max_running = 2;
+  fix_start (&fix);
+  for (guint i = 1; i <= 5; i++)
+    fix_offer (&fix, i, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 2);
+  struct msg_offer offer = fix_offer_of (&fix, 9, FIX_BATCH, "b");
+  cel_offer (fix.cel, "e1", &offer);
+  CU_ASSERT_TRUE (fix_granted (&fix, 9));
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  CU_ASSERT_FALSE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
+/* Offers N tickets of a class whose numbers start at FIRST.  */
+static void
+offer_many (struct fix *fix, guint64 first, guint n, guint class_index)
+{
+  for (guint i = 0; i < n; i++)
+    fix_offer (fix, first + i, class_index);
+}
+
+/* Ends the work granted last, N times, and counts the starts that follow by
+   the thousands of their tickets' numbers.  */
+static void
+count_starts (struct fix *fix, guint n, guint counts[3])
+{
+  for (guint i = 0; i < n; i++)
+    {
+      fix_release (fix, fix->sent[fix->n_sent - 1].msg.grant.ticket,
+                   MSG_RESULT_OK);
+      counts[fix->sent[fix->n_sent - 1].msg.grant.ticket / 1000]++;
+    }
+}
+
+static void
+test_minimum_share (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix.classes[FIX_URGENT].max_waiting = 200;
+  fix.classes[FIX_NORMAL].min_share = 0.2;
+  fix.classes[FIX_BATCH].min_share = 0.1;
+  fix_start (&fix);
+  offer_many (&fix, 1, 150, FIX_URGENT);
+  offer_many (&fix, 1000, 40, FIX_NORMAL);
+  offer_many (&fix, 2000, 40, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 100, counts);
+  CU_ASSERT_TRUE (counts[1] == 19 || counts[1] == 20);
+  CU_ASSERT_TRUE (counts[2] == 9 || counts[2] == 10);
+  fix_close (&fix);
+}
+
+static void
+test_no_share_no_start (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 40, FIX_URGENT);
+  offer_many (&fix, 1000, 5, FIX_BATCH);
+  guint counts[3] = { 0 };
+  count_starts (&fix, 39, counts);
+  CU_ASSERT_EQUAL (counts[0], 39);
+  fix_close (&fix);
+}
+
+static void
+test_higher_tier_displaces (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 50, FIX_NORMAL);
+  offer_many (&fix, 200, 50, FIX_BATCH);
+  fix.clock.t += CLK_MS;
+  offer_many (&fix, 300, 50, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix.n_sent, 1);
+  /* Beyond its own room the urgent class takes the youngest batch work down
+     to the reserved room, then normal work, then is refused.  */
+  offer_many (&fix, 400, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 249), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 205), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 204), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  offer_many (&fix, 500, 45, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix.ctr.v[CTR_DISPLACED], 90);
+  fix_offer (&fix, 600, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 600), MSG_REASON_OVERLOAD);
+  fix_close (&fix);
+}
+
+static void
+test_reserved_room (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_URGENT);
+  offer_many (&fix, 100, 60, FIX_BATCH);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 150), MSG_REASON_OVERLOAD);
+  offer_many (&fix, 200, 95, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
+  /* The normal class's reserved room is left to it. */
+  offer_many (&fix, 300, 5, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 304), MSG_REASON_N);
+  fix_close (&fix);
+}
+
+static void
+test_no_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  cel_set_leaving (fix.cel, "sa", TRUE);
+  fix_offer (&fix, 1, FIX_URGENT);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 1), MSG_REASON_NO_SERVER);
+  fix_close (&fix);
+}
+
+/* Serves urgent work for SECONDS on an engine whose time between tokens is
+   10 ms and 1 ms more for each request in flight; all stay in flight.  */
+static guint
+settle_limit (struct fix *fix, guint seconds)
+{
+  guint granted = 0;
+  for (guint i = 0; i < seconds; i++)
+    {
+      offer_many (fix, 1 + 100 * i, 20, FIX_URGENT);
+      granted = (guint)fix->ctr.v[CTR_GRANTS];
+      for (guint j = 0; j < fix->n_sent; j++)
+        if (fix->sent[j].msg.kind == MSG_GRANT)
+          fix_progress (fix, fix->sent[j].msg.grant.ticket, 50,
+                        10 * CLK_MS + granted * CLK_MS);
+      fix_wait (fix, CLK_S);
+    }
+  return granted;
+}
+
+static void
+test_limit_meets_the_target (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 64);
+  fix_start (&fix);
+  /* 20 requests take 30 ms between tokens; the hard limit is 64. */
+  guint granted = settle_limit (&fix, 8);
+  CU_ASSERT_EQUAL (granted, 32); /* the start; all stay in flight */
+  fix_close (&fix);
+  fix_init (&fix, 1, 24);
+  fix_start (&fix);
+  granted = settle_limit (&fix, 8);
+  CU_ASSERT_TRUE (granted >= 16 && granted <= 20);
+  fix_close (&fix);
+}
+
+static void
+test_foreign_load (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 4);
+  fix_start (&fix);
+  struct cel_load load = { .running = 3, .age_us = 0 };
+  cel_load_report (fix.cel, "sa", &load);
+  fix_wait (&fix, CEL_TICK_US);
+  offer_many (&fix, 1, 4, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix.n_sent, 2); /* others' 3, discounted by age */
+  fix_progress (&fix, 1, 0, 0);
+  fix_progress (&fix, 2, 0, 0);
+  for (guint i = 0; i < 5; i++)
+    {
+      fix_wait (&fix, CLK_S);
+      for (guint64 t = 1; t <= 4; t++)
+        fix_progress (&fix, t, 0, 0);
+    }
+  CU_ASSERT_TRUE (fix_granted (&fix, 4));
+  fix_close (&fix);
+}
+
+#define ROUND 14 /* requests at once, more than three servers start with */
+
+/* Ends ticket TICKET if it was granted. Returns whether BAD had it.  */
+static gboolean
+serve_one (struct fix *fix, guint64 ticket, const char *bad, guint32 tbt_us,
+           enum msg_result result)
+{
+  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
+  gboolean is_bad = msg && strcmp (msg->grant.backend.s, bad) == 0;
+  if (msg)
+    fix_progress (fix, ticket, 20, is_bad ? tbt_us : 20 * CLK_MS);
+  fix_release (fix, ticket, is_bad ? result : MSG_RESULT_OK);
+  return is_bad;
+}
+
+/* Serves ROUNDS rounds of short requests of normal work; the server BAD takes
+   TBT_US between tokens and ends with RESULT. Returns how many BAD got.  */
+static guint
+serve_rounds (struct fix *fix, guint rounds, const char *bad, guint32 tbt_us,
+              enum msg_result result)
+{
+  static guint64 ticket = 1;
+  guint count = 0;
+  for (guint i = 0; i < rounds; i++)
+    {
+      offer_many (fix, ticket, ROUND, FIX_NORMAL);
+      for (guint j = 0; j < ROUND; j++)
+        count += serve_one (fix, ticket++, bad, tbt_us, result);
+      fix_wait (fix, CEL_TICK_US);
+    }
+  return count;
+}
+
+static void
+test_straggler_with_good_reports (void)
+{
+  struct fix fix;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  for (guint i = 0; i < 8; i++)
+    {
+      struct cel_load load = { .running = 0, .kv_used = 0.1 };
+      cel_load_report (fix.cel, "sb", &load);
+      serve_rounds (&fix, 2, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+    }
+  CU_ASSERT_TRUE (fix.ctr.v[CTR_EJECTIONS] >= 1);
+  guint count = serve_rounds (&fix, 400, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (count > 0 && count <= 40);
+  serve_rounds (&fix, 800, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  count = serve_rounds (&fix, 400, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (count >= 700); /* half its even part of 1400 */
+  fix_close (&fix);
+}
+
+static void
+test_crashed_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  guint count = serve_rounds (&fix, 400, "sb", 0, MSG_RESULT_NOT_SENT);
+  CU_ASSERT_TRUE (count <= 20); /* 1400 by an even share */
+  fix_close (&fix);
+}
+
+static CU_TestInfo tests[] = {
+  { "the highest tier starts first", test_tier_order },
+  { "an unused grant expires", test_unused_grant_expires },
+  { "a used grant stays while its entry speaks", test_used_grant_stays },
+  { "a ticket past its deadline is refused", test_deadline },
+  { "a leaving server gets nothing", test_leaving_gets_nothing },
+  { "an offer sent twice counts once", test_offers_are_idempotent },
+  { "a new owner counts running work", test_reoffer_counts_running_work },
+  { "a lost entry's tickets go", test_entry_lost },
+  { "a silent entry's tickets go", test_silent_entry },
+  { "teams share a class evenly", test_teams_share_a_class },
+  { "teams share by tokens, not by starts", test_teams_share_by_tokens },
+  { "teams share by weight", test_teams_share_by_weight },
+  { "a team at its limit waits, others pass", test_team_limit },
+  { "a class gets its minimum share of starts", test_minimum_share },
+  { "tier order is strict beyond the shares", test_no_share_no_start },
+  { "a higher tier displaces the lowest", test_higher_tier_displaces },
+  { "reserved room is left to its class", test_reserved_room },
+  { "a cell without servers refuses", test_no_server },
+  { "the limit meets the tightest target", test_limit_meets_the_target },
+  { "others' load counts while its report is fresh", test_foreign_load },
+  { "good reports do not save a straggler", test_straggler_with_good_reports },
+  { "a crashed server gets few requests", test_crashed_server },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "cell", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
