--- a/tests/policy/routed.c
+++ b/tests/policy/routed.c
@@ -289,14 +289,11 @@
 arrive (struct world *world, struct job *job)
 {
   struct nod_event event = { .kind = NOD_REQUEST };
-  const struct cfg_class *class = world_class (job);
-  (void)class;
   world->freeze_target = first_owner (world, seat_of (job)->nod);
   event.request.id = job->index + 1;
   event.request.class_index = job->class_index;
   event.request.team_index = job->team_index;
-  event.request.pool
-      = (guint)cfg_find_pool (world->cfg, CFG_ENGINE, STR_LIT ("assistant"));
+  event.request.pool = world->cfg->backends[world->engine_backend[0]].pool;
   event.request.prefix = job->prefix;
   event.request.prompt_tokens = job->prompt;
   event.request.bytes = (guint64)job->prompt * 4;
--- /dev/null
+++ b/tests/proc/demo.c
@@ -0,0 +1,98 @@
+/* make demo: two failure domains of instances with stand-ins for all that
+   they speak to. Sends requests through different instances, prints each
+   answer and the state of every instance, and exits 0 only if all were
+   right.  */
+#include "harness/dep.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ANSWER_SHOWN 160 /* bytes */
+
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 2, 2, 1 },
+    { "kgn-2", "kgn", 2, 1, 0 },
+  },
+};
+
+static guint wrong;
+
+static void
+check (const char *what, gboolean ok)
+{
+  g_print ("%-58s %s\n", what, ok ? "right" : "WRONG");
+  wrong += !ok;
+}
+
+static void
+ask (struct dep *dep, guint i, const char *prompt, gboolean streamed)
+{
+  struct har_reply *reply = dep_chat (dep, i, NULL, prompt, streamed);
+  char *text = har_answer_text (reply->body->str);
+  char *expected = har_expected_text (prompt, 0);
+  char *what = g_strdup_printf ("%s through %s", streamed ? "stream" : "answer",
+                                dep->entries[i].name);
+  g_print ("\n> %s\n< %u %.*s\n", prompt, reply->status, ANSWER_SHOWN,
+           text ? text : reply->body->str);
+  check (what, reply->status == 200 && text != NULL
+                   && strcmp (text, expected) == 0
+                   && (!streamed || reply->complete));
+  g_free (what);
+  g_free (expected);
+  g_free (text);
+  har_reply_free (reply);
+}
+
+static void
+activate (struct dep *dep, guint i, const char *key)
+{
+  struct har_reply *reply
+      = dep_activate (dep, i, "{\"id\":\"subscriber-7\"}", key);
+  char *what = g_strdup_printf ("activation %s through %s",
+                                key ? key : "without a key",
+                                dep->entries[i].name);
+  g_print ("\n> activate subscriber-7\n< %u %s\n", reply->status,
+           reply->body->str);
+  check (what, reply->status == 200);
+  g_free (what);
+  har_reply_free (reply);
+}
+
+static void
+print_state (struct dep *dep, guint i)
+{
+  const char *const headers[]
+      = { "Authorization", "Bearer " DEP_OPERATOR_TOKEN, NULL };
+  const struct har_call call = { .port = dep->entries[i].proc->admin_port,
+                                 .path = "/dump",
+                                 .headers = headers };
+  struct har_reply *reply = har_call (&call);
+  g_print ("\nstate of %s:\n%s\n", dep->entries[i].name, reply->body->str);
+  check ("state dump", reply->status == 200);
+  har_reply_free (reply);
+}
+
+int
+main (void)
+{
+  struct har *har = har_new ();
+  struct dep *dep = dep_start (har, &options);
+  check ("all processes are up", dep != NULL);
+  if (dep != NULL)
+    {
+      ask (dep, 0, "Station health of KGN-04 [len=12]", FALSE);
+      ask (dep, 1, "Summarise last night's baseline log [len=20]", TRUE);
+      ask (dep, 2, "Is the correction service up? [len=8]", TRUE);
+      ask (dep, 3, "Draft the weekly report [len=16]", FALSE);
+      activate (dep, 0, NULL);
+      activate (dep, 1, "key-1");
+      activate (dep, 3, "key-1");
+      for (guint i = 0; i < dep->n_entries; i++)
+        print_state (dep, i);
+      dep_free (dep);
+    }
+  har_free (har);
+  g_print ("\n%u wrong\n", wrong);
+  return wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
