Refuse hopeless waits at once; retry-after from the drain rate

Cause: a ticket that could not start in time was told so only at its deadline, and all refused tickets came back after the same time. Ruled out: the rate of all starts (low demand would look like a slow drain); the whole queue as what is ahead (a heavy team's burst would refuse a light team's tickets, which fair queueing starts first). Change: policy/rte, a window of 10 s that counts the drain only while work waits for a slot; the estimate follows tier order, fair queueing and the minimum share; refused at twice the longest wait plus 500 ms; retry-after is the estimate, 0.2 to 30 s, plus up to half of it at random (seeded); a ticket whose team was at its limit is refused with TEAM_LIMIT; starts_per_s in the summary.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -20,6 +20,7 @@
   cel->deadlines = g_sequence_new (NULL);
   tkt_table_init (&cel->tickets);
   tem_table_init (&cel->teams);
+  rte_init (&cel->rate, clk_now (cel->clk));
   cel->aff = aff_new (AFF_PREFIXES_MAX);
   cel_set_config (cel, options->cfg);
   return cel;
@@ -103,21 +104,36 @@
     }
 }
 
+/* Returns why a new ticket of CLS is refused, or MSG_REASON_N; may displace
+   another one for it.  */
+static enum msg_reason
+admit (struct cel *cel, const char *from, const struct cls *cls,
+       const struct tem *team, const struct msg_offer *offer)
+{
+  if (!cls || !cel_takes_work (cel))
+    return MSG_REASON_NO_SERVER;
+  if (cel_is_hopeless (cel, cls, team, offer->wait_us))
+    return MSG_REASON_DEADLINE;
+  if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls))
+    return MSG_REASON_OVERLOAD;
+  return MSG_REASON_N;
+}
+
 static void
 offer_new (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct cls *cls = cel_find_class (cel, offer->class_name.s);
-  struct tkt *tkt = NULL;
-  if (!cls || !cel_takes_work (cel))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
-  else if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls)
-           || !(tkt = tkt_add (&cel->tickets, from, offer->ticket,
-                               clk_now (cel->clk))))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
-  if (!tkt)
-    return;
+  struct tem *team = tem_find (&cel->teams, offer->team.s);
+  enum msg_reason reason = admit (cel, from, cls, team, offer);
+  if (reason != MSG_REASON_N)
+    {
+      cel_send_refuse (cel, from, offer->ticket, reason, cls, team);
+      return;
+    }
+  struct tkt *tkt
+      = tkt_add (&cel->tickets, from, offer->ticket, clk_now (cel->clk));
   fill_ticket (cel, tkt, offer);
-  cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
+  cel_enqueue (cel, tkt, cls, team);
   cel_pump (cel);
 }
 
@@ -284,7 +300,9 @@
           = g_sequence_get (g_sequence_get_begin_iter (cel->deadlines));
       if (tkt->deadline > now)
         return;
-      cel_refuse (cel, tkt, MSG_REASON_DEADLINE);
+      cel_refuse (cel, tkt,
+                  tem_at_limit (tkt->team) ? MSG_REASON_TEAM_LIMIT
+                                           : MSG_REASON_DEADLINE);
     }
 }
 
--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -12,6 +12,7 @@
       summary->free_slots += srv_free_slots (srv);
       summary->servers += srv_takes_work (srv) ? 1 : 0;
     }
+  summary->starts_per_s = (guint32)(rte_starts_per_s (&cel->rate) + 0.5);
   for (guint i = 0; i < cel->classes->len; i++)
     {
       const struct cls *cls = cel->classes->pdata[i];
@@ -74,6 +75,10 @@
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "cell");
   json_builder_add_string_value (json, cel->cell.s);
+  add_int (json, "tickets", g_hash_table_size (cel->tickets.tickets));
+  add_int (json, "prefixes", aff_size (cel->aff));
+  add_double (json, "starts_per_s", rte_starts_per_s (&cel->rate));
+  add_double (json, "drain_per_s", rte_drain_per_s (&cel->rate));
   json_builder_set_member_name (json, "servers");
   json_builder_begin_array (json);
   for (guint i = 0; i < cel->servers->len; i++)
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -8,6 +8,7 @@
 #include "cell/tem.h"
 #include "cell/tkt.h"
 #include "policy/aff.h"
+#include "policy/rte.h"
 
 #define CEL_SERVERS_MAX                                                        \
   AFF_SLOTS /* with those that left and still have work                        \
@@ -38,7 +39,8 @@
   struct tkt_table tickets;
   struct aff *aff;
   struct hea_mean prefill; /* microseconds per prompt token */
-  GSequence *deadlines;    /* of waiting struct tkt, the next due first */
+  struct rte rate;
+  GSequence *deadlines; /* of waiting struct tkt, the next due first */
   struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
 
@@ -58,7 +60,8 @@
 void cel_refuse (struct cel *cel, struct tkt *tkt, enum msg_reason reason);
 void cel_send_grant (struct cel *cel, const struct tkt *tkt);
 void cel_send_refuse (struct cel *cel, const char *to, guint64 ticket,
-                      enum msg_reason reason);
+                      enum msg_reason reason, const struct cls *cls,
+                      const struct tem *team);
 
 /* cel_room.c */
 gboolean cel_make_room (struct cel *cel, const struct cls *cls);
@@ -66,6 +69,13 @@
 gboolean cel_takes_work (const struct cel *cel);
 void cel_refuse_unless_served (struct cel *cel);
 
+/* cel_wait.c */
+guint cel_n_waiting (const struct cel *cel);
+gboolean cel_is_hopeless (const struct cel *cel, const struct cls *cls,
+                          const struct tem *team, gint64 wait_us);
+gint64 cel_retry_after (struct cel *cel, const struct cls *cls,
+                        const struct tem *team);
+
 /* cel_place.c */
 gboolean cel_is_open (const struct cel *cel, const struct srv *srv,
                       const struct tkt *tkt);
--- a/packages/cell/cel_pump.c
+++ b/packages/cell/cel_pump.c
@@ -69,18 +69,23 @@
   return picked;
 }
 
+static struct tkt *
+pick (struct cel *cel)
+{
+  if (cel_n_waiting (cel) == 0 || !any_free_slot (cel))
+    return NULL;
+  struct tkt *tkt = pick_by_share (cel);
+  return tkt ? tkt : pick_by_tier (cel);
+}
+
 /* Starts waiting tickets as long as there are slots for them.  */
 void
 cel_pump (struct cel *cel)
 {
-  while (any_free_slot (cel))
-    {
-      struct tkt *tkt = pick_by_share (cel);
-      if (!tkt)
-        tkt = pick_by_tier (cel);
-      if (!tkt)
-        return;
-      struct srv *srv = cel_place (cel, tkt);
-      cel_start (cel, tkt, srv);
-    }
+  gint64 now = clk_now (cel->clk);
+  struct tkt *tkt;
+  rte_update (&cel->rate, now, cel->rate.busy);
+  while ((tkt = pick (cel)))
+    cel_start (cel, tkt, cel_place (cel, tkt));
+  rte_update (&cel->rate, now, cel_n_waiting (cel) > 0 && !any_free_slot (cel));
 }
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -13,15 +13,16 @@
   cel->send (cel->ctx, tkt->ent->id.s, &msg);
 }
 
-/* Sends a refusal for TICKET of instance TO.  */
+/* Sends a refusal for TICKET of instance TO; CLS is NULL if unknown.  */
 void
 cel_send_refuse (struct cel *cel, const char *to, guint64 ticket,
-                 enum msg_reason reason)
+                 enum msg_reason reason, const struct cls *cls,
+                 const struct tem *team)
 {
   struct msg msg = { .kind = MSG_REFUSE };
   msg.refuse.ticket = ticket;
   msg.refuse.reason = reason;
-  msg.refuse.retry_after_us = CEL_RETRY_MIN_US;
+  msg.refuse.retry_after_us = cel_retry_after (cel, cls, team);
   ctr_add (cel->ctr, CTR_REFUSALS, 1);
   cel->send (cel->ctx, to, &msg);
 }
@@ -111,6 +112,7 @@
   tkt->state = TKT_GRANTED;
   count_running (cel, tkt, srv);
   charge_start (cel, tkt);
+  rte_start (&cel->rate);
   hea_probe (&srv->hea, tkt->granted);
   if (tkt->prefix != 0)
     aff_note (cel->aff, tkt->prefix, srv->slot, tkt->granted);
@@ -151,6 +153,8 @@
 {
   struct str_id to = tkt->ent->id;
   guint64 id = tkt->id;
+  const struct cls *cls = tkt->cls;
+  const struct tem *team = tkt->team;
   cel_drop (cel, tkt);
-  cel_send_refuse (cel, to.s, id, reason);
+  cel_send_refuse (cel, to.s, id, reason, cls, team);
 }
--- a/packages/cell/cls.c
+++ b/packages/cell/cls.c
@@ -166,6 +166,28 @@
   return picked;
 }
 
+/* Estimate of the waiting tickets that start before a new one of TEAM, or
+   with NULL all that wait for a slot and not for their team's limit.  */
+guint
+cls_ahead (const struct cls *cls, const struct tem *team)
+{
+  guint flows = 0;
+  guint all = 0;
+  guint own = 0;
+  for (guint i = 0; i < cls->active->len; i++)
+    {
+      const struct flw *flow = cls->active->pdata[i];
+      guint n = (guint)g_sequence_get_length (flow->waiting);
+      if (flow->team == team)
+        own = n;
+      if (flow->team != team && tem_at_limit (flow->team))
+        continue;
+      flows++;
+      all += n;
+    }
+  return team ? MIN (all, (own + 1) * flows) : all;
+}
+
 /* Notes that TKT starts.  */
 void
 cls_serve (struct cls *cls, const struct tkt *tkt)
--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -44,6 +44,7 @@
 struct tkt *cls_youngest (const struct cls *cls);
 struct tkt *cls_pick (const struct cls *cls, cls_startable startable,
                       void *ctx);
+guint cls_ahead (const struct cls *cls, const struct tem *team);
 void cls_serve (struct cls *cls, const struct tkt *tkt);
 void cls_charge (struct cls *cls, const struct tkt *tkt, double tokens);
 
--- a/tests/unit/cell_fixture.h
+++ b/tests/unit/cell_fixture.h
@@ -205,6 +205,22 @@
   return msg ? msg->refuse.reason : MSG_REASON_N;
 }
 
+/* Returns when refused TICKET should come back, 0 if it was not refused.  */
+static inline gint64
+fix_retry_after (const struct fix *fix, guint64 ticket)
+{
+  const struct msg *msg = fix_find (fix, MSG_REFUSE, ticket);
+  return msg ? msg->refuse.retry_after_us : 0;
+}
+
+/* Returns the server that TICKET was granted, "" if it was not.  */
+static inline const char *
+fix_backend (const struct fix *fix, guint64 ticket)
+{
+  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
+  return msg ? msg->grant.backend.s : "";
+}
+
 static inline void
 fix_release (struct fix *fix, guint64 ticket, enum msg_result result)
 {
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -30,8 +30,8 @@
   fix_start (&fix);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
-  CU_ASSERT_TRUE (fix_find (&fix, MSG_GRANT, 1)->grant.use_within_us
-                  <= 2 * CLK_S);
+  const struct msg *msg = fix_find (&fix, MSG_GRANT, 1);
+  CU_ASSERT_TRUE (msg && msg->grant.use_within_us <= 2 * CLK_S);
   fix_wait (&fix, 2 * CLK_S);
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
   CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 1);
@@ -69,7 +69,7 @@
   cel_offer (fix.cel, "e1", &offer);
   fix_wait (&fix, CLK_S);
   CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_DEADLINE);
-  CU_ASSERT_TRUE (fix_find (&fix, MSG_REFUSE, 2)->refuse.retry_after_us > 0);
+  CU_ASSERT_TRUE (fix_retry_after (&fix, 2) > 0);
   fix_close (&fix);
 }
 
@@ -81,8 +81,8 @@
   fix_start (&fix);
   for (guint64 t = 1; t <= 4; t++)
     fix_offer (&fix, t, FIX_NORMAL);
-  struct str_id left = fix_find (&fix, MSG_GRANT, 1)->grant.backend;
-  struct str_id stays = fix_find (&fix, MSG_GRANT, 2)->grant.backend;
+  struct str_id left = fix_id (fix_backend (&fix, 1));
+  struct str_id stays = fix_id (fix_backend (&fix, 2));
   CU_ASSERT_STRING_NOT_EQUAL (left.s, stays.s);
   cel_set_leaving (fix.cel, left.s, TRUE);
   fix_release (&fix, 1, MSG_RESULT_OK);
@@ -499,8 +499,7 @@
   offer.prefix = prefix;
   offer.prompt_tokens = tokens;
   cel_offer (fix->cel, "e1", &offer);
-  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
-  return msg ? msg->grant.backend.s : "";
+  return fix_backend (fix, ticket);
 }
 
 static void
@@ -561,6 +560,73 @@
   fix_close (&fix);
 }
 
+/* Serves what was granted last for 500 ms, N times.  */
+static void
+serve_slowly (struct fix *fix, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      fix_wait (fix, 500 * CLK_MS);
+      fix_release (fix, ticket, MSG_RESULT_OK);
+    }
+}
+
+/* Offers a ticket that can wait 2 s; returns the reason it was refused. */
+static enum msg_reason
+offer_short (struct fix *fix, guint64 ticket, guint class_index)
+{
+  struct msg_offer offer = fix_offer_of (fix, ticket, class_index, "a");
+  offer.wait_us = 2 * CLK_S;
+  cel_offer (fix->cel, "e1", &offer);
+  return fix_refused (fix, ticket);
+}
+
+static void
+test_hopeless_wait (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 36, FIX_NORMAL);
+  CU_ASSERT_EQUAL (offer_short (&fix, 100, FIX_NORMAL), MSG_REASON_N);
+  cel_withdraw (fix.cel, "e1", 100);
+  serve_slowly (&fix, 8); /* two a second; 27 wait */
+  CU_ASSERT_EQUAL (offer_short (&fix, 101, FIX_NORMAL), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (&fix, 102, FIX_BATCH), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (&fix, 103, FIX_URGENT), MSG_REASON_N);
+  /* Team b is not behind the queue of team a. */
+  struct msg_offer offer = fix_offer_of (&fix, 105, FIX_NORMAL, "b");
+  offer.wait_us = 2 * CLK_S;
+  cel_offer (fix.cel, "e1", &offer);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_N);
+  fix_offer (&fix, 104, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  gint64 retry = fix_retry_after (&fix, 101);
+  CU_ASSERT_TRUE (retry > 12 * CLK_S && retry < 22 * CLK_S);
+  CU_ASSERT_NOT_EQUAL (retry, fix_retry_after (&fix, 102));
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.starts_per_s, 1); /* 9 in 10 s */
+  fix_close (&fix);
+}
+
+static void
+test_team_limit_reason (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 8);
+  fix.teams[0].max_running = 1;
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  CU_ASSERT_EQUAL (offer_short (&fix, 2, FIX_NORMAL), MSG_REASON_N);
+  fix_wait (&fix, CLK_S);
+  fix_progress (&fix, 1, 0, 0);
+  fix_wait (&fix, CLK_S);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_TEAM_LIMIT);
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -587,6 +653,8 @@
   { "a prefix returns to its server", test_prefix_returns },
   { "a hot prefix spreads", test_hot_prefix_is_bounded },
   { "a short prefix yields to load", test_short_prefix_yields_to_load },
+  { "a hopeless wait is refused at once", test_hopeless_wait },
+  { "a team's limit is told as the reason", test_team_limit_reason },
   CU_TEST_INFO_NULL,
 };
 
