Preempt running work for a higher tier that would miss its target

Cause: with all slots taken by long batch work an urgent ticket had to wait for one to end. Ruled out: preempting on every higher-tier arrival (throws work away that the next free slot would save); slots kept free for the highest tier (idle most of the time). Change: cell/cel_preempt.c: for a waiting ticket that misses its ttft target if it waits for the next slot and meets it otherwise, PREEMPT goes to the lowest tier's resumable request with the least to prefill again, if that is less than the wait saved, the class keeps its minimum share of the running requests and it ran for 1 s; one in 200 ms, one for each waiting ticket.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -135,6 +135,7 @@
   fill_ticket (cel, tkt, offer);
   cel_enqueue (cel, tkt, cls, team);
   cel_pump (cel);
+  cel_preempt (cel);
 }
 
 /* Takes a ticket: queues it, grants it, or refuses it at once.  */
@@ -364,6 +365,7 @@
   review_health (cel, now);
   cel_free_idle_gone (cel);
   cel_pump (cel);
+  cel_preempt (cel);
 }
 
 /* Tells whether no ticket waits or runs, so that the owner may be freed.  */
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -40,6 +40,7 @@
   struct aff *aff;
   struct hea_mean prefill; /* microseconds per prompt token */
   struct rte rate;
+  gint64 preempted;     /* clock time of the last preemption */
   GSequence *deadlines; /* of waiting struct tkt, the next due first */
   struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
@@ -81,6 +82,12 @@
                       const struct tkt *tkt);
 struct srv *cel_place (struct cel *cel, const struct tkt *tkt);
 
+gboolean cel_avoids (const struct tkt *tkt, const struct srv *srv);
+double cel_prefill_us (const struct cel *cel, const struct tkt *tkt);
+
+/* cel_preempt.c */
+void cel_preempt (struct cel *cel);
+
 /* cel_pump.c */
 void cel_pump (struct cel *cel);
 
--- a/packages/cell/cel_place.c
+++ b/packages/cell/cel_place.c
@@ -6,8 +6,9 @@
 #define CEL_AFF_BOUND 1.25 /* times the even share of requests in flight */
 #define CEL_AFF_TOKENS 32  /* tokens that feel the load of a start */
 
-static gboolean
-avoids (const struct tkt *tkt, const struct srv *srv)
+/* Tells whether TKT names SRV among the servers to avoid.  */
+gboolean
+cel_avoids (const struct tkt *tkt, const struct srv *srv)
 {
   for (guint i = 0; i < MSG_AVOID_MAX && tkt->avoid[i].s[0]; i++)
     if (strcmp (tkt->avoid[i].s, srv->cfg.name.s) == 0)
@@ -39,7 +40,7 @@
 cel_is_open (const struct cel *cel, const struct srv *srv,
              const struct tkt *tkt)
 {
-  if (srv_free_slots (srv) == 0 || avoids (tkt, srv))
+  if (srv_free_slots (srv) == 0 || cel_avoids (tkt, srv))
     return FALSE;
   if (srv->hea.state == HEA_OK)
     return TRUE;
@@ -119,8 +120,9 @@
   return MAX (0, share_a - share_b) * full;
 }
 
-static double
-prefill_us (const struct cel *cel, const struct tkt *tkt)
+/* Estimate of the time that the prefill of TKT takes.  */
+double
+cel_prefill_us (const struct cel *cel, const struct tkt *tkt)
 {
   double each = cel->prefill.n > 0 ? cel->prefill.value : CEL_PREFILL_US;
   return each * (tkt->prompt_tokens + tkt->generated);
@@ -137,7 +139,7 @@
   if (!best || best->hea.state != HEA_OK || !holder || holder == best)
     return best;
   return is_within_bound (cel, holder)
-                 && extra_us (holder, best) <= prefill_us (cel, tkt)
+                 && extra_us (holder, best) <= cel_prefill_us (cel, tkt)
              ? holder
              : best;
 }
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -141,7 +141,10 @@
       srv_drop (tkt->srv, tkt);
       tkt->team->n_running--;
       if (tkt->cls)
-        tkt->cls->n_running--;
+        {
+          tkt->cls->n_running--;
+          tkt->cls->n_preempted -= tkt->preempted;
+        }
     }
   tkt->team->n_tickets--;
   tkt_remove (&cel->tickets, tkt);
--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -24,6 +24,7 @@
   GPtrArray *active;    /* of struct flw with waiting tickets */
   GSequence *waiting;   /* of struct tkt, the oldest first */
   guint n_waiting;
+  guint n_preempted;   /* of these, told to stop */
   guint n_running;     /* tickets granted or running */
   struct dfq dfq;      /* over its flows */
   struct dfq_flow own; /* among the classes of its tier */
--- a/packages/cell/tkt.h
+++ b/packages/cell/tkt.h
@@ -47,6 +47,7 @@
   gboolean resumable;
   guint32 charged;    /* tokens charged at its start */
   gboolean preempted; /* PREEMPT was sent */
+  gboolean rescued;   /* another was preempted for this one */
   struct str_id avoid[MSG_AVOID_MAX];
 
   GSequenceIter *in_class;    /* while waiting */
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -627,6 +627,94 @@
   fix_close (&fix);
 }
 
+/* Fills 8 slots with batch work that runs for 2 s; each of its requests has
+   GENERATED tokens, ticket 3 has the fewest.  */
+static void
+fill_with_batch (struct fix *fix, gboolean resumable, guint32 generated)
+{
+  fix_init (fix, 1, 8);
+  fix->classes[FIX_BATCH].min_share = 0.5;
+  fix->pool.kind = CFG_SERVICE; /* no adaptive limit */
+  fix_start (fix);
+  for (guint64 t = 1; t <= 8; t++)
+    {
+      struct msg_offer offer = fix_offer_of (fix, t, FIX_BATCH, "a");
+      offer.resumable = resumable;
+      cel_offer (fix->cel, "e1", &offer);
+    }
+  for (guint i = 0; i < 2; i++)
+    {
+      fix_wait (fix, CLK_S);
+      for (guint64 t = 1; t <= 8; t++)
+        fix_progress (fix, t, t == 3 ? generated / 4 : generated / 2, 0);
+    }
+}
+
+static guint64
+preempted (const struct fix *fix)
+{
+  return fix->ctr.v[CTR_PREEMPTED];
+}
+
+static void
+test_preemption (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, TRUE, 200);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  CU_ASSERT_PTR_NOT_NULL (fix_find (&fix, MSG_PREEMPT, 3));
+  fix_release (&fix, 3, MSG_RESULT_CANCELLED);
+  CU_ASSERT_TRUE (fix_granted (&fix, 10));
+  /* One for each ticket, and not all at once. */
+  fix_offer (&fix, 11, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  fix_wait (&fix, 250 * CLK_MS);
+  CU_ASSERT_EQUAL (preempted (&fix), 2);
+  fix_close (&fix);
+}
+
+static void
+test_preemption_keeps_the_share (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, TRUE, 200);
+  for (guint64 t = 10; t < 30; t++)
+    {
+      fix_offer (&fix, t, FIX_URGENT);
+      fix_wait (&fix, 250 * CLK_MS);
+      for (guint64 b = 1; b <= 8; b++)
+        {
+          if (fix_find (&fix, MSG_PREEMPT, b))
+            fix_release (&fix, b, MSG_RESULT_CANCELLED);
+          fix_progress (&fix, b, 0, 0);
+        }
+      for (guint64 u = 10; u <= t; u++)
+        fix_progress (&fix, u, 0, 0);
+    }
+  CU_ASSERT_EQUAL (preempted (&fix), 4);
+  fix_close (&fix);
+}
+
+static void
+test_no_preemption (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, FALSE, 200);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* cannot be resumed */
+  fix_close (&fix);
+  fill_with_batch (&fix, TRUE, 40000);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* would throw too much away */
+  fix_close (&fix);
+  fill_with_batch (&fix, TRUE, 200);
+  fix_offer (&fix, 10, FIX_BATCH);
+  fix_offer (&fix, 11, FIX_NORMAL);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* has 2 s left */
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -655,6 +743,9 @@
   { "a short prefix yields to load", test_short_prefix_yields_to_load },
   { "a hopeless wait is refused at once", test_hopeless_wait },
   { "a team's limit is told as the reason", test_team_limit_reason },
+  { "a running request yields to a higher tier", test_preemption },
+  { "preemption keeps the minimum share", test_preemption_keeps_the_share },
+  { "preemption has its limits", test_no_preemption },
   CU_TEST_INFO_NULL,
 };
 
