--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -24,6 +24,7 @@
   GPtrArray *active;    /* of struct flw with waiting tickets */
   GSequence *waiting;   /* of struct tkt, the oldest first */
   guint n_waiting;
+  guint n_preempted;   /* of these, told to stop */
   guint n_running;     /* tickets granted or running */
   struct dfq dfq;      /* over its flows */
   struct dfq_flow own; /* among the classes of its tier */
@@ -44,6 +45,7 @@
 struct tkt *cls_youngest (const struct cls *cls);
 struct tkt *cls_pick (const struct cls *cls, cls_startable startable,
                       void *ctx);
+guint cls_ahead (const struct cls *cls, const struct tem *team);
 void cls_serve (struct cls *cls, const struct tkt *tkt);
 void cls_charge (struct cls *cls, const struct tkt *tkt, double tokens);
 
