Balance cells of a region by expected wait

Cause: at 1.3 times capacity the first failure domain, with 43 % of the arrivals and 33 % of the engines, missed 224 of its 656 urgent targets while its neighbour missed 23 of 357: work left home only for a cell with free slots, and in overload there are none. Ruled out: the limits (75 to 108 of 128 slots in use in both), the owner's order (same in both cells). Change: work leaves a crowded home for the shorter wait, a part at a time. Conclusion: kept; what is missed now is missed in the waves of both cells.

--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -7,6 +7,7 @@
    at home is longer than this share of its first-token target. */
 #define SPILL_WAIT_SHARE 0.5
 #define SPILL_WAIT_DEFAULT_US (1 * CLK_S) /* classes without a target */
+#define SPILL_PART 0.5 /* of the work that may leave, at most at a time */
 #define WAIT_UNKNOWN_US (3600 * CLK_S)
 #define CANDIDATES_MAX 64
 
@@ -154,9 +155,20 @@
   return (gint64)(SPILL_WAIT_SHARE * class->ttft_us);
 }
 
+/* Whether work goes to a cell nearby that has the shorter wait. Summaries
+   lag, so only a part goes, the greater the difference the more; else all
+   entries would run to and fro between two cells.  */
+static gboolean
+leaves_home (struct nod *nod, gint64 home_wait, gint64 near_wait)
+{
+  if (near_wait == 0 || home_wait == WAIT_UNKNOWN_US)
+    return TRUE;
+  double saved = 1.0 - (double)near_wait / (double)home_wait;
+  return saved > 0 && g_rand_double (nod->rand) < saved * SPILL_PART;
+}
+
 /* Picks among the found cells: at home, then within the region, last over
-   the link. Work leaves a crowded home early only for a cell of the region
-   that has free slots.  */
+   the link.  */
 static const struct cfg_cell *
 pick (struct nod *nod, const struct candidates found[DISTANCE_N],
       const struct cfg_class *class, enum cfg_spill spill, gboolean may_cross)
@@ -172,7 +184,7 @@
     near = pick_of_two (nod, &found[DISTANCE_REGION], class->tier);
   gint64 near_wait
       = near ? expected_wait (nod, near, class->tier) : WAIT_UNKNOWN_US;
-  if (near != NULL && (near_wait == 0 || home_wait == WAIT_UNKNOWN_US))
+  if (near != NULL && leaves_home (nod, home_wait, near_wait))
     return near;
   if (home != NULL && home_wait < WAIT_UNKNOWN_US)
     return home;
