Count a class's starts ahead of its share over a longer window

Cause: in the waves the minimum shares of the lower classes (0.35 of starts) took the slots that the top tier needed, although these classes had been far above their shares just before: a start ahead of the share counted for one. Ruled out: higher credit, which only moves the claim. Change: up to 30 starts ahead count, so a class that had its share claims nothing until they are used up. A class can go without a start for at most 31 / share starts of its cell.

--- a/packages/policy/shr.h
+++ b/packages/policy/shr.h
@@ -7,7 +7,7 @@
 #include <glib.h>
 
 #define SHR_CREDIT_MAX 4.0 /* starts earned at most */
-#define SHR_DEBT_MAX 1.0   /* starts ahead of its share that count */
+#define SHR_DEBT_MAX 30.0  /* starts ahead of its share that count */
 
 struct shr
 {
--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -94,17 +94,16 @@
 {
   GPtrArray *argv = g_ptr_array_new ();
   char *path = g_strconcat (STANDINS, program, NULL);
-  char *history
-      = g_strdup_printf ("%s/%s.history", har_dir (dep->har), name);
+  char *history = g_strdup_printf ("%s/%s.history", har_dir (dep->har), name);
   const char *const fixed[]
       = { path, "--name", name, "--history", history, NULL };
   for (guint i = 0; fixed[i] != NULL; i++)
-    g_ptr_array_add (argv, (gpointer) fixed[i]);
+    g_ptr_array_add (argv, (gpointer)fixed[i]);
   for (guint i = 0; args != NULL && args[i] != NULL; i++)
-    g_ptr_array_add (argv, (gpointer) args[i]);
+    g_ptr_array_add (argv, (gpointer)args[i]);
   g_ptr_array_add (argv, NULL);
   struct har_proc *proc
-      = har_start (dep->har, name, (const char *const *) argv->pdata);
+      = har_start (dep->har, name, (const char *const *)argv->pdata);
   g_ptr_array_unref (argv);
   g_free (history);
   g_free (path);
@@ -113,8 +112,8 @@
 
 static gboolean
 start_standins (struct dep *dep, const struct dep_domain *domain,
-                struct dep_node *nodes, guint *n, guint count,
-                const char *kind, const char *const *args)
+                struct dep_node *nodes, guint *n, guint count, const char *kind,
+                const char *const *args)
 {
   char *program = g_strconcat ("standin_", kind, NULL);
   gboolean ok = TRUE;
@@ -123,8 +122,8 @@
       struct dep_node *node = &nodes[(*n)++];
       node->domain = domain->name;
       node->region = domain->region;
-      g_snprintf (node->name, sizeof node->name, "%s-%s-%u", domain->name,
-                  kind, i + 1);
+      g_snprintf (node->name, sizeof node->name, "%s-%s-%u", domain->name, kind,
+                  i + 1);
       node->proc = start_standin (dep, program, node->name, args);
       ok = node->proc != NULL;
     }
@@ -142,7 +141,7 @@
       node->region = domain->region;
       node->peer_port = har_free_port ();
       g_snprintf (node->name, sizeof node->name, "%s-%c", domain->name,
-                  'a' + (char) i);
+                  'a' + (char)i);
     }
 }
 
@@ -154,8 +153,7 @@
   char *path = g_strdup_printf ("%s/%s.ini", dir, node->name);
   char *key = g_strdup_printf ("%s/peer.key", dir);
   for (guint i = 0; i < dep->n_entries; i++)
-    g_string_append_printf (peers, "127.0.0.1:%d;",
-                            dep->entries[i].peer_port);
+    g_string_append_printf (peers, "127.0.0.1:%d;", dep->entries[i].peer_port);
   char *text = g_strdup_printf (
       "[instance]\nid=%s\ndomain=%s\nregion=%s\nlog_level=info\ncharts=%s\n"
       "[listen]\ncallers=127.0.0.1:0\nadmin=127.0.0.1:0\n"
@@ -258,8 +256,8 @@
       "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
       streamed ? "true" : "false", prompt);
   const char *const headers[]
-      = { "Authorization", "Bearer " DEP_TEAM_KEY,
-          "Jacinthward-Class", class_name ? class_name : "urgent", NULL };
+      = { "Authorization", "Bearer " DEP_TEAM_KEY, "Jacinthward-Class",
+          class_name ? class_name : "urgent", NULL };
   const struct har_call call = {
     .port = dep->entries[i].proc->http_port,
     .path = "/v1/chat/completions",
--- a/tests/harness/dep.h
+++ b/tests/harness/dep.h
@@ -12,7 +12,7 @@
 
 struct dep_domain
 {
-  const char *name;   /* NULL: end of the list */
+  const char *name; /* NULL: end of the list */
   const char *region;
   guint entries;
   guint engines;
--- a/tests/proc/demo.c
+++ b/tests/proc/demo.c
@@ -49,9 +49,9 @@
 {
   struct har_reply *reply
       = dep_activate (dep, i, "{\"id\":\"subscriber-7\"}", key);
-  char *what = g_strdup_printf ("activation %s through %s",
-                                key ? key : "without a key",
-                                dep->entries[i].name);
+  char *what
+      = g_strdup_printf ("activation %s through %s",
+                         key ? key : "without a key", dep->entries[i].name);
   g_print ("\n> activate subscriber-7\n< %u %s\n", reply->status,
            reply->body->str);
   check (what, reply->status == 200);
