Add bench_relay: added time, full rate and the cost of 200 streams

Ruled out: callers without a pause for the added time; then every process is full and the figure is the queue's, not the relay's. Readiness by /readyz: the administration listener is not there yet, so a completion is asked for. Change: bench_relay with its templates; the load can hang up at its end.

--- /dev/null
+++ b/tests/bench/bench_relay.c
@@ -0,0 +1,381 @@
+/* Measures one instance between callers and stand-in engines: the time it adds
+   to a call, the requests a second at which it is full, and what it spends on
+   many streams. Prints lines "name value unit".
+
+   The calls for the added time are short and unstreamed, by callers that think
+   between them, so that no process is full; direct and relayed rounds take
+   turns.  */
+#include "bench/lod.h"
+#include "harness/har.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ENGINES 4
+#define KEY "bench-key"
+#define CALLERS 32
+#define THINK_US 20000
+#define SHORT_TOKENS 4
+#define STEP_US "200"   /* of the engines, without a fault */
+#define SLOW_FACTOR 155 /* makes a step 31 ms */
+#define ROUNDS 3
+#define ROUND_US 2000000
+#define WARMUP_US 500000
+#define STREAMS 200
+#define STREAM_TOKENS 450
+#define STREAM_SPREAD 400
+#define STREAM_WARMUP_US 6000000
+#define STREAM_US 10000000
+
+struct bench
+{
+  struct har *har;
+  struct har_proc *platform;
+  struct har_proc *engines[ENGINES];
+  struct har_proc *daemon;
+  char *engine_targets[ENGINES + 1]; /* NULL-terminated */
+  char *daemon_target[2];
+};
+
+/* What the daemon has used, seen at one moment. */
+struct usage
+{
+  gint64 t;      /* monotonic, microseconds */
+  double cpu_s;  /* since its start */
+  double rss_mb; /* resident */
+};
+
+static struct har_proc *
+start_ready (struct bench *bench, const char *name, const char *const *argv)
+{
+  struct har_proc *proc = har_start (bench->har, name, argv);
+  return proc != NULL && har_wait_ready (proc) ? proc : NULL;
+}
+
+static gboolean
+start_stand_ins (struct bench *bench)
+{
+  const char *engine[] = { "tests/standin/standin_engine",
+                           "--base-us",
+                           STEP_US,
+                           "--seq-us",
+                           "0",
+                           "--prefill-per-s",
+                           "10000000",
+                           "--history",
+                           "/dev/null",
+                           NULL };
+  const char *platform[]
+      = { "tests/standin/standin_platform", "--history", "/dev/null", NULL };
+  bench->platform = start_ready (bench, "platform", platform);
+  gboolean ok = bench->platform != NULL;
+  for (guint i = 0; i < ENGINES && ok; i++)
+    {
+      bench->engines[i] = start_ready (bench, "engine", engine);
+      ok = bench->engines[i] != NULL;
+      if (ok)
+        bench->engine_targets[i]
+            = g_strdup_printf ("127.0.0.1:%d", bench->engines[i]->port);
+    }
+  return ok;
+}
+
+static char *
+port_text (const struct har_proc *proc)
+{
+  return g_strdup_printf ("%d", proc->port);
+}
+
+/* Puts the configuration on the platform.  */
+static gboolean
+put_config (struct bench *bench)
+{
+  char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, KEY, -1);
+  char *ports[ENGINES];
+  for (guint i = 0; i < ENGINES; i++)
+    ports[i] = port_text (bench->engines[i]);
+  const char *values[]
+      = { "KEY_SHA256", digest,   "ENGINE_1", ports[0], "ENGINE_2", ports[1],
+          "ENGINE_3",   ports[2], "ENGINE_4", ports[3], NULL };
+  char *path
+      = har_template (bench->har, JW_SOURCE_DIR "/tests/bench/relay_config.ini",
+                      "config.ini", values);
+  char *body = NULL;
+  gboolean ok = path != NULL && g_file_get_contents (path, &body, NULL, NULL);
+  const char *headers[] = { "If-None-Match", "*", NULL };
+  struct har_call call = { .method = "PUT",
+                           .port = bench->platform->port,
+                           .path = "/objects/config",
+                           .headers = headers,
+                           .body = body };
+  if (ok)
+    {
+      struct har_reply *reply = har_call (&call);
+      ok = reply->status == 200;
+      har_reply_free (reply);
+    }
+  for (guint i = 0; i < ENGINES; i++)
+    g_free (ports[i]);
+  g_free (digest);
+  g_free (path);
+  g_free (body);
+  return ok;
+}
+
+/* Tells whether the daemon answers a completion.  */
+static gboolean
+is_ready (void *ctx)
+{
+  const struct bench *bench = ctx;
+  const char *headers[] = { "Authorization", "Bearer " KEY, NULL };
+  struct har_call call = { .port = bench->daemon->http_port,
+                           .path = "/v1/completions",
+                           .headers = headers,
+                           .body = "{\"model\":\"m\",\"prompt\":\"p\","
+                                   "\"max_tokens\":1}" };
+  struct har_reply *reply = har_call (&call);
+  gboolean ready = reply->status == 200;
+  har_reply_free (reply);
+  return ready;
+}
+
+static gboolean
+start_daemon (struct bench *bench)
+{
+  const char *none[] = { NULL };
+  char *key = har_template (bench->har, JW_SOURCE_DIR "/tests/bench/relay.key",
+                            "peer.key", none);
+  char *port = port_text (bench->platform);
+  static const char charts[] = JW_SOURCE_DIR "/charts";
+  const char *values[]
+      = { "CHARTS", charts, "KEY_FILE", key, "PLATFORM", port, NULL };
+  char *settings = har_template (
+      bench->har, JW_SOURCE_DIR "/tests/bench/relay.ini", "relay.ini", values);
+  const char *argv[]
+      = { "packages/jacinthward/jacinthward", "--settings", settings, NULL };
+  bench->daemon = start_ready (bench, "jacinthward", argv);
+  g_free (key);
+  g_free (port);
+  g_free (settings);
+  if (bench->daemon == NULL)
+    return FALSE;
+  bench->daemon_target[0]
+      = g_strdup_printf ("127.0.0.1:%d", bench->daemon->http_port);
+  return har_wait_until (is_ready, bench, HAR_DEADLINE_MS);
+}
+
+static struct lod_options
+short_calls (char **targets)
+{
+  return (struct lod_options){ .targets = (const char *const *)targets,
+                               .key = KEY,
+                               .model = "m",
+                               .callers = CALLERS,
+                               .tokens = SHORT_TOKENS,
+                               .prefixes = 16,
+                               .seed = 1,
+                               .warmup_us = WARMUP_US,
+                               .duration_us = ROUND_US };
+}
+
+/* Prints what went wrong. Returns the number of wrong answers.  */
+static guint64
+report_errors (const struct lod_result *result, const char *prefix)
+{
+  GHashTableIter iter;
+  gpointer code;
+  gpointer n;
+  g_hash_table_iter_init (&iter, result->errors);
+  while (g_hash_table_iter_next (&iter, &code, &n))
+    g_print ("%serror_%s %zu requests\n", prefix, (const char *)code,
+             GPOINTER_TO_SIZE (n));
+  return lod_errors (result);
+}
+
+static guint64
+run_round (char **targets, const char *prefix, GArray *totals)
+{
+  struct lod_result result;
+  struct lod_options options = short_calls (targets);
+  options.think_us = THINK_US;
+  lod_run (&options, &result);
+  g_array_append_vals (totals, result.total_us->data, result.total_us->len);
+  guint64 errors = report_errors (&result, prefix);
+  lod_result_clear (&result);
+  return errors;
+}
+
+static void
+print_us (const char *name, gint64 us)
+{
+  g_print ("%s %" G_GINT64_FORMAT " us\n", name, us);
+}
+
+static guint64
+measure_overhead (struct bench *bench)
+{
+  GArray *direct = g_array_new (FALSE, FALSE, sizeof (gint64));
+  GArray *relayed = g_array_new (FALSE, FALSE, sizeof (gint64));
+  guint64 errors = 0;
+  for (guint i = 0; i < ROUNDS; i++)
+    {
+      errors += run_round (bench->engine_targets, "direct_", direct);
+      errors += run_round (bench->daemon_target, "relayed_", relayed);
+    }
+  gint64 d50 = lod_percentile (direct, 0.5);
+  gint64 d99 = lod_percentile (direct, 0.99);
+  gint64 r50 = lod_percentile (relayed, 0.5);
+  gint64 r99 = lod_percentile (relayed, 0.99);
+  print_us ("direct_p50_us", d50);
+  print_us ("direct_p99_us", d99);
+  print_us ("relayed_p50_us", r50);
+  print_us ("relayed_p99_us", r99);
+  print_us ("relay_overhead_p50_us", r50 - d50);
+  print_us ("relay_overhead_p99_us", r99 - d99);
+  g_array_unref (direct);
+  g_array_unref (relayed);
+  return errors;
+}
+
+/* Measures the requests a second of callers that do not think.  */
+static guint64
+measure_rate (char **targets, const char *prefix)
+{
+  struct lod_result result;
+  struct lod_options options = short_calls (targets);
+  lod_run (&options, &result);
+  g_print ("%srequests_per_s %.0f 1/s\n", prefix,
+           (double)result.requests / result.seconds);
+  guint64 errors = report_errors (&result, prefix);
+  lod_result_clear (&result);
+  return errors;
+}
+
+static double
+status_kb (int pid, const char *key)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", pid);
+  char *text = NULL;
+  double kb = -1;
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    {
+      const char *at = strstr (text, key);
+      if (at != NULL)
+        kb = (double)g_ascii_strtoll (at + strlen (key), NULL, 10);
+    }
+  g_free (text);
+  g_free (path);
+  return kb;
+}
+
+/* Returns the processor time of PID, user and system, in seconds.  */
+static double
+cpu_seconds (int pid)
+{
+  enum
+  {
+    UTIME = 11, /* fields after the one in parentheses */
+    STIME = 12
+  };
+  char *path = g_strdup_printf ("/proc/%d/stat", pid);
+  char *text = NULL;
+  double seconds = 0;
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    {
+      char **f = g_strsplit (strrchr (text, ')') + 2, " ", -1);
+      seconds = (double)(g_ascii_strtoll (f[UTIME], NULL, 10)
+                         + g_ascii_strtoll (f[STIME], NULL, 10))
+                / (double)sysconf (_SC_CLK_TCK);
+      g_strfreev (f);
+    }
+  g_free (text);
+  g_free (path);
+  return seconds;
+}
+
+struct sampling
+{
+  int pid;
+  struct usage begin;
+  struct usage end;
+};
+
+static struct usage
+take_usage (int pid)
+{
+  return (struct usage){ g_get_monotonic_time (), cpu_seconds (pid),
+                         status_kb (pid, "VmRSS:") / 1024 };
+}
+
+static gboolean
+on_begin (gpointer ctx)
+{
+  struct sampling *sampling = ctx;
+  sampling->begin = take_usage (sampling->pid);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_end (gpointer ctx)
+{
+  struct sampling *sampling = ctx;
+  sampling->end = take_usage (sampling->pid);
+  return G_SOURCE_REMOVE;
+}
+
+static guint64
+measure_streams (struct bench *bench)
+{
+  struct sampling sampling = { .pid = har_pid (bench->daemon) };
+  struct lod_result result;
+  struct lod_options options = short_calls (bench->daemon_target);
+  char *fault = g_strdup_printf ("{\"slow_factor\": %d}", SLOW_FACTOR);
+  for (guint i = 0; i < ENGINES; i++)
+    har_fault (bench->engines[i]->port, fault);
+  g_free (fault);
+  options.stream = TRUE;
+  options.callers = STREAMS;
+  options.tokens = STREAM_TOKENS;
+  options.spread = STREAM_SPREAD;
+  options.warmup_us = STREAM_WARMUP_US;
+  options.duration_us = STREAM_US;
+  options.cut = TRUE;
+  g_timeout_add (STREAM_WARMUP_US / 1000, on_begin, &sampling);
+  g_timeout_add ((STREAM_WARMUP_US + STREAM_US) / 1000, on_end, &sampling);
+  lod_run (&options, &result);
+  double wall_s = (double)(sampling.end.t - sampling.begin.t) / G_USEC_PER_SEC;
+  g_print ("tokens_per_s %.0f 1/s\n", (double)result.tokens / result.seconds);
+  print_us ("streams_tbt_p50_us", lod_percentile (result.tbt_us, 0.5));
+  print_us ("streams_tbt_p95_us", lod_percentile (result.tbt_us, 0.95));
+  print_us ("streams_tbt_p99_us", lod_percentile (result.tbt_us, 0.99));
+  print_us ("streams_ttft_p95_us", lod_percentile (result.ttft_us, 0.95));
+  g_print ("rss_mb %.1f MB\n", sampling.end.rss_mb);
+  g_print ("cpu_share %.3f cores\n",
+           (sampling.end.cpu_s - sampling.begin.cpu_s) / wall_s);
+  guint64 errors = report_errors (&result, "streams_");
+  lod_result_clear (&result);
+  return errors;
+}
+
+int
+main (void)
+{
+  struct bench bench = { .har = har_new () };
+  guint64 errors = 0;
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  gboolean ok = start_stand_ins (&bench) && put_config (&bench)
+                && start_daemon (&bench);
+  if (ok)
+    {
+      errors += measure_overhead (&bench);
+      errors += measure_rate (bench.engine_targets, "direct_");
+      errors += measure_rate (bench.daemon_target, "");
+      errors += measure_streams (&bench);
+    }
+  har_free (bench.har);
+  for (guint i = 0; i < ENGINES; i++)
+    g_free (bench.engine_targets[i]);
+  g_free (bench.daemon_target[0]);
+  return ok && errors == 0 ? 0 : 1;
+}
--- a/tests/bench/lod.c
+++ b/tests/bench/lod.c
@@ -27,8 +27,9 @@
   guint n_targets;
   gint64 begin; /* of the measurement, monotonic microseconds */
   gint64 end;
-  gint64 next; /* arrival, open loop */
-  int timer;   /* timerfd of the arrivals */
+  gint64 next;          /* arrival, open loop */
+  int timer;            /* timerfd of the arrivals */
+  GCancellable *cancel; /* at the end */
 };
 
 struct caller
@@ -50,6 +51,7 @@
 };
 
 static void start (struct caller *caller, gint64 t_start);
+static void go_on (struct caller *caller);
 
 static gboolean
 is_measured (const struct load *load, gint64 t)
@@ -179,7 +181,12 @@
 static gboolean
 on_thought (gpointer ctx)
 {
-  start (ctx, g_get_monotonic_time ());
+  struct caller *caller = ctx;
+  gint64 now = g_get_monotonic_time ();
+  if (now < caller->load->end)
+    start (caller, now);
+  else
+    go_on (caller);
   return G_SOURCE_REMOVE;
 }
 
@@ -220,8 +227,11 @@
 {
   struct lod_result *result = caller->load->result;
   gint64 total = g_get_monotonic_time () - caller->t_start;
+  gboolean cut = g_cancellable_is_cancelled (caller->load->cancel);
   char *code = failure != NULL ? g_strdup (failure) : judge (caller);
-  if (code != NULL)
+  if (cut && code != NULL)
+    result->cut++;
+  else if (code != NULL)
     count_error (caller, code);
   else if (is_measured (caller->load, caller->t_start))
     {
@@ -277,7 +287,8 @@
 read_more (struct caller *caller)
 {
   g_input_stream_read_async (caller->in, caller->buffer, READ_SIZE,
-                             G_PRIORITY_DEFAULT, NULL, on_read, caller);
+                             G_PRIORITY_DEFAULT, caller->load->cancel, on_read,
+                             caller);
 }
 
 static void
@@ -311,6 +322,15 @@
   return NULL;
 }
 
+static guint
+pick_length (struct load *load)
+{
+  const struct lod_options *options = load->options;
+  gint32 spread = (gint32)MIN (options->spread, options->tokens - 1);
+  return options->tokens
+         + (guint)g_rand_int_range (load->rand, -spread, spread + 1);
+}
+
 /* Returns a prompt of a shared prefix and a tail of its own.  */
 static GString *
 make_prompt (struct load *load)
@@ -325,7 +345,7 @@
       prompt, " request %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT,
       load->requests, options->seed);
   if (options->tokens > 0)
-    g_string_append_printf (prompt, " [len=%u]", options->tokens);
+    g_string_append_printf (prompt, " [len=%u]", pick_length (load));
   return prompt;
 }
 
@@ -392,7 +412,7 @@
   caller->t_first = 0;
   caller->done = FALSE;
   soup_session_send_async (caller->session, caller->msg, G_PRIORITY_DEFAULT,
-                           NULL, on_sent, caller);
+                           load->cancel, on_sent, caller);
 }
 
 static void
@@ -436,7 +456,7 @@
 on_drained (gpointer ctx)
 {
   struct load *load = ctx;
-  g_main_loop_quit (load->loop);
+  g_cancellable_cancel (load->cancel);
   return G_SOURCE_REMOVE;
 }
 
@@ -446,6 +466,8 @@
   struct load *load = ctx;
   if (load->busy == 0)
     g_main_loop_quit (load->loop);
+  else if (load->options->cut)
+    g_cancellable_cancel (load->cancel);
   return G_SOURCE_REMOVE;
 }
 
@@ -524,20 +546,21 @@
   g_timeout_add ((guint)(run_us / 1000) + 1, on_end, &load);
   guint drain
       = g_timeout_add ((guint)((run_us + DRAIN_US) / 1000), on_drained, &load);
+  load.cancel = g_cancellable_new ();
   start_callers (&load);
   if (options->rate_per_s > 0)
     set_timer (&load);
   g_main_loop_run (load.loop);
-  if (load.busy > 0)
-    g_hash_table_insert (result->errors, g_strdup ("unfinished"),
-                         GSIZE_TO_POINTER (load.busy));
-  else
+  if (options->cut || !g_cancellable_is_cancelled (load.cancel))
     g_source_remove (drain);
+  else
+    g_hash_table_insert (result->errors, g_strdup ("unfinished"),
+                         GSIZE_TO_POINTER (result->cut));
   g_source_remove (watch);
   close (load.timer);
   result->seconds = (double)options->duration_us / G_USEC_PER_SEC;
-  if (load.busy == 0)
-    g_ptr_array_unref (load.callers);
+  g_ptr_array_unref (load.callers);
+  g_object_unref (load.cancel);
   g_rand_free (load.rand);
   g_main_loop_unref (load.loop);
 }
--- a/tests/bench/lod.h
+++ b/tests/bench/lod.h
@@ -16,11 +16,13 @@
   gint64 think_us;   /* closed loop: mean time from an answer to a request */
   gboolean stream;   /* server-sent events */
   guint tokens;      /* of each answer; 0: as the prompt has it */
+  guint spread;      /* answers have up to so many tokens more or less */
   guint prompt_size; /* bytes, about */
   guint prefixes;    /* number of different prefixes of prompts */
   guint64 seed;
   gint64 warmup_us; /* not measured */
   gint64 duration_us;
+  gboolean cut; /* at the end: hang up, instead of waiting for the answers */
 };
 
 struct lod_result
@@ -28,6 +30,7 @@
   double seconds;   /* measured */
   guint64 requests; /* answered right and whole */
   guint64 tokens;
+  guint64 cut;        /* hung up at the end */
   guint64 dropped;    /* open loop: arrivals that found no caller free */
   GArray *ttft_us;    /* gint64; to the first byte of text */
   GArray *tbt_us;     /* gint64; between tokens */
