Keep connections alive towards engines and callers

Cause, of 36 ms added at the median and 612 requests a second with 32 callers: (1) libsoup opens a new connection for every POST that is not flagged idempotent and keeps the idle ones, 739 after 2 s; strace counted 900 recvfrom a request over them. (2) libsoup keeps callers' connections alive only while the server has a listener of its own, so connections accepted outside were closed after each answer (callers saw errors on sending). Ruled out: logging, the adaptive limit, the owner's round trip. Change: repeatable calls carry the flag, and a call is ended as broken when libsoup is about to send it again ('restarted'); calls that may run once keep a new connection each. The entry's listening socket is libsoup's.

--- a/packages/backend/bkd.c
+++ b/packages/backend/bkd.c
@@ -188,6 +188,15 @@
   g_clear_error (&error);
 }
 
+/* libsoup is about to send the request a second time, since a kept-alive
+   connection was closed. Whether to repeat is decided elsewhere.  */
+static void
+on_restarted (SoupMessage *message, gpointer data)
+{
+  (void)message;
+  end_call (data, MSG_RESULT_BROKEN, "the connection was closed");
+}
+
 /* From here on bytes of the request may have left.  */
 static void
 on_starting (SoupMessage *message, gpointer data)
@@ -233,8 +242,10 @@
   if (message == NULL)
     return NULL;
   guint flags = SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE;
-  if (options->fresh)
-    flags |= SOUP_MESSAGE_NEW_CONNECTION;
+  /* libsoup opens a connection for each POST that is not called idempotent,
+     and keeps the idle ones; see on_restarted.  */
+  flags
+      |= options->fresh ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT;
   soup_message_set_flags (message, flags);
   soup_message_headers_foreach (options->headers, copy_header,
                                 soup_message_get_request_headers (message));
@@ -261,6 +272,7 @@
   g_strlcpy (call->peer, options->backend->name.s, sizeof call->peer);
   g_hash_table_add (bkd->calls, call);
   g_signal_connect (message, "starting", G_CALLBACK (on_starting), call);
+  g_signal_connect (message, "restarted", G_CALLBACK (on_restarted), call);
   call->deadline_timer = g_timeout_add ((guint)(options->timeout_us / CLK_MS),
                                         on_deadline, call);
   call->stall_timer
--- a/packages/entry/ent.c
+++ b/packages/entry/ent.c
@@ -13,18 +13,16 @@
 /* A caller's connection. */
 struct ent_conn
 {
-  GSocketAddress *remote; /* a reference; libsoup hands the same object out */
-  GSocket *socket;        /* a reference */
-  gint64 due;             /* a whole request must be there, microseconds */
-  gboolean started;       /* the first bytes of a request have come */
-  gboolean busy;          /* a request is being answered */
+  GSocket *socket; /* a reference */
+  gint64 due;      /* a whole request must be there, microseconds */
+  gboolean served; /* had a whole request before */
+  gboolean busy;   /* a request is being answered */
 };
 
 static void
 free_conn (gpointer data)
 {
   struct ent_conn *conn = data;
-  g_object_unref (conn->remote);
   g_object_unref (conn->socket);
   g_free (conn);
 }
@@ -33,16 +31,7 @@
 find_conn (struct ent *ent, SoupServerMessage *message)
 {
   return g_hash_table_lookup (ent->conns,
-                              soup_server_message_get_remote_address (message));
-}
-
-/* Returns the socket of MESSAGE's connection, borrowed; libsoup does not know
-   it, since the connection was accepted here. NULL if it is closed.  */
-GSocket *
-ent_socket (struct ent *ent, SoupServerMessage *message)
-{
-  struct ent_conn *conn = find_conn (ent, message);
-  return conn ? conn->socket : NULL;
+                              soup_server_message_get_socket (message));
 }
 
 static void
@@ -170,64 +159,34 @@
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), ent);
 }
 
-static void
-on_request_started (SoupServer *server, SoupServerMessage *message,
-                    gpointer data)
+static struct ent_conn *
+add_conn (struct ent *ent, GSocket *socket)
 {
-  struct ent *ent = data;
-  struct ent_conn *conn = find_conn (ent, message);
-  (void)server;
-  if (conn == NULL)
-    return;
-  conn->started = TRUE;
-  conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
+  struct ent_conn *conn = g_new0 (struct ent_conn, 1);
+  conn->socket = g_object_ref (socket);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_hash_table_insert (ent->conns, socket, conn);
+  return conn;
 }
 
+/* libsoup waits for a request, the first or the next of its connection.  */
 static void
-on_request_done (SoupServer *server, SoupServerMessage *message, gpointer data)
+on_request_started (SoupServer *server, SoupServerMessage *message,
+                    gpointer data)
 {
   struct ent *ent = data;
-  struct ent_conn *conn = find_conn (ent, message);
+  GSocket *socket = soup_server_message_get_socket (message);
   (void)server;
-  if (conn == NULL)
+  if (socket == NULL)
     return;
+  struct ent_conn *conn = g_hash_table_lookup (ent->conns, socket);
+  if (conn == NULL)
+    conn = add_conn (ent, socket);
+  conn->served |= conn->busy;
   conn->busy = FALSE;
-  conn->started = FALSE;
   conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
 }
 
-static void
-accept_conn (struct ent *ent, GSocketConnection *connection,
-             GSocketAddress *local, GSocketAddress *remote)
-{
-  struct ent_conn *conn = g_new0 (struct ent_conn, 1);
-  conn->remote = g_object_ref (remote);
-  conn->socket = g_object_ref (g_socket_connection_get_socket (connection));
-  conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
-  g_socket_set_option (conn->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-  g_hash_table_insert (ent->conns, conn->remote, conn);
-  soup_server_accept_iostream (ent->server, G_IO_STREAM (connection), local,
-                               remote, NULL);
-}
-
-static gboolean
-on_connection (GSocketService *service, GSocketConnection *connection,
-               GObject *source, gpointer data)
-{
-  struct ent *ent = data;
-  GSocketAddress *local
-      = g_socket_connection_get_local_address (connection, NULL);
-  GSocketAddress *remote
-      = g_socket_connection_get_remote_address (connection, NULL);
-  (void)service;
-  (void)source;
-  if (local != NULL && remote != NULL)
-    accept_conn (ent, connection, local, remote);
-  g_clear_object (&local);
-  g_clear_object (&remote);
-  return TRUE;
-}
-
 static void
 sweep_conns (struct ent *ent, gint64 now)
 {
@@ -244,7 +203,7 @@
         }
       if (conn->busy || now < conn->due)
         continue;
-      if (conn->started)
+      if (!conn->served)
         {
           ctr_add (ent->options.ctr, CTR_CALLER_SLOW, 1);
           log_event (LOG_INFO, "caller.slow",
@@ -268,40 +227,53 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Returns a listening socket at ADDRESS (IP:PORT), or NULL with ERROR.  */
+static GSocket *
+make_listener (const char *address, GError **error)
+{
+  GSocketConnectable *where = g_network_address_parse (address, 0, error);
+  if (where == NULL)
+    return NULL;
+  GNetworkAddress *parsed = G_NETWORK_ADDRESS (where);
+  GSocketAddress *at = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (parsed),
+      g_network_address_get_port (parsed));
+  GSocket *socket = NULL;
+  if (at == NULL)
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+                 "IP:PORT expected");
+  else
+    socket = g_socket_new (g_socket_address_get_family (at),
+                           G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+  if (socket != NULL)
+    g_socket_set_listen_backlog (socket, BACKLOG);
+  if (socket != NULL
+      && (!g_socket_bind (socket, at, TRUE, error)
+          || !g_socket_listen (socket, error)))
+    g_clear_object (&socket);
+  g_clear_object (&at);
+  g_object_unref (where);
+  return socket;
+}
+
+/* The listener is libsoup's own, since libsoup keeps connections alive only
+   while it has one.  */
 static int
 listen_on (struct ent *ent, struct err *err)
 {
   GError *error = NULL;
-  GSocketConnectable *where = g_network_address_parse (ent->listen, 0, &error);
-  GInetAddress *address = NULL;
-  if (where != NULL)
-    address = g_inet_address_new_from_string (
-        g_network_address_get_hostname (G_NETWORK_ADDRESS (where)));
-  if (address == NULL)
+  ent->listener = make_listener (ent->listen, &error);
+  if (ent->listener != NULL
+      && soup_server_listen_socket (ent->server, ent->listener, 0, &error))
     {
-      g_clear_error (&error);
-      g_clear_object (&where);
-      return err_set (err, ERR_INVALID, "entry.listen", ent->listen,
-                      "IP:PORT expected");
+      GSocketAddress *at = g_socket_get_local_address (ent->listener, NULL);
+      ent->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (at));
+      g_object_unref (at);
+      return 0;
     }
-  GSocketAddress *socket_address = g_inet_socket_address_new (
-      address, g_network_address_get_port (G_NETWORK_ADDRESS (where)));
-  GSocketAddress *effective = NULL;
-  g_socket_listener_set_backlog (G_SOCKET_LISTENER (ent->service), BACKLOG);
-  gboolean ok = g_socket_listener_add_address (
-      G_SOCKET_LISTENER (ent->service), socket_address, G_SOCKET_TYPE_STREAM,
-      G_SOCKET_PROTOCOL_TCP, NULL, &effective, &error);
-  if (ok)
-    ent->port
-        = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (effective));
-  else
-    err_set (err, ERR_IO, "entry.listen", ent->listen, "%s", error->message);
+  err_set (err, ERR_IO, "entry.listen", ent->listen, "%s", error->message);
   g_clear_error (&error);
-  g_clear_object (&effective);
-  g_object_unref (socket_address);
-  g_object_unref (address);
-  g_object_unref (where);
-  return ok ? 0 : ERR_IO;
+  return ERR_IO;
 }
 
 /* Listens for callers. Returns 0 or < 0 with ERR set.  */
@@ -316,17 +288,11 @@
   ent->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                       ent_call_free);
   ent->conns = g_hash_table_new_full (NULL, NULL, NULL, free_conn);
-  ent->service = g_socket_service_new ();
   ent->server = soup_server_new ("server-header", "jacinthward", NULL);
   soup_server_add_early_handler (ent->server, NULL, on_head, ent, NULL);
   soup_server_add_handler (ent->server, NULL, on_request, ent, NULL);
   g_signal_connect (ent->server, "request-started",
                     G_CALLBACK (on_request_started), ent);
-  g_signal_connect (ent->server, "request-finished",
-                    G_CALLBACK (on_request_done), ent);
-  g_signal_connect (ent->server, "request-aborted",
-                    G_CALLBACK (on_request_done), ent);
-  g_signal_connect (ent->service, "incoming", G_CALLBACK (on_connection), ent);
   int code = listen_on (ent, err);
   if (code < 0)
     {
@@ -349,7 +315,7 @@
   g_hash_table_unref (ent->calls);
   soup_server_disconnect (ent->server);
   g_object_unref (ent->server);
-  g_object_unref (ent->service);
+  g_clear_object (&ent->listener);
   g_hash_table_unref (ent->conns);
   g_free (ent->listen);
   g_free (ent);
@@ -364,8 +330,8 @@
 void
 ent_stop_listening (struct ent *ent)
 {
-  g_socket_service_stop (ent->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (ent->service));
+  if (ent->listener != NULL)
+    g_socket_close (ent->listener, NULL);
 }
 
 guint
--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -177,7 +177,7 @@
   struct ent_call *call = new_call (ent, message);
   struct nod_event event = { .kind = NOD_REQUEST };
   struct ent_refusal refusal = { 0 };
-  GSocket *socket = ent_socket (ent, message);
+  GSocket *socket = soup_server_message_get_socket (message);
   event.request.id = call->id;
   int code = ent_parse (call, &event.request, &refusal);
   if (code < 0)
--- a/packages/entry/ent_int.h
+++ b/packages/entry/ent_int.h
@@ -55,7 +55,7 @@
   struct ent_options options;
   char *listen;
   SoupServer *server;
-  GSocketService *service;
+  GSocket *listener;
   guint port;
   gint64 started; /* wall clock, microseconds; part of request ids */
   guint64 next_id;
@@ -64,9 +64,6 @@
   guint sweep;       /* GLib source */
 };
 
-/* ent.c */
-GSocket *ent_socket (struct ent *ent, SoupServerMessage *message);
-
 /* ent_parse.c: from HTTP to the node's terms */
 struct ent_refusal
 {
