--- /dev/null
+++ b/packages/admin/adm_reply.c
@@ -0,0 +1,45 @@
+/* Answers in JSON.  */
+#include "admin/adm_int.h"
+
+#include <string.h>
+
+/* Answers MESSAGE with the value that JSON holds.  */
+void
+adm_reply_json (SoupServerMessage *message, guint status, JsonBuilder *json)
+{
+  JsonNode *root = json_builder_get_root (json);
+  char *text = json_to_string (root, FALSE);
+  json_node_unref (root);
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_TAKE, text, strlen (text));
+}
+
+/* Adds the member "error" to the open object of JSON.  */
+void
+adm_add_error (JsonBuilder *json, const char *code, const struct err *err)
+{
+  json_builder_set_member_name (json, "error");
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "message");
+  json_builder_add_string_value (json, err->text);
+  json_builder_set_member_name (json, "code");
+  json_builder_add_string_value (json, code);
+  json_builder_set_member_name (json, "step");
+  json_builder_add_string_value (json, err->step);
+  json_builder_set_member_name (json, "peer");
+  json_builder_add_string_value (json, err->peer);
+  json_builder_end_object (json);
+}
+
+/* Answers MESSAGE with an error body.  */
+void
+adm_reply_error (SoupServerMessage *message, guint status, const char *code,
+                 const struct err *err)
+{
+  g_autoptr (JsonBuilder) json = json_builder_new ();
+  json_builder_begin_object (json);
+  adm_add_error (json, code, err);
+  json_builder_end_object (json);
+  adm_reply_json (message, status, json);
+}
--- a/packages/backend/prb.c
+++ b/packages/backend/prb.c
@@ -17,10 +17,10 @@
 {
   struct prb *prb;
   struct str_id name;
-  gint64 next_event;    /* first number not yet seen */
-  gboolean asking;      /* a call is under way */
-  gboolean events_due;  /* the next call asks for cache events */
-  guint timer;          /* GLib source; 0: none */
+  gint64 next_event;   /* first number not yet seen */
+  gboolean asking;     /* a call is under way */
+  gboolean events_due; /* the next call asks for cache events */
+  guint timer;         /* GLib source; 0: none */
   GCancellable *cancellable;
 };
 
@@ -62,9 +62,8 @@
 int_member (JsonObject *object, const char *name)
 {
   JsonNode *node = json_object_get_member (object, name);
-  return node != NULL && JSON_NODE_HOLDS_VALUE (node)
-             ? json_node_get_int (node)
-             : 0;
+  return node != NULL && JSON_NODE_HOLDS_VALUE (node) ? json_node_get_int (node)
+                                                      : 0;
 }
 
 static double
@@ -81,11 +80,10 @@
 {
   const struct prb_options *options = &engine->prb->options;
   struct cel_load load = { 0 };
-  load.running = (guint) CLAMP (int_member (object, "running"), 0, 1000000);
-  load.waiting = (guint) CLAMP (int_member (object, "waiting"), 0, 1000000);
+  load.running = (guint)CLAMP (int_member (object, "running"), 0, 1000000);
+  load.waiting = (guint)CLAMP (int_member (object, "waiting"), 0, 1000000);
   load.kv_used = CLAMP (number_member (object, "kv_used"), 0.0, 1.0);
-  load.age_us
-      = CLAMP (int_member (object, "age_ms"), 0, 3600 * 1000) * CLK_MS;
+  load.age_us = CLAMP (int_member (object, "age_ms"), 0, 3600 * 1000) * CLK_MS;
   JsonNode *leaving = json_object_get_member (object, "leaving");
   options->load (options->ctx, engine->name.s, &load,
                  leaving != NULL && JSON_NODE_HOLDS_VALUE (leaving)
@@ -104,10 +102,9 @@
   if (prefix == NULL || json_node_get_value_type (prefix) != G_TYPE_STRING
       || held == NULL || !JSON_NODE_HOLDS_VALUE (held))
     return;
-  options->cache (
-      options->ctx, engine->name.s,
-      g_ascii_strtoull (json_node_get_string (prefix), NULL, 16),
-      json_node_get_boolean (held));
+  options->cache (options->ctx, engine->name.s,
+                  g_ascii_strtoull (json_node_get_string (prefix), NULL, 16),
+                  json_node_get_boolean (held));
 }
 
 static void
@@ -129,11 +126,10 @@
   gsize n;
   const char *text = g_bytes_get_data (bytes, &n);
   if (n > 0 && n <= ANSWER_MAX
-      && json_parser_load_from_data (parser, text, (gssize) n, NULL)
+      && json_parser_load_from_data (parser, text, (gssize)n, NULL)
       && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     {
-      JsonObject *object
-          = json_node_get_object (json_parser_get_root (parser));
+      JsonObject *object = json_node_get_object (json_parser_get_root (parser));
       if (json_object_has_member (object, "events"))
         take_events (engine, object);
       else
@@ -146,12 +142,11 @@
 on_answer (GObject *source, GAsyncResult *result, gpointer data)
 {
   GCancellable *cancellable = data;
-  struct engine *engine
-      = g_object_get_data (G_OBJECT (cancellable), "engine");
+  struct engine *engine = g_object_get_data (G_OBJECT (cancellable), "engine");
   SoupMessage *message
       = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *bytes = soup_session_send_and_read_finish (SOUP_SESSION (source),
-                                                     result, NULL);
+  GBytes *bytes
+      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   if (engine != NULL)
     {
       engine->asking = FALSE;
@@ -181,8 +176,7 @@
 static struct engine *
 get_engine (struct prb *prb, const struct cfg_backend *backend)
 {
-  struct engine *engine
-      = g_hash_table_lookup (prb->engines, backend->name.s);
+  struct engine *engine = g_hash_table_lookup (prb->engines, backend->name.s);
   if (engine != NULL)
     return engine;
   engine = g_new0 (struct engine, 1);
@@ -214,10 +208,10 @@
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
   engine->events_due = !engine->events_due;
   engine->asking = TRUE;
-  engine->timer = g_timeout_add ((guint) (PRB_TIMEOUT_US / CLK_MS),
-                                 on_timeout, engine);
-  soup_session_send_and_read_async (
-      prb->session, message, G_PRIORITY_DEFAULT, engine->cancellable,
-      on_answer, g_object_ref (engine->cancellable));
+  engine->timer
+      = g_timeout_add ((guint)(PRB_TIMEOUT_US / CLK_MS), on_timeout, engine);
+  soup_session_send_and_read_async (prb->session, message, G_PRIORITY_DEFAULT,
+                                    engine->cancellable, on_answer,
+                                    g_object_ref (engine->cancellable));
   g_object_unref (message);
 }
--- a/packages/backend/prb.h
+++ b/packages/backend/prb.h
@@ -16,8 +16,7 @@
   /* The engine's report; LEAVING is its own word. */
   void (*load) (void *ctx, const char *backend, const struct cel_load *load,
                 gboolean leaving);
-  void (*cache) (void *ctx, const char *backend, guint64 prefix,
-                 gboolean held);
+  void (*cache) (void *ctx, const char *backend, guint64 prefix, gboolean held);
   void *ctx;
 };
 
--- a/packages/config/cft.c
+++ b/packages/config/cft.c
@@ -31,7 +31,7 @@
 {
   if (cft == NULL)
     return;
-  cft_update_free_all (cft);
+  cft_update_end_all (cft);
   g_ptr_array_unref (cft->updates);
   if (cft->body != NULL)
     g_bytes_unref (cft->body);
--- a/packages/config/cft.h
+++ b/packages/config/cft.h
@@ -87,7 +87,7 @@
 };
 
 struct cft *cft_new (const struct cft_options *options);
-/* Updates in progress end without a call of their DONE. */
+/* Updates in progress end as refused or unknown. */
 void cft_free (struct cft *cft);
 
 void cft_set_watcher (struct cft *cft, gboolean watcher);
--- a/packages/config/cft_int.h
+++ b/packages/config/cft_int.h
@@ -53,6 +53,6 @@
 gboolean cft_update_answer (struct cft *cft, guint64 token,
                             const struct sto_answer *answer);
 void cft_update_tick (struct cft *cft);
-void cft_update_free_all (struct cft *cft);
+void cft_update_end_all (struct cft *cft);
 
 #endif
--- a/packages/config/cft_update.c
+++ b/packages/config/cft_update.c
@@ -32,14 +32,6 @@
   g_free (upd);
 }
 
-void
-cft_update_free_all (struct cft *cft)
-{
-  for (guint i = 0; i < cft->updates->len; i++)
-    upd_free (cft->updates->pdata[i]);
-  g_ptr_array_set_size (cft->updates, 0);
-}
-
 /* Ends UPD with RESULT. The instance takes an accepted version over first, so
    that DONE sees it in force.  */
 static void
@@ -192,6 +184,24 @@
   return FALSE;
 }
 
+/* Ends UPD with what is sure so far.  */
+static void
+give_up (struct cft *cft, struct cft_upd *upd, int code)
+{
+  gboolean writing = upd->token != 0 && upd->state == UPD_WRITING;
+  upd->in_doubt |= writing;
+  if (writing || upd->last.code == 0)
+    note_failure (upd, "config.put", code);
+  finish_failed (cft, upd);
+}
+
+void
+cft_update_end_all (struct cft *cft)
+{
+  while (cft->updates->len > 0)
+    give_up (cft, cft->updates->pdata[0], ERR_CANCELLED);
+}
+
 /* Moves UPD on. Returns FALSE if it has ended.  */
 static gboolean
 step (struct cft *cft, struct cft_upd *upd)
@@ -200,12 +210,7 @@
   gint64 now = clk_now (cft->clk);
   if (now >= upd->limit)
     {
-      if (upd->token != 0 && upd->state == UPD_WRITING)
-        {
-          upd->in_doubt = TRUE;
-          note_failure (upd, "config.put", ERR_TIMEOUT);
-        }
-      finish_failed (cft, upd);
+      give_up (cft, upd, ERR_TIMEOUT);
       return FALSE;
     }
   if (upd->token != 0)
--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -25,7 +25,7 @@
   struct prb *prb;
   struct ent *ent;
   struct plt_http *platform;
-  guint ask;           /* GLib source */
+  guint ask;         /* GLib source */
   guint tick;        /* GLib source */
   guint grace;       /* GLib source; 0: none */
   gboolean stopping; /* a shutdown has begun */
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -12,8 +12,8 @@
 #define LIST_MAX 1024 /* instances in the tree */
 
 /* X (NAME, "object") in the order of nod->follows */
-#define FOLLOWED(X)                                                           \
-  X (CONFIG, "config")                                                        \
+#define FOLLOWED(X)                                                            \
+  X (CONFIG, "config")                                                         \
   X (FLEET, "fleet")
 
 static const char *const object_names[NOD_FOLLOWED] = {
@@ -60,8 +60,7 @@
 {
   char *domain = g_key_file_get_string (file, group, "domain", NULL);
   char *address = g_key_file_get_string (file, group, "address", NULL);
-  if (domain != NULL && address != NULL
-      && strcmp (domain, nod->domain.s) == 0)
+  if (domain != NULL && address != NULL && strcmp (domain, nod->domain.s) == 0)
     nod_dial (nod, address);
   g_free (domain);
   g_free (address);
@@ -74,8 +73,7 @@
 accept_fleet (struct nod *nod, GBytes *body)
 {
   GKeyFile *file = g_key_file_new ();
-  gboolean ok
-      = g_key_file_load_from_bytes (file, body, G_KEY_FILE_NONE, NULL);
+  gboolean ok = g_key_file_load_from_bytes (file, body, G_KEY_FILE_NONE, NULL);
   char **groups = ok ? g_key_file_get_groups (file, NULL) : NULL;
   g_hash_table_remove_all (nod->listed_leaving);
   for (guint i = 0; groups != NULL && groups[i] != NULL; i++)
@@ -112,16 +110,15 @@
   if (!instance->live || tree->n == LIST_MAX
       || strcmp (instance->domain.s, tree->nod->domain.s) != 0)
     return;
-  tree->nodes[tree->n].score
-      = str_hash (str_of (instance->id.s), tree->seed);
+  tree->nodes[tree->n].score = str_hash (str_of (instance->id.s), tree->seed);
   tree->nodes[tree->n++].instance = instance;
 }
 
 static gint
 by_score (gconstpointer a, gconstpointer b)
 {
-  guint64 x = *(const guint64 *) a;
-  guint64 y = *(const guint64 *) b;
+  guint64 x = *(const guint64 *)a;
+  guint64 y = *(const guint64 *)b;
   return x < y ? -1 : x > y;
 }
 
@@ -130,8 +127,7 @@
 {
   struct cft *cft = nod->follows[object].cft;
   struct msg msg = { .kind = MSG_OBJECT_BODY };
-  guint64 has
-      = object == NOD_CONFIG ? to->config_version : to->fleet_version;
+  guint64 has = object == NOD_CONFIG ? to->config_version : to->fleet_version;
   if (strcmp (to->id.s, nod->self.s) == 0 || has >= cft_version (cft))
     return;
   str_id_set (&msg.object_body.object, str_of (object_names[object]));
@@ -298,7 +294,7 @@
   struct mem_instance behind = *peer;
   behind.config_version = ask->version;
   behind.fleet_version = ask->version;
-  push_to (nod, (guint) object, &behind);
+  push_to (nod, (guint)object, &behind);
 }
 
 /* Takes a version that a peer sent.  */
@@ -311,7 +307,7 @@
   GBytes *bytes = g_bytes_new (body->body.p, body->body.n);
   cft_offer (nod->follows[object].cft, body->version, bytes);
   g_bytes_unref (bytes);
-  push_if_new (nod, (guint) object);
+  push_if_new (nod, (guint)object);
 }
 
 /* Notes which versions instance FROM has.  */
@@ -319,8 +315,7 @@
 nod_config_peer (struct nod *nod, const char *from,
                  const struct msg_heartbeat *heartbeat)
 {
-  cft_peer_has (nod->follows[NOD_CONFIG].cft, from,
-                heartbeat->config_version);
+  cft_peer_has (nod->follows[NOD_CONFIG].cft, from, heartbeat->config_version);
   cft_peer_has (nod->follows[NOD_FLEET].cft, from, heartbeat->fleet_version);
 }
 
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -17,7 +17,7 @@
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
 #define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
-#define NOD_WATCHERS_US (200 * CLK_MS) /* between choices of the watchers */
+#define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
 #define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
@@ -116,8 +116,8 @@
 
 struct nod_follow
 {
-  struct nod *nod;     /* borrowed */
-  guint object;        /* enum nod_followed */
+  struct nod *nod; /* borrowed */
+  guint object;    /* enum nod_followed */
   struct cft *cft;
   gboolean push;       /* a version was taken over and is not pushed yet */
   gboolean from_store; /* it did not come from a peer */
--- a/tests/unit/test_cft.c
+++ b/tests/unit/test_cft.c
@@ -345,7 +345,10 @@
     hand_update (&h, 3, "mine");
   g_autoptr (GBytes) body = g_bytes_new ("x", 1);
   CU_ASSERT_EQUAL (cft_update (h.cft, 3, body, hand_done, &h), ERR_LIMIT);
+  CU_ASSERT_EQUAL (h.n_results, 0);
   cft_free (h.cft);
+  CU_ASSERT_EQUAL (h.n_results, CFT_UPDATES_MAX);
+  CU_ASSERT_EQUAL (h.result.outcome, CFT_UNKNOWN);
 }
 
 static CU_TestInfo tests[] = {
