--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -74,34 +74,20 @@
              tem_find (&cel->teams, offer->team.s));
 }
 
-/* Handles an OFFER for a known ticket: a waiting one is updated, a grant that
-   the entry does not know of is sent again.  */
+/* Handles an OFFER for a known ticket that runs, maybe by the grant of
+   another owner.  */
 static void
-offer_again (struct cel *cel, const char *from, struct tkt *tkt,
-             const struct msg_offer *offer)
+offer_running_again (struct cel *cel, const char *from, struct tkt *tkt,
+                     const struct msg_offer *offer)
 {
-  tkt_touch (&cel->tickets, tkt, clk_now (cel->clk));
-  if (tkt->state == TKT_WAITING && !offer->running.s[0])
+  if (tkt->srv && strcmp (tkt->srv->cfg.name.s, offer->running.s) == 0)
     {
-      struct cls *cls = tkt->cls;
-      cel_unqueue (cel, tkt);
-      tkt->team->n_tickets--;
-      fill_ticket (cel, tkt, offer);
-      cel_enqueue (cel, tkt, cls, tkt->team);
-    }
-  else if (tkt->state == TKT_WAITING)
-    {
-      cel_drop (cel, tkt);
-      offer_running (cel, from, offer);
-    }
-  else if (offer->running.s[0])
-    tkt->state = TKT_RUNNING;
-  else
-    {
-      tkt->state = TKT_GRANTED;
-      tkt->granted = clk_now (cel->clk);
-      cel_send_grant (cel, tkt);
+      tkt->state = TKT_RUNNING;
+      return;
     }
+  cel_drop (cel, tkt);
+  offer_running (cel, from, offer);
+  cel_pump (cel);
 }
 
 /* Returns why a new ticket of CLS is refused, or MSG_REASON_N; may displace
@@ -138,13 +124,47 @@
   cel_preempt (cel);
 }
 
+/* Handles an OFFER for a known ticket that waits: it is updated, or its grant,
+   of which the entry does not know, is sent again, unless its server takes no
+   new work by now.  */
+static void
+offer_waiting_again (struct cel *cel, const char *from, struct tkt *tkt,
+                     const struct msg_offer *offer)
+{
+  gint64 now = clk_now (cel->clk);
+  tkt_touch (&cel->tickets, tkt, now);
+  if (tkt->state == TKT_WAITING)
+    {
+      gint64 arrived = tkt->arrived;
+      fill_ticket (cel, tkt, offer);
+      tkt->arrived = arrived;
+      cel_reschedule (tkt);
+      cel_pump (cel);
+      return;
+    }
+  if (!srv_takes_work (tkt->srv))
+    {
+      cel_drop (cel, tkt);
+      offer_new (cel, from, offer);
+      return;
+    }
+  tkt->state = TKT_GRANTED;
+  tkt->granted = now;
+  cel_send_grant (cel, tkt);
+}
+
 /* Takes a ticket: queues it, grants it, or refuses it at once.  */
 void
 cel_offer (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct tkt *tkt = tkt_find (&cel->tickets, from, offer->ticket);
-  if (tkt)
-    offer_again (cel, from, tkt, offer);
+  if (strcmp (offer->cell.s, cel->cell.s) != 0)
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NOT_OWNER, NULL,
+                     NULL);
+  else if (tkt && offer->running.s[0])
+    offer_running_again (cel, from, tkt, offer);
+  else if (tkt)
+    offer_waiting_again (cel, from, tkt, offer);
   else if (offer->running.s[0])
     offer_running (cel, from, offer);
   else
@@ -197,7 +217,9 @@
       if (!tkt)
         continue;
       tkt_touch (&cel->tickets, tkt, now);
-      if (tkt->state == TKT_GRANTED && now - tkt->granted >= CEL_USE_SEEN_US)
+      if (tkt->state == TKT_GRANTED
+          && (progress->items[i].tokens > 0
+              || now - tkt->granted >= CEL_USE_SEEN_US))
         tkt->state = TKT_RUNNING;
       note_tokens (cel, tkt, progress->items[i].tokens,
                    progress->items[i].tbt_us);
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -53,6 +53,7 @@
 /* cel_step.c */
 void cel_enqueue (struct cel *cel, struct tkt *tkt, struct cls *cls,
                   struct tem *team);
+void cel_reschedule (struct tkt *tkt);
 void cel_unqueue (struct cel *cel, struct tkt *tkt);
 void cel_start (struct cel *cel, struct tkt *tkt, struct srv *srv);
 void cel_adopt (struct cel *cel, struct tkt *tkt, struct srv *srv,
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -59,6 +59,13 @@
       = g_sequence_insert_sorted (cel->deadlines, tkt, by_deadline, NULL);
 }
 
+/* Notes that the deadline of a waiting TKT changed.  */
+void
+cel_reschedule (struct tkt *tkt)
+{
+  g_sequence_sort_changed (tkt->in_deadline, by_deadline, NULL);
+}
+
 /* Takes a waiting TKT out of its queues.  */
 void
 cel_unqueue (struct cel *cel, struct tkt *tkt)
