Test configurations that remove servers and classes

Cause: cel_set_config was tested for drain only. Ruled out: nothing. Change: tests for a removed server, its running work and a removed class. Conclusion: the code needed no change.

--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -715,6 +715,67 @@
   fix_close (&fix);
 }
 
+static void
+test_config_removes_a_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 3, FIX_NORMAL);
+  struct cfg less = fix.cfg;
+  guint gone = fix_backend (&fix, 1)[1] == 'a' ? 0 : 1;
+  less.backends = &fix.backends[1 - gone];
+  less.n_backends = 1;
+  cel_set_config (fix.cel, &less);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_FALSE (fix_granted (&fix, 3));
+  cel_set_config (fix.cel, &fix.cfg);
+  CU_ASSERT_STRING_EQUAL (fix_backend (&fix, 3), fix.backends[gone].name.s);
+  fix_close (&fix);
+}
+
+static void
+test_removed_server_counts_its_work (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 2);
+  fix_start (&fix);
+  offer_many (&fix, 1, 3, FIX_NORMAL);
+  struct cfg none = fix.cfg;
+  none.n_backends = 0;
+  cel_set_config (fix.cel, &none);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
+  cel_set_config (fix.cel, &fix.cfg);
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_close (&fix);
+}
+
+static void
+test_config_removes_a_class (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_BATCH);
+  fix_offer (&fix, 2, FIX_BATCH);
+  fix_offer (&fix, 3, FIX_NORMAL);
+  fix_progress (&fix, 1, 10, 10 * CLK_MS);
+  struct cfg less = fix.cfg;
+  less.n_classes = FIX_BATCH;
+  cel_set_config (fix.cel, &less);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_NO_SERVER);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_N);
+  fix_progress (&fix, 1, 10, 10 * CLK_MS);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  fix_offer (&fix, 4, FIX_BATCH);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
+  cel_set_config (fix.cel, &fix.cfg);
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -746,6 +807,9 @@
   { "a running request yields to a higher tier", test_preemption },
   { "preemption keeps the minimum share", test_preemption_keeps_the_share },
   { "preemption has its limits", test_no_preemption },
+  { "a removed server gets nothing", test_config_removes_a_server },
+  { "a removed server's work counts", test_removed_server_counts_its_work },
+  { "a removed class's tickets are refused", test_config_removes_a_class },
   CU_TEST_INFO_NULL,
 };
 
