--- a/tests/unit/test_cel_random.c
+++ b/tests/unit/test_cel_random.c
@@ -1,6 +1,7 @@
 /* Random schedules against a model of what the entries know. The model checks
    every message of the owner. JW_SEED=N runs seed N alone.  */
 #include "unit/cell_fixture.h"
+#include "policy/shr.h"
 #include "unit/unit.h"
 
 #include <stdlib.h>
@@ -116,8 +117,9 @@
     CHECK (m, due || !startable (m, c), "a lower tier started first");
   for (guint c = 0; c < FIX_CLASSES; c++)
     if (count (m, WAITING, c) > 0)
-      m->credit[c] = MIN (m->credit[c] + m->fix.classes[c].min_share, 4);
-  m->credit[class_index] = MAX (m->credit[class_index] - 1, -1);
+      m->credit[c]
+          = MIN (m->credit[c] + m->fix.classes[c].min_share, SHR_CREDIT_MAX);
+  m->credit[class_index] = MAX (m->credit[class_index] - 1, -SHR_DEBT_MAX);
 }
 
 static void
