Give the event log a file; test chunk faults; count requests sent again

Ruled out: event numbers (SSE id lines) to make repeated chunks detectable; the interface has none, so a repeated chunk shows as repeated text.

--- a/tests/bench/lod.c
+++ b/tests/bench/lod.c
@@ -331,6 +331,14 @@
          + (guint)g_rand_int_range (load->rand, -spread, spread + 1);
 }
 
+/* libsoup sends the request again by itself.  */
+static void
+on_restarted (SoupMessage *msg, gpointer ctx)
+{
+  (void)msg;
+  count_error (ctx, "resent");
+}
+
 /* Returns a prompt of a shared prefix and a tail of its own.  */
 static GString *
 make_prompt (struct load *load)
@@ -400,6 +408,8 @@
   /* libsoup opens a connection for each POST that is not idempotent. */
   soup_message_add_flags (caller->msg,
                           SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_IDEMPOTENT);
+  g_signal_connect (caller->msg, "restarted", G_CALLBACK (on_restarted),
+                    caller);
   GBytes *body = make_body (caller);
   soup_message_set_request_body_from_bytes (caller->msg, "application/json",
                                             body);
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -2,6 +2,7 @@
    docs/INTERFACES.md and generates texts that a test can compute.  */
 #include "standin/cmp.h"
 #include "standin/eng.h"
+#include "standin/evl.h"
 #include "standin/ord.h"
 #include "standin/std.h"
 #include "standin/txt.h"
@@ -14,10 +15,8 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
-#define EVENTS_KEPT 4096      /* cache events that GET /events can give */
-#define EVENTS_ANSWER_MAX 512 /* cache events in an answer */
-#define EXIT_CRASHED 70       /* status of a crash by exit_after_tokens */
-#define CHUNK_FAULT_EVERY 8   /* tokens between late or repeated chunks */
+#define EXIT_CRASHED 70     /* status of a crash by exit_after_tokens */
+#define CHUNK_FAULT_EVERY 8 /* tokens between late or repeated chunks */
 #define US_PER_MS 1000
 
 struct faults
@@ -36,24 +35,19 @@
   gint64 tbt_us;
 };
 
-#define FIELD(name, type)                                                      \
-  {                                                                            \
-#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
-  }
-
 static struct std_field fields[] = {
-  FIELD (slow_factor, STD_DOUBLE),
-  FIELD (refuse, STD_DOUBLE),
-  FIELD (crash_after_tokens, STD_INT),
-  FIELD (crash_requests, STD_INT),
-  FIELD (exit_after_tokens, STD_INT),
-  FIELD (late_chunk_ms, STD_INT),
-  FIELD (repeat_chunk, STD_BOOL),
-  FIELD (leaving, STD_BOOL),
-  FIELD (lying_load, STD_BOOL),
-  FIELD (running, STD_INT),
-  FIELD (waiting, STD_INT),
-  FIELD (tbt_us, STD_INT),
+  STD_FIELD (slow_factor, STD_DOUBLE),
+  STD_FIELD (refuse, STD_DOUBLE),
+  STD_FIELD (crash_after_tokens, STD_INT),
+  STD_FIELD (crash_requests, STD_INT),
+  STD_FIELD (exit_after_tokens, STD_INT),
+  STD_FIELD (late_chunk_ms, STD_INT),
+  STD_FIELD (repeat_chunk, STD_BOOL),
+  STD_FIELD (leaving, STD_BOOL),
+  STD_FIELD (lying_load, STD_BOOL),
+  STD_FIELD (running, STD_INT),
+  STD_FIELD (waiting, STD_INT),
+  STD_FIELD (tbt_us, STD_INT),
 };
 
 struct load
@@ -65,14 +59,6 @@
   gint64 tbt_us;
 };
 
-struct cache_event
-{
-  gint64 t; /* monotonic, microseconds */
-  guint64 n;
-  guint64 prefix;
-  gboolean held;
-};
-
 struct counts
 {
   gint64 started;
@@ -92,11 +78,8 @@
   struct faults faults;
   struct counts counts;
   struct load reported; /* what GET /load gives */
-  GQueue events;        /* struct cache_event, owned; oldest first */
-  guint64 next_event;
+  struct evl events;
   gint64 load_lag_ms;
-  gint64 events_delay_ms;
-  gint64 events_gap; /* every so many events one is lost; 0: none */
   char *checks_fence;
   guint64 requests;
   double refuse_sum; /* shares of refusals since the last one */
@@ -143,12 +126,6 @@
   std_history (&stream->engine->std, &event);
 }
 
-static guint
-stream_tokens (const struct stream *stream)
-{
-  return stream->seq != NULL ? stream->seq->done : stream->cmp.total;
-}
-
 static void
 stop_watching (struct stream *stream)
 {
@@ -163,7 +140,7 @@
 {
   if (stream->seq == NULL)
     return;
-  stream_event (stream, "cancel", stream_tokens (stream));
+  stream_event (stream, "cancel", stream->seq->done);
   stream->engine->counts.cancelled++;
   eng_cancel (stream->engine->eng, stream->seq);
   stream->seq = NULL;
@@ -372,14 +349,7 @@
 on_cache (void *ctx, guint64 prefix, gboolean held)
 {
   struct engine *engine = ctx;
-  guint64 n = ++engine->next_event;
-  if (engine->events_gap > 0 && n % (guint64)engine->events_gap == 0)
-    return;
-  struct cache_event *event = g_new (struct cache_event, 1);
-  *event = (struct cache_event){ g_get_monotonic_time (), n, prefix, held };
-  g_queue_push_tail (&engine->events, event);
-  if (engine->events.length > EVENTS_KEPT)
-    g_free (g_queue_pop_head (&engine->events));
+  evl_add (&engine->events, g_get_monotonic_time (), prefix, held);
 }
 
 /* Takes over what the caller has of a resumed answer. Returns FALSE if it is
@@ -566,31 +536,11 @@
 handle_events (struct engine *engine, SoupServerMessage *msg, GHashTable *query)
 {
   const char *after = query ? g_hash_table_lookup (query, "after") : NULL;
-  guint64 next = after != NULL ? g_ascii_strtoull (after, NULL, 10) : 0;
-  gint64 until = g_get_monotonic_time () - engine->events_delay_ms * US_PER_MS;
-  GString *list = g_string_new (NULL);
-  guint count = 0;
-  for (GList *l = engine->events.head; l != NULL; l = l->next)
-    {
-      const struct cache_event *event = l->data;
-      if (event->n <= next)
-        continue;
-      if (event->t > until || count == EVENTS_ANSWER_MAX)
-        break;
-      g_string_append_printf (list,
-                              "%s{\"n\": %" G_GUINT64_FORMAT
-                              ", \"prefix\": \"%016" G_GINT64_MODIFIER
-                              "x\", \"held\": %s}",
-                              count > 0 ? ", " : "", event->n, event->prefix,
-                              event->held ? "true" : "false");
-      next = event->n;
-      count++;
-    }
-  char *json = g_strdup_printf (
-      "{\"next\": %" G_GUINT64_FORMAT ", \"events\": [%s]}", next, list->str);
+  char *json = evl_to_json (
+      &engine->events, after != NULL ? g_ascii_strtoull (after, NULL, 10) : 0,
+      g_get_monotonic_time ());
   std_reply (msg, SOUP_STATUS_OK, json);
   g_free (json);
-  g_string_free (list, TRUE);
 }
 
 static void
@@ -725,9 +675,9 @@
       "Tokens that fit into memory", "N" },
     { "load-lag-ms", 0, 0, G_OPTION_ARG_INT64, &e->load_lag_ms,
       "Age that the load report reaches; 0: it is live", "MS" },
-    { "events-delay-ms", 0, 0, G_OPTION_ARG_INT64, &e->events_delay_ms,
+    { "events-delay-ms", 0, 0, G_OPTION_ARG_INT64, &e->events.delay_ms,
       "Delay of cache events", "MS" },
-    { "events-gap", 0, 0, G_OPTION_ARG_INT64, &e->events_gap,
+    { "events-gap", 0, 0, G_OPTION_ARG_INT64, &e->events.gap,
       "Loses every Nth cache event", "N" },
     { "checks-fence", 0, 0, G_OPTION_ARG_STRING, &e->checks_fence,
       "Whether orders with an old fencing number are refused", "yes|no" },
--- /dev/null
+++ b/tests/standin/evl.h
@@ -0,0 +1,19 @@
+/* The log of a stand-in engine's cache events, which is read late and has
+   gaps.  */
+#ifndef EVL_H
+#define EVL_H
+
+#include <glib.h>
+
+struct evl /* all zero: empty */
+{
+  gint64 delay_ms; /* until an event can be read */
+  gint64 gap;    /* each event with a number that it divides is lost; 0: none */
+  guint64 last;  /* number of the last event */
+  GQueue events; /* struct event, owned; oldest first */
+};
+
+void evl_add (struct evl *evl, gint64 now, guint64 prefix, gboolean held);
+char *evl_to_json (const struct evl *evl, guint64 after, gint64 now);
+
+#endif
--- a/tests/standin/ord.c
+++ b/tests/standin/ord.c
@@ -1,4 +1,5 @@
 #include "standin/ord.h"
+#include "standin/std.h"
 
 #include <string.h>
 
@@ -97,9 +98,5 @@
   json_builder_end_array (json);
   add_text (json, "role", ord->role);
   json_builder_end_object (json);
-  JsonNode *root = json_builder_get_root (json);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (json);
-  return text;
+  return std_json_end (json);
 }
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -15,15 +15,10 @@
   gint64 lose_before_put;       /* PUTs that get lost */
 };
 
-#define FIELD(name, type)                                                      \
-  {                                                                            \
-#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
-  }
-
 static struct std_field fields[] = {
-  FIELD (down, STD_BOOL),
-  FIELD (lose_answer_after_put, STD_INT),
-  FIELD (lose_before_put, STD_INT),
+  STD_FIELD (down, STD_BOOL),
+  STD_FIELD (lose_answer_after_put, STD_INT),
+  STD_FIELD (lose_before_put, STD_INT),
 };
 
 /* X (NAME, "name") */
@@ -303,12 +298,9 @@
     }
   json_builder_end_array (json);
   json_builder_end_object (json);
-  JsonNode *root = json_builder_get_root (json);
-  char *text = json_to_string (root, FALSE);
+  char *text = std_json_end (json);
   std_reply (msg, SOUP_STATUS_OK, text);
   g_free (text);
-  json_node_unref (root);
-  g_object_unref (json);
   g_ptr_array_unref (found);
 }
 
--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -10,14 +10,9 @@
   gint64 drop_after;  /* calls that run, but whose answer is lost */
 };
 
-#define FIELD(name, type)                                                      \
-  {                                                                            \
-#name, type, G_STRUCT_OFFSET(struct faults, name)                          \
-  }
-
 static struct std_field fields[] = {
-  FIELD (drop_before, STD_INT),
-  FIELD (drop_after, STD_INT),
+  STD_FIELD (drop_before, STD_INT),
+  STD_FIELD (drop_after, STD_INT),
 };
 
 struct service
@@ -161,11 +156,7 @@
   g_hash_table_foreach (service->executions, add_count, json);
   json_builder_end_object (json);
   json_builder_end_object (json);
-  JsonNode *root = json_builder_get_root (json);
-  char *text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  g_object_unref (json);
-  return text;
+  return std_json_end (json);
 }
 
 int
--- a/tests/standin/std.c
+++ b/tests/standin/std.c
@@ -78,6 +78,17 @@
   return node;
 }
 
+/* Frees JSON. Returns its text, freed by the caller.  */
+char *
+std_json_end (JsonBuilder *json)
+{
+  JsonNode *root = json_builder_get_root (json);
+  char *text = json_to_string (root, FALSE);
+  json_node_unref (root);
+  g_object_unref (json);
+  return text;
+}
+
 static void
 add_string (JsonBuilder *json, const char *name, const char *value)
 {
@@ -110,12 +121,9 @@
   if (event->version != 0)
     add_int (json, "version", (gint64)event->version);
   json_builder_end_object (json);
-  JsonNode *root = json_builder_get_root (json);
-  char *line = json_to_string (root, FALSE);
+  char *line = std_json_end (json);
   fprintf (std->history, "%s\n", line);
   g_free (line);
-  json_node_unref (root);
-  g_object_unref (json);
 }
 
 static const struct std_field *
--- a/tests/standin/std.h
+++ b/tests/standin/std.h
@@ -24,6 +24,13 @@
   gsize offset; /* bytes into the struct */
 };
 
+/* A field of struct faults. */
+#define STD_FIELD(field, kind)                                                 \
+  {                                                                            \
+    .name = #field, .type = (kind),                                            \
+    .offset = G_STRUCT_OFFSET (struct faults, field)                           \
+  }
+
 struct std_event
 {
   const char *kind;    /* such as "start" */
@@ -79,6 +86,7 @@
 void std_reply (SoupServerMessage *msg, guint status, const char *json);
 void std_error (SoupServerMessage *msg, guint status, const char *code);
 void std_drop (SoupServerMessage *msg);
+char *std_json_end (JsonBuilder *json);
 JsonNode *std_body (SoupServerMessage *msg);
 const char *std_header (SoupServerMessage *msg, const char *name);
 
--- a/tests/unit/test_standin_engine.c
+++ b/tests/unit/test_standin_engine.c
@@ -215,6 +215,46 @@
   har_free (har);
 }
 
+static void
+test_long_prompt (void)
+{
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  char *prompt = g_strdup_printf ("%0512d [len=7]", 0);
+  char *text = har_expected_text (prompt, 0);
+  char *body = g_strdup_printf ("{\"model\":\"m\",\"prompt\":\"%s\"}", prompt);
+  expect_answer (proc->port, body, 200, text);
+  g_free (body);
+  g_free (text);
+  g_free (prompt);
+  har_free (har);
+}
+
+static void
+test_repeated_and_late_chunks (void)
+{
+  static const char body[]
+      = "{\"model\":\"m\",\"prompt\":\"p [len=9]\",\"stream\":true}";
+  struct har *har = har_new ();
+  struct har_proc *proc = start_engine (har);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"late_chunk_ms\": 20}"));
+  char *text = har_expected_text ("p [len=9]", 0);
+  expect_answer (proc->port, body, 200, text);
+  CU_ASSERT_TRUE (har_fault (proc->port, "{\"repeat_chunk\": true}"));
+  char *head = har_expected_text ("p [len=9]", 8);
+  char *seventh = har_expected_text ("p [len=9]", 7);
+  char *repeated
+      = g_strconcat (head, head + strlen (seventh), text + strlen (head), NULL);
+  expect_answer (proc->port, body, 200, repeated);
+  g_free (repeated);
+  g_free (seventh);
+  g_free (head);
+  g_free (text);
+  har_free (har);
+}
+
 static void
 test_crash_and_resume (void)
 {
@@ -330,6 +370,8 @@
 
 static CU_TestInfo http_tests[] = {
   { "answers are the expected text", test_answers_over_http },
+  { "a long prompt keeps its marker", test_long_prompt },
+  { "chunks are late or repeated", test_repeated_and_late_chunks },
   { "a cut stream is resumed", test_crash_and_resume },
   { "a caller that hangs up cancels", test_hangup_cancels },
   { "the process ends on demand", test_exit_is_a_crash },
