--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -1,5 +1,6 @@
 #include "jacinthward/dmn.h"
 
+#include "admin/adm.h"
 #include "backend/bkd.h"
 #include "backend/prb.h"
 #include "base/clk.h"
@@ -24,6 +25,7 @@
   struct bkd *bkd;
   struct prb *prb;
   struct ent *ent;
+  struct adm *adm;
   struct plt_http *platform;
   guint ask;         /* GLib source */
   guint tick;        /* GLib source */
@@ -91,6 +93,16 @@
   plt_http_start (dmn->platform, call, on_store_answer, waiting);
 }
 
+static void
+log_config_problems (const struct nod_action *action)
+{
+  const GPtrArray *problems = action->config_bad.problems;
+  for (guint i = 0; i < problems->len; i++)
+    log_event (LOG_ERROR, "config.rejected",
+               "version %" G_GUINT64_FORMAT ": %s", action->config_bad.version,
+               (const char *)g_ptr_array_index (problems, i));
+}
+
 /* Carries out one action of the node.  */
 static void
 act (void *ctx, const struct nod_action *action)
@@ -119,6 +131,9 @@
                  "version %" G_GUINT64_FORMAT ", preset %s",
                  action->config->version, action->config->preset.s);
       break;
+    case NOD_DO_CONFIG_BAD:
+      log_config_problems (action);
+      break;
     case NOD_DO_DRAINED:
       dmn->drained = TRUE;
       break;
@@ -264,6 +279,62 @@
   return ent_new (&options, &dmn->ent, err);
 }
 
+static const struct cfg *
+get_config (void *ctx)
+{
+  return nod_config (((struct dmn *)ctx)->nod);
+}
+
+static gboolean
+is_ready (void *ctx)
+{
+  return nod_ready (((struct dmn *)ctx)->nod);
+}
+
+static void
+dump (void *ctx, JsonBuilder *json)
+{
+  const struct dmn *dmn = ctx;
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "node");
+  nod_dump (dmn->nod, json);
+  json_builder_set_member_name (json, "wire");
+  wir_dump (dmn->wir, json);
+  json_builder_end_object (json);
+}
+
+static void
+each_instance (void *ctx, adm_visit visit, void *visit_ctx)
+{
+  mem_each (nod_members (((struct dmn *)ctx)->nod), visit, visit_ctx);
+}
+
+static int
+update (void *ctx, guint64 expected, GBytes *body, cft_done done,
+        void *done_ctx)
+{
+  return nod_update_config (((struct dmn *)ctx)->nod, expected, body, done,
+                            done_ctx);
+}
+
+static int
+open_admin (struct dmn *dmn, struct err *err)
+{
+  const struct adm_options options = {
+    .listen = dmn->settings->listen_admin,
+    .self = dmn->settings->id.s,
+    .clk = clk_system (),
+    .ctr = &dmn->ctr,
+    .config = get_config,
+    .ready = is_ready,
+    .dump = dump,
+    .each_instance = each_instance,
+    .update = update,
+    .ctx = dmn,
+  };
+  return adm_new (&options, &dmn->adm, err);
+}
+
 int
 dmn_new (const struct set_settings *settings, struct dmn **result,
          struct err *err)
@@ -281,7 +352,8 @@
   dmn->bkd = bkd_new ();
   make_probes (dmn);
   if ((code = open_wire (dmn, err)) < 0 || (code = make_node (dmn, err)) < 0
-      || (code = open_entry (dmn, err)) < 0)
+      || (code = open_entry (dmn, err)) < 0
+      || (code = open_admin (dmn, err)) < 0)
     {
       dmn_free (dmn);
       return code;
@@ -300,6 +372,7 @@
   g_clear_handle_id (&dmn->tick, g_source_remove);
   g_clear_handle_id (&dmn->ask, g_source_remove);
   g_clear_handle_id (&dmn->grace, g_source_remove);
+  adm_free (dmn->adm);
   ent_free (dmn->ent);
   bkd_free (dmn->bkd);
   prb_free (dmn->prb);
@@ -315,7 +388,7 @@
 dmn_announce (const struct dmn *dmn)
 {
   g_print ("ready peer=%u http=%u admin=%u\n", wir_port (dmn->wir),
-           ent_port (dmn->ent), 0U);
+           ent_port (dmn->ent), adm_port (dmn->adm));
 }
 
 void
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -129,16 +129,17 @@
 
 /* X (KIND) */
 #define NOD_ACTIONS(X)                                                         \
-  X (SEND)    /* a message to another instance */                              \
-  X (DIAL)    /* keep a connection to an instance's address */                 \
-  X (OPEN)    /* start an attempt */                                           \
-  X (CANCEL)  /* cancel an attempt; no ATTEMPT_END is due for it */            \
-  X (FAIL)    /* the request's final answer is an error */                     \
-  X (REPLAY)  /* the request's final answer stands in the ledger */            \
-  X (FINISH)  /* the attempt's answer is complete; close it */                 \
-  X (STORE)   /* start a call to the platform */                               \
-  X (CONFIG)  /* a new configuration is in force */                            \
-  X (DRAINED) /* after SHUTDOWN: nothing is in progress any more */
+  X (SEND)       /* a message to another instance */                           \
+  X (DIAL)       /* keep a connection to an instance's address */              \
+  X (OPEN)       /* start an attempt */                                        \
+  X (CANCEL)     /* cancel an attempt; no ATTEMPT_END is due for it */         \
+  X (FAIL)       /* the request's final answer is an error */                  \
+  X (REPLAY)     /* the request's final answer stands in the ledger */         \
+  X (FINISH)     /* the attempt's answer is complete; close it */              \
+  X (STORE)      /* start a call to the platform */                            \
+  X (CONFIG)     /* a new configuration is in force */                         \
+  X (CONFIG_BAD) /* the platform has a configuration that is not valid */      \
+  X (DRAINED)    /* after SHUTDOWN: nothing is in progress any more */
 
 enum nod_action_kind
 {
@@ -196,6 +197,11 @@
       const struct sto_call *call; /* borrowed for the call */
     } store;
     const struct cfg *config;
+    struct
+    {
+      guint64 version;
+      const GPtrArray *problems; /* char *, borrowed for the call */
+    } config_bad;
   };
 };
 
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -47,12 +47,19 @@
 {
   GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
   struct cfg *cfg = cfg_parse (body, version, problems);
-  g_ptr_array_unref (problems);
-  if (cfg == NULL)
-    return FALSE;
-  nod_set_config (nod, cfg);
+  if (cfg != NULL)
+    nod_set_config (nod, cfg);
+  else
+    {
+      struct nod_action action = { .kind = NOD_DO_CONFIG_BAD };
+      action.config_bad.version = version;
+      action.config_bad.problems = problems;
+      nod->act (nod->ctx, &action);
+    }
+  gboolean ok = cfg != NULL;
   cfg_unref (cfg);
-  return TRUE;
+  g_ptr_array_unref (problems);
+  return ok;
 }
 
 static void
@@ -242,6 +249,8 @@
   if (!follow->push)
     return;
   follow->push = FALSE;
+  mem_set_versions (nod->mem, cft_version (nod->follows[NOD_CONFIG].cft),
+                    cft_version (nod->follows[NOD_FLEET].cft));
   push (nod, object, follow->from_store);
   nod->heartbeat_at = 0;
 }
@@ -319,14 +328,6 @@
   cft_peer_has (nod->follows[NOD_FLEET].cft, from, heartbeat->fleet_version);
 }
 
-/* Adds the versions in force to HEARTBEAT.  */
-void
-nod_config_fill (const struct nod *nod, struct msg_heartbeat *heartbeat)
-{
-  heartbeat->config_version = cft_version (nod->follows[NOD_CONFIG].cft);
-  heartbeat->fleet_version = cft_version (nod->follows[NOD_FLEET].cft);
-}
-
 /* Starts an operator's update of the configuration: BODY takes the place of
    version EXPECTED. DONE is called once, unless the node is freed. Returns
    < 0 if too many updates are in progress; DONE is not called then.  */
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -277,7 +277,6 @@
 void nod_config_ask (struct nod *nod, const char *from,
                      const struct msg_object_ask *ask);
 void nod_config_body (struct nod *nod, const struct msg_object_body *body);
-void nod_config_fill (const struct nod *nod, struct msg_heartbeat *heartbeat);
 void nod_config_dump (const struct nod *nod, JsonBuilder *json);
 void nod_config_peer (struct nod *nod, const char *from,
                       const struct msg_heartbeat *heartbeat);
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -75,7 +75,6 @@
 {
   struct msg msg = { .kind = MSG_HEARTBEAT };
   mem_fill_heartbeat (nod->mem, &msg.heartbeat);
-  nod_config_fill (nod, &msg.heartbeat);
   nod_send (nod, id, &msg);
 }
 
