Mend what the linter found in the benches and the fixture

Cause: four warnings in new test code. Change: one macro for each bearer header, a cast, an assertion.

--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -256,7 +256,7 @@
       "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
       streamed ? "true" : "false", prompt);
   const char *const headers[]
-      = { "Authorization", "Bearer " DEP_TEAM_KEY, "Jacinthward-Class",
+      = { "Authorization", DEP_TEAM_BEARER, "Jacinthward-Class",
           class_name ? class_name : "urgent", NULL };
   const struct har_call call = {
     .port = dep->entries[i].proc->http_port,
@@ -273,9 +273,9 @@
 struct har_reply *
 dep_activate (struct dep *dep, guint i, const char *body, const char *key)
 {
-  const char *const keyed[] = { "Authorization", "Bearer " DEP_TEAM_KEY,
-                                "Idempotency-Key", key, NULL };
-  const char *const plain[] = { "Authorization", "Bearer " DEP_TEAM_KEY, NULL };
+  const char *const keyed[]
+      = { "Authorization", DEP_TEAM_BEARER, "Idempotency-Key", key, NULL };
+  const char *const plain[] = { "Authorization", DEP_TEAM_BEARER, NULL };
   const struct har_call call = {
     .port = dep->entries[i].proc->http_port,
     .path = "/services/account/activate",
@@ -289,8 +289,7 @@
 gint64
 dep_counter (struct dep *dep, guint i, const char *name)
 {
-  const char *const headers[]
-      = { "Authorization", "Bearer " DEP_OPERATOR_TOKEN, NULL };
+  const char *const headers[] = { "Authorization", DEP_OPERATOR_BEARER, NULL };
   const struct har_call call = { .port = dep->entries[i].proc->admin_port,
                                  .path = "/stats",
                                  .headers = headers };
--- a/tests/harness/dep.h
+++ b/tests/harness/dep.h
@@ -8,7 +8,9 @@
 #define DEP_DOMAINS_MAX 4
 #define DEP_PROCS_MAX 64
 #define DEP_TEAM_KEY "crew-key"
+#define DEP_TEAM_BEARER "Bearer crew-key"
 #define DEP_OPERATOR_TOKEN "ops-token"
+#define DEP_OPERATOR_BEARER "Bearer ops-token"
 
 struct dep_domain
 {
--- a/tests/policy/alone.c
+++ b/tests/policy/alone.c
@@ -34,6 +34,7 @@
   struct alone *alone = world->policy;
   guint found[WORLD_ENGINES_MAX];
   guint n = engines_of_region (world, world->entries[job->entry].domain, found);
+  g_assert (n > 0);
   if (!alone->two_choices)
     return found[alone->next[job->entry]++ % n];
   guint a = found[g_rand_int_range (world->rand, 0, (gint32)n)];
--- a/tests/policy/report.c
+++ b/tests/policy/report.c
@@ -95,8 +95,8 @@
   result->goodput_share = share (completed, world->bound_tokens);
   result->wasted_share = (double)world->wasted / MAX (1, made);
   result->retry_share = (double)world->retries / MAX (1, world->first_tries);
-  result->control_bytes
-      = (double)world->control_bytes / WORLD_ENTRIES / (WORLD_END_US / CLK_S);
+  result->control_bytes = (double)world->control_bytes / WORLD_ENTRIES
+                          / ((double)WORLD_END_US / CLK_S);
   result->link_bytes = (double)world->link_bytes / seconds;
 }
 
--- a/tests/proc/demo.c
+++ b/tests/proc/demo.c
@@ -62,8 +62,7 @@
 static void
 print_state (struct dep *dep, guint i)
 {
-  const char *const headers[]
-      = { "Authorization", "Bearer " DEP_OPERATOR_TOKEN, NULL };
+  const char *const headers[] = { "Authorization", DEP_OPERATOR_BEARER, NULL };
   const struct har_call call = { .port = dep->entries[i].proc->admin_port,
                                  .path = "/dump",
                                  .headers = headers };
