Add the ledger of non-repeatable requests

Cause: a request with an idempotency key runs at most once, across instances, crashes, paused processes, lost answers of the store and several owners of a shard. Weighed: batch ids to settle a lost answer against looking for the ticket's own record (taken: no second identity, and it also finds what another owner wrote for the ticket); unnumbered immutable segments with a delete operation against a ring of slots overwritten by conditional update (taken: no new store operation, bounded number of objects); an owner that frees an unsettled intent by itself against the entry alone (taken: only the entry knows that it did not send, and it may have asked two owners). Change: led (owner of a shard: group commit, rotation, retention, replays), lec (the entry's side), led_tab and led_obj (memory, values in msgpack); msg_ledger_verdict says whether it acknowledges a result. Tests: test_led (300 seeded schedules of three instances, history check), test_led_shard. Found by the schedules and mended: an acknowledgement mistaken for a verdict on the intent; a freed ticket recorded later by a paused owner; refusals right after a conflict because of old failures. Not caught by the schedules: a freed ticket recorded again, and "did not run" acknowledged while a write is open; the entry's side makes up for both, test_led_shard checks them.

--- a/packages/ledger/lec.h
+++ b/packages/ledger/lec.h
@@ -53,7 +53,7 @@
 void lec_verdict (struct lec *lec, const struct msg_ledger_verdict *verdict);
 #define LEC_TICK_US (20 * CLK_MS)
 void lec_tick (struct lec *lec);
-/* Tickets whose result is not yet acknowledged, and others. */
+/* Tickets, also those that are only remembered for a late FRESH. */
 guint lec_open (const struct lec *lec);
 void lec_dump (const struct lec *lec, JsonBuilder *json);
 
--- /dev/null
+++ b/packages/ledger/led_obj.c
@@ -0,0 +1,301 @@
+#include "ledger/led_obj.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define FORMAT 1
+#define VALUE_ITEMS 7  /* of a value */
+#define RECORD_ITEMS 6 /* of a record without an answer */
+#define ANSWER_ITEMS 3 /* that an answer adds */
+#define HOLDER_ITEMS 2
+#define BUFFER_BYTES (8 * (gsize)1024) /* of a new encoding */
+
+/* One encoding: the holders it names, in the order of their first use. */
+struct encoder
+{
+  const struct led_tab *tab;
+  msgpack_packer pk;
+  guint32 *index; /* by the table's number, plus 1; 0: not named */
+  GArray *named;  /* guint32, the table's numbers */
+};
+
+struct led_obj
+{
+  GBytes *value;
+  msgpack_unpacked unpacked;
+  struct led_obj_header header;
+  const msgpack_object_array *records;
+  const msgpack_object_array *holders;
+};
+
+static void
+pack_bin (msgpack_packer *pk, const void *p, gsize n)
+{
+  msgpack_pack_bin (pk, n);
+  msgpack_pack_bin_body (pk, p, n);
+}
+
+static void
+pack_str (msgpack_packer *pk, struct str s)
+{
+  msgpack_pack_str (pk, s.n);
+  msgpack_pack_str_body (pk, s.p, s.n);
+}
+
+/* Returns the index of HOLDER among those that this encoding names.  */
+static guint32
+name_holder (struct encoder *e, guint32 holder)
+{
+  if (e->index[holder] == 0)
+    {
+      g_array_append_val (e->named, holder);
+      e->index[holder] = e->named->len;
+    }
+  return e->index[holder] - 1;
+}
+
+static void
+pack_record (struct encoder *e, const struct led_rec *rec)
+{
+  msgpack_packer *pk = &e->pk;
+  msgpack_pack_array (pk,
+                      rec->kept ? RECORD_ITEMS + ANSWER_ITEMS : RECORD_ITEMS);
+  pack_bin (pk, rec->key, MSG_KEY_BYTES);
+  pack_bin (pk, rec->body, MSG_KEY_BYTES);
+  msgpack_pack_uint8 (pk, rec->state);
+  msgpack_pack_uint32 (pk, name_holder (e, rec->holder));
+  msgpack_pack_uint64 (pk, rec->ticket);
+  msgpack_pack_uint32 (pk, rec->time);
+  if (!rec->kept)
+    return;
+  msgpack_pack_uint32 (pk, rec->kept->status);
+  pack_str (pk, rec->kept->content_type);
+  pack_bin (pk, rec->kept->answer.p, rec->kept->answer.n);
+}
+
+static void
+pack_holders (struct encoder *e)
+{
+  msgpack_pack_array (&e->pk, e->named->len);
+  for (guint i = 0; i < e->named->len; i++)
+    {
+      const struct led_holder *holder
+          = led_tab_holder_at (e->tab, g_array_index (e->named, guint32, i));
+      msgpack_pack_array (&e->pk, HOLDER_ITEMS);
+      pack_str (&e->pk, str_of (holder->id.s));
+      msgpack_pack_uint64 (&e->pk, holder->incarnation);
+    }
+}
+
+/* Returns whether the head's REC stands in the new value as it is.  */
+static gboolean
+stays (const struct led_obj_writes *writes, const struct led_rec *rec)
+{
+  if (!writes->recs)
+    return TRUE;
+  return !writes->only && !g_hash_table_contains (writes->recs, rec);
+}
+
+static void
+pack_records (struct encoder *e, const struct led_obj_writes *writes)
+{
+  const GPtrArray *head = e->tab->head;
+  guint n = writes->recs ? g_hash_table_size (writes->recs) : 0;
+  for (guint i = 0; i < head->len; i++)
+    n += stays (writes, g_ptr_array_index (head, i));
+  msgpack_pack_array (&e->pk, n);
+  for (guint i = 0; i < head->len; i++)
+    if (stays (writes, g_ptr_array_index (head, i)))
+      pack_record (e, g_ptr_array_index (head, i));
+  if (!writes->recs)
+    return;
+  GHashTableIter iter;
+  gpointer rec;
+  g_hash_table_iter_init (&iter, writes->recs);
+  while (g_hash_table_iter_next (&iter, &rec, NULL))
+    pack_record (e, rec);
+}
+
+/* Returns the value made of TAB's head records, replaced and followed by
+   WRITES. The caller unrefs it.  */
+GBytes *
+led_obj_encode (const struct led_obj_header *header, const struct led_tab *tab,
+                const struct led_obj_writes *writes)
+{
+  msgpack_sbuffer buffer = { 0, g_malloc (BUFFER_BYTES), BUFFER_BYTES };
+  struct encoder e = {
+    .tab = tab,
+    .index = g_new0 (guint32, tab->holders->len),
+    .named = g_array_new (FALSE, FALSE, sizeof (guint32)),
+  };
+  msgpack_packer_init (&e.pk, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&e.pk, VALUE_ITEMS);
+  msgpack_pack_uint8 (&e.pk, FORMAT);
+  msgpack_pack_uint32 (&e.pk, header->first);
+  msgpack_pack_uint32 (&e.pk, header->next);
+  msgpack_pack_uint64 (&e.pk, header->closes);
+  msgpack_pack_uint32 (&e.pk, header->time);
+  pack_records (&e, writes);
+  pack_holders (&e);
+  g_free (e.index);
+  g_array_unref (e.named);
+  return g_bytes_new_with_free_func (buffer.data, buffer.size, g_free,
+                                     buffer.data);
+}
+
+static gboolean
+is_uint (const msgpack_object *o, guint64 max)
+{
+  return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= max;
+}
+
+static gboolean
+is_bin (const msgpack_object *o, gsize min, gsize max)
+{
+  return o->type == MSGPACK_OBJECT_BIN && o->via.bin.size >= min
+         && o->via.bin.size <= max;
+}
+
+static gboolean
+is_str (const msgpack_object *o, gsize max)
+{
+  return o->type == MSGPACK_OBJECT_STR && o->via.str.size <= max;
+}
+
+static struct str
+str_at (const msgpack_object *o)
+{
+  return (struct str){ o->via.str.ptr, o->via.str.size };
+}
+
+static gboolean
+holder_ok (const msgpack_object *o)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != HOLDER_ITEMS)
+    return FALSE;
+  const msgpack_object *v = o->via.array.ptr;
+  return is_str (&v[0], STR_ID_MAX) && is_uint (&v[1], G_MAXUINT64);
+}
+
+static gboolean
+record_ok (const msgpack_object *o, guint n_holders)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < RECORD_ITEMS)
+    return FALSE;
+  const msgpack_object *v = o->via.array.ptr;
+  if (!is_bin (&v[0], MSG_KEY_BYTES, MSG_KEY_BYTES)
+      || !is_bin (&v[1], MSG_KEY_BYTES, MSG_KEY_BYTES)
+      || !is_uint (&v[2], LED_FREED) || !is_uint (&v[3], G_MAXUINT32)
+      || !is_uint (&v[4], G_MAXUINT64) || !is_uint (&v[5], G_MAXUINT32))
+    return FALSE;
+  if (v[3].via.u64 >= n_holders || v[2].via.u64 == LED_NONE)
+    return FALSE;
+  if (v[2].via.u64 != LED_DONE)
+    return o->via.array.size == RECORD_ITEMS;
+  return o->via.array.size == RECORD_ITEMS + ANSWER_ITEMS
+         && is_uint (&v[6], G_MAXUINT32) && is_str (&v[7], G_MAXUINT8)
+         && is_bin (&v[8], 0, MSG_ANSWER_MAX);
+}
+
+static gboolean
+header_ok (const msgpack_object *o)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != VALUE_ITEMS)
+    return FALSE;
+  const msgpack_object *v = o->via.array.ptr;
+  return is_uint (&v[0], FORMAT) && v[0].via.u64 == FORMAT
+         && is_uint (&v[1], G_MAXUINT32 - 1) && is_uint (&v[2], G_MAXUINT32 - 1)
+         && is_uint (&v[3], G_MAXUINT64) && is_uint (&v[4], G_MAXUINT32)
+         && v[1].via.u64 <= v[2].via.u64 && v[5].type == MSGPACK_OBJECT_ARRAY
+         && v[6].type == MSGPACK_OBJECT_ARRAY;
+}
+
+/* Checks the whole value and fills in OBJ's views.  */
+static gboolean
+read_value (struct led_obj *obj)
+{
+  const msgpack_object *root = &obj->unpacked.data;
+  if (!header_ok (root))
+    return FALSE;
+  const msgpack_object *v = root->via.array.ptr;
+  obj->header
+      = (struct led_obj_header){ (guint32)v[1].via.u64, (guint32)v[2].via.u64,
+                                 v[3].via.u64, (guint32)v[4].via.u64 };
+  obj->records = &v[5].via.array;
+  obj->holders = &v[6].via.array;
+  for (guint i = 0; i < obj->holders->size; i++)
+    if (!holder_ok (&obj->holders->ptr[i]))
+      return FALSE;
+  for (guint i = 0; i < obj->records->size; i++)
+    if (!record_ok (&obj->records->ptr[i], obj->holders->size))
+      return FALSE;
+  return TRUE;
+}
+
+/* Reads VALUE into *OBJ, which the caller frees by led_obj_free. Returns
+   ERR_PROTOCOL, with *OBJ NULL, if it is not the value of a ledger object.  */
+int
+led_obj_decode (GBytes *value, struct led_obj **obj)
+{
+  gsize n = 0;
+  const char *p = value ? g_bytes_get_data (value, &n) : NULL;
+  *obj = NULL;
+  if (!p)
+    return ERR_PROTOCOL;
+  struct led_obj *o = g_new0 (struct led_obj, 1);
+  o->value = g_bytes_ref (value);
+  msgpack_unpacked_init (&o->unpacked);
+  if (msgpack_unpack_next (&o->unpacked, p, n, NULL) != MSGPACK_UNPACK_SUCCESS
+      || !read_value (o))
+    {
+      led_obj_free (o);
+      return ERR_PROTOCOL;
+    }
+  *obj = o;
+  return 0;
+}
+
+void
+led_obj_free (struct led_obj *obj)
+{
+  if (!obj)
+    return;
+  msgpack_unpacked_destroy (&obj->unpacked);
+  g_bytes_unref (obj->value);
+  g_free (obj);
+}
+
+const struct led_obj_header *
+led_obj_header (const struct led_obj *obj)
+{
+  return &obj->header;
+}
+
+guint
+led_obj_size (const struct led_obj *obj)
+{
+  return obj->records->size;
+}
+
+/* Reads record I of OBJ into RECORD, whose texts borrow from OBJ.  */
+void
+led_obj_record (const struct led_obj *obj, guint i,
+                struct led_obj_record *record)
+{
+  const msgpack_object_array *a = &obj->records->ptr[i].via.array;
+  const msgpack_object *v = a->ptr;
+  const msgpack_object *holder = obj->holders->ptr[v[3].via.u64].via.array.ptr;
+  memset (record, 0, sizeof *record);
+  memcpy (record->rec.key, v[0].via.bin.ptr, MSG_KEY_BYTES);
+  memcpy (record->rec.body, v[1].via.bin.ptr, MSG_KEY_BYTES);
+  record->rec.state = (guint8)v[2].via.u64;
+  record->rec.ticket = v[4].via.u64;
+  record->rec.time = (guint32)v[5].via.u64;
+  record->holder = str_at (&holder[0]);
+  record->incarnation = holder[1].via.u64;
+  if (a->size == RECORD_ITEMS)
+    return;
+  record->status = (guint32)v[6].via.u64;
+  record->content_type = str_at (&v[7]);
+  record->answer = (struct str){ v[8].via.bin.ptr, v[8].via.bin.size };
+}
--- /dev/null
+++ b/packages/ledger/led_tab.c
@@ -0,0 +1,295 @@
+#include "ledger/led_tab.h"
+
+#include <string.h>
+
+/* A closed segment. Records may since have moved to newer ones. */
+struct segment
+{
+  guint32 seq;
+  guint32 time;    /* when it was closed, seconds since 1970 UTC */
+  GPtrArray *recs; /* struct led_rec, borrowed from the table */
+};
+
+/* Returns the name of STATE, an enum led_state, for dumps.  */
+const char *
+led_state_name (guint state)
+{
+  static const char *const names[] = {
+#define LED_STATE_NAME(id, name) name,
+    LED_STATES (LED_STATE_NAME)
+#undef LED_STATE_NAME
+  };
+  return state < G_N_ELEMENTS (names) ? names[state] : "?";
+}
+
+/* Returns a copy of an answer that the caller frees by g_free.  */
+struct led_kept *
+led_kept_new (guint32 status, struct str content_type, struct str answer)
+{
+  struct led_kept *kept = g_malloc (sizeof *kept + content_type.n + answer.n);
+  char *p = (char *)(kept + 1);
+  kept->status = status;
+  kept->content_type = (struct str){ p, content_type.n };
+  kept->answer = (struct str){ p + content_type.n, answer.n };
+  if (content_type.n)
+    memcpy (p, content_type.p, content_type.n);
+  if (answer.n)
+    memcpy (p + content_type.n, answer.p, answer.n);
+  return kept;
+}
+
+/* Returns the hash of a struct led_rec's key, which is itself a digest.  */
+guint
+led_key_hash (gconstpointer rec)
+{
+  guint hash;
+  memcpy (&hash, ((const struct led_rec *)rec)->key + 1, sizeof hash);
+  return hash;
+}
+
+gboolean
+led_key_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (((const struct led_rec *)a)->key,
+                 ((const struct led_rec *)b)->key, MSG_KEY_BYTES)
+         == 0;
+}
+
+static guint
+holder_hash (gconstpointer p)
+{
+  const struct led_holder *holder = p;
+  return g_str_hash (holder->id.s) ^ g_int64_hash (&holder->incarnation);
+}
+
+static gboolean
+holder_equal (gconstpointer a, gconstpointer b)
+{
+  const struct led_holder *x = a;
+  const struct led_holder *y = b;
+  return x->incarnation == y->incarnation && strcmp (x->id.s, y->id.s) == 0;
+}
+
+static void
+rec_free (gpointer p)
+{
+  struct led_rec *rec = p;
+  g_free (rec->kept);
+  g_free (rec);
+}
+
+static void
+segment_free (gpointer p)
+{
+  struct segment *segment = p;
+  g_ptr_array_unref (segment->recs);
+  g_free (segment);
+}
+
+/* Returns an empty table that the caller frees by led_tab_free.  */
+struct led_tab *
+led_tab_new (void)
+{
+  struct led_tab *tab = g_new0 (struct led_tab, 1);
+  tab->recs
+      = g_hash_table_new_full (led_key_hash, led_key_equal, rec_free, NULL);
+  tab->head = g_ptr_array_new ();
+  tab->segments = g_hash_table_new_full (NULL, NULL, NULL, segment_free);
+  tab->holders = g_ptr_array_new_with_free_func (g_free);
+  tab->holder_index = g_hash_table_new (holder_hash, holder_equal);
+  return tab;
+}
+
+void
+led_tab_free (struct led_tab *tab)
+{
+  if (!tab)
+    return;
+  g_ptr_array_unref (tab->head);
+  g_hash_table_unref (tab->segments);
+  g_hash_table_unref (tab->recs);
+  g_hash_table_unref (tab->holder_index);
+  g_ptr_array_unref (tab->holders);
+  g_free (tab);
+}
+
+/* Returns the number of entry ID's INCARNATION in this table. Numbers are
+   kept until the table is freed.  */
+guint32
+led_tab_holder (struct led_tab *tab, struct str id, guint64 incarnation)
+{
+  struct led_holder probe = { .incarnation = incarnation };
+  gpointer found;
+  str_id_set (&probe.id, id);
+  if (g_hash_table_lookup_extended (tab->holder_index, &probe, NULL, &found))
+    return GPOINTER_TO_UINT (found);
+  struct led_holder *holder = g_memdup2 (&probe, sizeof probe);
+  guint32 number = tab->holders->len;
+  g_ptr_array_add (tab->holders, holder);
+  g_hash_table_insert (tab->holder_index, holder, GUINT_TO_POINTER (number));
+  return number;
+}
+
+const struct led_holder *
+led_tab_holder_at (const struct led_tab *tab, guint32 holder)
+{
+  return g_ptr_array_index (tab->holders, holder);
+}
+
+static struct led_rec *
+find (const struct led_tab *tab, const guint8 key[MSG_KEY_BYTES])
+{
+  struct led_rec probe;
+  memcpy (probe.key, key, MSG_KEY_BYTES);
+  return g_hash_table_lookup (tab->recs, &probe);
+}
+
+/* Returns the record of KEY, or NULL if nothing is recorded.  */
+const struct led_rec *
+led_tab_find (const struct led_tab *tab, const guint8 key[MSG_KEY_BYTES])
+{
+  const struct led_rec *rec = find (tab, key);
+  return rec && rec->state != LED_NONE ? rec : NULL;
+}
+
+guint
+led_tab_size (const struct led_tab *tab)
+{
+  return g_hash_table_size (tab->recs);
+}
+
+/* Copies the recorded content of FROM to REC, which keeps its place.  */
+static void
+assign (struct led_rec *rec, const struct led_rec *from)
+{
+  guint32 seq = rec->seq;
+  if (rec->kept != from->kept)
+    g_free (rec->kept);
+  *rec = *from;
+  rec->seq = seq;
+}
+
+/* Returns the record of KEY, made if there is none yet.  */
+static struct led_rec *
+obtain (struct led_tab *tab, const guint8 key[MSG_KEY_BYTES])
+{
+  struct led_rec *rec = find (tab, key);
+  if (rec)
+    return rec;
+  rec = g_new0 (struct led_rec, 1);
+  memcpy (rec->key, key, MSG_KEY_BYTES);
+  g_hash_table_add (tab->recs, rec);
+  return rec;
+}
+
+/* Records REC in the head. Takes over REC->kept.  */
+void
+led_tab_put (struct led_tab *tab, const struct led_rec *rec)
+{
+  struct led_rec *own = obtain (tab, rec->key);
+  gboolean in_head = own->state != LED_NONE && own->seq == LED_IN_HEAD;
+  assign (own, rec);
+  own->seq = LED_IN_HEAD;
+  if (!in_head)
+    g_ptr_array_add (tab->head, own);
+}
+
+/* Takes the head's records back, since the head is about to be read again.
+   Each of them stands in the new head or in a segment closed since.  */
+void
+led_tab_clear_head (struct led_tab *tab)
+{
+  for (guint i = 0; i < tab->head->len; i++)
+    {
+      struct led_rec *rec = g_ptr_array_index (tab->head, i);
+      g_clear_pointer (&rec->kept, g_free);
+      rec->state = LED_NONE;
+    }
+  g_ptr_array_set_size (tab->head, 0);
+}
+
+static struct segment *
+segment_of (const struct led_tab *tab, guint32 seq)
+{
+  return g_hash_table_lookup (tab->segments, GUINT_TO_POINTER (seq));
+}
+
+gboolean
+led_tab_has_segment (const struct led_tab *tab, guint32 seq)
+{
+  return segment_of (tab, seq) != NULL;
+}
+
+/* Adds segment SEQ, closed at TIME (seconds since 1970 UTC), without
+   records.  */
+void
+led_tab_add_segment (struct led_tab *tab, guint32 seq, guint32 time)
+{
+  struct segment *segment = g_new0 (struct segment, 1);
+  segment->seq = seq;
+  segment->time = time;
+  segment->recs = g_ptr_array_new ();
+  g_hash_table_replace (tab->segments, GUINT_TO_POINTER (seq), segment);
+}
+
+/* Records REC, without its answer, as read from segment SEQ, unless a newer
+   segment or the head has the key.  */
+void
+led_tab_put_segment (struct led_tab *tab, guint32 seq,
+                     const struct led_rec *rec)
+{
+  struct led_rec *own = obtain (tab, rec->key);
+  if (own->state != LED_NONE && own->seq > seq)
+    return;
+  assign (own, rec);
+  own->kept = NULL;
+  own->seq = seq;
+  g_ptr_array_add (segment_of (tab, seq)->recs, own);
+}
+
+/* Turns the head's records into the next segment, closed at TIME.  */
+void
+led_tab_close_head (struct led_tab *tab, guint32 time)
+{
+  guint32 seq = tab->next++;
+  led_tab_add_segment (tab, seq, time);
+  struct segment *segment = segment_of (tab, seq);
+  for (guint i = 0; i < tab->head->len; i++)
+    {
+      struct led_rec *rec = g_ptr_array_index (tab->head, i);
+      g_clear_pointer (&rec->kept, g_free);
+      rec->seq = seq;
+      g_ptr_array_add (segment->recs, rec);
+    }
+  g_ptr_array_set_size (tab->head, 0);
+}
+
+/* Returns the number of the oldest segment that was closed at BEFORE (seconds
+   since 1970 UTC) or later.  */
+guint32
+led_tab_expired (const struct led_tab *tab, guint32 before)
+{
+  guint32 seq = tab->first;
+  while (seq < tab->next && segment_of (tab, seq)->time < before)
+    seq++;
+  return seq;
+}
+
+/* Forgets the segments before FIRST and the keys last recorded there.  */
+void
+led_tab_expire (struct led_tab *tab, guint32 first)
+{
+  for (; tab->first < first; tab->first++)
+    {
+      struct segment *segment = segment_of (tab, tab->first);
+      if (!segment)
+        continue;
+      for (guint i = 0; i < segment->recs->len; i++)
+        {
+          struct led_rec *rec = g_ptr_array_index (segment->recs, i);
+          if (rec->seq == segment->seq)
+            g_hash_table_remove (tab->recs, rec);
+        }
+      g_hash_table_remove (tab->segments, GUINT_TO_POINTER (segment->seq));
+    }
+}
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -218,15 +218,16 @@
   guint64 incarnation; /* of the entry; others ignore the verdict */
   guint64 ticket;
   enum msg_verdict verdict;
+  gboolean of_result;      /* acknowledges a result; else on an intent */
   gboolean unsettled;      /* AWAY: the intent may yet be recorded */
   guint32 status;          /* HTTP status of the stored answer */
   struct str content_type; /* borrowed */
   struct str answer;       /* borrowed */
 };
 
-/* Acknowledged by a verdict on its ticket: DONE once the answer is stored,
-   AWAY once no intent of the ticket stands, UNKNOWN if the answer is too large
-   to be kept.  */
+/* Acknowledged by a verdict OF_RESULT on its ticket: DONE once the answer is
+   stored, AWAY once no intent of the ticket stands, UNKNOWN if the answer is
+   too large to be kept.  */
 struct msg_ledger_result
 {
   guint64 incarnation; /* of the entry */
--- /dev/null
+++ b/tests/unit/test_led_shard.c
@@ -0,0 +1,464 @@
+/* One shard's server against a store whose faults the test sets.  */
+#include "unit/sim.h"
+#include "unit/unit.h"
+
+#include "ledger/led.h"
+
+#include <stdio.h>
+
+#define HEAD_BYTES 1000
+#define RETENTION_US (3600 * CLK_S)
+
+struct rig
+{
+  struct sim sim;
+  struct sim_store store;
+  struct ctr ctr;
+  struct led_options options;
+  struct led *led;
+  /* The last verdict of each ticket, and how many came. */
+  struct msg_ledger_verdict last[1000];
+  char answers[1000][32];
+  guint n[1000];
+};
+
+struct token
+{
+  struct rig *rig;
+  struct led *led;
+  guint64 token;
+};
+
+static void
+on_answer (void *ctx, const struct sto_answer *answer)
+{
+  struct token *t = ctx;
+  if (t->rig->led == t->led)
+    led_answer (t->led, t->token, answer);
+  g_free (t);
+}
+
+static void
+on_store (void *ctx, guint64 token, const struct sto_call *call)
+{
+  struct rig *rig = ctx;
+  struct token *t = g_new (struct token, 1);
+  *t = (struct token){ rig, rig->led, token };
+  sim_store_start (&rig->store, call, on_answer, t);
+}
+
+static void
+on_verdict (void *ctx, const char *to, const struct msg_ledger_verdict *v)
+{
+  struct rig *rig = ctx;
+  CU_ASSERT_STRING_EQUAL (to, "e1");
+  rig->last[v->ticket] = *v;
+  rig->n[v->ticket]++;
+  g_snprintf (rig->answers[v->ticket], sizeof rig->answers[0], STR_FMT,
+              STR_ARG (v->answer));
+}
+
+static void
+rig_restart (struct rig *rig)
+{
+  led_free (rig->led);
+  rig->led = led_new (&rig->options);
+}
+
+static struct rig *
+rig_new (void)
+{
+  struct rig *rig = g_new0 (struct rig, 1);
+  sim_init (&rig->sim, 1);
+  sim_store_init (&rig->store, &rig->sim);
+  rig->options = (struct led_options){ .clk = &rig->sim.clk.clk,
+                                       .seed = 1,
+                                       .ctr = &rig->ctr,
+                                       .shard = 7,
+                                       .head_max = HEAD_BYTES,
+                                       .retention_us = RETENTION_US,
+                                       .store = on_store,
+                                       .verdict = on_verdict,
+                                       .ctx = rig };
+  rig_restart (rig);
+  return rig;
+}
+
+static void
+rig_run (struct rig *rig, gint64 us)
+{
+  for (gint64 end = rig->sim.clk.t + us; rig->sim.clk.t < end;)
+    {
+      sim_run (&rig->sim, MIN (end, rig->sim.clk.t + LED_TICK_US));
+      led_tick (rig->led);
+    }
+}
+
+static void
+rig_free (struct rig *rig)
+{
+  led_free (rig->led);
+  rig->led = NULL;
+  sim_run (&rig->sim, rig->sim.clk.t + 100 * CLK_S);
+  sim_store_clear (&rig->store);
+  sim_clear (&rig->sim);
+  g_free (rig);
+}
+
+static void
+intend (struct rig *rig, guint64 ticket, guint key, guint body)
+{
+  struct msg_ledger_intent intent = { .incarnation = 9, .ticket = ticket };
+  intent.key[1] = (guint8)key;
+  intent.key[2] = (guint8)(key >> 8);
+  intent.body[0] = (guint8)body;
+  led_intent (rig->led, "e1", &intent);
+}
+
+static void
+end (struct rig *rig, guint64 ticket, guint key, const char *answer)
+{
+  struct msg_ledger_result result = { .incarnation = 9,
+                                      .ticket = ticket,
+                                      .did_not_run = answer == NULL,
+                                      .status = 201,
+                                      .content_type = STR_LIT ("text/plain"),
+                                      .answer = str_of (answer) };
+  result.key[1] = (guint8)key;
+  result.key[2] = (guint8)(key >> 8);
+  led_result (rig->led, "e1", &result);
+}
+
+/* Sends an intent and returns its verdict, which comes within 2 s or so.  */
+static enum msg_verdict
+ask (struct rig *rig, guint64 ticket, guint key, guint body)
+{
+  guint n = rig->n[ticket];
+  intend (rig, ticket, key, body);
+  rig_run (rig, LED_INTENT_WAIT_US + 4 * LED_TICK_US);
+  CU_ASSERT_EQUAL (rig->n[ticket], n + 1);
+  return rig->last[ticket].verdict;
+}
+
+static void
+test_verdicts (void)
+{
+  struct rig *rig = rig_new ();
+  CU_ASSERT_EQUAL (ask (rig, 1, 5, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (ask (rig, 1, 5, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (rig->ctr.v[CTR_LEDGER_WRITES], 1);
+  CU_ASSERT_EQUAL (ask (rig, 2, 5, 0), MSG_VERDICT_IN_PROGRESS);
+  CU_ASSERT_EQUAL (ask (rig, 3, 5, 1), MSG_VERDICT_MISMATCH);
+  rig_run (rig, LED_RUN_MAX_US);
+  CU_ASSERT_EQUAL (ask (rig, 4, 5, 0), MSG_VERDICT_UNKNOWN);
+  end (rig, 1, 5, "hello");
+  rig_run (rig, 2 * LED_RESULT_WAIT_US);
+  CU_ASSERT_EQUAL (rig->last[1].verdict, MSG_VERDICT_DONE);
+  CU_ASSERT_TRUE (rig->last[1].of_result);
+  CU_ASSERT_EQUAL (ask (rig, 5, 5, 0), MSG_VERDICT_DONE);
+  CU_ASSERT_STRING_EQUAL (rig->answers[5], "hello");
+  CU_ASSERT_EQUAL (rig->last[5].status, 201);
+  CU_ASSERT_EQUAL (ask (rig, 6, 5, 1), MSG_VERDICT_MISMATCH);
+  rig_free (rig);
+}
+
+static void
+test_freed_ticket (void)
+{
+  struct rig *rig = rig_new ();
+  ask (rig, 1, 5, 0);
+  end (rig, 2, 5, NULL); /* another ticket's word does not count */
+  rig_run (rig, 2 * LED_RESULT_WAIT_US);
+  CU_ASSERT_EQUAL (ask (rig, 3, 5, 0), MSG_VERDICT_IN_PROGRESS);
+  end (rig, 1, 5, NULL);
+  rig_run (rig, 2 * LED_RESULT_WAIT_US);
+  CU_ASSERT_EQUAL (rig->last[1].verdict, MSG_VERDICT_AWAY);
+  CU_ASSERT_EQUAL (ask (rig, 1, 5, 0), MSG_VERDICT_AWAY);
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 1, 5, 0), MSG_VERDICT_AWAY);
+  CU_ASSERT_EQUAL (ask (rig, 4, 5, 1), MSG_VERDICT_FRESH);
+  rig_free (rig);
+}
+
+static void
+test_group_commit (void)
+{
+  struct rig *rig = rig_new ();
+  rig->options.head_max = 0;
+  rig_restart (rig);
+  ask (rig, 1, 1, 0);
+  guint64 writes = rig->ctr.v[CTR_LEDGER_WRITES];
+  for (guint i = 2; i < 102; i++)
+    intend (rig, i, i, 0);
+  rig_run (rig, CLK_S);
+  for (guint i = 2; i < 102; i++)
+    CU_ASSERT_EQUAL (rig->last[i].verdict, MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (rig->ctr.v[CTR_LEDGER_WRITES], writes + 2);
+  rig_free (rig);
+}
+
+static void
+test_outage (void)
+{
+  struct rig *rig = rig_new ();
+  rig->store.refusing = TRUE;
+  CU_ASSERT_EQUAL (ask (rig, 1, 1, 0), MSG_VERDICT_AWAY);
+  CU_ASSERT_FALSE (rig->last[1].unsettled);
+  for (guint i = 2; i < 602; i++)
+    {
+      intend (rig, i, i, 0);
+      rig_run (rig, 100 * CLK_MS);
+    }
+  rig_run (rig, LED_INTENT_WAIT_US);
+  for (guint i = 1; i < 602; i++)
+    CU_ASSERT_EQUAL (rig->last[i].verdict, MSG_VERDICT_AWAY);
+  guint calls = rig->store.gets + rig->store.puts;
+  CU_ASSERT_TRUE (calls < 30); /* 62 s of intents */
+  rig->store.refusing = FALSE;
+  rig_run (rig, 10 * CLK_S);
+  CU_ASSERT_EQUAL (rig->store.gets + rig->store.puts, calls);
+  CU_ASSERT_EQUAL (ask (rig, 700, 1, 0), MSG_VERDICT_FRESH);
+  rig_free (rig);
+}
+
+static void
+test_lost_answer (void)
+{
+  struct rig *rig = rig_new ();
+  ask (rig, 1, 1, 0);
+  rig->store.lost_after = 1;
+  intend (rig, 2, 2, 0);
+  rig_run (rig, 100 * CLK_MS);
+  CU_ASSERT_EQUAL (rig->n[2], 0);
+  rig->store.lost_after = 0;
+  rig_run (rig, 2 * LED_CALL_US);
+  CU_ASSERT_EQUAL (rig->last[2].verdict, MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (rig->ctr.v[CTR_LEDGER_CONFLICTS], 1);
+  rig_free (rig);
+}
+
+/* A write that is open when the store falls silent lands much later.  */
+static void
+test_open_write (void)
+{
+  struct rig *rig = rig_new ();
+  ask (rig, 1, 1, 0);
+  rig->store.late = 1;
+  intend (rig, 2, 2, 0);
+  rig_run (rig, 100 * CLK_MS);
+  rig->store.late = 0;
+  rig->store.silent = TRUE;
+  rig_run (rig, LED_INTENT_WAIT_US);
+  CU_ASSERT_EQUAL (rig->n[2], 0);
+  rig_run (rig, LED_SETTLE_US);
+  CU_ASSERT_EQUAL (rig->last[2].verdict, MSG_VERDICT_AWAY);
+  CU_ASSERT_TRUE (rig->last[2].unsettled);
+  end (rig, 2, 2, NULL);
+  rig_run (rig, 4 * CLK_S);
+  CU_ASSERT_EQUAL (rig->n[2], 1);
+  rig->store.silent = FALSE;
+  rig_run (rig, 15 * CLK_S);
+  CU_ASSERT_EQUAL (rig->n[2], 2);
+  CU_ASSERT_EQUAL (rig->last[2].verdict, MSG_VERDICT_AWAY);
+  CU_ASSERT_EQUAL (ask (rig, 3, 2, 0), MSG_VERDICT_FRESH);
+  rig_free (rig);
+}
+
+/* Runs N keys from FIRST to their answers. */
+static void
+fill (struct rig *rig, guint first, guint n)
+{
+  for (guint i = first; i < first + n; i++)
+    {
+      char text[16];
+      g_snprintf (text, sizeof text, "answer %u", i);
+      CU_ASSERT_EQUAL (ask (rig, i, i, 0), MSG_VERDICT_FRESH);
+      end (rig, i, i, text);
+      rig_run (rig, 2 * LED_RESULT_WAIT_US);
+    }
+}
+
+static guint64
+version_of (struct rig *rig, const char *name)
+{
+  struct sim_object *object = g_hash_table_lookup (rig->store.objects, name);
+  return object ? object->version : 0;
+}
+
+static void
+test_segments (void)
+{
+  struct rig *rig = rig_new ();
+  fill (rig, 1, 40);
+  CU_ASSERT_TRUE (version_of (rig, "ledger/07/0001") > 0);
+  CU_ASSERT_EQUAL (ask (rig, 101, 1, 0), MSG_VERDICT_DONE);
+  CU_ASSERT_STRING_EQUAL (rig->answers[101], "answer 1");
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 102, 2, 0), MSG_VERDICT_DONE);
+  CU_ASSERT_STRING_EQUAL (rig->answers[102], "answer 2");
+  CU_ASSERT_EQUAL (ask (rig, 103, 40, 1), MSG_VERDICT_MISMATCH);
+  GHashTableIter iter;
+  gpointer object;
+  g_hash_table_iter_init (&iter, rig->store.objects);
+  while (g_hash_table_iter_next (&iter, NULL, &object))
+    CU_ASSERT_TRUE (g_bytes_get_size (((struct sim_object *)object)->body)
+                    <= HEAD_BYTES);
+  rig_free (rig);
+}
+
+static void
+test_answer_out_of_reach (void)
+{
+  struct rig *rig = rig_new ();
+  fill (rig, 1, 20);
+  rig->store.silent = TRUE;
+  CU_ASSERT_EQUAL (ask (rig, 101, 1, 0), MSG_VERDICT_UNKNOWN);
+  rig_free (rig);
+}
+
+/* Puts VALUE, taken over, into the store as NAME. */
+static void
+plant (struct rig *rig, const char *name, GBytes *value)
+{
+  struct sim_object *object = sim_object_of (&rig->store, name);
+  object->version = ++rig->store.last_version;
+  g_clear_pointer (&object->body, g_bytes_unref);
+  object->body = value;
+}
+
+static void
+test_leftover_in_slot (void)
+{
+  struct rig *rig = rig_new ();
+  plant (rig, "ledger/07/0000", g_bytes_new_static ("garbage", 7));
+  fill (rig, 1, 12);
+  struct sim_object *head = sim_object_of (&rig->store, "ledger/07/head");
+  plant (rig, "ledger/07/0001", g_bytes_ref (head->body));
+  fill (rig, 13, 28);
+  rig_restart (rig);
+  for (guint i = 1; i <= 40; i++)
+    CU_ASSERT_EQUAL (ask (rig, 100 + i, i, 0), MSG_VERDICT_DONE);
+  rig_free (rig);
+}
+
+static void
+test_retention (void)
+{
+  struct rig *rig = rig_new ();
+  fill (rig, 1, 20);
+  rig_run (rig, RETENTION_US);
+  CU_ASSERT_EQUAL (ask (rig, 101, 1, 0), MSG_VERDICT_DONE);
+  fill (rig, 21, 20);
+  CU_ASSERT_EQUAL (ask (rig, 102, 1, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (ask (rig, 103, 30, 0), MSG_VERDICT_DONE);
+  guint gets = rig->store.gets;
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 104, 30, 0), MSG_VERDICT_DONE);
+  CU_ASSERT_TRUE (rig->store.gets - gets < 8);
+  rig_free (rig);
+}
+
+static void
+test_limits (void)
+{
+  struct rig *rig = rig_new ();
+  char *large = g_strnfill (MSG_ANSWER_MAX + 1, 'x');
+  rig->options.keys_max = 2;
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 1, 1, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (ask (rig, 2, 2, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (ask (rig, 3, 3, 0), MSG_VERDICT_AWAY);
+  end (rig, 1, 1, large);
+  CU_ASSERT_EQUAL (rig->last[1].verdict, MSG_VERDICT_UNKNOWN);
+  large[MSG_ANSWER_MAX] = '\0';
+  end (rig, 2, 2, large);
+  rig_run (rig, 2 * LED_RESULT_WAIT_US);
+  CU_ASSERT_EQUAL (rig->last[2].verdict, MSG_VERDICT_DONE);
+  CU_ASSERT_EQUAL (ask (rig, 4, 2, 0), MSG_VERDICT_DONE);
+  CU_ASSERT_EQUAL (rig->last[4].answer.n, MSG_ANSWER_MAX);
+  g_free (large);
+  rig_free (rig);
+}
+
+static void
+test_unreadable_head (void)
+{
+  static const char *const values[] = { "", "garbage", "\x97\x01\x00", "\xc0" };
+  for (guint i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      struct rig *rig = rig_new ();
+      plant (rig, "ledger/07/head",
+             g_bytes_new_static (values[i], strlen (values[i])));
+      CU_ASSERT_EQUAL (ask (rig, 1, 1, 0), MSG_VERDICT_AWAY);
+      rig_free (rig);
+    }
+}
+
+/* Every cut and every changed byte of a head is refused or read, and never
+   more than that.  */
+static void
+test_damaged_head (void)
+{
+  struct rig *rig = rig_new ();
+  fill (rig, 1, 2);
+  struct sim_object *head = sim_object_of (&rig->store, "ledger/07/head");
+  GBytes *good = g_bytes_ref (head->body);
+  gsize n;
+  const char *p = g_bytes_get_data (good, &n);
+  for (gsize i = 0; i < n; i++)
+    {
+      char *copy = g_memdup2 (p, n);
+      copy[i] ^= (char)0x80;
+      plant (rig, "ledger/07/head",
+             i % 2 ? g_bytes_new (p, i) : g_bytes_new (copy, n));
+      g_free (copy);
+      rig_restart (rig);
+      intend (rig, 3, 3, 0);
+      rig_run (rig, 100 * CLK_MS);
+    }
+  plant (rig, "ledger/07/head", good);
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 4, 1, 0), MSG_VERDICT_DONE);
+  rig_free (rig);
+}
+
+static void
+test_dump (void)
+{
+  struct rig *rig = rig_new ();
+  ask (rig, 1, 1, 0);
+  CU_ASSERT_TRUE (led_idle (rig->led));
+  JsonBuilder *json = json_builder_new ();
+  led_dump (rig->led, json);
+  JsonNode *root = json_builder_get_root (json);
+  CU_ASSERT_EQUAL (
+      json_object_get_int_member (json_node_get_object (root), "keys"), 1);
+  json_node_unref (root);
+  g_object_unref (json);
+  rig_free (rig);
+}
+
+static CU_TestInfo tests[] = {
+  { "verdicts by what is recorded", test_verdicts },
+  { "a freed ticket stays freed", test_freed_ticket },
+  { "a batch gathers while a write is open", test_group_commit },
+  { "an outage: refused, few calls, no stampede", test_outage },
+  { "a lost answer is settled by reading back", test_lost_answer },
+  { "a write that lands late", test_open_write },
+  { "segments are closed, read and replayed from", test_segments },
+  { "an answer out of reach is unknown", test_answer_out_of_reach },
+  { "leftovers in a segment's slot", test_leftover_in_slot },
+  { "retention", test_retention },
+  { "limits of keys and answers", test_limits },
+  { "an unreadable head refuses", test_unreadable_head },
+  { "damaged heads", test_damaged_head },
+  { "dump", test_dump },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "ledger shard", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
