--- a/packages/wire/wir_conn.c
+++ b/packages/wire/wir_conn.c
@@ -10,7 +10,7 @@
 
 #define LENGTH_BYTES 4
 #define READ_BYTES 65536   /* taken from a socket at once */
-#define KEEP_BYTES 262144  /* larger buffers are freed once empty */
+#define KEEP_BYTES 16384   /* larger buffers are freed once empty */
 #define NO_FRAME G_MAXUINT /* no frame is being filled */
 #define ADDRESS_BYTES 64   /* with the NUL */
 
--- a/tests/unit/test_wir.c
+++ b/tests/unit/test_wir.c
@@ -1,6 +1,7 @@
 #include "unit/unit.h"
 
 #include "wire/wir.h"
+#include "wire/wir_hello.h"
 
 #include <string.h>
 
@@ -226,6 +227,31 @@
   CU_ASSERT_EQUAL (b->ticket, 7);
 }
 
+/* Returns the dump of END, freed by json_node_unref.  */
+static JsonNode *
+dump (const struct end *end)
+{
+  JsonBuilder *json = json_builder_new ();
+  wir_dump (end->wir, json);
+  JsonNode *root = json_builder_get_root (json);
+  g_object_unref (json);
+  return root;
+}
+
+static guint
+connections_of_peer (const struct end *end)
+{
+  JsonNode *root = dump (end);
+  JsonArray *peers
+      = json_object_get_array_member (json_node_get_object (root), "peers");
+  guint n = 0;
+  if (json_array_get_length (peers) > 0)
+    n = (guint)json_object_get_int_member (
+        json_array_get_object_element (peers, 0), "connections");
+  json_node_unref (root);
+  return n;
+}
+
 static void
 open_pair (struct end *a, struct end *b)
 {
@@ -405,6 +431,70 @@
   expect_tampering_seen (&a, &b, &proxy);
 }
 
+/* A frame recorded on an earlier connection is not taken on a new one, though
+   its number fits.  */
+static void
+test_frame_of_other_connection (void)
+{
+  struct end a;
+  struct end b;
+  struct proxy proxy;
+  open_proxied (&a, &b, &proxy);
+  guint8 frame[4 + 3 + 16]; /* length, withdraw, tag */
+  memcpy (frame, proxy.sent->data + proxy.sent->len - sizeof frame,
+          sizeof frame);
+  proxy_cut (&proxy);
+  UNTIL (a.lost == 1 && b.lost == 1);
+  UNTIL (proxy.near != NULL && connections_of_peer (&b) == 1);
+  b.lost = a.lost = 0;
+  g_byte_array_append (proxy.to_far, frame, sizeof frame);
+  expect_tampering_seen (&a, &b, &proxy);
+}
+
+/* Receives what is there behind the N bytes in BUFFER and returns the new
+   N.  */
+static gsize
+receive_more (GSocket *socket, char *buffer, gsize size, gsize *n)
+{
+  gssize got = g_socket_receive (socket, buffer + *n, size - *n, NULL, NULL);
+  if (got > 0)
+    *n += (gsize)got;
+  return *n;
+}
+
+/* A listener without the key sends the dialler's own proof back.  */
+static void
+test_reflected_proof (void)
+{
+  struct end a;
+  struct proxy mallory;
+  struct wir_side side = { .id = { "c" }, .nonce = { 1 } };
+  GByteArray *hello = g_byte_array_new ();
+  char got[512];
+  gsize n = 0;
+  g_byte_array_append (hello, (const guint8 *)"\0\0\0", 4);
+  wir_encode_hello (&side, hello);
+  hello->data[3] = (guint8)(hello->len - 4);
+  open_end (&a, "a", KEY, 0);
+  open_proxy (&mallory, 0);
+  active = NULL;
+  dial_proxy (&a, &mallory);
+  UNTIL ((mallory.near = g_socket_accept (mallory.listener, NULL, NULL))
+         != NULL);
+  g_socket_set_blocking (mallory.near, FALSE);
+  g_socket_send (mallory.near, (char *)hello->data, hello->len, NULL, NULL);
+  guint mine = hello->len; /* A's id is as long */
+  guint proof = 4 + 3 + WIR_PROOF_BYTES;
+  UNTIL (receive_more (mallory.near, got, sizeof got, &n) == mine + proof);
+  g_socket_send (mallory.near, got + n - proof, proof, NULL, NULL);
+  UNTIL (a.ctr.v[CTR_PEER_REJECTED] == 1);
+  CU_ASSERT_EQUAL (a.ctr.v[CTR_FRAME_BAD], 0);
+  CU_ASSERT_EQUAL (send_ticket (&a, "c", 1), ERR_CLOSED);
+  close_proxy (&mallory);
+  g_byte_array_unref (hello);
+  wir_free (a.wir);
+}
+
 /* A message over a field's limit is skipped; the connection stays.  */
 static void
 test_unreadable_message (void)
@@ -456,29 +546,6 @@
   g_free (body);
 }
 
-/* Returns the dump of END, freed by json_node_unref.  */
-static JsonNode *
-dump (const struct end *end)
-{
-  JsonBuilder *json = json_builder_new ();
-  wir_dump (end->wir, json);
-  JsonNode *root = json_builder_get_root (json);
-  g_object_unref (json);
-  return root;
-}
-
-static guint
-connections_of_peer (const struct end *end)
-{
-  JsonNode *root = dump (end);
-  JsonArray *peers
-      = json_object_get_array_member (json_node_get_object (root), "peers");
-  JsonObject *peer = json_array_get_object_element (peers, 0);
-  guint n = (guint)json_object_get_int_member (peer, "connections");
-  json_node_unref (root);
-  return n;
-}
-
 static void
 hang_up (struct end *end, const struct end *from)
 {
@@ -568,6 +635,8 @@
   { "a replayed handshake is turned away", test_replayed_handshake },
   { "a repeated frame ends the connection", test_repeated_frame },
   { "a changed frame ends the connection", test_changed_frame },
+  { "a frame of another connection ends it", test_frame_of_other_connection },
+  { "a reflected proof is turned away", test_reflected_proof },
   { "an unreadable message is skipped", test_unreadable_message },
   { "the queue for a slow reader is bounded", test_slow_reader },
   { "both may dial", test_both_dial },
--- /dev/null
+++ b/tests/wirebench/bench_wire.c
@@ -0,0 +1,316 @@
+/* Costs of the codec, of connections over loopback and of membership, printed
+   as lines "name value unit". Both ends run in this process, so a message's
+   processor time is that of sender and receiver together.  */
+#include "member/mem.h"
+#include "wire/wir.h"
+
+#include <malloc.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#define CODEC_ROUNDS 200000
+#define BATCHES 2000
+#define BATCH 100 /* messages sent in one turn */
+#define PINGS 20000
+#define CONNECTIONS 200
+#define DOMAIN_NODES 36 /* instances of one failure domain */
+#define OWNER_ROUNDS 100000
+#define KEY "a shared key of the bench"
+
+static struct
+{
+  struct wir *a;
+  struct wir *b;
+  struct ctr ctr_a;
+  struct ctr ctr_b;
+  guint at_a;
+  guint at_b;
+} pair;
+
+static const struct msg_progress_item items[10];
+static const struct msg_cell_summary cells[] = { { { "kgn-a.chat-large.0" },
+                                                   { "kgn-a-1" },
+                                                   "10.20.30.41:7400",
+                                                   12,
+                                                   8,
+                                                   { 1, 2, 3 },
+                                                   40 } };
+
+static const struct msg samples[MSG_N] = {
+  { MSG_HEARTBEAT, .heartbeat = { 1764800000000000,
+                                  100000,
+                                  { "kgn-a" },
+                                  { "kgn" },
+                                  "10.20.30.41:7400",
+                                  FALSE,
+                                  1200,
+                                  3000 } },
+  { MSG_OFFER, .offer = { 1000000,
+                          { "kgn-a.chat-large.0" },
+                          { "urgent" },
+                          { "crew-support" },
+                          2000000,
+                          3000,
+                          G_GUINT64_CONSTANT (0x1234567890abcdef),
+                          900,
+                          600,
+                          0,
+                          TRUE } },
+  { MSG_WITHDRAW, .withdraw = { 1000000 } },
+  { MSG_GRANT, .grant = { 1000000, { "engine-kgn-a-12" }, 1, 2000000 } },
+  { MSG_REFUSE, .refuse = { 1000000, MSG_REASON_OVERLOAD, 300000 } },
+  { MSG_PREEMPT, .preempt = { 1000000 } },
+  { MSG_PROGRESS, .progress = { items, G_N_ELEMENTS (items) } },
+  { MSG_RELEASE,
+    .release
+    = { 1000000, { "engine-kgn-a-12" }, MSG_RESULT_OK, 200000, 25000, 400 } },
+  { MSG_SUMMARY, .summary = { { "kgn-a" }, cells, G_N_ELEMENTS (cells) } },
+  { MSG_OBJECT_ASK, .object_ask = { { "config" }, 1200 } },
+  { MSG_OBJECT_BODY, .object_body = { { "config" }, 1200, { NULL, 0 } } },
+  { MSG_LEDGER_INTENT, .ledger_intent = { 1000000 } },
+  { MSG_LEDGER_VERDICT, .ledger_verdict = { 1000000, MSG_VERDICT_FRESH } },
+  { MSG_LEDGER_RESULT, .ledger_result = { .status = 200 } },
+};
+
+static void
+print (const char *what, const char *of, double value, const char *unit)
+{
+  g_print ("%s%s%s %.3f %s\n", what, *of ? "_" : "", of, value, unit);
+}
+
+static double
+cpu_us (void)
+{
+  struct rusage usage;
+  getrusage (RUSAGE_SELF, &usage);
+  return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1e6
+         + (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+static void
+bench_codec (void)
+{
+  GByteArray *out = g_byte_array_new ();
+  struct wir_arena *arena = wir_arena_new ();
+  for (int kind = 0; kind < MSG_N; kind++)
+    {
+      const char *name = msg_kind_name ((enum msg_kind)kind);
+      double start = cpu_us ();
+      for (guint i = 0; i < CODEC_ROUNDS; i++)
+        {
+          struct msg msg;
+          g_byte_array_set_size (out, 0);
+          wir_encode (&samples[kind], out);
+          if (wir_decode ((struct str){ (char *)out->data, out->len }, &msg,
+                          arena, NULL)
+              != 0)
+            g_error ("%s cannot be read", name);
+        }
+      print ("codec", name, (cpu_us () - start) * 1000 / CODEC_ROUNDS, "ns");
+      print ("size", name, out->len, "bytes");
+    }
+  wir_arena_free (arena);
+  g_byte_array_unref (out);
+}
+
+static void
+on_receive (void *ctx, const char *from, const struct msg *msg)
+{
+  (void)from;
+  (void)msg;
+  (*(guint *)ctx)++;
+}
+
+static void
+on_lost (void *ctx, const char *id)
+{
+  (void)ctx;
+  (void)id;
+}
+
+static struct wir *
+open_end (const char *id, const char *listen, struct ctr *ctr, guint *received)
+{
+  struct wir_options options = {
+    .listen = listen,
+    .key = STR_LIT (KEY),
+    .ctr = ctr,
+    .receive = on_receive,
+    .lost = on_lost,
+    .ctx = received,
+  };
+  struct wir *wir;
+  struct err err;
+  str_id_set (&options.self, str_of (id));
+  if (wir_new (&options, &wir, &err) < 0)
+    g_error ("%s: %s", err.step, err.text);
+  return wir;
+}
+
+static void
+dial (const char *ip)
+{
+  char address[32];
+  g_snprintf (address, sizeof address, "%s:%u", ip, wir_port (pair.b));
+  wir_dial (pair.a, address);
+}
+
+static void
+open_pair (void)
+{
+  memset (&pair, 0, sizeof pair);
+  pair.a = open_end ("kgn-a-1", "127.0.0.1:0", &pair.ctr_a, &pair.at_a);
+  pair.b = open_end ("kgn-a-2", "0.0.0.0:0", &pair.ctr_b, &pair.at_b);
+  dial ("127.0.0.1");
+  while (wir_send (pair.a, "kgn-a-2", &samples[MSG_WITHDRAW]) < 0
+         || wir_send (pair.b, "kgn-a-1", &samples[MSG_WITHDRAW]) < 0)
+    g_main_context_iteration (NULL, TRUE);
+  while (pair.at_a == 0 || pair.at_b == 0)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+close_pair (void)
+{
+  wir_free (pair.a);
+  wir_free (pair.b);
+}
+
+static void
+bench_batches (void)
+{
+  open_pair ();
+  double start_cpu = cpu_us ();
+  gint64 start = g_get_monotonic_time ();
+  guint64 bytes = pair.ctr_a.v[CTR_BYTES_OUT];
+  guint sent = pair.at_b;
+  for (guint i = 0; i < BATCHES; i++)
+    {
+      for (guint j = 0; j < BATCH; j++)
+        if (wir_send (pair.a, "kgn-a-2", &samples[MSG_OFFER]) == 0)
+          sent++;
+      while (pair.at_b < sent)
+        g_main_context_iteration (NULL, TRUE);
+    }
+  double n = BATCHES * (double)BATCH;
+  print ("batch_offer", "rate",
+         n * 1e6 / (double)(g_get_monotonic_time () - start), "messages/s");
+  print ("batch_offer", "cpu", (cpu_us () - start_cpu) / n, "us/message");
+  print ("batch_offer", "bytes",
+         (double)(pair.ctr_a.v[CTR_BYTES_OUT] - bytes) / n, "bytes/message");
+  close_pair ();
+}
+
+/* One message a frame each way: the dearest case.  */
+static void
+bench_single (void)
+{
+  open_pair ();
+  double start_cpu = cpu_us ();
+  gint64 start = g_get_monotonic_time ();
+  guint64 bytes = pair.ctr_a.v[CTR_BYTES_OUT];
+  for (guint i = 0; i < PINGS; i++)
+    {
+      guint next_a = pair.at_a + 1;
+      guint next_b = pair.at_b + 1;
+      wir_send (pair.a, "kgn-a-2", &samples[MSG_OFFER]);
+      while (pair.at_b < next_b)
+        g_main_context_iteration (NULL, TRUE);
+      wir_send (pair.b, "kgn-a-1", &samples[MSG_GRANT]);
+      while (pair.at_a < next_a)
+        g_main_context_iteration (NULL, TRUE);
+    }
+  double n = 2.0 * PINGS;
+  print ("single", "rate", n * 1e6 / (double)(g_get_monotonic_time () - start),
+         "messages/s");
+  print ("single", "cpu", (cpu_us () - start_cpu) / n, "us/message");
+  print ("single_offer", "bytes",
+         (double)(pair.ctr_a.v[CTR_BYTES_OUT] - bytes) / PINGS,
+         "bytes/message");
+  close_pair ();
+}
+
+/* Handshake and memory of connections; the kernel's buffers are not in it. */
+static void
+bench_connections (void)
+{
+  open_pair ();
+  gsize before = mallinfo2 ().uordblks;
+  double start_cpu = cpu_us ();
+  guint64 bytes = pair.ctr_a.v[CTR_BYTES_OUT];
+  for (guint i = 0; i < CONNECTIONS; i++)
+    {
+      char ip[32];
+      g_snprintf (ip, sizeof ip, "127.0.1.%u", i + 1);
+      dial (ip);
+    }
+  guint64 handshake = 38 + 6 + 39; /* HELLO with a 7-byte id, PROOF */
+  while (pair.ctr_a.v[CTR_BYTES_IN] + pair.ctr_a.v[CTR_BYTES_OUT] - bytes
+         < 2 * handshake * CONNECTIONS)
+    g_main_context_iteration (NULL, TRUE);
+  double ends = 2.0 * CONNECTIONS;
+  print ("handshake", "cpu", (cpu_us () - start_cpu) / ends, "us/end");
+  print ("handshake", "bytes",
+         (double)(pair.ctr_a.v[CTR_BYTES_OUT] - bytes) / CONNECTIONS,
+         "bytes/end");
+  print ("connection", "heap", (double)(mallinfo2 ().uordblks - before) / ends,
+         "bytes/end");
+  close_pair ();
+}
+
+static struct mem *
+make_domain (const struct clk *clk, const struct chr *chart)
+{
+  struct mem_options options = { .clk = clk, .chart = chart };
+  struct msg_heartbeat heartbeat = samples[MSG_HEARTBEAT].heartbeat;
+  options.self.domain = heartbeat.domain;
+  str_id_set (&options.self.id, STR_LIT ("kgn-a-0"));
+  struct mem *mem = mem_new (&options);
+  for (guint i = 1; i < DOMAIN_NODES; i++)
+    {
+      struct mem_change change;
+      char id[16];
+      g_snprintf (id, sizeof id, "kgn-a-%u", i);
+      mem_heartbeat (mem, id, &heartbeat, &change);
+    }
+  return mem;
+}
+
+static void
+bench_member (void)
+{
+  struct clk_fake clk;
+  struct chr *chart;
+  struct mem_change change;
+  struct msg_heartbeat heartbeat = samples[MSG_HEARTBEAT].heartbeat;
+  clk_fake_init (&clk, 0);
+  if (mem_chart_load (JW_SOURCE_DIR "/charts", &chart, NULL) < 0)
+    g_error ("no chart");
+  struct mem *mem = make_domain (&clk.clk, chart);
+  double start = cpu_us ();
+  for (guint i = 0; i < OWNER_ROUNDS; i++)
+    mem_owner (mem, STR_LIT ("kgn-a.chat-large.0"), 0);
+  print ("mem_owner_36", "cpu", (cpu_us () - start) * 1000 / OWNER_ROUNDS,
+         "ns");
+  start = cpu_us ();
+  for (guint i = 0; i < OWNER_ROUNDS; i++)
+    {
+      heartbeat.sequence++;
+      mem_heartbeat (mem, "kgn-a-7", &heartbeat, &change);
+    }
+  print ("mem_heartbeat_36", "cpu", (cpu_us () - start) * 1000 / OWNER_ROUNDS,
+         "ns");
+  mem_free (mem);
+  chr_free (chart);
+}
+
+int
+main (void)
+{
+  bench_codec ();
+  bench_batches ();
+  bench_single ();
+  bench_connections ();
+  bench_member ();
+  return 0;
+}
