--- /dev/null
+++ b/packages/entry/ent.c
@@ -0,0 +1,380 @@
+#include "entry/ent_int.h"
+
+#include "base/log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define SWEEP_MS 100
+#define BACKLOG 1024
+#define MODELS_PATH "/v1/models"
+
+/* A caller's connection. */
+struct ent_conn
+{
+  GSocket *socket; /* a reference */
+  gint64 due;      /* a whole request must be there, microseconds */
+  gboolean served; /* had a whole request before */
+  gboolean busy;   /* a request is being answered */
+};
+
+static void
+free_conn (gpointer data)
+{
+  struct ent_conn *conn = data;
+  g_object_unref (conn->socket);
+  g_free (conn);
+}
+
+static struct ent_conn *
+find_conn (struct ent *ent, SoupServerMessage *message)
+{
+  return g_hash_table_lookup (ent->conns,
+                              soup_server_message_get_socket (message));
+}
+
+static void
+list_models (SoupServerMessage *message, const struct cfg *cfg)
+{
+  JsonBuilder *json = json_builder_new ();
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "object");
+  json_builder_add_string_value (json, "list");
+  json_builder_set_member_name (json, "data");
+  json_builder_begin_array (json);
+  for (guint i = 0; cfg != NULL && i < cfg->n_pools; i++)
+    {
+      if (cfg->pools[i].kind != CFG_ENGINE)
+        continue;
+      json_builder_begin_object (json);
+      json_builder_set_member_name (json, "id");
+      json_builder_add_string_value (json, cfg->pools[i].name.s);
+      json_builder_set_member_name (json, "object");
+      json_builder_add_string_value (json, "model");
+      json_builder_end_object (json);
+    }
+  json_builder_end_array (json);
+  json_builder_end_object (json);
+  JsonNode *root = json_builder_get_root (json);
+  char *body = json_to_string (root, FALSE);
+  soup_server_message_set_status (message, 200, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_TAKE, body, strlen (body));
+  json_node_unref (root);
+  g_object_unref (json);
+}
+
+static void
+refuse_early (struct ent *ent, SoupServerMessage *message, guint status,
+              const char *code, const char *text)
+{
+  const struct ent_error error = {
+    .status = status,
+    .code = code,
+    .text = text,
+    .ran = "no",
+    .retry_after_us = status == 429 ? CLK_S : 0,
+    .step = "request.read",
+    .peer = ent->options.self.s,
+  };
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Connection",
+      "close");
+  ent_reply_error (message, "", &error);
+}
+
+static void
+on_request (SoupServer *server, SoupServerMessage *message, const char *path,
+            GHashTable *query, gpointer data)
+{
+  struct ent *ent = data;
+  struct ent_conn *conn = find_conn (ent, message);
+  (void)server;
+  (void)query;
+  if (conn != NULL)
+    conn->busy = TRUE;
+  if (soup_server_message_get_status (message) != 0)
+    return;
+  if (strcmp (path, MODELS_PATH) == 0)
+    list_models (message, nod_config (ent->options.nod));
+  else if (g_hash_table_size (ent->calls) >= ent->options.limits.requests)
+    {
+      ctr_add (ent->options.ctr, CTR_REFUSED, 1);
+      refuse_early (ent, message, 429, "overload",
+                    "too many requests in progress");
+    }
+  else
+    ent_call_start (ent, message);
+}
+
+static void
+count_header (const char *name, const char *value, gpointer data)
+{
+  *(gsize *)data += strlen (name) + strlen (value);
+}
+
+static void
+on_body_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+  struct ent *ent = data;
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  (void)chunk;
+  if ((gsize)body->length <= ent->options.limits.body_bytes)
+    return;
+  ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
+  g_socket_shutdown (soup_server_message_get_socket (message), TRUE, TRUE,
+                     NULL);
+}
+
+/* Looks at the head of a request before its body is read.  */
+static void
+on_head (SoupServer *server, SoupServerMessage *message, const char *path,
+         GHashTable *query, gpointer data)
+{
+  struct ent *ent = data;
+  const struct ent_limits *limits = &ent->options.limits;
+  SoupMessageHeaders *headers
+      = soup_server_message_get_request_headers (message);
+  gsize bytes = 0;
+  (void)server;
+  (void)path;
+  (void)query;
+  soup_message_headers_foreach (headers, count_header, &bytes);
+  if (bytes > limits->header_bytes)
+    {
+      ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
+      refuse_early (ent, message, 431, "too_large", "headers are too large");
+      return;
+    }
+  if (soup_message_headers_get_encoding (headers)
+          == SOUP_ENCODING_CONTENT_LENGTH
+      && (guint64)soup_message_headers_get_content_length (headers)
+             > limits->body_bytes)
+    {
+      ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
+      refuse_early (ent, message, 413, "too_large", "the body is too large");
+      return;
+    }
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), ent);
+}
+
+static struct ent_conn *
+add_conn (struct ent *ent, GSocket *socket)
+{
+  struct ent_conn *conn = g_new0 (struct ent_conn, 1);
+  conn->socket = g_object_ref (socket);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_hash_table_insert (ent->conns, socket, conn);
+  return conn;
+}
+
+/* libsoup waits for a request, the first or the next of its connection.  */
+static void
+on_request_started (SoupServer *server, SoupServerMessage *message,
+                    gpointer data)
+{
+  struct ent *ent = data;
+  GSocket *socket = soup_server_message_get_socket (message);
+  (void)server;
+  if (socket == NULL)
+    return;
+  struct ent_conn *conn = g_hash_table_lookup (ent->conns, socket);
+  if (conn == NULL)
+    conn = add_conn (ent, socket);
+  conn->served |= conn->busy;
+  conn->busy = FALSE;
+  conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
+}
+
+static void
+sweep_conns (struct ent *ent, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ent->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct ent_conn *conn = value;
+      if (g_socket_is_closed (conn->socket))
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      if (conn->busy || now < conn->due)
+        continue;
+      if (!conn->served)
+        {
+          ctr_add (ent->options.ctr, CTR_CALLER_SLOW, 1);
+          log_event (LOG_INFO, "caller.slow",
+                     "no whole request within the time limit");
+        }
+      g_socket_shutdown (conn->socket, TRUE, TRUE, NULL);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static gboolean
+on_sweep (gpointer data)
+{
+  struct ent *ent = data;
+  gint64 now = g_get_monotonic_time ();
+  sweep_conns (ent, now);
+  GList *calls = g_hash_table_get_values (ent->calls);
+  for (GList *l = calls; l != NULL; l = l->next)
+    ent_call_sweep (l->data, now);
+  g_list_free (calls);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Returns a listening socket at ADDRESS (IP:PORT), or NULL with ERROR.  */
+static GSocket *
+make_listener (const char *address, GError **error)
+{
+  GSocketConnectable *where = g_network_address_parse (address, 0, error);
+  if (where == NULL)
+    return NULL;
+  GNetworkAddress *parsed = G_NETWORK_ADDRESS (where);
+  GSocketAddress *at = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (parsed),
+      g_network_address_get_port (parsed));
+  GSocket *socket = NULL;
+  if (at == NULL)
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+                 "IP:PORT expected");
+  else
+    socket = g_socket_new (g_socket_address_get_family (at),
+                           G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+  if (socket != NULL)
+    g_socket_set_listen_backlog (socket, BACKLOG);
+  if (socket != NULL
+      && (!g_socket_bind (socket, at, TRUE, error)
+          || !g_socket_listen (socket, error)))
+    g_clear_object (&socket);
+  g_clear_object (&at);
+  g_object_unref (where);
+  return socket;
+}
+
+/* The listener is libsoup's own, since libsoup keeps connections alive only
+   while it has one.  */
+static int
+listen_on (struct ent *ent, struct err *err)
+{
+  GError *error = NULL;
+  ent->listener = make_listener (ent->listen, &error);
+  if (ent->listener != NULL
+      && soup_server_listen_socket (ent->server, ent->listener, 0, &error))
+    {
+      GSocketAddress *at = g_socket_get_local_address (ent->listener, NULL);
+      ent->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (at));
+      g_object_unref (at);
+      return 0;
+    }
+  err_set (err, ERR_IO, "entry.listen", ent->listen, "%s", error->message);
+  g_clear_error (&error);
+  return ERR_IO;
+}
+
+/* Listens for callers. Returns 0 or < 0 with ERR set.  */
+int
+ent_new (const struct ent_options *options, struct ent **result,
+         struct err *err)
+{
+  struct ent *ent = g_new0 (struct ent, 1);
+  ent->options = *options;
+  ent->listen = g_strdup (options->listen);
+  ent->started = g_get_real_time ();
+  ent->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                      ent_call_free);
+  ent->conns = g_hash_table_new_full (NULL, NULL, NULL, free_conn);
+  ent->server = soup_server_new ("server-header", "jacinthward", NULL);
+  soup_server_add_early_handler (ent->server, NULL, on_head, ent, NULL);
+  soup_server_add_handler (ent->server, NULL, on_request, ent, NULL);
+  g_signal_connect (ent->server, "request-started",
+                    G_CALLBACK (on_request_started), ent);
+  int code = listen_on (ent, err);
+  if (code < 0)
+    {
+      ent_free (ent);
+      return code;
+    }
+  ent->sweep = g_timeout_add (SWEEP_MS, on_sweep, ent);
+  *result = ent;
+  return 0;
+}
+
+void
+ent_free (struct ent *ent)
+{
+  if (ent == NULL)
+    return;
+  g_clear_handle_id (&ent->sweep, g_source_remove);
+  ent_stop_listening (ent);
+  g_signal_handlers_disconnect_by_data (ent->server, ent);
+  g_hash_table_unref (ent->calls);
+  soup_server_disconnect (ent->server);
+  g_object_unref (ent->server);
+  g_clear_object (&ent->listener);
+  g_hash_table_unref (ent->conns);
+  g_free (ent->listen);
+  g_free (ent);
+}
+
+guint
+ent_port (const struct ent *ent)
+{
+  return ent->port;
+}
+
+void
+ent_stop_listening (struct ent *ent)
+{
+  if (ent->listener != NULL)
+    g_socket_close (ent->listener, NULL);
+}
+
+guint
+ent_unfinished (const struct ent *ent)
+{
+  return g_hash_table_size (ent->calls);
+}
+
+static struct ent_call *
+find_call (struct ent *ent, guint64 id)
+{
+  return g_hash_table_lookup (ent->calls, &id);
+}
+
+/* Carries out one of the node's actions on callers' requests; others are
+   ignored. A request whose caller has gone is no longer there.  */
+void
+ent_act (struct ent *ent, const struct nod_action *action)
+{
+  struct ent_call *call;
+  switch (action->kind)
+    {
+    case NOD_DO_OPEN:
+      if ((call = find_call (ent, action->open.request)) != NULL)
+        ent_call_open (call, action);
+      break;
+    case NOD_DO_CANCEL:
+      if ((call = find_call (ent, action->cancel.request)) != NULL)
+        ent_call_cancel (call, action->cancel.attempt);
+      break;
+    case NOD_DO_FAIL:
+      if ((call = find_call (ent, action->fail.request)) != NULL)
+        ent_call_fail (call, action);
+      break;
+    case NOD_DO_REPLAY:
+      if ((call = find_call (ent, action->replay.request)) != NULL)
+        ent_call_replay (call, action);
+      break;
+    case NOD_DO_FINISH:
+      if ((call = find_call (ent, action->finish)) != NULL)
+        ent_call_finish (call);
+      break;
+    default:
+      break;
+    }
+}
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -14,6 +14,7 @@
   X (PREEMPT, preempt, "preempt")                                              \
   X (PROGRESS, progress, "progress")                                           \
   X (RELEASE, release, "release")                                              \
+  X (MEMBERS, members, "members")                                              \
   X (SUMMARY, summary, "summary")                                              \
   X (OBJECT_ASK, object_ask, "object_ask")                                     \
   X (OBJECT_BODY, object_body, "object_body")                                  \
@@ -84,6 +85,20 @@
   guint64 fleet_version;  /* of the list of servers; 0: none */
 };
 
+struct msg_member
+{
+  struct str_id id;
+  struct str_id domain;
+  char address[64]; /* IP:PORT for peers */
+};
+
+/* The sender's live instances, so that others learn of them. */
+struct msg_members
+{
+  const struct msg_member *items; /* borrowed */
+  guint n_items;
+};
+
 struct msg_offer
 {
   guint64 ticket; /* unique within the sender's incarnation */
@@ -99,6 +114,7 @@
   gboolean resumable;                 /* a preempted stream can be resumed */
   struct str_id running;              /* server it runs on; "": it waits */
   struct str_id avoid[MSG_AVOID_MAX]; /* failed servers; "": unused */
+  gint64 sent_us;                     /* the entry's clock */
 };
 
 struct msg_withdraw
@@ -112,6 +128,7 @@
   struct str_id backend;
   guint32 priority;     /* for the engine; 0 is the highest */
   gint64 use_within_us; /* unused grants end after this */
+  gint64 echo_us;       /* the latest sent_us that the owner has of the entry */
 };
 
 struct msg_refuse
@@ -138,6 +155,7 @@
 {
   const struct msg_progress_item *items; /* borrowed */
   guint n_items;
+  gint64 sent_us; /* the entry's clock */
 };
 
 struct msg_release
@@ -203,8 +221,11 @@
 #define MSG_KEY_BYTES 16    /* digest of team, service and key */
 #define MSG_ANSWER_MAX 4096 /* bytes of an answer kept in the ledger */
 
+/* Ledger tickets are numbers that an entry never uses for two intents within
+   its incarnation.  */
 struct msg_ledger_intent
 {
+  guint64 incarnation; /* of the entry */
   guint64 ticket;
   guint8 key[MSG_KEY_BYTES];
   guint8 body[MSG_KEY_BYTES]; /* digest of method, path and body */
@@ -212,15 +233,22 @@
 
 struct msg_ledger_verdict
 {
+  guint64 incarnation; /* of the entry; others ignore the verdict */
   guint64 ticket;
   enum msg_verdict verdict;
+  gboolean unsettled;      /* AWAY: the intent may yet be recorded */
   guint32 status;          /* HTTP status of the stored answer */
   struct str content_type; /* borrowed */
   struct str answer;       /* borrowed */
 };
 
+/* Acknowledged by a verdict on its ticket: DONE once the answer is stored,
+   AWAY once no intent of the ticket stands, UNKNOWN if the answer is too large
+   to be kept.  */
 struct msg_ledger_result
 {
+  guint64 incarnation; /* of the entry */
+  guint64 ticket;      /* of the intent that this ends */
   guint8 key[MSG_KEY_BYTES];
   gboolean did_not_run; /* frees the key for another try */
   guint32 status;
@@ -239,6 +267,10 @@
   };
 };
 
+/* Returns a copy of MSG that owns all it refers to; freed by msg_free. */
+struct msg *msg_copy (const struct msg *msg);
+void msg_free (struct msg *copy);
+
 const char *msg_kind_name (enum msg_kind kind);
 const char *msg_reason_name (enum msg_reason reason);
 const char *msg_result_name (enum msg_result result);
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -9,6 +9,7 @@
 #include "base/ctr.h"
 #include "cell/cel.h"
 #include "config/cfg.h"
+#include "config/cft.h"
 #include "member/mem.h"
 #include "msg/msg.h"
 #include "store/sto.h"
@@ -44,9 +45,7 @@
   gboolean sent;           /* some byte may have left */
   gboolean delivered;      /* some byte of the answer went to the caller */
   gboolean resumable;      /* the stream can go on elsewhere */
-  guint32 ttft_us;         /* 0: no token */
-  guint32 tbt_us;          /* mean; 0: fewer than two tokens */
-  guint32 tokens;          /* of this attempt */
+  guint32 tokens;          /* of an answer that was not streamed */
   guint32 status;          /* HTTP status; 0: none */
   struct str content_type; /* of the answer, borrowed; keyed requests only */
   struct str answer;       /* borrowed; keyed requests only */
@@ -59,6 +58,7 @@
   X (TOKENS)       /* a running attempt got tokens */                          \
   X (ATTEMPT_END)  /* a running attempt ended */                               \
   X (MESSAGE)      /* from another instance */                                 \
+  X (PEER_UP)      /* a connection to an instance stands */                    \
   X (PEER_LOST)    /* no connection to an instance is left */                  \
   X (STORE_ANSWER) /* the platform answered a call */                          \
   X (LOAD)         /* a backend server's load report */                        \
@@ -92,7 +92,8 @@
       const char *from; /* borrowed */
       const struct msg *msg;
     } message;
-    const char *peer_lost;
+    const char *peer_up;   /* instance id, borrowed */
+    const char *peer_lost; /* instance id, borrowed */
     struct
     {
       guint64 token;
@@ -215,15 +216,20 @@
   void *ctx;
 };
 
-int nod_new (const struct nod_options *options, struct nod **nod,
+int nod_new (const struct nod_options *options, struct nod **result,
              struct err *err);
 void nod_free (struct nod *nod);
 void nod_handle (struct nod *nod, const struct nod_event *event);
 
 /* Takes over configuration CFG if it is newer than the one in force. */
 gboolean nod_set_config (struct nod *nod, struct cfg *cfg);
+int nod_update_config (struct nod *nod, guint64 expected, GBytes *body,
+                       cft_done done, void *ctx);
 const struct cfg *nod_config (const struct nod *nod); /* NULL: none yet */
 const struct mem *nod_members (const struct nod *nod);
+/* Whether this instance serves the cell of BACKEND, so that it should hear of
+   its load. */
+gboolean nod_serves (const struct nod *nod, const struct cfg_backend *backend);
 /* Has a configuration and is not shutting down. */
 gboolean nod_ready (const struct nod *nod);
 guint nod_in_progress (const struct nod *nod);
--- a/packages/wire/wir.c
+++ b/packages/wire/wir.c
@@ -108,7 +108,8 @@
   struct peer *peer = g_hash_table_lookup (wir->peers, id);
   if (peer == NULL && g_hash_table_size (wir->peers) >= WIR_PEERS_MAX)
     return err_set (err, ERR_LIMIT, "wire.handshake", id, "too many peers");
-  if (peer == NULL)
+  gboolean first = peer == NULL;
+  if (first)
     {
       peer = g_new0 (struct peer, 1);
       str_id_set (&peer->id, str_of (id));
@@ -125,6 +126,8 @@
                                   .step = "wire.handshake",
                                   .peer = id },
              "%s", target ? target->address : "accepted");
+  if (first && wir->options.up != NULL)
+    wir->options.up (wir->options.ctx, id);
   return 0;
 }
 
--- a/packages/wire/wir.h
+++ b/packages/wire/wir.h
@@ -46,6 +46,8 @@
   guint handshake_ms; /* longest handshake; 0: WIR_HANDSHAKE_MS */
   /* A whole message from the authenticated instance FROM. */
   void (*receive) (void *ctx, const char *from, const struct msg *msg);
+  /* The first connection to instance ID stands; NULL: not told. */
+  void (*up) (void *ctx, const char *id);
   /* No connection to instance ID is left. Comes from the loop or from
      wir_hang_up. */
   void (*lost) (void *ctx, const char *id);
--- a/packages/wire/wir_codec.c
+++ b/packages/wire/wir_codec.c
@@ -68,7 +68,8 @@
   X (U32, generated, 0)                                                        \
   X (BOOL, resumable, 0)                                                       \
   X (ID, running, 0)                                                           \
-  X (IDS, avoid, MSG_AVOID_MAX)
+  X (IDS, avoid, MSG_AVOID_MAX)                                                \
+  X (I64, sent_us, 0)
 
 #define FIELDS_WITHDRAW(X) X (U64, ticket, 0)
 
@@ -76,7 +77,8 @@
   X (U64, ticket, 0)                                                           \
   X (ID, backend, 0)                                                           \
   X (U32, priority, 0)                                                         \
-  X (I64, use_within_us, 0)
+  X (I64, use_within_us, 0)                                                    \
+  X (I64, echo_us, 0)
 
 #define FIELDS_REFUSE(X)                                                       \
   X (U64, ticket, 0)                                                           \
@@ -98,6 +100,11 @@
   X (U32, tbt_us, 0)                                                           \
   X (U32, tokens, 0)
 
+#define FIELDS_MEMBER(X)                                                       \
+  X (ID, id, 0)                                                                \
+  X (ID, domain, 0)                                                            \
+  X (ADDRESS, address, 0)
+
 #define TIERS 8 /* of msg_cell_summary */
 #define FIELDS_CELL_SUMMARY(X)                                                 \
   X (ID, cell, 0)                                                              \
@@ -118,18 +125,23 @@
   X (STR, body, WIR_BODY_MAX)
 
 #define FIELDS_LEDGER_INTENT(X)                                                \
+  X (U64, incarnation, 0)                                                      \
   X (U64, ticket, 0)                                                           \
   X (DIGEST, key, 0)                                                           \
   X (DIGEST, body, 0)
 
 #define FIELDS_LEDGER_VERDICT(X)                                               \
+  X (U64, incarnation, 0)                                                      \
   X (U64, ticket, 0)                                                           \
   X (ENUM, verdict, MSG_VERDICT_N)                                             \
+  X (BOOL, unsettled, 0)                                                       \
   X (U32, status, 0)                                                           \
   X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
   X (STR, answer, MSG_ANSWER_MAX)
 
 #define FIELDS_LEDGER_RESULT(X)                                                \
+  X (U64, incarnation, 0)                                                      \
+  X (U64, ticket, 0)                                                           \
   X (DIGEST, key, 0)                                                           \
   X (BOOL, did_not_run, 0)                                                     \
   X (U32, status, 0)                                                           \
@@ -179,13 +191,22 @@
 #undef RECORD
 #define RECORD msg_progress
 static const struct field progress_fields[]
-    = { LIST (items, n_items, progress_item_record) };
+    = { FIELD (I64, sent_us, 0) LIST (items, n_items, progress_item_record) };
 DEFINE_RECORD (progress);
 #undef RECORD
 #define RECORD msg_release
 static const struct field release_fields[] = { FIELDS_RELEASE (FIELD) };
 DEFINE_RECORD (release);
 #undef RECORD
+#define RECORD msg_member
+static const struct field member_fields[] = { FIELDS_MEMBER (FIELD) };
+DEFINE_RECORD (member);
+#undef RECORD
+#define RECORD msg_members
+static const struct field members_fields[]
+    = { LIST (items, n_items, member_record) };
+DEFINE_RECORD (members);
+#undef RECORD
 #define RECORD msg_cell_summary
 static const struct field cell_summary_fields[]
     = { FIELDS_CELL_SUMMARY (FIELD) };
--- a/packages/wire/wir_conn.c
+++ b/packages/wire/wir_conn.c
@@ -357,12 +357,12 @@
   struct str key = conn->hooks->key;
   conn->send_key = wir_frame_key (key, conn->role, conn->sides);
   conn->receive_key = wir_frame_key (key, peer, conn->sides);
+  conn->state = CONN_OPEN; /* the hook may send */
+  drop_source (&conn->deadline);
   int r = conn->hooks->opened (conn->hooks->ctx, conn, err);
   if (r < 0)
-    return r;
-  conn->state = CONN_OPEN;
-  drop_source (&conn->deadline);
-  return 0;
+    ctr_add (conn->hooks->ctr, CTR_PEER_REJECTED, 1);
+  return r;
 }
 
 /* A listener answers a proof by its own, so that only holders of the key ever
--- a/tests/wirebench/bench_wire.c
+++ b/tests/wirebench/bench_wire.c
@@ -15,6 +15,8 @@
 #define CONNECTIONS 200
 #define DOMAIN_NODES 36 /* instances of one failure domain */
 #define OWNER_ROUNDS 100000
+#define START_US G_GUINT64_CONSTANT (1764800000000000) /* wall clock */
+#define DAY_US (24 * 3600 * CLK_S)                     /* monotonic */
 #define KEY "a shared key of the bench"
 
 static struct
@@ -36,40 +38,58 @@
                                                    { 1, 2, 3 },
                                                    40 } };
 
+static const struct msg_member members[]
+    = { { { "kgn-a-1" }, { "kgn-a" }, "10.20.30.41:7400" } };
+
 static const struct msg samples[MSG_N] = {
-  { MSG_HEARTBEAT, .heartbeat = { 1764800000000000,
-                                  100000,
-                                  { "kgn-a" },
-                                  { "kgn" },
-                                  "10.20.30.41:7400",
-                                  FALSE,
-                                  1200,
-                                  3000 } },
-  { MSG_OFFER, .offer = { 1000000,
-                          { "kgn-a.chat-large.0" },
-                          { "urgent" },
-                          { "crew-support" },
-                          2000000,
-                          3000,
-                          G_GUINT64_CONSTANT (0x1234567890abcdef),
-                          900,
-                          600,
-                          0,
-                          TRUE } },
-  { MSG_WITHDRAW, .withdraw = { 1000000 } },
-  { MSG_GRANT, .grant = { 1000000, { "engine-kgn-a-12" }, 1, 2000000 } },
-  { MSG_REFUSE, .refuse = { 1000000, MSG_REASON_OVERLOAD, 300000 } },
-  { MSG_PREEMPT, .preempt = { 1000000 } },
-  { MSG_PROGRESS, .progress = { items, G_N_ELEMENTS (items) } },
-  { MSG_RELEASE,
-    .release
-    = { 1000000, { "engine-kgn-a-12" }, MSG_RESULT_OK, 200000, 25000, 400 } },
-  { MSG_SUMMARY, .summary = { { "kgn-a" }, cells, G_N_ELEMENTS (cells) } },
-  { MSG_OBJECT_ASK, .object_ask = { { "config" }, 1200 } },
-  { MSG_OBJECT_BODY, .object_body = { { "config" }, 1200, { NULL, 0 } } },
-  { MSG_LEDGER_INTENT, .ledger_intent = { 1000000 } },
-  { MSG_LEDGER_VERDICT, .ledger_verdict = { 1000000, MSG_VERDICT_FRESH } },
-  { MSG_LEDGER_RESULT, .ledger_result = { .status = 200 } },
+  [MSG_HEARTBEAT] = { MSG_HEARTBEAT, .heartbeat = { START_US,
+                                                    100000,
+                                                    { "kgn-a" },
+                                                    { "kgn" },
+                                                    "10.20.30.41:7400",
+                                                    FALSE,
+                                                    1200,
+                                                    3000 } },
+  [MSG_OFFER] = { MSG_OFFER, .offer = { 1000000,
+                                        { "kgn-a.chat-large.0" },
+                                        { "urgent" },
+                                        { "crew-support" },
+                                        2000000,
+                                        3000,
+                                        G_GUINT64_CONSTANT (0x1234567890abcdef),
+                                        900,
+                                        600,
+                                        0,
+                                        TRUE,
+                                        .sent_us = DAY_US } },
+  [MSG_WITHDRAW] = { MSG_WITHDRAW, .withdraw = { 1000000 } },
+  [MSG_GRANT]
+  = { MSG_GRANT,
+      .grant = { 1000000, { "engine-kgn-a-12" }, 1, 2000000, DAY_US } },
+  [MSG_REFUSE]
+  = { MSG_REFUSE, .refuse = { 1000000, MSG_REASON_OVERLOAD, 300000 } },
+  [MSG_PREEMPT] = { MSG_PREEMPT, .preempt = { 1000000 } },
+  [MSG_PROGRESS]
+  = { MSG_PROGRESS, .progress = { items, G_N_ELEMENTS (items), DAY_US } },
+  [MSG_RELEASE]
+  = { MSG_RELEASE,
+      .release
+      = { 1000000, { "engine-kgn-a-12" }, MSG_RESULT_OK, 200000, 25000, 400 } },
+  [MSG_MEMBERS]
+  = { MSG_MEMBERS, .members = { members, G_N_ELEMENTS (members) } },
+  [MSG_SUMMARY]
+  = { MSG_SUMMARY, .summary = { { "kgn-a" }, cells, G_N_ELEMENTS (cells) } },
+  [MSG_OBJECT_ASK] = { MSG_OBJECT_ASK, .object_ask = { { "config" }, 1200 } },
+  [MSG_OBJECT_BODY]
+  = { MSG_OBJECT_BODY, .object_body = { { "config" }, 1200, { NULL, 0 } } },
+  [MSG_LEDGER_INTENT]
+  = { MSG_LEDGER_INTENT, .ledger_intent = { START_US, 1000000 } },
+  [MSG_LEDGER_VERDICT]
+  = { MSG_LEDGER_VERDICT,
+      .ledger_verdict = { START_US, 1000000, MSG_VERDICT_FRESH } },
+  [MSG_LEDGER_RESULT]
+  = { MSG_LEDGER_RESULT,
+      .ledger_result = { START_US, 1000000, .status = 200 } },
 };
 
 static void
