--- a/packages/wire/wir_conn.c
+++ b/packages/wire/wir_conn.c
@@ -10,7 +10,7 @@
 
 #define LENGTH_BYTES 4
 #define READ_BYTES 65536   /* taken from a socket at once */
-#define KEEP_BYTES 262144  /* larger buffers are freed once empty */
+#define KEEP_BYTES 16384   /* larger buffers are freed once empty */
 #define NO_FRAME G_MAXUINT /* no frame is being filled */
 #define ADDRESS_BYTES 64   /* with the NUL */
 
@@ -359,7 +359,10 @@
   conn->receive_key = wir_frame_key (key, peer, conn->sides);
   conn->state = CONN_OPEN; /* the hook may send */
   drop_source (&conn->deadline);
-  return conn->hooks->opened (conn->hooks->ctx, conn, err);
+  int r = conn->hooks->opened (conn->hooks->ctx, conn, err);
+  if (r < 0)
+    ctr_add (conn->hooks->ctr, CTR_PEER_REJECTED, 1);
+  return r;
 }
 
 /* A listener answers a proof by its own, so that only holders of the key ever
