Start tickets that can still meet their target before late ones

Ruled out: refusing late tickets (their answer is still wanted); the newest first (gives up tickets that could be met). Change: within a team's flow the oldest ticket that can still meet its ttft target goes first; after 7 such starts in a row its oldest ticket does.

--- a/packages/cell/cel_preempt.c
+++ b/packages/cell/cel_preempt.c
@@ -38,8 +38,9 @@
   for (guint i = 0; i < cel->classes->len; i++)
     {
       const struct cls *cls = cel->classes->pdata[i];
-      struct tkt *tkt
-          = cls->cfg.ttft_us > 0 ? cls_pick (cls, always, NULL) : NULL;
+      struct tkt *tkt = cls->cfg.ttft_us > 0
+                            ? cls_pick (cls, clk_now (cel->clk), always, NULL)
+                            : NULL;
       if (tkt && needs_rescue (cel, tkt))
         return tkt;
     }
--- a/packages/cell/cel_pump.c
+++ b/packages/cell/cel_pump.c
@@ -39,7 +39,7 @@
         break;
       if (best && !dfq_before (&cls->own, &best->own))
         continue;
-      struct tkt *tkt = cls_pick (cls, startable, cel);
+      struct tkt *tkt = cls_pick (cls, clk_now (cel->clk), startable, cel);
       if (!tkt)
         continue;
       best = cls;
@@ -60,7 +60,7 @@
       const struct cls *cls = cel->classes->pdata[i];
       if (!shr_due (&cls->shr) || (best && cls->shr.credit <= best->shr.credit))
         continue;
-      struct tkt *tkt = cls_pick (cls, startable, cel);
+      struct tkt *tkt = cls_pick (cls, clk_now (cel->clk), startable, cel);
       if (!tkt)
         continue;
       best = cls;
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -116,10 +116,10 @@
 cel_start (struct cel *cel, struct tkt *tkt, struct srv *srv)
 {
   count_shares (cel, tkt->cls);
+  charge_start (cel, tkt);
   cel_unqueue (cel, tkt);
   tkt->state = TKT_GRANTED;
   count_running (cel, tkt, srv);
-  charge_start (cel, tkt);
   rte_start (&cel->rate);
   hea_probe (&srv->hea, tkt->granted);
   if (tkt->prefix != 0)
--- a/packages/cell/cls.c
+++ b/packages/cell/cls.c
@@ -2,6 +2,8 @@
 
 /* Tickets of a team tried when the first ones avoid all free servers. */
 #define CLS_LOOK_AHEAD 4
+/* Starts that may go before a team's oldest ticket in a row. */
+#define CLS_PASSED_OVER_MAX 7
 
 static void
 flow_free (gpointer p)
@@ -130,10 +132,26 @@
   return g_sequence_get (g_sequence_iter_prev (end));
 }
 
+/* Returns the first ticket of FLOW in turn: the oldest that can still meet
+   its target for the first token, so that an overload does not make all of
+   them late; the oldest of all if there is none or it was passed over too
+   often.  */
+static GSequenceIter *
+first_in_turn (const struct cls *cls, const struct flw *flow, gint64 now)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (flow->waiting);
+  if (cls->cfg.ttft_us == 0 || flow->passed_over >= CLS_PASSED_OVER_MAX)
+    return first;
+  struct tkt late = { .arrived = now - cls->cfg.ttft_us };
+  GSequenceIter *iter = g_sequence_search (flow->waiting, &late, by_age, NULL);
+  return g_sequence_iter_is_end (iter) ? first : iter;
+}
+
 static struct tkt *
-pick_in_flow (const struct flw *flow, cls_startable startable, void *ctx)
+pick_in_flow (const struct cls *cls, const struct flw *flow, gint64 now,
+              cls_startable startable, void *ctx)
 {
-  GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting);
+  GSequenceIter *iter = first_in_turn (cls, flow, now);
   for (guint i = 0; i < CLS_LOOK_AHEAD && !g_sequence_iter_is_end (iter); i++)
     {
       struct tkt *tkt = g_sequence_get (iter);
@@ -147,7 +165,7 @@
 /* Returns the next ticket in fair order whose team is below its limit and
    which is STARTABLE, or NULL.  */
 struct tkt *
-cls_pick (const struct cls *cls, cls_startable startable, void *ctx)
+cls_pick (const struct cls *cls, gint64 now, cls_startable startable, void *ctx)
 {
   const struct flw *best = NULL;
   struct tkt *picked = NULL;
@@ -157,7 +175,7 @@
       if (tem_at_limit (flow->team)
           || (best && !dfq_before (&flow->dfq, &best->dfq)))
         continue;
-      struct tkt *tkt = pick_in_flow (flow, startable, ctx);
+      struct tkt *tkt = pick_in_flow (cls, flow, now, startable, ctx);
       if (!tkt)
         continue;
       best = flow;
@@ -188,10 +206,13 @@
   return team ? MIN (all, (own + 1) * flows) : all;
 }
 
-/* Notes that TKT starts.  */
+/* Notes that TKT, which still waits, starts.  */
 void
 cls_serve (struct cls *cls, const struct tkt *tkt)
 {
+  struct flw *flow = tkt->flw;
+  gboolean oldest = tkt->in_flow == g_sequence_get_begin_iter (flow->waiting);
+  flow->passed_over = oldest ? 0 : flow->passed_over + 1;
   dfq_serve (&cls->dfq, &tkt->flw->dfq);
 }
 
--- a/packages/cell/cls.h
+++ b/packages/cell/cls.h
@@ -15,6 +15,7 @@
   struct tem *team;    /* borrowed */
   GSequence *waiting;  /* of struct tkt, the oldest first */
   struct dfq_flow dfq; /* among the flows of the class */
+  guint passed_over;   /* starts in a row that went before its oldest */
 };
 
 struct cls
@@ -43,8 +44,8 @@
 void cls_remove (struct cls *cls, struct tkt *tkt);
 struct tkt *cls_oldest (const struct cls *cls);
 struct tkt *cls_youngest (const struct cls *cls);
-struct tkt *cls_pick (const struct cls *cls, cls_startable startable,
-                      void *ctx);
+struct tkt *cls_pick (const struct cls *cls, gint64 now,
+                      cls_startable startable, void *ctx);
 guint cls_ahead (const struct cls *cls, const struct tem *team);
 void cls_serve (struct cls *cls, const struct tkt *tkt);
 void cls_charge (struct cls *cls, const struct tkt *tkt, double tokens);
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -776,6 +776,27 @@
   fix_close (&fix);
 }
 
+static void
+test_late_tickets_yield (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 2, FIX_NORMAL);
+  fix_progress (&fix, 1, 1, 0);
+  fix_wait (&fix, 3 * CLK_S); /* ticket 2 missed its 2 s */
+  offer_many (&fix, 10, 10, FIX_NORMAL);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  for (guint64 t = 10; t < 17; t++)
+    {
+      CU_ASSERT_TRUE (fix_granted (&fix, t));
+      CU_ASSERT_FALSE (fix_granted (&fix, 2));
+      fix_release (&fix, t, MSG_RESULT_OK);
+    }
+  CU_ASSERT_TRUE (fix_granted (&fix, 2));
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -810,6 +831,7 @@
   { "a removed server gets nothing", test_config_removes_a_server },
   { "a removed server's work counts", test_removed_server_counts_its_work },
   { "a removed class's tickets are refused", test_config_removes_a_class },
+  { "late tickets yield, but not for ever", test_late_tickets_yield },
   CU_TEST_INFO_NULL,
 };
 
