--- a/packages/admin/adm_change.c
+++ b/packages/admin/adm_change.c
@@ -197,16 +197,35 @@
   change_config (request, expected, body, "config");
 }
 
-/* Starts the update of an EDITED text; NULL with ERR set answers 404.  */
+/* Answers an edit of a version that is not the one in force here.  */
+static void
+reply_not_in_force (const struct adm_request *request, guint64 expected)
+{
+  struct cft_result result = { .outcome = CFT_CONFLICT };
+  result.version = request->cfg->version;
+  err_set (&result.err, ERR_CONFLICT, "admin.edit", request->adm->options.self,
+           "version %" G_GUINT64_FORMAT
+           " is in force here, not %" G_GUINT64_FORMAT,
+           request->cfg->version, expected);
+  reply_conflict (request->message, &result);
+}
+
+/* Starts the update of an EDITED text of the version in force, which a header
+   If-Match must name if there is one; NULL with ERR set answers 404.  */
 static void
 change_edited (const struct adm_request *request, GBytes *edited,
                const char *what, const struct err *err)
 {
-  if (edited == NULL)
+  guint64 version = request->cfg->version;
+  guint64 expected = version;
+  read_if_match (request->message, &expected);
+  if (expected != version)
+    reply_not_in_force (request, expected);
+  else if (edited == NULL)
     adm_reply_error (request->message, SOUP_STATUS_NOT_FOUND, "unknown_name",
                      err);
   else
-    change_config (request, request->cfg->version, edited, what);
+    change_config (request, version, edited, what);
 }
 
 /* Returns the member "preset" of the body; g_free. NULL if there is none.  */
--- /dev/null
+++ b/packages/jacinthctl/ctl.c
@@ -0,0 +1,215 @@
+#include "jacinthctl/ctl.h"
+
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One request on its way. */
+struct call
+{
+  GMainLoop *loop;
+  GCancellable *cancel;
+  GBytes *body;
+  GError *error;
+  gboolean timed_out;
+};
+
+static void
+on_answer (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct call *call = data;
+  call->body = soup_session_send_and_read_finish (SOUP_SESSION (source), result,
+                                                  &call->error);
+  g_main_loop_quit (call->loop);
+}
+
+static gboolean
+on_timeout (gpointer data)
+{
+  struct call *call = data;
+  call->timed_out = TRUE;
+  g_cancellable_cancel (call->cancel);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+run (struct call *call, SoupMessage *message, guint timeout_ms)
+{
+  SoupSession *session = soup_session_new ();
+  soup_session_set_proxy_resolver (session, NULL);
+  call->loop = g_main_loop_new (NULL, FALSE);
+  call->cancel = g_cancellable_new ();
+  guint timer = g_timeout_add (timeout_ms, on_timeout, call);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT,
+                                    call->cancel, on_answer, call);
+  g_main_loop_run (call->loop);
+  g_source_remove (timer);
+  g_object_unref (call->cancel);
+  g_main_loop_unref (call->loop);
+  g_object_unref (session);
+}
+
+/* Returns the message of REQUEST; NULL if the address is no IP:PORT.  */
+static SoupMessage *
+make_message (const struct ctl *ctl, const struct ctl_request *request)
+{
+  g_autofree char *uri
+      = g_strdup_printf ("http://%s%s", ctl->address, request->path);
+  SoupMessage *message = soup_message_new (request->method, uri);
+  if (message == NULL)
+    return NULL;
+  SoupMessageHeaders *headers = soup_message_get_request_headers (message);
+  g_autofree char *bearer
+      = g_strdup_printf ("Bearer %s", ctl->token ? ctl->token : "");
+  g_autofree char *tag
+      = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", request->version);
+  if (ctl->token != NULL)
+    soup_message_headers_append (headers, "Authorization", bearer);
+  if (request->version >= 0)
+    soup_message_headers_append (headers, "If-Match", tag);
+  if (request->body != NULL)
+    soup_message_set_request_body_from_bytes (
+        message, "application/octet-stream", request->body);
+  soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT
+                                       | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE);
+  return message;
+}
+
+/* Prints the lines of the member "problems", if there are any.  */
+static void
+print_problems (JsonObject *object)
+{
+  JsonNode *node = json_object_get_member (object, "problems");
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
+    return;
+  JsonArray *problems = json_node_get_array (node);
+  for (guint i = 0; i < json_array_get_length (problems); i++)
+    g_printerr ("  %s\n", json_array_get_string_element (problems, i));
+}
+
+static void
+print_error (const struct ctl_answer *answer)
+{
+  JsonObject *object = answer->json && JSON_NODE_HOLDS_OBJECT (answer->json)
+                           ? json_node_get_object (answer->json)
+                           : NULL;
+  JsonNode *node = object ? json_object_get_member (object, "error") : NULL;
+  if (node == NULL || !JSON_NODE_HOLDS_OBJECT (node))
+    {
+      g_printerr ("jacinthctl: HTTP status %u\n", answer->status);
+      return;
+    }
+  JsonObject *error = json_node_get_object (node);
+  g_printerr ("jacinthctl: %s (%s; step %s, peer %s)\n",
+              json_object_get_string_member_with_default (error, "message", ""),
+              json_object_get_string_member_with_default (error, "code", ""),
+              json_object_get_string_member_with_default (error, "step", ""),
+              json_object_get_string_member_with_default (error, "peer", ""));
+  print_problems (object);
+}
+
+static enum ctl_exit
+exit_of_status (guint status)
+{
+  switch (status)
+    {
+    case SOUP_STATUS_OK:
+      return CTL_OK;
+    case SOUP_STATUS_UNAUTHORIZED:
+    case SOUP_STATUS_FORBIDDEN:
+      return CTL_AUTH;
+    case SOUP_STATUS_CONFLICT:
+      return CTL_CONFLICT;
+    case SOUP_STATUS_GATEWAY_TIMEOUT:
+      return CTL_UNKNOWN;
+    default:
+      return CTL_REFUSED;
+    }
+}
+
+/* Tells whether a request that ended in ERROR surely never left.  */
+static gboolean
+never_left (const GError *error)
+{
+  return error->domain == G_IO_ERROR
+         && (error->code == G_IO_ERROR_CONNECTION_REFUSED
+             || error->code == G_IO_ERROR_HOST_UNREACHABLE
+             || error->code == G_IO_ERROR_NETWORK_UNREACHABLE);
+}
+
+/* Prints why no answer came. A change may have been made unless the request
+   never left.  */
+static enum ctl_exit
+fail_call (const struct ctl *ctl, const struct ctl_request *request,
+           const struct call *call)
+{
+  gboolean change = strcmp (request->method, "GET") != 0;
+  gboolean unknown = change && !never_left (call->error);
+  g_printerr ("jacinthctl: %s%s (step %s, peer %s)\n",
+              call->timed_out ? "no answer in time" : call->error->message,
+              unknown ? "; the change may have been made" : "",
+              never_left (call->error) ? "ctl.connect" : "ctl.answer",
+              ctl->address);
+  return unknown ? CTL_UNKNOWN : CTL_UNREACHABLE;
+}
+
+/* Returns the version in the ETag of MESSAGE, -1 if there is none.  */
+static gint64
+version_of (SoupMessage *message)
+{
+  const char *tag = soup_message_headers_get_one (
+      soup_message_get_response_headers (message), "ETag");
+  if (tag == NULL || tag[0] != '"')
+    return -1;
+  return (gint64)g_ascii_strtoull (tag + 1, NULL, 10);
+}
+
+static void
+read_answer (SoupMessage *message, GBytes *body, struct ctl_answer *answer)
+{
+  gsize n;
+  const char *text = g_bytes_get_data (body, &n);
+  answer->status = soup_message_get_status (message);
+  answer->version = version_of (message);
+  answer->body = g_bytes_ref (body);
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  if (n > 0 && json_parser_load_from_data (parser, text, (gssize)n, NULL))
+    answer->json = json_parser_steal_root (parser);
+}
+
+enum ctl_exit
+ctl_ask (const struct ctl *ctl, const struct ctl_request *request,
+         struct ctl_answer *answer)
+{
+  struct call call = { 0 };
+  enum ctl_exit status;
+  *answer = (struct ctl_answer){ .version = -1 };
+  g_autoptr (SoupMessage) message = make_message (ctl, request);
+  if (message == NULL)
+    {
+      g_printerr ("jacinthctl: \"%s\" is no IP:PORT\n", ctl->address);
+      return CTL_USAGE;
+    }
+  run (&call, message, ctl->timeout_ms);
+  if (call.body == NULL)
+    status = fail_call (ctl, request, &call);
+  else
+    {
+      read_answer (message, call.body, answer);
+      status = exit_of_status (answer->status);
+      if (status != CTL_OK)
+        print_error (answer);
+      if (status != CTL_OK && ctl->json)
+        ctl_print_body (answer);
+    }
+  g_clear_error (&call.error);
+  g_clear_pointer (&call.body, g_bytes_unref);
+  return status;
+}
+
+void
+ctl_answer_clear (struct ctl_answer *answer)
+{
+  g_clear_pointer (&answer->body, g_bytes_unref);
+  g_clear_pointer (&answer->json, json_node_unref);
+}
--- /dev/null
+++ b/packages/jacinthctl/ctl_config.c
@@ -0,0 +1,275 @@
+/* The commands on the configuration object.  */
+#include "jacinthctl/ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "jacinthctl/dif.h"
+
+/* Reads the configuration in force into ANSWER.  */
+static enum ctl_exit
+read_config (const struct ctl *ctl, struct ctl_answer *answer)
+{
+  struct ctl_request request = { "GET", "/config", -1, NULL };
+  return ctl_ask (ctl, &request, answer);
+}
+
+static char *
+body_text (GBytes *body)
+{
+  gsize n;
+  const char *text = g_bytes_get_data (body, &n);
+  return g_strndup (text ? text : "", n);
+}
+
+/* Prints what JSON holds and frees it.  */
+static void
+print_json (JsonBuilder *json)
+{
+  JsonNode *root = json_builder_get_root (json);
+  g_autofree char *text = json_to_string (root, FALSE);
+  g_print ("%s\n", text);
+  json_node_unref (root);
+  g_object_unref (json);
+}
+
+/* Opens an object with the member "version".  */
+static JsonBuilder *
+json_with_version (gint64 version)
+{
+  JsonBuilder *json = json_builder_new ();
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "version");
+  json_builder_add_int_value (json, version);
+  return json;
+}
+
+/* config get: the text on standard output, its version on standard error.  */
+enum ctl_exit
+ctl_config_get (const struct ctl *ctl, const char *unused)
+{
+  struct ctl_answer answer;
+  enum ctl_exit status = read_config (ctl, &answer);
+  (void)unused;
+  if (status == CTL_OK && ctl->json)
+    {
+      g_autofree char *text = body_text (answer.body);
+      JsonBuilder *json = json_with_version (answer.version);
+      json_builder_set_member_name (json, "text");
+      json_builder_add_string_value (json, text);
+      json_builder_end_object (json);
+      print_json (json);
+    }
+  else if (status == CTL_OK)
+    {
+      ctl_print_body (&answer);
+      g_printerr ("version %" G_GINT64_FORMAT "\n", answer.version);
+    }
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* Reads FILE, "-" for standard input. Returns NULL with a message if it cannot
+   be read; g_free.  */
+static char *
+read_file (const char *file, gsize *n)
+{
+  g_autoptr (GError) error = NULL;
+  char *text = NULL;
+  const char *path = strcmp (file, "-") == 0 ? "/dev/stdin" : file;
+  if (!g_file_get_contents (path, &text, n, &error))
+    g_printerr ("jacinthctl: %s\n", error->message);
+  return text;
+}
+
+/* Makes a change and says which version is in force now.  */
+static enum ctl_exit
+change (const struct ctl *ctl, const struct ctl_request *request)
+{
+  struct ctl_answer answer;
+  enum ctl_exit status = ctl_ask (ctl, request, &answer);
+  if (status == CTL_OK && ctl->json)
+    ctl_print_body (&answer);
+  else if (status == CTL_OK && answer.json != NULL
+           && JSON_NODE_HOLDS_OBJECT (answer.json))
+    g_print ("accepted: version %" G_GINT64_FORMAT "\n",
+             json_object_get_int_member_with_default (
+                 json_node_get_object (answer.json), "version", -1));
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* config apply FILE: a change from the version that is in force, or from that
+   of --version.  */
+enum ctl_exit
+ctl_config_apply (const struct ctl *ctl, const char *file)
+{
+  gsize n;
+  char *text = read_file (file, &n);
+  if (text == NULL)
+    return CTL_USAGE;
+  g_autoptr (GBytes) body = g_bytes_new_take (text, n);
+  struct ctl_request request = { "PUT", "/config", ctl->version, body };
+  if (ctl->version < 0)
+    {
+      struct ctl_answer answer;
+      enum ctl_exit status = read_config (ctl, &answer);
+      request.version = answer.version;
+      ctl_answer_clear (&answer);
+      if (status != CTL_OK)
+        return status;
+    }
+  return change (ctl, &request);
+}
+
+static void
+print_diff_json (const GArray *lines, gint64 version)
+{
+  JsonBuilder *json = json_with_version (version);
+  json_builder_set_member_name (json, "lines");
+  json_builder_begin_array (json);
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const struct dif_line *line = &g_array_index (lines, struct dif_line, i);
+      char sign[2] = { line->sign, '\0' };
+      json_builder_begin_object (json);
+      json_builder_set_member_name (json, "sign");
+      json_builder_add_string_value (json, sign);
+      json_builder_set_member_name (json, "number");
+      json_builder_add_int_value (json, line->number);
+      json_builder_set_member_name (json, "text");
+      json_builder_add_string_value (json, line->text);
+      json_builder_end_object (json);
+    }
+  json_builder_end_array (json);
+  json_builder_end_object (json);
+  print_json (json);
+}
+
+static void
+print_diff (const GArray *lines, gint64 version)
+{
+  if (lines->len == 0)
+    g_print ("no differences from version %" G_GINT64_FORMAT "\n", version);
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const struct dif_line *line = &g_array_index (lines, struct dif_line, i);
+      g_print ("%c%u: %s\n", line->sign, line->number, line->text);
+    }
+}
+
+/* config diff FILE: the lines by which FILE differs from what is in force.  */
+enum ctl_exit
+ctl_config_diff (const struct ctl *ctl, const char *file)
+{
+  gsize n;
+  g_autofree char *new_text = read_file (file, &n);
+  if (new_text == NULL)
+    return CTL_USAGE;
+  struct ctl_answer answer;
+  enum ctl_exit status = read_config (ctl, &answer);
+  if (status == CTL_OK)
+    {
+      g_autofree char *old_text = body_text (answer.body);
+      g_auto (GStrv) old_lines = g_strsplit (old_text, "\n", -1);
+      g_auto (GStrv) new_lines = g_strsplit (new_text, "\n", -1);
+      g_autoptr (GArray) lines = dif_lines (old_lines, new_lines);
+      if (ctl->json)
+        print_diff_json (lines, answer.version);
+      else
+        print_diff (lines, answer.version);
+    }
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* Adds the member "behind" to each of INSTANCES: by how many versions it is
+   behind the newest one. Returns the newest version.  */
+static gint64
+mark_behind (JsonArray *instances)
+{
+  gint64 newest = 0;
+  guint n = json_array_get_length (instances);
+  for (guint i = 0; i < n; i++)
+    newest = MAX (newest, json_object_get_int_member_with_default (
+                              json_array_get_object_element (instances, i),
+                              "version", 0));
+  for (guint i = 0; i < n; i++)
+    {
+      JsonObject *instance = json_array_get_object_element (instances, i);
+      gint64 version
+          = json_object_get_int_member_with_default (instance, "version", 0);
+      json_object_set_boolean_member (instance, "behind", version < newest);
+    }
+  return newest;
+}
+
+/* config status: the version in force at each instance, and who is behind.  */
+enum ctl_exit
+ctl_config_status (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[]
+      = { "id", "domain", "live", "leaving", "version", "behind", NULL };
+  struct ctl_request request = { "GET", "/config/status", -1, NULL };
+  struct ctl_answer answer;
+  enum ctl_exit status = ctl_ask (ctl, &request, &answer);
+  (void)unused;
+  if (status == CTL_OK && ctl->json)
+    ctl_print_body (&answer);
+  else if (status == CTL_OK && answer.json != NULL
+           && JSON_NODE_HOLDS_OBJECT (answer.json))
+    {
+      JsonObject *object = json_node_get_object (answer.json);
+      JsonArray *instances = json_object_get_array_member (object, "instances");
+      gint64 newest = mark_behind (instances);
+      g_print (
+          "here: version %" G_GINT64_FORMAT ", preset %s; newest seen: "
+          "version %" G_GINT64_FORMAT "\n",
+          json_object_get_int_member_with_default (object, "version", 0),
+          json_object_get_string_member_with_default (object, "preset", ""),
+          newest);
+      ctl_print_table (instances, columns);
+    }
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* preset use NAME  */
+enum ctl_exit
+ctl_preset_use (const struct ctl *ctl, const char *name)
+{
+  g_autoptr (JsonBuilder) json = json_builder_new ();
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "preset");
+  json_builder_add_string_value (json, name);
+  json_builder_end_object (json);
+  JsonNode *root = json_builder_get_root (json);
+  char *text = json_to_string (root, FALSE);
+  json_node_unref (root);
+  g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+  struct ctl_request request = { "PUT", "/preset", ctl->version, body };
+  return change (ctl, &request);
+}
+
+static enum ctl_exit
+put_drain (const struct ctl *ctl, const char *name, const char *verb)
+{
+  g_autofree char *escaped = g_uri_escape_string (name, NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/backends/%s/%s", escaped, verb);
+  struct ctl_request request = { "PUT", path, ctl->version, NULL };
+  return change (ctl, &request);
+}
+
+/* drain NAME  */
+enum ctl_exit
+ctl_drain (const struct ctl *ctl, const char *name)
+{
+  return put_drain (ctl, name, "drain");
+}
+
+/* undrain NAME  */
+enum ctl_exit
+ctl_undrain (const struct ctl *ctl, const char *name)
+{
+  return put_drain (ctl, name, "undrain");
+}
--- /dev/null
+++ b/packages/jacinthctl/dif.c
@@ -0,0 +1,97 @@
+#include "jacinthctl/dif.h"
+
+#include <string.h>
+
+/* The parts of two texts between their common start and end. */
+struct middle
+{
+  char *const *old;
+  char *const *new;
+  guint start; /* lines before */
+  guint n_old;
+  guint n_new;
+};
+
+static struct middle
+find_middle (char *const *old, char *const *new)
+{
+  struct middle m = { 0 };
+  guint n_old = g_strv_length ((char **)old);
+  guint n_new = g_strv_length ((char **)new);
+  while (m.start < n_old && m.start < n_new
+         && strcmp (old[m.start], new[m.start]) == 0)
+    m.start++;
+  while (n_old > m.start && n_new > m.start
+         && strcmp (old[n_old - 1], new[n_new - 1]) == 0)
+    {
+      n_old--;
+      n_new--;
+    }
+  m.old = old + m.start;
+  m.new = new + m.start;
+  m.n_old = n_old - m.start;
+  m.n_new = n_new - m.start;
+  return m;
+}
+
+/* Returns, for each pair of rests of the two parts, the length of their
+   longest common subsequence; g_free. NULL if there are too many pairs.  */
+static guint *
+common_lengths (const struct middle *m)
+{
+  gsize row = (gsize)m->n_new + 1;
+  if ((m->n_old + 1) * row > DIF_CELLS_MAX)
+    return NULL;
+  guint *lengths = g_new0 (guint, (m->n_old + 1) * row);
+  for (gsize i = m->n_old; i-- > 0;)
+    for (gsize j = m->n_new; j-- > 0;)
+      {
+        guint down = lengths[(i + 1) * row + j];
+        guint right = lengths[i * row + j + 1];
+        guint both = lengths[(i + 1) * row + j + 1] + 1;
+        gboolean same = strcmp (m->old[i], m->new[j]) == 0;
+        lengths[i * row + j] = same ? both : MAX (down, right);
+      }
+  return lengths;
+}
+
+static void
+add_line (GArray *lines, char sign, guint number, const char *text)
+{
+  struct dif_line line = { sign, number, text };
+  g_array_append_val (lines, line);
+}
+
+GArray *
+dif_lines (char *const *old, char *const *new)
+{
+  GArray *lines = g_array_new (FALSE, FALSE, sizeof (struct dif_line));
+  struct middle m = find_middle (old, new);
+  guint *lengths = common_lengths (&m);
+  gsize row = (gsize)m.n_new + 1;
+  guint i = 0;
+  guint j = 0;
+  while (i < m.n_old || j < m.n_new)
+    {
+      gboolean both = lengths != NULL && i < m.n_old && j < m.n_new;
+      if (both && strcmp (m.old[i], m.new[j]) == 0)
+        {
+          i++;
+          j++;
+        }
+      else if (i < m.n_old
+               && (!both
+                   || lengths[(i + 1) * row + j] >= lengths[i * row + j + 1]))
+        {
+          add_line (lines, '-', m.start + i + 1, m.old[i]);
+          i++;
+        }
+      else
+        {
+          add_line (lines, '+', m.start + j + 1, m.new[j]);
+          j++;
+        }
+    }
+  g_free (lengths);
+  return lines;
+}
--- /dev/null
+++ b/packages/jacinthctl/main.c
@@ -0,0 +1,261 @@
+/* jacinthctl: the operator's command line.  */
+#include <locale.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/ini.h"
+#include "jacinthctl/ctl.h"
+
+#define ADDRESS_VARIABLE "JACINTHCTL_ADDRESS"
+#define TOKEN_VARIABLE "JACINTHCTL_TOKEN"
+#define TIMEOUT_MAX_MS 600000
+
+struct command
+{
+  const char *group;    /* first word */
+  const char *verb;     /* second word; NULL: there is none */
+  const char *argument; /* what the argument stands for; NULL: none */
+  enum ctl_exit (*run) (const struct ctl *ctl, const char *argument);
+  const char *help;
+};
+
+static enum ctl_exit
+preset_list (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[] = { "name", "in_force", NULL };
+  static const struct ctl_list list = { "/presets", "presets", columns };
+  (void)unused;
+  return ctl_show_list (ctl, &list);
+}
+
+static enum ctl_exit
+class_list (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[] = { "name",        "tier",
+                                         "ttft_ms",     "tbt_ms",
+                                         "deadline_ms", "min_share",
+                                         "max_waiting", "reserved_waiting",
+                                         "retry_share", "link_bytes_per_s",
+                                         "spill",       NULL };
+  static const struct ctl_list list = { "/classes", "classes", columns };
+  (void)unused;
+  return ctl_show_list (ctl, &list);
+}
+
+static enum ctl_exit
+team_list (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[]
+      = { "name", "weight", "max_running", "default_class", "classes", NULL };
+  static const struct ctl_list list = { "/teams", "teams", columns };
+  (void)unused;
+  return ctl_show_list (ctl, &list);
+}
+
+static enum ctl_exit
+backend_list (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[]
+      = { "name",        "address",      "pool",  "kind", "cell",
+          "max_running", "checks_fence", "drain", NULL };
+  static const struct ctl_list list = { "/backends", "backends", columns };
+  (void)unused;
+  return ctl_show_list (ctl, &list);
+}
+
+static enum ctl_exit
+instances (const struct ctl *ctl, const char *unused)
+{
+  static const char *const columns[]
+      = { "id",   "domain",  "region",  "address",
+          "live", "leaving", "version", NULL };
+  static const struct ctl_list list = { "/instances", "instances", columns };
+  (void)unused;
+  return ctl_show_list (ctl, &list);
+}
+
+static enum ctl_exit
+dump (const struct ctl *ctl, const char *unused)
+{
+  (void)unused;
+  return ctl_show_object (ctl, "/dump", FALSE);
+}
+
+static enum ctl_exit
+stats (const struct ctl *ctl, const char *unused)
+{
+  (void)unused;
+  return ctl_show_object (ctl, "/stats", TRUE);
+}
+
+static const struct command commands[] = {
+  { "config", "get", NULL, ctl_config_get, "the configuration in force" },
+  { "config", "apply", "FILE", ctl_config_apply, "put FILE in force" },
+  { "config", "diff", "FILE", ctl_config_diff, "how FILE differs from it" },
+  { "config", "status", NULL, ctl_config_status, "who has which version" },
+  { "preset", "list", NULL, preset_list, "presets and which is in force" },
+  { "preset", "use", "NAME", ctl_preset_use, "put a preset in force" },
+  { "class", "list", NULL, class_list, "classes as the preset sets them" },
+  { "team", "list", NULL, team_list, "teams" },
+  { "backend", "list", NULL, backend_list, "backend servers" },
+  { "drain", NULL, "NAME", ctl_drain, "give a backend server no new work" },
+  { "undrain", NULL, "NAME", ctl_undrain, "give it work again" },
+  { "instances", NULL, NULL, instances, "instances as seen from there" },
+  { "dump", NULL, NULL, dump, "the state of the instance" },
+  { "stats", NULL, NULL, stats, "its counters" },
+};
+
+/* Returns the commands and exit statuses for --help; g_free.  */
+static char *
+describe (void)
+{
+  GString *text = g_string_new ("Commands:\n");
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      const struct command *c = &commands[i];
+      g_autofree char *words
+          = g_strjoin (" ", c->group,
+                       c->verb       ? c->verb
+                       : c->argument ? c->argument
+                                     : "",
+                       c->verb && c->argument ? c->argument : "", NULL);
+      g_string_append_printf (text, "  %-20s %s\n", words, c->help);
+    }
+  g_string_append (text, "\nExit status:\n");
+#define EXIT_LINE(id, number, meaning)                                         \
+  g_string_append_printf (text, "  %d  %s\n", number, meaning);
+  CTL_EXITS (EXIT_LINE)
+#undef EXIT_LINE
+  return g_string_free (text, FALSE);
+}
+
+/* Finds the command of the N words of ARGV. Returns NULL if there is none;
+   sets *ARGUMENT, NULL if it takes none.  */
+static const struct command *
+find_command (char **words, guint n, const char **argument)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      const struct command *c = &commands[i];
+      guint verbs = c->verb ? 2 : 1;
+      if (n != verbs + (c->argument ? 1 : 0) || strcmp (words[0], c->group) != 0
+          || (c->verb != NULL && strcmp (words[1], c->verb) != 0))
+        continue;
+      *argument = c->argument ? words[verbs] : NULL;
+      return c;
+    }
+  return NULL;
+}
+
+struct arguments
+{
+  char *address;
+  char *token_file;
+  gboolean json;
+  gboolean version;
+  int timeout_ms;
+  gint64 expected;
+};
+
+/* Reads the options out of ARGV. Returns FALSE with a message if they are
+   wrong.  */
+static gboolean
+read_options (int *argc, char ***argv, struct arguments *a)
+{
+  const GOptionEntry entries[] = {
+    { "address", 'a', 0, G_OPTION_ARG_STRING, &a->address,
+      "Administration address of an instance; default: $" ADDRESS_VARIABLE,
+      "IP:PORT" },
+    { "token-file", 't', 0, G_OPTION_ARG_FILENAME, &a->token_file,
+      "File with the operator's token; default: $" TOKEN_VARIABLE, "FILE" },
+    { "json", 'j', 0, G_OPTION_ARG_NONE, &a->json, "Print JSON", NULL },
+    { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &a->timeout_ms,
+      "Time limit of a request", "N" },
+    { "expect", 0, 0, G_OPTION_ARG_INT64, &a->expected,
+      "Apply only to this version; default: the one in force", "VERSION" },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &a->version,
+      "Print the version of jacinthctl and exit", NULL },
+    { NULL },
+  };
+  g_autoptr (GError) error = NULL;
+  g_autofree char *description = describe ();
+  GOptionContext *context = g_option_context_new ("COMMAND");
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_description (context, description);
+  gboolean ok = g_option_context_parse (context, argc, argv, &error);
+  if (!ok)
+    g_printerr ("jacinthctl: %s\n", error->message);
+  g_option_context_free (context);
+  return ok;
+}
+
+/* Returns the operator's token, NULL if there is none; g_free. Sets *OK to
+   FALSE with a message if its file cannot be read.  */
+static char *
+read_token (const char *file, gboolean *ok)
+{
+  g_autoptr (GError) error = NULL;
+  char *token = NULL;
+  *ok = TRUE;
+  if (file == NULL)
+    return g_strdup (g_getenv (TOKEN_VARIABLE));
+  if (g_file_get_contents (file, &token, NULL, &error))
+    return g_strstrip (token);
+  g_printerr ("jacinthctl: %s\n", error->message);
+  *ok = FALSE;
+  return NULL;
+}
+
+static gboolean
+check (const struct arguments *a, const char *address)
+{
+  if (address == NULL || !ini_address_ok (address, FALSE))
+    g_printerr ("jacinthctl: --address \"%s\" is wrong; allowed: IP:PORT\n",
+                address ? address : "");
+  else if (a->timeout_ms < 1 || a->timeout_ms > TIMEOUT_MAX_MS)
+    g_printerr ("jacinthctl: --timeout-ms %d is wrong; allowed: 1 to %d\n",
+                a->timeout_ms, TIMEOUT_MAX_MS);
+  else
+    return TRUE;
+  return FALSE;
+}
+
+static int
+run (const struct arguments *a, int argc, char **argv)
+{
+  const char *argument = NULL;
+  gboolean ok;
+  const struct command *command
+      = argc > 1 ? find_command (argv + 1, (guint)argc - 1, &argument) : NULL;
+  if (command == NULL)
+    {
+      g_printerr ("jacinthctl: no such command; see --help\n");
+      return CTL_USAGE;
+    }
+  const char *address = a->address ? a->address : g_getenv (ADDRESS_VARIABLE);
+  if (!check (a, address))
+    return CTL_USAGE;
+  g_autofree char *token = read_token (a->token_file, &ok);
+  if (!ok)
+    return CTL_USAGE;
+  struct ctl ctl
+      = { address, token, a->json, a->expected, (guint)a->timeout_ms };
+  return (int)command->run (&ctl, argument);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arguments a = { .timeout_ms = CTL_TIMEOUT_MS, .expected = -1 };
+  int status = CTL_OK;
+  setlocale (LC_CTYPE, "");
+  if (!read_options (&argc, &argv, &a))
+    status = CTL_USAGE;
+  else if (a.version)
+    g_print ("jacinthctl %s\n", JW_VERSION);
+  else
+    status = run (&a, argc, argv);
+  g_free (a.address);
+  g_free (a.token_file);
+  return status;
+}
--- a/tests/unit/test_adm.c
+++ b/tests/unit/test_adm.c
@@ -1,145 +1,35 @@
 #include "unit/unit.h"
 
-#include "admin/adm.h"
+#include "unit/adm_fake.h"
 
-#include <gio/gio.h>
 #include <libsoup/soup.h>
-#include <string.h>
 
 #define WAIT_US (20 * CLK_S) /* gives up on an answer; never reached */
-#define OPS "example-token-ops"
-#define WATCH "example-token-watch"
 
-/* The instance behind the API. */
-struct fake
-{
-  struct adm *adm;
-  struct ctr ctr;
-  struct cfg *cfg;
-  gboolean ready;
-  SoupSession *session;
-  /* The update that was asked for, and how it is to end. */
-  guint n_updates;
-  guint64 expected;
-  GBytes *body;
-  int start_code; /* what update returns */
-  gboolean hold;  /* leave it open */
-  struct cft_result result;
-  cft_done done;
-  void *done_ctx;
-};
-
-struct reply
-{
-  guint status;
-  char *body; /* NUL-terminated */
-  char *etag;
-  gboolean ended;
-};
-
-static const struct cfg *
-fake_config (void *ctx)
-{
-  return ((struct fake *)ctx)->cfg;
-}
-
-static gboolean
-fake_ready (void *ctx)
-{
-  return ((struct fake *)ctx)->ready;
-}
-
-static void
-fake_dump (void *ctx, JsonBuilder *json)
-{
-  (void)ctx;
-  json_builder_begin_object (json);
-  json_builder_set_member_name (json, "state");
-  json_builder_add_string_value (json, "dumped");
-  json_builder_end_object (json);
-}
-
-static void
-fake_each (void *ctx, adm_visit visit, void *visit_ctx)
-{
-  struct mem_instance instance = { .live = TRUE, .config_version = 6 };
-  (void)ctx;
-  str_id_set (&instance.id, STR_LIT ("kgn-1-a"));
-  visit (visit_ctx, &instance);
-}
-
-static gboolean
-end_update (gpointer data)
-{
-  struct fake *fake = data;
-  fake->done (fake->done_ctx, &fake->result);
-  return G_SOURCE_REMOVE;
-}
+static SoupSession *session;
 
 static int
-fake_update (void *ctx, guint64 expected, GBytes *body, cft_done done,
-             void *done_ctx)
+open_session (void)
 {
-  struct fake *fake = ctx;
-  fake->n_updates++;
-  fake->expected = expected;
-  g_clear_pointer (&fake->body, g_bytes_unref);
-  fake->body = g_bytes_ref (body);
-  fake->done = done;
-  fake->done_ctx = done_ctx;
-  if (fake->start_code == 0 && !fake->hold)
-    g_idle_add (end_update, fake);
-  return fake->start_code;
+  session = soup_session_new ();
+  soup_session_set_proxy_resolver (session, NULL);
+  return 0;
 }
 
-static char *
-example_text (void)
+static int
+close_session (void)
 {
-  g_autofree char *path = g_build_filename (JW_SOURCE_DIR, "examples",
-                                            "authority", "config.ini", NULL);
-  char *text = NULL;
-  CU_ASSERT_TRUE (g_file_get_contents (path, &text, NULL, NULL));
-  return text ? text : g_strdup ("");
+  g_clear_object (&session);
+  return 0;
 }
 
-static void
-fake_open (struct fake *fake, gint64 idle_us)
-{
-  memset (fake, 0, sizeof *fake);
-  g_autofree char *text = example_text ();
-  g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
-  g_autoptr (GPtrArray) problems = g_ptr_array_new_with_free_func (g_free);
-  fake->cfg = cfg_parse (body, 7, problems);
-  fake->ready = TRUE;
-  fake->result.outcome = CFT_ACCEPTED;
-  fake->result.version = 8;
-  struct adm_options o = { .listen = "127.0.0.1:0", .self = "kgn-1-a" };
-  o.idle_us = idle_us;
-  o.clk = clk_system ();
-  o.ctr = &fake->ctr;
-  o.config = fake_config;
-  o.ready = fake_ready;
-  o.dump = fake_dump;
-  o.each_instance = fake_each;
-  o.update = fake_update;
-  o.ctx = fake;
-  struct err err = { 0 };
-  CU_ASSERT_EQUAL (adm_new (&o, &fake->adm, &err), 0);
-  fake->session = soup_session_new ();
-  soup_session_set_proxy_resolver (fake->session, NULL);
-}
-
-static void
-fake_close (struct fake *fake)
+struct reply
 {
-  soup_session_abort (fake->session);
-  g_object_unref (fake->session);
-  adm_free (fake->adm);
-  cfg_unref (fake->cfg);
-  g_clear_pointer (&fake->body, g_bytes_unref);
-  while (g_main_context_iteration (NULL, FALSE))
-    ;
-}
+  guint status;
+  char *body; /* NUL-terminated */
+  char *etag;
+  gboolean ended;
+};
 
 static void
 on_reply (GObject *source, GAsyncResult *result, gpointer data)
@@ -174,8 +64,8 @@
       soup_message_set_request_body_from_bytes (message, "text/plain", bytes);
     }
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
-  soup_session_send_and_read_async (fake->session, message, G_PRIORITY_DEFAULT,
-                                    NULL, on_reply, &reply);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL,
+                                    on_reply, &reply);
   while (!reply.ended)
     g_main_context_iteration (NULL, TRUE);
   reply.status = soup_message_get_status (message);
@@ -348,6 +238,11 @@
   expect (&fake, "PUT", "/preset", OPS, "{\"preset\":3}", 400, "expected");
   expect (&fake, "PUT", "/preset", OPS, "nonsense", 400, "expected");
   expect (&fake, "PUT", "/backends/none/drain", OPS, "", 404, "backend:none");
+  struct reply reply
+      = ask (&fake, "PUT", "/preset", OPS, "\"8\"", "{\"preset\":\"peak\"}");
+  CU_ASSERT_EQUAL (reply.status, 409);
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply.body, "\"version\":7"));
+  reply_clear (&reply);
   CU_ASSERT_EQUAL (fake.n_updates, 3);
   fake_close (&fake);
 }
@@ -482,8 +377,8 @@
   soup_message_headers_append (soup_message_get_request_headers (message),
                                "Authorization", "Bearer " OPS);
   soup_message_set_request_body_from_bytes (message, "text/plain", bytes);
-  soup_session_send_and_read_async (fake.session, message, G_PRIORITY_DEFAULT,
-                                    NULL, on_reply, &reply);
+  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, NULL,
+                                    on_reply, &reply);
   while (fake.n_updates == 0)
     g_main_context_iteration (NULL, TRUE);
   adm_free (g_steal_pointer (&fake.adm));
@@ -524,7 +419,7 @@
 };
 
 static CU_SuiteInfo suites[] = {
-  { "adm", NULL, NULL, NULL, NULL, tests },
+  { "adm", open_session, close_session, NULL, NULL, tests },
   CU_SUITE_INFO_NULL,
 };
 
