--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -20,6 +20,8 @@
   cel->deadlines = g_sequence_new (NULL);
   tkt_table_init (&cel->tickets);
   tem_table_init (&cel->teams);
+  rte_init (&cel->rate, clk_now (cel->clk));
+  cel->aff = aff_new (AFF_PREFIXES_MAX);
   cel_set_config (cel, options->cfg);
   return cel;
 }
@@ -38,6 +40,7 @@
   g_ptr_array_free (cel->servers, TRUE);
   tkt_table_clear (&cel->tickets);
   tem_table_clear (&cel->teams);
+  aff_free (cel->aff);
   g_rand_free (cel->rand);
   cfg_unref (cel->cfg);
   g_free (cel);
@@ -72,53 +75,84 @@
              tem_find (&cel->teams, offer->team.s));
 }
 
-/* Handles an OFFER for a known ticket: a waiting one is updated, a grant that
-   the entry does not know of is sent again.  */
+/* Handles an OFFER for a known ticket that runs, maybe by the grant of
+   another owner.  */
 static void
-offer_again (struct cel *cel, const char *from, struct tkt *tkt,
-             const struct msg_offer *offer)
+offer_running_again (struct cel *cel, const char *from, struct tkt *tkt,
+                     const struct msg_offer *offer)
 {
-  tkt_touch (&cel->tickets, tkt, clk_now (cel->clk));
-  if (tkt->state == TKT_WAITING && !offer->running.s[0])
+  if (tkt->srv && strcmp (tkt->srv->cfg.name.s, offer->running.s) == 0)
     {
-      struct cls *cls = tkt->cls;
-      cel_unqueue (cel, tkt);
-      tkt->team->n_tickets--;
-      fill_ticket (cel, tkt, offer);
-      cel_enqueue (cel, tkt, cls, tkt->team);
-    }
-  else if (tkt->state == TKT_WAITING)
-    {
-      cel_drop (cel, tkt);
-      offer_running (cel, from, offer);
-    }
-  else if (offer->running.s[0])
-    tkt->state = TKT_RUNNING;
-  else
-    {
-      tkt->state = TKT_GRANTED;
-      tkt->granted = clk_now (cel->clk);
-      tkt->sent_us = offer->sent_us;
-      cel_send_grant (cel, tkt);
+      tkt->state = TKT_RUNNING;
+      return;
     }
+  cel_drop (cel, tkt);
+  offer_running (cel, from, offer);
+  cel_pump (cel);
+}
+
+/* Returns why a new ticket of CLS is refused, or MSG_REASON_N; may displace
+   another one for it.  */
+static enum msg_reason
+admit (struct cel *cel, const char *from, const struct cls *cls,
+       const struct tem *team, const struct msg_offer *offer)
+{
+  if (!cls || !cel_takes_work (cel))
+    return MSG_REASON_NO_SERVER;
+  if (cel_is_hopeless (cel, cls, team, offer->wait_us))
+    return MSG_REASON_DEADLINE;
+  if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls))
+    return MSG_REASON_OVERLOAD;
+  return MSG_REASON_N;
 }
 
 static void
 offer_new (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct cls *cls = cel_find_class (cel, offer->class_name.s);
-  struct tkt *tkt = NULL;
-  if (!cls || !cel_takes_work (cel))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NO_SERVER);
-  else if (!tkt_room (&cel->tickets, from) || !cel_make_room (cel, cls)
-           || !(tkt = tkt_add (&cel->tickets, from, offer->ticket,
-                               clk_now (cel->clk))))
-    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_OVERLOAD);
-  if (!tkt)
-    return;
+  struct tem *team = tem_find (&cel->teams, offer->team.s);
+  enum msg_reason reason = admit (cel, from, cls, team, offer);
+  if (reason != MSG_REASON_N)
+    {
+      cel_send_refuse (cel, from, offer->ticket, reason, cls, team);
+      return;
+    }
+  struct tkt *tkt
+      = tkt_add (&cel->tickets, from, offer->ticket, clk_now (cel->clk));
   fill_ticket (cel, tkt, offer);
-  cel_enqueue (cel, tkt, cls, tem_find (&cel->teams, offer->team.s));
+  cel_enqueue (cel, tkt, cls, team);
   cel_pump (cel);
+  cel_preempt (cel);
+}
+
+/* Handles an OFFER for a known ticket that waits: it is updated, or its grant,
+   of which the entry does not know, is sent again, unless its server takes no
+   new work by now.  */
+static void
+offer_waiting_again (struct cel *cel, const char *from, struct tkt *tkt,
+                     const struct msg_offer *offer)
+{
+  gint64 now = clk_now (cel->clk);
+  tkt_touch (&cel->tickets, tkt, now);
+  if (tkt->state == TKT_WAITING)
+    {
+      gint64 arrived = tkt->arrived;
+      fill_ticket (cel, tkt, offer);
+      tkt->arrived = arrived;
+      cel_reschedule (tkt);
+      cel_pump (cel);
+      return;
+    }
+  if (!srv_takes_work (tkt->srv))
+    {
+      cel_drop (cel, tkt);
+      offer_new (cel, from, offer);
+      return;
+    }
+  tkt->state = TKT_GRANTED;
+  tkt->granted = now;
+  tkt->sent_us = offer->sent_us;
+  cel_send_grant (cel, tkt);
 }
 
 /* Takes a ticket: queues it, grants it, or refuses it at once.  */
@@ -126,8 +160,13 @@
 cel_offer (struct cel *cel, const char *from, const struct msg_offer *offer)
 {
   struct tkt *tkt = tkt_find (&cel->tickets, from, offer->ticket);
-  if (tkt)
-    offer_again (cel, from, tkt, offer);
+  if (strcmp (offer->cell.s, cel->cell.s) != 0)
+    cel_send_refuse (cel, from, offer->ticket, MSG_REASON_NOT_OWNER, NULL,
+                     NULL);
+  else if (tkt && offer->running.s[0])
+    offer_running_again (cel, from, tkt, offer);
+  else if (tkt)
+    offer_waiting_again (cel, from, tkt, offer);
   else if (offer->running.s[0])
     offer_running (cel, from, offer);
   else
@@ -181,13 +220,40 @@
         continue;
       tkt_touch (&cel->tickets, tkt, now);
       tkt->sent_us = progress->sent_us;
-      if (tkt->state == TKT_GRANTED && now - tkt->granted >= CEL_USE_SEEN_US)
+      if (tkt->state == TKT_GRANTED
+          && (progress->items[i].tokens > 0
+              || now - tkt->granted >= CEL_USE_SEEN_US))
         tkt->state = TKT_RUNNING;
       note_tokens (cel, tkt, progress->items[i].tokens,
                    progress->items[i].tbt_us);
     }
 }
 
+/* Learns how long a prompt token takes from the time to first token.  */
+static void
+learn_prefill (struct cel *cel, const struct tkt *tkt, guint32 ttft_us)
+{
+  if (ttft_us > 0 && tkt->prompt_tokens >= CEL_PREFILL_TOKENS_MIN)
+    hea_mean_add (&cel->prefill, (double)ttft_us / tkt->prompt_tokens,
+                  CEL_PREFILL_WEIGHT);
+}
+
+/* Learns from the end of an attempt on SRV. What the start of one that did
+   not run counted is taken back.  */
+static void
+learn_end (struct cel *cel, struct tkt *tkt, struct srv *srv,
+           const struct msg_release *release)
+{
+  note_tokens (cel, tkt, release->tokens, release->tbt_us);
+  srv_result (srv, release);
+  learn_prefill (cel, tkt, release->ttft_us);
+  if (!did_not_run (release->result))
+    return;
+  if (tkt->cls)
+    cls_charge (tkt->cls, tkt, -(double)tkt->charged);
+  aff_drop (cel->aff, tkt->prefix, srv->slot);
+}
+
 /* Frees the slot of a ticket whose attempt ended.  */
 void
 cel_release (struct cel *cel, const char *from,
@@ -197,10 +263,7 @@
   if (!tkt)
     return;
   if (tkt->srv)
-    srv_result (tkt->srv, release);
-  note_tokens (cel, tkt, release->tokens, release->tbt_us);
-  if (did_not_run (release->result) && tkt->cls && tkt->state != TKT_WAITING)
-    cls_charge (tkt->cls, tkt, -(double)tkt->charged);
+    learn_end (cel, tkt, tkt->srv, release);
   cel_drop (cel, tkt);
   cel_free_idle_gone (cel);
   cel_refuse_unless_served (cel);
@@ -240,14 +303,18 @@
     srv_load (srv, load, clk_now (cel->clk));
 }
 
+/* Takes a hint that BACKEND's cache holds, or no longer holds, PREFIX.  */
 void
 cel_cache_event (struct cel *cel, const char *backend, guint64 prefix,
                  gboolean held)
 {
-  (void)cel;
-  (void)backend;
-  (void)prefix;
-  (void)held;
+  const struct srv *srv = cel_find_server (cel, backend);
+  if (!srv || prefix == 0)
+    return;
+  if (held)
+    aff_note (cel->aff, prefix, srv->slot, clk_now (cel->clk));
+  else
+    aff_drop (cel->aff, prefix, srv->slot);
 }
 
 static void
@@ -259,7 +326,9 @@
           = g_sequence_get (g_sequence_get_begin_iter (cel->deadlines));
       if (tkt->deadline > now)
         return;
-      cel_refuse (cel, tkt, MSG_REASON_DEADLINE);
+      cel_refuse (cel, tkt,
+                  tem_at_limit (tkt->team) ? MSG_REASON_TEAM_LIMIT
+                                           : MSG_REASON_DEADLINE);
     }
 }
 
@@ -321,6 +390,7 @@
   review_health (cel, now);
   cel_free_idle_gone (cel);
   cel_pump (cel);
+  cel_preempt (cel);
 }
 
 /* Tells whether no ticket waits or runs, so that the owner may be freed.  */
--- a/packages/cell/cel_step.c
+++ b/packages/cell/cel_step.c
@@ -14,15 +14,16 @@
   cel->send (cel->ctx, tkt->ent->id.s, &msg);
 }
 
-/* Sends a refusal for TICKET of instance TO.  */
+/* Sends a refusal for TICKET of instance TO; CLS is NULL if unknown.  */
 void
 cel_send_refuse (struct cel *cel, const char *to, guint64 ticket,
-                 enum msg_reason reason)
+                 enum msg_reason reason, const struct cls *cls,
+                 const struct tem *team)
 {
   struct msg msg = { .kind = MSG_REFUSE };
   msg.refuse.ticket = ticket;
   msg.refuse.reason = reason;
-  msg.refuse.retry_after_us = CEL_RETRY_MIN_US;
+  msg.refuse.retry_after_us = cel_retry_after (cel, cls, team);
   ctr_add (cel->ctr, CTR_REFUSALS, 1);
   cel->send (cel->ctx, to, &msg);
 }
@@ -59,6 +60,13 @@
       = g_sequence_insert_sorted (cel->deadlines, tkt, by_deadline, NULL);
 }
 
+/* Notes that the deadline of a waiting TKT changed.  */
+void
+cel_reschedule (struct tkt *tkt)
+{
+  g_sequence_sort_changed (tkt->in_deadline, by_deadline, NULL);
+}
+
 /* Takes a waiting TKT out of its queues.  */
 void
 cel_unqueue (struct cel *cel, struct tkt *tkt)
@@ -112,6 +120,10 @@
   tkt->state = TKT_GRANTED;
   count_running (cel, tkt, srv);
   charge_start (cel, tkt);
+  rte_start (&cel->rate);
+  hea_probe (&srv->hea, tkt->granted);
+  if (tkt->prefix != 0)
+    aff_note (cel->aff, tkt->prefix, srv->slot, tkt->granted);
   ctr_add (cel->ctr, CTR_GRANTS, 1);
   cel_send_grant (cel, tkt);
 }
@@ -137,7 +149,10 @@
       srv_drop (tkt->srv, tkt);
       tkt->team->n_running--;
       if (tkt->cls)
-        tkt->cls->n_running--;
+        {
+          tkt->cls->n_running--;
+          tkt->cls->n_preempted -= tkt->preempted;
+        }
     }
   tkt->team->n_tickets--;
   tkt_remove (&cel->tickets, tkt);
@@ -149,6 +164,8 @@
 {
   struct str_id to = tkt->ent->id;
   guint64 id = tkt->id;
+  const struct cls *cls = tkt->cls;
+  const struct tem *team = tkt->team;
   cel_drop (cel, tkt);
-  cel_send_refuse (cel, to.s, id, reason);
+  cel_send_refuse (cel, to.s, id, reason, cls, team);
 }
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -30,8 +30,8 @@
   fix_start (&fix);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
-  CU_ASSERT_TRUE (fix_find (&fix, MSG_GRANT, 1)->grant.use_within_us
-                  <= 2 * CLK_S);
+  const struct msg *msg = fix_find (&fix, MSG_GRANT, 1);
+  CU_ASSERT_TRUE (msg && msg->grant.use_within_us <= 2 * CLK_S);
   fix_wait (&fix, 2 * CLK_S);
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
   CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 1);
@@ -69,7 +69,7 @@
   cel_offer (fix.cel, "e1", &offer);
   fix_wait (&fix, CLK_S);
   CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_DEADLINE);
-  CU_ASSERT_TRUE (fix_find (&fix, MSG_REFUSE, 2)->refuse.retry_after_us > 0);
+  CU_ASSERT_TRUE (fix_retry_after (&fix, 2) > 0);
   fix_close (&fix);
 }
 
@@ -81,8 +81,8 @@
   fix_start (&fix);
   for (guint64 t = 1; t <= 4; t++)
     fix_offer (&fix, t, FIX_NORMAL);
-  struct str_id left = fix_find (&fix, MSG_GRANT, 1)->grant.backend;
-  struct str_id stays = fix_find (&fix, MSG_GRANT, 2)->grant.backend;
+  struct str_id left = fix_id (fix_backend (&fix, 1));
+  struct str_id stays = fix_id (fix_backend (&fix, 2));
   CU_ASSERT_STRING_NOT_EQUAL (left.s, stays.s);
   cel_set_leaving (fix.cel, left.s, TRUE);
   fix_release (&fix, 1, MSG_RESULT_OK);
@@ -491,6 +491,291 @@
   fix_close (&fix);
 }
 
+/* Offers ticket TICKET with PREFIX and returns where it was granted.  */
+static const char *
+offer_prefix (struct fix *fix, guint64 ticket, guint64 prefix, guint32 tokens)
+{
+  struct msg_offer offer = fix_offer_of (fix, ticket, FIX_NORMAL, "a");
+  offer.prefix = prefix;
+  offer.prompt_tokens = tokens;
+  cel_offer (fix->cel, "e1", &offer);
+  return fix_backend (fix, ticket);
+}
+
+static void
+test_prefix_returns (void)
+{
+  struct fix fix;
+  guint same = 0;
+  fix_init (&fix, 4, 8);
+  fix_start (&fix);
+  for (guint64 prefix = 1; prefix <= 10; prefix++)
+    {
+      char first[STR_ID_MAX + 1];
+      g_strlcpy (first, offer_prefix (&fix, prefix * 10, prefix, 1000),
+                 sizeof first);
+      fix_release (&fix, prefix * 10, MSG_RESULT_OK);
+      for (guint64 t = prefix * 10 + 1; t < prefix * 10 + 5; t++)
+        {
+          same += strcmp (offer_prefix (&fix, t, prefix, 1000), first) == 0;
+          fix_release (&fix, t, MSG_RESULT_OK);
+        }
+    }
+  CU_ASSERT_EQUAL (same, 40);
+  cel_cache_event (fix.cel, "sc", 99, TRUE);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 1, 99, 1000), "sc");
+  fix_close (&fix);
+}
+
+static void
+test_hot_prefix_is_bounded (void)
+{
+  struct fix fix;
+  guint counts[4] = { 0 };
+  fix_init (&fix, 4, 16);
+  fix_start (&fix);
+  for (guint64 t = 1; t <= 16; t++)
+    counts[offer_prefix (&fix, t, 5, 100000)[1] - 'a']++;
+  for (guint i = 0; i < 4; i++)
+    CU_ASSERT_TRUE (counts[i] <= 6);
+  fix_close (&fix);
+}
+
+static void
+test_short_prefix_yields_to_load (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 4);
+  fix_start (&fix);
+  /* 10 ms between tokens: a slot of 4 costs 80 ms over 32 tokens. */
+  for (guint64 t = 1; t <= 2; t++)
+    {
+      fix_offer (&fix, t, FIX_NORMAL);
+      fix_progress (&fix, t, 10, 10 * CLK_MS);
+      fix_release (&fix, t, MSG_RESULT_OK);
+    }
+  cel_cache_event (fix.cel, "sa", 5, TRUE);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 11, 5, 100), "sa");
+  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 12, 5, 100), "sb");
+  fix_close (&fix);
+}
+
+/* Serves what was granted last for 500 ms, N times.  */
+static void
+serve_slowly (struct fix *fix, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      fix_wait (fix, 500 * CLK_MS);
+      fix_release (fix, ticket, MSG_RESULT_OK);
+    }
+}
+
+/* Offers a ticket that can wait 2 s; returns the reason it was refused. */
+static enum msg_reason
+offer_short (struct fix *fix, guint64 ticket, guint class_index)
+{
+  struct msg_offer offer = fix_offer_of (fix, ticket, class_index, "a");
+  offer.wait_us = 2 * CLK_S;
+  cel_offer (fix->cel, "e1", &offer);
+  return fix_refused (fix, ticket);
+}
+
+static void
+test_hopeless_wait (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 36, FIX_NORMAL);
+  CU_ASSERT_EQUAL (offer_short (&fix, 100, FIX_NORMAL), MSG_REASON_N);
+  cel_withdraw (fix.cel, "e1", 100);
+  serve_slowly (&fix, 8); /* two a second; 27 wait */
+  CU_ASSERT_EQUAL (offer_short (&fix, 101, FIX_NORMAL), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (&fix, 102, FIX_BATCH), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (&fix, 103, FIX_URGENT), MSG_REASON_N);
+  /* Team b is not behind the queue of team a. */
+  struct msg_offer offer = fix_offer_of (&fix, 105, FIX_NORMAL, "b");
+  offer.wait_us = 2 * CLK_S;
+  cel_offer (fix.cel, "e1", &offer);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_N);
+  fix_offer (&fix, 104, FIX_NORMAL);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
+  gint64 retry = fix_retry_after (&fix, 101);
+  CU_ASSERT_TRUE (retry > 12 * CLK_S && retry < 22 * CLK_S);
+  CU_ASSERT_NOT_EQUAL (retry, fix_retry_after (&fix, 102));
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.starts_per_s, 1); /* 9 in 10 s */
+  fix_close (&fix);
+}
+
+static void
+test_team_limit_reason (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 8);
+  fix.teams[0].max_running = 1;
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_NORMAL);
+  CU_ASSERT_EQUAL (offer_short (&fix, 2, FIX_NORMAL), MSG_REASON_N);
+  fix_wait (&fix, CLK_S);
+  fix_progress (&fix, 1, 0, 0);
+  fix_wait (&fix, CLK_S);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_TEAM_LIMIT);
+  fix_close (&fix);
+}
+
+/* Fills 8 slots with batch work that runs for 2 s; each of its requests has
+   GENERATED tokens, ticket 3 has the fewest.  */
+static void
+fill_with_batch (struct fix *fix, gboolean resumable, guint32 generated)
+{
+  fix_init (fix, 1, 8);
+  fix->classes[FIX_BATCH].min_share = 0.5;
+  fix->pool.kind = CFG_SERVICE; /* no adaptive limit */
+  fix_start (fix);
+  for (guint64 t = 1; t <= 8; t++)
+    {
+      struct msg_offer offer = fix_offer_of (fix, t, FIX_BATCH, "a");
+      offer.resumable = resumable;
+      cel_offer (fix->cel, "e1", &offer);
+    }
+  for (guint i = 0; i < 2; i++)
+    {
+      fix_wait (fix, CLK_S);
+      for (guint64 t = 1; t <= 8; t++)
+        fix_progress (fix, t, t == 3 ? generated / 4 : generated / 2, 0);
+    }
+}
+
+static guint64
+preempted (const struct fix *fix)
+{
+  return fix->ctr.v[CTR_PREEMPTED];
+}
+
+static void
+test_preemption (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, TRUE, 200);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  CU_ASSERT_PTR_NOT_NULL (fix_find (&fix, MSG_PREEMPT, 3));
+  fix_release (&fix, 3, MSG_RESULT_CANCELLED);
+  CU_ASSERT_TRUE (fix_granted (&fix, 10));
+  /* One for each ticket, and not all at once. */
+  fix_offer (&fix, 11, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  fix_wait (&fix, 250 * CLK_MS);
+  CU_ASSERT_EQUAL (preempted (&fix), 2);
+  fix_close (&fix);
+}
+
+static void
+test_preemption_keeps_the_share (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, TRUE, 200);
+  for (guint64 t = 10; t < 30; t++)
+    {
+      fix_offer (&fix, t, FIX_URGENT);
+      fix_wait (&fix, 250 * CLK_MS);
+      for (guint64 b = 1; b <= 8; b++)
+        {
+          if (fix_find (&fix, MSG_PREEMPT, b))
+            fix_release (&fix, b, MSG_RESULT_CANCELLED);
+          fix_progress (&fix, b, 0, 0);
+        }
+      for (guint64 u = 10; u <= t; u++)
+        fix_progress (&fix, u, 0, 0);
+    }
+  CU_ASSERT_EQUAL (preempted (&fix), 4);
+  fix_close (&fix);
+}
+
+static void
+test_no_preemption (void)
+{
+  struct fix fix;
+  fill_with_batch (&fix, FALSE, 200);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* cannot be resumed */
+  fix_close (&fix);
+  fill_with_batch (&fix, TRUE, 40000);
+  fix_offer (&fix, 10, FIX_URGENT);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* would throw too much away */
+  fix_close (&fix);
+  fill_with_batch (&fix, TRUE, 200);
+  fix_offer (&fix, 10, FIX_BATCH);
+  fix_offer (&fix, 11, FIX_NORMAL);
+  CU_ASSERT_EQUAL (preempted (&fix), 0); /* has 2 s left */
+  fix_close (&fix);
+}
+
+static void
+test_config_removes_a_server (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 1);
+  fix_start (&fix);
+  offer_many (&fix, 1, 3, FIX_NORMAL);
+  struct cfg less = fix.cfg;
+  guint gone = fix_backend (&fix, 1)[1] == 'a' ? 0 : 1;
+  less.backends = &fix.backends[1 - gone];
+  less.n_backends = 1;
+  cel_set_config (fix.cel, &less);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_FALSE (fix_granted (&fix, 3));
+  cel_set_config (fix.cel, &fix.cfg);
+  CU_ASSERT_STRING_EQUAL (fix_backend (&fix, 3), fix.backends[gone].name.s);
+  fix_close (&fix);
+}
+
+static void
+test_removed_server_counts_its_work (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 2);
+  fix_start (&fix);
+  offer_many (&fix, 1, 3, FIX_NORMAL);
+  struct cfg none = fix.cfg;
+  none.n_backends = 0;
+  cel_set_config (fix.cel, &none);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
+  cel_set_config (fix.cel, &fix.cfg);
+  struct msg_cell_summary summary;
+  cel_summary (fix.cel, &summary);
+  CU_ASSERT_EQUAL (summary.free_slots, 0);
+  fix_close (&fix);
+}
+
+static void
+test_config_removes_a_class (void)
+{
+  struct fix fix;
+  fix_init (&fix, 1, 1);
+  fix_start (&fix);
+  fix_offer (&fix, 1, FIX_BATCH);
+  fix_offer (&fix, 2, FIX_BATCH);
+  fix_offer (&fix, 3, FIX_NORMAL);
+  fix_progress (&fix, 1, 10, 10 * CLK_MS);
+  struct cfg less = fix.cfg;
+  less.n_classes = FIX_BATCH;
+  cel_set_config (fix.cel, &less);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_NO_SERVER);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_N);
+  fix_progress (&fix, 1, 10, 10 * CLK_MS);
+  fix_release (&fix, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fix_granted (&fix, 3));
+  fix_offer (&fix, 4, FIX_BATCH);
+  CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
+  cel_set_config (fix.cel, &fix.cfg);
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -514,6 +799,17 @@
   { "others' load counts while its report is fresh", test_foreign_load },
   { "good reports do not save a straggler", test_straggler_with_good_reports },
   { "a crashed server gets few requests", test_crashed_server },
+  { "a prefix returns to its server", test_prefix_returns },
+  { "a hot prefix spreads", test_hot_prefix_is_bounded },
+  { "a short prefix yields to load", test_short_prefix_yields_to_load },
+  { "a hopeless wait is refused at once", test_hopeless_wait },
+  { "a team's limit is told as the reason", test_team_limit_reason },
+  { "a running request yields to a higher tier", test_preemption },
+  { "preemption keeps the minimum share", test_preemption_keeps_the_share },
+  { "preemption has its limits", test_no_preemption },
+  { "a removed server gets nothing", test_config_removes_a_server },
+  { "a removed server's work counts", test_removed_server_counts_its_work },
+  { "a removed class's tickets are refused", test_config_removes_a_class },
   CU_TEST_INFO_NULL,
 };
 
