Read a missing object rarely

Cause: without a "fleet" object on the platform every instance counts as alone and read it with the backoff of an outage, about three reads each ten seconds; 390 instances would spend some 130 reads a second on nothing. Ruled out: no lone reads while any peer is heard (a failure domain whose two watchers cannot reach the platform would then never start). Change: after "not there", a watcher waits 5 s and more, any other instance 30 s and more; one that becomes a watcher looks within 7.5 s. Conclusion: at the target, 22 watchers and 368 others read a missing object about 16 times a second in place of 129.

--- a/packages/config/cft.c
+++ b/packages/config/cft.c
@@ -134,6 +134,9 @@
 void
 cft_set_watcher (struct cft *cft, gboolean watcher)
 {
+  gint64 soon = clk_now (cft->clk) + CFT_BACKOFF_MAX_US;
+  if (watcher && !cft->watcher)
+    cft->read_backoff.next = MIN (cft->read_backoff.next, soon);
   cft->watcher = watcher;
 }
 
@@ -190,6 +193,16 @@
          && took >= CFT_WATCH_MIN_US;
 }
 
+/* Returns the least time until the next read, microseconds. Where there is no
+   object, all instances count as alone: only the watchers look often.  */
+static gint64
+least_wait (const struct cft *cft, const struct sto_answer *answer)
+{
+  if (answer->code != ERR_NOT_FOUND)
+    return answer->retry_after_us;
+  return cft->watcher ? CFT_BACKOFF_MAX_US : CFT_ABSENT_US;
+}
+
 /* Ends the read under way. An answer without news where there had to be some
    counts as a failure, lest a store that went back is asked in a tight
    loop.  */
@@ -208,7 +221,7 @@
   if (news)
     cft_backoff_reset (&cft->read_backoff);
   else
-    cft_backoff_fail (cft, &cft->read_backoff, answer->retry_after_us);
+    cft_backoff_fail (cft, &cft->read_backoff, least_wait (cft, answer));
 }
 
 /* Takes the platform's answer to the call with TOKEN. Answers to calls that
--- a/packages/config/cft.h
+++ b/packages/config/cft.h
@@ -23,6 +23,7 @@
 #define CFT_LOST_US (2 * CLK_S)           /* behind a time limit: no answer */
 #define CFT_BACKOFF_MIN_US (200 * CLK_MS) /* after the first failure */
 #define CFT_BACKOFF_MAX_US (5 * CLK_S)    /* after many */
+#define CFT_ABSENT_US (30 * CLK_S)        /* after the platform has no object */
 #define CFT_ALONE_US (2 * CLK_S)          /* without a version from peers */
 #define CFT_ASK_US (250 * CLK_MS)         /* between two asks of peers */
 #define CFT_UPDATES_MAX 16                /* in progress at a time */
--- a/tests/unit/test_cft.c
+++ b/tests/unit/test_cft.c
@@ -256,6 +256,37 @@
   cft_free (h.cft);
 }
 
+/* Ten instances of which two watch, with no object on the platform.  */
+static void
+test_a_missing_object_costs_little (void)
+{
+  guint calls[2] = { 0 };
+  for (guint32 seed = 1; seed <= 10; seed++)
+    {
+      struct hand h;
+      gboolean watcher = seed <= 2;
+      hand_init (&h, seed);
+      cft_set_watcher (h.cft, watcher);
+      for (gint64 end = h.clk.t + 60 * CLK_S; h.clk.t < end;)
+        {
+          guint before = h.n_calls;
+          hand_run (&h, CFT_TICK_US);
+          if (h.n_calls > before)
+            hand_answer (&h, ERR_NOT_FOUND, 0, NULL);
+        }
+      calls[watcher] += h.n_calls;
+      guint before = h.n_calls;
+      cft_set_watcher (h.cft, TRUE);
+      hand_run (&h, CFT_BACKOFF_MAX_US * 3 / 2);
+      CU_ASSERT_TRUE (h.n_calls > before);
+      cft_free (h.cft);
+    }
+  g_print ("reads in 60 s without an object: a watcher %.1f, another %.1f\n",
+           calls[TRUE] / 2.0, calls[FALSE] / 8.0);
+  CU_ASSERT_TRUE (calls[TRUE] <= 2 * 13);
+  CU_ASSERT_TRUE (calls[FALSE] <= 8 * 2);
+}
+
 static void
 test_update_accepted (void)
 {
@@ -359,6 +390,7 @@
   { "asks of peers are limited", test_asks_are_limited },
   { "backoff is bounded and spread", test_backoff_spreads },
   { "Retry-After is kept", test_retry_after_is_kept },
+  { "a missing object costs little", test_a_missing_object_costs_little },
   { "an update is accepted once the store has it", test_update_accepted },
   { "a lost answer is settled by reading back", test_lost_answer_is_settled },
   { "an update that fails says what is sure",
