Record keyed requests in the ledger before they are sent

Cause: the entry's side was a stub's client. Ruled out: an intent before the ticket, since a refused ticket would leave a key whose release may be lost; the grant comes first, then the intent.

--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -62,10 +62,19 @@
   soup_server_message_unpause (call->message);
 }
 
-/* The caller is gone: the node cancels the work, then the call ends.  */
+/* The caller is gone: the node cancels the work, then the call ends. A call
+   under an idempotency key that may run already goes on, so that its answer is
+   recorded for the caller's next try.  */
 static void
 caller_gone (struct ent_call *call)
 {
+  if (call->keyed && call->attempt != NULL && !call->finished)
+    {
+      call->orphan = TRUE;
+      stop_watching (call);
+      g_signal_handlers_disconnect_by_data (call->message, call);
+      return;
+    }
   struct nod_event event = { .kind = NOD_CALLER_GONE };
   struct ent *ent = call->ent;
   guint64 id = call->id;
@@ -459,6 +468,11 @@
 {
   call->finished = TRUE;
   drop_attempt (call);
+  if (call->orphan)
+    {
+      g_hash_table_remove (call->ent->calls, &call->id);
+      return;
+    }
   if (call->relaying)
     soup_message_body_complete (
         soup_server_message_get_response_body (call->message));
--- a/packages/entry/ent_int.h
+++ b/packages/entry/ent_int.h
@@ -43,6 +43,7 @@
   struct sse sse;       /* streamed */
   gboolean done_seen;   /* the stream's end mark has arrived */
   gboolean relaying;    /* the answer's head went to the caller */
+  gboolean orphan;      /* the caller is gone, the answer is recorded */
   gboolean finished;    /* the answer is complete */
   GString *text;        /* streamed: the text that the caller has */
   guint32 tokens;       /* that the caller has */
--- a/packages/ledger/lec.c
+++ b/packages/ledger/lec.c
@@ -343,6 +343,21 @@
   return g_hash_table_size (lec->tickets);
 }
 
+guint
+lec_unsettled (const struct lec *lec)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+  g_hash_table_iter_init (&iter, lec->tickets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct ticket *ticket = value;
+      n += ticket->state == TICKET_ENDING || ticket->state == TICKET_FREEING;
+    }
+  return n;
+}
+
 /* Adds one object with the number of tickets by state to JSON.  */
 void
 lec_dump (const struct lec *lec, JsonBuilder *json)
--- a/packages/ledger/lec.h
+++ b/packages/ledger/lec.h
@@ -55,6 +55,8 @@
 void lec_tick (struct lec *lec);
 /* Tickets, also those that are only remembered for a late FRESH. */
 guint lec_open (const struct lec *lec);
+/* Results that are not acknowledged yet. */
+guint lec_unsettled (const struct lec *lec);
 void lec_dump (const struct lec *lec, JsonBuilder *json);
 
 #endif
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -119,6 +119,7 @@
   code = nod_peer_init (nod, options, err);
   if (code < 0)
     goto fail;
+  nod_led_init (nod);
   nod_config_init (nod);
   *result = nod;
   return 0;
@@ -191,7 +192,7 @@
       nod_led_intent (nod, from, &msg->ledger_intent);
       break;
     case MSG_LEDGER_VERDICT:
-      nod_req_verdict (nod, &msg->ledger_verdict);
+      lec_verdict (nod->lec, &msg->ledger_verdict);
       break;
     case MSG_LEDGER_RESULT:
       nod_led_result (nod, from, &msg->ledger_result);
@@ -324,7 +325,8 @@
 gboolean
 nod_ready (const struct nod *nod)
 {
-  return nod->cfg != NULL && !nod->leaving;
+  return nod->cfg != NULL && !nod->leaving
+         && clk_now (nod->clk) >= nod->ready_at;
 }
 
 /* Returns the number of callers' requests in progress.  */
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -32,8 +32,11 @@
       ctr_add (nod->ctr, CTR_CONFIG_STALE, 1);
       return FALSE;
     }
+  if (nod->cfg == NULL)
+    nod->ready_at = clk_now (nod->clk) + NOD_SETTLE_US;
   cfg_unref (nod->cfg);
   nod->cfg = cfg_ref (cfg);
+  nod->summary_at = 0;
   nod_cell_config (nod);
   nod_req_view_changed (nod, NULL);
   struct nod_action action = { .kind = NOD_DO_CONFIG };
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -3,6 +3,7 @@
 #define NOD_INT_H
 
 #include "chart/chr.h"
+#include "ledger/lec.h"
 #include "ledger/led.h"
 #include "node/nod.h"
 
@@ -16,6 +17,8 @@
 #define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
 #define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
+/* After the first configuration, for the summaries of other cells to come. */
+#define NOD_SETTLE_US (1200 * CLK_MS)
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
 #define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
@@ -85,10 +88,8 @@
   guint32 attempt_tokens; /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
-  gboolean recorded;     /* the ledger holds this request's intent */
-  guint64 intent_ticket; /* of the recorded intent */
-  gint64 intent_at;      /* when the intent was sent, microseconds */
-  gboolean crossed;      /* counted against the link's budget */
+  gboolean recorded; /* the ledger holds this request's intent */
+  gboolean crossed;  /* counted against the link's budget */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -162,10 +163,12 @@
   GHashTable *infos;           /* cell name -> struct nod_cell_info * */
   GHashTable *leaving_servers; /* name -> itself; by their own word */
   GHashTable *listed_leaving;  /* name -> itself; by the platform's list */
+  struct lec *lec;             /* this entry's side of the ledger */
   struct nod_led_shard shards[LED_SHARDS];
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
 
+  gint64 ready_at;     /* not ready before, microseconds */
   gint64 heartbeat_at; /* next, microseconds */
   gint64 far_heartbeat_at;
   gint64 progress_at;
@@ -207,7 +210,7 @@
                      const struct msg_refuse *refuse);
 void nod_req_preempt (struct nod *nod, const char *from,
                       const struct msg_preempt *preempt);
-void nod_req_verdict (struct nod *nod,
+void nod_req_verdict (struct nod *nod, guint64 id,
                       const struct msg_ledger_verdict *verdict);
 void nod_req_view_changed (struct nod *nod, const char *lost);
 void nod_req_peer_lost (struct nod *nod, const char *id);
@@ -264,7 +267,7 @@
 void nod_led_answer (struct nod *nod, guint number, guint64 token,
                      const struct sto_answer *answer);
 void nod_led_tick (struct nod *nod);
-const char *nod_led_owner (struct nod *nod, const guint8 *key);
+void nod_led_init (struct nod *nod);
 void nod_led_free (struct nod *nod);
 void nod_led_dump (const struct nod *nod, JsonBuilder *json);
 
--- a/packages/node/nod_led.c
+++ b/packages/node/nod_led.c
@@ -47,8 +47,8 @@
 }
 
 /* Returns the instance that serves the shard of KEY.  */
-const char *
-nod_led_owner (struct nod *nod, const guint8 *key)
+static const char *
+owner_of (const struct nod *nod, const guint8 *key)
 {
   char name[32];
   g_snprintf (name, sizeof name, "ledger/%u", led_shard_of (key));
@@ -56,6 +56,44 @@
   return owner ? owner->id.s : nod->self.s;
 }
 
+static void
+send_intent (void *ctx, const struct msg_ledger_intent *intent)
+{
+  struct msg msg = { .kind = MSG_LEDGER_INTENT };
+  msg.ledger_intent = *intent;
+  nod_send (ctx, owner_of (ctx, intent->key), &msg);
+}
+
+static void
+send_result (void *ctx, const struct msg_ledger_result *result)
+{
+  struct msg msg = { .kind = MSG_LEDGER_RESULT };
+  msg.ledger_result = *result;
+  nod_send (ctx, owner_of (ctx, result->key), &msg);
+}
+
+static void
+on_verdict (void *ctx, guint64 request,
+            const struct msg_ledger_verdict *verdict)
+{
+  nod_req_verdict (ctx, request, verdict);
+}
+
+/* Makes this entry's side of the ledger.  */
+void
+nod_led_init (struct nod *nod)
+{
+  const struct lec_options options = {
+    .clk = nod->clk,
+    .incarnation = nod->incarnation,
+    .intent = send_intent,
+    .result = send_result,
+    .verdict = on_verdict,
+    .ctx = nod,
+  };
+  nod->lec = lec_new (&options);
+}
+
 /* Takes an entry's intent for a shard served here.  */
 void
 nod_led_intent (struct nod *nod, const char *from,
@@ -85,26 +123,33 @@
 void
 nod_led_tick (struct nod *nod)
 {
+  lec_tick (nod->lec);
   for (guint i = 0; i < LED_SHARDS; i++)
     if (nod->shards[i].led != NULL)
       led_tick (nod->shards[i].led);
 }
 
-/* Frees all shards.  */
+/* Frees this entry's side and all shards.  */
 void
 nod_led_free (struct nod *nod)
 {
+  lec_free (nod->lec);
   for (guint i = 0; i < LED_SHARDS; i++)
     g_clear_pointer (&nod->shards[i].led, led_free);
 }
 
-/* Adds the shards served here to JSON as an array.  */
+/* Adds this entry's tickets and the shards served here to JSON.  */
 void
 nod_led_dump (const struct nod *nod, JsonBuilder *json)
 {
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "entry");
+  lec_dump (nod->lec, json);
+  json_builder_set_member_name (json, "shards");
   json_builder_begin_array (json);
   for (guint i = 0; i < LED_SHARDS; i++)
     if (nod->shards[i].led != NULL)
       led_dump (nod->shards[i].led, json);
   json_builder_end_array (json);
+  json_builder_end_object (json);
 }
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -40,7 +40,10 @@
   if (lost != NULL)
     nod_cell_entry_lost (nod, lost);
   if (change->view)
-    nod_req_view_changed (nod, lost);
+    {
+      nod_req_view_changed (nod, lost);
+      nod->summary_at = 0;
+    }
 }
 
 /* Takes a heartbeat of instance FROM.  */
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -4,8 +4,6 @@
 
 #include <string.h>
 
-#define INTENT_WAIT_US (4 * CLK_S) /* for the ledger's verdict */
-
 /* X (REASON, HTTP status) of refusals that end a request */
 #define REFUSAL_STATUSES(X)                                                    \
   X (OVERLOAD, 429)                                                            \
@@ -108,16 +106,19 @@
   g_hash_table_remove (nod->requests, &req->spec.id);
 }
 
-/* Tells the ledger that REQ's recorded call was never sent.  */
+/* Ends REQ's hold on its idempotency key: ANSWER is stored; without one the
+   key is freed if the call was never sent, else its outcome stays unknown.  */
 static void
-free_key (struct nod *nod, const struct nod_req *req)
+end_record (struct nod *nod, struct nod_req *req,
+            const struct msg_ledger_result *answer)
 {
-  struct msg msg = { .kind = MSG_LEDGER_RESULT };
-  msg.ledger_result.incarnation = nod->incarnation;
-  msg.ledger_result.ticket = req->recorded ? req->intent_ticket : req->ticket;
-  memcpy (msg.ledger_result.key, req->spec.key, MSG_KEY_BYTES);
-  msg.ledger_result.did_not_run = TRUE;
-  nod_send (nod, nod_led_owner (nod, req->spec.key), &msg);
+  static const struct msg_ledger_result unsent = { .did_not_run = TRUE };
+  if (!req->recorded)
+    return;
+  req->recorded = FALSE;
+  if (answer == NULL && req->sent_attempts == 0)
+    answer = &unsent;
+  lec_end (nod->lec, req->spec.id, answer);
 }
 
 struct failure
@@ -151,8 +152,7 @@
   action.fail.retry_after_us = failure->retry_after_us;
   err_set (&action.fail.err, ERR_UNAVAILABLE, failure->step, failure->peer,
            "%s", failure->code);
-  if (req->recorded && ran == NOD_RAN_NO)
-    free_key (nod, req);
+  end_record (nod, req, NULL);
   ctr_add (nod->ctr,
            ran == NOD_RAN_NO                      ? CTR_REFUSED
            : failure->code == nod_outcome_unknown ? CTR_OUTCOME_UNKNOWN
@@ -315,8 +315,9 @@
   if (req == NULL)
     return;
   let_go (nod, req);
-  if (req->recorded && req->sent_attempts == 0)
-    free_key (nod, req);
+  if (req->state == REQ_RECORDING)
+    lec_withdraw (nod->lec, id);
+  end_record (nod, req, NULL);
   step (nod, req, REQ_EV_CALLER_GONE);
   ctr_add (nod->ctr, CTR_CALLER_GONE, 1);
   ctr_add (nod->ctr, CTR_TOKENS_WASTED, req->generated);
@@ -346,18 +347,6 @@
   nod->act (nod->ctx, &action);
 }
 
-static void
-send_intent (struct nod *nod, struct nod_req *req)
-{
-  struct msg msg = { .kind = MSG_LEDGER_INTENT };
-  msg.ledger_intent.incarnation = nod->incarnation;
-  msg.ledger_intent.ticket = req->ticket;
-  memcpy (msg.ledger_intent.key, req->spec.key, MSG_KEY_BYTES);
-  memcpy (msg.ledger_intent.body, req->spec.body, MSG_KEY_BYTES);
-  req->intent_at = clk_now (nod->clk);
-  nod_send (nod, nod_led_owner (nod, req->spec.key), &msg);
-}
-
 /* Whether a grant may be used: a late one may name a server that has begun to
    leave since. It is at most as old as the entry's own clock time that the
    owner sends back with it.  */
@@ -390,7 +379,7 @@
   if (req->spec.keyed && !req->recorded)
     {
       if (step (nod, req, REQ_EV_GRANT_KEYED))
-        send_intent (nod, req);
+        lec_ask (nod->lec, req->spec.id, req->spec.key, req->spec.body);
     }
   else if (step (nod, req, REQ_EV_GRANT))
     open_attempt (nod, req);
@@ -468,22 +457,19 @@
   ctr_add (nod->ctr, CTR_TOKENS, count);
 }
 
+/* An answer that is too large is recorded without its content.  */
 static void
-record_answer (struct nod *nod, const struct nod_req *req,
+record_answer (struct nod *nod, struct nod_req *req,
                const struct nod_attempt_end *end)
 {
-  struct msg msg = { .kind = MSG_LEDGER_RESULT };
-  struct msg_ledger_result *result = &msg.ledger_result;
-  result->incarnation = nod->incarnation;
-  result->ticket = req->intent_ticket;
-  memcpy (result->key, req->spec.key, MSG_KEY_BYTES);
+  struct msg_ledger_result result = { 0 };
   if (end->answer.n <= MSG_ANSWER_MAX)
     {
-      result->status = end->status;
-      result->content_type = end->content_type;
-      result->answer = end->answer;
+      result.status = end->status;
+      result.content_type = end->content_type;
+      result.answer = end->answer;
     }
-  nod_send (nod, nod_led_owner (nod, req->spec.key), &msg);
+  end_record (nod, req, &result);
 }
 
 static void
@@ -493,8 +479,7 @@
   struct nod_action action = { .kind = NOD_DO_FINISH };
   if (!step (nod, req, REQ_EV_COMPLETE))
     return;
-  if (req->recorded)
-    record_answer (nod, req, end);
+  record_answer (nod, req, end);
   ctr_add (nod->ctr, CTR_ANSWERED, 1);
   action.finish = req->spec.id;
   nod->act (nod->ctx, &action);
@@ -648,19 +633,18 @@
   forget (nod, req);
 }
 
-/* The ledger's word on a keyed request. Only the first FRESH for the ticket
-   that waits for it starts an attempt.  */
+/* The ledger's word on request ID, which comes once. Only FRESH starts an
+   attempt.  */
 void
-nod_req_verdict (struct nod *nod, const struct msg_ledger_verdict *verdict)
+nod_req_verdict (struct nod *nod, guint64 id,
+                 const struct msg_ledger_verdict *verdict)
 {
-  struct nod_req *req = g_hash_table_lookup (nod->tickets, &verdict->ticket);
-  if (req == NULL || req->state != REQ_RECORDING
-      || verdict->incarnation != nod->incarnation)
+  struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
+  if (req == NULL || req->state != REQ_RECORDING)
     return;
   if (verdict->verdict == MSG_VERDICT_FRESH)
     {
       req->recorded = TRUE;
-      req->intent_ticket = req->ticket;
       if (step (nod, req, REQ_EV_FRESH))
         open_attempt (nod, req);
       return;
@@ -738,14 +722,7 @@
 static void
 expire (struct nod *nod, struct nod_req *req, gint64 now)
 {
-  if (req->state == REQ_RECORDING && now - req->intent_at > INTENT_WAIT_US)
-    {
-      /* Never sent after this, so the key may be freed. */
-      send_withdraw (nod, req->owner.s, req->ticket);
-      free_key (nod, req);
-      refuse_for (nod, req, MSG_REASON_LEDGER_AWAY, CLK_S, nod->self.s);
-    }
-  else if (req->state == REQ_WAITING && now >= req->deadline)
+  if (req->state == REQ_WAITING && now >= req->deadline)
     {
       send_withdraw (nod, req->owner.s, req->ticket);
       refuse_for (nod, req, MSG_REASON_DEADLINE, CLK_S, nod->self.s);
