Test callers, well behaved and not, through real processes

Change: tests/proc/test_callers: whole answers, ten kinds of bad request, sizes, a slow sender, a hang-up in mid-stream. A caller that reads nothing is not tested yet.

--- /dev/null
+++ b/tests/proc/test_callers.c
@@ -0,0 +1,276 @@
+/* Callers, well behaved and not, through real processes: each has its answer
+   or a clean end and a counter, and the engine's work is cancelled.  */
+#include "harness/dep.h"
+#include "unit/unit.h"
+
+#include <string.h>
+
+static const char *const slow_steps[] = { "--base-us", "20000", NULL };
+
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 2, 1, 1 },
+    { "kgn-2", "kgn", 1, 1, 0 },
+  },
+  .engine_args = slow_steps,
+  .limits = "shutdown_grace_ms=300\nmax_body_bytes=65536\n"
+            "max_header_bytes=4096\nheader_timeout_ms=600\n"
+            "caller_stall_ms=600\n",
+};
+
+static struct har *har;
+static struct dep *dep;
+
+static int
+start (void)
+{
+  har = har_new ();
+  dep = dep_start (har, &options);
+  return dep == NULL;
+}
+
+static int
+stop (void)
+{
+  dep_free (dep);
+  har_free (har);
+  return 0;
+}
+
+struct counter
+{
+  guint entry;
+  const char *name;
+  gint64 at_least;
+};
+
+static gboolean
+has_counted (void *ctx)
+{
+  const struct counter *c = ctx;
+  return dep_counter (dep, c->entry, c->name) >= c->at_least;
+}
+
+static gboolean
+counts (guint entry, const char *name, gint64 at_least)
+{
+  struct counter c = { entry, name, at_least };
+  return har_wait_until (has_counted, &c, HAR_DEADLINE_MS);
+}
+
+static gint64
+cancelled_on_engines (void)
+{
+  gint64 n = 0;
+  for (guint i = 0; i < dep->n_engines; i++)
+    n += har_get_int (dep->engines[i].proc->port, "/counts", "cancelled");
+  return n;
+}
+
+static gboolean
+has_cancelled (void *ctx)
+{
+  return cancelled_on_engines () >= *(gint64 *)ctx;
+}
+
+static void
+test_answers_are_whole (void)
+{
+  for (guint i = 0; i < dep->n_entries; i++)
+    for (guint streamed = 0; streamed < 2; streamed++)
+      {
+        char *prompt = g_strdup_printf ("report %u %u [len=15]", i, streamed);
+        struct har_reply *reply = dep_chat (dep, i, NULL, prompt, streamed);
+        char *text = har_answer_text (reply->body->str);
+        char *expected = har_expected_text (prompt, 0);
+        CU_ASSERT_EQUAL (reply->status, 200);
+        CU_ASSERT_TRUE (reply->complete);
+        CU_ASSERT_TRUE (g_strcmp0 (text, expected) == 0);
+        g_free (expected);
+        g_free (text);
+        har_reply_free (reply);
+        g_free (prompt);
+      }
+}
+
+static guint
+status_of (const char *method, const char *path, const char *key,
+           const char *class_name, const char *body, char **code)
+{
+  char *bearer = g_strconcat ("Bearer ", key, NULL);
+  const char *const headers[]
+      = { "Authorization", bearer, "Jacinthward-Class", class_name, NULL };
+  const struct har_call call = { .method = method,
+                                 .port = dep->entries[0].proc->http_port,
+                                 .path = path,
+                                 .headers = headers,
+                                 .body = body };
+  struct har_reply *reply = har_call (&call);
+  guint status = reply->status;
+  *code = dep_error (reply, "code");
+  char *ran = dep_error (reply, "ran");
+  CU_ASSERT_TRUE (g_strcmp0 (ran, "no") == 0);
+  g_free (ran);
+  har_reply_free (reply);
+  g_free (bearer);
+  return status;
+}
+
+static void
+test_bad_requests_are_refused (void)
+{
+  static const struct
+  {
+    const char *path;
+    const char *key;
+    const char *class_name;
+    const char *body;
+    guint status;
+    const char *code;
+  } cases[] = {
+    { "/v1/chat/completions", DEP_TEAM_KEY, "urgent", "{\"model\":", 400,
+      "bad_request" },
+    { "/v1/chat/completions", DEP_TEAM_KEY, "urgent", "[1,2]", 400,
+      "bad_request" },
+    { "/v1/chat/completions", DEP_TEAM_KEY, "urgent", "\xff\xfe{}", 400,
+      "bad_request" },
+    { "/v1/chat/completions", DEP_TEAM_KEY, "urgent",
+      "{\"model\":\"assistant\",\"messages\":[]}", 400, "bad_request" },
+    { "/v1/completions", DEP_TEAM_KEY, "urgent",
+      "{\"model\":\"assistant\",\"prompt\":\"x\",\"max_tokens\":-1}", 400,
+      "bad_request" },
+    { "/v1/completions", DEP_TEAM_KEY, "urgent",
+      "{\"model\":\"no-such\",\"prompt\":\"x\"}", 404, "unknown_model" },
+    { "/v1/completions", "other-key", "urgent",
+      "{\"model\":\"assistant\",\"prompt\":\"x\"}", 401, "bad_key" },
+    { "/v1/completions", DEP_TEAM_KEY, "no-such",
+      "{\"model\":\"assistant\",\"prompt\":\"x\"}", 403, "class_not_allowed" },
+    { "/v1/nothing", DEP_TEAM_KEY, "urgent", "{}", 404, "unknown_path" },
+    { "/services/no-such/x", DEP_TEAM_KEY, "urgent", "{}", 404,
+      "unknown_service" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *code;
+      CU_ASSERT_EQUAL (status_of ("POST", cases[i].path, cases[i].key,
+                                  cases[i].class_name, cases[i].body, &code),
+                       cases[i].status);
+      CU_ASSERT_TRUE (g_strcmp0 (code, cases[i].code) == 0);
+      g_free (code);
+    }
+  CU_ASSERT_TRUE (counts (0, "bad_key", 1));
+  CU_ASSERT_TRUE (counts (0, "bad_request", 8));
+}
+
+static void
+test_sizes_are_bounded (void)
+{
+  char *code;
+  char *body = g_strnfill (70000, 'x');
+  CU_ASSERT_EQUAL (status_of ("POST", "/v1/completions", DEP_TEAM_KEY,
+                              "urgent", body, &code),
+                   413);
+  g_free (code);
+  g_free (body);
+  char *name = g_strnfill (5000, 'x');
+  CU_ASSERT_EQUAL (status_of ("POST", "/v1/completions", DEP_TEAM_KEY, name,
+                              "{}", &code),
+                   431);
+  g_free (code);
+  g_free (name);
+  CU_ASSERT_TRUE (counts (0, "too_large", 2));
+}
+
+/* A connection that speaks for itself.  */
+static GSocketConnection *
+connect_raw (guint entry)
+{
+  GSocketClient *client = g_socket_client_new ();
+  GSocketConnection *connection = g_socket_client_connect_to_host (
+      client, "127.0.0.1", (guint16)dep->entries[entry].proc->http_port, NULL,
+      NULL);
+  g_object_unref (client);
+  return connection;
+}
+
+static void
+send_raw (GSocketConnection *connection, const char *text)
+{
+  GOutputStream *out
+      = g_io_stream_get_output_stream (G_IO_STREAM (connection));
+  g_output_stream_write_all (out, text, strlen (text), NULL, NULL, NULL);
+}
+
+static void
+test_slow_sender_is_cut (void)
+{
+  gint64 before = dep_counter (dep, 0, "caller_slow");
+  GSocketConnection *connection = connect_raw (0);
+  GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (connection));
+  char byte;
+  send_raw (connection, "POST /v1/completions HTTP/1.1\r\nHos");
+  CU_ASSERT_TRUE (g_input_stream_read (in, &byte, 1, NULL, NULL) <= 0);
+  CU_ASSERT_TRUE (counts (0, "caller_slow", before + 1));
+  g_object_unref (connection);
+}
+
+static char *
+raw_stream_request (guint tokens, guint filler)
+{
+  char *padding = g_strnfill (filler, 'p');
+  char *body = g_strdup_printf ("{\"model\":\"assistant\",\"stream\":true,"
+                                "\"prompt\":\"go [len=%u] %s\"}",
+                                tokens, padding);
+  char *text = g_strdup_printf ("POST /v1/completions HTTP/1.1\r\n"
+                                "Host: x\r\nAuthorization: %s\r\n"
+                                "Content-Length: %" G_GSIZE_FORMAT
+                                "\r\n\r\n%s",
+                                DEP_TEAM_BEARER, strlen (body), body);
+  g_free (padding);
+  g_free (body);
+  return text;
+}
+
+static void
+test_hang_up_cancels_the_engine (void)
+{
+  gint64 goal = cancelled_on_engines () + 1;
+  GSocketConnection *connection = connect_raw (0);
+  GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (connection));
+  char *request = raw_stream_request (2000, 0);
+  char buffer[512];
+  send_raw (connection, request);
+  CU_ASSERT_TRUE (
+      g_input_stream_read (in, buffer, sizeof buffer, NULL, NULL) > 0);
+  g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
+  CU_ASSERT_TRUE (har_wait_until (has_cancelled, &goal, HAR_DEADLINE_MS));
+  CU_ASSERT_TRUE (counts (0, "caller_gone", 1));
+  g_object_unref (connection);
+  g_free (request);
+}
+
+static void
+test_the_process_goes_on (void)
+{
+  struct har_reply *reply = dep_chat (dep, 0, NULL, "still? [len=3]", TRUE);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_TRUE (reply->complete);
+  har_reply_free (reply);
+}
+
+static CU_TestInfo tests[] = {
+  { "answers through each instance are whole", test_answers_are_whole },
+  { "bad requests are refused with a code", test_bad_requests_are_refused },
+  { "headers and bodies are bounded", test_sizes_are_bounded },
+  { "a slow sender is cut", test_slow_sender_is_cut },
+  { "a hang-up cancels the engine's work", test_hang_up_cancels_the_engine },
+  { "the process goes on", test_the_process_goes_on },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "callers", start, stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
