--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -40,7 +40,10 @@
   if (lost != NULL)
     nod_cell_entry_lost (nod, lost);
   if (change->view)
-    nod_req_view_changed (nod, lost);
+    {
+      nod_req_view_changed (nod, lost);
+      nod->summary_at = 0;
+    }
 }
 
 /* Takes a heartbeat of instance FROM.  */
@@ -75,7 +78,6 @@
 {
   struct msg msg = { .kind = MSG_HEARTBEAT };
   mem_fill_heartbeat (nod->mem, &msg.heartbeat);
-  nod_config_fill (nod, &msg.heartbeat);
   nod_send (nod, id, &msg);
 }
 
