Name the instance in the administration API's errors; parse random texts

Cause: a run of examples/authority as it stands (7 instances, the platform's stand-in) showed errors with an empty peer, so that an operator with several instances could not tell which one had refused. The parser had been tested with chosen mistakes only. Ruled out: filling the peer in jacinthctl (other clients would still lack it). Change: errors of checks and edits carry the instance's id. A seeded test changes, cuts and repeats parts of a valid object 3000 times: the outcome is a configuration or at least one problem, and an edit of a valid one is valid.

--- a/packages/admin/adm_change.c
+++ b/packages/admin/adm_change.c
@@ -88,11 +88,11 @@
 }
 
 static void
-reply_problems (SoupServerMessage *message, const GPtrArray *problems)
+reply_problems (const struct adm_request *request, const GPtrArray *problems)
 {
   struct err err = { 0 };
   g_autoptr (JsonBuilder) json = json_builder_new ();
-  err_set (&err, ERR_INVALID, "config.check", NULL,
+  err_set (&err, ERR_INVALID, "config.check", request->adm->options.self,
            "the configuration has %u problems; nothing was changed",
            problems->len);
   json_builder_begin_object (json);
@@ -103,7 +103,7 @@
     json_builder_add_string_value (json, problems->pdata[i]);
   json_builder_end_array (json);
   json_builder_end_object (json);
-  adm_reply_json (message, SOUP_STATUS_UNPROCESSABLE_ENTITY, json);
+  adm_reply_json (request->message, SOUP_STATUS_UNPROCESSABLE_ENTITY, json);
 }
 
 /* Adds every problem of BODY, also one that only matters here: an object
@@ -154,7 +154,7 @@
              "operator %s, %s, from version %" G_GUINT64_FORMAT ", %u problems",
              request->operator_name, what, expected, problems->len);
   if (problems->len > 0)
-    reply_problems (request->message, problems);
+    reply_problems (request, problems);
   else
     start_change (request, expected, body);
 }
@@ -188,7 +188,7 @@
   guint64 expected;
   if (!read_if_match (request->message, &expected))
     {
-      err_set (&err, ERR_INVALID, "admin.request", NULL,
+      err_set (&err, ERR_INVALID, "admin.request", request->adm->options.self,
                "the header If-Match: \"VERSION\" is missing");
       adm_reply_error (request->message, 428, "version_missing", &err);
       return;
@@ -214,7 +214,7 @@
    If-Match must name if there is one; NULL with ERR set answers 404.  */
 static void
 change_edited (const struct adm_request *request, GBytes *edited,
-               const char *what, const struct err *err)
+               const char *what, struct err *err)
 {
   guint64 version = request->cfg->version;
   guint64 expected = version;
@@ -222,8 +222,11 @@
   if (expected != version)
     reply_not_in_force (request, expected);
   else if (edited == NULL)
-    adm_reply_error (request->message, SOUP_STATUS_NOT_FOUND, "unknown_name",
-                     err);
+    {
+      g_strlcpy (err->peer, request->adm->options.self, sizeof err->peer);
+      adm_reply_error (request->message, SOUP_STATUS_NOT_FOUND, "unknown_name",
+                       err);
+    }
   else
     change_config (request, version, edited, what);
 }
@@ -253,7 +256,7 @@
   g_autofree char *preset = read_preset (request->message);
   if (preset == NULL)
     {
-      err_set (&err, ERR_INVALID, "admin.request", NULL,
+      err_set (&err, ERR_INVALID, "admin.request", request->adm->options.self,
                "expected {\"preset\": NAME}");
       adm_reply_error (request->message, SOUP_STATUS_BAD_REQUEST, "bad_request",
                        &err);
--- a/tests/unit/test_cfg.c
+++ b/tests/unit/test_cfg.c
@@ -361,6 +361,59 @@
   CU_ASSERT_PTR_NULL (cfg_with_drain (body, "e9", TRUE, &err));
 }
 
+/* An edit of a VALID object is valid and in force.  */
+static void
+check_edit (GBytes *body, gboolean is_valid)
+{
+  GBytes *edited = cfg_with_preset (body, "peak", NULL);
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = edited ? cfg_parse (edited, 2, problems) : NULL;
+  if (is_valid)
+    CU_ASSERT_TRUE (cfg != NULL && strcmp (cfg->preset.s, "peak") == 0);
+  cfg_unref (cfg);
+  if (edited != NULL)
+    g_bytes_unref (edited);
+}
+
+/* Changes bytes, cuts and repeats parts of a valid text at random: the outcome
+   is a configuration or at least one problem, also of an edit.  */
+static void
+test_random_texts (void)
+{
+  enum
+  {
+    ROUNDS = 3000
+  };
+  static const char bytes[] = "[]=:;.#\n \t\r09az\0\xff";
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  guint valid_ones = 0;
+  for (guint round = 0; round < ROUNDS; round++)
+    {
+      GString *text = g_string_new (valid);
+      for (gint changes = g_rand_int_range (rand, 0, 6); changes > 0; changes--)
+        {
+          gint at = g_rand_int_range (rand, 0, (gint32)text->len);
+          gint byte = g_rand_int_range (rand, 0, sizeof bytes - 1);
+          if (g_rand_boolean (rand))
+            text->str[at] = bytes[byte];
+          else if (g_rand_boolean (rand))
+            g_string_erase (text, at, MIN (5, (gssize)text->len - at));
+          else
+            g_string_insert_len (text, at, valid, byte * 10);
+        }
+      g_autoptr (GBytes) body = g_bytes_new (text->str, text->len);
+      g_autoptr (GPtrArray) problems = new_problems ();
+      struct cfg *cfg = cfg_parse (body, 1, problems);
+      CU_ASSERT_EQUAL (cfg == NULL, problems->len > 0);
+      valid_ones += cfg != NULL;
+      check_edit (body, cfg != NULL);
+      cfg_unref (cfg);
+      g_string_free (text, TRUE);
+    }
+  CU_ASSERT_TRUE (valid_ones > ROUNDS / 10);
+  CU_ASSERT_TRUE (valid_ones < ROUNDS);
+}
+
 static CU_TestInfo tests[] = {
   { "the examples are valid", test_examples },
   { "values arrive in their units", test_values },
@@ -372,6 +425,7 @@
   { "all problems come in one go", test_all_problems_in_one_go },
   { "secrets stay out of problems", test_secrets_stay_out_of_problems },
   { "limits are kept", test_limits },
+  { "random texts are parsed or refused", test_random_texts },
   { "edits keep the rest of the text", test_edits_keep_the_rest },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit/test_ctl.c
+++ b/tests/unit/test_ctl.c
@@ -114,6 +114,8 @@
   CU_ASSERT_EQUAL (fake.expected, 5);
   CU_ASSERT_EQUAL (fake.n_updates, 2);
   expect (&fake, "config apply -", bad, 1, "", "group [zone:b]");
+  expect (&fake, "config apply -", bad, 1, "",
+          "step config.check, peer kgn-1-a");
   expect (&fake, "--json config apply -", bad, 1, "\"problems\":[", "");
   CU_ASSERT_EQUAL (fake.n_updates, 2);
   expect (&fake, "config apply /nonexistent", NULL, 2, "", "/nonexistent");
@@ -128,7 +130,8 @@
   expect (&fake, "preset use peak", NULL, 0, "accepted: version 8", "");
   expect (&fake, "drain kgn-1-engine-1", NULL, 0, "accepted: version 8", "");
   expect (&fake, "undrain kgn-1-engine-1", NULL, 0, "accepted: version 8", "");
-  expect (&fake, "preset use night", NULL, 1, "", "preset:night");
+  expect (&fake, "preset use night", NULL, 1, "",
+          "[preset:night] (unknown_name; step config.edit, peer kgn-1-a)");
   expect (&fake, "drain a/b", NULL, 1, "", "");
   CU_ASSERT_EQUAL (fake.n_updates, 3);
   fake.result.outcome = CFT_CONFLICT;
