Do not eject servers for longer prompts

Ruled out: the time between tokens, which stayed within its factor. Change: the excess must also be 500 ms; a straggler is seen by its tokens.

--- a/packages/policy/hea.c
+++ b/packages/policy/hea.c
@@ -7,7 +7,9 @@
 #define HEA_PROBE_SAMPLES_MIN 4 /* the same while probing */
 #define HEA_TBT_FACTOR 2.0      /* times the peers' median */
 #define HEA_TTFT_FACTOR 3.0     /* times the peers' median */
-#define HEA_LOAD_FACTOR 1.5     /* times the peers' requests in flight */
+#define HEA_TTFT_EXCESS_US                                                     \
+  500000.0                  /* above the peers' median; prompts differ */
+#define HEA_LOAD_FACTOR 1.5 /* times the peers' requests in flight */
 #define HEA_ERROR_SHARE 0.5
 #define HEA_FAILED_ROW 3      /* failures in a row while peers are well */
 #define HEA_UNREACHABLE_ROW 5 /* of these, whatever the peers do */
@@ -116,17 +118,19 @@
   return hea->state == HEA_OK ? HEA_SAMPLES_MIN : HEA_PROBE_SAMPLES_MIN;
 }
 
-/* Tells whether the mean at OFFSET is beyond FACTOR times the peers'.  */
+/* Tells whether the mean at OFFSET is beyond FACTOR times the peers' and
+   EXCESS above it.  */
 static gboolean
 is_beyond (struct hea *const *peers, guint n, const struct hea *hea,
-           gsize offset, double factor)
+           gsize offset, double factor, double excess)
 {
   const struct hea_mean *mean
       = (const struct hea_mean *)((const char *)hea + offset);
   if (mean->n < samples_min (hea))
     return FALSE;
   double median = peer_median (peers, n, hea, offset, HEA_SAMPLES_MIN);
-  return median > 0 && mean->value > factor * median;
+  return median > 0 && mean->value > factor * median
+         && mean->value > median + excess;
 }
 
 /* Slow for its load: a server with more in flight than its peers is allowed
@@ -136,12 +140,12 @@
 {
   if (hea->in_flight.n > 0
       && is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, in_flight),
-                    HEA_LOAD_FACTOR))
+                    HEA_LOAD_FACTOR, 0))
     return FALSE;
   return is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, tbt),
-                    HEA_TBT_FACTOR)
+                    HEA_TBT_FACTOR, 0)
          || is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, ttft),
-                       HEA_TTFT_FACTOR);
+                       HEA_TTFT_FACTOR, HEA_TTFT_EXCESS_US);
 }
 
 /* Fails while its peers do not; unreachable counts whatever they do.  */
