Judge the need for preemption by the whole queue

Change: need and saving count the queue of the tier and above; the saving counts at most 4 tickets; one preemption in 100 ms, a look every 10 ms. Trials with each condition off fail as before; the test of the need now waits two ticks, as looks are paced.

--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -40,8 +40,9 @@
   struct aff *aff;
   struct hea_mean prefill; /* microseconds per prompt token */
   struct rte rate;
-  gint64 preempted;     /* clock time of the last preemption */
-  GSequence *deadlines; /* of waiting struct tkt, the next due first */
+  gint64 preempted;       /* clock time of the last preemption */
+  gint64 preempt_checked; /* clock time of the last look for one */
+  GSequence *deadlines;   /* of waiting struct tkt, the next due first */
   struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
 
--- a/packages/cell/cel_preempt.c
+++ b/packages/cell/cel_preempt.c
@@ -2,8 +2,10 @@
    would otherwise miss its target for the first token.  */
 #include "cell/cel_int.h"
 
-#define CEL_PREEMPT_GAP_US (200 * CLK_MS)  /* between preemptions */
-#define CEL_PREEMPT_RUN_US CLK_S           /* a victim ran at least so long */
+#define CEL_PREEMPT_GAP_US (100 * CLK_MS)  /* between preemptions */
+#define CEL_PREEMPT_CHECK_US (10 * CLK_MS) /* between looks for one */
+#define CEL_PREEMPT_SAVED_MAX 4  /* tickets whose saved waiting counts */
+#define CEL_PREEMPT_RUN_US CLK_S /* a victim ran at least so long */
 #define CEL_PREEMPT_TAKES_US (50 * CLK_MS) /* until the slot is free */
 #define CEL_SLOT_WAIT_US (500 * CLK_MS)    /* for a slot, if no rate is known */
 
@@ -14,12 +16,43 @@
   return !tkt->rescued;
 }
 
-/* Estimate of the time until some slot is free without preemption.  */
-static gint64
-slot_wait (const struct cel *cel)
+/* Estimate of the time between two slots that come free.  */
+static double
+slot_interval (const struct cel *cel)
 {
   double rate = rte_drain_per_s (&cel->rate);
-  return rate > 0 ? (gint64)(CLK_S / rate) : CEL_SLOT_WAIT_US;
+  return rate > 0 ? CLK_S / rate : CEL_SLOT_WAIT_US;
+}
+
+/* Returns the tickets that wait for a slot in the tier of CLS and above.  */
+static guint
+queue_of (const struct cel *cel, const struct cls *cls)
+{
+  guint n = 0;
+  for (guint i = 0; i < cel->classes->len; i++)
+    {
+      const struct cls *other = cel->classes->pdata[i];
+      if (other->cfg.tier <= cls->cfg.tier)
+        n += cls_ahead (other, NULL);
+    }
+  return n;
+}
+
+/* Estimate of the time until all that waits in the tier of CLS and above has
+   a slot without preemption.  */
+static gint64
+queue_wait (const struct cel *cel, const struct cls *cls)
+{
+  return (gint64)(queue_of (cel, cls) * slot_interval (cel));
+}
+
+/* Estimate of the waiting that one more slot saves: one interval for each
+   ticket of the queue.  */
+static double
+saving (const struct cel *cel, const struct cls *cls)
+{
+  guint n = MIN (queue_of (cel, cls), CEL_PREEMPT_SAVED_MAX);
+  return n * slot_interval (cel);
 }
 
 /* Tells whether TKT misses its target if it waits and meets it if not.  */
@@ -28,7 +61,8 @@
 {
   gint64 due = tkt->arrived + tkt->cls->cfg.ttft_us;
   gint64 start = clk_now (cel->clk) + (gint64)cel_prefill_us (cel, tkt);
-  return start + slot_wait (cel) > due && start + CEL_PREEMPT_TAKES_US <= due;
+  return start + queue_wait (cel, tkt->cls) > due
+         && start + CEL_PREEMPT_TAKES_US <= due;
 }
 
 /* Returns the next ticket of the highest tier that needs a rescue.  */
@@ -74,7 +108,7 @@
          && tkt->cls && tkt->cls->cfg.tier > needy->cls->cfg.tier
          && clk_now (cel->clk) - tkt->granted >= CEL_PREEMPT_RUN_US
          && can_spare (tkt->cls, running)
-         && cel_prefill_us (cel, tkt) < (double)slot_wait (cel);
+         && cel_prefill_us (cel, tkt) < saving (cel, needy->cls);
 }
 
 /* Tells whether A is the better victim: of a lower tier, then with less work
@@ -125,8 +159,10 @@
 cel_preempt (struct cel *cel)
 {
   gint64 now = clk_now (cel->clk);
-  if (!cel->rate.busy || now - cel->preempted < CEL_PREEMPT_GAP_US)
+  if (!cel->rate.busy || now - cel->preempted < CEL_PREEMPT_GAP_US
+      || now - cel->preempt_checked < CEL_PREEMPT_CHECK_US)
     return;
+  cel->preempt_checked = now;
   struct tkt *needy = find_needy (cel);
   struct tkt *victim = needy ? find_victim (cel, needy) : NULL;
   if (!victim)
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -702,15 +702,18 @@
   struct fix fix;
   fill_with_batch (&fix, FALSE, 200);
   fix_offer (&fix, 10, FIX_URGENT);
+  fix_wait (&fix, 2 * CEL_TICK_US);
   CU_ASSERT_EQUAL (preempted (&fix), 0); /* cannot be resumed */
   fix_close (&fix);
   fill_with_batch (&fix, TRUE, 40000);
   fix_offer (&fix, 10, FIX_URGENT);
+  fix_wait (&fix, 2 * CEL_TICK_US);
   CU_ASSERT_EQUAL (preempted (&fix), 0); /* would throw too much away */
   fix_close (&fix);
   fill_with_batch (&fix, TRUE, 200);
   fix_offer (&fix, 10, FIX_BATCH);
   fix_offer (&fix, 11, FIX_NORMAL);
+  fix_wait (&fix, 2 * CEL_TICK_US);
   CU_ASSERT_EQUAL (preempted (&fix), 0); /* has 2 s left */
   fix_close (&fix);
 }
