--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -10,7 +10,7 @@
     {
       const struct srv *srv = cel->servers->pdata[i];
       summary->free_slots += srv_free_slots (srv);
-      summary->servers += srv_takes_work (srv) ? 1 : 0;
+      summary->servers += srv_takes_work (srv) && srv->hea.state != HEA_EJECTED;
     }
   summary->starts_per_s = (guint32)(rte_starts_per_s (&cel->rate) + 0.5);
   for (guint i = 0; i < cel->classes->len; i++)
