Do not take others for lost after a pause of the own process

Cause: an instance that wakes from a pause of 1.6 s or more ticks before it has read the heartbeats that wait in its sockets; it held all others for down, owned every cell and dropped their tickets until it had read them. Ruled out: reading all sockets before the tick; the core has no say in the loop's order, and a backlog can take several turns. Change: a gap of MEM_PAUSE_US between ticks is added to the time each instance was heard.

--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -28,6 +28,7 @@
   const struct chr *chart;   /* borrowed */
   GPtrArray *instances;      /* struct mem_instance, owned, by id */
   struct mem_instance *self; /* in instances */
+  gint64 ticked;             /* clock time of the last tick, microseconds */
 };
 
 int
@@ -111,7 +112,7 @@
   enum mem_state state = mem->self->state;
   *mem->self = options->self;
   mem->self->state = state;
-  mem->self->heard = clk_now (mem->clk);
+  mem->self->heard = mem->ticked = clk_now (mem->clk);
   step (mem, mem->self, MEM_EVENT_ALIVE);
   return mem;
 }
@@ -206,6 +207,22 @@
              : MEM_FAR_SUSPECT_US;
 }
 
+/* Time in which this process did not run is no silence of the others: without
+   this, whoever wakes from a pause takes all of them for lost.  */
+static void
+discount_pause (struct mem *mem, gint64 now)
+{
+  gint64 pause = now - mem->ticked;
+  mem->ticked = now;
+  if (pause < MEM_PAUSE_US)
+    return;
+  for (guint i = 0; i < mem->instances->len; i++)
+    {
+      struct mem_instance *at = g_ptr_array_index (mem->instances, i);
+      at->heard = MIN (at->heard + pause, now);
+    }
+}
+
 /* Marks one silent instance down and reports it as lost, and forgets those
    down for MEM_FORGET_US; pointers to these end. Call it until CHANGE says
    that nothing changed.  */
@@ -214,6 +231,7 @@
 {
   gint64 now = clk_now (mem->clk);
   memset (change, 0, sizeof *change);
+  discount_pause (mem, now);
   for (guint i = mem->instances->len; i-- > 0;)
     {
       struct mem_instance *at = g_ptr_array_index (mem->instances, i);
@@ -243,20 +261,14 @@
   step (mem, mem->self, leaving ? MEM_EVENT_LEAVE : MEM_EVENT_ALIVE);
 }
 
-void
-mem_set_versions (struct mem *mem, guint64 config, guint64 fleet)
-{
-  mem->self->config_version = config;
-  mem->self->fleet_version = fleet;
-}
-
 void
 mem_self_address (const struct mem *mem, char address[64])
 {
   g_strlcpy (address, mem->self->address, 64);
 }
 
-/* Fills HEARTBEAT with the own instance and the next sequence number.  */
+/* Fills HEARTBEAT with the own instance and the next sequence number; the
+   caller sets the versions in force.  */
 void
 mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat)
 {
@@ -270,8 +282,6 @@
   heartbeat->region = self->region;
   g_strlcpy (heartbeat->address, self->address, sizeof heartbeat->address);
   heartbeat->leaving = self->leaving;
-  heartbeat->config_version = self->config_version;
-  heartbeat->fleet_version = self->fleet_version;
 }
 
 /* Returns the instance ID, in whatever state, or NULL. Valid until the next
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -11,13 +11,14 @@
 #include "base/str.h"
 #include "msg/msg.h"
 
-#define MEM_HEARTBEAT_US (400 * CLK_MS) /* between heartbeats to a peer */
-#define MEM_SUSPECT_US                                                         \
-  (1600 * CLK_MS) /* silence after which a peer is down                        \
-                   */
-/* Instances of other failure domains are heard of less often. */
+/* Between heartbeats to a peer, and the silence after which it is down; for
+   instances of other failure domains these are longer. */
+#define MEM_HEARTBEAT_US (400 * CLK_MS)
+#define MEM_SUSPECT_US (1600 * CLK_MS)
 #define MEM_FAR_HEARTBEAT_US (1600 * CLK_MS)
 #define MEM_FAR_SUSPECT_US (5 * CLK_S)
+/* Time between ticks from which on this process counts as paused. */
+#define MEM_PAUSE_US MEM_HEARTBEAT_US
 #define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
 #define MEM_INSTANCES_MAX 256       /* of one failure domain */
 #define MEM_TOTAL_MAX 1024          /* of all failure domains */
@@ -79,11 +80,10 @@
 int mem_heartbeat (struct mem *mem, const char *from,
                    const struct msg_heartbeat *heartbeat,
                    struct mem_change *change);
-/* Marks one silent instance down; call until CHANGE says nothing changed. */
+/* Marks one silent instance down; call until CHANGE says nothing changed, and
+   more often than MEM_PAUSE_US. */
 void mem_tick (struct mem *mem, struct mem_change *change);
 void mem_set_leaving (struct mem *mem, gboolean leaving);
-/* Notes the versions in force at the own instance. */
-void mem_set_versions (struct mem *mem, guint64 config, guint64 fleet);
 /* Copies the own address for peers into the 64 bytes of ADDRESS. */
 void mem_self_address (const struct mem *mem, char address[64]);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
