--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -261,14 +261,20 @@
   step (mem, mem->self, leaving ? MEM_EVENT_LEAVE : MEM_EVENT_ALIVE);
 }
 
+void
+mem_set_versions (struct mem *mem, guint64 config, guint64 fleet)
+{
+  mem->self->config_version = config;
+  mem->self->fleet_version = fleet;
+}
+
 void
 mem_self_address (const struct mem *mem, char address[64])
 {
   g_strlcpy (address, mem->self->address, 64);
 }
 
-/* Fills HEARTBEAT with the own instance and the next sequence number; the
-   caller sets the versions in force.  */
+/* Fills HEARTBEAT with the own instance and the next sequence number.  */
 void
 mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat)
 {
@@ -282,6 +288,8 @@
   heartbeat->region = self->region;
   g_strlcpy (heartbeat->address, self->address, sizeof heartbeat->address);
   heartbeat->leaving = self->leaving;
+  heartbeat->config_version = self->config_version;
+  heartbeat->fleet_version = self->fleet_version;
 }
 
 /* Returns the instance ID, in whatever state, or NULL. Valid until the next
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -84,6 +84,8 @@
    more often than MEM_PAUSE_US. */
 void mem_tick (struct mem *mem, struct mem_change *change);
 void mem_set_leaving (struct mem *mem, gboolean leaving);
+/* Notes the versions in force at the own instance. */
+void mem_set_versions (struct mem *mem, guint64 config, guint64 fleet);
 /* Copies the own address for peers into the 64 bytes of ADDRESS. */
 void mem_self_address (const struct mem *mem, char address[64]);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
--- a/packages/wire/wir_codec.c
+++ b/packages/wire/wir_codec.c
@@ -134,6 +134,7 @@
   X (U64, incarnation, 0)                                                      \
   X (U64, ticket, 0)                                                           \
   X (ENUM, verdict, MSG_VERDICT_N)                                             \
+  X (BOOL, of_result, 0)                                                       \
   X (BOOL, unsettled, 0)                                                       \
   X (U32, status, 0)                                                           \
   X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
--- a/tests/unit/test_wir_codec.c
+++ b/tests/unit/test_wir_codec.c
@@ -72,6 +72,7 @@
                                             3,
                                             MSG_VERDICT_DONE,
                                             TRUE,
+                                            TRUE,
                                             200,
                                             { "text/plain", 10 },
                                             { "a\0b", 3 } } },
