Drop addresses that stay out of reach

Cause: replaced instances leave their addresses behind; each was dialled every two seconds for ever, and after WIR_PEERS_MAX of them no new one was dialled. Ruled out: a hang-up by the node when it forgets an instance; addresses learnt from lists and summaries may never have been an instance in its view. Dropping all addresses; after a long partition the settings' peers must still be dialled. Change: wir_options gets keep and give_up_ms (10 minutes); the daemon keeps the settings' peers; the node hands every address it learns to wir_dial, which does nothing for one that it has, so that a dropped one can come back. The dump lists dialled addresses with their failures in a row.

--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -214,6 +214,7 @@
     .key = { key, n },
     .self = settings->id,
     .ctr = &dmn->ctr,
+    .keep = (const char *const *)settings->peers,
     .receive = on_message,
     .up = on_peer_up,
     .lost = on_peer_lost,
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -39,10 +39,8 @@
 {
   char own[64];
   mem_self_address (nod->mem, own);
-  if (address[0] == '\0' || strcmp (address, own) == 0
-      || g_hash_table_contains (nod->dialled, address))
+  if (address[0] == '\0' || strcmp (address, own) == 0)
     return;
-  g_hash_table_add (nod->dialled, g_strdup (address));
   struct nod_action action = { .kind = NOD_DO_DIAL };
   action.dial = address;
   nod->act (nod->ctx, &action);
@@ -100,7 +98,6 @@
   nod->started = clk_now (nod->clk);
   nod->budget_at = nod->started;
   g_queue_init (&nod->local);
-  nod->dialled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   nod->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, nod_req_free);
   nod->tickets = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -143,7 +140,6 @@
   g_hash_table_unref (nod->infos);
   g_hash_table_unref (nod->leaving_servers);
   g_hash_table_unref (nod->listed_leaving);
-  g_hash_table_unref (nod->dialled);
   g_queue_clear_full (&nod->local, (GDestroyNotify)msg_free);
   nod_peer_free (nod);
   chr_free (nod->chart);
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -146,8 +146,7 @@
   struct chr *chart; /* request.chart */
   struct mem *mem;
   struct chr *member_chart;
-  GHashTable *dialled; /* addresses kept connected, char * */
-  GQueue local;        /* struct msg *, from this instance to itself */
+  GQueue local; /* struct msg *, from this instance to itself */
   gboolean leaving;
   gboolean drained; /* told by NOD_DO_DRAINED */
 
--- a/packages/wire/wir.c
+++ b/packages/wire/wir.c
@@ -26,6 +26,7 @@
   GSocketAddress *to;
   struct wir_conn *conn; /* borrowed; NULL while waiting */
   guint failures;        /* in a row */
+  gint64 failing_since;  /* monotonic, microseconds; set while failures > 0 */
   GSource *retry;        /* NULL unless waiting */
 };
 
@@ -194,11 +195,41 @@
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+is_kept (const struct target *target)
+{
+  const char *const *keep = target->wir->options.keep;
+  return keep == NULL || g_strv_contains (keep, target->address);
+}
+
+/* Drops TARGET if it has been out of reach for too long, as are the addresses
+   of instances that were replaced.  */
+static gboolean
+give_up (struct target *target)
+{
+  struct wir *wir = target->wir;
+  gint64 limit = (gint64)wir->options.give_up_ms * G_TIME_SPAN_MILLISECOND;
+  if (target->failures == 0 || is_kept (target)
+      || g_get_monotonic_time () - target->failing_since < limit)
+    return FALSE;
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = "peer.given_up",
+                                  .step = "wire.dial",
+                                  .peer = target->address },
+             "not reached in %u ms", wir->options.give_up_ms);
+  g_hash_table_remove (wir->targets, target->address);
+  return TRUE;
+}
+
 /* Dials again after a delay that doubles with each failure in a row; half of
    it is jitter.  */
 static void
 retry_later (struct target *target, const char *reason)
 {
+  if (give_up (target))
+    return;
+  if (target->failures == 0)
+    target->failing_since = g_get_monotonic_time ();
   guint shift = MIN (target->failures, 5);
   guint delay = MIN (BACKOFF_MIN_MS << shift, BACKOFF_MAX_MS);
   delay = (guint)g_random_int_range ((gint32)delay / 2, (gint32)delay + 1);
@@ -350,6 +381,8 @@
     return err_set (err, ERR_INVALID, "wire.new", "", "bad instance id");
   struct wir *w = g_new0 (struct wir, 1);
   w->options = *options;
+  if (w->options.give_up_ms == 0)
+    w->options.give_up_ms = WIR_GIVE_UP_MS;
   w->key = str_dup (options->key);
   w->conns = g_ptr_array_new_with_free_func (unref_conn);
   w->queued = g_ptr_array_new_with_free_func (unref_conn);
@@ -530,13 +563,35 @@
   json_builder_end_array (json);
 }
 
-/* Adds the peers and connections to JSON as an object.  */
+static void
+dump_targets (const struct wir *wir, JsonBuilder *json)
+{
+  GHashTableIter iter;
+  gpointer value;
+  json_builder_begin_array (json);
+  g_hash_table_iter_init (&iter, wir->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct target *target = value;
+      json_builder_begin_object (json);
+      json_builder_set_member_name (json, "address");
+      json_builder_add_string_value (json, target->address);
+      json_builder_set_member_name (json, "failures");
+      json_builder_add_int_value (json, target->failures);
+      json_builder_end_object (json);
+    }
+  json_builder_end_array (json);
+}
+
+/* Adds the peers, dialled addresses and connections to JSON as an object.  */
 void
 wir_dump (const struct wir *wir, JsonBuilder *json)
 {
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "peers");
   dump_peers (wir, json);
+  json_builder_set_member_name (json, "dialled");
+  dump_targets (wir, json);
   json_builder_set_member_name (json, "connections");
   json_builder_begin_array (json);
   for (guint i = 0; i < wir->conns->len; i++)
--- a/packages/wire/wir.h
+++ b/packages/wire/wir.h
@@ -24,6 +24,7 @@
 #define WIR_QUEUE_MAX (8 * 1024 * 1024) /* bytes waiting for one peer */
 #define WIR_PEERS_MAX 1024
 #define WIR_KEY_MIN 16 /* bytes of the shared key */
+#define WIR_GIVE_UP_MS 600000
 
 /* Appends the frame body of MSG to OUT. */
 void wir_encode (const struct msg *msg, GByteArray *out);
@@ -42,8 +43,11 @@
   const char *listen; /* IP:PORT; port 0: chosen by the kernel */
   struct str key;     /* shared key, copied */
   struct str_id self;
-  struct ctr *ctr;    /* borrowed */
-  guint handshake_ms; /* longest handshake; 0: WIR_HANDSHAKE_MS */
+  struct ctr *ctr;         /* borrowed */
+  guint handshake_ms;      /* longest handshake; 0: WIR_HANDSHAKE_MS */
+  guint give_up_ms;        /* before an address is dropped; 0: WIR_GIVE_UP_MS */
+  const char *const *keep; /* addresses dialled for ever, borrowed,
+                              NULL-terminated; NULL: all */
   /* A whole message from the authenticated instance FROM. */
   void (*receive) (void *ctx, const char *from, const struct msg *msg);
   /* The first connection to instance ID stands; NULL: not told. */
@@ -61,7 +65,8 @@
 void wir_free (struct wir *wir);
 guint wir_port (const struct wir *wir);
 /* Keeps a connection to ADDRESS (IP:PORT) up; its instance's id is learnt in
-   the handshake. Dialling twice does nothing. */
+   the handshake. Dialling twice does nothing. An address that is not in keep
+   and stays unreachable for give_up_ms is dropped until it is dialled again. */
 void wir_dial (struct wir *wir, const char *address);
 void wir_hang_up (struct wir *wir, const char *address);
 /* Queues MSG for instance TO; messages of one loop turn leave in one write.
--- a/tests/unit/test_wir.c
+++ b/tests/unit/test_wir.c
@@ -626,6 +626,46 @@
   close_pair (&a, &b);
 }
 
+static guint
+dialled (const struct end *end)
+{
+  JsonNode *root = dump (end);
+  guint n = json_array_get_length (
+      json_object_get_array_member (json_node_get_object (root), "dialled"));
+  json_node_unref (root);
+  return n;
+}
+
+/* Of two addresses that nobody listens on, only the kept one is dialled for
+   ever; the other may be dialled anew.  */
+static void
+test_give_up (void)
+{
+  const char *const keep[] = { "127.0.0.1:1", NULL };
+  struct end a;
+  struct wir_options options = { .listen = "127.0.0.1:0",
+                                 .key = STR_LIT (KEY),
+                                 .self = { "a" },
+                                 .ctr = &a.ctr,
+                                 .give_up_ms = 1,
+                                 .keep = keep,
+                                 .receive = on_receive,
+                                 .lost = on_lost,
+                                 .ctx = &a };
+  memset (&a, 0, sizeof a);
+  CU_ASSERT_EQUAL_FATAL (wir_new (&options, &a.wir, NULL), 0);
+  dial_port (&a, 1);
+  dial_port (&a, 2);
+  CU_ASSERT_EQUAL (dialled (&a), 2);
+  UNTIL (dialled (&a) == 1);
+  dial_port (&a, 2);
+  CU_ASSERT_EQUAL (dialled (&a), 2);
+  UNTIL (dialled (&a) == 1);
+  dial_port (&a, 1);
+  CU_ASSERT_EQUAL (dialled (&a), 1); /* the kept one is there */
+  wir_free (a.wir);
+}
+
 static CU_TestInfo tests[] = {
   { "a pair exchanges messages and counts them", test_pair },
   { "messages of one turn share a frame", test_turn_is_one_frame },
@@ -643,6 +683,7 @@
   { "a flood of handshakes does not lock out instances", test_flood },
   { "a second instance of the own id is turned away", test_own_id },
   { "the dump lists connections", test_dump },
+  { "an address out of reach is dropped unless kept", test_give_up },
   CU_TEST_INFO_NULL,
 };
 
