--- a/packages/ledger/led.c
+++ b/packages/ledger/led.c
@@ -15,6 +15,7 @@
   struct led_options *o = &led->options;
   *o = *options;
   o->head_max = o->head_max ? o->head_max : LED_HEAD_MAX;
+  o->segment_max = o->segment_max ? o->segment_max : LED_SEGMENT_MAX;
   o->write_gap_us = o->write_gap_us ? o->write_gap_us : LED_WRITE_GAP_US;
   o->run_max_us = o->run_max_us ? o->run_max_us : LED_RUN_MAX_US;
   o->retention_us = o->retention_us ? o->retention_us : LED_RETENTION_US;
--- a/packages/ledger/led.h
+++ b/packages/ledger/led.h
@@ -34,7 +34,8 @@
 
 #define LED_SHARDS 64
 #define LED_SEGMENTS 10000                   /* slots for closed segments */
-#define LED_HEAD_MAX (64 * (gsize)1024)      /* bytes of the head object */
+#define LED_HEAD_MAX (16 * (gsize)1024)      /* bytes of the head object */
+#define LED_SEGMENT_MAX (256 * (gsize)1024)  /* bytes of a segment */
 #define LED_WRITE_GAP_US (150 * CLK_MS)      /* between writes of a shard */
 #define LED_RESULT_WAIT_US (1 * CLK_S)       /* a result waits for company */
 #define LED_INTENT_WAIT_US (2 * CLK_S)       /* then AWAY if not recorded */
@@ -58,6 +59,7 @@
   guint shard; /* 0 to LED_SHARDS - 1 */
   /* Limits; 0: the constant of that name. */
   gsize head_max;
+  gsize segment_max;
   gint64 write_gap_us;
   gint64 run_max_us;
   gint64 retention_us;
--- a/packages/ledger/led_batch.c
+++ b/packages/ledger/led_batch.c
@@ -34,8 +34,7 @@
   enum msg_verdict verdict = MSG_VERDICT_UNKNOWN;
   if (rec && is_mine (item, rec))
     verdict = rec->state == LED_DONE ? MSG_VERDICT_DONE : MSG_VERDICT_AWAY;
-  else if (item->did_not_run
-           && (led->unresolved || led_find_item (led, item, FALSE)))
+  else if (item->did_not_run && led_find_item (led, item, FALSE))
     return FALSE;
   else if (item->did_not_run)
     verdict = MSG_VERDICT_AWAY;
@@ -194,7 +193,6 @@
   led->version = led->min_version = version;
   led->unresolved = FALSE;
   led->slot_ready = FALSE;
-  led->slot_version = 0;
   for (GList *l = led->queue.head; l; l = l->next)
     ((struct led_item *)l->data)->open = FALSE;
 }
@@ -222,8 +220,9 @@
 {
   if (led->slot_ready)
     {
-      led_tab_close_head (led->tab, led->write.time);
+      led_tab_close_head (led->tab, led->slot_seq, led->write.time);
       led_tab_expire (led->tab, led->write.first);
+      led->tab->closes = led->write.closes;
     }
   led->failures = led->conflicts = 0;
   led_version_moved (led, version);
@@ -284,27 +283,29 @@
     }
 }
 
-/* Starts the write of the staged records, or of the next segment if they do
-   not fit into the head.  */
+/* Starts the write of the staged records, or closes the head's records into a
+   segment if there is no room for more.  */
 static void
 commit (struct led *led)
 {
-  const struct led_tab *tab = led->tab;
+  struct led_tab *tab = led->tab;
   guint32 now = led_seconds (led);
   guint32 keep = (guint32)(led->options.retention_us / CLK_S);
-  struct led_obj_writes writes = { led->staged, led->slot_ready };
-  led->write = (struct led_obj_header){ tab->first, tab->next, 0, now };
+  struct led_obj_parts parts = { NULL, !led->slot_ready, led->staged };
+  led->write
+      = (struct led_obj_header){ tab->first, tab->next, tab->closes, now };
   if (led->slot_ready)
     {
       led->write.first = led_tab_expired (tab, now - MIN (now, keep));
-      led->write.next++;
+      led->write.next = led->slot_seq + 1;
+      led->write.closes = led->version;
     }
-  GBytes *value = led_obj_encode (&led->write, tab, &writes);
+  GBytes *value = led_obj_encode (&led->write, tab, &parts);
   if (g_bytes_get_size (value) > led->options.head_max && tab->head->len > 0
       && !led->slot_ready)
     {
       unstage (led);
-      led_write_slot (led);
+      led_close_head (led);
     }
   else
     led_write_head (led, value);
--- a/packages/ledger/led_load.c
+++ b/packages/ledger/led_load.c
@@ -83,80 +83,135 @@
   start (led, LED_WRITE_HEAD, 0, led->version, value);
 }
 
-/* Starts to close the head's records into the next segment: the slot gets the
-   head as it is at led->version.  */
-void
-led_write_slot (struct led *led)
+/* Returns segment SEQ's value: BASE or NULL, and the head's records.  */
+static GBytes *
+slot_value (struct led *led, guint32 seq, const struct led_obj *base)
+{
+  struct led_obj_header header
+      = { seq, seq + 1, led->version, led_seconds (led) };
+  struct led_obj_parts parts = { base, TRUE, NULL };
+  return led_obj_encode (&header, led->tab, &parts);
+}
+
+static void
+write_slot (struct led *led, guint32 seq, guint64 expected, GBytes *value)
+{
+  led->slot_seq = seq;
+  start (led, LED_WRITE_SLOT, seq, expected, value);
+}
+
+/* Writes the head's records as the next segment. EXPECTED is the version of
+   what its slot holds.  */
+static void
+write_new_slot (struct led *led, guint64 expected)
 {
   const struct led_tab *tab = led->tab;
   guint32 keep = (guint32)(led->options.retention_us / CLK_S);
   guint32 now = led_seconds (led);
-  if (tab->next - led_tab_expired (tab, now - MIN (now, keep))
-      >= LED_SEGMENTS - 1)
+  guint32 first = led_tab_expired (tab, now - MIN (now, keep));
+  if (tab->next - first >= LED_SEGMENTS - 1)
     {
       led_fail (led, ERR_LIMIT, 0);
       return;
     }
-  struct led_obj_header header
-      = { tab->next, tab->next + 1, led->version, now };
-  struct led_obj_writes none = { NULL, FALSE };
-  GBytes *value = led_obj_encode (&header, tab, &none);
-  start (led, LED_WRITE_SLOT, tab->next, led->slot_version, value);
+  GBytes *value = slot_value (led, tab->next, NULL);
+  write_slot (led, tab->next, expected, value);
   g_bytes_unref (value);
 }
 
+/* Adds the head's records to the last segment, whose slot holds BASE at
+   VERSION, or starts the next one.  */
 static void
-slot_is_ready (struct led *led)
+extend_slot (struct led *led, const struct led_obj *base, guint64 version)
 {
+  GBytes *value = slot_value (led, led->tab->next - 1, base);
+  if (g_bytes_get_size (value) <= led->options.segment_max)
+    write_slot (led, led->tab->next - 1, version, value);
+  else
+    write_new_slot (led, 0);
+  g_bytes_unref (value);
+}
+
+/* Starts to move the head's records, as they are at led->version, to a
+   segment. The head is written without them once the segment's slot has
+   them.  */
+void
+led_close_head (struct led *led)
+{
+  if (led->tab->next > led->tab->first)
+    start (led, LED_READ_SLOT, led->tab->next - 1, 0, NULL);
+  else
+    write_new_slot (led, 0);
+}
+
+static void
+slot_is_ready (struct led *led, guint32 seq)
+{
+  led->slot_seq = seq;
   led->slot_ready = TRUE;
   led->failures = 0;
   led->last_write = clk_now (led->options.clk) - led->options.write_gap_us;
 }
 
 static void
-slot_written (struct led *led, const struct sto_answer *answer)
+slot_written (struct led *led, guint32 seq, const struct sto_answer *answer)
 {
   if (answer->code == 0)
-    slot_is_ready (led);
+    slot_is_ready (led, seq);
   else if (answer->code == ERR_CONFLICT || answer->code == ERR_NOT_FOUND)
-    start (led, LED_READ_SLOT, led->tab->next, 0, NULL);
+    start (led, LED_READ_SLOT, seq, 0, NULL);
   else
     led_fail (led, answer->code, answer->retry_after_us);
 }
 
-/* Takes what the next segment's slot holds: the segment as it should be, a
-   leftover that may be overwritten, or the sign that the head has moved on.  */
+/* Tells whether HEADER, of what segment SEQ's slot holds, shows that the head
+   has moved on.  */
+static gboolean
+is_newer (const struct led *led, const struct led_obj_header *header,
+          guint32 seq)
+{
+  return header->first > seq
+         || (header->first == seq && header->closes > led->version);
+}
+
+/* Takes what segment SEQ's slot holds, OBJ at VERSION, or NULL if it cannot
+   be read or is not there: the head's records already, or the last segment,
+   or a leftover in the next one's place.  */
 static void
-slot_read (struct led *led, const struct sto_answer *answer)
+take_slot (struct led *led, guint32 seq, const struct led_obj *obj,
+           guint64 version)
 {
-  struct led_obj *obj = NULL;
-  if (answer->code != 0 && answer->code != ERR_NOT_FOUND)
-    {
-      led_fail (led, answer->code, answer->retry_after_us);
-      return;
-    }
-  guint64 version = answer->code == 0 ? answer->version : 0;
-  if (answer->code == 0)
-    led_obj_decode (answer->body, &obj);
   struct led_obj_header header = { 0 };
   if (obj)
     header = *led_obj_header (obj);
-  led_obj_free (obj);
-  if (obj && header.first == led->tab->next && header.closes == led->version)
-    slot_is_ready (led);
-  else if (obj
-           && (header.first > led->tab->next
-               || (header.first == led->tab->next
-                   && header.closes > led->version)))
+  if (obj && header.first == seq && header.closes == led->version)
+    slot_is_ready (led, seq);
+  else if (obj && is_newer (led, &header, seq))
     {
       led->min_version = led->version + 1;
       led->phase = LED_COLD;
     }
+  else if (seq == led->tab->next)
+    write_new_slot (led, version);
+  else if (obj && header.first == seq)
+    extend_slot (led, obj, version);
   else
+    led_fail (led, ERR_PROTOCOL, 0);
+}
+
+static void
+slot_read (struct led *led, guint32 seq, const struct sto_answer *answer)
+{
+  struct led_obj *obj = NULL;
+  if (answer->code != 0 && answer->code != ERR_NOT_FOUND)
     {
-      led->slot_version = version;
-      led_write_slot (led);
+      led_fail (led, answer->code, answer->retry_after_us);
+      return;
     }
+  if (answer->code == 0)
+    led_obj_decode (answer->body, &obj);
+  take_slot (led, seq, obj, answer->code == 0 ? answer->version : 0);
+  led_obj_free (obj);
 }
 
 /* Puts OBJ's record I into memory, as one of the head (KEEP) or of segment
@@ -214,6 +269,16 @@
   led_fail (led, code, retry_after_us);
 }
 
+/* Tells whether HEADER is that of segment SEQ, with all that was closed into
+   it.  */
+static gboolean
+is_segment (const struct led *led, const struct led_obj_header *header,
+            guint32 seq)
+{
+  return header->first == seq
+         && (seq + 1 < led->tab->next || header->closes >= led->tab->closes);
+}
+
 static void
 segment_read (struct led *led, guint32 seq, const struct sto_answer *answer)
 {
@@ -221,7 +286,7 @@
   int code = answer->code;
   if (code == 0)
     code = led_obj_decode (answer->body, &obj);
-  if (code == 0 && led_obj_header (obj)->first != seq)
+  if (code == 0 && !is_segment (led, led_obj_header (obj), seq))
     code = ERR_PROTOCOL;
   if (code != 0)
     load_fail (led, code, answer->retry_after_us);
@@ -241,9 +306,13 @@
 take_head (struct led *led, const struct led_obj *obj, guint64 version)
 {
   const struct led_obj_header *header = led_obj_header (obj);
-  led_tab_clear_head (led->tab);
-  led_tab_expire (led->tab, header->first);
-  led->tab->next = header->next;
+  struct led_tab *tab = led->tab;
+  led_tab_clear_head (tab);
+  led_tab_expire (tab, header->first);
+  if (tab->closes != header->closes && tab->next > 0)
+    led_tab_reopen_segment (tab, tab->next - 1);
+  tab->next = header->next;
+  tab->closes = header->closes;
   for (guint i = 0; i < led_obj_size (obj); i++)
     take_record (led, obj, i, TRUE, 0);
   led_version_moved (led, version);
@@ -372,10 +441,10 @@
         wait_after_conflict (led);
       break;
     case LED_READ_SLOT:
-      slot_read (led, answer);
+      slot_read (led, op->seq, answer);
       break;
     case LED_WRITE_SLOT:
-      slot_written (led, answer);
+      slot_written (led, op->seq, answer);
       break;
     case LED_READ_SEGMENT:
       segment_read (led, op->seq, answer);
--- a/packages/ledger/led_obj.c
+++ b/packages/ledger/led_obj.c
@@ -13,10 +13,10 @@
 /* One encoding: the holders it names, in the order of their first use. */
 struct encoder
 {
-  const struct led_tab *tab;
+  struct led_tab *tab;
   msgpack_packer pk;
-  guint32 *index; /* by the table's number, plus 1; 0: not named */
-  GArray *named;  /* guint32, the table's numbers */
+  GArray *index; /* guint32 by the table's number, plus 1; 0: not named */
+  GArray *named; /* guint32, the table's numbers */
 };
 
 struct led_obj
@@ -46,12 +46,15 @@
 static guint32
 name_holder (struct encoder *e, guint32 holder)
 {
-  if (e->index[holder] == 0)
+  if (holder >= e->index->len)
+    g_array_set_size (e->index, e->tab->holders->len);
+  guint32 *index = &g_array_index (e->index, guint32, holder);
+  if (*index == 0)
     {
       g_array_append_val (e->named, holder);
-      e->index[holder] = e->named->len;
+      *index = e->named->len;
     }
-  return e->index[holder] - 1;
+  return *index - 1;
 }
 
 static void
@@ -87,45 +90,87 @@
     }
 }
 
-/* Returns whether the head's REC stands in the new value as it is.  */
+/* Tells whether a record of the base or the head is replaced by a later
+   part.  */
 static gboolean
-stays (const struct led_obj_writes *writes, const struct led_rec *rec)
+is_replaced (const struct encoder *e, const struct led_obj_parts *parts,
+             const struct led_rec *rec, gboolean of_base)
 {
-  if (!writes->recs)
+  if (parts->writes && g_hash_table_contains (parts->writes, rec))
     return TRUE;
-  return !writes->only && !g_hash_table_contains (writes->recs, rec);
+  if (!of_base || !parts->head)
+    return FALSE;
+  const struct led_rec *newer = led_tab_find (e->tab, rec->key);
+  return newer && newer->seq == LED_IN_HEAD;
 }
 
+/* Adds the record of key REC->key from the base.  */
 static void
-pack_records (struct encoder *e, const struct led_obj_writes *writes)
+pack_base_record (struct encoder *e, struct led_obj_record *record)
+{
+  struct led_rec *rec = &record->rec;
+  rec->holder = led_tab_holder (e->tab, record->holder, record->incarnation);
+  if (rec->state == LED_DONE)
+    rec->kept
+        = led_kept_new (record->status, record->content_type, record->answer);
+  pack_record (e, rec);
+  g_free (rec->kept);
+}
+
+/* Adds the records of the base and of the head that stand, or only counts
+   them. Returns their number.  */
+static guint
+pack_older (struct encoder *e, const struct led_obj_parts *parts,
+            gboolean count_only)
 {
   const GPtrArray *head = e->tab->head;
-  guint n = writes->recs ? g_hash_table_size (writes->recs) : 0;
-  for (guint i = 0; i < head->len; i++)
-    n += stays (writes, g_ptr_array_index (head, i));
-  msgpack_pack_array (&e->pk, n);
-  for (guint i = 0; i < head->len; i++)
-    if (stays (writes, g_ptr_array_index (head, i)))
-      pack_record (e, g_ptr_array_index (head, i));
-  if (!writes->recs)
+  struct led_obj_record record;
+  guint n = 0;
+  for (guint i = 0; parts->base && i < led_obj_size (parts->base); i++)
+    {
+      led_obj_record (parts->base, i, &record);
+      if (is_replaced (e, parts, &record.rec, TRUE))
+        continue;
+      n++;
+      if (!count_only)
+        pack_base_record (e, &record);
+    }
+  for (guint i = 0; parts->head && i < head->len; i++)
+    {
+      if (is_replaced (e, parts, g_ptr_array_index (head, i), FALSE))
+        continue;
+      n++;
+      if (!count_only)
+        pack_record (e, g_ptr_array_index (head, i));
+    }
+  return n;
+}
+
+static void
+pack_records (struct encoder *e, const struct led_obj_parts *parts)
+{
+  guint n = parts->writes ? g_hash_table_size (parts->writes) : 0;
+  msgpack_pack_array (&e->pk, n + pack_older (e, parts, TRUE));
+  pack_older (e, parts, FALSE);
+  if (!parts->writes)
     return;
   GHashTableIter iter;
   gpointer rec;
-  g_hash_table_iter_init (&iter, writes->recs);
+  g_hash_table_iter_init (&iter, parts->writes);
   while (g_hash_table_iter_next (&iter, &rec, NULL))
     pack_record (e, rec);
 }
 
-/* Returns the value made of TAB's head records, replaced and followed by
-   WRITES. The caller unrefs it.  */
+/* Returns the value made of PARTS, which the caller unrefs. TAB may learn
+   holders from the base.  */
 GBytes *
-led_obj_encode (const struct led_obj_header *header, const struct led_tab *tab,
-                const struct led_obj_writes *writes)
+led_obj_encode (const struct led_obj_header *header, struct led_tab *tab,
+                const struct led_obj_parts *parts)
 {
   msgpack_sbuffer buffer = { 0, g_malloc (BUFFER_BYTES), BUFFER_BYTES };
   struct encoder e = {
     .tab = tab,
-    .index = g_new0 (guint32, tab->holders->len),
+    .index = g_array_new (FALSE, TRUE, sizeof (guint32)),
     .named = g_array_new (FALSE, FALSE, sizeof (guint32)),
   };
   msgpack_packer_init (&e.pk, &buffer, msgpack_sbuffer_write);
@@ -135,9 +180,9 @@
   msgpack_pack_uint32 (&e.pk, header->next);
   msgpack_pack_uint64 (&e.pk, header->closes);
   msgpack_pack_uint32 (&e.pk, header->time);
-  pack_records (&e, writes);
+  pack_records (&e, parts);
   pack_holders (&e);
-  g_free (e.index);
+  g_array_unref (e.index);
   g_array_unref (e.named);
   return g_bytes_new_with_free_func (buffer.data, buffer.size, g_free,
                                      buffer.data);
--- a/packages/ledger/led_obj.h
+++ b/packages/ledger/led_obj.h
@@ -1,9 +1,9 @@
 /* Values of the ledger's objects: msgpack. Internal to the package.
 
    A value is the array [format, first, next, closes, time, records, holders].
-   In the head, FIRST to NEXT - 1 are the closed segments in retention and
-   CLOSES is 0. In a segment, FIRST is its own number, NEXT the one after and
-   CLOSES the version of the head whose records it holds. TIME is that of the
+   In the head, FIRST to NEXT - 1 are the closed segments in retention. In a
+   segment, FIRST is its own number and NEXT the one after. CLOSES is the
+   version of the head whose records were closed last. TIME is that of the
    write, seconds since 1970 UTC. A record is [key, body, state, holder,
    ticket, time], followed by [status, content type, answer] for state "done";
    HOLDER is an index into HOLDERS, whose items are [id, incarnation].  */
@@ -21,18 +21,19 @@
   guint32 time;
 };
 
-/* Records of the head that are to be written, in any order. */
-struct led_obj_writes
+struct led_obj;
+
+/* The records of a value. Where two have the same key, the last one named
+   here stands. */
+struct led_obj_parts
 {
-  GHashTable *recs; /* set of struct led_rec, by key; NULL: none */
-  gboolean only;    /* leave out the present head's */
+  const struct led_obj *base; /* NULL: none */
+  gboolean head;              /* those of the table's head */
+  GHashTable *writes;         /* set of struct led_rec, by key; NULL: none */
 };
 
 GBytes *led_obj_encode (const struct led_obj_header *header,
-                        const struct led_tab *tab,
-                        const struct led_obj_writes *writes);
-
-struct led_obj;
+                        struct led_tab *tab, const struct led_obj_parts *parts);
 
 int led_obj_decode (GBytes *value, struct led_obj **obj);
 void led_obj_free (struct led_obj *obj);
--- a/packages/ledger/led_priv.h
+++ b/packages/ledger/led_priv.h
@@ -25,7 +25,7 @@
 #define LED_OPS(X)                                                             \
   X (READ_HEAD, "read_head")                                                   \
   X (WRITE_HEAD, "write_head")                                                 \
-  X (READ_SLOT, "read_slot")       /* what the next segment's slot holds */    \
+  X (READ_SLOT, "read_slot")       /* what a segment's slot holds */           \
   X (WRITE_SLOT, "write_slot")     /* closes the head's records */             \
   X (READ_SEGMENT, "read_segment") /* into memory */                           \
   X (READ_ANSWER, "read_answer")   /* of a key in a closed segment */
@@ -90,10 +90,10 @@
   guint failures;              /* since the last success */
   guint conflicts;             /* since the last write that held */
   int last_error;
-  guint32 load_next;    /* next segment to read */
-  guint loads;          /* reads of segments open */
-  guint64 slot_version; /* of the next segment's slot; 0: not there */
-  gboolean slot_ready;  /* the slot holds the head at VERSION */
+  guint32 load_next;   /* next segment to read */
+  guint loads;         /* reads of segments open */
+  guint32 slot_seq;    /* segment that gets the head's records */
+  gboolean slot_ready; /* its slot holds them as they are at VERSION */
 };
 
 /* led.c */
@@ -115,7 +115,7 @@
 void led_fail (struct led *led, int code, gint64 retry_after_us);
 void led_read_head (struct led *led);
 void led_write_head (struct led *led, GBytes *value);
-void led_write_slot (struct led *led);
+void led_close_head (struct led *led);
 void led_replay (struct led *led);
 
 #endif
--- a/packages/ledger/led_tab.c
+++ b/packages/ledger/led_tab.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
-/* A closed segment. Records may since have moved to newer ones. */
+/* A closed segment. Records may since have moved to newer ones, and may stand
+   twice in the list. */
 struct segment
 {
+  gboolean whole; /* nothing was added since it was read */
   guint32 seq;
   guint32 time;    /* when it was closed, seconds since 1970 UTC */
   GPtrArray *recs; /* struct led_rec, borrowed from the table */
@@ -217,19 +219,34 @@
 gboolean
 led_tab_has_segment (const struct led_tab *tab, guint32 seq)
 {
-  return segment_of (tab, seq) != NULL;
+  const struct segment *segment = segment_of (tab, seq);
+  return segment && segment->whole;
 }
 
-/* Adds segment SEQ, closed at TIME (seconds since 1970 UTC), without
+/* Notes that records may have been added to segment SEQ, if it is known.  */
+void
+led_tab_reopen_segment (struct led_tab *tab, guint32 seq)
+{
+  struct segment *segment = segment_of (tab, seq);
+  if (segment)
+    segment->whole = FALSE;
+}
+
+/* Adds segment SEQ, closed at TIME (seconds since 1970 UTC), without new
    records.  */
 void
 led_tab_add_segment (struct led_tab *tab, guint32 seq, guint32 time)
 {
-  struct segment *segment = g_new0 (struct segment, 1);
-  segment->seq = seq;
+  struct segment *segment = segment_of (tab, seq);
+  if (!segment)
+    {
+      segment = g_new0 (struct segment, 1);
+      segment->seq = seq;
+      segment->recs = g_ptr_array_new ();
+      g_hash_table_insert (tab->segments, GUINT_TO_POINTER (seq), segment);
+    }
   segment->time = time;
-  segment->recs = g_ptr_array_new ();
-  g_hash_table_replace (tab->segments, GUINT_TO_POINTER (seq), segment);
+  segment->whole = TRUE;
 }
 
 /* Records REC, without its answer, as read from segment SEQ, unless a newer
@@ -247,11 +264,12 @@
   g_ptr_array_add (segment_of (tab, seq)->recs, own);
 }
 
-/* Turns the head's records into the next segment, closed at TIME.  */
+/* Moves the head's records to segment SEQ, closed at TIME: the last one or
+   the next.  */
 void
-led_tab_close_head (struct led_tab *tab, guint32 time)
+led_tab_close_head (struct led_tab *tab, guint32 seq, guint32 time)
 {
-  guint32 seq = tab->next++;
+  tab->next = seq + 1;
   led_tab_add_segment (tab, seq, time);
   struct segment *segment = segment_of (tab, seq);
   for (guint i = 0; i < tab->head->len; i++)
@@ -275,6 +293,29 @@
   return seq;
 }
 
+static int
+compare_pointers (gconstpointer a, gconstpointer b)
+{
+  const char *x = *(const char *const *)a;
+  const char *y = *(const char *const *)b;
+  return x < y ? -1 : x > y;
+}
+
+/* Forgets the keys last recorded in SEGMENT.  */
+static void
+forget_keys (struct led_tab *tab, const struct segment *segment)
+{
+  struct led_rec *last = NULL;
+  g_ptr_array_sort (segment->recs, compare_pointers);
+  for (guint i = 0; i < segment->recs->len; i++)
+    {
+      struct led_rec *rec = g_ptr_array_index (segment->recs, i);
+      if (rec != last && rec->seq == segment->seq)
+        g_hash_table_remove (tab->recs, rec);
+      last = rec;
+    }
+}
+
 /* Forgets the segments before FIRST and the keys last recorded there.  */
 void
 led_tab_expire (struct led_tab *tab, guint32 first)
@@ -284,12 +325,7 @@
       struct segment *segment = segment_of (tab, tab->first);
       if (!segment)
         continue;
-      for (guint i = 0; i < segment->recs->len; i++)
-        {
-          struct led_rec *rec = g_ptr_array_index (segment->recs, i);
-          if (rec->seq == segment->seq)
-            g_hash_table_remove (tab->recs, rec);
-        }
+      forget_keys (tab, segment);
       g_hash_table_remove (tab->segments, GUINT_TO_POINTER (segment->seq));
     }
 }
--- a/packages/ledger/led_tab.h
+++ b/packages/ledger/led_tab.h
@@ -61,6 +61,7 @@
   GHashTable *holder_index; /* struct led_holder to number */
   guint32 first;            /* oldest segment in retention */
   guint32 next;             /* number of the next segment */
+  guint64 closes;           /* version of the head closed last */
 };
 
 struct led_kept *led_kept_new (guint32 status, struct str content_type,
@@ -81,10 +82,11 @@
 void led_tab_put (struct led_tab *tab, const struct led_rec *rec);
 void led_tab_clear_head (struct led_tab *tab);
 gboolean led_tab_has_segment (const struct led_tab *tab, guint32 seq);
+void led_tab_reopen_segment (struct led_tab *tab, guint32 seq);
 void led_tab_add_segment (struct led_tab *tab, guint32 seq, guint32 time);
 void led_tab_put_segment (struct led_tab *tab, guint32 seq,
                           const struct led_rec *rec);
-void led_tab_close_head (struct led_tab *tab, guint32 time);
+void led_tab_close_head (struct led_tab *tab, guint32 seq, guint32 time);
 guint32 led_tab_expired (const struct led_tab *tab, guint32 before);
 void led_tab_expire (struct led_tab *tab, guint32 first);
 
--- a/tests/unit/test_led.c
+++ b/tests/unit/test_led.c
@@ -381,6 +381,7 @@
                                               .self = { "owner" },
                                               .incarnation = node->incarnation,
                                               .head_max = HEAD_MAX,
+                                              .segment_max = 2 * HEAD_MAX,
                                               .run_max_us = RUN_MAX_US,
                                               .store = on_led_store,
                                               .verdict = on_led_verdict,
