--- a/packages/ledger/led.h
+++ b/packages/ledger/led.h
@@ -67,7 +67,7 @@
   /* Starts a call to the platform; its answer comes by led_answer with the
      same TOKEN. */
   void (*store) (void *ctx, guint64 token, const struct sto_call *call);
-  /* Sends a verdict to entry TO. */
+  /* Sends a verdict to entry TO; must not call back into the ledger. */
   void (*verdict) (void *ctx, const char *to,
                    const struct msg_ledger_verdict *verdict);
   void *ctx;
