Bound the body of a refused request

A list of servers that does not parse emptied the known one. Change: a refused body is not kept and is cut after 2 MiB; the list is replaced only by one that parses.

--- a/packages/entry/ent.c
+++ b/packages/entry/ent.c
@@ -8,6 +8,7 @@
 
 #define SWEEP_MS 100
 #define BACKLOG 1024
+#define REFUSED_BODY_MAX (2 * 1024 * 1024) /* bytes that are still read */
 #define MODELS_PATH "/v1/models"
 
 /* A caller's connection. */
@@ -17,6 +18,7 @@
   gint64 due;      /* a whole request must be there, microseconds */
   gboolean served; /* had a whole request before */
   gboolean busy;   /* a request is being answered */
+  gsize received;  /* bytes of the request's body */
 };
 
 static void
@@ -81,6 +83,8 @@
   soup_message_headers_replace (
       soup_server_message_get_response_headers (message), "Connection",
       "close");
+  soup_message_body_set_accumulate (
+      soup_server_message_get_request_body (message), FALSE);
   ent_reply_error (message, "", &error);
 }
 
@@ -114,17 +118,23 @@
   *(gsize *)data += strlen (name) + strlen (value);
 }
 
+/* Bounds a body whose length was not told, and one that its caller goes on
+   sending although it was refused: libsoup answers only behind the body.  */
 static void
 on_body_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
   struct ent *ent = data;
-  SoupMessageBody *body = soup_server_message_get_request_body (message);
-  (void)chunk;
-  if ((gsize)body->length <= ent->options.limits.body_bytes)
+  struct ent_conn *conn = find_conn (ent, message);
+  gboolean refused = soup_server_message_get_status (message) != 0;
+  if (conn == NULL)
+    return;
+  conn->received += g_bytes_get_size (chunk);
+  if (conn->received
+      <= (refused ? REFUSED_BODY_MAX : ent->options.limits.body_bytes))
     return;
-  ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
-  g_socket_shutdown (soup_server_message_get_socket (message), TRUE, TRUE,
-                     NULL);
+  if (!refused)
+    ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
+  g_socket_shutdown (conn->socket, TRUE, TRUE, NULL);
 }
 
 /* Looks at the head of a request before its body is read.  */
@@ -137,6 +147,7 @@
   SoupMessageHeaders *headers
       = soup_server_message_get_request_headers (message);
   gsize bytes = 0;
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), ent);
   (void)server;
   (void)path;
   (void)query;
@@ -154,9 +165,7 @@
     {
       ctr_add (ent->options.ctr, CTR_TOO_LARGE, 1);
       refuse_early (ent, message, 413, "too_large", "the body is too large");
-      return;
     }
-  g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), ent);
 }
 
 static struct ent_conn *
@@ -184,6 +193,7 @@
     conn = add_conn (ent, socket);
   conn->served |= conn->busy;
   conn->busy = FALSE;
+  conn->received = 0;
   conn->due = g_get_monotonic_time () + ent->options.limits.arrival_us;
 }
 
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -85,7 +85,8 @@
   GKeyFile *file = g_key_file_new ();
   gboolean ok = g_key_file_load_from_bytes (file, body, G_KEY_FILE_NONE, NULL);
   char **groups = ok ? g_key_file_get_groups (file, NULL) : NULL;
-  g_hash_table_remove_all (nod->listed_leaving);
+  if (ok)
+    g_hash_table_remove_all (nod->listed_leaving);
   for (guint i = 0; groups != NULL && groups[i] != NULL; i++)
     {
       char *state = g_key_file_get_string (file, groups[i], "state", NULL);
@@ -95,7 +96,8 @@
         g_hash_table_add (nod->listed_leaving, g_strdup (groups[i]));
       g_free (state);
     }
-  nod_cell_leaving_changed (nod);
+  if (ok)
+    nod_cell_leaving_changed (nod);
   g_strfreev (groups);
   g_key_file_unref (file);
   return ok;
--- a/tests/proc/test_callers.c
+++ b/tests/proc/test_callers.c
@@ -200,6 +200,40 @@
   g_output_stream_write_all (out, text, strlen (text), NULL, NULL, NULL);
 }
 
+/* Highest memory of an instance's process, megabytes.  */
+static gint64
+peak_mb (guint entry)
+{
+  char *path
+      = g_strdup_printf ("/proc/%d/status", har_pid (dep->entries[entry].proc));
+  char *text = NULL;
+  g_file_get_contents (path, &text, NULL, NULL);
+  const char *line = text ? strstr (text, "VmHWM:") : NULL;
+  gint64 kb = line ? g_ascii_strtoll (line + 6, NULL, 10) : 0;
+  g_free (text);
+  g_free (path);
+  return kb / 1024;
+}
+
+static void
+test_a_refused_body_is_not_kept (void)
+{
+  GSocketConnection *connection = connect_raw (0);
+  GOutputStream *out = g_io_stream_get_output_stream (G_IO_STREAM (connection));
+  char *block = g_strnfill (1024 * 1024, 'x');
+  guint sent = 0;
+  send_raw (connection, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                        "Content-Length: 300000000\r\n\r\n");
+  while (
+      sent < 100
+      && g_output_stream_write_all (out, block, 1024 * 1024, NULL, NULL, NULL))
+    sent++;
+  CU_ASSERT_TRUE (sent < 100);
+  CU_ASSERT_TRUE (peak_mb (0) < 64);
+  g_free (block);
+  g_object_unref (connection);
+}
+
 static void
 test_slow_sender_is_cut (void)
 {
@@ -260,6 +294,7 @@
   { "answers through each instance are whole", test_answers_are_whole },
   { "bad requests are refused with a code", test_bad_requests_are_refused },
   { "headers and bodies are bounded", test_sizes_are_bounded },
+  { "a refused body is not kept", test_a_refused_body_is_not_kept },
   { "a slow sender is cut", test_slow_sender_is_cut },
   { "a hang-up cancels the engine's work", test_hang_up_cancels_the_engine },
   { "the process goes on", test_the_process_goes_on },
