Move waiting requests to cells with free slots

Ruled out: choosing better on arrival only, as the imbalance comes later. Change: once a second an entry moves what has waited 1 s, highest tier and oldest first, at most its part of the free slots that the owner told of.

--- a/packages/base/ctr.h
+++ b/packages/base/ctr.h
@@ -32,6 +32,7 @@
   X (PREEMPTED, "preempted", "running requests preempted")                     \
   X (GRANT_EXPIRED, "grant_expired", "grants not used in time")                \
   X (REOFFERS, "reoffers", "tickets offered again to a new owner")             \
+  X (MOVED, "moved", "waiting tickets moved to a cell with free slots")        \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -360,6 +360,7 @@
   info->summary = *cell;
   info->domain = summary->domain;
   info->heard = clk_now (nod->clk);
+  info->claimed = 0;
 }
 
 /* Takes a summary. One that came from another failure domain itself is
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -7,10 +7,11 @@
 #include "ledger/led.h"
 #include "node/nod.h"
 
-#define NOD_REQUESTS_MAX 65536        /* in progress at one entry */
-#define NOD_CELLS_TRIED_MAX 4         /* cells that may refuse one request */
-#define NOD_PROGRESS_US (1 * CLK_S)   /* between progress reports */
-#define NOD_MEMBERS_US (5 * CLK_S)    /* between lists of instances */
+#define NOD_REQUESTS_MAX 65536      /* in progress at one entry */
+#define NOD_CELLS_TRIED_MAX 4       /* cells that may refuse one request */
+#define NOD_PROGRESS_US (1 * CLK_S) /* between progress reports */
+#define NOD_MOVE_US (1 * CLK_S)     /* a ticket waits so long before it moves */
+#define NOD_MEMBERS_US (5 * CLK_S)  /* between lists of instances */
 #define NOD_SUMMARY_US (500 * CLK_MS) /* between summaries, small domains */
 /* Summaries of large failure domains come less often, so that a sender's
    bytes a second do not grow with the domain. */
@@ -97,7 +98,8 @@
 {
   struct msg_cell_summary summary;
   struct str_id domain;
-  gint64 heard; /* microseconds */
+  gint64 heard;  /* microseconds */
+  guint claimed; /* free slots that this entry took since */
 };
 
 struct nod_led_shard
@@ -215,11 +217,13 @@
 void nod_req_peer_lost (struct nod *nod, const char *id);
 void nod_req_tick (struct nod *nod);
 void nod_req_progress (struct nod *nod);
+void nod_req_rebalance (struct nod *nod);
 void nod_req_free (void *data);
 void nod_req_dump (const struct nod *nod, JsonBuilder *json);
 
 /* nod_route.c: choice of a cell and of its owner */
 gboolean nod_route (struct nod *nod, struct nod_req *req);
+gboolean nod_route_move (struct nod *nod, struct nod_req *req);
 const char *nod_owner (struct nod *nod, struct str cell);
 gboolean nod_crosses_link (const struct nod *nod, const struct cfg *cfg,
                            guint domain);
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -178,5 +178,8 @@
   if (is_due (&nod->summary_at, now, summary_interval (nod)))
     nod_cell_send_summaries (nod);
   if (is_due (&nod->progress_at, now, NOD_PROGRESS_US))
-    nod_req_progress (nod);
+    {
+      nod_req_progress (nod);
+      nod_req_rebalance (nod);
+    }
 }
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -781,6 +781,61 @@
   g_hash_table_unref (by_owner);
 }
 
+static gint
+by_tier_and_age (gconstpointer a, gconstpointer b)
+{
+  const struct nod_req *x = *(struct nod_req *const *)a;
+  const struct nod_req *y = *(struct nod_req *const *)b;
+  guint tier_x = class_of (x)->tier;
+  guint tier_y = class_of (y)->tier;
+  if (tier_x != tier_y)
+    return tier_x < tier_y ? -1 : 1;
+  return x->arrived < y->arrived ? -1 : x->arrived > y->arrived;
+}
+
+/* Returns the requests that have waited long enough to move, the highest tier
+   and the oldest first.  */
+static GPtrArray *
+find_movable (const struct nod *nod)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  gint64 now = clk_now (nod->clk);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, nod->tickets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct nod_req *req = value;
+      if (req->state == REQ_WAITING && now - req->arrived >= NOD_MOVE_US)
+        g_ptr_array_add (found, req);
+    }
+  g_ptr_array_sort (found, by_tier_and_age);
+  return found;
+}
+
+/* Moves waiting requests from crowded cells to those with free slots, so that
+   no server idles while work for it waits elsewhere in the region.  */
+void
+nod_req_rebalance (struct nod *nod)
+{
+  GPtrArray *movable = find_movable (nod);
+  for (guint i = 0; i < movable->len; i++)
+    {
+      struct nod_req *req = movable->pdata[i];
+      struct str_id owner = req->owner;
+      guint64 ticket = req->ticket;
+      if (!nod_route_move (nod, req))
+        continue;
+      send_withdraw (nod, owner.s, ticket);
+      drop_ticket (nod, req);
+      req->ticket = ++nod->next_ticket;
+      g_hash_table_insert (nod->tickets, &req->ticket, req);
+      ctr_add (nod->ctr, CTR_MOVED, 1);
+      send_offer (nod, req);
+    }
+  g_ptr_array_unref (movable);
+}
+
 static void
 dump_int (JsonBuilder *json, const char *name, gint64 value)
 {
--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -198,6 +198,56 @@
   return home;
 }
 
+/* Tells whether this entry may still send to a cell whose owner told of free
+   slots: the entries of a failure domain share them until the next summary.
+   Takes one if so.  */
+static gboolean
+claim (struct nod *nod, const char *cell)
+{
+  struct nod_cell_info *info = g_hash_table_lookup (nod->infos, cell);
+  if (info == NULL || fresh_info (nod, cell) == NULL)
+    return FALSE;
+  guint quota = info->summary.free_slots / mem_live_count (nod->mem);
+  if (info->summary.free_slots == 0 || info->claimed >= MAX (1, quota))
+    return FALSE;
+  info->claimed++;
+  return TRUE;
+}
+
+/* Finds a cell with free slots for REQ, which waits in a crowded one: at home
+   or, if its class may leave, in the region. Returns FALSE if there is none;
+   else REQ's cell and owner are the new ones.  */
+gboolean
+nod_route_move (struct nod *nod, struct nod_req *req)
+{
+  const struct cfg *cfg = nod->cfg;
+  const struct cfg_class *class = &req->cfg->classes[req->spec.class_index];
+  int from = cfg_find_cell (cfg, str_of (req->cell.s));
+  enum distance farthest
+      = MIN (class->spill, req->cfg->spill) >= CFG_SPILL_REGION
+            ? DISTANCE_REGION
+            : DISTANCE_DOMAIN;
+  if (from < 0
+      || expected_wait (nod, &cfg->cells[from], class->tier)
+             <= bearable_wait (class))
+    return FALSE;
+  for (guint i = 0; i < cfg->n_cells; i++)
+    {
+      const struct cfg_cell *cell = &cfg->cells[i];
+      if ((int)i == from || cell->pool != cfg->cells[from].pool
+          || distance_to (nod, cfg, cell->domain) > farthest
+          || was_tried (req, cell->name.s) || !claim (nod, cell->name.s))
+        continue;
+      const char *owner = nod_owner (nod, str_of (cell->name.s));
+      if (owner == NULL)
+        continue;
+      req->cell = cell->name;
+      str_id_set (&req->owner, str_of (owner));
+      return TRUE;
+    }
+  return FALSE;
+}
+
 /* Chooses REQ's cell and owner. Returns FALSE if there is none to try.  */
 gboolean
 nod_route (struct nod *nod, struct nod_req *req)
