Measure goodput while requests arrive; show targets and reservations

Change: goodput counts the tokens that reached callers while requests arrived, failed requests excepted; the bound is the engines' time in that window. The dump of a cell shows each server's target and reserved slots.

--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -41,6 +41,8 @@
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "name");
   json_builder_add_string_value (json, srv->cfg.name.s);
+  add_int (json, "target_us", srv->target_us);
+  add_int (json, "reserved", srv->reserved);
   add_int (json, "limit", srv_limit (srv));
   add_int (json, "in_flight", srv->in_flight.length);
   json_builder_set_member_name (json, "health");
--- a/tests/policy/arrive.c
+++ b/tests/policy/arrive.c
@@ -154,16 +154,16 @@
   return rx < ry ? 1 : rx > ry ? -1 : 0;
 }
 
-/* Most tokens that could be completed with full knowledge: the engines' time
-   until the end, full batches and cached prefixes throughout, spent on the
-   requests with the most tokens for their engine time. Lost capacity of
-   crashed and slow engines is not taken off, so the bound holds for every
-   fault.  */
+/* Most tokens that could be made with full knowledge while requests arrive:
+   the engines' time, full batches and cached prefixes throughout, spent on the
+   requests with the most tokens for their engine time as if all were there
+   from the start. Lost capacity of crashed and slow engines is not taken off,
+   so the bound holds for every fault.  */
 static double
 bound_of (const struct world *world)
 {
   GPtrArray *sorted = g_ptr_array_new ();
-  double left = world->n_engines * (double)WORLD_END_US / CLK_S;
+  double left = world->n_engines * (double)WORLD_ARRIVALS_US / CLK_S;
   double tokens = 0;
   for (guint i = 0; i < world->n_jobs; i++)
     g_ptr_array_add (sorted, &world->jobs[i]);
--- a/tests/policy/report.c
+++ b/tests/policy/report.c
@@ -88,8 +88,8 @@
   for (guint i = 0; i < world->n_engines; i++)
     made += world->engines[i].made;
   for (guint i = 0; i < world->n_jobs; i++)
-    if (world->jobs[i].outcome == OUTCOME_COMPLETE)
-      completed += world->jobs[i].output;
+    if (world->jobs[i].outcome != OUTCOME_FAILED)
+      completed += world->jobs[i].got_early;
   double seconds = (double)WORLD_ARRIVALS_US / CLK_S;
   result->goodput = completed / seconds;
   result->goodput_share = share (completed, world->bound_tokens);
--- a/tests/policy/world.c
+++ b/tests/policy/world.c
@@ -98,6 +98,8 @@
   if (job->first_token == 0)
     job->first_token = job->last_token;
   job->got = MAX (job->got, job->sequence.made);
+  if (job->last_token < WORLD_START_US + WORLD_ARRIVALS_US)
+    job->got_early = job->got;
   if (world_crosses (world, here, domain_of_engine (world, job->engine)))
     world->link_bytes += LINK_BYTES_PER_TOKEN;
 }
--- a/tests/policy/world.h
+++ b/tests/policy/world.h
@@ -37,7 +37,8 @@
   gint64 first_token; /* 0: none */
   gint64 last_token;
   gint64 ended;
-  guint got; /* tokens that reached the caller */
+  guint got;       /* tokens that reached the caller */
+  guint got_early; /* of these, while requests arrived */
   guint attempts;
   enum outcome outcome;
   gboolean started; /* by an engine or queued there */
@@ -90,7 +91,7 @@
   guint n_engines;
   struct job *jobs;
   guint n_jobs;
-  double bound_tokens;   /* that any policy could complete */
+  double bound_tokens;   /* that any policy could make in that time */
   guint64 control_bytes; /* between instances */
   guint64 link_bytes;    /* of requests, over the paid link */
   guint64 wasted;        /* tokens thrown away */
@@ -142,12 +143,14 @@
 {
   double top_attainment;
   double top_after_fault; /* attainment of the top tier after recovery */
-  double goodput;         /* tokens a second */
-  double goodput_share;   /* of the bound */
-  double wasted_share;    /* of all tokens */
-  double retry_share;     /* of first tries */
-  double control_bytes;   /* a second and instance */
-  double link_bytes;      /* a second */
+  /* Tokens a second that reached callers while requests arrived, but for
+     failed requests. */
+  double goodput;
+  double goodput_share; /* of the bound */
+  double wasted_share;  /* of all tokens */
+  double retry_share;   /* of first tries */
+  double control_bytes; /* a second and instance */
+  double link_bytes;    /* a second */
   double attainment[CFG_CLASSES_MAX];
   double starts[CFG_CLASSES_MAX]; /* share while overloaded */
   double completed[CFG_CLASSES_MAX];
