Review health with each failure; compare scaled ttft

Cause: a crashed engine's 32 running requests and 35 retries failed before the next tick reviewed it; ttft of few long prompts ejected healthy engines. Ruled out: a shorter tick (more work, the burst of failures comes in one turn). Change: a release that leaves failures in a row is followed by a review; ttft is scaled to a prompt of common length and needs 24 samples. Trial without the review: 1 test of test_cel fails.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -238,6 +238,21 @@
                   CEL_PREFILL_WEIGHT);
 }
 
+static void
+review_health (struct cel *cel)
+{
+  struct hea *peers[CEL_SERVERS_MAX];
+  guint n = 0;
+  for (guint i = 0; i < cel->servers->len && n < CEL_SERVERS_MAX; i++)
+    {
+      struct srv *srv = cel->servers->pdata[i];
+      if (srv_takes_work (srv))
+        peers[n++] = &srv->hea;
+    }
+  ctr_add (cel->ctr, CTR_EJECTIONS,
+           hea_review (peers, n, clk_now (cel->clk), cel->rand));
+}
+
 /* Learns from the end of an attempt on SRV. What the start of one that did
    not run counted is taken back.  */
 static void
@@ -245,7 +260,7 @@
            const struct msg_release *release)
 {
   note_tokens (cel, tkt, release->tokens, release->tbt_us);
-  srv_result (srv, release);
+  srv_result (srv, tkt, release);
   learn_prefill (cel, tkt, release->ttft_us);
   if (!did_not_run (release->result))
     return;
@@ -264,6 +279,8 @@
     return;
   if (tkt->srv)
     learn_end (cel, tkt, tkt->srv, release);
+  if (tkt->srv && tkt->srv->hea.failed_in_row > 0)
+    review_health (cel);
   cel_drop (cel, tkt);
   cel_free_idle_gone (cel);
   cel_refuse_unless_served (cel);
@@ -364,21 +381,6 @@
     }
 }
 
-static void
-review_health (struct cel *cel, gint64 now)
-{
-  struct hea *peers[CEL_SERVERS_MAX];
-  guint n = 0;
-  for (guint i = 0; i < cel->servers->len && n < CEL_SERVERS_MAX; i++)
-    {
-      struct srv *srv = cel->servers->pdata[i];
-      srv_tick (srv, now);
-      if (srv_takes_work (srv))
-        peers[n++] = &srv->hea;
-    }
-  ctr_add (cel->ctr, CTR_EJECTIONS, hea_review (peers, n, now, cel->rand));
-}
-
 /* Expires deadlines, grants and silent tickets, reviews the servers.  */
 void
 cel_tick (struct cel *cel)
@@ -387,7 +389,9 @@
   expire_deadlines (cel, now);
   expire_grants (cel, now);
   expire_silent (cel, now);
-  review_health (cel, now);
+  for (guint i = 0; i < cel->servers->len; i++)
+    srv_tick (cel->servers->pdata[i], now);
+  review_health (cel);
   cel_free_idle_gone (cel);
   cel_pump (cel);
   cel_preempt (cel);
--- a/packages/cell/srv.c
+++ b/packages/cell/srv.c
@@ -101,10 +101,11 @@
 /* Learns from how an attempt ended. Answers that a retry would not change,
    cancelled and unused attempts say nothing of the server.  */
 void
-srv_result (struct srv *srv, const struct msg_release *release)
+srv_result (struct srv *srv, const struct tkt *tkt,
+            const struct msg_release *release)
 {
   if (release->ttft_us > 0)
-    hea_ttft (&srv->hea, release->ttft_us);
+    hea_ttft (&srv->hea, release->ttft_us, tkt->prompt_tokens);
   switch (release->result)
     {
     case MSG_RESULT_OK:
--- a/packages/cell/srv.h
+++ b/packages/cell/srv.h
@@ -41,7 +41,8 @@
 void srv_take (struct srv *srv, struct tkt *tkt, gint64 now);
 void srv_drop (struct srv *srv, struct tkt *tkt);
 void srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens, gint64 now);
-void srv_result (struct srv *srv, const struct msg_release *release);
+void srv_result (struct srv *srv, const struct tkt *tkt,
+                 const struct msg_release *release);
 void srv_load (struct srv *srv, const struct cel_load *load, gint64 now);
 void srv_tick (struct srv *srv, gint64 now);
 
--- a/packages/policy/hea.c
+++ b/packages/policy/hea.c
@@ -4,6 +4,8 @@
 #define HEA_WEIGHT 0.1          /* of a new sample of tbt and ttft */
 #define HEA_ERROR_WEIGHT 0.2    /* of a new result */
 #define HEA_SAMPLES_MIN 8       /* samples that make a mean count */
+#define HEA_TTFT_SAMPLES_MIN 24 /* the same for ttft, which varies more */
+#define HEA_PROMPT_TOKENS 500   /* of a prompt of common length */
 #define HEA_PROBE_SAMPLES_MIN 4 /* the same while probing */
 #define HEA_TBT_FACTOR 2.0      /* times the peers' median */
 #define HEA_TTFT_FACTOR 3.0     /* times the peers' median */
@@ -54,11 +56,13 @@
   hea_mean_add (&hea->in_flight, in_flight, HEA_WEIGHT);
 }
 
-/* Takes the time to first token of one request.  */
+/* Takes the time to first token of one request, scaled to a prompt of common
+   length, so that servers with unlike prompts compare.  */
 void
-hea_ttft (struct hea *hea, gint64 ttft_us)
+hea_ttft (struct hea *hea, gint64 ttft_us, guint prompt_tokens)
 {
-  hea_mean_add (&hea->ttft, (double)ttft_us, HEA_WEIGHT);
+  double scale = 2.0 * HEA_PROMPT_TOKENS / (HEA_PROMPT_TOKENS + prompt_tokens);
+  hea_mean_add (&hea->ttft, (double)ttft_us * scale, HEA_WEIGHT);
 }
 
 /* Takes the result of one attempt.  */
@@ -116,14 +120,15 @@
   return hea->state == HEA_OK ? HEA_SAMPLES_MIN : HEA_PROBE_SAMPLES_MIN;
 }
 
-/* Tells whether the mean at OFFSET is beyond FACTOR times the peers'.  */
+/* Tells whether the mean at OFFSET, of MIN samples or more, is beyond FACTOR
+   times the peers'.  */
 static gboolean
 is_beyond (struct hea *const *peers, guint n, const struct hea *hea,
-           gsize offset, double factor)
+           gsize offset, guint min, double factor)
 {
   const struct hea_mean *mean
       = (const struct hea_mean *)((const char *)hea + offset);
-  if (mean->n < samples_min (hea))
+  if (mean->n < min)
     return FALSE;
   double median = peer_median (peers, n, hea, offset, HEA_SAMPLES_MIN);
   return median > 0 && mean->value > factor * median;
@@ -134,13 +139,14 @@
 static gboolean
 is_slow (struct hea *const *peers, guint n, const struct hea *hea)
 {
-  if (hea->in_flight.n > 0
-      && is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, in_flight),
-                    HEA_LOAD_FACTOR))
+  const gsize in_flight = G_STRUCT_OFFSET (struct hea, in_flight);
+  const gsize tbt = G_STRUCT_OFFSET (struct hea, tbt);
+  const gsize ttft = G_STRUCT_OFFSET (struct hea, ttft);
+  guint min = samples_min (hea);
+  if (is_beyond (peers, n, hea, in_flight, 1, HEA_LOAD_FACTOR))
     return FALSE;
-  return is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, tbt),
-                    HEA_TBT_FACTOR)
-         || is_beyond (peers, n, hea, G_STRUCT_OFFSET (struct hea, ttft),
+  return is_beyond (peers, n, hea, tbt, min, HEA_TBT_FACTOR)
+         || is_beyond (peers, n, hea, ttft, HEA_TTFT_SAMPLES_MIN,
                        HEA_TTFT_FACTOR);
 }
 
--- a/packages/policy/hea.h
+++ b/packages/policy/hea.h
@@ -38,7 +38,7 @@
 {
   enum hea_state state;
   struct hea_mean tbt;       /* microseconds */
-  struct hea_mean ttft;      /* microseconds */
+  struct hea_mean ttft;      /* microseconds, for a prompt of common length */
   struct hea_mean in_flight; /* when tbt was sampled */
   struct hea_mean errors;    /* share of results */
   guint failed_in_row;
@@ -61,7 +61,7 @@
 void hea_mean_add (struct hea_mean *mean, double value, double weight);
 void hea_init (struct hea *hea, gint64 now);
 void hea_tbt (struct hea *hea, gint64 tbt_us, guint in_flight);
-void hea_ttft (struct hea *hea, gint64 ttft_us);
+void hea_ttft (struct hea *hea, gint64 ttft_us, guint prompt_tokens);
 void hea_result (struct hea *hea, enum hea_result result);
 guint hea_review (struct hea *const *peers, guint n, gint64 now, GRand *rand);
 guint hea_slots (const struct hea *hea, guint limit);
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -800,6 +800,21 @@
   fix_close (&fix);
 }
 
+static void
+test_crash_counts_at_once (void)
+{
+  struct fix fix;
+  fix_init (&fix, 2, 8);
+  fix_start (&fix);
+  offer_many (&fix, 1, 8, FIX_NORMAL);
+  for (guint64 t = 1; t <= 8; t++)
+    serve_one (&fix, t, "sa", 20 * CLK_MS, MSG_RESULT_BROKEN);
+  offer_many (&fix, 11, 4, FIX_NORMAL); /* without a tick between */
+  for (guint64 t = 11; t <= 14; t++)
+    CU_ASSERT_STRING_EQUAL (fix_backend (&fix, t), "sb");
+  fix_close (&fix);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -835,6 +850,7 @@
   { "a removed server's work counts", test_removed_server_counts_its_work },
   { "a removed class's tickets are refused", test_config_removes_a_class },
   { "late tickets yield, but not for ever", test_late_tickets_yield },
+  { "a crash counts without a tick", test_crash_counts_at_once },
   CU_TEST_INFO_NULL,
 };
 
