Bound the times in offers

Cause: a wait of the greatest 64-bit number overflowed the deadline. Ruled out: refusing such offers (the entry means 'long'). Change: wait_us and waited_us are cut to 0 to 24 h. Measured: make check: 145 passed, 0 failed.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -50,8 +50,8 @@
 fill_ticket (struct cel *cel, struct tkt *tkt, const struct msg_offer *offer)
 {
   gint64 now = clk_now (cel->clk);
-  tkt->arrived = now - MAX (0, offer->waited_us);
-  tkt->deadline = now + MAX (0, offer->wait_us);
+  tkt->arrived = now - CLAMP (offer->waited_us, 0, CEL_WAIT_MAX_US);
+  tkt->deadline = now + CLAMP (offer->wait_us, 0, CEL_WAIT_MAX_US);
   tkt->prefix = offer->prefix;
   tkt->sent_us = offer->sent_us;
   tkt->prompt_tokens = offer->prompt_tokens;
--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -16,6 +16,7 @@
 #define CEL_USE_WITHIN_US (1500 * CLK_MS)   /* told to the entry */
 #define CEL_GRANT_EXPIRY_US (2000 * CLK_MS) /* the slot is freed */
 #define CEL_USE_SEEN_US (250 * CLK_MS)      /* later progress proves the use */
+#define CEL_WAIT_MAX_US (86400 * CLK_S)     /* times in offers are cut to it */
 #define CEL_SILENT_US (10 * CLK_S)          /* silence that drops a ticket */
 #define CEL_PREFILL_US 50.0       /* a prompt token, before any was measured */
 #define CEL_PREFILL_WEIGHT 0.05   /* of a new sample */
--- a/packages/cell/cel_wait.c
+++ b/packages/cell/cel_wait.c
@@ -47,7 +47,8 @@
                  const struct tem *team, gint64 wait_us)
 {
   return expected_wait (cel, cls, team)
-         > CEL_BEYOND_FACTOR * MAX (0, wait_us) + CEL_BEYOND_US;
+         > CEL_BEYOND_FACTOR * CLAMP (wait_us, 0, CEL_WAIT_MAX_US)
+               + CEL_BEYOND_US;
 }
 
 /* Returns when a refused ticket of TEAM in CLS, NULL if unknown, should come
