Let heartbeats grow rarer with the number of peers

Cause: a full mesh of 36 instances at 400 ms is the largest part of a node's control traffic; the far one grows with all failure domains. Ruled out: heartbeats without the address and domain, which save 27 of 62 bytes but none of the packets; a ring or gossip, in which one lost peer delays the news of another. Change: mem_heartbeat_interval, 30 ms a near peer between 400 and 1,200 ms and 60 ms a far peer between 1.6 and 4 s; silence is four near or three far intervals, at least as long as before. The longest interval is shorter than the shortest silence that counts, so views of different size agree. The node's timers ask for it. For up to 13 peers nothing changes.

--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -199,12 +199,40 @@
   return 0;
 }
 
+/* Either side goes by its own count of peers, so the longest interval of one
+   must not look like silence to the other.  */
+G_STATIC_ASSERT (MEM_HEARTBEAT_MAX_US < MEM_SUSPECT_US);
+G_STATIC_ASSERT (MEM_FAR_HEARTBEAT_MAX_US < MEM_FAR_SUSPECT_US);
+
+static gboolean
+is_far (const struct mem *mem, const struct mem_instance *instance)
+{
+  return strcmp (instance->domain.s, mem->self->domain.s) != 0;
+}
+
+gint64
+mem_heartbeat_interval (const struct mem *mem, gboolean far)
+{
+  gint64 peers = 0;
+  for (guint i = 0; i < mem->instances->len; i++)
+    {
+      const struct mem_instance *at = g_ptr_array_index (mem->instances, i);
+      peers += at->live && at != mem->self && is_far (mem, at) == far;
+    }
+  if (far)
+    return CLAMP (peers * MEM_FAR_HEARTBEAT_PER_PEER_US, MEM_FAR_HEARTBEAT_US,
+                  MEM_FAR_HEARTBEAT_MAX_US);
+  return CLAMP (peers * MEM_HEARTBEAT_PER_PEER_US, MEM_HEARTBEAT_US,
+                MEM_HEARTBEAT_MAX_US);
+}
+
+/* Returns the silence that marks a near or far peer down, microseconds.  */
 static gint64
-suspect_after (const struct mem *mem, const struct mem_instance *instance)
+suspect_after (const struct mem *mem, gboolean far)
 {
-  return strcmp (instance->domain.s, mem->self->domain.s) == 0
-             ? MEM_SUSPECT_US
-             : MEM_FAR_SUSPECT_US;
+  gint64 interval = mem_heartbeat_interval (mem, far);
+  return far ? MAX (interval * MEM_FAR_SUSPECT_INTERVALS, MEM_FAR_SUSPECT_US)
+             : MAX (interval * MEM_SUSPECT_INTERVALS, MEM_SUSPECT_US);
 }
 
 /* Time in which this process did not run is no silence of the others: without
@@ -232,6 +260,8 @@
   gint64 now = clk_now (mem->clk);
   memset (change, 0, sizeof *change);
   discount_pause (mem, now);
+  gint64 near_limit = suspect_after (mem, FALSE);
+  gint64 far_limit = suspect_after (mem, TRUE);
   for (guint i = mem->instances->len; i-- > 0;)
     {
       struct mem_instance *at = g_ptr_array_index (mem->instances, i);
@@ -245,7 +275,7 @@
           g_ptr_array_remove_index (mem->instances, i);
           continue;
         }
-      if (silent < suspect_after (mem, at)
+      if (silent < (is_far (mem, at) ? far_limit : near_limit)
           || !step (mem, at, MEM_EVENT_SILENCE))
         continue;
       change->view = TRUE;
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -11,11 +11,20 @@
 #include "base/str.h"
 #include "msg/msg.h"
 
-/* Between heartbeats to a peer, and the silence after which it is down; for
-   instances of other failure domains these are longer. */
+/* Time between heartbeats to a peer of the own failure domain (near) or of
+   another (far): grows with the number of peers, which bounds the traffic, and
+   stays under the shortest silence that marks a peer down. */
 #define MEM_HEARTBEAT_US (400 * CLK_MS)
-#define MEM_SUSPECT_US (1600 * CLK_MS)
+#define MEM_HEARTBEAT_MAX_US (1200 * CLK_MS)
+#define MEM_HEARTBEAT_PER_PEER_US (30 * CLK_MS)
 #define MEM_FAR_HEARTBEAT_US (1600 * CLK_MS)
+#define MEM_FAR_HEARTBEAT_MAX_US (4 * CLK_S)
+#define MEM_FAR_HEARTBEAT_PER_PEER_US (60 * CLK_MS)
+/* Silence that marks a peer down: so many of the own intervals, at least the
+   time given. */
+#define MEM_SUSPECT_INTERVALS 4
+#define MEM_SUSPECT_US (1600 * CLK_MS)
+#define MEM_FAR_SUSPECT_INTERVALS 3
 #define MEM_FAR_SUSPECT_US (5 * CLK_S)
 /* Time between ticks from which on this process counts as paused. */
 #define MEM_PAUSE_US MEM_HEARTBEAT_US
@@ -90,6 +99,8 @@
 void mem_self_address (const struct mem *mem, char address[64]);
 void mem_fill_heartbeat (struct mem *mem, struct msg_heartbeat *heartbeat);
 
+/* Time between heartbeats to each near or far peer, microseconds. */
+gint64 mem_heartbeat_interval (const struct mem *mem, gboolean far);
 /* Live, not leaving instances of the own failure domain, self included. */
 guint mem_live_count (const struct mem *mem);
 const struct mem_instance *mem_find (const struct mem *mem, const char *id);
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -169,9 +169,11 @@
       apply_change (nod, &change);
     }
   while (change.view);
-  if (is_due (&nod->heartbeat_at, now, MEM_HEARTBEAT_US))
+  if (is_due (&nod->heartbeat_at, now,
+              mem_heartbeat_interval (nod->mem, FALSE)))
     mem_each (nod->mem, greet_near, nod);
-  if (is_due (&nod->far_heartbeat_at, now, MEM_FAR_HEARTBEAT_US))
+  if (is_due (&nod->far_heartbeat_at, now,
+              mem_heartbeat_interval (nod->mem, TRUE)))
     mem_each (nod->mem, greet_far, nod);
   if (is_due (&nod->members_at, now, NOD_MEMBERS_US))
     send_members (nod);
--- a/tests/unit/test_mem.c
+++ b/tests/unit/test_mem.c
@@ -159,6 +159,38 @@
   mem_free (mem);
 }
 
+/* At the size of a large failure domain heartbeats are rarer and silence is
+   borne longer, but never so rare that a small view takes it for silence.  */
+static void
+test_interval_grows (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  char id[16];
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  CU_ASSERT_EQUAL (mem_heartbeat_interval (mem, FALSE), MEM_HEARTBEAT_US);
+  for (guint i = 1; i <= 30; i++)
+    {
+      g_snprintf (id, sizeof id, "n%u", i);
+      hear (mem, id, beat (1, 1, FALSE), &change);
+    }
+  gint64 interval = mem_heartbeat_interval (mem, FALSE);
+  CU_ASSERT_EQUAL (interval, 30 * MEM_HEARTBEAT_PER_PEER_US);
+  CU_ASSERT_EQUAL (mem_heartbeat_interval (mem, TRUE), MEM_FAR_HEARTBEAT_US);
+  pass (mem, &clk, MEM_SUSPECT_INTERVALS * interval - 1, &change);
+  CU_ASSERT_FALSE (change.view);
+  pass (mem, &clk, 1, &change);
+  CU_ASSERT_TRUE (change.view);
+  for (guint i = 31; i <= 60; i++)
+    {
+      g_snprintf (id, sizeof id, "n%u", i);
+      hear (mem, id, beat (1, 1, FALSE), &change);
+    }
+  CU_ASSERT_EQUAL (mem_heartbeat_interval (mem, FALSE), MEM_HEARTBEAT_MAX_US);
+  mem_free (mem);
+}
+
 static void
 test_limit (void)
 {
@@ -476,6 +508,7 @@
   { "restarts and own-id conflicts are told", test_incarnations },
   { "a pause of the own process is no silence of others", test_pause },
   { "other failure domains are given longer", test_far_silence },
+  { "heartbeats are rarer among many", test_interval_grows },
   { "a failure domain's instances are bounded", test_limit },
   { "owners are live, staying and of the domain", test_owner_candidates },
   { "a loss moves only the lost one's names", test_owner_moves },
--- a/tests/wirebench/bench_wire.c
+++ b/tests/wirebench/bench_wire.c
@@ -14,6 +14,10 @@
 #define PINGS 20000
 #define CONNECTIONS 200
 #define DOMAIN_NODES 36 /* instances of one failure domain */
+#define SMALL_DOMAIN_NODES 7
+#define WARM_UP_US (4 * CLK_S)
+#define DOMAIN_RUN_US (10 * CLK_S)
+#define NODE_TICK_MS 20
 #define OWNER_ROUNDS 100000
 #define START_US G_GUINT64_CONSTANT (1764800000000000) /* wall clock */
 #define DAY_US (24 * 3600 * CLK_S)                     /* monotonic */
@@ -324,6 +328,122 @@
   chr_free (chart);
 }
 
+/* An instance that only sends and takes heartbeats. */
+struct node
+{
+  struct wir *wir;
+  struct mem *mem;
+  struct ctr ctr;
+  gint64 beat_at; /* microseconds */
+};
+
+static void
+on_heartbeat (void *ctx, const char *from, const struct msg *msg)
+{
+  struct node *node = ctx;
+  struct mem_change change;
+  mem_heartbeat (node->mem, from, &msg->heartbeat, &change);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  struct node *node = data;
+  struct mem_change change;
+  gint64 now = clk_now (clk_system ());
+  mem_tick (node->mem, &change);
+  if (now < node->beat_at)
+    return G_SOURCE_CONTINUE;
+  node->beat_at = now + mem_heartbeat_interval (node->mem, FALSE);
+  struct msg msg = { .kind = MSG_HEARTBEAT };
+  mem_fill_heartbeat (node->mem, &msg.heartbeat);
+  wir_broadcast (node->wir, &msg);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+start_node (struct node *node, guint i, const struct chr *chart)
+{
+  struct mem_options mem = { .clk = clk_system (), .chart = chart };
+  struct wir_options wir = { .listen = "127.0.0.1:0",
+                             .key = STR_LIT (KEY),
+                             .ctr = &node->ctr,
+                             .receive = on_heartbeat,
+                             .lost = on_lost,
+                             .ctx = node };
+  struct err err;
+  g_snprintf (wir.self.s, sizeof wir.self.s, "kgn-a-%u", i);
+  if (wir_new (&wir, &node->wir, &err) < 0)
+    g_error ("%s: %s", err.step, err.text);
+  mem.self.id = wir.self;
+  mem.self.incarnation = START_US;
+  str_id_set (&mem.self.domain, STR_LIT ("kgn-a"));
+  str_id_set (&mem.self.region, STR_LIT ("kgn"));
+  g_strlcpy (mem.self.address, "10.20.30.41:7400", sizeof mem.self.address);
+  node->mem = mem_new (&mem);
+  node->beat_at = 0;
+}
+
+static void
+run_until (gint64 end)
+{
+  while (clk_now (clk_system ()) < end)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Heartbeats of a whole failure domain of N, each instance dialling all
+   others; figures are for one of them.  */
+static void
+bench_domain (guint n, const char *name)
+{
+  struct node *nodes = g_new0 (struct node, n);
+  guint *ticks = g_new0 (guint, n);
+  struct chr *chart;
+  guint64 bytes = 0;
+  guint64 frames = 0;
+  if (mem_chart_load (JW_SOURCE_DIR "/charts", &chart, NULL) < 0)
+    g_error ("no chart");
+  for (guint i = 0; i < n; i++)
+    start_node (&nodes[i], i, chart);
+  for (guint i = 0; i < n; i++)
+    for (guint j = 0; j < n; j++)
+      {
+        char address[32];
+        g_snprintf (address, sizeof address, "127.0.0.1:%u",
+                    wir_port (nodes[j].wir));
+        if (i != j)
+          wir_dial (nodes[i].wir, address);
+      }
+  for (guint i = 0; i < n; i++)
+    ticks[i] = g_timeout_add (NODE_TICK_MS, on_tick, &nodes[i]);
+  gint64 start = clk_now (clk_system ()) + WARM_UP_US;
+  run_until (start);
+  for (guint i = 0; i < n; i++)
+    memset (&nodes[i].ctr, 0, sizeof nodes[i].ctr);
+  double start_cpu = cpu_us ();
+  run_until (start + DOMAIN_RUN_US);
+  double cpu = cpu_us () - start_cpu;
+  for (guint i = 0; i < n; i++)
+    {
+      bytes += nodes[i].ctr.v[CTR_BYTES_OUT];
+      frames += nodes[i].ctr.v[CTR_MSG_OUT];
+      if (mem_live_count (nodes[i].mem) != n)
+        g_error ("instance %u does not see all", i);
+      g_source_remove (ticks[i]);
+    }
+  double seconds = (double)DOMAIN_RUN_US / 1e6;
+  print (name, "bytes_out", (double)bytes / n / seconds, "bytes/s");
+  print (name, "messages_out", (double)frames / n / seconds, "messages/s");
+  print (name, "cpu", cpu / n / seconds / 1e4, "percent");
+  for (guint i = 0; i < n; i++)
+    wir_free (nodes[i].wir);
+  for (guint i = 0; i < n; i++)
+    mem_free (nodes[i].mem);
+  chr_free (chart);
+  g_free (ticks);
+  g_free (nodes);
+}
+
 int
 main (void)
 {
@@ -332,5 +452,7 @@
   bench_single ();
   bench_connections ();
   bench_member ();
+  bench_domain (SMALL_DOMAIN_NODES, "heartbeats_7");
+  bench_domain (DOMAIN_NODES, "heartbeats_36");
   return 0;
 }
