Mark a disconnected instance down within 300 ms

Cause: a crashed owner stayed live until its silence counted, 1.6 s and at the target's size 4.2 s, while entries offered their tickets to it again and again, though its connections had gone at once. Ruled out: marking it down at once; a connection that breaks for another reason is dialled again within 100 ms, and moving its cells twice costs more. Change: mem_disconnected leaves MEM_RECONNECT_US of silence; the node calls it for NOD_PEER_LOST. bench_wire ends one instance and waits for the others.

--- a/packages/cell/cel_pack.c
+++ b/packages/cell/cel_pack.c
@@ -6,10 +6,10 @@
 
 #include <math.h>
 
-#define PACK_BINDING 1.5       /* times the measured tbt: lower targets bind */
+#define PACK_BINDING 1.5 /* times the measured tbt: lower targets bind */
 #define PACK_DECAY_US (10 * CLK_S) /* of the demand's maximum */
-#define PACK_MARGIN 1.2        /* times the demand is kept free */
-#define PACK_SPARE 2.0         /* requests above that */
+#define PACK_MARGIN 1.2            /* times the demand is kept free */
+#define PACK_SPARE 2.0             /* requests above that */
 
 /* The tightest target of a class, microseconds between tokens; 0 if there is
    none or if full batches meet it.  */
--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -284,6 +284,17 @@
     }
 }
 
+void
+mem_disconnected (struct mem *mem, const char *id)
+{
+  struct mem_instance *instance = find (mem, id);
+  if (instance == NULL || instance == mem->self)
+    return;
+  gint64 limit = suspect_after (mem, is_far (mem, instance));
+  gint64 latest = clk_now (mem->clk) - limit + MEM_RECONNECT_US;
+  instance->heard = MIN (instance->heard, latest);
+}
+
 /* Marks the own instance as leaving, or no longer so.  */
 void
 mem_set_leaving (struct mem *mem, gboolean leaving)
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -26,6 +26,8 @@
 #define MEM_SUSPECT_US (1600 * CLK_MS)
 #define MEM_FAR_SUSPECT_INTERVALS 3
 #define MEM_FAR_SUSPECT_US (5 * CLK_S)
+/* Time for a new connection before a disconnected peer is down. */
+#define MEM_RECONNECT_US (300 * CLK_MS)
 /* Time between ticks from which on this process counts as paused. */
 #define MEM_PAUSE_US MEM_HEARTBEAT_US
 #define MEM_FORGET_US (600 * CLK_S) /* a down peer leaves the dump */
@@ -92,6 +94,9 @@
 /* Marks one silent instance down; call until CHANGE says nothing changed, and
    more often than MEM_PAUSE_US. */
 void mem_tick (struct mem *mem, struct mem_change *change);
+/* Notes that no connection to instance ID is left: unless it is heard of within
+   MEM_RECONNECT_US, mem_tick marks it down. */
+void mem_disconnected (struct mem *mem, const char *id);
 void mem_set_leaving (struct mem *mem, gboolean leaving);
 /* Notes the versions in force at the own instance. */
 void mem_set_versions (struct mem *mem, guint64 config, guint64 fleet);
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -261,6 +261,7 @@
       nod_peer_greet (nod, event->peer_up);
       break;
     case NOD_PEER_LOST:
+      mem_disconnected (nod->mem, event->peer_lost);
       nod_req_peer_lost (nod, event->peer_lost);
       break;
     case NOD_STORE_ANSWER:
--- a/tests/unit/test_mem.c
+++ b/tests/unit/test_mem.c
@@ -142,6 +142,31 @@
   mem_free (mem);
 }
 
+/* A peer without a connection is down soon, one that comes back is not.  */
+static void
+test_disconnected (void)
+{
+  struct clk_fake clk;
+  struct mem_change change;
+  clk_fake_init (&clk, 0);
+  struct mem *mem = make (&clk.clk, "a", "kgn-a", 1);
+  hear (mem, "b", beat (1, 1, FALSE), &change);
+  hear (mem, "c", beat (1, 1, FALSE), &change);
+  mem_disconnected (mem, "a");
+  mem_disconnected (mem, "b");
+  mem_disconnected (mem, "c");
+  mem_disconnected (mem, "unknown");
+  pass (mem, &clk, MEM_RECONNECT_US - 1, &change);
+  CU_ASSERT_FALSE (change.view);
+  hear (mem, "b", beat (1, 2, FALSE), &change);
+  pass (mem, &clk, 1, &change);
+  CU_ASSERT_STRING_EQUAL (change.lost.s, "c");
+  pass (mem, &clk, MEM_SUSPECT_US - 2, &change);
+  CU_ASSERT_FALSE (change.view);
+  CU_ASSERT_TRUE (mem_find (mem, "a")->live);
+  mem_free (mem);
+}
+
 /* Other failure domains' instances are given longer.  */
 static void
 test_far_silence (void)
@@ -507,6 +532,7 @@
   { "an instance comes, leaves, falls silent and is forgotten", test_life },
   { "restarts and own-id conflicts are told", test_incarnations },
   { "a pause of the own process is no silence of others", test_pause },
+  { "a disconnected instance is down soon", test_disconnected },
   { "other failure domains are given longer", test_far_silence },
   { "heartbeats are rarer among many", test_interval_grows },
   { "a failure domain's instances are bounded", test_limit },
--- a/tests/wirebench/bench_wire.c
+++ b/tests/wirebench/bench_wire.c
@@ -345,6 +345,13 @@
   mem_heartbeat (node->mem, from, &msg->heartbeat, &change);
 }
 
+static void
+on_disconnected (void *ctx, const char *id)
+{
+  struct node *node = ctx;
+  mem_disconnected (node->mem, id);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -369,7 +376,7 @@
                              .key = STR_LIT (KEY),
                              .ctr = &node->ctr,
                              .receive = on_heartbeat,
-                             .lost = on_lost,
+                             .lost = on_disconnected,
                              .ctx = node };
   struct err err;
   g_snprintf (wir.self.s, sizeof wir.self.s, "kgn-a-%u", i);
@@ -384,6 +391,29 @@
   node->beat_at = 0;
 }
 
+static guint
+seen_live (const struct node *nodes, guint n, const char *id)
+{
+  guint live = 0;
+  for (guint i = 0; i < n; i++)
+    live += mem_find (nodes[i].mem, id)->live;
+  return live;
+}
+
+/* Ends the first of N instances and prints how long the others take to mark it
+   down.  */
+static void
+bench_crash (struct node *nodes, guint n, const char *name)
+{
+  gint64 start = clk_now (clk_system ());
+  wir_free (nodes[0].wir);
+  nodes[0].wir = NULL;
+  while (seen_live (nodes + 1, n - 1, "kgn-a-0") > 0)
+    g_main_context_iteration (NULL, TRUE);
+  print (name, "crash_seen", (double)(clk_now (clk_system ()) - start) / 1000,
+         "ms");
+}
+
 static void
 run_until (gint64 end)
 {
@@ -429,13 +459,16 @@
       frames += nodes[i].ctr.v[CTR_MSG_OUT];
       if (mem_live_count (nodes[i].mem) != n)
         g_error ("instance %u does not see all", i);
-      g_source_remove (ticks[i]);
     }
   double seconds = (double)DOMAIN_RUN_US / 1e6;
   print (name, "bytes_out", (double)bytes / n / seconds, "bytes/s");
   print (name, "messages_out", (double)frames / n / seconds, "messages/s");
   print (name, "cpu", cpu / n / seconds / 1e4, "percent");
-  for (guint i = 0; i < n; i++)
+  g_source_remove (ticks[0]);
+  bench_crash (nodes, n, name);
+  for (guint i = 1; i < n; i++)
+    g_source_remove (ticks[i]);
+  for (guint i = 1; i < n; i++)
     wir_free (nodes[i].wir);
   for (guint i = 0; i < n; i++)
     mem_free (nodes[i].mem);
