Write the wire's fields as plain tables

Cause: each record took a field list, a redefinition of RECORD and an undef. Ruled out: keeping the X-macros; each list was expanded only once. Change: arrays of FIELD (record, TYPE, member, limit); the frames are the same.

--- a/packages/wire/wir_codec.c
+++ b/packages/wire/wir_codec.c
@@ -43,204 +43,172 @@
   gsize size; /* bytes of the struct */
 };
 
-/* The fields of each record in their order on the wire: the one source of
-   encoder and decoder. New fields go to the end. X (TYPE, member, limit) */
-#define FIELDS_HEARTBEAT(X)                                                    \
-  X (U64, incarnation, 0)                                                      \
-  X (U64, sequence, 0)                                                         \
-  X (ID, domain, 0)                                                            \
-  X (ID, region, 0)                                                            \
-  X (ADDRESS, address, 0)                                                      \
-  X (BOOL, leaving, 0)                                                         \
-  X (U64, config_version, 0)                                                   \
-  X (U64, fleet_version, 0)
-
-#define FIELDS_OFFER(X)                                                        \
-  X (U64, ticket, 0)                                                           \
-  X (ID, cell, 0)                                                              \
-  X (ID, class_name, 0)                                                        \
-  X (ID, team, 0)                                                              \
-  X (I64, wait_us, 0)                                                          \
-  X (I64, waited_us, 0)                                                        \
-  X (U64, prefix, 0)                                                           \
-  X (U32, prompt_tokens, 0)                                                    \
-  X (U32, max_tokens, 0)                                                       \
-  X (U32, generated, 0)                                                        \
-  X (BOOL, resumable, 0)                                                       \
-  X (ID, running, 0)                                                           \
-  X (IDS, avoid, MSG_AVOID_MAX)                                                \
-  X (I64, sent_us, 0)
-
-#define FIELDS_WITHDRAW(X) X (U64, ticket, 0)
-
-#define FIELDS_GRANT(X)                                                        \
-  X (U64, ticket, 0)                                                           \
-  X (ID, backend, 0)                                                           \
-  X (U32, priority, 0)                                                         \
-  X (I64, use_within_us, 0)                                                    \
-  X (I64, echo_us, 0)
-
-#define FIELDS_REFUSE(X)                                                       \
-  X (U64, ticket, 0)                                                           \
-  X (ENUM, reason, MSG_REASON_N)                                               \
-  X (I64, retry_after_us, 0)
-
-#define FIELDS_PREEMPT(X) X (U64, ticket, 0)
-
-#define FIELDS_PROGRESS_ITEM(X)                                                \
-  X (U64, ticket, 0)                                                           \
-  X (U32, tokens, 0)                                                           \
-  X (U32, tbt_us, 0)
-
-#define FIELDS_RELEASE(X)                                                      \
-  X (U64, ticket, 0)                                                           \
-  X (ID, backend, 0)                                                           \
-  X (ENUM, result, MSG_RESULT_N)                                               \
-  X (U32, ttft_us, 0)                                                          \
-  X (U32, tbt_us, 0)                                                           \
-  X (U32, tokens, 0)
-
-#define FIELDS_MEMBER(X)                                                       \
-  X (ID, id, 0)                                                                \
-  X (ID, domain, 0)                                                            \
-  X (ADDRESS, address, 0)
-
-#define TIERS 8 /* of msg_cell_summary */
-#define FIELDS_CELL_SUMMARY(X)                                                 \
-  X (ID, cell, 0)                                                              \
-  X (ID, owner, 0)                                                             \
-  X (ADDRESS, owner_address, 0)                                                \
-  X (U32, free_slots, 0)                                                       \
-  X (U32, servers, 0)                                                          \
-  X (COUNTS, waiting, TIERS)                                                   \
-  X (U32, starts_per_s, 0)
-
-#define FIELDS_OBJECT_ASK(X)                                                   \
-  X (ID, object, 0)                                                            \
-  X (U64, version, 0)
-
-#define FIELDS_OBJECT_BODY(X)                                                  \
-  X (ID, object, 0)                                                            \
-  X (U64, version, 0)                                                          \
-  X (STR, body, WIR_BODY_MAX)
-
-#define FIELDS_LEDGER_INTENT(X)                                                \
-  X (U64, incarnation, 0)                                                      \
-  X (U64, ticket, 0)                                                           \
-  X (DIGEST, key, 0)                                                           \
-  X (DIGEST, body, 0)
-
-#define FIELDS_LEDGER_VERDICT(X)                                               \
-  X (U64, incarnation, 0)                                                      \
-  X (U64, ticket, 0)                                                           \
-  X (ENUM, verdict, MSG_VERDICT_N)                                             \
-  X (BOOL, of_result, 0)                                                       \
-  X (BOOL, unsettled, 0)                                                       \
-  X (U32, status, 0)                                                           \
-  X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
-  X (STR, answer, MSG_ANSWER_MAX)
-
-#define FIELDS_LEDGER_RESULT(X)                                                \
-  X (U64, incarnation, 0)                                                      \
-  X (U64, ticket, 0)                                                           \
-  X (DIGEST, key, 0)                                                           \
-  X (BOOL, did_not_run, 0)                                                     \
-  X (U32, status, 0)                                                           \
-  X (STR, content_type, WIR_CONTENT_TYPE_MAX)                                  \
-  X (STR, answer, MSG_ANSWER_MAX)
-
-#define FIELD(type, member, limit)                                             \
-  { FIELD_##type, (limit), offsetof (struct RECORD, member), 0, NULL },
-#define LIST(member, count, record)                                            \
+#define FIELD(name, type, member, limit)                                       \
+  {                                                                            \
+    FIELD_##type, (limit), offsetof (struct msg_##name, member), 0, NULL       \
+  }
+#define FIELD_OF_LIST(name, member, count, record)                             \
   {                                                                            \
-    FIELD_LIST, WIR_ITEMS_MAX, offsetof (struct RECORD, member),               \
-        offsetof (struct RECORD, count), &(record)                             \
+    FIELD_LIST, WIR_ITEMS_MAX, offsetof (struct msg_##name, member),           \
+        offsetof (struct msg_##name, count), &(record)                         \
   }
-#define DEFINE_RECORD(name)                                                    \
+#define RECORD(name)                                                           \
   static const struct record name##_record                                     \
       = { name##_fields, G_N_ELEMENTS (name##_fields),                         \
-          sizeof (struct RECORD) }
-
-#define RECORD msg_heartbeat
-static const struct field heartbeat_fields[] = { FIELDS_HEARTBEAT (FIELD) };
-DEFINE_RECORD (heartbeat);
-#undef RECORD
-#define RECORD msg_offer
-static const struct field offer_fields[] = { FIELDS_OFFER (FIELD) };
-DEFINE_RECORD (offer);
-#undef RECORD
-#define RECORD msg_withdraw
-static const struct field withdraw_fields[] = { FIELDS_WITHDRAW (FIELD) };
-DEFINE_RECORD (withdraw);
-#undef RECORD
-#define RECORD msg_grant
-static const struct field grant_fields[] = { FIELDS_GRANT (FIELD) };
-DEFINE_RECORD (grant);
-#undef RECORD
-#define RECORD msg_refuse
-static const struct field refuse_fields[] = { FIELDS_REFUSE (FIELD) };
-DEFINE_RECORD (refuse);
-#undef RECORD
-#define RECORD msg_preempt
-static const struct field preempt_fields[] = { FIELDS_PREEMPT (FIELD) };
-DEFINE_RECORD (preempt);
-#undef RECORD
-#define RECORD msg_progress_item
-static const struct field progress_item_fields[]
-    = { FIELDS_PROGRESS_ITEM (FIELD) };
-DEFINE_RECORD (progress_item);
-#undef RECORD
-#define RECORD msg_progress
-static const struct field progress_fields[]
-    = { FIELD (I64, sent_us, 0) LIST (items, n_items, progress_item_record) };
-DEFINE_RECORD (progress);
-#undef RECORD
-#define RECORD msg_release
-static const struct field release_fields[] = { FIELDS_RELEASE (FIELD) };
-DEFINE_RECORD (release);
-#undef RECORD
-#define RECORD msg_member
-static const struct field member_fields[] = { FIELDS_MEMBER (FIELD) };
-DEFINE_RECORD (member);
-#undef RECORD
-#define RECORD msg_members
-static const struct field members_fields[]
-    = { LIST (items, n_items, member_record) };
-DEFINE_RECORD (members);
-#undef RECORD
-#define RECORD msg_cell_summary
-static const struct field cell_summary_fields[]
-    = { FIELDS_CELL_SUMMARY (FIELD) };
-DEFINE_RECORD (cell_summary);
-#undef RECORD
-#define RECORD msg_summary
-static const struct field summary_fields[]
-    = { FIELD (ID, domain, 0) LIST (cells, n_cells, cell_summary_record) };
-DEFINE_RECORD (summary);
-#undef RECORD
-#define RECORD msg_object_ask
-static const struct field object_ask_fields[] = { FIELDS_OBJECT_ASK (FIELD) };
-DEFINE_RECORD (object_ask);
-#undef RECORD
-#define RECORD msg_object_body
-static const struct field object_body_fields[] = { FIELDS_OBJECT_BODY (FIELD) };
-DEFINE_RECORD (object_body);
-#undef RECORD
-#define RECORD msg_ledger_intent
-static const struct field ledger_intent_fields[]
-    = { FIELDS_LEDGER_INTENT (FIELD) };
-DEFINE_RECORD (ledger_intent);
-#undef RECORD
-#define RECORD msg_ledger_verdict
-static const struct field ledger_verdict_fields[]
-    = { FIELDS_LEDGER_VERDICT (FIELD) };
-DEFINE_RECORD (ledger_verdict);
-#undef RECORD
-#define RECORD msg_ledger_result
-static const struct field ledger_result_fields[]
-    = { FIELDS_LEDGER_RESULT (FIELD) };
-DEFINE_RECORD (ledger_result);
-#undef RECORD
+          sizeof (struct msg_##name) }
+
+/* The fields of each record in their order on the wire: the one source of
+   encoder and decoder. New fields go to the end. */
+static const struct field heartbeat_fields[] = {
+  FIELD (heartbeat, U64, incarnation, 0),
+  FIELD (heartbeat, U64, sequence, 0),
+  FIELD (heartbeat, ID, domain, 0),
+  FIELD (heartbeat, ID, region, 0),
+  FIELD (heartbeat, ADDRESS, address, 0),
+  FIELD (heartbeat, BOOL, leaving, 0),
+  FIELD (heartbeat, U64, config_version, 0),
+  FIELD (heartbeat, U64, fleet_version, 0),
+};
+RECORD (heartbeat);
+
+static const struct field offer_fields[] = {
+  FIELD (offer, U64, ticket, 0),
+  FIELD (offer, ID, cell, 0),
+  FIELD (offer, ID, class_name, 0),
+  FIELD (offer, ID, team, 0),
+  FIELD (offer, I64, wait_us, 0),
+  FIELD (offer, I64, waited_us, 0),
+  FIELD (offer, U64, prefix, 0),
+  FIELD (offer, U32, prompt_tokens, 0),
+  FIELD (offer, U32, max_tokens, 0),
+  FIELD (offer, U32, generated, 0),
+  FIELD (offer, BOOL, resumable, 0),
+  FIELD (offer, ID, running, 0),
+  FIELD (offer, IDS, avoid, MSG_AVOID_MAX),
+  FIELD (offer, I64, sent_us, 0),
+};
+RECORD (offer);
+
+static const struct field withdraw_fields[] = {
+  FIELD (withdraw, U64, ticket, 0),
+};
+RECORD (withdraw);
+
+static const struct field grant_fields[] = {
+  FIELD (grant, U64, ticket, 0),   FIELD (grant, ID, backend, 0),
+  FIELD (grant, U32, priority, 0), FIELD (grant, I64, use_within_us, 0),
+  FIELD (grant, I64, echo_us, 0),
+};
+RECORD (grant);
+
+static const struct field refuse_fields[] = {
+  FIELD (refuse, U64, ticket, 0),
+  FIELD (refuse, ENUM, reason, MSG_REASON_N),
+  FIELD (refuse, I64, retry_after_us, 0),
+};
+RECORD (refuse);
+
+static const struct field preempt_fields[] = {
+  FIELD (preempt, U64, ticket, 0),
+};
+RECORD (preempt);
+
+static const struct field progress_item_fields[] = {
+  FIELD (progress_item, U64, ticket, 0),
+  FIELD (progress_item, U32, tokens, 0),
+  FIELD (progress_item, U32, tbt_us, 0),
+};
+RECORD (progress_item);
+
+static const struct field progress_fields[] = {
+  FIELD (progress, I64, sent_us, 0),
+  FIELD_OF_LIST (progress, items, n_items, progress_item_record),
+};
+RECORD (progress);
+
+static const struct field release_fields[] = {
+  FIELD (release, U64, ticket, 0),
+  FIELD (release, ID, backend, 0),
+  FIELD (release, ENUM, result, MSG_RESULT_N),
+  FIELD (release, U32, ttft_us, 0),
+  FIELD (release, U32, tbt_us, 0),
+  FIELD (release, U32, tokens, 0),
+};
+RECORD (release);
+
+static const struct field member_fields[] = {
+  FIELD (member, ID, id, 0),
+  FIELD (member, ID, domain, 0),
+  FIELD (member, ADDRESS, address, 0),
+};
+RECORD (member);
+
+static const struct field members_fields[] = {
+  FIELD_OF_LIST (members, items, n_items, member_record),
+};
+RECORD (members);
+
+#define TIERS 8 /* of msg_cell_summary */
+static const struct field cell_summary_fields[] = {
+  FIELD (cell_summary, ID, cell, 0),
+  FIELD (cell_summary, ID, owner, 0),
+  FIELD (cell_summary, ADDRESS, owner_address, 0),
+  FIELD (cell_summary, U32, free_slots, 0),
+  FIELD (cell_summary, U32, servers, 0),
+  FIELD (cell_summary, COUNTS, waiting, TIERS),
+  FIELD (cell_summary, U32, starts_per_s, 0),
+};
+RECORD (cell_summary);
+
+static const struct field summary_fields[] = {
+  FIELD (summary, ID, domain, 0),
+  FIELD_OF_LIST (summary, cells, n_cells, cell_summary_record),
+};
+RECORD (summary);
+
+static const struct field object_ask_fields[] = {
+  FIELD (object_ask, ID, object, 0),
+  FIELD (object_ask, U64, version, 0),
+};
+RECORD (object_ask);
+
+static const struct field object_body_fields[] = {
+  FIELD (object_body, ID, object, 0),
+  FIELD (object_body, U64, version, 0),
+  FIELD (object_body, STR, body, WIR_BODY_MAX),
+};
+RECORD (object_body);
+
+static const struct field ledger_intent_fields[] = {
+  FIELD (ledger_intent, U64, incarnation, 0),
+  FIELD (ledger_intent, U64, ticket, 0),
+  FIELD (ledger_intent, DIGEST, key, 0),
+  FIELD (ledger_intent, DIGEST, body, 0),
+};
+RECORD (ledger_intent);
+
+static const struct field ledger_verdict_fields[] = {
+  FIELD (ledger_verdict, U64, incarnation, 0),
+  FIELD (ledger_verdict, U64, ticket, 0),
+  FIELD (ledger_verdict, ENUM, verdict, MSG_VERDICT_N),
+  FIELD (ledger_verdict, BOOL, of_result, 0),
+  FIELD (ledger_verdict, BOOL, unsettled, 0),
+  FIELD (ledger_verdict, U32, status, 0),
+  FIELD (ledger_verdict, STR, content_type, WIR_CONTENT_TYPE_MAX),
+  FIELD (ledger_verdict, STR, answer, MSG_ANSWER_MAX),
+};
+RECORD (ledger_verdict);
+
+static const struct field ledger_result_fields[] = {
+  FIELD (ledger_result, U64, incarnation, 0),
+  FIELD (ledger_result, U64, ticket, 0),
+  FIELD (ledger_result, DIGEST, key, 0),
+  FIELD (ledger_result, BOOL, did_not_run, 0),
+  FIELD (ledger_result, U32, status, 0),
+  FIELD (ledger_result, STR, content_type, WIR_CONTENT_TYPE_MAX),
+  FIELD (ledger_result, STR, answer, MSG_ANSWER_MAX),
+};
+RECORD (ledger_result);
 
 #define RECORD_OF_KIND(id, member, name) [MSG_##id] = &member##_record,
 static const struct record *const records[] = { MSG_KINDS (RECORD_OF_KIND) };
