Reserve nothing for a target without demand

Cause: two slots a cell were kept for the tightest target even when none of its requests had come; test_cel 'a crash counts without a tick' met it. Change: below half a request of demand nothing is reserved.

--- a/packages/cell/cel_pack.c
+++ b/packages/cell/cel_pack.c
@@ -9,6 +9,7 @@
 #define PACK_BINDING 1.5 /* times the measured tbt: lower targets bind */
 #define PACK_DECAY_US (10 * CLK_S) /* of the demand's maximum */
 #define PACK_MARGIN 1.2            /* times the demand is kept free */
+#define PACK_DEMAND_MIN 0.5        /* requests; below it nothing is reserved */
 #define PACK_SPARE 2.0             /* requests above that */
 
 /* The tightest target of a class, microseconds between tokens; 0 if there is
@@ -65,9 +66,9 @@
 {
   cel->pack.target_us = binding_target (cel);
   note_demand (cel);
-  double left = cel->pack.target_us == 0
-                    ? 0
-                    : cel->pack.demand * PACK_MARGIN + PACK_SPARE;
+  double left = 0;
+  if (cel->pack.target_us > 0 && cel->pack.demand >= PACK_DEMAND_MIN)
+    left = cel->pack.demand * PACK_MARGIN + PACK_SPARE;
   cel->pack.room = FALSE;
   for (guint i = 0; i < cel->servers->len; i++)
     {
