Add leases and orders to engines

Cause: orders (load model, adapter, version, change role) come from one holder at a time, also when a holder pauses past its term. Weighed: fencing number from each renewal against the version at acquisition (taken: engines compare numbers only between holders, and a renewal whose answer is lost leaves the number known); wall clock times in the object against each observer's own monotonic clock (taken: no clock is trusted); deciding what an engine has from own memory against reading it back (taken). Adapters and versions cannot be read from an engine; they are ordered after what can be read, and again when a model or role is missing or the last id is not ours.

--- /dev/null
+++ b/tests/unit/test_ord.c
@@ -0,0 +1,407 @@
+/* Orders to engines: two instances, of which the lease lets one order, and
+   engines that lose answers, restart, take their time or ignore fencing
+   numbers.
+
+   ORD_SEED=N runs one schedule, ORD_SEEDS=N as many instead of 300.  */
+#include "unit/sim.h"
+#include "unit/unit.h"
+
+#include "lease/ord.h"
+
+#include <stdlib.h>
+
+#define SEEDS 300
+#define NODES 2
+#define ENGINES 3 /* the last one ignores fencing numbers */
+#define FAULTY_US (150 * CLK_S)
+#define HEALING_US (120 * CLK_S)
+#define CALLS_MAX 2000 /* of one schedule; more were a busy loop */
+
+struct engine
+{
+  char name[8];
+  gboolean checks;
+  guint64 fence; /* newest that was taken */
+  char last_id[ORD_ID_MAX];
+  char role[16];
+  char adapter[16];
+  gboolean model; /* "m1" is loaded */
+  guint posts;    /* open, of one node */
+};
+
+struct node
+{
+  struct world *w;
+  gint64 paused_until;
+  struct lse *lse;
+  struct ord *ord;
+};
+
+struct world
+{
+  struct sim sim;
+  struct sim_store store;
+  struct chr *lease_chart;
+  struct chr *order_chart;
+  struct engine engines[ENGINES];
+  struct node nodes[NODES];
+  gboolean faulty;
+  gboolean stopped;
+  guint calls;
+  guint errors;
+  guint32 seed;
+};
+
+static void
+fault (struct world *w, const char *what)
+{
+  w->errors++;
+  g_print ("\nseed %u: %s; repeat: ORD_SEED=%u build/tests/test_ord\n", w->seed,
+           what, w->seed);
+}
+
+/* A call on its way to an engine and back, or an answer of the store. */
+struct arrival
+{
+  struct node *node;
+  guint64 token;
+  gboolean of_store;
+  struct sto_answer store_answer; /* body owned */
+  struct engine *engine;
+  struct ord_call call;
+  struct ord_answer answer;
+  char last_id[ORD_ID_MAX];
+  char role[16];
+  const char *models[2];
+};
+
+static void
+arrive (void *ctx)
+{
+  struct arrival *a = ctx;
+  struct sim *sim = &a->node->w->sim;
+  gint64 pause = a->node->paused_until - sim->clk.t;
+  if (!a->node->w->stopped && pause > 0)
+    {
+      sim_after (sim, pause, arrive, a);
+      return;
+    }
+  if (a->node->w->stopped)
+    ;
+  else if (a->of_store)
+    lse_answer (a->node->lse, a->token, &a->store_answer);
+  else
+    ord_answer (a->node->ord, a->token, &a->answer);
+  if (a->store_answer.body)
+    g_bytes_unref (a->store_answer.body);
+  g_free (a);
+}
+
+static void
+apply (struct engine *engine, const struct ord_call *call)
+{
+  g_strlcpy (engine->last_id, call->id, sizeof engine->last_id);
+  switch (call->kind)
+    {
+    case ORD_LOAD_MODEL:
+      engine->model = TRUE;
+      break;
+    case ORD_LOAD_ADAPTER:
+      g_strlcpy (engine->adapter, call->name.s, sizeof engine->adapter);
+      break;
+    case ORD_SET_ROLE:
+      g_strlcpy (engine->role, call->name.s, sizeof engine->role);
+      break;
+    default:
+      break;
+    }
+}
+
+/* The call reaches its engine. */
+static void
+on_engine (void *ctx)
+{
+  struct arrival *a = ctx;
+  struct engine *engine = a->engine;
+  struct world *w = a->node->w;
+  a->answer.fence = engine->fence;
+  if (a->call.post && engine->checks && a->call.fence < engine->fence)
+    a->answer.code = ERR_CONFLICT;
+  else if (a->call.post)
+    {
+      if (a->call.fence < engine->fence)
+        fault (w, "an old order reached an engine that ignores numbers");
+      engine->fence = a->call.fence;
+      apply (engine, &a->call);
+    }
+  else
+    {
+      g_strlcpy (a->last_id, engine->last_id, sizeof a->last_id);
+      g_strlcpy (a->role, engine->role, sizeof a->role);
+      a->answer.last_id = a->last_id;
+      a->answer.role = a->role;
+      a->models[0] = engine->model ? "m1" : NULL;
+      a->answer.models = a->models;
+    }
+  if (w->faulty && sim_chance (&w->sim, 0.15))
+    a->answer = (struct ord_answer){ .code = ERR_TIMEOUT };
+  sim_after (&w->sim, sim_delay (&w->sim, CLK_S), arrive, a);
+}
+
+static void
+on_call (void *ctx, guint64 token, const struct ord_call *call)
+{
+  struct node *node = ctx;
+  struct world *w = node->w;
+  struct arrival *a = g_new0 (struct arrival, 1);
+  *a = (struct arrival){ .node = node, .token = token, .call = *call };
+  w->calls++;
+  a->engine = &w->engines[call->backend.s[1] - '0'];
+  if (lse_order_fence (node->lse, a->engine->checks) != call->fence)
+    fault (w, "a call without authority");
+  if (w->faulty && sim_chance (&w->sim, 0.15))
+    {
+      a->answer.code
+          = sim_chance (&w->sim, 0.5) ? ERR_UNAVAILABLE : ERR_TIMEOUT;
+      sim_after (&w->sim, call->timeout_us, arrive, a);
+      return;
+    }
+  sim_after (&w->sim, sim_delay (&w->sim, LSE_ORDER_FLIGHT_US - CLK_S),
+             on_engine, a);
+}
+
+static void
+store_done (void *ctx, const struct sto_answer *answer)
+{
+  struct arrival *a = ctx;
+  a->store_answer = *answer;
+  if (answer->body)
+    g_bytes_ref (answer->body);
+  arrive (a);
+}
+
+static void
+on_store (void *ctx, guint64 token, const struct sto_call *call)
+{
+  struct node *node = ctx;
+  struct arrival *a = g_new0 (struct arrival, 1);
+  *a = (struct arrival){ .node = node, .token = token, .of_store = TRUE };
+  sim_store_start (&node->w->store, call, store_done, a);
+}
+
+static void
+on_tick (void *ctx)
+{
+  struct node *node = ctx;
+  if (node->w->stopped)
+    return;
+  if (node->paused_until <= node->w->sim.clk.t)
+    {
+      lse_tick (node->lse);
+      ord_tick (node->ord);
+    }
+  sim_after (&node->w->sim, ORD_TICK_US, on_tick, node);
+}
+
+static void
+on_fault (void *ctx)
+{
+  struct world *w = ctx;
+  struct node *node = &w->nodes[g_rand_int_range (w->sim.rand, 0, NODES)];
+  struct engine *engine
+      = &w->engines[g_rand_int_range (w->sim.rand, 0, ENGINES)];
+  if (!w->faulty)
+    return;
+  switch (g_rand_int_range (w->sim.rand, 0, 4))
+    {
+    case 0:
+      node->paused_until = w->sim.clk.t + sim_delay (&w->sim, 40 * CLK_S);
+      break;
+    case 1: /* it restarts with nothing loaded */
+      engine->model = FALSE;
+      engine->adapter[0] = engine->role[0] = engine->last_id[0] = '\0';
+      break;
+    case 2:
+      lse_want (node->lse, sim_chance (&w->sim, 0.7));
+      break;
+    default:
+      w->store.silent = !w->store.silent;
+      break;
+    }
+  sim_after (&w->sim, sim_delay (&w->sim, 20 * CLK_S), on_fault, w);
+}
+
+static void
+set_wants (struct ord *ord, const struct engine *engine, const char *role)
+{
+  struct ord_want wants[] = { { ORD_LOAD_MODEL, { "m1" } },
+                              { ORD_LOAD_ADAPTER, { "a1" } },
+                              { ORD_SET_ROLE, { "" } } };
+  str_id_set (&wants[2].name, str_of (role));
+  CU_ASSERT_EQUAL (
+      ord_set (ord, engine->name, engine->checks, wants, G_N_ELEMENTS (wants)),
+      0);
+}
+
+static void
+node_start (struct world *w, guint i)
+{
+  struct node *node = &w->nodes[i];
+  struct lse_options lease = { .clk = &w->sim.clk.clk,
+                               .seed = i,
+                               .chart = w->lease_chart,
+                               .incarnation = 1,
+                               .object = "lease/orders",
+                               .store = on_store,
+                               .ctx = node };
+  g_snprintf (lease.self.s, sizeof lease.self.s, "n%u", i);
+  node->w = w;
+  node->lse = lse_new (&lease);
+  node->ord = ord_new (&(struct ord_options){ .clk = &w->sim.clk.clk,
+                                              .seed = i,
+                                              .chart = w->order_chart,
+                                              .lse = node->lse,
+                                              .call = on_call,
+                                              .ctx = node });
+  lse_want (node->lse, TRUE);
+  for (guint e = 0; e < ENGINES; e++)
+    set_wants (node->ord, &w->engines[e], "prefill");
+  on_tick (node);
+}
+
+static struct world *
+world_new (guint32 seed)
+{
+  struct world *w = g_new0 (struct world, 1);
+  struct err err;
+  w->seed = seed;
+  sim_init (&w->sim, seed);
+  sim_store_init (&w->store, &w->sim);
+  lse_chart_load (JW_SOURCE_DIR "/charts", &w->lease_chart, &err);
+  ord_chart_load (JW_SOURCE_DIR "/charts", &w->order_chart, &err);
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      w->engines[i].checks = i < ENGINES - 1;
+      g_snprintf (w->engines[i].name, sizeof w->engines[i].name, "e%u", i);
+    }
+  for (guint i = 0; i < NODES; i++)
+    node_start (w, i);
+  return w;
+}
+
+/* Frees W; returns the number of its faults. */
+static guint
+world_free (struct world *w)
+{
+  guint errors = w->errors;
+  w->stopped = TRUE;
+  sim_run (&w->sim, w->sim.clk.t + 1000 * CLK_S);
+  for (guint i = 0; i < NODES; i++)
+    {
+      ord_free (w->nodes[i].ord);
+      lse_free (w->nodes[i].lse);
+    }
+  chr_free (w->lease_chart);
+  chr_free (w->order_chart);
+  sim_store_clear (&w->store);
+  sim_clear (&w->sim);
+  g_free (w);
+  return errors;
+}
+
+/* Checks that every engine has what it should, and that the holder knows. */
+static void
+check_settled (struct world *w, const char *role)
+{
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      const struct engine *engine = &w->engines[i];
+      gboolean known = FALSE;
+      if (!engine->model || strcmp (engine->adapter, "a1") != 0
+          || strcmp (engine->role, role) != 0)
+        fault (w, "an engine lacks something in peace");
+      for (guint n = 0; n < NODES; n++)
+        known |= lse_state (w->nodes[n].lse) == LSE_HELD
+                 && ord_settled (w->nodes[n].ord, engine->name);
+      if (!known)
+        fault (w, "the holder does not know that an engine is settled");
+    }
+}
+
+static guint
+world_run (guint32 seed)
+{
+  struct world *w = world_new (seed);
+  w->faulty = TRUE;
+  on_fault (w);
+  sim_run (&w->sim, w->sim.clk.t + FAULTY_US / 2);
+  for (guint n = 0; n < NODES; n++)
+    for (guint i = 0; i < ENGINES; i++)
+      set_wants (w->nodes[n].ord, &w->engines[i], "decode");
+  sim_run (&w->sim, w->sim.clk.t + FAULTY_US / 2);
+  w->faulty = FALSE;
+  w->store.silent = FALSE;
+  for (guint n = 0; n < NODES; n++)
+    {
+      w->nodes[n].paused_until = 0;
+      lse_want (w->nodes[n].lse, TRUE);
+    }
+  sim_run (&w->sim, w->sim.clk.t + HEALING_US);
+  check_settled (w, "decode");
+  if (w->calls > CALLS_MAX)
+    fault (w, "too many calls");
+  return world_free (w);
+}
+
+static void
+test_schedules (void)
+{
+  const char *one = g_getenv ("ORD_SEED");
+  const char *many = g_getenv ("ORD_SEEDS");
+  guint32 first = one ? (guint32)strtoul (one, NULL, 10) : 1;
+  guint32 n = one ? 1 : many ? (guint32)strtoul (many, NULL, 10) : SEEDS;
+  guint errors = 0;
+  for (guint32 seed = first; seed < first + n && errors < 10; seed++)
+    errors += world_run (seed);
+  CU_ASSERT_EQUAL (errors, 0);
+}
+
+static void
+test_few_calls (void)
+{
+  struct world *w = world_new (1);
+  sim_run (&w->sim, w->sim.clk.t + 25 * CLK_S);
+  check_settled (w, "prefill");
+  /* One read first, then an order and a read for each of three wants. */
+  CU_ASSERT_EQUAL (w->calls, ENGINES * 7);
+  sim_run (&w->sim, w->sim.clk.t + ORD_REREAD_US);
+  CU_ASSERT_EQUAL (w->calls, ENGINES * 8);
+  CU_ASSERT_EQUAL (world_free (w), 0);
+}
+
+static void
+test_outranked (void)
+{
+  struct world *w = world_new (1);
+  w->engines[0].fence = 1000;
+  sim_run (&w->sim, w->sim.clk.t + 25 * CLK_S);
+  CU_ASSERT_FALSE (w->engines[0].model);
+  CU_ASSERT_TRUE (w->engines[1].model);
+  CU_ASSERT_FALSE (ord_settled (w->nodes[0].ord, "e0"));
+  CU_ASSERT_FALSE (ord_settled (w->nodes[1].ord, "e0"));
+  CU_ASSERT_EQUAL (world_free (w), 0);
+}
+
+static CU_TestInfo tests[] = {
+  { "seeded schedules: engines end as they should", test_schedules },
+  { "as few calls as needed", test_few_calls },
+  { "an engine that knows a newer number", test_outranked },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "orders", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
