--- a/packages/cell/cel_int.h
+++ b/packages/cell/cel_int.h
@@ -16,12 +16,22 @@
 #define CEL_USE_WITHIN_US (1500 * CLK_MS)   /* told to the entry */
 #define CEL_GRANT_EXPIRY_US (2000 * CLK_MS) /* the slot is freed */
 #define CEL_USE_SEEN_US (250 * CLK_MS)      /* later progress proves the use */
+#define CEL_WAIT_MAX_US (86400 * CLK_S)     /* times in offers are cut to it */
 #define CEL_SILENT_US (10 * CLK_S)          /* silence that drops a ticket */
 #define CEL_PREFILL_US 50.0       /* a prompt token, before any was measured */
 #define CEL_PREFILL_WEIGHT 0.05   /* of a new sample */
 #define CEL_PREFILL_TOKENS_MIN 64 /* prompt of a sample */
 #define CEL_RETRY_MIN_US (200 * CLK_MS)
 
+/* Where work of the tightest target goes; see cel_pack.c. */
+struct cel_pack
+{
+  gint64 target_us; /* between tokens; 0: none binds */
+  double demand;    /* requests of it, waiting and running, fading maximum */
+  gint64 noted;     /* clock time of the last note */
+  gboolean room;    /* a reserved server has a free slot */
+};
+
 struct cel
 {
   const struct clk *clk; /* borrowed */
@@ -34,14 +44,16 @@
 
   GPtrArray *classes; /* of struct cls, owned, the highest tier first */
   GPtrArray *servers; /* of struct srv, owned */
-  gboolean any_well;  /* some server takes work and is not on probation */
+  struct cel_pack pack;
+  gboolean any_well; /* some server takes work and is not on probation */
   struct tem_table teams;
   struct tkt_table tickets;
   struct aff *aff;
   struct hea_mean prefill; /* microseconds per prompt token */
   struct rte rate;
-  gint64 preempted;     /* clock time of the last preemption */
-  GSequence *deadlines; /* of waiting struct tkt, the next due first */
+  gint64 preempted;       /* clock time of the last preemption */
+  gint64 preempt_checked; /* clock time of the last look for one */
+  GSequence *deadlines;   /* of waiting struct tkt, the next due first */
   struct dfq tiers[CFG_TIERS_MAX]; /* over the classes of each tier */
 };
 
@@ -78,6 +90,11 @@
 gint64 cel_retry_after (struct cel *cel, const struct cls *cls,
                         const struct tem *team);
 
+/* cel_pack.c */
+void cel_pack_update (struct cel *cel);
+gboolean cel_pack_suits (const struct cel *cel, const struct srv *srv,
+                         const struct tkt *tkt);
+
 /* cel_place.c */
 gboolean cel_is_open (const struct cel *cel, const struct srv *srv,
                       const struct tkt *tkt);
--- a/packages/cell/srv.c
+++ b/packages/cell/srv.c
@@ -2,11 +2,11 @@
 
 #include "cell/cls.h"
 
-#define SRV_TARGET_HOLD_US (10 * CLK_S) /* a target counts after its work */
-#define SRV_PEAK_US (3 * CLK_S)         /* window of the peak in flight */
-#define SRV_LOAD_AGE_US (5 * CLK_S)     /* age at which a report is worthless */
-#define SRV_STALL_US (5 * CLK_S)        /* without a token from any request */
-#define SRV_KV_FULL 0.95                /* share of the KV cache */
+#define SRV_TARGET_HOLD_US (3 * CLK_S) /* a target counts after its work */
+#define SRV_PEAK_US (3 * CLK_S)        /* window of the peak in flight */
+#define SRV_LOAD_AGE_US (5 * CLK_S)    /* age at which a report is worthless */
+#define SRV_STALL_US (5 * CLK_S)       /* without a token from any request */
+#define SRV_KV_FULL 0.95               /* share of the KV cache */
 
 /* Returns an idle server for CFG; freed by srv_free.  */
 struct srv *
@@ -101,10 +101,11 @@
 /* Learns from how an attempt ended. Answers that a retry would not change,
    cancelled and unused attempts say nothing of the server.  */
 void
-srv_result (struct srv *srv, const struct msg_release *release)
+srv_result (struct srv *srv, const struct tkt *tkt,
+            const struct msg_release *release)
 {
   if (release->ttft_us > 0)
-    hea_ttft (&srv->hea, release->ttft_us);
+    hea_ttft (&srv->hea, release->ttft_us, tkt->prompt_tokens);
   switch (release->result)
     {
     case MSG_RESULT_OK:
--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -28,6 +28,7 @@
   const struct chr *chart;   /* borrowed */
   GPtrArray *instances;      /* struct mem_instance, owned, by id */
   struct mem_instance *self; /* in instances */
+  gint64 ticked;             /* clock time of the last tick, microseconds */
 };
 
 int
@@ -111,7 +112,7 @@
   enum mem_state state = mem->self->state;
   *mem->self = options->self;
   mem->self->state = state;
-  mem->self->heard = clk_now (mem->clk);
+  mem->self->heard = mem->ticked = clk_now (mem->clk);
   step (mem, mem->self, MEM_EVENT_ALIVE);
   return mem;
 }
@@ -198,12 +199,56 @@
   return 0;
 }
 
+/* Either side goes by its own count of peers, so the longest interval of one
+   must not look like silence to the other.  */
+G_STATIC_ASSERT (MEM_HEARTBEAT_MAX_US < MEM_SUSPECT_US);
+G_STATIC_ASSERT (MEM_FAR_HEARTBEAT_MAX_US < MEM_FAR_SUSPECT_US);
+
+static gboolean
+is_far (const struct mem *mem, const struct mem_instance *instance)
+{
+  return strcmp (instance->domain.s, mem->self->domain.s) != 0;
+}
+
+gint64
+mem_heartbeat_interval (const struct mem *mem, gboolean far)
+{
+  gint64 peers = 0;
+  for (guint i = 0; i < mem->instances->len; i++)
+    {
+      const struct mem_instance *at = g_ptr_array_index (mem->instances, i);
+      peers += at->live && at != mem->self && is_far (mem, at) == far;
+    }
+  if (far)
+    return CLAMP (peers * MEM_FAR_HEARTBEAT_PER_PEER_US, MEM_FAR_HEARTBEAT_US,
+                  MEM_FAR_HEARTBEAT_MAX_US);
+  return CLAMP (peers * MEM_HEARTBEAT_PER_PEER_US, MEM_HEARTBEAT_US,
+                MEM_HEARTBEAT_MAX_US);
+}
+
+/* Returns the silence that marks a near or far peer down, microseconds.  */
 static gint64
-suspect_after (const struct mem *mem, const struct mem_instance *instance)
+suspect_after (const struct mem *mem, gboolean far)
 {
-  return strcmp (instance->domain.s, mem->self->domain.s) == 0
-             ? MEM_SUSPECT_US
-             : MEM_FAR_SUSPECT_US;
+  gint64 interval = mem_heartbeat_interval (mem, far);
+  return far ? MAX (interval * MEM_FAR_SUSPECT_INTERVALS, MEM_FAR_SUSPECT_US)
+             : MAX (interval * MEM_SUSPECT_INTERVALS, MEM_SUSPECT_US);
+}
+
+/* Time in which this process did not run is no silence of the others: without
+   this, whoever wakes from a pause takes all of them for lost.  */
+static void
+discount_pause (struct mem *mem, gint64 now)
+{
+  gint64 pause = now - mem->ticked;
+  mem->ticked = now;
+  if (pause < MEM_PAUSE_US)
+    return;
+  for (guint i = 0; i < mem->instances->len; i++)
+    {
+      struct mem_instance *at = g_ptr_array_index (mem->instances, i);
+      at->heard = MIN (at->heard + pause, now);
+    }
 }
 
 /* Marks one silent instance down and reports it as lost, and forgets those
@@ -214,6 +259,9 @@
 {
   gint64 now = clk_now (mem->clk);
   memset (change, 0, sizeof *change);
+  discount_pause (mem, now);
+  gint64 near_limit = suspect_after (mem, FALSE);
+  gint64 far_limit = suspect_after (mem, TRUE);
   for (guint i = mem->instances->len; i-- > 0;)
     {
       struct mem_instance *at = g_ptr_array_index (mem->instances, i);
@@ -227,7 +275,7 @@
           g_ptr_array_remove_index (mem->instances, i);
           continue;
         }
-      if (silent < suspect_after (mem, at)
+      if (silent < (is_far (mem, at) ? far_limit : near_limit)
           || !step (mem, at, MEM_EVENT_SILENCE))
         continue;
       change->view = TRUE;
@@ -236,6 +284,17 @@
     }
 }
 
+void
+mem_disconnected (struct mem *mem, const char *id)
+{
+  struct mem_instance *instance = find (mem, id);
+  if (instance == NULL || instance == mem->self)
+    return;
+  gint64 limit = suspect_after (mem, is_far (mem, instance));
+  gint64 latest = clk_now (mem->clk) - limit + MEM_RECONNECT_US;
+  instance->heard = MIN (instance->heard, latest);
+}
+
 /* Marks the own instance as leaving, or no longer so.  */
 void
 mem_set_leaving (struct mem *mem, gboolean leaving)
