--- a/packages/backend/bkd.c
+++ b/packages/backend/bkd.c
@@ -273,8 +273,11 @@
   g_hash_table_add (bkd->calls, call);
   g_signal_connect (message, "starting", G_CALLBACK (on_starting), call);
   g_signal_connect (message, "restarted", G_CALLBACK (on_restarted), call);
-  call->deadline_timer = g_timeout_add ((guint)(options->timeout_us / CLK_MS),
-                                        on_deadline, call);
+  /* Above the priority of input and output: a process that was paused past
+     the deadline cancels the call before it writes any more of it. */
+  call->deadline_timer = g_timeout_add_full (
+      G_PRIORITY_HIGH, (guint)(options->timeout_us / CLK_MS), on_deadline, call,
+      NULL);
   call->stall_timer
       = g_timeout_add ((guint)CLAMP (options->stall_us / CLK_MS / 4, 10, 1000),
                        on_stall_check, call);
--- /dev/null
+++ b/packages/backend/orh.h
@@ -0,0 +1,25 @@
+/* Orders to engines over HTTP: POST /orders and GET /orders, each once, on a
+   connection of its own and within its time limit.  */
+#ifndef ORH_H
+#define ORH_H
+
+#include "config/cfg.h"
+#include "lease/ord.h"
+
+struct orh;
+
+struct orh_options
+{
+  /* Comes once for each call, from the loop, never before orh_start returns.
+     ANSWER is borrowed for the call. */
+  void (*answer) (void *ctx, guint64 token, const struct ord_answer *answer);
+  void *ctx;
+};
+
+struct orh *orh_new (const struct orh_options *options);
+/* Cancels what is open; no answer comes any more. */
+void orh_free (struct orh *orh);
+void orh_start (struct orh *orh, guint64 token,
+                const struct cfg_backend *backend, const struct ord_call *call);
+
+#endif
--- a/packages/backend/prb.c
+++ b/packages/backend/prb.c
@@ -1,4 +1,5 @@
 #include "backend/prb.h"
+#include "backend/jsn.h"
 
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
@@ -58,36 +59,17 @@
   g_free (prb);
 }
 
-static gint64
-int_member (JsonObject *object, const char *name)
-{
-  JsonNode *node = json_object_get_member (object, name);
-  return node != NULL && JSON_NODE_HOLDS_VALUE (node) ? json_node_get_int (node)
-                                                      : 0;
-}
-
-static double
-number_member (JsonObject *object, const char *name)
-{
-  JsonNode *node = json_object_get_member (object, name);
-  return node != NULL && JSON_NODE_HOLDS_VALUE (node)
-             ? json_node_get_double (node)
-             : 0;
-}
-
 static void
 take_load (struct engine *engine, JsonObject *object)
 {
   const struct prb_options *options = &engine->prb->options;
   struct cel_load load = { 0 };
-  load.running = (guint)CLAMP (int_member (object, "running"), 0, 1000000);
-  load.waiting = (guint)CLAMP (int_member (object, "waiting"), 0, 1000000);
-  load.kv_used = CLAMP (number_member (object, "kv_used"), 0.0, 1.0);
-  load.age_us = CLAMP (int_member (object, "age_ms"), 0, 3600 * 1000) * CLK_MS;
-  JsonNode *leaving = json_object_get_member (object, "leaving");
+  load.running = (guint)CLAMP (jsn_int (object, "running"), 0, 1000000);
+  load.waiting = (guint)CLAMP (jsn_int (object, "waiting"), 0, 1000000);
+  load.kv_used = CLAMP (jsn_number (object, "kv_used"), 0.0, 1.0);
+  load.age_us = CLAMP (jsn_int (object, "age_ms"), 0, 3600 * 1000) * CLK_MS;
   options->load (options->ctx, engine->name.s, &load,
-                 leaving != NULL && JSON_NODE_HOLDS_VALUE (leaving)
-                     && json_node_get_boolean (leaving));
+                 jsn_bool (object, "leaving"));
 }
 
 static void
@@ -111,7 +93,7 @@
 take_events (struct engine *engine, JsonObject *object)
 {
   JsonNode *events = json_object_get_member (object, "events");
-  engine->next_event = int_member (object, "next");
+  engine->next_event = jsn_int (object, "next");
   if (events == NULL || !JSON_NODE_HOLDS_ARRAY (events))
     return;
   JsonArray *array = json_node_get_array (events);
--- a/packages/base/ctr.h
+++ b/packages/base/ctr.h
@@ -51,6 +51,9 @@
   X (LEDGER_REPLAYS, "ledger_replays", "answers given from the ledger")        \
   X (LEDGER_WRITES, "ledger_writes", "conditional updates of ledger objects")  \
   X (LEDGER_CONFLICTS, "ledger_conflicts", "conditional updates lost")         \
+  X (ORDERS, "orders", "orders sent to engines")                               \
+  X (ORDER_CONFLICTS, "order_conflicts", "orders refused as outranked")        \
+  X (ORDER_ERRORS, "order_errors", "calls for orders that failed")             \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
--- a/packages/config/cfg.c
+++ b/packages/config/cfg.c
@@ -74,6 +74,11 @@
   g_free (cfg->teams);
   g_free (cfg->domains);
   g_free (cfg->pools);
+  for (guint i = 0; i < cfg->n_backends; i++)
+    {
+      g_strfreev (cfg->backends[i].models);
+      g_strfreev (cfg->backends[i].adapters);
+    }
   g_free (cfg->backends);
   g_free (cfg->cells);
   g_free (cfg->operators);
@@ -193,6 +198,23 @@
   return "";
 }
 
+/* Returns the name of ROLE as in the INI text; static.  */
+const char *
+cfg_role_name (enum cfg_role role)
+{
+  switch (role)
+    {
+#define ROLE_CASE(id, name)                                                    \
+  case CFG_ROLE_##id:                                                          \
+    return name;
+      CFG_ROLES (ROLE_CASE)
+#undef ROLE_CASE
+    case CFG_ROLE_UNSET:
+      break;
+    }
+  return "";
+}
+
 /* Tells whether LINE, without blanks around it, sets KEY.  */
 static gboolean
 sets_key (const char *line, const char *key)
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -16,6 +16,7 @@
 #define CFG_PRESETS_MAX 16
 #define CFG_OPERATORS_MAX 64
 #define CFG_CELL_SIZE 16  /* backend servers in a cell at most */
+#define CFG_WANTS_MAX 32  /* models, adapters, version and role of an engine */
 #define CFG_DIGEST_MAX 64 /* hexadecimal digits of a SHA-256 */
 
 /* X (NAME, "name") */
@@ -43,6 +44,20 @@
 #undef CFG_SPILL_ENUM
 };
 
+/* Which phase of a request an engine serves. X (NAME, "name") */
+#define CFG_ROLES(X)                                                           \
+  X (PREFILL, "prefill")                                                       \
+  X (DECODE, "decode")                                                         \
+  X (BOTH, "both")
+
+enum cfg_role
+{
+  CFG_ROLE_UNSET = -1,
+#define CFG_ROLE_ENUM(id, name) CFG_ROLE_##id,
+  CFG_ROLES (CFG_ROLE_ENUM)
+#undef CFG_ROLE_ENUM
+};
+
 struct cfg_class
 {
   struct str_id name;
@@ -93,6 +108,11 @@
   guint max_running;          /* hard limit of requests in progress */
   gboolean checks_fence;      /* refuses orders with an old fencing number */
   gboolean drain;             /* set by an operator: no new work */
+  /* What an engine should have, by orders. */
+  char **models;         /* owned; NULL: none */
+  char **adapters;       /* owned; NULL: none */
+  struct str_id version; /* "": not said */
+  enum cfg_role role;
 };
 
 /* Up to CFG_CELL_SIZE backend servers of one pool in one failure domain. */
@@ -156,6 +176,7 @@
 
 const char *cfg_kind_name (enum cfg_kind kind);
 const char *cfg_spill_name (enum cfg_spill spill);
+const char *cfg_role_name (enum cfg_role role);
 
 /* Edits that keep the rest of the text as it is; the caller unrefs the
    result, NULL with ERR set if the group is not there.  */
--- a/packages/config/cfg_read.c
+++ b/packages/config/cfg_read.c
@@ -21,6 +21,13 @@
       NULL
 };
 
+static const char *const role_names[] = {
+#define ROLE_NAME(id, name) name,
+  CFG_ROLES (ROLE_NAME)
+#undef ROLE_NAME
+      NULL
+};
+
 struct raw_preset
 {
   struct str_id name;
@@ -105,6 +112,11 @@
   KEY (COUNT, "max_running", backend.max_running, REQUIRED, 1, 4096, 0),
   KEY (BOOL, "checks_fence", backend.checks_fence, OPTIONAL, 0, 0, FALSE),
   KEY (BOOL, "drain", backend.drain, OPTIONAL, 0, 0, FALSE),
+  KEY (LIST, "models", backend.models, OPTIONAL),
+  KEY (LIST, "adapters", backend.adapters, OPTIONAL),
+  KEY (ID, "version", backend.version, OPTIONAL),
+  KEY (CHOICE, "role", backend.role, OPTIONAL, 0, 0, CFG_ROLE_UNSET,
+       role_names),
 };
 #undef TARGET
 
@@ -537,6 +549,50 @@
                  backend->address);
 }
 
+/* Checks the names in LIST and returns how many there are.  */
+static guint
+check_names (struct ini *ini, const char *group, const char *key,
+             const char *const *list)
+{
+  guint n = 0;
+  for (; list != NULL && list[n] != NULL; n++)
+    {
+      if (!str_id_ok (str_of (list[n])))
+        ini_problem (ini, group, key,
+                     "has the wrong name \"%.80s\"; allowed: 1 to 63 of "
+                     "A-Z a-z 0-9 . _ -",
+                     list[n]);
+      for (guint i = 0; i < n; i++)
+        if (strcmp (list[i], list[n]) == 0)
+          ini_problem (ini, group, key,
+                       "names %.63s twice; allowed: each name once", list[n]);
+    }
+  return n;
+}
+
+/* Checks what BACKEND should have loaded.  */
+static void
+check_wants (const struct cfg *cfg, struct ini *ini,
+             const struct cfg_backend *backend)
+{
+  g_autofree char *group = group_of (SECTION_BACKEND, backend->name.s);
+  guint n = check_names (ini, group, "models",
+                         (const char *const *)backend->models);
+  n += check_names (ini, group, "adapters",
+                    (const char *const *)backend->adapters);
+  n += backend->version.s[0] != '\0';
+  n += backend->role != CFG_ROLE_UNSET;
+  if (n > CFG_WANTS_MAX)
+    ini_problem (ini, group, NULL,
+                 "has %u models, adapters, version and role; allowed: %d "
+                 "together",
+                 n, CFG_WANTS_MAX);
+  if (n > 0 && cfg->pools[backend->pool].kind == CFG_SERVICE)
+    ini_problem (ini, group, NULL,
+                 "is of a service and takes no orders; allowed: models, "
+                 "adapters, version and role for engines only");
+}
+
 /* Adds a cell for BACKEND with the NUMBER within its pool and domain.  */
 static void
 add_cell (struct cfg *cfg, struct ini *ini, const struct cfg_backend *backend,
@@ -596,6 +652,7 @@
       resolved &= resolve_backend (cfg, ini, &raw[i]);
       cfg->backends[i] = raw[i].backend;
       check_address (addresses, ini, &cfg->backends[i]);
+      check_wants (cfg, ini, &cfg->backends[i]);
       index_add (cfg->index->backends, cfg->backends[i].name.s, i);
     }
   if (resolved)
--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -2,6 +2,7 @@
 
 #include "admin/adm.h"
 #include "backend/bkd.h"
+#include "backend/orh.h"
 #include "backend/prb.h"
 #include "base/clk.h"
 #include "base/ctr.h"
@@ -24,6 +25,7 @@
   struct wir *wir;
   struct bkd *bkd;
   struct prb *prb;
+  struct orh *orh;
   struct ent *ent;
   struct adm *adm;
   struct plt_http *platform;
@@ -126,6 +128,10 @@
     case NOD_DO_STORE:
       start_store_call (dmn, action->store.token, action->store.call);
       break;
+    case NOD_DO_ORDER:
+      orh_start (dmn->orh, action->order.token, action->order.backend,
+                 action->order.call);
+      break;
     case NOD_DO_CONFIG:
       log_event (LOG_INFO, "config.applied",
                  "version %" G_GUINT64_FORMAT ", preset %s",
@@ -179,6 +185,15 @@
   raise_event (ctx, &event);
 }
 
+static void
+on_order_answer (void *ctx, guint64 token, const struct ord_answer *answer)
+{
+  struct nod_event event = { .kind = NOD_ORDER_ANSWER };
+  event.order_answer.token = token;
+  event.order_answer.answer = answer;
+  raise_event (ctx, &event);
+}
+
 /* Asks the engines of the cells served here.  */
 static gboolean
 on_ask (gpointer data)
@@ -203,6 +218,13 @@
   dmn->prb = prb_new (&options);
 }
 
+static void
+make_orders (struct dmn *dmn)
+{
+  const struct orh_options options = { .answer = on_order_answer, .ctx = dmn };
+  dmn->orh = orh_new (&options);
+}
+
 static int
 open_wire (struct dmn *dmn, struct err *err)
 {
@@ -352,6 +374,7 @@
   dmn->platform = plt_http_new (&platform);
   dmn->bkd = bkd_new ();
   make_probes (dmn);
+  make_orders (dmn);
   if ((code = open_wire (dmn, err)) < 0 || (code = make_node (dmn, err)) < 0
       || (code = open_entry (dmn, err)) < 0
       || (code = open_admin (dmn, err)) < 0)
@@ -377,6 +400,7 @@
   ent_free (dmn->ent);
   bkd_free (dmn->bkd);
   prb_free (dmn->prb);
+  orh_free (dmn->orh);
   plt_http_free (dmn->platform);
   nod_free (dmn->nod);
   dmn->nod = NULL;
--- a/packages/lease/ord.c
+++ b/packages/lease/ord.c
@@ -465,7 +465,27 @@
   return engine && engine->settled;
 }
 
-/* Adds an array with each engine's state to JSON.  */
+static void
+dump_wants (const struct engine *engine, JsonBuilder *json)
+{
+  json_builder_begin_array (json);
+  for (guint i = 0; i < engine->n; i++)
+    {
+      const struct want *want = &engine->wants[i];
+      json_builder_begin_object (json);
+      json_builder_set_member_name (json, "kind");
+      json_builder_add_string_value (json, ord_kind_name (want->want.kind));
+      json_builder_set_member_name (json, "name");
+      json_builder_add_string_value (json, want->want.name.s);
+      json_builder_set_member_name (json, "applied");
+      json_builder_add_boolean_value (json, want->applied);
+      json_builder_end_object (json);
+    }
+  json_builder_end_array (json);
+}
+
+/* Adds an array with each engine's state to JSON: what it should have, and
+   whether it was seen to have it when its state was last read.  */
 void
 ord_dump (const struct ord *ord, JsonBuilder *json)
 {
@@ -478,6 +498,10 @@
       json_builder_add_string_value (json, engine->backend.s);
       json_builder_set_member_name (json, "state");
       json_builder_add_string_value (json, state_names[engine->state]);
+      json_builder_set_member_name (json, "settled");
+      json_builder_add_boolean_value (json, engine->settled);
+      json_builder_set_member_name (json, "wants");
+      dump_wants (engine, json);
       json_builder_set_member_name (json, "last_id");
       json_builder_add_string_value (json, engine->last_id);
       json_builder_set_member_name (json, "newest_fence");
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -74,6 +74,10 @@
   g_hash_table_remove (nod->calls, &id);
   if (call.caller < NOD_CALLER_OBJECT)
     nod_led_answer (nod, call.caller, call.token, answer);
+  else if (call.caller == NOD_CALLER_LEASE)
+    nod_lease_answer (nod, call.token, answer);
+  else if (call.caller == NOD_CALLER_HOLDER)
+    nod_lease_take_config (nod, call.token, answer);
   else
     nod_config_answer (nod, call.caller - NOD_CALLER_OBJECT, call.token,
                        answer);
@@ -114,6 +118,9 @@
   if (code < 0)
     goto fail;
   code = nod_peer_init (nod, options, err);
+  if (code < 0)
+    goto fail;
+  code = nod_lease_init (nod, options->chart_folder, err);
   if (code < 0)
     goto fail;
   nod_led_init (nod);
@@ -135,6 +142,7 @@
   g_hash_table_unref (nod->calls);
   nod_led_free (nod);
   nod_config_free (nod);
+  nod_lease_free (nod);
   g_hash_table_unref (nod->tickets);
   g_hash_table_unref (nod->requests);
   g_hash_table_unref (nod->cells);
@@ -218,6 +226,7 @@
   nod_peer_tick (nod);
   nod_req_tick (nod);
   nod_led_tick (nod);
+  nod_lease_tick (nod);
   if (now >= nod->cell_tick_at)
     {
       nod->cell_tick_at = now + CEL_TICK_US;
@@ -276,6 +285,10 @@
       nod_cell_cache (nod, event->cache.backend, event->cache.prefix,
                       event->cache.held);
       break;
+    case NOD_ORDER_ANSWER:
+      nod_lease_order_answer (nod, event->order_answer.token,
+                              event->order_answer.answer);
+      break;
     case NOD_SHUTDOWN:
       shut_down (nod);
       break;
@@ -390,5 +403,7 @@
   dump_infos (nod, json);
   json_builder_set_member_name (json, "ledger");
   nod_led_dump (nod, json);
+  json_builder_set_member_name (json, "orders");
+  nod_lease_dump (nod, json);
   json_builder_end_object (json);
 }
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -10,6 +10,7 @@
 #include "cell/cel.h"
 #include "config/cfg.h"
 #include "config/cft.h"
+#include "lease/ord.h"
 #include "member/mem.h"
 #include "msg/msg.h"
 #include "store/sto.h"
@@ -63,6 +64,7 @@
   X (STORE_ANSWER) /* the platform answered a call */                          \
   X (LOAD)         /* a backend server's load report */                        \
   X (CACHE)        /* a backend server's cache event */                        \
+  X (ORDER_ANSWER) /* an engine answered a call for orders */                  \
   X (SHUTDOWN)     /* leave: own nothing, take nothing new */                  \
   X (TICK)
 
@@ -111,6 +113,11 @@
       guint64 prefix;
       gboolean held;
     } cache;
+    struct
+    {
+      guint64 token;
+      const struct ord_answer *answer;
+    } order_answer;
   };
 };
 
@@ -137,6 +144,7 @@
   X (REPLAY)     /* the request's final answer stands in the ledger */         \
   X (FINISH)     /* the attempt's answer is complete; close it */              \
   X (STORE)      /* start a call to the platform */                            \
+  X (ORDER)      /* start a call for orders to an engine */                    \
   X (CONFIG)     /* a new configuration is in force */                         \
   X (CONFIG_BAD) /* the platform has a configuration that is not valid */      \
   X (DRAINED)    /* after SHUTDOWN: nothing is in progress any more */
@@ -196,6 +204,12 @@
       guint64 token;
       const struct sto_call *call; /* borrowed for the call */
     } store;
+    struct
+    {
+      guint64 token;
+      const struct cfg_backend *backend; /* borrowed for the call */
+      const struct ord_call *call;       /* borrowed for the call */
+    } order;
     const struct cfg *config;
     struct
     {
@@ -216,7 +230,7 @@
   const char *address;      /* IP:PORT for peers, copied */
   const char *const *peers; /* addresses to dial, NULL-terminated, copied */
   guint64 incarnation;
-  const char *chart_folder; /* holds request.chart */
+  const char *chart_folder; /* holds the state charts */
   /* Carries out one action; must not call nod_handle. */
   void (*act) (void *ctx, const struct nod_action *action);
   void *ctx;
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -5,6 +5,7 @@
 #include "chart/chr.h"
 #include "ledger/lec.h"
 #include "ledger/led.h"
+#include "lease/ord.h"
 #include "node/nod.h"
 
 #define NOD_REQUESTS_MAX 65536      /* in progress at one entry */
@@ -126,6 +127,22 @@
   gboolean from_store; /* it did not come from a peer */
 };
 
+/* Orders to the engines of the own failure domain. */
+struct nod_lease
+{
+  struct chr *lease_chart;
+  struct chr *order_chart;
+  struct lse *lse;
+  struct ord *ord;
+  GHashTable *ordered; /* name -> itself; engines known to ORD */
+  gboolean needed;     /* some engine here has a desired state */
+  guint64 fence;       /* of the last acquisition seen */
+  gboolean confirmed;  /* the configuration was read under FENCE */
+  gboolean reading;    /* that read is under way */
+  gint64 read_at;      /* not before, microseconds */
+  gint64 tick_at;      /* next, microseconds */
+};
+
 struct nod_budget
 {
   double retries;    /* tokens of the retry budget */
@@ -166,6 +183,7 @@
   GHashTable *listed_leaving;  /* name -> itself; by the platform's list */
   struct lec *lec;             /* this entry's side of the ledger */
   struct nod_led_shard shards[LED_SHARDS];
+  struct nod_lease lease;
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
 
@@ -179,12 +197,15 @@
   gint64 watch_at; /* next choice of the watchers */
 };
 
-/* Who waits for an answer of the platform: a ledger shard, or a followed
-   object by its number above the shards. */
+/* Who waits for an answer of the platform: a ledger shard, a followed object
+   by its number above the shards, the lease, or the holder of the lease for
+   the configuration. */
 #define NOD_CALLER_OBJECT LED_SHARDS
+#define NOD_CALLER_LEASE (NOD_CALLER_OBJECT + NOD_FOLLOWED)
+#define NOD_CALLER_HOLDER (NOD_CALLER_LEASE + 1)
 struct nod_call
 {
-  guint caller;  /* 0 to LED_SHARDS - 1, or NOD_CALLER_OBJECT + object */
+  guint caller;  /* 0 to LED_SHARDS - 1, or NOD_CALLER_ */
   guint64 token; /* of the caller's own count */
 };
 
@@ -287,4 +308,17 @@
 void nod_config_peer (struct nod *nod, const char *from,
                       const struct msg_heartbeat *heartbeat);
 
+/* nod_lease.c: orders to engines under a lease */
+int nod_lease_init (struct nod *nod, const char *chart_folder, struct err *err);
+void nod_lease_free (struct nod *nod);
+void nod_lease_config (struct nod *nod);
+void nod_lease_answer (struct nod *nod, guint64 token,
+                       const struct sto_answer *answer);
+void nod_lease_take_config (struct nod *nod, guint64 fence,
+                            const struct sto_answer *answer);
+void nod_lease_order_answer (struct nod *nod, guint64 token,
+                             const struct ord_answer *answer);
+void nod_lease_tick (struct nod *nod);
+void nod_lease_dump (const struct nod *nod, JsonBuilder *json);
+
 #endif
--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -46,6 +46,12 @@
                           max_running);
 }
 
+gboolean
+dep_checks_fence (guint engine)
+{
+  return engine % 2 == 0;
+}
+
 char *
 dep_config (const struct dep *dep, const char *preset)
 {
@@ -60,8 +66,13 @@
     g_string_append_printf (text, "[domain:%s]\nregion=%s\n", d->name,
                             d->region);
   for (guint i = 0; i < dep->n_engines; i++)
-    add_backend (text, &dep->engines[i], "assistant",
-                 max_running ? max_running : 64);
+    {
+      add_backend (text, &dep->engines[i], "assistant",
+                   max_running ? max_running : 64);
+      if (dep->options.mixed_fences)
+        g_string_append_printf (text, "checks_fence=%s\n",
+                                dep_checks_fence (i) ? "yes" : "no");
+    }
   for (guint i = 0; i < dep->n_services; i++)
     add_backend (text, &dep->services[i], "account", 32);
   g_free (key);
@@ -99,6 +110,12 @@
       = { path, "--name", name, "--history", history, NULL };
   for (guint i = 0; fixed[i] != NULL; i++)
     g_ptr_array_add (argv, (gpointer)fixed[i]);
+  if (dep->options.mixed_fences && strcmp (program, "standin_engine") == 0
+      && !dep_checks_fence (dep->n_engines - 1))
+    {
+      g_ptr_array_add (argv, "--checks-fence");
+      g_ptr_array_add (argv, "no");
+    }
   for (guint i = 0; args != NULL && args[i] != NULL; i++)
     g_ptr_array_add (argv, (gpointer)args[i]);
   g_ptr_array_add (argv, NULL);
--- a/tests/harness/dep.h
+++ b/tests/harness/dep.h
@@ -26,8 +26,9 @@
   struct dep_domain domains[DEP_DOMAINS_MAX + 1];
   guint max_running;              /* of an engine; 0: 64 */
   const char *const *engine_args; /* NULL-terminated; NULL: none */
-  const char *limits;             /* lines of the settings' [limits]; or NULL */
-  gboolean no_config;             /* the platform starts without one */
+  gboolean mixed_fences; /* every second engine ignores fencing numbers */
+  const char *limits;    /* lines of the settings' [limits]; or NULL */
+  gboolean no_config;    /* the platform starts without one */
 };
 
 /* A process and where it stands. */
@@ -63,6 +64,9 @@
 /* The text of the configuration with PRESET in force; freed by g_free. */
 char *dep_config (const struct dep *dep, const char *preset);
 
+/* With mixed_fences: whether engine number ENGINE checks fencing numbers. */
+gboolean dep_checks_fence (guint engine);
+
 /* A completion through instance I. CLASS may be NULL. */
 struct har_reply *dep_chat (struct dep *dep, guint i, const char *class_name,
                             const char *prompt, gboolean streamed);
--- /dev/null
+++ b/tests/proc/test_orders.c
@@ -0,0 +1,333 @@
+/* Orders through real processes: the desired state reaches engines that check
+   fencing numbers and engines that ignore them, also when the holder of the
+   lease is paused past its term and goes on, and nothing is ordered after the
+   lease has lapsed. What the engines got is read from their histories.  */
+#include "harness/dep.h"
+#include "unit/unit.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define TAKEOVER_MS (3 * HAR_DEADLINE_MS)
+#define REREAD_US (32 * G_USEC_PER_SEC) /* a holder reads its engines again */
+#define TEST_ID "test-1"                /* of the test's own orders */
+
+static const struct dep_options options = {
+  .domains = { { "kgn-1", "kgn", 2, 2, 0 } },
+  .mixed_fences = TRUE,
+};
+
+static struct har *har;
+static struct dep *dep;
+static const char *role;  /* desired */
+static gint64 settled_at; /* all engines had it, monotonic, microseconds */
+
+static int
+start (void)
+{
+  har = har_new ();
+  dep = dep_start (har, &options);
+  return dep == NULL;
+}
+
+static int
+stop (void)
+{
+  dep_free (dep);
+  har_free (har);
+  return 0;
+}
+
+/* Puts the configuration with ROLE for all engines on the platform.  */
+static void
+desire (const char *new_role)
+{
+  GString *text = g_string_new (NULL);
+  char *base = dep_config (dep, "ordinary");
+  char *lines
+      = g_strdup_printf ("pool=assistant\nmodels=m1\nrole=%s\n", new_role);
+  struct har_call call
+      = { .port = dep->platform->port, .path = "/objects/config" };
+  struct har_reply *reply = har_call (&call);
+  const char *const headers[]
+      = { "If-Match", g_hash_table_lookup (reply->headers, "etag"), NULL };
+  role = new_role;
+  g_string_assign (text, base);
+  g_string_replace (text, "pool=assistant\n", lines, 0);
+  call.method = "PUT";
+  call.headers = headers;
+  call.body = text->str;
+  struct har_reply *written = har_call (&call);
+  CU_ASSERT_EQUAL (written->status, 200);
+  har_reply_free (written);
+  har_reply_free (reply);
+  g_string_free (text, TRUE);
+  g_free (lines);
+  g_free (base);
+}
+
+/* Returns the JSON object that PATH of PORT gives, for json_node_unref; NULL
+   if there is none.  */
+static JsonNode *
+get_json (int port, const char *path)
+{
+  const char *const headers[] = { "Authorization", DEP_OPERATOR_BEARER, NULL };
+  const struct har_call call
+      = { .port = port, .path = path, .headers = headers };
+  struct har_reply *reply = har_call (&call);
+  JsonNode *root = har_reply_json (reply);
+  har_reply_free (reply);
+  if (root != NULL && !JSON_NODE_HOLDS_OBJECT (root))
+    g_clear_pointer (&root, json_node_unref);
+  return root;
+}
+
+static gboolean
+engine_has_all (guint i)
+{
+  JsonNode *root = get_json (dep->engines[i].proc->port, "/orders");
+  JsonObject *object = root ? json_node_get_object (root) : NULL;
+  JsonArray *models
+      = object ? json_object_get_array_member (object, "models") : NULL;
+  gboolean loaded = FALSE;
+  for (guint m = 0; models != NULL && m < json_array_get_length (models); m++)
+    loaded |= strcmp (json_array_get_string_element (models, m), "m1") == 0;
+  gboolean ok
+      = loaded
+        && strcmp (json_object_get_string_member (object, "role"), role) == 0;
+  g_clear_pointer (&root, json_node_unref);
+  return ok;
+}
+
+static gboolean
+all_settled (void *ctx)
+{
+  (void)ctx;
+  for (guint i = 0; i < dep->n_engines; i++)
+    if (!engine_has_all (i))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+wait_until_settled (void)
+{
+  CU_ASSERT_TRUE (har_wait_until (all_settled, NULL, TAKEOVER_MS));
+  settled_at = g_get_monotonic_time ();
+}
+
+/* Whether instance I says that it holds the lease.  */
+static gboolean
+holds_lease (guint i)
+{
+  JsonNode *root = get_json (dep->entries[i].proc->admin_port, "/dump");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (root);
+  JsonObject *node
+      = json_object_get_object_member (json_node_get_object (root), "node");
+  JsonObject *orders = json_object_get_object_member (node, "orders");
+  JsonObject *lease = json_object_get_object_member (orders, "lease");
+  gboolean held
+      = strcmp (json_object_get_string_member (lease, "state"), "held") == 0;
+  json_node_unref (root);
+  return held;
+}
+
+static int
+find_holder (void)
+{
+  for (guint i = 0; i < dep->n_entries; i++)
+    if (holds_lease (i))
+      return (int)i;
+  return -1;
+}
+
+static gboolean
+somebody_holds (void *ctx)
+{
+  (void)ctx;
+  return find_holder () >= 0;
+}
+
+static gboolean
+nobody_holds (void *ctx)
+{
+  (void)ctx;
+  return find_holder () < 0;
+}
+
+struct order
+{
+  const char *kind; /* borrowed from the history's line */
+  const char *id;
+  guint64 fence;
+};
+
+/* Calls VISIT for each order in the history of engine I.  */
+static void
+each_order (guint i, void (*visit) (void *ctx, const struct order *order),
+            void *ctx)
+{
+  char *path
+      = g_strdup_printf ("%s/%s.history", har_dir (har), dep->engines[i].name);
+  char *text = NULL;
+  CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, NULL, NULL));
+  char **lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      JsonNode *root = json_from_string (*line, NULL);
+      JsonObject *o = root ? json_node_get_object (root) : NULL;
+      const char *kind = o ? json_object_get_string_member (o, "kind") : "";
+      if (g_str_has_prefix (kind, "order_"))
+        {
+          const struct order order = {
+            kind,
+            json_object_get_string_member (o, "id"),
+            (guint64)json_object_get_int_member_with_default (o, "version", 0),
+          };
+          visit (ctx, &order);
+        }
+      g_clear_pointer (&root, json_node_unref);
+    }
+  g_strfreev (lines);
+  g_free (text);
+  g_free (path);
+}
+
+struct check
+{
+  gboolean checks_fence;
+  guint64 newest;
+  guint wrong;
+  guint own; /* orders that are not the test's */
+};
+
+/* No order has an older number than one before, but for what an engine that
+   checks has refused.  */
+static void
+check_order (void *ctx, const struct order *order)
+{
+  struct check *check = ctx;
+  gboolean refused
+      = check->checks_fence && strcmp (order->kind, "order_refused") == 0;
+  check->own += strcmp (order->id, TEST_ID) != 0;
+  check->wrong += order->fence < check->newest && !refused;
+  check->newest = MAX (check->newest, order->fence);
+}
+
+static struct check
+check_engine (guint i)
+{
+  struct check check = { .checks_fence = dep_checks_fence (i) };
+  each_order (i, check_order, &check);
+  CU_ASSERT_EQUAL (check.wrong, 0);
+  CU_ASSERT_TRUE (check.own > 0);
+  return check;
+}
+
+static void
+test_desired_state_is_reached (void)
+{
+  desire ("prefill");
+  wait_until_settled ();
+  for (guint i = 0; i < dep->n_engines; i++)
+    check_engine (i);
+}
+
+static void
+wait_past (gint64 t)
+{
+  gint64 left = t - g_get_monotonic_time ();
+  if (left > 0)
+    g_usleep ((gulong)left);
+}
+
+static gboolean
+has_new_config (void *ctx)
+{
+  const struct dep_node *entry = ctx;
+  JsonNode *root = get_json (entry->proc->admin_port, "/config/status");
+  struct har_call call
+      = { .port = dep->platform->port, .path = "/objects/config" };
+  struct har_reply *reply = har_call (&call);
+  const char *etag = g_hash_table_lookup (reply->headers, "etag");
+  gboolean same
+      = root != NULL && etag != NULL
+        && json_object_get_int_member (json_node_get_object (root), "version")
+               == g_ascii_strtoll (etag + 1, NULL, 10);
+  har_reply_free (reply);
+  g_clear_pointer (&root, json_node_unref);
+  return same;
+}
+
+/* The holder is paused until it is due to read its engines again, with the
+   older desired state.  */
+static void
+test_paused_holder (void)
+{
+  int holder = find_holder ();
+  gint64 due = settled_at + REREAD_US;
+  CU_ASSERT_TRUE_FATAL (holder >= 0);
+  struct dep_node *entry = &dep->entries[holder];
+  har_signal (entry->proc, SIGSTOP);
+  desire ("decode");
+  wait_until_settled ();
+  wait_past (due);
+  har_signal (entry->proc, SIGCONT);
+  CU_ASSERT_TRUE (har_wait_until (has_new_config, entry, HAR_DEADLINE_MS));
+  CU_ASSERT_TRUE (all_settled (NULL));
+  for (guint i = 0; i < dep->n_engines; i++)
+    check_engine (i);
+}
+
+/* Sets another role by an order of the test's own.  */
+static void
+displace (guint i)
+{
+  int port = dep->engines[i].proc->port;
+  char *body = g_strdup_printf ("{\"fence\":%" G_GINT64_FORMAT
+                                ",\"id\":\"" TEST_ID "\","
+                                "\"kind\":\"set_role\",\"name\":\"both\"}",
+                                har_get_int (port, "/orders", "fence"));
+  const struct har_call call
+      = { .port = port, .path = "/orders", .body = body };
+  struct har_reply *reply = har_call (&call);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  har_reply_free (reply);
+  g_free (body);
+}
+
+static void
+test_platform_down (void)
+{
+  guint before[DEP_PROCS_MAX];
+  CU_ASSERT_TRUE (har_wait_until (somebody_holds, NULL, TAKEOVER_MS));
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"down\": true}"));
+  gint64 down_at = g_get_monotonic_time ();
+  CU_ASSERT_TRUE (har_wait_until (nobody_holds, NULL, TAKEOVER_MS));
+  for (guint i = 0; i < dep->n_engines; i++)
+    {
+      before[i] = check_engine (i).own;
+      displace (i);
+    }
+  wait_past (down_at + REREAD_US);
+  for (guint i = 0; i < dep->n_engines; i++)
+    CU_ASSERT_EQUAL (check_engine (i).own, before[i]);
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"down\": false}"));
+  wait_until_settled ();
+  for (guint i = 0; i < dep->n_engines; i++)
+    CU_ASSERT_TRUE (check_engine (i).own > before[i]);
+}
+
+static CU_TestInfo tests[] = {
+  { "the desired state is reached", test_desired_state_is_reached },
+  { "a paused holder does no harm", test_paused_holder },
+  { "nothing is ordered after the lease", test_platform_down },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "orders", start, stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- a/tests/unit/test_cfg.c
+++ b/tests/unit/test_cfg.c
@@ -252,6 +252,18 @@
     "group [backend:s1], key address: [::1]:9002 is the address of another" },
   { "checks_fence=yes", "checks_fence=true",
     "key checks_fence: \"true\" is wrong; allowed: yes or no" },
+  { "checks_fence=yes", "role=prefil",
+    "key role: \"prefil\" is wrong; allowed: prefill, decode, both" },
+  { "checks_fence=yes", "models=a;b;a",
+    "group [backend:e1], key models: names a twice" },
+  { "checks_fence=yes", "adapters=a b",
+    "group [backend:e1], key adapters: has the wrong name \"a b\"" },
+  { "checks_fence=yes",
+    "role=both\nmodels=1;2;3;4;5;6;7;8;9;10;11;12;13;14;15;16;17;18;19;20;21;"
+    "22;23;24;25;26;27;28;29;30;31;32",
+    "group [backend:e1]: has 33 models, adapters, version and role" },
+  { "max_running=4", "max_running=4\nversion=v2",
+    "group [backend:s1]: is of a service and takes no orders" },
   { "max_running=8", "max_running=8\nmax_running=9",
     "group [backend:e1], key max_running: is there twice" },
   { "[model:m]", "[model:m]\n[model:m]", "group [model:m]: is there twice" },
@@ -263,6 +275,26 @@
   { "region=r1", "region=\xff", "is no text; allowed: UTF-8" },
 };
 
+static void
+test_desired_state (void)
+{
+  g_autofree char *text
+      = replaced (valid, "checks_fence=yes",
+                  "models=a; b\nadapters=c\nversion=v2\nrole=decode");
+  g_autoptr (GPtrArray) problems = new_problems ();
+  struct cfg *cfg = parse_text (text, problems);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (cfg);
+  const struct cfg_backend *engine = &cfg->backends[0];
+  CU_ASSERT_EQUAL (g_strv_length (engine->models), 2);
+  CU_ASSERT_STRING_EQUAL (engine->models[1], "b");
+  CU_ASSERT_STRING_EQUAL (engine->adapters[0], "c");
+  CU_ASSERT_STRING_EQUAL (engine->version.s, "v2");
+  CU_ASSERT_EQUAL (engine->role, CFG_ROLE_DECODE);
+  CU_ASSERT_PTR_NULL (cfg->backends[1].models);
+  CU_ASSERT_EQUAL (cfg->backends[1].role, CFG_ROLE_UNSET);
+  cfg_unref (cfg);
+}
+
 static gboolean
 has_problem (const GPtrArray *problems, const char *part)
 {
@@ -420,6 +452,7 @@
   { "the preset in force overrides keys of classes", test_preset_overrides },
   { "finders find by name and by digest", test_finders },
   { "cells hold up to CFG_CELL_SIZE servers", test_cells },
+  { "desired state of an engine", test_desired_state },
   { "each problem names group, key and what is allowed",
     test_each_problem_is_named },
   { "all problems come in one go", test_all_problems_in_one_go },
