--- a/tests/proc/test_orders.c
+++ b/tests/proc/test_orders.c
@@ -20,6 +20,7 @@
 static struct har *har;
 static struct dep *dep;
 static const char *role;  /* desired */
+static guint owner;       /* instance that holds the lease if all are live */
 static gint64 settled_at; /* all engines had it, monotonic, microseconds */
 
 static int
@@ -116,9 +117,20 @@
   settled_at = g_get_monotonic_time ();
 }
 
-/* Whether instance I says that it holds the lease.  */
 static gboolean
-holds_lease (guint i)
+each_settled (JsonArray *engines)
+{
+  gboolean settled = json_array_get_length (engines) == dep->n_engines;
+  for (guint i = 0; i < json_array_get_length (engines); i++)
+    settled &= json_object_get_boolean_member (
+        json_array_get_object_element (engines, i), "settled");
+  return settled;
+}
+
+/* Whether instance I says that it holds the lease, and with SETTLED that it
+   has seen its engines as they should be.  */
+static gboolean
+holds_lease (guint i, gboolean settled)
 {
   JsonNode *root = get_json (dep->entries[i].proc->admin_port, "/dump");
   CU_ASSERT_PTR_NOT_NULL_FATAL (root);
@@ -127,7 +139,9 @@
   JsonObject *orders = json_object_get_object_member (node, "orders");
   JsonObject *lease = json_object_get_object_member (orders, "lease");
   gboolean held
-      = strcmp (json_object_get_string_member (lease, "state"), "held") == 0;
+      = strcmp (json_object_get_string_member (lease, "state"), "held") == 0
+        && (!settled
+            || each_settled (json_object_get_array_member (orders, "engines")));
   json_node_unref (root);
   return held;
 }
@@ -136,16 +150,15 @@
 find_holder (void)
 {
   for (guint i = 0; i < dep->n_entries; i++)
-    if (holds_lease (i))
+    if (holds_lease (i, FALSE))
       return (int)i;
   return -1;
 }
 
 static gboolean
-somebody_holds (void *ctx)
+is_settled_holder (void *ctx)
 {
-  (void)ctx;
-  return find_holder () >= 0;
+  return holds_lease (*(guint *)ctx, TRUE);
 }
 
 static gboolean
@@ -229,6 +242,7 @@
 {
   desire ("prefill");
   wait_until_settled ();
+  CU_ASSERT_TRUE (find_holder () >= 0);
   for (guint i = 0; i < dep->n_engines; i++)
     check_engine (i);
 }
@@ -264,10 +278,11 @@
 static void
 test_paused_holder (void)
 {
-  int holder = find_holder ();
   gint64 due = settled_at + REREAD_US;
+  int holder = find_holder ();
   CU_ASSERT_TRUE_FATAL (holder >= 0);
-  struct dep_node *entry = &dep->entries[holder];
+  owner = (guint)holder;
+  struct dep_node *entry = &dep->entries[owner];
   har_signal (entry->proc, SIGSTOP);
   desire ("decode");
   wait_until_settled ();
@@ -300,7 +315,7 @@
 test_platform_down (void)
 {
   guint before[DEP_PROCS_MAX];
-  CU_ASSERT_TRUE (har_wait_until (somebody_holds, NULL, TAKEOVER_MS));
+  CU_ASSERT_TRUE (har_wait_until (is_settled_holder, &owner, TAKEOVER_MS));
   CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"down\": true}"));
   gint64 down_at = g_get_monotonic_time ();
   CU_ASSERT_TRUE (har_wait_until (nobody_holds, NULL, TAKEOVER_MS));
--- /dev/null
+++ b/tests/unit/test_orh.c
@@ -0,0 +1,257 @@
+/* Calls for orders against a server on the same loop.  */
+#include "unit/unit.h"
+
+#include "backend/orh.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define LIMIT_US (50 * CLK_MS)
+#define TURNS_MAX 40 /* of the loop before a pause */
+
+struct fixture
+{
+  SoupServer *server;
+  struct orh *orh;
+  struct cfg_backend backend;
+  guint status; /* that the server answers; 0: it does not answer */
+  const char *text;
+  guint seen; /* requests at the server */
+  char *body; /* of the last one */
+  guint answers;
+  struct ord_answer answer; /* its text is not kept */
+  guint models;
+  char *role;
+};
+
+static void
+handle (SoupServer *server, SoupServerMessage *msg, const char *path,
+        GHashTable *query, gpointer ctx)
+{
+  struct fixture *f = ctx;
+  SoupMessageBody *body = soup_server_message_get_request_body (msg);
+  (void)server;
+  (void)path;
+  (void)query;
+  f->seen++;
+  g_free (f->body);
+  f->body = g_strndup (body->data ? body->data : "", (gsize)body->length);
+  if (f->status == 0)
+    {
+      soup_server_message_pause (msg);
+      return;
+    }
+  soup_server_message_set_status (msg, f->status, NULL);
+  soup_message_headers_append (soup_server_message_get_response_headers (msg),
+                               "Location", "/elsewhere");
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY,
+                                    f->text, strlen (f->text));
+}
+
+static void
+on_answer (void *ctx, guint64 token, const struct ord_answer *answer)
+{
+  struct fixture *f = ctx;
+  CU_ASSERT_EQUAL (token, 7);
+  f->answers++;
+  f->answer = *answer;
+  f->models = answer->models ? g_strv_length ((char **)answer->models) : 0;
+  g_free (f->role);
+  f->role = g_strdup (answer->role);
+}
+
+static void
+start (struct fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  const struct orh_options options = { .answer = on_answer, .ctx = f };
+  f->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (f->server, NULL, handle, f, NULL);
+  CU_ASSERT_TRUE_FATAL (soup_server_listen_local (
+      f->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  GSList *uris = soup_server_get_uris (f->server);
+  g_snprintf (f->backend.address, sizeof f->backend.address, "127.0.0.1:%d",
+              g_uri_get_port (uris->data));
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  str_id_set (&f->backend.name, STR_LIT ("e1"));
+  f->orh = orh_new (&options);
+}
+
+static void
+stop (struct fixture *f)
+{
+  orh_free (f->orh);
+  soup_server_disconnect (f->server);
+  g_object_unref (f->server);
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  g_free (f->body);
+  g_free (f->role);
+}
+
+static void
+open_call (struct fixture *f, gboolean post, gint64 timeout_us)
+{
+  struct ord_call call = { .post = post,
+                           .fence = 12,
+                           .id = "12-1",
+                           .kind = ORD_SET_ROLE,
+                           .timeout_us = timeout_us };
+  str_id_set (&call.name, STR_LIT ("decode"));
+  f->answers = 0;
+  orh_start (f->orh, 7, &f->backend, &call);
+  CU_ASSERT_EQUAL (f->answers, 0);
+}
+
+static void
+wait_answer (struct fixture *f)
+{
+  while (f->answers == 0)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+test_answers (void)
+{
+  static const struct
+  {
+    gboolean post;
+    guint status;
+    const char *text;
+    int code;
+    guint64 fence;
+  } cases[] = {
+    { TRUE, 200, "{\"applied\": true}", 0, 0 },
+    { TRUE, 200, "{\"applied\": false}", ERR_PROTOCOL, 0 },
+    { TRUE, 200, "{\"applied\"", ERR_PROTOCOL, 0 },
+    { TRUE, 200, "[]", ERR_PROTOCOL, 0 },
+    { TRUE, 409, "{\"fence\": 30}", ERR_CONFLICT, 30 },
+    { TRUE, 409, "{\"fence\": \"x\"}", ERR_CONFLICT, 0 },
+    { TRUE, 429, "{}", ERR_LIMIT, 0 },
+    { TRUE, 503, "", ERR_UNAVAILABLE, 0 },
+    { TRUE, 500, "{}", ERR_PROTOCOL, 0 },
+    { TRUE, 302, "{}", ERR_PROTOCOL, 0 },
+    { FALSE, 200, "{\"fence\": 12, \"models\": [\"a\", 1, null, \"b\"]}", 0,
+      12 },
+    { FALSE, 200, "{\"fence\": -1, \"models\": {}}", 0, 0 },
+    { FALSE, 409, "{}", ERR_PROTOCOL, 0 },
+  };
+  struct fixture f;
+  start (&f);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      f.status = cases[i].status;
+      f.text = cases[i].text;
+      open_call (&f, cases[i].post, LSE_ORDER_FLIGHT_US);
+      wait_answer (&f);
+      CU_ASSERT_EQUAL (f.answer.code, cases[i].code);
+      CU_ASSERT_EQUAL (f.answer.fence, cases[i].fence);
+      CU_ASSERT_EQUAL (f.seen, i + 1);
+      CU_ASSERT_EQUAL (f.models, i == 10 ? 2 : 0);
+    }
+  stop (&f);
+}
+
+static void
+test_order_and_state (void)
+{
+  struct fixture f;
+  start (&f);
+  f.status = 200;
+  f.text = "{\"applied\": true, \"role\": \"both\"}";
+  open_call (&f, TRUE, LSE_ORDER_FLIGHT_US);
+  wait_answer (&f);
+  CU_ASSERT_STRING_EQUAL (f.body, "{\"fence\":12,\"id\":\"12-1\","
+                                  "\"kind\":\"set_role\",\"name\":\"decode\"}");
+  open_call (&f, FALSE, LSE_ORDER_FLIGHT_US);
+  wait_answer (&f);
+  CU_ASSERT_STRING_EQUAL (f.body, "");
+  CU_ASSERT_STRING_EQUAL (f.role, "both");
+  stop (&f);
+}
+
+static void
+test_long_answers_are_cut (void)
+{
+  struct fixture f;
+  char *text = g_strnfill (1024 * 1024, ' ');
+  start (&f);
+  f.status = 200;
+  f.text = text;
+  open_call (&f, FALSE, LSE_ORDER_FLIGHT_US);
+  wait_answer (&f);
+  CU_ASSERT_EQUAL (f.answer.code, ERR_TOO_LARGE);
+  stop (&f);
+  g_free (text);
+}
+
+static void
+test_silence_ends_in_time (void)
+{
+  struct fixture f;
+  start (&f);
+  open_call (&f, TRUE, LIMIT_US);
+  wait_answer (&f);
+  CU_ASSERT_EQUAL (f.answer.code, ERR_TIMEOUT);
+  CU_ASSERT_EQUAL (f.seen, 1);
+  stop (&f);
+}
+
+/* The process is paused past the time limit after so many turns of its loop:
+   an order that is said not to have left never arrives.  */
+static void
+test_paused_before_sending (void)
+{
+  guint unsent = 0;
+  for (guint turns = 0; turns < TURNS_MAX; turns++)
+    {
+      struct fixture f;
+      start (&f);
+      f.status = 200;
+      f.text = "{\"applied\": true}";
+      open_call (&f, TRUE, LIMIT_US);
+      for (guint i = 0; i < turns && f.answers == 0; i++)
+        g_main_context_iteration (NULL, FALSE);
+      g_usleep ((gulong)LIMIT_US);
+      wait_answer (&f);
+      while (g_main_context_iteration (NULL, FALSE))
+        ;
+      if (f.answer.code == ERR_UNAVAILABLE)
+        {
+          unsent++;
+          CU_ASSERT_EQUAL (f.seen, 0);
+        }
+      stop (&f);
+    }
+  CU_ASSERT_TRUE (unsent > 0);
+  g_print ("%u of %u unsent ", unsent, TURNS_MAX);
+}
+
+static void
+test_freed_while_open (void)
+{
+  struct fixture f;
+  start (&f);
+  open_call (&f, TRUE, LSE_ORDER_FLIGHT_US);
+  while (f.seen == 0)
+    g_main_context_iteration (NULL, TRUE);
+  stop (&f);
+  CU_ASSERT_EQUAL (f.answers, 0);
+}
+
+static CU_TestInfo tests[] = {
+  { "answers become codes", test_answers },
+  { "an order's text and an engine's state", test_order_and_state },
+  { "long answers are cut", test_long_answers_are_cut },
+  { "silence ends in time", test_silence_ends_in_time },
+  { "paused before sending", test_paused_before_sending },
+  { "freed while open", test_freed_while_open },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "calls for orders", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
