--- a/packages/entry/ent_int.h
+++ b/packages/entry/ent_int.h
@@ -43,6 +43,7 @@
   struct sse sse;       /* streamed */
   gboolean done_seen;   /* the stream's end mark has arrived */
   gboolean relaying;    /* the answer's head went to the caller */
+  gboolean orphan;      /* the caller is gone, the answer is recorded */
   gboolean finished;    /* the answer is complete */
   GString *text;        /* streamed: the text that the caller has */
   guint32 tokens;       /* that the caller has */
@@ -55,7 +56,7 @@
   struct ent_options options;
   char *listen;
   SoupServer *server;
-  GSocketService *service;
+  GSocket *listener;
   guint port;
   gint64 started; /* wall clock, microseconds; part of request ids */
   guint64 next_id;
@@ -64,9 +65,6 @@
   guint sweep;       /* GLib source */
 };
 
-/* ent.c */
-GSocket *ent_socket (struct ent *ent, SoupServerMessage *message);
-
 /* ent_parse.c: from HTTP to the node's terms */
 struct ent_refusal
 {
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -32,8 +32,11 @@
       ctr_add (nod->ctr, CTR_CONFIG_STALE, 1);
       return FALSE;
     }
+  if (nod->cfg == NULL)
+    nod->ready_at = clk_now (nod->clk) + NOD_SETTLE_US;
   cfg_unref (nod->cfg);
   nod->cfg = cfg_ref (cfg);
+  nod->summary_at = 0;
   nod_cell_config (nod);
   nod_req_view_changed (nod, NULL);
   struct nod_action action = { .kind = NOD_DO_CONFIG };
@@ -47,12 +50,19 @@
 {
   GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
   struct cfg *cfg = cfg_parse (body, version, problems);
-  g_ptr_array_unref (problems);
-  if (cfg == NULL)
-    return FALSE;
-  nod_set_config (nod, cfg);
+  if (cfg != NULL)
+    nod_set_config (nod, cfg);
+  else
+    {
+      struct nod_action action = { .kind = NOD_DO_CONFIG_BAD };
+      action.config_bad.version = version;
+      action.config_bad.problems = problems;
+      nod->act (nod->ctx, &action);
+    }
+  gboolean ok = cfg != NULL;
   cfg_unref (cfg);
-  return TRUE;
+  g_ptr_array_unref (problems);
+  return ok;
 }
 
 static void
@@ -75,7 +85,8 @@
   GKeyFile *file = g_key_file_new ();
   gboolean ok = g_key_file_load_from_bytes (file, body, G_KEY_FILE_NONE, NULL);
   char **groups = ok ? g_key_file_get_groups (file, NULL) : NULL;
-  g_hash_table_remove_all (nod->listed_leaving);
+  if (ok)
+    g_hash_table_remove_all (nod->listed_leaving);
   for (guint i = 0; groups != NULL && groups[i] != NULL; i++)
     {
       char *state = g_key_file_get_string (file, groups[i], "state", NULL);
@@ -85,7 +96,8 @@
         g_hash_table_add (nod->listed_leaving, g_strdup (groups[i]));
       g_free (state);
     }
-  nod_cell_leaving_changed (nod);
+  if (ok)
+    nod_cell_leaving_changed (nod);
   g_strfreev (groups);
   g_key_file_unref (file);
   return ok;
@@ -242,6 +254,8 @@
   if (!follow->push)
     return;
   follow->push = FALSE;
+  mem_set_versions (nod->mem, cft_version (nod->follows[NOD_CONFIG].cft),
+                    cft_version (nod->follows[NOD_FLEET].cft));
   push (nod, object, follow->from_store);
   nod->heartbeat_at = 0;
 }
@@ -319,14 +333,6 @@
   cft_peer_has (nod->follows[NOD_FLEET].cft, from, heartbeat->fleet_version);
 }
 
-/* Adds the versions in force to HEARTBEAT.  */
-void
-nod_config_fill (const struct nod *nod, struct msg_heartbeat *heartbeat)
-{
-  heartbeat->config_version = cft_version (nod->follows[NOD_CONFIG].cft);
-  heartbeat->fleet_version = cft_version (nod->follows[NOD_FLEET].cft);
-}
-
 /* Starts an operator's update of the configuration: BODY takes the place of
    version EXPECTED. DONE is called once, unless the node is freed. Returns
    < 0 if too many updates are in progress; DONE is not called then.  */
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -3,19 +3,23 @@
 #define NOD_INT_H
 
 #include "chart/chr.h"
+#include "ledger/lec.h"
 #include "ledger/led.h"
 #include "node/nod.h"
 
-#define NOD_REQUESTS_MAX 65536        /* in progress at one entry */
-#define NOD_CELLS_TRIED_MAX 4         /* cells that may refuse one request */
-#define NOD_PROGRESS_US (1 * CLK_S)   /* between progress reports */
-#define NOD_MEMBERS_US (5 * CLK_S)    /* between lists of instances */
+#define NOD_REQUESTS_MAX 65536      /* in progress at one entry */
+#define NOD_CELLS_TRIED_MAX 4       /* cells that may refuse one request */
+#define NOD_PROGRESS_US (1 * CLK_S) /* between progress reports */
+#define NOD_MOVE_US (1 * CLK_S)     /* a ticket waits so long before it moves */
+#define NOD_MEMBERS_US (5 * CLK_S)  /* between lists of instances */
 #define NOD_SUMMARY_US (500 * CLK_MS) /* between summaries, small domains */
 /* Summaries of large failure domains come less often, so that a sender's
    bytes a second do not grow with the domain. */
 #define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
 #define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
+/* After the first configuration, for the summaries of other cells to come. */
+#define NOD_SETTLE_US (1200 * CLK_MS)
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
 #define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
@@ -85,10 +89,8 @@
   guint32 attempt_tokens; /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
-  gboolean recorded;     /* the ledger holds this request's intent */
-  guint64 intent_ticket; /* of the recorded intent */
-  gint64 intent_at;      /* when the intent was sent, microseconds */
-  gboolean crossed;      /* counted against the link's budget */
+  gboolean recorded; /* the ledger holds this request's intent */
+  gboolean crossed;  /* counted against the link's budget */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -96,7 +98,8 @@
 {
   struct msg_cell_summary summary;
   struct str_id domain;
-  gint64 heard; /* microseconds */
+  gint64 heard;  /* microseconds */
+  guint claimed; /* free slots that this entry took since */
 };
 
 struct nod_led_shard
@@ -146,8 +149,7 @@
   struct chr *chart; /* request.chart */
   struct mem *mem;
   struct chr *member_chart;
-  GHashTable *dialled; /* addresses kept connected, char * */
-  GQueue local;        /* struct msg *, from this instance to itself */
+  GQueue local; /* struct msg *, from this instance to itself */
   gboolean leaving;
   gboolean drained; /* told by NOD_DO_DRAINED */
 
@@ -162,10 +164,12 @@
   GHashTable *infos;           /* cell name -> struct nod_cell_info * */
   GHashTable *leaving_servers; /* name -> itself; by their own word */
   GHashTable *listed_leaving;  /* name -> itself; by the platform's list */
+  struct lec *lec;             /* this entry's side of the ledger */
   struct nod_led_shard shards[LED_SHARDS];
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
 
+  gint64 ready_at;     /* not ready before, microseconds */
   gint64 heartbeat_at; /* next, microseconds */
   gint64 far_heartbeat_at;
   gint64 progress_at;
@@ -207,17 +211,19 @@
                      const struct msg_refuse *refuse);
 void nod_req_preempt (struct nod *nod, const char *from,
                       const struct msg_preempt *preempt);
-void nod_req_verdict (struct nod *nod,
+void nod_req_verdict (struct nod *nod, guint64 id,
                       const struct msg_ledger_verdict *verdict);
 void nod_req_view_changed (struct nod *nod, const char *lost);
 void nod_req_peer_lost (struct nod *nod, const char *id);
 void nod_req_tick (struct nod *nod);
 void nod_req_progress (struct nod *nod);
+void nod_req_rebalance (struct nod *nod);
 void nod_req_free (void *data);
 void nod_req_dump (const struct nod *nod, JsonBuilder *json);
 
 /* nod_route.c: choice of a cell and of its owner */
 gboolean nod_route (struct nod *nod, struct nod_req *req);
+gboolean nod_route_move (struct nod *nod, struct nod_req *req);
 const char *nod_owner (struct nod *nod, struct str cell);
 gboolean nod_crosses_link (const struct nod *nod, const struct cfg *cfg,
                            guint domain);
@@ -264,7 +270,7 @@
 void nod_led_answer (struct nod *nod, guint number, guint64 token,
                      const struct sto_answer *answer);
 void nod_led_tick (struct nod *nod);
-const char *nod_led_owner (struct nod *nod, const guint8 *key);
+void nod_led_init (struct nod *nod);
 void nod_led_free (struct nod *nod);
 void nod_led_dump (const struct nod *nod, JsonBuilder *json);
 
@@ -277,7 +283,6 @@
 void nod_config_ask (struct nod *nod, const char *from,
                      const struct msg_object_ask *ask);
 void nod_config_body (struct nod *nod, const struct msg_object_body *body);
-void nod_config_fill (const struct nod *nod, struct msg_heartbeat *heartbeat);
 void nod_config_dump (const struct nod *nod, JsonBuilder *json);
 void nod_config_peer (struct nod *nod, const char *from,
                       const struct msg_heartbeat *heartbeat);
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -40,7 +40,10 @@
   if (lost != NULL)
     nod_cell_entry_lost (nod, lost);
   if (change->view)
-    nod_req_view_changed (nod, lost);
+    {
+      nod_req_view_changed (nod, lost);
+      nod->summary_at = 0;
+    }
 }
 
 /* Takes a heartbeat of instance FROM.  */
@@ -75,7 +78,6 @@
 {
   struct msg msg = { .kind = MSG_HEARTBEAT };
   mem_fill_heartbeat (nod->mem, &msg.heartbeat);
-  nod_config_fill (nod, &msg.heartbeat);
   nod_send (nod, id, &msg);
 }
 
@@ -176,5 +178,8 @@
   if (is_due (&nod->summary_at, now, summary_interval (nod)))
     nod_cell_send_summaries (nod);
   if (is_due (&nod->progress_at, now, NOD_PROGRESS_US))
-    nod_req_progress (nod);
+    {
+      nod_req_progress (nod);
+      nod_req_rebalance (nod);
+    }
 }
