Open and close the cell of each test in one place

Cause: tests should stay short; every test opened and closed its own cell. Ruled out: dropping tests. Change: one fixture for each test of test_cel, closed by the suite; the assertions are the same.

--- a/tests/unit/cell_fixture.h
+++ b/tests/unit/cell_fixture.h
@@ -148,6 +148,13 @@
   fix_start_seed (fix, 1);
 }
 
+static inline void
+fix_open (struct fix *fix, guint n, guint max_running)
+{
+  fix_init (fix, n, max_running);
+  fix_start (fix);
+}
+
 static inline void
 fix_close (struct fix *fix)
 {
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -1,12 +1,18 @@
 #include "unit/cell_fixture.h"
 #include "unit/unit.h"
 
+static struct fix fix; /* of the test; closed after it */
+
+static void
+tear_down (void)
+{
+  fix_close (&fix);
+}
+
 static void
 test_tier_order (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_BATCH);
   fix_offer (&fix, 2, FIX_BATCH);
   fix_offer (&fix, 3, FIX_URGENT);
@@ -19,15 +25,12 @@
   CU_ASSERT_TRUE (fix_granted (&fix, 4));
   fix_release (&fix, 4, MSG_RESULT_OK);
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
-  fix_close (&fix);
 }
 
 static void
 test_unused_grant_expires (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
   const struct msg *msg = fix_find (&fix, MSG_GRANT, 1);
@@ -35,15 +38,12 @@
   fix_wait (&fix, 2 * CLK_S);
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
   CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 1);
-  fix_close (&fix);
 }
 
 static void
 test_used_grant_stays (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
   for (guint i = 0; i < 20; i++)
@@ -54,15 +54,12 @@
     }
   CU_ASSERT_FALSE (fix_granted (&fix, 2));
   CU_ASSERT_EQUAL (fix.ctr.v[CTR_GRANT_EXPIRED], 0);
-  fix_close (&fix);
 }
 
 static void
 test_deadline (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_NORMAL);
   struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
   offer.wait_us = CLK_S;
@@ -70,15 +67,12 @@
   fix_wait (&fix, CLK_S);
   CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_DEADLINE);
   CU_ASSERT_TRUE (fix_retry_after (&fix, 2) > 0);
-  fix_close (&fix);
 }
 
 static void
 test_leaving_gets_nothing (void)
 {
-  struct fix fix;
-  fix_init (&fix, 2, 1);
-  fix_start (&fix);
+  fix_open (&fix, 2, 1);
   for (guint64 t = 1; t <= 4; t++)
     fix_offer (&fix, t, FIX_NORMAL);
   struct str_id left = fix_id (fix_backend (&fix, 1));
@@ -90,15 +84,12 @@
   fix_release (&fix, 2, MSG_RESULT_LEAVING);
   CU_ASSERT_EQUAL (fix_refused (&fix, 3), MSG_REASON_NO_SERVER);
   CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
-  fix_close (&fix);
 }
 
 static void
 test_offers_are_idempotent (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
@@ -110,15 +101,12 @@
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.waiting[1], 1);
   CU_ASSERT_EQUAL (summary.free_slots, 0);
-  fix_close (&fix);
 }
 
 static void
 test_reoffer_counts_running_work (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
   offer.running = fix_id ("sa");
   cel_offer (fix.cel, "e1", &offer);
@@ -126,15 +114,12 @@
   CU_ASSERT_EQUAL (fix.n_sent, 0);
   fix_release (&fix, 1, MSG_RESULT_OK);
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
-  fix_close (&fix);
 }
 
 static void
 test_entry_lost (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_NORMAL);
   fix_offer (&fix, 2, FIX_NORMAL);
   struct msg_offer offer = fix_offer_of (&fix, 2, FIX_NORMAL, "a");
@@ -142,15 +127,12 @@
   cel_entry_lost (fix.cel, "e1");
   CU_ASSERT_EQUAL (fix.n_sent, 2);
   CU_ASSERT_STRING_EQUAL (fix.sent[1].to.s, "e2");
-  fix_close (&fix);
 }
 
 static void
 test_silent_entry (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   struct msg_offer offer = fix_offer_of (&fix, 1, FIX_NORMAL, "a");
   offer.running = fix_id ("sa");
   cel_offer (fix.cel, "e1", &offer);
@@ -163,82 +145,74 @@
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 1);
   CU_ASSERT_TRUE (cel_is_idle (fix.cel));
-  fix_close (&fix);
 }
 
 /* Keeps one slot busy for N starts, each generating TOKENS_A for team a and
    TOKENS_B for team b, and returns how many of the starts were team b's.  */
 static guint
-starts_of_b (struct fix *fix, guint n, guint32 tokens_a, guint32 tokens_b)
+starts_of_b (guint n, guint32 tokens_a, guint32 tokens_b)
 {
   guint b = 0;
   for (guint i = 0; i < n; i++)
     {
-      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
+      guint64 ticket = fix.sent[fix.n_sent - 1].msg.grant.ticket;
       gboolean is_b = ticket >= 1000;
       b += is_b;
-      fix_progress (fix, ticket, is_b ? tokens_b : tokens_a, 10 * CLK_MS);
-      fix_release (fix, ticket, MSG_RESULT_OK);
+      fix_progress (&fix, ticket, is_b ? tokens_b : tokens_a, 10 * CLK_MS);
+      fix_release (&fix, ticket, MSG_RESULT_OK);
     }
   return b;
 }
 
 static void
-offer_teams (struct fix *fix, guint n)
+offer_teams (guint n)
 {
   for (guint i = 0; i < n; i++)
-    fix_offer (fix, 1 + i, FIX_NORMAL);
+    fix_offer (&fix, 1 + i, FIX_NORMAL);
   for (guint i = 0; i < n; i++)
     {
-      struct msg_offer offer = fix_offer_of (fix, 1000 + i, FIX_NORMAL, "b");
-      cel_offer (fix->cel, "e1", &offer);
+      struct msg_offer offer = fix_offer_of (&fix, 1000 + i, FIX_NORMAL, "b");
+      cel_offer (fix.cel, "e1", &offer);
     }
 }
 
 static void
 test_teams_share_a_class (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 1);
   fix.classes[FIX_NORMAL].max_waiting = 100;
   fix_start (&fix);
-  offer_teams (&fix, 40);
-  guint b = starts_of_b (&fix, 40, 100, 100);
+  offer_teams (40);
+  guint b = starts_of_b (40, 100, 100);
   CU_ASSERT_TRUE (b >= 19 && b <= 21);
-  fix_close (&fix);
 }
 
 static void
 test_teams_share_by_tokens (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 1);
   fix.classes[FIX_NORMAL].max_waiting = 100;
   fix_start (&fix);
-  offer_teams (&fix, 40);
-  guint b = starts_of_b (&fix, 40, 300, 0);
+  offer_teams (40);
+  guint b = starts_of_b (40, 300, 0);
   CU_ASSERT_TRUE (b >= 31 && b <= 33); /* 100 to 400 tokens a start */
-  fix_close (&fix);
 }
 
 static void
 test_teams_share_by_weight (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 1);
   fix.classes[FIX_NORMAL].max_waiting = 100;
   fix.teams[1].weight = 3;
   fix_start (&fix);
-  offer_teams (&fix, 40);
-  guint b = starts_of_b (&fix, 40, 100, 100);
+  offer_teams (40);
+  guint b = starts_of_b (40, 100, 100);
   CU_ASSERT_TRUE (b >= 29 && b <= 31);
-  fix_close (&fix);
 }
 
 static void
 test_team_limit (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 8);
   fix.teams[0].max_running = 2;
   fix_start (&fix);
@@ -251,137 +225,122 @@
   fix_release (&fix, 1, MSG_RESULT_OK);
   CU_ASSERT_TRUE (fix_granted (&fix, 3));
   CU_ASSERT_FALSE (fix_granted (&fix, 4));
-  fix_close (&fix);
 }
 
 /* Offers N tickets of a class whose numbers start at FIRST.  */
 static void
-offer_many (struct fix *fix, guint64 first, guint n, guint class_index)
+offer_many (guint64 first, guint n, guint class_index)
 {
   for (guint i = 0; i < n; i++)
-    fix_offer (fix, first + i, class_index);
+    fix_offer (&fix, first + i, class_index);
 }
 
 /* Ends the work granted last, N times, and counts the starts that follow by
    the thousands of their tickets' numbers.  */
 static void
-count_starts (struct fix *fix, guint n, guint counts[3])
+count_starts (guint n, guint counts[3])
 {
   for (guint i = 0; i < n; i++)
     {
-      fix_release (fix, fix->sent[fix->n_sent - 1].msg.grant.ticket,
+      fix_release (&fix, fix.sent[fix.n_sent - 1].msg.grant.ticket,
                    MSG_RESULT_OK);
-      counts[fix->sent[fix->n_sent - 1].msg.grant.ticket / 1000]++;
+      counts[fix.sent[fix.n_sent - 1].msg.grant.ticket / 1000]++;
     }
 }
 
 static void
 test_minimum_share (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 1);
   fix.classes[FIX_URGENT].max_waiting = 200;
   fix.classes[FIX_NORMAL].min_share = 0.2;
   fix.classes[FIX_BATCH].min_share = 0.1;
   fix_start (&fix);
-  offer_many (&fix, 1, 150, FIX_URGENT);
-  offer_many (&fix, 1000, 40, FIX_NORMAL);
-  offer_many (&fix, 2000, 40, FIX_BATCH);
+  offer_many (1, 150, FIX_URGENT);
+  offer_many (1000, 40, FIX_NORMAL);
+  offer_many (2000, 40, FIX_BATCH);
   guint counts[3] = { 0 };
-  count_starts (&fix, 100, counts);
+  count_starts (100, counts);
   CU_ASSERT_TRUE (counts[1] == 19 || counts[1] == 20);
   CU_ASSERT_TRUE (counts[2] == 9 || counts[2] == 10);
-  fix_close (&fix);
 }
 
 static void
 test_no_share_no_start (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
-  offer_many (&fix, 1, 40, FIX_URGENT);
-  offer_many (&fix, 1000, 5, FIX_BATCH);
+  fix_open (&fix, 1, 1);
+  offer_many (1, 40, FIX_URGENT);
+  offer_many (1000, 5, FIX_BATCH);
   guint counts[3] = { 0 };
-  count_starts (&fix, 39, counts);
+  count_starts (39, counts);
   CU_ASSERT_EQUAL (counts[0], 39);
-  fix_close (&fix);
 }
 
 static void
 test_higher_tier_displaces (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_URGENT);
-  offer_many (&fix, 100, 50, FIX_NORMAL);
-  offer_many (&fix, 200, 50, FIX_BATCH);
+  offer_many (100, 50, FIX_NORMAL);
+  offer_many (200, 50, FIX_BATCH);
   fix.clock.t += CLK_MS;
-  offer_many (&fix, 300, 50, FIX_URGENT);
+  offer_many (300, 50, FIX_URGENT);
   CU_ASSERT_EQUAL (fix.n_sent, 1);
   /* Beyond its own room the urgent class takes the youngest batch work down
      to the reserved room, then normal work, then is refused.  */
-  offer_many (&fix, 400, 45, FIX_URGENT);
+  offer_many (400, 45, FIX_URGENT);
   CU_ASSERT_EQUAL (fix_refused (&fix, 249), MSG_REASON_DISPLACED);
   CU_ASSERT_EQUAL (fix_refused (&fix, 205), MSG_REASON_DISPLACED);
   CU_ASSERT_EQUAL (fix_refused (&fix, 204), MSG_REASON_N);
   CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
-  offer_many (&fix, 500, 45, FIX_URGENT);
+  offer_many (500, 45, FIX_URGENT);
   CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
   CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
   CU_ASSERT_EQUAL (fix.ctr.v[CTR_DISPLACED], 90);
   fix_offer (&fix, 600, FIX_URGENT);
   CU_ASSERT_EQUAL (fix_refused (&fix, 600), MSG_REASON_OVERLOAD);
-  fix_close (&fix);
 }
 
 static void
 test_reserved_room (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_URGENT);
-  offer_many (&fix, 100, 60, FIX_BATCH);
+  offer_many (100, 60, FIX_BATCH);
   CU_ASSERT_EQUAL (fix_refused (&fix, 149), MSG_REASON_N);
   CU_ASSERT_EQUAL (fix_refused (&fix, 150), MSG_REASON_OVERLOAD);
-  offer_many (&fix, 200, 95, FIX_URGENT);
+  offer_many (200, 95, FIX_URGENT);
   CU_ASSERT_EQUAL (fix_refused (&fix, 104), MSG_REASON_N);
   CU_ASSERT_EQUAL (fix_refused (&fix, 105), MSG_REASON_DISPLACED);
   /* The normal class's reserved room is left to it. */
-  offer_many (&fix, 300, 5, FIX_NORMAL);
+  offer_many (300, 5, FIX_NORMAL);
   CU_ASSERT_EQUAL (fix_refused (&fix, 304), MSG_REASON_N);
-  fix_close (&fix);
 }
 
 static void
 test_no_server (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   cel_set_leaving (fix.cel, "sa", TRUE);
   fix_offer (&fix, 1, FIX_URGENT);
   CU_ASSERT_EQUAL (fix_refused (&fix, 1), MSG_REASON_NO_SERVER);
-  fix_close (&fix);
 }
 
 /* Serves urgent work for SECONDS on an engine whose time between tokens is
    10 ms and 1 ms more for each request in flight; all stay in flight.  */
 static guint
-settle_limit (struct fix *fix, guint seconds)
+settle_limit (guint seconds)
 {
   guint granted = 0;
   for (guint i = 0; i < seconds; i++)
     {
-      offer_many (fix, 1 + 100 * i, 20, FIX_URGENT);
-      granted = (guint)fix->ctr.v[CTR_GRANTS];
-      for (guint j = 0; j < fix->n_sent; j++)
-        if (fix->sent[j].msg.kind == MSG_GRANT)
-          fix_progress (fix, fix->sent[j].msg.grant.ticket, 50,
+      offer_many (1 + 100 * i, 20, FIX_URGENT);
+      granted = (guint)fix.ctr.v[CTR_GRANTS];
+      for (guint j = 0; j < fix.n_sent; j++)
+        if (fix.sent[j].msg.kind == MSG_GRANT)
+          fix_progress (&fix, fix.sent[j].msg.grant.ticket, 50,
                         10 * CLK_MS + granted * CLK_MS);
-      fix_wait (fix, CLK_S);
+      fix_wait (&fix, CLK_S);
     }
   return granted;
 }
@@ -389,30 +348,24 @@
 static void
 test_limit_meets_the_target (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 64);
-  fix_start (&fix);
+  fix_open (&fix, 1, 64);
   /* 20 requests take 30 ms between tokens; the hard limit is 64. */
-  guint granted = settle_limit (&fix, 8);
+  guint granted = settle_limit (8);
   CU_ASSERT_EQUAL (granted, 32); /* the start; all stay in flight */
   fix_close (&fix);
-  fix_init (&fix, 1, 24);
-  fix_start (&fix);
-  granted = settle_limit (&fix, 8);
+  fix_open (&fix, 1, 24);
+  granted = settle_limit (8);
   CU_ASSERT_TRUE (granted >= 16 && granted <= 20);
-  fix_close (&fix);
 }
 
 static void
 test_foreign_load (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 4);
-  fix_start (&fix);
+  fix_open (&fix, 1, 4);
   struct cel_load load = { .running = 3, .age_us = 0 };
   cel_load_report (fix.cel, "sa", &load);
   fix_wait (&fix, CEL_TICK_US);
-  offer_many (&fix, 1, 4, FIX_NORMAL);
+  offer_many (1, 4, FIX_NORMAL);
   CU_ASSERT_EQUAL (fix.n_sent, 2); /* others' 3, discounted by age */
   fix_progress (&fix, 1, 0, 0);
   fix_progress (&fix, 2, 0, 0);
@@ -423,38 +376,37 @@
         fix_progress (&fix, t, 0, 0);
     }
   CU_ASSERT_TRUE (fix_granted (&fix, 4));
-  fix_close (&fix);
 }
 
 #define ROUND 14 /* requests at once, more than three servers start with */
 
 /* Ends ticket TICKET if it was granted. Returns whether BAD had it.  */
 static gboolean
-serve_one (struct fix *fix, guint64 ticket, const char *bad, guint32 tbt_us,
+serve_one (guint64 ticket, const char *bad, guint32 tbt_us,
            enum msg_result result)
 {
-  const struct msg *msg = fix_find (fix, MSG_GRANT, ticket);
+  const struct msg *msg = fix_find (&fix, MSG_GRANT, ticket);
   gboolean is_bad = msg && strcmp (msg->grant.backend.s, bad) == 0;
   if (msg)
-    fix_progress (fix, ticket, 20, is_bad ? tbt_us : 20 * CLK_MS);
-  fix_release (fix, ticket, is_bad ? result : MSG_RESULT_OK);
+    fix_progress (&fix, ticket, 20, is_bad ? tbt_us : 20 * CLK_MS);
+  fix_release (&fix, ticket, is_bad ? result : MSG_RESULT_OK);
   return is_bad;
 }
 
 /* Serves ROUNDS rounds of short requests of normal work; the server BAD takes
    TBT_US between tokens and ends with RESULT. Returns how many BAD got.  */
 static guint
-serve_rounds (struct fix *fix, guint rounds, const char *bad, guint32 tbt_us,
+serve_rounds (guint rounds, const char *bad, guint32 tbt_us,
               enum msg_result result)
 {
   static guint64 ticket = 1;
   guint count = 0;
   for (guint i = 0; i < rounds; i++)
     {
-      offer_many (fix, ticket, ROUND, FIX_NORMAL);
+      offer_many (ticket, ROUND, FIX_NORMAL);
       for (guint j = 0; j < ROUND; j++)
-        count += serve_one (fix, ticket++, bad, tbt_us, result);
-      fix_wait (fix, CEL_TICK_US);
+        count += serve_one (ticket++, bad, tbt_us, result);
+      fix_wait (&fix, CEL_TICK_US);
     }
   return count;
 }
@@ -462,91 +414,76 @@
 static void
 test_straggler_with_good_reports (void)
 {
-  struct fix fix;
-  fix_init (&fix, 4, 8);
-  fix_start (&fix);
+  fix_open (&fix, 4, 8);
   for (guint i = 0; i < 8; i++)
     {
       struct cel_load load = { .running = 0, .kv_used = 0.1 };
       cel_load_report (fix.cel, "sb", &load);
-      serve_rounds (&fix, 2, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+      serve_rounds (2, "sb", 100 * CLK_MS, MSG_RESULT_OK);
     }
   CU_ASSERT_TRUE (fix.ctr.v[CTR_EJECTIONS] >= 1);
-  guint count = serve_rounds (&fix, 400, "sb", 100 * CLK_MS, MSG_RESULT_OK);
+  guint count = serve_rounds (400, "sb", 100 * CLK_MS, MSG_RESULT_OK);
   CU_ASSERT_TRUE (count > 0 && count <= 40);
-  serve_rounds (&fix, 800, "sb", 20 * CLK_MS, MSG_RESULT_OK);
-  count = serve_rounds (&fix, 400, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  serve_rounds (800, "sb", 20 * CLK_MS, MSG_RESULT_OK);
+  count = serve_rounds (400, "sb", 20 * CLK_MS, MSG_RESULT_OK);
   CU_ASSERT_TRUE (count >= 700); /* half its even part of 1400 */
-  fix_close (&fix);
 }
 
 static void
 test_crashed_server (void)
 {
-  struct fix fix;
-  fix_init (&fix, 4, 8);
-  fix_start (&fix);
-  guint count = serve_rounds (&fix, 400, "sb", 0, MSG_RESULT_NOT_SENT);
+  fix_open (&fix, 4, 8);
+  guint count = serve_rounds (400, "sb", 0, MSG_RESULT_NOT_SENT);
   CU_ASSERT_TRUE (count <= 20); /* 1400 by an even share */
-  fix_close (&fix);
 }
 
 /* Offers ticket TICKET with PREFIX and returns where it was granted.  */
 static const char *
-offer_prefix (struct fix *fix, guint64 ticket, guint64 prefix, guint32 tokens)
+offer_prefix (guint64 ticket, guint64 prefix, guint32 tokens)
 {
-  struct msg_offer offer = fix_offer_of (fix, ticket, FIX_NORMAL, "a");
+  struct msg_offer offer = fix_offer_of (&fix, ticket, FIX_NORMAL, "a");
   offer.prefix = prefix;
   offer.prompt_tokens = tokens;
-  cel_offer (fix->cel, "e1", &offer);
-  return fix_backend (fix, ticket);
+  cel_offer (fix.cel, "e1", &offer);
+  return fix_backend (&fix, ticket);
 }
 
 static void
 test_prefix_returns (void)
 {
-  struct fix fix;
   guint same = 0;
-  fix_init (&fix, 4, 8);
-  fix_start (&fix);
+  fix_open (&fix, 4, 8);
   for (guint64 prefix = 1; prefix <= 10; prefix++)
     {
       char first[STR_ID_MAX + 1];
-      g_strlcpy (first, offer_prefix (&fix, prefix * 10, prefix, 1000),
-                 sizeof first);
+      g_strlcpy (first, offer_prefix (prefix * 10, prefix, 1000), sizeof first);
       fix_release (&fix, prefix * 10, MSG_RESULT_OK);
       for (guint64 t = prefix * 10 + 1; t < prefix * 10 + 5; t++)
         {
-          same += strcmp (offer_prefix (&fix, t, prefix, 1000), first) == 0;
+          same += strcmp (offer_prefix (t, prefix, 1000), first) == 0;
           fix_release (&fix, t, MSG_RESULT_OK);
         }
     }
   CU_ASSERT_EQUAL (same, 40);
   cel_cache_event (fix.cel, "sc", 99, TRUE);
-  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 1, 99, 1000), "sc");
-  fix_close (&fix);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (1, 99, 1000), "sc");
 }
 
 static void
 test_hot_prefix_is_bounded (void)
 {
-  struct fix fix;
   guint counts[4] = { 0 };
-  fix_init (&fix, 4, 16);
-  fix_start (&fix);
+  fix_open (&fix, 4, 16);
   for (guint64 t = 1; t <= 16; t++)
-    counts[offer_prefix (&fix, t, 5, 100000)[1] - 'a']++;
+    counts[offer_prefix (t, 5, 100000)[1] - 'a']++;
   for (guint i = 0; i < 4; i++)
     CU_ASSERT_TRUE (counts[i] <= 6);
-  fix_close (&fix);
 }
 
 static void
 test_short_prefix_yields_to_load (void)
 {
-  struct fix fix;
-  fix_init (&fix, 2, 4);
-  fix_start (&fix);
+  fix_open (&fix, 2, 4);
   /* 10 ms between tokens: a slot of 4 costs 80 ms over 32 tokens. */
   for (guint64 t = 1; t <= 2; t++)
     {
@@ -555,46 +492,43 @@
       fix_release (&fix, t, MSG_RESULT_OK);
     }
   cel_cache_event (fix.cel, "sa", 5, TRUE);
-  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 11, 5, 100), "sa");
-  CU_ASSERT_STRING_EQUAL (offer_prefix (&fix, 12, 5, 100), "sb");
-  fix_close (&fix);
+  CU_ASSERT_STRING_EQUAL (offer_prefix (11, 5, 100), "sa");
+  CU_ASSERT_STRING_EQUAL (offer_prefix (12, 5, 100), "sb");
 }
 
 /* Serves what was granted last for 500 ms, N times.  */
 static void
-serve_slowly (struct fix *fix, guint n)
+serve_slowly (guint n)
 {
   for (guint i = 0; i < n; i++)
     {
-      guint64 ticket = fix->sent[fix->n_sent - 1].msg.grant.ticket;
-      fix_wait (fix, 500 * CLK_MS);
-      fix_release (fix, ticket, MSG_RESULT_OK);
+      guint64 ticket = fix.sent[fix.n_sent - 1].msg.grant.ticket;
+      fix_wait (&fix, 500 * CLK_MS);
+      fix_release (&fix, ticket, MSG_RESULT_OK);
     }
 }
 
 /* Offers a ticket that can wait 2 s; returns the reason it was refused. */
 static enum msg_reason
-offer_short (struct fix *fix, guint64 ticket, guint class_index)
+offer_short (guint64 ticket, guint class_index)
 {
-  struct msg_offer offer = fix_offer_of (fix, ticket, class_index, "a");
+  struct msg_offer offer = fix_offer_of (&fix, ticket, class_index, "a");
   offer.wait_us = 2 * CLK_S;
-  cel_offer (fix->cel, "e1", &offer);
-  return fix_refused (fix, ticket);
+  cel_offer (fix.cel, "e1", &offer);
+  return fix_refused (&fix, ticket);
 }
 
 static void
 test_hopeless_wait (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
-  offer_many (&fix, 1, 36, FIX_NORMAL);
-  CU_ASSERT_EQUAL (offer_short (&fix, 100, FIX_NORMAL), MSG_REASON_N);
+  fix_open (&fix, 1, 1);
+  offer_many (1, 36, FIX_NORMAL);
+  CU_ASSERT_EQUAL (offer_short (100, FIX_NORMAL), MSG_REASON_N);
   cel_withdraw (fix.cel, "e1", 100);
-  serve_slowly (&fix, 8); /* two a second; 27 wait */
-  CU_ASSERT_EQUAL (offer_short (&fix, 101, FIX_NORMAL), MSG_REASON_DEADLINE);
-  CU_ASSERT_EQUAL (offer_short (&fix, 102, FIX_BATCH), MSG_REASON_DEADLINE);
-  CU_ASSERT_EQUAL (offer_short (&fix, 103, FIX_URGENT), MSG_REASON_N);
+  serve_slowly (8); /* two a second; 27 wait */
+  CU_ASSERT_EQUAL (offer_short (101, FIX_NORMAL), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (102, FIX_BATCH), MSG_REASON_DEADLINE);
+  CU_ASSERT_EQUAL (offer_short (103, FIX_URGENT), MSG_REASON_N);
   /* Team b is not behind the queue of team a. */
   struct msg_offer offer = fix_offer_of (&fix, 105, FIX_NORMAL, "b");
   offer.wait_us = 2 * CLK_S;
@@ -608,77 +542,71 @@
   struct msg_cell_summary summary;
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.starts_per_s, 1); /* 9 in 10 s */
-  fix_close (&fix);
 }
 
 static void
 test_team_limit_reason (void)
 {
-  struct fix fix;
   fix_init (&fix, 1, 8);
   fix.teams[0].max_running = 1;
   fix_start (&fix);
   fix_offer (&fix, 1, FIX_NORMAL);
-  CU_ASSERT_EQUAL (offer_short (&fix, 2, FIX_NORMAL), MSG_REASON_N);
+  CU_ASSERT_EQUAL (offer_short (2, FIX_NORMAL), MSG_REASON_N);
   fix_wait (&fix, CLK_S);
   fix_progress (&fix, 1, 0, 0);
   fix_wait (&fix, CLK_S);
   CU_ASSERT_EQUAL (fix_refused (&fix, 2), MSG_REASON_TEAM_LIMIT);
-  fix_close (&fix);
 }
 
 /* Fills 8 slots with batch work that runs for 2 s; each of its requests has
    GENERATED tokens, ticket 3 has the fewest.  */
 static void
-fill_with_batch (struct fix *fix, gboolean resumable, guint32 generated)
+fill_with_batch (gboolean resumable, guint32 generated)
 {
-  fix_init (fix, 1, 8);
-  fix->classes[FIX_BATCH].min_share = 0.5;
-  fix->pool.kind = CFG_SERVICE; /* no adaptive limit */
-  fix_start (fix);
+  fix_init (&fix, 1, 8);
+  fix.classes[FIX_BATCH].min_share = 0.5;
+  fix.pool.kind = CFG_SERVICE; /* no adaptive limit */
+  fix_start (&fix);
   for (guint64 t = 1; t <= 8; t++)
     {
-      struct msg_offer offer = fix_offer_of (fix, t, FIX_BATCH, "a");
+      struct msg_offer offer = fix_offer_of (&fix, t, FIX_BATCH, "a");
       offer.resumable = resumable;
-      cel_offer (fix->cel, "e1", &offer);
+      cel_offer (fix.cel, "e1", &offer);
     }
   for (guint i = 0; i < 2; i++)
     {
-      fix_wait (fix, CLK_S);
+      fix_wait (&fix, CLK_S);
       for (guint64 t = 1; t <= 8; t++)
-        fix_progress (fix, t, t == 3 ? generated / 4 : generated / 2, 0);
+        fix_progress (&fix, t, t == 3 ? generated / 4 : generated / 2, 0);
     }
 }
 
 static guint64
-preempted (const struct fix *fix)
+preempted (void)
 {
-  return fix->ctr.v[CTR_PREEMPTED];
+  return fix.ctr.v[CTR_PREEMPTED];
 }
 
 static void
 test_preemption (void)
 {
-  struct fix fix;
-  fill_with_batch (&fix, TRUE, 200);
+  fill_with_batch (TRUE, 200);
   fix_offer (&fix, 10, FIX_URGENT);
-  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  CU_ASSERT_EQUAL (preempted (), 1);
   CU_ASSERT_PTR_NOT_NULL (fix_find (&fix, MSG_PREEMPT, 3));
   fix_release (&fix, 3, MSG_RESULT_CANCELLED);
   CU_ASSERT_TRUE (fix_granted (&fix, 10));
   /* One for each ticket, and not all at once. */
   fix_offer (&fix, 11, FIX_URGENT);
-  CU_ASSERT_EQUAL (preempted (&fix), 1);
+  CU_ASSERT_EQUAL (preempted (), 1);
   fix_wait (&fix, 250 * CLK_MS);
-  CU_ASSERT_EQUAL (preempted (&fix), 2);
-  fix_close (&fix);
+  CU_ASSERT_EQUAL (preempted (), 2);
 }
 
 static void
 test_preemption_keeps_the_share (void)
 {
-  struct fix fix;
-  fill_with_batch (&fix, TRUE, 200);
+  fill_with_batch (TRUE, 200);
   for (guint64 t = 10; t < 30; t++)
     {
       fix_offer (&fix, t, FIX_URGENT);
@@ -692,39 +620,34 @@
       for (guint64 u = 10; u <= t; u++)
         fix_progress (&fix, u, 0, 0);
     }
-  CU_ASSERT_EQUAL (preempted (&fix), 4);
-  fix_close (&fix);
+  CU_ASSERT_EQUAL (preempted (), 4);
 }
 
 static void
 test_no_preemption (void)
 {
-  struct fix fix;
-  fill_with_batch (&fix, FALSE, 200);
+  fill_with_batch (FALSE, 200);
   fix_offer (&fix, 10, FIX_URGENT);
   fix_wait (&fix, 2 * CEL_TICK_US);
-  CU_ASSERT_EQUAL (preempted (&fix), 0); /* cannot be resumed */
+  CU_ASSERT_EQUAL (preempted (), 0); /* cannot be resumed */
   fix_close (&fix);
-  fill_with_batch (&fix, TRUE, 40000);
+  fill_with_batch (TRUE, 40000);
   fix_offer (&fix, 10, FIX_URGENT);
   fix_wait (&fix, 2 * CEL_TICK_US);
-  CU_ASSERT_EQUAL (preempted (&fix), 0); /* would throw too much away */
+  CU_ASSERT_EQUAL (preempted (), 0); /* would throw too much away */
   fix_close (&fix);
-  fill_with_batch (&fix, TRUE, 200);
+  fill_with_batch (TRUE, 200);
   fix_offer (&fix, 10, FIX_BATCH);
   fix_offer (&fix, 11, FIX_NORMAL);
   fix_wait (&fix, 2 * CEL_TICK_US);
-  CU_ASSERT_EQUAL (preempted (&fix), 0); /* has 2 s left */
-  fix_close (&fix);
+  CU_ASSERT_EQUAL (preempted (), 0); /* has 2 s left */
 }
 
 static void
 test_config_removes_a_server (void)
 {
-  struct fix fix;
-  fix_init (&fix, 2, 1);
-  fix_start (&fix);
-  offer_many (&fix, 1, 3, FIX_NORMAL);
+  fix_open (&fix, 2, 1);
+  offer_many (1, 3, FIX_NORMAL);
   struct cfg less = fix.cfg;
   guint gone = fix_backend (&fix, 1)[1] == 'a' ? 0 : 1;
   less.backends = &fix.backends[1 - gone];
@@ -734,16 +657,13 @@
   CU_ASSERT_FALSE (fix_granted (&fix, 3));
   cel_set_config (fix.cel, &fix.cfg);
   CU_ASSERT_STRING_EQUAL (fix_backend (&fix, 3), fix.backends[gone].name.s);
-  fix_close (&fix);
 }
 
 static void
 test_removed_server_counts_its_work (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 2);
-  fix_start (&fix);
-  offer_many (&fix, 1, 3, FIX_NORMAL);
+  fix_open (&fix, 1, 2);
+  offer_many (1, 3, FIX_NORMAL);
   struct cfg none = fix.cfg;
   none.n_backends = 0;
   cel_set_config (fix.cel, &none);
@@ -752,15 +672,12 @@
   struct msg_cell_summary summary;
   cel_summary (fix.cel, &summary);
   CU_ASSERT_EQUAL (summary.free_slots, 0);
-  fix_close (&fix);
 }
 
 static void
 test_config_removes_a_class (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
+  fix_open (&fix, 1, 1);
   fix_offer (&fix, 1, FIX_BATCH);
   fix_offer (&fix, 2, FIX_BATCH);
   fix_offer (&fix, 3, FIX_NORMAL);
@@ -776,19 +693,16 @@
   fix_offer (&fix, 4, FIX_BATCH);
   CU_ASSERT_EQUAL (fix_refused (&fix, 4), MSG_REASON_NO_SERVER);
   cel_set_config (fix.cel, &fix.cfg);
-  fix_close (&fix);
 }
 
 static void
 test_late_tickets_yield (void)
 {
-  struct fix fix;
-  fix_init (&fix, 1, 1);
-  fix_start (&fix);
-  offer_many (&fix, 1, 2, FIX_NORMAL);
+  fix_open (&fix, 1, 1);
+  offer_many (1, 2, FIX_NORMAL);
   fix_progress (&fix, 1, 1, 0);
   fix_wait (&fix, 3 * CLK_S); /* ticket 2 missed its 2 s */
-  offer_many (&fix, 10, 10, FIX_NORMAL);
+  offer_many (10, 10, FIX_NORMAL);
   fix_release (&fix, 1, MSG_RESULT_OK);
   for (guint64 t = 10; t < 17; t++)
     {
@@ -797,23 +711,19 @@
       fix_release (&fix, t, MSG_RESULT_OK);
     }
   CU_ASSERT_TRUE (fix_granted (&fix, 2));
-  fix_close (&fix);
 }
 
 static void
 test_crash_counts_at_once (void)
 {
-  struct fix fix;
-  fix_init (&fix, 2, 8);
-  fix_start (&fix);
-  offer_many (&fix, 1, 8, FIX_NORMAL);
+  fix_open (&fix, 2, 8);
+  offer_many (1, 8, FIX_NORMAL);
   for (guint64 t = 1; t <= 8; t++)
-    serve_one (&fix, t, "sa", 20 * CLK_MS, MSG_RESULT_BROKEN);
-  offer_many (&fix, 11, 4, FIX_NORMAL); /* without a tick between */
+    serve_one (t, "sa", 20 * CLK_MS, MSG_RESULT_BROKEN);
+  offer_many (11, 4, FIX_NORMAL); /* without a tick between */
   CU_ASSERT_TRUE (fix_granted (&fix, 11));
   for (guint64 t = 11; t <= 14; t++)
     CU_ASSERT_STRING_NOT_EQUAL (fix_backend (&fix, t), "sa");
-  fix_close (&fix);
 }
 
 static CU_TestInfo tests[] = {
@@ -856,7 +766,7 @@
 };
 
 static CU_SuiteInfo suites[] = {
-  { "cell", NULL, NULL, NULL, NULL, tests },
+  { "cell", NULL, NULL, NULL, tear_down, tests },
   CU_SUITE_INFO_NULL,
 };
 
