Let a first failure be retried, and look elsewhere when all are avoided

Cause: two engines that each cut the stream after 3 tokens ended the stream with an error: a class had no retry before its fifth first try. With that mended the request hung until its deadline, since its ticket avoided every server of the cell and waited there.

--- a/packages/cell/cel.c
+++ b/packages/cell/cel.c
@@ -91,13 +91,36 @@
   cel_pump (cel);
 }
 
+static gboolean
+names_to_avoid (const struct msg_offer *offer, const char *server)
+{
+  for (guint i = 0; i < MSG_AVOID_MAX; i++)
+    if (strcmp (offer->avoid[i].s, server) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Tells whether some server that takes work is not among those to avoid; else
+   the entry should look elsewhere.  */
+static gboolean
+has_server_for (const struct cel *cel, const struct msg_offer *offer)
+{
+  for (guint i = 0; i < cel->servers->len; i++)
+    {
+      const struct srv *srv = cel->servers->pdata[i];
+      if (srv_takes_work (srv) && !names_to_avoid (offer, srv->cfg.name.s))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns why a new ticket of CLS is refused, or MSG_REASON_N; may displace
    another one for it.  */
 static enum msg_reason
 admit (struct cel *cel, const char *from, const struct cls *cls,
        const struct tem *team, const struct msg_offer *offer)
 {
-  if (!cls || !cel_takes_work (cel))
+  if (!cls || !has_server_for (cel, offer))
     return MSG_REASON_NO_SERVER;
   if (cel_is_hopeless (cel, cls, team, offer->wait_us))
     return MSG_REASON_DEADLINE;
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -96,7 +96,7 @@
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
   nod->started = clk_now (nod->clk);
-  nod->budget_at = nod->started;
+  nod_budget_init (nod);
   g_queue_init (&nod->local);
   nod->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, nod_req_free);
--- a/packages/node/nod_budget.c
+++ b/packages/node/nod_budget.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #define RETRY_TOKENS_MAX 10.0 /* unused share that is kept */
-#define LINK_BURST_S 2.0      /* seconds of the link budget that are kept */
+#define RETRY_TOKENS_MIN 2.0  /* at the start; kept up at low traffic */
+#define RETRY_TRICKLE_PER_S (1.0 / 30) /* retries, below that */
+#define LINK_BURST_S 2.0 /* seconds of the link budget that are kept */
 
 /* The class's link budget holds for a whole region; each of its entries
    takes an equal part.  */
@@ -20,7 +22,24 @@
   return MAX (1, live * MAX (1, domains));
 }
 
-/* Refills the link budgets for the time that has passed.  */
+/* Gives every class the retries that it has before any first try.  */
+void
+nod_budget_init (struct nod *nod)
+{
+  nod->budget_at = clk_now (nod->clk);
+  for (guint i = 0; i < CFG_CLASSES_MAX; i++)
+    nod->budgets[i].retries = RETRY_TOKENS_MIN;
+}
+
+/* A class with few requests earns too little for a retry of its own.  */
+static void
+trickle_retries (struct nod_budget *budget, double seconds)
+{
+  if (budget->retries < RETRY_TOKENS_MIN)
+    budget->retries += RETRY_TRICKLE_PER_S * seconds;
+}
+
+/* Refills the budgets for the time that has passed.  */
 void
 nod_budget_refill (struct nod *nod)
 {
@@ -34,6 +53,7 @@
     {
       double rate = (double)nod->cfg->classes[i].link_bytes_per_s / entries;
       double *left = &nod->budgets[i].link_bytes;
+      trickle_retries (&nod->budgets[i], seconds);
       *left = MIN (*left + rate * seconds, rate * LINK_BURST_S);
     }
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -89,6 +89,7 @@
   guint32 attempt_tokens; /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
+  gboolean forgiven; /* the list was emptied once */
   gboolean fixed;    /* its text is too long to be resumed elsewhere */
   gboolean recorded; /* the ledger holds this request's intent */
   gboolean crossed;  /* counted against the link's budget */
@@ -230,6 +231,7 @@
                            guint domain);
 
 /* nod_budget.c: retry and link budgets per class */
+void nod_budget_init (struct nod *nod);
 void nod_budget_refill (struct nod *nod);
 void nod_budget_first_try (struct nod *nod, guint class_index);
 gboolean nod_budget_retry (struct nod *nod, guint class_index);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -385,6 +385,21 @@
     open_attempt (nod, req);
 }
 
+/* Every server was tried or avoided. A server that failed once may be well by
+   now, so all are open once more; attempts are bounded by the retry budget.
+   Returns FALSE if this was done before.  */
+static gboolean
+forgive_servers (struct nod_req *req)
+{
+  if (req->n_avoid == 0 || req->forgiven)
+    return FALSE;
+  memset (req->avoid, 0, sizeof req->avoid);
+  req->n_avoid = 0;
+  req->n_tried = 0;
+  req->forgiven = TRUE;
+  return TRUE;
+}
+
 static void
 mark_tried (struct nod_req *req)
 {
@@ -417,6 +432,9 @@
       if (req->n_tried < NOD_CELLS_TRIED_MAX
           && clk_now (nod->clk) < req->deadline && offer_anew (nod, req))
         return;
+      if (refuse->reason == MSG_REASON_NO_SERVER && forgive_servers (req)
+          && offer_anew (nod, req))
+        return;
       break;
     default:
       break;
