Ledger: an owner of a shared shard reads before it writes

Cause: failure domains choose shard owners on their own, so that a shard has several. Weighed: a pause after a conflict (delays, but the next write is as old). Change: for 60 s after another's write was seen, memory that is older than 10 ms is refreshed by a read of the head before a write. The bench also runs 3 and 11 owners of a shard.

--- a/packages/ledger/led_batch.c
+++ b/packages/ledger/led_batch.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-#define RECORD_BYTES 72   /* of a record without its answer, at most */
-#define RESULTS_ENOUGH 32 /* waiting results that need no more company */
+#define RECORD_BYTES 72         /* of a record without its answer, at most */
+#define SYNCED_US (10 * CLK_MS) /* memory is up to date for so long */
+#define RESULTS_ENOUGH 32       /* waiting results that need no more company */
 
 static gboolean
 is_mine (const struct led_item *item, const struct led_rec *rec)
@@ -225,6 +226,7 @@
       led->tab->closes = led->write.closes;
     }
   led->failures = led->conflicts = 0;
+  led->synced = clk_now (led->options.clk);
   led_version_moved (led, version);
   apply_staged (led);
   led_decide_batch (led);
@@ -328,6 +330,15 @@
   return FALSE;
 }
 
+/* Tells whether a write would probably be lost to another instance's that
+   memory does not have yet. Reading first costs less.  */
+static gboolean
+is_stale (const struct led *led)
+{
+  gint64 now = clk_now (led->options.clk);
+  return now < led->shared_until && now - led->synced > SYNCED_US;
+}
+
 /* Starts the next call of group commit if one is due and none is open.  */
 void
 led_pump (struct led *led)
@@ -347,8 +358,11 @@
   gboolean writes = g_hash_table_size (led->staged) > 0 || led->unresolved;
   if (now - (writes ? led->last_write : led->last_read) < gap)
     unstage (led);
-  else if (writes)
+  else if (writes && !is_stale (led))
     commit (led);
   else
-    led_read_head (led);
+    {
+      unstage (led);
+      led_read_head (led);
+    }
 }
--- a/packages/ledger/led_load.c
+++ b/packages/ledger/led_load.c
@@ -5,6 +5,7 @@
 #define BACKOFF_MIN_US (50 * CLK_MS)
 #define BACKOFF_DOUBLINGS 7             /* at most */
 #define RETRY_AFTER_MAX_US (60 * CLK_S) /* longer advice is cut */
+#define SHARED_US (60 * CLK_S)          /* another instance may write again */
 #define CONFLICT_WAIT_US (10 * CLK_MS)  /* first, doubles with each conflict */
 #define CONFLICT_DOUBLINGS 5            /* at most */
 
@@ -238,6 +239,7 @@
 {
   led->phase = LED_READY;
   led->failures = 0;
+  led->synced = clk_now (led->options.clk);
   led_decide_batch (led);
 }
 
@@ -316,6 +318,7 @@
   for (guint i = 0; i < led_obj_size (obj); i++)
     take_record (led, obj, i, TRUE, 0);
   led_version_moved (led, version);
+  led->shared_until = clk_now (led->options.clk) + SHARED_US;
 }
 
 static void
--- a/packages/ledger/led_priv.h
+++ b/packages/ledger/led_priv.h
@@ -85,6 +85,8 @@
   struct led_obj_header write; /* of the open write */
   gint64 last_read;            /* start, clock time, microseconds */
   gint64 last_write;           /* start, clock time, microseconds */
+  gint64 synced;               /* memory was the store's state, clock time */
+  gint64 shared_until;         /* another instance wrote lately, clock time */
   gint64 retry_at;             /* no call before, clock time, microseconds */
   gint64 replay_at;            /* no READ_ANSWER before */
   guint failures;              /* since the last success */
--- a/tests/ledgerbench/bench_ledger.c
+++ b/tests/ledgerbench/bench_ledger.c
@@ -1,6 +1,7 @@
 /* What the ledger costs one shard: simulated keyed requests against a store
    with a few milliseconds of delay. Prints lines "name value unit"; names end
-   in the keyed requests per second of all shards together.  */
+   in the keyed requests per second of all shards together, and in "_xN" if N
+   instances serve the shard at the same time.  */
 #include "unit/sim.h"
 
 #include "ledger/led.h"
@@ -10,6 +11,8 @@
 #include <time.h>
 
 #define DAY_US (24 * 3600 * CLK_S)
+#define SHARED_US (3600 * CLK_S) /* simulated with several owners */
+#define OWNERS_MAX 11
 #define KEYS 800000 /* of a shard at most; the retention follows */
 #define ANSWER_BYTES 300
 #define RUN_US (1 * CLK_S)           /* of a request, at most */
@@ -22,8 +25,11 @@
   struct sim_store store;
   struct ctr ctr;
   struct led_options options;
-  struct led *led;
+  struct led *leds[OWNERS_MAX];
+  guint owners;
+  guint rate;    /* of all shards, requests/s */
   double gap_us; /* mean between requests */
+  gint64 length; /* of the run, microseconds */
   gint64 until;
   guint64 tickets;
   guint64 fresh;
@@ -61,31 +67,50 @@
 }
 
 static struct waiting *
-waiting_new (struct bench *b, guint64 token)
+waiting_new (struct bench *b, struct led *led, guint64 token)
 {
   struct waiting *w = g_new (struct waiting, 1);
-  *w = (struct waiting){ b, b->led, token };
+  *w = (struct waiting){ b, led, token };
   return w;
 }
 
+/* Tells whether LED has not been freed. */
+static gboolean
+is_there (const struct bench *b, const struct led *led)
+{
+  for (guint i = 0; i < b->owners; i++)
+    if (b->leds[i] == led)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 on_answer (void *ctx, const struct sto_answer *answer)
 {
   struct waiting *w = ctx;
   enter (w->b);
-  if (w->led == w->b->led)
+  if (is_there (w->b, w->led))
     led_answer (w->led, w->token, answer);
   leave (w->b);
   g_free (w);
 }
 
+/* The callbacks' context: one owner. */
+struct owner
+{
+  struct bench *b;
+  guint index;
+};
+
 /* Starting a call is the platform's work, not the ledger's. */
 static void
 on_store (void *ctx, guint64 token, const struct sto_call *call)
 {
-  struct bench *b = ctx;
+  const struct owner *owner = ctx;
+  struct bench *b = owner->b;
   leave (b);
-  sim_store_start (&b->store, call, on_answer, waiting_new (b, token));
+  sim_store_start (&b->store, call, on_answer,
+                   waiting_new (b, b->leds[owner->index], token));
   enter (b);
 }
 
@@ -112,7 +137,7 @@
           .answer = { text, sizeof text } };
   fill_key (result.key, w->token);
   enter (w->b);
-  if (w->led == w->b->led)
+  if (is_there (w->b, w->led))
     led_result (w->led, "kgn-1-a", &result);
   leave (w->b);
   g_free (w);
@@ -121,14 +146,15 @@
 static void
 on_verdict (void *ctx, const char *to, const struct msg_ledger_verdict *verdict)
 {
-  struct bench *b = ctx;
+  const struct owner *owner = ctx;
+  struct bench *b = owner->b;
   (void)to;
   if (verdict->verdict != MSG_VERDICT_FRESH)
     return;
   b->fresh++;
   b->first_verdict_us += (guint64)(b->sim.clk.t - b->arrived[verdict->ticket]);
   sim_after (&b->sim, sim_delay (&b->sim, RUN_US), on_end,
-             waiting_new (b, verdict->ticket));
+             waiting_new (b, b->leds[owner->index], verdict->ticket));
 }
 
 static void
@@ -141,8 +167,9 @@
     return;
   fill_key (intent.key, intent.ticket);
   b->arrived[intent.ticket] = b->sim.clk.t;
+  guint owner = (guint)g_rand_int_range (b->sim.rand, 0, (gint32)b->owners);
   enter (b);
-  led_intent (b->led, "kgn-1-a", &intent);
+  led_intent (b->leds[owner], "kgn-1-a", &intent);
   leave (b);
   double u = g_rand_double (b->sim.rand);
   double gap = -b->gap_us * log (1 - u);
@@ -156,20 +183,24 @@
   if (b->sim.clk.t >= b->until)
     return;
   enter (b);
-  led_tick (b->led);
+  for (guint i = 0; i < b->owners; i++)
+    led_tick (b->leds[i]);
   leave (b);
   sim_after (&b->sim, LED_TICK_US, on_tick, b);
 }
 
 static void
-print (const char *name, guint rate, double value, const char *unit)
+print (const struct bench *b, const char *name, double value, const char *unit)
 {
-  g_print ("ledger_%s_%u %.6g %s\n", name, rate, value, unit);
+  char owners[16] = "";
+  if (b->owners > 1)
+    g_snprintf (owners, sizeof owners, "_x%u", b->owners);
+  g_print ("ledger_%s_%u%s %.6g %s\n", name, b->rate, owners, value, unit);
 }
 
 /* Another instance takes the shard over. */
 static void
-take_over (struct bench *b, guint rate)
+take_over (struct bench *b)
 {
   double cpu = b->cpu_s;
   guint gets = b->store.gets;
@@ -177,70 +208,97 @@
   gsize with = mallinfo2 ().uordblks;
   double keys
       = MIN ((double)b->fresh, (double)b->options.retention_us / b->gap_us);
-  led_free (b->led);
+  led_free (b->leds[0]);
   gsize without = mallinfo2 ().uordblks;
-  print ("memory", rate, (double)(with - without) / (1024 * 1024), "MiB/shard");
-  print ("memory_key", rate, (double)(with - without) / keys, "bytes/key");
-  b->led = led_new (&b->options);
+  print (b, "memory", (double)(with - without) / (1024 * 1024), "MiB/shard");
+  print (b, "memory_key", (double)(with - without) / keys, "bytes/key");
+  b->leds[0] = led_new (&b->options);
   struct msg_ledger_intent intent
       = { .incarnation = 2, .ticket = b->tickets + 1 };
   guint64 fresh = b->fresh;
   b->arrived[intent.ticket] = start;
   intent.key[0] = 1;
-  led_intent (b->led, "kgn-1-a", &intent);
+  led_intent (b->leds[0], "kgn-1-a", &intent);
   while (b->fresh == fresh)
     {
       sim_run (&b->sim, b->sim.clk.t + LED_TICK_US);
       /* A second one in the first one's place once it has waited in vain. */
-      if (led_idle (b->led))
-        led_intent (b->led, "kgn-1-a", &intent);
+      if (led_idle (b->leds[0]))
+        led_intent (b->leds[0], "kgn-1-a", &intent);
       enter (b);
-      led_tick (b->led);
+      led_tick (b->leds[0]);
       leave (b);
     }
-  print ("takeover_reads", rate, b->store.gets - gets, "reads/shard");
-  print ("takeover_time", rate, (double)(b->sim.clk.t - start) / (double)CLK_MS,
+  print (b, "takeover_reads", b->store.gets - gets, "reads/shard");
+  print (b, "takeover_time", (double)(b->sim.clk.t - start) / (double)CLK_MS,
          "ms");
-  print ("takeover_cpu", rate, 1000 * (b->cpu_s - cpu), "ms");
+  print (b, "takeover_cpu", 1000 * (b->cpu_s - cpu), "ms");
 }
 
 static void
-run (guint rate)
+setup (struct bench *b, struct owner *owners)
 {
-  struct bench *b = g_new0 (struct bench, 1);
+  gsize requests = (gsize)((double)b->length / b->gap_us);
   sim_init (&b->sim, 1);
   sim_store_init (&b->store, &b->sim);
   b->store.delay = STORE_DELAY_US;
-  b->gap_us = (double)CLK_S * LED_SHARDS / rate;
-  b->until = b->sim.clk.t + DAY_US;
-  b->arrived = g_new (gint64, 2 * (gsize)DAY_US / (gsize)b->gap_us + 1000);
+  b->until = b->sim.clk.t + b->length;
+  b->arrived = g_new (gint64, 2 * requests + 1000);
   b->options = (struct led_options){ .clk = &b->sim.clk.clk,
-                                     .seed = 1,
                                      .ctr = &b->ctr,
                                      .retention_us
                                      = MIN (DAY_US, (gint64)(KEYS * b->gap_us)),
                                      .store = on_store,
-                                     .verdict = on_verdict,
-                                     .ctx = b };
-  b->led = led_new (&b->options);
+                                     .verdict = on_verdict };
+  for (guint i = 0; i < b->owners; i++)
+    {
+      owners[i] = (struct owner){ b, i };
+      b->options.seed = i;
+      b->options.ctx = &owners[i];
+      b->leds[i] = led_new (&b->options);
+    }
+  b->options.ctx = &owners[0];
+}
+
+static void
+report (const struct bench *b)
+{
+  double seconds = (double)b->length / (double)CLK_S;
+  double writes = (double)b->ctr.v[CTR_LEDGER_WRITES];
+  print (b, "retention",
+         (double)b->options.retention_us / (double)(3600 * CLK_S), "h");
+  print (b, "writes", LED_SHARDS * writes / seconds, "writes/s");
+  print (b, "reads", LED_SHARDS * b->store.gets / seconds, "reads/s");
+  print (b, "conflicts", 100 * (double)b->ctr.v[CTR_LEDGER_CONFLICTS] / writes,
+         "%");
+  print (b, "requests_write", (double)b->fresh / writes, "requests/write");
+  print (b, "bytes_write", (double)b->store.put_bytes / writes, "bytes/write");
+  print (b, "fresh", 100 * (double)b->fresh / (double)b->tickets, "%");
+  print (b, "wait",
+         (double)b->first_verdict_us / (double)b->fresh / (double)CLK_MS, "ms");
+  print (b, "cpu", 1e6 * b->cpu_s / (double)b->fresh, "us/request");
+}
+
+static void
+run (guint rate, guint n_owners)
+{
+  struct owner owners[OWNERS_MAX];
+  struct bench *b = g_new0 (struct bench, 1);
+  b->rate = rate;
+  b->owners = n_owners;
+  b->gap_us = (double)CLK_S * LED_SHARDS / rate;
+  b->length = n_owners > 1 ? SHARED_US : DAY_US;
+  setup (b, owners);
   on_request (b);
   on_tick (b);
   sim_run (&b->sim, b->until);
-  print ("retention", rate,
-         (double)b->options.retention_us / (double)(3600 * CLK_S), "h");
-  double seconds = (double)DAY_US / (double)CLK_S;
-  double writes = (double)b->ctr.v[CTR_LEDGER_WRITES];
-  print ("writes", rate, LED_SHARDS * writes / seconds, "writes/s");
-  print ("requests_write", rate, (double)b->fresh / writes, "requests/write");
-  print ("bytes_write", rate, (double)b->store.put_bytes / writes,
-         "bytes/write");
-  print ("wait", rate,
-         (double)b->first_verdict_us / (double)b->fresh / (double)CLK_MS, "ms");
-  print ("cpu", rate, 1e6 * b->cpu_s / (double)b->fresh, "us/request");
-  take_over (b, rate);
-  led_free (b->led);
-  b->led = NULL;
-  sim_run (&b->sim, b->sim.clk.t + CLK_S);
+  report (b);
+  if (n_owners == 1)
+    take_over (b);
+  for (guint i = 0; i < n_owners; i++)
+    led_free (b->leds[i]);
+  b->owners = 0;
+  sim_run (&b->sim, b->sim.clk.t + 10 * CLK_S);
   sim_store_clear (&b->store);
   sim_clear (&b->sim);
   g_free (b->arrived);
@@ -250,8 +308,13 @@
 int
 main (void)
 {
-  static const guint rates[] = { 55, 550, 2200 };
-  for (guint i = 0; i < G_N_ELEMENTS (rates); i++)
-    run (rates[i]);
+  static const struct
+  {
+    guint rate;
+    guint owners;
+  } runs[] = { { 55, 1 },  { 550, 1 }, { 2200, 1 }, { 55, 3 },
+               { 550, 3 }, { 55, 11 }, { 550, 11 } };
+  for (guint i = 0; i < G_N_ELEMENTS (runs); i++)
+    run (runs[i].rate, runs[i].owners);
   return 0;
 }
--- a/tests/unit/test_led_shard.c
+++ b/tests/unit/test_led_shard.c
@@ -12,6 +12,8 @@
 
 struct rig
 {
+  struct rig *host;  /* whose clock and store this one uses; NULL: its own */
+  struct rig *other; /* that uses this one's, borrowed */
   struct sim sim;
   struct sim_store store;
   struct ctr ctr;
@@ -45,7 +47,8 @@
   struct rig *rig = ctx;
   struct token *t = g_new (struct token, 1);
   *t = (struct token){ rig, rig->led, token };
-  sim_store_start (&rig->store, call, on_answer, t);
+  struct rig *host = rig->host ? rig->host : rig;
+  sim_store_start (&host->store, call, on_answer, t);
 }
 
 static void
@@ -93,6 +96,8 @@
     {
       sim_run (&rig->sim, MIN (end, rig->sim.clk.t + LED_TICK_US));
       led_tick (rig->led);
+      if (rig->other)
+        led_tick (rig->other->led);
     }
 }
 
@@ -131,13 +136,25 @@
   led_result (rig->led, "e1", &result);
 }
 
+/* Makes a second owner of the shard of RIG; rig_run of RIG runs both.  */
+static struct rig *
+rig_new_other (struct rig *rig)
+{
+  struct rig *other = rig_new ();
+  other->host = rig;
+  other->options.clk = &rig->sim.clk.clk;
+  rig_restart (other);
+  rig->other = other;
+  return other;
+}
+
 /* Sends an intent and returns its verdict, which comes within 2 s or so.  */
 static enum msg_verdict
 ask (struct rig *rig, guint64 ticket, guint key, guint body)
 {
   guint n = rig->n[ticket];
   intend (rig, ticket, key, body);
-  rig_run (rig, LED_INTENT_WAIT_US + 4 * LED_TICK_US);
+  rig_run (rig->host ? rig->host : rig, LED_INTENT_WAIT_US + 4 * LED_TICK_US);
   CU_ASSERT_EQUAL (rig->n[ticket], n + 1);
   return rig->last[ticket].verdict;
 }
@@ -279,7 +296,7 @@
       g_snprintf (text, sizeof text, "answer %u", i);
       CU_ASSERT_EQUAL (ask (rig, i, i, 0), MSG_VERDICT_FRESH);
       end (rig, i, i, text);
-      rig_run (rig, 2 * LED_RESULT_WAIT_US);
+      rig_run (rig->host ? rig->host : rig, 2 * LED_RESULT_WAIT_US);
     }
 }
 
@@ -346,6 +363,62 @@
   rig_free (rig);
 }
 
+/* Closes the head of an owner whose memory is old: the last segment has grown
+   since, and must not get the old head's records.  */
+static void
+test_old_memory (void)
+{
+  struct rig *rig = rig_new ();
+  struct rig *other = rig_new_other (rig);
+  guint n = 17;
+  rig->options.segment_max = other->options.segment_max = 8 * HEAD_BYTES;
+  rig_restart (rig);
+  rig_restart (other);
+  fill (rig, 1, 16);
+  struct sim_object *head = sim_object_of (&rig->store, "ledger/07/head");
+  for (; g_bytes_get_size (head->body) < HEAD_BYTES * 3 / 4; n++)
+    fill (rig, n, 1);
+  CU_ASSERT_EQUAL (ask (rig, 90, 90, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_EQUAL (ask (other, 101, 1, 0), MSG_VERDICT_DONE);
+  end (rig, 90, 90, "late");
+  rig_run (rig, 120 * CLK_S);
+  fill (rig, n, 12);
+  rig_run (rig, 120 * CLK_S);
+  rig->store.silent = TRUE; /* the first write goes, with one intent */
+  for (guint i = 200; i < 220; i++)
+    intend (other, i, i, 0);
+  rig->store.silent = FALSE;
+  rig_run (rig, 3 * CLK_S);
+  for (guint i = 200; i < 220; i++)
+    CU_ASSERT_EQUAL (other->last[i].verdict, MSG_VERDICT_FRESH);
+  rig_restart (rig);
+  CU_ASSERT_EQUAL (ask (rig, 91, 90, 0), MSG_VERDICT_DONE);
+  for (guint i = 1; i < n + 12; i++)
+    CU_ASSERT_EQUAL (ask (rig, 400 + i, i, 0), MSG_VERDICT_DONE);
+  rig->other = NULL;
+  led_free (other->led);
+  other->led = NULL;
+  rig_free (rig);
+  rig_free (other);
+}
+
+/* Owners that take turns read before they write, and lose few writes.  */
+static void
+test_two_owners (void)
+{
+  struct rig *rig = rig_new ();
+  struct rig *other = rig_new_other (rig);
+  for (guint i = 1; i < 21; i++)
+    CU_ASSERT_EQUAL (ask (i % 2 ? rig : other, i, i, 0), MSG_VERDICT_FRESH);
+  CU_ASSERT_TRUE (rig->ctr.v[CTR_LEDGER_CONFLICTS] <= 1);
+  CU_ASSERT_TRUE (other->ctr.v[CTR_LEDGER_CONFLICTS] <= 1);
+  rig->other = NULL;
+  led_free (other->led);
+  other->led = NULL;
+  rig_free (rig);
+  rig_free (other);
+}
+
 static void
 test_retention (void)
 {
@@ -453,6 +526,8 @@
   { "segments are closed, read and replayed from", test_segments },
   { "an answer out of reach is unknown", test_answer_out_of_reach },
   { "leftovers in a segment's slot", test_leftover_in_slot },
+  { "an owner with an old memory", test_old_memory },
+  { "two owners that take turns", test_two_owners },
   { "retention", test_retention },
   { "limits of keys and answers", test_limits },
   { "an unreadable head refuses", test_unreadable_head },
