--- a/tools/check.sh
+++ b/tools/check.sh
@@ -7,7 +7,7 @@
 log=$build/check.log
 red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
 jobs=${CHECK_JOBS:-4}
-ctest --test-dir "$build" ${label:+-L $label} -j "$jobs" --output-on-failure \
+ctest --test-dir "$build" ${label:+-L $label} -j "$jobs" \
   --verbose > "$log" 2>&1
 status=$?
 passed=$(sed -n 's/^.*unit: \([0-9]*\) passed, [0-9]* failed$/\1/p' "$log" |
