Charge what crosses the link, answers included

Cause: the link's budget was charged once for the request's bytes when its ticket was sent far, also if it came back; answers, which are larger, were free. A class without budget was refused as no_server. Change: each attempt beyond the link is charged for the request and for what comes back; such a refusal says link_budget.

--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -228,6 +228,7 @@
   end->delivered = call->relaying;
   end->resumable = call->text->len <= ENT_RESUME_MAX;
   end->status = call->status;
+  end->bytes = call->answer ? call->answer->len : 0;
   if (call->answer != NULL && result == MSG_RESULT_OK)
     {
       end->answer
@@ -328,11 +329,13 @@
   if (!call->relaying)
     start_relaying (call);
   call->tokens += tokens;
+  gsize bytes = out->len;
   send_bytes (call, g_string_free_to_bytes (out));
   struct nod_event note = { .kind = NOD_TOKENS };
   note.tokens.request = call->id;
   note.tokens.attempt = call->attempt_number;
   note.tokens.count = tokens;
+  note.tokens.bytes = bytes;
   note.tokens.resumable = call->text->len <= ENT_RESUME_MAX;
   if (tokens > 0)
     raise_event (call, &note);
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -249,7 +249,8 @@
       break;
     case NOD_TOKENS:
       nod_req_tokens (nod, event->tokens.request, event->tokens.attempt,
-                      event->tokens.count, event->tokens.resumable);
+                      event->tokens.count, event->tokens.bytes,
+                      event->tokens.resumable);
       break;
     case NOD_ATTEMPT_END:
       nod_req_attempt_end (nod, &event->attempt_end);
--- a/packages/node/nod.h
+++ b/packages/node/nod.h
@@ -46,6 +46,7 @@
   gboolean delivered;      /* some byte of the answer went to the caller */
   gboolean resumable;      /* the stream can go on elsewhere */
   guint32 tokens;          /* of an answer that was not streamed */
+  gsize bytes;             /* of an answer that was not streamed */
   guint32 status;          /* HTTP status; 0: none */
   struct str content_type; /* of the answer, borrowed; keyed requests only */
   struct str answer;       /* borrowed; keyed requests only */
@@ -85,6 +86,7 @@
       guint64 request;
       guint32 attempt;
       guint32 count;
+      gsize bytes;        /* of the stream */
       gboolean resumable; /* the stream could go on elsewhere now */
     } tokens;
     struct nod_attempt_end attempt_end;
--- a/packages/node/nod_budget.c
+++ b/packages/node/nod_budget.c
@@ -81,15 +81,18 @@
   return TRUE;
 }
 
-/* Takes BYTES from the class's link budget; FALSE if it is used up. The
-   budget may go below zero once, so that large requests can pass too.  */
+/* Whether the class may send more over the link between regions.  */
 gboolean
-nod_budget_link (struct nod *nod, guint class_index, guint64 bytes)
+nod_budget_may_cross (const struct nod *nod, guint class_index)
 {
-  double *left = &nod->budgets[class_index].link_bytes;
-  if (*left <= 0.0)
-    return FALSE;
-  *left -= (double)bytes;
+  return nod->budgets[class_index].link_bytes > 0.0;
+}
+
+/* Charges BYTES that crossed the link. The budget may fall below zero: what
+   has begun is not cut off, but nothing new crosses until it has recovered.  */
+void
+nod_budget_charge_link (struct nod *nod, guint class_index, guint64 bytes)
+{
+  nod->budgets[class_index].link_bytes -= (double)bytes;
   ctr_add (nod->ctr, CTR_LINK_BYTES, bytes);
-  return TRUE;
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -77,22 +77,23 @@
   gint64 offer_at;     /* >0: offer again at this time, microseconds */
   struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
   guint n_tried;
-  struct str_id backend;  /* of the running attempt or of the grant */
-  guint32 priority;       /* for the engine, from the grant */
-  guint32 attempt;        /* of the last attempt; 0: none */
-  guint sent_attempts;    /* that may have left */
-  guint32 generated;      /* tokens that the caller got, all attempts */
-  guint32 unreported;     /* tokens since the last progress report */
-  gint64 opened;          /* start of this attempt, microseconds */
-  gint64 first_token;     /* of this attempt, microseconds; 0: none */
-  gint64 last_token;      /* of this attempt, microseconds */
-  guint32 attempt_tokens; /* of this attempt */
+  enum msg_reason no_route; /* why no cell was left to try */
+  struct str_id backend;    /* of the running attempt or of the grant */
+  guint32 priority;         /* for the engine, from the grant */
+  guint32 attempt;          /* of the last attempt; 0: none */
+  guint sent_attempts;      /* that may have left */
+  guint32 generated;        /* tokens that the caller got, all attempts */
+  guint32 unreported;       /* tokens since the last progress report */
+  gint64 opened;            /* start of this attempt, microseconds */
+  gint64 first_token;       /* of this attempt, microseconds; 0: none */
+  gint64 last_token;        /* of this attempt, microseconds */
+  guint32 attempt_tokens;   /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
   gboolean forgiven; /* the list was emptied once */
   gboolean fixed;    /* its text is too long to be resumed elsewhere */
   gboolean recorded; /* the ledger holds this request's intent */
-  gboolean crossed;  /* counted against the link's budget */
+  gboolean crosses;  /* the attempt runs beyond the link */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -205,7 +206,7 @@
 void nod_req_arrive (struct nod *nod, const struct nod_request *spec);
 void nod_req_caller_gone (struct nod *nod, guint64 id);
 void nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt,
-                     guint32 count, gboolean resumable);
+                     guint32 count, gsize bytes, gboolean resumable);
 void nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end);
 void nod_req_grant (struct nod *nod, const char *from,
                     const struct msg_grant *grant);
@@ -235,7 +236,8 @@
 void nod_budget_refill (struct nod *nod);
 void nod_budget_first_try (struct nod *nod, guint class_index);
 gboolean nod_budget_retry (struct nod *nod, guint class_index);
-gboolean nod_budget_link (struct nod *nod, guint class_index, guint64 bytes);
+gboolean nod_budget_may_cross (const struct nod *nod, guint class_index);
+void nod_budget_charge_link (struct nod *nod, guint class_index, guint64 bytes);
 
 /* nod_cell.c: cells served as an owner, summaries */
 struct cel *nod_cell_get (struct nod *nod, struct str name);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -281,7 +281,7 @@
   if (g_hash_table_size (nod->requests) > NOD_REQUESTS_MAX)
     refuse_for (nod, req, MSG_REASON_OVERLOAD, CLK_S, nod->self.s);
   else if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -324,6 +324,13 @@
   forget (nod, req);
 }
 
+static void
+charge_link (struct nod *nod, const struct nod_req *req, gsize bytes)
+{
+  if (req->crosses)
+    nod_budget_charge_link (nod, req->spec.class_index, bytes);
+}
+
 /* Starts an attempt on the granted server.  */
 static void
 open_attempt (struct nod *nod, struct nod_req *req)
@@ -341,6 +348,8 @@
   action.open.resume = req->generated > 0;
   action.open.fresh = !req->spec.repeatable;
   action.open.timeout_us = MAX (0, req->deadline - clk_now (nod->clk));
+  req->crosses = nod_crosses_link (nod, nod->cfg, nod->cfg->backends[i].domain);
+  charge_link (nod, req, req->spec.bytes);
   ctr_add (nod->ctr, CTR_ATTEMPTS, 1);
   if (req->attempt > 1)
     ctr_add (nod->ctr, action.open.resume ? CTR_RESUMES : CTR_RETRIES, 1);
@@ -455,13 +464,13 @@
   let_go (nod, req);
   req->sent_attempts++;
   if (step (nod, req, REQ_EV_REQUEUE) && !offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, from);
+    refuse_for (nod, req, req->no_route, CLK_S, from);
 }
 
-/* Notes COUNT tokens that went to the caller.  */
+/* Notes COUNT tokens, in BYTES of the stream, that went to the caller.  */
 void
 nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt, guint32 count,
-                gboolean resumable)
+                gsize bytes, gboolean resumable)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL || req->attempt != attempt || req->state != REQ_RUNNING)
@@ -471,6 +480,7 @@
     req->first_token = now;
   req->last_token = now;
   req->fixed = !resumable;
+  charge_link (nod, req, bytes);
   req->attempt_tokens += count;
   req->generated += count;
   req->unreported += count;
@@ -572,6 +582,7 @@
       req->unreported += end->tokens;
       ctr_add (nod->ctr, CTR_TOKENS, end->tokens);
     }
+  charge_link (nod, req, end->bytes);
   send_release (nod, req, end->result);
   switch (end->result)
     {
@@ -598,7 +609,7 @@
     }
   step (nod, req, REQ_EV_REQUEUE);
   if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -690,7 +701,7 @@
       /* The other failure domain cannot be heard any more. */
       mark_tried (req);
       if (!offer_anew (nod, req))
-        refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+        refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
       return;
     }
   if (owner == NULL || (strcmp (owner, req->owner.s) == 0 && !restarted))
--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -248,30 +248,31 @@
   return FALSE;
 }
 
-/* Chooses REQ's cell and owner. Returns FALSE if there is none to try.  */
+/* Chooses REQ's cell and owner. Returns FALSE, with the
+   reason in REQ, if there is none to try.  */
 gboolean
 nod_route (struct nod *nod, struct nod_req *req)
 {
   const struct cfg_pool *pool = &req->cfg->pools[req->spec.pool];
   const struct cfg_class *class = &req->cfg->classes[req->spec.class_index];
+  req->no_route = MSG_REASON_NO_SERVER;
   int pool_now = cfg_find_pool (nod->cfg, pool->kind, str_of (pool->name.s));
   if (pool_now < 0)
     return FALSE;
   struct candidates found[DISTANCE_N] = { 0 };
   find_candidates (nod, req, (guint)pool_now, found);
   enum cfg_spill spill = MIN (class->spill, req->cfg->spill);
-  gboolean may_cross = nod->budgets[req->spec.class_index].link_bytes > 0.0;
+  gboolean may_cross = nod_budget_may_cross (nod, req->spec.class_index);
   const struct cfg_cell *cell = pick (nod, found, class, spill, may_cross);
+  req->no_route
+      = spill >= CFG_SPILL_ANYWHERE && !may_cross && found[DISTANCE_LINK].n > 0
+            ? MSG_REASON_LINK_BUDGET
+            : MSG_REASON_NO_SERVER;
   if (cell == NULL)
     return FALSE;
   const char *owner = nod_owner (nod, str_of (cell->name.s));
   if (owner == NULL)
     return FALSE;
-  if (nod_crosses_link (nod, nod->cfg, cell->domain) && !req->crossed)
-    {
-      nod_budget_link (nod, req->spec.class_index, req->spec.bytes);
-      req->crossed = TRUE;
-    }
   req->cell = cell->name;
   str_id_set (&req->owner, str_of (owner));
   return TRUE;
