--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -100,7 +100,7 @@
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
   nod->started = clk_now (nod->clk);
-  nod->budget_at = nod->started;
+  nod_budget_init (nod);
   g_queue_init (&nod->local);
   nod->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, nod_req_free);
@@ -258,7 +258,8 @@
       break;
     case NOD_TOKENS:
       nod_req_tokens (nod, event->tokens.request, event->tokens.attempt,
-                      event->tokens.count);
+                      event->tokens.count, event->tokens.bytes,
+                      event->tokens.resumable);
       break;
     case NOD_ATTEMPT_END:
       nod_req_attempt_end (nod, &event->attempt_end);
