--- a/tests/proc/test_orders.c
+++ b/tests/proc/test_orders.c
@@ -316,7 +316,7 @@
 static void
 test_platform_down (void)
 {
-  guint before[DEP_PROCS_MAX];
+  guint before[DEP_PROCS_MAX] = { 0 };
   CU_ASSERT_TRUE (har_wait_until (is_settled_holder, &owner, TAKEOVER_MS));
   CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"down\": true}"));
   gint64 down_at = g_get_monotonic_time ();
--- a/tests/unit/test_cfg.c
+++ b/tests/unit/test_cfg.c
@@ -283,7 +283,9 @@
                   "models=a; b\nadapters=c\nversion=v2\nrole=decode");
   g_autoptr (GPtrArray) problems = new_problems ();
   struct cfg *cfg = parse_text (text, problems);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (cfg);
+  CU_ASSERT_PTR_NOT_NULL (cfg);
+  if (cfg == NULL)
+    return;
   const struct cfg_backend *engine = &cfg->backends[0];
   CU_ASSERT_EQUAL (g_strv_length (engine->models), 2);
   CU_ASSERT_STRING_EQUAL (engine->models[1], "b");
