Start nothing on a view from before a pause

Cause: an instance that was frozen (SIGSTOP, 4 s) and owns a cell went on with the configuration from before the freeze: on waking it granted its own requests to a server that an operator had drained meanwhile, before it had read its peers' messages. A call under an idempotency key that waited for the ledger when the instance froze used its old grant as soon as the ledger's leave was read. Both broke "nothing new after 3 s". Ruled out: the grant's age alone; the owner's own grants carry a time from after the pause. Change: after 1.5 s without an event an instance is held: it starts nothing, refuses offers as not the owner and hears no progress until it has heard a peer, 0.7 s at least and 3 s at most. The grant's age is checked again when the ledger's leave comes; too old, the request waits for another grant and keeps its record. Counter "pauses". An instance frozen between the check and its connect still starts the call.

--- a/packages/base/ctr.h
+++ b/packages/base/ctr.h
@@ -33,6 +33,7 @@
   X (GRANT_EXPIRED, "grant_expired", "grants not used in time")                \
   X (REOFFERS, "reoffers", "tickets offered again to a new owner")             \
   X (MOVED, "moved", "waiting tickets moved to a cell with free slots")        \
+  X (PAUSES, "pauses", "times that this process was paused")                   \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -155,6 +155,7 @@
   switch (msg->kind)
     {
     case MSG_HEARTBEAT:
+      nod->caught_up = TRUE;
       nod_peer_heartbeat (nod, from, &msg->heartbeat);
       break;
     case MSG_MEMBERS:
@@ -236,6 +237,42 @@
   nod_req_view_changed (nod, NULL);
 }
 
+static void
+count_others (void *ctx, const struct mem_instance *instance)
+{
+  (void)instance;
+  (*(guint *)ctx)++;
+}
+
+/* Notices that no event came for longer than a running process goes without
+   one: its view of owners, servers and configuration may be out of date.  */
+static void
+note_pause (struct nod *nod)
+{
+  gint64 now = clk_now (nod->clk);
+  guint known = 0;
+  gboolean paused
+      = nod->handled_at != 0 && now - nod->handled_at >= NOD_PAUSE_US;
+  nod->handled_at = now;
+  if (!paused)
+    return;
+  mem_each (nod->mem, count_others, &known);
+  nod->resumed_at = now;
+  nod->caught_up = known < 2; /* itself */
+  ctr_add (nod->ctr, CTR_PAUSES, 1);
+}
+
+/* Whether this instance has been paused of late and may not have caught up
+   with its peers yet. Then it starts no attempts and serves no offers.  */
+gboolean
+nod_is_held (const struct nod *nod)
+{
+  gint64 age = clk_now (nod->clk) - nod->resumed_at;
+  if (nod->resumed_at == 0 || age >= NOD_HOLD_MAX_US)
+    return FALSE;
+  return age < NOD_HOLD_US || !nod->caught_up;
+}
+
 static void
 dispatch (struct nod *nod, const struct nod_event *event)
 {
@@ -291,6 +328,7 @@
 nod_handle (struct nod *nod, const struct nod_event *event)
 {
   struct msg *msg;
+  note_pause (nod);
   dispatch (nod, event);
   while ((msg = g_queue_pop_head (&nod->local)) != NULL)
     {
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -88,9 +88,10 @@
 static void
 take_offer (struct nod *nod, const char *from, const struct msg_offer *offer)
 {
-  if (nod->cfg == NULL)
+  if (nod->cfg == NULL || nod_is_held (nod))
     {
-      refuse_offer (nod, from, offer->ticket, MSG_REASON_NO_CONFIG);
+      refuse_offer (nod, from, offer->ticket,
+                    nod->cfg ? MSG_REASON_NOT_OWNER : MSG_REASON_NO_CONFIG);
       return;
     }
   struct cel *cel = nod_cell_get (nod, str_of (offer->cell.s));
@@ -120,7 +121,9 @@
         cel_withdraw (cel, from, msg->withdraw.ticket);
         break;
       case MSG_PROGRESS:
-        cel_progress (cel, from, &msg->progress);
+        /* Unheard, it leaves the grants of a paused owner old. */
+        if (!nod_is_held (nod))
+          cel_progress (cel, from, &msg->progress);
         break;
       case MSG_RELEASE:
         cel_release (cel, from, &msg->release);
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -23,6 +23,9 @@
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
 #define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
+#define NOD_PAUSE_US (1500 * CLK_MS)     /* without an event: it was frozen */
+#define NOD_HOLD_US (700 * CLK_MS)       /* after a pause, no new attempts */
+#define NOD_HOLD_MAX_US (3 * CLK_S)      /* while no peer is heard */
 #define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
 /* X (NAME, "name") in the order of charts/request.chart */
@@ -80,6 +83,7 @@
   enum msg_reason no_route; /* why no cell was left to try */
   struct str_id backend;    /* of the running attempt or of the grant */
   guint32 priority;         /* for the engine, from the grant */
+  gint64 grant_echo;        /* own clock time that the grant is no older than */
   guint32 attempt;          /* of the last attempt; 0: none */
   guint sent_attempts;      /* that may have left */
   guint32 generated;        /* tokens that the caller got, all attempts */
@@ -172,6 +176,9 @@
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
 
+  gint64 handled_at;   /* last event, microseconds */
+  gint64 resumed_at;   /* end of the last pause, microseconds; 0: none */
+  gboolean caught_up;  /* heard a peer since then, or has none */
   gint64 ready_at;     /* not ready before, microseconds */
   gint64 heartbeat_at; /* next, microseconds */
   gint64 far_heartbeat_at;
@@ -198,6 +205,7 @@
 /* nod.c */
 void nod_send (struct nod *nod, const char *to, const struct msg *msg);
 void nod_dial (struct nod *nod, const char *address);
+gboolean nod_is_held (const struct nod *nod);
 void nod_store (struct nod *nod, guint caller, guint64 token,
                 const struct sto_call *call);
 
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -360,10 +360,10 @@
    leave since. It is at most as old as the entry's own clock time that the
    owner sends back with it.  */
 static gboolean
-is_usable (struct nod *nod, const struct msg_grant *grant)
+is_usable (const struct nod *nod, gint64 echo_us, const char *backend)
 {
-  return clk_now (nod->clk) - grant->echo_us <= NOD_GRANT_AGE_US
-         && cfg_find_backend (nod->cfg, str_of (grant->backend.s)) >= 0;
+  return clk_now (nod->clk) - echo_us <= NOD_GRANT_AGE_US && !nod_is_held (nod)
+         && cfg_find_backend (nod->cfg, str_of (backend)) >= 0;
 }
 
 /* A cell's owner granted a server. A grant that is no longer wanted is
@@ -375,7 +375,7 @@
   gboolean current = req != NULL && strcmp (req->owner.s, from) == 0;
   if (current && req->state != REQ_WAITING)
     return; /* the grant in use, sent again */
-  if (!current || !is_usable (nod, grant))
+  if (!current || !is_usable (nod, grant->echo_us, grant->backend.s))
     {
       send_unused (nod, from, grant);
       if (current)
@@ -384,6 +384,7 @@
     }
   req->backend = grant->backend;
   req->priority = grant->priority;
+  req->grant_echo = grant->echo_us;
   req->offer_at = 0;
   if (req->spec.keyed && !req->recorded)
     {
@@ -664,6 +665,24 @@
   forget (nod, req);
 }
 
+/* The ledger holds REQ's intent: its attempt starts, or waits for another
+   grant if the one it has grew old meanwhile.  */
+static void
+start_recorded (struct nod *nod, struct nod_req *req)
+{
+  req->recorded = TRUE;
+  if (is_usable (nod, req->grant_echo, req->backend.s))
+    {
+      if (step (nod, req, REQ_EV_FRESH))
+        open_attempt (nod, req);
+      return;
+    }
+  send_release (nod, req, MSG_RESULT_UNUSED);
+  step (nod, req, REQ_EV_REQUEUE);
+  if (!offer_anew (nod, req))
+    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+}
+
 /* The ledger's word on request ID, which comes once. Only FRESH starts an
    attempt.  */
 void
@@ -675,9 +694,7 @@
     return;
   if (verdict->verdict == MSG_VERDICT_FRESH)
     {
-      req->recorded = TRUE;
-      if (step (nod, req, REQ_EV_FRESH))
-        open_attempt (nod, req);
+      start_recorded (nod, req);
       return;
     }
   send_withdraw (nod, req->owner.s, req->ticket);
