--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -4,6 +4,7 @@
 
 #define PROGRAMS "packages/jacinthward/" /* below the build folder */
 #define STANDINS "tests/standin/"
+#define START_TRIES_MAX 3
 
 static const char config_head[]
     = "[jacinthward]\n"
@@ -172,10 +173,9 @@
   return path;
 }
 
-gboolean
-dep_start_entry (struct dep *dep, guint i)
+static gboolean
+start_entry (struct dep *dep, struct dep_node *node)
 {
-  struct dep_node *node = &dep->entries[i];
   char *settings = write_settings (dep, node);
   const char *const argv[]
       = { PROGRAMS "jacinthward", "--settings", settings, NULL };
@@ -184,6 +184,21 @@
   return node->proc != NULL && har_wait_ready (node->proc);
 }
 
+/* Another process may have taken the port meanwhile; then another is
+   chosen.  */
+gboolean
+dep_start_entry (struct dep *dep, guint i)
+{
+  struct dep_node *node = &dep->entries[i];
+  for (guint tries = 0; tries < START_TRIES_MAX; tries++)
+    {
+      if (start_entry (dep, node))
+        return TRUE;
+      node->peer_port = har_free_port ();
+    }
+  return FALSE;
+}
+
 static gboolean
 is_ready (void *ctx)
 {
--- a/tests/harness/har.c
+++ b/tests/harness/har.c
@@ -22,6 +22,7 @@
   SoupSession *session;
   SoupMessage *msg;
   GDataInputStream *in; /* NULL: no answer */
+  gboolean refused;     /* nothing listens there */
 };
 
 static void
@@ -91,16 +92,30 @@
   prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
+/* Returns the file for the standard error of process NAME, freed by the caller:
+   NAME.err, or NAME.N.err for its Nth start after the first.  */
+static char *
+error_file (struct har *har, const char *name)
+{
+  guint before = 0;
+  for (guint i = 0; i < har->procs->len; i++)
+    {
+      const struct har_proc *proc = har->procs->pdata[i];
+      before += strcmp (proc->name, name) == 0;
+    }
+  return before == 0 ? g_strdup_printf ("%s/%s.err", har->dir, name)
+                     : g_strdup_printf ("%s/%s.%u.err", har->dir, name, before);
+}
+
 /* Starts ARGV, which ends with NULL; its program is a path in the build folder
-   and its standard error goes to the file
-   NAME.err of the run's folder. The run owns the result; NULL if it cannot be
-   started.  */
+   and its standard error goes to a file of the run's folder. The run owns the
+   result; NULL if it cannot be started.  */
 struct har_proc *
 har_start (struct har *har, const char *name, const char *const *argv)
 {
   GSubprocessLauncher *launcher
       = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE);
-  char *errors = g_strdup_printf ("%s/%s.err", har->dir, name);
+  char *errors = error_file (har, name);
   GError *error = NULL;
   g_subprocess_launcher_set_stderr_file_path (launcher, errors);
   g_subprocess_launcher_set_child_setup (launcher, child_setup, NULL, NULL);
@@ -222,9 +237,13 @@
   stream->session = soup_session_new_with_options (
       "timeout", timeout_s, "proxy-resolver", NULL, NULL);
   stream->msg = make_message (call);
+  GError *error = NULL;
   GInputStream *in
-      = soup_session_send (stream->session, stream->msg, NULL, NULL);
+      = soup_session_send (stream->session, stream->msg, NULL, &error);
   *status = in == NULL ? 0 : soup_message_get_status (stream->msg);
+  stream->refused
+      = g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+  g_clear_error (&error);
   if (in != NULL)
     {
       stream->in = g_data_input_stream_new (in);
@@ -319,6 +338,7 @@
       g_free (line);
     }
   reply->complete = reply->status != 0 && !cut && is_complete (reply);
+  reply->refused = stream->refused;
   har_close (stream);
   return reply;
 }
--- a/tests/harness/har.h
+++ b/tests/harness/har.h
@@ -35,6 +35,7 @@
 struct har_reply
 {
   guint status;        /* 0: no answer */
+  gboolean refused;    /* the connection was; surely nothing was sent */
   gboolean complete;   /* all of the body came; of a stream: to its [DONE] */
   GHashTable *headers; /* name in lower case: value */
   GString *body;       /* as far as it came */
--- /dev/null
+++ b/tests/harness/his.c
@@ -0,0 +1,453 @@
+#include "harness/his.h"
+
+#include <json-glib/json-glib.h>
+#include <stdio.h>
+#include <string.h>
+
+struct his
+{
+  GMutex lock;
+  GArray *events; /* struct his_event */
+  GStringChunk *strings;
+};
+
+struct check
+{
+  const struct his *his;
+  const char *rule;
+  GString *report;
+  guint broken;
+};
+
+static const char *const kind_names[] = {
+#define HIS_NAME(id, name) [HIS_##id] = (name),
+  HIS_KINDS (HIS_NAME)
+#undef HIS_NAME
+};
+
+struct his *
+his_new (void)
+{
+  struct his *his = g_new0 (struct his, 1);
+  g_mutex_init (&his->lock);
+  his->events = g_array_new (FALSE, FALSE, sizeof (struct his_event));
+  his->strings = g_string_chunk_new (4096);
+  return his;
+}
+
+void
+his_free (struct his *his)
+{
+  g_mutex_clear (&his->lock);
+  g_array_unref (his->events);
+  g_string_chunk_free (his->strings);
+  g_free (his);
+}
+
+static const char *
+keep (struct his *his, const char *text)
+{
+  return text ? g_string_chunk_insert_const (his->strings, text) : NULL;
+}
+
+void
+his_add (struct his *his, const struct his_event *event)
+{
+  struct his_event copy = *event;
+  const char **const texts[]
+      = { &copy.process, &copy.id,   &copy.key,     &copy.request,
+          &copy.ran,     &copy.text, &copy.expected };
+  if (copy.t == 0)
+    copy.t = g_get_real_time ();
+  g_mutex_lock (&his->lock);
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    *texts[i] = keep (his, *texts[i]);
+  g_array_append_val (his->events, copy);
+  g_mutex_unlock (&his->lock);
+}
+
+struct his *
+his_copy (struct his *his)
+{
+  struct his *copy = his_new ();
+  g_mutex_lock (&his->lock);
+  for (guint i = 0; i < his->events->len; i++)
+    his_add (copy, &g_array_index (his->events, struct his_event, i));
+  g_mutex_unlock (&his->lock);
+  return copy;
+}
+
+/* Counts the events of KIND, with TEXT unless that is NULL.  */
+guint
+his_count (struct his *his, enum his_kind kind, const char *text)
+{
+  guint n = 0;
+  g_mutex_lock (&his->lock);
+  for (guint i = 0; i < his->events->len; i++)
+    {
+      const struct his_event *e
+          = &g_array_index (his->events, struct his_event, i);
+      n += e->kind == kind && (text == NULL || g_strcmp0 (e->text, text) == 0);
+    }
+  g_mutex_unlock (&his->lock);
+  return n;
+}
+
+static const char *
+member (JsonObject *object, const char *name)
+{
+  return json_object_get_string_member_with_default (object, name, NULL);
+}
+
+/* An attempt's id is that of its request and the attempt's number.  */
+static char *
+request_of (const char *attempt)
+{
+  const char *dash = attempt ? strrchr (attempt, '-') : NULL;
+  return dash ? g_strndup (attempt, (gsize)(dash - attempt)) : NULL;
+}
+
+/* Reads a stand-in's line; only starts and executions matter.  */
+static void
+read_history (struct his *his, JsonObject *line)
+{
+  const char *kind = member (line, "kind");
+  gboolean start = g_strcmp0 (kind, "start") == 0;
+  if (!start && g_strcmp0 (kind, "execute") != 0)
+    return;
+  char *request = request_of (member (line, "attempt"));
+  const struct his_event event
+      = { .t = json_object_get_int_member_with_default (line, "t_us", 0),
+          .kind = start ? HIS_START : HIS_EXECUTE,
+          .process = member (line, "process"),
+          .id = start ? NULL : member (line, "id"),
+          .request = request };
+  his_add (his, &event);
+  g_free (request);
+}
+
+/* Reads an instance's log line; only new versions in force matter.  */
+static void
+read_log (struct his *his, JsonObject *line)
+{
+  struct his_event event
+      = { .kind = HIS_CONFIG, .process = member (line, "instance") };
+  const char *text = member (line, "text");
+  const char *time = member (line, "time");
+  if (g_strcmp0 (member (line, "event"), "config.applied") != 0
+      || sscanf (text, "version %" G_GUINT64_FORMAT, &event.version) != 1)
+    return;
+  GDateTime *at = g_date_time_new_from_iso8601 (time, NULL);
+  event.t = g_date_time_to_unix (at) * G_USEC_PER_SEC
+            + g_date_time_get_microsecond (at);
+  g_date_time_unref (at);
+  his_add (his, &event);
+}
+
+static void
+read_file (struct his *his, const char *path,
+           void (*read) (struct his *his, JsonObject *line))
+{
+  char *text = NULL;
+  g_file_get_contents (path, &text, NULL, NULL);
+  char **lines = g_strsplit (text ? text : "", "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      JsonNode *node = json_from_string (*line, NULL);
+      if (node != NULL && JSON_NODE_HOLDS_OBJECT (node))
+        read (his, json_node_get_object (node));
+      g_clear_pointer (&node, json_node_unref);
+    }
+  g_strfreev (lines);
+  g_free (text);
+}
+
+void
+his_read_dir (struct his *his, const char *dir)
+{
+  GDir *files = g_dir_open (dir, 0, NULL);
+  const char *name;
+  while (files != NULL && (name = g_dir_read_name (files)) != NULL)
+    {
+      char *path = g_build_filename (dir, name, NULL);
+      if (g_str_has_suffix (name, ".history"))
+        read_file (his, path, read_history);
+      else if (g_str_has_suffix (name, ".err"))
+        read_file (his, path, read_log);
+      g_free (path);
+    }
+  if (files != NULL)
+    g_dir_close (files);
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b)
+{
+  const struct his_event *x = a;
+  const struct his_event *y = b;
+  return x->t < y->t ? -1 : x->t > y->t;
+}
+
+static void
+broken (struct check *check, const struct his_event *e, const char *why)
+{
+  check->broken++;
+  g_string_append_printf (
+      check->report,
+      "%s: %s: %s at %s, id %s, key %s, request %s, text %s, "
+      "v%" G_GUINT64_FORMAT ", t %" G_GINT64_FORMAT "\n",
+      check->rule, why, kind_names[e->kind], e->process ? e->process : "-",
+      e->id ? e->id : "-", e->key ? e->key : "-", e->request ? e->request : "-",
+      e->text ? e->text : "-", e->version, e->t);
+}
+
+/* Visits the events in the order of time.  */
+#define EACH(e, check)                                                         \
+  for (const struct his_event *e                                               \
+       = (const struct his_event *)(void *)(check)->his->events->data;         \
+       e < (const struct his_event *)(void *)(check)->his->events->data        \
+               + (check)->his->events->len;                                    \
+       e++)
+
+static GHashTable *
+new_map (void)
+{
+  return g_hash_table_new (g_str_hash, g_str_equal);
+}
+
+/* Maps each call's id to its idempotency key.  */
+static GHashTable *
+keys_of_ids (const struct check *check)
+{
+  GHashTable *keys = new_map ();
+  EACH (e, check)
+  if (e->kind == HIS_CALL && e->key != NULL)
+    g_hash_table_insert (keys, (char *)e->id, (char *)e->key);
+  return keys;
+}
+
+/* A call that may not be repeated runs at most once, under all of its key's
+   tries.  */
+static void
+at_most_once (struct check *check)
+{
+  GHashTable *keys = keys_of_ids (check);
+  GHashTable *ran = new_map ();
+  EACH (e, check)
+  if (e->kind == HIS_EXECUTE && e->id != NULL)
+    {
+      const char *key = g_hash_table_lookup (keys, e->id);
+      if (!g_hash_table_add (ran, (char *)(key ? key : e->id)))
+        broken (check, e, "ran again");
+    }
+  g_hash_table_unref (ran);
+  g_hash_table_unref (keys);
+}
+
+static gboolean
+refused (const struct his_event *e)
+{
+  return e->kind == HIS_TURNED
+         || (e->kind == HIS_ERROR && g_strcmp0 (e->ran, "no") == 0);
+}
+
+/* A try that was told that it did not run did not; neither did a call whose
+   tries were all told so.  */
+static void
+refusals_are_true (struct check *check)
+{
+  GHashTable *tries = new_map ();    /* requests refused */
+  GHashTable *refusals = new_map (); /* ids all of whose tries were refused */
+  EACH (e, check)
+  if (refused (e) && e->request != NULL)
+    g_hash_table_add (tries, (char *)e->request);
+  EACH (e, check)
+  if (refused (e) && e->id != NULL)
+    g_hash_table_add (refusals, (char *)e->id);
+  EACH (e, check)
+  if ((e->kind == HIS_ANSWER || e->kind == HIS_CUT || e->kind == HIS_ERROR)
+      && !refused (e) && e->id != NULL)
+    g_hash_table_remove (refusals, e->id);
+  EACH (e, check)
+  if ((e->kind == HIS_START || e->kind == HIS_EXECUTE)
+      && ((e->request && g_hash_table_contains (tries, e->request))
+          || (e->id && g_hash_table_contains (refusals, e->id))))
+    broken (check, e, "ran despite the refusal");
+  g_hash_table_unref (tries);
+  g_hash_table_unref (refusals);
+}
+
+/* A whole answer is the one that was meant for its call.  */
+static void
+answers_are_whole (struct check *check)
+{
+  EACH (e, check)
+  if (e->kind == HIS_ANSWER && e->expected != NULL
+      && g_strcmp0 (e->text, e->expected) != 0)
+    broken (check, e, "another text was expected");
+}
+
+/* All answers to an idempotency key are the same.  */
+static void
+same_answer (struct check *check)
+{
+  GHashTable *answers = new_map ();
+  EACH (e, check)
+  if (e->kind == HIS_ANSWER && e->key != NULL)
+    {
+      const char *first = g_hash_table_lookup (answers, e->key);
+      if (first == NULL)
+        g_hash_table_insert (answers, (char *)e->key, (char *)e->text);
+      else if (g_strcmp0 (first, e->text) != 0)
+        broken (check, e, "the key had another answer");
+    }
+  g_hash_table_unref (answers);
+}
+
+/* Each try has an end.  */
+static void
+tries_end (struct check *check)
+{
+  GHashTable *open = new_map (); /* id: its tries without an end */
+  EACH (e, check)
+  if (e->kind <= HIS_CUT)
+    {
+      int n = GPOINTER_TO_INT (g_hash_table_lookup (open, e->id));
+      n += e->kind == HIS_CALL ? 1 : -1;
+      g_hash_table_insert (open, (char *)e->id, GINT_TO_POINTER (n));
+    }
+  EACH (e, check)
+  if (e->kind == HIS_CALL && g_hash_table_lookup (open, e->id) != NULL)
+    broken (check, e, "no end");
+  g_hash_table_unref (open);
+}
+
+/* Only an instance that the test took down during a call may cut it off.  */
+static void
+none_is_cut_off (struct check *check)
+{
+  GHashTable *down = new_map ();  /* instance: its last event DOWN */
+  GHashTable *first = new_map (); /* id: its first event CALL */
+  EACH (e, check)
+  if (e->kind == HIS_DOWN)
+    g_hash_table_insert (down, (char *)e->process, (gpointer)e);
+  else if (e->kind == HIS_CALL && !g_hash_table_contains (first, e->id))
+    g_hash_table_insert (first, (char *)e->id, (gpointer)e);
+  else if (e->kind == HIS_CUT)
+    {
+      const struct his_event *call = g_hash_table_lookup (first, e->id);
+      const struct his_event *fault = g_hash_table_lookup (down, e->process);
+      if (fault == NULL || call == NULL || fault->t < call->t - HIS_SKEW_US)
+        broken (check, e, "cut off");
+    }
+  g_hash_table_unref (first);
+  g_hash_table_unref (down);
+}
+
+/* A leaving server gets no work once HIS_LEAVE_US are over.  */
+static void
+leaving_is_quiet (struct check *check)
+{
+  GHashTable *since = new_map (); /* server: its event LEAVING */
+  EACH (e, check)
+  if (e->kind == HIS_LEAVING)
+    g_hash_table_insert (since, (char *)e->process, (gpointer)e);
+  else if (e->kind == HIS_LIVE)
+    g_hash_table_remove (since, e->process);
+  else if (e->kind == HIS_START || e->kind == HIS_EXECUTE)
+    {
+      const struct his_event *left = g_hash_table_lookup (since, e->process);
+      if (left != NULL && e->t > left->t + HIS_LEAVE_US)
+        broken (check, e, "new work on a leaving server");
+    }
+  g_hash_table_unref (since);
+}
+
+/* The version in force at an instance never goes back, also over a restart.  */
+static void
+versions_go_forward (struct check *check)
+{
+  GHashTable *last = new_map (); /* instance: its event CONFIG */
+  EACH (e, check)
+  if (e->kind == HIS_CONFIG)
+    {
+      const struct his_event *before = g_hash_table_lookup (last, e->process);
+      if (before != NULL && e->version < before->version)
+        broken (check, e, "went back");
+      g_hash_table_insert (last, (char *)e->process, (gpointer)e);
+    }
+  g_hash_table_unref (last);
+}
+
+/* Whether instance PROCESS, which had a configuration before ACCEPT, had the
+   accepted version in time or was down then.  */
+static gboolean
+has_in_time (struct check *check, const struct his_event *accept,
+             const char *process)
+{
+  gint64 due = accept->t + HIS_SPREAD_US;
+  gboolean down = FALSE;
+  EACH (e, check)
+  {
+    if (g_strcmp0 (e->process, process) != 0 || e->t > due)
+      continue;
+    if (e->kind == HIS_CONFIG && e->version >= accept->version)
+      return TRUE;
+    if (e->kind == HIS_DOWN)
+      down = TRUE;
+    else if (e->kind == HIS_UP && e->t < accept->t)
+      down = FALSE;
+  }
+  return down;
+}
+
+/* An accepted version is in force at all instances within HIS_SPREAD_US.  */
+static void
+accepted_is_everywhere (struct check *check)
+{
+  GHashTable *up = new_map ();
+  EACH (e, check)
+  {
+    if (e->kind == HIS_CONFIG)
+      g_hash_table_add (up, (char *)e->process);
+    if (e->kind != HIS_ACCEPT)
+      continue;
+    GHashTableIter iter;
+    gpointer process;
+    g_hash_table_iter_init (&iter, up);
+    while (g_hash_table_iter_next (&iter, &process, NULL))
+      if (!has_in_time (check, e, process))
+        broken (check, e, process);
+  }
+  g_hash_table_unref (up);
+}
+
+static const struct
+{
+  const char *name;
+  void (*check) (struct check *check);
+} rules[] = {
+  { "at-most-once", at_most_once },
+  { "refusals-are-true", refusals_are_true },
+  { "answers-are-whole", answers_are_whole },
+  { "same-answer", same_answer },
+  { "tries-end", tries_end },
+  { "none-is-cut-off", none_is_cut_off },
+  { "leaving-is-quiet", leaving_is_quiet },
+  { "versions-go-forward", versions_go_forward },
+  { "accepted-is-everywhere", accepted_is_everywhere },
+};
+
+guint
+his_check (struct his *his, const char *name, GString *report)
+{
+  struct check check = { .his = his, .report = report };
+  g_array_sort (his->events, by_time);
+  for (guint i = 0; i < G_N_ELEMENTS (rules); i++)
+    if (name == NULL || strcmp (name, rules[i].name) == 0)
+      {
+        check.rule = rules[i].name;
+        rules[i].check (&check);
+      }
+  return check.broken;
+}
--- /dev/null
+++ b/tests/proc/test_answers.c
@@ -0,0 +1,213 @@
+/* Each caller gets the whole answer to its own request while engines crash,
+   refuse, freeze and die mid-stream and cell owners are killed or frozen; a
+   caller that reads nothing is cut and its engine's work cancelled.  */
+#include "proc/fix.h"
+
+#define TOKENS 60
+#define FROZEN_US (5 * G_USEC_PER_SEC)
+#define FAULT_ENDS 40 /* calls that end under a fault */
+#define SLOW_TOKENS 30000
+#define SLOW_BUFFER 2048 /* bytes that the kernel holds for the caller */
+
+static const char *const engine_args[]
+    = { "--base-us", "3000", "--max-batch", "64", NULL };
+
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 3, 3, 0 },
+    { "kgn-2", "kgn", 2, 2, 0 },
+  },
+  .engine_args = engine_args,
+  .limits = "shutdown_grace_ms=300\nbackend_stall_ms=700\n"
+            "caller_stall_ms=600\n",
+};
+
+static int
+start (void)
+{
+  return fix_start (&options);
+}
+
+static void
+start_load (const char *prefix)
+{
+  const struct cal_load streams = { .what = CAL_STREAM,
+                                    .threads = 14,
+                                    .tokens = TOKENS,
+                                    .entry = CAL_ANY,
+                                    .prefix = prefix };
+  struct cal_load wholes = streams;
+  char *name = g_strconcat (prefix, "-whole", NULL);
+  wholes.what = CAL_WHOLE;
+  wholes.threads = 4;
+  wholes.prefix = g_intern_string (name);
+  cal_start (cal, &streams);
+  cal_start (cal, &wholes);
+  g_free (name);
+}
+
+static void
+set_engines (const char *json)
+{
+  for (guint i = 0; i < dep->n_engines; i++)
+    har_fault (dep->engines[i].proc->port, json);
+}
+
+static gint64
+repeats (void)
+{
+  return fix_counters ("resumes") + fix_counters ("retries");
+}
+
+static gboolean
+has_repeated (void *ctx)
+{
+  return repeats () > *(gint64 *)ctx;
+}
+
+/* Returns an engine with work, the busiest one of now.  */
+static struct har_proc *
+busiest_engine (void)
+{
+  struct har_proc *best = dep->engines[0].proc;
+  gint64 most = -1;
+  for (guint i = 0; i < dep->n_engines; i++)
+    {
+      struct har_proc *engine = dep->engines[i].proc;
+      gint64 running = har_get_int (engine->port, "/counts", "running");
+      if (running <= most)
+        continue;
+      most = running;
+      best = engine;
+    }
+  return best;
+}
+
+struct engine_fault
+{
+  const char *name;
+  const char *json; /* set on all engines, or NULL: */
+  int signal;       /* sent to one of them */
+  gboolean repeats; /* attempts follow each other */
+};
+
+static void
+run_engine_fault (const struct engine_fault *fault)
+{
+  gint64 before = repeats ();
+  guint errors = his_count (his, HIS_ERROR, NULL);
+  struct har_proc *engine = NULL;
+  start_load (fault->name);
+  CU_ASSERT_TRUE (cal_wait_ends (cal, 5));
+  if (fault->json != NULL)
+    set_engines (fault->json);
+  else
+    har_signal (engine = busiest_engine (), fault->signal);
+  if (fault->repeats)
+    CU_ASSERT_TRUE (har_wait_until (has_repeated, &before, HAR_DEADLINE_MS));
+  if (fault->signal == SIGSTOP)
+    har_signal (engine, SIGCONT);
+  CU_ASSERT_TRUE (cal_wait_ends (cal, FAULT_ENDS));
+  cal_stop (cal);
+  if (fault->json != NULL)
+    set_engines ("{\"crash_requests\":0,\"crash_after_tokens\":0,"
+                 "\"refuse\":0,\"late_chunk_ms\":0}");
+  CU_ASSERT_EQUAL (his_count (his, HIS_ERROR, NULL), errors);
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static void
+test_engine_faults (void)
+{
+  static const struct engine_fault faults[] = {
+    { "crash", "{\"crash_after_tokens\":20,\"crash_requests\":1}", 0, TRUE },
+    { "refuse", "{\"refuse\":0.2}", 0, TRUE },
+    { "late", "{\"late_chunk_ms\":25}", 0, FALSE },
+    { "stop", NULL, SIGSTOP, TRUE },
+    { "kill", NULL, SIGKILL, TRUE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (faults); i++)
+    run_engine_fault (&faults[i]);
+}
+
+/* The owner of a cell is killed, then another frozen and continued. Callers of
+   other instances notice nothing.  */
+static void
+test_owner_lost (void)
+{
+  static const int signals[] = { SIGKILL, SIGSTOP };
+  static const char *const names[] = { "owner-kill", "owner-stop" };
+  for (guint i = 0; i < G_N_ELEMENTS (signals); i++)
+    {
+      guint errors = his_count (his, HIS_ERROR, NULL);
+      start_load (names[i]);
+      CU_ASSERT_TRUE (cal_wait_ends (cal, 5));
+      guint owner = fix_owner ("kgn-1:assistant:");
+      fix_down (owner, signals[i]);
+      if (signals[i] == SIGKILL)
+        {
+          cal_set_live (cal, owner, FALSE);
+          har_reap (dep->entries[owner].proc, HAR_DEADLINE_MS);
+          CU_ASSERT_TRUE (cal_wait_ends (cal, FAULT_ENDS));
+          CU_ASSERT_TRUE (fix_up (owner));
+        }
+      else
+        {
+          g_usleep (FROZEN_US);
+          fix_continue (owner);
+        }
+      CU_ASSERT_TRUE (cal_wait_ends (cal, FAULT_ENDS));
+      cal_stop (cal);
+      CU_ASSERT_EQUAL (his_count (his, HIS_ERROR, NULL), errors);
+      CU_ASSERT_TRUE (cal_check (cal));
+    }
+}
+
+static gboolean
+has_cancelled (void *ctx)
+{
+  return fix_counts (dep->engines, dep->n_engines, "cancelled")
+         >= *(gint64 *)ctx;
+}
+
+static void
+test_caller_that_reads_nothing (void)
+{
+  char *body = g_strdup_printf ("{\"model\":\"assistant\",\"stream\":true,"
+                                "\"prompt\":\"slow [len=%u]\"}",
+                                SLOW_TOKENS);
+  char *text = g_strdup_printf (
+      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: %s\r\n"
+      "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
+      DEP_TEAM_BEARER, strlen (body), body);
+  GSocketAddress *to = g_inet_socket_address_new_from_string (
+      "127.0.0.1", (guint)dep->entries[1].proc->http_port);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+  gint64 goal = fix_counts (dep->engines, dep->n_engines, "cancelled") + 1;
+  set_engines ("{\"slow_factor\":0.02}");
+  g_socket_set_option (socket, SOL_SOCKET, SO_RCVBUF, SLOW_BUFFER, NULL);
+  CU_ASSERT_TRUE (g_socket_connect (socket, to, NULL, NULL));
+  g_socket_send (socket, text, strlen (text), NULL, NULL);
+  CU_ASSERT_TRUE (har_wait_until (has_cancelled, &goal, HAR_DEADLINE_MS));
+  CU_ASSERT_TRUE (dep_counter (dep, 1, "caller_slow") >= 1);
+  set_engines ("{\"slow_factor\":1}");
+  g_object_unref (socket);
+  g_object_unref (to);
+  g_free (text);
+  g_free (body);
+}
+
+static CU_TestInfo tests[] = {
+  { "engines fail mid-stream", test_engine_faults },
+  { "cell owners are killed and frozen", test_owner_lost },
+  { "a caller that reads nothing is cut", test_caller_that_reads_nothing },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "answers", start, fix_stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/proc/test_leave.c
@@ -0,0 +1,256 @@
+/* Instances and backend servers that leave: a shutdown cuts off no request in
+   progress, a rolling replacement of all instances loses none, and a leaving
+   server gets no new work, also from an instance that was frozen.  */
+#include "proc/fix.h"
+
+#define GRACE "1000" /* ms that an instance serves on */
+#define STREAM_TOKENS 60
+#define LEFT_US (HIS_LEAVE_US + G_USEC_PER_SEC) /* observed after leaving */
+
+static const char *const engine_args[]
+    = { "--base-us", "8000", "--max-batch", "64", NULL };
+
+/* Seven instances, as at both users.  */
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 3, 2, 1 },
+    { "kgn-2", "kgn", 2, 2, 1 },
+    { "mbj-1", "mbj", 2, 1, 1 },
+  },
+  .engine_args = engine_args,
+  .max_running = 8,
+  .limits = "shutdown_grace_ms=" GRACE "\n",
+};
+
+static int
+start (void)
+{
+  return fix_start (&options);
+}
+
+static void
+start_load (enum cal_what what, guint threads, guint entry, const char *prefix)
+{
+  const struct cal_load load = { .what = what,
+                                 .threads = threads,
+                                 .tokens = STREAM_TOKENS,
+                                 .sharing = 2,
+                                 .entry = entry,
+                                 .prefix = prefix };
+  cal_start (cal, &load);
+}
+
+/* No try was cut off or refused, but where another try of its key was under
+   way.  */
+static void
+nothing_was_lost (void)
+{
+  static const char *const codes[]
+      = { "overload",    "displaced",      "no_server",
+          "deadline",    "backend_failed", "outcome_unknown",
+          "ledger_away", "draining",       "no_config" };
+  guint errors = his_count (his, HIS_ERROR, NULL)
+                 - his_count (his, HIS_ERROR, "in_progress");
+  CU_ASSERT_EQUAL (errors, 0);
+  for (guint i = 0; errors > 0 && i < G_N_ELEMENTS (codes); i++)
+    g_print ("%s: %u\n", codes[i], his_count (his, HIS_ERROR, codes[i]));
+  CU_ASSERT_EQUAL (his_count (his, HIS_CUT, NULL), 0);
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static gint64
+waiting_at (guint i, const char *state)
+{
+  struct har_reply *reply = fix_admin (i, NULL, "/dump", NULL, NULL);
+  char *what = g_strdup_printf ("\"state\":\"%s\"", state);
+  gint64 n = 0;
+  for (const char *at = reply->body->str; (at = strstr (at, what)) != NULL;
+       at++)
+    n++;
+  g_free (what);
+  har_reply_free (reply);
+  return n;
+}
+
+struct wait
+{
+  guint entry;
+  const char *state;
+  gint64 at_least;
+};
+
+static gboolean
+has_state (void *ctx)
+{
+  const struct wait *wait = ctx;
+  return waiting_at (wait->entry, wait->state) >= wait->at_least;
+}
+
+/* Streams and waiting requests in progress end well at an instance that is
+   told to go.  */
+static void
+test_shutdown_finishes_all (void)
+{
+  struct wait wait = { 5, "waiting", 4 };
+  start_load (CAL_STREAM, 24, 5, "shut");
+  CU_ASSERT_TRUE (har_wait_until (has_state, &wait, HAR_DEADLINE_MS));
+  har_signal (dep->entries[5].proc, SIGTERM);
+  cal_stop (cal);
+  CU_ASSERT_EQUAL (har_reap (dep->entries[5].proc, HAR_DEADLINE_MS), 0);
+  CU_ASSERT_TRUE (fix_up (5));
+  nothing_was_lost ();
+}
+
+/* One instance of each failure domain at a time; the new one has another
+   address for its peers.  */
+static void
+test_rolling_replacement (void)
+{
+  static const guint rounds[][3] = { { 0, 3, 5 }, { 1, 4, 6 }, { 2, 2, 2 } };
+  start_load (CAL_STREAM, 6, CAL_ANY, "roll-stream");
+  start_load (CAL_WHOLE, 3, CAL_ANY, "roll-whole");
+  start_load (CAL_ONCE, 2, CAL_ANY, "roll-once");
+  start_load (CAL_KEYED, 4, CAL_ANY, "roll-key");
+  for (guint r = 0; r < G_N_ELEMENTS (rounds); r++)
+    {
+      guint n = r + 1 < G_N_ELEMENTS (rounds) ? 3 : 1;
+      for (guint i = 0; i < n; i++)
+        {
+          cal_set_live (cal, rounds[r][i], FALSE);
+          har_signal (dep->entries[rounds[r][i]].proc, SIGTERM);
+        }
+      for (guint i = 0; i < n; i++)
+        {
+          struct dep_node *node = &dep->entries[rounds[r][i]];
+          CU_ASSERT_EQUAL (har_reap (node->proc, HAR_DEADLINE_MS), 0);
+          node->peer_port = har_free_port ();
+          CU_ASSERT_TRUE (dep_start_entry (dep, rounds[r][i]));
+        }
+      for (guint i = 0; i < n; i++)
+        {
+          CU_ASSERT_TRUE (dep_wait_ready (dep, rounds[r][i]));
+          cal_set_live (cal, rounds[r][i], TRUE);
+        }
+      CU_ASSERT_TRUE (cal_wait_ends (cal, 10));
+    }
+  cal_stop (cal);
+  nothing_was_lost ();
+}
+
+/* X (how a server leaves) */
+static void
+leave_by_own_word (const char *server)
+{
+  guint i = fix_find (dep->engines, dep->n_engines, server);
+  CU_ASSERT_TRUE (har_fault (dep->engines[i].proc->port, "{\"leaving\":true}"));
+}
+
+static void
+leave_by_operator (const char *server)
+{
+  char *path = g_strdup_printf ("/backends/%s/drain", server);
+  struct har_reply *reply = fix_admin (0, "PUT", path, NULL, "{}");
+  CU_ASSERT_EQUAL (reply->status, 200);
+  har_reply_free (reply);
+  g_free (path);
+}
+
+static void
+leave_by_platform (const char *server)
+{
+  static const char *const headers[] = { "If-None-Match", "*", NULL };
+  char *body = g_strdup_printf ("[%s]\nstate=leaving\n", server);
+  const struct har_call call = { .method = "PUT",
+                                 .port = dep->platform->port,
+                                 .path = "/objects/fleet",
+                                 .headers = headers,
+                                 .body = body };
+  struct har_reply *reply = har_call (&call);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  har_reply_free (reply);
+  g_free (body);
+}
+
+static void
+begin_to_leave (const char *server, void (*leave) (const char *server))
+{
+  leave (server);
+  fix_note (HIS_LEAVING, server, 0);
+}
+
+static gboolean
+has_started (void *ctx)
+{
+  const char *const *servers = ctx;
+  for (guint i = 0; servers[i] != NULL; i++)
+    {
+      guint at = fix_find (dep->engines, dep->n_engines, servers[i]);
+      if (har_get_int (dep->engines[at].proc->port, "/counts", "started") < 5)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+test_leaving_servers_get_nothing (void)
+{
+  static const char *const servers[]
+      = { "kgn-1-engine-1", "kgn-2-engine-1", "kgn-2-engine-2", NULL };
+  start_load (CAL_STREAM, 12, CAL_ANY, "leave");
+  CU_ASSERT_TRUE (
+      har_wait_until (has_started, (void *)servers, HAR_DEADLINE_MS));
+  begin_to_leave (servers[0], leave_by_own_word);
+  begin_to_leave (servers[1], leave_by_operator);
+  begin_to_leave (servers[2], leave_by_platform);
+  g_usleep (LEFT_US);
+  gint64 refused
+      = har_get_int (dep->engines[0].proc->port, "/counts", "refused");
+  CU_ASSERT_TRUE (cal_wait_ends (cal, 20));
+  cal_stop (cal);
+  CU_ASSERT_EQUAL (
+      har_get_int (dep->engines[0].proc->port, "/counts", "refused"), refused);
+  nothing_was_lost ();
+}
+
+/* Instances are frozen, one while granted calls wait for the ledger's leave,
+   one while requests wait for a slot; meanwhile a server of each leaves. What
+   was granted before, or by an owner that was frozen, is not used.  */
+static void
+test_frozen_past_its_grants (void)
+{
+  const guint entries[] = { 1, fix_owner ("mbj-1:assistant:") };
+  struct wait recording = { entries[0], "recording", 4 };
+  struct wait waiting = { entries[1], "waiting", 4 };
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"slow_ms\":700}"));
+  start_load (CAL_STREAM, 24, 2, "fill"); /* no free slot elsewhere */
+  start_load (CAL_STREAM, 24, entries[1], "late");
+  CU_ASSERT_TRUE (har_wait_until (has_state, &waiting, HAR_DEADLINE_MS));
+  start_load (CAL_KEYED, 12, entries[0], "grant");
+  CU_ASSERT_TRUE (har_wait_until (has_state, &recording, HAR_DEADLINE_MS));
+  fix_down (entries[0], SIGSTOP);
+  fix_down (entries[1], SIGSTOP);
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, "{\"slow_ms\":0}"));
+  begin_to_leave ("kgn-1-service-1", leave_by_operator);
+  begin_to_leave ("mbj-1-engine-1", leave_by_operator);
+  g_usleep (LEFT_US);
+  fix_continue (entries[0]);
+  fix_continue (entries[1]);
+  CU_ASSERT_TRUE (cal_wait_ends (cal, 36));
+  cal_stop (cal);
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static CU_TestInfo tests[] = {
+  { "a shutdown finishes all in progress", test_shutdown_finishes_all },
+  { "a rolling replacement loses nothing", test_rolling_replacement },
+  { "leaving servers get nothing new", test_leaving_servers_get_nothing },
+  { "instances frozen past their grants", test_frozen_past_its_grants },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "leave", start, fix_stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/proc/test_once.c
@@ -0,0 +1,210 @@
+/* Calls that may not be repeated, with and without an idempotency key: they
+   run at most once, refusals are true and a key has one answer, while
+   services drop calls, instances are killed at random moments and the
+   platform loses answers, is slow or down.  */
+#include "proc/fix.h"
+
+#define SEED 11
+#define ROUNDS 5
+#define ROUND_ENDS 12 /* calls that end in a round of faults */
+#define REFUSED_WITHIN_US (5 * G_USEC_PER_SEC)
+#define ASKED 2 /* instances, while the platform is away */
+
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 3, 1, 2 },
+    { "kgn-2", "kgn", 2, 1, 1 },
+  },
+};
+
+static int
+start (void)
+{
+  return fix_start (&options);
+}
+
+static void
+set_service_fault (const char *json)
+{
+  for (guint i = 0; i < dep->n_services; i++)
+    CU_ASSERT_TRUE (har_fault (dep->services[i].proc->port, json));
+}
+
+static void
+set_platform_fault (const char *json)
+{
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, json));
+}
+
+static void
+test_lost_calls_are_not_retried (void)
+{
+  static const struct
+  {
+    const char *id;
+    const char *key;
+    const char *fault;
+    gint64 runs;
+  } cases[] = {
+    { "drop-before", NULL, "{\"drop_before\":1}", 0 },
+    { "drop-after", NULL, "{\"drop_after\":1}", 1 },
+    { "drop-before-keyed", "drop-before-keyed", "{\"drop_before\":1}", 0 },
+    { "drop-after-keyed", "drop-after-keyed", "{\"drop_after\":1}", 1 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      enum cal_what what = cases[i].key ? CAL_KEYED : CAL_ONCE;
+      gint64 runs = fix_counts (dep->services, dep->n_services, "total");
+      set_service_fault (cases[i].fault);
+      struct cal_end end = fix_call (what, i, cases[i].id, cases[i].key, 0);
+      CU_ASSERT_EQUAL (end.status, 502);
+      CU_ASSERT_STRING_EQUAL (end.code, "outcome_unknown");
+      CU_ASSERT_STRING_EQUAL (end.ran, "unknown");
+      set_service_fault ("{\"drop_before\":0,\"drop_after\":0}");
+      if (cases[i].key != NULL)
+        {
+          end = fix_call (what, (i + 1) % dep->n_entries, cases[i].id,
+                          cases[i].key, 0);
+          CU_ASSERT_STRING_NOT_EQUAL (end.ran, "no");
+          CU_ASSERT_EQUAL (end.kind, HIS_ERROR);
+        }
+      CU_ASSERT_EQUAL (fix_counts (dep->services, dep->n_services, "total"),
+                       runs + cases[i].runs);
+    }
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static void
+test_other_body_is_refused (void)
+{
+  struct cal_end first = fix_call (CAL_KEYED, 0, "body-1", "body", 0);
+  struct cal_end other = fix_call (CAL_KEYED, 3, "body-2", "body", 0);
+  const struct cal_call same
+      = { .what = CAL_KEYED, .entry = 4, .id = "body-1", .key = "body" };
+  struct cal_end again = cal_settle (cal, &same);
+  CU_ASSERT_EQUAL (first.kind, HIS_ANSWER);
+  CU_ASSERT_EQUAL (other.status, 422);
+  CU_ASSERT_STRING_EQUAL (other.ran, "no");
+  CU_ASSERT_EQUAL (again.kind, HIS_ANSWER);
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+/* Faults of the platform during a round.  */
+static const char *const platform_faults[] = {
+  "{\"lose_answer_after_put\":3}",
+  "{\"slow_ms\":120}",
+  "{\"lose_before_put\":2,\"slow_ms\":0}",
+  "{\"down\":true}",
+  "{\"down\":false,\"lose_answer_after_put\":2,\"slow_ms\":60}",
+};
+static const char platform_well[]
+    = "{\"down\":false,\"slow_ms\":0,\"lose_answer_after_put\":0,"
+      "\"lose_before_put\":0}";
+
+/* Kills an instance after some more calls and a moment, and starts it
+   again.  */
+static void
+run_round (GRand *rand, guint round)
+{
+  guint victim = (guint)g_rand_int_range (rand, 0, (gint32)dep->n_entries);
+  set_platform_fault (platform_faults[round % G_N_ELEMENTS (platform_faults)]);
+  g_usleep ((gulong)g_rand_int_range (rand, 0, 300) * 1000);
+  fix_end (victim, SIGKILL);
+  set_platform_fault (platform_well);
+  CU_ASSERT_TRUE (dep_start_entry (dep, victim));
+  cal_set_live (cal, victim, TRUE);
+  CU_ASSERT_TRUE (cal_wait_ends (cal, ROUND_ENDS));
+}
+
+/* Asks for settled keys once more, through an instance of another failure
+   domain: a key that had an answer has it still.  */
+static void
+ask_again (const char *prefix)
+{
+  for (guint n = 0; n < 5; n++)
+    {
+      char *key = g_strdup_printf ("%s-0-%u", prefix, n);
+      const struct cal_call call = {
+        .what = CAL_KEYED, .entry = n % dep->n_entries, .id = key, .key = key
+      };
+      cal_settle (cal, &call);
+      g_free (key);
+    }
+}
+
+static void
+test_keys_under_faults (void)
+{
+  GRand *rand = g_rand_new_with_seed (SEED);
+  const struct cal_load keyed = { .what = CAL_KEYED,
+                                  .threads = 9,
+                                  .sharing = 3,
+                                  .entry = CAL_ANY,
+                                  .prefix = "key" };
+  const struct cal_load plain
+      = { .what = CAL_ONCE, .threads = 2, .entry = CAL_ANY, .prefix = "plain" };
+  cal_start (cal, &keyed);
+  cal_start (cal, &plain);
+  for (guint round = 0; round < ROUNDS; round++)
+    run_round (rand, round);
+  cal_stop (cal);
+  for (guint i = 0; i < dep->n_entries; i++)
+    CU_ASSERT_TRUE (dep_wait_ready (dep, i));
+  ask_again ("key");
+  CU_ASSERT_TRUE (cal_check (cal));
+  g_print ("answers %u, cut %u, ledger_away %u, in_progress %u, unknown %u, "
+           "replays %d\n",
+           his_count (his, HIS_ANSWER, NULL), his_count (his, HIS_CUT, NULL),
+           his_count (his, HIS_ERROR, "ledger_away"),
+           his_count (his, HIS_ERROR, "in_progress"),
+           his_count (his, HIS_ERROR, "outcome_unknown"),
+           (int)fix_counters ("ledger_replays"));
+  CU_ASSERT_TRUE (his_count (his, HIS_ANSWER, NULL) > ROUNDS * ROUND_ENDS / 2);
+  CU_ASSERT_TRUE (fix_counters ("ledger_replays") > 0);
+  g_rand_free (rand);
+}
+
+static void
+test_platform_down (void)
+{
+  static const char *const faults[]
+      = { "{\"down\":true}", "{\"down\":false,\"frozen\":true}" };
+  for (guint f = 0; f < G_N_ELEMENTS (faults); f++)
+    {
+      gint64 runs = fix_counts (dep->services, dep->n_services, "total");
+      set_platform_fault (faults[f]);
+      for (guint i = 0; i < ASKED; i++)
+        {
+          char *id = g_strdup_printf ("down-%u-%u", f, i);
+          struct cal_end end = fix_call (CAL_KEYED, i, id, id, 0);
+          CU_ASSERT_EQUAL (end.status, 503);
+          CU_ASSERT_STRING_EQUAL (end.code, "ledger_away");
+          CU_ASSERT_STRING_EQUAL (end.ran, "no");
+          CU_ASSERT_TRUE (end.us <= REFUSED_WITHIN_US);
+          end = fix_call (CAL_STREAM, i, id, NULL, 8);
+          CU_ASSERT_EQUAL (end.kind, HIS_ANSWER);
+          g_free (id);
+        }
+      CU_ASSERT_EQUAL (fix_counts (dep->services, dep->n_services, "total"),
+                       runs);
+      set_platform_fault ("{\"down\":false,\"frozen\":false}");
+    }
+  struct cal_end end = fix_call (CAL_KEYED, 0, "up", "up", 0);
+  CU_ASSERT_EQUAL (end.kind, HIS_ANSWER);
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static CU_TestInfo tests[] = {
+  { "a lost call is not retried", test_lost_calls_are_not_retried },
+  { "a key with another body is refused", test_other_body_is_refused },
+  { "the platform is down: models go on", test_platform_down },
+  { "keys under kills and platform faults", test_keys_under_faults },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "once", start, fix_stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/proc/test_security.c
@@ -0,0 +1,234 @@
+/* Who may speak: peers without the shared key, broken frames and wrong tokens
+   get nowhere, keys stand in no log and no dump, and the process goes on.  */
+#include "proc/fix.h"
+
+#include <sys/socket.h>
+
+#define OVERSIZED "\x7f\xff\xff\xff"
+#define SECRET_KEY "an-idempotency-key-of-this-test"
+#define PEER_KEY "a shared key of the test's instances"
+
+static const struct dep_options options = {
+  .domains = { { "kgn-1", "kgn", 2, 1, 1 } },
+};
+
+static int
+start (void)
+{
+  return fix_start (&options);
+}
+
+struct counter
+{
+  const char *name;
+  gint64 at_least;
+};
+
+static gboolean
+has_counted (void *ctx)
+{
+  const struct counter *counter = ctx;
+  return fix_counters (counter->name) >= counter->at_least;
+}
+
+static gboolean
+counts (const char *name, gint64 at_least)
+{
+  struct counter counter = { name, at_least };
+  return har_wait_until (has_counted, &counter, HAR_DEADLINE_MS);
+}
+
+/* Sends BYTES to instance 0's port for peers and reads until it closes.  */
+static gboolean
+is_closed_upon (const char *bytes, gsize n)
+{
+  GSocketClient *client = g_socket_client_new ();
+  GSocketConnection *connection = g_socket_client_connect_to_host (
+      client, "127.0.0.1", (guint16)dep->entries[0].peer_port, NULL, NULL);
+  char buffer[512];
+  gssize got;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (connection);
+  g_socket_set_timeout (g_socket_connection_get_socket (connection),
+                        HAR_DEADLINE_MS / 1000);
+  GIOStream *io = G_IO_STREAM (connection);
+  g_output_stream_write_all (g_io_stream_get_output_stream (io), bytes, n, NULL,
+                             NULL, NULL);
+  GError *error = NULL;
+  do
+    got = g_input_stream_read (g_io_stream_get_input_stream (io), buffer,
+                               sizeof buffer, NULL, &error);
+  while (got > 0);
+  gboolean closed
+      = got == 0 || !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT);
+  g_clear_error (&error);
+  g_object_unref (connection);
+  g_object_unref (client);
+  return closed;
+}
+
+static void
+test_broken_frames (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    gsize n;
+  } cases[] = {
+    { "GET / HTTP/1.1\r\n\r\n", 18 },
+    { OVERSIZED "x", 5 },
+    { "\0\0\0\4\x94\xc1\xc1\xc1", 8 },
+    { "\0\0\0\0", 4 },
+  };
+  gint64 rejected = dep_counter (dep, 0, "peer_rejected");
+  gint64 bad = dep_counter (dep, 0, "frame_bad");
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_TRUE (is_closed_upon (cases[i].bytes, cases[i].n));
+  CU_ASSERT_TRUE (dep_counter (dep, 0, "peer_rejected")
+                      + dep_counter (dep, 0, "frame_bad")
+                  >= rejected + bad + (gint64)G_N_ELEMENTS (cases));
+}
+
+/* An instance with another key joins nobody and learns nothing.  */
+static void
+test_wrong_peer_key (void)
+{
+  char *from = g_build_filename (har_dir (har), "kgn-1-b.ini", NULL);
+  char *settings = g_build_filename (har_dir (har), "intruder.ini", NULL);
+  char *key = g_build_filename (har_dir (har), "intruder.key", NULL);
+  char *text = NULL;
+  gint64 rejected = dep_counter (dep, 0, "peer_rejected");
+  g_file_get_contents (from, &text, NULL, NULL);
+  GString *ini = g_string_new (text);
+  char *own = g_strdup_printf ("peers=127.0.0.1:%d", dep->entries[1].peer_port);
+  g_string_replace (ini, "id=kgn-1-b", "id=intruder", 0);
+  g_string_replace (ini, own, "peers=127.0.0.1:0", 0);
+  g_string_replace (ini, "peer.key", "intruder.key", 0);
+  g_file_set_contents (key, "a key that the others do not share", -1, NULL);
+  g_file_set_contents (settings, ini->str, -1, NULL);
+  const char *const argv[]
+      = { "packages/jacinthward/jacinthward", "--settings", settings, NULL };
+  struct har_proc *intruder = har_start (har, "intruder", argv);
+  CU_ASSERT_TRUE (intruder != NULL && har_wait_ready (intruder));
+  CU_ASSERT_TRUE (counts ("peer_rejected", rejected + 4));
+  struct har_reply *reply = fix_admin (0, NULL, "/instances", NULL, NULL);
+  CU_ASSERT_EQUAL (reply->status, 200);
+  CU_ASSERT_PTR_NULL (strstr (reply->body->str, "intruder"));
+  har_reply_free (reply);
+  har_signal (intruder, SIGKILL);
+  har_reap (intruder, HAR_DEADLINE_MS);
+  g_string_free (ini, TRUE);
+  g_free (own);
+  g_free (text);
+  g_free (key);
+  g_free (settings);
+  g_free (from);
+}
+
+static void
+test_wrong_tokens (void)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+  } calls[] = {
+    { "GET", "/dump" },   { "GET", "/config" }, { "GET", "/stats" },
+    { "PUT", "/preset" }, { "PUT", "/config" }, { "PUT", "/backends/x/drain" },
+  };
+  static const char *const bearers[]
+      = { "Bearer wrong", "Bearer " DEP_TEAM_KEY, "Basic eDp4", NULL };
+  gint64 denied = dep_counter (dep, 0, "admin_denied");
+  gint64 n = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (calls); i++)
+    for (guint b = 0; b < G_N_ELEMENTS (bearers); b++)
+      {
+        const char *const headers[]
+            = { "If-Match", "\"1\"", bearers[b] ? "Authorization" : NULL,
+                bearers[b], NULL };
+        const struct har_call call
+            = { .method = calls[i].method,
+                .port = dep->entries[0].proc->admin_port,
+                .path = calls[i].path,
+                .headers = headers,
+                .body = strcmp (calls[i].method, "PUT") == 0
+                            ? "{\"preset\":\"peak\"}"
+                            : NULL };
+        struct har_reply *reply = har_call (&call);
+        CU_ASSERT_EQUAL (reply->status, 401);
+        har_reply_free (reply);
+        n++;
+      }
+  CU_ASSERT_EQUAL (dep_counter (dep, 0, "admin_denied"), denied + n);
+}
+
+static const char *const secrets[]
+    = { DEP_TEAM_KEY, DEP_OPERATOR_TOKEN, PEER_KEY, SECRET_KEY, "secret-id" };
+
+static guint
+secrets_in (const char *text)
+{
+  guint n = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (secrets); i++)
+    n += text != NULL && strstr (text, secrets[i]) != NULL;
+  return n;
+}
+
+static void
+check_shown (guint i)
+{
+  static const char *const paths[]
+      = { "/dump", "/stats", "/metrics", "/config", "/teams", "/instances" };
+  for (guint p = 0; p < G_N_ELEMENTS (paths); p++)
+    {
+      struct har_reply *reply = fix_admin (i, NULL, paths[p], NULL, NULL);
+      CU_ASSERT_EQUAL (reply->status, 200);
+      CU_ASSERT_TRUE (reply->body->len > 0);
+      CU_ASSERT_EQUAL (secrets_in (reply->body->str), 0);
+      har_reply_free (reply);
+    }
+}
+
+/* Also of a call that is in progress, and of one that failed.  */
+static void
+test_keys_are_not_shown (void)
+{
+  const struct cal_load streams = { .what = CAL_STREAM,
+                                    .threads = 3,
+                                    .tokens = 200,
+                                    .entry = CAL_ANY,
+                                    .prefix = "secret-id" };
+  har_fault (dep->services[0].proc->port, "{\"drop_after\":1}");
+  fix_call (CAL_KEYED, 0, "secret-id-key", SECRET_KEY, 0);
+  fix_call (CAL_KEYED, 1, "secret-id-key", SECRET_KEY, 0);
+  cal_start (cal, &streams);
+  for (guint i = 0; i < dep->n_entries; i++)
+    check_shown (i);
+  cal_stop (cal);
+  for (guint i = 0; i < dep->n_entries; i++)
+    {
+      char *path
+          = g_strdup_printf ("%s/%s.err", har_dir (har), dep->entries[i].name);
+      char *text = NULL;
+      CU_ASSERT_TRUE (g_file_get_contents (path, &text, NULL, NULL));
+      CU_ASSERT_TRUE (text != NULL && strstr (text, "config.applied") != NULL);
+      CU_ASSERT_EQUAL (secrets_in (text), 0);
+      g_free (text);
+      g_free (path);
+    }
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static CU_TestInfo tests[] = {
+  { "broken frames", test_broken_frames },
+  { "a peer with another key", test_wrong_peer_key },
+  { "wrong operators' tokens", test_wrong_tokens },
+  { "keys in no log and no dump, and it goes on", test_keys_are_not_shown },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "security", start, fix_stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/proc/test_spread.c
@@ -0,0 +1,214 @@
+/* The configuration: of racing operators one wins, a lost answer is settled,
+   what was accepted is in force everywhere soon and never reverts, whatever is
+   killed, frozen, restarted or away meanwhile.  */
+#include "proc/fix.h"
+
+#define RACES 6
+#define WATCHED_US                                                             \
+  (2 * G_USEC_PER_SEC)       /* while the platform is down, and after */
+#define WATCHED_CALLS_MAX 40 /* of all seven instances in that time */
+
+static const struct dep_options options = {
+  .domains = {
+    { "kgn-1", "kgn", 3, 1, 1 },
+    { "kgn-2", "kgn", 2, 0, 0 },
+    { "mbj-1", "mbj", 2, 0, 0 },
+  },
+};
+
+static int
+start (void)
+{
+  return fix_start (&options);
+}
+
+static void
+set_platform_fault (const char *json)
+{
+  CU_ASSERT_TRUE (har_fault (dep->platform->port, json));
+}
+
+static gint64
+version_at (guint i)
+{
+  struct har_reply *reply = fix_admin (i, NULL, "/dump", NULL, NULL);
+  const char *at = strstr (reply->body->str, "\"config_version\":");
+  gint64 version = at ? g_ascii_strtoll (strchr (at, ':') + 1, NULL, 10) : -1;
+  har_reply_free (reply);
+  return version;
+}
+
+static gboolean
+have_version (void *ctx)
+{
+  for (guint i = 0; i < dep->n_entries; i++)
+    if (version_at (i) < *(gint64 *)ctx)
+      return FALSE;
+  return TRUE;
+}
+
+struct update
+{
+  guint entry;
+  const char *preset;
+  gint64 from;
+  guint status;
+  gint64 version; /* accepted */
+};
+
+static gpointer
+run_update (gpointer data)
+{
+  struct update *update = data;
+  GMainContext *context = g_main_context_new ();
+  g_main_context_push_thread_default (context);
+  char *match = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", update->from);
+  char *body = g_strdup_printf ("{\"preset\":\"%s\"}", update->preset);
+  struct har_reply *reply
+      = fix_admin (update->entry, "PUT", "/preset", match, body);
+  JsonNode *node = har_reply_json (reply);
+  update->status = reply->status;
+  if (reply->status == 200 && node != NULL)
+    {
+      update->version = json_object_get_int_member_with_default (
+          json_node_get_object (node), "version", 0);
+      fix_note (HIS_ACCEPT, dep->entries[update->entry].name,
+                (guint64)update->version);
+    }
+  g_clear_pointer (&node, json_node_unref);
+  har_reply_free (reply);
+  g_free (body);
+  g_free (match);
+  g_main_context_pop_thread_default (context);
+  g_main_context_unref (context);
+  return NULL;
+}
+
+/* Makes an update through instance I. Returns the accepted version, 0 if it
+   was not.  */
+static gint64
+update_preset (guint i, const char *preset)
+{
+  struct update update
+      = { .entry = i, .preset = preset, .from = version_at (i) };
+  run_update (&update);
+  return update.version;
+}
+
+static void
+test_racing_operators (void)
+{
+  static const char *const faults[]
+      = { "{}", "{\"lose_answer_after_put\":1}", "{\"slow_ms\":150}" };
+  for (guint r = 0; r < RACES; r++)
+    {
+      gint64 from = version_at (0);
+      CU_ASSERT_TRUE (har_wait_until (have_version, &from, HAR_DEADLINE_MS));
+      struct update a
+          = { .entry = r % dep->n_entries, .preset = "peak", .from = from };
+      struct update b = { .entry = (r + 3) % dep->n_entries,
+                          .preset = "maintenance",
+                          .from = from };
+      set_platform_fault (faults[r % G_N_ELEMENTS (faults)]);
+      GThread *thread = g_thread_new ("operator", run_update, &a);
+      run_update (&b);
+      g_thread_join (thread);
+      set_platform_fault ("{\"lose_answer_after_put\":0,\"slow_ms\":0}");
+      CU_ASSERT_TRUE ((a.status == 200 && b.status == 409)
+                      || (a.status == 409 && b.status == 200));
+      gint64 version = MAX (a.version, b.version);
+      CU_ASSERT_TRUE (
+          har_wait_until (have_version, &version, HIS_SPREAD_US / 1000));
+    }
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static gint64
+platform_calls (void)
+{
+  static const char *const kinds[]
+      = { "get", "put", "watch", "list", "limited", "down" };
+  gint64 sum = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    sum += har_get_int (dep->platform->port, "/counts", kinds[i]);
+  return sum;
+}
+
+/* While the platform is down an instance starts anew and has the newest
+   version from its peers; when it returns, it is not run over.  */
+static void
+test_platform_down (void)
+{
+  gint64 version = update_preset (0, "ordinary");
+  CU_ASSERT_TRUE (version > 0);
+  CU_ASSERT_TRUE (
+      har_wait_until (have_version, &version, HIS_SPREAD_US / 1000));
+  set_platform_fault ("{\"down\":true}");
+  CU_ASSERT_EQUAL (fix_end (1, SIGKILL), 128 + SIGKILL);
+  CU_ASSERT_EQUAL (update_preset (4, "peak"), 0);
+  CU_ASSERT_TRUE (fix_up (1));
+  CU_ASSERT_EQUAL (version_at (1), version);
+  struct cal_end end = fix_call (CAL_STREAM, 1, "down", NULL, 8);
+  CU_ASSERT_EQUAL (end.kind, HIS_ANSWER);
+  gint64 calls[2] = { platform_calls () };
+  g_usleep (WATCHED_US);
+  calls[1] = platform_calls ();
+  CU_ASSERT_TRUE (calls[1] - calls[0] <= WATCHED_CALLS_MAX);
+  set_platform_fault ("{\"down\":false}");
+  g_usleep (WATCHED_US);
+  g_print ("%d calls while it was down, %d after ", (int)(calls[1] - calls[0]),
+           (int)(platform_calls () - calls[1]));
+  CU_ASSERT_TRUE (platform_calls () - calls[1] <= WATCHED_CALLS_MAX);
+  gint64 next = update_preset (4, "peak");
+  CU_ASSERT_TRUE (next > version);
+  CU_ASSERT_TRUE (har_wait_until (have_version, &next, HIS_SPREAD_US / 1000));
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+/* The platform is down and all instances of failure domain mbj-1 are frozen;
+   the update made after the platform's return reaches them once they go on,
+   and an instance that is replaced by then has it too.  */
+static void
+test_domain_cut_off (void)
+{
+  for (guint i = 5; i < 7; i++)
+    fix_down (i, SIGSTOP);
+  gint64 version = update_preset (0, "maintenance");
+  CU_ASSERT_TRUE (version > 0);
+  g_usleep (2 * G_USEC_PER_SEC);
+  fix_end (3, SIGKILL);
+  for (guint i = 5; i < 7; i++)
+    fix_continue (i);
+  CU_ASSERT_TRUE (fix_up (3));
+  CU_ASSERT_TRUE (
+      har_wait_until (have_version, &version, HIS_SPREAD_US / 1000));
+  CU_ASSERT_TRUE (cal_check (cal));
+}
+
+static void
+test_bad_config_changes_nothing (void)
+{
+  gint64 version = version_at (2);
+  char *match = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", version);
+  struct har_reply *reply
+      = fix_admin (2, "PUT", "/config", match, "[jacinthward]\npreset=none\n");
+  CU_ASSERT_EQUAL (reply->status, 422);
+  CU_ASSERT_EQUAL (version_at (2), version);
+  har_reply_free (reply);
+  g_free (match);
+}
+
+static CU_TestInfo tests[] = {
+  { "of racing operators one wins", test_racing_operators },
+  { "the platform is down and returns", test_platform_down },
+  { "a failure domain is cut off", test_domain_cut_off },
+  { "a bad configuration changes nothing", test_bad_config_changes_nothing },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "spread", start, fix_stop, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
--- /dev/null
+++ b/tests/unit/test_his.c
@@ -0,0 +1,225 @@
+/* The history checker: each rule on made-up histories that keep and that
+   break it.  */
+#include "harness/his.h"
+#include "unit.h"
+
+#include <glib/gstdio.h>
+
+#define SECOND G_USEC_PER_SEC
+#define EVENTS_MAX 6
+
+struct sample
+{
+  const char *rule;
+  gboolean breaks;
+  struct his_event events[EVENTS_MAX]; /* their t: order, or seconds */
+};
+
+#define CALL_(...)                                                             \
+  {                                                                            \
+    .kind = HIS_CALL, __VA_ARGS__                                              \
+  }
+#define ANSWER_(...)                                                           \
+  {                                                                            \
+    .kind = HIS_ANSWER, __VA_ARGS__                                            \
+  }
+#define ERROR_(...)                                                            \
+  {                                                                            \
+    .kind = HIS_ERROR, __VA_ARGS__                                             \
+  }
+#define RUN_(...)                                                              \
+  {                                                                            \
+    .kind = HIS_EXECUTE, __VA_ARGS__                                           \
+  }
+#define START_(...)                                                            \
+  {                                                                            \
+    .kind = HIS_START, __VA_ARGS__                                             \
+  }
+#define CONFIG_(p, v, at)                                                      \
+  {                                                                            \
+    .kind = HIS_CONFIG, .process = (p), .version = (v), .t = (at)              \
+  }
+
+static const struct sample samples[] = {
+  { "at-most-once",
+    FALSE,
+    { CALL_ (.id = "a", .key = "k"), RUN_ (.id = "a"), RUN_ (.id = "b") } },
+  { "at-most-once",
+    TRUE,
+    { CALL_ (.id = "a"), RUN_ (.id = "a"), RUN_ (.id = "a") } },
+  { "at-most-once",
+    TRUE,
+    { CALL_ (.id = "a", .key = "k"), CALL_ (.id = "b", .key = "k"),
+      RUN_ (.id = "a"), RUN_ (.id = "b") } },
+  { "refusals-are-true",
+    FALSE,
+    { ERROR_ (.id = "a", .ran = "no", .request = "r-1"), ANSWER_ (.id = "a"),
+      RUN_ (.id = "a", .request = "r-2") } },
+  { "refusals-are-true",
+    FALSE,
+    { ERROR_ (.id = "a", .ran = "unknown", .request = "r-1"),
+      RUN_ (.id = "a", .request = "r-1") } },
+  { "refusals-are-true",
+    TRUE,
+    { ERROR_ (.id = "a", .ran = "no"), RUN_ (.id = "a") } },
+  { "refusals-are-true",
+    TRUE,
+    { ERROR_ (.id = "a", .ran = "no", .request = "r-1"), ANSWER_ (.id = "a"),
+      RUN_ (.id = "a", .request = "r-1") } },
+  { "refusals-are-true",
+    TRUE,
+    { ERROR_ (.id = "a", .ran = "no", .request = "r-1"),
+      START_ (.request = "r-1") } },
+  { "refusals-are-true",
+    TRUE,
+    { { .kind = HIS_TURNED, .id = "a" }, RUN_ (.id = "a") } },
+  { "answers-are-whole",
+    FALSE,
+    { ANSWER_ (.id = "a", .text = "x y", .expected = "x y") } },
+  { "answers-are-whole",
+    TRUE,
+    { ANSWER_ (.id = "a", .text = "x", .expected = "x y") } },
+  { "same-answer",
+    FALSE,
+    { ANSWER_ (.key = "k", .text = "x"), ANSWER_ (.key = "l", .text = "y"),
+      ANSWER_ (.key = "k", .text = "x") } },
+  { "same-answer",
+    TRUE,
+    { ANSWER_ (.key = "k", .text = "x"), ANSWER_ (.key = "k", .text = "y") } },
+  { "tries-end",
+    FALSE,
+    { CALL_ (.id = "a"),
+      { .kind = HIS_TURNED, .id = "a" },
+      CALL_ (.id = "a"),
+      ANSWER_ (.id = "a") } },
+  { "tries-end",
+    TRUE,
+    { CALL_ (.id = "a"), CALL_ (.id = "a"), ANSWER_ (.id = "a") } },
+  { "none-is-cut-off",
+    FALSE,
+    { CALL_ (.id = "a", .t = 1),
+      { .kind = HIS_DOWN, .process = "p", .t = 2 },
+      { .kind = HIS_CUT, .id = "a", .process = "p", .t = 3 } } },
+  { "none-is-cut-off",
+    TRUE,
+    { { .kind = HIS_DOWN, .process = "p", .t = 1 },
+      CALL_ (.id = "a", .t = 3),
+      { .kind = HIS_CUT, .id = "a", .process = "p", .t = 4 } } },
+  { "none-is-cut-off",
+    TRUE,
+    { CALL_ (.id = "a"),
+      { .kind = HIS_DOWN, .process = "q" },
+      { .kind = HIS_CUT, .id = "a", .process = "p" } } },
+  { "leaving-is-quiet",
+    FALSE,
+    { { .kind = HIS_LEAVING, .process = "s", .t = 1 },
+      START_ (.process = "s", .t = 4),
+      START_ (.process = "other", .t = 9),
+      { .kind = HIS_LIVE, .process = "s", .t = 10 },
+      START_ (.process = "s", .t = 11) } },
+  { "leaving-is-quiet",
+    TRUE,
+    { { .kind = HIS_LEAVING, .process = "s", .t = 1 },
+      START_ (.process = "s", .t = 5) } },
+  { "versions-go-forward",
+    FALSE,
+    { CONFIG_ ("p", 1, 1), CONFIG_ ("q", 3, 2), CONFIG_ ("p", 3, 3),
+      CONFIG_ ("p", 3, 4) } },
+  { "versions-go-forward", TRUE, { CONFIG_ ("p", 3, 1), CONFIG_ ("p", 2, 2) } },
+  { "accepted-is-everywhere",
+    FALSE,
+    { CONFIG_ ("p", 1, 1),
+      CONFIG_ ("q", 1, 1),
+      { .kind = HIS_ACCEPT, .version = 2, .t = 2 },
+      CONFIG_ ("p", 2, 7),
+      { .kind = HIS_DOWN, .process = "q", .t = 3 } } },
+  { "accepted-is-everywhere",
+    TRUE,
+    { CONFIG_ ("p", 1, 1),
+      { .kind = HIS_DOWN, .process = "p", .t = 2 },
+      { .kind = HIS_UP, .process = "p", .t = 3 },
+      { .kind = HIS_ACCEPT, .version = 2, .t = 4 } } },
+  { "accepted-is-everywhere",
+    TRUE,
+    { CONFIG_ ("p", 1, 1),
+      { .kind = HIS_ACCEPT, .version = 2, .t = 2 },
+      CONFIG_ ("p", 2, 8) } },
+};
+
+static void
+test_rules (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (samples); i++)
+    {
+      const struct sample *s = &samples[i];
+      struct his *his = his_new ();
+      GString *report = g_string_new (NULL);
+      for (guint k = 0; k < EVENTS_MAX; k++)
+        {
+          struct his_event event = s->events[k];
+          event.t = event.t ? event.t * SECOND : k + 1;
+          if (event.kind != HIS_CALL || event.id != NULL)
+            his_add (his, &event);
+        }
+      CU_ASSERT_EQUAL (his_check (his, s->rule, report) > 0, s->breaks);
+      CU_ASSERT_EQUAL (report->len > 0, s->breaks);
+      g_string_free (report, TRUE);
+      his_free (his);
+    }
+}
+
+static const char service_lines[]
+    = "{\"t_us\": 5, \"process\": \"s\", \"kind\": \"execute\", "
+      "\"id\": \"a\", \"attempt\": \"r-1-1\"}\n"
+      "{\"t_us\": 6, \"process\": \"s\", \"kind\": \"execute\", "
+      "\"id\": \"a\", \"attempt\": \"r-1-2\"}\n";
+static const char log_lines[]
+    = "not JSON\n"
+      "{\"time\": \"2026-01-01T00:00:01.5Z\", \"instance\": \"p\", "
+      "\"event\": \"config.applied\", \"text\": \"version 7, preset x\"}\n"
+      "{\"time\": \"2026-01-01T00:00:02Z\", \"instance\": \"p\", "
+      "\"event\": \"config.applied\", \"text\": \"version 6, preset x\"}\n";
+
+static void
+test_files (void)
+{
+  char *dir = g_dir_make_tmp ("his-XXXXXX", NULL);
+  char *history = g_build_filename (dir, "s.history", NULL);
+  char *log = g_build_filename (dir, "p.err", NULL);
+  GString *report = g_string_new (NULL);
+  struct his *his = his_new ();
+  const struct his_event refusal
+      = { .kind = HIS_ERROR, .id = "a", .ran = "no", .request = "r-1" };
+  g_file_set_contents (history, service_lines, -1, NULL);
+  g_file_set_contents (log, log_lines, -1, NULL);
+  his_add (his, &refusal);
+  his_read_dir (his, dir);
+  struct his *copy = his_copy (his);
+  CU_ASSERT_EQUAL (his_count (copy, HIS_EXECUTE, NULL), 2);
+  CU_ASSERT_EQUAL (his_check (copy, "at-most-once", report), 1);
+  CU_ASSERT_EQUAL (his_check (copy, "refusals-are-true", report), 2);
+  CU_ASSERT_EQUAL (his_check (copy, "versions-go-forward", report), 1);
+  CU_ASSERT_EQUAL (his_check (copy, NULL, report), 4);
+  his_free (copy);
+  his_free (his);
+  g_string_free (report, TRUE);
+  g_unlink (history);
+  g_unlink (log);
+  g_rmdir (dir);
+  g_free (log);
+  g_free (history);
+  g_free (dir);
+}
+
+static CU_TestInfo tests[] = {
+  { "each rule finds what breaks it", test_rules },
+  { "histories and logs are read", test_files },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "his", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
