Let libsoup close the connection of a caller that hung up

Cause: a caller's hang-up is found by peeking while libsoup waits for the answer; the call ended, but libsoup kept the paused message and with it the connection: 120 hang-ups left 118 open files (counted in /proc). Ruled out: the engine's connections (closed: 'cancel' in its history). Change: the connection is shut down and the message woken, so that libsoup finds it closed. Measured: test_callers 'hang-ups leave no connection behind' fails with the old file (7 passed, 1 failed), passes with the new: 8 passed, 0 failed.

--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define STATUS_CALLER_GONE 499 /* never seen by anyone */
+
 static void
 raise_event (struct ent_call *call, const struct nod_event *event)
 {
@@ -62,27 +64,41 @@
   soup_server_message_unpause (call->message);
 }
 
+/* Ends the caller's connection. libsoup keeps a message that waits for its
+   answer, so it is woken to find that nobody is there.  */
+static void
+close_connection (struct ent_call *call)
+{
+  g_signal_handlers_disconnect_by_data (call->message, call);
+  g_socket_shutdown (call->socket, TRUE, TRUE, NULL);
+  if (call->finished)
+    return;
+  if (call->relaying)
+    soup_message_body_complete (
+        soup_server_message_get_response_body (call->message));
+  else
+    soup_server_message_set_status (call->message, STATUS_CALLER_GONE, NULL);
+  wake (call);
+}
+
 /* The caller is gone: the node cancels the work, then the call ends. A call
    under an idempotency key that may run already goes on, so that its answer is
    recorded for the caller's next try.  */
 static void
 caller_gone (struct ent_call *call)
 {
+  struct nod_event event = { .kind = NOD_CALLER_GONE };
+  struct ent *ent = call->ent;
+  guint64 id = call->id;
+  stop_watching (call);
   if (call->keyed && call->attempt != NULL && !call->finished)
     {
       call->orphan = TRUE;
-      stop_watching (call);
-      g_signal_handlers_disconnect_by_data (call->message, call);
       return;
     }
-  struct nod_event event = { .kind = NOD_CALLER_GONE };
-  struct ent *ent = call->ent;
-  guint64 id = call->id;
-  gboolean finished = call->finished;
-  stop_watching (call);
   drop_attempt (call);
   event.caller_gone = id;
-  if (!finished)
+  if (!call->finished)
     raise_event (call, &event);
   g_hash_table_remove (ent->calls, &id);
 }
@@ -91,6 +107,7 @@
 on_finished (SoupServerMessage *message, gpointer data)
 {
   (void)message;
+  g_signal_handlers_disconnect_by_data (message, data);
   caller_gone (data);
 }
 
@@ -122,6 +139,7 @@
     }
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return G_SOURCE_CONTINUE;
+  close_connection (call);
   caller_gone (call);
   return G_SOURCE_REMOVE;
 }
@@ -577,6 +595,6 @@
                                   .request_id = call->request_id,
                                   .step = "caller.write" },
              "%" G_GSIZE_FORMAT " bytes not taken", call->unsent);
-  g_socket_shutdown (call->socket, TRUE, TRUE, NULL);
+  close_connection (call);
   caller_gone (call);
 }
--- a/tests/proc/test_callers.c
+++ b/tests/proc/test_callers.c
@@ -281,6 +281,45 @@
   g_free (request);
 }
 
+static guint
+open_files (guint entry)
+{
+  char *path
+      = g_strdup_printf ("/proc/%d/fd", har_pid (dep->entries[entry].proc));
+  GDir *dir = g_dir_open (path, 0, NULL);
+  guint n = 0;
+  while (dir != NULL && g_dir_read_name (dir) != NULL)
+    n++;
+  g_clear_pointer (&dir, g_dir_close);
+  g_free (path);
+  return n;
+}
+
+static gboolean
+has_closed (void *ctx)
+{
+  return open_files (0) <= *(guint *)ctx;
+}
+
+static void
+test_hang_ups_leave_nothing (void)
+{
+  guint bound = open_files (0) + 4; /* connections to engines may stay */
+  for (guint i = 0; i < 20; i++)
+    {
+      GSocketConnection *connection = connect_raw (0);
+      char *request = raw_stream_request (2000, 0);
+      send_raw (connection, request);
+      if (i % 2 == 0)
+        g_input_stream_read (
+            g_io_stream_get_input_stream (G_IO_STREAM (connection)), request, 1,
+            NULL, NULL);
+      g_object_unref (connection);
+      g_free (request);
+    }
+  CU_ASSERT_TRUE (har_wait_until (has_closed, &bound, HAR_DEADLINE_MS));
+}
+
 static void
 test_the_process_goes_on (void)
 {
@@ -297,6 +336,7 @@
   { "a refused body is not kept", test_a_refused_body_is_not_kept },
   { "a slow sender is cut", test_slow_sender_is_cut },
   { "a hang-up cancels the engine's work", test_hang_up_cancels_the_engine },
+  { "hang-ups leave no connection behind", test_hang_ups_leave_nothing },
   { "the process goes on", test_the_process_goes_on },
   CU_TEST_INFO_NULL,
 };
