Keep the key of a keyed call whose caller left while it ran

Cause: attempts were counted as sent only when they ended, so a caller that hung up while the first attempt ran freed its key, and a second try was sent. The daemon's entry keeps such calls going; the node alone was wrong. Change: a running attempt counts as sent.

--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -314,6 +314,8 @@
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL)
     return;
+  if (req->state == REQ_RUNNING)
+    req->sent_attempts++;
   let_go (nod, req);
   if (req->state == REQ_RECORDING)
     lec_withdraw (nod->lec, id);
