Measure the costs of a node against the deployment's size

Ruled out: processes alone, since 390 of them do not fit; the policy bench, which has seven nodes. Change: bench_capacity runs real nodes on a fake clock with messages handed over in memory (up to 396), single cells and objects, and real processes on loopback (5 to 40). The test fixture names more than 26 instances of a failure domain.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BUILD)/tests/bench/bench_policy
 
 bench-capacity: all
-	$(BUILD)/tests/bench/bench_capacity
+	$(BUILD)/tests/capacity/bench_capacity
 
 format:
 	# Trailing comments settle in a second pass.
--- /dev/null
+++ b/tests/capacity/control.c
@@ -0,0 +1,172 @@
+/* Control traffic and cost of a node without work.  */
+#include "capacity/cap.h"
+#include "capacity/fit.h"
+#include "capacity/fleet.h"
+
+#include <string.h>
+
+#define SETTLE_US (10 * CLK_S)
+#define MEASURE_S 10
+
+/* Means over the nodes and the highest of one node, a second. */
+struct control
+{
+  double out, in, out_worst, in_worst; /* bytes with headers */
+  double payload, payload_worst;       /* bytes sent without headers */
+  double messages, messages_worst;     /* sent and received */
+  double cpu, cpu_worst;               /* microseconds */
+  double links, links_worst;           /* connections */
+};
+
+static void
+add (double *mean, double *worst, double value, guint n)
+{
+  *mean += value / n;
+  *worst = MAX (*worst, value);
+}
+
+static struct control
+summarize (const struct fleet *fleet, double s)
+{
+  struct control c = { 0 };
+  for (guint i = 0; i < fleet->n; i++)
+    {
+      const struct fleet_node *node = &fleet->nodes[i];
+      guint links = 0;
+      for (guint k = 0; k < fleet->n; k++)
+        links += fleet->linked[i][k];
+      add (&c.out, &c.out_worst, fleet_wire_bytes (&node->out) / s, fleet->n);
+      add (&c.in, &c.in_worst, fleet_wire_bytes (&node->in) / s, fleet->n);
+      add (&c.payload, &c.payload_worst, (double)node->out.bytes / s, fleet->n);
+      add (&c.messages, &c.messages_worst,
+           (double)(node->out.messages + node->in.messages) / s, fleet->n);
+      add (&c.cpu, &c.cpu_worst, (double)node->cpu_ns / 1e3 / s, fleet->n);
+      add (&c.links, &c.links_worst, links, fleet->n);
+    }
+  return c;
+}
+
+static void
+print_kinds (const struct fleet *fleet, const char *name)
+{
+  for (int kind = 0; kind < MSG_N; kind++)
+    {
+      guint64 messages = 0, bytes = 0;
+      for (guint i = 0; i < fleet->n; i++)
+        {
+          messages += fleet->nodes[i].kinds[kind];
+          bytes += fleet->nodes[i].kind_bytes[kind];
+        }
+      if (messages == 0)
+        continue;
+      g_print ("%s_%s_sent %.4g 1/s\n", name, msg_kind_name (kind),
+               (double)messages / MEASURE_S / fleet->n);
+      g_print ("%s_%s_bytes %.4g bytes/s\n", name, msg_kind_name (kind),
+               (double)bytes / MEASURE_S / fleet->n);
+    }
+}
+
+static void
+print (const struct control *c, const char *name, guint size)
+{
+  char *base = g_strdup_printf ("%s_%u", name, size);
+#define LINE(member, unit)                                                     \
+  g_print ("%s_" #member " %.5g " unit "\n", base, c->member)
+  LINE (out, "bytes/s");
+  LINE (out_worst, "bytes/s");
+  LINE (in, "bytes/s");
+  LINE (in_worst, "bytes/s");
+  LINE (payload, "bytes/s");
+  LINE (payload_worst, "bytes/s");
+  LINE (messages, "1/s");
+  LINE (messages_worst, "1/s");
+  LINE (cpu, "us/s");
+  LINE (cpu_worst, "us/s");
+  LINE (links, "connections");
+  LINE (links_worst, "connections");
+#undef LINE
+  g_free (base);
+}
+
+static struct control
+measure (guint domains, guint per_domain, const char *name, guint size)
+{
+  const struct fleet_options options = {
+    .gen
+    = { domains, TARGET_BACKENDS * domains / TARGET_DOMAINS, TARGET_TEAMS },
+    .per_domain = per_domain,
+  };
+  struct fleet *fleet = fleet_new (&options);
+  fleet_run (fleet, SETTLE_US);
+  fleet_reset (fleet);
+  fleet_run (fleet, MEASURE_S * CLK_S);
+  struct control c = summarize (fleet, MEASURE_S);
+  print (&c, name, size);
+  if (per_domain * domains >= TARGET_NODES)
+    print_kinds (fleet, name);
+  fleet_free (fleet);
+  return c;
+}
+
+struct fits
+{
+  struct fit out, out_worst, messages, messages_worst, cpu, links;
+};
+
+static void
+add_point (struct fits *fits, double x, const struct control *c)
+{
+  fit_add (&fits->out, x, c->out);
+  fit_add (&fits->out_worst, x, c->out_worst);
+  fit_add (&fits->messages, x, c->messages);
+  fit_add (&fits->messages_worst, x, c->messages_worst);
+  fit_add (&fits->cpu, x, c->cpu);
+  fit_add (&fits->links, x, c->links_worst);
+}
+
+static void
+print_fits (const struct fits *fits, const char *name, const char *per,
+            double target)
+{
+  const struct
+  {
+    const struct fit *fit;
+    const char *what;
+    const char *unit;
+  } list[] = {
+    { &fits->out, "out", "bytes/s" },
+    { &fits->out_worst, "out_worst", "bytes/s" },
+    { &fits->messages, "messages", "1/s" },
+    { &fits->messages_worst, "messages_worst", "1/s" },
+    { &fits->cpu, "cpu", "us/s" },
+    { &fits->links, "links_worst", "connections" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (list); i++)
+    {
+      char *full = g_strdup_printf ("%s_%s", name, list[i].what);
+      fit_print (list[i].fit, full, list[i].unit, per, target);
+      g_free (full);
+    }
+}
+
+void
+control_run (void)
+{
+  static const guint nodes[] = { 5, 10, 20, 36 };
+  static const guint domains[] = { 2, 4, 7, TARGET_DOMAINS };
+  struct fits by_nodes = { 0 };
+  struct fits by_domains = { 0 };
+  for (guint i = 0; i < G_N_ELEMENTS (nodes); i++)
+    {
+      struct control c = measure (1, nodes[i], "idle_domain_nodes", nodes[i]);
+      add_point (&by_nodes, nodes[i], &c);
+    }
+  print_fits (&by_nodes, "idle_domain_nodes", "node", TARGET_DOMAIN_NODES);
+  for (guint i = 0; i < G_N_ELEMENTS (domains); i++)
+    {
+      struct control c = measure (domains[i], TARGET_DOMAIN_NODES,
+                                  "idle_domains", domains[i]);
+      add_point (&by_domains, domains[i], &c);
+    }
+  print_fits (&by_domains, "idle_domains", "domain", TARGET_DOMAINS);
+}
--- /dev/null
+++ b/tests/capacity/gen.c
@@ -0,0 +1,117 @@
+#include "capacity/gen.h"
+
+#include <string.h>
+
+void
+gen_domain (guint i, struct str_id *domain, struct str_id *region)
+{
+  g_snprintf (domain->s, sizeof domain->s, "region%u-%u", i % GEN_REGIONS,
+              i / GEN_REGIONS);
+  g_snprintf (region->s, sizeof region->s, "region%u", i % GEN_REGIONS);
+}
+
+static void
+add_classes (GString *text)
+{
+  for (guint i = 0; i < GEN_TIERS; i++)
+    g_string_append_printf (
+        text,
+        "[class:class%u]\n"
+        "tier=%u\nttft_ms=%u\ntbt_ms=31\ndeadline_ms=120000\nmin_share=0.1\n"
+        "max_waiting=256\nreserved_waiting=16\nretry_share=0.1\n"
+        "link_bytes_per_s=400000\nspill=anywhere\n",
+        i, i, 360 * (i + 1));
+}
+
+static void
+add_teams (GString *text, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      char *key = g_strdup_printf ("key of team %u", i);
+      char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+      g_string_append_printf (
+          text,
+          "[team:team-%u]\n"
+          "key_sha256=%s\nweight=1\nmax_running=0\n"
+          "classes=class0;class1;class2;class3;class4\ndefault_class=class%u\n",
+          i, digest, i % GEN_TIERS);
+      g_free (digest);
+      g_free (key);
+    }
+}
+
+static void
+add_backends (GString *text, const struct gen *gen)
+{
+  for (guint i = 0; i < gen->backends; i++)
+    {
+      struct str_id domain, region;
+      guint d = i % gen->domains;
+      gen_domain (d, &domain, &region);
+      g_string_append_printf (text,
+                              "[backend:%s-engine-%u]\n"
+                              "address=10.%u.%u.%u:8000\n"
+                              "pool=model%u\ndomain=%s\nmax_running=256\n",
+                              domain.s, i / gen->domains, d, i / 250, i % 250,
+                              i / gen->domains % GEN_MODELS, domain.s);
+    }
+}
+
+/* Three servers of the plain service in each failure domain.  */
+static void
+add_services (GString *text, const struct gen *gen)
+{
+  g_string_append (text, "[service:account]\nrepeatable=no\n");
+  for (guint i = 0; i < GEN_SERVICES * gen->domains; i++)
+    {
+      struct str_id domain, region;
+      gen_domain (i % gen->domains, &domain, &region);
+      g_string_append_printf (text,
+                              "[backend:%s-account-%u]\n"
+                              "address=10.100.%u.%u:8000\n"
+                              "pool=account\ndomain=%s\nmax_running=256\n",
+                              domain.s, i / gen->domains, i % gen->domains,
+                              i / gen->domains, domain.s);
+    }
+}
+
+/* Returns the text of a configuration; the caller unrefs it.  */
+GBytes *
+gen_body (const struct gen *gen)
+{
+  GString *text = g_string_new (
+      "[jacinthward]\npreset=ordinary\n"
+      "[preset:ordinary]\nspill=region\nlimit_scale=1.0\n"
+      "[preset:peak]\nspill=anywhere\nlimit_scale=1.1\n"
+      "[preset:maintenance]\nspill=anywhere\nlimit_scale=0.8\n");
+  for (guint i = 0; i < gen->domains; i++)
+    {
+      struct str_id domain, region;
+      gen_domain (i, &domain, &region);
+      g_string_append_printf (text, "[domain:%s]\nregion=%s\n", domain.s,
+                              region.s);
+    }
+  add_classes (text);
+  add_teams (text, gen->teams);
+  for (guint i = 0; i < GEN_MODELS; i++)
+    g_string_append_printf (text, "[model:model%u]\n", i);
+  add_backends (text, gen);
+  if (gen->services)
+    add_services (text, gen);
+  return g_string_free_to_bytes (text);
+}
+
+/* Returns the parsed configuration, version 1.  */
+struct cfg *
+gen_config (const struct gen *gen)
+{
+  GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
+  GBytes *body = gen_body (gen);
+  struct cfg *cfg = cfg_parse (body, 1, problems);
+  if (cfg == NULL)
+    g_error ("%s", (char *)g_ptr_array_index (problems, 0));
+  g_ptr_array_unref (problems);
+  g_bytes_unref (body);
+  return cfg;
+}
--- /dev/null
+++ b/tests/capacity/platform.h
@@ -0,0 +1,29 @@
+/* The platform's object API in memory, on the fake clock: versions,
+   conditional updates and waiting watches, counted by kind.  */
+#ifndef PLATFORM_H
+#define PLATFORM_H
+
+#include "policy/queue.h"
+#include "store/sto.h"
+
+struct platform
+{
+  struct queue *queue;
+  GHashTable *objects; /* name -> struct object * */
+  GPtrArray *watches;  /* struct visit * that wait */
+  guint64 last;        /* version */
+  guint last_watch;
+  gboolean down; /* refuses every call */
+  guint64 calls[STO_WATCH + 1];
+  guint64 put_bytes;
+};
+
+void platform_init (struct platform *platform, struct queue *queue);
+void platform_clear (struct platform *platform);
+void platform_put (struct platform *platform, const char *name, GBytes *body);
+/* Starts CALL; DONE comes later, once. A SEVERED caller cannot reach it. */
+void platform_start (struct platform *platform, const struct sto_call *call,
+                     gboolean severed, sto_done done, void *ctx);
+void platform_reset (struct platform *platform);
+
+#endif
--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -4,6 +4,7 @@
 
 #define PROGRAMS "packages/jacinthward/" /* below the build folder */
 #define STANDINS "tests/standin/"
+#define LETTERS 26 /* that end the names of instances; then numbers */
 
 static const char config_head[]
     = "[jacinthward]\n"
@@ -141,7 +142,9 @@
       node->region = domain->region;
       node->peer_port = har_free_port ();
       g_snprintf (node->name, sizeof node->name, "%s-%c", domain->name,
-                  'a' + (char)i);
+                  'a' + (char)(i % LETTERS));
+      if (i >= LETTERS)
+        g_snprintf (node->name, sizeof node->name, "%s-%u", domain->name, i);
     }
 }
 
--- a/tests/proc/test_callers.c
+++ b/tests/proc/test_callers.c
@@ -167,15 +167,15 @@
 {
   char *code;
   char *body = g_strnfill (70000, 'x');
-  CU_ASSERT_EQUAL (status_of ("POST", "/v1/completions", DEP_TEAM_KEY,
-                              "urgent", body, &code),
+  CU_ASSERT_EQUAL (status_of ("POST", "/v1/completions", DEP_TEAM_KEY, "urgent",
+                              body, &code),
                    413);
   g_free (code);
   g_free (body);
   char *name = g_strnfill (5000, 'x');
-  CU_ASSERT_EQUAL (status_of ("POST", "/v1/completions", DEP_TEAM_KEY, name,
-                              "{}", &code),
-                   431);
+  CU_ASSERT_EQUAL (
+      status_of ("POST", "/v1/completions", DEP_TEAM_KEY, name, "{}", &code),
+      431);
   g_free (code);
   g_free (name);
   CU_ASSERT_TRUE (counts (0, "too_large", 2));
@@ -196,8 +196,7 @@
 static void
 send_raw (GSocketConnection *connection, const char *text)
 {
-  GOutputStream *out
-      = g_io_stream_get_output_stream (G_IO_STREAM (connection));
+  GOutputStream *out = g_io_stream_get_output_stream (G_IO_STREAM (connection));
   g_output_stream_write_all (out, text, strlen (text), NULL, NULL, NULL);
 }
 
@@ -223,8 +222,7 @@
                                 tokens, padding);
   char *text = g_strdup_printf ("POST /v1/completions HTTP/1.1\r\n"
                                 "Host: x\r\nAuthorization: %s\r\n"
-                                "Content-Length: %" G_GSIZE_FORMAT
-                                "\r\n\r\n%s",
+                                "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
                                 DEP_TEAM_BEARER, strlen (body), body);
   g_free (padding);
   g_free (body);
@@ -240,8 +238,8 @@
   char *request = raw_stream_request (2000, 0);
   char buffer[512];
   send_raw (connection, request);
-  CU_ASSERT_TRUE (
-      g_input_stream_read (in, buffer, sizeof buffer, NULL, NULL) > 0);
+  CU_ASSERT_TRUE (g_input_stream_read (in, buffer, sizeof buffer, NULL, NULL)
+                  > 0);
   g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
   CU_ASSERT_TRUE (har_wait_until (has_cancelled, &goal, HAR_DEADLINE_MS));
   CU_ASSERT_TRUE (counts (0, "caller_gone", 1));
