Spread the relaying of summaries over a failure domain

Cause: each failure domain sent its summary to the first live instance, by id, that it knew of another domain, so all senders met at the same one, which passed each on to its 35 peers. Ruled out: a second hop to a relaying instance by rank, which can loop while views differ. Change: the sender takes the instance at its own domain's place in the configuration among those that it knows there.

--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -275,9 +275,10 @@
 struct summary_round
 {
   struct nod *nod;
-  GArray *own;         /* cells owned here */
-  GArray *all;         /* all known cells of the domain */
-  GHashTable *reached; /* other domains that got a copy; borrowed names */
+  GArray *own;          /* cells owned here */
+  GArray *all;          /* all known cells of the domain */
+  GHashTable *contacts; /* other domain -> GPtrArray of its struct
+                           mem_instance, in the order of ids */
 };
 
 /* Tells whether this instance speaks for its failure domain to DOMAIN. The
@@ -291,6 +292,20 @@
   return speaker == NULL || strcmp (speaker->id.s, nod->self.s) == 0;
 }
 
+/* Notes a live instance of another failure domain.  */
+static void
+note_contact (struct summary_round *round, const struct mem_instance *instance)
+{
+  const char *domain = instance->domain.s;
+  GPtrArray *list = g_hash_table_lookup (round->contacts, domain);
+  if (list == NULL)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (round->contacts, (gpointer)domain, list);
+    }
+  g_ptr_array_add (list, (gpointer)instance);
+}
+
 static void
 send_round (void *ctx, const struct mem_instance *instance)
 {
@@ -298,18 +313,31 @@
   struct nod *nod = round->nod;
   if (!instance->live || strcmp (instance->id.s, nod->self.s) == 0)
     return;
-  if (strcmp (instance->domain.s, nod->domain.s) == 0)
+  if (strcmp (instance->domain.s, nod->domain.s) != 0)
+    note_contact (round, instance);
+  else if (round->own->len > 0)
+    send_cells (nod, instance->id.s, round->own);
+}
+
+/* Sends all cells to an instance of each other domain that this one speaks
+   to. The domains take different instances there, by their place in the
+   configuration, so that none relays for all of them.  */
+static void
+send_to_contacts (struct summary_round *round)
+{
+  struct nod *nod = round->nod;
+  int place = cfg_find_domain (nod->cfg, str_of (nod->domain.s));
+  GHashTableIter iter;
+  gpointer domain, list;
+  g_hash_table_iter_init (&iter, round->contacts);
+  while (g_hash_table_iter_next (&iter, &domain, &list))
     {
-      if (round->own->len > 0)
-        send_cells (nod, instance->id.s, round->own);
-      return;
+      const GPtrArray *contacts = list;
+      const struct mem_instance *contact
+          = contacts->pdata[(guint)MAX (place, 0) % contacts->len];
+      if (speaks_to (nod, domain))
+        send_cells (nod, contact->id.s, round->all);
     }
-  if (round->all->len == 0
-      || g_hash_table_contains (round->reached, instance->domain.s)
-      || !speaks_to (nod, instance->domain.s))
-    return;
-  g_hash_table_add (round->reached, (gpointer)instance->domain.s);
-  send_cells (nod, instance->id.s, round->all);
 }
 
 /* Sends the cells owned here to the own failure domain and, to each other
@@ -323,9 +351,12 @@
   round.own = own_summaries (nod);
   round.all = g_array_copy (round.own);
   add_heard (nod, round.all);
-  round.reached = g_hash_table_new (g_str_hash, g_str_equal);
+  round.contacts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                          (GDestroyNotify)g_ptr_array_unref);
   mem_each (nod->mem, send_round, &round);
-  g_hash_table_unref (round.reached);
+  if (round.all->len > 0)
+    send_to_contacts (&round);
+  g_hash_table_unref (round.contacts);
   g_array_unref (round.all);
   g_array_unref (round.own);
 }
--- a/tests/capacity/control.c
+++ b/tests/capacity/control.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define SETTLE_US (10 * CLK_S)
+#define SETTLE_US (20 * CLK_S)
 #define MEASURE_S 10
 
 /* Means over the nodes and the highest of one node, a second. */
