--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -10,7 +10,7 @@
     {
       const struct srv *srv = cel->servers->pdata[i];
       summary->free_slots += srv_free_slots (srv);
-      summary->servers += srv_takes_work (srv) ? 1 : 0;
+      summary->servers += srv_takes_work (srv) && srv->hea.state != HEA_EJECTED;
     }
   summary->starts_per_s = (guint32)(rte_starts_per_s (&cel->rate) + 0.5);
   for (guint i = 0; i < cel->classes->len; i++)
@@ -41,6 +41,8 @@
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "name");
   json_builder_add_string_value (json, srv->cfg.name.s);
+  add_int (json, "target_us", srv->target_us);
+  add_int (json, "reserved", srv->reserved);
   add_int (json, "limit", srv_limit (srv));
   add_int (json, "in_flight", srv->in_flight.length);
   json_builder_set_member_name (json, "health");
--- a/packages/cell/srv.h
+++ b/packages/cell/srv.h
@@ -16,6 +16,7 @@
   gboolean engine;        /* streams tokens; otherwise a plain service */
   gboolean gone;          /* left the configuration; drops when idle */
   gboolean leaving;       /* by the list of servers or its own word */
+  guint reserved;         /* slots kept for the tightest target */
   GQueue in_flight;       /* of struct tkt, granted or running */
   struct lim lim;
   struct hea hea;
@@ -41,7 +42,8 @@
 void srv_take (struct srv *srv, struct tkt *tkt, gint64 now);
 void srv_drop (struct srv *srv, struct tkt *tkt);
 void srv_tokens (struct srv *srv, gint64 tbt_us, guint tokens, gint64 now);
-void srv_result (struct srv *srv, const struct msg_release *release);
+void srv_result (struct srv *srv, const struct tkt *tkt,
+                 const struct msg_release *release);
 void srv_load (struct srv *srv, const struct cel_load *load, gint64 now);
 void srv_tick (struct srv *srv, gint64 now);
 
--- a/packages/ledger/led_batch.c
+++ b/packages/ledger/led_batch.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-#define RECORD_BYTES 72   /* of a record without its answer, at most */
-#define RESULTS_ENOUGH 32 /* waiting results that need no more company */
+#define RECORD_BYTES 72         /* of a record without its answer, at most */
+#define SYNCED_US (10 * CLK_MS) /* memory is up to date for so long */
+#define RESULTS_ENOUGH 32       /* waiting results that need no more company */
 
 static gboolean
 is_mine (const struct led_item *item, const struct led_rec *rec)
@@ -34,8 +35,7 @@
   enum msg_verdict verdict = MSG_VERDICT_UNKNOWN;
   if (rec && is_mine (item, rec))
     verdict = rec->state == LED_DONE ? MSG_VERDICT_DONE : MSG_VERDICT_AWAY;
-  else if (item->did_not_run
-           && (led->unresolved || led_find_item (led, item, FALSE)))
+  else if (item->did_not_run && led_find_item (led, item, FALSE))
     return FALSE;
   else if (item->did_not_run)
     verdict = MSG_VERDICT_AWAY;
@@ -194,7 +194,6 @@
   led->version = led->min_version = version;
   led->unresolved = FALSE;
   led->slot_ready = FALSE;
-  led->slot_version = 0;
   for (GList *l = led->queue.head; l; l = l->next)
     ((struct led_item *)l->data)->open = FALSE;
 }
@@ -222,10 +221,12 @@
 {
   if (led->slot_ready)
     {
-      led_tab_close_head (led->tab, led->write.time);
+      led_tab_close_head (led->tab, led->slot_seq, led->write.time);
       led_tab_expire (led->tab, led->write.first);
+      led->tab->closes = led->write.closes;
     }
   led->failures = led->conflicts = 0;
+  led->synced = clk_now (led->options.clk);
   led_version_moved (led, version);
   apply_staged (led);
   led_decide_batch (led);
@@ -284,27 +285,29 @@
     }
 }
 
-/* Starts the write of the staged records, or of the next segment if they do
-   not fit into the head.  */
+/* Starts the write of the staged records, or closes the head's records into a
+   segment if there is no room for more.  */
 static void
 commit (struct led *led)
 {
-  const struct led_tab *tab = led->tab;
+  struct led_tab *tab = led->tab;
   guint32 now = led_seconds (led);
   guint32 keep = (guint32)(led->options.retention_us / CLK_S);
-  struct led_obj_writes writes = { led->staged, led->slot_ready };
-  led->write = (struct led_obj_header){ tab->first, tab->next, 0, now };
+  struct led_obj_parts parts = { NULL, !led->slot_ready, led->staged };
+  led->write
+      = (struct led_obj_header){ tab->first, tab->next, tab->closes, now };
   if (led->slot_ready)
     {
       led->write.first = led_tab_expired (tab, now - MIN (now, keep));
-      led->write.next++;
+      led->write.next = led->slot_seq + 1;
+      led->write.closes = led->version;
     }
-  GBytes *value = led_obj_encode (&led->write, tab, &writes);
+  GBytes *value = led_obj_encode (&led->write, tab, &parts);
   if (g_bytes_get_size (value) > led->options.head_max && tab->head->len > 0
       && !led->slot_ready)
     {
       unstage (led);
-      led_write_slot (led);
+      led_close_head (led);
     }
   else
     led_write_head (led, value);
@@ -327,6 +330,15 @@
   return FALSE;
 }
 
+/* Tells whether a write would probably be lost to another instance's that
+   memory does not have yet. Reading first costs less.  */
+static gboolean
+is_stale (const struct led *led)
+{
+  gint64 now = clk_now (led->options.clk);
+  return now < led->shared_until && now - led->synced > SYNCED_US;
+}
+
 /* Starts the next call of group commit if one is due and none is open.  */
 void
 led_pump (struct led *led)
@@ -346,8 +358,11 @@
   gboolean writes = g_hash_table_size (led->staged) > 0 || led->unresolved;
   if (now - (writes ? led->last_write : led->last_read) < gap)
     unstage (led);
-  else if (writes)
+  else if (writes && !is_stale (led))
     commit (led);
   else
-    led_read_head (led);
+    {
+      unstage (led);
+      led_read_head (led);
+    }
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -7,10 +7,11 @@
 #include "ledger/led.h"
 #include "node/nod.h"
 
-#define NOD_REQUESTS_MAX 65536        /* in progress at one entry */
-#define NOD_CELLS_TRIED_MAX 4         /* cells that may refuse one request */
-#define NOD_PROGRESS_US (1 * CLK_S)   /* between progress reports */
-#define NOD_MEMBERS_US (5 * CLK_S)    /* between lists of instances */
+#define NOD_REQUESTS_MAX 65536      /* in progress at one entry */
+#define NOD_CELLS_TRIED_MAX 4       /* cells that may refuse one request */
+#define NOD_PROGRESS_US (1 * CLK_S) /* between progress reports */
+#define NOD_MOVE_US (1 * CLK_S)     /* a ticket waits so long before it moves */
+#define NOD_MEMBERS_US (5 * CLK_S)  /* between lists of instances */
 #define NOD_SUMMARY_US (500 * CLK_MS) /* between summaries, small domains */
 /* Summaries of large failure domains come less often, so that a sender's
    bytes a second do not grow with the domain. */
@@ -76,20 +77,23 @@
   gint64 offer_at;     /* >0: offer again at this time, microseconds */
   struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
   guint n_tried;
-  struct str_id backend;  /* of the running attempt or of the grant */
-  guint32 priority;       /* for the engine, from the grant */
-  guint32 attempt;        /* of the last attempt; 0: none */
-  guint sent_attempts;    /* that may have left */
-  guint32 generated;      /* tokens that the caller got, all attempts */
-  guint32 unreported;     /* tokens since the last progress report */
-  gint64 opened;          /* start of this attempt, microseconds */
-  gint64 first_token;     /* of this attempt, microseconds; 0: none */
-  gint64 last_token;      /* of this attempt, microseconds */
-  guint32 attempt_tokens; /* of this attempt */
+  enum msg_reason no_route; /* why no cell was left to try */
+  struct str_id backend;    /* of the running attempt or of the grant */
+  guint32 priority;         /* for the engine, from the grant */
+  guint32 attempt;          /* of the last attempt; 0: none */
+  guint sent_attempts;      /* that may have left */
+  guint32 generated;        /* tokens that the caller got, all attempts */
+  guint32 unreported;       /* tokens since the last progress report */
+  gint64 opened;            /* start of this attempt, microseconds */
+  gint64 first_token;       /* of this attempt, microseconds; 0: none */
+  gint64 last_token;        /* of this attempt, microseconds */
+  guint32 attempt_tokens;   /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
+  gboolean forgiven; /* the list was emptied once */
+  gboolean fixed;    /* its text is too long to be resumed elsewhere */
   gboolean recorded; /* the ledger holds this request's intent */
-  gboolean crossed;  /* counted against the link's budget */
+  gboolean crosses;  /* the attempt runs beyond the link */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -97,7 +101,8 @@
 {
   struct msg_cell_summary summary;
   struct str_id domain;
-  gint64 heard; /* microseconds */
+  gint64 heard;  /* microseconds */
+  guint claimed; /* free slots that this entry took since */
 };
 
 struct nod_led_shard
@@ -147,8 +152,7 @@
   struct chr *chart; /* request.chart */
   struct mem *mem;
   struct chr *member_chart;
-  GHashTable *dialled; /* addresses kept connected, char * */
-  GQueue local;        /* struct msg *, from this instance to itself */
+  GQueue local; /* struct msg *, from this instance to itself */
   gboolean leaving;
   gboolean drained; /* told by NOD_DO_DRAINED */
 
@@ -202,7 +206,7 @@
 void nod_req_arrive (struct nod *nod, const struct nod_request *spec);
 void nod_req_caller_gone (struct nod *nod, guint64 id);
 void nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt,
-                     guint32 count);
+                     guint32 count, gsize bytes, gboolean resumable);
 void nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end);
 void nod_req_grant (struct nod *nod, const char *from,
                     const struct msg_grant *grant);
@@ -216,20 +220,24 @@
 void nod_req_peer_lost (struct nod *nod, const char *id);
 void nod_req_tick (struct nod *nod);
 void nod_req_progress (struct nod *nod);
+void nod_req_rebalance (struct nod *nod);
 void nod_req_free (void *data);
 void nod_req_dump (const struct nod *nod, JsonBuilder *json);
 
 /* nod_route.c: choice of a cell and of its owner */
 gboolean nod_route (struct nod *nod, struct nod_req *req);
+gboolean nod_route_move (struct nod *nod, struct nod_req *req);
 const char *nod_owner (struct nod *nod, struct str cell);
 gboolean nod_crosses_link (const struct nod *nod, const struct cfg *cfg,
                            guint domain);
 
 /* nod_budget.c: retry and link budgets per class */
+void nod_budget_init (struct nod *nod);
 void nod_budget_refill (struct nod *nod);
 void nod_budget_first_try (struct nod *nod, guint class_index);
 gboolean nod_budget_retry (struct nod *nod, guint class_index);
-gboolean nod_budget_link (struct nod *nod, guint class_index, guint64 bytes);
+gboolean nod_budget_may_cross (const struct nod *nod, guint class_index);
+void nod_budget_charge_link (struct nod *nod, guint class_index, guint64 bytes);
 
 /* nod_cell.c: cells served as an owner, summaries */
 struct cel *nod_cell_get (struct nod *nod, struct str name);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -76,7 +76,7 @@
 is_resumable (const struct nod_req *req)
 {
   return pool_of (req)->kind == CFG_ENGINE && req->spec.streamed
-         && req->spec.repeatable;
+         && req->spec.repeatable && !req->fixed;
 }
 
 /* Moves REQ on by EVENT. Returns FALSE, changing nothing, if its state does
@@ -281,7 +281,7 @@
   if (g_hash_table_size (nod->requests) > NOD_REQUESTS_MAX)
     refuse_for (nod, req, MSG_REASON_OVERLOAD, CLK_S, nod->self.s);
   else if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -324,6 +324,13 @@
   forget (nod, req);
 }
 
+static void
+charge_link (struct nod *nod, const struct nod_req *req, gsize bytes)
+{
+  if (req->crosses)
+    nod_budget_charge_link (nod, req->spec.class_index, bytes);
+}
+
 /* Starts an attempt on the granted server.  */
 static void
 open_attempt (struct nod *nod, struct nod_req *req)
@@ -341,6 +348,8 @@
   action.open.resume = req->generated > 0;
   action.open.fresh = !req->spec.repeatable;
   action.open.timeout_us = MAX (0, req->deadline - clk_now (nod->clk));
+  req->crosses = nod_crosses_link (nod, nod->cfg, nod->cfg->backends[i].domain);
+  charge_link (nod, req, req->spec.bytes);
   ctr_add (nod->ctr, CTR_ATTEMPTS, 1);
   if (req->attempt > 1)
     ctr_add (nod->ctr, action.open.resume ? CTR_RESUMES : CTR_RETRIES, 1);
@@ -385,6 +394,21 @@
     open_attempt (nod, req);
 }
 
+/* Every server was tried or avoided. A server that failed once may be well by
+   now, so all are open once more; attempts are bounded by the retry budget.
+   Returns FALSE if this was done before.  */
+static gboolean
+forgive_servers (struct nod_req *req)
+{
+  if (req->n_avoid == 0 || req->forgiven)
+    return FALSE;
+  memset (req->avoid, 0, sizeof req->avoid);
+  req->n_avoid = 0;
+  req->n_tried = 0;
+  req->forgiven = TRUE;
+  return TRUE;
+}
+
 static void
 mark_tried (struct nod_req *req)
 {
@@ -417,6 +441,9 @@
       if (req->n_tried < NOD_CELLS_TRIED_MAX
           && clk_now (nod->clk) < req->deadline && offer_anew (nod, req))
         return;
+      if (refuse->reason == MSG_REASON_NO_SERVER && forgive_servers (req)
+          && offer_anew (nod, req))
+        return;
       break;
     default:
       break;
@@ -437,12 +464,13 @@
   let_go (nod, req);
   req->sent_attempts++;
   if (step (nod, req, REQ_EV_REQUEUE) && !offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, from);
+    refuse_for (nod, req, req->no_route, CLK_S, from);
 }
 
-/* Notes COUNT tokens that went to the caller.  */
+/* Notes COUNT tokens, in BYTES of the stream, that went to the caller.  */
 void
-nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt, guint32 count)
+nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt, guint32 count,
+                gsize bytes, gboolean resumable)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL || req->attempt != attempt || req->state != REQ_RUNNING)
@@ -451,6 +479,8 @@
   if (req->first_token == 0)
     req->first_token = now;
   req->last_token = now;
+  req->fixed = !resumable;
+  charge_link (nod, req, bytes);
   req->attempt_tokens += count;
   req->generated += count;
   req->unreported += count;
@@ -552,6 +582,7 @@
       req->unreported += end->tokens;
       ctr_add (nod->ctr, CTR_TOKENS, end->tokens);
     }
+  charge_link (nod, req, end->bytes);
   send_release (nod, req, end->result);
   switch (end->result)
     {
@@ -578,7 +609,7 @@
     }
   step (nod, req, REQ_EV_REQUEUE);
   if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -670,7 +701,7 @@
       /* The other failure domain cannot be heard any more. */
       mark_tried (req);
       if (!offer_anew (nod, req))
-        refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+        refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
       return;
     }
   if (owner == NULL || (strcmp (owner, req->owner.s) == 0 && !restarted))
@@ -781,6 +812,61 @@
   g_hash_table_unref (by_owner);
 }
 
+static gint
+by_tier_and_age (gconstpointer a, gconstpointer b)
+{
+  const struct nod_req *x = *(struct nod_req *const *)a;
+  const struct nod_req *y = *(struct nod_req *const *)b;
+  guint tier_x = class_of (x)->tier;
+  guint tier_y = class_of (y)->tier;
+  if (tier_x != tier_y)
+    return tier_x < tier_y ? -1 : 1;
+  return x->arrived < y->arrived ? -1 : x->arrived > y->arrived;
+}
+
+/* Returns the requests that have waited long enough to move, the highest tier
+   and the oldest first.  */
+static GPtrArray *
+find_movable (const struct nod *nod)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  gint64 now = clk_now (nod->clk);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, nod->tickets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct nod_req *req = value;
+      if (req->state == REQ_WAITING && now - req->arrived >= NOD_MOVE_US)
+        g_ptr_array_add (found, req);
+    }
+  g_ptr_array_sort (found, by_tier_and_age);
+  return found;
+}
+
+/* Moves waiting requests from crowded cells to those with free slots, so that
+   no server idles while work for it waits elsewhere in the region.  */
+void
+nod_req_rebalance (struct nod *nod)
+{
+  GPtrArray *movable = find_movable (nod);
+  for (guint i = 0; i < movable->len; i++)
+    {
+      struct nod_req *req = movable->pdata[i];
+      struct str_id owner = req->owner;
+      guint64 ticket = req->ticket;
+      if (!nod_route_move (nod, req))
+        continue;
+      send_withdraw (nod, owner.s, ticket);
+      drop_ticket (nod, req);
+      req->ticket = ++nod->next_ticket;
+      g_hash_table_insert (nod->tickets, &req->ticket, req);
+      ctr_add (nod->ctr, CTR_MOVED, 1);
+      send_offer (nod, req);
+    }
+  g_ptr_array_unref (movable);
+}
+
 static void
 dump_int (JsonBuilder *json, const char *name, gint64 value)
 {
