Give the emulator and the benches folders of their own

Cause: the stand-ins, the load tool and the benches stood among the tests; they are used outside them and hid how much of the tree is tests.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,13 @@
 	$(BUILD)/tests/proc/demo
 
 bench: all
-	$(BUILD)/tests/bench/bench_relay
+	$(BUILD)/bench/relay/bench_relay
 
 bench-policy: all
-	$(BUILD)/tests/bench/bench_policy
+	$(BUILD)/bench/policy/bench_policy
 
 bench-capacity: all
-	$(BUILD)/tests/capacity/bench_capacity
+	$(BUILD)/bench/capacity/bench_capacity
 
 format:
 	# Trailing comments settle in a second pass.
--- a/tests/capacity/procs.c
+++ b/bench/capacity/procs.c
@@ -1,7 +1,7 @@
 /* Real processes on loopback: idle traffic, processor time and memory of an
    instance against the instances of its failure domain, and the cost of
    requests and tokens at their entry.  */
-#include "bench/lod.h"
+#include "load/lod.h"
 #include "capacity/cap.h"
 #include "capacity/fit.h"
 #include "harness/dep.h"
--- a/tests/bench/bench_relay.c
+++ b/bench/relay/bench_relay.c
@@ -5,7 +5,7 @@
    The calls for the added time are short and unstreamed, by callers that think
    between them, so that no process is full; direct and relayed rounds take
    turns.  */
-#include "bench/lod.h"
+#include "load/lod.h"
 #include "harness/har.h"
 
 #include <stdio.h>
@@ -56,7 +56,7 @@
 static gboolean
 start_stand_ins (struct bench *bench)
 {
-  const char *engine[] = { "tests/standin/standin_engine",
+  const char *engine[] = { "emulator/standin/standin_engine",
                            "--base-us",
                            STEP_US,
                            "--seq-us",
@@ -67,7 +67,7 @@
                            "/dev/null",
                            NULL };
   const char *platform[]
-      = { "tests/standin/standin_platform", "--history", "/dev/null", NULL };
+      = { "emulator/standin/standin_platform", "--history", "/dev/null", NULL };
   bench->platform = start_ready (bench, "platform", platform);
   gboolean ok = bench->platform != NULL;
   for (guint i = 0; i < ENGINES && ok; i++)
@@ -99,7 +99,7 @@
       = { "KEY_SHA256", digest,   "ENGINE_1", ports[0], "ENGINE_2", ports[1],
           "ENGINE_3",   ports[2], "ENGINE_4", ports[3], NULL };
   char *path
-      = har_template (bench->har, JW_SOURCE_DIR "/tests/bench/relay_config.ini",
+      = har_template (bench->har, JW_SOURCE_DIR "/bench/relay/relay_config.ini",
                       "config.ini", values);
   char *body = NULL;
   gboolean ok = path != NULL && g_file_get_contents (path, &body, NULL, NULL);
@@ -144,14 +144,14 @@
 start_daemon (struct bench *bench)
 {
   const char *none[] = { NULL };
-  char *key = har_template (bench->har, JW_SOURCE_DIR "/tests/bench/relay.key",
+  char *key = har_template (bench->har, JW_SOURCE_DIR "/bench/relay/relay.key",
                             "peer.key", none);
   char *port = port_text (bench->platform);
   static const char charts[] = JW_SOURCE_DIR "/charts";
   const char *values[]
       = { "CHARTS", charts, "KEY_FILE", key, "PLATFORM", port, NULL };
   char *settings = har_template (
-      bench->har, JW_SOURCE_DIR "/tests/bench/relay.ini", "relay.ini", values);
+      bench->har, JW_SOURCE_DIR "/bench/relay/relay.ini", "relay.ini", values);
   const char *argv[]
       = { "packages/jacinthward/jacinthward", "--settings", settings, NULL };
   bench->daemon = start_ready (bench, "jacinthward", argv);
--- a/tests/bench/load.c
+++ b/emulator/load/load.c
@@ -1,6 +1,6 @@
 /* jw_load: puts load on entry instances or engines and prints what callers
    saw as lines "name value unit".  */
-#include "bench/lod.h"
+#include "load/lod.h"
 
 #include <stdio.h>
 
--- a/tests/bench/lod.c
+++ b/emulator/load/lod.c
@@ -1,4 +1,4 @@
-#include "bench/lod.h"
+#include "load/lod.h"
 #include "standin/txt.h"
 
 #include <glib-unix.h>
--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define PROGRAMS "packages/jacinthward/" /* below the build folder */
-#define STANDINS "tests/standin/"
+#define STANDINS "emulator/standin/"
 #define START_TRIES_MAX 3
 #define LETTERS 26 /* that end the names of instances; then numbers */
 
--- a/tests/unit/test_standin_engine.c
+++ b/tests/unit/test_standin_engine.c
@@ -6,7 +6,7 @@
 #include <signal.h>
 #include <string.h>
 
-#define ENGINE "tests/standin/standin_engine"
+#define ENGINE "emulator/standin/standin_engine"
 
 static guint tokens;       /* seen by count_token */
 static guint cache_events; /* seen by count_cache */
--- a/tests/unit/test_standin_platform.c
+++ b/tests/unit/test_standin_platform.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-#define PLATFORM "tests/standin/standin_platform"
-#define SERVICE "tests/standin/standin_service"
+#define PLATFORM "emulator/standin/standin_platform"
+#define SERVICE "emulator/standin/standin_service"
 
 static enum obj_result
 put (struct obj_store *store, const char *name, guint64 expected)
