--- a/tests/unit/test_nod_keyed.c
+++ b/tests/unit/test_nod_keyed.c
@@ -100,7 +100,9 @@
                        &n, NULL);
   GBytes *body = g_bytes_new_take (text, n);
   GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
-  nod_set_config (rig->nod, cfg_parse (body, 1, problems));
+  struct cfg *cfg = cfg_parse (body, 1, problems);
+  nod_set_config (rig->nod, cfg);
+  cfg_unref (cfg);
   g_bytes_unref (body);
   g_ptr_array_unref (problems);
   rig->cfg = nod_config (rig->nod);
