--- a/packages/admin/adm_list.c
+++ b/packages/admin/adm_list.c
@@ -1,34 +1,7 @@
 /* Lists from the configuration and of the instances. Keys and tokens are in
    none of them.  */
 #include "admin/adm_int.h"
-
-static void
-add_string (JsonBuilder *json, const char *name, const char *value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_string_value (json, value);
-}
-
-static void
-add_int (JsonBuilder *json, const char *name, gint64 value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_int_value (json, value);
-}
-
-static void
-add_double (JsonBuilder *json, const char *name, double value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_double_value (json, value);
-}
-
-static void
-add_bool (JsonBuilder *json, const char *name, gboolean value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_boolean_value (json, value);
-}
+#include "base/jsb.h"
 
 /* Opens an object with the list NAME in it.  */
 static JsonBuilder *
@@ -59,17 +32,17 @@
     {
       const struct cfg_class *c = &request->cfg->classes[i];
       json_builder_begin_object (json);
-      add_string (json, "name", c->name.s);
-      add_int (json, "tier", c->tier);
-      add_int (json, "ttft_ms", c->ttft_us / CLK_MS);
-      add_int (json, "tbt_ms", c->tbt_us / CLK_MS);
-      add_int (json, "deadline_ms", c->deadline_us / CLK_MS);
-      add_double (json, "min_share", c->min_share);
-      add_int (json, "max_waiting", c->max_waiting);
-      add_int (json, "reserved_waiting", c->reserved_waiting);
-      add_double (json, "retry_share", c->retry_share);
-      add_int (json, "link_bytes_per_s", (gint64)c->link_bytes_per_s);
-      add_string (json, "spill", cfg_spill_name (c->spill));
+      jsb_str (json, "name", c->name.s);
+      jsb_int (json, "tier", c->tier);
+      jsb_int (json, "ttft_ms", c->ttft_us / CLK_MS);
+      jsb_int (json, "tbt_ms", c->tbt_us / CLK_MS);
+      jsb_int (json, "deadline_ms", c->deadline_us / CLK_MS);
+      jsb_double (json, "min_share", c->min_share);
+      jsb_int (json, "max_waiting", c->max_waiting);
+      jsb_int (json, "reserved_waiting", c->reserved_waiting);
+      jsb_double (json, "retry_share", c->retry_share);
+      jsb_int (json, "link_bytes_per_s", (gint64)c->link_bytes_per_s);
+      jsb_str (json, "spill", cfg_spill_name (c->spill));
       json_builder_end_object (json);
     }
   list_reply (request, json);
@@ -96,12 +69,11 @@
     {
       const struct cfg_team *team = &cfg->teams[i];
       json_builder_begin_object (json);
-      add_string (json, "name", team->name.s);
-      add_double (json, "weight", team->weight);
-      add_int (json, "max_running", team->max_running);
+      jsb_str (json, "name", team->name.s);
+      jsb_double (json, "weight", team->weight);
+      jsb_int (json, "max_running", team->max_running);
       add_class_names (json, cfg, team->classes);
-      add_string (json, "default_class",
-                  cfg->classes[team->default_class].name.s);
+      jsb_str (json, "default_class", cfg->classes[team->default_class].name.s);
       json_builder_end_object (json);
     }
   list_reply (request, json);
@@ -117,15 +89,15 @@
     {
       const struct cfg_backend *backend = &cfg->backends[i];
       json_builder_begin_object (json);
-      add_string (json, "name", backend->name.s);
-      add_string (json, "address", backend->address);
-      add_string (json, "pool", cfg->pools[backend->pool].name.s);
-      add_string (json, "kind", cfg_kind_name (cfg->pools[backend->pool].kind));
-      add_string (json, "domain", cfg->domains[backend->domain].name.s);
-      add_string (json, "cell", cfg->cells[backend->cell].name.s);
-      add_int (json, "max_running", backend->max_running);
-      add_bool (json, "checks_fence", backend->checks_fence);
-      add_bool (json, "drain", backend->drain);
+      jsb_str (json, "name", backend->name.s);
+      jsb_str (json, "address", backend->address);
+      jsb_str (json, "pool", cfg->pools[backend->pool].name.s);
+      jsb_str (json, "kind", cfg_kind_name (cfg->pools[backend->pool].kind));
+      jsb_str (json, "domain", cfg->domains[backend->domain].name.s);
+      jsb_str (json, "cell", cfg->cells[backend->cell].name.s);
+      jsb_int (json, "max_running", backend->max_running);
+      jsb_bool (json, "checks_fence", backend->checks_fence);
+      jsb_bool (json, "drain", backend->drain);
       json_builder_end_object (json);
     }
   list_reply (request, json);
@@ -140,8 +112,8 @@
   for (guint i = 0; i < cfg->n_presets; i++)
     {
       json_builder_begin_object (json);
-      add_string (json, "name", cfg->presets[i].s);
-      add_bool (json, "in_force",
+      jsb_str (json, "name", cfg->presets[i].s);
+      jsb_bool (json, "in_force",
                 g_str_equal (cfg->presets[i].s, cfg->preset.s));
       json_builder_end_object (json);
     }
@@ -153,13 +125,13 @@
 {
   JsonBuilder *json = ctx;
   json_builder_begin_object (json);
-  add_string (json, "id", instance->id.s);
-  add_string (json, "domain", instance->domain.s);
-  add_string (json, "region", instance->region.s);
-  add_string (json, "address", instance->address);
-  add_bool (json, "live", instance->live);
-  add_bool (json, "leaving", instance->leaving);
-  add_int (json, "version", (gint64)instance->config_version);
+  jsb_str (json, "id", instance->id.s);
+  jsb_str (json, "domain", instance->domain.s);
+  jsb_str (json, "region", instance->region.s);
+  jsb_str (json, "address", instance->address);
+  jsb_bool (json, "live", instance->live);
+  jsb_bool (json, "leaving", instance->leaving);
+  jsb_int (json, "version", (gint64)instance->config_version);
   json_builder_end_object (json);
 }
 
@@ -180,8 +152,8 @@
   const struct adm_options *o = &request->adm->options;
   JsonBuilder *json = json_builder_new ();
   json_builder_begin_object (json);
-  add_int (json, "version", (gint64)request->cfg->version);
-  add_string (json, "preset", request->cfg->preset.s);
+  jsb_int (json, "version", (gint64)request->cfg->version);
+  jsb_str (json, "preset", request->cfg->preset.s);
   json_builder_set_member_name (json, "instances");
   json_builder_begin_array (json);
   o->each_instance (o->ctx, add_instance, json);
--- a/packages/admin/adm_reply.c
+++ b/packages/admin/adm_reply.c
@@ -1,5 +1,6 @@
 /* Answers in JSON.  */
 #include "admin/adm_int.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -21,14 +22,10 @@
 {
   json_builder_set_member_name (json, "error");
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "message");
-  json_builder_add_string_value (json, err->text);
-  json_builder_set_member_name (json, "code");
-  json_builder_add_string_value (json, code);
-  json_builder_set_member_name (json, "step");
-  json_builder_add_string_value (json, err->step);
-  json_builder_set_member_name (json, "peer");
-  json_builder_add_string_value (json, err->peer);
+  jsb_str (json, "message", err->text);
+  jsb_str (json, "code", code);
+  jsb_str (json, "step", err->step);
+  jsb_str (json, "peer", err->peer);
   json_builder_end_object (json);
 }
 
--- a/packages/backend/orh.c
+++ b/packages/backend/orh.c
@@ -1,4 +1,5 @@
 #include "backend/orh.h"
+#include "base/jsb.h"
 
 #include "backend/bkd.h"
 #include "backend/jsn.h"
@@ -178,23 +179,15 @@
   free_call (call);
 }
 
-static void
-add_text (JsonBuilder *json, const char *name, const char *value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_string_value (json, value);
-}
-
 static GBytes *
 encode (const struct ord_call *call)
 {
   JsonBuilder *json = json_builder_new ();
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "fence");
-  json_builder_add_int_value (json, (gint64)call->fence);
-  add_text (json, "id", call->id);
-  add_text (json, "kind", ord_kind_name (call->kind));
-  add_text (json, "name", call->name.s);
+  jsb_int (json, "fence", (gint64)call->fence);
+  jsb_str (json, "id", call->id);
+  jsb_str (json, "kind", ord_kind_name (call->kind));
+  jsb_str (json, "name", call->name.s);
   json_builder_end_object (json);
   JsonNode *root = json_builder_get_root (json);
   char *text = json_to_string (root, FALSE);
--- a/packages/cell/cel_dump.c
+++ b/packages/cell/cel_dump.c
@@ -1,4 +1,5 @@
 #include "cell/cel_int.h"
+#include "base/jsb.h"
 
 /* Fills SUMMARY with what entries need to pick a cell; owner and its address
    are left to the caller.  */
@@ -21,38 +22,21 @@
     }
 }
 
-static void
-add_int (JsonBuilder *json, const char *name, gint64 value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_int_value (json, value);
-}
-
-static void
-add_double (JsonBuilder *json, const char *name, double value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_double_value (json, value);
-}
-
 static void
 dump_server (const struct srv *srv, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "name");
-  json_builder_add_string_value (json, srv->cfg.name.s);
-  add_int (json, "target_us", srv->target_us);
-  add_int (json, "reserved", srv->reserved);
-  add_int (json, "limit", srv_limit (srv));
-  add_int (json, "in_flight", srv->in_flight.length);
-  json_builder_set_member_name (json, "health");
-  json_builder_add_string_value (json, hea_state_name (srv->hea.state));
-  add_int (json, "tbt_us", (gint64)srv->hea.tbt.value);
-  add_int (json, "ttft_us", (gint64)srv->hea.ttft.value);
-  add_double (json, "error_share", srv->hea.errors.value);
-  add_int (json, "foreign", srv->foreign);
-  json_builder_set_member_name (json, "takes_work");
-  json_builder_add_boolean_value (json, srv_takes_work (srv));
+  jsb_str (json, "name", srv->cfg.name.s);
+  jsb_int (json, "target_us", srv->target_us);
+  jsb_int (json, "reserved", srv->reserved);
+  jsb_int (json, "limit", srv_limit (srv));
+  jsb_int (json, "in_flight", srv->in_flight.length);
+  jsb_str (json, "health", hea_state_name (srv->hea.state));
+  jsb_int (json, "tbt_us", (gint64)srv->hea.tbt.value);
+  jsb_int (json, "ttft_us", (gint64)srv->hea.ttft.value);
+  jsb_double (json, "error_share", srv->hea.errors.value);
+  jsb_int (json, "foreign", srv->foreign);
+  jsb_bool (json, "takes_work", srv_takes_work (srv));
   json_builder_end_object (json);
 }
 
@@ -60,13 +44,12 @@
 dump_class (const struct cls *cls, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "name");
-  json_builder_add_string_value (json, cls->cfg.name.s);
-  add_int (json, "tier", cls->cfg.tier);
-  add_int (json, "waiting", cls->n_waiting);
-  add_int (json, "running", cls->n_running);
-  add_double (json, "share", cls->shr.share);
-  add_double (json, "starts_due", cls->shr.credit);
+  jsb_str (json, "name", cls->cfg.name.s);
+  jsb_int (json, "tier", cls->cfg.tier);
+  jsb_int (json, "waiting", cls->n_waiting);
+  jsb_int (json, "running", cls->n_running);
+  jsb_double (json, "share", cls->shr.share);
+  jsb_double (json, "starts_due", cls->shr.credit);
   json_builder_end_object (json);
 }
 
@@ -75,12 +58,11 @@
 cel_dump (const struct cel *cel, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "cell");
-  json_builder_add_string_value (json, cel->cell.s);
-  add_int (json, "tickets", g_hash_table_size (cel->tickets.tickets));
-  add_int (json, "prefixes", aff_size (cel->aff));
-  add_double (json, "starts_per_s", rte_starts_per_s (&cel->rate));
-  add_double (json, "drain_per_s", rte_drain_per_s (&cel->rate));
+  jsb_str (json, "cell", cel->cell.s);
+  jsb_int (json, "tickets", g_hash_table_size (cel->tickets.tickets));
+  jsb_int (json, "prefixes", aff_size (cel->aff));
+  jsb_double (json, "starts_per_s", rte_starts_per_s (&cel->rate));
+  jsb_double (json, "drain_per_s", rte_drain_per_s (&cel->rate));
   json_builder_set_member_name (json, "servers");
   json_builder_begin_array (json);
   for (guint i = 0; i < cel->servers->len; i++)
--- a/packages/config/cft.c
+++ b/packages/config/cft.c
@@ -1,4 +1,5 @@
 #include "config/cft.h"
+#include "base/jsb.h"
 
 #include "config/cft_int.h"
 
@@ -269,21 +270,15 @@
 cft_dump (const struct cft *cft, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "object");
-  json_builder_add_string_value (json, cft->object);
-  json_builder_set_member_name (json, "version");
-  json_builder_add_int_value (json, (gint64)cft->version);
-  json_builder_set_member_name (json, "rejected_version");
-  json_builder_add_int_value (json, (gint64)cft->rejected);
-  json_builder_set_member_name (json, "watcher");
-  json_builder_add_boolean_value (json, cft->watcher);
+  jsb_str (json, "object", cft->object);
+  jsb_int (json, "version", (gint64)cft->version);
+  jsb_int (json, "rejected_version", (gint64)cft->rejected);
+  jsb_bool (json, "watcher", cft->watcher);
   json_builder_set_member_name (json, "reading");
   json_builder_add_string_value (
       json, cft->reading != 0 ? sto_op_name (cft->read_op) : "");
-  json_builder_set_member_name (json, "read_failures");
-  json_builder_add_int_value (json, cft->read_backoff.failures);
-  json_builder_set_member_name (json, "updates");
-  json_builder_add_int_value (json, cft->updates->len);
+  jsb_int (json, "read_failures", cft->read_backoff.failures);
+  jsb_int (json, "updates", cft->updates->len);
   json_builder_end_object (json);
 }
 
--- a/packages/entry/ent.c
+++ b/packages/entry/ent.c
@@ -1,4 +1,5 @@
 #include "entry/ent_int.h"
+#include "base/jsb.h"
 
 #include "base/log.h"
 
@@ -41,8 +42,7 @@
 {
   JsonBuilder *json = json_builder_new ();
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "object");
-  json_builder_add_string_value (json, "list");
+  jsb_str (json, "object", "list");
   json_builder_set_member_name (json, "data");
   json_builder_begin_array (json);
   for (guint i = 0; cfg != NULL && i < cfg->n_pools; i++)
@@ -50,10 +50,8 @@
       if (cfg->pools[i].kind != CFG_ENGINE)
         continue;
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "id");
-      json_builder_add_string_value (json, cfg->pools[i].name.s);
-      json_builder_set_member_name (json, "object");
-      json_builder_add_string_value (json, "model");
+      jsb_str (json, "id", cfg->pools[i].name.s);
+      jsb_str (json, "object", "model");
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
--- a/packages/entry/ent_reply.c
+++ b/packages/entry/ent_reply.c
@@ -1,15 +1,9 @@
 /* Error bodies for callers.  */
 #include "entry/ent_int.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
-static void
-add_str (JsonBuilder *json, const char *name, const char *value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_string_value (json, value ? value : "");
-}
-
 static const char *
 error_type (guint status)
 {
@@ -29,15 +23,14 @@
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "error");
   json_builder_begin_object (json);
-  add_str (json, "message", error->text);
-  add_str (json, "type", error_type (error->status));
-  add_str (json, "code", error->code);
-  add_str (json, "ran", error->ran);
-  json_builder_set_member_name (json, "retry_after_ms");
-  json_builder_add_int_value (json, error->retry_after_us / CLK_MS);
-  add_str (json, "request_id", request_id);
-  add_str (json, "step", error->step);
-  add_str (json, "peer", error->peer);
+  jsb_str (json, "message", error->text);
+  jsb_str (json, "type", error_type (error->status));
+  jsb_str (json, "code", error->code);
+  jsb_str (json, "ran", error->ran);
+  jsb_int (json, "retry_after_ms", error->retry_after_us / CLK_MS);
+  jsb_str (json, "request_id", request_id);
+  jsb_str (json, "step", error->step);
+  jsb_str (json, "peer", error->peer);
   json_builder_end_object (json);
   json_builder_end_object (json);
   JsonNode *root = json_builder_get_root (json);
--- a/packages/lease/lse.c
+++ b/packages/lease/lse.c
@@ -1,4 +1,5 @@
 #include "lease/lse.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -425,15 +426,10 @@
 {
   gint64 left = lse->valid_until - clk_now (lse->clk);
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "object");
-  json_builder_add_string_value (json, lse->object);
-  json_builder_set_member_name (json, "state");
-  json_builder_add_string_value (json, state_names[lse->state]);
-  json_builder_set_member_name (json, "version");
-  json_builder_add_int_value (json, (gint64)lse->version);
-  json_builder_set_member_name (json, "fence");
-  json_builder_add_int_value (json, (gint64)lse->fence);
-  json_builder_set_member_name (json, "left_ms");
-  json_builder_add_int_value (json, lse->state == LSE_HELD ? left / CLK_MS : 0);
+  jsb_str (json, "object", lse->object);
+  jsb_str (json, "state", state_names[lse->state]);
+  jsb_int (json, "version", (gint64)lse->version);
+  jsb_int (json, "fence", (gint64)lse->fence);
+  jsb_int (json, "left_ms", lse->state == LSE_HELD ? left / CLK_MS : 0);
   json_builder_end_object (json);
 }
--- a/packages/lease/ord.c
+++ b/packages/lease/ord.c
@@ -1,4 +1,5 @@
 #include "lease/ord.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -473,12 +474,9 @@
     {
       const struct want *want = &engine->wants[i];
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "kind");
-      json_builder_add_string_value (json, ord_kind_name (want->want.kind));
-      json_builder_set_member_name (json, "name");
-      json_builder_add_string_value (json, want->want.name.s);
-      json_builder_set_member_name (json, "applied");
-      json_builder_add_boolean_value (json, want->applied);
+      jsb_str (json, "kind", ord_kind_name (want->want.kind));
+      jsb_str (json, "name", want->want.name.s);
+      jsb_bool (json, "applied", want->applied);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
@@ -494,18 +492,13 @@
     {
       const struct engine *engine = g_ptr_array_index (ord->engines, i);
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "backend");
-      json_builder_add_string_value (json, engine->backend.s);
-      json_builder_set_member_name (json, "state");
-      json_builder_add_string_value (json, state_names[engine->state]);
-      json_builder_set_member_name (json, "settled");
-      json_builder_add_boolean_value (json, engine->settled);
+      jsb_str (json, "backend", engine->backend.s);
+      jsb_str (json, "state", state_names[engine->state]);
+      jsb_bool (json, "settled", engine->settled);
       json_builder_set_member_name (json, "wants");
       dump_wants (engine, json);
-      json_builder_set_member_name (json, "last_id");
-      json_builder_add_string_value (json, engine->last_id);
-      json_builder_set_member_name (json, "newest_fence");
-      json_builder_add_int_value (json, (gint64)engine->newest);
+      jsb_str (json, "last_id", engine->last_id);
+      jsb_int (json, "newest_fence", (gint64)engine->newest);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
--- a/packages/ledger/lec.c
+++ b/packages/ledger/lec.c
@@ -1,4 +1,5 @@
 #include "ledger/lec.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -376,8 +377,7 @@
   json_builder_begin_object (json);
   for (guint i = 0; i < TICKET_STATE_N; i++)
     {
-      json_builder_set_member_name (json, names[i]);
-      json_builder_add_int_value (json, n[i]);
+      jsb_int (json, names[i], n[i]);
     }
   json_builder_end_object (json);
 }
--- a/packages/ledger/led.c
+++ b/packages/ledger/led.c
@@ -1,4 +1,5 @@
 #include "ledger/led_priv.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -276,32 +277,23 @@
   return names[phase];
 }
 
-static void
-dump_number (JsonBuilder *json, const char *name, guint64 value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_int_value (json, (gint64)value);
-}
-
 /* Adds one object with LED's state to JSON.  */
 void
 led_dump (const struct led *led, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  dump_number (json, "shard", led->options.shard);
-  json_builder_set_member_name (json, "phase");
-  json_builder_add_string_value (json, phase_name (led->phase));
-  dump_number (json, "version", led->version);
-  dump_number (json, "keys", led_tab_size (led->tab));
-  dump_number (json, "head_records", led->tab->head->len);
-  dump_number (json, "first_segment", led->tab->first);
-  dump_number (json, "next_segment", led->tab->next);
-  dump_number (json, "waiting", led->queue.length);
-  dump_number (json, "replays", led->replays.length);
-  dump_number (json, "unresolved_write", (guint64)led->unresolved);
-  dump_number (json, "failures", led->failures);
-  dump_number (json, "conflicts", led->conflicts);
-  json_builder_set_member_name (json, "last_error");
-  json_builder_add_string_value (json, err_name (led->last_error));
+  jsb_int (json, "shard", led->options.shard);
+  jsb_str (json, "phase", phase_name (led->phase));
+  jsb_int (json, "version", led->version);
+  jsb_int (json, "keys", led_tab_size (led->tab));
+  jsb_int (json, "head_records", led->tab->head->len);
+  jsb_int (json, "first_segment", led->tab->first);
+  jsb_int (json, "next_segment", led->tab->next);
+  jsb_int (json, "waiting", led->queue.length);
+  jsb_int (json, "replays", led->replays.length);
+  jsb_int (json, "unresolved_write", (guint64)led->unresolved);
+  jsb_int (json, "failures", led->failures);
+  jsb_int (json, "conflicts", led->conflicts);
+  jsb_str (json, "last_error", err_name (led->last_error));
   json_builder_end_object (json);
 }
--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -1,4 +1,5 @@
 #include "member/mem.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -408,20 +409,6 @@
   return owner;
 }
 
-static void
-dump_number (JsonBuilder *json, const char *name, guint64 value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_int_value (json, (gint64)value);
-}
-
-static void
-dump_text (JsonBuilder *json, const char *name, const char *value)
-{
-  json_builder_set_member_name (json, name);
-  json_builder_add_string_value (json, value);
-}
-
 /* Adds an array of the known instances to JSON.  */
 void
 mem_dump (const struct mem *mem, JsonBuilder *json)
@@ -432,16 +419,16 @@
     {
       const struct mem_instance *at = g_ptr_array_index (mem->instances, i);
       json_builder_begin_object (json);
-      dump_text (json, "id", at->id.s);
-      dump_text (json, "domain", at->domain.s);
-      dump_text (json, "region", at->region.s);
-      dump_text (json, "address", at->address);
-      dump_text (json, "state", chr_state_name (mem->chart, (int)at->state));
-      dump_number (json, "incarnation", at->incarnation);
-      dump_number (json, "sequence", at->sequence);
-      dump_number (json, "silent_ms", (guint64)((now - at->heard) / CLK_MS));
-      dump_number (json, "config_version", at->config_version);
-      dump_number (json, "fleet_version", at->fleet_version);
+      jsb_str (json, "id", at->id.s);
+      jsb_str (json, "domain", at->domain.s);
+      jsb_str (json, "region", at->region.s);
+      jsb_str (json, "address", at->address);
+      jsb_str (json, "state", chr_state_name (mem->chart, (int)at->state));
+      jsb_int (json, "incarnation", at->incarnation);
+      jsb_int (json, "sequence", at->sequence);
+      jsb_int (json, "silent_ms", (guint64)((now - at->heard) / CLK_MS));
+      jsb_int (json, "config_version", at->config_version);
+      jsb_int (json, "fleet_version", at->fleet_version);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
--- a/packages/wire/wir.c
+++ b/packages/wire/wir.c
@@ -1,4 +1,5 @@
 #include "wire/wir.h"
+#include "base/jsb.h"
 #include "base/log.h"
 #include "wire/wir_conn.h"
 
@@ -552,12 +553,9 @@
     {
       const struct peer *peer = value;
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "id");
-      json_builder_add_string_value (json, peer->id.s);
-      json_builder_set_member_name (json, "connections");
-      json_builder_add_int_value (json, peer->conns->len);
-      json_builder_set_member_name (json, "queue_full");
-      json_builder_add_int_value (json, (gint64)peer->refused);
+      jsb_str (json, "id", peer->id.s);
+      jsb_int (json, "connections", peer->conns->len);
+      jsb_int (json, "queue_full", (gint64)peer->refused);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
@@ -574,10 +572,8 @@
     {
       const struct target *target = value;
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "address");
-      json_builder_add_string_value (json, target->address);
-      json_builder_set_member_name (json, "failures");
-      json_builder_add_int_value (json, target->failures);
+      jsb_str (json, "address", target->address);
+      jsb_int (json, "failures", target->failures);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
--- a/packages/wire/wir_conn.c
+++ b/packages/wire/wir_conn.c
@@ -1,4 +1,5 @@
 #include "wire/wir_conn.h"
+#include "base/jsb.h"
 #include "base/log.h"
 #include "wire/wir.h"
 #include "wire/wir_codec.h"
@@ -623,16 +624,10 @@
 wir_conn_dump (const struct wir_conn *conn, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "peer");
-  json_builder_add_string_value (json,
-                                 conn->receive_key ? wir_conn_peer (conn) : "");
-  json_builder_set_member_name (json, "address");
-  json_builder_add_string_value (json, conn->address);
-  json_builder_set_member_name (json, "direction");
-  json_builder_add_string_value (json, conn->role == WIR_DIALER ? "out" : "in");
-  json_builder_set_member_name (json, "state");
-  json_builder_add_string_value (json, state_names[conn->state]);
-  json_builder_set_member_name (json, "queue_bytes");
-  json_builder_add_int_value (json, conn->out->len - conn->out_done);
+  jsb_str (json, "peer", conn->receive_key ? wir_conn_peer (conn) : "");
+  jsb_str (json, "address", conn->address);
+  jsb_str (json, "direction", conn->role == WIR_DIALER ? "out" : "in");
+  jsb_str (json, "state", state_names[conn->state]);
+  jsb_int (json, "queue_bytes", conn->out->len - conn->out_done);
   json_builder_end_object (json);
 }
