--- a/packages/policy/lim.c
+++ b/packages/policy/lim.c
@@ -4,7 +4,7 @@
 
 #define LIM_START_SHARE 0.5 /* of the hard limit */
 #define LIM_START_MIN 4.0
-#define LIM_DEVIATIONS 1.3 /* above the mean: a request outlasts a window */
+#define LIM_DEVIATIONS 1.5 /* above the mean: a request outlasts a window */
 #define LIM_GROWTH_MAX 1.5 /* factor per window */
 #define LIM_SHRINK_MAX 0.5 /* factor per window */
 #define LIM_LOW 0.90       /* of the target: below it the limit grows */
