Node: moving a request no longer divides by no entries

Cause: claim () shared a cell's free slots among the live, not leaving instances; an instance that leaves alone counts none of them and the process died of a division by zero while it drained. Change: at least one entry shares.

--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -207,7 +207,8 @@
   struct nod_cell_info *info = g_hash_table_lookup (nod->infos, cell);
   if (info == NULL || fresh_info (nod, cell) == NULL)
     return FALSE;
-  guint quota = info->summary.free_slots / mem_live_count (nod->mem);
+  guint entries = MAX (1, mem_live_count (nod->mem)); /* 0: all leave */
+  guint quota = info->summary.free_slots / entries;
   if (info->summary.free_slots == 0 || info->claimed >= MAX (1, quota))
     return FALSE;
   info->claimed++;
