Node: leave only once the ledger has the answers

Cause: DRAINED looked at requests and cells only. A keyed call that had ended and whose answer was still on its way to the ledger was lost with the process; the next try of its key got in_progress, then outcome_unknown. The daemon kept the word DRAINED although requests came after it within the shutdown's grace.

--- a/packages/jacinthward/dmn.c
+++ b/packages/jacinthward/dmn.c
@@ -143,7 +143,8 @@
 static void
 end_if_drained (struct dmn *dmn)
 {
-  if (dmn->deaf && dmn->drained && ent_unfinished (dmn->ent) == 0)
+  if (dmn->deaf && dmn->drained && ent_unfinished (dmn->ent) == 0
+      && nod_in_progress (dmn->nod) == 0)
     g_main_loop_quit (dmn->loop);
 }
 
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -201,7 +201,7 @@
 static void
 tell_drained (struct nod *nod)
 {
-  if (!nod->leaving || nod->drained || g_hash_table_size (nod->requests) > 0
+  if (!nod->leaving || nod->drained || nod_in_progress (nod) > 0
       || !nod_cell_idle (nod))
     return;
   struct nod_action action = { .kind = NOD_DO_DRAINED };
@@ -330,7 +330,7 @@
 guint
 nod_in_progress (const struct nod *nod)
 {
-  return g_hash_table_size (nod->requests);
+  return g_hash_table_size (nod->requests) + lec_unsettled (nod->lec);
 }
 
 static void
