Node: a cancelled attempt may have run

Cause: when the caller of a running keyed call hung up, the attempt was cancelled but not counted as sent, so the key was freed as not run and its next try ran a second time. The daemon's entry keeps such calls going, so only another shell of the node could meet it. Change: let_go counts what it cancels, for callers that are gone as for preempted requests.

--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -294,13 +294,15 @@
   nod->act (nod->ctx, &action);
 }
 
-/* Ends REQ's hold on its owner, whatever its state.  */
+/* Ends REQ's hold on its owner, whatever its state. An attempt that is
+   cancelled may have run.  */
 static void
 let_go (struct nod *nod, struct nod_req *req)
 {
   if (req->state == REQ_RUNNING)
     {
       cancel_attempt (nod, req);
+      req->sent_attempts++;
       send_release (nod, req, MSG_RESULT_CANCELLED);
     }
   else if (req->ticket != 0)
@@ -453,7 +455,6 @@
       || req->state != REQ_RUNNING || !is_resumable (req))
     return;
   let_go (nod, req);
-  req->sent_attempts++;
   if (step (nod, req, REQ_EV_REQUEUE) && !offer_anew (nod, req))
     refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, from);
 }
