Node: check the grant again when the ledger says FRESH

Cause: a keyed call's grant was checked when it came, but the attempt opens on the ledger's word, up to LEC_WAIT_US later. By then the server may be leaving, or gone from the configuration: its index was -1 and read before the array. Change: FRESH opens only on a grant that is still usable; else the ticket goes back to waiting under the recorded intent, as the request chart already says.

--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -353,10 +353,10 @@
    leave since. It is at most as old as the entry's own clock time that the
    owner sends back with it.  */
 static gboolean
-is_usable (struct nod *nod, const struct msg_grant *grant)
+is_usable (const struct nod *nod, const struct str_id *backend, gint64 echo_us)
 {
-  return clk_now (nod->clk) - grant->echo_us <= NOD_GRANT_AGE_US
-         && cfg_find_backend (nod->cfg, str_of (grant->backend.s)) >= 0;
+  return clk_now (nod->clk) - echo_us <= NOD_GRANT_AGE_US
+         && cfg_find_backend (nod->cfg, str_of (backend->s)) >= 0;
 }
 
 /* A cell's owner granted a server. A grant that is no longer wanted is
@@ -368,7 +368,7 @@
   gboolean current = req != NULL && strcmp (req->owner.s, from) == 0;
   if (current && req->state != REQ_WAITING)
     return; /* the grant in use, sent again */
-  if (!current || !is_usable (nod, grant))
+  if (!current || !is_usable (nod, &grant->backend, grant->echo_us))
     {
       send_unused (nod, from, grant);
       if (current)
@@ -376,6 +376,7 @@
       return;
     }
   req->backend = grant->backend;
+  req->granted_us = grant->echo_us;
   req->priority = grant->priority;
   req->offer_at = 0;
   if (req->spec.keyed && !req->recorded)
@@ -654,6 +655,24 @@
   forget (nod, req);
 }
 
+/* Opens a call whose intent is recorded; if its grant has grown too old
+   meanwhile, asks for another one.  */
+static void
+open_recorded (struct nod *nod, struct nod_req *req)
+{
+  req->recorded = TRUE;
+  if (is_usable (nod, &req->backend, req->granted_us))
+    {
+      if (step (nod, req, REQ_EV_FRESH))
+        open_attempt (nod, req);
+      return;
+    }
+  send_withdraw (nod, req->owner.s, req->ticket);
+  step (nod, req, REQ_EV_REQUEUE);
+  if (!offer_anew (nod, req))
+    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+}
+
 /* The ledger's word on request ID, which comes once. Only FRESH starts an
    attempt.  */
 void
@@ -665,9 +684,7 @@
     return;
   if (verdict->verdict == MSG_VERDICT_FRESH)
     {
-      req->recorded = TRUE;
-      if (step (nod, req, REQ_EV_FRESH))
-        open_attempt (nod, req);
+      open_recorded (nod, req);
       return;
     }
   send_withdraw (nod, req->owner.s, req->ticket);
