Node: own nothing right after a start or a pause

Cause: an instance that went on after a freeze, or had just started, granted servers by what it knew: it had not heard yet that they were leaving. The age of a grant does not show that, since the requests were new. Ruled out: the entry's own knowledge of drained servers, as entry and owner may be the same frozen instance. Change: after the start, or after 2 s without an event, the instance says for NOD_GATHER_US (600 ms) that it is leaving, so that nobody takes it for an owner, and refuses new offers with not_owner, which are tried again. Running work is still taken over. In the list of instances it shows as leaving.

--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -95,7 +95,7 @@
   nod->act = options->act;
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
-  nod->started = clk_now (nod->clk);
+  nod->started = nod->handled = clk_now (nod->clk);
   nod_budget_init (nod);
   g_queue_init (&nod->local);
   nod->requests
@@ -118,6 +118,7 @@
     goto fail;
   nod_led_init (nod);
   nod_config_init (nod);
+  nod_peer_gather (nod);
   *result = nod;
   return 0;
 
@@ -290,6 +291,10 @@
 nod_handle (struct nod *nod, const struct nod_event *event)
 {
   struct msg *msg;
+  gint64 now = clk_now (nod->clk);
+  if (now - nod->handled >= NOD_PAUSE_US)
+    nod_peer_gather (nod);
+  nod->handled = now;
   dispatch (nod, event);
   while ((msg = g_queue_pop_head (&nod->local)) != NULL)
     {
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -94,7 +94,8 @@
       return;
     }
   struct cel *cel = nod_cell_get (nod, str_of (offer->cell.s));
-  if (cel == NULL)
+  gboolean runs = offer->running.s[0] != '\0';
+  if (cel == NULL || (nod->gather_until != 0 && !runs))
     refuse_offer (nod, from, offer->ticket, MSG_REASON_NOT_OWNER);
   else
     cel_offer (cel, from, offer);
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -17,7 +17,9 @@
    bytes a second do not grow with the domain. */
 #define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
-#define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
+/* After the start or a pause, before owning. */
+#define NOD_GATHER_US (600 * CLK_MS)
+#define NOD_PAUSE_US (2 * CLK_S) /* without any event: the process slept */
 /* After the first configuration, for the summaries of other cells to come. */
 #define NOD_SETTLE_US (1200 * CLK_MS)
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
@@ -144,7 +146,9 @@
   struct str_id domain;
   struct str_id region;
   guint64 incarnation;
-  gint64 started; /* microseconds */
+  gint64 started;      /* microseconds */
+  gint64 handled;      /* time of the last event, microseconds */
+  gint64 gather_until; /* owns nothing before, microseconds; 0: it may own */
   void (*act) (void *ctx, const struct nod_action *action);
   void *ctx;
 
@@ -264,6 +268,7 @@
                          const struct msg_heartbeat *heartbeat);
 void nod_peer_greet (struct nod *nod, const char *id);
 void nod_peer_members (struct nod *nod, const struct msg_members *members);
+void nod_peer_gather (struct nod *nod);
 void nod_peer_tick (struct nod *nod);
 
 /* nod_led.c: ledger shards served */
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -140,6 +140,28 @@
   nod_send (nod, list.items[to].id.s, &msg);
 }
 
+/* Owns nothing for a while, since others may know of changes, such as leaving
+   servers, that this instance has not heard of yet.  */
+void
+nod_peer_gather (struct nod *nod)
+{
+  nod->gather_until = clk_now (nod->clk) + NOD_GATHER_US;
+  mem_set_leaving (nod->mem, TRUE);
+  nod->heartbeat_at = 0;
+  nod_req_view_changed (nod, NULL);
+}
+
+static void
+end_gathering (struct nod *nod)
+{
+  nod->gather_until = 0;
+  if (nod->leaving)
+    return;
+  mem_set_leaving (nod->mem, FALSE);
+  nod->heartbeat_at = 0;
+  nod_req_view_changed (nod, NULL);
+}
+
 static gint64
 summary_interval (const struct nod *nod)
 {
@@ -162,6 +184,8 @@
 {
   gint64 now = clk_now (nod->clk);
   struct mem_change change;
+  if (nod->gather_until != 0 && now >= nod->gather_until)
+    end_gathering (nod);
   do
     {
       memset (&change, 0, sizeof change);
