Node: follow the owner of another failure domain's cell

Cause: tickets for another failure domain stayed with an owner that was frozen or gone until its far silence or their deadline. A summary that named the new owner did not move them; the summaries that an instance had heard from an earlier owner were passed on after its own and hid it for up to 4 s; and requests were still sent to a far owner known to be down. Change: a summary with another owner offers the tickets anew; only summaries of the present owners are passed on; a far owner that is down is no owner.

--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -332,6 +332,8 @@
 }
 
 /* Returns the number of callers' requests in progress.  */
+/* Returns the number of requests in progress and of answers that the ledger
+   has not stored yet, without which the next try of a key gets no answer.  */
 guint
 nod_in_progress (const struct nod *nod)
 {
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -194,10 +194,16 @@
 }
 
 static gboolean
-owns (struct nod *nod, const char *cell)
+is_owner (struct nod *nod, const char *cell, const char *id)
 {
   const char *owner = nod_owner (nod, str_of (cell));
-  return owner != NULL && strcmp (owner, nod->self.s) == 0;
+  return owner != NULL && strcmp (owner, id) == 0;
+}
+
+static gboolean
+owns (struct nod *nod, const char *cell)
+{
+  return is_owner (nod, cell, nod->self.s);
 }
 
 /* Runs the cells' timers; a cell without tickets that is another's goes.  */
@@ -246,9 +252,10 @@
   return cells;
 }
 
-/* Adds the summaries heard from other owners of this failure domain.  */
+/* Adds the summaries heard from other owners of this failure domain. Those of
+   earlier owners would hide the one of now.  */
 static void
-add_heard (const struct nod *nod, GArray *cells)
+add_heard (struct nod *nod, GArray *cells)
 {
   GHashTableIter iter;
   gpointer value;
@@ -258,7 +265,9 @@
     {
       const struct nod_cell_info *info = value;
       if (strcmp (info->domain.s, nod->domain.s) == 0
-          && now - info->heard <= NOD_SUMMARY_FRESH_US)
+          && now - info->heard <= NOD_SUMMARY_FRESH_US
+          && !owns (nod, info->summary.cell.s)
+          && is_owner (nod, info->summary.cell.s, info->summary.owner.s))
         g_array_append_val (cells, info->summary);
     }
 }
@@ -346,7 +355,8 @@
     nod_send (relay->nod, instance->id.s, relay->msg);
 }
 
-static void
+/* Returns whether the cell has another owner than was known.  */
+static gboolean
 note_cell (struct nod *nod, const struct msg_summary *summary,
            const struct msg_cell_summary *cell)
 {
@@ -354,30 +364,36 @@
   if (info == NULL)
     {
       if (g_hash_table_size (nod->infos) >= CFG_BACKENDS_MAX)
-        return;
+        return FALSE;
       info = g_new0 (struct nod_cell_info, 1);
       g_hash_table_insert (nod->infos, g_strdup (cell->cell.s), info);
     }
+  gboolean moved = strcmp (info->summary.owner.s, cell->owner.s) != 0;
   info->summary = *cell;
   info->domain = summary->domain;
   info->heard = clk_now (nod->clk);
   info->claimed = 0;
+  return moved;
 }
 
 /* Takes a summary. One that came from another failure domain itself is
-   passed on to the own one, and the owners named in it are dialled.  */
+   passed on to the own one, and the owners named in it are dialled; tickets
+   with an earlier owner are offered to the one of now.  */
 void
 nod_cell_take_summary (struct nod *nod, const char *from,
                        const struct msg_summary *summary)
 {
   gboolean foreign = strcmp (summary->domain.s, nod->domain.s) != 0;
   const struct mem_instance *sender = mem_find (nod->mem, from);
+  gboolean moved = FALSE;
   for (guint i = 0; i < summary->n_cells; i++)
     {
-      note_cell (nod, summary, &summary->cells[i]);
+      moved |= note_cell (nod, summary, &summary->cells[i]);
       if (foreign)
         nod_dial (nod, summary->cells[i].owner_address);
     }
+  if (foreign && moved)
+    nod_req_view_changed (nod, NULL);
   if (foreign && sender != NULL
       && strcmp (sender->domain.s, summary->domain.s) == 0)
     {
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -80,9 +80,9 @@
   struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
   guint n_tried;
   struct str_id backend;  /* of the running attempt or of the grant */
+  gint64 granted_us;      /* the grant's echo_us */
   guint32 priority;       /* for the engine, from the grant */
   guint32 attempt;        /* of the last attempt; 0: none */
-  gint64 granted_us;      /* the grant's echo_us */
   guint sent_attempts;    /* that may have left */
   guint32 generated;      /* tokens that the caller got, all attempts */
   guint32 unreported;     /* tokens since the last progress report */
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -349,9 +349,9 @@
   nod->act (nod->ctx, &action);
 }
 
-/* Whether a grant may be used: a late one may name a server that has begun to
-   leave since. It is at most as old as the entry's own clock time that the
-   owner sends back with it.  */
+/* Whether a grant of BACKEND may be used: a late one may name a server that
+   has begun to leave since. It is at most as old as ECHO_US, the entry's own
+   clock time that the owner sends back with it.  */
 static gboolean
 is_usable (const struct nod *nod, const struct str_id *backend, gint64 echo_us)
 {
--- a/packages/node/nod_route.c
+++ b/packages/node/nod_route.c
@@ -85,7 +85,10 @@
       return owner ? owner->id.s : nod->self.s;
     }
   const struct nod_cell_info *info = fresh_info (nod, cfg->cells[i].name.s);
-  return info ? info->summary.owner.s : NULL;
+  const struct mem_instance *owner
+      = info ? mem_find (nod->mem, info->summary.owner.s) : NULL;
+  gboolean down = owner != NULL && !owner->live;
+  return info != NULL && !down ? info->summary.owner.s : NULL;
 }
 
 /* Expected wait of a ticket of TIER at CELL, in microseconds.  */
@@ -117,7 +120,7 @@
 }
 
 static void
-find_candidates (const struct nod *nod, const struct nod_req *req, guint pool,
+find_candidates (struct nod *nod, const struct nod_req *req, guint pool,
                  struct candidates found[DISTANCE_N])
 {
   const struct cfg *cfg = nod->cfg;
@@ -127,7 +130,8 @@
       if (cell->pool != pool || was_tried (req, cell->name.s))
         continue;
       enum distance d = distance_to (nod, cfg, cell->domain);
-      if (d != DISTANCE_DOMAIN && fresh_info (nod, cell->name.s) == NULL)
+      if (d != DISTANCE_DOMAIN
+          && nod_owner (nod, str_of (cell->name.s)) == NULL)
         continue;
       if (found[d].n < CANDIDATES_MAX)
         found[d].cells[found[d].n++] = cell;
