Node: offer again what a peer has when its connection stands

Cause: after a lost connection tickets were offered again once, 200 ms later. What was offered before the new connection stood went nowhere, and no loss followed to have it repeated: the ticket waited for its deadline. Change: a new connection offers the peer's tickets again, too; the owner takes that as a repetition.

--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -260,10 +260,11 @@
       break;
     case NOD_PEER_UP:
       nod_peer_greet (nod, event->peer_up);
+      nod_req_reconnect (nod, event->peer_up, 0);
       break;
     case NOD_PEER_LOST:
       mem_disconnected (nod->mem, event->peer_lost);
-      nod_req_peer_lost (nod, event->peer_lost);
+      nod_req_reconnect (nod, event->peer_lost, NOD_RECONNECT_US);
       break;
     case NOD_STORE_ANSWER:
       take_store_answer (nod, event->store_answer.token,
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -221,7 +221,7 @@
 void nod_req_verdict (struct nod *nod, guint64 id,
                       const struct msg_ledger_verdict *verdict);
 void nod_req_view_changed (struct nod *nod, const char *lost);
-void nod_req_peer_lost (struct nod *nod, const char *id);
+void nod_req_reconnect (struct nod *nod, const char *id, gint64 delay);
 void nod_req_tick (struct nod *nod);
 void nod_req_progress (struct nod *nod);
 void nod_req_rebalance (struct nod *nod);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -732,10 +732,11 @@
   g_list_free (all);
 }
 
-/* The connection to instance ID went, and with it what was under way: its
-   tickets are offered again, which the owner takes as a repetition.  */
+/* The connection to instance ID went, and with it what was under way, or a new
+   one stands: ID's tickets are offered again in DELAY microseconds, which the
+   owner takes as a repetition.  */
 void
-nod_req_peer_lost (struct nod *nod, const char *id)
+nod_req_reconnect (struct nod *nod, const char *id, gint64 delay)
 {
   GHashTableIter iter;
   gpointer value;
@@ -744,7 +745,7 @@
     {
       struct nod_req *req = value;
       if (strcmp (req->owner.s, id) == 0)
-        req->offer_at = clk_now (nod->clk) + NOD_RECONNECT_US;
+        req->offer_at = clk_now (nod->clk) + delay;
     }
 }
 
--- /dev/null
+++ b/tests/unit/nod_rules.h
@@ -0,0 +1,320 @@
+/* What must hold over the record of a run of whole instances, one function a
+   rule.  */
+#ifndef NOD_RULES_H
+#define NOD_RULES_H
+
+#include "unit/nod_world.h"
+
+#define END_US (15 * CLK_S)    /* for a request after the last fault */
+#define LEAVE_US (3 * CLK_S)   /* for a leaving server to get no new work */
+#define CONFIG_US (10 * CLK_S) /* for the last version after the last fault */
+
+/* What the record says of one request. */
+struct summary
+{
+  const struct rec *request;
+  const struct rec *end; /* the last one */
+  gint64 gone_at;        /* the caller or the entry; 0: neither */
+  guint ends;
+  guint runs;
+};
+
+struct report
+{
+  struct world *world;
+  struct summary of[JOBS_MAX];
+  gint64 healed;
+  const char *violated; /* the first rule */
+  const char *code;     /* the culprit's, or NULL */
+  guint culprit;        /* its job, server or instance */
+};
+
+static void
+violate (struct report *report, const char *rule, guint culprit)
+{
+  if (report->violated == NULL)
+    report->culprit = culprit;
+  if (report->violated == NULL)
+    report->violated = rule;
+}
+
+static const struct rec *
+rec_at (const struct report *report, guint i)
+{
+  return &g_array_index (report->world->history, struct rec, i);
+}
+
+static void
+note_down (struct report *report, const struct rec *down)
+{
+  for (guint i = 0; i < report->world->n_jobs; i++)
+    {
+      struct summary *job = &report->of[i];
+      if (job->request != NULL && job->request->instance == down->instance
+          && job->request->life == down->life && job->gone_at == 0)
+        job->gone_at = down->at;
+    }
+}
+
+static void
+summarize (struct report *report)
+{
+  for (guint i = 0; i < report->world->history->len; i++)
+    {
+      const struct rec *rec = rec_at (report, i);
+      struct summary *job = &report->of[rec->job];
+      switch (rec->kind)
+        {
+        case REC_REQUEST:
+          job->request = rec;
+          break;
+        case REC_GONE:
+          job->gone_at = rec->at;
+          break;
+        case REC_RUN:
+          job->runs++;
+          break;
+        case REC_FAIL:
+        case REC_REPLAY:
+        case REC_FINISH:
+          job->ends++;
+          job->end = rec;
+          break;
+        case REC_DOWN:
+          note_down (report, rec);
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+/* Every request whose caller and entry live on ends once, in time.  */
+static void
+check_ends (struct report *report)
+{
+  for (guint i = 0; i < report->world->n_jobs; i++)
+    {
+      const struct summary *job = &report->of[i];
+      if (job->request == NULL)
+        continue;
+      gint64 due = MAX (job->request->at, report->healed) + END_US;
+      if (job->ends > 1)
+        violate (report, "a request ended twice", i);
+      if (job->ends == 0 && job->gone_at == 0)
+        violate (report, "a request did not end", i);
+      if (job->ends == 1 && job->end->at > due)
+        violate (report, "a request ended late", i);
+      if (job->ends == 1 && job->gone_at != 0 && job->end->at > job->gone_at)
+        violate (report, "an answer without a caller", i);
+    }
+}
+
+/* A call that is not repeatable runs at most once, by its key if it has
+   one.  */
+static void
+check_runs (struct report *report)
+{
+  guint runs[KEYS] = { 0 };
+  for (guint i = 0; i < report->world->n_jobs; i++)
+    {
+      const struct job *job = &report->world->jobs[i];
+      guint n = report->of[i].runs;
+      if (job->kind == JOB_ONCE && n > 1)
+        violate (report, "a call that is not repeatable ran twice", i);
+      if (job->kind == JOB_KEYED && (runs[job->key] += n) > 1)
+        violate (report, "a keyed call ran twice", i);
+    }
+}
+
+/* A request said not to have run did not run; one said to have run did.  */
+static void
+check_refusals (struct report *report)
+{
+  for (guint i = 0; i < report->world->n_jobs; i++)
+    {
+      const struct summary *job = &report->of[i];
+      if (job->ends == 0)
+        continue;
+      if (job->end->kind == REC_FAIL && job->end->ran == NOD_RAN_NO
+          && job->runs > 0)
+        violate (report, "a request that ran was refused as not run", i);
+      if ((job->end->kind == REC_FINISH
+           || (job->end->kind == REC_FAIL && job->end->ran == NOD_RAN_YES))
+          && job->runs == 0)
+        violate (report, "an answer without a run", i);
+    }
+}
+
+/* A replayed answer is that of the key's run with the same body.  */
+static void
+check_replays (struct report *report)
+{
+  const struct world *world = report->world;
+  for (guint i = 0; i < world->n_jobs; i++)
+    {
+      const struct summary *job = &report->of[i];
+      if (job->ends == 0 || job->end->kind != REC_REPLAY)
+        continue;
+      guint from = job->end->answer_of;
+      if (from >= world->n_jobs || report->of[from].runs != 1
+          || world->jobs[from].key != world->jobs[i].key
+          || world->jobs[from].other_body != world->jobs[i].other_body)
+        violate (report, "a replay of another answer", i);
+    }
+}
+
+struct leave
+{
+  gint64 since[SERVERS];    /* told to all running instances; 0: not yet */
+  gboolean leaves[SERVERS]; /* by its own word */
+  guint64 version;          /* of the newest configuration seen */
+  guint drains;             /* servers drained in it */
+  guint drained[INSTANCES]; /* those drained in an instance's configuration */
+  guint told[INSTANCES];    /* those leaving by their word, as it was told */
+  gboolean runs[INSTANCES];
+};
+
+/* Returns how many running instances of SERVER's failure domain know, or do
+   not know, that it leaves.  */
+static guint
+count_running (const struct leave *leave, guint server, gboolean knowing)
+{
+  guint n = 0;
+  for (guint i = server % DOMAINS; i < INSTANCES; i += DOMAINS)
+    {
+      guint leaving = (leave->drained[i] & leave->drains)
+                      | (leave->leaves[server] ? leave->told[i] : 0);
+      n += leave->runs[i] && (leaving >> server & 1) == (guint)knowing;
+    }
+  return n;
+}
+
+static void
+note_drains (struct leave *leave, const struct rec *rec)
+{
+  leave->drained[rec->instance] = rec->servers;
+  if (rec->version <= leave->version)
+    return;
+  leave->version = rec->version;
+  leave->drains = rec->servers;
+}
+
+static void
+follow_leaving (struct leave *leave, const struct rec *rec)
+{
+  guint i = rec->instance;
+  if (rec->kind == REC_DOWN)
+    leave->drained[i] = leave->told[i] = 0;
+  if (rec->kind == REC_DOWN || rec->kind == REC_FREEZE)
+    leave->runs[i] = FALSE;
+  if (rec->kind == REC_TOLD || rec->kind == REC_CONFIG)
+    leave->runs[i] = TRUE;
+  if (rec->kind == REC_TOLD)
+    leave->told[i] = rec->servers;
+  if (rec->kind == REC_CONFIG)
+    note_drains (leave, rec);
+  if (rec->kind == REC_LEAVE || rec->kind == REC_BACK)
+    leave->leaves[rec->server] = rec->kind == REC_LEAVE;
+  for (guint s = 0; s < SERVERS; s++)
+    if (count_running (leave, s, TRUE) == 0)
+      leave->since[s] = 0;
+    else if (leave->since[s] == 0 && count_running (leave, s, FALSE) == 0)
+      leave->since[s] = rec->at;
+}
+
+/* A leaving server gets nothing new 3 s after its failure domain's running
+   instances were told, whoever is frozen, cut off or started then, as long as
+   one that knows goes on running.  */
+static void
+check_leaving (struct report *report)
+{
+  struct leave leave = { 0 };
+  for (guint i = 0; i < report->world->history->len; i++)
+    {
+      const struct rec *rec = rec_at (report, i);
+      follow_leaving (&leave, rec);
+      if (rec->kind == REC_OPEN && leave.since[rec->server] != 0
+          && rec->at - leave.since[rec->server] > LEAVE_US)
+        violate (report, "a leaving server got new work", rec->job);
+    }
+}
+
+/* Versions never go back at an instance; all have the last one in the end.  */
+static void
+check_config (struct report *report)
+{
+  struct world *world = report->world;
+  guint64 version[INSTANCES] = { 0 };
+  guint64 last = sim_object_of (&world->store, "config")->version;
+  for (guint i = 0; i < world->history->len; i++)
+    {
+      const struct rec *rec = rec_at (report, i);
+      if (rec->kind == REC_DOWN)
+        version[rec->instance] = 0;
+      if (rec->kind != REC_CONFIG)
+        continue;
+      if (rec->version <= version[rec->instance] || rec->version > last)
+        violate (report, "a configuration went back", rec->instance);
+      if (rec->version == last && rec->at > report->healed + CONFIG_US
+          && version[rec->instance] != 0)
+        violate (report, "a configuration came late", rec->instance);
+      version[rec->instance] = rec->version;
+    }
+  for (guint i = 0; i < INSTANCES; i++)
+    if (world->instances[i].nod != NULL && version[i] != last)
+      violate (report, "an instance has an old configuration", i);
+}
+
+/* DRAINED comes with nothing in progress, and comes to all in the end, when
+   all work is over: no owner counts a ticket or a grant.  */
+static void
+check_drained (struct report *report)
+{
+  for (guint i = 0; i < report->world->history->len; i++)
+    if (rec_at (report, i)->kind == REC_DRAINED
+        && rec_at (report, i)->count > 0)
+      violate (report, "drained with work in progress",
+               rec_at (report, i)->instance);
+  for (guint i = 0; i < INSTANCES; i++)
+    if (!report->world->instances[i].drained)
+      violate (report, "an idle instance is not drained", i);
+}
+
+/* A request whose entry is neither gone nor frozen is answered.  */
+static void
+check_answers (struct report *report)
+{
+  gboolean frozen[INSTANCES] = { FALSE };
+  for (guint i = 0; i < report->world->history->len; i++)
+    if (rec_at (report, i)->kind == REC_FREEZE)
+      frozen[rec_at (report, i)->instance] = TRUE;
+  for (guint i = 0; i < report->world->n_jobs; i++)
+    {
+      const struct summary *job = &report->of[i];
+      if (job->request != NULL && job->gone_at == 0
+          && !frozen[job->request->instance]
+          && (job->ends == 0 || job->end->kind != REC_FINISH))
+        {
+          report->code = report->code ? report->code
+                         : job->ends  ? job->end->code
+                                      : NULL;
+          violate (report, "a request was not answered", i);
+        }
+    }
+}
+
+static void
+check_all (struct report *report)
+{
+  summarize (report);
+  check_ends (report);
+  check_runs (report);
+  check_refusals (report);
+  check_replays (report);
+  check_leaving (report);
+  check_config (report);
+  check_drained (report);
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/test_nod.c
@@ -0,0 +1,426 @@
+/* Whole instances under seeded schedules of faults, checked by the rules of
+   nod_rules.h. JW_SEED=N runs seed N alone.  */
+#include "unit/unit.h"
+
+#include "unit/nod_rules.h"
+
+#include <stdlib.h>
+
+#define SEEDS 300
+#define LOSS_SEEDS 60
+#define START_US (3 * CLK_S)
+#define FAULTS_US (12 * CLK_S)
+#define STEP_US (20 * CLK_MS)
+#define IDLE_US (15 * CLK_S)   /* for an owner to count nothing any more */
+
+static void
+new_job (struct world *world, struct instance *instance, enum job_kind kind,
+         guint key)
+{
+  const struct cfg *cfg = instance->nod ? nod_config (instance->nod) : NULL;
+  if (cfg == NULL || world->n_jobs == JOBS_MAX)
+    return;
+  struct job *job = &world->jobs[world->n_jobs++];
+  struct note *note = note_new (instance, NOD_REQUEST);
+  struct nod_request *request = &note->event.request;
+  gboolean stream = kind == JOB_STREAM;
+  *job = (struct job){ .kind = kind, .key = key };
+  job->instance = instance->index;
+  job->life = instance->life;
+  job->other_body = kind == JOB_KEYED && sim_chance (&world->sim, 0.05);
+  request->id = world->n_jobs;
+  request->class_index = pick (world, 2);
+  request->pool = (guint)cfg_find_pool (cfg, stream ? CFG_ENGINE : CFG_SERVICE,
+                                        str_of (stream ? "m" : "s"));
+  request->prompt_tokens = 100;
+  request->bytes = 400;
+  request->streamed = request->repeatable = stream;
+  request->keyed = kind == JOB_KEYED;
+  request->key[0] = (guint8)key;
+  request->body[0] = (guint8)job->other_body;
+  sim_after (&world->sim, 0, deliver, note);
+}
+
+/* Takes a request at any instance that the balancer may still choose.  */
+static void
+arrive (struct world *world)
+{
+  struct instance *instance = &world->instances[pick (world, INSTANCES)];
+  enum job_kind kind = pick (world, JOB_KINDS);
+  if (instance->shut_at != 0
+      && world->sim.clk.t - instance->shut_at >= GRACE_US)
+    return;
+  guint key = pick (world, KEYS);
+  for (guint n = kind == JOB_KEYED ? 1 + pick (world, 3) : 1; n > 0; n--)
+    new_job (world, n == 1 ? instance : &world->instances[pick (world, 3)],
+             kind, key);
+}
+
+static void
+hang_up (struct world *world)
+{
+  guint index = world->n_jobs ? pick (world, world->n_jobs) : 0;
+  struct job *job = &world->jobs[index];
+  struct instance *instance = &world->instances[job->instance];
+  struct nod_event event = { .kind = NOD_CALLER_GONE };
+  if (world->n_jobs == 0 || job->over || !job->taken || is_frozen (instance))
+    return;
+  event.caller_gone = index + 1;
+  job->over = TRUE;
+  record (world, REC_GONE, job->instance, index);
+  nod_handle (instance->nod, &event);
+}
+
+static void
+on_updated (void *ctx, const struct cft_result *result)
+{
+  (void)ctx;
+  (void)result;
+}
+
+/* An operator drains SERVER, or takes it back, through some instance.  */
+static void
+drain (struct world *world, guint server, gboolean on)
+{
+  char name[] = { 'b', (char)('0' + server), '\0' };
+  struct instance *instance = &world->instances[pick (world, INSTANCES)];
+  const struct cfg *cfg = instance->nod ? nod_config (instance->nod) : NULL;
+  struct err err;
+  if (cfg == NULL || is_frozen (instance))
+    return;
+  g_autoptr (GBytes) body = cfg_with_drain (cfg->body, name, on, &err);
+  nod_update_config (instance->nod, cfg->version, body, on_updated, NULL);
+}
+
+/* A server leaves or comes back, by its own word or the operator's.  */
+static void
+leave_or_return (struct world *world, guint server)
+{
+  struct server *leaver = &world->servers[server];
+  if (server >= SERVERS / 2 || sim_chance (&world->sim, 0.5))
+    {
+      drain (world, server, sim_chance (&world->sim, 0.6));
+      return;
+    }
+  leaver->leaving = !leaver->leaving;
+  record (world, leaver->leaving ? REC_LEAVE : REC_BACK, 0, 0)->server = server;
+}
+
+static void
+wake (void *ctx)
+{
+  struct instance *instance = ctx;
+  if (instance->nod != NULL && !is_frozen (instance))
+    record (instance->world, REC_WAKE, instance->index, 0);
+}
+
+static void
+freeze (struct instance *instance, gint64 for_us)
+{
+  struct world *world = instance->world;
+  if (instance->nod == NULL || is_frozen (instance))
+    return;
+  instance->frozen_until = world->sim.clk.t + for_us;
+  record (world, REC_FREEZE, instance->index, 0);
+  sim_after (&world->sim, for_us, wake, instance);
+}
+
+/* Freezes an instance that waits for grants or for the ledger, and lets a
+   server leave.  */
+static void
+freeze_asking (struct world *world, struct instance *instance)
+{
+  guint server = instance->index % DOMAINS + DOMAINS * pick (world, 4);
+  enum job_kind kind = server < SERVERS / 2             ? JOB_STREAM
+                       : sim_chance (&world->sim, 0.5) ? JOB_ONCE
+                                                       : JOB_KEYED;
+  for (guint i = 0; i < 6; i++)
+    new_job (world, instance, kind, pick (world, KEYS));
+  sim_run (&world->sim, world->sim.clk.t + between (world, 0, 200 * CLK_MS));
+  freeze (instance, between (world, 3200 * CLK_MS, 7 * CLK_S));
+  leave_or_return (world, server);
+}
+
+static void
+shut_down (struct instance *instance)
+{
+  const struct nod_event event = { .kind = NOD_SHUTDOWN };
+  if (instance->nod == NULL || instance->shut_at != 0 || is_frozen (instance))
+    return;
+  instance->shut_at = instance->world->sim.clk.t;
+  record (instance->world, REC_SHUTDOWN, instance->index, 0);
+  nod_handle (instance->nod, &event);
+}
+
+static void
+disturb_store (struct world *world)
+{
+  struct sim_store *store = &world->store;
+  sim_store_heal (store);
+  switch (pick (world, 5))
+    {
+    case 0:
+      store->refusing = TRUE;
+      break;
+    case 1:
+      store->silent = TRUE;
+      break;
+    case 2:
+      store->lost_before = 0.2;
+      store->lost_after = 0.3;
+      store->late = 0.1;
+      break;
+    case 3:
+      world->store_cut_until[pick (world, DOMAINS)]
+          = world->sim.clk.t + between (world, CLK_S, 6 * CLK_S);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+start_fault (struct world *world)
+{
+  struct instance *instance = &world->instances[pick (world, INSTANCES)];
+  gint64 until = world->sim.clk.t + between (world, CLK_S, 8 * CLK_S);
+  guint a = pick (world, INSTANCES);
+  switch (pick (world, 9))
+    {
+    case 0:
+      stop_instance (instance);
+      sim_after (&world->sim, between (world, 50 * CLK_MS, 4 * CLK_S),
+                 start_instance, instance);
+      break;
+    case 1:
+      freeze (instance, between (world, 300 * CLK_MS, 8 * CLK_S));
+      break;
+    case 2:
+      freeze_asking (world, instance);
+      break;
+    case 3:
+      shut_down (instance);
+      break;
+    case 4:
+      world->cut_until = until;
+      break;
+    case 5:
+      break_link (world, a, (a + 1 + pick (world, INSTANCES - 1)) % INSTANCES,
+                  50 * CLK_MS);
+      break;
+    case 6:
+      disturb_store (world);
+      break;
+    case 7:
+      world->servers[pick (world, SERVERS)].down_until = until;
+      break;
+    default:
+      leave_or_return (world, pick (world, SERVERS));
+      break;
+    }
+}
+
+static void
+run_with_faults (struct world *world)
+{
+  world->faults = TRUE;
+  for (gint64 end = world->sim.clk.t + FAULTS_US; world->sim.clk.t < end;)
+    {
+      if (sim_chance (&world->sim, 0.3))
+        arrive (world);
+      if (sim_chance (&world->sim, 0.01))
+        hang_up (world);
+      if (sim_chance (&world->sim, 0.04))
+        start_fault (world);
+      sim_run (&world->sim, world->sim.clk.t + STEP_US);
+    }
+}
+
+static void
+heal (struct report *report)
+{
+  struct world *world = report->world;
+  report->healed = world->sim.clk.t;
+  world->faults = FALSE;
+  world->cut_until = 0;
+  memset (world->store_cut_until, 0, sizeof world->store_cut_until);
+  sim_store_heal (&world->store);
+  for (guint i = 0; i < SERVERS; i++)
+    world->servers[i].down_until = 0;
+  for (guint i = 0; i < INSTANCES; i++)
+    if (is_frozen (&world->instances[i]))
+      world->instances[i].frozen_until = world->sim.clk.t + CLK_S;
+}
+
+static guint
+unfinished (const struct world *world)
+{
+  guint n = 0;
+  for (guint i = 0; i < world->n_jobs; i++)
+    n += !world->jobs[i].over;
+  return n;
+}
+
+/* Lets all work end, then all leave at once, each of which must be idle.  */
+static void
+wind_down (struct world *world)
+{
+  gint64 due = world->sim.clk.t + END_US;
+  while (unfinished (world) > 0 && world->sim.clk.t < due)
+    sim_run (&world->sim, world->sim.clk.t + 500 * CLK_MS);
+  sim_run (&world->sim, world->sim.clk.t + IDLE_US);
+  for (guint i = 0; i < INSTANCES; i++)
+    shut_down (&world->instances[i]);
+  sim_run (&world->sim, world->sim.clk.t + 200 * CLK_MS);
+}
+
+struct totals
+{
+  guint records[REC_DRAINED + 1];
+  guint jobs;
+  guint refused;
+};
+
+static void
+add_totals (struct totals *totals, const struct report *report)
+{
+  totals->jobs += report->world->n_jobs;
+  for (guint i = 0; i < report->world->history->len; i++)
+    {
+      const struct rec *rec = rec_at (report, i);
+      totals->records[rec->kind]++;
+      totals->refused += rec->kind == REC_FAIL && rec->ran == NOD_RAN_NO;
+    }
+}
+
+static struct report *
+open_report (guint32 seed)
+{
+  struct report *report = g_new0 (struct report, 1);
+  report->world = g_new (struct world, 1);
+  world_init (report->world, seed);
+  sim_run (&report->world->sim, report->world->sim.clk.t + START_US);
+  return report;
+}
+
+/* Frees REPORT and returns whether no rule was violated.  */
+static gboolean
+close_report (struct report *report, guint32 seed, struct totals *totals)
+{
+  gboolean held = report->violated == NULL;
+  add_totals (totals, report);
+  if (!held)
+    g_print ("\nseed %u: %s (%u, %s); repeat: JW_SEED=%u "
+             "build/tests/test_nod\n",
+             seed, report->violated, report->culprit,
+             report->code ? report->code : "-", seed);
+  world_clear (report->world);
+  g_free (report->world);
+  g_free (report);
+  return held;
+}
+
+static gboolean
+run_faults (guint32 seed, struct totals *totals)
+{
+  struct report *report = open_report (seed);
+  run_with_faults (report->world);
+  heal (report);
+  wind_down (report->world);
+  check_all (report);
+  return close_report (report, seed, totals);
+}
+
+/* Returns the number of seeds from 1 to N that failed, at most 5.  */
+static guint
+run_seeds (gboolean (*run) (guint32 seed, struct totals *totals), guint32 n,
+           struct totals *totals)
+{
+  const char *only = g_getenv ("JW_SEED");
+  guint32 first = only ? (guint32)strtoul (only, NULL, 10) : 1;
+  guint32 last = only ? first : n;
+  guint failed = 0;
+  for (guint32 seed = first; seed <= last && failed < 5; seed++)
+    failed += !run (seed, totals);
+  return failed;
+}
+
+static void
+test_schedules (void)
+{
+  struct totals totals = { 0 };
+  guint failed = run_seeds (run_faults, SEEDS, &totals);
+  CU_ASSERT_EQUAL (failed, 0);
+  g_print ("%u requests: %u answered, %u replayed, %u failed (%u not run); "
+           "%u attempts, %u runs; %u stops, %u freezes, %u drained\n",
+           totals.jobs, totals.records[REC_FINISH], totals.records[REC_REPLAY],
+           totals.records[REC_FAIL], totals.refused, totals.records[REC_OPEN],
+           totals.records[REC_RUN], totals.records[REC_DOWN],
+           totals.records[REC_FREEZE], totals.records[REC_DRAINED]);
+  for (guint i = 0; i <= REC_DRAINED; i++)
+    CU_ASSERT_TRUE (g_getenv ("JW_SEED") || totals.records[i] > 0);
+}
+
+/* Replaces, kills and freezes an instance and breaks connections under
+   load.  */
+static void
+run_with_losses (struct world *world)
+{
+  guint first = pick (world, INSTANCES);
+  for (guint step = 0; step < 450; step++)
+    {
+      struct instance *instance
+          = &world->instances[(first + step / 150) % INSTANCES];
+      if (sim_chance (&world->sim, 0.35))
+        new_job (world, &world->instances[pick (world, INSTANCES)],
+                 sim_chance (&world->sim, 0.6) ? JOB_STREAM : JOB_ONCE, 0);
+      if (step == 50)
+        shut_down (instance);
+      if (step == 200)
+        {
+          stop_instance (instance);
+          sim_after (&world->sim, CLK_S, start_instance, instance);
+        }
+      if (sim_chance (&world->sim, 0.02))
+        break_link (world, instance->index, (instance->index + 1) % INSTANCES,
+                    50 * CLK_MS);
+      if (step == 350)
+        freeze (instance, between (world, CLK_S, 6 * CLK_S));
+      sim_run (&world->sim, world->sim.clk.t + STEP_US);
+    }
+}
+
+static gboolean
+run_losses (guint32 seed, struct totals *totals)
+{
+  struct report *report = open_report (seed);
+  run_with_losses (report->world);
+  heal (report);
+  wind_down (report->world);
+  check_all (report);
+  check_answers (report);
+  return close_report (report, seed, totals);
+}
+
+/* In calm, lost owners cost no request.  */
+static void
+test_losses (void)
+{
+  struct totals totals = { 0 };
+  guint failed = run_seeds (run_losses, LOSS_SEEDS, &totals);
+  CU_ASSERT_EQUAL (failed, 0);
+  CU_ASSERT_TRUE (totals.jobs > 0);
+}
+
+static CU_TestInfo tests[] = {
+  { "seeded schedules keep what must hold", test_schedules },
+  { "lost owners cost no request", test_losses },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "nod", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
