--- a/packages/base/ctr.h
+++ b/packages/base/ctr.h
@@ -33,6 +33,7 @@
   X (GRANT_EXPIRED, "grant_expired", "grants not used in time")                \
   X (REOFFERS, "reoffers", "tickets offered again to a new owner")             \
   X (MOVED, "moved", "waiting tickets moved to a cell with free slots")        \
+  X (PAUSES, "pauses", "times that this process was paused")                   \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
@@ -51,6 +52,9 @@
   X (LEDGER_REPLAYS, "ledger_replays", "answers given from the ledger")        \
   X (LEDGER_WRITES, "ledger_writes", "conditional updates of ledger objects")  \
   X (LEDGER_CONFLICTS, "ledger_conflicts", "conditional updates lost")         \
+  X (ORDERS, "orders", "orders sent to engines")                               \
+  X (ORDER_CONFLICTS, "order_conflicts", "orders refused as outranked")        \
+  X (ORDER_ERRORS, "order_errors", "calls for orders that failed")             \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -74,6 +74,10 @@
   g_hash_table_remove (nod->calls, &id);
   if (call.caller < NOD_CALLER_OBJECT)
     nod_led_answer (nod, call.caller, call.token, answer);
+  else if (call.caller == NOD_CALLER_LEASE)
+    nod_lease_answer (nod, call.token, answer);
+  else if (call.caller == NOD_CALLER_HOLDER)
+    nod_lease_take_config (nod, call.token, answer);
   else
     nod_config_answer (nod, call.caller - NOD_CALLER_OBJECT, call.token,
                        answer);
@@ -95,7 +99,8 @@
   nod->act = options->act;
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
-  nod->started = nod->handled = clk_now (nod->clk);
+  nod->started = nod->resumed_at = clk_now (nod->clk);
+  nod->caught_up = TRUE;
   nod_budget_init (nod);
   g_queue_init (&nod->local);
   nod->requests
@@ -114,11 +119,13 @@
   if (code < 0)
     goto fail;
   code = nod_peer_init (nod, options, err);
+  if (code < 0)
+    goto fail;
+  code = nod_lease_init (nod, options->chart_folder, err);
   if (code < 0)
     goto fail;
   nod_led_init (nod);
   nod_config_init (nod);
-  nod_peer_gather (nod);
   *result = nod;
   return 0;
 
@@ -136,6 +143,7 @@
   g_hash_table_unref (nod->calls);
   nod_led_free (nod);
   nod_config_free (nod);
+  nod_lease_free (nod);
   g_hash_table_unref (nod->tickets);
   g_hash_table_unref (nod->requests);
   g_hash_table_unref (nod->cells);
@@ -156,6 +164,7 @@
   switch (msg->kind)
     {
     case MSG_HEARTBEAT:
+      nod->caught_up = TRUE;
       nod_peer_heartbeat (nod, from, &msg->heartbeat);
       break;
     case MSG_MEMBERS:
@@ -219,6 +228,7 @@
   nod_peer_tick (nod);
   nod_req_tick (nod);
   nod_led_tick (nod);
+  nod_lease_tick (nod);
   if (now >= nod->cell_tick_at)
     {
       nod->cell_tick_at = now + CEL_TICK_US;
@@ -237,6 +247,44 @@
   nod_req_view_changed (nod, NULL);
 }
 
+static void
+count_others (void *ctx, const struct mem_instance *instance)
+{
+  (void)instance;
+  (*(guint *)ctx)++;
+}
+
+/* Notices that no event came for longer than a running process goes without
+   one: its view of owners, servers and configuration may be out of date.  */
+static void
+note_pause (struct nod *nod)
+{
+  gint64 now = clk_now (nod->clk);
+  gint64 gap = nod->handled_at != 0 ? now - nod->handled_at : 0;
+  guint known = 0;
+  if (gap > 2 * NOD_TICK_US && nod->handled_at - nod->resumed_at < NOD_HOLD_US)
+    nod->resumed_at += gap; /* a pause is no time to catch up */
+  nod->handled_at = now;
+  if (gap < NOD_PAUSE_US)
+    return;
+  mem_each (nod->mem, count_others, &known);
+  nod->resumed_at = now;
+  nod->caught_up = known < 2; /* itself */
+  ctr_add (nod->ctr, CTR_PAUSES, 1);
+}
+
+/* Whether this instance has started or been paused of late and may not have
+   caught up with its peers yet. Then it starts no attempts and serves no
+   offers.  */
+gboolean
+nod_is_held (const struct nod *nod)
+{
+  gint64 age = clk_now (nod->clk) - nod->resumed_at;
+  if (age >= NOD_HOLD_MAX_US)
+    return FALSE;
+  return age < NOD_HOLD_US || !nod->caught_up;
+}
+
 static void
 dispatch (struct nod *nod, const struct nod_event *event)
 {
@@ -250,7 +298,8 @@
       break;
     case NOD_TOKENS:
       nod_req_tokens (nod, event->tokens.request, event->tokens.attempt,
-                      event->tokens.count, event->tokens.resumable);
+                      event->tokens.count, event->tokens.bytes,
+                      event->tokens.resumable);
       break;
     case NOD_ATTEMPT_END:
       nod_req_attempt_end (nod, &event->attempt_end);
@@ -278,6 +327,10 @@
       nod_cell_cache (nod, event->cache.backend, event->cache.prefix,
                       event->cache.held);
       break;
+    case NOD_ORDER_ANSWER:
+      nod_lease_order_answer (nod, event->order_answer.token,
+                              event->order_answer.answer);
+      break;
     case NOD_SHUTDOWN:
       shut_down (nod);
       break;
@@ -292,10 +345,7 @@
 nod_handle (struct nod *nod, const struct nod_event *event)
 {
   struct msg *msg;
-  gint64 now = clk_now (nod->clk);
-  if (now - nod->handled >= NOD_PAUSE_US)
-    nod_peer_gather (nod);
-  nod->handled = now;
+  note_pause (nod);
   dispatch (nod, event);
   while ((msg = g_queue_pop_head (&nod->local)) != NULL)
     {
@@ -398,5 +448,7 @@
   dump_infos (nod, json);
   json_builder_set_member_name (json, "ledger");
   nod_led_dump (nod, json);
+  json_builder_set_member_name (json, "orders");
+  nod_lease_dump (nod, json);
   json_builder_end_object (json);
 }
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -88,14 +88,14 @@
 static void
 take_offer (struct nod *nod, const char *from, const struct msg_offer *offer)
 {
-  if (nod->cfg == NULL)
+  if (nod->cfg == NULL || nod_is_held (nod))
     {
-      refuse_offer (nod, from, offer->ticket, MSG_REASON_NO_CONFIG);
+      refuse_offer (nod, from, offer->ticket,
+                    nod->cfg ? MSG_REASON_NOT_OWNER : MSG_REASON_NO_CONFIG);
       return;
     }
   struct cel *cel = nod_cell_get (nod, str_of (offer->cell.s));
-  gboolean runs = offer->running.s[0] != '\0';
-  if (cel == NULL || (nod->gather_until != 0 && !runs))
+  if (cel == NULL)
     refuse_offer (nod, from, offer->ticket, MSG_REASON_NOT_OWNER);
   else
     cel_offer (cel, from, offer);
@@ -121,7 +121,9 @@
         cel_withdraw (cel, from, msg->withdraw.ticket);
         break;
       case MSG_PROGRESS:
-        cel_progress (cel, from, &msg->progress);
+        /* Unheard, it leaves the grants of a paused owner old. */
+        if (!nod_is_held (nod))
+          cel_progress (cel, from, &msg->progress);
         break;
       case MSG_RELEASE:
         cel_release (cel, from, &msg->release);
@@ -285,9 +287,10 @@
 struct summary_round
 {
   struct nod *nod;
-  GArray *own;         /* cells owned here */
-  GArray *all;         /* all known cells of the domain */
-  GHashTable *reached; /* other domains that got a copy; borrowed names */
+  GArray *own;          /* cells owned here */
+  GArray *all;          /* all known cells of the domain */
+  GHashTable *contacts; /* other domain -> GPtrArray of its struct
+                           mem_instance, in the order of ids */
 };
 
 /* Tells whether this instance speaks for its failure domain to DOMAIN. The
@@ -301,6 +304,20 @@
   return speaker == NULL || strcmp (speaker->id.s, nod->self.s) == 0;
 }
 
+/* Notes a live instance of another failure domain.  */
+static void
+note_contact (struct summary_round *round, const struct mem_instance *instance)
+{
+  const char *domain = instance->domain.s;
+  GPtrArray *list = g_hash_table_lookup (round->contacts, domain);
+  if (list == NULL)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (round->contacts, (gpointer)domain, list);
+    }
+  g_ptr_array_add (list, (gpointer)instance);
+}
+
 static void
 send_round (void *ctx, const struct mem_instance *instance)
 {
@@ -308,18 +325,31 @@
   struct nod *nod = round->nod;
   if (!instance->live || strcmp (instance->id.s, nod->self.s) == 0)
     return;
-  if (strcmp (instance->domain.s, nod->domain.s) == 0)
+  if (strcmp (instance->domain.s, nod->domain.s) != 0)
+    note_contact (round, instance);
+  else if (round->own->len > 0)
+    send_cells (nod, instance->id.s, round->own);
+}
+
+/* Sends all cells to an instance of each other domain that this one speaks
+   to. The domains take different instances there, by their place in the
+   configuration, so that none relays for all of them.  */
+static void
+send_to_contacts (struct summary_round *round)
+{
+  struct nod *nod = round->nod;
+  int place = cfg_find_domain (nod->cfg, str_of (nod->domain.s));
+  GHashTableIter iter;
+  gpointer domain, list;
+  g_hash_table_iter_init (&iter, round->contacts);
+  while (g_hash_table_iter_next (&iter, &domain, &list))
     {
-      if (round->own->len > 0)
-        send_cells (nod, instance->id.s, round->own);
-      return;
+      const GPtrArray *contacts = list;
+      const struct mem_instance *contact
+          = contacts->pdata[(guint)MAX (place, 0) % contacts->len];
+      if (speaks_to (nod, domain))
+        send_cells (nod, contact->id.s, round->all);
     }
-  if (round->all->len == 0
-      || g_hash_table_contains (round->reached, instance->domain.s)
-      || !speaks_to (nod, instance->domain.s))
-    return;
-  g_hash_table_add (round->reached, (gpointer)instance->domain.s);
-  send_cells (nod, instance->id.s, round->all);
 }
 
 /* Sends the cells owned here to the own failure domain and, to each other
@@ -333,9 +363,12 @@
   round.own = own_summaries (nod);
   round.all = g_array_copy (round.own);
   add_heard (nod, round.all);
-  round.reached = g_hash_table_new (g_str_hash, g_str_equal);
+  round.contacts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                          (GDestroyNotify)g_ptr_array_unref);
   mem_each (nod->mem, send_round, &round);
-  g_hash_table_unref (round.reached);
+  if (round.all->len > 0)
+    send_to_contacts (&round);
+  g_hash_table_unref (round.contacts);
   g_array_unref (round.all);
   g_array_unref (round.own);
 }
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -5,6 +5,7 @@
 #include "chart/chr.h"
 #include "ledger/lec.h"
 #include "ledger/led.h"
+#include "lease/ord.h"
 #include "node/nod.h"
 
 #define NOD_REQUESTS_MAX 65536      /* in progress at one entry */
@@ -17,14 +18,15 @@
    bytes a second do not grow with the domain. */
 #define NOD_SUMMARY_PER_MEMBER_US (60 * CLK_MS)
 #define NOD_SUMMARY_FRESH_US (4 * CLK_S) /* older ones are not used */
-/* After the start or a pause, before owning. */
-#define NOD_GATHER_US (600 * CLK_MS)
-#define NOD_PAUSE_US (2 * CLK_S) /* without any event: the process slept */
+#define NOD_GATHER_US (600 * CLK_MS)     /* after the start, before owning */
 /* After the first configuration, for the summaries of other cells to come. */
 #define NOD_SETTLE_US (1200 * CLK_MS)
 #define NOD_RECONNECT_US (200 * CLK_MS)  /* for a lost connection to return */
 #define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
+#define NOD_PAUSE_US (1500 * CLK_MS)     /* without an event: it was frozen */
+#define NOD_HOLD_US (700 * CLK_MS)       /* after the start or a pause, idle */
+#define NOD_HOLD_MAX_US (3 * CLK_S)      /* while no peer is heard */
 #define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
 /* X (NAME, "name") in the order of charts/request.chart */
@@ -79,23 +81,24 @@
   gint64 offer_at;     /* >0: offer again at this time, microseconds */
   struct str_id tried[NOD_CELLS_TRIED_MAX]; /* cells that refused */
   guint n_tried;
-  struct str_id backend;  /* of the running attempt or of the grant */
-  gint64 granted_us;      /* the grant's echo_us */
-  guint32 priority;       /* for the engine, from the grant */
-  guint32 attempt;        /* of the last attempt; 0: none */
-  guint sent_attempts;    /* that may have left */
-  guint32 generated;      /* tokens that the caller got, all attempts */
-  guint32 unreported;     /* tokens since the last progress report */
-  gint64 opened;          /* start of this attempt, microseconds */
-  gint64 first_token;     /* of this attempt, microseconds; 0: none */
-  gint64 last_token;      /* of this attempt, microseconds */
-  guint32 attempt_tokens; /* of this attempt */
+  enum msg_reason no_route; /* why no cell was left to try */
+  struct str_id backend;    /* of the running attempt or of the grant */
+  guint32 priority;         /* for the engine, from the grant */
+  gint64 grant_echo;        /* own clock time that the grant is no older than */
+  guint32 attempt;          /* of the last attempt; 0: none */
+  guint sent_attempts;      /* that may have left */
+  guint32 generated;        /* tokens that the caller got, all attempts */
+  guint32 unreported;       /* tokens since the last progress report */
+  gint64 opened;            /* start of this attempt, microseconds */
+  gint64 first_token;       /* of this attempt, microseconds; 0: none */
+  gint64 last_token;        /* of this attempt, microseconds */
+  guint32 attempt_tokens;   /* of this attempt */
   struct str_id avoid[MSG_AVOID_MAX];
   guint n_avoid;
   gboolean forgiven; /* the list was emptied once */
   gboolean fixed;    /* its text is too long to be resumed elsewhere */
   gboolean recorded; /* the ledger holds this request's intent */
-  gboolean crossed;  /* counted against the link's budget */
+  gboolean crosses;  /* the attempt runs beyond the link */
 };
 
 /* What another failure domain or another owner said of a cell. */
@@ -131,6 +134,22 @@
   gboolean from_store; /* it did not come from a peer */
 };
 
+/* Orders to the engines of the own failure domain. */
+struct nod_lease
+{
+  struct chr *lease_chart;
+  struct chr *order_chart;
+  struct lse *lse;
+  struct ord *ord;
+  GHashTable *ordered; /* name -> itself; engines known to ORD */
+  gboolean needed;     /* some engine here has a desired state */
+  guint64 fence;       /* of the last acquisition seen */
+  gboolean confirmed;  /* the configuration was read under FENCE */
+  gboolean reading;    /* that read is under way */
+  gint64 read_at;      /* not before, microseconds */
+  gint64 tick_at;      /* next, microseconds */
+};
+
 struct nod_budget
 {
   double retries;    /* tokens of the retry budget */
@@ -146,9 +165,7 @@
   struct str_id domain;
   struct str_id region;
   guint64 incarnation;
-  gint64 started;      /* microseconds */
-  gint64 handled;      /* time of the last event, microseconds */
-  gint64 gather_until; /* owns nothing before, microseconds; 0: it may own */
+  gint64 started; /* microseconds */
   void (*act) (void *ctx, const struct nod_action *action);
   void *ctx;
 
@@ -173,9 +190,14 @@
   GHashTable *listed_leaving;  /* name -> itself; by the platform's list */
   struct lec *lec;             /* this entry's side of the ledger */
   struct nod_led_shard shards[LED_SHARDS];
+  struct nod_lease lease;
   guint64 next_token; /* of calls to the platform */
   GHashTable *calls;  /* token -> struct nod_call * */
 
+  gint64 handled_at;   /* last event, microseconds */
+  gint64 resumed_at;   /* start, or end of the last pause, microseconds */
+  gboolean held;       /* shows as leaving for that */
+  gboolean caught_up;  /* heard a peer since then, or has none */
   gint64 ready_at;     /* not ready before, microseconds */
   gint64 heartbeat_at; /* next, microseconds */
   gint64 far_heartbeat_at;
@@ -186,12 +208,15 @@
   gint64 watch_at; /* next choice of the watchers */
 };
 
-/* Who waits for an answer of the platform: a ledger shard, or a followed
-   object by its number above the shards. */
+/* Who waits for an answer of the platform: a ledger shard, a followed object
+   by its number above the shards, the lease, or the holder of the lease for
+   the configuration. */
 #define NOD_CALLER_OBJECT LED_SHARDS
+#define NOD_CALLER_LEASE (NOD_CALLER_OBJECT + NOD_FOLLOWED)
+#define NOD_CALLER_HOLDER (NOD_CALLER_LEASE + 1)
 struct nod_call
 {
-  guint caller;  /* 0 to LED_SHARDS - 1, or NOD_CALLER_OBJECT + object */
+  guint caller;  /* 0 to LED_SHARDS - 1, or NOD_CALLER_ */
   guint64 token; /* of the caller's own count */
 };
 
@@ -202,6 +227,7 @@
 /* nod.c */
 void nod_send (struct nod *nod, const char *to, const struct msg *msg);
 void nod_dial (struct nod *nod, const char *address);
+gboolean nod_is_held (const struct nod *nod);
 void nod_store (struct nod *nod, guint caller, guint64 token,
                 const struct sto_call *call);
 
@@ -210,7 +236,7 @@
 void nod_req_arrive (struct nod *nod, const struct nod_request *spec);
 void nod_req_caller_gone (struct nod *nod, guint64 id);
 void nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt,
-                     guint32 count, gboolean resumable);
+                     guint32 count, gsize bytes, gboolean resumable);
 void nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end);
 void nod_req_grant (struct nod *nod, const char *from,
                     const struct msg_grant *grant);
@@ -240,7 +266,8 @@
 void nod_budget_refill (struct nod *nod);
 void nod_budget_first_try (struct nod *nod, guint class_index);
 gboolean nod_budget_retry (struct nod *nod, guint class_index);
-gboolean nod_budget_link (struct nod *nod, guint class_index, guint64 bytes);
+gboolean nod_budget_may_cross (const struct nod *nod, guint class_index);
+void nod_budget_charge_link (struct nod *nod, guint class_index, guint64 bytes);
 
 /* nod_cell.c: cells served as an owner, summaries */
 struct cel *nod_cell_get (struct nod *nod, struct str name);
@@ -268,7 +295,6 @@
                          const struct msg_heartbeat *heartbeat);
 void nod_peer_greet (struct nod *nod, const char *id);
 void nod_peer_members (struct nod *nod, const struct msg_members *members);
-void nod_peer_gather (struct nod *nod);
 void nod_peer_tick (struct nod *nod);
 
 /* nod_led.c: ledger shards served */
@@ -296,4 +322,17 @@
 void nod_config_peer (struct nod *nod, const char *from,
                       const struct msg_heartbeat *heartbeat);
 
+/* nod_lease.c: orders to engines under a lease */
+int nod_lease_init (struct nod *nod, const char *chart_folder, struct err *err);
+void nod_lease_free (struct nod *nod);
+void nod_lease_config (struct nod *nod);
+void nod_lease_answer (struct nod *nod, guint64 token,
+                       const struct sto_answer *answer);
+void nod_lease_take_config (struct nod *nod, guint64 fence,
+                            const struct sto_answer *answer);
+void nod_lease_order_answer (struct nod *nod, guint64 token,
+                             const struct ord_answer *answer);
+void nod_lease_tick (struct nod *nod);
+void nod_lease_dump (const struct nod *nod, JsonBuilder *json);
+
 #endif
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -21,6 +21,8 @@
   mem.self.incarnation = nod->incarnation;
   g_strlcpy (mem.self.address, options->address, sizeof mem.self.address);
   nod->mem = mem_new (&mem);
+  nod->held = TRUE;
+  mem_set_leaving (nod->mem, TRUE);
   for (guint i = 0; options->peers != NULL && options->peers[i] != NULL; i++)
     nod_dial (nod, options->peers[i]);
   return 0;
@@ -140,28 +142,6 @@
   nod_send (nod, list.items[to].id.s, &msg);
 }
 
-/* Owns nothing for a while, since others may know of changes, such as leaving
-   servers, that this instance has not heard of yet.  */
-void
-nod_peer_gather (struct nod *nod)
-{
-  nod->gather_until = clk_now (nod->clk) + NOD_GATHER_US;
-  mem_set_leaving (nod->mem, TRUE);
-  nod->heartbeat_at = 0;
-  nod_req_view_changed (nod, NULL);
-}
-
-static void
-end_gathering (struct nod *nod)
-{
-  nod->gather_until = 0;
-  if (nod->leaving)
-    return;
-  mem_set_leaving (nod->mem, FALSE);
-  nod->heartbeat_at = 0;
-  nod_req_view_changed (nod, NULL);
-}
-
 static gint64
 summary_interval (const struct nod *nod)
 {
@@ -178,14 +158,27 @@
   return TRUE;
 }
 
+/* While it is held, an instance shows as leaving, so that nobody takes it for
+   an owner.  */
+static void
+show_hold (struct nod *nod)
+{
+  gboolean held = nod_is_held (nod);
+  if (held == nod->held || nod->leaving)
+    return;
+  nod->held = held;
+  mem_set_leaving (nod->mem, held);
+  nod->heartbeat_at = 0;
+  nod_req_view_changed (nod, NULL);
+}
+
 /* Sends what is due and marks silent instances down.  */
 void
 nod_peer_tick (struct nod *nod)
 {
   gint64 now = clk_now (nod->clk);
   struct mem_change change;
-  if (nod->gather_until != 0 && now >= nod->gather_until)
-    end_gathering (nod);
+  show_hold (nod);
   do
     {
       memset (&change, 0, sizeof change);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -281,7 +281,7 @@
   if (g_hash_table_size (nod->requests) > NOD_REQUESTS_MAX)
     refuse_for (nod, req, MSG_REASON_OVERLOAD, CLK_S, nod->self.s);
   else if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -316,6 +316,8 @@
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL)
     return;
+  if (req->state == REQ_RUNNING)
+    req->sent_attempts++;
   let_go (nod, req);
   if (req->state == REQ_RECORDING)
     lec_withdraw (nod->lec, id);
@@ -326,6 +328,13 @@
   forget (nod, req);
 }
 
+static void
+charge_link (struct nod *nod, const struct nod_req *req, gsize bytes)
+{
+  if (req->crosses)
+    nod_budget_charge_link (nod, req->spec.class_index, bytes);
+}
+
 /* Starts an attempt on the granted server.  */
 static void
 open_attempt (struct nod *nod, struct nod_req *req)
@@ -343,6 +352,8 @@
   action.open.resume = req->generated > 0;
   action.open.fresh = !req->spec.repeatable;
   action.open.timeout_us = MAX (0, req->deadline - clk_now (nod->clk));
+  req->crosses = nod_crosses_link (nod, nod->cfg, nod->cfg->backends[i].domain);
+  charge_link (nod, req, req->spec.bytes);
   ctr_add (nod->ctr, CTR_ATTEMPTS, 1);
   if (req->attempt > 1)
     ctr_add (nod->ctr, action.open.resume ? CTR_RESUMES : CTR_RETRIES, 1);
@@ -353,10 +364,10 @@
    has begun to leave since. It is at most as old as ECHO_US, the entry's own
    clock time that the owner sends back with it.  */
 static gboolean
-is_usable (const struct nod *nod, const struct str_id *backend, gint64 echo_us)
+is_usable (const struct nod *nod, gint64 echo_us, const char *backend)
 {
-  return clk_now (nod->clk) - echo_us <= NOD_GRANT_AGE_US
-         && cfg_find_backend (nod->cfg, str_of (backend->s)) >= 0;
+  return clk_now (nod->clk) - echo_us <= NOD_GRANT_AGE_US && !nod_is_held (nod)
+         && cfg_find_backend (nod->cfg, str_of (backend)) >= 0;
 }
 
 /* A cell's owner granted a server. A grant that is no longer wanted is
@@ -368,7 +379,7 @@
   gboolean current = req != NULL && strcmp (req->owner.s, from) == 0;
   if (current && req->state != REQ_WAITING)
     return; /* the grant in use, sent again */
-  if (!current || !is_usable (nod, &grant->backend, grant->echo_us))
+  if (!current || !is_usable (nod, grant->echo_us, grant->backend.s))
     {
       send_unused (nod, from, grant);
       if (current)
@@ -376,8 +387,8 @@
       return;
     }
   req->backend = grant->backend;
-  req->granted_us = grant->echo_us;
   req->priority = grant->priority;
+  req->grant_echo = grant->echo_us;
   req->offer_at = 0;
   if (req->spec.keyed && !req->recorded)
     {
@@ -457,13 +468,13 @@
     return;
   let_go (nod, req);
   if (step (nod, req, REQ_EV_REQUEUE) && !offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, from);
+    refuse_for (nod, req, req->no_route, CLK_S, from);
 }
 
-/* Notes COUNT tokens that went to the caller.  */
+/* Notes COUNT tokens, in BYTES of the stream, that went to the caller.  */
 void
 nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt, guint32 count,
-                gboolean resumable)
+                gsize bytes, gboolean resumable)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL || req->attempt != attempt || req->state != REQ_RUNNING)
@@ -473,6 +484,7 @@
     req->first_token = now;
   req->last_token = now;
   req->fixed = !resumable;
+  charge_link (nod, req, bytes);
   req->attempt_tokens += count;
   req->generated += count;
   req->unreported += count;
@@ -574,6 +586,7 @@
       req->unreported += end->tokens;
       ctr_add (nod->ctr, CTR_TOKENS, end->tokens);
     }
+  charge_link (nod, req, end->bytes);
   send_release (nod, req, end->result);
   switch (end->result)
     {
@@ -600,7 +613,7 @@
     }
   step (nod, req, REQ_EV_REQUEUE);
   if (!offer_anew (nod, req))
-    refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+    refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
 }
 
 static void
@@ -655,19 +668,19 @@
   forget (nod, req);
 }
 
-/* Opens a call whose intent is recorded; if its grant has grown too old
-   meanwhile, asks for another one.  */
+/* The ledger holds REQ's intent: its attempt starts, or waits for another
+   grant if the one it has grew old meanwhile.  */
 static void
-open_recorded (struct nod *nod, struct nod_req *req)
+start_recorded (struct nod *nod, struct nod_req *req)
 {
   req->recorded = TRUE;
-  if (is_usable (nod, &req->backend, req->granted_us))
+  if (is_usable (nod, req->grant_echo, req->backend.s))
     {
       if (step (nod, req, REQ_EV_FRESH))
         open_attempt (nod, req);
       return;
     }
-  send_withdraw (nod, req->owner.s, req->ticket);
+  send_release (nod, req, MSG_RESULT_UNUSED);
   step (nod, req, REQ_EV_REQUEUE);
   if (!offer_anew (nod, req))
     refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
@@ -684,7 +697,7 @@
     return;
   if (verdict->verdict == MSG_VERDICT_FRESH)
     {
-      open_recorded (nod, req);
+      start_recorded (nod, req);
       return;
     }
   send_withdraw (nod, req->owner.s, req->ticket);
@@ -708,7 +721,7 @@
       /* The other failure domain cannot be heard any more. */
       mark_tried (req);
       if (!offer_anew (nod, req))
-        refuse_for (nod, req, MSG_REASON_NO_SERVER, CLK_S, nod->self.s);
+        refuse_for (nod, req, req->no_route, CLK_S, nod->self.s);
       return;
     }
   if (owner == NULL || (strcmp (owner, req->owner.s) == 0 && !restarted))
--- a/tests/harness/dep.c
+++ b/tests/harness/dep.c
@@ -4,6 +4,8 @@
 
 #define PROGRAMS "packages/jacinthward/" /* below the build folder */
 #define STANDINS "tests/standin/"
+#define START_TRIES_MAX 3
+#define LETTERS 26 /* that end the names of instances; then numbers */
 
 static const char config_head[]
     = "[jacinthward]\n"
@@ -46,6 +48,12 @@
                           max_running);
 }
 
+gboolean
+dep_checks_fence (guint engine)
+{
+  return engine % 2 == 0;
+}
+
 char *
 dep_config (const struct dep *dep, const char *preset)
 {
@@ -60,8 +68,13 @@
     g_string_append_printf (text, "[domain:%s]\nregion=%s\n", d->name,
                             d->region);
   for (guint i = 0; i < dep->n_engines; i++)
-    add_backend (text, &dep->engines[i], "assistant",
-                 max_running ? max_running : 64);
+    {
+      add_backend (text, &dep->engines[i], "assistant",
+                   max_running ? max_running : 64);
+      if (dep->options.mixed_fences)
+        g_string_append_printf (text, "checks_fence=%s\n",
+                                dep_checks_fence (i) ? "yes" : "no");
+    }
   for (guint i = 0; i < dep->n_services; i++)
     add_backend (text, &dep->services[i], "account", 32);
   g_free (key);
@@ -99,6 +112,12 @@
       = { path, "--name", name, "--history", history, NULL };
   for (guint i = 0; fixed[i] != NULL; i++)
     g_ptr_array_add (argv, (gpointer)fixed[i]);
+  if (dep->options.mixed_fences && strcmp (program, "standin_engine") == 0
+      && !dep_checks_fence (dep->n_engines - 1))
+    {
+      g_ptr_array_add (argv, "--checks-fence");
+      g_ptr_array_add (argv, "no");
+    }
   for (guint i = 0; args != NULL && args[i] != NULL; i++)
     g_ptr_array_add (argv, (gpointer)args[i]);
   g_ptr_array_add (argv, NULL);
@@ -141,7 +160,9 @@
       node->region = domain->region;
       node->peer_port = har_free_port ();
       g_snprintf (node->name, sizeof node->name, "%s-%c", domain->name,
-                  'a' + (char)i);
+                  'a' + (char)(i % LETTERS));
+      if (i >= LETTERS)
+        g_snprintf (node->name, sizeof node->name, "%s-%u", domain->name, i);
     }
 }
 
@@ -172,10 +193,9 @@
   return path;
 }
 
-gboolean
-dep_start_entry (struct dep *dep, guint i)
+static gboolean
+start_entry (struct dep *dep, struct dep_node *node)
 {
-  struct dep_node *node = &dep->entries[i];
   char *settings = write_settings (dep, node);
   const char *const argv[]
       = { PROGRAMS "jacinthward", "--settings", settings, NULL };
@@ -184,6 +204,21 @@
   return node->proc != NULL && har_wait_ready (node->proc);
 }
 
+/* Another process may have taken the port meanwhile; then another is
+   chosen.  */
+gboolean
+dep_start_entry (struct dep *dep, guint i)
+{
+  struct dep_node *node = &dep->entries[i];
+  for (guint tries = 0; tries < START_TRIES_MAX; tries++)
+    {
+      if (start_entry (dep, node))
+        return TRUE;
+      node->peer_port = har_free_port ();
+    }
+  return FALSE;
+}
+
 static gboolean
 is_ready (void *ctx)
 {
--- a/tests/unit/nod_sim.h
+++ b/tests/unit/nod_sim.h
@@ -11,7 +11,7 @@
 #define DOMAINS 2
 #define INSTANCES 5
 #define SERVERS 8 /* the first half are engines */
-#define KEYS 120 /* idempotency keys */
+#define KEYS 120  /* idempotency keys */
 #define JOBS_MAX 1000
 #define SERVER_SLOTS 4
 #define REPORT_US (500 * CLK_MS)   /* between load reports */
--- a/tests/unit/nod_world.h
+++ b/tests/unit/nod_world.h
@@ -206,7 +206,7 @@
       "[jacinthward]\npreset=ordinary\n[preset:ordinary]\nspill=region\n"
       "[preset:peak]\nspill=region\n[preset:maintenance]\nspill=none\n"
       "[domain:d0]\nregion=r\n[domain:d1]\nregion=r\n"
-      "[class:high]\ntier=0\nttft_ms=400\ntbt_ms=100\ndeadline_ms=4000\n"
+      "[class:high]\ntier=0\nttft_ms=400\ndeadline_ms=4000\n"
       "min_share=0.5\nmax_waiting=20\n"
       "[class:low]\ntier=3\ndeadline_ms=6000\nmin_share=0.1\nmax_waiting=20\n"
       "[team:t]\nclasses=high;low\ndefault_class=low\nkey_sha256=");
--- a/tests/unit/test_nod.c
+++ b/tests/unit/test_nod.c
@@ -7,11 +7,11 @@
 #include <stdlib.h>
 
 #define SEEDS 300
-#define LOSS_SEEDS 60
+#define LOSS_SEEDS 100
 #define START_US (3 * CLK_S)
 #define FAULTS_US (12 * CLK_S)
 #define STEP_US (20 * CLK_MS)
-#define IDLE_US (15 * CLK_S)   /* for an owner to count nothing any more */
+#define IDLE_US (15 * CLK_S) /* for an owner to count nothing any more */
 
 static void
 new_job (struct world *world, struct instance *instance, enum job_kind kind,
@@ -131,7 +131,7 @@
 freeze_asking (struct world *world, struct instance *instance)
 {
   guint server = instance->index % DOMAINS + DOMAINS * pick (world, 4);
-  enum job_kind kind = server < SERVERS / 2             ? JOB_STREAM
+  enum job_kind kind = server < SERVERS / 2            ? JOB_STREAM
                        : sim_chance (&world->sim, 0.5) ? JOB_ONCE
                                                        : JOB_KEYED;
   for (guint i = 0; i < 6; i++)
