--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -99,7 +99,8 @@
   nod->act = options->act;
   nod->ctx = options->ctx;
   nod->rand = g_rand_new_with_seed (options->seed);
-  nod->started = clk_now (nod->clk);
+  nod->started = nod->resumed_at = clk_now (nod->clk);
+  nod->caught_up = TRUE;
   nod_budget_init (nod);
   g_queue_init (&nod->local);
   nod->requests
@@ -210,7 +211,7 @@
 static void
 tell_drained (struct nod *nod)
 {
-  if (!nod->leaving || nod->drained || g_hash_table_size (nod->requests) > 0
+  if (!nod->leaving || nod->drained || nod_in_progress (nod) > 0
       || !nod_cell_idle (nod))
     return;
   struct nod_action action = { .kind = NOD_DO_DRAINED };
@@ -259,11 +260,12 @@
 note_pause (struct nod *nod)
 {
   gint64 now = clk_now (nod->clk);
+  gint64 gap = nod->handled_at != 0 ? now - nod->handled_at : 0;
   guint known = 0;
-  gboolean paused
-      = nod->handled_at != 0 && now - nod->handled_at >= NOD_PAUSE_US;
+  if (gap > 2 * NOD_TICK_US && nod->handled_at - nod->resumed_at < NOD_HOLD_US)
+    nod->resumed_at += gap; /* a pause is no time to catch up */
   nod->handled_at = now;
-  if (!paused)
+  if (gap < NOD_PAUSE_US)
     return;
   mem_each (nod->mem, count_others, &known);
   nod->resumed_at = now;
@@ -271,13 +273,14 @@
   ctr_add (nod->ctr, CTR_PAUSES, 1);
 }
 
-/* Whether this instance has been paused of late and may not have caught up
-   with its peers yet. Then it starts no attempts and serves no offers.  */
+/* Whether this instance has started or been paused of late and may not have
+   caught up with its peers yet. Then it starts no attempts and serves no
+   offers.  */
 gboolean
 nod_is_held (const struct nod *nod)
 {
   gint64 age = clk_now (nod->clk) - nod->resumed_at;
-  if (nod->resumed_at == 0 || age >= NOD_HOLD_MAX_US)
+  if (age >= NOD_HOLD_MAX_US)
     return FALSE;
   return age < NOD_HOLD_US || !nod->caught_up;
 }
@@ -306,10 +309,11 @@
       break;
     case NOD_PEER_UP:
       nod_peer_greet (nod, event->peer_up);
+      nod_req_reconnect (nod, event->peer_up, 0);
       break;
     case NOD_PEER_LOST:
       mem_disconnected (nod->mem, event->peer_lost);
-      nod_req_peer_lost (nod, event->peer_lost);
+      nod_req_reconnect (nod, event->peer_lost, NOD_RECONNECT_US);
       break;
     case NOD_STORE_ANSWER:
       take_store_answer (nod, event->store_answer.token,
@@ -379,10 +383,12 @@
 }
 
 /* Returns the number of callers' requests in progress.  */
+/* Returns the number of requests in progress and of answers that the ledger
+   has not stored yet, without which the next try of a key gets no answer.  */
 guint
 nod_in_progress (const struct nod *nod)
 {
-  return g_hash_table_size (nod->requests);
+  return g_hash_table_size (nod->requests) + lec_unsettled (nod->lec);
 }
 
 static void
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -25,7 +25,7 @@
 #define NOD_WATCHERS_US (200 * CLK_MS)   /* between choices of the watchers */
 #define NOD_GRANT_AGE_US (2500 * CLK_MS) /* older grants are not used */
 #define NOD_PAUSE_US (1500 * CLK_MS)     /* without an event: it was frozen */
-#define NOD_HOLD_US (700 * CLK_MS)       /* after a pause, no new attempts */
+#define NOD_HOLD_US (700 * CLK_MS)       /* after the start or a pause, idle */
 #define NOD_HOLD_MAX_US (3 * CLK_S)      /* while no peer is heard */
 #define NOD_REQUEUE_US (50 * CLK_MS) /* before asking the same owner again */
 
@@ -195,7 +195,8 @@
   GHashTable *calls;  /* token -> struct nod_call * */
 
   gint64 handled_at;   /* last event, microseconds */
-  gint64 resumed_at;   /* end of the last pause, microseconds; 0: none */
+  gint64 resumed_at;   /* start, or end of the last pause, microseconds */
+  gboolean held;       /* shows as leaving for that */
   gboolean caught_up;  /* heard a peer since then, or has none */
   gint64 ready_at;     /* not ready before, microseconds */
   gint64 heartbeat_at; /* next, microseconds */
@@ -246,7 +247,7 @@
 void nod_req_verdict (struct nod *nod, guint64 id,
                       const struct msg_ledger_verdict *verdict);
 void nod_req_view_changed (struct nod *nod, const char *lost);
-void nod_req_peer_lost (struct nod *nod, const char *id);
+void nod_req_reconnect (struct nod *nod, const char *id, gint64 delay);
 void nod_req_tick (struct nod *nod);
 void nod_req_progress (struct nod *nod);
 void nod_req_rebalance (struct nod *nod);
--- a/packages/node/nod_req.c
+++ b/packages/node/nod_req.c
@@ -294,13 +294,15 @@
   nod->act (nod->ctx, &action);
 }
 
-/* Ends REQ's hold on its owner, whatever its state.  */
+/* Ends REQ's hold on its owner, whatever its state. An attempt that is
+   cancelled may have run.  */
 static void
 let_go (struct nod *nod, struct nod_req *req)
 {
   if (req->state == REQ_RUNNING)
     {
       cancel_attempt (nod, req);
+      req->sent_attempts++;
       send_release (nod, req, MSG_RESULT_CANCELLED);
     }
   else if (req->ticket != 0)
@@ -358,9 +360,9 @@
   nod->act (nod->ctx, &action);
 }
 
-/* Whether a grant may be used: a late one may name a server that has begun to
-   leave since. It is at most as old as the entry's own clock time that the
-   owner sends back with it.  */
+/* Whether a grant of BACKEND may be used: a late one may name a server that
+   has begun to leave since. It is at most as old as ECHO_US, the entry's own
+   clock time that the owner sends back with it.  */
 static gboolean
 is_usable (const struct nod *nod, gint64 echo_us, const char *backend)
 {
@@ -465,7 +467,6 @@
       || req->state != REQ_RUNNING || !is_resumable (req))
     return;
   let_go (nod, req);
-  req->sent_attempts++;
   if (step (nod, req, REQ_EV_REQUEUE) && !offer_anew (nod, req))
     refuse_for (nod, req, req->no_route, CLK_S, from);
 }
@@ -744,10 +745,11 @@
   g_list_free (all);
 }
 
-/* The connection to instance ID went, and with it what was under way: its
-   tickets are offered again, which the owner takes as a repetition.  */
+/* The connection to instance ID went, and with it what was under way, or a new
+   one stands: ID's tickets are offered again in DELAY microseconds, which the
+   owner takes as a repetition.  */
 void
-nod_req_peer_lost (struct nod *nod, const char *id)
+nod_req_reconnect (struct nod *nod, const char *id, gint64 delay)
 {
   GHashTableIter iter;
   gpointer value;
@@ -756,7 +758,7 @@
     {
       struct nod_req *req = value;
       if (strcmp (req->owner.s, id) == 0)
-        req->offer_at = clk_now (nod->clk) + NOD_RECONNECT_US;
+        req->offer_at = clk_now (nod->clk) + delay;
     }
 }
 
