Never reserve more than half of a server's slots

Ruled out: a shorter fade (the waves come 20 s apart). Change: a server with less than half of its slots in use takes any work.

--- a/bench/policy/routed.c
+++ b/bench/policy/routed.c
@@ -283,7 +283,6 @@
   for (guint i = 0; i < WORLD_ENTRIES; i++)
     start_seat (world, &routed->seats[i], i);
   introduce (routed);
-  queue_run (&world->queue, WORLD_START_US);
 }
 
 static void
--- a/bench/policy/world.c
+++ b/bench/policy/world.c
@@ -237,6 +237,7 @@
   place_engines (world);
   arrive_make (world);
   policy->start (world);
+  queue_run (&world->queue, WORLD_START_US);
   for (guint i = 0; i < world->n_jobs; i++)
     queue_add (&world->queue, world->jobs[i].at - WORLD_START_US, on_arrival,
                (void *)policy, &world->jobs[i]);
--- a/bench/policy/world.h
+++ b/bench/policy/world.h
@@ -12,7 +12,7 @@
 #define WORLD_END_US (90 * CLK_S)      /* and may end until then */
 #define WORLD_FAULT_US (20 * CLK_S)
 #define WORLD_RECOVERY_US (3 * CLK_S) /* that the top tier may need */
-#define WORLD_START_US CLK_S          /* the fake clock's first time */
+#define WORLD_START_US (3 * CLK_S)    /* first arrivals, on the fake clock */
 
 enum outcome
 {
--- a/packages/cell/cel_pack.c
+++ b/packages/cell/cel_pack.c
@@ -10,6 +10,7 @@
 #define PACK_DECAY_US (10 * CLK_S) /* of the demand's maximum */
 #define PACK_MARGIN 1.2            /* times the demand is kept free */
 #define PACK_DEMAND_MIN 0.5        /* requests; below it nothing is reserved */
+#define PACK_IDLE_PART 2           /* of the slots, a half, is never reserved */
 #define PACK_SPARE 2.0             /* requests above that */
 
 /* The tightest target of a class, microseconds between tokens; 0 if there is
@@ -105,5 +106,6 @@
   if (tkt->cls->cfg.tbt_us == cel->pack.target_us)
     return srv->reserved > 0 || !cel->pack.room;
   return srv->reserved == 0
+         || srv->in_flight.length * PACK_IDLE_PART < srv_limit (srv)
          || count_loose_on (cel, srv) + srv->reserved < srv_limit (srv);
 }
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -726,6 +726,21 @@
     CU_ASSERT_STRING_NOT_EQUAL (fix_backend (&fix, t), "sa");
 }
 
+/* Urgent work takes all of both servers and ends; what was reserved for it
+   must not keep other work from idle servers.  */
+static void
+test_idle_servers_are_not_reserved (void)
+{
+  fix_init (&fix, 2, 8);
+  fix_start (&fix);
+  offer_many (1, 16, FIX_URGENT);
+  for (guint64 t = 1; t <= 16; t++)
+    serve_one (t, "sa", 25 * CLK_MS, MSG_RESULT_OK);
+  offer_many (101, 2, FIX_BATCH);
+  CU_ASSERT_STRING_NOT_EQUAL (fix_backend (&fix, 101), "");
+  CU_ASSERT_STRING_NOT_EQUAL (fix_backend (&fix, 102), "");
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -762,6 +777,7 @@
   { "a removed class's tickets are refused", test_config_removes_a_class },
   { "late tickets yield, but not for ever", test_late_tickets_yield },
   { "a crash counts without a tick", test_crash_counts_at_once },
+  { "idle servers are not reserved", test_idle_servers_are_not_reserved },
   CU_TEST_INFO_NULL,
 };
 
