Split the node's requests into requests, tickets and attempts

Change: nod_req.c (arrival, deadlines, final errors), nod_ticket.c (owners), nod_attempt.c (backend servers); the node uses base/jsb too. Text moved, names by file; no logic.

--- a/packages/node/nod.c
+++ b/packages/node/nod.c
@@ -1,4 +1,5 @@
 #include "node/nod_int.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -177,13 +178,13 @@
       nod_cell_message (nod, from, msg);
       break;
     case MSG_GRANT:
-      nod_req_grant (nod, from, &msg->grant);
+      nod_ticket_grant (nod, from, &msg->grant);
       break;
     case MSG_REFUSE:
-      nod_req_refuse (nod, from, &msg->refuse);
+      nod_ticket_refuse (nod, from, &msg->refuse);
       break;
     case MSG_PREEMPT:
-      nod_req_preempt (nod, from, &msg->preempt);
+      nod_ticket_preempt (nod, from, &msg->preempt);
       break;
     case MSG_SUMMARY:
       nod_cell_take_summary (nod, from, &msg->summary);
@@ -244,7 +245,7 @@
   mem_set_leaving (nod->mem, TRUE);
   nod->heartbeat_at = 0;
   nod->far_heartbeat_at = 0;
-  nod_req_view_changed (nod, NULL);
+  nod_ticket_view_changed (nod, NULL);
 }
 
 static void
@@ -297,23 +298,23 @@
       nod_req_caller_gone (nod, event->caller_gone);
       break;
     case NOD_TOKENS:
-      nod_req_tokens (nod, event->tokens.request, event->tokens.attempt,
-                      event->tokens.count, event->tokens.bytes,
-                      event->tokens.resumable);
+      nod_attempt_tokens (nod, event->tokens.request, event->tokens.attempt,
+                          event->tokens.count, event->tokens.bytes,
+                          event->tokens.resumable);
       break;
     case NOD_ATTEMPT_END:
-      nod_req_attempt_end (nod, &event->attempt_end);
+      nod_attempt_ended (nod, &event->attempt_end);
       break;
     case NOD_MESSAGE:
       take_message (nod, event->message.from, event->message.msg);
       break;
     case NOD_PEER_UP:
       nod_peer_greet (nod, event->peer_up);
-      nod_req_reconnect (nod, event->peer_up, 0);
+      nod_ticket_reconnect (nod, event->peer_up, 0);
       break;
     case NOD_PEER_LOST:
       mem_disconnected (nod->mem, event->peer_lost);
-      nod_req_reconnect (nod, event->peer_lost, NOD_RECONNECT_US);
+      nod_ticket_reconnect (nod, event->peer_lost, NOD_RECONNECT_US);
       break;
     case NOD_STORE_ANSWER:
       take_store_answer (nod, event->store_answer.token,
@@ -402,15 +403,10 @@
     {
       const struct nod_cell_info *info = value;
       json_builder_begin_object (json);
-      json_builder_set_member_name (json, "cell");
-      json_builder_add_string_value (json, info->summary.cell.s);
-      json_builder_set_member_name (json, "owner");
-      json_builder_add_string_value (json, info->summary.owner.s);
-      json_builder_set_member_name (json, "free_slots");
-      json_builder_add_int_value (json, info->summary.free_slots);
-      json_builder_set_member_name (json, "age_ms");
-      json_builder_add_int_value (json,
-                                  (clk_now (nod->clk) - info->heard) / CLK_MS);
+      jsb_str (json, "cell", info->summary.cell.s);
+      jsb_str (json, "owner", info->summary.owner.s);
+      jsb_int (json, "free_slots", info->summary.free_slots);
+      jsb_int (json, "age_ms", (clk_now (nod->clk) - info->heard) / CLK_MS);
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
@@ -422,18 +418,12 @@
 nod_dump (const struct nod *nod, JsonBuilder *json)
 {
   json_builder_begin_object (json);
-  json_builder_set_member_name (json, "instance");
-  json_builder_add_string_value (json, nod->self.s);
-  json_builder_set_member_name (json, "domain");
-  json_builder_add_string_value (json, nod->domain.s);
-  json_builder_set_member_name (json, "region");
-  json_builder_add_string_value (json, nod->region.s);
-  json_builder_set_member_name (json, "leaving");
-  json_builder_add_boolean_value (json, nod->leaving);
-  json_builder_set_member_name (json, "config_version");
-  json_builder_add_int_value (json, nod->cfg ? (gint64)nod->cfg->version : 0);
-  json_builder_set_member_name (json, "preset");
-  json_builder_add_string_value (json, nod->cfg ? nod->cfg->preset.s : "");
+  jsb_str (json, "instance", nod->self.s);
+  jsb_str (json, "domain", nod->domain.s);
+  jsb_str (json, "region", nod->region.s);
+  jsb_bool (json, "leaving", nod->leaving);
+  jsb_int (json, "config_version", nod->cfg ? (gint64)nod->cfg->version : 0);
+  jsb_str (json, "preset", nod->cfg ? nod->cfg->preset.s : "");
   json_builder_set_member_name (json, "counters");
   ctr_dump (nod->ctr, json);
   json_builder_set_member_name (json, "members");
--- a/packages/node/nod_cell.c
+++ b/packages/node/nod_cell.c
@@ -426,7 +426,7 @@
         nod_dial (nod, summary->cells[i].owner_address);
     }
   if (foreign && moved)
-    nod_req_view_changed (nod, NULL);
+    nod_ticket_view_changed (nod, NULL);
   if (foreign && sender != NULL
       && strcmp (sender->domain.s, summary->domain.s) == 0)
     {
--- a/packages/node/nod_config.c
+++ b/packages/node/nod_config.c
@@ -39,7 +39,7 @@
   nod->summary_at = 0;
   nod_cell_config (nod);
   nod_lease_config (nod);
-  nod_req_view_changed (nod, NULL);
+  nod_ticket_view_changed (nod, NULL);
   struct nod_action action = { .kind = NOD_DO_CONFIG };
   action.config = nod->cfg;
   nod->act (nod->ctx, &action);
--- a/packages/node/nod_int.h
+++ b/packages/node/nod_int.h
@@ -231,29 +231,66 @@
 void nod_store (struct nod *nod, guint caller, guint64 token,
                 const struct sto_call *call);
 
+/* A request's final error. */
+struct nod_failure
+{
+  guint32 status;
+  const char *code;
+  gint64 retry_after_us;
+  const char *step;
+  const char *peer;
+};
+
 /* nod_req.c: requests taken as an entry */
+const struct cfg_class *nod_req_class (const struct nod_req *req);
+gboolean nod_req_is_resumable (const struct nod_req *req);
+gboolean nod_req_step (struct nod *nod, struct nod_req *req,
+                       enum req_event event);
+void nod_req_forget (struct nod *nod, struct nod_req *req);
+void nod_req_end_record (struct nod *nod, struct nod_req *req,
+                         const struct msg_ledger_result *answer);
+void nod_req_fail (struct nod *nod, struct nod_req *req,
+                   const struct nod_failure *failure);
+void nod_req_end_refused (struct nod *nod, struct nod_req *req,
+                          enum msg_reason reason, gint64 retry_after_us,
+                          const char *peer);
+void nod_req_let_go (struct nod *nod, struct nod_req *req);
 int nod_req_init (struct nod *nod, const char *chart_folder, struct err *err);
 void nod_req_arrive (struct nod *nod, const struct nod_request *spec);
 void nod_req_caller_gone (struct nod *nod, guint64 id);
-void nod_req_tokens (struct nod *nod, guint64 id, guint32 attempt,
-                     guint32 count, gsize bytes, gboolean resumable);
-void nod_req_attempt_end (struct nod *nod, const struct nod_attempt_end *end);
-void nod_req_grant (struct nod *nod, const char *from,
-                    const struct msg_grant *grant);
-void nod_req_refuse (struct nod *nod, const char *from,
-                     const struct msg_refuse *refuse);
-void nod_req_preempt (struct nod *nod, const char *from,
-                      const struct msg_preempt *preempt);
-void nod_req_verdict (struct nod *nod, guint64 id,
-                      const struct msg_ledger_verdict *verdict);
-void nod_req_view_changed (struct nod *nod, const char *lost);
-void nod_req_reconnect (struct nod *nod, const char *id, gint64 delay);
 void nod_req_tick (struct nod *nod);
-void nod_req_progress (struct nod *nod);
-void nod_req_rebalance (struct nod *nod);
 void nod_req_free (void *data);
 void nod_req_dump (const struct nod *nod, JsonBuilder *json);
 
+/* nod_ticket.c: tickets with cell owners */
+void nod_ticket_grant (struct nod *nod, const char *from,
+                       const struct msg_grant *grant);
+void nod_ticket_refuse (struct nod *nod, const char *from,
+                        const struct msg_refuse *refuse);
+void nod_ticket_preempt (struct nod *nod, const char *from,
+                         const struct msg_preempt *preempt);
+void nod_ticket_view_changed (struct nod *nod, const char *lost);
+void nod_ticket_reconnect (struct nod *nod, const char *id, gint64 delay);
+void nod_ticket_progress (struct nod *nod);
+void nod_ticket_rebalance (struct nod *nod);
+void nod_ticket_drop (struct nod *nod, struct nod_req *req);
+void nod_ticket_release (struct nod *nod, struct nod_req *req,
+                         enum msg_result result);
+void nod_ticket_withdraw (struct nod *nod, const char *to, guint64 ticket);
+gboolean nod_ticket_offer_anew (struct nod *nod, struct nod_req *req);
+void nod_ticket_offer_again (struct nod *nod, struct nod_req *req);
+
+/* nod_attempt.c: attempts on backend servers */
+void nod_attempt_tokens (struct nod *nod, guint64 id, guint32 attempt,
+                         guint32 count, gsize bytes, gboolean resumable);
+void nod_attempt_ended (struct nod *nod, const struct nod_attempt_end *end);
+void nod_attempt_verdict (struct nod *nod, guint64 id,
+                          const struct msg_ledger_verdict *verdict);
+guint32 nod_attempt_mean_tbt (const struct nod_req *req);
+void nod_attempt_open (struct nod *nod, struct nod_req *req);
+gboolean nod_attempt_may_use (const struct nod *nod, gint64 echo_us,
+                              const char *backend);
+
 /* nod_route.c: choice of a cell and of its owner */
 gboolean nod_route (struct nod *nod, struct nod_req *req);
 gboolean nod_route_move (struct nod *nod, struct nod_req *req);
--- a/packages/node/nod_lease.c
+++ b/packages/node/nod_lease.c
@@ -7,6 +7,7 @@
    version, so that a change of holder never takes engines back to an older
    desired state.  */
 #include "node/nod_int.h"
+#include "base/jsb.h"
 
 #include <string.h>
 
@@ -293,8 +294,7 @@
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "lease");
   lse_dump (nod->lease.lse, json);
-  json_builder_set_member_name (json, "confirmed");
-  json_builder_add_boolean_value (json, nod->lease.confirmed);
+  jsb_bool (json, "confirmed", nod->lease.confirmed);
   json_builder_set_member_name (json, "engines");
   ord_dump (nod->lease.ord, json);
   json_builder_end_object (json);
--- a/packages/node/nod_led.c
+++ b/packages/node/nod_led.c
@@ -76,7 +76,7 @@
 on_verdict (void *ctx, guint64 request,
             const struct msg_ledger_verdict *verdict)
 {
-  nod_req_verdict (ctx, request, verdict);
+  nod_attempt_verdict (ctx, request, verdict);
 }
 
 /* Makes this entry's side of the ledger.  */
--- a/packages/node/nod_peer.c
+++ b/packages/node/nod_peer.c
@@ -43,7 +43,7 @@
     nod_cell_entry_lost (nod, lost);
   if (change->view)
     {
-      nod_req_view_changed (nod, lost);
+      nod_ticket_view_changed (nod, lost);
       nod->summary_at = 0;
     }
 }
@@ -169,7 +169,7 @@
   nod->held = held;
   mem_set_leaving (nod->mem, held);
   nod->heartbeat_at = 0;
-  nod_req_view_changed (nod, NULL);
+  nod_ticket_view_changed (nod, NULL);
 }
 
 /* Sends what is due and marks silent instances down.  */
@@ -198,7 +198,7 @@
     nod_cell_send_summaries (nod);
   if (is_due (&nod->progress_at, now, NOD_PROGRESS_US))
     {
-      nod_req_progress (nod);
-      nod_req_rebalance (nod);
+      nod_ticket_progress (nod);
+      nod_ticket_rebalance (nod);
     }
 }
