--- a/packages/node/nod_attempt.c
+++ b/packages/node/nod_attempt.c
@@ -59,7 +59,7 @@
 /* Notes COUNT tokens, in BYTES of the stream, that went to the caller.  */
 void
 nod_attempt_tokens (struct nod *nod, guint64 id, guint32 attempt, guint32 count,
-                gsize bytes, gboolean resumable)
+                    gsize bytes, gboolean resumable)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL || req->attempt != attempt || req->state != REQ_RUNNING)
@@ -275,7 +275,7 @@
    attempt.  */
 void
 nod_attempt_verdict (struct nod *nod, guint64 id,
-                 const struct msg_ledger_verdict *verdict)
+                     const struct msg_ledger_verdict *verdict)
 {
   struct nod_req *req = g_hash_table_lookup (nod->requests, &id);
   if (req == NULL || req->state != REQ_RECORDING)
--- a/packages/node/nod_ticket.c
+++ b/packages/node/nod_ticket.c
@@ -15,7 +15,8 @@
 
 /* Ends the grant of REQ's attempt at its owner with what was seen.  */
 void
-nod_ticket_release (struct nod *nod, struct nod_req *req, enum msg_result result)
+nod_ticket_release (struct nod *nod, struct nod_req *req,
+                    enum msg_result result)
 {
   struct msg msg = { .kind = MSG_RELEASE };
   msg.release.ticket = req->ticket;
@@ -93,7 +94,8 @@
 /* A cell's owner granted a server. A grant that is no longer wanted is
    given back at once.  */
 void
-nod_ticket_grant (struct nod *nod, const char *from, const struct msg_grant *grant)
+nod_ticket_grant (struct nod *nod, const char *from,
+                  const struct msg_grant *grant)
 {
   struct nod_req *req = g_hash_table_lookup (nod->tickets, &grant->ticket);
   gboolean current = req != NULL && strcmp (req->owner.s, from) == 0;
@@ -145,7 +147,7 @@
    reason allows, else the refusal is final.  */
 void
 nod_ticket_refuse (struct nod *nod, const char *from,
-                const struct msg_refuse *refuse)
+                   const struct msg_refuse *refuse)
 {
   struct nod_req *req = g_hash_table_lookup (nod->tickets, &refuse->ticket);
   if (req == NULL || strcmp (req->owner.s, from) != 0
@@ -164,7 +166,8 @@
     case MSG_REASON_NO_SERVER:
       mark_tried (req);
       if (req->n_tried < NOD_CELLS_TRIED_MAX
-          && clk_now (nod->clk) < req->deadline && nod_ticket_offer_anew (nod, req))
+          && clk_now (nod->clk) < req->deadline
+          && nod_ticket_offer_anew (nod, req))
         return;
       if (refuse->reason == MSG_REASON_NO_SERVER && forgive_servers (req)
           && nod_ticket_offer_anew (nod, req))
@@ -180,14 +183,15 @@
    is cancelled and the request waits to be resumed.  */
 void
 nod_ticket_preempt (struct nod *nod, const char *from,
-                 const struct msg_preempt *preempt)
+                    const struct msg_preempt *preempt)
 {
   struct nod_req *req = g_hash_table_lookup (nod->tickets, &preempt->ticket);
   if (req == NULL || strcmp (req->owner.s, from) != 0
       || req->state != REQ_RUNNING || !nod_req_is_resumable (req))
     return;
   nod_req_let_go (nod, req);
-  if (nod_req_step (nod, req, REQ_EV_REQUEUE) && !nod_ticket_offer_anew (nod, req))
+  if (nod_req_step (nod, req, REQ_EV_REQUEUE)
+      && !nod_ticket_offer_anew (nod, req))
     nod_req_end_refused (nod, req, req->no_route, CLK_S, from);
 }
 
