Run the demo on the Authority's example

Cause: the demo made its own configuration; the examples' settings were read by tests only. Change: dep takes the configuration and settings of an example and puts this run's ports and keys in their place.

--- a/emulator/harness/dep.c
+++ b/emulator/harness/dep.c
@@ -54,9 +54,72 @@
   return engine % 2 == 0;
 }
 
+static GKeyFile *
+read_example (const struct dep *dep, const char *name)
+{
+  GKeyFile *file = g_key_file_new ();
+  char *path = g_build_filename (JW_SOURCE_DIR, "examples",
+                                 dep->options.example, name, NULL);
+  if (!g_key_file_load_from_file (file, path, G_KEY_FILE_NONE, NULL))
+    g_printerr ("%s cannot be read\n", path);
+  g_free (path);
+  return file;
+}
+
+static void
+set_digest (GKeyFile *file, const char *group, const char *key,
+            const char *secret)
+{
+  char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, secret, -1);
+  g_key_file_set_string (file, group, key, digest);
+  g_free (digest);
+}
+
+static void
+set_port (GKeyFile *file, const char *group, const char *key, int port)
+{
+  char *address = g_strdup_printf ("127.0.0.1:%d", port);
+  g_key_file_set_string (file, group, key, address);
+  g_free (address);
+}
+
+/* Puts the ports of the N stand-ins in place of the example's: those of a pool
+   and failure domain in the order of their names.  */
+static void
+set_backends (GKeyFile *file, const struct dep_node *nodes, guint n,
+              const char *kind)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      const char *number = strrchr (nodes[i].name, '-') + 1;
+      char *group
+          = g_strdup_printf ("backend:%s-%s-%s", nodes[i].domain, kind, number);
+      set_port (file, group, "address", nodes[i].proc->port);
+      g_free (group);
+    }
+}
+
+/* Returns the example's configuration with the ports of the stand-ins and the
+   keys of the tests.  */
+static char *
+example_config (const struct dep *dep, const char *preset)
+{
+  GKeyFile *file = read_example (dep, "config.ini");
+  set_backends (file, dep->engines, dep->n_engines, "engine");
+  set_backends (file, dep->services, dep->n_services, "account");
+  set_digest (file, "team:crew", "key_sha256", DEP_TEAM_KEY);
+  set_digest (file, "operator:ops", "token_sha256", DEP_OPERATOR_TOKEN);
+  g_key_file_set_string (file, "jacinthward", "preset", preset);
+  char *text = g_key_file_to_data (file, NULL, NULL);
+  g_key_file_unref (file);
+  return text;
+}
+
 char *
 dep_config (const struct dep *dep, const char *preset)
 {
+  if (dep->options.example != NULL)
+    return example_config (dep, preset);
   GString *text = g_string_new (NULL);
   char *key
       = g_compute_checksum_for_string (G_CHECKSUM_SHA256, DEP_TEAM_KEY, -1);
@@ -166,16 +229,32 @@
     }
 }
 
+/* Returns the settings of the example's instance with this run's ports.  */
 static char *
-write_settings (struct dep *dep, const struct dep_node *node)
+example_settings (const struct dep *dep, const struct dep_node *node,
+                  const char *peers, const char *key)
 {
-  const char *dir = har_dir (dep->har);
-  GString *peers = g_string_new (NULL);
-  char *path = g_strdup_printf ("%s/%s.ini", dir, node->name);
-  char *key = g_strdup_printf ("%s/peer.key", dir);
-  for (guint i = 0; i < dep->n_entries; i++)
-    g_string_append_printf (peers, "127.0.0.1:%d;", dep->entries[i].peer_port);
-  char *text = g_strdup_printf (
+  char *name = g_strconcat (node->name, ".ini", NULL);
+  GKeyFile *file = read_example (dep, name);
+  g_key_file_set_string (file, "instance", "charts", JW_SOURCE_DIR "/charts");
+  set_port (file, "listen", "callers", 0);
+  set_port (file, "listen", "admin", 0);
+  set_port (file, "listen", "peers", node->peer_port);
+  g_key_file_set_string (file, "peers", "addresses", peers);
+  g_key_file_set_string (file, "peers", "key_file", key);
+  set_port (file, "platform", "address", dep->platform->port);
+  g_key_file_set_string (file, "limits", "shutdown_grace_ms", "300");
+  char *text = g_key_file_to_data (file, NULL, NULL);
+  g_key_file_unref (file);
+  g_free (name);
+  return text;
+}
+
+static char *
+made_settings (const struct dep *dep, const struct dep_node *node,
+               const char *peers, const char *key)
+{
+  return g_strdup_printf (
       "[instance]\nid=%s\ndomain=%s\nregion=%s\nlog_level=info\ncharts=%s\n"
       "[listen]\ncallers=127.0.0.1:0\nadmin=127.0.0.1:0\n"
       "peers=127.0.0.1:%d\n"
@@ -183,8 +262,22 @@
       "[platform]\naddress=127.0.0.1:%d\n"
       "[limits]\n%s\n",
       node->name, node->domain, node->region, JW_SOURCE_DIR "/charts",
-      node->peer_port, peers->str, key, dep->platform->port,
+      node->peer_port, peers, key, dep->platform->port,
       dep->options.limits ? dep->options.limits : "shutdown_grace_ms=300");
+}
+
+static char *
+write_settings (struct dep *dep, const struct dep_node *node)
+{
+  const char *dir = har_dir (dep->har);
+  GString *peers = g_string_new (NULL);
+  char *path = g_strdup_printf ("%s/%s.ini", dir, node->name);
+  char *key = g_strdup_printf ("%s/peer.key", dir);
+  for (guint i = 0; i < dep->n_entries; i++)
+    g_string_append_printf (peers, "127.0.0.1:%d;", dep->entries[i].peer_port);
+  char *text = dep->options.example != NULL
+                   ? example_settings (dep, node, peers->str, key)
+                   : made_settings (dep, node, peers->str, key);
   g_file_set_contents (key, "a shared key of the test's instances", -1, NULL);
   g_file_set_contents (path, text, -1, NULL);
   g_string_free (peers, TRUE);
--- a/emulator/harness/dep.h
+++ b/emulator/harness/dep.h
@@ -28,6 +28,8 @@
   const char *const *engine_args; /* NULL-terminated; NULL: none */
   gboolean mixed_fences; /* every second engine ignores fencing numbers */
   const char *limits;    /* lines of the settings' [limits]; or NULL */
+  const char *example;   /* folder of examples/ whose configuration and
+                            settings are used; NULL: made up */
   gboolean no_config;    /* the platform starts without one */
 };
 
--- a/tests/proc/demo.c
+++ b/tests/proc/demo.c
@@ -1,7 +1,7 @@
-/* make demo: two failure domains of instances with stand-ins for all that
-   they speak to. Sends requests through different instances, prints each
-   answer and the state of every instance, and exits 0 only if all were
-   right.  */
+/* make demo: the Authority's example, seven instances in three failure
+   domains, with stand-ins for all that they speak to. Sends requests through
+   different instances, prints each answer and the state of every instance, and
+   exits 0 only if all were right.  */
 #include "harness/dep.h"
 
 #include <stdlib.h>
@@ -12,9 +12,11 @@
 
 static const struct dep_options options = {
   .domains = {
-    { "kgn-1", "kgn", 2, 2, 1 },
-    { "kgn-2", "kgn", 2, 1, 0 },
+    { "kgn-1", "kgn", 3, 4, 1 },
+    { "kgn-2", "kgn", 2, 4, 1 },
+    { "mbj-1", "mbj", 2, 4, 1 },
   },
+  .example = "authority",
 };
 
 static guint wrong;
@@ -99,11 +101,11 @@
     {
       ask (dep, 0, "Station health of KGN-04 [len=12]", FALSE);
       ask (dep, 1, "Summarise last night's baseline log [len=20]", TRUE);
-      ask (dep, 2, "Is the correction service up? [len=8]", TRUE);
-      ask (dep, 3, "Draft the weekly report [len=16]", FALSE);
+      ask (dep, 3, "Is the correction service up? [len=8]", TRUE);
+      ask (dep, 5, "Draft the weekly report [len=16]", FALSE);
       activate (dep, 0, NULL);
       activate (dep, 1, "key-1");
-      activate (dep, 3, "key-1");
+      activate (dep, 6, "key-1");
       for (guint i = 0; i < dep->n_entries; i++)
         print_state (dep, i);
       dep_free (dep);
