Tell placements at servers of other domains to all domains

An instance that is not the first of its domain told its placements to its domain only; the first handed on those at servers of the own domain, taking all others for word from elsewhere. Since each part has one home a region, two placements in three leave the domain. Ruled out: eviction (most re-reads come within 2 s of a placement elsewhere), messages too long to be read (no peer.unreadable in the log).

Change: a message says which placements are the sender's own; those are handed on. Older instances' messages are still read, and the field is optional. The line request.placed tells prompt, shared and held tokens.

--- a/packages/gate/exc.c
+++ b/packages/gate/exc.c
@@ -328,15 +328,18 @@
       cut (exc, "configuration_unproved");
       return;
     }
+  const struct pdr_prompt *prompt = &exc->ticket.request.prompt;
   struct log_entry e = entry (exc, "request.placed", choice->server->entry.id);
   log_write (&e,
              "service=%s tier=%u version=%" G_GUINT64_FORMAT
              " proof_age_ms=%" G_GINT64_FORMAT
-             " attempt=%u unread=%u predicted_ms=%" G_GINT64_FORMAT
+             " attempt=%u prompt=%u shared=%u held=%u unread=%u"
+             " shared_key=%08x predicted_ms=%" G_GINT64_FORMAT
              " fetch=%s waited_ms=%" G_GINT64_FORMAT,
              exc->ticket.service, exc->tier, rtb_version (exc->rtb),
              gat_proof_age (gat, now) / CLK_MS, exc->attempts + 1,
-             choice->unread, choice->first_us / CLK_MS,
+             pdr_tokens (prompt), pdr_shared_tokens (prompt), choice->held,
+             choice->unread, pdr_shared_key (prompt), choice->first_us / CLK_MS,
              choice->fetch_from ? choice->fetch_from->entry.id : "",
              (now - exc->arrived) / CLK_MS);
   exc_move (exc, EXC_ON_PLACE);
@@ -345,9 +348,8 @@
   exc->attempted = now;
   ctr_add (gat->options.ctr, CTR_ATTEMPTS, 1);
   sch_started (gat->options.sch, &exc->ticket, choice, now);
-  if (gat->options.placed != NULL && exc->ticket.request.prompt.n > 0)
-    gat->options.placed (gat->options.ctx, choice->server,
-                         &exc->ticket.request.prompt);
+  if (gat->options.placed != NULL && prompt->n > 0)
+    gat->options.placed (gat->options.ctx, choice->server, prompt);
   exc->last_event_at = now;
   exc->att = att_start (exc, choice);
   if (exc->att != NULL)
--- a/packages/peer/prm.c
+++ b/packages/peer/prm.c
@@ -7,7 +7,8 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 17 /* of a message */
+#define FIELDS 18          /* of a message */
+#define FIELDS_REQUIRED 17 /* older instances send no more */
 
 static void
 pack_load (msgpack_packer *pk, const struct prm_load *load)
@@ -80,6 +81,7 @@
   msgpack_pack_array (&pk, prm->n_down);
   for (guint i = 0; i < prm->n_down; i++)
     msgpack_pack_uint32 (&pk, prm->down[i]);
+  msgpack_pack_unsigned_int (&pk, prm->n_own);
 }
 
 /* Reads fields one after the other; the first fault sticks.  */
@@ -224,7 +226,8 @@
 static gboolean
 read_message (const msgpack_object *root, struct prm *prm)
 {
-  if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < FIELDS)
+  if (root->type != MSGPACK_OBJECT_ARRAY
+      || root->via.array.size < FIELDS_REQUIRED)
     return FALSE;
   struct cursor c = { root->via.array.ptr, root->via.array.size, FALSE };
   if (take_number (&c, G_MAXUINT16) != PRM_VERSION)
@@ -242,6 +245,8 @@
   prm->asks
       = take (&c)->type == MSGPACK_OBJECT_BOOLEAN && c.next[-1].via.boolean;
   take_lists (&c, prm);
+  if (c.left > 0)
+    prm->n_own = (guint)take_number (&c, prm->n_notes);
   return !c.bad;
 }
 
@@ -253,7 +258,7 @@
   size_t at = 0;
   memset (prm, 0, offsetof (struct prm, members));
   prm->n_members = prm->n_loads = prm->n_notes = prm->n_summaries = 0;
-  prm->n_down = 0;
+  prm->n_own = prm->n_down = 0;
   for (guint i = 0; i < PRM_SUMMARIES_MAX; i++)
     prm->summaries[i].n = 0;
   msgpack_unpacked_init (&unpacked);
--- a/packages/peer/prm.h
+++ b/packages/peer/prm.h
@@ -68,6 +68,7 @@
   guint n_loads;
   struct prm_note notes[PRM_NOTES_MAX];
   guint n_notes;
+  guint n_own; /* of the notes, the first: placed by the sender itself */
   guint32 down[PRM_DOWN_MAX]; /* servers that the sender could not reach */
   guint n_down;
   struct prm_summary summaries[PRM_SUMMARIES_MAX];
--- a/packages/peer/prs.c
+++ b/packages/peer/prs.c
@@ -359,6 +359,7 @@
       add_loads (m, round->flt, round->sld);
       add_down (m, round->flt, round->now);
       add_notes (prs, peer, RING_OWN, m);
+      m->n_own = m->n_notes;
     }
   else
     {
@@ -383,7 +384,7 @@
   /* The lists are counted, so the head alone is cleared. */
   memset (m, 0, offsetof (struct prm, members));
   m->n_members = m->n_loads = m->n_notes = m->n_summaries = 0;
-  m->n_down = 0;
+  m->n_own = m->n_down = 0;
   for (guint i = 0; i < PRM_SUMMARIES_MAX; i++)
     m->summaries[i].n = 0;
   g_strlcpy (m->id, prs->id.s, sizeof m->id);
--- a/packages/peer/prs_take.c
+++ b/packages/peer/prs_take.c
@@ -46,15 +46,15 @@
           = g_hash_table_lookup (index, GUINT_TO_POINTER (note->server));
       if (server == NULL)
         continue;
-      if (near && g_str_equal (server->entry.domain, prs->domain.s))
+      gboolean own = near && i < m->n_own;
+      if (own)
         pdr_sample (pdr, &note->prompt, now);
       pdr_note (pdr, server->number, 0, &note->prompt, now);
       /* A near peer hands placements of other domains on; only its own are
          ours to tell elsewhere. */
       if (!near)
         prs_ring_add (&prs->rings[RING_ELSEWHERE], note);
-      else if (prs_is_large (note)
-               && g_str_equal (server->entry.domain, prs->domain.s))
+      else if (own && prs_is_large (note))
         prs_ring_add (&prs->rings[RING_DOMAIN], note);
     }
 }
--- a/packages/sched/pdr.c
+++ b/packages/sched/pdr.c
@@ -68,6 +68,13 @@
   g_free (pdr);
 }
 
+/* The key of all parts that other requests may share; 0: there are none.  */
+guint32
+pdr_shared_key (const struct pdr_prompt *prompt)
+{
+  return prompt->n < 2 ? 0 : prompt->parts[prompt->n - 2].key;
+}
+
 /* Extends the key of the chain BEFORE (0: none) by the part called PART.  */
 guint32
 pdr_chain (guint32 before, struct str part)
@@ -172,7 +179,7 @@
 {
   if (prompt->n < 2)
     return;
-  gpointer key = GUINT_TO_POINTER (prompt->parts[prompt->n - 2].key);
+  gpointer key = GUINT_TO_POINTER (pdr_shared_key (prompt));
   if (g_hash_table_size (pdr->seen) >= ENTRIES_MAX)
     g_hash_table_foreach_remove (pdr->seen, is_old, &now);
   if (g_hash_table_size (pdr->seen) < ENTRIES_MAX)
@@ -187,7 +194,7 @@
   if (prompt->n < 2)
     return FALSE;
   const gint64 *used = g_hash_table_lookup (
-      pdr->seen, GUINT_TO_POINTER (prompt->parts[prompt->n - 2].key));
+      pdr->seen, GUINT_TO_POINTER (pdr_shared_key (prompt)));
   return used != NULL && now - *used <= SEEN_US;
 }
 
--- a/packages/sched/pdr.h
+++ b/packages/sched/pdr.h
@@ -34,6 +34,7 @@
 
 struct pdr *pdr_new (void);
 void pdr_free (struct pdr *pdr);
+guint32 pdr_shared_key (const struct pdr_prompt *prompt);
 guint32 pdr_chain (guint32 before, struct str part);
 void pdr_note (struct pdr *pdr, guint server, guint64 memory,
                const struct pdr_prompt *prompt, gint64 now);
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -361,6 +361,35 @@
   stop ();
 }
 
+/* Placements at servers of other domains are told to all domains as well, by
+   whichever instance they were made: shared parts have one home a region, so
+   most placements leave the domain.  */
+static void
+test_placements_beyond_the_domain (void)
+{
+  start (24, 3, 7);
+  step (6 * CLK_S);
+  struct pdr_prompt prompt = { .parts = { { 5, 3000 }, { 6, 10 } }, .n = 2 };
+  for (guint from = 0; from < 24; from++)
+    {
+      struct node *node = &net.nodes[from];
+      struct flt_server *server = flt_find (node->flt, "e-1");
+      guint missing = 0;
+      prompt.parts[0].key = 100 + from;
+      prs_note (node->prs, server, &prompt);
+      step (2 * CLK_S);
+      for (guint i = 0; i < 24; i++)
+        {
+          struct node *other = &net.nodes[i];
+          guint number = flt_find (other->flt, "e-1")->number;
+          guint held = pdr_held (other->pdr, number, &prompt, net.now);
+          missing += other != node && held != 3000;
+        }
+      CU_ASSERT_EQUAL (missing, 0);
+    }
+  stop ();
+}
+
 /* Bytes that are no message are refused, and so is every damaged one that does
    not decode; none does harm.  */
 static void
@@ -485,6 +514,8 @@
   { "a restart", test_restart },
   { "load and placements in a small fleet", test_load_in_a_mesh },
   { "load and placements in a larger fleet", test_larger_fleet },
+  { "placements beyond the domain are told",
+    test_placements_beyond_the_domain },
   { "damaged messages", test_damaged_messages },
   { "one reader of the store", test_one_reader },
   { "lists of servers", test_list_of_servers },
