Compare a prompt over a few engines only; log first events and pauses

Eighty instances that place by a view some 200 ms to 1 s old each chose the engine with the least cost of all, so that it got every prompt of that time.

Change: a prompt is compared over three engines, drawn by its shared parts, the suited and near ones first, and over more only while none of these is in time. An engine that holds the parts is always compared.

--- a/packages/gate/exc.c
+++ b/packages/gate/exc.c
@@ -112,10 +112,13 @@
   struct log_entry e = entry (exc, "request.end", NULL);
   log_write (&e,
              "outcome=%s status=%u attempts=%u elapsed_ms=%" G_GINT64_FORMAT
-             " bytes=%" G_GUINT64_FORMAT " events=%u route=%s",
+             " bytes=%" G_GUINT64_FORMAT " events=%u"
+             " first_event_ms=%" G_GINT64_FORMAT
+             " longest_pause_ms=%" G_GINT64_FORMAT " route=%s",
              outcome, exc->status, exc->attempts,
              (exc_now (exc) - exc->arrived) / CLK_MS, exc->answer_bytes,
-             exc->ses.events, exc->route ? exc->route->name : "");
+             exc->ses.events, exc->first_us / CLK_MS, exc->longest_us / CLK_MS,
+             exc->route ? exc->route->name : "");
 }
 
 /* Gives the caller an answer of our own. Frees EXC.  */
--- a/packages/gate/exc_answer.c
+++ b/packages/gate/exc_answer.c
@@ -110,7 +110,12 @@
   ses_take (&exc->ses, bytes, whole);
   if (exc->ses.events > before)
     {
-      note_event (exc, now - exc->last_event_at, exc->ses.events - before);
+      gint64 gap = now - exc->last_event_at;
+      note_event (exc, gap, exc->ses.events - before);
+      if (before > 0)
+        exc->longest_us = MAX (exc->longest_us, gap);
+      else
+        exc->first_us = now - exc->arrived;
       exc->last_event_at = now;
     }
   pass_on (exc, (struct str){ whole->str, whole->len });
--- a/packages/gate/gat_int.h
+++ b/packages/gate/gat_int.h
@@ -124,6 +124,8 @@
   gboolean chunked;     /* the answer goes out in chunks */
   struct ses ses;       /* of an event stream */
   gint64 last_event_at; /* clock time */
+  gint64 first_us;      /* from the arrival to the first event; 0: none */
+  gint64 longest_us;    /* longest pause after the first event */
   guint status;         /* of the answer */
   guint64 answer_bytes;
 };
--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -1,6 +1,7 @@
 #include "sched/spl.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 /* Load patterns answered:
    - Long prompts next to streams that must not pause. An engine reads prompts
@@ -14,10 +15,19 @@
      from the holder, which costs a fraction of reading them.
    - More shared parts than the engines of a domain can keep. Then each region
      has one home for each part, found by a hash and thus without a message.
+   - Many instances that place at the same moment by the same, somewhat old
+     view of the load. All would send their next prompts to the engine that
+     looked least loaded, one after another its queue would fill. Each prompt is
+     therefore compared over a few engines only, drawn by its shared parts, and
+     over more only if none of these is in time.
    - Bursts. Cost rises with what an engine still has to read, so that load
      spreads over the domain first, then over the region, then beyond.  */
 
 #define CANDIDATES_MAX 1024
+#define CHOICES                                                                \
+  3                          /* engines compared at first; two are the least   \
+                                that evens load out, one more is for engines   \
+                                that are slow or cut off */
 #define LONG_TOKENS 1500     /* to be read; a prompt of more holds streams up */
 #define STEP_US 5000.0       /* of an engine that makes tokens only */
 #define FETCH_SHARE 0.12     /* cost of fetching a token, of reading it */
@@ -64,6 +74,17 @@
 #define STREAM_US 500000.0       /* until tight streams have ended, about */
 #define PLAIN_SLOT_US 15000.0    /* cost of a request ahead at a plain server */
 
+/* Engines that a request is compared over first and last, by what suits it.
+   Those of one class are taken in the order of their draws.  */
+enum turn_class
+{
+  TURN_SUITED,     /* of the right kind, near */
+  TURN_NEAR,       /* near */
+  TURN_REGION,     /* of the right kind, elsewhere in the region */
+  TURN_REGION_ANY, /* elsewhere in the region */
+  TURN_FAR         /* in another region */
+};
+
 struct candidate
 {
   struct flt_server *server;
@@ -76,6 +97,8 @@
                         takes as it grows */
   guint likely;      /* the same, or what a home is taken to hold */
   gboolean in_tight_pool;
+  enum turn_class turn_class;
+  guint64 draw; /* by the request's home and the engine */
 };
 
 static gboolean
@@ -96,6 +119,17 @@
                 < hea_slots (&server->hea, G_MAXUINT);
 }
 
+/* Orders servers for a request; all instances agree on it without a message.
+   Requests with the same shared parts get the same order.  */
+static guint64
+draw (const struct spl_request *request, guint64 rank)
+{
+  guint64 x = rank ^ (request->home * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15));
+  x ^= x >> 29;
+  x *= G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9);
+  return x ^ (x >> 32);
+}
+
 static guint
 collect (const struct spl_view *view, const struct spl_request *request,
          struct candidate *found)
@@ -111,6 +145,7 @@
       c->load = sld_total (view->sld, server->number);
       c->distance = top_distance (view->top, server->entry.domain);
       c->rank = str_hash (str_of (server->entry.id), 0);
+      c->draw = draw (request, c->rank);
       if (view->engine != NULL)
         c->held
             = pdr_held (view->pdr, server->number, &request->prompt, view->now);
@@ -330,16 +365,6 @@
   return best ? best->server : NULL;
 }
 
-static guint64
-spread (const struct spl_request *request, const struct candidate *c)
-{
-  guint64 x
-      = c->rank ^ (request->home * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15));
-  x ^= x >> 29;
-  x *= G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9);
-  return x ^ (x >> 32);
-}
-
 /* The engines where this prompt's shared part has its home: in the own region
    and beyond. NULL: none.  */
 struct homes
@@ -363,7 +388,7 @@
           = c[i].distance == TOP_OTHER_REGION ? &homes.beyond : &homes.region;
       if (c[i].reserved)
         continue;
-      if (*home == NULL || spread (request, &c[i]) < spread (request, *home))
+      if (*home == NULL || c[i].draw < (*home)->draw)
         *home = &c[i];
     }
   if (homes.region == NULL)
@@ -375,6 +400,50 @@
   return homes;
 }
 
+/* Which engines to compare first. A large shared part may meet others of its
+   kind anywhere in the region; other requests stay in the domain.  */
+static enum turn_class
+turn_class (const struct spl_view *view, const struct spl_request *request,
+            const struct candidate *c)
+{
+  gboolean meets = view->scope == SPL_SCOPE_REGION
+                   && pdr_shared_tokens (&request->prompt) >= SHARED_LARGE;
+  gboolean tight = spl_pace (request->gap_us) == SPL_TIGHT;
+  gboolean suits
+      = tight ? c->in_tight_pool : !c->in_tight_pool && !(meets && c->reserved);
+  switch (c->distance)
+    {
+    case TOP_SAME_DOMAIN:
+      return suits ? TURN_SUITED : TURN_NEAR;
+    case TOP_SAME_REGION:
+      if (meets)
+        return suits ? TURN_SUITED : TURN_NEAR;
+      return suits ? TURN_REGION : TURN_REGION_ANY;
+    case TOP_OTHER_REGION:
+      break;
+    }
+  return TURN_FAR;
+}
+
+static int
+by_turn (const void *a, const void *b)
+{
+  const struct candidate *x = a;
+  const struct candidate *y = b;
+  if (x->turn_class != y->turn_class)
+    return x->turn_class < y->turn_class ? -1 : 1;
+  return x->draw < y->draw ? -1 : x->draw > y->draw;
+}
+
+static void
+take_turns (const struct spl_view *view, const struct spl_request *request,
+            struct candidate *c, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    c[i].turn_class = turn_class (view, request, &c[i]);
+  qsort (c, n, sizeof *c, by_turn);
+}
+
 struct choosing
 {
   const struct candidate *best;
@@ -384,20 +453,29 @@
 /* Among servers of about the same cost the request's home hash decides, so
    that requests with the same shared parts meet at the same server.  */
 static void
-compare (struct choosing *choosing, const struct spl_request *request,
-         const struct candidate *c, const struct estimate *e)
+compare (struct choosing *choosing, const struct candidate *c,
+         const struct estimate *e)
 {
   double difference = e->cost - choosing->estimate.cost;
   if (choosing->best != NULL
       && (difference > SAME_US
-          || (difference > -SAME_US
-              && spread (request, c) >= spread (request, choosing->best))))
+          || (difference > -SAME_US && c->draw >= choosing->best->draw)))
     return;
   choosing->best = c;
   choosing->estimate = *e;
 }
 
-/* Chooses the server with the least cost that has room. One of a tight pool
+/* Tells whether the best engine so far would be in time at no further cost.  */
+static gboolean
+is_in_time (const struct spl_request *request, const struct choosing *choosing)
+{
+  return choosing->best != NULL
+         && choosing->estimate.first_us
+                <= LATE_START * (double)request->left_us;
+}
+
+/* Chooses the server with the least cost that has room, of the few that are
+   compared. One of a tight pool
    where streams would be held up is taken only if there is no other kind; else
    the request waits until another has room.  */
 void
@@ -410,6 +488,7 @@
   guint64 slots = 0;
   guint64 taken = 0;
   guint calm = 0; /* servers that are not in a tight pool */
+  guint compared = 0;
   struct choosing good = { 0 };
   struct choosing harmful = { 0 };
   *choice = (struct spl_choice){ .usable = n,
@@ -417,6 +496,8 @@
                                  .room_us = G_MAXINT64 };
   if (view->engine != NULL)
     mark_tight_pools (view, found, n);
+  if (view->engine != NULL)
+    take_turns (view, request, found, n);
   struct homes homes = find_homes (view, request, found, n);
   for (guint i = 0; i < n; i++)
     {
@@ -435,8 +516,13 @@
       choice->first_us = MIN (choice->first_us, (gint64)e.first_us);
       choice->full |= e.full;
       choice->room_us = MIN (choice->room_us, (gint64)e.room_us);
-      if (!e.full)
-        compare (e.harmful ? &harmful : &good, request, c, &e);
+      if (e.full)
+        continue;
+      gboolean holds = c->held >= SHARED_LARGE && c->held == best_held;
+      if (view->engine == NULL || holds || compared < CHOICES
+          || !is_in_time (request, &good))
+        compare (e.harmful ? &harmful : &good, c, &e);
+      compared += !e.harmful;
     }
   const struct choosing *chosen
       = good.best != NULL || calm > 0 ? &good : &harmful;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -2,6 +2,7 @@
    pattern that a decision answers is laid out as it was met.  */
 #include "unit/unit.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "sched/bud.h"
@@ -9,6 +10,7 @@
 #include "sched/sch.h"
 
 #define ENGINES 8
+#define ENGINES_MAX 32
 
 static struct
 {
@@ -28,11 +30,11 @@
 
 static const char *const domains[] = { "a", "b" };
 
-/* Eight engines, four in each of two domains of one region.  */
+/* N engines, half of them in each of two domains of one region.  */
 static void
-start (void)
+start_with (guint n)
 {
-  struct flt_entry entries[ENGINES];
+  struct flt_entry entries[ENGINES_MAX];
   memset (&w, 0, sizeof w);
   w.now = 1000 * CLK_S;
   w.top = top_new ("a", "north");
@@ -40,16 +42,17 @@
   top_add (w.top, "b", "north");
   w.flt = flt_new (on_change, NULL);
   memset (entries, 0, sizeof entries);
-  for (guint i = 0; i < ENGINES; i++)
+  for (guint i = 0; i < n; i++)
     {
       g_snprintf (entries[i].id, sizeof entries[i].id, "e-%u", i);
       g_strlcpy (entries[i].service, "llm", sizeof entries[i].service);
       g_snprintf (entries[i].address, sizeof entries[i].address, "10.0.0.%u:80",
                   i + 1);
-      g_strlcpy (entries[i].domain, domains[i / 4], sizeof entries[i].domain);
+      g_strlcpy (entries[i].domain, domains[i / (n / 2)],
+                 sizeof entries[i].domain);
       entries[i].slots = 16;
     }
-  flt_list (w.flt, entries, ENGINES, w.now);
+  flt_list (w.flt, entries, n, w.now);
   const struct sch_options options = { .flt = w.flt, .top = w.top, .seed = 7 };
   w.sch = sch_new (&options, w.now);
   struct rtb *rtb = rtb_new (1);
@@ -63,6 +66,12 @@
   rtb_unref (rtb);
 }
 
+static void
+start (void)
+{
+  start_with (ENGINES);
+}
+
 static void
 stop (void)
 {
@@ -438,6 +447,38 @@
   stop ();
 }
 
+/* Instances that know nothing of each other's latest placements do not all
+   choose the engine that looked least loaded a moment ago.  */
+static void
+test_stale_load (void)
+{
+  guint sent[ENGINES_MAX] = { 0 };
+  guint most = 0;
+  for (guint instance = 0; instance < 24; instance++)
+    {
+      struct sch_decision d;
+      start_with (ENGINES_MAX);
+      sld_peer_begin (sch_loads (w.sch), 1, FALSE, w.now);
+      for (guint i = 0; i < ENGINES_MAX; i++)
+        {
+          char id[8];
+          g_snprintf (id, sizeof id, "e-%u", i);
+          const struct sld_load load
+              = { .requests = i == 2 ? 0 : 2, .unread = i == 2 ? 0 : 14000 };
+          sld_peer (sch_loads (w.sch), 1, flt_find (w.flt, id)->number, &load);
+        }
+      struct sch_ticket *t = ticket (2, 900 + instance, 500, 3000, FALSE);
+      struct flt_server *server = place (t, &d);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+      sent[atoi (server->entry.id + 2)]++;
+      drop (t);
+      stop ();
+    }
+  for (guint i = 0; i < ENGINES_MAX; i++)
+    most = MAX (most, sent[i]);
+  CU_ASSERT_TRUE (most <= 24 / 2);
+}
+
 /* What peers have sent counts like our own; a silent peer's word lapses.  */
 static void
 test_peer_load (void)
@@ -574,6 +615,7 @@
   { "the order of what waits", test_order_of_waiting },
   { "hopeless work is refused", test_hopeless_is_refused },
   { "more shared parts than a domain keeps", test_region_scope },
+  { "a stale view of the load", test_stale_load },
   { "the load of peers", test_peer_load },
   { "the directory of parts", test_directory },
   { "the shared budget", test_budget },
