Ask for parts where they were last sent; one home a region at all times

All instances had gone over to a home for each domain, because few re-reads were seen while most of the first seconds' parts were still in the memory of the engines; a domain there has room for a quarter of what is in use.

Change: the two scopes and what was learned for them go; each region has one home for each part at all times. Where no holder is known the engine asks the one to which the parts were last sent, and the home only if there is none.

--- a/packages/sched/pdr.c
+++ b/packages/sched/pdr.c
@@ -28,14 +28,20 @@
 #define SHARED_LARGE                                                           \
   1000                    /* shared tokens of a prompt that counts in what is  \
                              read again */
-#define AGAIN_WEIGHT 0.02 /* of a new sample */
+#define KNOWN_WEIGHT 0.02 /* of a new sample */
 
 struct pdr
 {
   GHashTable *holders; /* number: struct holder, owned */
-  GHashTable *seen;    /* key of a whole shared beginning: clock time of its
-                          last use anywhere, owned */
-  struct pdr_habit habit;
+  GHashTable *seen;    /* key of a whole shared beginning: struct seen, owned */
+  double known;        /* share of large shared parts that were in use lately */
+};
+
+/* The last use of a shared beginning anywhere.  */
+struct seen
+{
+  gint64 at; /* clock time */
+  guint server;
 };
 
 static void
@@ -50,7 +56,6 @@
 pdr_new (void)
 {
   struct pdr *pdr = g_new0 (struct pdr, 1);
-  pdr->habit.fresh = 1.0;
   pdr->seen
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   pdr->holders = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
@@ -171,11 +176,12 @@
 is_old (gpointer key, gpointer value, gpointer now)
 {
   (void)key;
-  return *(gint64 *)now - *(gint64 *)value > SEEN_US;
+  return *(gint64 *)now - ((struct seen *)value)->at > SEEN_US;
 }
 
 static void
-note_seen (struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now)
+note_seen (struct pdr *pdr, guint server, const struct pdr_prompt *prompt,
+           gint64 now)
 {
   if (prompt->n < 2)
     return;
@@ -183,19 +189,27 @@
   if (g_hash_table_size (pdr->seen) >= ENTRIES_MAX)
     g_hash_table_foreach_remove (pdr->seen, is_old, &now);
   if (g_hash_table_size (pdr->seen) < ENTRIES_MAX)
-    g_hash_table_replace (pdr->seen, key, g_memdup2 (&now, sizeof now));
+    {
+      const struct seen seen = { now, server };
+      g_hash_table_replace (pdr->seen, key, g_memdup2 (&seen, sizeof seen));
+    }
 }
 
-/* Tells whether a prompt with the same shared beginning was sent anywhere
-   lately, as known here.  */
+/* Finds the server to which a prompt with the same shared beginning was last
+   sent, as known here, whether it still holds that or not. Returns FALSE if
+   none was lately.  */
 gboolean
-pdr_seen (const struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now)
+pdr_last (const struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now,
+          guint *server)
 {
   if (prompt->n < 2)
     return FALSE;
-  const gint64 *used = g_hash_table_lookup (
+  const struct seen *seen = g_hash_table_lookup (
       pdr->seen, GUINT_TO_POINTER (pdr_shared_key (prompt)));
-  return used != NULL && now - *used <= SEEN_US;
+  if (seen == NULL || now - seen->at > SEEN_US)
+    return FALSE;
+  *server = seen->server;
+  return TRUE;
 }
 
 /* Notes that PROMPT was sent to SERVER, which has MEMORY tokens (0: unknown).
@@ -206,7 +220,7 @@
 {
   struct holder *holder = find_or_add (pdr, server, memory, now);
   guint held = pdr_held (pdr, server, prompt, now);
-  note_seen (pdr, prompt, now);
+  note_seen (pdr, server, prompt, now);
   for (guint i = 0; i + 1 < prompt->n; i++)
     note_part (holder, &prompt->parts[i], now);
   guint own = prompt->n ? prompt->parts[prompt->n - 1].tokens : 0;
@@ -215,39 +229,24 @@
   holder->recent_at = now;
 }
 
-static gboolean
-anyone_holds (const struct pdr *pdr, const struct pdr_prompt *prompt,
-              guint tokens, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer server;
-  g_hash_table_iter_init (&iter, pdr->holders);
-  while (g_hash_table_iter_next (&iter, &server, NULL))
-    if (pdr_held (pdr, GPOINTER_TO_UINT (server), prompt, now) >= tokens)
-      return TRUE;
-  return FALSE;
-}
-
 /* A prompt of this domain is about to be noted. Learns how often a large shared
-   part is read again that was in use lately.  */
+   part was in use lately.  */
 void
 pdr_sample (struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now)
 {
-  guint shared = pdr_shared_tokens (prompt);
-  if (shared < SHARED_LARGE)
+  guint server;
+  if (pdr_shared_tokens (prompt) < SHARED_LARGE)
     return;
-  gboolean fresh = !pdr_seen (pdr, prompt, now);
-  gboolean again = !fresh && !anyone_holds (pdr, prompt, shared / 2, now);
-  struct pdr_habit *habit = &pdr->habit;
-  habit->again += AGAIN_WEIGHT * ((again ? 1.0 : 0.0) - habit->again);
-  habit->fresh += AGAIN_WEIGHT * ((fresh ? 1.0 : 0.0) - habit->fresh);
+  double known = pdr_last (pdr, prompt, now, &server) ? 1.0 : 0.0;
+  pdr->known += KNOWN_WEIGHT * (known - pdr->known);
 }
 
-/* Until anything is known all parts count as new.  */
-struct pdr_habit
-pdr_habit (const struct pdr *pdr)
+/* Share of large shared parts that were in use lately. Until anything is known
+   all parts count as new.  */
+double
+pdr_known (const struct pdr *pdr)
 {
-  return pdr->habit;
+  return pdr->known;
 }
 
 /* Returns how many tokens at the start of PROMPT SERVER probably holds.  */
--- a/packages/sched/pdr.h
+++ b/packages/sched/pdr.h
@@ -23,13 +23,6 @@
   guint n;
 };
 
-/* How the large shared parts of this domain's prompts were used lately. */
-struct pdr_habit
-{
-  double again; /* share that is read again although in use lately */
-  double fresh; /* share that was not in use lately */
-};
-
 struct pdr;
 
 struct pdr *pdr_new (void);
@@ -39,11 +32,11 @@
 void pdr_note (struct pdr *pdr, guint server, guint64 memory,
                const struct pdr_prompt *prompt, gint64 now);
 void pdr_sample (struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now);
-struct pdr_habit pdr_habit (const struct pdr *pdr);
+double pdr_known (const struct pdr *pdr);
 guint pdr_held (const struct pdr *pdr, guint server,
                 const struct pdr_prompt *prompt, gint64 now);
-gboolean pdr_seen (const struct pdr *pdr, const struct pdr_prompt *prompt,
-                   gint64 now);
+gboolean pdr_last (const struct pdr *pdr, const struct pdr_prompt *prompt,
+                   gint64 now, guint *server);
 void pdr_forget (struct pdr *pdr, guint server);
 guint64 pdr_read_lately (const struct pdr *pdr, guint server, gint64 now);
 guint pdr_shared_tokens (const struct pdr_prompt *prompt);
--- a/packages/sched/sch.c
+++ b/packages/sched/sch.c
@@ -19,13 +19,6 @@
 #define US_PER_TOKEN_MIN 5.0
 #define US_PER_TOKEN_MAX 400.0
 #define US_PER_TOKEN_WEIGHT 0.02 /* of a new sample */
-#define AGAIN_TOO_OFTEN                                                        \
-  0.2                     /* share of prompts whose shared part is read        \
-                             again: a domain has no room for all */
-#define AGAIN_SELDOM 0.01 /* it has */
-#define FRESH_SELDOM                                                           \
-  0.15 /* share of parts that were not seen lately: most                       \
-          are known */
 #define SAMPLE_TOKENS_MIN 2000   /* smaller prompts tell little */
 #define SAMPLE_OVERHEAD_US 30000 /* of a first event besides reading */
 
@@ -41,7 +34,6 @@
   guint n_waiting;
   struct rte rate;     /* of starts */
   double us_per_token; /* learned */
-  enum spl_scope scope;
 };
 
 struct sch
@@ -116,7 +108,6 @@
         g_queue_init (&service->waiting[i]);
       rte_init (&service->rate, now);
       service->us_per_token = US_PER_TOKEN_DEFAULT;
-      service->scope = SPL_SCOPE_REGION;
       g_hash_table_insert (sch->services, g_strdup (name), service);
     }
   return service;
@@ -133,11 +124,10 @@
                            .top = sch->options.top,
                            .sld = sch->sld,
                            .pdr = sch->pdr,
-                           .known = 1.0 - pdr_habit (sch->pdr).fresh,
+                           .known = pdr_known (sch->pdr),
                            .near = sch->near,
                            .us_per_token = service->us_per_token,
                            .now = now };
-  view.scope = service->scope;
   view.engine = known != NULL && known->has_engine ? &known->engine : NULL;
   view.servers = flt_servers (sch->options.flt, &view.n_servers);
   spl_choose (&view, &ticket->request, choice);
@@ -325,19 +315,6 @@
   return known != NULL && known->has_engine ? known->engine.memory : 0;
 }
 
-/* Concludes from what is read again where prompts should meet. While most
-   shared parts are new, all domains would read the same ones at once, so a
-   start is made with one home a region.  */
-static void
-learn_scope (struct sch *sch, struct service *service)
-{
-  struct pdr_habit habit = pdr_habit (sch->pdr);
-  if (habit.again > AGAIN_TOO_OFTEN)
-    service->scope = SPL_SCOPE_REGION;
-  else if (habit.again < AGAIN_SELDOM && habit.fresh < FRESH_SELDOM)
-    service->scope = SPL_SCOPE_DOMAIN;
-}
-
 /* TICKET is being sent to the choice's server.  */
 void
 sch_started (struct sch *sch, struct sch_ticket *ticket,
@@ -347,7 +324,6 @@
   const struct spl_request *request = &ticket->request;
   guint number = choice->server->number;
   rte_start (&service->rate);
-  learn_scope (sch, service);
   ticket->server = flt_server_ref (choice->server);
   ticket->begun = FALSE;
   ticket->load = (struct sld_load){
--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -13,8 +13,8 @@
    - Prompts that share most of their tokens. They go where the shared parts
      lie, unless that engine is loaded; then another engine fetches the parts
      from the holder, which costs a fraction of reading them.
-   - More shared parts than the engines of a domain can keep. Then each region
-     has one home for each part, found by a hash and thus without a message.
+   - More shared parts than the engines of a domain can keep. Each region has
+     one home for each part, found by a hash and thus without a message.
    - Many instances that place at the same moment by the same, somewhat old
      view of the load. All would send their next prompts to the engine that
      looked least loaded, one after another its queue would fill. Each prompt is
@@ -379,8 +379,7 @@
 {
   struct homes homes = { NULL, NULL };
   guint shared = pdr_shared_tokens (&request->prompt);
-  if (view->engine == NULL || view->scope == SPL_SCOPE_DOMAIN
-      || shared < SHARED_LARGE)
+  if (view->engine == NULL || shared < SHARED_LARGE)
     return homes;
   for (guint i = 0; i < n; i++)
     {
@@ -403,11 +402,9 @@
 /* Which engines to compare first. A large shared part may meet others of its
    kind anywhere in the region; other requests stay in the domain.  */
 static enum turn_class
-turn_class (const struct spl_view *view, const struct spl_request *request,
-            const struct candidate *c)
+turn_class (const struct spl_request *request, const struct candidate *c)
 {
-  gboolean meets = view->scope == SPL_SCOPE_REGION
-                   && pdr_shared_tokens (&request->prompt) >= SHARED_LARGE;
+  gboolean meets = pdr_shared_tokens (&request->prompt) >= SHARED_LARGE;
   gboolean tight = spl_pace (request->gap_us) == SPL_TIGHT;
   gboolean suits
       = tight ? c->in_tight_pool : !c->in_tight_pool && !(meets && c->reserved);
@@ -436,14 +433,31 @@
 }
 
 static void
-take_turns (const struct spl_view *view, const struct spl_request *request,
-            struct candidate *c, guint n)
+take_turns (const struct spl_request *request, struct candidate *c, guint n)
 {
   for (guint i = 0; i < n; i++)
-    c[i].turn_class = turn_class (view, request, &c[i]);
+    c[i].turn_class = turn_class (request, &c[i]);
   qsort (c, n, sizeof *c, by_turn);
 }
 
+/* Whom to ask for parts that nobody is known to hold. What is believed to be
+   pushed out may still be there, and asking in vain costs little. NULL: nobody.
+ */
+static struct flt_server *
+likely_holder (const struct spl_view *view, const struct spl_request *request,
+               const struct candidate *c, guint n, const struct homes *homes,
+               const struct candidate *except)
+{
+  guint last;
+  if (pdr_last (view->pdr, &request->prompt, view->now, &last))
+    for (guint i = 0; i < n; i++)
+      if (c[i].server->number == last && &c[i] != except)
+        return c[i].server;
+  const struct candidate *home
+      = except != homes->region ? homes->region : homes->beyond;
+  return home != NULL ? home->server : NULL;
+}
+
 struct choosing
 {
   const struct candidate *best;
@@ -495,9 +509,10 @@
                                  .first_us = G_MAXINT64,
                                  .room_us = G_MAXINT64 };
   if (view->engine != NULL)
-    mark_tight_pools (view, found, n);
-  if (view->engine != NULL)
-    take_turns (view, request, found, n);
+    {
+      mark_tight_pools (view, found, n);
+      take_turns (request, found, n);
+    }
   struct homes homes = find_homes (view, request, found, n);
   for (guint i = 0; i < n; i++)
     {
@@ -535,13 +550,9 @@
   if (chosen->estimate.fetched > 0)
     choice->fetch_from
         = find_holder (found, n, best_held, chosen->best->server);
-  else if (homes.region != NULL && view->engine->fetches
+  else if (view->engine != NULL && view->engine->fetches
            && chosen->best->held < pdr_shared_tokens (&request->prompt))
-    {
-      /* Nobody is known to hold more; asking the likely one costs little. */
-      const struct candidate *source
-          = chosen->best != homes.region ? homes.region : homes.beyond;
-      choice->fetch_from = source != NULL ? source->server : NULL;
-    }
+    choice->fetch_from
+        = likely_holder (view, request, found, n, &homes, chosen->best);
   choice->held = chosen->best->held;
 }
--- a/packages/sched/spl.h
+++ b/packages/sched/spl.h
@@ -32,13 +32,6 @@
   SPL_TIGHT  /* bears hardly one */
 };
 
-/* Where requests that share a large part meet.  */
-enum spl_scope
-{
-  SPL_SCOPE_DOMAIN, /* each domain keeps a copy of its own */
-  SPL_SCOPE_REGION  /* each region does, as a domain has no room for all */
-};
-
 /* The state that placement goes by, all borrowed.  */
 struct spl_view
 {
@@ -49,7 +42,6 @@
   const struct top *top;
   struct sld *sld;
   const struct pdr *pdr;
-  enum spl_scope scope;
   double known; /* share of shared parts that were in use lately */
   guint near;   /* instances of the own domain, which place at the same time */
   double us_per_token; /* that engines take to read a prompt, as learned */
