Fetch known parts to the own domain; only new ones meet at a home

Prompts with a large shared part were spread over the whole region, while load from its other domains is known only after up to a second; from the own domain after 200 ms.

Change: a prompt whose shared part was read somewhere lately is placed in the own domain first and fetches the part from a holder. Only a part that nobody is known to have read meets others at its home in the region.

--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -365,6 +365,16 @@
   return best ? best->server : NULL;
 }
 
+/* Tells whether the prompt has a large shared part that nobody is known to
+   have read lately.  */
+static gboolean
+is_new (const struct spl_view *view, const struct spl_request *request)
+{
+  guint last;
+  return pdr_shared_tokens (&request->prompt) >= SHARED_LARGE
+         && !pdr_last (view->pdr, &request->prompt, view->now, &last);
+}
+
 /* The engines where this prompt's shared part has its home: in the own region
    and beyond. NULL: none.  */
 struct homes
@@ -392,6 +402,8 @@
     }
   if (homes.region == NULL)
     return homes;
+  if (!is_new (view, request))
+    return homes;
   for (guint i = 0; i < n; i++)
     c[i].strays = &c[i] != homes.region && c[i].held < shared / 2;
   homes.region->likely
@@ -402,9 +414,10 @@
 /* Which engines to compare first. A large shared part may meet others of its
    kind anywhere in the region; other requests stay in the domain.  */
 static enum turn_class
-turn_class (const struct spl_request *request, const struct candidate *c)
+turn_class (const struct spl_view *view, const struct spl_request *request,
+            const struct candidate *c)
 {
-  gboolean meets = pdr_shared_tokens (&request->prompt) >= SHARED_LARGE;
+  gboolean meets = is_new (view, request);
   gboolean tight = spl_pace (request->gap_us) == SPL_TIGHT;
   gboolean suits
       = tight ? c->in_tight_pool : !c->in_tight_pool && !(meets && c->reserved);
@@ -433,10 +446,11 @@
 }
 
 static void
-take_turns (const struct spl_request *request, struct candidate *c, guint n)
+take_turns (const struct spl_view *view, const struct spl_request *request,
+            struct candidate *c, guint n)
 {
   for (guint i = 0; i < n; i++)
-    c[i].turn_class = turn_class (request, &c[i]);
+    c[i].turn_class = turn_class (view, request, &c[i]);
   qsort (c, n, sizeof *c, by_turn);
 }
 
@@ -511,7 +525,7 @@
   if (view->engine != NULL)
     {
       mark_tight_pools (view, found, n);
-      take_turns (request, found, n);
+      take_turns (view, request, found, n);
     }
   struct homes homes = find_homes (view, request, found, n);
   for (guint i = 0; i < n; i++)
