Give engines to one instance at a time by turns

Change: beyond 250 ms of reading ahead an engine takes long prompts from one instance of its domain at a time, by turns of 250 ms that follow from the time of day and the instances' ranks. Instances of other domains need a turn in any case, but for a new part's home, and where all instances tell each other their load themselves.

--- a/packages/gate/exc.c
+++ b/packages/gate/exc.c
@@ -337,12 +337,15 @@
              "service=%s tier=%u version=%" G_GUINT64_FORMAT
              " proof_age_ms=%" G_GINT64_FORMAT
              " attempt=%u prompt=%u shared=%u held=%u unread=%u"
+             " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
              " shared_key=%08x predicted_ms=%" G_GINT64_FORMAT
              " fetch=%s waited_ms=%" G_GINT64_FORMAT,
              exc->ticket.service, exc->tier, rtb_version (exc->rtb),
              gat_proof_age (gat, now) / CLK_MS, exc->attempts + 1,
              pdr_tokens (prompt), pdr_shared_tokens (prompt), choice->held,
-             choice->unread, pdr_shared_key (prompt), choice->first_us / CLK_MS,
+             choice->unread, choice->load.requests, choice->load.tight,
+             choice->load.unread, pdr_shared_key (prompt),
+             choice->first_us / CLK_MS,
              choice->fetch_from ? choice->fetch_from->entry.id : "",
              (now - exc->arrived) / CLK_MS);
   exc_move (exc, EXC_ON_PLACE);
--- a/packages/jacinthward/gwd.c
+++ b/packages/jacinthward/gwd.c
@@ -134,7 +134,13 @@
     {
       gwd->reviewed = now;
       review_health (gwd, now);
-      sch_set_near (gwd->sch, prs_near (gwd->prs, now) + 1);
+      const struct spl_self self
+          = { .near = prs_near (gwd->prs, now) + 1,
+              .rank = prs_rank (gwd->prs, now),
+              .all = prs_instances (gwd->prs, now),
+              .hash = str_hash (str_of (gwd->settings->id.s), 0),
+              .hears_all = prs_is_mesh (gwd->prs, now) };
+      sch_set_self (gwd->sch, &self, clk_wall (gwd->clk) - now);
       gat_set_instances (gwd->gat, prs_instances (gwd->prs, now));
     }
   gat_poll (gwd->gat);
--- a/packages/peer/prs.c
+++ b/packages/peer/prs.c
@@ -149,6 +149,13 @@
   return n;
 }
 
+/* Tells whether the fleet is so small that all talk to each other.  */
+gboolean
+prs_is_mesh (const struct prs *prs, gint64 now)
+{
+  return count (prs, now, REMEMBER_US) <= MESH_MAX;
+}
+
 /* How many instances may take a part of what all share: those heard or named
    within the memory of peers, and at least the seeds.  */
 guint
@@ -475,16 +482,15 @@
 prs_tick (struct prs *prs, const struct prs_state *state, struct flt *flt,
           struct sld *sld, gint64 now, prs_send send, void *ctx)
 {
-  const struct round round
-      = { .state = state,
-          .flt = flt,
-          .sld = sld,
-          .now = now,
-          .mesh = count (prs, now, REMEMBER_US) <= MESH_MAX,
-          .first = prs_rank (prs, now) == 0,
-          .near = prs_near (prs, now),
-          .send = send,
-          .ctx = ctx };
+  const struct round round = { .state = state,
+                               .flt = flt,
+                               .sld = sld,
+                               .now = now,
+                               .mesh = prs_is_mesh (prs, now),
+                               .first = prs_rank (prs, now) == 0,
+                               .near = prs_near (prs, now),
+                               .send = send,
+                               .ctx = ctx };
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, prs->peers);
--- a/packages/peer/prs.h
+++ b/packages/peer/prs.h
@@ -56,6 +56,7 @@
 int prs_receive (struct prs *prs, guint32 ip, struct str bytes, gint64 now,
                  struct flt *flt, struct sld *sld, struct pdr *pdr,
                  struct prs_news *news, struct err *err);
+gboolean prs_is_mesh (const struct prs *prs, gint64 now);
 guint prs_instances (const struct prs *prs, gint64 now);
 guint prs_alive (const struct prs *prs, gint64 now);
 guint prs_near (const struct prs *prs, gint64 now);
--- a/packages/sched/sch.c
+++ b/packages/sched/sch.c
@@ -44,7 +44,9 @@
   struct pdr *pdr;
   GHashTable *services; /* name: struct service, owned */
   guint n_waiting;
-  guint near; /* instances of the own domain, this one among them */
+  struct spl_self self;
+  gint64 shared_clock; /* microseconds from the own clock to one that all
+                          instances have in common, about */
   GRand *rand;
 };
 
@@ -81,11 +83,13 @@
   g_free (sch);
 }
 
-/* How many instances of the own domain place requests at the same time.  */
+/* Tells how this instance stands among the others, and what time SHARED_CLOCK
+   is ahead of its own on a clock that all have in common; turns go by that.  */
 void
-sch_set_near (struct sch *sch, guint near)
+sch_set_self (struct sch *sch, const struct spl_self *self, gint64 shared_clock)
 {
-  sch->near = near;
+  sch->self = *self;
+  sch->shared_clock = shared_clock;
 }
 
 /* Takes over the services of a configuration.  */
@@ -120,14 +124,16 @@
   ticket->request.left_us = MAX (ticket->target - now, 1);
   const struct rtb_service *known
       = sch->rtb ? rtb_service (sch->rtb, ticket->service) : NULL;
-  struct spl_view view = { .service = ticket->service,
-                           .top = sch->options.top,
-                           .sld = sch->sld,
-                           .pdr = sch->pdr,
-                           .known = pdr_known (sch->pdr),
-                           .near = sch->near,
-                           .us_per_token = service->us_per_token,
-                           .now = now };
+  struct spl_view view
+      = { .service = ticket->service,
+          .top = sch->options.top,
+          .sld = sch->sld,
+          .pdr = sch->pdr,
+          .known = pdr_known (sch->pdr),
+          .self = sch->self,
+          .turn = (guint64)(now + sch->shared_clock) / SPL_TURN_US,
+          .us_per_token = service->us_per_token,
+          .now = now };
   view.engine = known != NULL && known->has_engine ? &known->engine : NULL;
   view.servers = flt_servers (sch->options.flt, &view.n_servers);
   spl_choose (&view, &ticket->request, choice);
--- a/packages/sched/sch.h
+++ b/packages/sched/sch.h
@@ -76,7 +76,8 @@
 
 struct sch *sch_new (const struct sch_options *options, gint64 now);
 void sch_free (struct sch *sch);
-void sch_set_near (struct sch *sch, guint near);
+void sch_set_self (struct sch *sch, const struct spl_self *self,
+                   gint64 shared_clock);
 void sch_set_table (struct sch *sch, struct rtb *rtb);
 void sch_offer (struct sch *sch, struct sch_ticket *ticket, gint64 now,
                 struct sch_decision *decision);
--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -20,6 +20,11 @@
      looked least loaded, one after another its queue would fill. Each prompt is
      therefore compared over a few engines only, drawn by its shared parts, and
      over more only if none of these is in time.
+   - Engines that come back, empty, or look empty to others for a moment, while
+     many instances have long prompts waiting. Beyond a short time of reading
+     ahead, an engine takes prompts from one instance of its domain at a time;
+     the turn goes round, and whoever is next has seen what the others sent.
+     Instances of other domains need a turn in any case.
    - Bursts. Cost rises with what an engine still has to read, so that load
      spreads over the domain first, then over the region, then beyond.  */
 
@@ -67,12 +72,15 @@
                            that homes stay when the tight pool grows */
 #define TIGHT_SHARE 0.5 /* of an engine's batch that tight streams fill */
 #define UNREAD_LIMIT_US 900000.0 /* of reading ahead at one engine */
-#define MEMORY_SHARE 0.9         /* of an engine's memory that is given away */
-#define SAME_US 4000.0           /* costs this close count as equal */
-#define BATCH_SLOT_US 20000.0    /* until an engine's full batch loses one */
-#define MEMORY_US 200000.0       /* until a full memory has room, about */
-#define STREAM_US 500000.0       /* until tight streams have ended, about */
-#define PLAIN_SLOT_US 15000.0    /* cost of a request ahead at a plain server */
+#define FREE_US                                                                \
+  250000.0 /* of reading ahead up to which all instances may add to it; more   \
+              than what others may have sent unseen */
+#define MEMORY_SHARE 0.9      /* of an engine's memory that is given away */
+#define SAME_US 4000.0        /* costs this close count as equal */
+#define BATCH_SLOT_US 20000.0 /* until an engine's full batch loses one */
+#define MEMORY_US 200000.0    /* until a full memory has room, about */
+#define STREAM_US 500000.0    /* until tight streams have ended, about */
+#define PLAIN_SLOT_US 15000.0 /* cost of a request ahead at a plain server */
 
 /* Engines that a request is compared over first and last, by what suits it.
    Those of one class are taken in the order of their draws.  */
@@ -93,6 +101,7 @@
   guint64 rank;      /* order of engines that all instances share */
   guint held;        /* tokens of the prompt, as known */
   gboolean strays;   /* neither home nor known holder: one more copy */
+  gboolean is_home;  /* of the shared part, in the own region */
   gboolean reserved; /* among the first of its domain, which the tight pool
                         takes as it grows */
   guint likely;      /* the same, or what a home is taken to hold */
@@ -119,17 +128,23 @@
                 < hea_slots (&server->hea, G_MAXUINT);
 }
 
-/* Orders servers for a request; all instances agree on it without a message.
-   Requests with the same shared parts get the same order.  */
+/* Spreads the bits of X (the finaliser of splitmix64).  */
 static guint64
-draw (const struct spl_request *request, guint64 rank)
+mix (guint64 x)
 {
-  guint64 x = rank ^ (request->home * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15));
   x ^= x >> 29;
   x *= G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9);
   return x ^ (x >> 32);
 }
 
+/* Orders servers for a request; all instances agree on it without a message.
+   Requests with the same shared parts get the same order.  */
+static guint64
+draw (const struct spl_request *request, guint64 rank)
+{
+  return mix (rank ^ (request->home * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)));
+}
+
 static guint
 collect (const struct spl_view *view, const struct spl_request *request,
          struct candidate *found)
@@ -252,7 +267,7 @@
 static double
 tight_run_us (const struct spl_view *view)
 {
-  return TIGHT_RUN_US / MAX (1.0, view->near / NEAR_PER_RUN);
+  return TIGHT_RUN_US / MAX (1.0, view->self.near / NEAR_PER_RUN);
 }
 
 /* An engine that reads RUN_US in a row holds up the streams that run there,
@@ -295,6 +310,34 @@
   return AHEAD_SHARE * ahead + LATE_FACTOR * late;
 }
 
+/* Tells whether it is this instance's turn to send more long prompts to an
+   engine: there is one instance in its domain whose turn it is, and beyond it
+   one on average.  */
+static gboolean
+has_turn (const struct spl_view *view, const struct candidate *c)
+{
+  const struct spl_self *self = &view->self;
+  if (c->distance == TOP_SAME_DOMAIN)
+    return self->near <= 1 || (c->rank + view->turn) % self->near == self->rank;
+  guint64 x = mix (c->rank ^ mix (view->turn ^ self->hash));
+  return x % self->all == 0;
+}
+
+/* Tells whether this instance may send a long prompt to an engine that has
+   AHEAD microseconds to read, as known. What is known of other domains is so
+   old that a turn is needed there also for an engine that looks free; but for
+   the home of a part, which few requests go to.  */
+static gboolean
+may_add (const struct spl_view *view, const struct candidate *c, double ahead)
+{
+  gboolean is_near = c->distance == TOP_SAME_DOMAIN;
+  if (view->self.all <= 1
+      || (ahead <= FREE_US && (is_near || c->is_home || view->self.hears_all)))
+    return TRUE;
+  return has_turn (view, c)
+         && (is_near || view->self.hears_all || ahead <= FREE_US);
+}
+
 /* When an engine will have room: for its batch, for what it reads ahead, for
    the request's memory, and for streams that must not be held up. 0: now.  */
 static double
@@ -307,6 +350,8 @@
   guint64 needed = c->load.memory + e->unread + request->output_tokens;
   double limit = MAX (UNREAD_LIMIT_US, 1.5 * read);
   double room = MAX (ahead + read - limit, 0);
+  if (e->unread > LONG_TOKENS && !may_add (view, c, ahead))
+    room = MAX (room, SPL_TURN_US);
   if (c->load.requests >= batch)
     room = MAX (room, BATCH_SLOT_US * (c->load.requests + 1 - batch));
   if (engine->memory > 0 && c->load.requests > 0
@@ -406,6 +451,7 @@
     return homes;
   for (guint i = 0; i < n; i++)
     c[i].strays = &c[i] != homes.region && c[i].held < shared / 2;
+  homes.region->is_home = TRUE;
   homes.region->likely
       = MAX (homes.region->held, (guint)(HOME_SHARE * view->known * shared));
   return homes;
@@ -559,6 +605,7 @@
     return;
   choice->full = FALSE;
   choice->server = chosen->best->server;
+  choice->load = chosen->best->load;
   choice->unread = chosen->estimate.unread;
   choice->first_us = (gint64)chosen->estimate.first_us;
   if (chosen->estimate.fetched > 0)
--- a/packages/sched/spl.h
+++ b/packages/sched/spl.h
@@ -9,6 +9,9 @@
 #include "sched/sld.h"
 
 #define SPL_TRIED_MAX 8
+#define SPL_TURN_US                                                            \
+  (250 * CLK_MS) /* in which what one instance sends becomes known in its      \
+                    domain */
 
 /* What placement needs to know of a request.  */
 struct spl_request
@@ -32,6 +35,17 @@
   SPL_TIGHT  /* bears hardly one */
 };
 
+/* This instance among the others, which place at the same time.  */
+struct spl_self
+{
+  guint near;         /* instances of the own domain, this one among them */
+  guint rank;         /* of this one among them, from 0 */
+  guint all;          /* instances of all domains, this one among them */
+  guint64 hash;       /* of this one's name */
+  gboolean hears_all; /* the others tell it their load themselves, not one of
+                         each domain */
+};
+
 /* The state that placement goes by, all borrowed.  */
 struct spl_view
 {
@@ -42,9 +56,10 @@
   const struct top *top;
   struct sld *sld;
   const struct pdr *pdr;
-  double known; /* share of shared parts that were in use lately */
-  guint near;   /* instances of the own domain, which place at the same time */
-  double us_per_token; /* that engines take to read a prompt, as learned */
+  double known;         /* share of shared parts that were in use lately */
+  struct spl_self self; /* this instance among the others */
+  guint64 turn;         /* number of the present turn, the same at all */
+  double us_per_token;  /* that engines take to read a prompt, as learned */
   gint64 now;
 };
 
@@ -52,6 +67,7 @@
 {
   struct flt_server *server;     /* NULL: no server may be used */
   struct flt_server *fetch_from; /* holds more of the prompt; NULL: none */
+  struct sld_load load;          /* of SERVER, as known */
   guint held;                    /* tokens that SERVER is known to hold */
   guint unread;                  /* tokens that SERVER has to read */
   gint64 first_us;               /* predicted time to the first event */
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -215,7 +215,7 @@
 {
   struct sch_decision d;
   start ();
-  sch_set_near (w.sch, 13);
+  sch_set_self (w.sch, &(struct spl_self){ .near = 13 }, 0);
   struct sch_ticket *tight = ticket (0, 500, 100, 500, TRUE);
   struct flt_server *engine = place (tight, &d);
   sch_begun (w.sch, tight, 50 * CLK_MS);
