Instances take turns at engines; a lasting overload is told at once

Within 300 ms all instances of all six domains sent their waiting prompts to one engine that a summary, up to a second old, showed as free: 446 of 1,308 long prompts between 1.5 and 4 s went to the other region. Engines that read without a pause make one event of seven tokens in 0.8 s, so that streams of eight events reached their deadline of 5 s: 2,300 to 2,700 of 8,500 station reports failed after their prompts had been read. Those that waited did so for 2.3 of their 2.5 s.

Change: while requests wait, and beyond 250 ms of reading ahead at any time, an engine takes long prompts from one instance of its domain at a time, by turns of 250 ms that all know without a message; instances of other domains need a turn in any case (one of them has it on average), but for a new part's home. 450 ms read ahead at most instead of 900.

--- a/packages/sched/sch.c
+++ b/packages/sched/sch.c
@@ -13,9 +13,13 @@
 #define RETRY_MAX_US (10 * CLK_S)   /* latest return */
 #define RETRY_SPREAD 0.5            /* of the time, so that callers spread */
 #define NO_SERVER_RETRY_US (700 * CLK_MS) /* servers come back in seconds */
-#define DRAIN_DEFAULT_PER_S 50.0          /* assumed while none has waited */
-#define DRAIN_MIN_PER_S 2.0               /* slower than this is not believed */
-#define US_PER_TOKEN_DEFAULT 25.0         /* until engines have been seen */
+#define WAITED_SHARE                                                           \
+  0.2 /* of a newcomer's time to its target that others may have waited        \
+         already; in a lasting overload a longer queue only makes all of its   \
+         requests late */
+#define DRAIN_DEFAULT_PER_S 50.0  /* assumed while none has waited */
+#define DRAIN_MIN_PER_S 2.0       /* slower than this is not believed */
+#define US_PER_TOKEN_DEFAULT 25.0 /* until engines have been seen */
 #define US_PER_TOKEN_MIN 5.0
 #define US_PER_TOKEN_MAX 400.0
 #define US_PER_TOKEN_WEIGHT 0.02 /* of a new sample */
@@ -131,6 +135,7 @@
           .pdr = sch->pdr,
           .known = pdr_known (sch->pdr),
           .self = sch->self,
+          .contended = service->n_waiting > 0,
           .turn = (guint64)(now + sch->shared_clock) / SPL_TURN_US,
           .us_per_token = service->us_per_token,
           .now = now };
@@ -167,6 +172,16 @@
   return room + (gint64)(1e6 * ahead / per_s);
 }
 
+/* How long the first of those that wait like TICKET has waited. In a lasting
+   overload a newcomer will wait no shorter.  */
+static gint64
+first_waited (const struct service *service, const struct sch_ticket *ticket,
+              gint64 now)
+{
+  const GList *head = service->waiting[tier_of (ticket)].head;
+  return head ? now - ((const struct sch_ticket *)head->data)->queued_at : 0;
+}
+
 static void
 refuse (struct sch *sch, struct sch_decision *decision, enum sch_reason reason,
         gint64 after_us)
@@ -226,11 +241,13 @@
       refuse (sch, decision, SCH_NO_SERVER, NO_SERVER_RETRY_US);
       return;
     }
-  decision->wait_us
-      = predict_wait (service, decision->ahead, &decision->choice);
+  gint64 wait = predict_wait (service, decision->ahead, &decision->choice);
+  gint64 waited = first_waited (service, ticket, now);
+  decision->wait_us = MAX (wait, waited);
+  gint64 left = ticket->target - now;
   if (sch->n_waiting >= WAITING_MAX)
     refuse (sch, decision, SCH_QUEUE_FULL, decision->wait_us);
-  else if (now + decision->wait_us > ticket->target)
+  else if (wait > left || (double)waited > WAITED_SHARE * (double)left)
     refuse (sch, decision, SCH_OVERLOAD, decision->wait_us);
   else
     enqueue (sch, service, ticket, now);
--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -71,7 +71,7 @@
   0.25                  /* of a domain's engines that are no homes, so         \
                            that homes stay when the tight pool grows */
 #define TIGHT_SHARE 0.5 /* of an engine's batch that tight streams fill */
-#define UNREAD_LIMIT_US 900000.0 /* of reading ahead at one engine */
+#define UNREAD_LIMIT_US 450000.0 /* of reading ahead at one engine */
 #define FREE_US                                                                \
   250000.0 /* of reading ahead up to which all instances may add to it; more   \
               than what others may have sent unseen */
@@ -331,8 +331,9 @@
 may_add (const struct spl_view *view, const struct candidate *c, double ahead)
 {
   gboolean is_near = c->distance == TOP_SAME_DOMAIN;
+  gboolean is_free = ahead <= FREE_US && !view->contended;
   if (view->self.all <= 1
-      || (ahead <= FREE_US && (is_near || c->is_home || view->self.hears_all)))
+      || (is_free && (is_near || c->is_home || view->self.hears_all)))
     return TRUE;
   return has_turn (view, c)
          && (is_near || view->self.hears_all || ahead <= FREE_US);
--- a/packages/sched/spl.h
+++ b/packages/sched/spl.h
@@ -59,6 +59,7 @@
   double known;         /* share of shared parts that were in use lately */
   struct spl_self self; /* this instance among the others */
   guint64 turn;         /* number of the present turn, the same at all */
+  gboolean contended;   /* requests wait, and probably at other instances too */
   double us_per_token;  /* that engines take to read a prompt, as learned */
   gint64 now;
 };
