Keep messages to peers within what they read

Cause: a message takes up to 8,192 bytes, and longer ones are refused as unreadable, but nothing kept them within that: with 600 servers, of which each domain uses 100, the first instance of a domain sends its peers 15 KB. They refuse all of it, the proof of freshness too, and after that all keyed requests. A summary also left out all but 64 servers of a domain, without a word.

Change: what does not fit is left out: summaries of other domains, which follow with the next message, then placements. A summary takes 200 servers, like the load of one instance.

test_prs, "more busy servers than a message holds", fails without the change (messages refused).

--- a/emulator/harness/har.c
+++ b/emulator/harness/har.c
@@ -15,6 +15,7 @@
 {
   char *dir;
   GPtrArray *procs; /* struct har_proc, owned */
+  gboolean kept;    /* the folder outlives the run */
 };
 
 struct har_stream
@@ -73,7 +74,7 @@
 har_free (struct har *har)
 {
   g_ptr_array_unref (har->procs);
-  if (g_getenv ("JW_KEEP") == NULL)
+  if (!har->kept && g_getenv ("JW_KEEP") == NULL)
     remove_dir (har->dir);
   else
     g_printerr ("kept: %s\n", har->dir);
@@ -81,6 +82,49 @@
   g_free (har);
 }
 
+/* Prints how a process fares: its end, or its state by the kernel.  */
+static void
+explain_proc (const struct har_proc *proc)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", har_pid (proc));
+  char *text = NULL;
+  if (har_pid (proc) == 0)
+    g_printerr ("%s: ended, %s %d\n", proc->name,
+                g_subprocess_get_if_signaled (proc->process) ? "signal"
+                                                             : "status",
+                g_subprocess_get_if_signaled (proc->process)
+                    ? g_subprocess_get_term_sig (proc->process)
+                    : g_subprocess_get_exit_status (proc->process));
+  else if (g_file_get_contents (path, &text, NULL, NULL))
+    {
+      char **lines = g_strsplit (text, "\n", -1);
+      for (guint i = 0; lines[i] != NULL; i++)
+        if (g_str_has_prefix (lines[i], "State:")
+            || g_str_has_prefix (lines[i], "VmRSS:")
+            || strstr (lines[i], "ctxt_switches") != NULL)
+          g_printerr ("%s: %s\n", proc->name, lines[i]);
+      g_strfreev (lines);
+    }
+  g_free (text);
+  g_free (path);
+}
+
+/* A check has failed: prints how each process fares, twice a second apart so
+   that one that spins shows, and keeps the run's folder.  */
+void
+har_explain (struct har *har)
+{
+  har->kept = TRUE;
+  for (guint round = 0; round < 2; round++)
+    {
+      while (g_main_context_iteration (NULL, FALSE))
+        ;
+      for (guint i = 0; i < har->procs->len; i++)
+        explain_proc (g_ptr_array_index (har->procs, i));
+      g_usleep (round == 0 ? G_USEC_PER_SEC : 0);
+    }
+}
+
 /* Returns the run's temporary folder; files in it go with the run.  */
 const char *
 har_dir (const struct har *har)
--- a/emulator/harness/har.h
+++ b/emulator/harness/har.h
@@ -47,6 +47,7 @@
 struct har *har_new (void);
 void har_free (struct har *har);
 const char *har_dir (const struct har *har);
+void har_explain (struct har *har);
 
 struct har_proc *har_start (struct har *har, const char *name,
                             const char *const *argv);
--- a/packages/peer/prm.h
+++ b/packages/peer/prm.h
@@ -13,8 +13,8 @@
 #define PRM_MEMBERS_MAX 16
 #define PRM_DOWN_MAX 32
 #define PRM_SUMMARIES_MAX 12
-#define PRM_SUMMARY_LOADS_MAX 64
-#define PRM_LOADS_MAX 200
+#define PRM_LOADS_MAX 200 /* busy servers of one instance or domain */
+#define PRM_SUMMARY_LOADS_MAX PRM_LOADS_MAX
 #define PRM_NOTES_MAX 64
 #define PRM_UNPROVED (-1)
 
--- a/packages/peer/prs.c
+++ b/packages/peer/prs.c
@@ -313,21 +313,60 @@
     }
 }
 
-/* What other domains have told this instance lately.  */
+/* What other domains have told this instance lately, without those that the
+   peer has got in this round.  */
 static void
-add_other_summaries (const struct prs *prs, struct prm *m, gint64 now)
+add_other_summaries (const struct prs *prs, const struct peer *to,
+                     struct prm *m, gint64 now)
 {
+  guint skip = to->summaries;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, prs->summaries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct summary *known = value;
-      if (now - known->heard <= SILENT_US && m->n_summaries < PRM_SUMMARIES_MAX)
+      if (now - known->heard > SILENT_US || m->n_summaries == PRM_SUMMARIES_MAX)
+        continue;
+      if (skip > 0)
+        skip--;
+      else
         m->summaries[m->n_summaries++] = known->summary;
     }
 }
 
+/* Encodes the message and leaves out what makes it too long to be read:
+   summaries of other domains, which follow with the next message, then
+   placements, which are hints.  */
+static void
+encode_fitting (struct prs *prs, struct peer *to, gint64 now)
+{
+  struct prm *m = &prs->message;
+  guint summaries = m->n_summaries;
+  guint own
+      = summaries > 0 && g_str_equal (m->summaries[0].domain, prs->domain.s);
+  for (;;)
+    {
+      g_byte_array_set_size (prs->bytes, 0);
+      prm_encode (m, prs->bytes);
+      if (prs->bytes->len <= PRM_BYTES_MAX
+          || (m->n_summaries == own && m->n_notes == 0))
+        break;
+      if (m->n_summaries > own)
+        m->n_summaries--;
+      else
+        m->n_notes /= 2;
+      m->n_own = MIN (m->n_own, m->n_notes);
+    }
+  if (summaries == own)
+    return;
+  to->summaries += m->n_summaries;
+  if (m->n_summaries < summaries)
+    return;
+  to->summaries = 0;
+  to->summed = now;
+}
+
 static void
 add_notes (struct prs *prs, struct peer *to, enum ring_id id, struct prm *m)
 {
@@ -377,10 +416,7 @@
     return;
   add_notes (prs, peer, RING_ELSEWHERE, m);
   if (round->now - peer->summed >= SUMMARY_US)
-    {
-      peer->summed = round->now;
-      add_other_summaries (prs, m, round->now);
-    }
+    add_other_summaries (prs, peer, m, round->now);
 }
 
 static void
@@ -407,8 +443,7 @@
   m->asks = round->first || round->near == 0;
   add_contents (prs, peer, m, round);
   peer->sent[m->seq % SENT_MAX] = round->now;
-  g_byte_array_set_size (prs->bytes, 0);
-  prm_encode (m, prs->bytes);
+  encode_fitting (prs, peer, round->now);
   round->send (round->ctx, peer->ip,
                (struct str){ (const char *)prs->bytes->data, prs->bytes->len });
 }
--- a/packages/peer/prs_int.h
+++ b/packages/peer/prs_int.h
@@ -35,7 +35,8 @@
   gint64 heard;     /* clock time; 0: never */
   gint64 known;     /* clock time at which others last heard it */
   gint64 next_send; /* clock time */
-  gint64 summed;    /* clock time at which it last got summaries */
+  gint64 summed;    /* clock time at which it last got all summaries */
+  guint summaries;  /* of the next round, told to it already */
   gboolean asks;    /* it wants word back */
   guint32 seq;      /* of the last message to it */
   guint32 heard_seq;
--- a/tests/proc/test_orders.c
+++ b/tests/proc/test_orders.c
@@ -34,6 +34,8 @@
 static int
 stop (void)
 {
+  if (CU_get_number_of_failure_records () > 0)
+    har_explain (har);
   dep_free (dep);
   har_free (har);
   return 0;
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -8,6 +8,7 @@
 #include "peer/prs.h"
 
 #define NODES_MAX 60
+#define SERVERS_MAX 680
 #define STEP_US (50 * CLK_MS)
 
 struct node
@@ -44,6 +45,7 @@
   double loss;
   gint64 delay_max;
   guint sender;
+  guint servers; /* 0: two */
 } net;
 
 static void
@@ -62,9 +64,10 @@
 static void
 list_servers (struct node *node)
 {
-  struct flt_entry entries[2];
+  static struct flt_entry entries[SERVERS_MAX];
+  guint n = net.servers ? net.servers : 2;
   memset (entries, 0, sizeof entries);
-  for (guint i = 0; i < 2; i++)
+  for (guint i = 0; i < n; i++)
     {
       g_snprintf (entries[i].id, sizeof entries[i].id, "e-%u", i);
       g_strlcpy (entries[i].service, "llm", sizeof entries[i].service);
@@ -72,7 +75,7 @@
       g_snprintf (entries[i].domain, sizeof entries[i].domain, "d%u", i);
       entries[i].slots = 8;
     }
-  flt_list (node->flt, entries, 2, net.now);
+  flt_list (node->flt, entries, n, net.now);
 }
 
 static void
@@ -390,6 +393,43 @@
   stop ();
 }
 
+/* With so many busy servers that not all fits into one message, every message
+   is still read, and the load of each server becomes known everywhere.  */
+static void
+test_many_servers (void)
+{
+  start (24, 6, 8);
+  net.servers = 600;
+  for (guint i = 0; i < 24; i++)
+    list_servers (&net.nodes[i]);
+  step (4 * CLK_S);
+  for (guint i = 0; i < 24; i++)
+    for (guint k = i % 6; k < 600; k += 6)
+      {
+        char id[16];
+        g_snprintf (id, sizeof id, "e-%u", k);
+        guint number = flt_find (net.nodes[i].flt, id)->number;
+        *sld_own (net.nodes[i].sld, number)
+            = (struct sld_load){ .requests = 300,
+                                 .tight = 200,
+                                 .paced = 200,
+                                 .unread = 100000,
+                                 .memory = 200000 };
+      }
+  step (4 * CLK_S);
+  guint missing = 0;
+  for (guint i = 0; i < 24; i++)
+    for (guint k = 0; k < 600; k++)
+      {
+        char id[16];
+        g_snprintf (id, sizeof id, "e-%u", k);
+        guint number = flt_find (net.nodes[i].flt, id)->number;
+        missing += sld_total (net.nodes[i].sld, number).requests != 4 * 300;
+      }
+  CU_ASSERT_EQUAL (missing, 0);
+  stop ();
+}
+
 /* Bytes that are no message are refused, and so is every damaged one that does
    not decode; none does harm.  */
 static void
@@ -516,6 +556,7 @@
   { "load and placements in a larger fleet", test_larger_fleet },
   { "placements beyond the domain are told",
     test_placements_beyond_the_domain },
+  { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
   { "one reader of the store", test_one_reader },
   { "lists of servers", test_list_of_servers },
