--- a/packages/peer/prs.c
+++ b/packages/peer/prs.c
@@ -25,9 +25,6 @@
 #define MEMBERS_EVERY                                                          \
   8 /* messages of a larger fleet; one tells who                               \
        is there */
-#define LARGE_TOKENS                                                           \
-  1000 /* shared; smaller prompts stay untold in                               \
-          other domains */
 
 /* Names a life of a server to peers.  */
 guint32
@@ -102,7 +99,7 @@
 gboolean
 prs_is_large (const struct prm_note *note)
 {
-  return pdr_shared_tokens (&note->prompt) >= LARGE_TOKENS;
+  return pdr_shared_tokens (&note->prompt) >= PDR_LARGE_TOKENS;
 }
 
 /* Notes that a prompt was sent to SERVER, to be told to peers.  */
--- a/packages/sched/pdr.c
+++ b/packages/sched/pdr.c
@@ -25,9 +25,6 @@
   gint64 recent_at;    /* clock time to which RECENT has decayed */
 };
 
-#define SHARED_LARGE                                                           \
-  1000                    /* shared tokens of a prompt that counts in what is  \
-                             read again */
 #define KNOWN_WEIGHT 0.02 /* of a new sample */
 
 struct pdr
@@ -235,7 +232,7 @@
 pdr_sample (struct pdr *pdr, const struct pdr_prompt *prompt, gint64 now)
 {
   guint server;
-  if (pdr_shared_tokens (prompt) < SHARED_LARGE)
+  if (pdr_shared_tokens (prompt) < PDR_LARGE_TOKENS)
     return;
   double known = pdr_last (pdr, prompt, now, &server) ? 1.0 : 0.0;
   pdr->known += KNOWN_WEIGHT * (known - pdr->known);
--- a/packages/sched/pdr.h
+++ b/packages/sched/pdr.h
@@ -9,6 +9,9 @@
 #include "base/str.h"
 
 #define PDR_PARTS_MAX 8 /* parts of one prompt that are told apart */
+#define PDR_LARGE_TOKENS                                                       \
+  1000 /* shared tokens of a prompt that is told to other domains and for      \
+          which a way to their holder is worth while */
 
 struct pdr_part
 {
--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -26,7 +26,7 @@
 #define TIGHT_SHARE 0.5 /* of an engine's batch that tight streams fill */
 #define SAME_US 4000.0  /* costs this close count as equal */
 
-/* Spreads the bits of X (the finaliser of splitmix64).  */
+/* Spreads the bits of X (a round of the finaliser of splitmix64).  */
 guint64
 spl_mix (guint64 x)
 {
@@ -131,7 +131,7 @@
 is_new (const struct spl_view *view, const struct spl_request *request)
 {
   guint last;
-  return pdr_shared_tokens (&request->prompt) >= SHARED_LARGE
+  return pdr_shared_tokens (&request->prompt) >= PDR_LARGE_TOKENS
          && !pdr_last (view->pdr, &request->prompt, view->now, &last);
 }
 
@@ -149,7 +149,7 @@
 {
   struct homes homes = { NULL, NULL };
   guint shared = pdr_shared_tokens (&request->prompt);
-  if (view->engine == NULL || shared < SHARED_LARGE)
+  if (view->engine == NULL || shared < PDR_LARGE_TOKENS)
     return homes;
   for (guint i = 0; i < n; i++)
     {
@@ -308,7 +308,7 @@
       choice->room_us = MIN (choice->room_us, (gint64)e.room_us);
       if (e.full)
         continue;
-      gboolean holds = c->held >= SHARED_LARGE && c->held == best_held;
+      gboolean holds = c->held >= PDR_LARGE_TOKENS && c->held == best_held;
       if (view->engine == NULL || holds || compared < CHOICES
           || !is_in_time (request, &good))
         compare (e.harmful ? &harmful : &good, c, &e);
--- a/packages/sched/spl_cost.c
+++ b/packages/sched/spl_cost.c
@@ -25,9 +25,9 @@
 #define NEAR_WAY_US 3000.0   /* round trip within the region */
 #define BYTE_US 0.5          /* cost of a byte sent to another domain */
 #define AHEAD_SHARE 0.15     /* cost of reading ahead, while in time */
-#define LATE_FACTOR 3.0     /* cost of each microsecond beyond */
-#define TIGHT_GAP_US 400000 /* streams with pauses up to this are tight */
-#define PACED_GAP_US 700000 /* and up to this are paced */
+#define LATE_FACTOR 3.0      /* cost of each microsecond beyond */
+#define TIGHT_GAP_US 400000  /* streams with pauses up to this are tight */
+#define PACED_GAP_US 700000  /* and up to this are paced */
 #define TIGHT_RUN_US                                                           \
   200000.0               /* of reading in a row that a tight stream bears */
 #define NEAR_PER_RUN 2.0 /* instances of a domain that share one such run */
@@ -40,8 +40,8 @@
   60000.0 /* cost of a long prompt in the tight pool, where                    \
              streams will come */
 #define OUTSIDE_US                                                             \
-  100000.0                /* cost of a tight stream outside, where long        \
-                             prompts will come */
+  100000.0 /* cost of a tight stream outside, where long                       \
+              prompts will come */
 #define UNREAD_LIMIT_US                                                        \
   450000.0 /* of reading ahead at one engine; with more it would read without  \
               a pause, and the streams there would come to a halt */
@@ -177,7 +177,8 @@
    old that a turn is needed there also for an engine that looks free; but for
    the home of a part, which few requests go to.  */
 static gboolean
-may_add (const struct spl_view *view, const struct spl_candidate *c, double ahead)
+may_add (const struct spl_view *view, const struct spl_candidate *c,
+         double ahead)
 {
   gboolean is_near = c->distance == TOP_SAME_DOMAIN;
   gboolean is_free = ahead <= FREE_US && !view->contended;
@@ -192,8 +193,8 @@
    the request's memory, and for streams that must not be held up. 0: now.  */
 static double
 room_us (const struct spl_view *view, const struct spl_request *request,
-         const struct spl_candidate *c, const struct spl_estimate *e, double ahead,
-         double read)
+         const struct spl_candidate *c, const struct spl_estimate *e,
+         double ahead, double read)
 {
   const struct rtb_engine *engine = view->engine;
   guint batch = MAX (MIN (engine->batch, c->server->entry.slots), 1);
@@ -214,11 +215,12 @@
   return room;
 }
 
-/* What a request costs at an engine; BEST_HELD of its tokens can be fetched from
-   another.  */
+/* What a request costs at an engine; BEST_HELD of its tokens can be fetched
+   from another.  */
 struct spl_estimate
-spl_estimate_engine (const struct spl_view *view, const struct spl_request *request,
-                 const struct spl_candidate *c, guint best_held)
+spl_estimate_engine (const struct spl_view *view,
+                     const struct spl_request *request,
+                     const struct spl_candidate *c, guint best_held)
 {
   struct spl_estimate e = { 0 };
   const struct rtb_engine *engine = view->engine;
@@ -249,4 +251,3 @@
   e.full = e.room_us > 0 && !e.harmful;
   return e;
 }
-
--- a/packages/sched/spl_int.h
+++ b/packages/sched/spl_int.h
@@ -6,12 +6,11 @@
 #include "sched/spl.h"
 
 #define LATE_START                                                             \
-  0.5                       /* share of the time left that may go by before    \
-                               the first event at no further cost */
+  0.5 /* share of the time left that may go by before                          \
+         the first event at no further cost */
 #define HOME_SHARE                                                             \
   0.7 /* of a prompt's shared tokens that its home is taken to hold when       \
          nothing is known */
-#define SHARED_LARGE 1000 /* tokens of shared parts that are worth a way */
 
 /* Which engines a request is compared over first and last, by what suits it.
    Those of one class are taken in the order of their draws.  */
