--- a/packages/entry/ent.c
+++ b/packages/entry/ent.c
@@ -222,11 +222,31 @@
     }
 }
 
+/* While this instance was frozen or kept from running, for US microseconds, it
+   neither wrote to its callers nor read from them. Their limits go on from
+   there, not from before.  */
+static void
+excuse_callers (struct ent *ent, gint64 us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ent->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct ent_conn *)value)->due += us;
+  g_hash_table_iter_init (&iter, ent->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ent_call_excuse (value, us);
+}
+
 static gboolean
 on_sweep (gpointer data)
 {
   struct ent *ent = data;
   gint64 now = g_get_monotonic_time ();
+  gint64 lost = now - ent->swept_at - SWEEP_MS * CLK_MS;
+  if (lost > 0)
+    excuse_callers (ent, lost);
+  ent->swept_at = now;
   sweep_conns (ent, now);
   GList *calls = g_hash_table_get_values (ent->calls);
   for (GList *l = calls; l != NULL; l = l->next)
@@ -307,6 +327,7 @@
       ent_free (ent);
       return code;
     }
+  ent->swept_at = g_get_monotonic_time ();
   ent->sweep = g_timeout_add (SWEEP_MS, on_sweep, ent);
   *result = ent;
   return 0;
--- a/packages/entry/ent_call.c
+++ b/packages/entry/ent_call.c
@@ -582,6 +582,14 @@
   finish (call);
 }
 
+/* Takes US microseconds, in which this instance did not run, off the time for
+   which the caller has taken nothing.  */
+void
+ent_call_excuse (struct ent_call *call, gint64 us)
+{
+  call->wrote_at += us;
+}
+
 /* Cuts a caller that takes nothing although bytes wait for it.  */
 void
 ent_call_sweep (struct ent_call *call, gint64 now)
--- a/packages/entry/ent_int.h
+++ b/packages/entry/ent_int.h
@@ -63,6 +63,7 @@
   GHashTable *calls; /* id -> struct ent_call * */
   GHashTable *conns; /* GSocket * -> struct ent_conn * */
   guint sweep;       /* GLib source */
+  gint64 swept_at;   /* monotonic, microseconds */
 };
 
 /* ent_parse.c: from HTTP to the node's terms */
@@ -92,6 +93,7 @@
 void ent_call_finish (struct ent_call *call);
 /* Ends the call if its caller has stopped reading. */
 void ent_call_sweep (struct ent_call *call, gint64 now);
+void ent_call_excuse (struct ent_call *call, gint64 us);
 
 /* ent_reply.c: what goes to the caller */
 struct ent_error
