Let instances without engines of their own domain use free ones elsewhere

Cause: found by reading, for deployments whose workers do not stand in every domain: an instance of a fleet of more than 16 in a domain without engines needed a turn for each long prompt, also while all engines were free, which comes round after some (instances / engines) x 250 ms.

Change: while nothing waits, such an instance sends to an engine that looks free without a turn. test_sched, "a domain without engines", fails without it.

--- a/packages/sched/spl.c
+++ b/packages/sched/spl.c
@@ -67,6 +67,7 @@
          struct spl_candidate *found)
 {
   guint n = 0;
+  guint near = 0;
   for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
     {
       struct flt_server *server = view->servers[i];
@@ -82,7 +83,10 @@
         c->held
             = pdr_held (view->pdr, server->number, &request->prompt, view->now);
       c->likely = c->held;
+      near += c->distance == TOP_SAME_DOMAIN;
     }
+  for (guint i = 0; i < n; i++)
+    found[i].stands_in = near == 0;
   return n;
 }
 
--- a/packages/sched/spl_cost.c
+++ b/packages/sched/spl_cost.c
@@ -175,15 +175,17 @@
 /* Tells whether this instance may send a long prompt to an engine that has
    AHEAD microseconds to read, as known. What is known of other domains is so
    old that a turn is needed there also for an engine that looks free; but for
-   the home of a part, which few requests go to.  */
+   the home of a part, which few requests go to, and where the own domain has
+   no engine at all.  */
 static gboolean
 may_add (const struct spl_view *view, const struct spl_candidate *c,
          double ahead)
 {
   gboolean is_near = c->distance == TOP_SAME_DOMAIN;
+  gboolean may_be_free
+      = is_near || c->is_home || c->stands_in || view->self.hears_all;
   gboolean is_free = ahead <= FREE_US && !view->contended;
-  if (view->self.all <= 1
-      || (is_free && (is_near || c->is_home || view->self.hears_all)))
+  if (view->self.all <= 1 || (is_free && may_be_free))
     return TRUE;
   return has_turn (view, c)
          && (is_near || view->self.hears_all || ahead <= FREE_US);
--- a/packages/sched/spl_int.h
+++ b/packages/sched/spl_int.h
@@ -28,13 +28,14 @@
   struct flt_server *server;
   struct sld_load load;
   enum top_distance distance;
-  guint64 rank;      /* order of engines that all instances share */
-  guint held;        /* tokens of the prompt, as known */
-  gboolean strays;   /* neither home nor known holder: one more copy */
-  gboolean is_home;  /* of the shared part, in the own region */
-  gboolean reserved; /* among the first of its domain, which the tight pool
-                        takes as it grows */
-  guint likely;      /* the same, or what a home is taken to hold */
+  guint64 rank;       /* order of engines that all instances share */
+  guint held;         /* tokens of the prompt, as known */
+  gboolean strays;    /* neither home nor known holder: one more copy */
+  gboolean is_home;   /* of the shared part, in the own region */
+  gboolean stands_in; /* no server of the own domain may be used */
+  gboolean reserved;  /* among the first of its domain, which the tight pool
+                         takes as it grows */
+  guint likely;       /* the same, or what a home is taken to hold */
   gboolean in_tight_pool;
   enum spl_suit suit;
   guint64 draw; /* by the request's home and the engine */
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -17,6 +17,7 @@
   struct flt *flt;
   struct top *top;
   struct sch *sch;
+  struct rtb *rtb;
   gint64 now;
   guint next;
 } w;
@@ -63,7 +64,7 @@
           = { .batch = 16, .memory = 200000, .stride = 5, .fetches = TRUE } };
   rtb_add_service (rtb, &service);
   sch_set_table (w.sch, rtb);
-  rtb_unref (rtb);
+  w.rtb = rtb;
 }
 
 static void
@@ -76,6 +77,7 @@
 stop (void)
 {
   sch_free (w.sch);
+  rtb_unref (w.rtb);
   flt_free (w.flt);
   top_free (w.top);
 }
@@ -554,6 +556,40 @@
     CU_ASSERT_TRUE (rush (12, 1, free_one) <= 2 * CLK_S);
 }
 
+/* An instance of a larger fleet, in a domain without engines, starts a long
+   prompt at once while the engines elsewhere are free.  */
+static void
+test_domain_without_engines (void)
+{
+  struct sch_decision d;
+  struct sch_ticket *tickets[6];
+  start ();
+  struct top *far = top_new ("c", "north");
+  top_add (far, "a", "north");
+  top_add (far, "b", "north");
+  const struct sch_options options = { .flt = w.flt, .top = far, .seed = 7 };
+  struct sch *sch = sch_new (&options, w.now);
+  sch_set_table (sch, w.rtb);
+  sch_set_self (sch, &(struct spl_self){ .near = 10, .all = 40 }, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (tickets); i++)
+    {
+      tickets[i] = ticket (2, 0, 0, 5000, FALSE);
+      sch_offer (sch, tickets[i], w.now, &d);
+      CU_ASSERT_EQUAL (d.verdict, SCH_START);
+      if (d.verdict == SCH_START)
+        sch_started (sch, tickets[i], &d.choice, w.now);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (tickets); i++)
+    {
+      sch_withdraw (sch, tickets[i]);
+      sch_ended (sch, tickets[i]);
+      g_free (tickets[i]);
+    }
+  sch_free (sch);
+  top_free (far);
+  stop ();
+}
+
 /* In a lasting overload newcomers are told so at once, rather than after they
    have waited as long as those before them.  */
 static void
@@ -720,6 +756,7 @@
   { "more shared parts than a domain keeps", test_region_scope },
   { "a stale view of the load", test_stale_load },
   { "a rush to a free engine", test_rush },
+  { "a domain without engines", test_domain_without_engines },
   { "a lasting overload", test_lasting_overload },
   { "the load of peers", test_peer_load },
   { "the directory of parts", test_directory },
