Keep latency-sensitive streams in the pool of a large domain

Cause: the share of the tolerable prefill that each instance may use in the pool, 200 ms divided by half the instances of the domain, is 8 ms at 50 instances. A short prompt of such a stream takes 13 ms, so every stream was charged for delaying the others, and three quarters of them were placed outside the pool, beside long prompts. Change: the short prompts of latency-sensitive streams are exempt. Test: 'streams of a large domain' fails without it.

--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -132,13 +132,18 @@
   return gap_us > SENSITIVE_GAP_US ? PLACEMENT_PACED : PLACEMENT_SENSITIVE;
 }
 
-/* Returns how long an engine may prefill without interruption beside
-   latency-sensitive streams. The other instances of the domain place requests
-   at the same time, without this one knowing, so each may use only a share of
-   the limit.  */
+/* Returns how long an engine of the pool may prefill without interruption
+   beside latency-sensitive streams. The other instances of the domain place
+   requests at the same time, without this one knowing, so each may use only a
+   share of the limit. The short prompts of such streams are exempt: in a large
+   domain the share is less than even one of them takes, and no stream would be
+   placed in the pool.  */
 static double
-sensitive_prefill_limit_us (const struct placement_view *view)
+sensitive_prefill_limit_us (const struct placement_view *view,
+                            const struct placement_request *request)
 {
+  if (placement_pace (request->gap_us) == PLACEMENT_SENSITIVE)
+    return SENSITIVE_PREFILL_US;
   return SENSITIVE_PREFILL_US
          / MAX (1.0, view->self.domain_instances / INSTANCES_PER_LIMIT);
 }
@@ -155,7 +160,7 @@
   enum placement_pace pace = placement_pace (request->gap_us);
   double cost = 0;
   double sensitive_limit_us = c->in_sensitive_pool
-                                  ? sensitive_prefill_limit_us (view)
+                                  ? sensitive_prefill_limit_us (view, request)
                                   : SENSITIVE_PREFILL_US;
   if (prefill_us > sensitive_limit_us)
     cost += SENSITIVE_DELAY_COST_US
@@ -259,10 +264,12 @@
       && (double)needed > MEMORY_FILL_SHARE * (double)engine->memory)
     wait_us = MAX (wait_us, MEMORY_WAIT_US);
   if (e->delays_streams)
-    wait_us = MAX (wait_us, prefill_us > sensitive_prefill_limit_us (view)
-                                ? STREAM_END_WAIT_US
-                                : pending_us + prefill_us
-                                      - sensitive_prefill_limit_us (view));
+    {
+      double stream_limit_us = sensitive_prefill_limit_us (view, request);
+      wait_us = MAX (wait_us, prefill_us > stream_limit_us
+                                  ? STREAM_END_WAIT_US
+                                  : pending_us + prefill_us - stream_limit_us);
+    }
   return wait_us;
 }
 
@@ -306,7 +313,7 @@
   e.delays_streams
       = placement_pace (request->gap_us) != PLACEMENT_SENSITIVE
         && c->in_sensitive_pool && c->load.sensitive > 0
-        && pending_us + prefill_us > sensitive_prefill_limit_us (view);
+        && pending_us + prefill_us > sensitive_prefill_limit_us (view, request);
   e.capacity_wait_us
       = capacity_wait_us (view, request, c, &e, pending_us, prefill_us);
   e.full = e.capacity_wait_us > 0 && !e.delays_streams;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -219,6 +219,40 @@
   tear_down ();
 }
 
+/* Fifty instances of a domain: the share that each may prefill in the pool is
+   less than the short prompt of one latency-sensitive stream takes. Such
+   streams still belong in the pool, whose engines get no long prompts, and not
+   beside long prompts.  */
+static void
+test_sensitive_streams_of_a_large_domain (void)
+{
+  struct scheduler_decision d;
+  struct scheduler_entry *sensitive[6];
+  set_up ();
+  scheduler_set_self (
+      world.scheduler,
+      &(struct placement_self){ .domain_instances = 50, .all_instances = 295 },
+      0);
+  for (guint i = 0; i < G_N_ELEMENTS (sensitive); i++)
+    {
+      sensitive[i] = make_entry (0, 500 + i, 170, 540, TRUE);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (submit (sensitive[i], &d));
+      CU_ASSERT_PTR_EQUAL (sensitive[i]->server, sensitive[0]->server);
+      if (i % 2 == 0)
+        scheduler_first_event (world.scheduler, sensitive[i], 50 * CLK_MS);
+    }
+  for (guint i = 0; i < 20; i++)
+    {
+      struct scheduler_entry *entry
+          = make_entry (2, 900 + i, 6000, 3000, FALSE);
+      CU_ASSERT_PTR_NOT_EQUAL (submit (entry, &d), sensitive[0]->server);
+      drop (entry);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (sensitive); i++)
+    drop (sensitive[i]);
+  tear_down ();
+}
+
 /* With many instances in a domain, which place requests at the same time, one
    instance must not use up the prefill that is tolerable beside
    latency-sensitive streams.  */
@@ -796,6 +830,7 @@
   { "requests with one prefix go to one engine", test_preferred_server },
   { "sensitive streams stay apart", test_sensitive_streams_apart },
   { "a burst beside sensitive streams", test_burst_beside_sensitive_streams },
+  { "streams of a large domain", test_sensitive_streams_of_a_large_domain },
   { "many instances beside sensitive streams",
     test_many_instances_beside_sensitive_streams },
   { "a hot prefix is fetched, not prefilled", test_hot_prefix },
