Tell other domains only of placements away from the preferred server

Change: placements at the preferred server of their prefix, which all instances can compute, are told to the own domain only.

--- a/bench/peers/bench_peers.c
+++ b/bench/peers/bench_peers.c
@@ -44,7 +44,7 @@
               = { .blocks = { { i * 100 + s, 6000 }, { 6, 10 } }, .n = 2 };
           gossip_add_placement (net.nodes[i].gossip,
                                 registry_find (net.nodes[i].registry, "e-7"),
-                                &prompt);
+                                &prompt, FALSE);
         }
       step (PLACEMENT_INTERVAL_US);
     }
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -421,8 +421,8 @@
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
   if (reverse_proxy->options.request_sent != NULL && prompt->n > 0)
-    reverse_proxy->options.request_sent (reverse_proxy->options.ctx,
-                                         choice->server, prompt);
+    reverse_proxy->options.request_sent (
+        reverse_proxy->options.ctx, choice->server, prompt, choice->at_home);
   exchange->last_event_at = now;
   exchange->upstream = upstream_start (exchange, choice);
   if (exchange->upstream != NULL)
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -37,9 +37,10 @@
   gint64 shutdown_limit_us;
   void (*shutdown_done) (
       void *ctx); /* the shutdown is complete, or its limit is almost reached */
-  /* A request with a prompt is about to be sent to SERVER. May be NULL. */
+  /* A request with a prompt is about to be sent to SERVER, AT_HOME as in struct
+     placement_choice. May be NULL. */
   void (*request_sent) (void *ctx, const struct registry_server *server,
-                        const struct prefix_prompt *prompt);
+                        const struct prefix_prompt *prompt, gboolean at_home);
   void *ctx;
 };
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -180,10 +180,10 @@
 
 static void
 on_request_sent (void *ctx, const struct registry_server *server,
-                 const struct prefix_prompt *prompt)
+                 const struct prefix_prompt *prompt, gboolean at_home)
 {
   struct proxy_daemon *daemon = ctx;
-  gossip_add_placement (daemon->gossip, server, prompt);
+  gossip_add_placement (daemon->gossip, server, prompt, at_home);
 }
 
 static int
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -126,16 +126,19 @@
   return prefix_shared_tokens (&placement->prompt) >= PREFIX_LARGE_TOKENS;
 }
 
-/* Records that a prompt was sent to SERVER, so that peers are notified.  */
+/* Records that a prompt was sent to SERVER, so that peers are notified. Other
+   domains are not told of placements AT_HOME: they look there anyway, and in a
+   large fleet these are most of all placements, more than the messages hold. */
 void
 gossip_add_placement (struct gossip *gossip,
                       const struct registry_server *server,
-                      const struct prefix_prompt *prompt)
+                      const struct prefix_prompt *prompt, gboolean at_home)
 {
   const struct gossip_message_placement placement
       = { .server_key = gossip_server_key (server), .prompt = *prompt };
-  gossip_ring_add (&gossip->placement_rings[RING_OWN], &placement);
-  if (gossip_is_large_placement (&placement))
+  gossip_ring_add (&gossip->placement_rings[at_home ? RING_HOME : RING_OWN],
+                   &placement);
+  if (!at_home && gossip_is_large_placement (&placement))
     gossip_ring_add (&gossip->placement_rings[RING_DOMAIN], &placement);
 }
 
@@ -379,13 +382,41 @@
     }
 }
 
+/* What is the same for all messages of one call of gossip_tick. */
+struct round
+{
+  const struct gossip_local_state *state;
+  struct registry *registry;
+  struct server_load_table *server_load_table;
+  gint64 now;
+  gboolean full_mesh;  /* all instances send to each other */
+  gboolean is_leader;  /* this instance is the leader of its domain */
+  guint n_local_peers; /* responsive peers of the domain */
+  gossip_send_fn send;
+  void *ctx;
+};
+
+/* Marks the last N placements of a message to TO as not sent. ADDED has the
+   number of placements by ring, in the order in which they were added.  */
+static void
+put_back_placements (struct peer *to, guint n, const guint *added)
+{
+  for (guint i = RING_N; i-- > 0;)
+    {
+      guint part = MIN (n, added[i]);
+      to->n_placements_sent[i] -= part;
+      n -= part;
+    }
+}
+
 /* Encodes the message. If it exceeds GOSSIP_MESSAGE_BYTES_MAX, above which
-   receivers reject it, drops summaries of other domains first, which follow
-   in the next message, and then placements, which are only hints.  */
+   receivers reject it, leaves out summaries of other domains first, and then
+   placements. Both follow in the next message.  */
 static void
 encode_within_limit (struct gossip *gossip, struct peer *to, gint64 now)
 {
   struct gossip_message *message = &gossip->scratch_message;
+  guint n_placements = message->n_placements;
   guint n_all = message->n_summaries;
   guint n_own = n_all > 0
                 && g_str_equal (message->summaries[0].domain, gossip->domain.s);
@@ -402,7 +433,11 @@
         message->n_placements /= 2;
       message->n_own_placements
           = MIN (message->n_own_placements, message->n_placements);
+      message->n_home_placements
+          = MIN (message->n_home_placements, message->n_placements);
     }
+  put_back_placements (to, n_placements - message->n_placements,
+                       gossip->scratch_added);
   if (n_all == n_own)
     return;
   to->n_summaries_sent += message->n_summaries;
@@ -419,6 +454,7 @@
 {
   const struct placement_ring *placement_ring = &gossip->placement_rings[id];
   guint64 from = to->n_placements_sent[id];
+  guint n_before = message->n_placements;
   if (placement_ring->n - from > PLACEMENTS_KEPT)
     from = placement_ring->n - PLACEMENTS_KEPT;
   while (from < placement_ring->n
@@ -426,21 +462,26 @@
     message->placements[message->n_placements++]
         = placement_ring->placements[from++ % PLACEMENTS_KEPT];
   to->n_placements_sent[id] = from;
+  gossip->scratch_added[id] = message->n_placements - n_before;
 }
 
-/* What is the same for all messages of one call of gossip_tick. */
-struct round
+/* Returns whether placements are left for PEER that did not fit into the last
+   message.  */
+static gboolean
+has_more_placements (const struct gossip *gossip, const struct peer *peer,
+                     const struct round *round)
 {
-  const struct gossip_local_state *state;
-  struct registry *registry;
-  struct server_load_table *server_load_table;
-  gint64 now;
-  gboolean full_mesh;  /* all instances send to each other */
-  gboolean is_leader;  /* this instance is the leader of its domain */
-  guint n_local_peers; /* responsive peers of the domain */
-  gossip_send_fn send;
-  void *ctx;
-};
+  gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
+  gboolean remote = direct && !round->full_mesh;
+  const gboolean sent_in[RING_N] = { [RING_HOME] = direct,
+                                     [RING_OWN] = direct,
+                                     [RING_DOMAIN] = !direct,
+                                     [RING_REMOTE] = remote };
+  for (guint i = 0; i < RING_N; i++)
+    if (sent_in[i] && peer->n_placements_sent[i] < gossip->placement_rings[i].n)
+      return TRUE;
+  return FALSE;
+}
 
 /* Fills in the lists of a message to PEER. An unresponsive one gets members
    only.  */
@@ -456,6 +497,8 @@
     {
       add_loads (message, round->registry, round->server_load_table);
       add_unreachable (message, round->registry, round->now);
+      add_placements (gossip, peer, RING_HOME, message);
+      message->n_home_placements = message->n_placements;
       add_placements (gossip, peer, RING_OWN, message);
       message->n_own_placements = message->n_placements;
     }
@@ -481,7 +524,9 @@
   memset (message, 0, offsetof (struct gossip_message, members));
   message->n_members = message->n_loads = message->n_placements
       = message->n_summaries = 0;
-  message->n_own_placements = message->n_unreachable = 0;
+  message->n_own_placements = message->n_home_placements
+      = message->n_unreachable = 0;
+  memset (gossip->scratch_added, 0, sizeof gossip->scratch_added);
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     message->summaries[i].n = 0;
   g_strlcpy (message->id, gossip->id.s, sizeof message->id);
@@ -608,7 +653,11 @@
         }
       gint64 wait = send_interval (gossip, peer, &round);
       peer->next_send = now + (wait ? wait : UNRESPONSIVE_INTERVAL_US);
-      if (wait > 0)
-        send_to (gossip, peer, &round);
+      if (wait == 0)
+        continue;
+      send_to (gossip, peer, &round);
+      if (!is_unresponsive (peer, now)
+          && has_more_placements (gossip, peer, &round))
+        peer->next_send = MIN (peer->next_send, now + LOCAL_INTERVAL_MIN_US);
     }
 }
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -58,7 +58,8 @@
 void gossip_free (struct gossip *gossip);
 void gossip_add_placement (struct gossip *gossip,
                            const struct registry_server *server,
-                           const struct prefix_prompt *prompt);
+                           const struct prefix_prompt *prompt,
+                           gboolean at_home);
 void gossip_tick (struct gossip *gossip, const struct gossip_local_state *state,
                   struct registry *registry,
                   struct server_load_table *server_load_table, gint64 now,
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -9,8 +9,11 @@
 
 /* X (NAME): placements to be sent to peers */
 #define PLACEMENT_RINGS(X)                                                     \
-  X (OWN)    /* of this instance, for peers to which it sends directly */      \
-  X (DOMAIN) /* large ones of this domain, for other domains */                \
+  X (HOME)   /* of this instance, at the preferred server of the prefix, for   \
+                peers to which it sends directly */                            \
+  X (OWN)    /* the other ones of this instance, for the same peers */         \
+  X (DOMAIN) /* large ones of this domain that are not at the preferred        \
+                server, for other domains */                                   \
   X (REMOTE) /* of other domains, for the peers in this domain */
 
 enum ring_id
@@ -66,6 +69,7 @@
   guint index_generation;     /* of the server registry, for servers_by_key */
   struct gossip_message scratch_message; /* to encode and decode */
   GByteArray *scratch_bytes;             /* encoded message */
+  guint scratch_added[RING_N]; /* placements in scratch_message, by ring */
 };
 
 struct peer *gossip_add_peer (struct gossip *gossip, guint32 ip,
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,8 +7,10 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 18          /* of a message in the current format */
-#define FIELDS_REQUIRED 17 /* older instances omit n_own_placements */
+#define FIELDS 19 /* of a message in the current format */
+/* Older instances omit n_own_placements and n_home_placements, or the latter.
+ */
+#define FIELDS_REQUIRED 17
 
 static void
 pack_load (msgpack_packer *pk, const struct gossip_message_load *load)
@@ -85,6 +87,7 @@
   for (guint i = 0; i < gossip_message->n_unreachable; i++)
     msgpack_pack_uint32 (&pk, gossip_message->unreachable[i]);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_own_placements);
+  msgpack_pack_unsigned_int (&pk, gossip_message->n_home_placements);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -260,6 +263,9 @@
   if (c.left > 0)
     gossip_message->n_own_placements
         = (guint)read_number (&c, gossip_message->n_placements);
+  if (c.left > 0)
+    gossip_message->n_home_placements
+        = (guint)read_number (&c, gossip_message->n_own_placements);
   return !c.bad;
 }
 
@@ -274,7 +280,8 @@
   memset (gossip_message, 0, offsetof (struct gossip_message, members));
   gossip_message->n_members = gossip_message->n_loads
       = gossip_message->n_placements = gossip_message->n_summaries = 0;
-  gossip_message->n_own_placements = gossip_message->n_unreachable = 0;
+  gossip_message->n_own_placements = gossip_message->n_home_placements
+      = gossip_message->n_unreachable = 0;
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     gossip_message->summaries[i].n = 0;
   msgpack_unpacked_init (&unpacked);
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -72,7 +72,9 @@
   guint n_loads;
   struct gossip_message_placement placements[GOSSIP_MESSAGE_PLACEMENTS_MAX];
   guint n_placements;
-  guint n_own_placements; /* the first ones; the sender's own */
+  guint n_own_placements;  /* the first ones; the sender's own */
+  guint n_home_placements; /* the first ones of these; at the preferred servers
+                              of their prefixes */
   /* Keys of servers to which the sender could not connect. */
   guint32 unreachable[GOSSIP_MESSAGE_UNREACHABLE_MAX];
   guint n_unreachable;
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -70,7 +70,8 @@
          its own ones are forwarded to other domains from here. */
       if (!is_local)
         gossip_ring_add (&gossip->placement_rings[RING_REMOTE], placement);
-      else if (own && gossip_is_large_placement (placement))
+      else if (own && i >= message->n_home_placements
+               && gossip_is_large_placement (placement))
         gossip_ring_add (&gossip->placement_rings[RING_DOMAIN], placement);
     }
 }
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -386,4 +386,5 @@
     choice->fetch_from = guess_cached_server (view, request, candidates, n,
                                               &preferred_servers, chosen->best);
   choice->cached_tokens = chosen->best->cached_tokens;
+  choice->at_home = chosen->best == preferred_servers.region;
 }
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -78,6 +78,9 @@
   guint prefill_tokens;    /* tokens that SERVER has to prefill */
   gint64 first_event_us;   /* predicted time to the first event */
   gint64 capacity_wait_us; /* predicted time until some server has capacity */
+  gboolean at_home;        /* SERVER is the preferred one of the prompt's shared
+                              prefix,        which all instances of the region can
+                              compute */
   gboolean full;           /* no server has capacity; the request should wait */
   guint usable; /* number of usable servers that the request was not sent to */
   double busy;  /* share of all slots that are in use */
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -118,7 +118,7 @@
   *own = (struct server_load){ 3, 1, 0, 5000, 6000 };
   struct prefix_prompt prompt
       = { .blocks = { { 5, 3000 }, { 6, 10 } }, .n = 2 };
-  gossip_add_placement (node->gossip, server, &prompt);
+  gossip_add_placement (node->gossip, server, &prompt, FALSE);
   step (CLK_S);
   for (guint i = 1; i < 7; i++)
     {
@@ -150,7 +150,7 @@
       = { .blocks = { { 5, 3000 }, { 6, 10 } }, .n = 2 };
   step (3 * CLK_S);
   net.loss = 0; /* a placement is sent only once, as it is a hint */
-  gossip_add_placement (node->gossip, server, &prompt);
+  gossip_add_placement (node->gossip, server, &prompt, FALSE);
   step (2 * CLK_S);
   guint n_missing_load = 0;
   guint n_missing_prompt = 0;
@@ -197,7 +197,7 @@
       struct registry_server *server = registry_find (node->registry, "e-1");
       guint n_missing = 0;
       prompt.blocks[0].key = 100 + from;
-      gossip_add_placement (node->gossip, server, &prompt);
+      gossip_add_placement (node->gossip, server, &prompt, FALSE);
       step (2 * CLK_S);
       for (guint i = 0; i < 24; i++)
         {
@@ -212,6 +212,69 @@
   finish ();
 }
 
+/* Adds N large placements at e-1 to instances of domain d0, one in four of them
+   not at the preferred server, and counts all in *NEXT.  */
+static void
+add_burst (guint instances, guint n, guint *next)
+{
+  for (guint i = 0; i < n; i++, (*next)++)
+    {
+      struct node *node = &net.nodes[2 * (*next % (instances / 2))];
+      const struct prefix_prompt prompt
+          = { .blocks = { { 1000 + *next, 3000 }, { 6, 10 } }, .n = 2 };
+      gossip_add_placement (node->gossip, registry_find (node->registry, "e-1"),
+                            &prompt, *next % 4 != 0);
+    }
+}
+
+/* A domain of fifty instances that places 200 large prompts a second, as under
+   the load of a fleet of 295. Those at their preferred servers are told to the
+   own domain only; told to all, they would crowd the others out of the
+   messages, and prefixes that are cached elsewhere would be prefilled again. */
+static void
+test_placements_of_a_large_fleet (void)
+{
+  enum
+  {
+    INSTANCES = 100
+  };
+  guint next = 0;
+  start (INSTANCES, 2, 9);
+  step (6 * CLK_S);
+  while (next < 800)
+    {
+      add_burst (INSTANCES, 10, &next);
+      step (STEP_US);
+    }
+  step (3 * CLK_S);
+  guint n_missing = 0;
+  guint n_at_home = 0;
+  guint64 max_bytes = 0;
+  for (guint k = 0; k < next; k++)
+    {
+      const struct prefix_prompt prompt
+          = { .blocks = { { 1000 + k, 3000 }, { 6, 10 } }, .n = 2 };
+      for (guint i = 1; i < INSTANCES; i += 2)
+        {
+          struct node *node = &net.nodes[i];
+          guint number = registry_find (node->registry, "e-1")->number;
+          gboolean known = directory_cached_tokens (node->prefix_directory,
+                                                    number, &prompt, net.now)
+                           == 3000;
+          if (k % 4 == 0)
+            n_missing += !known;
+          else
+            n_at_home += known;
+        }
+    }
+  for (guint i = 0; i < INSTANCES; i++)
+    max_bytes = MAX (max_bytes, net.nodes[i].bytes);
+  printf ("busiest instance: %" G_GUINT64_FORMAT " bytes\n", max_bytes);
+  CU_ASSERT_EQUAL (n_missing, 0);
+  CU_ASSERT_EQUAL (n_at_home, 0);
+  finish ();
+}
+
 /* With so many servers under load that not everything fits into one message,
    every message can still be decoded, and the load of each server reaches all
    instances.  */
@@ -385,6 +448,7 @@
   { "load and placements in a full mesh", test_full_mesh },
   { "load and placements through domain leaders", test_domain_leaders },
   { "placements reach other domains", test_placements_reach_other_domains },
+  { "placements of a large fleet", test_placements_of_a_large_fleet },
   { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
   { "single reader of the store", test_single_store_reader },
