Give the time slices of an engine to the instances that have requests queued

Cause: once requests are queued or an engine has 250 ms of prefill pending, only the owner of the current time slice may send it long prompts, and the slices went round all instances of the domain. Change: instances tell their peers how many requests they have queued, and the owner is drawn among those, weighted by that number, the same at all of them. Until the peers can be known the old order holds. A server that has all of a large prefix cached is treated like the preferred server of the prefix. Test: 'time slices of contenders'.

--- a/packages/fleet/read_schedule.c
+++ b/packages/fleet/read_schedule.c
@@ -20,11 +20,11 @@
    this time. */
 #define FLEET_READ_US (100 * CLK_MS)
 /* The same when peers have newer data that could not be fetched from them. */
-#define FLEET_NEWER_US (5 * CLK_MS)
+#define FLEET_NEWER_US (2 * CLK_MS)
 /* An instance that starts and is not a seed waits for its peers: at least so
    long, and longer by a random time of at most this spread. */
-#define START_WAIT_US (600 * CLK_MS)
-#define START_SPREAD_US (1000 * CLK_MS)
+#define START_WAIT_US (1200 * CLK_MS)
+#define START_SPREAD_US (2000 * CLK_MS)
 #define RETRY_US (150 * CLK_MS) /* after a failure, doubling */
 #define RETRY_DOUBLINGS 2
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -84,6 +84,7 @@
   const struct gossip_local_state state = {
     .config_version = proxy_config_version (daemon->reverse_proxy),
     .config_age_us = age == G_MAXINT64 ? GOSSIP_AGE_UNKNOWN : age,
+    .n_waiting = scheduler_n_waiting (daemon->scheduler),
     .server_list_digest = daemon->server_list.digest,
     .server_list_age_us = daemon->server_list.entries
                               ? now - daemon->server_list.requested_at
@@ -122,6 +123,29 @@
   proxy_daemon_handle_peer_update (daemon, ip, &update, now);
 }
 
+/* Passes the other instances that have requests queued to the scheduler. Those
+   that began to wait at the same time as this one are not known before their
+   next messages, so the contenders count as unknown until then.  */
+static void
+update_contenders (struct proxy_daemon *daemon, gint64 now)
+{
+  struct placement_self *self = &daemon->self;
+  gboolean waiting = scheduler_n_waiting (daemon->scheduler) > 0;
+  if (!waiting)
+    daemon->waiting_since = 0;
+  else if (daemon->waiting_since == 0)
+    daemon->waiting_since = now;
+  gboolean known = waiting
+                   && now - daemon->waiting_since
+                          >= gossip_local_interval_us (daemon->gossip, now);
+  self->contenders = known ? daemon->contenders : NULL;
+  self->n_contenders
+      = known ? gossip_contenders (daemon->gossip, now, daemon->contenders,
+                                   G_N_ELEMENTS (daemon->contenders))
+              : 0;
+  scheduler_set_self (daemon->scheduler, self, clk_wall (daemon->clk) - now);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -141,18 +165,17 @@
     {
       daemon->health_reviewed_at = now;
       review_health (daemon, now);
-      const struct placement_self self
-          = { .domain_instances
-              = gossip_local_peer_count (daemon->gossip, now) + 1,
-              .domain_rank = gossip_domain_rank (daemon->gossip, now),
-              .all_instances = gossip_instance_count (daemon->gossip, now),
-              .hash = str_hash (str_of (daemon->settings->id.s), 0),
-              .has_direct_reports = gossip_is_full_mesh (daemon->gossip, now) };
-      scheduler_set_self (daemon->scheduler, &self,
-                          clk_wall (daemon->clk) - now);
+      daemon->self = (struct placement_self){
+        .domain_instances = gossip_local_peer_count (daemon->gossip, now) + 1,
+        .domain_rank = gossip_domain_rank (daemon->gossip, now),
+        .all_instances = gossip_instance_count (daemon->gossip, now),
+        .hash = gossip_instance_hash (daemon->ip),
+        .has_direct_reports = gossip_is_full_mesh (daemon->gossip, now)
+      };
       proxy_set_instances (daemon->reverse_proxy,
                            gossip_instance_count (daemon->gossip, now));
     }
+  update_contenders (daemon, now);
   proxy_poll (daemon->reverse_proxy);
   return G_SOURCE_CONTINUE;
 }
@@ -228,6 +251,7 @@
                                     .incarnation = g_rand_int (daemon->rand),
                                     .seeds = seeds };
   udp_ip_parse (settings->listen_peers, &options.ip);
+  daemon->ip = options.ip;
   for (guint i = 0; i < n; i++)
     if (udp_ip_parse (settings->seeds[i], &seeds[options.n_seeds]))
       options.n_seeds++;
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -30,6 +30,9 @@
 #define PROXY_DAEMON_SERVERS_PATH "/servers"
 #define PROXY_DAEMON_SERVERS_SINCE_PATH "/servers/since/"
 
+/* Instances of the domain that are considered for the time slices. */
+#define PROXY_DAEMON_CONTENDERS_MAX 64
+
 struct fetch; /* a request to a peer */
 
 struct proxy_daemon
@@ -64,8 +67,13 @@
   guint fetches_failed; /* consecutive fetches from peers */
   gboolean no_changes;  /* the last fetch of changes failed: the next one asks
                            for the whole list */
+  struct placement_contender contenders[PROXY_DAEMON_CONTENDERS_MAX];
+  struct placement_self self; /* as the scheduler has it */
+  gint64 waiting_since;       /* clock time since which requests are queued
+                                 without a break; 0: none are */
   gint64 health_reviewed_at; /* clock time of the last health review */
   gint64 last_tick;          /* clock time of the last tick */
+  guint32 ip; /* host byte order */
   guint peer_port;
   guint tick_timer;           /* GLib source */
   gboolean store_unavailable; /* the last read of the store failed */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -18,10 +18,10 @@
 #define LIST_GAP_US (2500 * CLK_MS)
 /* A peer's confirmation of the configuration is fresh up to this age, and no
    peer has one any more if the last was received longer ago than this. */
-#define FRESH_PEER_US (1500 * CLK_MS)
+#define FRESH_PEER_US (1000 * CLK_MS)
 /* Age of the own confirmation above which fresh ones at peers mean that they do
    not reach this instance, as when only one direction is cut. */
-#define UNCONFIRMED_US (2500 * CLK_MS)
+#define UNCONFIRMED_US (3500 * CLK_MS)
 #define FETCH_MAX (8 * 1024 * 1024) /* bytes */
 
 struct fetch
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -392,6 +392,7 @@
   gboolean full_mesh;  /* all instances send to each other */
   gboolean is_leader;  /* this instance is the leader of its domain */
   guint n_local_peers; /* responsive peers of the domain */
+  guint n_contenders;  /* those of them that have requests queued */
   gossip_send_fn send;
   void *ctx;
 };
@@ -539,6 +540,7 @@
   message->config_age_us = state->config_age_us;
   message->server_list_digest = state->server_list_digest;
   message->server_list_age_us = state->server_list_age_us;
+  message->n_waiting = state->n_waiting;
   message->wants_reply = round->is_leader || round->n_local_peers == 0;
   add_contents (gossip, peer, message, round);
   peer->sent_at[message->seq % SENT_TIMES_KEPT] = round->now;
@@ -578,6 +580,55 @@
   return leader;
 }
 
+/* Returns the interval between messages to each of N peers of the own domain. */
+static gint64
+interval_among (guint n)
+{
+  return MAX (LOCAL_INTERVAL_MIN_US, LOCAL_INTERVAL_PER_PEER_US * (gint64)n);
+}
+
+static gboolean
+is_contender (const struct gossip *gossip, const struct peer *peer, gint64 now)
+{
+  return peer->n_waiting > 0 && gossip_is_local_peer (gossip, peer)
+         && !is_unresponsive (peer, now);
+}
+
+/* Fills CONTENDERS with the peers of the own domain that have requests queued.
+   Returns how many there are, MAX at most.  */
+guint
+gossip_contenders (const struct gossip *gossip, gint64 now,
+                   struct placement_contender *contenders, guint max)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, gossip->peers);
+  while (n < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (is_contender (gossip, peer, now))
+        contenders[n++] = (struct placement_contender){
+          .hash = gossip_instance_hash (peer->ip), .n_waiting = peer->n_waiting
+        };
+    }
+  return n;
+}
+
+/* Returns a hash of the instance at IP that is the same at all instances.  */
+guint64
+gossip_instance_hash (guint32 ip)
+{
+  return str_hash ((struct str){ (const char *)&ip, sizeof ip }, 0);
+}
+
+/* Returns the time within which each peer of the own domain sends a message.  */
+gint64
+gossip_local_interval_us (const struct gossip *gossip, gint64 now)
+{
+  return interval_among (gossip_local_peer_count (gossip, now));
+}
+
 /* Returns the interval between messages to PEER, or 0 if it gets none.  */
 static gint64
 send_interval (const struct gossip *gossip, const struct peer *peer,
@@ -586,10 +637,16 @@
   gint64 now = round->now;
   gboolean unresponsive = is_unresponsive (peer, now);
   if (gossip_is_local_peer (gossip, peer))
-    return unresponsive ? UNRESPONSIVE_INTERVAL_US
-                        : MAX (LOCAL_INTERVAL_MIN_US,
-                               LOCAL_INTERVAL_PER_PEER_US
-                                   * (gint64)round->n_local_peers);
+    {
+      if (unresponsive)
+        return UNRESPONSIVE_INTERVAL_US;
+      /* Contenders take turns at the engines, so each needs to know soon what
+         the others have sent. */
+      return interval_among (round->state->n_waiting > 0
+                                     && is_contender (gossip, peer, now)
+                                 ? round->n_contenders
+                                 : round->n_local_peers);
+    }
   if (round->full_mesh)
     return unresponsive && peer->last_heard != 0 ? UNRESPONSIVE_INTERVAL_US
                                                  : REMOTE_INTERVAL_US;
@@ -627,7 +684,7 @@
              struct server_load_table *server_load_table, gint64 now,
              gossip_send_fn send, void *ctx)
 {
-  const struct round round
+  struct round round
       = { .state = state,
           .registry = registry,
           .server_load_table = server_load_table,
@@ -640,6 +697,9 @@
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, gossip->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    round.n_contenders += is_contender (gossip, value, now);
+  g_hash_table_iter_init (&iter, gossip->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct peer *peer = value;
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -7,6 +7,7 @@
 
 #include "fleet/registry.h"
 #include "peer/gossip_message.h"
+#include "sched/placement.h"
 
 struct gossip;
 
@@ -29,6 +30,7 @@
   gint64 config_age_us;
   guint64 server_list_digest;
   gint64 server_list_age_us;
+  guint n_waiting; /* requests queued here */
 };
 
 /* A peer's confirmation that config_version was the newest version at some time
@@ -75,6 +77,10 @@
 guint gossip_local_peer_count (const struct gossip *gossip, gint64 now);
 guint gossip_domain_rank (const struct gossip *gossip, gint64 now);
 guint gossip_reader_rank (const struct gossip *gossip, gint64 now);
+guint gossip_contenders (const struct gossip *gossip, gint64 now,
+                         struct placement_contender *contenders, guint max);
+gint64 gossip_local_interval_us (const struct gossip *gossip, gint64 now);
+guint64 gossip_instance_hash (guint32 ip);
 guint32 gossip_server_key (const struct registry_server *server);
 
 #endif
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -41,6 +41,7 @@
   gint64 summaries_sent_at; /* clock time when a round was complete */
   guint n_summaries_sent;   /* in the current round */
   gboolean wants_reply;     /* as in its last message */
+  guint n_waiting;          /* likewise */
   guint32 seq;              /* of the last message sent to it */
   guint32 last_seq;         /* of the last message received from it */
   guint32 last_incarnation;
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,9 +7,9 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 19 /* of a message in the current format */
-/* Older instances omit n_own_placements and n_home_placements, or the latter.
- */
+#define FIELDS 20 /* of a message in the current format */
+/* Older instances omit some or all of n_own_placements, n_home_placements and
+   n_waiting. */
 #define FIELDS_REQUIRED 17
 
 static void
@@ -88,6 +88,7 @@
     msgpack_pack_uint32 (&pk, gossip_message->unreachable[i]);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_own_placements);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_home_placements);
+  msgpack_pack_unsigned_int (&pk, gossip_message->n_waiting);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -266,6 +267,8 @@
   if (c.left > 0)
     gossip_message->n_home_placements
         = (guint)read_number (&c, gossip_message->n_own_placements);
+  if (c.left > 0)
+    gossip_message->n_waiting = (guint)read_number (&c, G_MAXINT32);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -66,6 +66,7 @@
   guint64 server_list_digest; /* 0: none read */
   gint64 server_list_age_us;
   gboolean wants_reply; /* even if the receiver is in another domain */
+  guint n_waiting;      /* requests queued at the sender */
   struct gossip_message_member members[GOSSIP_MESSAGE_MEMBERS_MAX];
   guint n_members;
   struct gossip_message_load loads[GOSSIP_MESSAGE_LOADS_MAX];
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -164,6 +164,7 @@
   peer->incarnation = message->incarnation;
   peer->last_heard = now;
   peer->wants_reply = message->wants_reply;
+  peer->n_waiting = message->n_waiting;
   peer->last_seq = message->seq;
   peer->last_incarnation = message->incarnation;
   for (guint i = 0; i < message->n_members; i++)
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -36,13 +36,24 @@
   PLACEMENT_SENSITIVE /* latency-sensitive: tolerates hardly one */
 };
 
+/* Another instance of the own domain that has requests queued. */
+struct placement_contender
+{
+  guint64 hash;    /* of the instance */
+  guint n_waiting; /* queued requests, at least 1 */
+};
+
 /* This instance's position among all instances that place at the same time.  */
 struct placement_self
 {
   guint domain_instances; /* instances in the own domain, including this */
   guint domain_rank;      /* position of this instance among them, from 0 */
   guint all_instances;    /* instances in all domains, including this */
-  guint64 hash;           /* of this instance's name */
+  guint64 hash;           /* of this instance, as in struct
+                             placement_contender at its peers */
+  /* The other contenders in the own domain, borrowed; NULL: unknown. */
+  const struct placement_contender *contenders;
+  guint n_contenders;
   gboolean has_direct_reports; /* all instances report their load to this one
                                   directly, instead of one for each domain */
 };
@@ -62,8 +73,8 @@
   struct placement_self self;
   guint64 time_slice;  /* number of the current time slice, the same at all
                           instances */
-  gboolean contended;  /* requests are queued here, and probably at other
-                          instances too */
+  guint n_waiting;     /* requests queued here; if there are any, then probably
+                          at other instances too */
   double us_per_token; /* measured prefill time per token */
   gint64 now;
 };
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -1,5 +1,7 @@
 #include "sched/placement_internal.h"
 
+#include <math.h>
+
 /* Estimates what a request costs at each server. The costs address these load
    patterns:
    - Long prompts next to streams that must not pause. An engine prefills
@@ -200,6 +202,39 @@
   return PENDING_COST_SHARE * pending_us + LATE_FACTOR * late;
 }
 
+/* Returns the time at which an instance with N_WAITING queued requests arrives
+   in a race whose outcome is random but the same at all instances. The first
+   one owns the time slice, so each owns it with a probability proportional to
+   what it has queued, and wins with it over all others, whichever of them a
+   peer knows.  */
+static double
+race_time (guint64 slice_hash, guint64 instance_hash, guint n_waiting)
+{
+  guint64 x = placement_mix_bits (slice_hash ^ placement_mix_bits (instance_hash));
+  double u = ((double)(x >> 11) + 0.5) / (double)(G_GUINT64_CONSTANT (1) << 53);
+  return -log (u) / MAX (n_waiting, 1);
+}
+
+/* Returns whether this instance owns the current time slice of an engine of its
+   domain among the instances that have requests queued. If the slices went to
+   those without any too, most of an engine's time would pass unused while other
+   instances wait.  */
+static gboolean
+wins_time_slice (const struct placement_view *view,
+                 const struct placement_candidate *c)
+{
+  const struct placement_self *self = &view->self;
+  guint64 slice_hash
+      = c->rank ^ (view->time_slice * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15));
+  double own = race_time (slice_hash, self->hash, view->n_waiting);
+  for (guint i = 0; i < self->n_contenders; i++)
+    if (race_time (slice_hash, self->contenders[i].hash,
+                   self->contenders[i].n_waiting)
+        < own)
+      return FALSE;
+  return TRUE;
+}
+
 /* Returns whether this instance owns the current time slice of an engine and
    may send it more long prompts. In the engine's domain exactly one instance
    owns it, in the other domains one instance on average.  */
@@ -208,6 +243,9 @@
                  const struct placement_candidate *c)
 {
   const struct placement_self *self = &view->self;
+  if (c->distance == TOPOLOGY_SAME_DOMAIN && view->n_waiting > 0
+      && self->contenders != NULL)
+    return wins_time_slice (view, c);
   if (c->distance == TOPOLOGY_SAME_DOMAIN)
     return self->domain_instances <= 1
            || (c->rank + view->time_slice) % self->domain_instances
@@ -220,16 +258,22 @@
 /* Returns whether this instance may send a long prompt to an engine that has
    an estimated PENDING_US of prefill pending. Load information from other
    domains is so old that a time slice is required there even if the engine
-   seems idle. Exceptions are the preferred server of a prefix, which few
-   requests go to, and instances whose own domain has no usable server.  */
+   seems idle. Exceptions are the preferred server of a prefix and those that
+   have all of a large prefix cached, which few requests go to, and instances
+   whose own domain has no usable server.  */
 static gboolean
 may_send_long_prompt (const struct placement_view *view,
+                      const struct placement_request *request,
                       const struct placement_candidate *c, double pending_us)
 {
+  guint shared = prefix_shared_tokens (&request->prompt);
   gboolean is_local = c->distance == TOPOLOGY_SAME_DOMAIN;
-  gboolean is_exempt = is_local || c->is_preferred || c->no_local_server
-                       || view->self.has_direct_reports;
-  gboolean has_low_pending = pending_us <= LOW_PENDING_US && !view->contended;
+  gboolean has_prefix
+      = shared >= PREFIX_LARGE_TOKENS && c->cached_tokens >= shared;
+  gboolean is_exempt = is_local || c->is_preferred || has_prefix
+                       || c->no_local_server || view->self.has_direct_reports;
+  gboolean has_low_pending
+      = pending_us <= LOW_PENDING_US && view->n_waiting == 0;
   if (view->self.all_instances <= 1 || (has_low_pending && is_exempt))
     return TRUE;
   return owns_time_slice (view, c)
@@ -255,7 +299,7 @@
   double limit_us = MAX (PENDING_LIMIT_US, 1.5 * prefill_us);
   double wait_us = MAX (pending_us + prefill_us - limit_us, 0);
   if (e->prefill_tokens > LONG_PREFILL_TOKENS
-      && !may_send_long_prompt (view, c, pending_us))
+      && !may_send_long_prompt (view, request, c, pending_us))
     wait_us = MAX (wait_us, PLACEMENT_SLICE_US);
   if (c->load.requests >= batch)
     wait_us
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -153,7 +153,7 @@
           .prefix_directory = scheduler->prefix_directory,
           .reuse_share = directory_reuse_share (scheduler->prefix_directory),
           .self = scheduler->self,
-          .contended = service->n_waiting > 0,
+          .n_waiting = service->n_waiting,
           .time_slice
           = (guint64)(now + scheduler->shared_clock) / PLACEMENT_SLICE_US,
           .us_per_token = service->us_per_token,
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -623,6 +623,77 @@
     CU_ASSERT_TRUE (prefill_sent_in_rush (12, 1, idle_engine) <= 2 * CLK_S);
 }
 
+/* Returns whether instance I of INSTANCES that have long prompts queued, the
+   first three and each other one, may send one to SERVER in time slice SLICE. */
+static gboolean
+may_send_in_slice (guint i, guint instances, guint slice,
+                   struct registry_server *server)
+{
+  struct placement_contender contenders[8];
+  struct placement_choice choice;
+  struct scheduler_entry *entry = make_entry (2, 4000 + i, 0, 6000, FALSE);
+  struct placement_view view
+      = { .servers = &server,
+          .n_servers = 1,
+          .service = "llm",
+          .engine = &routing_service (world.routing_table, "llm")->engine,
+          .topology = world.topology,
+          .server_load_table = scheduler_loads (world.scheduler),
+          .prefix_directory = scheduler_prefix_directory (world.scheduler),
+          .self = { .domain_instances = 12,
+                    .domain_rank = i,
+                    .all_instances = 24,
+                    .hash = 1000 + i,
+                    .contenders = contenders },
+          .n_waiting = i == 0 ? 3 : 1,
+          .time_slice = slice,
+          .us_per_token = 25,
+          .now = world.now };
+  for (guint k = 0; k < instances; k++)
+    if (k != i)
+      contenders[view.self.n_contenders++]
+          = (struct placement_contender){ .hash = 1000 + k,
+                                          .n_waiting = k == 0 ? 3 : 1 };
+  entry->request.left_us = CLK_S;
+  placement_choose (&view, &entry->request, &choice);
+  g_free (entry);
+  return choice.server != NULL;
+}
+
+/* Of the twelve instances of a domain three have long prompts queued. Only they
+   take turns at the engines, each as often as it has requests: if those without
+   any had turns too, the engines would do nothing for three quarters of the
+   time while requests are rejected for overload.  */
+static void
+test_time_slices_of_contenders (void)
+{
+  enum { INSTANCES = 3, SLICES = 400 };
+  guint owned[INSTANCES] = { 0 };
+  guint all = SLICES * ENGINES / 2;
+  guint n;
+  set_up ();
+  report_prefill (ENGINES, G_MAXUINT, 11000); /* 275 ms each */
+  struct registry_server *const *servers
+      = registry_servers (world.registry, &n);
+  for (guint slice = 0; slice < SLICES; slice++)
+    for (guint k = 0; k < n; k++)
+      {
+        guint owners = 0;
+        if (strcmp (servers[k]->entry.domain, "a") != 0)
+          continue;
+        for (guint i = 0; i < INSTANCES; i++)
+          if (may_send_in_slice (i, INSTANCES, slice, servers[k]))
+            {
+              owned[i]++;
+              owners++;
+            }
+        CU_ASSERT_EQUAL (owners, 1);
+      }
+  CU_ASSERT_TRUE (owned[0] > all * 5 / 10 && owned[0] < all * 7 / 10);
+  CU_ASSERT_TRUE (owned[1] > all * 1 / 10 && owned[1] < all * 3 / 10);
+  tear_down ();
+}
+
 /* An instance in a domain without engines, with instances in other domains,
    starts a long prompt at once while the engines of other domains are idle.  */
 static void
@@ -841,6 +912,7 @@
   { "more prefixes than a domain caches", test_region_scope },
   { "stale load reports", test_stale_load_reports },
   { "time slices of an idle engine", test_time_slices },
+  { "time slices of contenders", test_time_slices_of_contenders },
   { "a domain without engines", test_domain_without_engines },
   { "a sustained overload", test_sustained_overload },
   { "the load of peers", test_peer_load },
