Read heads that arrive in pieces by their bytes, not by the piece

Cause: the check of a head for bare line feeds and folded fields looked for the empty line at its end in the last piece received only. If that line was split between two pieces, the body that followed was taken for a part of the head, and its line feeds for malformed lines. A bare line feed at the start of a piece was not found at all, which allows request smuggling. Change: the reader scans the head byte by byte and keeps its state.

--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -5,6 +5,7 @@
 
 #define HEAD_BYTES_DEFAULT (64 * 1024) /* default limit of a head */
 #define FIELDS_MAX 200                 /* in a head */
+#define HEAD_END_BYTES 4               /* CR LF CR LF */
 
 enum parse_state
 {
@@ -27,6 +28,9 @@
   gboolean responses;     /* reads responses, else requests */
   gsize head_limit;       /* bytes */
   gsize head_bytes;       /* of the current head, received so far */
+  guint head_end_matched; /* bytes of the CR LF CR LF that ends it, received
+                             last */
+  char last_head_byte;    /* NUL: none yet */
   const char *error_text; /* static text; NULL: none, or of the parser */
 };
 
@@ -238,6 +242,8 @@
   reader->parser.data = reader;
   reader->state = AT_START;
   reader->head_bytes = 0;
+  reader->head_end_matched = 0;
+  reader->last_head_byte = '\0';
   reader->error_text = NULL;
   reader->stopped = FALSE;
 }
@@ -273,31 +279,40 @@
   reader->head_limit = head_bytes;
 }
 
-/* Returns what is wrong with BYTES, which belong to a head, or NULL. Folded
+/* Scans one byte of a head. Returns what is wrong with it, or NULL. Folded
    fields and lines that end in a bare LF are rejected, because implementations
    differ in reading them.  */
 static const char *
-check_raw_head (struct str bytes)
+scan_head_byte (struct http_reader *reader, char byte)
 {
-  const char *p = bytes.p;
-  const char *end = bytes.p + bytes.n;
-  while ((p = memchr (p, '\n', (gsize)(end - p))) != NULL)
-    {
-      if (p > bytes.p && p[-1] != '\r')
-        return "bare line feed";
-      if (p + 1 < end && (p[1] == ' ' || p[1] == '\t'))
-        return "folded header field";
-      p++;
-    }
+  static const char end[] = "\r\n\r\n";
+  char last = reader->last_head_byte;
+  reader->last_head_byte = byte;
+  if (byte == '\n' && last != '\r' && last != '\0')
+    return "bare line feed";
+  if ((byte == ' ' || byte == '\t') && last == '\n')
+    return "folded header field";
+  if (byte == end[reader->head_end_matched])
+    reader->head_end_matched++;
+  else
+    reader->head_end_matched = byte == '\r' ? 1 : 0;
   return NULL;
 }
 
-/* Returns how many of BYTES belong to the head.  */
-static gsize
-head_length (struct str bytes)
+/* Scans the part of the head in BYTES, which may begin and end anywhere in it.
+   Returns what is wrong with it, or NULL.  */
+static const char *
+scan_head (struct http_reader *reader, struct str bytes)
 {
-  const char *end = g_strstr_len (bytes.p, (gssize)bytes.n, "\r\n\r\n");
-  return end ? (gsize)(end - bytes.p) + 4 : bytes.n;
+  for (gsize i = 0; i < bytes.n && reader->head_end_matched < HEAD_END_BYTES;
+       i++)
+    {
+      const char *error_text = scan_head_byte (reader, bytes.p[i]);
+      reader->head_bytes++;
+      if (error_text != NULL)
+        return error_text;
+    }
+  return NULL;
 }
 
 static int
@@ -316,9 +331,7 @@
     return 0;
   if (reader->state == AT_START || reader->state == IN_HEAD)
     {
-      gsize n = head_length (bytes);
-      const char *error_text = check_raw_head ((struct str){ bytes.p, n });
-      reader->head_bytes += n;
+      const char *error_text = scan_head (reader, bytes);
       if (reader->head_bytes > reader->head_limit)
         return err_set (err, ERR_TOO_LARGE, "http.read", "",
                         "message head longer than %" G_GSIZE_FORMAT " bytes",
