Review the health of all servers of a service, not of the first 64

Cause: the review took the first 64 servers of a service by id; with 160 engines the other 96 were never compared and never ejected, whatever failed there. Change: a service with more servers is reviewed in groups of at most 64, each of every n-th server; the review moved to packages/fleet, without I/O. Test: 'failing servers among many', one of 160 at four places of the list; the code before found it at the first two only.

--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -1,6 +1,7 @@
 #include "jacinthward/proxy_daemon_internal.h"
 
 #include "base/log.h"
+#include "fleet/health_review.h"
 
 #include <string.h>
 
@@ -14,8 +15,6 @@
 #define PAUSE_THRESHOLD_US                                                     \
   (1 * CLK_S) /* a tick this late means that the process was suspended or      \
                  starved */
-#define REVIEW_SERVERS_MAX                                                     \
-  64 /* most servers of one service that are reviewed together */
 
 static void
 on_server_changed (void *ctx, const struct registry_change *change)
@@ -34,34 +33,14 @@
     proxy_server_changed (daemon->reverse_proxy, change);
 }
 
-/* Compares the servers of each service with each other and ejects outliers.  */
 static void
-review_health (struct proxy_daemon *daemon, gint64 now)
+on_servers_ejected (void *ctx, const char *service, guint ejected,
+                    guint reviewed)
 {
-  guint n;
-  struct registry_server *const *servers
-      = registry_servers (daemon->registry, &n);
-  GHashTable *reviewed_services = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < n; i++)
-    {
-      struct server_health *peers[REVIEW_SERVERS_MAX];
-      guint count = 0;
-      if (!g_hash_table_add (reviewed_services, servers[i]->entry.service))
-        continue;
-      for (guint k = i; k < n && count < REVIEW_SERVERS_MAX; k++)
-        if (servers[k]->state == REGISTRY_READY
-            && g_str_equal (servers[k]->entry.service,
-                            servers[i]->entry.service))
-          peers[count++] = &servers[k]->server_health;
-      guint ejected = server_health_review (peers, count, now, daemon->rand);
-      if (ejected > 0)
-        {
-          counter_add (&daemon->counter_set, COUNTER_EJECTIONS, ejected);
-          log_event (LOG_INFO, "server.ejected", "service=%s count=%u of=%u",
-                     servers[i]->entry.service, ejected, count);
-        }
-    }
-  g_hash_table_unref (reviewed_services);
+  struct proxy_daemon *daemon = ctx;
+  counter_add (&daemon->counter_set, COUNTER_EJECTIONS, ejected);
+  log_event (LOG_INFO, "server.ejected", "service=%s count=%u of=%u", service,
+             ejected, reviewed);
 }
 
 static void
@@ -164,7 +143,8 @@
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
     {
       daemon->health_reviewed_at = now;
-      review_health (daemon, now);
+      health_review (daemon->registry, now, daemon->rand, on_servers_ejected,
+                     daemon);
       daemon->self = (struct placement_self){
         .domain_instances = gossip_local_peer_count (daemon->gossip, now) + 1,
         .domain_rank = gossip_domain_rank (daemon->gossip, now),
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -4,6 +4,7 @@
 
 #include "fleet/registry.h"
 #include "fleet/freshness.h"
+#include "fleet/health_review.h"
 #include "fleet/read_schedule.h"
 #include "fleet/topology.h"
 
@@ -343,6 +344,49 @@
   g_free (entries);
 }
 
+static void
+count_ejected (void *ctx, const char *service, guint ejected, guint reviewed)
+{
+  (void)service;
+  (void)reviewed;
+  *(guint *)ctx += ejected;
+}
+
+/* Of a service with more servers than are compared at once, a failing one is
+   found wherever it stands in the list.  */
+static void
+test_review_of_many_servers (void)
+{
+  enum { SERVERS = 160 };
+  for (guint failing = 0; failing < SERVERS; failing += 53)
+    {
+      struct registry *registry = set_up ();
+      struct registry_entry entries[SERVERS];
+      GRand *rand = g_rand_new_with_seed (1);
+      guint ejected = 0;
+      guint n;
+      for (guint i = 0; i < SERVERS; i++)
+        {
+          char id[16];
+          g_snprintf (id, sizeof id, "i-%03u", i);
+          entries[i] = make_entry (id, 5, FALSE);
+        }
+      registry_update (registry, entries, SERVERS, 1);
+      struct registry_server *const *servers = registry_servers (registry, &n);
+      for (guint i = 0; i < n; i++)
+        for (guint k = 0; k < 10; k++)
+          server_health_add_result (&servers[i]->server_health,
+                                    i == failing ? SERVER_HEALTH_FAILURE
+                                                 : SERVER_HEALTH_SUCCESS);
+      health_review (registry, CLK_S, rand, count_ejected, &ejected);
+      CU_ASSERT_EQUAL (ejected, 1);
+      CU_ASSERT_EQUAL (servers[failing]->server_health.state,
+                       SERVER_HEALTH_EJECTED);
+      g_rand_free (rand);
+      registry_free (registry);
+    }
+}
+
 static void
 test_distance (void)
 {
@@ -372,6 +416,7 @@
   { "a store that turns instances away", test_fleet_turned_away },
   { "an instance that is not confirmed", test_unconfirmed_instance },
   { "a list of thousands of servers", test_large_list },
+  { "failing servers among many", test_review_of_many_servers },
   { "distances", test_distance },
   CU_TEST_INFO_NULL,
 };
