Do not charge streams the recent prefill of their own pool

Cause: a latency-sensitive stream was charged a quarter of what an engine had prefilled in the last seconds, also in the pool, where that is the short prompts of such streams. Change: the charge applies outside the pool only. Test: 'streams of a busy domain' fails without it.

--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -71,9 +71,9 @@
   struct placement_self self; /* as the scheduler has it */
   gint64 waiting_since;       /* clock time since which requests are queued
                                  without a break; 0: none are */
-  gint64 health_reviewed_at; /* clock time of the last health review */
-  gint64 last_tick;          /* clock time of the last tick */
-  guint32 ip; /* host byte order */
+  gint64 health_reviewed_at;  /* clock time of the last health review */
+  gint64 last_tick;           /* clock time of the last tick */
+  guint32 ip;                 /* host byte order */
   guint peer_port;
   guint tick_timer;           /* GLib source */
   gboolean store_unavailable; /* the last read of the store failed */
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -580,7 +580,8 @@
   return leader;
 }
 
-/* Returns the interval between messages to each of N peers of the own domain. */
+/* Returns the interval between messages to each of N peers of the own domain.
+ */
 static gint64
 interval_among (guint n)
 {
@@ -622,7 +623,7 @@
   return str_hash ((struct str){ (const char *)&ip, sizeof ip }, 0);
 }
 
-/* Returns the time within which each peer of the own domain sends a message.  */
+/* Returns the time within which each peer of the own domain sends a message. */
 gint64
 gossip_local_interval_us (const struct gossip *gossip, gint64 now)
 {
@@ -684,16 +685,15 @@
              struct server_load_table *server_load_table, gint64 now,
              gossip_send_fn send, void *ctx)
 {
-  struct round round
-      = { .state = state,
-          .registry = registry,
-          .server_load_table = server_load_table,
-          .now = now,
-          .full_mesh = gossip_is_full_mesh (gossip, now),
-          .is_leader = gossip_domain_rank (gossip, now) == 0,
-          .n_local_peers = gossip_local_peer_count (gossip, now),
-          .send = send,
-          .ctx = ctx };
+  struct round round = { .state = state,
+                         .registry = registry,
+                         .server_load_table = server_load_table,
+                         .now = now,
+                         .full_mesh = gossip_is_full_mesh (gossip, now),
+                         .is_leader = gossip_domain_rank (gossip, now) == 0,
+                         .n_local_peers = gossip_local_peer_count (gossip, now),
+                         .send = send,
+                         .ctx = ctx };
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, gossip->peers);
--- a/packages/peer/transfer_budget.c
+++ b/packages/peer/transfer_budget.c
@@ -8,9 +8,10 @@
 transfer_budget_allows (struct transfer_budget *budget, gint64 now)
 {
   double elapsed_s = (double)(now - budget->updated_at) / (double)CLK_S;
-  budget->bytes = budget->updated_at == 0
-                      ? BURST_BYTES
-                      : MIN (BURST_BYTES, budget->bytes + elapsed_s * BYTES_PER_S);
+  budget->bytes
+      = budget->updated_at == 0
+            ? BURST_BYTES
+            : MIN (BURST_BYTES, budget->bytes + elapsed_s * BYTES_PER_S);
   budget->updated_at = now;
   return budget->bytes > 0;
 }
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -174,8 +174,10 @@
 
 /* Returns the expected later cost of mixing the request with requests of the
    other kind: a long prompt in the pool for latency-sensitive streams, or such
-   a stream outside of it. A stream is also charged a quarter of the engine's
-   recent prefill, as a measure of the prefill to come.  */
+   a stream outside of it. Outside, a stream is also charged a quarter of the
+   engine's recent prefill, as a measure of the prefill to come. In the pool the
+   recent prefill is that of other short prompts; charged, it would drive the
+   streams of a busy domain out of the pool.  */
 static double
 mixing_cost (const struct placement_view *view,
              const struct placement_request *request,
@@ -185,10 +187,11 @@
     return c->in_sensitive_pool && prefill_tokens > LONG_PREFILL_TOKENS
                ? POOL_PREFILL_COST_US
                : 0;
+  if (c->in_sensitive_pool)
+    return 0;
   double recent_tokens = (double)directory_recent_prefill (
       view->prefix_directory, c->server->number, view->now);
-  return (c->in_sensitive_pool ? 0 : OUTSIDE_POOL_COST_US)
-         + 0.25 * view->us_per_token * recent_tokens;
+  return OUTSIDE_POOL_COST_US + 0.25 * view->us_per_token * recent_tokens;
 }
 
 /* Returns the cost of waiting: low while the first event is expected in time,
@@ -210,7 +213,8 @@
 static double
 race_time (guint64 slice_hash, guint64 instance_hash, guint n_waiting)
 {
-  guint64 x = placement_mix_bits (slice_hash ^ placement_mix_bits (instance_hash));
+  guint64 x
+      = placement_mix_bits (slice_hash ^ placement_mix_bits (instance_hash));
   double u = ((double)(x >> 11) + 0.5) / (double)(G_GUINT64_CONSTANT (1) << 53);
   return -log (u) / MAX (n_waiting, 1);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -357,7 +357,10 @@
 static void
 test_review_of_many_servers (void)
 {
-  enum { SERVERS = 160 };
+  enum
+  {
+    SERVERS = 160
+  };
   for (guint failing = 0; failing < SERVERS; failing += 53)
     {
       struct registry *registry = set_up ();
--- a/tests/unit/test_reader.c
+++ b/tests/unit/test_reader.c
@@ -104,10 +104,9 @@
 static void
 test_split_malformed_heads (void)
 {
-  CU_ASSERT_EQUAL (count_accepted (FALSE,
-                                   "GET /a HTTP/1.1\r\nHost: a\nB: c\r\n\r\n",
-                                   ""),
-                   0);
+  CU_ASSERT_EQUAL (
+      count_accepted (FALSE, "GET /a HTTP/1.1\r\nHost: a\nB: c\r\n\r\n", ""),
+      0);
   CU_ASSERT_EQUAL (
       count_accepted (FALSE, "GET /a HTTP/1.1\nHost: a\r\n\r\n", ""), 0);
   CU_ASSERT_EQUAL (
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -253,6 +253,27 @@
   tear_down ();
 }
 
+/* A busy domain: dozens of latency-sensitive streams a second, whose short
+   prompts add up. The next one still goes to the pool, which has prefilled most
+   of all engines, and not beside long prompts.  */
+static void
+test_sensitive_streams_of_a_busy_domain (void)
+{
+  struct scheduler_decision d;
+  set_up ();
+  struct scheduler_entry *first = make_entry (0, 500, 170, 540, TRUE);
+  struct registry_server *pool = submit (first, &d);
+  drop (first);
+  for (guint i = 0; i < 60; i++)
+    {
+      struct scheduler_entry *entry = make_entry (0, 501 + i, 170, 540, TRUE);
+      world.now += 20 * CLK_MS;
+      CU_ASSERT_PTR_EQUAL (submit (entry, &d), pool);
+      drop (entry);
+    }
+  tear_down ();
+}
+
 /* With many instances in a domain, which place requests at the same time, one
    instance must not use up the prefill that is tolerable beside
    latency-sensitive streams.  */
@@ -624,7 +645,8 @@
 }
 
 /* Returns whether instance I of INSTANCES that have long prompts queued, the
-   first three and each other one, may send one to SERVER in time slice SLICE. */
+   first three and each other one, may send one to SERVER in time slice SLICE.
+ */
 static gboolean
 may_send_in_slice (guint i, guint instances, guint slice,
                    struct registry_server *server)
@@ -667,7 +689,11 @@
 static void
 test_time_slices_of_contenders (void)
 {
-  enum { INSTANCES = 3, SLICES = 400 };
+  enum
+  {
+    INSTANCES = 3,
+    SLICES = 400
+  };
   guint owned[INSTANCES] = { 0 };
   guint all = SLICES * ENGINES / 2;
   guint n;
@@ -902,6 +928,7 @@
   { "sensitive streams stay apart", test_sensitive_streams_apart },
   { "a burst beside sensitive streams", test_burst_beside_sensitive_streams },
   { "streams of a large domain", test_sensitive_streams_of_a_large_domain },
+  { "streams of a busy domain", test_sensitive_streams_of_a_busy_domain },
   { "many instances beside sensitive streams",
     test_many_instances_beside_sensitive_streams },
   { "a hot prefix is fetched, not prefilled", test_hot_prefix },
--- a/tests/unit/test_server_list.c
+++ b/tests/unit/test_server_list.c
@@ -95,8 +95,8 @@
   entry_of (&third, 8)->leaving = TRUE;
   update_digest (&third);
   server_list_history_add (history, &second, &third);
-  CU_ASSERT_TRUE_FATAL (server_list_history_encode (
-      history, first.digest, &third, 13 * CLK_S, bytes));
+  CU_ASSERT_TRUE_FATAL (server_list_history_encode (history, first.digest,
+                                                    &third, 13 * CLK_S, bytes));
   CU_ASSERT_TRUE (bytes->len <= 512);
   struct str encoded = { (const char *)bytes->data, bytes->len };
   CU_ASSERT_EQUAL_FATAL (
@@ -106,8 +106,8 @@
   CU_ASSERT_EQUAL (decoded.requested_at, 49 * CLK_S);
   g_array_unref (decoded.entries);
   /* Without the list that they refer to, the changes are of no use. */
-  CU_ASSERT_TRUE (
-      server_list_decode (encoded, 50 * CLK_S, NULL, &decoded, &err) < 0);
+  CU_ASSERT_TRUE (server_list_decode (encoded, 50 * CLK_S, NULL, &decoded, &err)
+                  < 0);
   g_byte_array_set_size (bytes, 0);
   CU_ASSERT_TRUE (server_list_history_encode (history, third.digest, &third,
                                               13 * CLK_S, bytes));
@@ -126,7 +126,10 @@
 static void
 test_changes_random (void)
 {
-  enum { LISTS = 100 };
+  enum
+  {
+    LISTS = 100
+  };
   struct peer_server_list lists[LISTS];
   struct server_list_history *history = server_list_history_new ();
   GRand *rand = g_rand_new_with_seed (11);
@@ -190,8 +193,8 @@
   g_array_remove_index (second.entries, 2);
   update_digest (&second);
   server_list_history_add (history, &first, &second);
-  CU_ASSERT_TRUE_FATAL (server_list_history_encode (
-      history, first.digest, &second, 3 * CLK_S, bytes));
+  CU_ASSERT_TRUE_FATAL (server_list_history_encode (history, first.digest,
+                                                    &second, 3 * CLK_S, bytes));
   for (gsize n = 0; n < bytes->len; n++)
     CU_ASSERT_TRUE (
         server_list_decode ((struct str){ (const char *)bytes->data, n }, 0,
@@ -222,7 +225,12 @@
 static void
 test_transfers_spread (void)
 {
-  enum { INSTANCES = 300, HOLDERS = 3, LIST_BYTES = 300000 };
+  enum
+  {
+    INSTANCES = 300,
+    HOLDERS = 3,
+    LIST_BYTES = 300000
+  };
   struct transfer_budget budgets[INSTANCES] = { 0 };
   gint64 has_from[INSTANCES]; /* clock time; 0: not yet */
   GRand *rand = g_rand_new_with_seed (3);
