Tell other domains only of load that changes their placements

Change: a summary leaves out servers with under a sixteenth of their slots in use, no latency-sensitive stream and under 500 tokens of pending prefill. Test: 'load told to other domains'.

--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -26,6 +26,11 @@
 /* Between two rounds of forwarding the load of other domains to a peer.  */
 #define SUMMARY_INTERVAL_US (500 * CLK_MS)
 
+/* Load of a server from which on other domains are told of it: tokens of
+   pending prefill, or one in so many of its slots. */
+#define SUMMARY_PREFILL_MIN 500
+#define SUMMARY_SLOTS_SHARE 16
+
 /* A peer from which nothing was received for this time is unresponsive and
    gets messages at a lower rate.  */
 #define UNRESPONSIVE_AFTER_US (2 * CLK_S)
@@ -339,7 +344,19 @@
           = gossip_server_key (servers[i]);
 }
 
-/* Adds the total load that the instances of this domain have at each server. */
+/* Returns whether another domain would place requests differently if it knew
+   LOAD. A few requests that only generate tokens make no difference at an
+   engine, and most servers of a large fleet have no more.  */
+static gboolean
+is_significant (const struct server_load *load,
+                const struct registry_server *server)
+{
+  return load->sensitive > 0 || load->prefill_tokens >= SUMMARY_PREFILL_MIN
+         || load->requests * SUMMARY_SLOTS_SHARE >= server->entry.slots;
+}
+
+/* Adds the total load that the instances of this domain have at each server,
+   where it is significant.  */
 static void
 add_own_summary (const struct gossip *gossip, struct gossip_message *message,
                  struct registry *registry,
@@ -354,7 +371,7 @@
     {
       struct server_load load
           = server_load_direct (server_load_table, servers[i]->number);
-      if (load.requests > 0)
+      if (load.requests > 0 && is_significant (&load, servers[i]))
         set_load (&summary->loads[summary->n++], servers[i], &load);
     }
 }
--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -46,6 +46,7 @@
   gint64 delay_max;
   guint sender;
   guint servers;     /* 0: two servers */
+  guint slots;       /* of each server; 0: 8 */
   guint undecodable; /* messages that could not be decoded */
 } net;
 
@@ -75,7 +76,7 @@
       g_strlcpy (entries[i].service, "llm", sizeof entries[i].service);
       g_strlcpy (entries[i].address, "10.9.0.1:80", sizeof entries[i].address);
       g_snprintf (entries[i].domain, sizeof entries[i].domain, "d%u", i);
-      entries[i].slots = 8;
+      entries[i].slots = net.slots ? net.slots : 8;
     }
   registry_update (node->registry, entries, n, net.now);
 }
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -212,6 +212,47 @@
   finish ();
 }
 
+/* Of a large engine, other domains are told only load that would change their
+   placements. The leader of a domain passes the loads of all other domains on
+   to all its peers; with a few requests at each of 3,000 servers these were
+   most of what the busiest instance sent.  */
+static void
+test_significant_load (void)
+{
+  static const struct
+  {
+    struct server_load load;
+    gboolean is_told;
+  } cases[] = {
+    { { .requests = 2, .memory = 3000 }, FALSE },
+    { { .requests = 2, .prefill_tokens = 1000 }, TRUE },
+    { { .requests = 2, .sensitive = 1 }, TRUE },
+    { { .requests = 4 }, TRUE },
+  };
+  start (24, 3, 10);
+  net.slots = 64;
+  for (guint i = 0; i < 24; i++)
+    list_servers (&net.nodes[i]);
+  step (6 * CLK_S);
+  struct node *node = &net.nodes[4]; /* of domain d1 */
+  for (guint k = 0; k < G_N_ELEMENTS (cases); k++)
+    {
+      guint number = registry_find (node->registry, "e-0")->number;
+      *server_load_own (node->server_load_table, number) = cases[k].load;
+      step (4 * CLK_S);
+      for (guint i = 0; i < 24; i++)
+        {
+          struct node *other = &net.nodes[i];
+          gboolean told = i % 3 == 1 || cases[k].is_told;
+          number = registry_find (other->registry, "e-0")->number;
+          CU_ASSERT_EQUAL (
+              server_load_total (other->server_load_table, number).requests,
+              told ? cases[k].load.requests : 0);
+        }
+    }
+  finish ();
+}
+
 /* Adds N large placements at e-1 to instances of domain d0, one in four of them
    not at the preferred server, and counts all in *NEXT.  */
 static void
@@ -449,6 +490,7 @@
   { "load and placements through domain leaders", test_domain_leaders },
   { "placements reach other domains", test_placements_reach_other_domains },
   { "placements of a large fleet", test_placements_of_a_large_fleet },
+  { "load told to other domains", test_significant_load },
   { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
   { "single reader of the store", test_single_store_reader },
