Notice the store's return from an older copy by its era

Cause: in a drill the store comes back from a copy some seconds old and Store-Era rises by one; nothing read it. Servers whose entries the copy lacked were removed at once, if the outage was too short for a read to fail, and a late answer of the time before could replace a newer list. Change: the adapter reads the header of each answer and puts no list together from pages of different eras. Eras are ordered before anything else (fleet/store_era.c): an answer of an older era is dropped and logged; a newer era, also one that a peer tells of, gives servers that are missing from the next list the two seconds that they have after an outage. Versions of the configuration never fall, and the confirmation of an older one counts for none, as before. Measured: unit tests only; no deployment at hand has such a drill. Tests: 'eras of the store' in test_fleet and test_adapter, 'the era of the store' in test_prs.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -46,6 +46,8 @@
   X (PLATFORM_WRITES, "platform_writes", "writes to the object API")           \
   X (PLATFORM_WATCHES, "platform_watches", "watches of the object API")        \
   X (PLATFORM_ERRORS, "platform_errors", "failed requests to the object API")  \
+  X (STORE_ERAS, "store_eras",                                                 \
+     "times that the store came back from an older copy")                      \
   X (CONFIG_APPLIED, "config_applied", "configuration versions applied")       \
   X (CONFIG_STALE, "config_stale", "older configuration versions ignored")     \
   X (CONFIG_REJECTED, "config_rejected",                                       \
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -57,6 +57,7 @@
   struct read_schedule servers_schedule;
   struct fetch *config_fetch;  /* owned; NULL: none in progress */
   struct fetch *servers_fetch; /* owned; NULL: none in progress */
+  guint64 store_era;           /* newest one known; 0: none */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
                              one has been read */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -6,6 +6,7 @@
 #include "jacinthward/proxy_daemon_internal.h"
 
 #include "base/log.h"
+#include "fleet/store_era.h"
 #include "http/client.h"
 
 #define FETCH_TIMEOUT_MS 2000 /* limit for one fetch from a peer */
@@ -70,11 +71,49 @@
   daemon->config_text = g_bytes_ref (text);
 }
 
+/* Takes note of ERA, which the store or PEER (NULL: the store) states. In a new
+   era the list of servers may lack some that live, as after an outage, until
+   they have written their entries again. Configurations need nothing more:
+   versions are the operator's, an older one replaces none that is known, and
+   its confirmation counts for none. Returns FALSE if ERA is an older one than
+   that known, so that what came with it is out of date.  */
+static gboolean
+accept_era (struct proxy_daemon *daemon, guint64 era, const char *peer)
+{
+  guint64 before = daemon->store_era;
+  switch (store_era_observe (&daemon->store_era, era))
+    {
+    case STORE_ERA_SAME:
+      break;
+    case STORE_ERA_NEWER:
+      counter_add (&daemon->counter_set, COUNTER_STORE_ERAS, 1);
+      log_write (
+          &(struct log_entry){
+              .level = LOG_WARN, .event = "store.new_era", .peer = peer },
+          "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT, era, before);
+      registry_store_failed (daemon->registry, clk_now (daemon->clk));
+      break;
+    case STORE_ERA_OLDER:
+      log_write (&(struct log_entry){ .level = peer ? LOG_DEBUG : LOG_WARN,
+                                      .event = "store.old_era",
+                                      .peer = peer },
+                 "era=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT, era,
+                 before);
+      return FALSE;
+    }
+  return TRUE;
+}
+
 static void
 on_config (void *ctx, const struct adapter_config *config)
 {
   struct proxy_daemon *daemon = ctx;
   gint64 now = clk_now (daemon->clk);
+  if (!accept_era (daemon, config->era, NULL))
+    {
+      read_schedule_done (&daemon->config_schedule, now, FALSE);
+      return;
+    }
   gboolean response_known = config->code == 0 || config->code == ERR_NOT_FOUND
                             || config->code == ERR_INVALID;
   read_schedule_done (&daemon->config_schedule, now, config->code == 0);
@@ -124,7 +163,11 @@
 {
   struct proxy_daemon *daemon = ctx;
   gint64 now = clk_now (daemon->clk);
-  read_schedule_done (&daemon->servers_schedule, now, servers->code == 0);
+  gboolean current = accept_era (daemon, servers->era, NULL);
+  read_schedule_done (&daemon->servers_schedule, now,
+                      servers->code == 0 && current);
+  if (!current)
+    return;
   log_store_state (daemon, servers->code != 0);
   if (servers->code != 0)
     registry_store_failed (daemon->registry, now);
@@ -305,7 +348,8 @@
   if (update->config_version > proxy_config_version (daemon->reverse_proxy))
     start_fetch (daemon, &daemon->config_fetch, ip, TRUE, now);
   gint64 peer_read_at = now - update->server_list_age_us;
-  if (update->server_list_age_us < 0
+  if (!accept_era (daemon, update->store_era, update->id)
+      || update->server_list_age_us < 0
       || (daemon->server_list.entries != NULL
           && peer_read_at <= daemon->server_list.requested_at))
     return;
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -558,6 +558,7 @@
   message->server_list_digest = state->server_list_digest;
   message->server_list_age_us = state->server_list_age_us;
   message->n_waiting = state->n_waiting;
+  message->store_era = state->store_era;
   message->wants_reply = round->is_leader || round->n_local_peers == 0;
   add_contents (gossip, peer, message, round);
   peer->sent_at[message->seq % SENT_TIMES_KEPT] = round->now;
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -30,7 +30,8 @@
   gint64 config_age_us;
   guint64 server_list_digest;
   gint64 server_list_age_us;
-  guint n_waiting; /* requests queued here */
+  guint n_waiting;   /* requests queued here */
+  guint64 store_era; /* newest one known; 0: none */
 };
 
 /* A peer's confirmation that config_version was the newest version at some time
@@ -49,7 +50,8 @@
   gint64 config_age_us;
   guint64 server_list_digest;
   gint64 server_list_age_us;
-  gboolean joined; /* first message of this incarnation */
+  guint64 store_era; /* newest one that the peer knows; 0: none */
+  gboolean joined;   /* first message of this incarnation */
   char id[STR_ID_MAX + 1];
 };
 
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,9 +7,9 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 20 /* of a message in the current format */
-/* Older instances omit some or all of n_own_placements, n_home_placements and
-   n_waiting. */
+#define FIELDS 21 /* of a message in the current format */
+/* Older instances omit some or all of n_own_placements, n_home_placements,
+   n_waiting and store_era. */
 #define FIELDS_REQUIRED 17
 
 static void
@@ -89,6 +89,7 @@
   msgpack_pack_unsigned_int (&pk, gossip_message->n_own_placements);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_home_placements);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_waiting);
+  msgpack_pack_uint64 (&pk, gossip_message->store_era);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -269,6 +270,8 @@
         = (guint)read_number (&c, gossip_message->n_own_placements);
   if (c.left > 0)
     gossip_message->n_waiting = (guint)read_number (&c, G_MAXINT32);
+  if (c.left > 0)
+    gossip_message->store_era = read_number (&c, G_MAXINT64);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -67,6 +67,7 @@
   gint64 server_list_age_us;
   gboolean wants_reply; /* even if the receiver is in another domain */
   guint n_waiting;      /* requests queued at the sender */
+  guint64 store_era;    /* newest one that the sender knows; 0: none */
   struct gossip_message_member members[GOSSIP_MESSAGE_MEMBERS_MAX];
   guint n_members;
   struct gossip_message_load loads[GOSSIP_MESSAGE_LOADS_MAX];
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -157,6 +157,7 @@
     .config_age_us = message->config_age_us,
     .server_list_digest = message->server_list_digest,
     .server_list_age_us = message->server_list_age_us,
+    .store_era = message->store_era,
     .joined = !same
   };
   g_strlcpy (update->id, message->id, sizeof update->id);
--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -25,6 +25,7 @@
   guint64 bytes;
   guint received;
   gint64 confirmed_after_max; /* latest one received for version 9 */
+  guint64 store_era_max;      /* newest one received */
 };
 
 struct packet
@@ -192,6 +193,9 @@
               node->prefix_directory, &node->update, &err);
           net.undecodable += code != 0 && code != ERR_CONFLICT;
           node->received += code == 0;
+          if (code == 0)
+            node->store_era_max
+                = MAX (node->store_era_max, node->update.store_era);
           if (code == 0 && node->update.freshness.config_version == 9)
             node->confirmed_after_max
                 = MAX (node->confirmed_after_max,
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -194,6 +194,7 @@
   guint n;
   gint64 requested_at;
   guint64 version;
+  guint64 era;
   char last[STR_ID_MAX + 1];
 } observed;
 
@@ -204,6 +205,7 @@
   observed.configs++;
   observed.code = config->code;
   observed.requested_at = config->requested_at;
+  observed.era = config->era;
   if (config->code == 0)
     observed.version = routing_table_version (config->routing_table);
 }
@@ -215,6 +217,7 @@
   observed.lists++;
   observed.code = servers->code;
   observed.n = servers->n;
+  observed.era = servers->era;
   if (servers->n > 0)
     g_strlcpy (observed.last, servers->entries[servers->n - 1].id,
                sizeof observed.last);
@@ -294,6 +297,49 @@
   proxy_test_stop ();
 }
 
+static const char *era_fields; /* of further pages, if they differ */
+static const char *first_era_fields;
+
+static void
+respond_with_era (struct proxy_test_link *link,
+                  struct proxy_test_request *request)
+{
+  const char *body = "{\"metadata\":{\"name\":\"main\"},\"spec\":" CONFIG "}";
+  const char *fields = first_era_fields;
+  if (g_str_equal (request->target, "/-/objects/servers"))
+    body = "{\"items\":[{\"metadata\":{\"name\":\"i-1\"},\"spec\":" SERVER
+           "}],\"has_more\":true,\"at\":9}";
+  else if (g_str_equal (request->target, "/-/objects/servers?after_rev=i-1"))
+    {
+      body = "{\"items\":[],\"has_more\":false,\"at\":9}";
+      fields = era_fields;
+    }
+  proxy_test_respond (link, request, "200 OK", fields, body);
+}
+
+/* The era of the store is read from each answer. Pages of different eras are
+   not put together to one list, and an unreadable era counts as unknown.  */
+static void
+test_store_eras (void)
+{
+  struct platform_adapter *adapter = open_store (respond_with_era);
+  first_era_fields = era_fields = "Store-Era: 12\r\n";
+  CU_ASSERT_EQUAL (read_config (adapter), 0);
+  CU_ASSERT_EQUAL (observed.era, 12);
+  CU_ASSERT_EQUAL (read_servers (adapter), 0);
+  CU_ASSERT_EQUAL (observed.era, 12);
+  era_fields = "Store-Era: 13\r\n";
+  CU_ASSERT_EQUAL (read_servers (adapter), ERR_UNAVAILABLE);
+  first_era_fields = era_fields = "Store-Era: -1\r\n";
+  CU_ASSERT_EQUAL (read_config (adapter), 0);
+  CU_ASSERT_EQUAL (observed.era, 0);
+  first_era_fields = "";
+  CU_ASSERT_EQUAL (read_config (adapter), 0);
+  CU_ASSERT_EQUAL (observed.era, 0);
+  adapter_free (adapter);
+  proxy_test_stop ();
+}
+
 static const char *status_line;
 
 static void
@@ -372,6 +418,7 @@
   { "decoding server entries", test_servers },
   { "randomly corrupted input", test_random_corruption },
   { "reading the store", test_store_reads },
+  { "eras of the store", test_store_eras },
   { "failures of the store", test_store_failures },
   { "age counts from the request", test_age_counts_from_request },
   CU_TEST_INFO_NULL,
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -6,6 +6,7 @@
 #include "fleet/freshness.h"
 #include "fleet/health_review.h"
 #include "fleet/read_schedule.h"
+#include "fleet/store_era.h"
 #include "fleet/topology.h"
 
 #include <time.h>
@@ -390,6 +391,23 @@
     }
 }
 
+/* Only a newer era replaces the known one. Answers of an older one arrive late
+   or from peers that do not know yet; the first one known is no change.  */
+static void
+test_store_era (void)
+{
+  guint64 known = 0;
+  CU_ASSERT_EQUAL (store_era_observe (&known, 0), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 4), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 4), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 3), STORE_ERA_OLDER);
+  CU_ASSERT_EQUAL (known, 4);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 7), STORE_ERA_NEWER);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 5), STORE_ERA_OLDER);
+  CU_ASSERT_EQUAL (store_era_observe (&known, 0), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (known, 7);
+}
+
 static void
 test_distance (void)
 {
@@ -420,6 +438,7 @@
   { "an instance that is not confirmed", test_unconfirmed_instance },
   { "a list of thousands of servers", test_large_list },
   { "failing servers among many", test_review_of_many_servers },
+  { "eras of the store", test_store_era },
   { "distances", test_distance },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -253,6 +253,28 @@
   finish ();
 }
 
+/* The era of the store reaches the instances of all domains.  */
+static void
+test_store_era_spreads (void)
+{
+  start (60, 6, 11);
+  step (4 * CLK_S);
+  for (guint i = 0; i < 60; i++)
+    net.nodes[i].state.store_era = 3;
+  step (CLK_S);
+  net.nodes[7].state.store_era = 4;
+  for (gint64 end = net.now + 3 * CLK_S; net.now < end;)
+    {
+      step (STEP_US);
+      for (guint i = 0; i < 60; i++)
+        net.nodes[i].state.store_era
+            = MAX (net.nodes[i].state.store_era, net.nodes[i].store_era_max);
+    }
+  for (guint i = 0; i < 60; i++)
+    CU_ASSERT_EQUAL (net.nodes[i].state.store_era, 4);
+  finish ();
+}
+
 /* Adds N large placements at e-1 to instances of domain d0, one in four of them
    not at the preferred server, and counts all in *NEXT.  */
 static void
@@ -491,6 +513,7 @@
   { "placements reach other domains", test_placements_reach_other_domains },
   { "placements of a large fleet", test_placements_of_a_large_fleet },
   { "load told to other domains", test_significant_load },
+  { "the era of the store", test_store_era_spreads },
   { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
   { "single reader of the store", test_single_store_reader },
