End a stream whose event passes the limit of 1 MiB

Cause: the reverse proxy ignored the result of splitter_feed, so an event without an end was collected until the deadline, whatever its size. Change: the attempt fails then: resumed elsewhere if it may be, else cut. Test: 'an event without an end'.

--- a/packages/fleet/store_era.c
+++ b/packages/fleet/store_era.c
@@ -1,8 +1,8 @@
 #include "fleet/store_era.h"
 
-/* Compares ERA (0: unknown) with the newest known one, *KNOWN (0: none yet), and
-   replaces that by a newer one. The first era that becomes known is no change
-   of era.  */
+/* Compares ERA (0: unknown) with the newest known one, *KNOWN (0: none yet),
+   and replaces that by a newer one. The first era that becomes known is no
+   change of era.  */
 enum store_era_order
 store_era_observe (guint64 *known, guint64 era)
 {
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -116,19 +116,22 @@
 }
 
 /* Relays bytes of the response body. Of an event stream only complete events
-   are relayed, so that the stream can be resumed at another server.  */
-void
+   are relayed, so that the stream can be resumed at another server. Returns
+   FALSE if an event is longer than SPLITTER_EVENT_MAX: the response cannot be
+   relayed any further.  */
+gboolean
 exchange_relay (struct exchange *exchange, struct str bytes)
 {
   gint64 now = exchange_now (exchange);
   if (!exchange->is_sse)
     {
       write_to_client (exchange, bytes);
-      return;
+      return TRUE;
     }
   GString *complete_events = g_string_new (NULL);
   guint before = exchange->event_splitter.events;
-  splitter_feed (&exchange->event_splitter, bytes, complete_events);
+  gboolean ok
+      = splitter_feed (&exchange->event_splitter, bytes, complete_events);
   if (exchange->event_splitter.events > before)
     {
       gint64 gap = now - exchange->last_event_at;
@@ -143,6 +146,7 @@
   write_to_client (exchange,
                    (struct str){ complete_events->str, complete_events->len });
   g_string_free (complete_events, TRUE);
+  return ok;
 }
 
 /* Ends a relayed response that is complete. An event stream that ends inside an
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -156,7 +156,7 @@
 /* Called by the attempt at a backend server. */
 void exchange_begin_response (struct exchange *exchange,
                               const struct http_head *head);
-void exchange_relay (struct exchange *exchange, struct str bytes);
+gboolean exchange_relay (struct exchange *exchange, struct str bytes);
 void exchange_end_response (struct exchange *exchange);
 void exchange_send_buffered_response (struct exchange *exchange,
                                       const struct http_head *head,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -128,10 +128,7 @@
   if (upstream->discarding)
     return TRUE;
   if (upstream->relaying)
-    {
-      exchange_relay (upstream->exchange, bytes);
-      return TRUE;
-    }
+    return exchange_relay (upstream->exchange, bytes);
   g_string_append_len (upstream->body, bytes.p, (gssize)bytes.n);
   return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX;
 }
--- a/tests/unit/test_gate_stream.c
+++ b/tests/unit/test_gate_stream.c
@@ -100,6 +100,37 @@
   proxy_test_stop ();
 }
 
+/* Sends an event of 2 MB that never ends, and keeps the connection open.  */
+static void
+stream_endless_event (struct proxy_test_link *link,
+                      struct proxy_test_request *request)
+{
+  char *text = g_strnfill (64 * 1024, 'x');
+  proxy_test_write (link, request, PROXY_TEST_STREAM_HEAD);
+  proxy_test_write_chunk (link, "id: 1\ndata: a\n\nid: 2\ndata: ");
+  for (guint i = 0; i < 32; i++)
+    proxy_test_write_chunk (link, text);
+  g_free (text);
+}
+
+/* An event without an end must not fill the memory until the deadline.  */
+static void
+test_endless_event (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (stream_endless_event);
+  gint64 before = g_get_monotonic_time ();
+  struct proxy_test_response response
+      = proxy_test_request_once ("/stream/x", "");
+  CU_ASSERT_FALSE (response.complete);
+  CU_ASSERT_STRING_EQUAL (response.body->str, "id: 1\ndata: a\n\n");
+  CU_ASSERT_TRUE (g_get_monotonic_time () - before < CLK_S);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), 1);
+  proxy_test_response_clear (&response);
+  proxy_test_stop ();
+}
+
 static void
 stream_ends_inside_event (struct proxy_test_link *link,
                           struct proxy_test_request *request)
@@ -191,6 +222,7 @@
   { "a complete stream", test_complete_stream },
   { "resumed after the last complete event", test_resumed },
   { "interrupted and not resumable", test_broken_stream },
+  { "an event without an end", test_endless_event },
   { "ends inside an event", test_ends_inside_event },
   { "deadline in a stream", test_deadline_in_stream },
   { "the client resumes", test_client_resumes },
