Find the Keep-Alive time-out of a server whatever its case

Cause: 'timeout=' was compared by case, so with 'Timeout=' the default of 4 s held, and a request could be sent on a connection that the server closes. Test: 'Keep-Alive in any case'.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -165,6 +165,17 @@
   exchange_attempt_failed (upstream->exchange, result, NULL, none, &copy);
 }
 
+/* Returns the text after NAME, whatever its case, in VALUE; empty if VALUE does
+   not contain NAME.  */
+static struct str
+text_after (struct str value, struct str name)
+{
+  for (gsize i = 0; i + name.n <= value.n; i++)
+    if (g_ascii_strncasecmp (value.p + i, name.p, name.n) == 0)
+      return (struct str){ value.p + i + name.n, value.n - i - name.n };
+  return (struct str){ "", 0 };
+}
+
 /* Returns for how many microseconds the connection may stay idle, by the
    Keep-Alive header of the response; 0 or less: not at all.  */
 static gint64
@@ -174,15 +185,13 @@
   guint64 seconds;
   if (!http_head_get (head, "keep-alive", &value))
     return KEEP_ALIVE_DEFAULT_US;
-  const char *timeout = g_strstr_len (value.p, (gssize)value.n, "timeout=");
-  if (timeout == NULL)
-    return KEEP_ALIVE_DEFAULT_US;
-  timeout += strlen ("timeout=");
+  struct str timeout = text_after (value, STR_LIT ("timeout="));
   gsize n = 0;
-  gsize left = value.n - (gsize)(timeout - value.p);
-  while (n < left && g_ascii_isdigit (timeout[n]))
+  if (timeout.n == 0)
+    return KEEP_ALIVE_DEFAULT_US;
+  while (n < timeout.n && g_ascii_isdigit (timeout.p[n]))
     n++;
-  if (!http_parse_number ((struct str){ timeout, n }, &seconds))
+  if (!http_parse_number ((struct str){ timeout.p, n }, &seconds))
     return 0;
   return (gint64)seconds * CLK_S - KEEP_ALIVE_MARGIN_US;
 }
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -565,6 +565,29 @@
 }
 
 /* Requests one after the other use one connection to the server.  */
+static void
+respond_with_keep_alive (struct proxy_test_link *link,
+                         struct proxy_test_request *request)
+{
+  proxy_test_respond (link, request, "200 OK",
+                      "X-Signature: sig\r\nKeep-Alive: max=9, Timeout=0\r\n",
+                      "x");
+}
+
+/* The server's time-out for idle connections is found whatever the case of its
+   name: one that closes them at once gets a new connection each time.  */
+static void
+test_keep_alive_any_case (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (respond_with_keep_alive);
+  for (guint i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 200);
+  CU_ASSERT_EQUAL (proxy_test.servers[0].connections, 3);
+  proxy_test_stop ();
+}
+
 static void
 test_idle_connection_reused (void)
 {
@@ -759,6 +782,7 @@
     test_invalid_responses },
   { "responses without a length", test_responses_without_length },
   { "idle connections are reused", test_idle_connection_reused },
+  { "Keep-Alive in any case", test_keep_alive_any_case },
   { "a client that disconnects", test_client_disconnects },
   { "deadline", test_deadline },
   { "an unreachable server", test_server_unreachable },
