Do not take a configuration that has just arrived for unconfirmed

Cause: an instance that fetches the configuration from a peer has no confirmation of it before the next message, and was taken for one that confirmations do not reach: each of them read the store once at its start. Change: only a configuration that has been known for 3.5 s counts; the decision moved to fleet/read_schedule.c. Test: 'an instance that is not confirmed'.

--- a/packages/fleet/read_schedule.c
+++ b/packages/fleet/read_schedule.c
@@ -25,6 +25,9 @@
    long, and longer by a random time of at most this spread. */
 #define START_WAIT_US (1200 * CLK_MS)
 #define START_SPREAD_US (2000 * CLK_MS)
+/* Age of the own confirmation above which fresh ones at peers mean that they do
+   not reach this instance. */
+#define UNCONFIRMED_US (3500 * CLK_MS)
 #define RETRY_US (150 * CLK_MS) /* after a failure, doubling */
 #define RETRY_DOUBLINGS 2
 
@@ -100,6 +103,16 @@
   return is_old (schedule, now, uptime, peers);
 }
 
+/* Returns whether peers have fresh confirmations that do not reach this
+   instance, as when one direction is cut. A configuration that has just arrived
+   from a peer is not confirmed before the next message.  */
+gboolean
+read_schedule_is_cut_off (const struct read_schedule_confirmation *confirmation)
+{
+  return confirmation->peer_age <= READ_SCHEDULE_FRESH_US
+         && MIN (confirmation->age, confirmation->known_for) > UNCONFIRMED_US;
+}
+
 /* Records that peers have newer data, which could not be fetched from them.  */
 void
 read_schedule_peers_failed (struct read_schedule *schedule, gint64 now)
--- a/packages/fleet/read_schedule.h
+++ b/packages/fleet/read_schedule.h
@@ -21,6 +21,18 @@
   gboolean heard;  /* a message from another instance has arrived */
 };
 
+/* A peer's confirmation of the configuration is fresh up to this age. */
+#define READ_SCHEDULE_FRESH_US (1000 * CLK_MS)
+
+/* What is known of confirmations that the configuration is the newest.  */
+struct read_schedule_confirmation
+{
+  gint64 age;       /* of the own one; G_MAXINT64: none */
+  gint64 known_for; /* time since the configuration arrived */
+  gint64 peer_age;  /* time since a peer told that it has a fresh one;
+                       G_MAXINT64: none has */
+};
+
 struct read_schedule
 {
   struct read_schedule_options options;
@@ -38,6 +50,8 @@
 gboolean read_schedule_is_due (const struct read_schedule *schedule, gint64 now,
                                gint64 age,
                                const struct read_schedule_peers *peers);
+gboolean read_schedule_is_cut_off (
+    const struct read_schedule_confirmation *confirmation);
 void read_schedule_peers_failed (struct read_schedule *schedule, gint64 now);
 void read_schedule_started (struct read_schedule *schedule, gint64 now);
 void read_schedule_done (struct read_schedule *schedule, gint64 now,
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -63,6 +63,7 @@
                              one has been read */
   struct server_list_history *server_list_history;
   struct transfer_budget transfer_budget; /* for what peers fetch */
+  gint64 config_applied_at;               /* clock time */
   gint64 fresh_peer_at; /* clock time of the last message from a peer that has a
                            fresh confirmation of this configuration */
   guint fetches_failed; /* consecutive fetches from peers */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -17,12 +17,6 @@
 /* Two lists that were read with a longer time between them mean that the store
    was unavailable: entries may have expired although their servers live. */
 #define LIST_GAP_US (2500 * CLK_MS)
-/* A peer's confirmation of the configuration is fresh up to this age, and no
-   peer has one any more if the last was received longer ago than this. */
-#define FRESH_PEER_US (1000 * CLK_MS)
-/* Age of the own confirmation above which fresh ones at peers mean that they do
-   not reach this instance, as when only one direction is cut. */
-#define UNCONFIRMED_US (3500 * CLK_MS)
 #define FETCH_MAX (8 * 1024 * 1024) /* bytes */
 
 struct fetch
@@ -67,6 +61,7 @@
       <= proxy_config_version (daemon->reverse_proxy))
     return;
   proxy_set_table (daemon->reverse_proxy, routing_table);
+  daemon->config_applied_at = clk_now (daemon->clk);
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   daemon->config_text = g_bytes_ref (text);
 }
@@ -207,8 +202,12 @@
           .instances = gossip_instance_count (daemon->gossip, now),
           .heard = gossip_alive_count (daemon->gossip, now) > 1 };
   gint64 config_age = proxy_config_age (daemon->reverse_proxy, now);
-  if (daemon->fresh_peer_at != 0 && now - daemon->fresh_peer_at <= FRESH_PEER_US
-      && config_age > UNCONFIRMED_US)
+  const struct read_schedule_confirmation confirmation
+      = { .age = config_age,
+          .known_for = now - daemon->config_applied_at,
+          .peer_age
+          = daemon->fresh_peer_at ? now - daemon->fresh_peer_at : G_MAXINT64 };
+  if (read_schedule_is_cut_off (&confirmation))
     read_schedule_peers_failed (&daemon->config_schedule, now);
   if (read_schedule_is_due (&daemon->config_schedule, now, config_age, &peers))
     {
@@ -343,7 +342,8 @@
                            update->freshness.config_version,
                            update->freshness.confirmed_after);
   if (update->config_version == proxy_config_version (daemon->reverse_proxy)
-      && update->config_age_us >= 0 && update->config_age_us <= FRESH_PEER_US)
+      && update->config_age_us >= 0
+      && update->config_age_us <= READ_SCHEDULE_FRESH_US)
     daemon->fresh_peer_at = now;
   if (update->config_version > proxy_config_version (daemon->reverse_proxy))
     start_fetch (daemon, &daemon->config_fetch, ip, TRUE, now);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -307,6 +307,15 @@
   const struct read_schedule_peers peers = { 200, FLEET, TRUE };
   struct read_schedule schedule = make_schedule (0, 5, FALSE);
   gint64 now = 100 * CLK_S;
+  const struct read_schedule_confirmation cut_off
+      = { 3600 * CLK_MS, 20 * CLK_S, 100 * CLK_MS };
+  const struct read_schedule_confirmation just_arrived
+      = { G_MAXINT64, 500 * CLK_MS, 100 * CLK_MS };
+  const struct read_schedule_confirmation store_away
+      = { 3600 * CLK_MS, 20 * CLK_S, 1200 * CLK_MS };
+  CU_ASSERT_TRUE (read_schedule_is_cut_off (&cut_off));
+  CU_ASSERT_FALSE (read_schedule_is_cut_off (&just_arrived));
+  CU_ASSERT_FALSE (read_schedule_is_cut_off (&store_away));
   read_schedule_peers_failed (&schedule, now);
   CU_ASSERT_TRUE (read_schedule_is_due (&schedule, now + 1500 * CLK_MS,
                                         4000 * CLK_MS, &peers));
