--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libhttp-parser-dev \
   liblog4c-dev libcunit1-dev pkg-config cmake gcc clang-format clang-tidy
 
-.PHONY: all deps check demo bench bench-policy bench-capacity bench-peers format lint \
+.PHONY: all deps check demo bench bench-policy bench-peers format lint \
   format-check sanitize clean
 
 all: $(BUILD)/Makefile
@@ -28,9 +28,6 @@
 bench-policy: all
 	$(BUILD)/bench/policy/bench_policy
 
-bench-capacity: all
-	$(BUILD)/bench/capacity/bench_capacity
-
 bench-peers: all
 	$(BUILD)/bench/peers/bench_peers
 
