Answer an instance that has just started at once

Change: who receives a message from a peer with an older configuration, or without a confirmation, answers at the next tick, at most ten times a second to one peer; an instance asks the peer from which it has fetched its configuration. Test: 'a quick start' fails without it.

--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -278,7 +278,10 @@
     err_set (&err, ERR_NOT_FOUND, "peer.fetch", "", "status %u",
              response->head->status);
   else if (fetch->config)
-    apply_fetched_config (daemon, response->body, &err);
+    {
+      apply_fetched_config (daemon, response->body, &err);
+      gossip_ask (daemon->gossip, fetch->ip);
+    }
   else
     apply_fetched_servers (daemon, response->body, fetch->requested_at, &err);
   if (is_busy)
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -147,6 +147,17 @@
     gossip_ring_add (&gossip->placement_rings[RING_DOMAIN], &placement);
 }
 
+/* Sends the next message to the instance at IP at once. Its reply confirms the
+   configuration that was just fetched from it.  */
+void
+gossip_ask (struct gossip *gossip, guint32 ip)
+{
+  struct peer *peer
+      = g_hash_table_lookup (gossip->peers, GUINT_TO_POINTER (ip));
+  if (peer != NULL)
+    peer->next_send = 0;
+}
+
 static gboolean
 is_unresponsive (const struct peer *peer, gint64 now)
 {
@@ -714,6 +725,7 @@
                          .ctx = ctx };
   GHashTableIter iter;
   gpointer value;
+  gossip->state = *state;
   g_hash_table_iter_init (&iter, gossip->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     round.n_contenders += is_contender (gossip, value, now);
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -64,6 +64,7 @@
                            const struct registry_server *server,
                            const struct prefix_prompt *prompt,
                            gboolean at_home);
+void gossip_ask (struct gossip *gossip, guint32 ip);
 void gossip_tick (struct gossip *gossip, const struct gossip_local_state *state,
                   struct registry *registry,
                   struct server_load_table *server_load_table, gint64 now,
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -38,6 +38,8 @@
   gint64 last_heard;        /* clock time of the last message; 0: none */
   gint64 last_reported;     /* clock time of the last sign of life by others */
   gint64 next_send;         /* clock time */
+  gint64 helped_at;         /* clock time of the last message sent at once
+                               because this peer was behind */
   gint64 summaries_sent_at; /* clock time when a round was complete */
   guint n_summaries_sent;   /* in the current round */
   gboolean wants_reply;     /* as in its last message */
@@ -70,6 +72,7 @@
   guint index_generation;     /* of the server registry, for servers_by_key */
   struct gossip_message scratch_message; /* to encode and decode */
   GByteArray *scratch_bytes;             /* encoded message */
+  struct gossip_local_state state;       /* at the last tick */
   guint scratch_added[RING_N]; /* placements in scratch_message, by ring */
 };
 
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -6,6 +6,9 @@
    keep repeating to each other, age until they are dropped.  */
 #define MEMBER_HOP_AGE_US (500 * CLK_MS)
 
+/* Between two messages that are sent to a peer before they are due. */
+#define HELP_INTERVAL_US (100 * CLK_MS)
+
 /* Set in the key under which the load of a complete domain is stored among the
    loads of single peers, which have their IP addresses as keys. The addresses
    from 240.0.0.0 on are reserved, so no instance has such a key.  */
@@ -129,6 +132,26 @@
   return freshness;
 }
 
+/* Sends the next message to PEER at once if MESSAGE shows that it has just
+   started: it has an older configuration than this instance, or no confirmation
+   that its configuration is the newest. Clients reach it before its next
+   messages are due.  */
+static void
+help_starting_peer (struct gossip *gossip, struct peer *peer,
+                    const struct gossip_message *message, gint64 now)
+{
+  const struct gossip_local_state *state = &gossip->state;
+  gboolean lacks_version = message->config_version < state->config_version;
+  gboolean lacks_confirmation = message->config_version == state->config_version
+                                && message->config_age_us < 0
+                                && state->config_age_us >= 0;
+  if ((!lacks_version && !lacks_confirmation)
+      || now - peer->helped_at < HELP_INTERVAL_US)
+    return;
+  peer->helped_at = now;
+  peer->next_send = MIN (peer->next_send, now);
+}
+
 /* Applies a datagram received from the instance at IP. Returns 0 and sets
    UPDATE, ERR_CONFLICT without a text in ERR if a newer message of the same
    incarnation has been received already, or another negative number if the
@@ -172,6 +195,7 @@
     gossip_add_peer (gossip, message->members[i].ip, message->members[i].domain,
                      now - (gint64)message->members[i].age_ms * CLK_MS
                          - MEMBER_HOP_AGE_US);
+  help_starting_peer (gossip, peer, message, now);
   gboolean is_local = gossip_is_local_peer (gossip, peer);
   GHashTable *servers_by_key = index_by_key (gossip, registry);
   if (message->n_summaries == 0 || is_local)
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -275,6 +275,38 @@
   finish ();
 }
 
+/* An instance restarts in a fleet that has a configuration, while clients are
+   sent to it. It learns of the configuration within 0.2 s and, once it has
+   fetched that from the peer that told it, has a confirmation within 0.2 s
+   more.  */
+static void
+test_quick_start (void)
+{
+  start (60, 6, 12);
+  step (6 * CLK_S);
+  for (guint i = 0; i < 60; i++)
+    {
+      net.nodes[i].state.config_version = 9;
+      net.nodes[i].state.config_age_us = 300 * CLK_MS;
+    }
+  step (2 * CLK_S);
+  for (guint k = 20; k < 26; k++)
+    {
+      struct node *node = &net.nodes[k];
+      halt (k);
+      boot (k, 6);
+      step (200 * CLK_MS);
+      CU_ASSERT_EQUAL (node->update.config_version, 9);
+      node->state.config_version = 9;
+      node->confirmed_after_max = 0;
+      for (guint i = 0; i < 3; i++)
+        gossip_ask (node->gossip, ip_of (i));
+      step (200 * CLK_MS);
+      CU_ASSERT_TRUE (node->confirmed_after_max > net.now - CLK_S);
+    }
+  finish ();
+}
+
 /* Adds N large placements at e-1 to instances of domain d0, one in four of them
    not at the preferred server, and counts all in *NEXT.  */
 static void
@@ -514,6 +546,7 @@
   { "placements of a large fleet", test_placements_of_a_large_fleet },
   { "load told to other domains", test_significant_load },
   { "the era of the store", test_store_era_spreads },
+  { "a quick start", test_quick_start },
   { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
   { "single reader of the store", test_single_store_reader },
