Let the store overrule an era that peers state wrongly

Cause (read in the diff): an era from a peer's damaged message, higher than any of the store, would have made all answers of the store count as old for good. Change: three answers in a row of an older era count as a new one, and peers that repeat the overruled era are not believed any more. Test: 'an era that goes back'.

--- a/packages/fleet/store_era.h
+++ b/packages/fleet/store_era.h
@@ -20,6 +20,18 @@
 #undef STORE_ERA_ENUM
 };
 
-enum store_era_order store_era_observe (guint64 *known, guint64 era);
+struct store_era
+{
+  guint64 known; /* newest era; 0: none yet */
+  guint n_older; /* answers of the store with an older one since the last with
+                    the known one */
+  guint64 overruled; /* the store has shown that peers' eras up to this one are
+                        wrong; 0: none */
+};
+
+enum store_era_order store_era_of_store (struct store_era *store_era,
+                                         guint64 era);
+enum store_era_order store_era_of_peer (struct store_era *store_era,
+                                        guint64 era);
 
 #endif
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -64,7 +64,7 @@
     .config_version = proxy_config_version (daemon->reverse_proxy),
     .config_age_us = age == G_MAXINT64 ? GOSSIP_AGE_UNKNOWN : age,
     .n_waiting = scheduler_n_waiting (daemon->scheduler),
-    .store_era = daemon->store_era,
+    .store_era = daemon->store_era.known,
     .server_list_digest = daemon->server_list.digest,
     .server_list_age_us = daemon->server_list.entries
                               ? now - daemon->server_list.requested_at
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "fleet/read_schedule.h"
+#include "fleet/store_era.h"
 #include "gate/reverse_proxy.h"
 #include "http/server.h"
 #include "jacinthward/proxy_daemon.h"
@@ -57,7 +58,7 @@
   struct read_schedule servers_schedule;
   struct fetch *config_fetch;  /* owned; NULL: none in progress */
   struct fetch *servers_fetch; /* owned; NULL: none in progress */
-  guint64 store_era;           /* newest one known; 0: none */
+  struct store_era store_era;
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
                              one has been read */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -6,7 +6,6 @@
 #include "jacinthward/proxy_daemon_internal.h"
 
 #include "base/log.h"
-#include "fleet/store_era.h"
 #include "http/client.h"
 
 #define FETCH_TIMEOUT_MS 2000 /* limit for one fetch from a peer */
@@ -75,8 +74,9 @@
 static gboolean
 accept_era (struct proxy_daemon *daemon, guint64 era, const char *peer)
 {
-  guint64 before = daemon->store_era;
-  switch (store_era_observe (&daemon->store_era, era))
+  guint64 before = daemon->store_era.known;
+  switch (peer != NULL ? store_era_of_peer (&daemon->store_era, era)
+                       : store_era_of_store (&daemon->store_era, era))
     {
     case STORE_ERA_SAME:
       break;
@@ -249,8 +249,8 @@
   g_array_unref (list.entries);
 }
 
-/* Records the failure of a fetch. A peer that had no budget left for the
-   transfer is no failure: another one will announce the same data.  */
+/* Records that a fetch has failed. After several in a row the store is read
+   instead.  */
 static void
 record_fetch_failure (struct proxy_daemon *daemon, const struct fetch *fetch,
                       const struct err *err)
@@ -284,6 +284,8 @@
     }
   else
     apply_fetched_servers (daemon, response->body, fetch->requested_at, &err);
+  /* A peer without budget for the transfer is no failure: another one will
+     announce the same data. */
   if (is_busy)
     log_event (LOG_DEBUG, "peer.busy", "what=%s",
                fetch->config ? "config" : "servers");
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -405,16 +405,46 @@
 static void
 test_store_era (void)
 {
-  guint64 known = 0;
-  CU_ASSERT_EQUAL (store_era_observe (&known, 0), STORE_ERA_SAME);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 4), STORE_ERA_SAME);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 4), STORE_ERA_SAME);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 3), STORE_ERA_OLDER);
-  CU_ASSERT_EQUAL (known, 4);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 7), STORE_ERA_NEWER);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 5), STORE_ERA_OLDER);
-  CU_ASSERT_EQUAL (store_era_observe (&known, 0), STORE_ERA_SAME);
-  CU_ASSERT_EQUAL (known, 7);
+  struct store_era era = { 0 };
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 0), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 4), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 4), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 3), STORE_ERA_OLDER);
+  CU_ASSERT_EQUAL (era.known, 4);
+  CU_ASSERT_EQUAL (store_era_of_peer (&era, 7), STORE_ERA_NEWER);
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 5), STORE_ERA_OLDER);
+  CU_ASSERT_EQUAL (store_era_of_peer (&era, 0), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (store_era_of_peer (&era, 5), STORE_ERA_OLDER);
+  CU_ASSERT_EQUAL (era.known, 7);
+}
+
+/* A peer's damaged message states an era that the store never had. The store's
+   answers must not be dropped for good; peers alone cannot take the era back.
+ */
+static void
+test_store_era_goes_back (void)
+{
+  struct store_era era = { .known = 4 };
+  guint dropped = 0;
+  CU_ASSERT_EQUAL (store_era_of_peer (&era, 1000000), STORE_ERA_NEWER);
+  for (guint i = 0; i < 20; i++)
+    CU_ASSERT_EQUAL (store_era_of_peer (&era, 4), STORE_ERA_OLDER);
+  while (store_era_of_store (&era, 4) == STORE_ERA_OLDER)
+    dropped++;
+  CU_ASSERT_EQUAL (dropped, 2);
+  CU_ASSERT_EQUAL (era.known, 4);
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 4), STORE_ERA_SAME);
+  /* Peers that still believe in it change nothing any more. */
+  for (guint i = 0; i < 20; i++)
+    CU_ASSERT_EQUAL (store_era_of_peer (&era, 1000000), STORE_ERA_SAME);
+  CU_ASSERT_EQUAL (era.known, 4);
+  /* Late answers between those of the present era never add up. */
+  CU_ASSERT_EQUAL (store_era_of_store (&era, 5), STORE_ERA_NEWER);
+  for (guint i = 0; i < 10; i++)
+    {
+      CU_ASSERT_EQUAL (store_era_of_store (&era, 4), STORE_ERA_OLDER);
+      CU_ASSERT_EQUAL (store_era_of_store (&era, 5), STORE_ERA_SAME);
+    }
 }
 
 static void
@@ -448,6 +478,7 @@
   { "a list of thousands of servers", test_large_list },
   { "failing servers among many", test_review_of_many_servers },
   { "eras of the store", test_store_era },
+  { "an era that goes back", test_store_era_goes_back },
   { "distances", test_distance },
   CU_TEST_INFO_NULL,
 };
