Show that a shutdown loses requests that were read

Callers see the end of their connection without a complete response, although the request was read and the instance had time to answer.

--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -83,6 +83,9 @@
   gboolean shutdown_done;
 } proxy_test;
 
+/* Option shutdown_limit_us of proxies started from now on. */
+static gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
+
 static gint64
 proxy_test_now (const struct clk *clk)
 {
@@ -391,7 +394,7 @@
           .scheduler = proxy_test.scheduler,
           .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
           .key_freshness_limit_us = 2 * CLK_S,
-          .shutdown_limit_us = 8 * CLK_S,
+          .shutdown_limit_us = proxy_test_shutdown_limit_us,
           .shutdown_done = proxy_test_on_shutdown_done };
   CU_ASSERT_EQUAL_FATAL (proxy_new (&options, &proxy_test.reverse_proxy, &err),
                          0);
--- /dev/null
+++ b/tests/unit/test_gate_shutdown.c
@@ -0,0 +1,239 @@
+/* Requests that are in progress when the reverse proxy shuts down, or whose
+   connection it closes.  */
+#include "unit/proxy_fixture.h"
+
+#include <glib-unix.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define RECEIVE_BUFFER_BYTES 4096
+/* Larger than what the kernel buffers between the proxy and such a client. */
+#define LONG_RESPONSE_BYTES (7 * 1024 * 1024)
+#define PAST_NOTICE_MS 2700 /* the proxy closes idle connections before */
+#define PAST_LINGER_MS 2500 /* longer than the wait for the peer's FIN */
+#define SHORT_LIMIT_US (1 * CLK_S)
+#define LIMIT_CLIENTS 24    /* more than a server takes at once */
+#define BACKLOG_CLIENTS 100 /* more than are accepted in one iteration */
+
+static void
+respond_long (struct proxy_test_link *link, struct proxy_test_request *request)
+{
+  char *body = g_strnfill (LONG_RESPONSE_BYTES, 'x');
+  proxy_test_respond (link, request, "200 OK", PROXY_TEST_SIGNED, body);
+  g_free (body);
+}
+
+static int
+connect_socket (gboolean small_buffer)
+{
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const int bytes = RECEIVE_BUFFER_BYTES;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  to.sin_port = htons ((guint16)proxy_port (proxy_test.reverse_proxy));
+  if (small_buffer)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  return fd;
+}
+
+/* Opens a client that reads nothing until its connection is resumed.  */
+static struct proxy_test_client *
+open_stalled_client (void)
+{
+  struct proxy_test_client *client = g_new0 (struct proxy_test_client, 1);
+  const struct tcp_conn_options options
+      = { .handler = &proxy_test_client_handler, .ctx = client };
+  int fd = connect_socket (TRUE);
+  g_unix_set_fd_nonblocking (fd, TRUE, NULL);
+  client->in = g_string_new (NULL);
+  client->tcp_conn = tcp_conn_adopt (fd, &options);
+  tcp_conn_pause (client->tcp_conn, TRUE);
+  return client;
+}
+
+static gboolean
+is_shut_down (void *ctx)
+{
+  (void)ctx;
+  return proxy_test.shutdown_done;
+}
+
+static void
+check_long_response (struct proxy_test_client *client)
+{
+  tcp_conn_pause (client->tcp_conn, FALSE);
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, 200);
+  CU_ASSERT_TRUE (response.complete);
+  CU_ASSERT_EQUAL (response.body->len, LONG_RESPONSE_BYTES);
+  proxy_test_response_clear (&response);
+}
+
+/* A response that a slow client has not read when its connection is to be
+   closed must still reach it.  */
+static void
+test_slow_reader_of_last_response (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (respond_long);
+  struct proxy_test_client *client = open_stalled_client ();
+  proxy_test_send_request (client, "/again/x", "Connection: close\r\n");
+  proxy_test_run_for (PAST_LINGER_MS);
+  check_long_response (client);
+  proxy_test_close_client (client);
+  proxy_test_stop ();
+}
+
+/* A shutdown is not complete while a response is being sent.  */
+static void
+test_shutdown_sends_responses (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (respond_long);
+  struct proxy_test_client *client = open_stalled_client ();
+  proxy_test_send_request (client, "/again/x", "");
+  proxy_test_run_for (50);
+  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_test_run_for (PAST_NOTICE_MS);
+  CU_ASSERT_FALSE (proxy_test.shutdown_done);
+  check_long_response (client);
+  proxy_test_close_client (client);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  proxy_test_stop ();
+}
+
+/* At the shutdown limit every request without a response gets one: "not run"
+   if it is queued, "unknown" if a server has it.  */
+static void
+test_requests_at_shutdown_limit (void)
+{
+  struct proxy_test_client *clients[LIMIT_CLIENTS];
+  guint unknown = 0;
+  guint not_run = 0;
+  proxy_test_shutdown_limit_us = SHORT_LIMIT_US;
+  proxy_test_start (1);
+  proxy_test_shutdown_limit_us = 8 * CLK_S;
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (proxy_test_never_respond);
+  for (guint i = 0; i < LIMIT_CLIENTS; i++)
+    clients[i] = proxy_test_open_client ();
+  proxy_test_run_for (50);
+  for (guint i = 0; i < LIMIT_CLIENTS; i++)
+    proxy_test_send_request (clients[i], "/once/x", "");
+  proxy_test_run_for (50);
+  guint at_server = proxy_test_n_requests ();
+  guint queued = scheduler_n_waiting (proxy_test.scheduler);
+  CU_ASSERT_TRUE (at_server > 0);
+  CU_ASSERT_TRUE (queued > 0);
+  proxy_shut_down (proxy_test.reverse_proxy);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  proxy_free (g_steal_pointer (&proxy_test.reverse_proxy));
+  for (guint i = 0; i < LIMIT_CLIENTS; i++)
+    {
+      struct proxy_test_response response
+          = proxy_test_wait_response (clients[i]);
+      CU_ASSERT_TRUE (response.complete);
+      unknown += response.status == 502;
+      not_run += response.status == 503;
+      CU_ASSERT_EQUAL (response.retry_after != NULL, response.status == 503);
+      proxy_test_response_clear (&response);
+      proxy_test_close_client (clients[i]);
+    }
+  CU_ASSERT_EQUAL (unknown, at_server);
+  CU_ASSERT_EQUAL (not_run, LIMIT_CLIENTS - at_server);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), at_server);
+  proxy_test_stop ();
+}
+
+/* A request that is still being received at the shutdown limit is answered as
+   not run, so that the client sends it to another instance.  */
+static void
+test_partial_request_at_shutdown_limit (void)
+{
+  proxy_test_shutdown_limit_us = SHORT_LIMIT_US;
+  proxy_test_start (1);
+  proxy_test_shutdown_limit_us = 8 * CLK_S;
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  proxy_test_send_text (client, "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+                                "X-Request-Id: p\r\n"
+                                "Content-Length: 4\r\n\r\nbo");
+  proxy_test_run_for (50);
+  proxy_shut_down (proxy_test.reverse_proxy);
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, 503);
+  CU_ASSERT_TRUE (response.closes);
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  proxy_test_stop ();
+}
+
+/* Reads until the end of the connection, which must be blocking. Returns
+   whether a success status arrived.  */
+static gboolean
+read_success (int fd)
+{
+  static const char success[] = "HTTP/1.1 200";
+  char text[4096];
+  gsize n = 0;
+  gssize got;
+  while (n < sizeof text && (got = read (fd, text + n, sizeof text - n)) > 0)
+    n += (gsize)got;
+  return n >= strlen (success) && memcmp (text, success, strlen (success)) == 0;
+}
+
+/* Connections that the kernel has accepted before the listener closes are
+   served, also if the process was too busy to take them all.  */
+static void
+test_backlog_is_served (void)
+{
+  static const char request[]
+      = "POST /open/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: b\r\n"
+        "Content-Length: 4\r\n\r\nbody";
+  int sockets[BACKLOG_CLIENTS];
+  guint served = 0;
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_test_run_for (50);
+  for (guint i = 0; i < BACKLOG_CLIENTS; i++)
+    {
+      sockets[i] = connect_socket (FALSE);
+      CU_ASSERT_EQUAL (write (sockets[i], request, strlen (request)),
+                       (gssize)strlen (request));
+    }
+  g_usleep (PAST_NOTICE_MS * CLK_MS);
+  proxy_test_run_for (1500);
+  for (guint i = 0; i < BACKLOG_CLIENTS; i++)
+    {
+      served += read_success (sockets[i]);
+      close (sockets[i]);
+    }
+  CU_ASSERT_EQUAL (served, BACKLOG_CLIENTS);
+  proxy_test_stop ();
+}
+
+static CU_TestInfo tests[] = {
+  { "a slow reader gets its last response", test_slow_reader_of_last_response },
+  { "a shutdown waits for responses being sent",
+    test_shutdown_sends_responses },
+  { "requests at the shutdown limit", test_requests_at_shutdown_limit },
+  { "a partial request at the shutdown limit",
+    test_partial_request_at_shutdown_limit },
+  { "the backlog of a closed listener", test_backlog_is_served },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "gate shutdown", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
