--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -36,7 +36,10 @@
   g_clear_handle_id (&downstream->timer, g_source_remove);
   g_queue_unlink (&downstream->reverse_proxy->clients, &downstream->link);
   if (downstream->exchange != NULL)
-    exchange_free (downstream->exchange);
+    {
+      exchange_dropped (downstream->exchange, "process_end");
+      exchange_free (downstream->exchange);
+    }
   tcp_conn_close (downstream->tcp_conn);
   http_reader_free (downstream->http_reader);
   g_byte_array_unref (downstream->read_ahead);
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -190,12 +190,37 @@
   send_local_response (exchange, &local_response);
 }
 
+/* Records that the client's connection is closed without a complete response to
+   its request, if the request has arrived completely. WHY is static text.  */
+void
+exchange_dropped (const struct exchange *exchange, const char *why)
+{
+  const struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
+  if (exchange->state == EXCHANGE_RECEIVING
+      || statechart_is_final (reverse_proxy->chart, exchange->state))
+    return;
+  gint64 now = exchange_now (exchange);
+  counter_add (reverse_proxy->options.counter_set, COUNTER_UNANSWERED, 1);
+  struct log_entry e
+      = log_record (exchange, "request.unanswered", exchange->downstream->peer);
+  log_write (&e,
+             "reason=%s state=%s number=%u attempts=%u bytes=%" G_GUINT64_FORMAT
+             " elapsed_ms=%" G_GINT64_FORMAT " shutdown_ms=%" G_GINT64_FORMAT,
+             why, exchange_state_name (exchange->state),
+             exchange->downstream->served, exchange->attempts,
+             exchange->response_bytes, (now - exchange->arrived) / CLK_MS,
+             reverse_proxy->shutdown_started
+                 ? (now - reverse_proxy->shutdown_started) / CLK_MS
+                 : -1);
+}
+
 /* Resets the client's connection in the middle of a response, so that the
    client cannot take the response for complete. Frees EXCHANGE.  */
 static void
 abort_response (struct exchange *exchange, const char *why)
 {
   struct downstream *downstream = exchange->downstream;
+  exchange_dropped (exchange, why);
   exchange_transition (exchange, EXCHANGE_ON_ABORT);
   exchange_log_end (exchange, why);
   counter_add (exchange->reverse_proxy->options.counter_set, COUNTER_FAILED, 1);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -151,6 +151,7 @@
 void exchange_on_decision (void *ctx, struct scheduler_entry *queue_entry,
                            const struct scheduler_decision *decision);
 void exchange_output_drained (struct exchange *exchange);
+void exchange_dropped (const struct exchange *exchange, const char *why);
 const char *exchange_state_name (enum exchange_state state);
 
 /* Called by the attempt at a backend server. */
