Send the last response of a connection before the process ends

Callers saw the end of their connection in the middle of a response, although the server had answered completely. Cause: a connection that was to be closed left the list of clients at once, with output still queued. A shutdown ended when that list was empty, and the process with it; at any time the output was dropped 2 s after the close, also while the client went on reading.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -17,6 +17,7 @@
   X (CLIENT_DISCONNECTED, "caller_gone", "clients that disconnected early")    \
   X (UNANSWERED, "unanswered",                                                 \
      "requests whose connection was closed without a complete response")       \
+  X (UNSENT, "unsent", "connections closed before all output was sent")        \
   X (CLIENT_SLOW, "caller_slow", "clients cut off for slow reads or writes")   \
   X (INVALID_REQUEST, "bad_request", "requests with invalid content")          \
   X (UNKNOWN_KEY, "bad_key", "requests with an unknown team key")              \
--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -63,7 +63,7 @@
 {
   struct tcp_conn *tcp_conn = g_steal_pointer (&downstream->tcp_conn);
   if (tcp_conn != NULL)
-    tcp_conn_finish (tcp_conn);
+    closing_start (downstream->reverse_proxy, tcp_conn, downstream->peer);
   release (downstream);
 }
 
@@ -284,7 +284,8 @@
   downstream->link.data = downstream;
   g_queue_push_tail_link (&reverse_proxy->clients, &downstream->link);
   wait_for_request (downstream);
-  if (reverse_proxy->clients.length > CLIENTS_MAX)
+  if (reverse_proxy->clients.length + reverse_proxy->closing.length
+      > CLIENTS_MAX)
     finish (downstream);
 }
 
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -40,6 +40,7 @@
   reverse_proxy->rand = g_rand_new ();
   reverse_proxy->instances = 1;
   g_queue_init (&reverse_proxy->clients);
+  g_queue_init (&reverse_proxy->closing);
   int code
       = statechart_load (options->chart, &binding, &reverse_proxy->chart, err);
   if (code < 0)
@@ -66,6 +67,7 @@
   g_clear_handle_id (&reverse_proxy->shutdown_timer, g_source_remove);
   while (reverse_proxy->clients.head != NULL)
     downstream_free (reverse_proxy->clients.head->data);
+  closing_free_all (reverse_proxy);
   tcp_listener_free (reverse_proxy->listener);
   g_clear_handle_id (&reverse_proxy->poll_source, g_source_remove);
   backend_pool_free (reverse_proxy->backend_pool);
@@ -196,15 +198,17 @@
         next = link->next;
         downstream_drain (link->data);
       }
-  gboolean all_closed
-      = elapsed >= READINESS_NOTICE_US && reverse_proxy->clients.length == 0;
+  gboolean all_closed = elapsed >= READINESS_NOTICE_US
+                        && reverse_proxy->clients.length == 0
+                        && reverse_proxy->closing.length == 0;
   gboolean out_of_time = reverse_proxy->options.shutdown_limit_us > 0
                          && elapsed >= reverse_proxy->options.shutdown_limit_us
                                            - SHUTDOWN_MARGIN_US;
   if (!all_closed && !out_of_time)
     return G_SOURCE_CONTINUE;
-  log_event (LOG_INFO, "gate.drained", "exchanges=%u callers=%u",
-             reverse_proxy->exchanges, reverse_proxy->clients.length);
+  log_event (LOG_INFO, "gate.drained", "exchanges=%u callers=%u closing=%u",
+             reverse_proxy->exchanges, reverse_proxy->clients.length,
+             reverse_proxy->closing.length);
   reverse_proxy->shutdown_timer = 0;
   reverse_proxy->options.shutdown_done (reverse_proxy->options.ctx);
   return G_SOURCE_REMOVE;
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -33,6 +33,7 @@
   struct backend_pool *backend_pool;
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
   GQueue clients;            /* of struct downstream */
+  GQueue closing;            /* of struct closing_connection */
   GRand *rand;
   guint instances;         /* of the deployment, estimated */
   guint exchanges;         /* in progress */
@@ -70,6 +71,12 @@
 void downstream_reset (struct downstream *downstream);
 void downstream_drain (struct downstream *downstream);
 
+/* Connections of clients that are being closed: the last response is being
+   sent, or the client's FIN is awaited. */
+void closing_start (struct reverse_proxy *reverse_proxy,
+                    struct tcp_conn *tcp_conn, const char *peer);
+void closing_free_all (struct reverse_proxy *reverse_proxy);
+
 void proxy_schedule_poll (struct reverse_proxy *reverse_proxy);
 
 /* X (NAME, "name"): states and events of an exchange. charts/exchange.chart
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -9,8 +9,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define KEEPALIVE_S 1       /* before the first probe and between probes */
-#define LINGER_MS 2000      /* longest wait for the peer's FIN after ours */
+#define KEEPALIVE_S 1  /* before the first probe and between probes */
+#define LINGER_MS 2000 /* longest wait for the peer's FIN after ours */
+#define FLUSH_STALL_MS                                                         \
+  8000 /* a finished connection is closed if the peer takes no byte of its     \
+          output for this time */
 #define COMPACT_BYTES 65536 /* most sent bytes kept in OUT */
 
 struct tcp_conn
@@ -25,6 +28,8 @@
   guint64 sent;        /* total bytes that the kernel has accepted */
   guint connect_timer; /* GLib source; 0: none */
   guint linger_timer;  /* GLib source; 0: none */
+  guint64 sent_before; /* SENT when the linger timer was started */
+  gsize discarded;     /* bytes received after the finish */
   int write_error;     /* errno of a failed write, not yet reported; 0: none */
   gboolean connecting;
   gboolean paused;
@@ -52,6 +57,13 @@
   g_rc_box_release_full (conn, tcp_conn_clear);
 }
 
+/* Returns the bytes that the kernel has not accepted yet.  */
+gsize
+tcp_conn_queued (const struct tcp_conn *conn)
+{
+  return conn->out->len - conn->out_sent;
+}
+
 static void
 update_poll_events (struct tcp_conn *conn)
 {
@@ -80,6 +92,21 @@
   conn->fd = -1;
 }
 
+/* Closes and frees a connection that is being finished.  */
+static void
+release_finished (struct tcp_conn *conn)
+{
+  const struct tcp_conn_remainder remainder
+      = { .unsent = tcp_conn_queued (conn), .discarded = conn->discarded };
+  void (*finished) (void *, const struct tcp_conn_remainder *)
+      = conn->handler.finished;
+  void *ctx = conn->ctx;
+  close_socket (conn);
+  tcp_conn_unref (conn);
+  if (finished != NULL)
+    finished (ctx, &remainder);
+}
+
 /* Closes the socket and reports ERROR, an errno, to the owner. A connection
    that was being finished has no owner any more and is freed.  */
 static void
@@ -92,12 +119,14 @@
   err_set (&err, code, step, "", "%s", g_strerror (error));
   void (*failed) (void *, const struct err *) = conn->handler.failed;
   void *ctx = conn->ctx;
-  gboolean notify = !conn->lingering && !conn->finishing;
+  if (conn->finishing)
+    {
+      release_finished (conn);
+      return;
+    }
   close_socket (conn);
-  if (notify && failed != NULL)
+  if (failed != NULL)
     failed (ctx, &err);
-  else if (!notify)
-    tcp_conn_unref (conn);
 }
 
 static void
@@ -132,13 +161,19 @@
     }
 }
 
+/* Closes the connection unless the peer has taken output since the timer was
+   started.  */
 static gboolean
 on_linger_timeout (gpointer data)
 {
   struct tcp_conn *conn = data;
+  if (!conn->lingering && conn->sent > conn->sent_before)
+    {
+      conn->sent_before = conn->sent;
+      return G_SOURCE_CONTINUE;
+    }
   conn->linger_timer = 0;
-  close_socket (conn);
-  tcp_conn_unref (conn);
+  release_finished (conn);
   return G_SOURCE_REMOVE;
 }
 
@@ -152,13 +187,12 @@
   shutdown (conn->fd, SHUT_WR);
   if (conn->ended)
     {
-      close_socket (conn);
-      tcp_conn_unref (conn);
+      release_finished (conn);
       return;
     }
   conn->paused = FALSE;
-  if (conn->linger_timer == 0)
-    conn->linger_timer = g_timeout_add (LINGER_MS, on_linger_timeout, conn);
+  g_clear_handle_id (&conn->linger_timer, g_source_remove);
+  conn->linger_timer = g_timeout_add (LINGER_MS, on_linger_timeout, conn);
   update_poll_events (conn);
 }
 
@@ -213,15 +247,14 @@
     {
       conn->ended = TRUE;
       if (conn->lingering)
-        {
-          close_socket (conn);
-          tcp_conn_unref (conn);
-        }
+        release_finished (conn);
       else if (conn->handler.ended != NULL && !conn->finishing)
         conn->handler.ended (conn->ctx);
       return;
     }
-  if (!conn->lingering && !conn->finishing && conn->handler.data != NULL)
+  if (conn->finishing)
+    conn->discarded += (gsize)n;
+  else if (conn->handler.data != NULL)
     conn->handler.data (conn->ctx, (struct str){ buffer, (gsize)n });
 }
 
@@ -402,13 +435,6 @@
   update_poll_events (conn);
 }
 
-/* Returns the bytes that the kernel has not accepted yet.  */
-gsize
-tcp_conn_queued (const struct tcp_conn *conn)
-{
-  return conn->out->len - conn->out_sent;
-}
-
 /* Returns the bytes that the kernel has accepted. The peer may have received up
    to as many.  */
 guint64
@@ -463,23 +489,27 @@
   tcp_conn_close (conn);
 }
 
-/* Closes gracefully once the queued output is sent, within LINGER_MS. The
-   handler is not called any more, and the connection frees itself.  */
+/* Closes gracefully once the queued output is sent, however long that takes a
+   peer that goes on reading. Of the handler only FINISHED is still called,
+   perhaps at once; the connection frees itself.  */
 void
 tcp_conn_finish (struct tcp_conn *conn)
 {
   if (conn == NULL)
     return;
+  conn->finishing = TRUE;
   if (conn->source == NULL || conn->write_error != 0 || conn->connecting)
     {
-      tcp_conn_close (conn);
+      release_finished (conn);
       return;
     }
-  conn->finishing = TRUE;
   if (conn->out->len == 0)
-    start_linger (conn);
-  else
-    conn->linger_timer = g_timeout_add (LINGER_MS, on_linger_timeout, conn);
+    {
+      start_linger (conn);
+      return;
+    }
+  conn->sent_before = conn->sent;
+  conn->linger_timer = g_timeout_add (FLUSH_STALL_MS, on_linger_timeout, conn);
 }
 
 struct tcp_listener
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -13,6 +13,13 @@
 
 struct tcp_conn;
 
+/* What was left of a connection when tcp_conn_finish had closed it.  */
+struct tcp_conn_remainder
+{
+  gsize unsent;    /* bytes of output that were dropped */
+  gsize discarded; /* bytes of input that arrived after the finish */
+};
+
 /* Callbacks of a connection. Each may be NULL and may free the connection.  */
 struct tcp_conn_handler
 {
@@ -22,6 +29,9 @@
   /* The connection was refused or reset, or timed out. No callback follows. */
   void (*failed) (void *ctx, const struct err *err);
   void (*drained) (void *ctx); /* the output buffer is empty */
+  /* The connection has been closed after tcp_conn_finish, and is being freed.
+     This is the only callback after tcp_conn_finish. */
+  void (*finished) (void *ctx, const struct tcp_conn_remainder *remainder);
 };
 
 struct tcp_conn_options
