Answer requests in progress when the shutdown limit is reached

Callers saw the end of their connection without a response, although the request had been read seconds before. Cause: at the limit the process ended, whatever was queued or at a server. Evidence: test_gate_shutdown, "requests at the shutdown limit" and "a partial request at the shutdown limit", failed on the code of: 24 requests, no response. Change: 500 ms before the limit requests that have not run get 503 with a Retry-After of 50 ms, as other instances can serve them at once, those at a server 502; responses that have begun are reset, since they would be cut anyway. The process ends when that is sent, 250 ms before the limit at the latest (400 before).

--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -331,3 +331,20 @@
       && tcp_conn_is_idle (downstream->tcp_conn))
     finish (downstream);
 }
+
+/* The shutdown limit is reached: ends the request in progress with a response,
+   unless one has begun, and closes the connection. Frees DOWNSTREAM.  */
+void
+downstream_end_at_limit (struct downstream *downstream)
+{
+  const struct local_response partial
+      = { .status = 503, .code = "shutdown_limit", .ran = "no", .close = TRUE };
+  if (is_busy (downstream))
+    {
+      exchange_end_at_limit (downstream->exchange);
+      return;
+    }
+  if (downstream->exchange != NULL)
+    local_response_send (downstream, downstream->exchange->id, &partial);
+  downstream_end_exchange (downstream, FALSE);
+}
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -14,6 +14,8 @@
 #define DEFAULT_RETRY_US                                                       \
   (500 * CLK_MS) /* also without a configuration: the first one normally       \
                     arrives within a second */
+#define SHUTDOWN_RETRY_US                                                      \
+  (50 * CLK_MS) /* other instances can serve the request at once */
 #define REJECTED_PAUSE_US                                                      \
   (150 * CLK_MS) /* how long a server that rejected a request is not used */
 #define MISDIRECTED_PAUSE_US                                                   \
@@ -241,6 +243,20 @@
   return G_SOURCE_REMOVE;
 }
 
+/* The shutdown limit is reached: ends the request with a response, or resets
+   the connection if one has begun. Frees EXCHANGE.  */
+void
+exchange_end_at_limit (struct exchange *exchange)
+{
+  static const char why[] = "shutdown_limit";
+  if (exchange->head_sent)
+    abort_response (exchange, why);
+  else if (exchange->may_have_run || exchange->upstream != NULL)
+    send_outcome_unknown (exchange, 502, why);
+  else
+    reject (exchange, 503, why, SHUTDOWN_RETRY_US);
+}
+
 /* Sets the deadline to the route's time-out or, if it is earlier, the one that
    the client asks for.  */
 static void
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -7,7 +7,9 @@
   (2500 * CLK_MS) /* the load balancer checks readiness once a second; after   \
                      this time two of its checks have failed */
 #define SHUTDOWN_MARGIN_US                                                     \
-  (400 * CLK_MS) /* kept free at the end of the shutdown limit */
+  (250 * CLK_MS) /* kept free at the end of the shutdown limit */
+#define SHUTDOWN_RESPONSE_US                                                   \
+  (250 * CLK_MS) /* before that margin, to send the last responses */
 #define SHUTDOWN_STEP_MS 100
 
 static const char *const states[] = {
@@ -183,28 +185,41 @@
                  reverse_proxy->options.key_freshness_limit_us));
 }
 
+/* Calls CLOSE, which may free its argument, for every client connection.  */
+static void
+for_each_client (struct reverse_proxy *reverse_proxy,
+                 void (*close) (struct downstream *downstream))
+{
+  for (GList *link = reverse_proxy->clients.head, *next; link != NULL;
+       link = next)
+    {
+      next = link->next;
+      close (link->data);
+    }
+}
+
 static gboolean
 on_shutdown_step (gpointer data)
 {
   struct reverse_proxy *reverse_proxy = data;
-  gint64 now = clk_now (reverse_proxy->options.clk);
-  gint64 elapsed = now - reverse_proxy->shutdown_started;
-  if (elapsed >= READINESS_NOTICE_US)
+  gint64 elapsed
+      = clk_now (reverse_proxy->options.clk) - reverse_proxy->shutdown_started;
+  gint64 limit
+      = reverse_proxy->options.shutdown_limit_us > 0
+            ? reverse_proxy->options.shutdown_limit_us - SHUTDOWN_MARGIN_US
+            : G_MAXINT64;
+  gboolean at_limit = elapsed >= limit - SHUTDOWN_RESPONSE_US;
+  gboolean noticed = elapsed >= READINESS_NOTICE_US;
+  if (noticed || at_limit)
     g_clear_pointer (&reverse_proxy->listener, tcp_listener_free);
-  if (elapsed >= READINESS_NOTICE_US)
-    for (GList *link = reverse_proxy->clients.head, *next; link != NULL;
-         link = next)
-      {
-        next = link->next;
-        downstream_drain (link->data);
-      }
-  gboolean all_closed = elapsed >= READINESS_NOTICE_US
+  if (at_limit)
+    for_each_client (reverse_proxy, downstream_end_at_limit);
+  else if (noticed)
+    for_each_client (reverse_proxy, downstream_drain);
+  gboolean all_closed = reverse_proxy->listener == NULL
                         && reverse_proxy->clients.length == 0
                         && reverse_proxy->closing.length == 0;
-  gboolean out_of_time = reverse_proxy->options.shutdown_limit_us > 0
-                         && elapsed >= reverse_proxy->options.shutdown_limit_us
-                                           - SHUTDOWN_MARGIN_US;
-  if (!all_closed && !out_of_time)
+  if (!all_closed && elapsed < limit)
     return G_SOURCE_CONTINUE;
   log_event (LOG_INFO, "gate.drained", "exchanges=%u callers=%u closing=%u",
              reverse_proxy->exchanges, reverse_proxy->clients.length,
@@ -216,8 +231,9 @@
 
 /* Begins a graceful shutdown. Readiness ends at once; new connections and
    requests are served until the load balancer has noticed, then the listener
-   and idle connections are closed. Calls the option shutdown_done when no
-   connection is left or when the shutdown limit is about to be reached.  */
+   and idle connections are closed. When the shutdown limit is about to be
+   reached, the requests in progress are ended with a response. Calls the option
+   shutdown_done when no connection is left, or at the limit.  */
 void
 proxy_shut_down (struct reverse_proxy *reverse_proxy)
 {
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -70,6 +70,7 @@
 void downstream_end_exchange (struct downstream *downstream, gboolean keep);
 void downstream_reset (struct downstream *downstream);
 void downstream_drain (struct downstream *downstream);
+void downstream_end_at_limit (struct downstream *downstream);
 
 /* Connections of clients that are being closed: the last response is being
    sent, or the client's FIN is awaited. */
@@ -158,6 +159,7 @@
 void exchange_on_decision (void *ctx, struct scheduler_entry *queue_entry,
                            const struct scheduler_decision *decision);
 void exchange_output_drained (struct exchange *exchange);
+void exchange_end_at_limit (struct exchange *exchange);
 void exchange_dropped (const struct exchange *exchange, const char *why);
 const char *exchange_state_name (enum exchange_state state);
 
