Accept all queued connections before the listener closes

Callers saw their connection reset although it had been established and the request sent. Cause: closing the listener resets what the kernel has queued. One iteration of the main loop accepts 64 connections at the most, so a busy instance had more. Change: the rest is accepted first.

--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -210,8 +210,11 @@
             : G_MAXINT64;
   gboolean at_limit = elapsed >= limit - SHUTDOWN_RESPONSE_US;
   gboolean noticed = elapsed >= READINESS_NOTICE_US;
-  if (noticed || at_limit)
-    g_clear_pointer (&reverse_proxy->listener, tcp_listener_free);
+  if ((noticed || at_limit) && reverse_proxy->listener != NULL)
+    {
+      tcp_listener_accept_pending (reverse_proxy->listener);
+      g_clear_pointer (&reverse_proxy->listener, tcp_listener_free);
+    }
   if (at_limit)
     for_each_client (reverse_proxy, downstream_end_at_limit);
   else if (noticed)
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -523,28 +523,44 @@
 /* Per main loop iteration, so that other sources run. */
 #define ACCEPTS_MAX 64
 
+/* Accepts the next connection of the kernel's queue. Returns FALSE if there is
+   none, or no descriptor for it.  */
+static gboolean
+accept_one (struct tcp_listener *listener)
+{
+  struct sockaddr_in from = { 0 };
+  socklen_t n = sizeof from;
+  int client = accept4 (listener->fd, (struct sockaddr *)&from, &n,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (client < 0)
+    return errno == ECONNABORTED || errno == EINTR;
+  guint32 ip = ntohl (from.sin_addr.s_addr);
+  char text[ERR_PEER_MAX];
+  g_snprintf (text, sizeof text, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
+              ip >> 8 & 255, ip & 255);
+  listener->accepted (listener->ctx, client, text);
+  return TRUE;
+}
+
 static gboolean
 on_acceptable (gint fd, GIOCondition condition, gpointer data)
 {
+  (void)fd;
   (void)condition;
-  struct tcp_listener *listener = data;
-  for (guint i = 0; i < ACCEPTS_MAX; i++)
-    {
-      struct sockaddr_in from = { 0 };
-      socklen_t n = sizeof from;
-      int client = accept4 (fd, (struct sockaddr *)&from, &n,
-                            SOCK_NONBLOCK | SOCK_CLOEXEC);
-      if (client < 0)
-        break;
-      guint32 ip = ntohl (from.sin_addr.s_addr);
-      char text[ERR_PEER_MAX];
-      g_snprintf (text, sizeof text, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255,
-                  ip >> 8 & 255, ip & 255);
-      listener->accepted (listener->ctx, client, text);
-    }
+  for (guint i = 0; i < ACCEPTS_MAX && accept_one (data); i++)
+    ;
   return G_SOURCE_CONTINUE;
 }
 
+/* Accepts all connections that the kernel has queued. To be called before the
+   listener is freed: freeing it resets those that are left.  */
+void
+tcp_listener_accept_pending (struct tcp_listener *listener)
+{
+  while (accept_one (listener))
+    ;
+}
+
 /* Listens on ADDRESS (IP:PORT; with port 0 the kernel chooses one). Returns
    NULL and sets ERR if it cannot.  */
 struct tcp_listener *
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -69,6 +69,7 @@
                                        tcp_listener_accepted accepted,
                                        void *ctx, struct err *err);
 guint tcp_listener_port (const struct tcp_listener *listener);
+void tcp_listener_accept_pending (struct tcp_listener *listener);
 void tcp_listener_free (struct tcp_listener *listener);
 
 int tcp_address_parse (const char *address, struct sockaddr_in *result,
