Count the shutdown limit from the arrival of the signal

Callers saw their connections end without a response on instances that were stopped at the highest load: the platform killed them before their own limit. Cause: the limit counted from the moment at which the main loop handled SIGTERM. A loaded instance with 0.12 of a core handles it up to half a second late, more than the margin of 400 ms. Change: a signal handler notes the clock time and wakes the loop (signal_watch), at high priority and installed before the listeners open, where a SIGHUP during the start ended the process. A further SIGTERM no longer ends the process with all that is in progress, which two overlapping series of restarts would do; a further SIGINT does.

--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -202,14 +202,15 @@
 on_shutdown_step (gpointer data)
 {
   struct reverse_proxy *reverse_proxy = data;
-  gint64 elapsed
-      = clk_now (reverse_proxy->options.clk) - reverse_proxy->shutdown_started;
+  gint64 now = clk_now (reverse_proxy->options.clk);
+  gint64 elapsed = now - reverse_proxy->shutdown_requested;
   gint64 limit
       = reverse_proxy->options.shutdown_limit_us > 0
             ? reverse_proxy->options.shutdown_limit_us - SHUTDOWN_MARGIN_US
             : G_MAXINT64;
   gboolean at_limit = elapsed >= limit - SHUTDOWN_RESPONSE_US;
-  gboolean noticed = elapsed >= READINESS_NOTICE_US;
+  gboolean noticed
+      = now - reverse_proxy->shutdown_started >= READINESS_NOTICE_US;
   if ((noticed || at_limit) && reverse_proxy->listener != NULL)
     {
       tcp_listener_accept_pending (reverse_proxy->listener);
@@ -236,13 +237,15 @@
    requests are served until the load balancer has noticed, then the listener
    and idle connections are closed. When the shutdown limit is about to be
    reached, the requests in progress are ended with a response. Calls the option
-   shutdown_done when no connection is left, or at the limit.  */
+   shutdown_done when no connection is left, or at the limit, which counts from
+   REQUESTED_AT (clock time).  */
 void
-proxy_shut_down (struct reverse_proxy *reverse_proxy)
+proxy_shut_down (struct reverse_proxy *reverse_proxy, gint64 requested_at)
 {
   if (reverse_proxy->shutdown_started != 0)
     return;
   reverse_proxy->shutdown_started = clk_now (reverse_proxy->options.clk);
+  reverse_proxy->shutdown_requested = requested_at;
   reverse_proxy->shutdown_timer
       = g_timeout_add (SHUTDOWN_STEP_MS, on_shutdown_step, reverse_proxy);
 }
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -32,8 +32,8 @@
   struct retry_budget_options budget; /* of retries, for each service */
   /* Highest configuration age at which team keys are accepted; 0: no limit. */
   gint64 key_freshness_limit_us;
-  /* Longest time from the start of a shutdown to the end of the process; 0: no
-     limit. */
+  /* Longest time from the request for a shutdown to the end of the process; 0:
+     no limit. */
   gint64 shutdown_limit_us;
   void (*shutdown_done) (
       void *ctx); /* the shutdown is complete, or its limit is almost reached */
@@ -57,7 +57,7 @@
 void proxy_server_changed (struct reverse_proxy *reverse_proxy,
                            const struct registry_change *change);
 void proxy_poll (struct reverse_proxy *reverse_proxy);
-void proxy_shut_down (struct reverse_proxy *reverse_proxy);
+void proxy_shut_down (struct reverse_proxy *reverse_proxy, gint64 requested_at);
 guint proxy_port (const struct reverse_proxy *reverse_proxy);
 gboolean proxy_is_ready (const struct reverse_proxy *reverse_proxy);
 void proxy_dump (const struct reverse_proxy *reverse_proxy, JsonBuilder *json);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -35,11 +35,13 @@
   GQueue clients;            /* of struct downstream */
   GQueue closing;            /* of struct closing_connection */
   GRand *rand;
-  guint instances;         /* of the deployment, estimated */
-  guint exchanges;         /* in progress */
-  gint64 shutdown_started; /* clock time; 0: not shutting down */
-  guint shutdown_timer;    /* GLib source; 0: none */
-  guint poll_source;       /* GLib source: scheduled poll; 0: none */
+  guint instances;           /* of the deployment, estimated */
+  guint exchanges;           /* in progress */
+  gint64 shutdown_started;   /* clock time; 0: not shutting down */
+  gint64 shutdown_requested; /* clock time; earlier than SHUTDOWN_STARTED if the
+                                main loop was busy */
+  guint shutdown_timer;      /* GLib source; 0: none */
+  guint poll_source;         /* GLib source: scheduled poll; 0: none */
 };
 
 struct exchange;
--- a/packages/jacinthward/main.c
+++ b/packages/jacinthward/main.c
@@ -1,12 +1,13 @@
 /* The Jacinthward daemon's command line. Depending on its settings file the
    process runs as a router or as a reverse proxy.  */
-#include <glib-unix.h>
+#include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
 
 #include "base/log.h"
 #include "jacinthward/router_daemon.h"
 #include "jacinthward/proxy_daemon.h"
+#include "net/signal_watch.h"
 
 #define EXIT_SETTINGS 2 /* invalid settings or command line */
 #define SETTINGS_VARIABLE "JACINTHWARD_CONFIG" /* path of the settings file */
@@ -62,69 +63,92 @@
   return ok;
 }
 
-static gboolean
-on_router_terminate (gpointer data)
+static const int watched_signals[] = { SIGTERM, SIGINT, SIGHUP, 0 };
+
+/* A further SIGTERM must not shorten a shutdown, as requests are in progress; a
+   further SIGINT comes from a person at the terminal and ends the process.  */
+static void
+on_router_signal (void *ctx, int signal, gint64 arrived_at)
 {
-  router_daemon_shut_down (data);
-  return G_SOURCE_CONTINUE;
+  struct router_daemon *daemon = *(struct router_daemon **)ctx;
+  (void)arrived_at;
+  if (signal == SIGHUP)
+    log_event (LOG_INFO, "process.reload",
+               "nothing was reloaded: settings are read at startup only");
+  else if (signal == SIGINT && router_daemon_is_stopping (daemon))
+    router_daemon_quit (daemon);
+  else
+    router_daemon_shut_down (daemon);
 }
 
 static int
 run_router (const struct router_settings *settings)
 {
-  struct router_daemon *daemon;
+  struct router_daemon *daemon = NULL;
+  struct signal_watch *signal_watch = NULL;
   struct err err = { 0 };
+  const struct signal_watch_options options = { .signals = watched_signals,
+                                                .clk = clk_boottime (),
+                                                .handler = on_router_signal,
+                                                .ctx = &daemon };
+  int status = EXIT_START;
   if (log_open (settings->id.s, settings->log_level) < 0)
     g_printerr ("jacinthward: cannot open the log\n");
-  if (router_daemon_new (settings, &daemon, &err) < 0)
+  signal_watch = signal_watch_new (&options, &err);
+  if (signal_watch == NULL || router_daemon_new (settings, &daemon, &err) < 0)
     {
       g_printerr ("jacinthward: %s: %s: %s\n", err.step, err.peer, err.text);
-      return EXIT_START;
+      goto fail;
     }
-  signal (SIGPIPE, SIG_IGN);
-  g_unix_signal_add (SIGTERM, on_router_terminate, daemon);
-  g_unix_signal_add (SIGINT, on_router_terminate, daemon);
   router_daemon_announce (daemon);
   router_daemon_run (daemon);
   router_daemon_free (daemon);
+  status = EXIT_SUCCESS;
+fail:
+  signal_watch_free (signal_watch);
   log_close ();
-  return EXIT_SUCCESS;
-}
-
-static gboolean
-on_proxy_terminate (gpointer data)
-{
-  proxy_daemon_shut_down (data);
-  return G_SOURCE_CONTINUE;
+  return status;
 }
 
-static gboolean
-on_proxy_reload (gpointer data)
+/* As on_router_signal.  */
+static void
+on_proxy_signal (void *ctx, int signal, gint64 arrived_at)
 {
-  proxy_daemon_reload (data);
-  return G_SOURCE_CONTINUE;
+  struct proxy_daemon *daemon = *(struct proxy_daemon **)ctx;
+  if (signal == SIGHUP)
+    proxy_daemon_reload (daemon);
+  else if (signal == SIGINT && proxy_daemon_is_stopping (daemon))
+    proxy_daemon_quit (daemon);
+  else
+    proxy_daemon_shut_down (daemon, arrived_at);
 }
 
 static int
 run_proxy (const struct proxy_settings *settings)
 {
-  struct proxy_daemon *daemon;
+  struct proxy_daemon *daemon = NULL;
+  struct signal_watch *signal_watch = NULL;
   struct err err = { 0 };
+  const struct signal_watch_options options = { .signals = watched_signals,
+                                                .clk = clk_boottime (),
+                                                .handler = on_proxy_signal,
+                                                .ctx = &daemon };
+  int status = EXIT_START;
   if (log_open (settings->id.s, settings->log_level) < 0)
     g_printerr ("jacinthward: cannot open the log\n");
-  if (proxy_daemon_new (settings, &daemon, &err) < 0)
+  signal_watch = signal_watch_new (&options, &err);
+  if (signal_watch == NULL || proxy_daemon_new (settings, &daemon, &err) < 0)
     {
       g_printerr ("jacinthward: %s: %s: %s\n", err.step, err.peer, err.text);
-      return EXIT_START;
+      goto fail;
     }
-  signal (SIGPIPE, SIG_IGN);
-  g_unix_signal_add (SIGTERM, on_proxy_terminate, daemon);
-  g_unix_signal_add (SIGINT, on_proxy_terminate, daemon);
-  g_unix_signal_add (SIGHUP, on_proxy_reload, daemon);
   proxy_daemon_run (daemon);
   proxy_daemon_free (daemon);
+  status = EXIT_SUCCESS;
+fail:
+  signal_watch_free (signal_watch);
   log_close ();
-  return EXIT_SUCCESS;
+  return status;
 }
 
 /* Reads the settings of a reverse proxy and runs it, unless only the check of
@@ -155,6 +179,9 @@
   struct arguments arguments = { 0 };
   struct router_settings settings = { 0 };
   int status = EXIT_SUCCESS;
+  signal (SIGPIPE, SIG_IGN);
+  /* Until it is watched, SIGHUP would end the process. */
+  signal (SIGHUP, SIG_IGN);
   if (!read_arguments (&argc, &argv, &arguments))
     status = EXIT_SETTINGS;
   else if (arguments.version)
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -317,17 +317,29 @@
 }
 
 void
-proxy_daemon_shut_down (struct proxy_daemon *daemon)
+proxy_daemon_shut_down (struct proxy_daemon *daemon, gint64 requested_at)
 {
-  if (daemon->stopping)
-    {
-      g_main_loop_quit (daemon->loop);
-      return;
-    }
+  log_event (LOG_INFO, "process.stopping",
+             "grace_ms=%" G_GINT64_FORMAT " handled_after_ms=%" G_GINT64_FORMAT
+             " repeated=%s",
+             daemon->settings->shutdown_limit_us / CLK_MS,
+             (clk_now (daemon->clk) - requested_at) / CLK_MS,
+             daemon->stopping ? "yes" : "no");
   daemon->stopping = TRUE;
-  log_event (LOG_INFO, "process.stopping", "grace_ms=%" G_GINT64_FORMAT,
-             daemon->settings->shutdown_limit_us / CLK_MS);
-  proxy_shut_down (daemon->reverse_proxy);
+  proxy_shut_down (daemon->reverse_proxy, requested_at);
+}
+
+gboolean
+proxy_daemon_is_stopping (const struct proxy_daemon *daemon)
+{
+  return daemon->stopping;
+}
+
+void
+proxy_daemon_quit (struct proxy_daemon *daemon)
+{
+  log_event (LOG_WARN, "process.quit", "ended by an operator");
+  g_main_loop_quit (daemon->loop);
 }
 
 void
--- a/packages/jacinthward/proxy_daemon.h
+++ b/packages/jacinthward/proxy_daemon.h
@@ -14,8 +14,12 @@
 void proxy_daemon_free (struct proxy_daemon *daemon);
 /* Runs until a graceful shutdown has completed. */
 void proxy_daemon_run (struct proxy_daemon *daemon);
-/* Begins a graceful shutdown; a second call ends immediately. */
-void proxy_daemon_shut_down (struct proxy_daemon *daemon);
+/* Begins a graceful shutdown, unless one has begun. REQUESTED_AT: arrival of
+   the signal, time of clk_boottime. */
+void proxy_daemon_shut_down (struct proxy_daemon *daemon, gint64 requested_at);
+gboolean proxy_daemon_is_stopping (const struct proxy_daemon *daemon);
+/* Ends at once, with what is in progress. */
+void proxy_daemon_quit (struct proxy_daemon *daemon);
 /* Called on SIGHUP. Only logs that no setting can be reloaded. */
 void proxy_daemon_reload (struct proxy_daemon *daemon);
 
--- a/packages/jacinthward/router_daemon.c
+++ b/packages/jacinthward/router_daemon.c
@@ -450,7 +450,8 @@
   const struct core_event event = { .kind = CORE_SHUTDOWN };
   if (daemon->stopping)
     {
-      g_main_loop_quit (daemon->loop);
+      log_event (LOG_INFO, "shutdown.repeated", "%u requests in progress",
+                 core_in_progress (daemon->core));
       return;
     }
   daemon->stopping = TRUE;
@@ -461,3 +462,17 @@
       = g_timeout_add ((guint)(daemon->settings->shutdown_grace_us / CLK_MS),
                        on_grace_end, daemon);
 }
+
+gboolean
+router_daemon_is_stopping (const struct router_daemon *daemon)
+{
+  return daemon->stopping;
+}
+
+void
+router_daemon_quit (struct router_daemon *daemon)
+{
+  log_event (LOG_WARN, "shutdown.quit", "%u requests in progress",
+             core_in_progress (daemon->core));
+  g_main_loop_quit (daemon->loop);
+}
--- a/packages/jacinthward/router_daemon.h
+++ b/packages/jacinthward/router_daemon.h
@@ -18,8 +18,11 @@
 void router_daemon_run (struct router_daemon *daemon);
 /* Begins a graceful shutdown: accepts connections for shutdown_grace_us, until
    the load balancer has noticed that the instance is not ready; then closes the
-   client listener and ends when no request is in progress. A second call ends
-   immediately. */
+   client listener and ends when no request is in progress. Further calls are
+   only logged. */
 void router_daemon_shut_down (struct router_daemon *daemon);
+gboolean router_daemon_is_stopping (const struct router_daemon *daemon);
+/* Ends at once, with what is in progress. */
+void router_daemon_quit (struct router_daemon *daemon);
 
 #endif
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -694,7 +694,7 @@
   struct proxy_test_client *idle_client = proxy_test_open_client ();
   proxy_test_send_request (busy, "/again/x", "X-Deadline-Ms: 1400\r\n");
   proxy_test_run_for (50);
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   CU_ASSERT_FALSE (proxy_is_ready (proxy_test.reverse_proxy));
   /* Still served, but with "Connection: close". */
   proxy_test_script_all (proxy_test_respond_ok);
@@ -726,7 +726,7 @@
   CU_ASSERT_FALSE (proxy_is_ready (proxy_test.reverse_proxy));
   proxy_confirm_version (proxy_test.reverse_proxy, 7, proxy_test_now (NULL));
   CU_ASSERT_TRUE (proxy_is_ready (proxy_test.reverse_proxy));
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   CU_ASSERT_FALSE (proxy_is_ready (proxy_test.reverse_proxy));
   proxy_test_stop ();
 }
--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -105,7 +105,7 @@
   struct proxy_test_client *client = open_stalled_client ();
   proxy_test_send_request (client, "/again/x", "");
   proxy_test_run_for (50);
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   proxy_test_run_for (PAST_NOTICE_MS);
   CU_ASSERT_FALSE (proxy_test.shutdown_done);
   check_long_response (client);
@@ -138,7 +138,7 @@
   guint queued = scheduler_n_waiting (proxy_test.scheduler);
   CU_ASSERT_TRUE (at_server > 0);
   CU_ASSERT_TRUE (queued > 0);
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   CU_ASSERT_TRUE (
       proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
   proxy_free (g_steal_pointer (&proxy_test.reverse_proxy));
@@ -159,6 +159,31 @@
   proxy_test_stop ();
 }
 
+/* The limit counts from the request for the shutdown, which a busy main loop
+   handles late. Otherwise the process would be killed before its own limit.  */
+static void
+test_limit_counts_from_signal (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (proxy_test_never_respond);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  proxy_test_send_request (client, "/once/x", "");
+  proxy_test_run_for (50);
+  gint64 limit_us = proxy_test_shutdown_limit_us;
+  gint64 left_us = 700 * CLK_MS;
+  gint64 start = proxy_test_now (NULL);
+  proxy_shut_down (proxy_test.reverse_proxy, start - limit_us + left_us);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  CU_ASSERT_TRUE (proxy_test_now (NULL) - start < left_us);
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, 502);
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  proxy_test_stop ();
+}
+
 /* A request that is still being received at the shutdown limit is answered as
    not run, so that the client sends it to another instance.  */
 static void
@@ -173,7 +198,7 @@
                                 "X-Request-Id: p\r\n"
                                 "Content-Length: 4\r\n\r\nbo");
   proxy_test_run_for (50);
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   struct proxy_test_response response = proxy_test_wait_response (client);
   CU_ASSERT_EQUAL (response.status, 503);
   CU_ASSERT_TRUE (response.closes);
@@ -210,7 +235,7 @@
   guint answered = 0;
   proxy_test_start (1);
   proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_shut_down (proxy_test.reverse_proxy);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
   proxy_test_run_for (50);
   for (guint i = 0; i < BACKLOG_CLIENTS; i++)
     {
@@ -234,6 +259,8 @@
   { "a shutdown waits for responses being sent",
     test_shutdown_sends_responses },
   { "requests at the shutdown limit", test_requests_at_shutdown_limit },
+  { "the shutdown limit counts from the signal",
+    test_limit_counts_from_signal },
   { "a partial request at the shutdown limit",
     test_partial_request_at_shutdown_limit },
   { "the backlog of a closed listener", test_backlog_is_answered },
