Send nothing to a server for the time that its 503 asks for

Cause: an instance read a server's Retry-After for orders only. After a pause of 150 ms it sent requests again to a server that had asked for seconds, and told clients to come back earlier than any server would take them. Change: the registry keeps, as an observation of this instance, until when a server wants nothing; placement leaves it out, and one request at a time tries it afterwards. If no server is left, requests are refused at once with the time that is left, also those that are queued and the one that was rejected. Values that are not one number of seconds are logged and ignored; http_parse_seconds no longer takes exponents and hexadecimal numbers.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -39,6 +39,7 @@
   X (MOVED, "moved", "queued requests moved to a shard with free slots")       \
   X (PAUSES, "pauses", "detected pauses of this process")                      \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
+  X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
   X (BYTES_IN, "peer_bytes_in", "bytes from other instances")                  \
--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -96,6 +96,31 @@
   server->avoid_until = MAX (server->avoid_until, now + PEER_PAUSE_US);
 }
 
+/* Records that SERVER has asked this instance to send nothing for US. After
+   that time requests are sent one at a time until it answers one.  */
+void
+registry_back_off (struct registry_server *server, gint64 now, gint64 us)
+{
+  server->backoff.until = MAX (server->backoff.until, now + us);
+  server->backoff.trial = TRUE;
+}
+
+/* Returns whether this instance must send nothing to SERVER, because it has
+   asked for that.  */
+gboolean
+registry_is_backing_off (const struct registry_server *server, gint64 now)
+{
+  return server->backoff.until > now;
+}
+
+/* Records that SERVER has begun to answer a request without asking to send
+   nothing.  */
+void
+registry_mark_serving (struct registry_server *server)
+{
+  server->backoff.trial = FALSE;
+}
+
 static void
 unref_server (gpointer data)
 {
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -35,6 +35,14 @@
 #undef REGISTRY_STATE_ENUM
 };
 
+/* What a server has asked of this instance: to send nothing for a while.  */
+struct registry_backoff
+{
+  gint64 until;   /* clock time; 0: never asked */
+  gboolean trial; /* it has not answered a request since: one at a time */
+  guint trials;   /* requests in progress that were sent since */
+};
+
 /* A backend server from one start to the next. Reference-counted: requests
    keep a removed server until they end.  */
 struct registry_server
@@ -47,6 +55,7 @@
   gint64 missing_since; /* clock time since which it is not listed; 0: listed */
   struct server_health server_health; /* as measured by this instance */
   gint64 avoid_until; /* not to be used before this clock time; 0: no limit */
+  struct registry_backoff backoff;
   guint unreachable_in_row; /* consecutive attempts that could not reach it */
   gint64 last_reached;      /* clock time of its last message; 0: never */
   guint refs;
@@ -91,6 +100,10 @@
                                   gint64 now);
 void registry_peer_found_unreachable (struct registry_server *server,
                                       gint64 now);
+void registry_back_off (struct registry_server *server, gint64 now, gint64 us);
+gboolean registry_is_backing_off (const struct registry_server *server,
+                                  gint64 now);
+void registry_mark_serving (struct registry_server *server);
 struct registry_server *registry_server_ref (struct registry_server *server);
 void registry_server_unref (struct registry_server *server);
 const char *registry_state_name (enum registry_state state);
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -640,8 +640,13 @@
       retry (exchange, result);
       return;
     case RETRY_ACTION_REJECT:
-      reject (exchange, 503, "not_run", DEFAULT_RETRY_US);
-      return;
+      {
+        gint64 retry_us = scheduler_retry_after_us (
+            reverse_proxy->options.scheduler, &exchange->queue_entry, now);
+        reject (exchange, 503, "not_run",
+                retry_us > 0 ? retry_us : DEFAULT_RETRY_US);
+        return;
+      }
     case RETRY_ACTION_REPORT_UNKNOWN:
       send_outcome_unknown (exchange, 502, "outcome_unknown");
       return;
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -293,12 +293,14 @@
   guint n;
   guint ready = 0;
   guint ejected = 0;
+  guint backing_off = 0;
   struct registry_server *const *servers
       = registry_servers (reverse_proxy->options.registry, &n);
   for (guint i = 0; i < n; i++)
     {
       ready += servers[i]->state == REGISTRY_READY;
       ejected += servers[i]->server_health.state == SERVER_HEALTH_EJECTED;
+      backing_off += registry_is_backing_off (servers[i], now);
     }
   put_gauge (out, "ready", "1 if clients should be sent to this instance",
              proxy_is_ready (reverse_proxy));
@@ -321,6 +323,9 @@
   put_gauge (out, "servers_ready", "backend servers that may be used", ready);
   put_gauge (out, "servers_ejected", "backend servers ejected as outliers",
              ejected);
+  put_gauge (out, "servers_backing_off",
+             "backend servers that have asked this instance to send nothing",
+             backing_off);
   put_gauge (out, "instances", "instances that share the retry budget",
              reverse_proxy->instances);
   put_gauge (out, "log_lines_dropped", "log lines dropped",
@@ -340,6 +345,10 @@
   json_add_str (json, "state", registry_state_name (server->state));
   json_add_str (json, "health",
                 server_health_state_name (server->server_health.state));
+  json_add_int (
+      json, "backoff_ms",
+      MAX (server->backoff.until - clk_now (reverse_proxy->options.clk), 0)
+          / CLK_MS);
   json_add_int (json, "requests", load.requests);
   json_add_int (json, "unread_tokens", (gint64)load.prefill_tokens);
   json_add_int (json, "memory_tokens", (gint64)load.memory);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -188,6 +188,11 @@
                                   const struct placement_choice *choice,
                                   GString *out);
 
+void response_hints_record (struct reverse_proxy *reverse_proxy,
+                            struct registry_server *server,
+                            const char *request_id,
+                            const struct http_head *head);
+
 /* A response that the reverse proxy generates itself. */
 struct local_response
 {
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -42,6 +42,7 @@
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
   gboolean invalid;          /* the response is unusable */
+  gboolean is_trial;         /* the server's first request after a backoff */
 };
 
 /* Returns why the response may belong to another request, as static text; NULL
@@ -112,6 +113,9 @@
       return FALSE;
     }
   upstream->response_started = TRUE;
+  if (head->status != 421)
+    response_hints_record (upstream->reverse_proxy, upstream->server,
+                           upstream->exchange->id, head);
   upstream->relaying
       = is_success (head)
         && (upstream->exchange->route->kind == ROUTING_STREAM
@@ -328,6 +332,8 @@
   upstream->reverse_proxy = reverse_proxy;
   upstream->started = clk_now (reverse_proxy->options.clk);
   upstream->server = registry_server_ref (server);
+  upstream->is_trial = server->backoff.trial;
+  server->backoff.trials += upstream->is_trial;
   upstream->body = g_string_new (NULL);
   upstream->http_reader = http_reader_new (TRUE, &reader, upstream);
   upstream->tcp_conn = backend_pool_take (reverse_proxy->backend_pool, server,
@@ -374,6 +380,7 @@
   tcp_conn_reset (upstream->tcp_conn);
   http_reader_free (upstream->http_reader);
   g_string_free (upstream->body, TRUE);
+  upstream->server->backoff.trials -= upstream->is_trial;
   registry_server_unref (upstream->server);
   g_free (upstream);
 }
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -202,6 +202,9 @@
   text = trim (text);
   if (text.n == 0 || text.n >= sizeof copy || !g_ascii_isdigit (text.p[0]))
     return FALSE;
+  for (gsize i = 0; i < text.n; i++)
+    if (!g_ascii_isdigit (text.p[i]) && text.p[i] != '.')
+      return FALSE;
   memcpy (copy, text.p, text.n);
   copy[text.n] = '\0';
   char *end;
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -54,11 +54,30 @@
            const struct registry_server *server)
 {
   return server->state == REGISTRY_READY && server->avoid_until <= view->now
+         && !registry_is_backing_off (server, view->now)
          && g_str_equal (server->entry.service, view->service)
          && server_load_own (view->server_load_table, server->number)->requests
                 < server_health_slots (&server->server_health, G_MAXUINT);
 }
 
+/* Returns the time until the first of the ready servers of the service may be
+   used that have asked this instance to send nothing, or G_MAXINT64. Includes
+   servers that the request was sent to: the client's next try may use them.  */
+static gint64
+backoff_left (const struct placement_view *view)
+{
+  gint64 left = G_MAXINT64;
+  for (guint i = 0; i < view->n_servers; i++)
+    {
+      const struct registry_server *server = view->servers[i];
+      if (server->state == REGISTRY_READY
+          && registry_is_backing_off (server, view->now)
+          && g_str_equal (server->entry.service, view->service))
+        left = MIN (left, server->backoff.until - view->now);
+    }
+  return left;
+}
+
 /* Returns the rendezvous hashing score of a server for the request; lower is
    better. All instances compute the same order of the servers without
    exchanging messages, and requests with the same shared prefix get the same
@@ -89,6 +108,7 @@
       *c = (struct placement_candidate){ .server = server };
       c->load = server_load_total (view->server_load_table, server->number);
       c->distance = topology_distance (view->topology, server->entry.domain);
+      c->trial_running = server->backoff.trial && server->backoff.trials > 0;
       c->rank = str_hash (str_of (server->entry.id), 0);
       c->rendezvous_score = rendezvous_score (request, c->rank);
       if (view->engine != NULL)
@@ -329,7 +349,10 @@
   struct selection delays_streams = { 0 };
   *choice = (struct placement_choice){ .usable = n,
                                        .first_event_us = G_MAXINT64,
-                                       .capacity_wait_us = G_MAXINT64 };
+                                       .capacity_wait_us = G_MAXINT64,
+                                       .backoff_us = G_MAXINT64 };
+  if (n == 0)
+    choice->backoff_us = backoff_left (view);
   if (view->engine != NULL)
     {
       mark_sensitive_pools (view, candidates, n);
@@ -353,6 +376,7 @@
           = view->engine != NULL
                 ? placement_estimate_engine (view, request, c, best_cached)
                 : placement_estimate_plain (request, c);
+      e.full |= c->trial_running;
       choice->first_event_us
           = MIN (choice->first_event_us, (gint64)e.first_event_us);
       choice->full |= e.full;
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -94,7 +94,10 @@
                               compute */
   gboolean full;           /* no server has capacity; the request should wait */
   guint usable; /* number of usable servers that the request was not sent to */
-  double busy;  /* share of all slots that are in use */
+  /* Time until the first of the servers may be used that have asked this
+     instance to send nothing; G_MAXINT64: there is none. */
+  gint64 backoff_us;
+  double busy; /* share of all slots that are in use */
 };
 
 enum placement_pace placement_pace (gint64 gap_us);
--- a/packages/sched/placement_internal.h
+++ b/packages/sched/placement_internal.h
@@ -42,6 +42,7 @@
   guint expected_cached; /* CACHED_TOKENS, or what a preferred server is assumed
                             to have cached */
   gboolean in_sensitive_pool;
+  gboolean trial_running; /* its only request after a backoff is in progress */
   enum placement_preference preference;
   guint64 rendezvous_score; /* of the request's affinity hash and the engine;
                                the lowest wins */
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -221,6 +221,18 @@
       = (gint64)((double)CLAMP (after_us, RETRY_MIN_US, RETRY_MAX_US) * spread);
 }
 
+/* Fills DECISION, whose choice has no usable server, with a rejection.  */
+static void
+reject_without_server (struct scheduler *scheduler,
+                       struct scheduler_decision *decision)
+{
+  if (decision->choice.backoff_us == G_MAXINT64)
+    reject (scheduler, decision, SCHEDULER_NO_SERVER, NO_SERVER_RETRY_US);
+  else
+    reject (scheduler, decision, SCHEDULER_BACKOFF,
+            decision->choice.backoff_us);
+}
+
 static gint
 by_target (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -269,7 +281,7 @@
     }
   if (decision->choice.usable == 0)
     {
-      reject (scheduler, decision, SCHEDULER_NO_SERVER, NO_SERVER_RETRY_US);
+      reject_without_server (scheduler, decision);
       return;
     }
   gint64 wait = predict_wait (service, decision->ahead, &decision->choice);
@@ -296,6 +308,21 @@
   return choice.usable > 0;
 }
 
+/* Returns when the client of a rejected request should retry, if no server can
+   be used for it now; 0: some server can.  */
+gint64
+scheduler_retry_after_us (struct scheduler *scheduler,
+                          struct scheduler_entry *entry, gint64 now)
+{
+  struct scheduler_decision decision = { .verdict = SCHEDULER_REJECT };
+  choose (scheduler, service_of (scheduler, entry->service, now), entry, now,
+          &decision.choice);
+  if (decision.choice.usable > 0 || decision.choice.backoff_us == G_MAXINT64)
+    return 0;
+  reject_without_server (scheduler, &decision);
+  return decision.retry_after_us;
+}
+
 /* Removes ENTRY from its queue if it is queued.  */
 void
 scheduler_withdraw (struct scheduler *scheduler, struct scheduler_entry *entry)
@@ -323,7 +350,7 @@
       decision.wait_us = predict_wait (service, 0, &decision.choice);
       gboolean too_late = now + decision.wait_us > entry->target;
       if (decision.choice.usable == 0)
-        reject (scheduler, &decision, SCHEDULER_NO_SERVER, NO_SERVER_RETRY_US);
+        reject_without_server (scheduler, &decision);
       else if (too_late)
         reject (scheduler, &decision, SCHEDULER_OVERLOAD, decision.wait_us);
       else
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -12,6 +12,7 @@
 #define SCHEDULER_REASONS(X)                                                   \
   X (NONE, "none")                                                             \
   X (NO_SERVER, "no_server") /* no server of the service may be used */        \
+  X (BACKOFF, "backoff")     /* all servers have asked to send nothing */      \
   X (OVERLOAD, "overload")   /* would not be served in time */                 \
   X (QUEUE_FULL, "queue_full")
 
@@ -90,6 +91,8 @@
                        struct scheduler_decision *decision);
 gboolean scheduler_has_server (struct scheduler *scheduler,
                                struct scheduler_entry *entry, gint64 now);
+gint64 scheduler_retry_after_us (struct scheduler *scheduler,
+                                 struct scheduler_entry *entry, gint64 now);
 void scheduler_withdraw (struct scheduler *scheduler,
                          struct scheduler_entry *entry);
 void scheduler_poll (struct scheduler *scheduler, gint64 now,
