Say what an instance makes of what servers' answers may hold

No change of behaviour. Measured: build/tests/test_gate_answers, 4 passed, on the code as it was before.

--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -40,7 +40,9 @@
 {
   struct tcp_listener *listener;
   proxy_test_script script;
-  GPtrArray *links; /* of struct proxy_test_link, owned */
+  proxy_test_script head_script; /* called before the body has been read; NULL:
+                                    none */
+  GPtrArray *links;              /* of struct proxy_test_link, owned */
   guint connections;
   char address[ERR_PEER_MAX];
   char id[16];
@@ -131,6 +133,8 @@
     }
   link->request = request;
   g_ptr_array_add (proxy_test.requests, request);
+  if (link->server->head_script != NULL)
+    link->server->head_script (link, request);
   return TRUE;
 }
 
--- /dev/null
+++ b/tests/unit/test_gate_answers.c
@@ -0,0 +1,116 @@
+/* What backend servers may send besides a plain response, and when connections
+   to them are used again.  */
+#include "unit/proxy_fixture.h"
+
+static void
+start (proxy_test_script script)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (script);
+}
+
+static void
+check_requests (guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      struct proxy_test_response response
+          = proxy_test_request_once ("/again/x", "");
+      CU_ASSERT_EQUAL (response.status, 200);
+      CU_ASSERT_STRING_EQUAL (response.body->str, "done");
+      proxy_test_response_clear (&response);
+    }
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), n);
+  for (guint i = 0; i < n; i++)
+    CU_ASSERT_STRING_EQUAL (proxy_test_request_at (i)->body->str, "body");
+}
+
+static void
+respond_and_close (struct proxy_test_link *link,
+                   struct proxy_test_request *request)
+{
+  proxy_test_respond (link, request, "200 OK",
+                      PROXY_TEST_SIGNED "Connection: close\r\n", "done");
+}
+
+/* A connection whose server announces its end carries no further request, also
+   if the server leaves it open.  */
+static void
+test_connection_close (void)
+{
+  start (respond_and_close);
+  check_requests (3);
+  CU_ASSERT_EQUAL (proxy_test.servers[0].connections, 3);
+  proxy_test_stop ();
+}
+
+static void
+respond_after_informational (struct proxy_test_link *link,
+                             struct proxy_test_request *request)
+{
+  proxy_test_write (link, request,
+                    "HTTP/1.1 100 Continue\r\n\r\n"
+                    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+  proxy_test_respond_ok (link, request);
+}
+
+/* Informational responses are skipped.  */
+static void
+test_informational (void)
+{
+  start (respond_after_informational);
+  check_requests (3);
+  proxy_test_stop ();
+}
+
+static void
+respond_to_head (struct proxy_test_link *link,
+                 struct proxy_test_request *request)
+{
+  proxy_test_respond_ok (link, request);
+}
+
+/* A server may respond before it has read the body and keep the connection: it
+   gets the rest of that body, then the next request.  */
+static void
+test_early_response (void)
+{
+  start (proxy_test_never_respond);
+  proxy_test.servers[0].head_script = respond_to_head;
+  check_requests (4);
+  proxy_test_stop ();
+}
+
+static void
+respond_with_upgrade (struct proxy_test_link *link,
+                      struct proxy_test_request *request)
+{
+  proxy_test_write (link, request,
+                    "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: %I\r\n"
+                    "Upgrade: other\r\nConnection: upgrade\r\n\r\n");
+}
+
+/* A change of the protocol, which nobody asked for, is no response.  */
+static void
+test_unasked_upgrade (void)
+{
+  start (respond_with_upgrade);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/once/x", ""), 502);
+  proxy_test_stop ();
+}
+
+static CU_TestInfo tests[] = {
+  { "Connection: close", test_connection_close },
+  { "informational responses", test_informational },
+  { "a response before the body was read", test_early_response },
+  { "an upgrade that nobody asked for", test_unasked_upgrade },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "gate answers", NULL, NULL, NULL, NULL, tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
