Let requests wait for the first configuration of an instance

Change: until the first configuration is confirmed and a list of servers is there, requests wait, 0.6 s each and 1.5 s from the start at the most, and are routed then. An instance that loses its confirmation later refuses at once, as before, so that clients go to others. Measured: build/tests/test_config_wait, 5 passed; with config_wait_begin switched off "served after the wait" and "the list of servers comes last" fail. test_gate 33, test_gate_shutdown 6, test_gate_backoff 7, test_gate_stream 8 passed.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -92,6 +92,7 @@
 void
 exchange_free (struct exchange *exchange)
 {
+  config_wait_cancel (exchange);
   g_clear_handle_id (&exchange->timer, g_source_remove);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
                       &exchange->queue_entry);
@@ -287,9 +288,9 @@
 }
 
 /* Finds route and team in the newest routing table. Returns FALSE if the
-   request was rejected; EXCHANGE has been freed then. Without a fresh
-   configuration also an unknown route is 503 rather than 404, because a newer
-   configuration may have it.  */
+   request was rejected, and EXCHANGE may have been freed, or if it waits for
+   the first configuration. Without a fresh configuration also an unknown route
+   is 503 rather than 404, because a newer configuration may have it.  */
 static gboolean
 resolve_route (struct exchange *exchange)
 {
@@ -298,7 +299,8 @@
   struct str key;
   if (reverse_proxy->routing_table == NULL)
     {
-      reject (exchange, 503, "no_configuration", DEFAULT_RETRY_US);
+      if (!config_wait_begin (exchange))
+        reject (exchange, 503, "no_configuration", DEFAULT_RETRY_US);
       return FALSE;
     }
   if (exchange->routing_table != reverse_proxy->routing_table)
@@ -315,7 +317,8 @@
     return TRUE;
   if (!config_is_fresh (exchange))
     {
-      reject (exchange, 503, "configuration_unproved", STALE_CONFIG_RETRY_US);
+      if (!config_wait_begin (exchange))
+        reject (exchange, 503, "configuration_unproved", STALE_CONFIG_RETRY_US);
       return FALSE;
     }
   if (exchange->route == NULL)
@@ -380,8 +383,23 @@
 
 static void enqueue (struct exchange *exchange);
 
-/* Handles a request that has arrived completely: routes and enqueues it, or
-   rejects it. May free EXCHANGE.  */
+/* Routes and enqueues the request, or rejects it. May free EXCHANGE.  */
+void
+exchange_route_request (struct exchange *exchange)
+{
+  if (!registry_is_loaded (exchange->reverse_proxy->options.registry)
+      && config_wait_begin (exchange))
+    return;
+  if (!resolve_route (exchange))
+    return;
+  set_deadline (exchange);
+  fill_queue_entry (exchange);
+  retry_budget_count_request (retry_budget_of (exchange),
+                              exchange_now (exchange));
+  enqueue (exchange);
+}
+
+/* Handles a request that has arrived completely. May free EXCHANGE.  */
 void
 exchange_request_complete (struct exchange *exchange)
 {
@@ -398,13 +416,7 @@
       reject (exchange, 400, "no_request_id", 0);
       return;
     }
-  if (!resolve_route (exchange))
-    return;
-  set_deadline (exchange);
-  fill_queue_entry (exchange);
-  retry_budget_count_request (retry_budget_of (exchange),
-                              exchange_now (exchange));
-  enqueue (exchange);
+  exchange_route_request (exchange);
 }
 
 /* Sends the request to the server that the scheduler has chosen. While it was
@@ -534,6 +546,7 @@
 {
   if (statechart_is_final (exchange->reverse_proxy->chart, exchange->state))
     return;
+  config_wait_cancel (exchange);
   exchange_transition (exchange, EXCHANGE_ON_DISCONNECT);
   exchange_log_end (exchange, "caller_gone");
   counter_add (exchange->reverse_proxy->options.counter_set,
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -43,6 +43,8 @@
   reverse_proxy->instances = 1;
   g_queue_init (&reverse_proxy->clients);
   g_queue_init (&reverse_proxy->closing);
+  g_queue_init (&reverse_proxy->awaiting_config);
+  reverse_proxy->started_at = clk_now (options->clk);
   int code
       = statechart_load (options->chart, &binding, &reverse_proxy->chart, err);
   if (code < 0)
@@ -67,6 +69,7 @@
   if (reverse_proxy == NULL)
     return;
   g_clear_handle_id (&reverse_proxy->shutdown_timer, g_source_remove);
+  g_clear_handle_id (&reverse_proxy->config_source, g_source_remove);
   while (reverse_proxy->clients.head != NULL)
     downstream_free (reverse_proxy->clients.head->data);
   closing_free_all (reverse_proxy);
@@ -98,6 +101,7 @@
              "version=%" G_GUINT64_FORMAT " routes=%u",
              routing_table_version (routing_table),
              routing_table_n_routes (routing_table));
+  config_wait_check (reverse_proxy);
 }
 
 /* The configuration store has confirmed that VERSION was the newest version at
@@ -110,7 +114,10 @@
 {
   if (reverse_proxy->routing_table != NULL
       && version == routing_table_version (reverse_proxy->routing_table))
-    freshness_confirm (&reverse_proxy->freshness, version, requested_at);
+    {
+      freshness_confirm (&reverse_proxy->freshness, version, requested_at);
+      config_wait_check (reverse_proxy);
+    }
 }
 
 /* Returns the version of the present configuration; 0 if there is none.  */
@@ -165,6 +172,7 @@
 void
 proxy_poll (struct reverse_proxy *reverse_proxy)
 {
+  config_wait_check (reverse_proxy);
   scheduler_poll (reverse_proxy->options.scheduler,
                   clk_now (reverse_proxy->options.clk), exchange_on_decision,
                   NULL);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -30,6 +30,11 @@
   struct statechart *chart;            /* state machine of exchanges; owned */
   struct routing_table *routing_table; /* referenced; NULL: none received yet */
   struct freshness freshness;          /* of the configuration */
+  gint64 started_at;                   /* clock time */
+  gboolean was_configured; /* has had a confirmed configuration and a list of
+                              servers */
+  GQueue awaiting_config;  /* of struct exchange: requests that wait for it */
+  guint config_source;     /* GLib source: routes them; 0: none */
   struct backend_pool *backend_pool;
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
   GQueue clients;            /* of struct downstream */
@@ -135,8 +140,11 @@
   struct upstream *upstream; /* the attempt in progress, owned; NULL: none */
   gint64 arrived;            /* clock time at which the head was complete */
   gint64 deadline; /* clock time; the earlier of the client's and the route's */
-  guint timer;     /* GLib source: deadline; 0: none */
-  guint sent;      /* attempts that count towards the route's limit */
+  guint timer;     /* GLib source: deadline, or end of the wait for a
+                      configuration; 0: none */
+  GList config_link; /* in awaiting_config; data is NULL if it is not there */
+  gboolean waited_for_config;
+  guint sent;             /* attempts that count towards the route's limit */
   gint64 attempt_started; /* clock time of the attempt's start */
   guint attempts;         /* all attempts, also those that reached no server */
   gboolean may_have_run;  /* an earlier attempt may have been executed */
@@ -157,6 +165,7 @@
 void exchange_free (struct exchange *exchange);
 gboolean exchange_append_body (struct exchange *exchange, struct str bytes);
 void exchange_request_complete (struct exchange *exchange);
+void exchange_route_request (struct exchange *exchange);
 void exchange_client_disconnected (struct exchange *exchange);
 void exchange_on_decision (void *ctx, struct scheduler_entry *queue_entry,
                            const struct scheduler_decision *decision);
@@ -165,6 +174,11 @@
 void exchange_dropped (const struct exchange *exchange, const char *why);
 const char *exchange_state_name (enum exchange_state state);
 
+/* Requests that wait for the first configuration and list of servers. */
+gboolean config_wait_begin (struct exchange *exchange);
+void config_wait_cancel (struct exchange *exchange);
+void config_wait_check (struct reverse_proxy *reverse_proxy);
+
 /* Called by the attempt at a backend server. */
 void exchange_begin_response (struct exchange *exchange,
                               const struct http_head *head);
