Keep a server's own word that it is leaving

So far only the list told, which may be seconds late or out of reach, and an entry that was removed and came back started as ready. Ruled out: a third registry state. The list's state and the server's word are independent sources; with one state the later would hide the former, and the drain time needs the time of the first response. Keeping the word in struct registry_server only: the entry of a server may be removed and come back, for example from an older copy of the store. Change: the registry takes the word as a source of its own (registry_mark_leaving) and keeps it for the server's life, in records that outlast its entry (leave_records.c). Such a server is placed on only if no other one is usable, and not at all after the drain time; changes have a source for the log.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -1,5 +1,7 @@
 #include "fleet/registry.h"
 
+#include "fleet/leave_records.h"
+
 #include <string.h>
 
 /* Entries that expired while the store was unavailable are written again
@@ -26,8 +28,11 @@
   gint64 store_back_at;       /* time of the first list after the store was
                                  unavailable; 0: none */
   guint next_number;
-  guint generation;  /* counts added and removed servers */
-  guint list_number; /* counts the lists received */
+  guint generation;                    /* counts added and removed servers */
+  guint list_number;                   /* counts the lists received */
+  struct leave_records *leave_records; /* owned */
+  gint64 drain_us; /* how long a server that has said that it is leaving may
+                      get new requests */
 };
 
 static const char *const state_names[] = {
@@ -36,12 +41,24 @@
 #undef REGISTRY_STATE_NAME
 };
 
+static const char *const source_names[] = {
+#define REGISTRY_SOURCE_NAME(id, name) name,
+  REGISTRY_SOURCES (REGISTRY_SOURCE_NAME)
+#undef REGISTRY_SOURCE_NAME
+};
+
 const char *
 registry_state_name (enum registry_state state)
 {
   return state_names[state];
 }
 
+const char *
+registry_source_name (enum registry_source source)
+{
+  return source_names[source];
+}
+
 struct registry_server *
 registry_server_ref (struct registry_server *server)
 {
@@ -102,14 +119,15 @@
   registry_server_unref (data);
 }
 
-/* Creates an empty registry. CHANGED is called for each change that a list
-   brings.  */
+/* Creates an empty registry. CHANGED is called for each change that a list or
+   an observation brings.  */
 struct registry *
 registry_new (registry_changed changed, void *ctx)
 {
   struct registry *registry = g_new0 (struct registry, 1);
   registry->servers = g_ptr_array_new_with_free_func (unref_server);
   registry->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  registry->leave_records = leave_records_new ();
   registry->changed = changed;
   registry->ctx = ctx;
   return registry;
@@ -122,17 +140,73 @@
     return;
   g_hash_table_unref (registry->by_id);
   g_ptr_array_unref (registry->servers);
+  leave_records_free (registry->leave_records);
   g_free (registry);
 }
 
+/* Sets for how many microseconds a server may get new requests after it has
+   said that it is leaving; 0, the default: not at all.  */
+void
+registry_set_drain_time (struct registry *registry, gint64 us)
+{
+  registry->drain_us = us;
+}
+
 static void
 notify (struct registry *registry, enum registry_change_kind kind,
         struct registry_server *server)
 {
-  const struct registry_change change = { .kind = kind, .server = server };
+  const struct registry_change change
+      = { .kind = kind, .server = server, .source = REGISTRY_FROM_LIST };
   registry->changed (registry->ctx, &change);
 }
 
+/* Applies to SERVER what it has said about leaving in its present life.  */
+static void
+apply_leave_record (struct registry *registry, struct registry_server *server,
+                    gint64 now)
+{
+  const struct registry_change change = { .kind = REGISTRY_SERVER_LEAVING,
+                                          .server = server,
+                                          .source = REGISTRY_FROM_RESPONSE };
+  gint64 said_at
+      = leave_records_find (registry->leave_records, &server->entry, now);
+  if (said_at == 0 || server->said_leaving_at != 0)
+    return;
+  server->said_leaving_at = said_at;
+  server->drain_until = said_at + registry->drain_us;
+  registry->changed (registry->ctx, &change);
+}
+
+/* Records that SERVER has said in a response to this instance that it is
+   leaving. SERVER may have been removed from the list meanwhile.  */
+void
+registry_mark_leaving (struct registry *registry,
+                       const struct registry_server *server, gint64 now)
+{
+  leave_records_add (registry->leave_records, &server->entry, now);
+  struct registry_server *listed = registry_find (registry, server->entry.id);
+  if (listed != NULL)
+    apply_leave_record (registry, listed, now);
+}
+
+/* Returns whether SERVER is leaving, by any source: it gets new requests only
+   if no other server can take them, if at all.  */
+gboolean
+registry_is_leaving (const struct registry_server *server)
+{
+  return server->state == REGISTRY_LEAVING || server->said_leaving_at != 0;
+}
+
+/* Returns whether SERVER may get new requests. One that the list has as leaving
+   gets none; one that has said so itself may get some for the drain time.  */
+gboolean
+registry_may_serve (const struct registry_server *server, gint64 now)
+{
+  return server->state == REGISTRY_READY
+         && (server->said_leaving_at == 0 || now <= server->drain_until);
+}
+
 static gint
 by_id (gconstpointer a, gconstpointer b)
 {
@@ -176,6 +250,7 @@
   g_ptr_array_add (registry->servers, server);
   g_hash_table_insert (registry->by_id, server->entry.id, server);
   notify (registry, REGISTRY_SERVER_ADDED, server);
+  apply_leave_record (registry, server, now);
 }
 
 /* Updates the server of ENTRY. Its health and other measurements are kept until
@@ -244,8 +319,11 @@
       if (server->missing_since == 0
           && server->list_number != registry->list_number)
         server->missing_since = now;
+      if (server->said_leaving_at != 0) /* keeps its record from expiring */
+        leave_records_find (registry->leave_records, &server->entry, now);
     }
   g_ptr_array_sort (registry->servers, by_id);
+  leave_records_expire (registry->leave_records, now);
   registry->loaded = TRUE;
   registry_tick (registry, now);
 }
@@ -263,7 +341,7 @@
     {
       struct registry_server *server = g_ptr_array_index (registry->servers, i);
       if (server->missing_since != 0
-          && !(in_grace && server->state == REGISTRY_READY)
+          && !(in_grace && !registry_is_leaving (server))
           && !registry->store_unavailable)
         remove_server (registry, server);
     }
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -1,6 +1,7 @@
 /* Registry of the backend servers in the store's list: which may be used,
-   which are leaving, which were removed. Once an entry has announced that a
-   server is leaving, this holds until the server restarts.  */
+   which are leaving, which were removed. Once an entry or a response of a
+   server has announced that it is leaving, this holds until the server
+   restarts.  */
 #ifndef REGISTRY_H
 #define REGISTRY_H
 
@@ -49,6 +50,10 @@
   gint64 avoid_until; /* not to be used before this clock time; 0: no limit */
   guint unreachable_in_row; /* consecutive attempts that could not reach it */
   gint64 last_reached;      /* clock time of its last message; 0: never */
+  gint64 said_leaving_at; /* clock time of its first response that says that it
+                             is leaving; 0: none */
+  gint64 drain_until; /* if it has said so: clock time until which it may get
+                         new requests */
   guint refs;
   void *owner_data; /* of the registry's user; borrowed */
 };
@@ -60,10 +65,23 @@
   REGISTRY_SERVER_REMOVED
 };
 
+/* X (NAME, "name"): where a change comes from */
+#define REGISTRY_SOURCES(X)                                                    \
+  X (LIST, "list")         /* of the store, read directly or from a peer */    \
+  X (RESPONSE, "response") /* of the server to this instance */
+
+enum registry_source
+{
+#define REGISTRY_SOURCE_ENUM(id, name) REGISTRY_FROM_##id,
+  REGISTRY_SOURCES (REGISTRY_SOURCE_ENUM)
+#undef REGISTRY_SOURCE_ENUM
+};
+
 struct registry_change
 {
   enum registry_change_kind kind;
   struct registry_server *server;
+  enum registry_source source;
 };
 
 struct registry;
@@ -73,6 +91,7 @@
 
 struct registry *registry_new (registry_changed changed, void *ctx);
 void registry_free (struct registry *registry);
+void registry_set_drain_time (struct registry *registry, gint64 us);
 void registry_store_failed (struct registry *registry, gint64 now);
 void registry_update (struct registry *registry,
                       const struct registry_entry *entries, guint n,
@@ -91,8 +110,13 @@
                                   gint64 now);
 void registry_peer_found_unreachable (struct registry_server *server,
                                       gint64 now);
+void registry_mark_leaving (struct registry *registry,
+                            const struct registry_server *server, gint64 now);
+gboolean registry_is_leaving (const struct registry_server *server);
+gboolean registry_may_serve (const struct registry_server *server, gint64 now);
 struct registry_server *registry_server_ref (struct registry_server *server);
 void registry_server_unref (struct registry_server *server);
 const char *registry_state_name (enum registry_state state);
+const char *registry_source_name (enum registry_source source);
 
 #endif
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -47,13 +47,14 @@
   return FALSE;
 }
 
-/* Returns whether SERVER is ready, serves the service, and its health allows
-   another request of this instance.  */
+/* Returns whether SERVER may get requests, serves the service, and its health
+   allows another request of this instance.  */
 static gboolean
 is_usable (const struct placement_view *view,
            const struct registry_server *server)
 {
-  return server->state == REGISTRY_READY && server->avoid_until <= view->now
+  return registry_may_serve (server, view->now)
+         && server->avoid_until <= view->now
          && g_str_equal (server->entry.service, view->service)
          && server_load_own (view->server_load_table, server->number)->requests
                 < server_health_slots (&server->server_health, G_MAXUINT);
@@ -72,10 +73,10 @@
 }
 
 /* Fills CANDIDATES with the usable servers that the request was not sent to
-   yet. Returns their number.  */
+   yet, those that are LEAVING or those that are not. Returns their number.  */
 static guint
 collect (const struct placement_view *view,
-         const struct placement_request *request,
+         const struct placement_request *request, gboolean leaving,
          struct placement_candidate *candidates)
 {
   guint n = 0;
@@ -83,7 +84,8 @@
   for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
     {
       struct registry_server *server = view->servers[i];
-      if (!is_usable (view, server) || was_tried (request, server))
+      if (registry_is_leaving (server) != leaving || !is_usable (view, server)
+          || was_tried (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
@@ -310,16 +312,20 @@
 }
 
 /* Chooses the cheapest server that has capacity, of the few that are compared.
-   A server of the sensitive pool whose streams would be delayed is chosen only
-   if there are no servers outside the pool; otherwise the request waits until
-   another server has capacity.  */
+   Servers that are leaving are compared only if no other one is usable, even if
+   those have no capacity: they may end before a new request does. A server of
+   the sensitive pool whose streams would be delayed is chosen only if there are
+   no servers outside the pool; otherwise the request waits until another server
+   has capacity.  */
 void
 placement_choose (const struct placement_view *view,
                   const struct placement_request *request,
                   struct placement_choice *choice)
 {
   static struct placement_candidate candidates[CANDIDATES_MAX];
-  guint n = collect (view, request, candidates);
+  guint n = collect (view, request, FALSE, candidates);
+  if (n == 0)
+    n = collect (view, request, TRUE, candidates);
   guint best_cached = 0;
   guint64 slots = 0;
   guint64 busy_slots = 0;
