Read from responses that a server is leaving

The platform's header is Server-Leaving: 1, the product's own X-Leaving: 1. Ruled out: believing every response on the connection. A response with another request's id, an unsigned success, a response with another server's id, and a 421 without the server's own id may come from elsewhere; 1xx is not passed on. Ruled out: stripping the header; responses are passed on unchanged. Change: on_head passes the word to the registry, in any form of response. Kept connections to a leaving server are closed and none is kept. The setting drain_ms (platform: drain_timeout_ms) says how long such a server may be the last resort. server.leaving is logged with its source. http_trim is public, since the reader leaves space after a value in place.

--- a/packages/gate/backend_pool.c
+++ b/packages/gate/backend_pool.c
@@ -132,7 +132,7 @@
                            GUINT_TO_POINTER (server->number), queue);
     }
   if (keep_us <= 0 || queue->length >= IDLE_MAX
-      || server->state == REGISTRY_REMOVED)
+      || server->state == REGISTRY_REMOVED || registry_is_leaving (server))
     {
       tcp_conn_close (tcp_conn);
       return;
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -26,6 +26,8 @@
     .not_run = "X-Not-Run",
     /* Present in genuine responses of a server. */
     .signature = "X-Signature",
+    /* 1 in responses of a server that is leaving. */
+    .leaving = "X-Leaving",
     /* Id of the event after which a stream is resumed. */
     .last_event = "Last-Event-ID",
     .model = "X-Model",
--- a/packages/gate/header_names.h
+++ b/packages/gate/header_names.h
@@ -14,6 +14,7 @@
   X (server_id)                                                                \
   X (not_run)                                                                  \
   X (signature)                                                                \
+  X (leaving)                                                                  \
   X (last_event)                                                               \
   X (model)                                                                    \
   X (token_counts)                                                             \
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -138,8 +138,8 @@
 }
 
 /* Notifies the proxy of a change in the server registry. When a server is
-   removed, its idle connections are closed and its prefix cache entries
-   dropped.  */
+   leaving or removed, its idle connections are closed; when it is removed, its
+   prefix cache entries are dropped.  */
 void
 proxy_server_changed (struct reverse_proxy *reverse_proxy,
                       const struct registry_change *change)
@@ -150,6 +150,7 @@
     case REGISTRY_SERVER_ADDED:
       break;
     case REGISTRY_SERVER_LEAVING:
+      backend_pool_drop_server (reverse_proxy->backend_pool, server);
       break;
     case REGISTRY_SERVER_REMOVED:
       backend_pool_drop_server (reverse_proxy->backend_pool, server);
@@ -297,7 +298,8 @@
       = registry_servers (reverse_proxy->options.registry, &n);
   for (guint i = 0; i < n; i++)
     {
-      ready += servers[i]->state == REGISTRY_READY;
+      ready += servers[i]->state == REGISTRY_READY
+               && !registry_is_leaving (servers[i]);
       ejected += servers[i]->server_health.state == SERVER_HEALTH_EJECTED;
     }
   put_gauge (out, "ready", "1 if clients should be sent to this instance",
@@ -338,6 +340,7 @@
   json_add_str (json, "service", server->entry.service);
   json_add_str (json, "domain", server->entry.domain);
   json_add_str (json, "state", registry_state_name (server->state));
+  json_add_bool (json, "leaving", registry_is_leaving (server));
   json_add_str (json, "health",
                 server_health_state_name (server->server_health.state));
   json_add_int (json, "requests", load.requests);
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -81,6 +81,37 @@
              && http_head_count (head, "content-encoding") == 0);
 }
 
+/* Returns whether a server other than SERVER may have generated the response,
+   because it has SERVER's address now. One with status 421 speaks for SERVER
+   only if it has its id.  */
+static gboolean
+may_be_of_other_server (const struct upstream *upstream,
+                        const struct http_head *head)
+{
+  struct str id;
+  if (!http_head_get (head, upstream->reverse_proxy->header_names->server_id,
+                      &id))
+    return head->status == 421;
+  return !str_eq (id, str_of (upstream->server->entry.id));
+}
+
+/* Records that the server is leaving if the response says so. Other values of
+   the header than 1 mean nothing.  */
+static void
+check_leaving (struct upstream *upstream, const struct http_head *head)
+{
+  struct reverse_proxy *reverse_proxy = upstream->reverse_proxy;
+  const char *name = reverse_proxy->header_names->leaving;
+  gboolean leaving = FALSE;
+  for (guint i = 0; i < head->fields->len; i++)
+    leaving |= http_equals_ignore_case (http_head_field_name (head, i), name)
+               && str_eq (http_trim (http_head_field_value (head, i)),
+                          STR_LIT ("1"));
+  if (leaving && !may_be_of_other_server (upstream, head))
+    registry_mark_leaving (reverse_proxy->options.registry, upstream->server,
+                           clk_now (reverse_proxy->options.clk));
+}
+
 static gboolean
 on_head (void *ctx, const struct http_head *head)
 {
@@ -111,6 +142,7 @@
       upstream->invalid = TRUE;
       return FALSE;
     }
+  check_leaving (upstream, head);
   upstream->response_started = TRUE;
   upstream->relaying
       = is_success (head)
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -123,8 +123,9 @@
   return n;
 }
 
-static struct str
-trim (struct str s)
+/* Returns S without the spaces and tabs around it.  */
+struct str
+http_trim (struct str s)
 {
   while (s.n > 0 && (*s.p == ' ' || *s.p == '\t'))
     s.p++, s.n--;
@@ -140,7 +141,7 @@
     {
       const char *comma = memchr (list.p, ',', list.n);
       gsize n = comma ? (gsize)(comma - list.p) : list.n;
-      struct str item = trim ((struct str){ list.p, n });
+      struct str item = http_trim ((struct str){ list.p, n });
       if (item.n == token.n
           && g_ascii_strncasecmp (item.p, token.p, token.n) == 0)
         return TRUE;
@@ -180,7 +181,7 @@
 http_parse_number (struct str text, guint64 *number)
 {
   guint64 value = 0;
-  text = trim (text);
+  text = http_trim (text);
   if (text.n == 0 || text.n > 18)
     return FALSE;
   for (gsize i = 0; i < text.n; i++)
@@ -199,7 +200,7 @@
 http_parse_seconds (struct str text, gint64 *us)
 {
   char copy[32];
-  text = trim (text);
+  text = http_trim (text);
   if (text.n == 0 || text.n >= sizeof copy || !g_ascii_isdigit (text.p[0]))
     return FALSE;
   memcpy (copy, text.p, text.n);
--- a/packages/http/head.h
+++ b/packages/http/head.h
@@ -51,6 +51,7 @@
                                   struct str name);
 
 gboolean http_equals_ignore_case (struct str a, const char *b);
+struct str http_trim (struct str s);
 gboolean http_parse_number (struct str text, guint64 *number);
 gboolean http_parse_seconds (struct str text, gint64 *us);
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -23,12 +23,13 @@
       = { "server.appeared", "server.leaving", "server.gone" };
   struct proxy_daemon *daemon = ctx;
   const struct registry_server *server = change->server;
-  log_write (&(struct log_entry){ .level = LOG_INFO,
-                                  .event = names[change->kind],
-                                  .peer = server->entry.id },
-             "service=%s domain=%s address=%s born=%" G_GINT64_FORMAT,
-             server->entry.service, server->entry.domain, server->entry.address,
-             server->entry.start_time_ms);
+  log_write (
+      &(struct log_entry){ .level = LOG_INFO,
+                           .event = names[change->kind],
+                           .peer = server->entry.id },
+      "service=%s domain=%s address=%s born=%" G_GINT64_FORMAT " source=%s",
+      server->entry.service, server->entry.domain, server->entry.address,
+      server->entry.start_time_ms, registry_source_name (change->source));
   if (daemon->reverse_proxy != NULL)
     proxy_server_changed (daemon->reverse_proxy, change);
 }
@@ -256,6 +257,7 @@
   daemon->rand = g_rand_new ();
   daemon->topology = read_topology (settings);
   daemon->registry = registry_new (on_server_changed, daemon);
+  registry_set_drain_time (daemon->registry, settings->drain_us);
   gint64 now = clk_now (daemon->clk);
   const struct scheduler_options scheduler_options
       = { .registry = daemon->registry,
--- a/packages/settings/proxy_settings.c
+++ b/packages/settings/proxy_settings.c
@@ -42,6 +42,7 @@
   KEY (LISTEN, "metrics", listen_metrics, OPTIONAL),
   KEY (MS, "key_limit_ms", key_freshness_limit_us, OPTIONAL, 0, HOUR_MS, 0),
   KEY (MS, "grace_ms", shutdown_limit_us, OPTIONAL, 0, HOUR_MS, 8000),
+  KEY (MS, "drain_ms", drain_us, OPTIONAL, 0, HOUR_MS, 3000),
   KEY (NUMBER, "retry_ratio", retry_ratio, OPTIONAL, 0, 10, 0.1),
   KEY (COUNT, "retry_slack", retry_slack, OPTIONAL, 0, 100000, 20),
   KEY (MS, "retry_window_ms", retry_window_us, OPTIONAL, 1000, HOUR_MS, 10000),
--- a/packages/settings/proxy_settings.h
+++ b/packages/settings/proxy_settings.h
@@ -42,9 +42,11 @@
                                     confirmation that the configuration is the
                                     newest; 0: no limit */
   gint64 shutdown_limit_us; /* time within which a shutdown must complete */
-  double retry_ratio;       /* retries allowed per request */
-  guint retry_slack; /* retries allowed beyond that ratio, for all instances
-                        together in one window */
+  gint64 drain_us;    /* how long a backend server may get new requests after it
+                         has said that it is leaving */
+  double retry_ratio; /* retries allowed per request */
+  guint retry_slack;  /* retries allowed beyond that ratio, for all instances
+                         together in one window */
   gint64 retry_window_us;
 
   char **domain_regions; /* DOMAIN=REGION */
