Fetch cached prefixes from a server that is leaving

A server that says that it is leaving gets no more requests, and with them other servers could no longer fetch its prefix blocks: what only it has cached would be prefilled again, although it still runs. Ruled out: moving blocks ahead of any request. The directory does not know which will be read again; the requests that read them do. Change: such servers are sources of a fetch until their drain time is over, and no candidates. Servers that only the list has as leaving are none, as before.

--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -105,6 +105,41 @@
   return n;
 }
 
+/* Returns whether prefix blocks may be fetched from SERVER although it gets no
+   requests: it has said that it is leaving, and its drain time is not over.  */
+static gboolean
+is_leaving_source (const struct placement_view *view,
+                   const struct registry_server *server)
+{
+  return server->said_leaving_at != 0 && view->now <= server->drain_until
+         && server->avoid_until <= view->now
+         && g_str_equal (server->entry.service, view->service);
+}
+
+/* Adds to the N CANDIDATES the leaving servers that other servers may fetch
+   prefix blocks from, so that those blocks that are read again move before the
+   server ends. Returns the number of all.  */
+static guint
+add_leaving_sources (const struct placement_view *view,
+                     const struct placement_request *request,
+                     struct placement_candidate *candidates, guint n)
+{
+  if (view->engine == NULL || !view->engine->can_fetch_prefixes)
+    return n;
+  for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
+    {
+      struct registry_server *server = view->servers[i];
+      if (!is_leaving_source (view, server) || was_tried (request, server))
+        continue;
+      struct placement_candidate *c = &candidates[n++];
+      *c = (struct placement_candidate){ .server = server };
+      c->distance = topology_distance (view->topology, server->entry.domain);
+      c->cached_tokens = directory_cached_tokens (
+          view->prefix_directory, server->number, &request->prompt, view->now);
+    }
+  return n;
+}
+
 /* Marks the engines of each domain that form its pool for latency-sensitive
    streams: the first ones by rank, as many as the running streams fill.  */
 static void
@@ -324,8 +359,11 @@
 {
   static struct placement_candidate candidates[CANDIDATES_MAX];
   guint n = collect (view, request, FALSE, candidates);
-  if (n == 0)
-    n = collect (view, request, TRUE, candidates);
+  guint n_sources = n; /* servers to fetch from, the candidates first */
+  if (n > 0)
+    n_sources = add_leaving_sources (view, request, candidates, n);
+  else
+    n = n_sources = collect (view, request, TRUE, candidates);
   guint best_cached = 0;
   guint64 slots = 0;
   guint64 busy_slots = 0;
@@ -343,9 +381,10 @@
     }
   struct preferred_servers preferred_servers
       = find_preferred_servers (view, request, candidates, n);
+  for (guint i = 0; i < n_sources; i++)
+    best_cached = MAX (best_cached, candidates[i].cached_tokens);
   for (guint i = 0; i < n; i++)
     {
-      best_cached = MAX (best_cached, candidates[i].cached_tokens);
       slots += candidates[i].server->entry.slots;
       busy_slots += MIN (candidates[i].load.requests,
                          candidates[i].server->entry.slots);
@@ -384,13 +423,13 @@
   choice->prefill_tokens = chosen->estimate.prefill_tokens;
   choice->first_event_us = (gint64)chosen->estimate.first_event_us;
   if (chosen->estimate.fetched_tokens > 0)
-    choice->fetch_from
-        = find_cached_server (candidates, n, best_cached, chosen->best->server);
+    choice->fetch_from = find_cached_server (candidates, n_sources, best_cached,
+                                             chosen->best->server);
   else if (view->engine != NULL && view->engine->can_fetch_prefixes
            && chosen->best->cached_tokens
                   < prefix_shared_tokens (&request->prompt))
-    choice->fetch_from = guess_cached_server (view, request, candidates, n,
-                                              &preferred_servers, chosen->best);
+    choice->fetch_from = guess_cached_server (
+        view, request, candidates, n_sources, &preferred_servers, chosen->best);
   choice->cached_tokens = chosen->best->cached_tokens;
   choice->at_home = chosen->best == preferred_servers.region;
 }
--- a/tests/unit/test_registry_leaving.c
+++ b/tests/unit/test_registry_leaving.c
@@ -361,6 +361,66 @@
   tear_down_pair ();
 }
 
+/* Starts a request with a large shared prefix. Returns the choice.  */
+static struct placement_choice
+start_with_prefix (struct scheduler_entry *entry, guint own_key, gint64 now)
+{
+  struct scheduler_decision decision;
+  memset (entry, 0, sizeof *entry);
+  g_strlcpy (entry->service, "pool", sizeof entry->service);
+  entry->arrived = now;
+  entry->target = entry->deadline = now + 5 * CLK_S;
+  entry->request.prompt
+      = (struct prefix_prompt){ .blocks = { { 77, 6000 }, { own_key, 100 } },
+                                .n = 2 };
+  entry->request.prompt_tokens = 6100;
+  entry->request.output_tokens = 50;
+  entry->request.affinity_hash = 77;
+  scheduler_submit (pair.scheduler, entry, now, &decision);
+  CU_ASSERT_EQUAL_FATAL (decision.verdict, SCHEDULER_START);
+  scheduler_started (pair.scheduler, entry, &decision.choice, now);
+  return decision.choice;
+}
+
+/* Starts a request that reads again a prefix which only a leaving server has
+   cached, AFTER_US after its word. Returns whether it is fetched from that
+   server.  */
+static gboolean
+is_fetched_after (gint64 after_us)
+{
+  struct scheduler_entry entry;
+  set_up_pair ();
+  struct routing_table *routing_table = routing_table_new (1);
+  struct routing_service service = {
+    .name = g_strdup ("pool"),
+    .has_engine = TRUE,
+    .engine
+    = { .batch = 16, .memory = 200000, .stride = 5, .can_fetch_prefixes = TRUE }
+  };
+  routing_table_add_service (routing_table, &service);
+  scheduler_set_table (pair.scheduler, routing_table);
+  struct registry_server *first
+      = start_with_prefix (&entry, 1000, SAID_AT - 1).server;
+  scheduler_first_event (pair.scheduler, &entry, 50 * CLK_MS);
+  scheduler_ended (pair.scheduler, &entry);
+  registry_mark_leaving (world.registry, first, SAID_AT);
+  struct placement_choice choice
+      = start_with_prefix (&entry, 1001, SAID_AT + after_us);
+  CU_ASSERT_PTR_NOT_EQUAL (choice.server, first);
+  gboolean fetched = choice.fetch_from == first;
+  scheduler_ended (pair.scheduler, &entry);
+  routing_table_unref (routing_table);
+  tear_down_pair ();
+  return fetched;
+}
+
+static void
+test_cached_prefixes_move (void)
+{
+  CU_ASSERT_TRUE (is_fetched_after (DRAIN_US));
+  CU_ASSERT_FALSE (is_fetched_after (DRAIN_US + 1));
+}
+
 static CU_TestInfo tests[] = {
   { "the response precedes the list", test_response_before_list },
   { "the response follows the list", test_response_after_list },
@@ -375,6 +435,7 @@
   { "no new placement", test_no_new_placement },
   { "all servers are leaving", test_all_leaving },
   { "the other server is full", test_other_server_full },
+  { "cached prefixes move", test_cached_prefixes_move },
   CU_TEST_INFO_NULL,
 };
 
