Tell peers which servers say that they are leaving

Each instance had to get a response from the leaving server itself, and until then went on placing requests there. Ruled out: a message of its own; a peer's word that binds like an own response, since one damaged message could then take all servers of a service out of use; forwarding by every instance, since the leaders reach all domains. Change: a last field of the gossip message, up to 32 server keys, in turn if there are more. Instances tell what they have seen, leaders also what they were told. A peer's word makes a server the last resort and begins no drain time.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -161,21 +161,27 @@
   registry->changed (registry->ctx, &change);
 }
 
+static void
+notify_leaving (struct registry *registry, struct registry_server *server,
+                enum registry_source source)
+{
+  const struct registry_change change
+      = { .kind = REGISTRY_SERVER_LEAVING, .server = server, .source = source };
+  registry->changed (registry->ctx, &change);
+}
+
 /* Applies to SERVER what it has said about leaving in its present life.  */
 static void
 apply_leave_record (struct registry *registry, struct registry_server *server,
                     gint64 now)
 {
-  const struct registry_change change = { .kind = REGISTRY_SERVER_LEAVING,
-                                          .server = server,
-                                          .source = REGISTRY_FROM_RESPONSE };
   gint64 said_at
       = leave_records_find (registry->leave_records, &server->entry, now);
   if (said_at == 0 || server->said_leaving_at != 0)
     return;
   server->said_leaving_at = said_at;
   server->drain_until = said_at + registry->drain_us;
-  registry->changed (registry->ctx, &change);
+  notify_leaving (registry, server, REGISTRY_FROM_RESPONSE);
 }
 
 /* Records that SERVER has said in a response to this instance that it is
@@ -190,12 +196,26 @@
     apply_leave_record (registry, listed, now);
 }
 
+/* Records that SERVER has said to another instance that it is leaving. This is
+   a reason to prefer other servers; the drain time begins with a response to
+   this instance.  */
+void
+registry_peer_found_leaving (struct registry *registry,
+                             struct registry_server *server)
+{
+  if (server->peer_said_leaving)
+    return;
+  server->peer_said_leaving = TRUE;
+  notify_leaving (registry, server, REGISTRY_FROM_PEER);
+}
+
 /* Returns whether SERVER is leaving, by any source: it gets new requests only
    if no other server can take them, if at all.  */
 gboolean
 registry_is_leaving (const struct registry_server *server)
 {
-  return server->state == REGISTRY_LEAVING || server->said_leaving_at != 0;
+  return server->state == REGISTRY_LEAVING || server->said_leaving_at != 0
+         || server->peer_said_leaving;
 }
 
 /* Returns whether SERVER may get new requests. One that the list has as leaving
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -54,6 +54,7 @@
                              is leaving; 0: none */
   gint64 drain_until; /* if it has said so: clock time until which it may get
                          new requests */
+  gboolean peer_said_leaving; /* it has said so to another instance */
   guint refs;
   void *owner_data; /* of the registry's user; borrowed */
 };
@@ -68,7 +69,8 @@
 /* X (NAME, "name"): where a change comes from */
 #define REGISTRY_SOURCES(X)                                                    \
   X (LIST, "list")         /* of the store, read directly or from a peer */    \
-  X (RESPONSE, "response") /* of the server to this instance */
+  X (RESPONSE, "response") /* of the server to this instance */                \
+  X (PEER, "peer")         /* response of the server to another instance */
 
 enum registry_source
 {
@@ -112,6 +114,8 @@
                                       gint64 now);
 void registry_mark_leaving (struct registry *registry,
                             const struct registry_server *server, gint64 now);
+void registry_peer_found_leaving (struct registry *registry,
+                                  struct registry_server *server);
 gboolean registry_is_leaving (const struct registry_server *server);
 gboolean registry_may_serve (const struct registry_server *server, gint64 now);
 struct registry_server *registry_server_ref (struct registry_server *server);
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -366,6 +366,44 @@
           = gossip_server_key (servers[i]);
 }
 
+/* Returns whether messages tell that SERVER is leaving. A leader forwards what
+   peers have told it, so that it reaches the other domains and comes from them;
+   other instances tell what the server has said to them.  */
+static gboolean
+is_told_leaving (const struct registry_server *server, gboolean is_leader)
+{
+  return server->said_leaving_at != 0
+         || (is_leader && server->peer_said_leaving);
+}
+
+/* Adds the servers that have said that they are leaving. If not all fit into
+   one message, the messages to PEER rotate through them.  */
+static void
+add_leaving (struct gossip_message *message, struct registry *registry,
+             const struct peer *peer, gboolean is_leader)
+{
+  guint n;
+  guint n_leaving = 0;
+  struct registry_server *const *servers = registry_servers (registry, &n);
+  for (guint i = 0; i < n; i++)
+    n_leaving += is_told_leaving (servers[i], is_leader);
+  guint skip = n_leaving > GOSSIP_MESSAGE_LEAVING_MAX
+                   ? peer->seq
+                         % ((n_leaving - 1) / GOSSIP_MESSAGE_LEAVING_MAX + 1)
+                         * GOSSIP_MESSAGE_LEAVING_MAX
+                   : 0;
+  for (guint i = 0; i < n && message->n_leaving < GOSSIP_MESSAGE_LEAVING_MAX;
+       i++)
+    {
+      if (!is_told_leaving (servers[i], is_leader))
+        continue;
+      if (skip > 0)
+        skip--;
+      else
+        message->leaving[message->n_leaving++] = gossip_server_key (servers[i]);
+    }
+}
+
 /* Returns whether another domain would place requests differently if it knew
    LOAD. A few requests that only generate tokens make no difference at an
    engine, and most servers of a large fleet have no more.  */
@@ -533,6 +571,8 @@
   if (is_unresponsive (peer, round->now))
     return;
   gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
+  add_leaving (message, round->registry, peer,
+               round->is_leader && !round->full_mesh);
   if (direct)
     {
       add_loads (message, round->registry, round->server_load_table);
@@ -565,7 +605,7 @@
   message->n_members = message->n_loads = message->n_placements
       = message->n_summaries = 0;
   message->n_own_placements = message->n_home_placements
-      = message->n_unreachable = 0;
+      = message->n_unreachable = message->n_leaving = 0;
   memset (gossip->scratch_added, 0, sizeof gossip->scratch_added);
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     message->summaries[i].n = 0;
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,9 +7,9 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 21 /* of a message in the current format */
+#define FIELDS 22 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
-   n_waiting and store_era. */
+   n_waiting, store_era and leaving, and ignore those that they do not know. */
 #define FIELDS_REQUIRED 17
 
 static void
@@ -90,6 +90,9 @@
   msgpack_pack_unsigned_int (&pk, gossip_message->n_home_placements);
   msgpack_pack_unsigned_int (&pk, gossip_message->n_waiting);
   msgpack_pack_uint64 (&pk, gossip_message->store_era);
+  msgpack_pack_array (&pk, gossip_message->n_leaving);
+  for (guint i = 0; i < gossip_message->n_leaving; i++)
+    msgpack_pack_uint32 (&pk, gossip_message->leaving[i]);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -240,6 +243,16 @@
             || summaries.bad;
 }
 
+static void
+read_leaving (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor leaving = read_array (c, GOSSIP_MESSAGE_LEAVING_MAX);
+  while (!leaving.bad && leaving.left > 0)
+    gossip_message->leaving[gossip_message->n_leaving++]
+        = (guint32)read_number (&leaving, G_MAXUINT32);
+  c->bad |= leaving.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -272,6 +285,8 @@
     gossip_message->n_waiting = (guint)read_number (&c, G_MAXINT32);
   if (c.left > 0)
     gossip_message->store_era = read_number (&c, G_MAXINT64);
+  if (c.left > 0)
+    read_leaving (&c, gossip_message);
   return !c.bad;
 }
 
@@ -287,7 +302,7 @@
   gossip_message->n_members = gossip_message->n_loads
       = gossip_message->n_placements = gossip_message->n_summaries = 0;
   gossip_message->n_own_placements = gossip_message->n_home_placements
-      = gossip_message->n_unreachable = 0;
+      = gossip_message->n_unreachable = gossip_message->n_leaving = 0;
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     gossip_message->summaries[i].n = 0;
   msgpack_unpacked_init (&unpacked);
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -13,6 +13,7 @@
 #define GOSSIP_MESSAGE_BYTES_MAX 8192 /* when encoded */
 #define GOSSIP_MESSAGE_MEMBERS_MAX 16
 #define GOSSIP_MESSAGE_UNREACHABLE_MAX 32
+#define GOSSIP_MESSAGE_LEAVING_MAX 32
 #define GOSSIP_MESSAGE_SUMMARIES_MAX 12
 /* Servers at which one instance or domain has load. */
 #define GOSSIP_MESSAGE_LOADS_MAX 200
@@ -80,6 +81,10 @@
   /* Keys of servers to which the sender could not connect. */
   guint32 unreachable[GOSSIP_MESSAGE_UNREACHABLE_MAX];
   guint n_unreachable;
+  /* Keys of servers that have said that they are leaving, to the sender or to
+     an instance that has told it. */
+  guint32 leaving[GOSSIP_MESSAGE_LEAVING_MAX];
+  guint n_leaving;
   struct gossip_message_summary summaries[GOSSIP_MESSAGE_SUMMARIES_MAX];
   guint n_summaries;
 };
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -106,6 +106,21 @@
     }
 }
 
+/* Records the servers that a peer knows to be leaving. Their keys name lives,
+   so a server that has started again since is not found.  */
+static void
+apply_leaving (GHashTable *servers_by_key, const struct gossip_message *message,
+               struct registry *registry)
+{
+  for (guint i = 0; i < message->n_leaving; i++)
+    {
+      struct registry_server *server = g_hash_table_lookup (
+          servers_by_key, GUINT_TO_POINTER (message->leaving[i]));
+      if (server != NULL)
+        registry_peer_found_leaving (registry, server);
+    }
+}
+
 /* Derives a lower bound for the time at which the peer's configuration version
    was confirmed as the newest. The clocks of instances differ, so only the own
    clock is used: the peer sent its message after it had received the one that
@@ -208,6 +223,7 @@
       if (server != NULL)
         registry_peer_found_unreachable (server, now);
     }
+  apply_leaving (servers_by_key, message, registry);
   apply_summaries (gossip, servers_by_key, message, is_local, server_load_table,
                    now);
   apply_placements (gossip, servers_by_key, message, is_local, prefix_directory,
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -106,13 +106,17 @@
 }
 
 /* Returns whether prefix blocks may be fetched from SERVER although it gets no
-   requests: it has said that it is leaving, and its drain time is not over.  */
+   requests: it has said that it is leaving, and its drain time is not over, or
+   it is listed as ready and has said so to a peer.  */
 static gboolean
 is_leaving_source (const struct placement_view *view,
                    const struct registry_server *server)
 {
-  return server->said_leaving_at != 0 && view->now <= server->drain_until
-         && server->avoid_until <= view->now
+  gboolean runs
+      = server->said_leaving_at != 0
+            ? view->now <= server->drain_until
+            : server->peer_said_leaving && server->state == REGISTRY_READY;
+  return runs && server->avoid_until <= view->now
          && g_str_equal (server->entry.service, view->service);
 }
 
