--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -363,7 +363,7 @@
 {
   static struct placement_candidate candidates[CANDIDATES_MAX];
   guint n = collect (view, request, FALSE, candidates);
-  guint n_sources = n; /* servers to fetch from, the candidates first */
+  guint n_sources; /* servers to fetch from, the candidates first */
   if (n > 0)
     n_sources = add_leaving_sources (view, request, candidates, n);
   else
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -412,10 +412,19 @@
   proxy_test_stop ();
 }
 
+/* The name that servers use on the wire; with another one their word would be
+   missed, and no other test would show it.  */
+static void
+test_leaving_header (void)
+{
+  CU_ASSERT_STRING_EQUAL (adapter_header_names ()->leaving, "Server-Leaving");
+}
+
 static CU_TestInfo tests[] = {
   { "decoding a configuration", test_config },
   { "rejecting invalid configurations", test_invalid_configs },
   { "decoding server entries", test_servers },
+  { "the header of a server that is leaving", test_leaving_header },
   { "randomly corrupted input", test_random_corruption },
   { "reading the store", test_store_reads },
   { "eras of the store", test_store_eras },
--- a/tests/unit/test_gate_leaving.c
+++ b/tests/unit/test_gate_leaving.c
@@ -364,6 +364,48 @@
   proxy_test_stop ();
 }
 
+/* Sends an event and closes the connection, or, if an event is named, the rest
+   of the stream.  */
+static void
+break_stream (struct proxy_test_link *link, struct proxy_test_request *request)
+{
+  static const char first[] = "f\r\nid: 1\ndata: a\n\n\r\n";
+  static const char rest[] = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+  gboolean resumed = proxy_test_field (request, "last-event-id") != NULL;
+  const char *text = resumed ? rest : first;
+  value = link->server == &proxy_test.servers[0] ? LEAVING : "";
+  begin_stream (link, request);
+  tcp_conn_write (link->tcp_conn, text, strlen (text));
+  if (resumed)
+    return;
+  tcp_conn_finish (g_steal_pointer (&link->tcp_conn));
+  link->request = NULL;
+}
+
+/* A stream that breaks off at the leaving server is resumed at another one,
+   not there.  */
+static void
+test_stream_resumed_elsewhere (void)
+{
+  set_up (2);
+  proxy_test_script_all (break_stream);
+  for (guint i = 0; i < 50 && !is_marked (0); i++)
+    {
+      struct proxy_test_response response
+          = proxy_test_request_once ("/resume/x", "");
+      CU_ASSERT_EQUAL (response.status, 200);
+      CU_ASSERT_TRUE (response.complete);
+      CU_ASSERT_STRING_EQUAL (response.body->str,
+                              "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+      proxy_test_response_clear (&response);
+    }
+  CU_ASSERT_TRUE (is_marked (0));
+  struct proxy_test_request *last
+      = proxy_test_request_at (proxy_test_n_requests () - 1);
+  CU_ASSERT_PTR_NOT_NULL (proxy_test_field (last, "last-event-id"));
+  proxy_test_stop ();
+}
+
 /* All servers of a service are leaving, or say so: requests go to them for the
    drain time and are rejected after it, with a time to retry, and reach no
    server.  */
@@ -436,6 +478,7 @@
   { "the header is passed on", test_header_passed_on },
   { "kept connections", test_kept_connections },
   { "work in progress", test_work_in_progress },
+  { "a stream is resumed elsewhere", test_stream_resumed_elsewhere },
   { "all servers are leaving", test_all_leaving },
   { "a new configuration", test_new_configuration },
   { "the other server fails", test_other_server_fails },
--- a/tests/unit/test_registry_leaving.c
+++ b/tests/unit/test_registry_leaving.c
@@ -329,6 +329,27 @@
   tear_down_pair ();
 }
 
+/* A peer's word makes a server the last resort, without a limit, and is not
+   taken back by the list either. A restart ends it.  */
+static void
+test_word_of_a_peer (void)
+{
+  set_up_pair ();
+  registry_peer_found_leaving (world.registry, find ("a"));
+  registry_peer_found_leaving (world.registry, find ("a"));
+  CU_ASSERT_EQUAL (world.leaving_from[REGISTRY_FROM_PEER], 1);
+  registry_update (world.registry, pair.entries, 2, SAID_AT);
+  for (guint i = 0; i < 20; i++)
+    CU_ASSERT_STRING_EQUAL (place (SAID_AT, i, NULL), "b");
+  registry_peer_found_leaving (world.registry, find ("b"));
+  CU_ASSERT_PTR_NOT_NULL (place (SAID_AT + 2 * DRAIN_US, 1, NULL));
+  pair.entries[0].start_time_ms = 6;
+  registry_update (world.registry, pair.entries, 2, SAID_AT);
+  for (guint i = 0; i < 20; i++)
+    CU_ASSERT_STRING_EQUAL (place (SAID_AT, i, NULL), "a");
+  tear_down_pair ();
+}
+
 /* The other server is full: requests wait for it and do not go to the leaving
    one, which may end before they do.  */
 static void
@@ -434,6 +455,7 @@
   { "records expire", test_records_expire },
   { "no new placement", test_no_new_placement },
   { "all servers are leaving", test_all_leaving },
+  { "the word of a peer", test_word_of_a_peer },
   { "the other server is full", test_other_server_full },
   { "cached prefixes move", test_cached_prefixes_move },
   CU_TEST_INFO_NULL,
