--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -1,6 +1,7 @@
 /* Registry of the backend servers in the store's list: which may be used,
-   which are leaving, which were removed. Once an entry has announced that a
-   server is leaving, this holds until the server restarts.  */
+   which are leaving, which were removed. Once an entry or a response of a
+   server has announced that it is leaving, this holds until the server
+   restarts.  */
 #ifndef REGISTRY_H
 #define REGISTRY_H
 
@@ -58,6 +59,11 @@
   struct registry_backoff backoff;
   guint unreachable_in_row; /* consecutive attempts that could not reach it */
   gint64 last_reached;      /* clock time of its last message; 0: never */
+  gint64 said_leaving_at; /* clock time of its first response that says that it
+                             is leaving; 0: none */
+  gint64 drain_until; /* if it has said so: clock time until which it may get
+                         new requests */
+  gboolean peer_said_leaving; /* it has said so to another instance */
   guint refs;
   void *owner_data; /* of the registry's user; borrowed */
 };
@@ -69,10 +75,24 @@
   REGISTRY_SERVER_REMOVED
 };
 
+/* X (NAME, "name"): where a change comes from */
+#define REGISTRY_SOURCES(X)                                                    \
+  X (LIST, "list")         /* of the store, read directly or from a peer */    \
+  X (RESPONSE, "response") /* of the server to this instance */                \
+  X (PEER, "peer")         /* response of the server to another instance */
+
+enum registry_source
+{
+#define REGISTRY_SOURCE_ENUM(id, name) REGISTRY_FROM_##id,
+  REGISTRY_SOURCES (REGISTRY_SOURCE_ENUM)
+#undef REGISTRY_SOURCE_ENUM
+};
+
 struct registry_change
 {
   enum registry_change_kind kind;
   struct registry_server *server;
+  enum registry_source source;
 };
 
 struct registry;
@@ -82,6 +102,7 @@
 
 struct registry *registry_new (registry_changed changed, void *ctx);
 void registry_free (struct registry *registry);
+void registry_set_drain_time (struct registry *registry, gint64 us);
 void registry_store_failed (struct registry *registry, gint64 now);
 void registry_update (struct registry *registry,
                       const struct registry_entry *entries, guint n,
@@ -104,8 +125,15 @@
 gboolean registry_is_backing_off (const struct registry_server *server,
                                   gint64 now);
 void registry_mark_serving (struct registry_server *server);
+void registry_mark_leaving (struct registry *registry,
+                            const struct registry_server *server, gint64 now);
+void registry_peer_found_leaving (struct registry *registry,
+                                  struct registry_server *server);
+gboolean registry_is_leaving (const struct registry_server *server);
+gboolean registry_may_serve (const struct registry_server *server, gint64 now);
 struct registry_server *registry_server_ref (struct registry_server *server);
 void registry_server_unref (struct registry_server *server);
 const char *registry_state_name (enum registry_state state);
+const char *registry_source_name (enum registry_source source);
 
 #endif
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -47,21 +47,22 @@
   return FALSE;
 }
 
-/* Returns whether SERVER is ready, serves the service, and its health allows
-   another request of this instance.  */
+/* Returns whether SERVER may get requests, serves the service, and its health
+   allows another request of this instance.  */
 static gboolean
 is_usable (const struct placement_view *view,
            const struct registry_server *server)
 {
-  return server->state == REGISTRY_READY && server->avoid_until <= view->now
+  return registry_may_serve (server, view->now)
+         && server->avoid_until <= view->now
          && !registry_is_backing_off (server, view->now)
          && g_str_equal (server->entry.service, view->service)
          && server_load_own (view->server_load_table, server->number)->requests
                 < server_health_slots (&server->server_health, G_MAXUINT);
 }
 
-/* Returns the time until the first of the ready servers of the service may be
-   used that have asked this instance to send nothing, or G_MAXINT64. Includes
+/* Returns the time until the first of the servers of the service may be used
+   that have asked this instance to send nothing, or G_MAXINT64. Includes
    servers that the request was sent to: the client's next try may use them.  */
 static gint64
 backoff_left (const struct placement_view *view)
@@ -70,8 +71,8 @@
   for (guint i = 0; i < view->n_servers; i++)
     {
       const struct registry_server *server = view->servers[i];
-      if (server->state == REGISTRY_READY
-          && registry_is_backing_off (server, view->now)
+      if (registry_is_backing_off (server, view->now)
+          && registry_may_serve (server, server->backoff.until)
           && g_str_equal (server->entry.service, view->service))
         left = MIN (left, server->backoff.until - view->now);
     }
@@ -91,10 +92,10 @@
 }
 
 /* Fills CANDIDATES with the usable servers that the request was not sent to
-   yet. Returns their number.  */
+   yet, those that are LEAVING or those that are not. Returns their number.  */
 static guint
 collect (const struct placement_view *view,
-         const struct placement_request *request,
+         const struct placement_request *request, gboolean leaving,
          struct placement_candidate *candidates)
 {
   guint n = 0;
@@ -102,7 +103,8 @@
   for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
     {
       struct registry_server *server = view->servers[i];
-      if (!is_usable (view, server) || was_tried (request, server))
+      if (registry_is_leaving (server) != leaving || !is_usable (view, server)
+          || was_tried (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
@@ -123,6 +125,45 @@
   return n;
 }
 
+/* Returns whether prefix blocks may be fetched from SERVER although it gets no
+   requests: it has said that it is leaving, and its drain time is not over, or
+   it is listed as ready and has said so to a peer.  */
+static gboolean
+is_leaving_source (const struct placement_view *view,
+                   const struct registry_server *server)
+{
+  gboolean runs
+      = server->said_leaving_at != 0
+            ? view->now <= server->drain_until
+            : server->peer_said_leaving && server->state == REGISTRY_READY;
+  return runs && server->avoid_until <= view->now
+         && g_str_equal (server->entry.service, view->service);
+}
+
+/* Adds to the N CANDIDATES the leaving servers that other servers may fetch
+   prefix blocks from, so that those blocks that are read again move before the
+   server ends. Returns the number of all.  */
+static guint
+add_leaving_sources (const struct placement_view *view,
+                     const struct placement_request *request,
+                     struct placement_candidate *candidates, guint n)
+{
+  if (view->engine == NULL || !view->engine->can_fetch_prefixes)
+    return n;
+  for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
+    {
+      struct registry_server *server = view->servers[i];
+      if (!is_leaving_source (view, server) || was_tried (request, server))
+        continue;
+      struct placement_candidate *c = &candidates[n++];
+      *c = (struct placement_candidate){ .server = server };
+      c->distance = topology_distance (view->topology, server->entry.domain);
+      c->cached_tokens = directory_cached_tokens (
+          view->prefix_directory, server->number, &request->prompt, view->now);
+    }
+  return n;
+}
+
 /* Marks the engines of each domain that form its pool for latency-sensitive
    streams: the first ones by rank, as many as the running streams fill.  */
 static void
@@ -330,16 +371,23 @@
 }
 
 /* Chooses the cheapest server that has capacity, of the few that are compared.
-   A server of the sensitive pool whose streams would be delayed is chosen only
-   if there are no servers outside the pool; otherwise the request waits until
-   another server has capacity.  */
+   Servers that are leaving are compared only if no other one is usable, even if
+   those have no capacity: they may end before a new request does. A server of
+   the sensitive pool whose streams would be delayed is chosen only if there are
+   no servers outside the pool; otherwise the request waits until another server
+   has capacity.  */
 void
 placement_choose (const struct placement_view *view,
                   const struct placement_request *request,
                   struct placement_choice *choice)
 {
   static struct placement_candidate candidates[CANDIDATES_MAX];
-  guint n = collect (view, request, candidates);
+  guint n = collect (view, request, FALSE, candidates);
+  guint n_sources; /* servers to fetch from, the candidates first */
+  if (n > 0)
+    n_sources = add_leaving_sources (view, request, candidates, n);
+  else
+    n = n_sources = collect (view, request, TRUE, candidates);
   guint best_cached = 0;
   guint64 slots = 0;
   guint64 busy_slots = 0;
@@ -360,9 +408,10 @@
     }
   struct preferred_servers preferred_servers
       = find_preferred_servers (view, request, candidates, n);
+  for (guint i = 0; i < n_sources; i++)
+    best_cached = MAX (best_cached, candidates[i].cached_tokens);
   for (guint i = 0; i < n; i++)
     {
-      best_cached = MAX (best_cached, candidates[i].cached_tokens);
       slots += candidates[i].server->entry.slots;
       busy_slots += MIN (candidates[i].load.requests,
                          candidates[i].server->entry.slots);
@@ -402,13 +451,13 @@
   choice->prefill_tokens = chosen->estimate.prefill_tokens;
   choice->first_event_us = (gint64)chosen->estimate.first_event_us;
   if (chosen->estimate.fetched_tokens > 0)
-    choice->fetch_from
-        = find_cached_server (candidates, n, best_cached, chosen->best->server);
+    choice->fetch_from = find_cached_server (candidates, n_sources, best_cached,
+                                             chosen->best->server);
   else if (view->engine != NULL && view->engine->can_fetch_prefixes
            && chosen->best->cached_tokens
                   < prefix_shared_tokens (&request->prompt))
-    choice->fetch_from = guess_cached_server (view, request, candidates, n,
-                                              &preferred_servers, chosen->best);
+    choice->fetch_from = guess_cached_server (
+        view, request, candidates, n_sources, &preferred_servers, chosen->best);
   choice->cached_tokens = chosen->best->cached_tokens;
   choice->at_home = chosen->best == preferred_servers.region;
 }
