--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -13,11 +13,11 @@
 #define PAST_LINGER_MS 2500 /* longer than the wait for the peer's FIN */
 #define SHORT_LIMIT_US (1 * CLK_S)
 #define LIMIT_CLIENTS 60       /* more than two servers take at once */
-#define BUSY_US (300 * CLK_MS) /* length of a main loop iteration */
+#define BUSY_US (450 * CLK_MS) /* length of a main loop iteration */
 #define BUSY_LIMIT_US (4 * CLK_S)
-#define SLOW_READ_BYTES (20 * 1024)
+#define SLOW_READ_BYTES (4 * 1024)
 #define SLOW_READ_INTERVAL_MS 100
-#define SLOW_READ_MS 10000  /* longer than a client may read nothing */
+#define SLOW_READ_MS 17000 /* two checks whether it reads */
 #define BACKLOG_CLIENTS 100 /* more than are accepted in one iteration */
 
 static void
@@ -219,6 +219,19 @@
                     "10\r\nid: 1\ndata: x\n\n \r\n");
 }
 
+static gboolean
+has_event (void *ctx)
+{
+  const struct proxy_test_client *client = ctx;
+  return strstr (client->in->str, "data: x") != NULL;
+}
+
+static gboolean
+has_ended (void *ctx)
+{
+  return ((const struct proxy_test_client *)ctx)->ended;
+}
+
 /* A stream that has begun is reset: a second response in it, or an end that
    looks complete, would be taken for the server's.  */
 static void
@@ -228,10 +241,11 @@
   proxy_test_script_all (begin_stream);
   struct proxy_test_client *client = proxy_test_open_client ();
   proxy_test_send_request (client, "/stream/x", "");
-  proxy_test_run_for (50);
-  CU_ASSERT_PTR_NOT_NULL (strstr (client->in->str, "data: x"));
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (has_event, client, PROXY_TEST_WAIT_MS));
   shut_down_to_the_end ();
-  proxy_test_run_for (50);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (has_ended, client, PROXY_TEST_WAIT_MS));
   CU_ASSERT_TRUE (client->reset);
   CU_ASSERT_PTR_NULL (strstr (client->in->str, "HTTP/1.1 5"));
   CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_UNANSWERED], 1);
