Keep the logs of a failed process test, and explain broken rules

A call that was cut off had no request id either, so that it could not be found in the instance's log.

All tests of testbed.h and test_callers call harness_explain when a check failed, as test_orders did. After broken rules history_explain prints the events of the call and the lines of all logs and histories that name its request; without a request id, the lines of the instance from half a second before to half a second after. The request id is now also read from the response's header, for calls that ended without an error body; no rule reads it of other events than before.

--- a/tests/harness/history.c
+++ b/tests/harness/history.c
@@ -4,16 +4,22 @@
 #include <stdio.h>
 #include <string.h>
 
+#define EXPLAINED_MAX 6 /* violations that are explained */
+#define LINES_MAX 40    /* log lines for each of them and file */
+/* Log lines this long before and after an event belong to it.  */
+#define AROUND_US (G_USEC_PER_SEC / 2)
+
 struct history
 {
   GMutex lock;
   GArray *events; /* struct history_event */
   GStringChunk *strings;
+  GArray *violations; /* struct history_event, of the last history_check */
 };
 
 struct check
 {
-  const struct history *history;
+  struct history *history;
   const char *rule;
   GString *report;
   guint violations;
@@ -32,6 +38,8 @@
   g_mutex_init (&history->lock);
   history->events = g_array_new (FALSE, FALSE, sizeof (struct history_event));
   history->strings = g_string_chunk_new (4096);
+  history->violations
+      = g_array_new (FALSE, FALSE, sizeof (struct history_event));
   return history;
 }
 
@@ -40,6 +48,7 @@
 {
   g_mutex_clear (&history->lock);
   g_array_unref (history->events);
+  g_array_unref (history->violations);
   g_string_chunk_free (history->strings);
   g_free (history);
 }
@@ -128,6 +137,21 @@
   g_free (request);
 }
 
+/* Returns the time of a line of an instance's log in microseconds since 1970,
+   0 if it has none.  */
+static gint64
+log_line_time (JsonObject *line)
+{
+  const char *time = member (line, "time");
+  GDateTime *at = time ? g_date_time_new_from_iso8601 (time, NULL) : NULL;
+  if (at == NULL)
+    return 0;
+  gint64 t = g_date_time_to_unix (at) * G_USEC_PER_SEC
+             + g_date_time_get_microsecond (at);
+  g_date_time_unref (at);
+  return t;
+}
+
 /* Reads a line of an instance's log; only applied configurations are used.  */
 static void
 handle_log_line (struct history *history, JsonObject *line)
@@ -135,14 +159,10 @@
   struct history_event event
       = { .kind = HISTORY_CONFIG, .process = member (line, "instance") };
   const char *text = member (line, "text");
-  const char *time = member (line, "time");
   if (g_strcmp0 (member (line, "event"), "config.applied") != 0
       || sscanf (text, "version %" G_GUINT64_FORMAT, &event.version) != 1)
     return;
-  GDateTime *at = g_date_time_new_from_iso8601 (time, NULL);
-  event.t = g_date_time_to_unix (at) * G_USEC_PER_SEC
-            + g_date_time_get_microsecond (at);
-  g_date_time_unref (at);
+  event.t = log_line_time (line);
   history_add (history, &event);
 }
 
@@ -190,17 +210,25 @@
   return x->t < y->t ? -1 : x->t > y->t;
 }
 
+static void
+append_event (GString *report, const struct history_event *e)
+{
+  g_string_append_printf (report,
+                          "%s at %s, id %s, key %s, request %s, text %s, "
+                          "v%" G_GUINT64_FORMAT ", t %" G_GINT64_FORMAT "\n",
+                          kind_names[e->kind], e->process ? e->process : "-",
+                          e->id ? e->id : "-", e->key ? e->key : "-",
+                          e->request ? e->request : "-",
+                          e->text ? e->text : "-", e->version, e->t);
+}
+
 static void
 violation (struct check *check, const struct history_event *e, const char *why)
 {
   check->violations++;
-  g_string_append_printf (
-      check->report,
-      "%s: %s: %s at %s, id %s, key %s, request %s, text %s, "
-      "v%" G_GUINT64_FORMAT ", t %" G_GINT64_FORMAT "\n",
-      check->rule, why, kind_names[e->kind], e->process ? e->process : "-",
-      e->id ? e->id : "-", e->key ? e->key : "-", e->request ? e->request : "-",
-      e->text ? e->text : "-", e->version, e->t);
+  g_array_append_vals (check->history->violations, e, 1);
+  g_string_append_printf (check->report, "%s: %s: ", check->rule, why);
+  append_event (check->report, e);
 }
 
 /* Iterates over the events in the order of time.  */
@@ -451,6 +479,7 @@
 history_check (struct history *history, const char *name, GString *report)
 {
   struct check check = { .history = history, .report = report };
+  g_array_set_size (history->violations, 0);
   g_array_sort (history->events, by_time);
   for (guint i = 0; i < G_N_ELEMENTS (rules); i++)
     if (name == NULL || strcmp (name, rules[i].name) == 0)
@@ -460,3 +489,86 @@
       }
   return check.violations;
 }
+
+/* Whether LINE names request E->request, alone or with an attempt's number.  */
+static gboolean
+names_request (const char *line, const struct history_event *e)
+{
+  gsize n = strlen (e->request);
+  for (const char *at = line; (at = strstr (at, e->request)) != NULL; at++)
+    if (at[n] == '"' || at[n] == '-')
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+is_around (const char *line, const struct history_event *e)
+{
+  JsonNode *node = json_from_string (line, NULL);
+  gint64 t = 0;
+  if (node != NULL && JSON_NODE_HOLDS_OBJECT (node))
+    t = log_line_time (json_node_get_object (node));
+  g_clear_pointer (&node, json_node_unref);
+  return ABS (t - e->t) <= AROUND_US;
+}
+
+/* Appends the lines of the file NAME in DIR that belong to E.  */
+static void
+append_lines (const char *dir, const char *name, const struct history_event *e,
+              GString *report)
+{
+  char *path = g_build_filename (dir, name, NULL);
+  char *text = NULL;
+  guint n = 0;
+  g_file_get_contents (path, &text, NULL, NULL);
+  char **lines = g_strsplit (text ? text : "", "\n", -1);
+  for (char **line = lines; *line != NULL && n < LINES_MAX; line++)
+    if (e->request != NULL ? names_request (*line, e) : is_around (*line, e))
+      {
+        g_string_append_printf (report, "    %s: %s\n", name, *line);
+        n++;
+      }
+  g_strfreev (lines);
+  g_free (text);
+  g_free (path);
+}
+
+static void
+explain_event (struct history *history, const struct history_event *violation,
+               const char *dir, GString *report)
+{
+  const struct check check = { .history = history };
+  GDir *files = g_dir_open (dir, 0, NULL);
+  const char *name;
+  g_string_append (report, "  about ");
+  append_event (report, violation);
+  FOR_EACH_EVENT (e, &check)
+  if ((violation->id != NULL && g_strcmp0 (e->id, violation->id) == 0)
+      || (violation->request != NULL
+          && g_strcmp0 (e->request, violation->request) == 0)
+      || e->kind == HISTORY_DOWN || e->kind == HISTORY_UP
+      || e->kind == HISTORY_LEAVING)
+    {
+      g_string_append (report, "    ");
+      append_event (report, e);
+    }
+  while (files != NULL && (name = g_dir_read_name (files)) != NULL)
+    if (violation->request != NULL
+            ? g_str_has_suffix (name, ".err")
+                  || g_str_has_suffix (name, ".history")
+            : violation->process != NULL
+                  && g_str_has_prefix (name, violation->process)
+                  && g_str_has_suffix (name, ".err"))
+      append_lines (dir, name, violation, report);
+  if (files != NULL)
+    g_dir_close (files);
+}
+
+void
+history_explain (struct history *history, const char *dir, GString *report)
+{
+  for (guint i = 0; i < history->violations->len && i < EXPLAINED_MAX; i++)
+    explain_event (
+        history, &g_array_index (history->violations, struct history_event, i),
+        dir, report);
+}
--- a/tests/harness/history.h
+++ b/tests/harness/history.h
@@ -71,5 +71,11 @@
    violations and appends a line for each to REPORT.  */
 guint history_check (struct history *history, const char *name,
                      GString *report);
+/* Appends to REPORT what is recorded of the first violations that
+   history_check found last: all events of the call and the lines of the logs
+   and histories in folder DIR that name its request. Without a request id, the
+   lines of the instance's log from around that time.  */
+void history_explain (struct history *history, const char *dir,
+                      GString *report);
 
 #endif
--- a/tests/harness/workload.c
+++ b/tests/harness/workload.c
@@ -160,6 +160,9 @@
 {
   struct workload_outcome outcome = { .status = response->status };
   char *request = read_error (response->body->str, &outcome);
+  if (request == NULL)
+    request = g_strdup (
+        g_hash_table_lookup (response->headers, "jacinthward-request-id"));
   char *text = is_completion (call->kind)
                    ? harness_completion_text (response->body->str)
                    : g_strdup (response->body->str);
@@ -359,10 +362,14 @@
 {
   struct history *joined = history_copy (workload->history);
   GString *report = g_string_new (NULL);
-  history_read_dir (joined, harness_dir (workload->deployment->harness));
+  const char *dir = harness_dir (workload->deployment->harness);
+  history_read_dir (joined, dir);
   guint violations = history_check (joined, NULL, report);
   if (violations > 0)
-    g_print ("%s", report->str);
+    {
+      history_explain (joined, dir, report);
+      g_print ("%s", report->str);
+    }
   g_string_free (report, TRUE);
   history_free (joined);
   return violations == 0;
--- a/tests/proc/test_callers.c
+++ b/tests/proc/test_callers.c
@@ -33,6 +33,8 @@
 static int
 stop (void)
 {
+  if (CU_get_number_of_failure_records () > 0)
+    harness_explain (harness);
   deployment_free (deployment);
   harness_free (harness);
   return 0;
--- a/tests/proc/testbed.h
+++ b/tests/proc/testbed.h
@@ -33,6 +33,8 @@
 static int
 testbed_stop (void)
 {
+  if (CU_get_number_of_failure_records () > 0)
+    harness_explain (harness);
   workload_free (workload);
   history_free (history);
   deployment_free (deployment);
--- a/tests/unit/test_his.c
+++ b/tests/unit/test_his.c
@@ -4,6 +4,7 @@
 #include "unit.h"
 
 #include <glib/gstdio.h>
+#include <string.h>
 
 #define SECOND G_USEC_PER_SEC
 #define EVENTS_MAX 6
@@ -183,7 +184,28 @@
       "{\"time\": \"2026-01-01T00:00:01.5Z\", \"instance\": \"p\", "
       "\"event\": \"config.applied\", \"text\": \"version 7, preset x\"}\n"
       "{\"time\": \"2026-01-01T00:00:02Z\", \"instance\": \"p\", "
-      "\"event\": \"config.applied\", \"text\": \"version 6, preset x\"}\n";
+      "\"event\": \"config.applied\", \"text\": \"version 6, preset x\"}\n"
+      "{\"time\": \"2026-01-01T00:00:03Z\", \"instance\": \"p\", "
+      "\"event\": \"attempt.end\", \"request\": \"r-1\"}\n"
+      "{\"time\": \"2026-01-01T00:00:03Z\", \"instance\": \"p\", "
+      "\"event\": \"attempt.end\", \"request\": \"r-12\"}\n";
+
+/* Checks that the explanation of the violations in HISTORY has the call's
+   events and the log lines of its request, and none of another request.  */
+static void
+check_explanation (struct history *history, const char *dir)
+{
+  GString *report = g_string_new (NULL);
+  CU_ASSERT_EQUAL (history_check (history, "rejected-did-not-run", report), 2);
+  g_string_truncate (report, 0);
+  history_explain (history, dir, report);
+  CU_ASSERT_PTR_NOT_NULL (strstr (report->str, "error at -, id a"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (report->str, "execute at s, id a"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (report->str, "s.history: {\"t_us\": 5"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (report->str, "\"request\": \"r-1\""));
+  CU_ASSERT_PTR_NULL (strstr (report->str, "\"request\": \"r-12\""));
+  g_string_free (report, TRUE);
+}
 
 static void
 test_files (void)
@@ -205,6 +227,7 @@
   CU_ASSERT_EQUAL (history_check (copy, "rejected-did-not-run", report), 2);
   CU_ASSERT_EQUAL (history_check (copy, "versions-never-decrease", report), 1);
   CU_ASSERT_EQUAL (history_check (copy, NULL, report), 4);
+  check_explanation (copy, dir);
   history_free (copy);
   history_free (history);
   g_string_free (report, TRUE);
