Count a client's stall from the first unsent byte

Callers saw a complete response cut off, or none at all, without a fault, when it was ready later than caller_stall_ms after the request (30 s; 1 s in test_answers): a response that is not streamed, a recorded one, or an event after a long gap in a stream.

Cause: last_write was set when the request arrived and when bytes were written, not when the first bytes became due. A late response was counted as unsent with a last write long ago, and libsoup writes it only in a later iteration of the main loop. If the check of the limits, every 100 ms, came in between, it took the client for one that had read nothing for that long and closed its connection, of all responses of that iteration at once.

The time now begins with the first unsent byte. A client that reads nothing is disconnected as before, caller_stall_ms after that byte or its last read.

Ruled out for this path: the extension after a freeze (on_timer) only moves last_write by the time of the freeze; the limit for idle connections skips those with a response due.

--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -52,7 +52,8 @@
   GString *sent_text;  /* streamed: generated text that was sent */
   guint32 sent_tokens; /* streamed: in SENT_TEXT */
   gsize unsent_bytes;  /* not yet written to the client */
-  gint64 last_write;   /* to the client, monotonic microseconds */
+  gint64 last_write;   /* to the client, or when bytes became unsent;
+                          monotonic microseconds */
 };
 
 struct ingress
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -57,6 +57,16 @@
   g_free (request);
 }
 
+/* Counts BYTES that are passed to libsoup. The time limit for a client that
+   reads nothing begins with the first of them.  */
+static void
+add_unsent (struct ingress_request *request, gsize bytes)
+{
+  if (request->unsent_bytes == 0)
+    request->last_write = g_get_monotonic_time ();
+  request->unsent_bytes += bytes;
+}
+
 /* Lets libsoup write what the message holds now.  */
 static void
 resume_response (struct ingress_request *request)
@@ -220,7 +230,6 @@
       return;
     }
   request->socket = g_object_ref (socket);
-  request->last_write = g_get_monotonic_time ();
   g_signal_connect (message, "finished", G_CALLBACK (on_finished), request);
   g_signal_connect (message, "wrote-body-data", G_CALLBACK (on_wrote_data),
                     request);
@@ -324,7 +333,7 @@
 {
   soup_message_body_append_bytes (
       soup_server_message_get_response_body (request->message), bytes);
-  request->unsent_bytes += g_bytes_get_size (bytes);
+  add_unsent (request, g_bytes_get_size (bytes));
   g_bytes_unref (bytes);
   resume_response (request);
   if (request->attempt != NULL && request->unsent_bytes > INGRESS_UNSENT_HIGH)
@@ -558,7 +567,7 @@
                                       content_type ? content_type
                                                    : "application/octet-stream",
                                       SOUP_MEMORY_COPY, body.p, body.n);
-  request->unsent_bytes += body.n;
+  add_unsent (request, body.n);
 }
 
 /* Sends the client the response that the ledger has recorded.  */
