Send no request after the instance was suspended past its grant

The operator drained a server; an instance that was suspended meanwhile (SIGSTOP for 4 s) started requests there right after it went on.

Cause: the age of a grant is checked when the attempt is opened. Until its first byte a call takes further iterations of the main loop (3 over loopback with a new connection, test_bec), since the connection is made asynchronously. A suspension in one of them was not noticed: libsoup went on and wrote the request.

Ruled out: grants that are used after the pause. core_handle notices the pause with its first event, and nothing starts for 0.7 s after it (core_is_warming_up), while these started within 13 ms. The stand-in was not frozen and records a start when it has read the request.

The core now passes the time that the grant has left (send_within_us), and the backend client checks it when libsoup is about to write, by the clock and not by a timer, as the suspension can come within an iteration. A call past it is cancelled and ends as UNUSED: not sent. The core returns the grant and enqueues the request again, as it does for a grant that is too old when the ledger replies: without a retry of the class's budget, and without avoiding the server.

--- a/packages/backend/backend_client.c
+++ b/packages/backend/backend_client.c
@@ -27,6 +27,7 @@
   guint deadline_timer; /* GLib source; 0: none */
   guint stall_timer;
   gint64 last_byte_us; /* monotonic */
+  gint64 send_by_us;   /* monotonic; G_MAXINT64: no limit */
   gboolean sent;
   gboolean reading; /* a read is pending */
   gboolean paused;
@@ -110,7 +111,10 @@
   struct backend_call_options options = call->options;
   gboolean sent = call->sent;
   if (result != MSG_RESULT_OK)
-    err_set (&err, result == MSG_RESULT_TIMED_OUT ? ERR_TIMEOUT : ERR_IO,
+    err_set (&err,
+             result == MSG_RESULT_TIMED_OUT || result == MSG_RESULT_UNUSED
+                 ? ERR_TIMEOUT
+                 : ERR_IO,
              sent ? "backend.read" : "backend.connect", call->backend_name,
              "%s", text);
   finish_call (call);
@@ -207,12 +211,19 @@
   end_call (data, MSG_RESULT_BROKEN, "the server closed an idle connection");
 }
 
-/* From here on part of the request may have been sent.  */
+/* Part of the request may be sent from here on. A process that was suspended
+   while the connection was made, also within this iteration of the main loop,
+   must not send a request that was decided on before. Ending the call cancels
+   it, so that libsoup writes nothing.  */
 static void
 on_starting (SoupMessage *message, gpointer data)
 {
+  struct backend_call *call = data;
   (void)message;
-  ((struct backend_call *)data)->sent = TRUE;
+  if (g_get_monotonic_time () > call->send_by_us)
+    end_call (call, MSG_RESULT_UNUSED, "not sent within the time limit");
+  else
+    call->sent = TRUE;
 }
 
 static gboolean
@@ -281,6 +292,9 @@
   call->message = message;
   call->cancellable = g_cancellable_new ();
   call->last_byte_us = g_get_monotonic_time ();
+  call->send_by_us = options->send_within_us > 0
+                         ? call->last_byte_us + options->send_within_us
+                         : G_MAXINT64;
   g_strlcpy (call->backend_name, options->backend->name.s,
              sizeof call->backend_name);
   g_hash_table_add (client->calls, call);
--- a/packages/backend/backend_client.h
+++ b/packages/backend/backend_client.h
@@ -27,13 +27,14 @@
   gboolean new_connection;     /* do not reuse an idle connection */
   gint64 timeout_us;           /* for the complete call */
   gint64 stall_us;             /* longest time without data from the server */
+  gint64 send_within_us;       /* the request is not sent later; 0: no limit */
   /* Callbacks are called from the main loop, never before backend_call_open
      returns. Data is called only after head; end is called once, as the last
      one. */
   void (*head) (void *ctx, guint status, SoupMessageHeaders *headers);
   void (*data) (void *ctx, struct str data);
-  /* RESULT is OK, NOT_SENT, BROKEN or TIMED_OUT. SENT: part of the request may
-     have been sent. */
+  /* RESULT is OK, UNUSED (send_within_us is over), NOT_SENT, BROKEN or
+     TIMED_OUT. SENT: part of the request may have been sent. */
   void (*end) (void *ctx, enum msg_result result, gboolean sent,
                const struct err *err);
   void *ctx;
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -465,6 +465,7 @@
                                           : "application/octet-stream",
     .new_connection = action->open.fresh,
     .timeout_us = action->open.timeout_us,
+    .send_within_us = action->open.send_within_us,
     .stall_us = request->to_engine
                     ? request->ingress->options.limits.backend_stall_us
                     : action->open.timeout_us,
--- a/packages/node/attempts.c
+++ b/packages/node/attempts.c
@@ -28,8 +28,9 @@
 {
   int i = cluster_find_backend (core->cfg, str_of (req->backend.s));
   struct core_action action = { .kind = CORE_DO_OPEN };
+  gint64 now = clk_now (core->clk);
   req->attempt++;
-  req->attempt_started = clk_now (core->clk);
+  req->attempt_started = now;
   req->first_token = 0;
   req->attempt_tokens = 0;
   action.open.request = req->spec.id;
@@ -38,7 +39,9 @@
   action.open.priority = req->priority;
   action.open.resume = req->generated > 0;
   action.open.fresh = !req->spec.repeatable;
-  action.open.timeout_us = MAX (0, req->deadline - clk_now (core->clk));
+  action.open.timeout_us = MAX (0, req->deadline - now);
+  action.open.send_within_us
+      = MAX (1, req->grant_not_before + CORE_GRANT_MAX_AGE_US - now);
   req->crosses_link
       = core_crosses_link (core, core->cfg, core->cfg->backends[i].domain);
   charge_link (core, req, req->spec.bytes);
@@ -166,6 +169,15 @@
     core_request_fail (core, req, &failure);
 }
 
+/* Enqueues REQ again, whose grant was released unused.  */
+static void
+enqueue_unused (struct core *core, struct core_request *req)
+{
+  core_request_step (core, req, REQUEST_EV_REQUEUE);
+  if (!core_queue_enqueue (core, req))
+    core_request_reject (core, req, MSG_REASON_NO_SERVER, CLK_S, core->self.s);
+}
+
 /* Handles the end of an attempt: completes the request, enqueues it again or
    fails it. Late reports on earlier attempts are ignored.  */
 void
@@ -191,6 +203,9 @@
       core_queue_remove (core, req);
       complete (core, req, end);
       return;
+    case MSG_RESULT_UNUSED:
+      enqueue_unused (core, req);
+      return;
     case MSG_RESULT_BROKEN:
     case MSG_RESULT_TIMED_OUT:
     case MSG_RESULT_CANCELLED:
@@ -278,9 +293,7 @@
       return;
     }
   core_queue_release (core, req, MSG_RESULT_UNUSED);
-  core_request_step (core, req, REQUEST_EV_REQUEUE);
-  if (!core_queue_enqueue (core, req))
-    core_request_reject (core, req, MSG_REASON_NO_SERVER, CLK_S, core->self.s);
+  enqueue_unused (core, req);
 }
 
 /* Handles the ledger's verdict on request ID, which arrives once. Only RECORDED
--- a/packages/node/core.h
+++ b/packages/node/core.h
@@ -184,6 +184,9 @@
       gboolean resume;   /* continue after the tokens delivered so far */
       gboolean fresh;    /* use a new connection, not a pooled one */
       gint64 timeout_us; /* for the complete attempt */
+      /* An attempt that has not been sent by then must end with UNUSED, since
+         its grant is too old. */
+      gint64 send_within_us;
     } open;
     struct
     {
--- a/tests/unit/core_rules.h
+++ b/tests/unit/core_rules.h
@@ -239,7 +239,8 @@
     {
       const struct rec *rec = rec_at (report, i);
       update_leaving (&state, rec);
-      if (rec->kind == REC_OPEN && state.all_know_since[rec->server] != 0
+      if ((rec->kind == REC_OPEN || rec->kind == REC_RUN)
+          && state.all_know_since[rec->server] != 0
           && rec->at - state.all_know_since[rec->server] > LEAVE_WITHIN_US)
         violate (report, "a leaving server got new work", rec->job);
     }
--- a/tests/unit/core_sim.h
+++ b/tests/unit/core_sim.h
@@ -396,7 +396,9 @@
   guint32 number;
   guint server;
   gint64 until;
-  guint steps_left; /* steps of work */
+  gint64 send_by;
+  guint steps_left;  /* steps of work */
+  gboolean deferred; /* the instance was frozen before it sent it */
   gboolean cancelled;
   gboolean breaks; /* its connection breaks before the end */
   gboolean runs;
@@ -509,12 +511,30 @@
 }
 
 /* An attempt reaches its server. One that was cancelled in transit may still
-   run.  */
+   run. If the instance was frozen meanwhile, it has perhaps not sent the
+   attempt, and does so afterwards unless the time limit for that is over.  */
 static void
 attempt_arrives (void *ctx)
 {
   struct attempt *attempt = ctx;
   struct world *world = attempt->instance->world;
+  if (!attempt->deferred && is_frozen (attempt->instance)
+      && sim_chance (&world->sim, 0.5))
+    {
+      attempt->deferred = TRUE;
+      sim_after (&world->sim,
+                 attempt->instance->frozen_until - world->sim.clk.t,
+                 attempt_arrives, attempt);
+      return;
+    }
+  if (attempt->deferred && world->sim.clk.t > attempt->send_by)
+    {
+      if (is_abandoned (attempt))
+        attempt_free (attempt);
+      else
+        end_attempt (attempt, MSG_RESULT_UNUSED, FALSE);
+      return;
+    }
   enum msg_result rejection
       = rejection_of (world, &world->servers[attempt->server]);
   double fate = world->faults ? g_rand_double (world->sim.rand) : 1;
@@ -557,6 +577,7 @@
   attempt->number = action->open.attempt;
   attempt->server = (guint)(action->open.backend->name.s[1] - '0');
   attempt->until = world->sim.clk.t + action->open.timeout_us;
+  attempt->send_by = world->sim.clk.t + action->open.send_within_us;
   attempt->steps_left = job->kind == JOB_STREAM ? 1 + pick (world, 20) : 0;
   job->attempt = attempt;
   record (world, REC_OPEN, instance->index, index)->server = attempt->server;
--- a/tests/unit/test_nod_keyed.c
+++ b/tests/unit/test_nod_keyed.c
@@ -15,6 +15,7 @@
   guint attempts;       /* number of attempts started */
   guint64 last_request; /* of the last attempt */
   guint32 last_attempt;
+  gint64 send_within_us; /* of the last attempt */
   guint fails;
   enum core_ran ran; /* of the last failure */
 };
@@ -48,6 +49,7 @@
       fixture->attempts++;
       fixture->last_request = action->open.request;
       fixture->last_attempt = action->open.attempt;
+      fixture->send_within_us = action->open.send_within_us;
       break;
     case CORE_DO_FAIL:
       fixture->fails++;
@@ -207,11 +209,40 @@
   fixture_free (fixture);
 }
 
+/* The process was suspended before it sent the attempt, until the grant was too
+   old. The request gets another grant each time, also from the only server and
+   more often than the class may retry, and keeps its write-ahead record.  */
+static void
+test_unused (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct core_event event = { .kind = CORE_ATTEMPT_END };
+  request (fixture, 1);
+  for (guint n = 1; n <= 20; n++)
+    {
+      fixture_run (fixture, 2 * CLK_S);
+      CU_ASSERT_EQUAL_FATAL (fixture->attempts, n);
+      CU_ASSERT_TRUE (fixture->send_within_us > 0);
+      CU_ASSERT_TRUE (fixture->send_within_us <= 2500 * CLK_MS);
+      event.attempt_end
+          = (struct core_attempt_end){ .request = 1,
+                                       .attempt = fixture->last_attempt,
+                                       .result = MSG_RESULT_UNUSED };
+      core_handle (fixture->core, &event);
+    }
+  fixture_run (fixture, CLK_S);
+  CU_ASSERT_EQUAL (fixture->attempts, 21);
+  CU_ASSERT_EQUAL (fixture->fails, 0);
+  CU_ASSERT_EQUAL (fixture->counter_set.v[COUNTER_OUTCOME_UNKNOWN], 0);
+  fixture_free (fixture);
+}
+
 static CU_TestInfo tests[] = {
   { "client disconnects while its call runs", test_disconnect_while_running },
   { "client disconnects before its call is sent",
     test_disconnect_before_sending },
   { "attempt that was not sent", test_not_sent },
+  { "attempts that were not sent in time", test_unused },
   CU_TEST_INFO_NULL,
 };
 
