Read the instances' logs from standard output in the process tests

Two rules of the history, versions-never-decrease and accepted-is-applied, have held for nothing since (4 December, 00:11): the log goes to standard output since then (NAME.out), and history_read_dir looked in NAME.err, which is empty. So no "config.applied" was read, and the explanation of a violation lacked the instances' lines.

--- a/tests/harness/history.c
+++ b/tests/harness/history.c
@@ -194,7 +194,7 @@
       char *path = g_build_filename (dir, name, NULL);
       if (g_str_has_suffix (name, ".history"))
         read_file (history, path, handle_history_line);
-      else if (g_str_has_suffix (name, ".err"))
+      else if (g_str_has_suffix (name, ".out"))
         read_file (history, path, handle_log_line);
       g_free (path);
     }
@@ -554,11 +554,11 @@
     }
   while (files != NULL && (name = g_dir_read_name (files)) != NULL)
     if (violation->request != NULL
-            ? g_str_has_suffix (name, ".err")
+            ? g_str_has_suffix (name, ".out")
                   || g_str_has_suffix (name, ".history")
             : violation->process != NULL
                   && g_str_has_prefix (name, violation->process)
-                  && g_str_has_suffix (name, ".err"))
+                  && g_str_has_suffix (name, ".out"))
       append_lines (dir, name, violation, report);
   if (files != NULL)
     g_dir_close (files);
--- a/tests/harness/history.h
+++ b/tests/harness/history.h
@@ -59,7 +59,7 @@
 /* Adds a copy of EVENT. Any thread may call this. */
 void history_add (struct history *history, const struct history_event *event);
 /* Adds the events in the stand-ins' histories (*.history) and the instances'
-   logs (*.err) in folder DIR.  */
+   logs (*.out) in folder DIR.  */
 void history_read_dir (struct history *history, const char *dir);
 /* Returns a copy, freed by history_free. */
 struct history *history_copy (struct history *history);
--- a/tests/harness/workload.c
+++ b/tests/harness/workload.c
@@ -365,6 +365,12 @@
   const char *dir = harness_dir (workload->deployment->harness);
   history_read_dir (joined, dir);
   guint violations = history_check (joined, NULL, report);
+  if (history_count (joined, HISTORY_CONFIG, NULL) == 0)
+    {
+      /* The rules on configurations would hold whatever happens.  */
+      g_print ("no applied configuration was found in the instances' logs\n");
+      violations++;
+    }
   if (violations > 0)
     {
       history_explain (joined, dir, report);
--- a/tests/harness/workload.h
+++ b/tests/harness/workload.h
@@ -85,7 +85,7 @@
 void workload_stop (struct workload *workload);
 /* Checks the history merged with the stand-ins' histories and the instances'
    logs in the folder of the run, and prints each violation. Returns whether
-   there is none.  */
+   there is none. A run without an applied configuration counts as one.  */
 gboolean workload_check (struct workload *workload);
 
 #endif
--- a/tests/unit/test_his.c
+++ b/tests/unit/test_his.c
@@ -212,7 +212,7 @@
 {
   char *dir = g_dir_make_tmp ("his-XXXXXX", NULL);
   char *history_file = g_build_filename (dir, "s.history", NULL);
-  char *log = g_build_filename (dir, "p.err", NULL);
+  char *log = g_build_filename (dir, "p.out", NULL);
   GString *report = g_string_new (NULL);
   struct history *history = history_new ();
   const struct history_event refusal
