Check the grant again before the body of a request is sent

test_leave failed once in 7 runs with the check in on_starting, now at load 9 on 8 cores: request 264 of mbj-1-a started at mbj-1-engine-1 3.1 ms after SIGCONT, 4.00 s after the server began to leave.

Cause: libsoup writes the head of a request and then splices the body, of which the first read finishes in the next iteration of the main loop. An instance that is suspended in between has passed the check, and the engine starts with the body, after the suspension. test_bec with a body shows it: of 4 iterations before the complete request, the check held in 3.

The body is now read from a stream that checks the time limit when its first asynchronous read is finished; GOutputStream writes the bytes in the same callback. Later reads are not checked, since sending a large body may take longer than a grant lives. Ruled out: a timer, which does not see a suspension within an iteration, and a check at each read, which would never let a slow upload end.

A call whose head was sent ends as UNUSED with sent set. It is enqueued again if it may be repeated; otherwise its outcome counts as unknown, since a service might act on the head alone.

--- a/packages/backend/backend_client.c
+++ b/packages/backend/backend_client.c
@@ -1,5 +1,6 @@
 #include "backend/backend_client.h"
 
+#include "backend/body_stream.h"
 #include "base/clock.h"
 
 #include <string.h>
@@ -182,6 +183,8 @@
   call->busy = FALSE;
   if (call->client == NULL)
     free_call (call);
+  else if (body_stream_is_late (error))
+    end_call (call, MSG_RESULT_UNUSED, error->message);
   else if (call->stream == NULL)
     end_call (call, call->sent ? MSG_RESULT_BROKEN : MSG_RESULT_NOT_SENT,
               error->message);
@@ -214,7 +217,7 @@
 /* Part of the request may be sent from here on. A process that was suspended
    while the connection was made, also within this iteration of the main loop,
    must not send a request that was decided on before. Ending the call cancels
-   it, so that libsoup writes nothing.  */
+   it, so that libsoup writes nothing. The body is checked by its stream.  */
 static void
 on_starting (SoupMessage *message, gpointer data)
 {
@@ -254,8 +257,18 @@
   soup_message_headers_append (data, name, value);
 }
 
+static void
+set_body (SoupMessage *message, const struct backend_call_options *options,
+          gint64 send_by_us)
+{
+  GInputStream *body = body_stream_new (options->body, send_by_us);
+  soup_message_set_request_body (message, options->content_type, body,
+                                 (gssize)g_bytes_get_size (options->body));
+  g_object_unref (body);
+}
+
 static SoupMessage *
-make_message (const struct backend_call_options *options)
+make_message (const struct backend_call_options *options, gint64 send_by_us)
 {
   char *uri = g_strdup_printf ("http://%s%s", options->backend->address,
                                options->path);
@@ -273,8 +286,7 @@
   soup_message_headers_foreach (options->headers, copy_header,
                                 soup_message_get_request_headers (message));
   if (options->body != NULL)
-    soup_message_set_request_body_from_bytes (message, options->content_type,
-                                              options->body);
+    set_body (message, options, send_by_us);
   return message;
 }
 
@@ -283,7 +295,11 @@
 backend_call_open (struct backend_client *client,
                    const struct backend_call_options *options)
 {
-  SoupMessage *message = make_message (options);
+  gint64 now = g_get_monotonic_time ();
+  gint64 send_by_us = options->send_within_us > 0
+                          ? now + options->send_within_us
+                          : G_MAXINT64;
+  SoupMessage *message = make_message (options, send_by_us);
   if (message == NULL)
     return NULL;
   struct backend_call *call = g_new0 (struct backend_call, 1);
@@ -291,10 +307,8 @@
   call->options = *options;
   call->message = message;
   call->cancellable = g_cancellable_new ();
-  call->last_byte_us = g_get_monotonic_time ();
-  call->send_by_us = options->send_within_us > 0
-                         ? call->last_byte_us + options->send_within_us
-                         : G_MAXINT64;
+  call->last_byte_us = now;
+  call->send_by_us = send_by_us;
   g_strlcpy (call->backend_name, options->backend->name.s,
              sizeof call->backend_name);
   g_hash_table_add (client->calls, call);
--- a/packages/backend/backend_client.h
+++ b/packages/backend/backend_client.h
@@ -27,7 +27,9 @@
   gboolean new_connection;     /* do not reuse an idle connection */
   gint64 timeout_us;           /* for the complete call */
   gint64 stall_us;             /* longest time without data from the server */
-  gint64 send_within_us;       /* the request is not sent later; 0: no limit */
+  /* The head, and the first bytes of the body, are not sent later; 0: no
+     limit. */
+  gint64 send_within_us;
   /* Callbacks are called from the main loop, never before backend_call_open
      returns. Data is called only after head; end is called once, as the last
      one. */
--- a/packages/node/attempts.c
+++ b/packages/node/attempts.c
@@ -204,6 +204,11 @@
       complete (core, req, end);
       return;
     case MSG_RESULT_UNUSED:
+      /* A server that got the head but not the body has hardly run the
+         request, but this is not certain. */
+      req->sent_attempts += end->sent;
+      if (end->sent && !req->spec.repeatable)
+        break;
       enqueue_unused (core, req);
       return;
     case MSG_RESULT_BROKEN:
--- a/tests/unit/test_nod_keyed.c
+++ b/tests/unit/test_nod_keyed.c
@@ -237,12 +237,36 @@
   fixture_free (fixture);
 }
 
+/* As above, but the server got the head of the call. The call is not sent
+   again, although it has hardly run.  */
+static void
+test_unused_after_head (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct core_event event = { .kind = CORE_ATTEMPT_END };
+  request (fixture, 1);
+  fixture_run (fixture, 2 * CLK_S);
+  CU_ASSERT_EQUAL_FATAL (fixture->attempts, 1);
+  event.attempt_end
+      = (struct core_attempt_end){ .request = 1,
+                                   .attempt = fixture->last_attempt,
+                                   .result = MSG_RESULT_UNUSED,
+                                   .sent = TRUE };
+  core_handle (fixture->core, &event);
+  fixture_run (fixture, 5 * CLK_S);
+  CU_ASSERT_EQUAL (fixture->attempts, 1);
+  CU_ASSERT_EQUAL (fixture->fails, 1);
+  CU_ASSERT_EQUAL (fixture->ran, CORE_RAN_UNKNOWN);
+  fixture_free (fixture);
+}
+
 static CU_TestInfo tests[] = {
   { "client disconnects while its call runs", test_disconnect_while_running },
   { "client disconnects before its call is sent",
     test_disconnect_before_sending },
   { "attempt that was not sent", test_not_sent },
   { "attempts that were not sent in time", test_unused },
+  { "attempt of which only the head was sent", test_unused_after_head },
   CU_TEST_INFO_NULL,
 };
 
