Lose no request when the router's listener closes and it ends

- The request had not arrived completely: quit_if_drained counted only complete ones. ingress_unfinished now also counts connections that are younger than 2 s without a request, whose head has been read, or that have unread bytes.
- They used a kept connection: no response told them to stop, and what they sent when the process ended was lost.
After the listener is closed each response has "Connection: close", and libsoup closes the connection.

Left: a kept connection that is idle until the process ends may get a request at that moment, as with any server that closes idle connections; a head of which libsoup has read a part on a kept connection is not counted.

--- a/packages/entry/ingress.c
+++ b/packages/entry/ingress.c
@@ -14,6 +14,8 @@
 #define LISTEN_BACKLOG 1024
 #define REJECTED_BODY_MAX (2 * 1024 * 1024) /* bytes read and discarded */
 #define MODELS_PATH "/v1/models"
+/* A connection without a byte for this long has hardly a request on its way. */
+#define NEW_CONNECTION_US (2 * CLK_S)
 
 /* A client's connection.  */
 struct ingress_connection
@@ -21,6 +23,7 @@
   GSocket *socket;  /* a reference */
   gint64 deadline;  /* for a complete request, monotonic microseconds */
   gboolean served;  /* had a complete request before */
+  gboolean begun;   /* the head of a request has been read */
   gboolean busy;    /* a response is due */
   gsize body_bytes; /* bytes of the request's body */
 };
@@ -99,6 +102,7 @@
   (void)query;
   if (connection != NULL)
     connection->busy = TRUE;
+  ingress_close_if_stopped (ingress, message);
   if (soup_server_message_get_status (message) != 0)
     return;
   if (strcmp (path, MODELS_PATH) == 0)
@@ -149,7 +153,10 @@
   const struct ingress_limits *limits = &ingress->options.limits;
   SoupMessageHeaders *headers
       = soup_server_message_get_request_headers (message);
+  struct ingress_connection *connection = find_connection (ingress, message);
   gsize bytes = 0;
+  if (connection != NULL)
+    connection->begun = TRUE;
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_body_chunk), ingress);
   (void)server;
   (void)path;
@@ -199,6 +206,7 @@
   if (connection == NULL)
     connection = add_connection (ingress, socket);
   connection->served |= connection->busy;
+  connection->begun = FALSE;
   connection->busy = FALSE;
   connection->body_bytes = 0;
   connection->deadline
@@ -357,7 +365,8 @@
   if (ingress == NULL)
     return;
   g_clear_handle_id (&ingress->timer, g_source_remove);
-  ingress_stop_listening (ingress);
+  if (ingress->listener != NULL)
+    ingress_close_listener (ingress);
   g_signal_handlers_disconnect_by_data (ingress->server, ingress);
   g_hash_table_unref (ingress->requests);
   soup_server_disconnect (ingress->server);
@@ -374,20 +383,69 @@
   return ingress->port;
 }
 
-/* Accepts no new connections; those that are open go on.  */
-void
+/* Closes the listener; connections that are open go on, each until its next
+   response. Returns FALSE, and does nothing, if the kernel has queued
+   connections: closing the listener would reset them, so they have to be
+   accepted in further iterations of the main loop.  */
+gboolean
 ingress_stop_listening (struct ingress *ingress)
 {
-  if (ingress->listener != NULL)
-    g_socket_close (ingress->listener, NULL);
+  if (g_socket_is_closed (ingress->listener))
+    return TRUE;
+  if (g_socket_condition_check (ingress->listener, G_IO_IN) & G_IO_IN)
+    return FALSE;
+  ingress_close_listener (ingress);
+  return TRUE;
 }
 
-/* Returns the number of requests whose response is not yet written
-   completely.  */
+/* Closes the listener. Connections that the kernel has queued are reset.  */
+void
+ingress_close_listener (struct ingress *ingress)
+{
+  ingress->stopped = TRUE;
+  g_socket_close (ingress->listener, NULL);
+}
+
+/* Whether a request may be on its way on CONNECTION: its head has been read,
+   bytes have arrived, or the connection is new.  */
+static gboolean
+may_have_request (const struct ingress *ingress,
+                  const struct ingress_connection *connection)
+{
+  if (connection->busy || g_socket_is_closed (connection->socket))
+    return FALSE;
+  gint64 opened = connection->deadline - ingress->options.limits.arrival_us;
+  return connection->begun
+         || (!connection->served
+             && g_get_monotonic_time () - opened < NEW_CONNECTION_US)
+         || g_socket_get_available_bytes (connection->socket) > 0;
+}
+
+/* Returns the number of requests whose response is not yet written completely,
+   and of connections on which a request may be on its way.  */
 guint
 ingress_unfinished (const struct ingress *ingress)
 {
-  return g_hash_table_size (ingress->requests);
+  guint n = g_hash_table_size (ingress->requests);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ingress->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += may_have_request (ingress, value);
+  return n;
+}
+
+/* Has libsoup close the connection of MESSAGE after its response once the
+   listener is closed. The process ends when no request is left, and a client
+   that sent its next request then would lose it.  */
+void
+ingress_close_if_stopped (const struct ingress *ingress,
+                          SoupServerMessage *message)
+{
+  if (ingress->stopped)
+    soup_message_headers_replace (
+        soup_server_message_get_response_headers (message), "Connection",
+        "close");
 }
 
 static struct ingress_request *
--- a/packages/entry/ingress.h
+++ b/packages/entry/ingress.h
@@ -39,7 +39,8 @@
                  struct err *err);
 void ingress_free (struct ingress *ingress);
 guint ingress_port (const struct ingress *ingress);
-void ingress_stop_listening (struct ingress *ingress);
+gboolean ingress_stop_listening (struct ingress *ingress);
+void ingress_close_listener (struct ingress *ingress);
 void ingress_execute (struct ingress *ingress,
                       const struct core_action *action);
 guint ingress_unfinished (const struct ingress *ingress);
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -69,6 +69,7 @@
   GHashTable *connections; /* GSocket * -> struct ingress_connection * */
   guint timer;             /* GLib source that checks for time-outs */
   gint64 last_check;       /* of TIMER, monotonic microseconds */
+  gboolean stopped;        /* the listener is closed */
 };
 
 /* Why a request is rejected before the core gets it. */
@@ -79,6 +80,11 @@
   char text[160];
 };
 
+/* ingress.c */
+
+void ingress_close_if_stopped (const struct ingress *ingress,
+                               SoupServerMessage *message);
+
 /* parse_request.c */
 
 int ingress_parse_request (struct ingress_request *request,
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -71,6 +71,7 @@
 static void
 resume_response (struct ingress_request *request)
 {
+  ingress_close_if_stopped (request->ingress, request->message);
   soup_server_message_unpause (request->message);
 }
 
--- a/packages/jacinthward/router_daemon.c
+++ b/packages/jacinthward/router_daemon.c
@@ -15,6 +15,10 @@
 #include <string.h>
 
 #define TICK_MS ((guint)(CORE_TICK_US / CLK_MS))
+/* After the grace period, connections that the kernel has queued are accepted
+   for up to a second before the listener closes.  */
+#define ACCEPT_ROUND_MS 2
+#define ACCEPT_ROUNDS_MAX 500
 
 struct router_daemon
 {
@@ -32,6 +36,7 @@
   guint poll_timer;         /* GLib source */
   guint tick_timer;         /* GLib source */
   guint grace_timer;        /* GLib source; 0: none */
+  guint accept_rounds;      /* after the grace period */
   gboolean stopping;        /* a graceful shutdown has begun */
   gboolean listener_closed; /* the client listener is closed */
   gboolean drained;         /* the node has reported that it is drained */
@@ -437,8 +442,19 @@
 {
   struct router_daemon *daemon = data;
   daemon->grace_timer = 0;
+  if (!ingress_stop_listening (daemon->ingress))
+    {
+      if (daemon->accept_rounds++ < ACCEPT_ROUNDS_MAX)
+        {
+          daemon->grace_timer
+              = g_timeout_add (ACCEPT_ROUND_MS, on_grace_end, daemon);
+          return G_SOURCE_REMOVE;
+        }
+      log_event (LOG_WARN, "shutdown.connections_reset",
+                 "clients still connect; the listener is closed nevertheless");
+      ingress_close_listener (daemon->ingress);
+    }
   daemon->listener_closed = TRUE;
-  ingress_stop_listening (daemon->ingress);
   log_event (LOG_INFO, "shutdown.listener_closed", "%u requests in progress",
              core_in_progress (daemon->core));
   return G_SOURCE_REMOVE;
--- a/tests/unit/test_ing.c
+++ b/tests/unit/test_ing.c
@@ -11,6 +11,7 @@
 #define CHECK_MS 150
 #define WAIT_MS 5000 /* such a wait normally takes a few ms */
 #define TEAM_KEY "key-of-crew"
+#define BACKLOG 12 /* connections */
 
 static const char config[]
     = "[jacinthward]\npreset=ordinary\n"
@@ -110,30 +111,59 @@
     ;
 }
 
-/* Sends a completion request on a new connection and waits until the ingress
-   has it.  */
-static void
-send_request (struct fixture *f)
+/* Returns a new connection to the ingress, which need not have accepted it.
+   Freed by g_object_unref.  */
+static GSocket *
+connect_client (struct fixture *f)
 {
-  static const char body[] = "{\"model\":\"m\",\"prompt\":\"x\"}";
   GSocketAddress *to = g_inet_socket_address_new_from_string (
       "127.0.0.1", ingress_port (f->ingress));
-  char *text = g_strdup_printf ("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
-                                "Authorization: Bearer " TEAM_KEY "\r\n"
-                                "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n%s",
-                                strlen (body), body);
-  gint64 end = g_get_monotonic_time () + WAIT_MS * CLK_MS;
-  f->client = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                            G_SOCKET_PROTOCOL_TCP, NULL);
-  CU_ASSERT_TRUE_FATAL (g_socket_connect (f->client, to, NULL, NULL));
-  g_socket_set_blocking (f->client, FALSE);
-  CU_ASSERT_EQUAL (g_socket_send (f->client, text, strlen (text), NULL, NULL),
+  GSocket *client = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+  CU_ASSERT_TRUE_FATAL (g_socket_connect (client, to, NULL, NULL));
+  g_socket_set_blocking (client, FALSE);
+  g_object_unref (to);
+  return client;
+}
+
+static void
+send_text (GSocket *client, const char *text)
+{
+  CU_ASSERT_EQUAL (g_socket_send (client, text, strlen (text), NULL, NULL),
                    (gssize)strlen (text));
-  while (ingress_unfinished (f->ingress) == 0 && g_get_monotonic_time () < end)
+}
+
+static const char completion_head[]
+    = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+      "Authorization: Bearer " TEAM_KEY "\r\nContent-Length: 26\r\n\r\n";
+static const char completion_body[] = "{\"model\":\"m\",\"prompt\":\"x\"}";
+
+/* Runs the main loop until the ingress has N requests in progress.  */
+static void
+wait_for_requests (struct fixture *f, guint n)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_MS * CLK_MS;
+  while (ingress_unfinished (f->ingress) != n && g_get_monotonic_time () < end)
     g_main_context_iteration (NULL, FALSE);
-  CU_ASSERT_EQUAL_FATAL (ingress_unfinished (f->ingress), 1);
-  g_object_unref (to);
-  g_free (text);
+  CU_ASSERT_EQUAL (ingress_unfinished (f->ingress), n);
+}
+
+static void
+stop_listening (struct fixture *f)
+{
+  while (!ingress_stop_listening (f->ingress))
+    g_main_context_iteration (NULL, FALSE);
+}
+
+/* Sends a completion request on a new connection and waits until the ingress
+   has it.  */
+static void
+send_request (struct fixture *f)
+{
+  f->client = connect_client (f);
+  send_text (f->client, completion_head);
+  send_text (f->client, completion_body);
+  wait_for_requests (f, 1);
 }
 
 static void
@@ -162,6 +192,18 @@
     }
 }
 
+/* Responds to request ID.  */
+static void
+replay (struct fixture *f, guint64 id)
+{
+  struct core_action action = { .kind = CORE_DO_REPLAY };
+  action.replay.request = id;
+  action.replay.status = 200;
+  action.replay.content_type = STR_LIT ("text/plain");
+  action.replay.body = STR_LIT ("the response");
+  ingress_execute (f->ingress, &action);
+}
+
 /* A response is ready longer after its request than a client may take to read,
    and the check of that limit is due before libsoup writes the response. The
    client, which had nothing to read, must get it.  */
@@ -169,16 +211,11 @@
 test_late_response_is_delivered (void)
 {
   struct fixture f;
-  struct core_action action = { .kind = CORE_DO_REPLAY };
   start (&f);
   send_request (&f);
   run (&f, 2 * STALL_MS, NULL);
-  action.replay.request = 1;
-  action.replay.status = 200;
-  action.replay.content_type = STR_LIT ("text/plain");
-  action.replay.body = STR_LIT ("the response");
   g_usleep (CHECK_MS * 1000);
-  ingress_execute (f.ingress, &action);
+  replay (&f, 1);
   run (&f, WAIT_MS, "the response");
   CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "HTTP/1.1 200"));
   CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "the response"));
@@ -187,8 +224,70 @@
   stop (&f);
 }
 
+/* The kernel has accepted connections, with requests, that the process has not.
+   They are served after the listener is closed.  */
+static void
+test_backlog_of_closed_listener (void)
+{
+  struct fixture f;
+  GSocket *clients[BACKLOG];
+  start (&f);
+  for (guint i = 0; i < BACKLOG; i++)
+    {
+      clients[i] = connect_client (&f);
+      send_text (clients[i], completion_head);
+      send_text (clients[i], completion_body);
+    }
+  stop_listening (&f);
+  wait_for_requests (&f, BACKLOG);
+  for (guint i = 0; i < BACKLOG; i++)
+    g_object_unref (clients[i]);
+  stop (&f);
+}
+
+/* A request of which only a part has arrived counts as unfinished, so that the
+   process does not end before it.  */
+static void
+test_partial_request_is_unfinished (void)
+{
+  struct fixture f;
+  start (&f);
+  f.client = connect_client (&f);
+  send_text (f.client, completion_head);
+  run (&f, CHECK_MS, NULL);
+  stop_listening (&f);
+  CU_ASSERT_EQUAL (ingress_unfinished (f.ingress), 1);
+  send_text (f.client, completion_body);
+  run (&f, CHECK_MS, NULL);
+  replay (&f, 1);
+  run (&f, WAIT_MS, "the response");
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "the response"));
+  stop (&f);
+}
+
+/* After the listener is closed, a response ends its connection: a client that
+   sent its next request there could lose it when the process ends.  */
+static void
+test_last_response_closes (void)
+{
+  struct fixture f;
+  start (&f);
+  send_request (&f);
+  stop_listening (&f);
+  replay (&f, 1);
+  run (&f, WAIT_MS, NULL);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "the response"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "Connection: close"));
+  CU_ASSERT_TRUE (f.closed);
+  CU_ASSERT_EQUAL (ingress_unfinished (f.ingress), 0);
+  stop (&f);
+}
+
 static CU_TestInfo tests[] = {
   { "a late response is delivered", test_late_response_is_delivered },
+  { "the backlog of a closed listener", test_backlog_of_closed_listener },
+  { "a partial request is unfinished", test_partial_request_is_unfinished },
+  { "the last response closes its connection", test_last_response_closes },
   CU_TEST_INFO_NULL,
 };
 
