--- a/packages/backend/body_stream.c
+++ b/packages/backend/body_stream.c
@@ -62,8 +62,8 @@
   return type;
 }
 
-/* Returns a stream of BODY, of which nothing is read after SEND_BY_US,
-   monotonic microseconds. It is freed by g_object_unref.  */
+/* Returns a stream of BODY, which fails if its first bytes are read after
+   SEND_BY_US, monotonic microseconds. It is freed by g_object_unref.  */
 GInputStream *
 body_stream_new (GBytes *body, gint64 send_by_us)
 {
--- a/packages/backend/body_stream.h
+++ b/packages/backend/body_stream.h
@@ -1,4 +1,4 @@
-/* Request body for libsoup that is not sent after a time limit. libsoup writes
+/* Request body for libsoup that is not begun after a time limit. libsoup writes
    the head of a request first and its body in a later iteration of the main
    loop, before which the process may be suspended.  */
 #ifndef BODY_STREAM_H
