Let the soak stop, reload and reconfigure instances in series

Change: new actions: SIGHUP to one instance or several, a second SIGTERM 50 ms to 4 s after the first, stops of two to four instances at gaps of 50 to 600 ms, at times each of them twice, a configuration with other time-outs (4 to 7 s), and one at the moment of a stop.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -22,7 +22,16 @@
 #define FAULT_DURATION_MIN_MS 300
 #define FAULT_DURATION_MAX_MS 2000
 #define STARTUP_MS 6000 /* a quarter of it passes before the first fault */
-#define ROUTE_TIMEOUT_MS 7000
+/* Between two steps of a series of restarts, configuration changes and the
+   like.  */
+#define SERIES_GAP_MIN_MS 50
+#define SERIES_GAP_MAX_MS 600
+#define SERIES_STEPS_MAX 4
+/* Between a first and a second SIGTERM.  */
+#define STOP_AGAIN_MAX_MS 4000
+/* Time-outs of the routes, longer than what a slow client needs.  */
+#define ROUTE_TIMEOUT_MIN_MS 4000
+#define ROUTE_TIMEOUT_MAX_MS 7000
 #define SUPERVISE_INTERVAL_MS 20
 #define STOP_WAIT_STEPS 750  /* of 20 ms: longer than a stop and a restart */
 #define RECOVERY_MS 5000     /* between the end of all faults and the probe */
@@ -65,7 +74,13 @@
   X (RESET_SERVER)                                                             \
   X (CRASH_SERVER)                                                             \
   X (DRAIN_SERVER)                                                             \
-  X (REVOKE_KEY)
+  X (REVOKE_KEY)                                                               \
+  X (RELOAD_INSTANCE) /* SIGHUP */                                             \
+  X (CHANGE_CONFIG)   /* the time-outs */                                      \
+  X (RELOAD_SERIES)                                                            \
+  X (STOP_TWICE)                                                               \
+  X (STOP_SERIES)                                                              \
+  X (CHANGE_AND_STOP)
 
 enum action
 {
@@ -270,7 +285,8 @@
 static gboolean
 writes_to_store (enum action action)
 {
-  return action == DRAIN_SERVER || action == REVOKE_KEY;
+  return action == DRAIN_SERVER || action == REVOKE_KEY
+         || action == CHANGE_CONFIG || action == CHANGE_AND_STOP;
 }
 
 static void begin_action (enum action action, guint which);
@@ -341,6 +357,21 @@
                       g_memdup2 (&step, sizeof step), step_free);
 }
 
+/* Schedules ACTION for several instances one after the other, from number FIRST
+   on.  */
+static void
+schedule_series (enum action action, guint first)
+{
+  guint n = 2 + random_below (SERIES_STEPS_MAX - 1);
+  guint ms = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      ms += random_ms (SERIES_GAP_MIN_MS, SERIES_GAP_MAX_MS);
+      schedule ((struct step){ action, (first + i) % soak.n_instances, FALSE },
+                ms);
+    }
+}
+
 /* Removes a key from the configuration, and lets the servers report requests
    that use it once SOAK_KEY_LIMIT_MS has passed.  */
 static void
@@ -357,6 +388,13 @@
                                + (gint64)SOAK_KEY_LIMIT_MS * 1000);
 }
 
+static void
+change_timeouts (void)
+{
+  soak.timeout_ms = random_ms (ROUTE_TIMEOUT_MIN_MS, ROUTE_TIMEOUT_MAX_MS);
+  put_config (FALSE);
+}
+
 /* Sets a fault of the network before server WHICH. A delay alone is no excuse
    for a missing response.  */
 static void
@@ -431,6 +469,28 @@
     case REVOKE_KEY:
       revoke_key (which);
       return TRUE;
+    case RELOAD_INSTANCE:
+      soak_instance_signal (instance, SIGHUP);
+      return FALSE;
+    case CHANGE_CONFIG:
+      change_timeouts ();
+      return FALSE;
+    case RELOAD_SERIES:
+      schedule_series (RELOAD_INSTANCE, which);
+      return FALSE;
+    case STOP_TWICE:
+      soak_instance_signal (instance, SIGTERM);
+      schedule ((struct step){ STOP_INSTANCE, which, FALSE },
+                random_ms (SERIES_GAP_MIN_MS, STOP_AGAIN_MAX_MS));
+      return FALSE;
+    case STOP_SERIES:
+      schedule_series (random_below (4) == 0 ? STOP_TWICE : STOP_INSTANCE,
+                       which);
+      return FALSE;
+    case CHANGE_AND_STOP:
+      change_timeouts ();
+      soak_instance_signal (instance, SIGTERM);
+      return FALSE;
     case ACTION_N:
       break;
     }
@@ -544,7 +604,7 @@
     return FALSE;
   for (guint i = 0; i < KEYS; i++)
     soak.key_valid[i] = TRUE;
-  soak.timeout_ms = ROUTE_TIMEOUT_MS;
+  soak.timeout_ms = ROUTE_TIMEOUT_MAX_MS;
   put_config (TRUE);
   for (guint i = 0; i < SOAK_SERVERS; i++)
     {
