Do not report a repeat that may have run as not run

Callers got 503 ("not run") for an idempotent request whose first attempt may have run: rejected for want of a confirmed configuration, an unknown route or key, when it was to be repeated. Cause: the rejections of resolve_route did not look at the earlier attempts. Change: such a request is answered 502 wherever it is rejected.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -168,28 +168,34 @@
                       && exchange->reverse_proxy->shutdown_started == 0);
 }
 
-/* Rejects a request that was not executed. RETRY_AFTER_US is sent to the client
-   as the time to retry; 0: none is sent. Frees EXCHANGE.  */
+/* Ends a request that may have been executed or not. Frees EXCHANGE.  */
 static void
-reject (struct exchange *exchange, guint status, const char *code,
-        gint64 retry_after_us)
+send_outcome_unknown (struct exchange *exchange, guint status, const char *code)
 {
   const struct local_response local_response
-      = { .status = status,
-          .code = code,
-          .ran = "no",
-          .retry_after_us = retry_after_us };
+      = { .status = status, .code = code, .ran = "unknown" };
+  counter_add (exchange->reverse_proxy->options.counter_set,
+               COUNTER_OUTCOME_UNKNOWN, 1);
   send_local_response (exchange, &local_response);
 }
 
-/* Ends a request that may have been executed or not. Frees EXCHANGE.  */
+/* Rejects a request. RETRY_AFTER_US is sent to the client as the time to retry;
+   0: none is sent. If an earlier attempt may have been executed, the client is
+   told that instead. Frees EXCHANGE.  */
 static void
-send_outcome_unknown (struct exchange *exchange, guint status, const char *code)
+reject (struct exchange *exchange, guint status, const char *code,
+        gint64 retry_after_us)
 {
   const struct local_response local_response
-      = { .status = status, .code = code, .ran = "unknown" };
-  counter_add (exchange->reverse_proxy->options.counter_set,
-               COUNTER_OUTCOME_UNKNOWN, 1);
+      = { .status = status,
+          .code = code,
+          .ran = "no",
+          .retry_after_us = retry_after_us };
+  if (exchange->may_have_run)
+    {
+      send_outcome_unknown (exchange, 502, code);
+      return;
+    }
   send_local_response (exchange, &local_response);
 }
 
@@ -282,8 +288,8 @@
   exchange->deadline = exchange->arrived + us;
   gint64 left = MAX (exchange->deadline - exchange_now (exchange), 0);
   g_clear_handle_id (&exchange->timer, g_source_remove);
-  exchange->timer
-      = g_timeout_add ((guint)(left / CLK_MS), on_deadline, exchange);
+  exchange->timer = g_timeout_add ((guint)((left + CLK_MS - 1) / CLK_MS),
+                                   on_deadline, exchange);
 }
 
 static gboolean
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -331,6 +331,29 @@
   proxy_test_stop ();
 }
 
+/* The configuration is no longer confirmed when the request is repeated.  */
+static void
+reset_when_config_is_stale (struct proxy_test_link *link,
+                            struct proxy_test_request *request)
+{
+  proxy_test.skew += 800 * CLK_MS;
+  proxy_test_reset_link (link, request);
+}
+
+/* A request that may have run must not be reported as not run, also if it is
+   rejected before it is repeated.  */
+static void
+test_repeat_without_fresh_config (void)
+{
+  proxy_test_start (2);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test.skew = 1300 * CLK_MS;
+  proxy_test_script_all (reset_when_config_is_stale);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 502);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), 1);
+  proxy_test_stop ();
+}
+
 static void
 reject (struct proxy_test_link *link, struct proxy_test_request *request)
 {
@@ -771,6 +794,8 @@
   { "a non-idempotent request on a reused connection",
     test_non_idempotent_on_reused_connection },
   { "an idempotent request is retried elsewhere", test_idempotent_is_retried },
+  { "a repeat without a fresh configuration",
+    test_repeat_without_fresh_config },
   { "rejected by a server", test_server_rejects },
   { "a server error is forwarded", test_server_error_forwarded },
   { "a server error without an alternative",
