Keep a connection whose next request has arrived at its idle time-out

Cause: the timer closed the connection without looking at the socket, as the close at a shutdown does. Change: a connection with bytes to read waits on.

--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -67,11 +67,20 @@
   release (downstream);
 }
 
+static void wait_for_request (struct downstream *downstream);
+
 static gboolean
 on_timer (gpointer data)
 {
   struct downstream *downstream = data;
   downstream->timer = 0;
+  if (!downstream->timer_limits_read
+      && !tcp_conn_is_idle (downstream->tcp_conn))
+    {
+      /* A request has arrived and will be read in this iteration. */
+      wait_for_request (downstream);
+      return G_SOURCE_REMOVE;
+    }
   if (downstream->timer_limits_read
       && (http_reader_in_message (downstream->http_reader)))
     {
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -523,8 +523,8 @@
       start_linger (conn);
       return;
     }
-  /* With a window smaller than a segment, the kernel counts from the first probe
-     even if the peer goes on reading. */
+  /* With a window smaller than a segment, the kernel counts from the first
+     probe even if the peer goes on reading. */
   set_option (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
   conn->taken_before = bytes_taken (conn);
   conn->linger_timer = g_timeout_add (FLUSH_STALL_MS, on_linger_timeout, conn);
--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -17,7 +17,7 @@
 #define BUSY_LIMIT_US (4 * CLK_S)
 #define SLOW_READ_BYTES (4 * 1024)
 #define SLOW_READ_INTERVAL_MS 100
-#define SLOW_READ_MS 17000 /* two checks whether it reads */
+#define SLOW_READ_MS 17000  /* two checks whether it reads */
 #define BACKLOG_CLIENTS 100 /* more than are accepted in one iteration */
 
 static void
