--- a/packages/gate/closing_connection.c
+++ b/packages/gate/closing_connection.c
@@ -103,6 +103,10 @@
 void
 closing_free_all (struct reverse_proxy *reverse_proxy)
 {
-  while (reverse_proxy->closing.head != NULL)
-    close_at_once (reverse_proxy->closing.head->data);
+  for (GList *link = reverse_proxy->closing.head, *next; link != NULL;
+       link = next)
+    {
+      next = link->next;
+      close_at_once (link->data);
+    }
 }
