--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -77,7 +77,7 @@
   if (!downstream->timer_limits_read
       && !tcp_conn_is_idle (downstream->tcp_conn))
     {
-      /* A request has arrived and will be read in this iteration. */
+      /* A request has arrived and is about to be read. */
       wait_for_request (downstream);
       return G_SOURCE_REMOVE;
     }
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -16,7 +16,7 @@
 #define SHUTDOWN_RESERVE_SHARE                                                 \
   6 /* margin and time for responses take up to this part of the limit */
 #define SHUTDOWN_STEP_MS 50
-#define SHUTDOWN_LATE_DECAY 16 /* steps until a late one counts a third */
+#define SHUTDOWN_LATE_DECAY 16 /* steps after which lateness counts a third */
 
 static const char *const states[] = {
 #define EXCHANGE_NAME(id, name) name,
