Give the processes of a test distinct ports below the ephemeral range

Cause: harness_free_port asked the kernel for an ephemeral port and closed it again, so two of the three ports of an instance (callers, readiness, peers) could be the same, and then the instance ends with status 3, "net.listen: Address already in use".

Ruled out: a signal during the start that stops the instance from starting, as the failures came with SIGHUP, SIGTERM and no signal.

--- a/emulator/harness/harness.c
+++ b/emulator/harness/harness.c
@@ -1,6 +1,7 @@
 #include "harness/harness.h"
 #include "standin/faketext.h"
 
+#include <gio/gunixsocketaddress.h>
 #include <glib/gstdio.h>
 #include <libsoup/soup.h>
 #include <signal.h>
@@ -8,6 +9,9 @@
 #include <sys/prctl.h>
 
 #define POLL_MS 5
+#define ERRORS_PRINTED 1000 /* bytes */
+#define PORT_MIN 16000
+#define PORT_MAX 32767 /* Linux's ephemeral ports begin above it */
 #define EVENT_PREFIX "data: "
 #define EVENT_DONE "data: [DONE]"
 
@@ -37,6 +41,7 @@
       g_subprocess_wait (proc->subprocess, NULL, NULL);
     }
   g_free (proc->output_path);
+  g_free (proc->errors_path);
   g_object_unref (proc->subprocess);
   g_free (proc->name);
   g_free (proc);
@@ -110,13 +115,26 @@
   g_free (path);
 }
 
-/* To be called after a failed check: prints the state of each process twice, a
-   second apart so that a busy loop shows in the context switches, and keeps the
-   folder of the run.  */
+/* Prints the beginning of what the process has written to standard error.  */
+static void
+print_errors (const struct harness_process *proc)
+{
+  char *text = NULL;
+  gsize n = 0;
+  if (g_file_get_contents (proc->errors_path, &text, &n, NULL) && n > 0)
+    g_printerr ("%s: %.*s\n", proc->name, (int)MIN (n, ERRORS_PRINTED), text);
+  g_free (text);
+}
+
+/* To be called after a failed check: prints the errors of each process, and its
+   state twice, a second apart so that a busy loop shows in the context
+   switches, and keeps the folder of the run.  */
 void
 harness_explain (struct harness *harness)
 {
   harness->keep_dir = TRUE;
+  for (guint i = 0; i < harness->procs->len; i++)
+    print_errors (harness->procs->pdata[i]);
   for (guint round = 0; round < 2; round++)
     {
       while (g_main_context_iteration (NULL, FALSE))
@@ -184,12 +202,12 @@
   GSubprocess *subprocess = g_subprocess_launcher_spawnv (
       launcher, (const char *const *)args, &error);
   g_strfreev (args);
-  g_free (errors_path);
   g_object_unref (launcher);
   if (subprocess == NULL)
     {
       g_printerr ("%s: %s\n", argv[0], error->message);
       g_error_free (error);
+      g_free (errors_path);
       g_free (output_path);
       return NULL;
     }
@@ -197,6 +215,7 @@
   proc->name = g_strdup (name);
   proc->subprocess = subprocess;
   proc->output_path = output_path;
+  proc->errors_path = errors_path;
   g_ptr_array_add (harness->procs, proc);
   return proc;
 }
@@ -559,25 +578,66 @@
   return TRUE;
 }
 
-/* Returns a TCP port that is free now, chosen by the kernel, or 0 on error.  */
-int
-harness_free_port (void)
+/* Reserves PORT among the processes that use this function until the calling
+   process ends. An abstract Unix socket has no file that could be left behind,
+   and the kernel frees its name even after a crash.  */
+static gboolean
+reserve_port (int port)
 {
-  GInetAddress *loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *any = g_inet_socket_address_new (loopback, 0);
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                  G_SOCKET_PROTOCOL_TCP, NULL);
-  int port = 0;
-  if (socket != NULL && g_socket_bind (socket, any, TRUE, NULL))
+  char name[32];
+  GError *error = NULL;
+  g_snprintf (name, sizeof name, "jacinthward-test-port-%d", port);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_DATAGRAM,
+                                  G_SOCKET_PROTOCOL_DEFAULT, &error);
+  if (socket == NULL)
     {
-      GSocketAddress *bound = g_socket_get_local_address (socket, NULL);
-      port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
-      g_object_unref (bound);
+      g_printerr ("port %d: %s\n", port, error->message);
+      g_error_free (error);
+      return FALSE;
     }
+  GSocketAddress *address = g_unix_socket_address_new_with_type (
+      name, -1, G_UNIX_SOCKET_ADDRESS_ABSTRACT);
+  gboolean reserved = g_socket_bind (socket, address, FALSE, NULL);
+  g_object_unref (address);
+  if (!reserved)
+    g_object_unref (socket);
+  return reserved;
+}
+
+/* Returns whether PORT can be listened on at all addresses.  */
+static gboolean
+is_port_free (int port)
+{
+  GInetAddress *any = g_inet_address_new_any (G_SOCKET_FAMILY_IPV4);
+  GSocketAddress *address = g_inet_socket_address_new (any, (guint16)port);
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+  gboolean is_free = socket != NULL
+                     && g_socket_bind (socket, address, TRUE, NULL)
+                     && g_socket_listen (socket, NULL);
   g_clear_object (&socket);
+  g_object_unref (address);
   g_object_unref (any);
-  g_object_unref (loopback);
-  return port;
+  return is_free;
+}
+
+/* Returns a TCP port that is free and that no other call returns as long as the
+   calling process runs, in this process or another one; 0 if there is none.
+   The kernel does not pick it for another socket: it is below the range of
+   ephemeral ports.  */
+int
+harness_free_port (void)
+{
+  int first = g_random_int_range (PORT_MIN, PORT_MAX + 1);
+  int port = first;
+  do
+    {
+      if (reserve_port (port) && is_port_free (port))
+        return port;
+      port = port == PORT_MAX ? PORT_MIN : port + 1;
+    }
+  while (port != first);
+  return 0;
 }
 
 /* Copies the file TEMPLATE_PATH to NAME in the folder of the run and replaces
--- a/emulator/harness/harness.h
+++ b/emulator/harness/harness.h
@@ -16,6 +16,7 @@
   char *name;
   GSubprocess *subprocess;
   char *output_path; /* file with its standard output */
+  char *errors_path; /* file with its standard error */
   int port;          /* from the line "ready PORT" (stand-ins) */
   int peer_port;     /* from the line "ready peer=PORT http=PORT admin=PORT"
                         (instances) */
