Observe connections during the start of instances as they end

Cause: the test. A client that connects before the instance listens is refused, and the instances had no trace of these requests; but the test noticed only when its main loop ran again, after it had started the next store and instance and slept for the delay of the next signal, up to 200 ms.

Change: the stores are started before the first instance, and while the test waits for an instance to open its settings, or for the time of the signal, it runs its main loop.

--- a/tests/harness/proxy_site.c
+++ b/tests/harness/proxy_site.c
@@ -157,9 +157,8 @@
               1 + instance);
 }
 
-/* Writes the settings and starts the process.  */
 static gboolean
-start_process (struct proxy_site_instance *instance)
+write_settings (struct proxy_site_instance *instance)
 {
   const struct proxy_site *site = instance->site;
   guint number = (guint)(instance - site->instances);
@@ -186,17 +185,13 @@
   instance->settings
       = g_strdup_printf ("%s/%s.ini", harness_dir (site->harness), name);
   gboolean ok = g_file_set_contents (instance->settings, text->str, -1, NULL);
-  const char *argv[] = { "packages/jacinthward/jacinthward", "--settings",
-                         instance->settings, NULL };
-  if (ok)
-    instance->proc = harness_start (site->harness, name, argv);
   g_string_free (text, TRUE);
   g_free (name);
-  return ok && instance->proc != NULL;
+  return ok;
 }
 
 struct proxy_site_instance *
-proxy_site_start (struct proxy_site *site)
+proxy_site_prepare (struct proxy_site *site)
 {
   const char *argv[]
       = { "emulator/standin/standin_platform", "--history", "/dev/null", NULL };
@@ -209,10 +204,22 @@
   g_free (name);
   gboolean ok = instance->store != NULL && harness_wait_ready (instance->store)
                 && proxy_site_put (instance, &site->options.config)
-                && put_servers (instance) && start_process (instance);
+                && put_servers (instance) && write_settings (instance);
   return ok ? instance : NULL;
 }
 
+gboolean
+proxy_site_launch (struct proxy_site_instance *instance)
+{
+  const struct proxy_site *site = instance->site;
+  char *name = g_strdup_printf ("gate-%u", (guint)(instance - site->instances));
+  const char *argv[] = { "packages/jacinthward/jacinthward", "--settings",
+                         instance->settings, NULL };
+  instance->proc = harness_start (site->harness, name, argv);
+  g_free (name);
+  return instance->proc != NULL;
+}
+
 gboolean
 proxy_site_is_ready (struct proxy_site_instance *instance)
 {
@@ -244,15 +251,17 @@
 struct proxy_site_instance *
 proxy_site_add (struct proxy_site *site)
 {
-  struct proxy_site_instance *instance = proxy_site_start (site);
+  struct proxy_site_instance *instance = proxy_site_prepare (site);
+  if (instance == NULL || !proxy_site_launch (instance))
+    return NULL;
   gint64 end = g_get_monotonic_time () + (gint64)READY_TIMEOUT_MS * 1000;
-  while (instance != NULL && instance->ended_at == 0
-         && g_get_monotonic_time () < end)
+  while (instance->ended_at == 0 && g_get_monotonic_time () < end)
     {
       if (proxy_site_is_ready (instance))
         return instance;
       proxy_site_run_for (site, READY_POLL_MS);
     }
+  harness_explain (site->harness);
   return NULL;
 }
 
--- a/tests/harness/proxy_site.h
+++ b/tests/harness/proxy_site.h
@@ -163,9 +163,11 @@
 /* Adds an instance with its store. Returns it when it is ready, NULL if it does
    not become ready.  */
 struct proxy_site_instance *proxy_site_add (struct proxy_site *site);
-/* Starts an instance and its store. Blocks until the store is ready, but not
-   until the instance is.  */
-struct proxy_site_instance *proxy_site_start (struct proxy_site *site);
+/* Adds an instance with its store and settings. Its process does not run yet.
+   Blocks until the store is ready; NULL on error.  */
+struct proxy_site_instance *proxy_site_prepare (struct proxy_site *site);
+/* Starts the process. Does not block.  */
+gboolean proxy_site_launch (struct proxy_site_instance *instance);
 /* Asks the instance whether it is ready. Blocks until it responds.  */
 gboolean proxy_site_is_ready (struct proxy_site_instance *instance);
 /* Writes a newer configuration to the instance's store. Returns whether the
--- a/tests/proc/test_unanswered_signals.c
+++ b/tests/proc/test_unanswered_signals.c
@@ -4,7 +4,6 @@
    starting: SIGHUP does not end it, SIGTERM does.  */
 #include "proc/proxy_testbed.h"
 
-#include <poll.h>
 #include <string.h>
 #include <sys/inotify.h>
 #include <unistd.h>
@@ -111,54 +110,74 @@
   site = proxy_site_new (&options);
 }
 
-/* Waits until a process opens FILE in the watched folder.  */
+struct opening
+{
+  int watch;        /* inotify, of the folder */
+  const char *file; /* name without the folder */
+};
+
+/* Condition: a process has opened the file.  */
 static gboolean
-wait_opened (int watch, const char *file)
+is_opened (void *ctx)
 {
-  struct pollfd poll_fd = { .fd = watch, .events = POLLIN };
-  gint64 end = g_get_monotonic_time () + (gint64)START_EVENT_MS * 1000;
-  while (g_get_monotonic_time () < end
-         && poll (&poll_fd, 1, START_EVENT_MS) > 0)
-    {
-      char buffer[4096];
-      gssize n = read (watch, buffer, sizeof buffer);
-      for (gssize at = 0; at + (gssize)sizeof (struct inotify_event) <= n;)
-        {
-          struct inotify_event event;
-          memcpy (&event, buffer + at, sizeof event);
-          at += (gssize)sizeof event;
-          if (event.len > 0 && strcmp (buffer + at, file) == 0)
-            return TRUE;
-          at += event.len;
-        }
-    }
+  const struct opening *opening = ctx;
+  char buffer[4096];
+  gssize n;
+  while ((n = read (opening->watch, buffer, sizeof buffer)) > 0)
+    for (gssize at = 0; at + (gssize)sizeof (struct inotify_event) <= n;)
+      {
+        struct inotify_event event;
+        memcpy (&event, buffer + at, sizeof event);
+        at += (gssize)sizeof event;
+        if (event.len > 0 && strcmp (buffer + at, opening->file) == 0)
+          return TRUE;
+        at += event.len;
+      }
   return FALSE;
 }
 
-/* Starts an instance and sends it SIGNAL DELAY after it has opened its
-   settings, and a request just before that.  */
+static gboolean
+has_passed (void *ctx)
+{
+  return g_get_monotonic_time () >= *(const gint64 *)ctx;
+}
+
+/* Starts the process of INSTANCE and sends it SIGNAL DELAY after it has opened
+   its settings, and a request just before that. The main loop runs meanwhile,
+   so that the ends of other connections are observed when they happen.  */
 static void
-start_and_signal (int signal, gint64 delay)
+start_and_signal (struct proxy_site_instance *instance, int signal,
+                  gint64 delay)
 {
   const struct proxy_site_call call = { .path = "/open/x", .respond_ms = 5 };
-  int watch = inotify_init1 (IN_CLOEXEC);
-  CU_ASSERT_TRUE_FATAL (watch >= 0);
-  CU_ASSERT_TRUE_FATAL (
-      inotify_add_watch (watch, harness_dir (site->harness), IN_OPEN) >= 0);
-  struct proxy_site_instance *instance = proxy_site_start (site);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (instance);
-  if (instance == NULL)
-    return;
   char *file = g_path_get_basename (instance->settings);
-  CU_ASSERT_TRUE (wait_opened (watch, file));
+  struct opening opening
+      = { .watch = inotify_init1 (IN_CLOEXEC | IN_NONBLOCK), .file = file };
+  CU_ASSERT_TRUE_FATAL (opening.watch >= 0);
+  CU_ASSERT_TRUE_FATAL (
+      inotify_add_watch (opening.watch, harness_dir (site->harness), IN_OPEN)
+      >= 0);
+  CU_ASSERT_TRUE_FATAL (proxy_site_launch (instance));
+  CU_ASSERT_TRUE (
+      proxy_site_run_until (site, is_opened, &opening, START_EVENT_MS));
+  gint64 signal_at = g_get_monotonic_time () + delay;
+  close (opening.watch);
   g_free (file);
-  close (watch);
-  if (delay > 0)
-    g_usleep ((gulong)delay);
+  proxy_site_run_until (site, has_passed, &signal_at, START_EVENT_MS);
   proxy_site_send (proxy_site_open (instance), &call);
   proxy_site_signal (instance, signal);
 }
 
+/* Starts one instance for each delay, one after the other.  */
+static void
+start_and_signal_all (int signal)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (start_delays_us); i++)
+    CU_ASSERT_PTR_NOT_NULL_FATAL (proxy_site_prepare (site));
+  for (guint i = 0; i < G_N_ELEMENTS (start_delays_us); i++)
+    start_and_signal (&site->instances[i], signal, start_delays_us[i]);
+}
+
 static gboolean
 is_ready_or_ended (void *ctx)
 {
@@ -172,8 +191,7 @@
 {
   const struct proxy_site_call call = { .path = "/open/x", .respond_ms = 5 };
   start_site_of_slow_starts ();
-  for (guint i = 0; i < G_N_ELEMENTS (start_delays_us); i++)
-    start_and_signal (SIGHUP, start_delays_us[i]);
+  start_and_signal_all (SIGHUP);
   for (guint i = 0; i < site->n_instances; i++)
     {
       struct proxy_site_instance *instance = &site->instances[i];
@@ -181,10 +199,13 @@
                                             START_EVENT_MS));
       CU_ASSERT_EQUAL (instance->ended_at, 0);
       if (instance->ended_at != 0)
-        g_print ("%s ended, status %d: SIGHUP %" G_GINT64_FORMAT
-                 " us after it has opened its settings\n",
-                 instance->proc->name, harness_reap (instance->proc, 0),
-                 start_delays_us[i]);
+        {
+          g_print ("%s ended, status %d: SIGHUP %" G_GINT64_FORMAT
+                   " us after it has opened its settings\n",
+                   instance->proc->name, harness_reap (instance->proc, 0),
+                   start_delays_us[i]);
+          harness_explain (site->harness);
+        }
       else
         proxy_site_send (proxy_site_open (instance), &call);
     }
@@ -210,14 +231,21 @@
 test_sigterm_during_start (void)
 {
   start_site_of_slow_starts ();
-  for (guint i = 0; i < G_N_ELEMENTS (start_delays_us); i++)
-    start_and_signal (SIGTERM, start_delays_us[i]);
+  start_and_signal_all (SIGTERM);
   for (guint i = 0; i < site->n_instances; i++)
     {
       struct proxy_site_instance *instance = &site->instances[i];
       int status = proxy_site_wait_ended (instance, 2 * instance->grace_ms);
-      CU_ASSERT_TRUE (status == 0
-                      || (status == 128 + SIGTERM && !has_accepted (instance)));
+      gboolean in_order
+          = status == 0
+            || (status == 128 + SIGTERM && !has_accepted (instance));
+      CU_ASSERT_TRUE (in_order);
+      if (!in_order)
+        {
+          g_print ("%s ended, status %d, connection %s\n", instance->proc->name,
+                   status, has_accepted (instance) ? "accepted" : "refused");
+          harness_explain (site->harness);
+        }
       CU_ASSERT_TRUE (instance->ended_at - instance->terminated_at
                       < (gint64)instance->grace_ms * 1000);
     }
