Read what has arrived before a request is given up

The instance's main loop had not run for 1.58 s (gate.drained, late_ms), and the step that ends requests at the limit has a higher priority than the reading of sockets. Requests at their deadline had the same fault: their timer is older than the connection to the server, so GLib calls it first, and a complete response waiting in the socket became 504.

Cause: the end of a request was decided by the clock without a look at what had arrived.

Change: before a request is given up at its deadline or at the shutdown limit, what the server has sent is read and, if it is complete, delivered (tcp_conn_read_arrived). Looked at as well: client connections and connects have sources that are older than their timers, so they are read first.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -92,6 +92,8 @@
 void
 exchange_free (struct exchange *exchange)
 {
+  if (exchange->freed != NULL)
+    *exchange->freed = TRUE;
   config_wait_cancel (exchange);
   g_clear_handle_id (&exchange->timer, g_source_remove);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
@@ -250,6 +252,8 @@
 {
   struct exchange *exchange = data;
   exchange->timer = 0;
+  if (!upstream_read_arrived (exchange))
+    return G_SOURCE_REMOVE;
   if (exchange->head_sent)
     abort_response (exchange, "deadline");
   else if (may_have_run (exchange))
@@ -265,6 +269,8 @@
 exchange_end_at_limit (struct exchange *exchange)
 {
   static const char why[] = "shutdown_limit";
+  if (!upstream_read_arrived (exchange))
+    return;
   if (exchange->head_sent)
     abort_response (exchange, why);
   else if (may_have_run (exchange))
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -160,6 +160,7 @@
   gint64 longest_gap_us;  /* longest inter-event gap */
   guint status;           /* of the response */
   guint64 response_bytes; /* of the response body */
+  gboolean *freed;        /* set to TRUE by exchange_free; NULL: none */
 };
 
 struct exchange *exchange_new (struct downstream *downstream,
@@ -199,6 +200,7 @@
                                  const struct placement_choice *choice);
 void upstream_free (struct upstream *upstream);
 void upstream_pause (struct upstream *upstream, gboolean paused);
+gboolean upstream_read_arrived (struct exchange *exchange);
 gboolean upstream_request_was_sent (const struct upstream *upstream);
 const struct registry_server *upstream_server (const struct upstream *upstream);
 void upstream_build_request_head (struct exchange *exchange,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -185,6 +185,24 @@
          && tcp_conn_sent (upstream->tcp_conn) > upstream->sent_before;
 }
 
+/* Reads what has arrived from the server, so that nothing is given up that is
+   only waiting to be read because the process was stalled. Returns FALSE if the
+   exchange is over and has been freed. Not to be called by a handler of a
+   connection.  */
+gboolean
+upstream_read_arrived (struct exchange *exchange)
+{
+  gboolean freed = FALSE;
+  if (exchange->upstream == NULL || exchange->upstream->tcp_conn == NULL)
+    return TRUE;
+  exchange->freed = &freed;
+  tcp_conn_read_arrived (exchange->upstream->tcp_conn);
+  if (freed)
+    return FALSE;
+  exchange->freed = NULL;
+  return TRUE;
+}
+
 /* Ends the attempt without a response. The request counts as not sent only if
    no byte of it was sent. May free UPSTREAM.  */
 static void
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -11,8 +11,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define KEEPALIVE_S 1  /* before the first probe and between probes */
-#define LINGER_MS 2000 /* longest wait for the peer's FIN after ours */
+#define KEEPALIVE_S 1        /* before the first probe and between probes */
+#define ARRIVED_READS_MAX 64 /* of one call of tcp_conn_read_arrived */
+#define LINGER_MS 2000       /* longest wait for the peer's FIN after ours */
 #define FLUSH_STALL_MS                                                         \
   8000 /* a finished connection is closed if the peer takes no byte of its     \
           output for this time, checked as often */
@@ -246,17 +247,18 @@
     flush (conn);
 }
 
-static void
+/* Reads once. Returns FALSE if nothing has arrived.  */
+static gboolean
 on_readable (struct tcp_conn *conn)
 {
   static char buffer[TCP_CONN_READ_MAX];
   gssize n = recv (conn->fd, buffer, sizeof buffer, 0);
   if (n < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK))
-    return;
+    return FALSE;
   if (n < 0)
     {
       report_failure (conn, "read", errno);
-      return;
+      return TRUE;
     }
   if (n == 0)
     {
@@ -265,12 +267,13 @@
         release_finished (conn);
       else if (conn->handler.ended != NULL && !conn->finishing)
         conn->handler.ended (conn->ctx);
-      return;
+      return TRUE;
     }
   if (conn->finishing)
     conn->discarded += (gsize)n;
   else if (conn->handler.data != NULL)
     conn->handler.data (conn->ctx, (struct str){ buffer, (gsize)n });
+  return TRUE;
 }
 
 /* Reports a pending write error. Returns TRUE if there was one; the connection
@@ -450,6 +453,23 @@
   update_poll_events (conn);
 }
 
+/* Reads what has arrived, up to a limit, and calls the handler, which may free
+   CONN. Not to be called by a handler of any connection.  */
+void
+tcp_conn_read_arrived (struct tcp_conn *conn)
+{
+  g_rc_box_acquire (conn);
+  for (guint i = 0;
+       i < ARRIVED_READS_MAX && conn->source != NULL && !conn->connecting
+       && !conn->paused && !conn->ended && !conn->finishing;
+       i++)
+    if (!on_readable (conn))
+      break;
+  if (conn->source != NULL)
+    update_poll_events (conn);
+  tcp_conn_unref (conn);
+}
+
 /* Returns the bytes that the kernel has accepted. The peer may have received up
    to as many.  */
 guint64
