Give the stand-in platform a store that goes back

POST /fault with go_back_ms returns it to its state of so long ago, in a new era: later writes are undone, their versions given out again, watches dropped; a watch from a version that it does not have gets 410, and all responses state Store-Era.

test_standin_platform: "the store goes back", the same over HTTP, "going back drops the watches".

--- a/emulator/standin/datastore.c
+++ b/emulator/standin/datastore.c
@@ -3,12 +3,23 @@
 #include <string.h>
 
 #define US_PER_S 1e6
+#define CHANGES_MAX 100000 /* that can be undone; older ones are forgotten */
 
 struct datastore
 {
   GTree *objects;       /* name -> struct datastore_object, owned */
-  guint64 last_version; /* shared by all objects, so that a version is never
-                           reused */
+  guint64 last_version; /* shared by all objects, so that a version is reused
+                           only after datastore_go_back */
+  GQueue changes;       /* of struct change, owned, the newest last */
+};
+
+/* What a write has replaced.  */
+struct change
+{
+  gint64 time; /* of the write */
+  char *name;
+  struct datastore_object *before; /* NULL: the object did not exist */
+  guint64 last_version;            /* before the write */
 };
 
 static void
@@ -20,6 +31,16 @@
   g_free (object);
 }
 
+static void
+change_free (gpointer data)
+{
+  struct change *change = data;
+  g_free (change->name);
+  if (change->before != NULL)
+    object_free (change->before);
+  g_free (change);
+}
+
 static gint
 compare_names (gconstpointer a, gconstpointer b, gpointer ctx)
 {
@@ -39,6 +60,7 @@
 datastore_free (struct datastore *store)
 {
   g_tree_unref (store->objects);
+  g_queue_clear_full (&store->changes, change_free);
   g_free (store);
 }
 
@@ -56,13 +78,41 @@
   return object != NULL ? object->version : 0;
 }
 
-/* Sets NAME to VALUE if its version is EXPECTED; 0: if NAME does not exist.  */
+static struct datastore_object *
+object_copy (const struct datastore_object *object)
+{
+  struct datastore_object *copy = g_new (struct datastore_object, 1);
+  *copy = (struct datastore_object){ .name = g_strdup (object->name),
+                                     .value = g_bytes_ref (object->value),
+                                     .version = object->version };
+  return copy;
+}
+
+/* Records the state of NAME before a write.  */
+static void
+record_change (struct datastore *store, const char *name, gint64 now)
+{
+  const struct datastore_object *object = datastore_get (store, name);
+  struct change *change = g_new (struct change, 1);
+  *change
+      = (struct change){ .time = now,
+                         .name = g_strdup (name),
+                         .before = object != NULL ? object_copy (object) : NULL,
+                         .last_version = store->last_version };
+  g_queue_push_tail (&store->changes, change);
+  if (store->changes.length > CHANGES_MAX)
+    change_free (g_queue_pop_head (&store->changes));
+}
+
+/* Sets NAME to VALUE at time NOW, in microseconds, if its version is EXPECTED;
+   0: if NAME does not exist.  */
 enum datastore_result
 datastore_put (struct datastore *store, const char *name, guint64 expected,
-               GBytes *value)
+               GBytes *value, gint64 now)
 {
   if (version_of (store, name) != expected)
     return DATASTORE_CONFLICT;
+  record_change (store, name, now);
   struct datastore_object *object = g_new (struct datastore_object, 1);
   object->name = g_strdup (name);
   object->value = g_bytes_ref (value);
@@ -78,16 +128,43 @@
   return store->last_version;
 }
 
-/* Removes NAME if its version is EXPECTED; 0 is always a conflict.  */
+/* Removes NAME at time NOW if its version is EXPECTED; 0 is always a
+   conflict.  */
 enum datastore_result
-datastore_delete (struct datastore *store, const char *name, guint64 expected)
+datastore_delete (struct datastore *store, const char *name, guint64 expected,
+                  gint64 now)
 {
   if (expected == 0 || version_of (store, name) != expected)
     return DATASTORE_CONFLICT;
+  record_change (store, name, now);
   g_tree_remove (store->objects, name);
   return DATASTORE_OK;
 }
 
+/* Restores the state that the store had at TIME, as if it came back from a
+   backup of that moment: what was written later is gone, and its versions are
+   used again. Returns the number of writes undone.  */
+guint
+datastore_go_back (struct datastore *store, gint64 time)
+{
+  const struct change *newest;
+  guint n = 0;
+  while ((newest = g_queue_peek_tail (&store->changes)) != NULL
+         && newest->time > time)
+    {
+      struct change *change = g_queue_pop_tail (&store->changes);
+      struct datastore_object *before = g_steal_pointer (&change->before);
+      if (before != NULL)
+        g_tree_replace (store->objects, before->name, before);
+      else
+        g_tree_remove (store->objects, change->name);
+      store->last_version = change->last_version;
+      change_free (change);
+      n++;
+    }
+  return n;
+}
+
 struct listing
 {
   const char *prefix;
--- a/emulator/standin/datastore.h
+++ b/emulator/standin/datastore.h
@@ -1,5 +1,6 @@
 /* The object store of the stand-in platform, without I/O: versioned objects,
-   conditional updates and a token bucket that limits the request rate.  */
+   conditional updates, the return to an older state, and a token bucket that
+   limits the request rate.  */
 #ifndef DATASTORE_H
 #define DATASTORE_H
 
@@ -27,9 +28,12 @@
 const struct datastore_object *datastore_get (struct datastore *store,
                                               const char *name);
 enum datastore_result datastore_put (struct datastore *store, const char *name,
-                                     guint64 expected, GBytes *value);
+                                     guint64 expected, GBytes *value,
+                                     gint64 now);
 enum datastore_result datastore_delete (struct datastore *store,
-                                        const char *name, guint64 expected);
+                                        const char *name, guint64 expected,
+                                        gint64 now);
+guint datastore_go_back (struct datastore *store, gint64 time);
 guint64 datastore_last_version (const struct datastore *store);
 GPtrArray *datastore_list (struct datastore *store, const char *prefix);
 
--- a/emulator/standin/platform.c
+++ b/emulator/standin/platform.c
@@ -11,6 +11,7 @@
 #define PUBLISHED "/-/objects/"
 #define STATUS_GONE 410
 #define WATCH_MAX_MS 60000
+#define US_PER_MS 1000
 /* The condition of a request is missing or malformed. */
 #define VERSION_INVALID G_MAXUINT64
 
@@ -20,6 +21,8 @@
   gboolean forgotten;           /* watches get 410: their version is too old */
   gint64 lose_answer_after_put; /* writes applied without a response */
   gint64 lose_before_put;       /* PUTs and POSTs dropped before they apply */
+  gint64 go_back_ms;            /* the store returns to its state of so long
+                                   ago, once */
 };
 
 static struct standin_field fields[] = {
@@ -27,6 +30,7 @@
   STANDIN_FIELD (forgotten, STANDIN_BOOL),
   STANDIN_FIELD (lose_answer_after_put, STANDIN_INT),
   STANDIN_FIELD (lose_before_put, STANDIN_INT),
+  STANDIN_FIELD (go_back_ms, STANDIN_INT),
 };
 
 /* X (NAME, "name") */
@@ -61,6 +65,7 @@
   GList *watches; /* struct watch, owned */
   struct datastore_bucket reads;
   struct datastore_bucket writes;
+  guint64 era; /* rises each time the store goes back */
   gint64 counts[COUNT_N];
 };
 
@@ -295,8 +300,8 @@
       return;
     }
   GBytes *value = g_bytes_new (body->data, (gsize)body->length);
-  enum datastore_result result
-      = datastore_put (platform->store, name, expected, value);
+  enum datastore_result result = datastore_put (platform->store, name, expected,
+                                                value, g_get_monotonic_time ());
   g_bytes_unref (value);
   if (result == DATASTORE_CONFLICT)
     {
@@ -315,7 +320,9 @@
 {
   guint64 expected = expected_version (msg);
   platform->counts[COUNT_DELETE]++;
-  if (datastore_delete (platform->store, name, expected) == DATASTORE_CONFLICT)
+  if (datastore_delete (platform->store, name, expected,
+                        g_get_monotonic_time ())
+      == DATASTORE_CONFLICT)
     {
       respond_conflict (platform, msg, name);
       return;
@@ -374,7 +381,10 @@
   platform->counts[after != NULL  ? COUNT_WATCH
                    : name != NULL ? COUNT_GET
                                   : COUNT_LIST]++;
-  if (after != NULL && platform->faults.forgotten)
+  if (after != NULL
+      && (platform->faults.forgotten
+          || g_ascii_strtoull (after, NULL, 10)
+                 > datastore_last_version (store)))
     standin_error (msg, STATUS_GONE, "gone");
   else if (after != NULL)
     {
@@ -438,7 +448,8 @@
     expected = current->version;
   if (path_name != NULL && current == NULL)
     standin_error (msg, SOUP_STATUS_NOT_FOUND, "not_found");
-  else if (datastore_put (platform->store, key, expected, value)
+  else if (datastore_put (platform->store, key, expected, value,
+                          g_get_monotonic_time ())
            == DATASTORE_CONFLICT)
     {
       record_event (platform, "conflict", key, current->version);
@@ -506,6 +517,39 @@
   return TRUE;
 }
 
+/* States the era, which all responses do.  */
+static void
+set_era (const struct platform *platform, SoupServerMessage *msg)
+{
+  char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, platform->era);
+  soup_message_headers_replace (soup_server_message_get_response_headers (msg),
+                                "Store-Era", era);
+  g_free (era);
+}
+
+/* Drops the watches when the store goes back: none of them is answered in an
+   era other than that of its request.  */
+static void
+on_faults_changed (struct standin *standin)
+{
+  struct platform *platform = (struct platform *)standin;
+  if (platform->faults.go_back_ms <= 0)
+    return;
+  gint64 to = g_get_monotonic_time () - platform->faults.go_back_ms * US_PER_MS;
+  platform->faults.go_back_ms = 0;
+  platform->era++;
+  guint undone = datastore_go_back (platform->store, to);
+  const struct standin_event event
+      = { .kind = "go_back", .n = undone, .version = platform->era };
+  standin_history (standin, &event);
+  while (platform->watches != NULL)
+    {
+      struct watch *watch = platform->watches->data;
+      standin_drop (watch->msg);
+      watch_end (watch);
+    }
+}
+
 static void
 handle (struct standin *standin, SoupServerMessage *msg, const char *path,
         GHashTable *query)
@@ -516,6 +560,7 @@
   const char *name = g_str_has_prefix (path, OBJECTS "/")
                          ? path + strlen (OBJECTS "/")
                          : NULL;
+  set_era (platform, msg);
   if (reject (platform, msg, !reads))
     return;
   if (g_str_has_prefix (path, PUBLISHED))
@@ -552,6 +597,7 @@
 {
   static struct platform platform;
   platform.store = datastore_new ();
+  platform.era = 1;
   GOptionEntry entries[] = {
     { "reads-per-s", 0, 0, G_OPTION_ARG_DOUBLE, &platform.reads.per_s,
       "Rate limit of GET; 0: none", "N" },
@@ -563,6 +609,7 @@
                                      .entries = entries,
                                      .handler = handle,
                                      .counts = counts_json,
+                                     .changed = on_faults_changed,
                                      .faults = &platform.faults,
                                      .fields = fields,
                                      .n_fields = G_N_ELEMENTS (fields) };
--- a/tests/unit/test_standin_platform.c
+++ b/tests/unit/test_standin_platform.c
@@ -11,7 +11,8 @@
 put (struct datastore *store, const char *name, guint64 expected)
 {
   GBytes *value = g_bytes_new_static ("v", 1);
-  enum datastore_result result = datastore_put (store, name, expected, value);
+  enum datastore_result result
+      = datastore_put (store, name, expected, value, 0);
   g_bytes_unref (value);
   return result;
 }
@@ -28,13 +29,42 @@
   CU_ASSERT_EQUAL (put (store, "a", first), DATASTORE_CONFLICT);
   guint64 second = datastore_get (store, "a")->version;
   CU_ASSERT_TRUE (second > first);
-  CU_ASSERT_EQUAL (datastore_delete (store, "a", first), DATASTORE_CONFLICT);
-  CU_ASSERT_EQUAL (datastore_delete (store, "a", second), DATASTORE_OK);
+  CU_ASSERT_EQUAL (datastore_delete (store, "a", first, 0), DATASTORE_CONFLICT);
+  CU_ASSERT_EQUAL (datastore_delete (store, "a", second, 0), DATASTORE_OK);
   CU_ASSERT_EQUAL (put (store, "a", 0), DATASTORE_OK);
   CU_ASSERT_TRUE (datastore_get (store, "a")->version > second);
   datastore_free (store);
 }
 
+/* Versions that were given after the moment to which the store returns are
+   given again.  */
+static void
+test_go_back (void)
+{
+  struct datastore *store = datastore_new ();
+  GBytes *old = g_bytes_new_static ("old", 3);
+  GBytes *new = g_bytes_new_static ("new", 3);
+  datastore_put (store, "kept", 0, old, 1000);
+  datastore_put (store, "removed", 0, old, 1000);
+  datastore_put (store, "kept", 1, new, 2001);
+  datastore_put (store, "added", 0, new, 3000);
+  datastore_delete (store, "removed", 2, 3000);
+  datastore_put (store, "removed", 0, new, 3000);
+  CU_ASSERT_EQUAL (datastore_go_back (store, 2000), 4);
+  CU_ASSERT_EQUAL (datastore_last_version (store), 2);
+  CU_ASSERT_EQUAL (datastore_get (store, "kept")->version, 1);
+  CU_ASSERT_TRUE (g_bytes_equal (datastore_get (store, "kept")->value, old));
+  CU_ASSERT_EQUAL (datastore_get (store, "removed")->version, 2);
+  CU_ASSERT_TRUE (g_bytes_equal (datastore_get (store, "removed")->value, old));
+  CU_ASSERT_PTR_NULL (datastore_get (store, "added"));
+  CU_ASSERT_EQUAL (datastore_put (store, "kept", 1, new, 4000), DATASTORE_OK);
+  CU_ASSERT_EQUAL (datastore_get (store, "kept")->version, 3);
+  CU_ASSERT_EQUAL (datastore_go_back (store, 4000), 0);
+  g_bytes_unref (old);
+  g_bytes_unref (new);
+  datastore_free (store);
+}
+
 static void
 test_list_by_prefix (void)
 {
@@ -219,6 +249,57 @@
   harness_free (harness);
 }
 
+/* Returns the status of a GET and checks the era of the store.  */
+static guint
+get_in_era (int port, const char *path, const char *era)
+{
+  struct harness_request call = { .port = port, .path = path };
+  struct harness_response *response = harness_request (&call);
+  const char *got = g_hash_table_lookup (response->headers, "store-era");
+  guint status = response->status;
+  CU_ASSERT_STRING_EQUAL (got != NULL ? got : "", era);
+  harness_response_free (response);
+  return status;
+}
+
+static void
+test_store_goes_back (void)
+{
+  static const char kind[] = "/-/objects/servers";
+  static const char one[] = "/-/objects/servers/i-1";
+  struct harness *harness = harness_new ();
+  struct harness_process *proc = start (harness, PLATFORM);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  int port = proc->port;
+  CU_ASSERT_EQUAL (get_in_era (port, one, "1"), 404);
+  expect_published (port, "POST", kind,
+                    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{}}", 200,
+                    "\"revision\":1");
+  CU_ASSERT_TRUE (harness_set_faults (port, "{\"go_back_ms\": 60000}"));
+  CU_ASSERT_EQUAL (get_in_era (port, one, "2"), 404);
+  expect_published (port, "GET", "/-/objects/servers?watch=1&wait_ms=9000",
+                    NULL, 410, NULL);
+  expect_published (port, "POST", kind,
+                    "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{}}", 200,
+                    "\"revision\":1");
+  CU_ASSERT_TRUE (harness_set_faults (port, "{\"down\": true}"));
+  CU_ASSERT_EQUAL (get_in_era (port, one, "2"), 503);
+  harness_free (harness);
+}
+
+static void
+test_going_back_drops_watches (void)
+{
+  struct harness *harness = harness_new ();
+  struct harness_process *proc = start (harness, PLATFORM);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  GThread *thread = g_thread_new ("watch", watch_thread, proc);
+  CU_ASSERT_TRUE (harness_wait_until (is_watched, proc, HARNESS_TIMEOUT_MS));
+  CU_ASSERT_TRUE (harness_set_faults (proc->port, "{\"go_back_ms\": 1}"));
+  CU_ASSERT_EQUAL (GPOINTER_TO_UINT (g_thread_join (thread)), 0);
+  harness_free (harness);
+}
+
 static guint
 activate (int port)
 {
@@ -248,6 +329,7 @@
 
 static CU_TestInfo store_tests[] = {
   { "an update needs the current version", test_conditional_update },
+  { "the store goes back", test_go_back },
   { "objects are listed by prefix", test_list_by_prefix },
   { "a bucket limits the rate", test_bucket_limits_rate },
   CU_TEST_INFO_NULL,
@@ -258,6 +340,8 @@
   { "the published API", test_published_api },
   { "requests and responses are lost", test_lost_responses },
   { "a watch sees a change", test_watch_sees_change },
+  { "the store goes back over HTTP", test_store_goes_back },
+  { "going back drops the watches", test_going_back_drops_watches },
   { "the service counts executions", test_service_counts_executions },
   CU_TEST_INFO_NULL,
 };
