--- a/tests/harness/proxy_site.c
+++ b/tests/harness/proxy_site.c
@@ -28,6 +28,7 @@
   struct proxy_site *site = g_new0 (struct proxy_site, 1);
   site->harness = harness_new ();
   site->options = *options;
+  site->born_ms = g_get_real_time () / 1000;
   if (site->options.slots == 0)
     site->options.slots = SLOTS_DEFAULT;
   if (site->options.grace_ms == 0)
@@ -72,17 +73,16 @@
    present version. Returns whether the store has acknowledged it.  */
 static gboolean
 put_object (const struct proxy_site_instance *instance, const char *name,
-            const char *body, gboolean create)
+            const char *body)
 {
   char *path = g_strdup_printf ("/objects/%s", name);
   struct harness_request call = { .port = instance->store->port,
                                   .path = path,
                                   .timeout_ms = REQUEST_TIMEOUT_MS };
   const char *headers[] = { "If-None-Match", "*", NULL };
-  struct harness_response *before = NULL;
-  if (!create)
+  struct harness_response *before = harness_request (&call);
+  if (before->status == 200)
     {
-      before = harness_request (&call);
       headers[0] = "If-Match";
       headers[1] = g_hash_table_lookup (before->headers, "etag");
     }
@@ -92,7 +92,7 @@
   struct harness_response *reply = harness_request (&call);
   gboolean ok = reply->status == 200;
   harness_response_free (reply);
-  g_clear_pointer (&before, harness_response_free);
+  harness_response_free (before);
   g_free (path);
   return ok;
 }
@@ -110,7 +110,6 @@
                 const struct proxy_site_config *config)
 {
   char *contents = NULL;
-  gboolean create = instance->config_version == 0;
   if (!g_file_get_contents (JW_SOURCE_DIR "/platform/test_config.json",
                             &contents, NULL, NULL))
     return FALSE;
@@ -123,13 +122,13 @@
   g_string_replace (text, "@MOVED_TO@", config->moved ? "pool2" : "pool", 0);
   g_string_replace (text, "@RENAMED@",
                     config->renamed ? "renamed-2" : "renamed", 0);
-  gboolean ok = put_object (instance, "config/main", text->str, create);
+  gboolean ok = put_object (instance, "config/main", text->str);
   g_string_free (text, TRUE);
   return ok;
 }
 
-static gboolean
-put_servers (const struct proxy_site_instance *instance)
+gboolean
+proxy_site_put_servers (struct proxy_site_instance *instance)
 {
   const struct proxy_site *site = instance->site;
   gboolean ok = TRUE;
@@ -141,8 +140,8 @@
           "\"max_batch\":%u,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
           i % 2 == 0 ? "pool" : "pool2",
           proxy_site_server_port (site->servers[i]), site->options.slots,
-          g_get_real_time () / 1000);
-      ok = put_object (instance, name, body, TRUE) && ok;
+          site->born_ms);
+      ok = put_object (instance, name, body) && ok;
       g_free (name);
       g_free (body);
     }
@@ -207,7 +206,8 @@
   g_free (name);
   gboolean ok = instance->store != NULL && harness_wait_ready (instance->store)
                 && proxy_site_put (instance, &site->options.config)
-                && put_servers (instance) && write_settings (instance);
+                && proxy_site_put_servers (instance)
+                && write_settings (instance);
   return ok ? instance : NULL;
 }
 
@@ -268,6 +268,16 @@
   return NULL;
 }
 
+gboolean
+proxy_site_go_back (struct proxy_site_instance *instance, gint64 time)
+{
+  gint64 ms = (g_get_monotonic_time () - time) / 1000 + 1;
+  char *faults = g_strdup_printf ("{\"go_back_ms\": %" G_GINT64_FORMAT "}", ms);
+  gboolean ok = harness_set_faults (instance->store->port, faults);
+  g_free (faults);
+  return ok;
+}
+
 void
 proxy_site_signal (struct proxy_site_instance *instance, int signal)
 {
--- a/tests/harness/proxy_site.h
+++ b/tests/harness/proxy_site.h
@@ -152,6 +152,7 @@
   struct proxy_site_instance instances[PROXY_SITE_INSTANCES_MAX];
   guint n_instances;
   struct proxy_site_server *servers[PROXY_SITE_SERVERS]; /* owned */
+  gint64 born_ms;         /* start of the servers, wall clock */
   GPtrArray *clients;     /* of struct proxy_site_client, owned */
   GPtrArray *requests;    /* of struct proxy_site_request, owned */
   GHashTable *by_id;      /* id -> request, borrowed */
@@ -177,6 +178,12 @@
    store has acknowledged it. Blocks.  */
 gboolean proxy_site_put (struct proxy_site_instance *instance,
                          const struct proxy_site_config *config);
+/* Writes the entries of all servers to the instance's store, like servers that
+   are running. Returns whether the store has acknowledged them. Blocks.  */
+gboolean proxy_site_put_servers (struct proxy_site_instance *instance);
+/* Has the instance's store return to what it was at a monotonic time, in a new
+   era. Blocks.  */
+gboolean proxy_site_go_back (struct proxy_site_instance *instance, gint64 time);
 void proxy_site_signal (struct proxy_site_instance *instance, int signal);
 /* Waits until the process has ended. Returns its exit status, 128 + the number
    of the signal that killed it, or -1 if it still runs after MS.  */
