--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -5,7 +5,9 @@
 
 #include "unit/unit.h"
 
+#include <glib-unix.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "gate/reverse_proxy.h"
 #include "http/reader.h"
@@ -17,6 +19,10 @@
 #define PROXY_TEST_SERVERS 3
 #define PROXY_TEST_WAIT_MS 5000 /* such a wait normally takes a few ms */
 #define PROXY_TEST_KEY "key-of-crew"
+#define PROXY_TEST_RECEIVE_BUFFER_BYTES (32 * 1024) /* of a small buffer */
+/* Larger than what the kernel buffers between the proxy and a client with a
+   small buffer. */
+#define PROXY_TEST_LONG_BYTES (7 * 1024 * 1024)
 
 struct proxy_test_server;
 
@@ -495,6 +501,12 @@
   client->ended = client->reset = TRUE;
 }
 
+static gboolean
+proxy_test_has_ended (void *ctx)
+{
+  return ((const struct proxy_test_client *)ctx)->ended;
+}
+
 static const struct tcp_conn_handler proxy_test_client_handler
     = { .data = proxy_test_client_data,
         .ended = proxy_test_client_ended,
@@ -674,4 +686,47 @@
     proxy_test.servers[i].script = script;
 }
 
+/* Sends a response of PROXY_TEST_LONG_BYTES.  */
+static void
+proxy_test_respond_long (struct proxy_test_link *link,
+                         struct proxy_test_request *request)
+{
+  char *body = g_strnfill (PROXY_TEST_LONG_BYTES, 'x');
+  proxy_test_respond (link, request, "200 OK", PROXY_TEST_SIGNED, body);
+  g_free (body);
+}
+
+/* Returns a blocking socket that is connected to the proxy. SMALL_BUFFER: the
+   kernel holds few unread bytes for it.  */
+static int
+proxy_test_connect_socket (gboolean small_buffer)
+{
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const int bytes = PROXY_TEST_RECEIVE_BUFFER_BYTES;
+  const struct timeval read_timeout = { .tv_sec = 1 };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  to.sin_port = htons ((guint16)proxy_port (proxy_test.reverse_proxy));
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &read_timeout, sizeof read_timeout);
+  if (small_buffer)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  return fd;
+}
+
+/* Opens a client that reads nothing until its connection is resumed.  */
+static struct proxy_test_client *
+proxy_test_open_stalled_client (void)
+{
+  struct proxy_test_client *client = g_new0 (struct proxy_test_client, 1);
+  const struct tcp_conn_options options
+      = { .handler = &proxy_test_client_handler, .ctx = client };
+  int fd = proxy_test_connect_socket (TRUE);
+  g_unix_set_fd_nonblocking (fd, TRUE, NULL);
+  client->in = g_string_new (NULL);
+  client->tcp_conn = tcp_conn_adopt (fd, &options);
+  tcp_conn_pause (client->tcp_conn, TRUE);
+  return client;
+}
+
 #endif
--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -2,13 +2,9 @@
    connection it closes.  */
 #include "unit/proxy_fixture.h"
 
-#include <glib-unix.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define RECEIVE_BUFFER_BYTES (32 * 1024)
-/* Larger than what the kernel buffers between the proxy and such a client. */
-#define LONG_RESPONSE_BYTES (7 * 1024 * 1024)
 #define PAST_NOTICE_MS 2700 /* the proxy closes idle connections before */
 #define PAST_LINGER_MS 2500 /* longer than the wait for the peer's FIN */
 #define SHORT_LIMIT_US (1 * CLK_S)
@@ -20,45 +16,6 @@
 #define SLOW_READ_MS 17000  /* two checks whether it reads */
 #define BACKLOG_CLIENTS 100 /* more than are accepted in one iteration */
 
-static void
-respond_long (struct proxy_test_link *link, struct proxy_test_request *request)
-{
-  char *body = g_strnfill (LONG_RESPONSE_BYTES, 'x');
-  proxy_test_respond (link, request, "200 OK", PROXY_TEST_SIGNED, body);
-  g_free (body);
-}
-
-static int
-connect_socket (gboolean small_buffer)
-{
-  struct sockaddr_in to
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  const int bytes = RECEIVE_BUFFER_BYTES;
-  const struct timeval read_timeout = { .tv_sec = 1 };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  to.sin_port = htons ((guint16)proxy_port (proxy_test.reverse_proxy));
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &read_timeout, sizeof read_timeout);
-  if (small_buffer)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
-  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
-  return fd;
-}
-
-/* Opens a client that reads nothing until its connection is resumed.  */
-static struct proxy_test_client *
-open_stalled_client (void)
-{
-  struct proxy_test_client *client = g_new0 (struct proxy_test_client, 1);
-  const struct tcp_conn_options options
-      = { .handler = &proxy_test_client_handler, .ctx = client };
-  int fd = connect_socket (TRUE);
-  g_unix_set_fd_nonblocking (fd, TRUE, NULL);
-  client->in = g_string_new (NULL);
-  client->tcp_conn = tcp_conn_adopt (fd, &options);
-  tcp_conn_pause (client->tcp_conn, TRUE);
-  return client;
-}
-
 static gboolean
 is_shut_down (void *ctx)
 {
@@ -70,7 +27,7 @@
 has_long_response (void *ctx)
 {
   const struct proxy_test_client *client = ctx;
-  return client->ended || client->in->len > LONG_RESPONSE_BYTES;
+  return client->ended || client->in->len > PROXY_TEST_LONG_BYTES;
 }
 
 static void
@@ -82,7 +39,7 @@
   struct proxy_test_response response = proxy_test_wait_response (client);
   CU_ASSERT_EQUAL (response.status, 200);
   CU_ASSERT_TRUE (response.complete);
-  CU_ASSERT_EQUAL (response.body->len, LONG_RESPONSE_BYTES);
+  CU_ASSERT_EQUAL (response.body->len, PROXY_TEST_LONG_BYTES);
   proxy_test_response_clear (&response);
 }
 
@@ -93,8 +50,8 @@
 {
   proxy_test_start (1);
   proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_test_script_all (respond_long);
-  struct proxy_test_client *client = open_stalled_client ();
+  proxy_test_script_all (proxy_test_respond_long);
+  struct proxy_test_client *client = proxy_test_open_stalled_client ();
   proxy_test_send_request (client, "/again/x", "Connection: close\r\n");
   proxy_test_run_for (PAST_LINGER_MS);
   check_long_response (client);
@@ -108,8 +65,8 @@
 {
   proxy_test_start (1);
   proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_test_script_all (respond_long);
-  struct proxy_test_client *client = open_stalled_client ();
+  proxy_test_script_all (proxy_test_respond_long);
+  struct proxy_test_client *client = proxy_test_open_stalled_client ();
   proxy_test_send_request (client, "/again/x", "");
   proxy_test_run_for (50);
   proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
@@ -226,12 +183,6 @@
   return strstr (client->in->str, "data: x") != NULL;
 }
 
-static gboolean
-has_ended (void *ctx)
-{
-  return ((const struct proxy_test_client *)ctx)->ended;
-}
-
 /* A stream that has begun is reset: a second response in it, or an end that
    looks complete, would be taken for the server's.  */
 static void
@@ -245,7 +196,7 @@
       proxy_test_wait_until (has_event, client, PROXY_TEST_WAIT_MS));
   shut_down_to_the_end ();
   CU_ASSERT_TRUE (
-      proxy_test_wait_until (has_ended, client, PROXY_TEST_WAIT_MS));
+      proxy_test_wait_until (proxy_test_has_ended, client, PROXY_TEST_WAIT_MS));
   CU_ASSERT_TRUE (client->reset);
   CU_ASSERT_PTR_NULL (strstr (client->in->str, "HTTP/1.1 5"));
   CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_UNANSWERED], 1);
@@ -380,7 +331,7 @@
   proxy_test_run_for (20);
   for (guint i = 0; i < BACKLOG_CLIENTS; i++)
     {
-      sockets[i] = connect_socket (FALSE);
+      sockets[i] = proxy_test_connect_socket (FALSE);
       CU_ASSERT_EQUAL (write (sockets[i], request, strlen (request)),
                        (gssize)strlen (request));
     }
@@ -424,8 +375,8 @@
   static char bytes[SLOW_READ_BYTES];
   proxy_test_start (1);
   proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_test_script_all (respond_long);
-  int fd = connect_socket (TRUE);
+  proxy_test_script_all (proxy_test_respond_long);
+  int fd = proxy_test_connect_socket (TRUE);
   char *request
       = g_strdup_printf ("POST /open/x HTTP/1.1\r\nHost: a.example\r\n"
                          "X-Request-Id: s\r\nConnection: close\r\n"
