Test the bound of output kept for connections that are being closed

The bound of 16 MiB had no test. Test: ten clients that read nothing get 7 MiB each and are closed. The oldest lose theirs, the newest get it whole, and no more of them than fit into the bound, given that the kernel takes 4 MiB at most of each.

--- a/tests/unit/test_gate_closing.c
+++ b/tests/unit/test_gate_closing.c
@@ -1,9 +1,13 @@
 /* Connections of clients that the reverse proxy closes. A request that has
-   arrived by then must be served.  */
+   arrived by then must be served. What is kept for clients that do not read is
+   bounded.  */
 #include "unit/proxy_fixture.h"
 
 #define IDLE_CLOSE_MS 2400 /* 1.2 times the time-out of the configuration */
 #define BLOCKED_BEFORE_MS 200
+#define STALLED_CLIENTS 10
+#define OUTPUT_MAX (16 * 1024 * 1024)       /* bytes kept for all of them */
+#define KERNEL_BUFFER_MAX (4 * 1024 * 1024) /* bytes that the kernel takes */
 
 static gboolean
 send_request (gpointer data)
@@ -38,8 +42,56 @@
   proxy_test_stop ();
 }
 
+static gboolean
+all_answered (void *ctx)
+{
+  const guint *n = ctx;
+  return proxy_test.counter_set.v[COUNTER_ANSWERED] == *n;
+}
+
+/* Responses for clients that do not read stay in the proxy's memory after the
+   close of their connections. Beyond a total of OUTPUT_MAX the oldest are
+   dropped, the others still arrive.  */
+static void
+test_output_of_closed_connections_is_bounded (void)
+{
+  struct proxy_test_client *clients[STALLED_CLIENTS];
+  guint complete = 0;
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (proxy_test_respond_long);
+  for (guint i = 0; i < STALLED_CLIENTS; i++)
+    {
+      guint n = i + 1;
+      clients[i] = proxy_test_open_stalled_client ();
+      proxy_test_send_request (clients[i], "/open/x", "Connection: close\r\n");
+      CU_ASSERT_TRUE_FATAL (
+          proxy_test_wait_until (all_answered, &n, PROXY_TEST_WAIT_MS));
+    }
+  for (guint i = 0; i < STALLED_CLIENTS; i++)
+    {
+      tcp_conn_pause (clients[i]->tcp_conn, FALSE);
+      CU_ASSERT_TRUE (proxy_test_wait_until (proxy_test_has_ended, clients[i],
+                                             PROXY_TEST_WAIT_MS));
+      struct proxy_test_response response
+          = proxy_test_parse_response (clients[i]);
+      CU_ASSERT_TRUE (response.complete || complete == 0);
+      complete += response.complete;
+      proxy_test_response_clear (&response);
+      proxy_test_close_client (clients[i]);
+    }
+  CU_ASSERT_TRUE (complete >= OUTPUT_MAX / (PROXY_TEST_LONG_BYTES + 1024));
+  CU_ASSERT_TRUE (complete
+                  <= OUTPUT_MAX / (PROXY_TEST_LONG_BYTES - KERNEL_BUFFER_MAX));
+  CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_UNSENT],
+                   STALLED_CLIENTS - complete);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "a request at the idle time-out", test_request_at_idle_timeout },
+  { "the output of closed connections is bounded",
+    test_output_of_closed_connections_is_bounded },
   CU_TEST_INFO_NULL,
 };
 
