Do not time out a peer that reads slowly over a small window

Evidence: test_tcp_conn, a peer with a buffer of 32 KB that reads 4 KB each 100 ms, a silence of 2 s: "a steady slow reader" and "a slow reader of buffered output" failed within the 8 s of the test (time-out, ETIMEDOUT from the kernel after 2.3 s). "A reader that stops" and "an idle connection" passed before, too. Change: four times in each silence time-out the connection checks whether the peer has acknowledged output (SIOCOUTQ). If it has and output is left, the kernel's limit is lifted until all is acknowledged, and the checks report a peer that acknowledges nothing for the time-out. Ruled out: doing without TCP_USER_TIMEOUT. It finds a peer that is gone exactly in time, and also where SIOCOUTQ is not to be had. Why it works: bytes acknowledged are progress whatever the window is; without progress nothing is lifted. Checks are counted, not time, so that a pause of the process itself is one check at most. Elsewhere: mesh_connection.c of the router sets TCP_USER_TIMEOUT too; not changed.

--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -16,6 +16,7 @@
 #define FLUSH_STALL_MS                                                         \
   8000 /* a finished connection is closed if the peer takes no byte of its     \
           output for this time, checked as often */
+#define SILENCE_CHECKS 4    /* during the longest silence of a peer */
 #define COMPACT_BYTES 65536 /* most sent bytes kept in OUT */
 
 struct tcp_conn
@@ -30,7 +31,11 @@
   guint64 sent;         /* total bytes that the kernel has accepted */
   guint connect_timer;  /* GLib source; 0: none */
   guint linger_timer;   /* GLib source; 0: none */
-  guint64 taken_before; /* bytes_taken when the linger timer was started */
+  guint silence_timer;  /* GLib source; runs while output is outstanding */
+  guint silence_ms;     /* option of that name */
+  guint silent_checks;  /* of the silence timer, since the last progress */
+  guint64 taken_before; /* bytes_taken at the last check of a timer */
+  gboolean unlimited;   /* TCP_USER_TIMEOUT is lifted */
   gsize discarded;      /* bytes received after the finish */
   int write_error;      /* errno of a failed write, not yet reported; 0: none */
   gboolean connecting;
@@ -79,6 +84,25 @@
   g_source_modify_unix_fd (conn->source, conn->poll_tag, events);
 }
 
+static void
+set_option (int fd, int level, int name, int value)
+{
+  if (setsockopt (fd, level, name, &value, sizeof value) < 0)
+    g_debug ("setsockopt %d: %s", name, g_strerror (errno));
+}
+
+/* Sets the kernel's limit on the time without an acknowledgement, or lifts it.
+ */
+static void
+set_user_timeout (struct tcp_conn *conn, gboolean limited)
+{
+  if (conn->silence_ms == 0 || conn->unlimited == !limited)
+    return;
+  conn->unlimited = !limited;
+  set_option (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              limited ? (int)conn->silence_ms : 0);
+}
+
 /* Closes the socket. The memory is freed with the last reference.  */
 static void
 close_socket (struct tcp_conn *conn)
@@ -87,6 +111,8 @@
     return;
   g_clear_handle_id (&conn->connect_timer, g_source_remove);
   g_clear_handle_id (&conn->linger_timer, g_source_remove);
+  g_clear_handle_id (&conn->silence_timer, g_source_remove);
+  set_user_timeout (conn, TRUE);
   g_source_destroy (conn->source);
   g_source_unref (conn->source);
   conn->source = NULL;
@@ -131,9 +157,65 @@
     failed (ctx, &err);
 }
 
+/* Returns the bytes that the peer has acknowledged. What the kernel accepts is
+   no measure: with a slow peer that does not grow for many seconds.  */
+static guint64
+bytes_taken (const struct tcp_conn *conn)
+{
+  int unacknowledged = 0;
+  if (ioctl (conn->fd, SIOCOUTQ, &unacknowledged) < 0)
+    return conn->sent;
+  return conn->sent - MIN (conn->sent, (guint64)MAX (unacknowledged, 0));
+}
+
+/* Reports a peer that has acknowledged no output for silence_ms, and lifts the
+   kernel's limit while it goes on acknowledging: with a window smaller than a
+   segment, TCP_USER_TIMEOUT counts from the first probe even if the peer goes
+   on reading.  */
+static gboolean
+on_silence_check (gpointer data)
+{
+  struct tcp_conn *conn = data;
+  guint64 taken = bytes_taken (conn);
+  if (taken == conn->sent)
+    set_user_timeout (conn, TRUE);
+  if (taken == conn->sent && tcp_conn_queued (conn) == 0)
+    {
+      conn->silence_timer = 0;
+      return G_SOURCE_REMOVE;
+    }
+  if (taken > conn->taken_before && taken < conn->sent)
+    set_user_timeout (conn, FALSE);
+  if (taken > conn->taken_before || taken == conn->sent)
+    {
+      conn->taken_before = taken;
+      conn->silent_checks = 0;
+      return G_SOURCE_CONTINUE;
+    }
+  if (++conn->silent_checks < SILENCE_CHECKS)
+    return G_SOURCE_CONTINUE;
+  conn->silence_timer = 0;
+  report_failure (conn, "write", ETIMEDOUT);
+  return G_SOURCE_REMOVE;
+}
+
+/* Starts the silence timer if it is not running. TAKEN: bytes_taken before the
+   output that is outstanding now.  */
+static void
+start_silence_timer (struct tcp_conn *conn, guint64 taken)
+{
+  if (conn->silence_ms == 0 || conn->silence_timer != 0 || conn->finishing)
+    return;
+  conn->taken_before = taken;
+  conn->silent_checks = 0;
+  conn->silence_timer = g_timeout_add (conn->silence_ms / SILENCE_CHECKS,
+                                       on_silence_check, conn);
+}
+
 static void
 flush (struct tcp_conn *conn)
 {
+  guint64 before = conn->sent;
   while (conn->out_sent < conn->out->len)
     {
       gssize n = send (conn->fd, conn->out->data + conn->out_sent,
@@ -151,6 +233,8 @@
       conn->out_sent += (gsize)n;
       conn->sent += (guint64)n;
     }
+  if (conn->sent > before)
+    start_silence_timer (conn, before);
   if (conn->out_sent == conn->out->len)
     {
       g_byte_array_set_size (conn->out, 0);
@@ -163,17 +247,6 @@
     }
 }
 
-/* Returns the bytes that the peer has acknowledged. What the kernel accepts is
-   no measure: with a slow peer that does not grow for many seconds.  */
-static guint64
-bytes_taken (const struct tcp_conn *conn)
-{
-  int unacknowledged = 0;
-  if (ioctl (conn->fd, SIOCOUTQ, &unacknowledged) < 0)
-    return conn->sent;
-  return conn->sent - MIN (conn->sent, (guint64)MAX (unacknowledged, 0));
-}
-
 /* Closes the connection unless the peer has taken output since the timer was
    started.  */
 static gboolean
@@ -320,13 +393,6 @@
 
 static GSourceFuncs source_funcs = { NULL, NULL, dispatch, NULL };
 
-static void
-set_option (int fd, int level, int name, int value)
-{
-  if (setsockopt (fd, level, name, &value, sizeof value) < 0)
-    g_debug ("setsockopt %d: %s", name, g_strerror (errno));
-}
-
 /* Makes the kernel detect peers that stop responding: by the user timeout while
    data is unacknowledged, else by keep-alive probes.  */
 static void
@@ -348,6 +414,7 @@
   conn->handler = *options->handler;
   conn->ctx = options->ctx;
   conn->out = g_byte_array_new ();
+  conn->silence_ms = options->silence_ms;
   conn->connecting = connecting;
   set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
   if (options->silence_ms > 0)
@@ -513,19 +580,19 @@
   if (conn == NULL)
     return;
   conn->finishing = TRUE;
+  g_clear_handle_id (&conn->silence_timer, g_source_remove);
   if (conn->source == NULL || conn->write_error != 0 || conn->connecting)
     {
       release_finished (conn);
       return;
     }
+  if (conn->out->len > 0 || bytes_taken (conn) < conn->sent)
+    set_user_timeout (conn, FALSE);
   if (conn->out->len == 0)
     {
       start_linger (conn);
       return;
     }
-  /* With a window smaller than a segment, the kernel counts from the first
-     probe even if the peer goes on reading. */
-  set_option (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
   conn->taken_before = bytes_taken (conn);
   conn->linger_timer = g_timeout_add (FLUSH_STALL_MS, on_linger_timeout, conn);
 }
