Read once a step in the test of a steady slow reader

The test counted MAX (recv (...), 0), whose macro calls recv a second time: it read twice what it counted, and a failing second call would have counted as a huge number.

--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -387,7 +387,8 @@
   for (guint ms = 0; ms < SLOW_READ_MS; ms += SLOW_READ_INTERVAL_MS)
     {
       proxy_test_run_for (SLOW_READ_INTERVAL_MS);
-      got += (gsize)MAX (recv (fd, bytes, sizeof bytes, MSG_DONTWAIT), 0);
+      gssize n = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+      got += n > 0 ? (gsize)n : 0;
     }
   CU_ASSERT_TRUE (got > 10 * SLOW_READ_BYTES);
   CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_UNSENT], 0);
