Enforce the limit of a response to jacinthctl

Change: the response is read in pieces; beyond 16 MiB the command ends like one without a response: code 3, or 6 for a change, whose outcome is not known. Test: test_ctl, "a response that is too large exits with 3", failed before (exit code 0). A response just below the limit passes, before too. test_ctl 7, test_adm 11 passed, 0 failed.

--- a/packages/jacinthctl/api_client.c
+++ b/packages/jacinthctl/api_client.c
@@ -5,23 +5,70 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define READ_BYTES 65536 /* of a response, at once */
+
 /* A request in progress. */
 struct call
 {
   GMainLoop *loop;
   GCancellable *cancellable;
-  GBytes *body;
+  GInputStream *stream; /* the response; NULL: no response yet */
+  GByteArray *received;
+  GBytes *body; /* NULL: not complete */
   GError *error;
   gboolean timed_out;
 };
 
+static void read_more (struct call *call);
+
+static void
+on_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct call *call = data;
+  g_autoptr (GBytes) bytes = g_input_stream_read_bytes_finish (
+      G_INPUT_STREAM (source), result, &call->error);
+  if (bytes == NULL)
+    {
+      g_main_loop_quit (call->loop);
+      return;
+    }
+  gsize n;
+  const void *p = g_bytes_get_data (bytes, &n);
+  if (n == 0)
+    {
+      call->body
+          = g_byte_array_free_to_bytes (g_steal_pointer (&call->received));
+      g_main_loop_quit (call->loop);
+      return;
+    }
+  if (call->received->len + n > CTL_RESPONSE_MAX)
+    {
+      g_set_error (&call->error, G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE,
+                   "the response has more than %d bytes", CTL_RESPONSE_MAX);
+      g_main_loop_quit (call->loop);
+      return;
+    }
+  g_byte_array_append (call->received, p, (guint)n);
+  read_more (call);
+}
+
+static void
+read_more (struct call *call)
+{
+  g_input_stream_read_bytes_async (call->stream, READ_BYTES, G_PRIORITY_DEFAULT,
+                                   call->cancellable, on_read, call);
+}
+
 static void
 on_response (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct call *call = data;
-  call->body = soup_session_send_and_read_finish (SOUP_SESSION (source), result,
-                                                  &call->error);
-  g_main_loop_quit (call->loop);
+  call->stream
+      = soup_session_send_finish (SOUP_SESSION (source), result, &call->error);
+  if (call->stream != NULL)
+    read_more (call);
+  else
+    g_main_loop_quit (call->loop);
 }
 
 static gboolean
@@ -41,11 +88,14 @@
   soup_session_set_proxy_resolver (session, NULL);
   call->loop = g_main_loop_new (NULL, FALSE);
   call->cancellable = g_cancellable_new ();
+  call->received = g_byte_array_new ();
   guint timer = g_timeout_add (timeout_ms, on_timeout, call);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT,
-                                    call->cancellable, on_response, call);
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT,
+                           call->cancellable, on_response, call);
   g_main_loop_run (call->loop);
   g_source_remove (timer);
+  g_clear_object (&call->stream);
+  g_clear_pointer (&call->received, g_byte_array_unref);
   g_object_unref (call->cancellable);
   g_main_loop_unref (call->loop);
   g_object_unref (session);
--- a/packages/jacinthctl/jacinthctl.h
+++ b/packages/jacinthctl/jacinthctl.h
@@ -9,7 +9,8 @@
 #include "base/err.h"
 
 #define CTL_TIMEOUT_MS 10000 /* default time limit of a request */
-#define CTL_RESPONSE_MAX (16 * 1024 * 1024) /* bytes; not enforced */
+#define CTL_RESPONSE_MAX                                                       \
+  (16 * 1024 * 1024) /* bytes; a larger one is an error */
 
 /* Exit codes of the program. X (NAME, number, "meaning") */
 #define CTL_EXIT_CODES(X)                                                      \
--- a/tests/unit/fake_admin_server.h
+++ b/tests/unit/fake_admin_server.h
@@ -19,6 +19,7 @@
   struct counter_set counter_set;
   struct cluster_config *cfg;
   gboolean ready;
+  gsize dump_bytes; /* length of a text in the dump */
   guint n_updates;  /* calls of update */
   guint64 expected; /* arguments of the last call */
   GBytes *body;
@@ -44,10 +45,13 @@
 static void
 fake_dump (void *ctx, JsonBuilder *json)
 {
-  (void)ctx;
+  const struct fake *fake = ctx;
+  g_autofree char *text = g_strnfill (fake->dump_bytes, 'x');
   json_builder_begin_object (json);
   json_builder_set_member_name (json, "state");
   json_builder_add_string_value (json, "dumped");
+  json_builder_set_member_name (json, "text");
+  json_builder_add_string_value (json, text);
   json_builder_end_object (json);
 }
 
--- a/tests/unit/test_ctl.c
+++ b/tests/unit/test_ctl.c
@@ -3,6 +3,7 @@
 
 #include "unit/fake_admin_server.h"
 
+#define RESPONSE_MAX (16 * 1024 * 1024) /* bytes */
 #define PROGRAM JW_BUILD_DIR "/packages/jacinthctl/jacinthctl"
 
 struct run_result
@@ -76,7 +77,8 @@
                     && strstr (o.err, err) != NULL;
   CU_ASSERT_TRUE (passed);
   if (!passed)
-    g_print ("%s: status %d\n%s%s\n", arguments, o.status, o.out, o.err);
+    g_print ("%s: status %d\n%.4000s%.4000s\n", arguments, o.status, o.out,
+             o.err);
   run_result_clear (&o);
 }
 
@@ -224,6 +226,21 @@
   fake_close (&fake);
 }
 
+/* An instance that sends without an end must not fill the memory of the
+   operator's machine.  */
+static void
+test_response_too_large (void)
+{
+  struct fake fake;
+  fake_open (&fake, 0);
+  fake.dump_bytes = RESPONSE_MAX - 1024;
+  expect_run (&fake, "dump", NULL, 0, "\"state\" : \"dumped\"", "");
+  fake.dump_bytes = RESPONSE_MAX;
+  expect_run (&fake, "dump", NULL, 3, "",
+              "the response has more than 16777216 bytes (step ctl.answer");
+  fake_close (&fake);
+}
+
 static CU_TestInfo tests[] = {
   { "lists are printed as tables or JSON", test_lists },
   { "config get, diff and apply", test_config },
@@ -231,6 +248,7 @@
   { "tokens without access exit with 5", test_tokens },
   { "an invalid command line exits with 2", test_usage },
   { "an unreachable instance exits with 3", test_unreachable },
+  { "a response that is too large exits with 3", test_response_too_large },
   CU_TEST_INFO_NULL,
 };
 
