Drop a route's session_affinity, which nothing read

Placement goes by the parts that each request lists in its prefix header, whether its route has the field or not. docs/PLATFORM.md says so. test_adapter still has the field in its configuration, as the platform sends it.

--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -40,7 +40,6 @@
   enum routing_kind kind;
   gboolean resumable;  /* streams: another server may continue one */
   gboolean is_public;  /* requests need no API key */
-  gboolean affinity;   /* requests list the prefix blocks of their prompt */
   gint64 timeout_us;   /* longest time for which a client waits */
   gint64 target_us;    /* to the response or to the first event */
   gint64 event_gap_us; /* streams: longest acceptable inter-event gap; 0: any */
