Check a backend server's desired state against its own pool only

An operator who names an undefined pool was also told that the server "belongs to a service, which has no desired state", if the first pool of the configuration is a service.

--- a/packages/config/cluster_read.c
+++ b/packages/config/cluster_read.c
@@ -359,11 +359,13 @@
   return n;
 }
 
-/* Checks the desired models, adapters, version and role of BACKEND.  */
+/* Checks the desired models, adapters, version and role of RAW.  */
 static void
 check_desired_state (const struct cluster_config *config, struct ini *ini,
-                     const struct cluster_backend *backend)
+                     const struct cluster_raw_backend *raw)
 {
+  const struct cluster_backend *backend = &raw->backend;
+  int pool = index_find (config->index->pools, raw->pool.s);
   g_autofree char *group
       = cluster_section_group (CLUSTER_SECTION_BACKEND, backend->name.s);
   guint n = check_names (ini, group, "models",
@@ -377,7 +379,7 @@
                  "has %u desired models, adapters, version and role; allowed: "
                  "at most %d together",
                  n, CLUSTER_DESIRED_MAX);
-  if (n > 0 && config->pools[backend->pool].kind == CLUSTER_SERVICE)
+  if (n > 0 && pool >= 0 && config->pools[pool].kind == CLUSTER_SERVICE)
     ini_problem (ini, group, NULL,
                  "belongs to a service, which has no desired state; allowed: "
                  "models, adapters, version and role for engines only");
@@ -443,7 +445,7 @@
       resolved &= resolve_backend (config, ini, &raw[i]);
       config->backends[i] = raw[i].backend;
       check_address (addresses, ini, &config->backends[i]);
-      check_desired_state (config, ini, &config->backends[i]);
+      check_desired_state (config, ini, &raw[i]);
       index_add (config->index->backends, config->backends[i].name.s, i);
     }
   if (resolved)
--- a/tests/unit/test_cfg.c
+++ b/tests/unit/test_cfg.c
@@ -344,6 +344,20 @@
   CU_ASSERT_EQUAL (problems->len, 4);
 }
 
+/* A backend server whose pool is undefined is not checked against another pool,
+   which may be a service.  */
+static void
+test_undefined_pool_has_one_problem (void)
+{
+  g_autofree char *one = replace_first (valid_text, "[model:m]\n", "");
+  g_autofree char *two
+      = replace_first (one, "checks_fence=yes", "models=a\nrole=both");
+  g_autoptr (GPtrArray) problems = new_problems ();
+  CU_ASSERT_PTR_NULL (parse_text (two, problems));
+  CU_ASSERT_EQUAL (problems->len, 1);
+  CU_ASSERT_TRUE (has_problem (problems, "key pool: \"m\" is not defined"));
+}
+
 static void
 test_secrets_are_not_reported (void)
 {
@@ -474,6 +488,7 @@
   { "each problem names group, key and what is allowed",
     test_each_problem_is_named },
   { "all problems are reported at once", test_all_problems_are_reported },
+  { "an undefined pool has one problem", test_undefined_pool_has_one_problem },
   { "secrets are not reported in problems", test_secrets_are_not_reported },
   { "limits are enforced", test_limits },
   { "random texts are parsed or rejected", test_random_texts },
