Split the TCP listener from the TCP connections

The listener, which shares only the parsing of addresses with it, moves to tcp_listener.c. Behaviour unchanged: test_gate, test_gate_shutdown, test_gate_closing, test_tcp_conn pass.

--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -9,6 +9,7 @@
 #include "http/head.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 #include "sched/retry.h"
 
 #define DOWNSTREAM_READ_AHEAD_MAX                                              \
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -2,6 +2,7 @@
 
 #include "http/reader.h"
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 
 #define HEAD_BYTES_MAX 8192 /* of a request */
 #define CONNS_MAX 100       /* at one more, the oldest connection is closed */
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -1,5 +1,5 @@
-/* TCP connections and listeners on the thread's main loop. Connections buffer
-   their output and can detect peers that stop responding.  */
+/* TCP connections on the thread's main loop. They buffer their output and can
+   detect peers that stop responding.  */
 #ifndef TCP_CONN_H
 #define TCP_CONN_H
 
@@ -60,19 +60,6 @@
 void tcp_conn_reset (struct tcp_conn *conn);
 void tcp_conn_finish (struct tcp_conn *conn);
 
-struct tcp_listener;
-
-/* Called with an accepted socket FD, which the callee then owns. PEER is the IP
-   address of the client.  */
-typedef void (*tcp_listener_accepted) (void *ctx, int fd, const char *peer);
-
-struct tcp_listener *tcp_listener_new (const char *address,
-                                       tcp_listener_accepted accepted,
-                                       void *ctx, struct err *err);
-guint tcp_listener_port (const struct tcp_listener *listener);
-void tcp_listener_accept_pending (struct tcp_listener *listener);
-void tcp_listener_free (struct tcp_listener *listener);
-
 int tcp_address_parse (const char *address, struct sockaddr_in *result,
                        struct err *err);
 
--- a/tests/harness/proxy_site_server.c
+++ b/tests/harness/proxy_site_server.c
@@ -1,6 +1,7 @@
 /* Scripted backend servers of a proxy site. Each response depends on the call
    that the client has recorded under the request's id.  */
 #include "harness/proxy_site.h"
+#include "net/tcp_listener.h"
 
 #include <string.h>
 
--- a/tests/soak/fault_proxy.c
+++ b/tests/soak/fault_proxy.c
@@ -1,6 +1,7 @@
 #include "soak/fault_proxy.h"
 
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 
 #define FORWARD_DELAY_MS 80
 
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -5,6 +5,7 @@
 
 #include "http/reader.h"
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 
 /* Time until a buffered response, and between two events of a stream.  */
 #define RESPOND_MIN_MS 2
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -12,6 +12,7 @@
 #include "gate/reverse_proxy.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 
 /* Not every test program uses every function. */
 #pragma GCC diagnostic ignored "-Wunused-function"
--- a/tests/unit/test_tcp_conn.c
+++ b/tests/unit/test_tcp_conn.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "net/tcp_conn.h"
+#include "net/tcp_listener.h"
 
 #define SILENCE_MS 2000
 #define RECEIVE_BUFFER_BYTES (32 * 1024)
