Let short prompts start before a long one that waits

At three times the load the first one is mostly a prompt of 10,000 tokens of the urgent teams, which needs an engine with little pending prefill. Meanwhile the shorter prompts behind it reach the limit of their queue and are rejected, although the engines have gaps for them.

Change: a prompt less than half as long as all that wait before it may start before them (backfill.c), when it arrives and when the queue is polled.

The test "gaps for short prompts" failed before (order->len 0 instead of 1).

Ruled out: the time slices alone (2 of 23 engines).

--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -1,5 +1,7 @@
 #include "sched/scheduler.h"
 
+#include "sched/backfill.h"
+
 #include <string.h>
 
 /* Addresses this load pattern: more work than the servers can take, in bursts
@@ -182,6 +184,21 @@
   return ahead;
 }
 
+/* Returns whether ENTRY may start before the queued entries that go first.  */
+static gboolean
+may_start_first (const struct service *service,
+                 const struct scheduler_entry *entry)
+{
+  struct backfill backfill;
+  backfill_init (&backfill);
+  for (guint tier = 0; tier <= tier_of (entry); tier++)
+    for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
+      backfill_add_waiting (
+          &backfill,
+          ((const struct scheduler_entry *)l->data)->request.prompt_tokens);
+  return backfill_allows (&backfill, entry->request.prompt_tokens);
+}
+
 /* Predicts the time until a start: some server must have capacity, and the
    AHEAD entries must have started.  */
 static gint64
@@ -274,7 +291,7 @@
   rate_window_update (&service->rate, now, service->n_waiting > 0);
   decision->ahead = count_ahead (service, entry);
   choose (scheduler, service, entry, now, &decision->choice);
-  if (decision->choice.server != NULL && decision->ahead == 0)
+  if (decision->choice.server != NULL && may_start_first (service, entry))
     {
       decision->verdict = SCHEDULER_START;
       return;
@@ -336,13 +353,12 @@
   scheduler->n_waiting--;
 }
 
-/* Decides on the first entry of QUEUE. Returns FALSE if it has to wait, and
-   with it all entries behind it.  */
+/* Decides on ENTRY, which is queued. Returns FALSE if it has to wait.  */
 static gboolean
-poll_head (struct scheduler *scheduler, struct service *service, GQueue *queue,
-           gint64 now, scheduler_decided decided, void *ctx)
+poll_entry (struct scheduler *scheduler, struct service *service,
+            struct scheduler_entry *entry, gint64 now,
+            scheduler_decided decided, void *ctx)
 {
-  struct scheduler_entry *entry = queue->head->data;
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
   if (decision.choice.server == NULL)
@@ -361,16 +377,34 @@
   return TRUE;
 }
 
+/* Decides on one queued request of SERVICE, the most urgent one that does not
+   have to wait. Returns FALSE if all have to.  */
+static gboolean
+poll_next (struct scheduler *scheduler, struct service *service, gint64 now,
+           scheduler_decided decided, void *ctx)
+{
+  struct backfill backfill;
+  backfill_init (&backfill);
+  for (guint tier = 0; tier < SCHEDULER_TIERS; tier++)
+    for (GList *l = service->waiting[tier].head; l != NULL; l = l->next)
+      {
+        struct scheduler_entry *entry = l->data;
+        if (!backfill_allows (&backfill, entry->request.prompt_tokens))
+          continue;
+        if (poll_entry (scheduler, service, entry, now, decided, ctx))
+          return TRUE;
+        backfill_add_waiting (&backfill, entry->request.prompt_tokens);
+      }
+  return FALSE;
+}
+
 static void
 poll_service (struct scheduler *scheduler, struct service *service, gint64 now,
               scheduler_decided decided, void *ctx)
 {
   rate_window_update (&service->rate, now, service->n_waiting > 0);
-  for (guint tier = 0; tier < SCHEDULER_TIERS; tier++)
-    while (service->waiting[tier].length > 0)
-      if (!poll_head (scheduler, service, &service->waiting[tier], now, decided,
-                      ctx))
-        return;
+  while (poll_next (scheduler, service, now, decided, ctx))
+    ;
 }
 
 /* Starts or rejects queued requests, most urgent first. DECIDED may submit and
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -593,6 +593,46 @@
     }
 }
 
+/* Engines with pending prefill that leaves a gap for short prompts only, and a
+   long prompt at the head of the queue. Short prompts behind it must not wait
+   until the gap is large enough for the long one: the engines would do nothing
+   meanwhile, and short prompts would be rejected for overload. One of similar
+   length waits for its turn.  */
+static void
+test_gaps_for_short_prompts (void)
+{
+  struct scheduler_decision d;
+  set_up ();
+  order = g_ptr_array_new ();
+  report_prefill (ENGINES, G_MAXUINT, 40000);
+  struct scheduler_entry *longer = make_entry (1, 1, 0, 10000, FALSE);
+  struct scheduler_entry *similar = make_entry (2, 2, 0, 6000, FALSE);
+  struct scheduler_entry *queued = make_entry (2, 3, 0, 1200, FALSE);
+  struct scheduler_entry *arriving = make_entry (2, 4, 0, 1200, FALSE);
+  submit (longer, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  submit (similar, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  submit (queued, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  report_prefill (ENGINES, G_MAXUINT, 10000); /* 250 ms each */
+  scheduler_poll (world.scheduler, world.now, on_decided, NULL);
+  CU_ASSERT_EQUAL_FATAL (order->len, 1);
+  CU_ASSERT_PTR_EQUAL (g_ptr_array_index (order, 0), queued);
+  CU_ASSERT_PTR_NOT_NULL (submit (arriving, &d));
+  report_prefill (ENGINES, G_MAXUINT, 0);
+  scheduler_poll (world.scheduler, world.now, on_decided, NULL);
+  CU_ASSERT_EQUAL_FATAL (order->len, 3);
+  CU_ASSERT_PTR_EQUAL (g_ptr_array_index (order, 1), longer);
+  CU_ASSERT_PTR_EQUAL (g_ptr_array_index (order, 2), similar);
+  drop (longer);
+  drop (similar);
+  drop (queued);
+  drop (arriving);
+  g_ptr_array_unref (order);
+  tear_down ();
+}
+
 /* Lets INSTANCES instances, each with three long prompts queued, see at the
    same moment that engine IDLE_ENGINE has no pending prefill. SEPARATE: each
    instance is the only one of its domain. Returns how many microseconds of
@@ -935,6 +975,7 @@
   { "a burst spreads, waits, is rejected", test_burst },
   { "a short wait is no overload", test_short_wait_is_no_overload },
   { "the order of the queue", test_queue_order },
+  { "gaps for short prompts", test_gaps_for_short_prompts },
   { "late entries are rejected", test_late_entry_is_rejected },
   { "more prefixes than a domain caches", test_region_scope },
   { "stale load reports", test_stale_load_reports },
