Hold long prompts back while the domain rejects urgent ones

An instance whose queue of urgent prompts is empty, or short because it rejects what exceeds its limit, starts its less urgent and longer prompts while its neighbour rejects urgent ones for want of the same engines.

Change: instances tell those of their domain which tiers they reject for overload (23rd field of the message, at most 8 entries, read by newer instances only). For 300 ms after a rejection nobody in the domain starts a less urgent prompt of over twice the mean length of the rejected ones (overload_hold.c). Such prompts wait, and are rejected as before when that takes too long; while they are held back they do not count for the time slices. Latency-sensitive streams, which have engines of their own, neither hold others back nor are held.

Tests: "a hold during overload", "rejections for peers", "rejections stay in the domain"; they need the new functions, so they cannot run without the change.

--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -61,16 +61,19 @@
 send_state_to_peers (struct proxy_daemon *daemon, gint64 now)
 {
   gint64 age = proxy_config_age (daemon->reverse_proxy, now);
-  const struct gossip_local_state state = {
+  struct gossip_local_state state = {
     .config_version = proxy_config_version (daemon->reverse_proxy),
     .config_age_us = age == G_MAXINT64 ? GOSSIP_AGE_UNKNOWN : age,
-    .n_waiting = scheduler_n_waiting (daemon->scheduler),
+    .n_waiting = scheduler_n_contending (daemon->scheduler),
     .store_era = daemon->store_era.known,
     .server_list_digest = daemon->server_list.digest,
     .server_list_age_us = daemon->server_list.entries
                               ? now - daemon->server_list.requested_at
                               : GOSSIP_AGE_UNKNOWN,
   };
+  state.n_rejections
+      = scheduler_rejections (daemon->scheduler, now, state.rejections,
+                              G_N_ELEMENTS (state.rejections));
   gossip_tick (daemon->gossip, &state, daemon->registry,
                scheduler_loads (daemon->scheduler), now, send_datagram, daemon);
 }
@@ -101,6 +104,8 @@
                                     .event = "peer.joined",
                                     .peer = update.id },
                "instances=%u", gossip_alive_count (daemon->gossip, now));
+  for (guint i = 0; i < update.n_rejections; i++)
+    scheduler_record_rejection (daemon->scheduler, &update.rejections[i]);
   proxy_daemon_handle_peer_update (daemon, ip, &update, now);
 }
 
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -621,6 +621,14 @@
   message->server_list_age_us = state->server_list_age_us;
   message->n_waiting = state->n_waiting;
   message->store_era = state->store_era;
+  message->n_rejections = state->n_rejections;
+  for (guint i = 0; i < state->n_rejections; i++)
+    message->rejections[i] = (struct gossip_message_rejection){
+      .service_key = state->rejections[i].service_key,
+      .tier = state->rejections[i].tier,
+      .tokens = state->rejections[i].tokens,
+      .age_ms = (guint)((round->now - state->rejections[i].at) / CLK_MS)
+    };
   message->wants_reply
       = round->is_leader || round->n_local_peers == 0
         || (state->config_age_us < 0 && is_starting (gossip, round->now));
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -7,6 +7,7 @@
 
 #include "fleet/registry.h"
 #include "peer/gossip_message.h"
+#include "sched/overload_hold.h"
 #include "sched/placement.h"
 
 struct gossip;
@@ -30,7 +31,9 @@
   gint64 config_age_us;
   guint64 server_list_digest;
   gint64 server_list_age_us;
-  guint n_waiting;   /* requests queued here */
+  guint n_waiting; /* requests queued here */
+  struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
+  guint n_rejections;
   guint64 store_era; /* newest one known; 0: none */
 };
 
@@ -51,7 +54,10 @@
   guint64 server_list_digest;
   gint64 server_list_age_us;
   guint64 store_era; /* newest one that the peer knows; 0: none */
-  gboolean joined;   /* first message of this incarnation */
+  /* Rejections for overload at a peer of the own domain. */
+  struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
+  guint n_rejections;
+  gboolean joined; /* first message of this incarnation */
   char id[STR_ID_MAX + 1];
 };
 
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,9 +7,10 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 22 /* of a message in the current format */
+#define FIELDS 23 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
-   n_waiting, store_era and leaving, and ignore those that they do not know. */
+   n_waiting, store_era, leaving and rejections, and ignore those that they do
+   not know. */
 #define FIELDS_REQUIRED 17
 
 static void
@@ -93,6 +94,16 @@
   msgpack_pack_array (&pk, gossip_message->n_leaving);
   for (guint i = 0; i < gossip_message->n_leaving; i++)
     msgpack_pack_uint32 (&pk, gossip_message->leaving[i]);
+  msgpack_pack_array (&pk, 4 * (size_t)gossip_message->n_rejections);
+  for (guint i = 0; i < gossip_message->n_rejections; i++)
+    {
+      const struct gossip_message_rejection *rejection
+          = &gossip_message->rejections[i];
+      msgpack_pack_uint32 (&pk, rejection->service_key);
+      msgpack_pack_unsigned_int (&pk, rejection->tier);
+      msgpack_pack_unsigned_int (&pk, rejection->tokens);
+      msgpack_pack_unsigned_int (&pk, rejection->age_ms);
+    }
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -253,6 +264,22 @@
   c->bad |= leaving.bad;
 }
 
+static void
+read_rejections (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor rejections = read_array (c, 4 * GOSSIP_MESSAGE_REJECTIONS_MAX);
+  while (!rejections.bad && rejections.left > 0)
+    {
+      struct gossip_message_rejection *rejection
+          = &gossip_message->rejections[gossip_message->n_rejections++];
+      rejection->service_key = (guint32)read_number (&rejections, G_MAXUINT32);
+      rejection->tier = (guint)read_number (&rejections, G_MAXUINT16);
+      rejection->tokens = (guint)read_number (&rejections, G_MAXINT32);
+      rejection->age_ms = (guint)read_number (&rejections, G_MAXINT32);
+    }
+  c->bad |= rejections.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -287,6 +314,8 @@
     gossip_message->store_era = read_number (&c, G_MAXINT64);
   if (c.left > 0)
     read_leaving (&c, gossip_message);
+  if (c.left > 0)
+    read_rejections (&c, gossip_message);
   return !c.bad;
 }
 
@@ -302,7 +331,8 @@
   gossip_message->n_members = gossip_message->n_loads
       = gossip_message->n_placements = gossip_message->n_summaries = 0;
   gossip_message->n_own_placements = gossip_message->n_home_placements
-      = gossip_message->n_unreachable = gossip_message->n_leaving = 0;
+      = gossip_message->n_unreachable = gossip_message->n_leaving
+      = gossip_message->n_rejections = 0;
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     gossip_message->summaries[i].n = 0;
   msgpack_unpacked_init (&unpacked);
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -14,6 +14,7 @@
 #define GOSSIP_MESSAGE_MEMBERS_MAX 16
 #define GOSSIP_MESSAGE_UNREACHABLE_MAX 32
 #define GOSSIP_MESSAGE_LEAVING_MAX 32
+#define GOSSIP_MESSAGE_REJECTIONS_MAX 8
 #define GOSSIP_MESSAGE_SUMMARIES_MAX 12
 /* Servers at which one instance or domain has load. */
 #define GOSSIP_MESSAGE_LOADS_MAX 200
@@ -52,6 +53,15 @@
   struct prefix_prompt prompt;
 };
 
+/* A rejection for overload at the sender. */
+struct gossip_message_rejection
+{
+  guint32 service_key; /* overload_hold_service_key */
+  guint tier;
+  guint tokens; /* mean prompt length of the recent ones */
+  guint age_ms;
+};
+
 struct gossip_message
 {
   char id[STR_ID_MAX + 1]; /* of the sender */
@@ -85,6 +95,8 @@
      an instance that has told it. */
   guint32 leaving[GOSSIP_MESSAGE_LEAVING_MAX];
   guint n_leaving;
+  struct gossip_message_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
+  guint n_rejections;
   struct gossip_message_summary summaries[GOSSIP_MESSAGE_SUMMARIES_MAX];
   guint n_summaries;
 };
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -212,6 +212,13 @@
                          - MEMBER_HOP_AGE_US);
   help_starting_peer (gossip, peer, message, now);
   gboolean is_local = gossip_is_local_peer (gossip, peer);
+  for (guint i = 0; is_local && i < message->n_rejections; i++)
+    update->rejections[update->n_rejections++] = (struct overload_rejection){
+      .service_key = message->rejections[i].service_key,
+      .tier = message->rejections[i].tier,
+      .tokens = message->rejections[i].tokens,
+      .at = now - (gint64)message->rejections[i].age_ms * CLK_MS
+    };
   GHashTable *servers_by_key = index_by_key (gossip, registry);
   if (message->n_summaries == 0 || is_local)
     apply_loads (servers_by_key, ip, FALSE, message->loads, message->n_loads,
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -46,8 +46,11 @@
 {
   GQueue waiting[SCHEDULER_TIERS]; /* of struct scheduler_entry, by target */
   guint n_waiting;
-  struct rate_window rate; /* of starts */
-  double us_per_token;     /* measured prefill time per token */
+  guint n_held;                  /* of these, held back at the last poll */
+  struct overload_hold hold;     /* rejections in the own domain */
+  struct overload_hold own_hold; /* those of this instance */
+  struct rate_window rate;       /* of starts */
+  double us_per_token;           /* measured prefill time per token */
 };
 
 struct scheduler
@@ -137,6 +140,13 @@
   return service;
 }
 
+/* Returns how many queued requests of SERVICE compete for servers.  */
+static guint
+n_contending (const struct service *service)
+{
+  return service->n_waiting - MIN (service->n_held, service->n_waiting);
+}
+
 /* Chooses a server for ENTRY with the current state of the scheduler.  */
 static void
 choose (struct scheduler *scheduler, const struct service *service,
@@ -148,18 +158,18 @@
       = scheduler->routing_table
             ? routing_service (scheduler->routing_table, entry->service)
             : NULL;
-  struct placement_view view
-      = { .service = entry->service,
-          .topology = scheduler->options.topology,
-          .server_load_table = scheduler->server_load_table,
-          .prefix_directory = scheduler->prefix_directory,
-          .reuse_share = directory_reuse_share (scheduler->prefix_directory),
-          .self = scheduler->self,
-          .n_waiting = service->n_waiting,
-          .time_slice
-          = (guint64)(now + scheduler->shared_clock) / PLACEMENT_SLICE_US,
-          .us_per_token = service->us_per_token,
-          .now = now };
+  struct placement_view view = {
+    .service = entry->service,
+    .topology = scheduler->options.topology,
+    .server_load_table = scheduler->server_load_table,
+    .prefix_directory = scheduler->prefix_directory,
+    .reuse_share = directory_reuse_share (scheduler->prefix_directory),
+    .self = scheduler->self,
+    .n_waiting = service->n_waiting > 0 ? MAX (n_contending (service), 1) : 0,
+    .time_slice = (guint64)(now + scheduler->shared_clock) / PLACEMENT_SLICE_US,
+    .us_per_token = service->us_per_token,
+    .now = now
+  };
   view.engine = service_config != NULL && service_config->has_engine
                     ? &service_config->engine
                     : NULL;
@@ -250,6 +260,41 @@
             decision->choice.backoff_us);
 }
 
+/* Returns whether ENTRY competes with the other prompts of its service for
+   prefill. Latency-sensitive streams have engines of their own.  */
+static gboolean
+competes_for_prefill (const struct scheduler_entry *entry)
+{
+  return entry->request.prompt_tokens > 0
+         && placement_pace (entry->request.gap_us) != PLACEMENT_SENSITIVE;
+}
+
+/* Returns whether ENTRY must not start because more urgent requests of its
+   domain are being rejected for overload.  */
+static gboolean
+is_held (const struct service *service, const struct scheduler_entry *entry,
+         gint64 now)
+{
+  return competes_for_prefill (entry)
+         && overload_hold_applies (&service->hold, tier_of (entry),
+                                   entry->request.prompt_tokens, now);
+}
+
+/* Fills DECISION with the rejection of ENTRY for overload.  */
+static void
+reject_for_overload (struct scheduler *scheduler, struct service *service,
+                     const struct scheduler_entry *entry, gint64 now,
+                     struct scheduler_decision *decision)
+{
+  if (competes_for_prefill (entry))
+    {
+      guint tokens = entry->request.prompt_tokens;
+      overload_hold_record (&service->hold, tier_of (entry), tokens, now);
+      overload_hold_record (&service->own_hold, tier_of (entry), tokens, now);
+    }
+  reject (scheduler, decision, SCHEDULER_OVERLOAD, decision->wait_us);
+}
+
 static gint
 by_target (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -291,7 +336,8 @@
   rate_window_update (&service->rate, now, service->n_waiting > 0);
   decision->ahead = count_ahead (service, entry);
   choose (scheduler, service, entry, now, &decision->choice);
-  if (decision->choice.server != NULL && may_start_first (service, entry))
+  if (decision->choice.server != NULL && may_start_first (service, entry)
+      && !is_held (service, entry, now))
     {
       decision->verdict = SCHEDULER_START;
       return;
@@ -308,7 +354,7 @@
   if (scheduler->n_waiting >= WAITING_MAX)
     reject (scheduler, decision, SCHEDULER_QUEUE_FULL, decision->wait_us);
   else if (wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left)
-    reject (scheduler, decision, SCHEDULER_OVERLOAD, decision->wait_us);
+    reject_for_overload (scheduler, service, entry, now, decision);
   else
     enqueue (scheduler, service, entry, now);
 }
@@ -361,14 +407,14 @@
 {
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
-  if (decision.choice.server == NULL)
+  if (decision.choice.server == NULL || is_held (service, entry, now))
     {
       decision.wait_us = predict_wait (service, 0, &decision.choice);
       gboolean too_late = now + decision.wait_us > entry->target;
       if (decision.choice.usable == 0)
         reject_without_server (scheduler, &decision);
       else if (too_late)
-        reject (scheduler, &decision, SCHEDULER_OVERLOAD, decision.wait_us);
+        reject_for_overload (scheduler, service, entry, now, &decision);
       else
         return FALSE;
     }
@@ -398,6 +444,17 @@
   return FALSE;
 }
 
+/* Returns how many queued requests of SERVICE are held back.  */
+static guint
+count_held (const struct service *service, gint64 now)
+{
+  guint n = 0;
+  for (guint tier = 0; tier < SCHEDULER_TIERS; tier++)
+    for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
+      n += is_held (service, l->data, now);
+  return n;
+}
+
 static void
 poll_service (struct scheduler *scheduler, struct service *service, gint64 now,
               scheduler_decided decided, void *ctx)
@@ -405,6 +462,7 @@
   rate_window_update (&service->rate, now, service->n_waiting > 0);
   while (poll_next (scheduler, service, now, decided, ctx))
     ;
+  service->n_held = count_held (service, now);
 }
 
 /* Starts or rejects queued requests, most urgent first. DECIDED may submit and
@@ -540,6 +598,60 @@
   return scheduler->prefix_directory;
 }
 
+/* Records a rejection for overload at another instance of the domain.  */
+void
+scheduler_record_rejection (struct scheduler *scheduler,
+                            const struct overload_rejection *rejection)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (overload_hold_service_key (name) == rejection->service_key)
+      overload_hold_record (&((struct service *)value)->hold, rejection->tier,
+                            rejection->tokens, rejection->at);
+}
+
+/* Fills REJECTIONS with this instance's recent rejections for overload, the
+   last one of each tier. Returns how many there are, MAX at most.  */
+guint
+scheduler_rejections (const struct scheduler *scheduler, gint64 now,
+                      struct overload_rejection *rejections, guint max)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct overload_hold *hold = &((struct service *)value)->own_hold;
+      for (guint tier = 0; tier < OVERLOAD_HOLD_TIERS && n < max; tier++)
+        if (overload_hold_is_recent (hold, tier, now))
+          rejections[n++] = (struct overload_rejection){
+            .service_key = overload_hold_service_key (name),
+            .tier = tier,
+            .tokens = (guint)hold->tiers[tier].tokens,
+            .at = hold->tiers[tier].rejected_at
+          };
+    }
+  return n;
+}
+
+/* Returns how many queued requests compete for servers now.  */
+guint
+scheduler_n_contending (const struct scheduler *scheduler)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += n_contending (value);
+  return n;
+}
+
 guint
 scheduler_n_waiting (const struct scheduler *scheduler)
 {
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -4,6 +4,7 @@
 #define SCHEDULER_H
 
 #include "policy/rate_window.h"
+#include "sched/overload_hold.h"
 #include "sched/placement.h"
 
 #define SCHEDULER_TIERS 10 /* lower priorities use the last tier */
@@ -109,6 +110,11 @@
 struct server_load_table *scheduler_loads (struct scheduler *scheduler);
 struct prefix_directory *
 scheduler_prefix_directory (struct scheduler *scheduler);
+void scheduler_record_rejection (struct scheduler *scheduler,
+                                 const struct overload_rejection *rejection);
+guint scheduler_rejections (const struct scheduler *scheduler, gint64 now,
+                            struct overload_rejection *rejections, guint max);
+guint scheduler_n_contending (const struct scheduler *scheduler);
 guint scheduler_n_waiting (const struct scheduler *scheduler);
 const char *scheduler_reason_name (enum scheduler_reason reason);
 
--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -24,9 +24,11 @@
   guint sent;
   guint64 bytes;
   guint received;
-  gint64 confirmed_after_max; /* latest one received for version 9 */
-  guint64 store_era_max;      /* newest one received */
-  guint64 config_version_max; /* likewise */
+  gint64 confirmed_after_max;          /* latest one received for version 9 */
+  guint64 store_era_max;               /* newest one received */
+  guint64 config_version_max;          /* likewise */
+  guint rejections;                    /* messages that carried some */
+  struct overload_rejection rejection; /* the first of the last such one */
 };
 
 struct packet
@@ -196,6 +198,9 @@
           node->received += code == 0;
           if (code == 0)
             {
+              node->rejections += node->update.n_rejections > 0;
+              if (node->update.n_rejections > 0)
+                node->rejection = node->update.rejections[0];
               node->store_era_max
                   = MAX (node->store_era_max, node->update.store_era);
               node->config_version_max
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -275,6 +275,35 @@
   finish ();
 }
 
+/* A rejection for overload reaches the instances of its domain within two
+   messages, with its age, and no others: they have engines of their own.  */
+static void
+test_rejections_stay_in_domain (void)
+{
+  start (7, 3, 12);
+  step (2 * CLK_S);
+  struct gossip_local_state *state = &net.nodes[0].state;
+  state->rejections[state->n_rejections++] = (struct overload_rejection){
+    .service_key = 77, .tier = 1, .tokens = 2000, .at = net.now
+  };
+  gint64 rejected_at = net.now;
+  step (300 * CLK_MS);
+  for (guint i = 1; i < 7; i++)
+    {
+      const struct overload_rejection *rejection = &net.nodes[i].rejection;
+      CU_ASSERT_EQUAL (net.nodes[i].rejections > 0, i % 3 == 0);
+      if (i % 3 != 0)
+        continue;
+      CU_ASSERT_EQUAL (rejection->service_key, 77);
+      CU_ASSERT_EQUAL (rejection->tier, 1);
+      CU_ASSERT_EQUAL (rejection->tokens, 2000);
+      CU_ASSERT_TRUE (rejection->at >= rejected_at);
+      CU_ASSERT_TRUE (rejection->at <= rejected_at + 300 * CLK_MS);
+    }
+  CU_ASSERT_EQUAL (net.undecodable, 0);
+  finish ();
+}
+
 /* All instances start at once, as after a loss of power, and the seeds read the
    configuration. Clients are waiting, so the others must learn of it, and have
    a confirmation once they have fetched it, before the messages that are due
@@ -553,6 +582,7 @@
   { "placements of a large fleet", test_placements_of_a_large_fleet },
   { "load told to other domains", test_significant_load },
   { "the era of the store", test_store_era_spreads },
+  { "rejections stay in the domain", test_rejections_stay_in_domain },
   { "a quick start", test_quick_start },
   { "more busy servers than a message holds", test_many_servers },
   { "damaged messages", test_damaged_messages },
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -633,6 +633,82 @@
   tear_down ();
 }
 
+/* Submits ENTRY, which must start at once, and ends it.  */
+static void
+drop_started (struct scheduler_entry *entry)
+{
+  struct scheduler_decision d;
+  CU_ASSERT_PTR_NOT_NULL (submit (entry, &d));
+  drop (entry);
+}
+
+/* Engines with capacity while another instance of the domain rejects urgent
+   prompts for overload, as its view of them differs or its time slices have
+   passed. A less urgent prompt of over twice the length must not start here in
+   the meantime: it would take the prefill that the urgent ones are rejected
+   for. Shorter ones, more urgent ones and streams that have engines of their
+   own may.  */
+static void
+test_hold_during_overload (void)
+{
+  struct scheduler_decision d;
+  struct overload_rejection rejection = {
+    .service_key = overload_hold_service_key ("llm"), .tier = 1, .tokens = 2000
+  };
+  set_up ();
+  order = g_ptr_array_new ();
+  drop_started (make_entry (2, 1, 0, 6000, FALSE));
+  rejection.at = world.now;
+  scheduler_record_rejection (world.scheduler, &rejection);
+  struct scheduler_entry *held = make_entry (2, 2, 0, 6000, FALSE);
+  submit (held, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  drop_started (make_entry (2, 3, 0, 2500, FALSE));
+  drop_started (make_entry (1, 4, 0, 6000, FALSE));
+  drop_started (make_entry (2, 5, 0, 2500, TRUE));
+  scheduler_poll (world.scheduler, world.now + 250 * CLK_MS, on_decided, NULL);
+  CU_ASSERT_EQUAL (order->len, 0);
+  CU_ASSERT_EQUAL (scheduler_n_waiting (world.scheduler), 1);
+  CU_ASSERT_EQUAL (scheduler_n_contending (world.scheduler), 0);
+  scheduler_poll (world.scheduler, world.now + CLK_S, on_decided, NULL);
+  CU_ASSERT_EQUAL (order->len, 1);
+  drop (held);
+  g_ptr_array_unref (order);
+  tear_down ();
+}
+
+/* What an instance rejects for overload, its peers are told for as long as it
+   matters, with the length of the prompts.  */
+static void
+test_rejections_for_peers (void)
+{
+  struct scheduler_decision d;
+  struct overload_rejection rejections[4];
+  set_up ();
+  GPtrArray *busy = fill_engines ();
+  CU_ASSERT_EQUAL (
+      scheduler_rejections (world.scheduler, world.now, rejections, 4), 0);
+  struct scheduler_entry *entry = make_entry (1, 2, 0, 3000, FALSE);
+  entry->target = world.now;
+  submit (entry, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_REJECT);
+  CU_ASSERT_EQUAL_FATAL (
+      scheduler_rejections (world.scheduler, world.now, rejections, 4), 1);
+  CU_ASSERT_EQUAL (rejections[0].service_key,
+                   overload_hold_service_key ("llm"));
+  CU_ASSERT_EQUAL (rejections[0].tier, 1);
+  CU_ASSERT_EQUAL (rejections[0].tokens, 3000);
+  CU_ASSERT_EQUAL (rejections[0].at, world.now);
+  CU_ASSERT_EQUAL (
+      scheduler_rejections (world.scheduler, world.now + CLK_S, rejections, 4),
+      0);
+  drop (entry);
+  for (guint i = 0; i < busy->len; i++)
+    drop (g_ptr_array_index (busy, i));
+  g_ptr_array_unref (busy);
+  tear_down ();
+}
+
 /* Lets INSTANCES instances, each with three long prompts queued, see at the
    same moment that engine IDLE_ENGINE has no pending prefill. SEPARATE: each
    instance is the only one of its domain. Returns how many microseconds of
@@ -976,6 +1052,8 @@
   { "a short wait is no overload", test_short_wait_is_no_overload },
   { "the order of the queue", test_queue_order },
   { "gaps for short prompts", test_gaps_for_short_prompts },
+  { "a hold during overload", test_hold_during_overload },
+  { "rejections for peers", test_rejections_for_peers },
   { "late entries are rejected", test_late_entry_is_rejected },
   { "more prefixes than a domain caches", test_region_scope },
   { "stale load reports", test_stale_load_reports },
