Let the soak's servers say that they leave or want to be left alone

SERVER_LEAVES lets a server say X-Leaving in all responses for longer than the drain time (set to 1 s), until a new life of it is written to the store; SERVER_BACKS_OFF lets it reject everything for 0.3 to 2 s with a Retry-After of 0.2 to 20 s, most of them short. LEAVE_SERIES and BACKOFF_SERIES do so with two to four servers one after the other, so that all of the service may do it at once. They overlap with kills, pauses, stops, cuts of servers and of the store. The checks are those of test_server_hints. A rejection that a fault of the network before the server may have withheld binds nobody; cuts of the store are no excuse, nor is a fault that begins half a second later.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -21,6 +21,11 @@
 /* Duration of a fault; faults overlap.  */
 #define FAULT_DURATION_MIN_MS 300
 #define FAULT_DURATION_MAX_MS 2000
+/* A server that says that it is leaving ends that much later than its drain
+   time at the least.  */
+#define LEAVE_EXTRA_MS 1500
+#define BACKOFF_MIN_MS 200 /* Retry-After */
+#define BACKOFF_MAX_MS 20000
 #define STARTUP_MS 6000 /* a quarter of it passes before the first fault */
 /* Between two steps of a series of restarts, configuration changes and the
    like.  */
@@ -74,6 +79,10 @@
   X (RESET_SERVER)                                                             \
   X (CRASH_SERVER)                                                             \
   X (DRAIN_SERVER)                                                             \
+  X (SERVER_LEAVES)    /* says so in its responses */                          \
+  X (SERVER_BACKS_OFF) /* 503 with Retry-After */                              \
+  X (LEAVE_SERIES)                                                             \
+  X (BACKOFF_SERIES)                                                           \
   X (REVOKE_KEY)                                                               \
   X (RELOAD_INSTANCE) /* SIGHUP */                                             \
   X (CHANGE_CONFIG)   /* the time-outs */                                      \
@@ -179,6 +188,7 @@
   g_free (text);
 }
 
+/* An entry that is not leaving begins a new life of the server.  */
 static void
 put_server (guint i, gboolean leaving, gboolean create)
 {
@@ -186,6 +196,8 @@
   char *body = soak_server_text (fault_proxy_port (soak.server_proxies[i]),
                                  i % 2, leaving);
   put_object (name, body, create);
+  if (!leaving)
+    server_hints_restart (soak_traffic_hints (soak.traffic, i));
   g_free (name);
   g_free (body);
 }
@@ -283,10 +295,11 @@
 /* Writes to the store block this process, so they are put off while the store
    is paused.  */
 static gboolean
-writes_to_store (enum action action)
+writes_to_store (enum action action, gboolean is_end)
 {
-  return action == DRAIN_SERVER || action == REVOKE_KEY
-         || action == CHANGE_CONFIG || action == CHANGE_AND_STOP;
+  return action == DRAIN_SERVER || (action == SERVER_LEAVES && is_end)
+         || action == REVOKE_KEY || action == CHANGE_CONFIG
+         || action == CHANGE_AND_STOP;
 }
 
 static void begin_action (enum action action, guint which);
@@ -318,8 +331,12 @@
       soak.server_down[which] = FALSE;
       break;
     case DRAIN_SERVER:
+    case SERVER_LEAVES:
       put_server (which, FALSE, FALSE);
       break;
+    case SERVER_BACKS_OFF:
+      server_hints_set_backoff (soak_traffic_hints (soak.traffic, which), 0);
+      break;
     case REVOKE_KEY:
       restore_key (which);
       break;
@@ -333,7 +350,7 @@
 on_step (gpointer data)
 {
   const struct step *step = data;
-  if (writes_to_store (step->action) && soak.store_paused)
+  if (writes_to_store (step->action, step->is_end) && soak.store_paused)
     return G_SOURCE_CONTINUE;
   if (step->is_end)
     end_fault (step->action, step->which);
@@ -357,8 +374,30 @@
                       g_memdup2 (&step, sizeof step), step_free);
 }
 
-/* Schedules ACTION for several instances one after the other, from number FIRST
-   on.  */
+/* Returns how many targets ACTION has.  */
+static guint
+targets_of (enum action action)
+{
+  switch (action)
+    {
+    case SERVER_FAULT:
+    case RESET_SERVER:
+    case CRASH_SERVER:
+    case DRAIN_SERVER:
+    case SERVER_LEAVES:
+    case SERVER_BACKS_OFF:
+    case LEAVE_SERIES:
+    case BACKOFF_SERIES:
+      return SOAK_SERVERS;
+    case REVOKE_KEY:
+      return KEYS;
+    default:
+      return soak.n_instances;
+    }
+}
+
+/* Schedules ACTION for several of its targets one after the other, from number
+   FIRST on.  */
 static void
 schedule_series (enum action action, guint first)
 {
@@ -367,8 +406,9 @@
   for (guint i = 0; i < n; i++)
     {
       ms += random_ms (SERIES_GAP_MIN_MS, SERIES_GAP_MAX_MS);
-      schedule ((struct step){ action, (first + i) % soak.n_instances, FALSE },
-                ms);
+      schedule (
+          (struct step){ action, (first + i) % targets_of (action), FALSE },
+          ms);
     }
 }
 
@@ -407,22 +447,13 @@
   fault_proxy_set_mode (soak.server_proxies[which], mode);
 }
 
-/* Returns how many targets ACTION has.  */
+/* Returns a random Retry-After; most are short.  */
 static guint
-targets_of (enum action action)
+random_backoff_ms (void)
 {
-  switch (action)
-    {
-    case SERVER_FAULT:
-    case RESET_SERVER:
-    case CRASH_SERVER:
-    case DRAIN_SERVER:
-      return SOAK_SERVERS;
-    case REVOKE_KEY:
-      return KEYS;
-    default:
-      return soak.n_instances;
-    }
+  double share = g_rand_double (soak.rand);
+  return BACKOFF_MIN_MS
+         + (guint)((BACKOFF_MAX_MS - BACKOFF_MIN_MS) * share * share * share);
 }
 
 /* Carries out ACTION on its target WHICH. Returns whether it is a fault that
@@ -466,6 +497,19 @@
     case DRAIN_SERVER:
       put_server (which, TRUE, FALSE);
       return TRUE;
+    case SERVER_LEAVES:
+      server_hints_set_leaving (soak_traffic_hints (soak.traffic, which), TRUE);
+      return TRUE;
+    case SERVER_BACKS_OFF:
+      server_hints_set_backoff (soak_traffic_hints (soak.traffic, which),
+                                random_backoff_ms ());
+      return TRUE;
+    case LEAVE_SERIES:
+      schedule_series (SERVER_LEAVES, which);
+      return FALSE;
+    case BACKOFF_SERIES:
+      schedule_series (SERVER_BACKS_OFF, which);
+      return FALSE;
     case REVOKE_KEY:
       revoke_key (which);
       return TRUE;
@@ -507,6 +551,8 @@
   guint ms = random_ms (FAULT_DURATION_MIN_MS, FAULT_DURATION_MAX_MS);
   if (action == REVOKE_KEY)
     ms += SOAK_KEY_LIMIT_MS;
+  if (action == SERVER_LEAVES)
+    ms += SOAK_DRAIN_MS + LEAVE_EXTRA_MS;
   schedule ((struct step){ action, which, TRUE }, ms);
 }
 
@@ -521,7 +567,7 @@
     {
       enum action action = (enum action)random_below (ACTION_N);
       guint which = random_below (targets_of (action));
-      if (!writes_to_store (action) || !soak.store_paused)
+      if (!writes_to_store (action, FALSE) || !soak.store_paused)
         begin_action (action, which);
       run_for (random_ms (FAULT_INTERVAL_MIN_MS, FAULT_INTERVAL_MAX_MS));
     }
@@ -670,7 +716,11 @@
            counts->refused, PROBE_REQUESTS, probes_served);
   for (guint i = 0; i < SOAK_EXCUSE_N; i++)
     g_print ("%s %u %s", i > 0 ? "," : "", counts->cut[i], excuse_names[i]);
-  g_print ("\n");
+  g_print (
+      "; Retry-After sent %u, %u requests meanwhile; leaving passed on %u, "
+      "%u requests after that\n",
+      counts->hints.backoffs, counts->hints.in_backoff, counts->hints.passed_on,
+      counts->hints.after_leave);
   if (!ok)
     harness_explain (soak.harness);
   if (!ok)
--- a/tests/soak/soak_instance.c
+++ b/tests/soak/soak_instance.c
@@ -45,12 +45,12 @@
   char *text = g_strdup_printf (
       "[instance]\nid=gate-%u\ndomain=d%u\nregion=r\ncharts=" JW_SOURCE_DIR
       "/charts\n[gate]\ncallers=%s\nready=127.0.0.%u:%u\nkey_limit_ms=%d\n"
-      "grace_ms=%d\nretry_ratio=0.2\nretry_slack=50\n"
+      "grace_ms=%d\ndrain_ms=%d\nretry_ratio=0.2\nretry_slack=50\n"
       "[peers]\nlisten=127.0.0.%u:%u\nseeds=127.0.0.10;127.0.0.11;\n"
       "[store]\naddress=127.0.0.1:%u\n[domains]\nd0=r\nd1=r\n",
       options->number, options->number % 2, instance->address, host,
-      options->ready_port, SOAK_KEY_LIMIT_MS, SOAK_GRACE_MS, host,
-      options->peer_port, fault_proxy_port (instance->store_proxy));
+      options->ready_port, SOAK_KEY_LIMIT_MS, SOAK_GRACE_MS, SOAK_DRAIN_MS,
+      host, options->peer_port, fault_proxy_port (instance->store_proxy));
   instance->settings = g_strdup_printf (
       "%s/gate-%u.ini", harness_dir (options->harness), options->number);
   g_assert (g_file_set_contents (instance->settings, text, -1, NULL));
