--- a/packages/net/tcp_listener.c
+++ b/packages/net/tcp_listener.c
@@ -8,7 +8,9 @@
 
 #include "net/tcp_conn.h"
 
-#define ACCEPTS_MAX 64 /* per main loop iteration, so that other sources run */
+#define ACCEPTS_MAX                                                            \
+  64 /* per main loop iteration, so that other sources run                     \
+      */
 
 struct tcp_listener
 {
