Bound the placements that a leader forwards to its domain

Cause: since a message to a peer that is full of placements is followed by the next one after 0.1 s. That was meant for what an instance itself has placed, but a leader did it for the placements of all other domains too, to each of its peers, with all else that a message carries. What waits is sent first, and the oldest are dropped when a ring is full, as before. 'placements of a large fleet', 50 a second to a domain of 50, still loses none.

--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -26,6 +26,11 @@
 /* Between two rounds of forwarding the load of other domains to a peer.  */
 #define SUMMARY_INTERVAL_US (500 * CLK_MS)
 
+/* Placements of other instances that a leader forwards in one message. Those
+   beyond them wait for the next one, and the oldest are dropped: what a leader
+   sends to its domain does not grow with the placements of the fleet.  */
+#define FORWARDED_PLACEMENTS_MAX 48
+
 /* Load of a server from which on other domains are told of it: tokens of
    pending prefill, or one in so many of its slots. */
 #define SUMMARY_PREFILL_MIN 500
@@ -525,38 +530,34 @@
   to->summaries_sent_at = now;
 }
 
-/* Adds the placements of ring ID that were not yet sent to TO.  */
+/* Adds the placements of ring ID that were not yet sent to TO, MAX at most.  */
 static void
 add_placements (struct gossip *gossip, struct peer *to, enum ring_id id,
-                struct gossip_message *message)
+                guint max, struct gossip_message *message)
 {
   const struct placement_ring *placement_ring = &gossip->placement_rings[id];
   guint64 from = to->n_placements_sent[id];
   guint n_before = message->n_placements;
+  guint n_max = MIN (n_before + max, GOSSIP_MESSAGE_PLACEMENTS_MAX);
   if (placement_ring->n - from > PLACEMENTS_KEPT)
     from = placement_ring->n - PLACEMENTS_KEPT;
-  while (from < placement_ring->n
-         && message->n_placements < GOSSIP_MESSAGE_PLACEMENTS_MAX)
+  while (from < placement_ring->n && message->n_placements < n_max)
     message->placements[message->n_placements++]
         = placement_ring->placements[from++ % PLACEMENTS_KEPT];
   to->n_placements_sent[id] = from;
   gossip->scratch_added[id] = message->n_placements - n_before;
 }
 
-/* Returns whether placements are left for PEER that did not fit into the last
-   message.  */
+/* Returns whether placements of this instance are left for PEER that did not
+   fit into the last message.  */
 static gboolean
 has_more_placements (const struct gossip *gossip, const struct peer *peer,
                      const struct round *round)
 {
-  gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
-  gboolean remote = direct && !round->full_mesh;
-  const gboolean sent_in[RING_N] = { [RING_HOME] = direct,
-                                     [RING_OWN] = direct,
-                                     [RING_DOMAIN] = !direct,
-                                     [RING_REMOTE] = remote };
-  for (guint i = 0; i < RING_N; i++)
-    if (sent_in[i] && peer->n_placements_sent[i] < gossip->placement_rings[i].n)
+  if (!round->full_mesh && !gossip_is_local_peer (gossip, peer))
+    return FALSE;
+  for (guint i = RING_HOME; i <= RING_OWN; i++)
+    if (peer->n_placements_sent[i] < gossip->placement_rings[i].n)
       return TRUE;
   return FALSE;
 }
@@ -577,20 +578,23 @@
     {
       add_loads (message, round->registry, round->server_load_table);
       add_unreachable (message, round->registry, round->now);
-      add_placements (gossip, peer, RING_HOME, message);
+      add_placements (gossip, peer, RING_HOME, GOSSIP_MESSAGE_PLACEMENTS_MAX,
+                      message);
       message->n_home_placements = message->n_placements;
-      add_placements (gossip, peer, RING_OWN, message);
+      add_placements (gossip, peer, RING_OWN, GOSSIP_MESSAGE_PLACEMENTS_MAX,
+                      message);
       message->n_own_placements = message->n_placements;
     }
   else
     {
       add_own_summary (gossip, message, round->registry,
                        round->server_load_table);
-      add_placements (gossip, peer, RING_DOMAIN, message);
+      add_placements (gossip, peer, RING_DOMAIN, FORWARDED_PLACEMENTS_MAX,
+                      message);
     }
   if (round->full_mesh || !direct)
     return;
-  add_placements (gossip, peer, RING_REMOTE, message);
+  add_placements (gossip, peer, RING_REMOTE, FORWARDED_PLACEMENTS_MAX, message);
   if (round->now - peer->summaries_sent_at >= SUMMARY_INTERVAL_US)
     add_other_summaries (gossip, peer, message, round->now);
 }
--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -377,6 +377,69 @@
   finish ();
 }
 
+/* Lets every instance place N prompts, one after each INTERVAL_US. All are
+   large and away from their preferred servers, so all domains are told of them.
+ */
+static void
+place_everywhere (guint n, gint64 interval_us)
+{
+  for (guint k = 0; k < n; k++)
+    {
+      for (guint i = 0; i < net.n; i++)
+        {
+          struct node *node = &net.nodes[i];
+          const struct prefix_prompt prompt
+              = { .blocks = { { i * 100 + k, 6000 }, { 6, 10 } }, .n = 2 };
+          gossip_add_placement (node->gossip,
+                                registry_find (node->registry, "e-1"), &prompt,
+                                FALSE);
+        }
+      step (interval_us);
+    }
+}
+
+static void
+reset_bytes (void)
+{
+  for (guint i = 0; i < net.n; i++)
+    net.nodes[i].bytes = 0;
+}
+
+/* Checks what the instances sent since reset_bytes, SECONDS ago, against the
+   most that one may send and the mean, in bytes a second.  */
+static void
+check_traffic (guint seconds)
+{
+  const guint64 busiest_max = 100 * 1000;
+  const guint64 mean_max = 17 * 1000;
+  guint64 busiest = 0;
+  guint64 total = 0;
+  for (guint i = 0; i < net.n; i++)
+    {
+      busiest = MAX (busiest, net.nodes[i].bytes);
+      total += net.nodes[i].bytes;
+    }
+  printf ("%" G_GUINT64_FORMAT " bytes a second, the busiest %" G_GUINT64_FORMAT
+          "\n",
+          total / net.n / seconds, busiest / seconds);
+  CU_ASSERT_TRUE (busiest / seconds <= busiest_max);
+  CU_ASSERT_TRUE (total / net.n / seconds <= mean_max);
+}
+
+/* 390 instances that each place five large prompts a second. The leader of a
+   domain hears of all of them in the other domains, and its messages to its
+   peers must not follow each other until it has passed on each one.  */
+static void
+test_placement_traffic (void)
+{
+  start (390, 11, 11);
+  step (6 * CLK_S);
+  reset_bytes ();
+  place_everywhere (20, 200 * CLK_MS);
+  check_traffic (4);
+  finish ();
+}
+
 /* With so many servers under load that not everything fits into one message,
    every message can still be decoded, and the load of each server reaches all
    instances.  */
@@ -551,6 +614,7 @@
   { "load and placements through domain leaders", test_domain_leaders },
   { "placements reach other domains", test_placements_reach_other_domains },
   { "placements of a large fleet", test_placements_of_a_large_fleet },
+  { "traffic of placements at 390 instances", test_placement_traffic },
   { "load told to other domains", test_significant_load },
   { "the era of the store", test_store_era_spreads },
   { "a quick start", test_quick_start },
