Tell other domains only of loads that changed by an eighth

Cause: a leader forwards the changes of load of all other domains to each of its peers. Under a changing load these were nearly all of its messages. Change: the summary of a domain for other domains is told again where requests, streams, pending prefill (500 tokens at least) or memory are off by one part in eight or more, and where a server gets its first request or loses its last. Within a domain changes stay exact.

--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -35,6 +35,9 @@
 #define SUMMARY_PREFILL_MIN 500
 #define SUMMARY_SLOTS_SHARE 16
 
+/* One part in so many by which the loads that other domains know may be off. */
+#define SUMMARY_TOLERANCE 8
+
 /* Time after its start in which an instance asks the seeds for the
    configuration. */
 #define STARTING_US (3 * CLK_S)
@@ -124,8 +127,9 @@
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, peer_free);
   gossip->summaries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, summary_free);
-  gossip->own_loads = load_changes_new (&gossip->n_load_changes);
-  gossip->own_summary = load_changes_new (&gossip->n_load_changes);
+  gossip->own_loads = load_changes_new (&gossip->n_load_changes, 0);
+  gossip->own_summary
+      = load_changes_new (&gossip->n_load_changes, SUMMARY_TOLERANCE);
   gossip->servers_by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
   gossip->scratch_bytes = g_byte_array_new ();
   for (guint i = 0; i < options->n_seeds; i++)
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -148,7 +148,7 @@
   if (summary->source != ip || summary->is_direct != is_direct)
     summary->held = 0;
   if (is_direct && summary->changes == NULL)
-    summary->changes = load_changes_new (&gossip->n_load_changes);
+    summary->changes = load_changes_new (&gossip->n_load_changes, 0);
   if (!is_direct)
     g_clear_pointer (&summary->changes, load_changes_free);
   summary->source = ip;
--- a/packages/peer/load_changes.c
+++ b/packages/peer/load_changes.c
@@ -6,6 +6,11 @@
    that confirms less than that gets the complete list.  */
 #define REMOVAL_KEPT_US (10 * CLK_S)
 
+/* Least change of pending prefill that a list with a tolerance tells, in
+ * tokens.
+ */
+#define PREFILL_CHANGE_MIN 500
+
 /* The load at one server.  */
 struct change
 {
@@ -18,20 +23,24 @@
 struct load_changes
 {
   GHashTable *by_key;    /* server key: struct change, owned */
+  guint tolerance;       /* 0: exact; otherwise a value that is off by less than
+                            one part in so many is not told again */
   guint64 *number;       /* of the last change of all lists; borrowed */
   guint64 latest;        /* change of this list */
   guint64 complete_from; /* who holds less needs the complete list */
 };
 
 /* Creates an empty list. NUMBER counts the changes of all lists of an instance;
-   it is borrowed for the life of the list.  */
+   it is borrowed for the life of the list. With a TOLERANCE other than 0, loads
+   are told again only if a value is off by one part in so many or more.  */
 struct load_changes *
-load_changes_new (guint64 *number)
+load_changes_new (guint64 *number, guint tolerance)
 {
   struct load_changes *changes = g_new0 (struct load_changes, 1);
   changes->by_key
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   changes->number = number;
+  changes->tolerance = tolerance;
   changes->latest = changes->complete_from = ++*number;
   return changes;
 }
@@ -58,11 +67,26 @@
 }
 
 static gboolean
-is_equal (const struct server_load *a, const struct server_load *b)
+is_off (guint64 told, guint64 now, guint64 min, guint tolerance)
+{
+  guint64 difference = told > now ? told - now : now - told;
+  if (tolerance == 0)
+    return difference > 0;
+  return difference >= MAX (min, 1) && difference * tolerance >= told;
+}
+
+/* Returns whether peers that were told TOLD need to be told NOW.  */
+static gboolean
+needs_telling (const struct server_load *told, const struct server_load *now,
+               guint tolerance)
 {
-  return a->requests == b->requests && a->sensitive == b->sensitive
-         && a->paced == b->paced && a->prefill_tokens == b->prefill_tokens
-         && a->memory == b->memory;
+  return (told->requests == 0) != (now->requests == 0)
+         || is_off (told->requests, now->requests, 1, tolerance)
+         || is_off (told->sensitive, now->sensitive, 1, tolerance)
+         || is_off (told->paced, now->paced, 1, tolerance)
+         || is_off (told->prefill_tokens, now->prefill_tokens,
+                    PREFILL_CHANGE_MIN, tolerance)
+         || is_off (told->memory, now->memory, 1, tolerance);
 }
 
 /* Sets the load at a server; one without requests removes it.  */
@@ -80,7 +104,8 @@
       g_hash_table_insert (changes->by_key, key, change);
     }
   change->listed = TRUE;
-  if (change->number > 0 && is_equal (&change->load.load, &load->load))
+  if (change->number > 0
+      && !needs_telling (&change->load.load, &load->load, changes->tolerance))
     return;
   change->load = *load;
   change->set_at = now;
@@ -101,8 +126,7 @@
       if (change->load.load.requests == 0
           && now - change->set_at > REMOVAL_KEPT_US)
         {
-          changes->complete_from
-              = MAX (changes->complete_from, change->number);
+          changes->complete_from = MAX (changes->complete_from, change->number);
           g_hash_table_iter_remove (&iter);
         }
       else if (!change->listed && change->load.load.requests > 0)
@@ -143,8 +167,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct change *change = value;
-      if (change->number > held
-          && (held > 0 || change->load.load.requests > 0))
+      if (change->number > held && (held > 0 || change->load.load.requests > 0))
         g_ptr_array_add (found, value);
     }
   guint n = found->len;
--- a/packages/peer/load_changes.h
+++ b/packages/peer/load_changes.h
@@ -9,7 +9,7 @@
 
 struct load_changes;
 
-struct load_changes *load_changes_new (guint64 *number);
+struct load_changes *load_changes_new (guint64 *number, guint tolerance);
 void load_changes_free (struct load_changes *changes);
 void load_changes_begin (struct load_changes *changes);
 void load_changes_set (struct load_changes *changes,
