Split gossip.c into rounds, members and contents of messages

gossip.c (893 lines) had the state of the gossip, who is there, what messages contain and when they are sent. gossip_members.c now says which instances there are and which duty each has, gossip_contents.c what messages contain; gossip.c keeps the state and the rounds.

--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -1,4 +1,6 @@
-/* State shared by gossip.c and gossip_receive.c.  */
+/* What the files of the gossip share: gossip.c has its state and the rounds of
+   messages, gossip_members.c the instances, gossip_contents.c what messages
+   contain, gossip_receive.c what is done with those that arrive.  */
 #ifndef GOSSIP_INTERNAL_H
 #define GOSSIP_INTERNAL_H
 
@@ -8,6 +10,15 @@
 #define SENT_TIMES_KEPT 64  /* send times kept for each peer */
 #define PLACEMENTS_KEPT 256 /* latest placements kept in a ring */
 
+/* A peer from which nothing was received for this time is unresponsive and
+   gets messages at a lower rate.  */
+#define UNRESPONSIVE_AFTER_US (2 * CLK_S)
+
+/* Age of the last sign of life of an instance, received from it or reported by
+   others, beyond which it is not listed in messages or taken for the leader of
+   its domain.  */
+#define MEMBER_LIST_AGE_US (20 * CLK_S)
+
 /* Time after which another instance may become the source of the load of a
    domain. */
 #define SUMMARY_SOURCE_LAPSE_US (1200 * CLK_MS)
@@ -97,6 +108,21 @@
   guint scratch_added[RING_N]; /* placements in scratch_message, by ring */
 };
 
+/* What is the same for all messages of one call of gossip_tick. */
+struct gossip_round
+{
+  const struct gossip_local_state *state;
+  struct registry *registry;
+  struct server_load_table *server_load_table;
+  gint64 now;
+  gboolean full_mesh;  /* all instances send to each other */
+  gboolean is_leader;  /* this instance is the leader of its domain */
+  guint n_local_peers; /* responsive peers of the domain */
+  guint n_contenders;  /* those of them that have requests queued */
+  gossip_send_fn send;
+  void *ctx;
+};
+
 struct peer *gossip_add_peer (struct gossip *gossip, guint32 ip,
                               const char *domain, gint64 reported);
 void gossip_ring_add (struct placement_ring *placement_ring,
@@ -105,5 +131,19 @@
 gossip_is_large_placement (const struct gossip_message_placement *placement);
 gboolean gossip_is_local_peer (const struct gossip *gossip,
                                const struct peer *peer);
+gboolean gossip_is_unresponsive (const struct peer *peer, gint64 now);
+gboolean gossip_is_recent (const struct peer *peer, gint64 now, gint64 age);
+gboolean gossip_is_contender (const struct gossip *gossip,
+                              const struct peer *peer, gint64 now);
+const struct peer *gossip_domain_leader (const struct gossip *gossip,
+                                         const char *domain, gint64 now);
+void gossip_add_contents (struct gossip *gossip, struct peer *peer,
+                          struct gossip_message *message,
+                          const struct gossip_round *round);
+void gossip_encode_within_limit (struct gossip *gossip, struct peer *to,
+                                 gint64 now);
+gboolean gossip_has_more_placements (const struct gossip *gossip,
+                                     const struct peer *peer,
+                                     const struct gossip_round *round);
 
 #endif
