--- a/tests/unit/test_prs.c
+++ b/tests/unit/test_prs.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "peer/peer_server_list.h"
-#include "unit/gossip_world.h"
+#include "unit/gossip_load.h"
 
 /* Checks that every message that arrived could be decoded.  */
 static void
@@ -406,6 +406,221 @@
   finish ();
 }
 
+/* Lets every instance place N prompts, one after each INTERVAL_US. All are
+   large and away from their preferred servers, so all domains are told of them.
+ */
+static void
+place_everywhere (guint n, gint64 interval_us)
+{
+  for (guint k = 0; k < n; k++)
+    {
+      for (guint i = 0; i < net.n; i++)
+        {
+          struct node *node = &net.nodes[i];
+          const struct prefix_prompt prompt
+              = { .blocks = { { i * 100 + k, 6000 }, { 6, 10 } }, .n = 2 };
+          gossip_add_placement (node->gossip,
+                                registry_find (node->registry, "e-1"), &prompt,
+                                FALSE);
+        }
+      step (interval_us);
+    }
+}
+
+static void
+reset_bytes (void)
+{
+  for (guint i = 0; i < net.n; i++)
+    net.nodes[i].bytes = 0;
+}
+
+/* Checks what the instances sent since reset_bytes, SECONDS ago, against the
+   most that one may send and the mean, in bytes a second.  */
+static void
+check_traffic (guint seconds)
+{
+  const guint64 busiest_max = 100 * 1000;
+  const guint64 mean_max = 17 * 1000;
+  guint64 busiest = 0;
+  guint64 total = 0;
+  for (guint i = 0; i < net.n; i++)
+    {
+      busiest = MAX (busiest, net.nodes[i].bytes);
+      total += net.nodes[i].bytes;
+    }
+  printf ("%" G_GUINT64_FORMAT " bytes a second, the busiest %" G_GUINT64_FORMAT
+          "\n",
+          total / net.n / seconds, busiest / seconds);
+  CU_ASSERT_TRUE (busiest / seconds <= busiest_max);
+  CU_ASSERT_TRUE (total / net.n / seconds <= mean_max);
+}
+
+/* 390 instances that each place five large prompts a second. The leader of a
+   domain hears of all of them in the other domains, and its messages to its
+   peers must not follow each other until it has passed on each one.  */
+static void
+test_placement_traffic (void)
+{
+  start (390, 11, 11);
+  step (6 * CLK_S);
+  reset_bytes ();
+  place_everywhere (20, 200 * CLK_MS);
+  check_traffic (4);
+  finish ();
+}
+
+/* Returns whether VALUE is within one part in eight of KNOWN, or by less than
+   MIN away from it.  */
+static gboolean
+is_near (guint64 value, guint64 known, guint64 min)
+{
+  guint64 difference = value > known ? value - known : known - value;
+  return difference < min || difference * 8 < MAX (known, 1);
+}
+
+/* Checks that every Nth instance knows the load of each server: exactly in its
+   own failure domain, where all instances with load at server K are in domain K
+   of DOMAINS, and nearly in the others.  */
+static void
+check_known_loads (guint nth, guint domains)
+{
+  guint n_wrong = 0;
+  for (guint k = 0; k < net.servers; k++)
+    {
+      struct server_load sum = { 0 };
+      for (guint i = 0; i < net.n; i++)
+        {
+          const struct server_load *own = own_load (i, k);
+          sum.requests += own->requests;
+          sum.prefill_tokens += own->prefill_tokens;
+          sum.memory += own->memory;
+        }
+      for (guint i = 0; i < net.n; i += nth)
+        {
+          char id[16];
+          g_snprintf (id, sizeof id, "e-%u", k);
+          const struct server_load known = server_load_total (
+              net.nodes[i].server_load_table,
+              registry_find (net.nodes[i].registry, id)->number);
+          if (i % domains == k % domains)
+            n_wrong += known.requests != sum.requests
+                       || known.prefill_tokens != sum.prefill_tokens
+                       || known.memory != sum.memory;
+          else
+            n_wrong
+                += !is_near (sum.requests, known.requests, 1)
+                   || !is_near (sum.prefill_tokens, known.prefill_tokens, 500)
+                   || !is_near (sum.memory, known.memory, 1);
+        }
+    }
+  CU_ASSERT_EQUAL (n_wrong, 0);
+}
+
+/* Removes SERVER from the list of instance I.  */
+static void
+hide_server (guint i, guint server)
+{
+  struct registry *registry = net.nodes[i].registry;
+  guint n;
+  struct registry_server *const *servers = registry_servers (registry, &n);
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct registry_entry));
+  char id[16];
+  g_snprintf (id, sizeof id, "e-%u", server);
+  server_load_forget (net.nodes[i].server_load_table,
+                      registry_find (registry, id)->number);
+  for (guint k = 0; k < n; k++)
+    if (!g_str_equal (servers[k]->entry.id, id))
+      g_array_append_val (entries, servers[k]->entry);
+  registry_update (registry, (struct registry_entry *)entries->data,
+                   entries->len, net.now);
+  g_array_unref (entries);
+}
+
+/* 390 instances with requests at 680 servers, first with no change of load,
+   then with five requests started and ended a second by each. Complete lists of
+   loads in each message are most of what instances send, and the leader of a
+   domain forwards those of all others. The same holds for changes if every
+   small one is told.  */
+static void
+test_load_traffic (void)
+{
+  enum
+  {
+    INSTANCES = 390,
+    DOMAINS = 11,
+    SERVERS = 680,
+    ROUNDS = 20
+  };
+  guint round = 0;
+  start (INSTANCES, DOMAINS, 12);
+  load_servers (SERVERS, DOMAINS);
+  step (6 * CLK_S);
+  reset_bytes ();
+  step (4 * CLK_S);
+  check_traffic (4);
+  for (; round < LOAD_REQUEST_ROUNDS; round++)
+    {
+      change_loads (DOMAINS, round);
+      step (LOAD_ROUND_US);
+    }
+  reset_bytes ();
+  for (; round < LOAD_REQUEST_ROUNDS + ROUNDS; round++)
+    {
+      change_loads (DOMAINS, round);
+      step (LOAD_ROUND_US);
+    }
+  check_traffic (ROUNDS * LOAD_ROUND_US / CLK_S);
+  finish ();
+}
+
+/* Instances know the load of others exactly once it no longer changes, whatever
+   messages were lost before, and although an instance was started anew, a
+   server was missing from the list of another for a while and messages to a
+   third one were lost for longer than a report is valid. If changes were based
+   on what the receiver does not hold, wrong loads would stay.  */
+static void
+test_changes_of_load (void)
+{
+  enum
+  {
+    INSTANCES = 40,
+    DOMAINS = 4,
+    SERVERS = 30,
+    ROUNDS = 80
+  };
+  for (guint32 seed = 1; seed <= 10; seed++)
+    {
+      start (INSTANCES, DOMAINS, seed);
+      load_servers (SERVERS, DOMAINS);
+      step (4 * CLK_S);
+      net.loss = 0.2;
+      for (guint round = 0; round < ROUNDS; round++)
+        {
+          change_loads (DOMAINS, round);
+          for (guint i = 0; i < net.n; i++)
+            server_load_expire (net.nodes[i].server_load_table, net.now);
+          if (round == 20)
+            {
+              halt (9);
+              boot (9, DOMAINS);
+              for (guint k = 9 % DOMAINS; k < SERVERS; k += DOMAINS)
+                *own_load (9, k)
+                    = (struct server_load){ 90, 9, 9, 90000, 90000 };
+            }
+          if (round == 30)
+            hide_server (17, 0);
+          if (round == 40)
+            list_servers (&net.nodes[17]);
+          net.nodes[22].stopped = round >= 50 && round < 70;
+          step (LOAD_ROUND_US);
+        }
+      net.loss = 0;
+      step (6 * CLK_S);
+      check_known_loads (1, DOMAINS);
+      finish ();
+    }
+}
+
 /* With so many servers under load that not everything fits into one message,
    every message can still be decoded, and the load of each server reaches all
    instances.  */
@@ -580,6 +795,9 @@
   { "load and placements through domain leaders", test_domain_leaders },
   { "placements reach other domains", test_placements_reach_other_domains },
   { "placements of a large fleet", test_placements_of_a_large_fleet },
+  { "traffic of placements at 390 instances", test_placement_traffic },
+  { "traffic of loads at 390 instances", test_load_traffic },
+  { "changes of load", test_changes_of_load },
   { "load told to other domains", test_significant_load },
   { "the era of the store", test_store_era_spreads },
   { "rejections stay in the domain", test_rejections_stay_in_domain },
