--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench-policy: all
 	$(BUILD)/bench/policy/bench_policy
+	$(BUILD)/bench/policy/bench_proxy_policy $(FLEET)
 
 bench-peers: all
 	$(BUILD)/bench/peers/bench_peers
