Give the processes of a test a session of their own

Cause: when a process group of a session loses its last link to the session, the kernel sends SIGHUP to its stopped processes. Shown by a script of a shell, a test and a stopped child: the child ends by signal 1; in a session of its own it stays stopped.

Change: the harness starts each process in a session of its own. test_harness, "processes have a session of their own", fails without it.

--- a/emulator/harness/harness.c
+++ b/emulator/harness/harness.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #define POLL_MS 5
 #define ERRORS_PRINTED 1000 /* bytes */
@@ -154,12 +155,14 @@
 }
 
 /* Runs in the child: has the kernel kill it when the test ends, even if the
-   test crashes.  */
+   test crashes. In a session of its own it gets no SIGHUP when it is stopped
+   and the shell that has started the test ends.  */
 static void
-kill_with_parent (gpointer ctx)
+prepare_child (gpointer ctx)
 {
   (void)ctx;
   prctl (PR_SET_PDEATHSIG, SIGKILL);
+  setsid ();
 }
 
 /* Returns the path of the file for an output of process NAME, freed by g_free:
@@ -194,8 +197,7 @@
   GError *error = NULL;
   g_subprocess_launcher_set_stdout_file_path (launcher, output_path);
   g_subprocess_launcher_set_stderr_file_path (launcher, errors_path);
-  g_subprocess_launcher_set_child_setup (launcher, kill_with_parent, NULL,
-                                         NULL);
+  g_subprocess_launcher_set_child_setup (launcher, prepare_child, NULL, NULL);
   char **args = g_strdupv ((char **)argv);
   g_free (args[0]);
   args[0] = g_build_filename (JW_BUILD_DIR, argv[0], NULL);
--- a/tests/unit/test_harness.c
+++ b/tests/unit/test_harness.c
@@ -1,9 +1,11 @@
-/* Ports that the harness hands out to processes of a test.  */
+/* The processes of a test: their ports and their session.  */
 #include "harness/harness.h"
 #include "unit/unit.h"
 
 #include <stdio.h>
+#include <unistd.h>
 
+#define PLATFORM "emulator/standin/standin_platform"
 #define PORTS 300 /* each keeps a socket open */
 
 static void
@@ -31,9 +33,24 @@
   CU_ASSERT_TRUE (harness_free_port () < first);
 }
 
+/* The kernel sends SIGHUP to stopped processes of a session whose shell ends,
+   so the processes of a test, which it stops, are not in the test's session. */
+static void
+test_own_session (void)
+{
+  const char *argv[] = { PLATFORM, "--history", "/dev/null", NULL };
+  struct harness *harness = harness_new ();
+  struct harness_process *proc = harness_start (harness, "standin", argv);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (proc);
+  CU_ASSERT_TRUE (harness_wait_ready (proc));
+  CU_ASSERT_EQUAL (getsid (harness_pid (proc)), harness_pid (proc));
+  harness_free (harness);
+}
+
 static CU_TestInfo tests[] = {
   { "ports are distinct", test_distinct_ports },
   { "ports are not ephemeral", test_not_ephemeral },
+  { "processes have a session of their own", test_own_session },
   CU_TEST_INFO_NULL,
 };
 
