Walk the list of watches as elsewhere when the store goes back

clang-tidy took the loop over the head of the list for a use after free, as it cannot know that the end of a watch takes it out of this list.

--- a/emulator/standin/platform.c
+++ b/emulator/standin/platform.c
@@ -542,9 +542,11 @@
   const struct standin_event event
       = { .kind = "go_back", .n = undone, .version = platform->era };
   standin_history (standin, &event);
-  while (platform->watches != NULL)
+  GList *next;
+  for (GList *l = platform->watches; l != NULL; l = next)
     {
-      struct watch *watch = platform->watches->data;
+      next = l->next;
+      struct watch *watch = l->data;
       standin_drop (watch->msg);
       watch_end (watch);
     }
