Keep the position of a stream in one place

A client had come back with Last-Event-ID; the server that took the request sent its head and ended; the next one began the stream at its first event, and the client got both as one stream.

Cause: the position was the client's header until the response's head was sent, and the id of the last relayed event afterwards. Between the head and the first event it was neither. The class: a value that must survive from one attempt to the next, kept in two places of which a third value chooses one.

Change: struct stream_position holds it from the request's head to the end of the exchange. It starts with the client's Last-Event-ID, moves with each relayed event, and every attempt is given it; the client's field itself is never forwarded.

Why this works: the position no longer depends on how far the response has come.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -79,7 +79,11 @@
   exchange->body = g_byte_array_new ();
   exchange->arrived = exchange_now (exchange);
   exchange->queue_entry.owner = exchange;
+  struct str last_event = { "", 0 };
   splitter_init (&exchange->event_splitter);
+  http_head_get (head, downstream->reverse_proxy->header_names->last_event,
+                 &last_event);
+  stream_position_init (&exchange->position, last_event);
   if (http_head_get (head, downstream->reverse_proxy->header_names->request_id,
                      &id)
       && id.n <= EXCHANGE_ID_MAX)
@@ -103,6 +107,7 @@
                    &exchange->queue_entry);
   upstream_free (exchange->upstream);
   splitter_clear (&exchange->event_splitter);
+  stream_position_clear (&exchange->position);
   routing_table_unref (exchange->routing_table);
   g_byte_array_unref (exchange->body);
   exchange->reverse_proxy->exchanges--;
@@ -443,23 +448,6 @@
   exchange_route_request (exchange);
 }
 
-/* Returns the Last-Event-ID that the next attempt sends; empty if it sends
-   none. SOURCE is set to where it comes from, as static text.  */
-static struct str
-sent_position (const struct exchange *exchange, const char **source)
-{
-  struct str id = { "", 0 };
-  *source = "none";
-  if (exchange->head_sent)
-    id = str_of (exchange->event_splitter.last_id);
-  else
-    http_head_get (exchange->head,
-                   exchange->reverse_proxy->header_names->last_event, &id);
-  if (id.n > 0)
-    *source = exchange->head_sent ? "events" : "client";
-  return id;
-}
-
 /* Sends the request to the server that the scheduler has chosen. While it was
    queued the configuration may have changed, so route, key and freshness are
    checked again. May free EXCHANGE.  */
@@ -487,8 +475,7 @@
       return;
     }
   const struct prefix_prompt *prompt = &exchange->queue_entry.request.prompt;
-  const char *position_source;
-  struct str position = sent_position (exchange, &position_source);
+  struct str position = stream_position_id (&exchange->position);
   struct log_entry e
       = log_record (exchange, "request.placed", choice->server->entry.id);
   log_write (&e,
@@ -509,7 +496,10 @@
              prefix_shared_key (prompt), choice->first_event_us / CLK_MS,
              choice->fetch_from ? choice->fetch_from->entry.id : "",
              (now - exchange->arrived) / CLK_MS,
-             (int)MIN (position.n, LOGGED_ID_MAX), position.p, position_source);
+             (int)MIN (position.n, LOGGED_ID_MAX), position.p,
+             position.n == 0                       ? "none"
+             : exchange->event_splitter.events > 0 ? "events"
+                                                   : "client");
   exchange_transition (exchange, EXCHANGE_ON_PLACE);
   if (exchange->attempts++ == 0)
     histogram_add (reverse_proxy->options.histogram_set, HISTOGRAM_WAIT,
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -134,6 +134,9 @@
       = splitter_feed (&exchange->event_splitter, bytes, complete_events);
   if (exchange->event_splitter.events > before)
     {
+      struct str last_id = str_of (exchange->event_splitter.last_id);
+      if (last_id.n > 0)
+        stream_position_advance (&exchange->position, last_id);
       gint64 gap = now - exchange->last_event_at;
       record_event_time (exchange, gap,
                          exchange->event_splitter.events - before);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -6,6 +6,7 @@
 #include "chart/statechart.h"
 #include "gate/reverse_proxy.h"
 #include "gate/event_splitter.h"
+#include "gate/stream_position.h"
 #include "http/head.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
@@ -155,6 +156,7 @@
   gboolean is_sse;        /* the response is an event stream */
   gboolean chunked;       /* the response is sent with chunked encoding */
   struct event_splitter event_splitter; /* of the response, if is_sse */
+  struct stream_position position;      /* of the client in the stream */
   gint64 last_event_at;   /* clock time; before the first event: of the
                              attempt's start */
   gint64 first_event_us;  /* from the arrival to the first event; 0: none yet */
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -473,11 +473,9 @@
   if (is_reserved (header_names, name)
       || http_equals_ignore_case (name, header_names->team)
       || http_equals_ignore_case (name, header_names->deadline_ms)
+      || http_equals_ignore_case (name, header_names->last_event)
       || http_equals_ignore_case (name, "host"))
     return TRUE;
-  if (exchange->head_sent
-      && http_equals_ignore_case (name, header_names->last_event))
-    return TRUE;
   return http_equals_ignore_case (name, "authorization")
          && (exchange->team != NULL
              || (http_head_get (exchange->head, "authorization", &value)
@@ -496,7 +494,6 @@
          || http_equals_ignore_case (name, header_names->model)
          || http_equals_ignore_case (name, header_names->token_counts)
          || http_equals_ignore_case (name, header_names->prefix_blocks)
-         || http_equals_ignore_case (name, header_names->last_event)
          || http_equals_ignore_case (name, header_names->length_hint);
 }
 
@@ -510,6 +507,7 @@
   const struct header_names *header_names
       = exchange->reverse_proxy->header_names;
   struct str target = http_head_target (head);
+  struct str position = stream_position_id (&exchange->position);
   struct str host;
   gint64 left
       = exchange->deadline - clk_now (exchange->reverse_proxy->options.clk);
@@ -537,9 +535,8 @@
   if (choice->fetch_from != NULL)
     http_put_field (out, header_names->fetch_from, "%s",
                     choice->fetch_from->entry.address);
-  if (exchange->head_sent && exchange->event_splitter.last_id[0] != '\0')
-    http_put_field (out, header_names->last_event, "%s",
-                    exchange->event_splitter.last_id);
+  if (position.n > 0)
+    http_put_field_str (out, str_of (header_names->last_event), position);
   if (exchange->body->len > 0 || head->chunked || head->has_length)
     http_put_field (out, "Content-Length", "%u", exchange->body->len);
   g_string_append (out, "\r\n");
