Split event streams at all line ends, within bounds

What callers saw or would see: a stream whose lines end with CR was taken for one event without an end and cut at 1 MiB, or as "ended inside an event". Comments and empty lines without end went on until the deadline, each counted as an event, so that the pauses in the log and in the health statistics never showed the silence. A long event that arrived in small pieces was searched from its start at each piece.

Cause: the splitter knew LF and CR LF only, counted every empty line as an event and kept no place in its search.

Change: the splitter hands out one event at a time, with its id as a length-counted string, looks at each byte once, takes CR, LF and CR LF, and ends a stream after 1 MiB without an event.

--- a/packages/gate/event_splitter.c
+++ b/packages/gate/event_splitter.c
@@ -5,96 +5,139 @@
 void
 splitter_init (struct event_splitter *event_splitter)
 {
-  *event_splitter = (struct event_splitter){ .partial = g_string_new (NULL) };
+  *event_splitter = (struct event_splitter){ .text = g_string_new (NULL) };
 }
 
 void
 splitter_clear (struct event_splitter *event_splitter)
 {
-  if (event_splitter->partial != NULL)
-    g_string_free (event_splitter->partial, TRUE);
+  if (event_splitter->text != NULL)
+    g_string_free (event_splitter->text, TRUE);
   *event_splitter = (struct event_splitter){ 0 };
 }
 
-/* Returns the length of the first complete event in TEXT, including the empty
-   line that ends it; 0 if there is none.  */
-static gsize
-event_length (struct str text)
+/* Adds the next BYTES of the stream.  */
+void
+splitter_add (struct event_splitter *event_splitter, struct str bytes)
 {
-  gsize line = 0; /* start of the current line */
-  for (gsize i = 0; i < text.n; i++)
-    {
-      if (text.p[i] != '\n')
-        continue;
-      gsize n = i - line;
-      if (n == 0 || (n == 1 && text.p[line] == '\r'))
-        return i + 1;
-      line = i + 1;
-    }
-  return 0;
+  g_string_erase (event_splitter->text, 0, (gssize)event_splitter->taken);
+  event_splitter->scanned -= event_splitter->taken;
+  event_splitter->line -= event_splitter->taken;
+  event_splitter->taken = 0;
+  g_string_append_len (event_splitter->text, bytes.p, (gssize)bytes.n);
 }
 
-/* Stores the id of EVENT, if it has one.  */
-static void
-read_id (struct event_splitter *event_splitter, struct str event)
+/* Searches for the end of the current event. A line ends with LF, CR or CR LF;
+   each byte is looked at once. Returns whether an event ends before
+   SCANNED.  */
+static gboolean
+find_end (struct event_splitter *event_splitter)
 {
-  while (event.n > 0)
+  const GString *text = event_splitter->text;
+  while (event_splitter->scanned < text->len)
     {
-      const char *end = memchr (event.p, '\n', event.n);
-      gsize n = end ? (gsize)(end - event.p) : event.n;
-      gsize line = n > 0 && event.p[n - 1] == '\r' ? n - 1 : n;
-      if (line > 3 && memcmp (event.p, "id:", 3) == 0)
+      gsize at = event_splitter->scanned++;
+      char byte = text->str[at];
+      gboolean joined = byte == '\n' && event_splitter->after_cr;
+      event_splitter->after_cr = byte == '\r';
+      if (byte != '\r' && byte != '\n')
+        continue;
+      gboolean empty = at == event_splitter->line;
+      event_splitter->line = at + 1;
+      if (joined)
         {
-          gsize skip = event.p[3] == ' ' ? 4 : 3;
-          gsize length = MIN (line - skip, SPLITTER_ID_MAX);
-          memcpy (event_splitter->last_id, event.p + skip, length);
-          event_splitter->last_id[length] = '\0';
-          if (event_splitter->first_id[0] == '\0')
-            memcpy (event_splitter->first_id, event_splitter->last_id,
-                    length + 1);
+          /* The LF of an empty line whose CR has ended an event.  */
+          if (at == event_splitter->taken)
+            return TRUE;
+          continue;
         }
-      n += end != NULL;
-      event.p += n;
-      event.n -= n;
+      if (!empty)
+        continue;
+      if (byte == '\r' && event_splitter->scanned < text->len
+          && text->str[event_splitter->scanned] == '\n')
+        {
+          event_splitter->scanned++;
+          event_splitter->line++;
+          event_splitter->after_cr = FALSE;
+        }
+      return TRUE;
     }
+  return FALSE;
 }
 
-/* Takes the next BYTES of the stream and appends the events that are complete
-   now to COMPLETE. Returns FALSE if an incomplete event is longer than
+/* Reads one line of an event into EVENT.  */
+static void
+read_field (struct stream_event *event, struct str line)
+{
+  const char *colon = memchr (line.p, ':', line.n);
+  struct str name = { line.p, colon ? (gsize)(colon - line.p) : line.n };
+  struct str value = { line.p + name.n, line.n - name.n };
+  if (value.n > 0)
+    value = (struct str){ value.p + 1, value.n - 1 };
+  if (value.n > 0 && value.p[0] == ' ')
+    value = (struct str){ value.p + 1, value.n - 1 };
+  if (str_eq (name, STR_LIT ("data")))
+    event->has_data = TRUE;
+  if (!str_eq (name, STR_LIT ("id")))
+    return;
+  event->id_kind = value.n > 0 ? STREAM_ID_VALUE : STREAM_ID_EMPTY;
+  event->id = value;
+}
+
+static void
+read_fields (struct stream_event *event)
+{
+  struct str text = event->text;
+  gsize from = 0;
+  for (gsize i = 0; i < text.n; i++)
+    if (text.p[i] == '\n' || text.p[i] == '\r')
+      {
+        if (i > from)
+          read_field (event, (struct str){ text.p + from, i - from });
+        from = i + 1;
+      }
+}
+
+/* Returns the next complete event in EVENT, FALSE if there is none.  */
+gboolean
+splitter_next (struct event_splitter *event_splitter,
+               struct stream_event *event)
+{
+  gsize from = event_splitter->taken;
+  if (!find_end (event_splitter))
+    return FALSE;
+  event_splitter->taken = event_splitter->scanned;
+  *event = (struct stream_event){ .text = { event_splitter->text->str + from,
+                                            event_splitter->taken - from } };
+  read_fields (event);
+  if (event->has_data || event->id_kind != STREAM_ID_ABSENT)
+    event_splitter->filler = 0;
+  else
+    event_splitter->filler += event->text.n;
+  return TRUE;
+}
+
+/* Returns whether an event, or what has come between two, is longer than
    SPLITTER_EVENT_MAX.  */
 gboolean
-splitter_feed (struct event_splitter *event_splitter, struct str bytes,
-               GString *complete)
+splitter_is_over_limit (const struct event_splitter *event_splitter)
 {
-  gsize done = 0;
-  gsize n;
-  g_string_append_len (event_splitter->partial, bytes.p, (gssize)bytes.n);
-  while (
-      (n = event_length ((struct str){ event_splitter->partial->str + done,
-                                       event_splitter->partial->len - done }))
-      > 0)
-    {
-      struct str event = { event_splitter->partial->str + done, n };
-      read_id (event_splitter, event);
-      g_string_append_len (complete, event.p, (gssize)event.n);
-      event_splitter->events++;
-      done += n;
-    }
-  g_string_erase (event_splitter->partial, 0, (gssize)done);
-  return event_splitter->partial->len <= SPLITTER_EVENT_MAX;
+  return event_splitter->text->len - event_splitter->taken > SPLITTER_EVENT_MAX
+         || event_splitter->filler > SPLITTER_EVENT_MAX;
 }
 
 /* Returns whether the bytes so far end with a complete event.  */
 gboolean
 splitter_is_at_boundary (const struct event_splitter *event_splitter)
 {
-  return event_splitter->partial->len == 0;
+  return event_splitter->taken == event_splitter->text->len;
 }
 
-/* Begins the bytes of another attempt: discards an incomplete event.  */
+/* Discards an incomplete event: bytes of another response follow.  */
 void
-splitter_begin_attempt (struct event_splitter *event_splitter)
+splitter_restart (struct event_splitter *event_splitter)
 {
-  g_string_truncate (event_splitter->partial, 0);
-  event_splitter->first_id[0] = '\0';
+  GString *text = event_splitter->text;
+  g_string_truncate (text, 0);
+  *event_splitter = (struct event_splitter){ .text = text };
 }
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -133,6 +133,14 @@
   proxy_schedule_poll (exchange->reverse_proxy);
 }
 
+/* Returns the position in the stream for the log.  */
+static struct str
+logged_position (const struct exchange *exchange)
+{
+  struct str id = stream_position_id (&exchange->position);
+  return (struct str){ id.p, MIN (id.n, LOGGED_ID_MAX) };
+}
+
 /* Writes the log line and the latency sample of the complete request.  */
 void
 exchange_log_end (const struct exchange *exchange, const char *outcome)
@@ -146,13 +154,12 @@
       "outcome=%s status=%u attempts=%u elapsed_ms=%" G_GINT64_FORMAT
       " bytes=%" G_GUINT64_FORMAT " events=%u"
       " first_event_ms=%" G_GINT64_FORMAT " longest_pause_ms=%" G_GINT64_FORMAT
-      " first_id=\"%.*s\" last_id=\"%.*s\" route=%s",
+      " last_id=\"" STR_FMT "\" route=%s",
       outcome, exchange->status, exchange->attempts,
       (exchange_now (exchange) - exchange->arrived) / CLK_MS,
-      exchange->response_bytes, exchange->event_splitter.events,
+      exchange->response_bytes, exchange->events,
       exchange->first_event_us / CLK_MS, exchange->longest_gap_us / CLK_MS,
-      LOGGED_ID_MAX, exchange->event_splitter.first_id, LOGGED_ID_MAX,
-      exchange->event_splitter.last_id,
+      STR_ARG (logged_position (exchange)),
       exchange->route ? exchange->route->name : "");
 }
 
@@ -475,7 +482,7 @@
       return;
     }
   const struct prefix_prompt *prompt = &exchange->queue_entry.request.prompt;
-  struct str position = stream_position_id (&exchange->position);
+  struct str position = logged_position (exchange);
   struct log_entry e
       = log_record (exchange, "request.placed", choice->server->entry.id);
   log_write (&e,
@@ -484,8 +491,8 @@
              " attempt=%u prompt=%u shared=%u held=%u unread=%u"
              " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
              " shared_key=%08x predicted_ms=%" G_GINT64_FORMAT
-             " fetch=%s waited_ms=%" G_GINT64_FORMAT
-             " resume_after=\"%.*s\" resume_from=%s",
+             " fetch=%s waited_ms=%" G_GINT64_FORMAT " resume_after=\"" STR_FMT
+             "\" resume_from=%s",
              exchange->queue_entry.service, exchange->tier,
              routing_table_version (exchange->routing_table),
              proxy_config_age (reverse_proxy, now) / CLK_MS,
@@ -495,11 +502,10 @@
              choice->load.sensitive, choice->load.prefill_tokens,
              prefix_shared_key (prompt), choice->first_event_us / CLK_MS,
              choice->fetch_from ? choice->fetch_from->entry.id : "",
-             (now - exchange->arrived) / CLK_MS,
-             (int)MIN (position.n, LOGGED_ID_MAX), position.p,
-             position.n == 0                       ? "none"
-             : exchange->event_splitter.events > 0 ? "events"
-                                                   : "client");
+             (now - exchange->arrived) / CLK_MS, STR_ARG (position),
+             position.n == 0        ? "none"
+             : exchange->events > 0 ? "events"
+                                    : "client");
   exchange_transition (exchange, EXCHANGE_ON_PLACE);
   if (exchange->attempts++ == 0)
     histogram_add (reverse_proxy->options.histogram_set, HISTOGRAM_WAIT,
@@ -627,7 +633,7 @@
     {
       counter_add (exchange->reverse_proxy->options.counter_set,
                    COUNTER_RESUMES, 1);
-      splitter_begin_attempt (&exchange->event_splitter);
+      splitter_restart (&exchange->event_splitter);
       /* The client is already reading the stream, so the request goes to the
          head of the queue. At the server it keeps its priority. */
       exchange->queue_entry.tier = 0;
@@ -669,14 +675,11 @@
   struct log_entry e = log_record (exchange, "attempt.lost", err->peer);
   log_write (&e,
              "result=%s step=%s cause=\"%s: %s\" sent=%u/%u budget=%s"
-             " left_ms=%" G_GINT64_FORMAT " events=%u first_id=\"%.*s\""
-             " last_id=\"%.*s\"",
+             " left_ms=%" G_GINT64_FORMAT " events=%u last_id=\"" STR_FMT "\"",
              retry_result_name (result), retry_action_name (action), err->step,
              err->text, exchange->sent, exchange->route->attempts,
              c.within_budget ? "yes" : "no", c.left_us / CLK_MS,
-             exchange->event_splitter.events, LOGGED_ID_MAX,
-             exchange->event_splitter.first_id, LOGGED_ID_MAX,
-             exchange->event_splitter.last_id);
+             exchange->events, STR_ARG (logged_position (exchange)));
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
   if (action == RETRY_ACTION_FORWARD && head != NULL)
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -115,41 +115,51 @@
     upstream_pause (exchange->upstream, FALSE);
 }
 
+/* Records that N events have arrived together.  */
+static void
+record_events (struct exchange *exchange, guint n)
+{
+  gint64 now = exchange_now (exchange);
+  gint64 gap = now - exchange->last_event_at;
+  record_event_time (exchange, gap, n);
+  if (exchange->events > 0)
+    exchange->longest_gap_us = MAX (exchange->longest_gap_us, gap);
+  else
+    exchange->first_event_us = now - exchange->arrived;
+  exchange->last_event_at = now;
+  exchange->events += n;
+  exchange->attempt_events += n;
+}
+
 /* Relays bytes of the response body. Of an event stream only complete events
    are relayed, so that the stream can be resumed at another server. Returns
-   FALSE if an event is longer than SPLITTER_EVENT_MAX: the response cannot be
-   relayed any further.  */
+   FALSE if an event, or what comes between two, is longer than
+   SPLITTER_EVENT_MAX: the response cannot be relayed any further.  */
 gboolean
 exchange_relay (struct exchange *exchange, struct str bytes)
 {
-  gint64 now = exchange_now (exchange);
+  struct event_splitter *event_splitter = &exchange->event_splitter;
+  struct stream_event event;
+  guint n = 0;
   if (!exchange->is_sse)
     {
       write_to_client (exchange, bytes);
       return TRUE;
     }
   GString *complete_events = g_string_new (NULL);
-  guint before = exchange->event_splitter.events;
-  gboolean ok
-      = splitter_feed (&exchange->event_splitter, bytes, complete_events);
-  if (exchange->event_splitter.events > before)
+  splitter_add (event_splitter, bytes);
+  while (splitter_next (event_splitter, &event))
     {
-      struct str last_id = str_of (exchange->event_splitter.last_id);
-      if (last_id.n > 0)
-        stream_position_advance (&exchange->position, last_id);
-      gint64 gap = now - exchange->last_event_at;
-      record_event_time (exchange, gap,
-                         exchange->event_splitter.events - before);
-      if (before > 0)
-        exchange->longest_gap_us = MAX (exchange->longest_gap_us, gap);
-      else
-        exchange->first_event_us = now - exchange->arrived;
-      exchange->last_event_at = now;
+      stream_position_advance (&exchange->position, &event);
+      g_string_append_len (complete_events, event.text.p, (gssize)event.text.n);
+      n += event.has_data || event.id_kind != STREAM_ID_ABSENT;
     }
+  if (n > 0)
+    record_events (exchange, n);
   write_to_client (exchange,
                    (struct str){ complete_events->str, complete_events->len });
   g_string_free (complete_events, TRUE);
-  return ok;
+  return !splitter_is_over_limit (event_splitter);
 }
 
 /* Ends a relayed response that is complete. An event stream that ends inside an
--- a/packages/gate/stream_position.c
+++ b/packages/gate/stream_position.c
@@ -16,12 +16,15 @@
   *stream_position = (struct stream_position){ 0 };
 }
 
-/* Moves the position to the event ID, which has been relayed.  */
+/* Moves the position to EVENT, which is relayed next.  */
 void
-stream_position_advance (struct stream_position *stream_position, struct str id)
+stream_position_advance (struct stream_position *stream_position,
+                         const struct stream_event *event)
 {
+  if (event->id_kind != STREAM_ID_VALUE)
+    return;
   g_string_truncate (stream_position->id, 0);
-  g_string_append_len (stream_position->id, id.p, (gssize)id.n);
+  g_string_append_len (stream_position->id, event->id.p, (gssize)event->id.n);
 }
 
 /* Returns the id of the last event that the client has.  */
--- a/packages/gate/stream_position.h
+++ b/packages/gate/stream_position.h
@@ -4,9 +4,7 @@
 #ifndef STREAM_POSITION_H
 #define STREAM_POSITION_H
 
-#include <glib.h>
-
-#include "base/str.h"
+#include "gate/event_splitter.h"
 
 struct stream_position
 {
@@ -17,7 +15,7 @@
                            struct str id);
 void stream_position_clear (struct stream_position *stream_position);
 void stream_position_advance (struct stream_position *stream_position,
-                              struct str id);
+                              const struct stream_event *event);
 struct str stream_position_id (const struct stream_position *stream_position);
 
 #endif
