Do not resume a stream after an event without an id

What callers would see: a part of a stream twice. After an event without an id, or with an empty id, an interrupted stream was resumed after the last id there was, and a stream without ids from its start. An id over 127 bytes was cut, so that the next server was given another position, and the bytes of an id went into the next server's request as they were.

Change: the position has a state. Only one that a header can carry unchanged can be resumed at; otherwise the response is reset, and the client may come back with what it knows. Ids of up to 1024 bytes are kept whole. attempt.lost says why.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -661,7 +661,8 @@
     .repeatable = routing_may_repeat (exchange->route),
     .may_have_run = exchange->may_have_run,
     .response_begun = exchange->head_sent,
-    .can_resume = exchange->is_sse && exchange->route->resumable,
+    .can_resume = exchange->is_sse && exchange->route->resumable
+                  && exchange->position.state == STREAM_POSITION_KNOWN,
     .has_response = head != NULL,
     .sent = exchange->sent,
     .attempts_max = exchange->route->attempts,
@@ -675,11 +676,13 @@
   struct log_entry e = log_record (exchange, "attempt.lost", err->peer);
   log_write (&e,
              "result=%s step=%s cause=\"%s: %s\" sent=%u/%u budget=%s"
-             " left_ms=%" G_GINT64_FORMAT " events=%u last_id=\"" STR_FMT "\"",
+             " left_ms=%" G_GINT64_FORMAT " events=%u last_id=\"" STR_FMT
+             "\" position=%s",
              retry_result_name (result), retry_action_name (action), err->step,
              err->text, exchange->sent, exchange->route->attempts,
              c.within_budget ? "yes" : "no", c.left_us / CLK_MS,
-             exchange->events, STR_ARG (logged_position (exchange)));
+             exchange->events, STR_ARG (logged_position (exchange)),
+             stream_position_state_name (&exchange->position));
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
   if (action == RETRY_ACTION_FORWARD && head != NULL)
--- a/packages/gate/stream_position.c
+++ b/packages/gate/stream_position.c
@@ -1,11 +1,26 @@
 #include "gate/stream_position.h"
 
+#include "http/head.h"
+
+static const char *const state_names[] = {
+#define STREAM_POSITION_NAME(id, name) name,
+  STREAM_POSITION_STATES (STREAM_POSITION_NAME)
+#undef STREAM_POSITION_NAME
+};
+
+const char *
+stream_position_state_name (const struct stream_position *stream_position)
+{
+  return state_names[stream_position->state];
+}
+
 /* Sets the position to the event ID, which the client has named; empty: the
    start of the stream.  */
 void
 stream_position_init (struct stream_position *stream_position, struct str id)
 {
-  stream_position->id = g_string_new_len (id.p, (gssize)id.n);
+  *stream_position
+      = (struct stream_position){ .id = g_string_new_len (id.p, (gssize)id.n) };
 }
 
 void
@@ -16,20 +31,37 @@
   *stream_position = (struct stream_position){ 0 };
 }
 
+/* Returns the id of the last event that the client has.  */
+struct str
+stream_position_id (const struct stream_position *stream_position)
+{
+  return (struct str){ stream_position->id->str, stream_position->id->len };
+}
+
+/* Returns whether a header can carry ID unchanged.  */
+static gboolean
+is_sendable (struct str id)
+{
+  for (gsize i = 0; i < id.n; i++)
+    if ((guchar)id.p[i] < ' ' || id.p[i] == 0x7f)
+      return FALSE;
+  return http_trim (id).n == id.n && id.n <= STREAM_POSITION_ID_MAX;
+}
+
 /* Moves the position to EVENT, which is relayed next.  */
 void
 stream_position_advance (struct stream_position *stream_position,
                          const struct stream_event *event)
 {
-  if (event->id_kind != STREAM_ID_VALUE)
+  if (event->id_kind == STREAM_ID_ABSENT && !event->has_data)
     return;
-  g_string_truncate (stream_position->id, 0);
-  g_string_append_len (stream_position->id, event->id.p, (gssize)event->id.n);
-}
-
-/* Returns the id of the last event that the client has.  */
-struct str
-stream_position_id (const struct stream_position *stream_position)
-{
-  return (struct str){ stream_position->id->str, stream_position->id->len };
+  if (event->id_kind == STREAM_ID_VALUE && is_sendable (event->id))
+    {
+      g_string_truncate (stream_position->id, 0);
+      g_string_append_len (stream_position->id, event->id.p,
+                           (gssize)event->id.n);
+      stream_position->state = STREAM_POSITION_KNOWN;
+    }
+  else
+    stream_position->state = STREAM_POSITION_UNNAMED;
 }
--- a/packages/gate/stream_position.h
+++ b/packages/gate/stream_position.h
@@ -6,9 +6,24 @@
 
 #include "gate/event_splitter.h"
 
+#define STREAM_POSITION_ID_MAX 1024 /* bytes of an event id */
+
+/* X (NAME, "name") */
+#define STREAM_POSITION_STATES(X)                                              \
+  X (KNOWN, "known")                                                           \
+  X (UNNAMED, "unnamed") /* the last event has no id that can be sent */
+
+enum stream_position_state
+{
+#define STREAM_POSITION_ENUM(id, name) STREAM_POSITION_##id,
+  STREAM_POSITION_STATES (STREAM_POSITION_ENUM)
+#undef STREAM_POSITION_ENUM
+};
+
 struct stream_position
 {
   GString *id; /* of the last event with one; owned; "": the stream's start */
+  enum stream_position_state state;
 };
 
 void stream_position_init (struct stream_position *stream_position,
@@ -17,5 +32,7 @@
 void stream_position_advance (struct stream_position *stream_position,
                               const struct stream_event *event);
 struct str stream_position_id (const struct stream_position *stream_position);
+const char *
+stream_position_state_name (const struct stream_position *stream_position);
 
 #endif
--- a/tests/unit/test_gate_resume.c
+++ b/tests/unit/test_gate_resume.c
@@ -129,8 +129,72 @@
                                      .complete = TRUE });
 }
 
+/* An event without an id came twice, or a stream without ids began anew,
+   because the stream was resumed after the last id there was.  */
+static void
+test_unnamed (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) "data: x\n\n" } },
+      .requests = 1,
+      .body = EVENT (1) "data: x\n\n" });
+  check_case (
+      &(struct resume_case){ .fields = "",
+                             .answers = { { STREAM_HEAD, "data: x\n\n" } },
+                             .requests = 1,
+                             .body = "data: x\n\n" });
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) "id\ndata: x\n\n" } },
+      .requests = 1,
+      .body = EVENT (1) "id\ndata: x\n\n" });
+}
+
+/* A later event with an id makes the stream resumable again.  */
+static void
+test_named_again (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, "data: x\n\n: c\n\n" EVENT (4) ": c\n\n" } },
+      .requests = 2,
+      .second = "4",
+      .body = "data: x\n\n: c\n\n" EVENT (4) ": c\n\n" EVENT (5),
+      .complete = TRUE });
+}
+
+/* A long id was cut, so that the next server was given another position.  */
+static void
+test_long_id (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, "id: " LONG_ID "\ndata: a\n\n" },
+                   { STREAM_HEAD, "id: z\ndata: b\n\n", TRUE } },
+      .requests = 2,
+      .second = LONG_ID,
+      .body = "id: " LONG_ID "\ndata: a\n\nid: z\ndata: b\n\n",
+      .complete = TRUE });
+}
+
+/* Bytes that a header cannot hold do not get into the next server's request. */
+static void
+test_unsendable_id (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, "id: 1\001x\ndata: a\n\n" } },
+      .requests = 1,
+      .body = "id: 1\001x\ndata: a\n\n" });
+}
+
 static CU_TestInfo tests[] = {
   { "the client resumes, the server ends after its head", test_head_only },
+  { "events without an id", test_unnamed },
+  { "an id after events without one", test_named_again },
+  { "a long id", test_long_id },
+  { "an id that cannot be sent", test_unsendable_id },
   CU_TEST_INFO_NULL,
 };
 
