Fail an attempt that does not go on at the stream's position

What callers would see: pieces that came twice, or two runs joined, when a server that was given a position began at the start of the stream or repeated the last event. Nothing compared the ids as they came, though they increase (PROTOCOL.md).

Change: the first id of an attempt must come after the position, where both are numbers, and differ from it otherwise. If it does not, the attempt has failed like one that broke off, with a line stream.repeat and a counter; nothing of it is relayed. A stream whose ids go back within one response is relayed as it is and not resumed any more, since no position in it is right.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -26,6 +26,8 @@
   X (RETRIES, "retries", "attempts after a request's first")                   \
   X (RETRY_DENIED, "retry_denied", "retries denied by the class's budget")     \
   X (RESUMES, "resumes", "streams resumed on another engine")                  \
+  X (STREAM_REPEATS, "stream_repeats",                                         \
+     "resumed servers that began at or before the position")                   \
   X (CANCELS, "cancels", "attempts cancelled")                                 \
   X (TOKENS, "tokens", "tokens relayed to clients")                            \
   X (TOKENS_WASTED, "tokens_wasted", "generated tokens that were discarded")   \
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -15,8 +15,7 @@
   (500 * CLK_MS) /* also without a configuration: the first one normally       \
                     arrives within a second */
 #define SHUTDOWN_RETRY_US                                                      \
-  (50 * CLK_MS)          /* other instances can serve the request at once */
-#define LOGGED_ID_MAX 40 /* bytes of an event id in the log */
+  (50 * CLK_MS) /* other instances can serve the request at once */
 #define REJECTED_PAUSE_US                                                      \
   (150 * CLK_MS) /* how long a server that rejected a request is not used */
 #define MISDIRECTED_PAUSE_US                                                   \
@@ -634,6 +633,8 @@
       counter_add (exchange->reverse_proxy->options.counter_set,
                    COUNTER_RESUMES, 1);
       splitter_restart (&exchange->event_splitter);
+      stream_position_begin_attempt (&exchange->position);
+      exchange->attempt_events = 0;
       /* The client is already reading the stream, so the request goes to the
          head of the queue. At the server it keeps its priority. */
       exchange->queue_entry.tier = 0;
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -4,6 +4,8 @@
 
 #include "gate/reverse_proxy_internal.h"
 
+#define LOGGED_ID_MAX 40 /* bytes of an event id in the log */
+
 gint64 exchange_now (const struct exchange *exchange);
 void exchange_transition (struct exchange *exchange, enum exchange_event event);
 void exchange_log_end (const struct exchange *exchange, const char *outcome);
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -2,6 +2,8 @@
    arrives or buffered and sent when it is complete.  */
 #include "gate/exchange_internal.h"
 
+#include "base/log.h"
+
 #include <string.h>
 
 #define HEALTH_PROMPT_TOKENS                                                   \
@@ -131,16 +133,36 @@
   exchange->attempt_events += n;
 }
 
+/* The first event of the attempt, ID, does not follow the position.  */
+static void
+log_repeat (const struct exchange *exchange, struct str id)
+{
+  struct str position = stream_position_id (&exchange->position);
+  counter_add (exchange->reverse_proxy->options.counter_set,
+               COUNTER_STREAM_REPEATS, 1);
+  log_write (
+      &(struct log_entry){ .level = LOG_WARN,
+                           .event = "stream.repeat",
+                           .request_id = exchange->id,
+                           .peer
+                           = upstream_server (exchange->upstream)->entry.id },
+      "resume_after=\"" STR_FMT "\" first_id=\"" STR_FMT "\"",
+      (int)MIN (position.n, LOGGED_ID_MAX), position.p,
+      (int)MIN (id.n, LOGGED_ID_MAX), id.p);
+}
+
 /* Relays bytes of the response body. Of an event stream only complete events
    are relayed, so that the stream can be resumed at another server. Returns
-   FALSE if an event, or what comes between two, is longer than
-   SPLITTER_EVENT_MAX: the response cannot be relayed any further.  */
+   FALSE if the response cannot be relayed any further: an event, or what comes
+   between two, is longer than SPLITTER_EVENT_MAX, or the server has not gone on
+   at the position that it was given.  */
 gboolean
 exchange_relay (struct exchange *exchange, struct str bytes)
 {
   struct event_splitter *event_splitter = &exchange->event_splitter;
   struct stream_event event;
   guint n = 0;
+  gboolean in_order = TRUE;
   if (!exchange->is_sse)
     {
       write_to_client (exchange, bytes);
@@ -150,7 +172,9 @@
   splitter_add (event_splitter, bytes);
   while (splitter_next (event_splitter, &event))
     {
-      stream_position_advance (&exchange->position, &event);
+      in_order = stream_position_advance (&exchange->position, &event);
+      if (!in_order)
+        break;
       g_string_append_len (complete_events, event.text.p, (gssize)event.text.n);
       n += event.has_data || event.id_kind != STREAM_ID_ABSENT;
     }
@@ -159,7 +183,9 @@
   write_to_client (exchange,
                    (struct str){ complete_events->str, complete_events->len });
   g_string_free (complete_events, TRUE);
-  return !splitter_is_over_limit (event_splitter);
+  if (!in_order)
+    log_repeat (exchange, event.id);
+  return in_order && !splitter_is_over_limit (event_splitter);
 }
 
 /* Ends a relayed response that is complete. An event stream that ends inside an
--- a/packages/gate/stream_position.c
+++ b/packages/gate/stream_position.c
@@ -20,7 +20,8 @@
 stream_position_init (struct stream_position *stream_position, struct str id)
 {
   *stream_position
-      = (struct stream_position){ .id = g_string_new_len (id.p, (gssize)id.n) };
+      = (struct stream_position){ .id = g_string_new_len (id.p, (gssize)id.n),
+                                  .unchecked = TRUE };
 }
 
 void
@@ -31,6 +32,13 @@
   *stream_position = (struct stream_position){ 0 };
 }
 
+/* The next event is the first one of another response.  */
+void
+stream_position_begin_attempt (struct stream_position *stream_position)
+{
+  stream_position->unchecked = TRUE;
+}
+
 /* Returns the id of the last event that the client has.  */
 struct str
 stream_position_id (const struct stream_position *stream_position)
@@ -38,6 +46,19 @@
   return (struct str){ stream_position->id->str, stream_position->id->len };
 }
 
+/* Returns whether an event ID can follow the position. Ids that are numbers
+   increase; of others only equal ones are known not to.  */
+static gboolean
+follows (const struct stream_position *stream_position, struct str id)
+{
+  struct str last = stream_position_id (stream_position);
+  guint64 number;
+  guint64 last_number;
+  if (http_parse_number (id, &number) && http_parse_number (last, &last_number))
+    return number > last_number;
+  return last.n == 0 || !str_eq (id, last);
+}
+
 /* Returns whether a header can carry ID unchanged.  */
 static gboolean
 is_sendable (struct str id)
@@ -48,13 +69,26 @@
   return http_trim (id).n == id.n && id.n <= STREAM_POSITION_ID_MAX;
 }
 
-/* Moves the position to EVENT, which is relayed next.  */
-void
+/* Moves the position to EVENT, which is relayed next. Returns FALSE, and stays,
+   if EVENT is the first one with an id of its attempt and does not follow: the
+   server has not gone on at the position.  */
+gboolean
 stream_position_advance (struct stream_position *stream_position,
                          const struct stream_event *event)
 {
   if (event->id_kind == STREAM_ID_ABSENT && !event->has_data)
-    return;
+    return TRUE;
+  if (event->id_kind == STREAM_ID_VALUE)
+    {
+      gboolean in_order = follows (stream_position, event->id);
+      if (!in_order && stream_position->unchecked)
+        return FALSE;
+      stream_position->unchecked = FALSE;
+      if (!in_order)
+        stream_position->state = STREAM_POSITION_UNORDERED;
+    }
+  if (stream_position->state == STREAM_POSITION_UNORDERED)
+    return TRUE;
   if (event->id_kind == STREAM_ID_VALUE && is_sendable (event->id))
     {
       g_string_truncate (stream_position->id, 0);
@@ -64,4 +98,5 @@
     }
   else
     stream_position->state = STREAM_POSITION_UNNAMED;
+  return TRUE;
 }
--- a/packages/gate/stream_position.h
+++ b/packages/gate/stream_position.h
@@ -11,7 +11,8 @@
 /* X (NAME, "name") */
 #define STREAM_POSITION_STATES(X)                                              \
   X (KNOWN, "known")                                                           \
-  X (UNNAMED, "unnamed") /* the last event has no id that can be sent */
+  X (UNNAMED, "unnamed")     /* the last event has no id that can be sent */   \
+  X (UNORDERED, "unordered") /* the ids of the stream have not increased */
 
 enum stream_position_state
 {
@@ -24,13 +25,15 @@
 {
   GString *id; /* of the last event with one; owned; "": the stream's start */
   enum stream_position_state state;
+  gboolean unchecked; /* the attempt has sent no event with an id yet */
 };
 
 void stream_position_init (struct stream_position *stream_position,
                            struct str id);
 void stream_position_clear (struct stream_position *stream_position);
-void stream_position_advance (struct stream_position *stream_position,
-                              const struct stream_event *event);
+void stream_position_begin_attempt (struct stream_position *stream_position);
+gboolean stream_position_advance (struct stream_position *stream_position,
+                                  const struct stream_event *event);
 struct str stream_position_id (const struct stream_position *stream_position);
 const char *
 stream_position_state_name (const struct stream_position *stream_position);
--- a/tests/unit/test_gate_resume.c
+++ b/tests/unit/test_gate_resume.c
@@ -189,12 +189,66 @@
       .body = "id: 1\001x\ndata: a\n\n" });
 }
 
+/* A server that does not go on at the position was joined to the stream: pieces
+   came twice.  */
+static void
+test_begins_at_start (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) EVENT (2) },
+                   { STREAM_HEAD, EVENT (1) EVENT (2) EVENT (3), TRUE } },
+      .requests = 2,
+      .second = "2",
+      .body = EVENT (1) EVENT (2) });
+  check_case (&(struct resume_case){
+      .fields = "Last-Event-ID: 3\r\n",
+      .answers = { { STREAM_HEAD, EVENT (1) EVENT (2), TRUE } },
+      .requests = 2,
+      .second = "3",
+      .body = EVENT (4) EVENT (5),
+      .complete = TRUE });
+}
+
+static void
+test_repeats_last (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) EVENT (2) },
+                   { STREAM_HEAD, EVENT (2) EVENT (3), TRUE } },
+      .requests = 2,
+      .second = "2",
+      .body = EVENT (1) EVENT (2) });
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, "id: a\ndata: a\n\n" },
+                   { STREAM_HEAD, "id: a\ndata: a\n\n", TRUE } },
+      .requests = 2,
+      .second = "a",
+      .body = "id: a\ndata: a\n\n" });
+}
+
+/* No position is right in a stream whose ids go back.  */
+static void
+test_goes_back (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (3) EVENT (2) EVENT (4) } },
+      .requests = 1,
+      .body = EVENT (3) EVENT (2) EVENT (4) });
+}
+
 static CU_TestInfo tests[] = {
   { "the client resumes, the server ends after its head", test_head_only },
   { "events without an id", test_unnamed },
   { "an id after events without one", test_named_again },
   { "a long id", test_long_id },
   { "an id that cannot be sent", test_unsendable_id },
+  { "a resumed server begins at the start", test_begins_at_start },
+  { "a resumed server repeats the last event", test_repeats_last },
+  { "ids that go back", test_goes_back },
   CU_TEST_INFO_NULL,
 };
 
