Fail an attempt whose response is of another kind than the stream

What callers would see: a stream that ends as complete before its last piece, or bytes of another type in it. When a stream was resumed, any 2xx of the next server was joined to it: a 204 ended it, a text/plain body became part of it.

Change: it must have the status and media type of the first one; else the attempt has failed, with a line stream.other.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -107,6 +107,7 @@
   upstream_free (exchange->upstream);
   splitter_clear (&exchange->event_splitter);
   stream_position_clear (&exchange->position);
+  g_free (exchange->media_type);
   routing_table_unref (exchange->routing_table);
   g_byte_array_unref (exchange->body);
   exchange->reverse_proxy->exchanges--;
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -32,15 +32,34 @@
          && !exchange->downstream->closing;
 }
 
+/* Returns the media type of a response without its parameters; empty if it has
+   none. It is borrowed from HEAD.  */
+static struct str
+media_type (const struct http_head *head)
+{
+  struct str type = { "", 0 };
+  if (!http_head_get (head, "content-type", &type))
+    return type;
+  const char *end = memchr (type.p, ';', type.n);
+  return http_trim (
+      (struct str){ type.p, end ? (gsize)(end - type.p) : type.n });
+}
+
 /* Begins to relay the server's response. When a stream is resumed at another
-   server, the client has a head already and gets no second one.  */
-void
+   server, the client has a head already and gets no second one. Returns FALSE
+   if the response is not of the same kind as the one before: it cannot continue
+   that.  */
+gboolean
 exchange_begin_response (struct exchange *exchange,
                          const struct http_head *head)
 {
+  struct str type = media_type (head);
   exchange_transition (exchange, EXCHANGE_ON_RESPONSE_START);
   if (exchange->head_sent)
-    return;
+    return head->status == exchange->status
+           && type.n == strlen (exchange->media_type)
+           && g_ascii_strncasecmp (type.p, exchange->media_type, type.n) == 0;
+  exchange->media_type = str_dup (type);
   GString *out = g_string_new (NULL);
   append_response_head (head, out);
   exchange->status = head->status;
@@ -54,6 +73,7 @@
   tcp_conn_write (exchange->downstream->tcp_conn, out->str, out->len);
   g_string_free (out, TRUE);
   exchange->head_sent = TRUE;
+  return TRUE;
 }
 
 /* Records the time to the first event, or the inter-event gap before EVENTS
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -164,6 +164,7 @@
   gint64 first_event_us;  /* from the arrival to the first event; 0: none yet */
   gint64 longest_gap_us;  /* longest inter-event gap */
   guint status;           /* of the response */
+  char *media_type;       /* of a relayed response; owned; NULL: none yet */
   guint64 response_bytes; /* of the response body */
   gboolean *freed;        /* set to TRUE by exchange_free; NULL: none */
 };
@@ -188,8 +189,8 @@
 void config_wait_check (struct reverse_proxy *reverse_proxy);
 
 /* Called by the attempt at a backend server. */
-void exchange_begin_response (struct exchange *exchange,
-                              const struct http_head *head);
+gboolean exchange_begin_response (struct exchange *exchange,
+                                  const struct http_head *head);
 gboolean exchange_relay (struct exchange *exchange, struct str bytes);
 void exchange_end_response (struct exchange *exchange);
 void exchange_send_buffered_response (struct exchange *exchange,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -152,9 +152,14 @@
       = is_success (head)
         && (upstream->exchange->route->kind == ROUTING_STREAM
             || (head->has_length && head->length > UPSTREAM_BUFFERED_BODY_MAX));
-  if (upstream->relaying)
-    exchange_begin_response (upstream->exchange, head);
-  return TRUE;
+  if (!upstream->relaying || exchange_begin_response (upstream->exchange, head))
+    return TRUE;
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "stream.other",
+                                  .request_id = upstream->exchange->id,
+                                  .peer = upstream->server->entry.id },
+             "response cannot continue the stream; status=%u", head->status);
+  return FALSE;
 }
 
 static gboolean
--- a/tests/unit/test_gate_resume.c
+++ b/tests/unit/test_gate_resume.c
@@ -240,6 +240,25 @@
       .body = EVENT (3) EVENT (2) EVENT (4) });
 }
 
+/* A second response of another kind was joined to the stream, which then looked
+   complete.  */
+static void
+test_other_response (void)
+{
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) }, { NO_CONTENT_HEAD, "" } },
+      .requests = 2,
+      .second = "1",
+      .body = EVENT (1) });
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { STREAM_HEAD, EVENT (1) }, { TEXT_HEAD, EVENT (2), TRUE } },
+      .requests = 2,
+      .second = "1",
+      .body = EVENT (1) });
+}
+
 static CU_TestInfo tests[] = {
   { "the client resumes, the server ends after its head", test_head_only },
   { "events without an id", test_unnamed },
@@ -249,6 +268,7 @@
   { "a resumed server begins at the start", test_begins_at_start },
   { "a resumed server repeats the last event", test_repeats_last },
   { "ids that go back", test_goes_back },
+  { "a second response of another kind", test_other_response },
   CU_TEST_INFO_NULL,
 };
 
