Take an event stream for complete only if it says so or has an event

What callers would see: an empty stream as a complete one, when a server without a length ended after its head; the pieces that a resuming client still waited for were missing. And a server that ended its streams inside an event counted as a healthy one, its connection went back to the pool.

Cause: the end of the connection was the end of the response, and whether the stream was whole was asked after the attempt had been recorded as a success.

Change: it is asked before. A stream without a length that has had no event in this attempt, or ends inside an event, is a failed attempt like any other. One that ends at an event's end is complete, as PROTOCOL.md has it ("may have no length and end with its connection"); a reset is not.

--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -208,21 +208,25 @@
   return in_order && !splitter_is_over_limit (event_splitter);
 }
 
-/* Ends a relayed response that is complete. An event stream that ends inside an
-   event counts as a failed attempt. May free EXCHANGE.  */
+/* Returns why a relayed response that has ended is not complete, as static
+   text; NULL if it is. FRAMED: its head has said where it ends.  */
+const char *
+exchange_response_incomplete (const struct exchange *exchange, gboolean framed)
+{
+  if (!exchange->is_sse)
+    return NULL;
+  if (!splitter_is_at_boundary (&exchange->event_splitter))
+    return "event stream ended inside an event";
+  if (!framed && exchange->attempt_events == 0)
+    return "event stream without a length ended before an event";
+  return NULL;
+}
+
+/* Ends a relayed response that is complete. Frees EXCHANGE.  */
 void
 exchange_end_response (struct exchange *exchange)
 {
   struct downstream *downstream = exchange->downstream;
-  if (exchange->is_sse && !splitter_is_at_boundary (&exchange->event_splitter))
-    {
-      struct err err = { 0 };
-      const struct str none = { "", 0 };
-      err_set (&err, ERR_CLOSED, "backend.answer", "",
-               "event stream ended inside an event");
-      exchange_attempt_failed (exchange, RETRY_RESULT_LOST, NULL, none, &err);
-      return;
-    }
   gboolean keep = keeps_alive (exchange) && exchange->chunked;
   if (exchange->chunked)
     tcp_conn_write (downstream->tcp_conn, "0\r\n\r\n", 5);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -192,6 +192,8 @@
 gboolean exchange_begin_response (struct exchange *exchange,
                                   const struct http_head *head);
 gboolean exchange_relay (struct exchange *exchange, struct str bytes);
+const char *exchange_response_incomplete (const struct exchange *exchange,
+                                          gboolean framed);
 void exchange_end_response (struct exchange *exchange);
 void exchange_send_buffered_response (struct exchange *exchange,
                                       const struct http_head *head,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -283,6 +283,15 @@
       = upstream->reverse_proxy->header_names;
   struct str body = { upstream->body->str, upstream->body->len };
   struct err err = { 0 };
+  const char *incomplete = upstream->relaying ? exchange_response_incomplete (
+                               exchange, head->chunked || head->has_length)
+                                              : NULL;
+  if (incomplete != NULL)
+    {
+      err_set (&err, ERR_CLOSED, "backend.answer", "", "%s", incomplete);
+      fail_attempt (upstream, &err);
+      return;
+    }
   keep_connection (upstream, reusable && head->keep_alive);
   if (is_success (head))
     {
--- a/tests/unit/test_gate_resume.c
+++ b/tests/unit/test_gate_resume.c
@@ -259,6 +259,32 @@
       .body = EVENT (1) });
 }
 
+/* A server that ended after a head without a length looked like the end of a
+   stream without events.  */
+static void
+test_no_length (void)
+{
+  check_case (&(struct resume_case){ .fields = "Last-Event-ID: 3\r\n",
+                                     .answers = { { UNFRAMED_HEAD, "" } },
+                                     .requests = 2,
+                                     .second = "3",
+                                     .body = EVENT (4) EVENT (5),
+                                     .complete = TRUE });
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { UNFRAMED_HEAD, EVENT (1) EVENT (2) "id: 3" } },
+      .requests = 2,
+      .second = "2",
+      .body = EVENT (1) EVENT (2) EVENT (3) EVENT (4) EVENT (5),
+      .complete = TRUE });
+  check_case (&(struct resume_case){
+      .fields = "",
+      .answers = { { UNFRAMED_HEAD, EVENT (1) EVENT (2) } },
+      .requests = 1,
+      .body = EVENT (1) EVENT (2),
+      .complete = TRUE });
+}
+
 static CU_TestInfo tests[] = {
   { "the client resumes, the server ends after its head", test_head_only },
   { "events without an id", test_unnamed },
@@ -269,6 +295,7 @@
   { "a resumed server repeats the last event", test_repeats_last },
   { "ids that go back", test_goes_back },
   { "a second response of another kind", test_other_response },
+  { "a stream without a length", test_no_length },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/unit/test_gate_stream.c
+++ b/tests/unit/test_gate_stream.c
@@ -141,7 +141,7 @@
 }
 
 /* A response that is complete by its framing but ends inside an event must not
-   look complete to the client.  */
+   look complete to the client, and counts as a failure of the server.  */
 static void
 test_ends_inside_event (void)
 {
@@ -151,6 +151,9 @@
   struct proxy_test_response response
       = proxy_test_request_once ("/stream/x", "");
   CU_ASSERT_FALSE (response.complete);
+  CU_ASSERT_EQUAL (registry_find (proxy_test.registry, "s-0")
+                       ->server_health.consecutive_failures,
+                   1);
   proxy_test_response_clear (&response);
   proxy_test_stop ();
 }
