Reject a request with two Last-Event-ID fields

What callers would see: a stream that goes on at whichever of two positions the server or the proxy reads; after a retry at another one than before.

Cause: fields of the client were forwarded as they came, however often.

Change: 400 repeated_last_event_id, as for a repeated request id.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -452,6 +452,14 @@
       reject (exchange, 400, "no_request_id", 0);
       return;
     }
+  if (http_head_count (exchange->head, reverse_proxy->header_names->last_event)
+      > 1)
+    {
+      counter_add (reverse_proxy->options.counter_set, COUNTER_INVALID_REQUEST,
+                   1);
+      reject (exchange, 400, "repeated_last_event_id", 0);
+      return;
+    }
   exchange_route_request (exchange);
 }
 
--- a/tests/unit/test_gate_resume.c
+++ b/tests/unit/test_gate_resume.c
@@ -285,6 +285,19 @@
       .complete = TRUE });
 }
 
+/* Of two positions neither is certain.  */
+static void
+test_two_positions (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  CU_ASSERT_EQUAL (proxy_test_request_status (
+                       "/resume/x", "Last-Event-ID: 3\r\nLast-Event-ID: 4\r\n"),
+                   400);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), 0);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "the client resumes, the server ends after its head", test_head_only },
   { "events without an id", test_unnamed },
@@ -296,6 +309,7 @@
   { "ids that go back", test_goes_back },
   { "a second response of another kind", test_other_response },
   { "a stream without a length", test_no_length },
+  { "two positions", test_two_positions },
   CU_TEST_INFO_NULL,
 };
 
