Relay no body after a response that has none

What callers would see: bytes that are no response on a kept connection. A 204 on a route of streams, and the response to HEAD there, were relayed with chunked framing, so that its last chunk came where the next response is due.

Cause: whether a response has a body was asked for buffered responses only.

Change: upstream_has_body is asked for both; a response without a body is never relayed as a stream. Once a head has been sent, every further success goes through the check that it continues the stream.

--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -248,8 +248,7 @@
                  HISTOGRAM_ATTEMPT,
                  exchange_now (exchange) - exchange->attempt_started);
   GString *out = g_string_new (NULL);
-  gboolean no_body = g_str_equal (exchange->head->method, "HEAD")
-                     || head->status == 204 || head->status == 304;
+  gboolean no_body = !upstream_has_body (exchange, head);
   append_response_head (head, out);
   exchange->status = head->status;
   exchange->response_bytes = body.n;
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -113,6 +113,15 @@
                            clk_now (reverse_proxy->options.clk));
 }
 
+/* Returns whether a response to the request of EXCHANGE has a body.  */
+gboolean
+upstream_has_body (const struct exchange *exchange,
+                   const struct http_head *head)
+{
+  return !g_str_equal (exchange->head->method, "HEAD") && head->status != 204
+         && head->status != 304;
+}
+
 static gboolean
 on_head (void *ctx, const struct http_head *head)
 {
@@ -150,8 +159,11 @@
                            upstream->exchange->id, head);
   upstream->relaying
       = is_success (head)
-        && (upstream->exchange->route->kind == ROUTING_STREAM
-            || (head->has_length && head->length > UPSTREAM_BUFFERED_BODY_MAX));
+        && (upstream->exchange->head_sent
+            || (upstream_has_body (upstream->exchange, head)
+                && (upstream->exchange->route->kind == ROUTING_STREAM
+                    || (head->has_length
+                        && head->length > UPSTREAM_BUFFERED_BODY_MAX))));
   if (!upstream->relaying || exchange_begin_response (upstream->exchange, head))
     return TRUE;
   log_write (&(struct log_entry){ .level = LOG_WARN,
--- a/tests/unit/test_gate_stream.c
+++ b/tests/unit/test_gate_stream.c
@@ -286,6 +286,56 @@
   proxy_test_stop ();
 }
 
+static void
+respond_no_content (struct proxy_test_link *link,
+                    struct proxy_test_request *request)
+{
+  proxy_test_write (link, request,
+                    "HTTP/1.1 204 No Content\r\nX-Request-Id: %I\r\n"
+                    "X-Signature: sig\r\n\r\n");
+}
+
+static void
+respond_head_only (struct proxy_test_link *link,
+                   struct proxy_test_request *request)
+{
+  proxy_test_write (link, request, PROXY_TEST_STREAM_HEAD);
+}
+
+/* Sends REQUEST and checks that bytes after the head of its response are those
+   of the next response.  */
+static void
+check_no_body (proxy_test_script script, const char *request)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (script);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  proxy_test_send_text (client, request);
+  proxy_test_run_for (100);
+  const char *end = strstr (client->in->str, "\r\n\r\n");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (end);
+  CU_ASSERT_STRING_EQUAL (end, "\r\n\r\n");
+  proxy_test_close_client (client);
+  proxy_test_stop ();
+}
+
+/* After a response without a body, "0 CR LF CR LF" came where the next response
+   is due.  */
+static void
+test_no_body (void)
+{
+  static const char fields[]
+      = "Host: a.example\r\nX-Request-Id: n1\r\n"
+        "Authorization: Bearer " PROXY_TEST_KEY "\r\n\r\n";
+  char *get = g_strconcat ("GET /stream/x HTTP/1.1\r\n", fields, NULL);
+  char *head = g_strconcat ("HEAD /stream/x HTTP/1.1\r\n", fields, NULL);
+  check_no_body (respond_no_content, get);
+  check_no_body (respond_head_only, head);
+  g_free (get);
+  g_free (head);
+}
+
 /* Sends 8 MB of comments, and keeps the connection open.  */
 static void
 stream_comments (struct proxy_test_link *link,
@@ -352,6 +402,7 @@
   { "events do not depend on the split", test_splits },
   { "lines that end with CR", test_line_ends },
   { "lines that end with CR are relayed", test_cr_relayed },
+  { "a response without a body", test_no_body },
   { "a long event in small pieces", test_long_event },
   { "comments without end", test_endless_comments },
   CU_TEST_INFO_NULL,
