Keep a request's own tier when its stream is resumed

What callers would see: 300 ms in which a domain starts no less urgent request with a longer prompt, although nothing urgent was rejected there.

Change: the scheduler's entry says that it is resumed; its place in the queue follows from that, all else from its tier. request.queued and request.refused log the request's tier again.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -646,7 +646,7 @@
       exchange->attempt_events = 0;
       /* The client is already reading the stream, so the request goes to the
          head of the queue. At the server it keeps its priority. */
-      exchange->queue_entry.tier = 0;
+      exchange->queue_entry.resumed = TRUE;
       exchange->queue_entry.target = exchange->deadline;
     }
   exchange_transition (exchange, EXCHANGE_ON_RETRY);
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -184,12 +184,19 @@
   return MIN (entry->tier, SCHEDULER_TIERS - 1);
 }
 
+/* Returns the tier whose place ENTRY has in the queue.  */
+static guint
+queue_tier (const struct scheduler_entry *entry)
+{
+  return entry->resumed ? 0 : tier_of (entry);
+}
+
 /* Returns the number of queued entries that are started before ENTRY.  */
 static guint
 count_ahead (const struct service *service, const struct scheduler_entry *entry)
 {
   guint ahead = 0;
-  for (guint i = 0; i <= tier_of (entry); i++)
+  for (guint i = 0; i <= queue_tier (entry); i++)
     ahead += service->waiting[i].length;
   return ahead;
 }
@@ -201,7 +208,7 @@
 {
   struct backfill backfill;
   backfill_init (&backfill);
-  for (guint tier = 0; tier <= tier_of (entry); tier++)
+  for (guint tier = 0; tier <= queue_tier (entry); tier++)
     for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
       backfill_add_waiting (
           &backfill,
@@ -230,7 +237,7 @@
 head_waited (const struct service *service, const struct scheduler_entry *entry,
              gint64 now)
 {
-  const GList *head = service->waiting[tier_of (entry)].head;
+  const GList *head = service->waiting[queue_tier (entry)].head;
   return head ? now - ((const struct scheduler_entry *)head->data)->queued_at
               : 0;
 }
@@ -276,7 +283,7 @@
          gint64 now)
 {
   return competes_for_prefill (entry)
-         && overload_hold_applies (&service->hold, tier_of (entry),
+         && overload_hold_applies (&service->hold, queue_tier (entry),
                                    entry->request.prompt_tokens, now);
 }
 
@@ -309,7 +316,7 @@
 enqueue (struct scheduler *scheduler, struct service *service,
          struct scheduler_entry *entry, gint64 now)
 {
-  GQueue *queue = &service->waiting[tier_of (entry)];
+  GQueue *queue = &service->waiting[queue_tier (entry)];
   GList *after = queue->tail;
   entry->link = (GList){ .data = entry };
   while (after != NULL && by_target (after->data, entry, NULL) > 0)
@@ -393,7 +400,7 @@
   if (!entry->waiting)
     return;
   struct service *service = service_of (scheduler, entry->service, 0);
-  g_queue_unlink (&service->waiting[tier_of (entry)], &entry->link);
+  g_queue_unlink (&service->waiting[queue_tier (entry)], &entry->link);
   entry->waiting = FALSE;
   service->n_waiting--;
   scheduler->n_waiting--;
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -37,11 +37,13 @@
 {
   struct placement_request request;
   char service[STR_ID_MAX + 1];
-  guint tier;      /* 0: the most urgent */
-  gint64 arrived;  /* clock time */
-  gint64 target;   /* clock time at which the first event is due */
-  gint64 deadline; /* clock time */
-  void *owner;     /* borrowed */
+  guint tier;       /* 0: the most urgent */
+  gboolean resumed; /* its client reads the response already: it goes to the
+                       head of the queue, whatever its tier */
+  gint64 arrived;   /* clock time */
+  gint64 target;    /* clock time at which the first event is due */
+  gint64 deadline;  /* clock time */
+  void *owner;      /* borrowed */
 
   /* Private to the scheduler. */
   GList link;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -709,6 +709,38 @@
   tear_down ();
 }
 
+/* A resumption that was rejected was told to the peers as a request of the
+   highest tier, which then held up the requests of all others.  */
+static void
+test_rejected_resumption (void)
+{
+  struct scheduler_decision d;
+  struct overload_rejection rejections[4];
+  set_up ();
+  GPtrArray *busy = fill_engines ();
+  struct scheduler_entry *entry = make_entry (3, 2, 0, 3000, FALSE);
+  struct scheduler_entry *urgent = make_entry (1, 3, 0, 3000, FALSE);
+  entry->resumed = TRUE;
+  submit (urgent, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  submit (entry, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  CU_ASSERT_EQUAL (d.ahead, 0);
+  scheduler_withdraw (world.scheduler, entry);
+  entry->target = world.now;
+  submit (entry, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_REJECT);
+  CU_ASSERT_EQUAL_FATAL (
+      scheduler_rejections (world.scheduler, world.now, rejections, 4), 1);
+  CU_ASSERT_EQUAL (rejections[0].tier, 3);
+  drop (entry);
+  drop (urgent);
+  for (guint i = 0; i < busy->len; i++)
+    drop (g_ptr_array_index (busy, i));
+  g_ptr_array_unref (busy);
+  tear_down ();
+}
+
 /* Lets INSTANCES instances, each with three long prompts queued, see at the
    same moment that engine IDLE_ENGINE has no pending prefill. SEPARATE: each
    instance is the only one of its domain. Returns how many microseconds of
@@ -1054,6 +1086,7 @@
   { "gaps for short prompts", test_gaps_for_short_prompts },
   { "a hold during overload", test_hold_during_overload },
   { "rejections for peers", test_rejections_for_peers },
+  { "a rejected resumption keeps its tier", test_rejected_resumption },
   { "late entries are rejected", test_late_entry_is_rejected },
   { "more prefixes than a domain caches", test_region_scope },
   { "stale load reports", test_stale_load_reports },
