Hold a repeated request to the route that it has by now

What callers would see: a request that may have run sent once more although its new route forbids it (TWICE, BUDGET), and an instance that ends or answers at random after a request has waited for the first configuration between two attempts.

Whether a lost attempt is repeated was decided with the route under which it was sent; the attempt then took the route of a newer configuration. And the wait for the configuration overwrote the id of the deadline timer, which fired after the request had been freed; the request was counted twice for the retry budget.

Change: the new route is asked again before the attempt starts; the wait removes the deadline timer, ends at the deadline at the latest, and routing sets the timer anew.

Evidence: test_gate_retry, both tests, failed on the commit before: two requests at servers instead of one, twice; a crash in the second. 2 of 2 pass now, test_gate 34, test_config_wait 5, test_gate_resume 11, test_gate_stream 13.

--- a/packages/gate/config_wait.c
+++ b/packages/gate/config_wait.c
@@ -29,6 +29,8 @@
   gint64 now = exchange_now (exchange);
   gint64 until = MIN (exchange->arrived + WAIT_US,
                       reverse_proxy->started_at + STARTUP_US);
+  if (exchange->deadline != 0)
+    until = MIN (until, exchange->deadline);
   if (reverse_proxy->was_configured || exchange->waited_for_config
       || now >= until || reverse_proxy->awaiting_config.length >= WAITING_MAX)
     return FALSE;
@@ -36,6 +38,9 @@
   exchange->config_link.data = exchange;
   g_queue_push_tail_link (&reverse_proxy->awaiting_config,
                           &exchange->config_link);
+  /* An earlier attempt has set the timer to the deadline; routing the request
+     sets it again. */
+  g_clear_handle_id (&exchange->timer, g_source_remove);
   exchange->timer
       = g_timeout_add ((guint)((until - now) / CLK_MS), on_timeout, exchange);
   return TRUE;
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -430,8 +430,9 @@
     return;
   set_deadline (exchange);
   fill_queue_entry (exchange);
-  retry_budget_count_request (retry_budget_of (exchange),
-                              exchange_now (exchange));
+  if (exchange->attempts == 0)
+    retry_budget_count_request (retry_budget_of (exchange),
+                                exchange_now (exchange));
   enqueue (exchange);
 }
 
@@ -463,9 +464,21 @@
   exchange_route_request (exchange);
 }
 
+/* Returns whether the route, which may have changed since the attempts before,
+   allows another one.  */
+static gboolean
+route_allows_attempt (const struct exchange *exchange)
+{
+  return exchange->attempts == 0
+         || (exchange->sent < exchange->route->attempts
+             && (!exchange->may_have_run
+                 || routing_may_repeat (exchange->route)));
+}
+
 /* Sends the request to the server that the scheduler has chosen. While it was
    queued the configuration may have changed, so route, key and freshness are
-   checked again. May free EXCHANGE.  */
+   checked again, unless the response has begun: what resumes it belongs to the
+   route and team under which it began. May free EXCHANGE.  */
 static void
 start_attempt (struct exchange *exchange, const struct placement_choice *choice)
 {
@@ -477,6 +490,11 @@
     {
       if (!resolve_route (exchange))
         return;
+      if (!route_allows_attempt (exchange))
+        {
+          reject (exchange, 503, "route_changed", DEFAULT_RETRY_US);
+          return;
+        }
       fill_queue_entry (exchange);
       if (!g_str_equal (service, exchange->queue_entry.service))
         {
