Forward no field that carries a key

Cause: the first Authorization field decided for all of them.

Change: each field is judged by its own value.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -487,15 +487,24 @@
   return FALSE;
 }
 
-/* Returns whether the client's header NAME is not forwarded, because the proxy
-   writes it itself or the server must not see it. The Authorization header is
-   omitted if it carries a team key.  */
+/* Returns whether VALUE of an Authorization header has the scheme of team
+   keys.  */
 static gboolean
-is_omitted (const struct exchange *exchange, struct str name)
+carries_key (const struct header_names *header_names, struct str value)
+{
+  gsize n = strlen (header_names->key_scheme);
+  return value.n > n
+         && g_ascii_strncasecmp (value.p, header_names->key_scheme, n) == 0;
+}
+
+/* Returns whether the client's header NAME with VALUE is not forwarded, because
+   the proxy writes it itself or the server must not see it. An Authorization
+   header is omitted if it carries a team key.  */
+static gboolean
+is_omitted (const struct exchange *exchange, struct str name, struct str value)
 {
   const struct header_names *header_names
       = exchange->reverse_proxy->header_names;
-  struct str value;
   if (is_reserved (header_names, name)
       || http_equals_ignore_case (name, header_names->team)
       || http_equals_ignore_case (name, header_names->deadline_ms)
@@ -503,12 +512,7 @@
       || http_equals_ignore_case (name, "host"))
     return TRUE;
   return http_equals_ignore_case (name, "authorization")
-         && (exchange->team != NULL
-             || (http_head_get (exchange->head, "authorization", &value)
-                 && value.n > strlen (header_names->key_scheme)
-                 && g_ascii_strncasecmp (value.p, header_names->key_scheme,
-                                         strlen (header_names->key_scheme))
-                        == 0));
+         && (exchange->team != NULL || carries_key (header_names, value));
 }
 
 /* Returns whether the header NAME is always end-to-end: a client cannot have it
@@ -544,11 +548,12 @@
   for (guint i = 0; i < head->fields->len; i++)
     {
       struct str name = http_head_field_name (head, i);
-      if (is_omitted (exchange, name)
+      struct str value = http_head_field_value (head, i);
+      if (is_omitted (exchange, name, value)
           || (!is_protected (header_names, name)
               && http_head_is_hop_by_hop (head, name)))
         continue;
-      http_put_field_str (out, name, http_head_field_value (head, i));
+      http_put_field_str (out, name, value);
     }
   http_put_field (out, header_names->deadline_ms, "%" G_GINT64_FORMAT,
                   MAX (left / CLK_MS, 1));
--- a/tests/unit/test_gate_retry.c
+++ b/tests/unit/test_gate_retry.c
@@ -110,10 +110,33 @@
   proxy_test_stop ();
 }
 
+/* The key in a second Authorization field went to the server.  */
+static void
+test_second_authorization (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  proxy_test_send_text (client,
+                        "GET /open/x HTTP/1.1\r\nHost: a.example\r\n"
+                        "X-Request-Id: a1\r\n"
+                        "Authorization: Basic abc\r\n"
+                        "Authorization: Bearer " PROXY_TEST_KEY "\r\n\r\n");
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, 200);
+  CU_ASSERT_STRING_EQUAL (
+      proxy_test_field (proxy_test_request_at (0), "authorization"),
+      "Basic abc");
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "a new route between two attempts", test_new_route },
   { "a wait for the configuration between two attempts",
     test_wait_between_attempts },
+  { "a second Authorization field", test_second_authorization },
   CU_TEST_INFO_NULL,
 };
 
