Let a waiting retry hold up only servers that it may use

What callers would see: rejections and waits while a server has room. A request that waits for a server other than those it was sent to, at the head of the queue if it resumes a stream, kept all others of a similar length from the servers that it must not use itself; at the worst until its deadline.

Which requests may start before one that waits was decided by its length alone.

Change: a waiting request counts against another one only at servers that it may use. Requests that were sent nowhere yet are treated as before.

Evidence: "a waiting retry and other servers" failed on the commit before; test_sched passes 26 of 26, test_prs 19 of 19.

--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -37,9 +37,10 @@
   return x ^ (x >> 32);
 }
 
-static gboolean
-was_tried (const struct placement_request *request,
-           const struct registry_server *server)
+/* Returns whether the request was sent to SERVER before.  */
+gboolean
+placement_was_tried (const struct placement_request *request,
+                     const struct registry_server *server)
 {
   for (guint i = 0; i < request->n_tried; i++)
     if (request->tried[i] == server->number)
@@ -104,7 +105,7 @@
     {
       struct registry_server *server = view->servers[i];
       if (registry_is_leaving (server) != leaving || !is_usable (view, server)
-          || was_tried (request, server))
+          || placement_was_tried (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
@@ -153,7 +154,8 @@
   for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
     {
       struct registry_server *server = view->servers[i];
-      if (!is_leaving_source (view, server) || was_tried (request, server))
+      if (!is_leaving_source (view, server)
+          || placement_was_tried (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -101,6 +101,8 @@
 };
 
 enum placement_pace placement_pace (gint64 gap_us);
+gboolean placement_was_tried (const struct placement_request *request,
+                              const struct registry_server *server);
 void placement_choose (const struct placement_view *view,
                        const struct placement_request *request,
                        struct placement_choice *choice);
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -46,7 +46,8 @@
 {
   GQueue waiting[SCHEDULER_TIERS]; /* of struct scheduler_entry, by target */
   guint n_waiting;
-  guint n_held;                  /* of these, held back at the last poll */
+  guint n_retries; /* of those waiting: were sent to a server before */
+  guint n_held;    /* of these, held back at the last poll */
   struct overload_hold hold;     /* rejections in the own domain */
   struct overload_hold own_hold; /* those of this instance */
   struct rate_window rate;       /* of starts */
@@ -201,18 +202,33 @@
   return ahead;
 }
 
-/* Returns whether ENTRY may start before the queued entries that go first.  */
+/* Returns whether ENTRY, which is queued, was sent to a server before.  */
+static gboolean
+is_retry (const struct scheduler_entry *entry)
+{
+  return entry->request.n_tried > 0;
+}
+
+/* Returns whether ENTRY may start at SERVER before the queued entries that go
+   first. Those that must not use SERVER do not wait for it. RETRIES_ONLY: looks
+   only at entries that were sent to a server before.  */
 static gboolean
 may_start_first (const struct service *service,
-                 const struct scheduler_entry *entry)
+                 const struct scheduler_entry *entry,
+                 const struct registry_server *server, gboolean retries_only)
 {
   struct backfill backfill;
   backfill_init (&backfill);
   for (guint tier = 0; tier <= queue_tier (entry); tier++)
     for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
-      backfill_add_waiting (
-          &backfill,
-          ((const struct scheduler_entry *)l->data)->request.prompt_tokens);
+      {
+        const struct scheduler_entry *ahead = l->data;
+        if (ahead == entry)
+          break;
+        if ((is_retry (ahead) || !retries_only)
+            && !placement_was_tried (&ahead->request, server))
+          backfill_add_waiting (&backfill, ahead->request.prompt_tokens);
+      }
   return backfill_allows (&backfill, entry->request.prompt_tokens);
 }
 
@@ -328,6 +344,7 @@
   entry->waiting = TRUE;
   entry->queued_at = now;
   service->n_waiting++;
+  service->n_retries += is_retry (entry);
   scheduler->n_waiting++;
 }
 
@@ -343,7 +360,8 @@
   rate_window_update (&service->rate, now, service->n_waiting > 0);
   decision->ahead = count_ahead (service, entry);
   choose (scheduler, service, entry, now, &decision->choice);
-  if (decision->choice.server != NULL && may_start_first (service, entry)
+  if (decision->choice.server != NULL
+      && may_start_first (service, entry, decision->choice.server, FALSE)
       && !is_held (service, entry, now))
     {
       decision->verdict = SCHEDULER_START;
@@ -403,6 +421,7 @@
   g_queue_unlink (&service->waiting[queue_tier (entry)], &entry->link);
   entry->waiting = FALSE;
   service->n_waiting--;
+  service->n_retries -= is_retry (entry);
   scheduler->n_waiting--;
 }
 
@@ -414,6 +433,9 @@
 {
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
+  if (decision.choice.server != NULL && service->n_retries > 0
+      && !may_start_first (service, entry, decision.choice.server, TRUE))
+    return FALSE;
   if (decision.choice.server == NULL || is_held (service, entry, now))
     {
       decision.wait_us = predict_wait (service, 0, &decision.choice);
@@ -446,7 +468,8 @@
           continue;
         if (poll_entry (scheduler, service, entry, now, decided, ctx))
           return TRUE;
-        backfill_add_waiting (&backfill, entry->request.prompt_tokens);
+        if (!is_retry (entry))
+          backfill_add_waiting (&backfill, entry->request.prompt_tokens);
       }
   return FALSE;
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -709,6 +709,40 @@
   tear_down ();
 }
 
+/* A request that waits for another server than those it was sent to kept all
+   others from these, although they had room.  */
+static void
+test_waiting_retry (void)
+{
+  struct scheduler_decision d;
+  set_up ();
+  order = g_ptr_array_new ();
+  report_prefill (ENGINES, 0, 40000);
+  struct scheduler_entry *retry = make_entry (1, 1, 0, 3000, FALSE);
+  struct scheduler_entry *queued = make_entry (2, 2, 0, 3000, FALSE);
+  retry->resumed = TRUE;
+  retry->request.tried[retry->request.n_tried++]
+      = registry_find (world.registry, "e-0")->number;
+  submit (retry, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  struct registry_server *server = submit (queued, &d);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  CU_ASSERT_STRING_EQUAL (server->entry.id, "e-0");
+  drop (queued);
+  /* At a server that it may use, the retry goes first. */
+  report_prefill (ENGINES, 1, 40000);
+  struct scheduler_entry *later = make_entry (2, 3, 0, 3000, FALSE);
+  submit (later, &d);
+  CU_ASSERT_EQUAL (d.verdict, SCHEDULER_WAIT);
+  scheduler_poll (world.scheduler, world.now, on_decided, NULL);
+  CU_ASSERT_TRUE_FATAL (order->len > 0);
+  CU_ASSERT_PTR_EQUAL (g_ptr_array_index (order, 0), retry);
+  drop (retry);
+  drop (later);
+  g_ptr_array_unref (order);
+  tear_down ();
+}
+
 /* A resumption that was rejected was told to the peers as a request of the
    highest tier, which then held up the requests of all others.  */
 static void
@@ -1086,6 +1120,7 @@
   { "gaps for short prompts", test_gaps_for_short_prompts },
   { "a hold during overload", test_hold_during_overload },
   { "rejections for peers", test_rejections_for_peers },
+  { "a waiting retry and other servers", test_waiting_retry },
   { "a rejected resumption keeps its tier", test_rejected_resumption },
   { "late entries are rejected", test_late_entry_is_rejected },
   { "more prefixes than a domain caches", test_region_scope },
