Check the whole head of a message that begins with blank lines

The reader takes the first CR LF CR LF for the end of a head. Two blank lines before a message are that too, so the rest of the head was neither checked nor counted: a request with bare line feeds or a folded field after two blank lines was accepted, which two implementations may frame differently, and blank lines without end were only stopped by http_parser's limit of 80 KiB, as "malformed" instead of too large.

CR LF CR LF counts only after a byte other than CR and LF. Blank lines count towards the limit of the head.

test_reader, "blank lines before a message" and "heads without end": both failed on the code before (build/tests/test_reader: 2 passed, 2 failed), now 4 passed, 0 failed.

--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -30,6 +30,7 @@
   gsize head_bytes;       /* of the current head, received so far */
   guint head_end_matched; /* bytes of the CR LF CR LF that ends it, received
                              last */
+  gboolean head_begun;    /* a byte other than of blank lines was received */
   char last_head_byte;    /* NUL: none yet */
   const char *error_text; /* static text; NULL: none, or of the parser */
 };
@@ -243,6 +244,7 @@
   reader->state = AT_START;
   reader->head_bytes = 0;
   reader->head_end_matched = 0;
+  reader->head_begun = FALSE;
   reader->last_head_byte = '\0';
   reader->error_text = NULL;
   reader->stopped = FALSE;
@@ -292,6 +294,10 @@
     return "bare line feed";
   if ((byte == ' ' || byte == '\t') && last == '\n')
     return "folded header field";
+  /* Blank lines before a message are no end of its head. */
+  reader->head_begun |= byte != '\r' && byte != '\n';
+  if (!reader->head_begun)
+    return NULL;
   if (byte == end[reader->head_end_matched])
     reader->head_end_matched++;
   else
--- a/tests/unit/test_reader.c
+++ b/tests/unit/test_reader.c
@@ -117,9 +117,101 @@
       0);
 }
 
+#define ENDLESS_BYTES                                                          \
+  (4 * 1024 * 1024)             /* what a test of endless bytes sends          \
+                                 */
+#define PIECE_BYTES (16 * 1024) /* of one call of http_reader_feed */
+#define HEAD_LIMIT (64 * 1024)  /* the reader's default */
+
+/* How a reader took a long input.  */
+struct outcome
+{
+  gssize code;  /* 0, or of the error */
+  gsize taken;  /* bytes */
+  guint heads;  /* that were reported */
+  gsize body;   /* bytes */
+  gboolean end; /* the message was complete */
+};
+
+/* Feeds a response reader BEGIN, then REPEATED over and over, at least N bytes
+   of it, then END, and stops at the first error.  */
+static struct outcome
+read_long (const char *begin, const char *repeated, gsize n, const char *end)
+{
+  GString *text = g_string_new (begin);
+  struct received received = { .body = g_string_new (NULL) };
+  struct http_reader *reader = http_reader_new (TRUE, &handler, &received);
+  struct outcome outcome = { 0 };
+  while (text->len < n)
+    g_string_append (text, repeated);
+  g_string_append (text, end);
+  while (outcome.code == 0 && outcome.taken < text->len)
+    {
+      struct err err = { 0 };
+      gssize taken = http_reader_feed (
+          reader,
+          (struct str){ text->str + outcome.taken,
+                        MIN (text->len - outcome.taken, PIECE_BYTES) },
+          &err);
+      if (taken == 0)
+        break; /* complete */
+      outcome.code = MIN (taken, 0);
+      outcome.taken += (gsize)MAX (taken, 0);
+    }
+  outcome.heads = received.heads;
+  outcome.body = received.body->len;
+  outcome.end = received.complete;
+  http_reader_free (reader);
+  g_string_free (received.body, TRUE);
+  g_string_free (text, TRUE);
+  return outcome;
+}
+
+/* Checks that the input of read_long is rejected within the limit of a head, or
+   PIECE_BYTES later.  */
+static void
+check_endless (const char *begin, const char *repeated, gssize code)
+{
+  struct outcome outcome = read_long (begin, repeated, ENDLESS_BYTES, "");
+  CU_ASSERT_EQUAL (outcome.code, code);
+  CU_ASSERT_TRUE (outcome.taken <= HEAD_LIMIT + PIECE_BYTES);
+  CU_ASSERT_FALSE (outcome.end);
+}
+
+/* A head, its first line, one field and the blank lines before it must have an
+   end, and so must bytes that are no HTTP.  */
+static void
+test_endless_head (void)
+{
+  check_endless ("", "\r\n", ERR_TOO_LARGE);
+  check_endless ("", "\n", ERR_PROTOCOL);
+  check_endless ("HTTP/1.1 200 ", "x", ERR_TOO_LARGE);
+  check_endless ("HTTP/1.1 200 OK\r\nA: ", "x", ERR_TOO_LARGE);
+  check_endless ("HTTP/1.1 200 OK\r\n", "x", ERR_TOO_LARGE);
+  check_endless ("HTTP/1.1 200 OK\r\n", "A: b\r\n", ERR_PROTOCOL);
+  check_endless ("", "x", ERR_PROTOCOL);
+}
+
+/* Blank lines before a message do not end its head: the rest was not checked,
+   and messages that implementations read differently were accepted.  */
+static void
+test_blank_lines (void)
+{
+  static const char good[] = "\r\n\r\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+  CU_ASSERT_EQUAL (count_accepted (FALSE, good, ""), count_splits (good));
+  CU_ASSERT_EQUAL (
+      count_accepted (FALSE, "\r\n\r\nGET /a HTTP/1.1\nHost: a\n\n", ""), 0);
+  CU_ASSERT_EQUAL (
+      count_accepted (FALSE, "\r\n\r\nGET /a HTTP/1.1\r\nHost: a\r\n c\r\n\r\n",
+                      ""),
+      0);
+}
+
 static CU_TestInfo tests[] = {
   { "messages that arrive in pieces", test_split_messages },
   { "malformed heads that arrive in pieces", test_split_malformed_heads },
+  { "heads without end", test_endless_head },
+  { "blank lines before a message", test_blank_lines },
   CU_TEST_INFO_NULL,
 };
 
