Expect no body after 204 and 304

A 304 may have the Content-Length of the body that a 200 would have. The reader waited for that body, so the caller got no response until its deadline. A 204 with such a field waited likewise. RFC 9112, 6.3: these responses end with their head. Bytes that follow belong to no response.

--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -163,12 +163,20 @@
   return NULL;
 }
 
+/* Returns whether the response has no body, whatever its fields say.  */
+static gboolean
+is_bodiless (const struct http_head *head)
+{
+  return head->status < 200 || head->status == 204 || head->status == 304;
+}
+
 static int
 on_head (http_parser *parser)
 {
   struct http_reader *reader = reader_of (parser);
   struct http_head *head = &reader->head;
   struct str length;
+  gboolean no_body = reader->no_body;
   head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
   if (parser->http_major != 1 || parser->http_minor > 1)
     return set_error (reader, "unsupported HTTP version");
@@ -176,6 +184,7 @@
   if (reader->responses)
     {
       head->status = parser->status_code;
+      no_body |= is_bodiless (head);
       /* The parser also returns FALSE for a response that ends with the
          connection, so look at the fields alone. */
       head->keep_alive
@@ -201,7 +210,7 @@
       return set_error (reader, "stopped by the receiver");
     }
   /* 1: the parser skips the body. Upgrades are not supported. */
-  return reader->no_body ? 1 : 0;
+  return no_body ? 1 : 0;
 }
 
 static int
--- a/tests/unit/test_reader.c
+++ b/tests/unit/test_reader.c
@@ -207,11 +207,27 @@
       0);
 }
 
+/* Responses without a body are complete after their head. A reader that waits
+   for the body that a Content-Length describes waits until the deadline.  */
+static void
+test_no_body (void)
+{
+  static const char not_modified[]
+      = "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n";
+  static const char no_content[]
+      = "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n";
+  CU_ASSERT_EQUAL (count_accepted (TRUE, not_modified, ""),
+                   count_splits (not_modified));
+  CU_ASSERT_EQUAL (count_accepted (TRUE, no_content, ""),
+                   count_splits (no_content));
+}
+
 static CU_TestInfo tests[] = {
   { "messages that arrive in pieces", test_split_messages },
   { "malformed heads that arrive in pieces", test_split_malformed_heads },
   { "heads without end", test_endless_head },
   { "blank lines before a message", test_blank_lines },
+  { "responses without a body", test_no_body },
   CU_TEST_INFO_NULL,
 };
 
