Skip informational responses in the reader, within the limit of a head

A peer could send 1xx responses without end. Each was a message of its own to the reader, with its own limit, so a backend server kept an attempt busy until its deadline; http_client took the first one for the response, and one before the response to a HEAD request made the proxy wait for a body.

The reader now skips them for all of its users. A connection that closes after a 1xx has brought an incomplete message.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -33,11 +33,11 @@
   GString *body;                   /* of a buffered response */
   guint64 sent_before; /* bytes sent on the connection before this request */
   gint64 started;      /* clock time */
-  gboolean new_connection; /* the connection was opened for this attempt */
-  gboolean out_of_sync;    /* the connection has carried a response to another
-                              request */
-  gboolean discarding;     /* the response being read is informational (1xx) or
-                              belongs to another request */
+  gboolean new_connection;   /* the connection was opened for this attempt */
+  gboolean out_of_sync;      /* the connection has carried a response to another
+                                request */
+  gboolean discarding;       /* the response being read belongs to another
+                                request */
   gboolean response_started; /* the head of the response has arrived */
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
@@ -127,12 +127,6 @@
 {
   struct upstream *upstream = ctx;
   upstream->discarding = FALSE;
-  if (head->status < 200)
-    {
-      upstream->discarding = TRUE;
-      upstream->invalid = head->status == 101;
-      return !upstream->invalid;
-    }
   const char *mismatch = request_id_mismatch (upstream, head);
   if (mismatch != NULL)
     {
--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -23,11 +23,14 @@
   struct http_head head;
   enum parse_state state;
   gboolean no_body;       /* the message has none, whatever its head says */
+  gboolean interim;       /* an informational response (1xx) came before */
+  gboolean in_interim;    /* the response being read is one */
   gboolean in_value;      /* the last bytes of a field belong to its value */
   gboolean stopped;       /* a callback has returned FALSE */
   gboolean responses;     /* reads responses, else requests */
   gsize head_limit;       /* bytes */
-  gsize head_bytes;       /* of the current head, received so far */
+  gsize head_bytes;       /* of the current head and of those of informational
+                             responses before it, received so far */
   guint head_end_matched; /* bytes of the CR LF CR LF that ends it, received
                              last */
   gboolean head_begun;    /* a byte other than of blank lines was received */
@@ -184,6 +187,7 @@
   if (reader->responses)
     {
       head->status = parser->status_code;
+      reader->in_interim = head->status < 200;
       no_body |= is_bodiless (head);
       /* The parser also returns FALSE for a response that ends with the
          connection, so look at the fields alone. */
@@ -203,8 +207,11 @@
     return set_error (reader, error_text);
   if (!reader->responses && parser->method == HTTP_CONNECT)
     return set_error (reader, "CONNECT is not supported");
+  if (reader->responses && head->status == 101)
+    return set_error (reader, "switch to another protocol");
   reader->state = IN_BODY;
-  if (reader->handler.head != NULL && !reader->handler.head (reader->ctx, head))
+  if (!reader->in_interim && reader->handler.head != NULL
+      && !reader->handler.head (reader->ctx, head))
     {
       reader->stopped = TRUE;
       return set_error (reader, "stopped by the receiver");
@@ -244,14 +251,15 @@
   .on_message_complete = on_end,
 };
 
+/* Gets ready for the head of the next message.  */
 static void
-restart (struct http_reader *reader)
+restart_parser (struct http_reader *reader)
 {
   http_parser_init (&reader->parser,
                     reader->responses ? HTTP_RESPONSE : HTTP_REQUEST);
   reader->parser.data = reader;
   reader->state = AT_START;
-  reader->head_bytes = 0;
+  reader->in_interim = FALSE;
   reader->head_end_matched = 0;
   reader->head_begun = FALSE;
   reader->last_head_byte = '\0';
@@ -259,6 +267,14 @@
   reader->stopped = FALSE;
 }
 
+static void
+restart (struct http_reader *reader)
+{
+  restart_parser (reader);
+  reader->interim = FALSE;
+  reader->head_bytes = 0;
+}
+
 /* Makes a reader of responses, or of requests if RESPONSES is FALSE.  */
 struct http_reader *
 http_reader_new (gboolean responses, const struct http_reader_handler *handler,
@@ -339,11 +355,11 @@
   return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", text);
 }
 
-gssize
-http_reader_feed (struct http_reader *reader, struct str bytes, struct err *err)
+/* Parses BYTES up to the end of a message, also of an informational response.
+   Returns how many were consumed, or a negative ERR_ code.  */
+static gssize
+feed_message (struct http_reader *reader, struct str bytes, struct err *err)
 {
-  if (reader->state == COMPLETE || bytes.n == 0)
-    return 0;
   if (reader->state == AT_START || reader->state == IN_HEAD)
     {
       const char *error_text = scan_head (reader, bytes);
@@ -357,21 +373,42 @@
   size_t taken
       = http_parser_execute (&reader->parser, &callbacks, bytes.p, bytes.n);
   enum http_errno error = HTTP_PARSER_ERRNO (&reader->parser);
-  if (error == HPE_PAUSED && reader->state == COMPLETE)
+  gboolean complete = error == HPE_PAUSED && reader->state == COMPLETE;
+  if (!complete && (error != HPE_OK || reader->parser.upgrade))
+    return reader_error (reader, err);
+  return (gssize)taken;
+}
+
+gssize
+http_reader_feed (struct http_reader *reader, struct str bytes, struct err *err)
+{
+  gsize taken = 0;
+  while (reader->state != COMPLETE && taken < bytes.n)
     {
-      if (reader->handler.end != NULL)
-        reader->handler.end (reader->ctx);
-      return (gssize)taken;
+      gssize n = feed_message (
+          reader, (struct str){ bytes.p + taken, bytes.n - taken }, err);
+      if (n < 0)
+        return n;
+      taken += (gsize)n;
+      if (reader->state != COMPLETE)
+        continue;
+      if (!reader->in_interim)
+        {
+          if (reader->handler.end != NULL)
+            reader->handler.end (reader->ctx);
+          break;
+        }
+      restart_parser (reader);
+      reader->interim = TRUE;
     }
-  if (error != HPE_OK || reader->parser.upgrade)
-    return reader_error (reader, err);
   return (gssize)taken;
 }
 
 int
 http_reader_finish (struct http_reader *reader, struct err *err)
 {
-  if (reader->state == AT_START || reader->state == COMPLETE)
+  if ((reader->state == AT_START && !reader->interim)
+      || reader->state == COMPLETE)
     return 0;
   http_parser_execute (&reader->parser, &callbacks, NULL, 0);
   if (reader->state != COMPLETE)
@@ -395,11 +432,13 @@
   return &reader->head;
 }
 
-/* Returns whether a message has begun and is not complete.  */
+/* Returns whether a message has begun and is not complete. An informational
+   response begins the one that follows it.  */
 gboolean
 http_reader_in_message (const struct http_reader *reader)
 {
-  return reader->state == IN_HEAD || reader->state == IN_BODY;
+  return reader->state == IN_HEAD || reader->state == IN_BODY
+         || (reader->state == AT_START && reader->interim);
 }
 
 gboolean
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -1,5 +1,8 @@
 /* Incremental parser of HTTP/1.1 messages on one connection. It is strict:
-   input that implementations may interpret differently is an error.  */
+   input that implementations may interpret differently is an error.
+   Informational responses (1xx) are skipped; one that switches protocols is an
+   error; the limit of a head is for the heads of a response, informational ones
+   included.  */
 #ifndef HTTP_READER_H
 #define HTTP_READER_H
 
@@ -10,7 +13,7 @@
    with an error.  */
 struct http_reader_handler
 {
-  /* The head is complete. */
+  /* The head is complete. Not called for informational responses. */
   gboolean (*head) (void *ctx, const struct http_head *head);
   gboolean (*body) (void *ctx, struct str bytes);
   /* The message is complete. The reader takes no bytes until http_reader_next.
@@ -26,7 +29,7 @@
 void http_reader_free (struct http_reader *reader);
 void http_reader_limit_head (struct http_reader *reader, gsize head_bytes);
 /* Parses BYTES and returns how many were consumed, or a negative ERR_ code:
-   ERR_TOO_LARGE for a head over the limit, else ERR_PROTOCOL.  */
+   ERR_TOO_LARGE for heads over the limit, else ERR_PROTOCOL.  */
 gssize http_reader_feed (struct http_reader *reader, struct str bytes,
                          struct err *err);
 /* Ends the input after the peer has closed the connection. Returns ERR_CLOSED
--- a/tests/unit/test_reader.c
+++ b/tests/unit/test_reader.c
@@ -178,6 +178,46 @@
   CU_ASSERT_FALSE (outcome.end);
 }
 
+/* Informational responses are skipped wherever they are split. A reader that
+   reports one as the response fails a call that succeeded.  */
+static void
+test_interim (void)
+{
+  static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n"
+                             "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  CU_ASSERT_EQUAL (count_accepted (TRUE, text, "ok"), count_splits (text));
+}
+
+/* Informational responses without end must not occupy the process for as long
+   as the peer likes, also if each is short.  */
+static void
+test_endless_interim (void)
+{
+  check_endless ("", "HTTP/1.1 100 Continue\r\n\r\n", ERR_TOO_LARGE);
+  check_endless ("", "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n", ERR_TOO_LARGE);
+  check_endless ("HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n"
+                 "Connection: upgrade\r\n\r\n",
+                 "x", ERR_PROTOCOL);
+}
+
+/* A connection that closes after an informational response has not brought the
+   response.  */
+static void
+test_closed_after_interim (void)
+{
+  struct received received = { .body = g_string_new (NULL) };
+  struct http_reader *reader = http_reader_new (TRUE, &handler, &received);
+  struct err err = { 0 };
+  struct str interim = STR_LIT ("HTTP/1.1 100 Continue\r\n\r\n");
+  CU_ASSERT_EQUAL (http_reader_feed (reader, interim, &err), interim.n);
+  CU_ASSERT_TRUE (http_reader_in_message (reader));
+  CU_ASSERT_EQUAL (http_reader_finish (reader, &err), ERR_CLOSED);
+  CU_ASSERT_FALSE (received.complete);
+  http_reader_free (reader);
+  g_string_free (received.body, TRUE);
+}
+
 /* A head, its first line, one field and the blank lines before it must have an
    end, and so must bytes that are no HTTP.  */
 static void
@@ -222,12 +262,33 @@
                    count_splits (no_content));
 }
 
+/* An informational response before the response to a HEAD request does not make
+   the reader wait for a body.  */
+static void
+test_head_after_interim (void)
+{
+  struct received received = { .body = g_string_new (NULL) };
+  struct http_reader *reader = http_reader_new (TRUE, &handler, &received);
+  struct err err = { 0 };
+  struct str text = STR_LIT ("HTTP/1.1 100 Continue\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  http_reader_next (reader, TRUE);
+  CU_ASSERT_EQUAL (http_reader_feed (reader, text, &err), text.n);
+  CU_ASSERT_TRUE (received.complete);
+  http_reader_free (reader);
+  g_string_free (received.body, TRUE);
+}
+
 static CU_TestInfo tests[] = {
   { "messages that arrive in pieces", test_split_messages },
   { "malformed heads that arrive in pieces", test_split_malformed_heads },
+  { "informational responses", test_interim },
+  { "informational responses without end", test_endless_interim },
+  { "closed after an informational response", test_closed_after_interim },
   { "heads without end", test_endless_head },
   { "blank lines before a message", test_blank_lines },
   { "responses without a body", test_no_body },
+  { "HEAD and an informational response", test_head_after_interim },
   CU_TEST_INFO_NULL,
 };
 
