Limit chunk framing and trailers in proportion to the body

Nothing counted what comes between the bytes of a chunked body. http_parser ends one chunk's extension, and trailers, at 80 KiB, but begins anew with each chunk: a peer could send an extension of that length around every byte of a body, 80,000 bytes a byte, for as long as it liked.

The reader counts these bytes. Between two bytes of the body, and after its last one, they may be as many as a head may have; in all, that many and 16 for each byte of the body. A chunk of one byte needs 5. The result does not depend on how the bytes are split.

One extension, one chunk size and trailers without end held before within 80 KiB and are kept as tests, as are legitimate framing (chunks of one byte; a signature in each chunk of 32 bytes) and its splits.

--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -6,6 +6,9 @@
 #define HEAD_BYTES_DEFAULT (64 * 1024) /* default limit of a head */
 #define FIELDS_MAX 200                 /* in a head */
 #define HEAD_END_BYTES 4               /* CR LF CR LF */
+#define FRAMING_PER_BODY_BYTE                                                  \
+  16 /* bytes of chunk framing; a chunk of one byte needs 5, the rest is for   \
+        extensions */
 
 enum parse_state
 {
@@ -35,6 +38,11 @@
                              last */
   gboolean head_begun;    /* a byte other than of blank lines was received */
   char last_head_byte;    /* NUL: none yet */
+  const char *counted;    /* end of the received bytes in BODY_BYTES and
+                             FRAMING_BYTES; valid during http_reader_feed */
+  guint64 body_bytes;     /* of the current message */
+  guint64 framing_bytes;  /* of its chunks and trailers */
+  gsize framing_run;      /* framing bytes since the last byte of the body */
   const char *error_text; /* static text; NULL: none, or of the parser */
 };
 
@@ -220,10 +228,33 @@
   return no_body ? 1 : 0;
 }
 
+/* Counts the bytes of chunk framing and trailers up to TO. Returns whether
+   there are no more of them than the body justifies: otherwise a peer could
+   send framing without end and so occupy the process without a body.  */
+static gboolean
+count_framing (struct http_reader *reader, const char *to)
+{
+  gsize n = (gsize)(to - reader->counted);
+  reader->counted = to;
+  reader->framing_bytes += n;
+  reader->framing_run += n;
+  return reader->framing_run <= reader->head_limit
+         && reader->framing_bytes
+                <= reader->head_limit
+                       + reader->body_bytes * FRAMING_PER_BODY_BYTE;
+}
+
+static const char framing_error[] = "too much chunk framing or trailers";
+
 static int
 on_body (http_parser *parser, const char *at, size_t n)
 {
   struct http_reader *reader = reader_of (parser);
+  if (!count_framing (reader, at))
+    return set_error (reader, framing_error);
+  reader->counted = at + n;
+  reader->body_bytes += n;
+  reader->framing_run = 0;
   if (reader->handler.body != NULL
       && !reader->handler.body (reader->ctx, (struct str){ at, n }))
     {
@@ -265,6 +296,9 @@
   reader->last_head_byte = '\0';
   reader->error_text = NULL;
   reader->stopped = FALSE;
+  reader->body_bytes = 0;
+  reader->framing_bytes = 0;
+  reader->framing_run = 0;
 }
 
 static void
@@ -330,15 +364,14 @@
   return NULL;
 }
 
-/* Scans the part of the head in BYTES, which may begin and end anywhere in it.
-   Returns what is wrong with it, or NULL.  */
+/* Scans the part of the head in BYTES, which may begin and end anywhere in it,
+   and sets N to its length. Returns what is wrong with it, or NULL.  */
 static const char *
-scan_head (struct http_reader *reader, struct str bytes)
+scan_head (struct http_reader *reader, struct str bytes, gsize *n)
 {
-  for (gsize i = 0; i < bytes.n && reader->head_end_matched < HEAD_END_BYTES;
-       i++)
+  for (*n = 0; *n < bytes.n && reader->head_end_matched < HEAD_END_BYTES;)
     {
-      const char *error_text = scan_head_byte (reader, bytes.p[i]);
+      const char *error_text = scan_head_byte (reader, bytes.p[(*n)++]);
       reader->head_bytes++;
       if (error_text != NULL)
         return error_text;
@@ -360,9 +393,10 @@
 static gssize
 feed_message (struct http_reader *reader, struct str bytes, struct err *err)
 {
+  gsize n = 0;
   if (reader->state == AT_START || reader->state == IN_HEAD)
     {
-      const char *error_text = scan_head (reader, bytes);
+      const char *error_text = scan_head (reader, bytes, &n);
       if (reader->head_bytes > reader->head_limit)
         return err_set (err, ERR_TOO_LARGE, "http.read", "",
                         "message head longer than %" G_GSIZE_FORMAT " bytes",
@@ -370,12 +404,15 @@
       if (error_text != NULL)
         return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", error_text);
     }
+  reader->counted = bytes.p + n;
   size_t taken
       = http_parser_execute (&reader->parser, &callbacks, bytes.p, bytes.n);
   enum http_errno error = HTTP_PARSER_ERRNO (&reader->parser);
   gboolean complete = error == HPE_PAUSED && reader->state == COMPLETE;
   if (!complete && (error != HPE_OK || reader->parser.upgrade))
     return reader_error (reader, err);
+  if (!count_framing (reader, MAX (bytes.p + taken, reader->counted)))
+    return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", framing_error);
   return (gssize)taken;
 }
 
--- a/packages/http/reader.h
+++ b/packages/http/reader.h
@@ -1,8 +1,10 @@
 /* Incremental parser of HTTP/1.1 messages on one connection. It is strict:
    input that implementations may interpret differently is an error.
    Informational responses (1xx) are skipped; one that switches protocols is an
-   error; the limit of a head is for the heads of a response, informational ones
-   included.  */
+   error. What a peer can send besides bodies is limited: the heads of a
+   response, informational ones included, to the limit of a head; chunk framing
+   and trailers to that limit between two bytes of the body, and in all to it
+   and a small multiple of the body.  */
 #ifndef HTTP_READER_H
 #define HTTP_READER_H
 
--- a/tests/unit/test_reader.c
+++ b/tests/unit/test_reader.c
@@ -178,6 +178,8 @@
   CU_ASSERT_FALSE (outcome.end);
 }
 
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 /* Informational responses are skipped wherever they are split. A reader that
    reports one as the response fails a call that succeeded.  */
 static void
@@ -218,6 +220,59 @@
   g_string_free (received.body, TRUE);
 }
 
+/* Chunk extensions, chunk sizes and trailers without end, and many chunks with
+   a long extension around each byte of the body.  */
+static void
+test_endless_framing (void)
+{
+  char *extension = g_strnfill (2000, 'e');
+  char *chunk = g_strdup_printf ("1;%s\r\nx\r\n", extension);
+  check_endless (CHUNKED "1;", "e", ERR_PROTOCOL);
+  check_endless (CHUNKED, "0", ERR_PROTOCOL);
+  check_endless (CHUNKED, chunk, ERR_PROTOCOL);
+  check_endless (CHUNKED "1\r\nx\r\n0\r\n", "A: b\r\n", ERR_PROTOCOL);
+  check_endless (CHUNKED "1\r\nx\r\n0\r\nA: ", "b", ERR_PROTOCOL);
+  g_free (chunk);
+  g_free (extension);
+}
+
+/* A long body must not pay for trailers without end.  */
+static void
+test_endless_trailers_after_body (void)
+{
+  char *body = g_strnfill (0x100000, 'x');
+  char *begin = g_strdup_printf (CHUNKED "100000\r\n%s\r\n0\r\n", body);
+  struct outcome outcome = read_long (begin, "A: b\r\n", ENDLESS_BYTES, "");
+  CU_ASSERT_EQUAL (outcome.code, ERR_PROTOCOL);
+  CU_ASSERT_TRUE (outcome.taken <= strlen (begin) + HEAD_LIMIT + PIECE_BYTES);
+  g_free (begin);
+  g_free (body);
+}
+
+/* The limit of framing leaves room for chunks of one byte, for a signature in
+   the extension of a chunk as long as a short event, and for trailers.  */
+static void
+test_framing_within_limit (void)
+{
+  static const char signed_chunk[]
+      = "20;chunk-signature=0123456789abcdef0123456789abcdef0123456789abcdef"
+        "0123456789abcdef\r\ndata: 0123456789abcdef01234567\n\n\r\n";
+  static const char end[] = "0\r\nA: b\r\n\r\n";
+  struct outcome outcome
+      = read_long (CHUNKED, "1\r\nx\r\n", ENDLESS_BYTES, end);
+  CU_ASSERT_TRUE (outcome.end);
+  CU_ASSERT_TRUE (outcome.body >= ENDLESS_BYTES / 6 - PIECE_BYTES);
+  CU_ASSERT_TRUE (read_long (CHUNKED, signed_chunk, ENDLESS_BYTES, end).end);
+}
+
+/* Whether framing is within the limit does not depend on how it is split.  */
+static void
+test_split_framing (void)
+{
+  static const char text[] = CHUNKED "1;a=b\r\nx\r\n0\r\nA: b\r\n\r\n";
+  CU_ASSERT_EQUAL (count_accepted (TRUE, text, "x"), count_splits (text));
+}
+
 /* A head, its first line, one field and the blank lines before it must have an
    end, and so must bytes that are no HTTP.  */
 static void
@@ -285,6 +340,10 @@
   { "informational responses", test_interim },
   { "informational responses without end", test_endless_interim },
   { "closed after an informational response", test_closed_after_interim },
+  { "chunk framing without end", test_endless_framing },
+  { "trailers without end after a body", test_endless_trailers_after_body },
+  { "chunk framing within the limit", test_framing_within_limit },
+  { "chunk framing that arrives in pieces", test_split_framing },
   { "heads without end", test_endless_head },
   { "blank lines before a message", test_blank_lines },
   { "responses without a body", test_no_body },
