Limit the responses to other requests that an attempt skips

What callers saw: a backend server that sends whole responses to other requests without end, or one such response whose body has no end, kept the attempt until the deadline. The request was answered 504 with an unknown outcome, also on a route that may repeat it; the server's health was not charged, and each response was logged.

Cause: upstream.c skips a response with another request's id, however many come and however long they are.

Change: an attempt skips up to 8 such responses and 8 MiB of their bodies (the limit of a buffered body), then fails. A length above that limit fails at once. attempt.lost names the reason of each refusal instead of "stopped by the receiver".

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -22,6 +22,10 @@
 #define KEEP_ALIVE_MARGIN_US                                                   \
   (700 * CLK_MS) /* subtracted from the server's time-out, so that no request  \
                     is sent while the server closes the connection */
+#define STRAY_RESPONSES_MAX                                                    \
+  8 /* responses to other requests that an attempt skips */
+#define STRAY_BODY_MAX                                                         \
+  UPSTREAM_BUFFERED_BODY_MAX /* bytes of all their bodies */
 
 struct upstream
 {
@@ -41,7 +45,10 @@
   gboolean response_started; /* the head of the response has arrived */
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
-  gboolean invalid;          /* the response is unusable */
+  guint stray_responses;     /* that were skipped */
+  gsize stray_bytes;         /* of their bodies */
+  const char *error_text;    /* why the response is unusable, static text;
+                                NULL: the reader says it, or nothing is wrong */
   gboolean is_trial;         /* the server's first request after a backoff */
 };
 
@@ -122,6 +129,39 @@
          && head->status != 304;
 }
 
+/* Ends the reading of the response because of ERROR_TEXT. Returns FALSE.  */
+static gboolean
+refuse (struct upstream *upstream, const char *error_text)
+{
+  upstream->error_text = error_text;
+  return FALSE;
+}
+
+static const char stray_too_long[] = "responses to other requests too long";
+
+/* Begins to skip a response to another request, which MISMATCH tells. Returns
+   FALSE if the response to this one is not waited for any longer.  */
+static gboolean
+skip_stray (struct upstream *upstream, const struct http_head *head,
+            const char *mismatch)
+{
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "answer.stray",
+                                  .request_id = upstream->exchange->id,
+                                  .peer = upstream->server->entry.id },
+             "%s; status=%u", mismatch, head->status);
+  upstream->out_of_sync = TRUE;
+  upstream->discarding = TRUE;
+  if (!head->chunked && !head->has_length)
+    return refuse (upstream,
+                   "response to another request, ends with the connection");
+  if (++upstream->stray_responses > STRAY_RESPONSES_MAX)
+    return refuse (upstream, "too many responses to other requests");
+  if (head->has_length && head->length > STRAY_BODY_MAX)
+    return refuse (upstream, stray_too_long);
+  return TRUE;
+}
+
 static gboolean
 on_head (void *ctx, const struct http_head *head)
 {
@@ -129,23 +169,9 @@
   upstream->discarding = FALSE;
   const char *mismatch = request_id_mismatch (upstream, head);
   if (mismatch != NULL)
-    {
-      log_write (&(struct log_entry){ .level = LOG_WARN,
-                                      .event = "answer.stray",
-                                      .request_id = upstream->exchange->id,
-                                      .peer = upstream->server->entry.id },
-                 "%s; status=%u", mismatch, head->status);
-      upstream->out_of_sync = TRUE;
-      upstream->discarding = TRUE;
-      /* If its body ends with the connection, nothing can follow it. */
-      upstream->invalid = !head->chunked && !head->has_length;
-      return !upstream->invalid;
-    }
+    return skip_stray (upstream, head, mismatch);
   if (!is_authentic (upstream, head))
-    {
-      upstream->invalid = TRUE;
-      return FALSE;
-    }
+    return refuse (upstream, "response without a signature, or encoded");
   check_leaving (upstream, head);
   upstream->response_started = TRUE;
   if (head->status != 421)
@@ -165,7 +191,7 @@
                                   .request_id = upstream->exchange->id,
                                   .peer = upstream->server->entry.id },
              "response cannot continue the stream; status=%u", head->status);
-  return FALSE;
+  return refuse (upstream, "response cannot continue the stream");
 }
 
 static gboolean
@@ -173,11 +199,17 @@
 {
   struct upstream *upstream = ctx;
   if (upstream->discarding)
-    return TRUE;
+    {
+      upstream->stray_bytes += bytes.n;
+      return upstream->stray_bytes <= STRAY_BODY_MAX
+             || refuse (upstream, stray_too_long);
+    }
   if (upstream->relaying)
-    return exchange_relay (upstream->exchange, bytes);
+    return exchange_relay (upstream->exchange, bytes)
+           || refuse (upstream, "body cannot be relayed any further");
   g_string_append_len (upstream->body, bytes.p, (gssize)bytes.n);
-  return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX;
+  return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX
+         || refuse (upstream, "body too long to be buffered");
 }
 
 static void
@@ -334,6 +366,9 @@
       gssize n = http_reader_feed (upstream->http_reader, data, &err);
       if (n < 0)
         {
+          if (upstream->error_text != NULL)
+            err_set (&err, ERR_PROTOCOL, "backend.answer", "", "%s",
+                     upstream->error_text);
           fail_attempt (upstream, &err);
           return;
         }
