Count bytes after a complete response as a failure of the server

What operators saw: nothing. Bytes after a complete response, in the same read or later on the idle connection, closed the connection without a log line, and a server that sends them without end stayed healthy; each of its responses cost a connection.

Change: the request gets its response as before, and its success is counted; then answer.extra is logged, once a connection, and a failure is added to the server's health. The same if the bytes are found when the connection is taken from the pool (tcp_conn_has_input). A connection that the server only closes is no failure. An error response that is counted as a failure itself is not counted twice.

--- a/packages/gate/backend_pool.c
+++ b/packages/gate/backend_pool.c
@@ -3,12 +3,15 @@
    it is closed.  */
 #include "gate/reverse_proxy_internal.h"
 
+#include "base/log.h"
+
 #define IDLE_MAX 32 /* idle connections to one server */
 
 struct idle_connection
 {
   struct backend_pool *backend_pool;
-  GQueue *queue; /* of the server, borrowed */
+  GQueue *queue;                  /* of the server, borrowed */
+  struct registry_server *server; /* referenced */
   GList link;
   struct tcp_conn *tcp_conn; /* owned */
   gint64 idle_since;         /* clock time of the return to the pool */
@@ -27,6 +30,7 @@
 {
   g_queue_unlink (idle_connection->queue, &idle_connection->link);
   tcp_conn_close (idle_connection->tcp_conn);
+  registry_server_unref (idle_connection->server);
   g_free (idle_connection);
 }
 
@@ -59,11 +63,28 @@
   g_free (backend_pool);
 }
 
+/* Records that SERVER has sent bytes after the complete response to a request.
+   REQUEST_ID is NULL if the connection was idle.  */
+void
+backend_pool_record_extra (struct registry_server *server,
+                           const char *request_id)
+{
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "answer.extra",
+                                  .request_id = request_id,
+                                  .peer = server->entry.id },
+             "bytes after a complete response; connection=%s",
+             request_id != NULL ? "used" : "idle");
+  server_health_add_result (&server->server_health, SERVER_HEALTH_FAILURE);
+}
+
 static void
 on_data (void *ctx, struct str data)
 {
+  struct idle_connection *idle_connection = ctx;
   (void)data;
-  idle_connection_free (ctx);
+  backend_pool_record_extra (idle_connection->server, NULL);
+  idle_connection_free (idle_connection);
 }
 
 static void
@@ -105,6 +126,8 @@
       if (now >= idle_connection->reuse_until
           || !tcp_conn_is_idle (idle_connection->tcp_conn))
         {
+          if (tcp_conn_has_input (idle_connection->tcp_conn))
+            backend_pool_record_extra (idle_connection->server, NULL);
           idle_connection_free (idle_connection);
           continue;
         }
@@ -121,8 +144,8 @@
    ownership, and closes TCP_CONN if the pool cannot keep it.  */
 void
 backend_pool_put (struct backend_pool *backend_pool,
-                  const struct registry_server *server,
-                  struct tcp_conn *tcp_conn, gint64 keep_us)
+                  struct registry_server *server, struct tcp_conn *tcp_conn,
+                  gint64 keep_us)
 {
   GQueue *queue = queue_of (backend_pool, server);
   if (queue == NULL)
@@ -140,6 +163,7 @@
   struct idle_connection *idle_connection = g_new0 (struct idle_connection, 1);
   idle_connection->backend_pool = backend_pool;
   idle_connection->queue = queue;
+  idle_connection->server = registry_server_ref (server);
   idle_connection->tcp_conn = tcp_conn;
   idle_connection->idle_since = clk_now (backend_pool->clk);
   idle_connection->reuse_until = idle_connection->idle_since + keep_us;
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -243,8 +243,10 @@
                                     const struct registry_server *server,
                                     gint64 max_idle_us);
 void backend_pool_put (struct backend_pool *backend_pool,
-                       const struct registry_server *server,
+                       struct registry_server *server,
                        struct tcp_conn *tcp_conn, gint64 keep_us);
+void backend_pool_record_extra (struct registry_server *server,
+                                const char *request_id);
 void backend_pool_drop_server (struct backend_pool *backend_pool,
                                const struct registry_server *server);
 guint backend_pool_idle_count (const struct backend_pool *backend_pool);
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -45,6 +45,7 @@
   gboolean response_started; /* the head of the response has arrived */
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
+  gboolean has_extra;        /* bytes have arrived after the response */
   guint stray_responses;     /* that were skipped */
   gsize stray_bytes;         /* of their bodies */
   const char *error_text;    /* why the response is unusable, static text;
@@ -311,7 +312,8 @@
 }
 
 /* Hands the complete response over to the exchange: success, or failure by its
-   status code. Frees UPSTREAM.  */
+   status code. Bytes after it change nothing for the request, but count as a
+   failure of the server. Frees UPSTREAM.  */
 static void
 deliver (struct upstream *upstream, gboolean reusable)
 {
@@ -335,6 +337,8 @@
     {
       server_health_add_result (&upstream->server->server_health,
                                 SERVER_HEALTH_SUCCESS);
+      if (upstream->has_extra)
+        backend_pool_record_extra (upstream->server, exchange->id);
       if (upstream->relaying)
         exchange_end_response (exchange);
       else
@@ -345,7 +349,9 @@
                              : http_head_count (head, header_names->not_run) > 0
                                  ? RETRY_RESULT_REJECTED
                                  : RETRY_RESULT_FAILED;
-  if (result == RETRY_RESULT_FAILED && head->status >= 500)
+  if (upstream->has_extra)
+    backend_pool_record_extra (upstream->server, exchange->id);
+  else if (result == RETRY_RESULT_FAILED && head->status >= 500)
     server_health_add_result (&upstream->server->server_health,
                               SERVER_HEALTH_FAILURE);
   err_set (&err, ERR_UNAVAILABLE, "backend.answer", upstream->server->entry.id,
@@ -378,7 +384,8 @@
         return;
       if (!upstream->discarding)
         {
-          deliver (upstream, data.n == 0);
+          upstream->has_extra = data.n > 0;
+          deliver (upstream, !upstream->has_extra);
           return;
         }
       http_reader_next (upstream->http_reader, FALSE);
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -566,6 +566,15 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Returns whether bytes have arrived that were not read.  */
+gboolean
+tcp_conn_has_input (const struct tcp_conn *conn)
+{
+  char byte;
+  return conn->source != NULL
+         && recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Closes at once, discarding queued output, and frees the connection.  */
 void
 tcp_conn_close (struct tcp_conn *conn)
--- a/tests/unit/test_gate_endless.c
+++ b/tests/unit/test_gate_endless.c
@@ -222,6 +222,10 @@
     g_main_context_iteration (NULL, TRUE);
   CU_ASSERT_TRUE (strncmp (client->in->str, reply->begin, 12) == 0);
   check_closed ();
+  /* Of the successes that are counted too, 304 is none. */
+  CU_ASSERT_EQUAL (endless_health ()->error_rate.n,
+                   1 + g_str_has_prefix (reply->begin, "HTTP/1.1 2"));
+  CU_ASSERT_EQUAL (endless_health ()->consecutive_failures, 1);
   proxy_test_close_client (client);
   stop ();
 }
