Relay what a read has brought in one piece

What callers saw: while a backend server sends a stream of small chunks as fast as it is taken, all other requests of the instance wait, and the stream's own deadline comes late.

Cause: each chunk was relayed alone, with three writes to the client, each a system call. A read of 64 KiB in chunks of 8 bytes took up to 17 ms of processor time, during which the only thread does nothing else; at the deadline upstream_read_arrived makes up to 64 such reads.

Change: upstream.c collects the body that a read has brought and relays it once. What a read brought before an error is still relayed. Events that arrive in one read now count as arriving together in the health statistics, like those of one chunk before.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -34,7 +34,8 @@
   struct registry_server *server;  /* referenced */
   struct tcp_conn *tcp_conn;       /* owned */
   struct http_reader *http_reader; /* owned */
-  GString *body;                   /* of a buffered response */
+  GString *body; /* of a buffered response; of one that is relayed, the bytes
+                    of the present read */
   guint64 sent_before; /* bytes sent on the connection before this request */
   gint64 started;      /* clock time */
   gboolean new_connection;   /* the connection was opened for this attempt */
@@ -205,14 +206,24 @@
       return upstream->stray_bytes <= STRAY_BODY_MAX
              || refuse (upstream, stray_too_long);
     }
-  if (upstream->relaying)
-    return exchange_relay (upstream->exchange, bytes)
-           || refuse (upstream, "body cannot be relayed any further");
   g_string_append_len (upstream->body, bytes.p, (gssize)bytes.n);
   return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX
          || refuse (upstream, "body too long to be buffered");
 }
 
+/* Relays the body that a read has brought, in one piece: for each chunk of it
+   alone, the writes to the client would cost far more than the bytes. Returns
+   FALSE if it cannot be relayed any further.  */
+static gboolean
+relay_read (struct upstream *upstream)
+{
+  struct str bytes = { upstream->body->str, upstream->body->len };
+  gboolean ok = bytes.n == 0 || exchange_relay (upstream->exchange, bytes)
+                || refuse (upstream, "body cannot be relayed any further");
+  g_string_truncate (upstream->body, 0);
+  return ok;
+}
+
 static void
 on_end (void *ctx)
 {
@@ -370,7 +381,7 @@
       struct err err = { 0 };
       upstream->complete = FALSE;
       gssize n = http_reader_feed (upstream->http_reader, data, &err);
-      if (n < 0)
+      if ((upstream->relaying && !relay_read (upstream)) || n < 0)
         {
           if (upstream->error_text != NULL)
             err_set (&err, ERR_PROTOCOL, "backend.answer", "", "%s",
