Skip a response to another request that has no body

What callers saw: 502 with an unknown outcome, although the response followed. Before it the server had sent a 204 or 304 to another request, without a length.

Cause: a response to another request that has no length was taken to end with the connection. 204 and 304 end with their head.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -154,7 +154,8 @@
              "%s; status=%u", mismatch, head->status);
   upstream->out_of_sync = TRUE;
   upstream->discarding = TRUE;
-  if (!head->chunked && !head->has_length)
+  if (!head->chunked && !head->has_length
+      && upstream_has_body (upstream->exchange, head))
     return refuse (upstream,
                    "response to another request, ends with the connection");
   if (++upstream->stray_responses > STRAY_RESPONSES_MAX)
--- a/tests/unit/test_gate_answers.c
+++ b/tests/unit/test_gate_answers.c
@@ -100,11 +100,33 @@
   proxy_test_stop ();
 }
 
+static void
+respond_to_other_without_body (struct proxy_test_link *link,
+                               struct proxy_test_request *request)
+{
+  proxy_test_write (link, request,
+                    "HTTP/1.1 204 No Content\r\nX-Request-Id: another\r\n\r\n"
+                    "HTTP/1.1 304 Not Modified\r\n"
+                    "X-Request-Id: another\r\n\r\n");
+  proxy_test_respond_ok (link, request);
+}
+
+/* A response to another request is skipped also if it has neither a body nor a
+   length: the request was answered 502 though its response followed.  */
+static void
+test_other_without_body (void)
+{
+  start (respond_to_other_without_body);
+  check_requests (3);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "Connection: close", test_connection_close },
   { "informational responses", test_informational },
   { "a response before the body was read", test_early_response },
   { "an upgrade that nobody asked for", test_unasked_upgrade },
+  { "a response to another request, without a body", test_other_without_body },
   CU_TEST_INFO_NULL,
 };
 
