--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -22,6 +22,10 @@
 #define KEEP_ALIVE_MARGIN_US                                                   \
   (700 * CLK_MS) /* subtracted from the server's time-out, so that no request  \
                     is sent while the server closes the connection */
+#define STRAY_RESPONSES_MAX                                                    \
+  8 /* responses to other requests that an attempt skips */
+#define STRAY_BODY_MAX                                                         \
+  UPSTREAM_BUFFERED_BODY_MAX /* bytes of all their bodies */
 
 struct upstream
 {
@@ -30,18 +34,23 @@
   struct registry_server *server;  /* referenced */
   struct tcp_conn *tcp_conn;       /* owned */
   struct http_reader *http_reader; /* owned */
-  GString *body;                   /* of a buffered response */
+  GString *body; /* of a buffered response; of one that is relayed, the bytes
+                    of the present read */
   guint64 sent_before; /* bytes sent on the connection before this request */
   gint64 started;      /* clock time */
-  gboolean new_connection; /* the connection was opened for this attempt */
-  gboolean out_of_sync;    /* the connection has carried a response to another
-                              request */
-  gboolean discarding;     /* the response being read is informational (1xx) or
-                              belongs to another request */
+  gboolean new_connection;   /* the connection was opened for this attempt */
+  gboolean out_of_sync;      /* the connection has carried a response to another
+                                request */
+  gboolean discarding;       /* the response being read belongs to another
+                                request */
   gboolean response_started; /* the head of the response has arrived */
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
-  gboolean invalid;          /* the response is unusable */
+  gboolean has_extra;        /* bytes have arrived after the response */
+  guint stray_responses;     /* that were skipped */
+  gsize stray_bytes;         /* of their bodies */
+  const char *error_text;    /* why the response is unusable, static text;
+                                NULL: the reader says it, or nothing is wrong */
   gboolean is_trial;         /* the server's first request after a backoff */
 };
 
@@ -122,36 +131,50 @@
          && head->status != 304;
 }
 
+/* Ends the reading of the response because of ERROR_TEXT. Returns FALSE.  */
+static gboolean
+refuse (struct upstream *upstream, const char *error_text)
+{
+  upstream->error_text = error_text;
+  return FALSE;
+}
+
+static const char stray_too_long[] = "responses to other requests too long";
+
+/* Begins to skip a response to another request, which MISMATCH tells. Returns
+   FALSE if the response to this one is not waited for any longer.  */
+static gboolean
+skip_stray (struct upstream *upstream, const struct http_head *head,
+            const char *mismatch)
+{
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "answer.stray",
+                                  .request_id = upstream->exchange->id,
+                                  .peer = upstream->server->entry.id },
+             "%s; status=%u", mismatch, head->status);
+  upstream->out_of_sync = TRUE;
+  upstream->discarding = TRUE;
+  if (!head->chunked && !head->has_length
+      && upstream_has_body (upstream->exchange, head))
+    return refuse (upstream,
+                   "response to another request, ends with the connection");
+  if (++upstream->stray_responses > STRAY_RESPONSES_MAX)
+    return refuse (upstream, "too many responses to other requests");
+  if (head->has_length && head->length > STRAY_BODY_MAX)
+    return refuse (upstream, stray_too_long);
+  return TRUE;
+}
+
 static gboolean
 on_head (void *ctx, const struct http_head *head)
 {
   struct upstream *upstream = ctx;
   upstream->discarding = FALSE;
-  if (head->status < 200)
-    {
-      upstream->discarding = TRUE;
-      upstream->invalid = head->status == 101;
-      return !upstream->invalid;
-    }
   const char *mismatch = request_id_mismatch (upstream, head);
   if (mismatch != NULL)
-    {
-      log_write (&(struct log_entry){ .level = LOG_WARN,
-                                      .event = "answer.stray",
-                                      .request_id = upstream->exchange->id,
-                                      .peer = upstream->server->entry.id },
-                 "%s; status=%u", mismatch, head->status);
-      upstream->out_of_sync = TRUE;
-      upstream->discarding = TRUE;
-      /* If its body ends with the connection, nothing can follow it. */
-      upstream->invalid = !head->chunked && !head->has_length;
-      return !upstream->invalid;
-    }
+    return skip_stray (upstream, head, mismatch);
   if (!is_authentic (upstream, head))
-    {
-      upstream->invalid = TRUE;
-      return FALSE;
-    }
+    return refuse (upstream, "response without a signature, or encoded");
   check_leaving (upstream, head);
   upstream->response_started = TRUE;
   if (head->status != 421)
@@ -171,7 +194,7 @@
                                   .request_id = upstream->exchange->id,
                                   .peer = upstream->server->entry.id },
              "response cannot continue the stream; status=%u", head->status);
-  return FALSE;
+  return refuse (upstream, "response cannot continue the stream");
 }
 
 static gboolean
@@ -179,11 +202,27 @@
 {
   struct upstream *upstream = ctx;
   if (upstream->discarding)
-    return TRUE;
-  if (upstream->relaying)
-    return exchange_relay (upstream->exchange, bytes);
+    {
+      upstream->stray_bytes += bytes.n;
+      return upstream->stray_bytes <= STRAY_BODY_MAX
+             || refuse (upstream, stray_too_long);
+    }
   g_string_append_len (upstream->body, bytes.p, (gssize)bytes.n);
-  return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX;
+  return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX
+         || refuse (upstream, "body too long to be buffered");
+}
+
+/* Relays the body that a read has brought, in one piece: for each chunk of it
+   alone, the writes to the client would cost far more than the bytes. Returns
+   FALSE if it cannot be relayed any further.  */
+static gboolean
+relay_read (struct upstream *upstream)
+{
+  struct str bytes = { upstream->body->str, upstream->body->len };
+  gboolean ok = bytes.n == 0 || exchange_relay (upstream->exchange, bytes)
+                || refuse (upstream, "body cannot be relayed any further");
+  g_string_truncate (upstream->body, 0);
+  return ok;
 }
 
 static void
@@ -285,7 +324,8 @@
 }
 
 /* Hands the complete response over to the exchange: success, or failure by its
-   status code. Frees UPSTREAM.  */
+   status code. Bytes after it change nothing for the request, but count as a
+   failure of the server. Frees UPSTREAM.  */
 static void
 deliver (struct upstream *upstream, gboolean reusable)
 {
@@ -309,6 +349,8 @@
     {
       server_health_add_result (&upstream->server->server_health,
                                 SERVER_HEALTH_SUCCESS);
+      if (upstream->has_extra)
+        backend_pool_record_extra (upstream->server, exchange->id);
       if (upstream->relaying)
         exchange_end_response (exchange);
       else
@@ -319,7 +361,9 @@
                              : http_head_count (head, header_names->not_run) > 0
                                  ? RETRY_RESULT_REJECTED
                                  : RETRY_RESULT_FAILED;
-  if (result == RETRY_RESULT_FAILED && head->status >= 500)
+  if (upstream->has_extra)
+    backend_pool_record_extra (upstream->server, exchange->id);
+  else if (result == RETRY_RESULT_FAILED && head->status >= 500)
     server_health_add_result (&upstream->server->server_health,
                               SERVER_HEALTH_FAILURE);
   err_set (&err, ERR_UNAVAILABLE, "backend.answer", upstream->server->entry.id,
@@ -338,8 +382,11 @@
       struct err err = { 0 };
       upstream->complete = FALSE;
       gssize n = http_reader_feed (upstream->http_reader, data, &err);
-      if (n < 0)
+      if ((upstream->relaying && !relay_read (upstream)) || n < 0)
         {
+          if (upstream->error_text != NULL)
+            err_set (&err, ERR_PROTOCOL, "backend.answer", "", "%s",
+                     upstream->error_text);
           fail_attempt (upstream, &err);
           return;
         }
@@ -349,7 +396,8 @@
         return;
       if (!upstream->discarding)
         {
-          deliver (upstream, data.n == 0);
+          upstream->has_extra = data.n > 0;
+          deliver (upstream, !upstream->has_extra);
           return;
         }
       http_reader_next (upstream->http_reader, FALSE);
--- a/packages/http/reader.c
+++ b/packages/http/reader.c
@@ -6,6 +6,9 @@
 #define HEAD_BYTES_DEFAULT (64 * 1024) /* default limit of a head */
 #define FIELDS_MAX 200                 /* in a head */
 #define HEAD_END_BYTES 4               /* CR LF CR LF */
+#define FRAMING_PER_BODY_BYTE                                                  \
+  16 /* bytes of chunk framing; a chunk of one byte needs 5, the rest is for   \
+        extensions */
 
 enum parse_state
 {
@@ -23,14 +26,23 @@
   struct http_head head;
   enum parse_state state;
   gboolean no_body;       /* the message has none, whatever its head says */
+  gboolean interim;       /* an informational response (1xx) came before */
+  gboolean in_interim;    /* the response being read is one */
   gboolean in_value;      /* the last bytes of a field belong to its value */
   gboolean stopped;       /* a callback has returned FALSE */
   gboolean responses;     /* reads responses, else requests */
   gsize head_limit;       /* bytes */
-  gsize head_bytes;       /* of the current head, received so far */
+  gsize head_bytes;       /* of the current head and of those of informational
+                             responses before it, received so far */
   guint head_end_matched; /* bytes of the CR LF CR LF that ends it, received
                              last */
+  gboolean head_begun;    /* a byte other than of blank lines was received */
   char last_head_byte;    /* NUL: none yet */
+  const char *counted;    /* end of the received bytes in BODY_BYTES and
+                             FRAMING_BYTES; valid during http_reader_feed */
+  guint64 body_bytes;     /* of the current message */
+  guint64 framing_bytes;  /* of its chunks and trailers */
+  gsize framing_run;      /* framing bytes since the last byte of the body */
   const char *error_text; /* static text; NULL: none, or of the parser */
 };
 
@@ -162,12 +174,20 @@
   return NULL;
 }
 
+/* Returns whether the response has no body, whatever its fields say.  */
+static gboolean
+is_bodiless (const struct http_head *head)
+{
+  return head->status < 200 || head->status == 204 || head->status == 304;
+}
+
 static int
 on_head (http_parser *parser)
 {
   struct http_reader *reader = reader_of (parser);
   struct http_head *head = &reader->head;
   struct str length;
+  gboolean no_body = reader->no_body;
   head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
   if (parser->http_major != 1 || parser->http_minor > 1)
     return set_error (reader, "unsupported HTTP version");
@@ -175,6 +195,8 @@
   if (reader->responses)
     {
       head->status = parser->status_code;
+      reader->in_interim = head->status < 200;
+      no_body |= is_bodiless (head);
       /* The parser also returns FALSE for a response that ends with the
          connection, so look at the fields alone. */
       head->keep_alive
@@ -193,20 +215,46 @@
     return set_error (reader, error_text);
   if (!reader->responses && parser->method == HTTP_CONNECT)
     return set_error (reader, "CONNECT is not supported");
+  if (reader->responses && head->status == 101)
+    return set_error (reader, "switch to another protocol");
   reader->state = IN_BODY;
-  if (reader->handler.head != NULL && !reader->handler.head (reader->ctx, head))
+  if (!reader->in_interim && reader->handler.head != NULL
+      && !reader->handler.head (reader->ctx, head))
     {
       reader->stopped = TRUE;
       return set_error (reader, "stopped by the receiver");
     }
   /* 1: the parser skips the body. Upgrades are not supported. */
-  return reader->no_body ? 1 : 0;
+  return no_body ? 1 : 0;
+}
+
+/* Counts the bytes of chunk framing and trailers up to TO. Returns whether
+   there are no more of them than the body justifies: otherwise a peer could
+   send framing without end and so occupy the process without a body.  */
+static gboolean
+count_framing (struct http_reader *reader, const char *to)
+{
+  gsize n = (gsize)(to - reader->counted);
+  reader->counted = to;
+  reader->framing_bytes += n;
+  reader->framing_run += n;
+  return reader->framing_run <= reader->head_limit
+         && reader->framing_bytes
+                <= reader->head_limit
+                       + reader->body_bytes * FRAMING_PER_BODY_BYTE;
 }
 
+static const char framing_error[] = "too much chunk framing or trailers";
+
 static int
 on_body (http_parser *parser, const char *at, size_t n)
 {
   struct http_reader *reader = reader_of (parser);
+  if (!count_framing (reader, at))
+    return set_error (reader, framing_error);
+  reader->counted = at + n;
+  reader->body_bytes += n;
+  reader->framing_run = 0;
   if (reader->handler.body != NULL
       && !reader->handler.body (reader->ctx, (struct str){ at, n }))
     {
@@ -234,18 +282,31 @@
   .on_message_complete = on_end,
 };
 
+/* Gets ready for the head of the next message.  */
 static void
-restart (struct http_reader *reader)
+restart_parser (struct http_reader *reader)
 {
   http_parser_init (&reader->parser,
                     reader->responses ? HTTP_RESPONSE : HTTP_REQUEST);
   reader->parser.data = reader;
   reader->state = AT_START;
-  reader->head_bytes = 0;
+  reader->in_interim = FALSE;
   reader->head_end_matched = 0;
+  reader->head_begun = FALSE;
   reader->last_head_byte = '\0';
   reader->error_text = NULL;
   reader->stopped = FALSE;
+  reader->body_bytes = 0;
+  reader->framing_bytes = 0;
+  reader->framing_run = 0;
+}
+
+static void
+restart (struct http_reader *reader)
+{
+  restart_parser (reader);
+  reader->interim = FALSE;
+  reader->head_bytes = 0;
 }
 
 /* Makes a reader of responses, or of requests if RESPONSES is FALSE.  */
@@ -292,6 +353,10 @@
     return "bare line feed";
   if ((byte == ' ' || byte == '\t') && last == '\n')
     return "folded header field";
+  /* Blank lines before a message are no end of its head. */
+  reader->head_begun |= byte != '\r' && byte != '\n';
+  if (!reader->head_begun)
+    return NULL;
   if (byte == end[reader->head_end_matched])
     reader->head_end_matched++;
   else
@@ -299,15 +364,14 @@
   return NULL;
 }
 
-/* Scans the part of the head in BYTES, which may begin and end anywhere in it.
-   Returns what is wrong with it, or NULL.  */
+/* Scans the part of the head in BYTES, which may begin and end anywhere in it,
+   and sets N to its length. Returns what is wrong with it, or NULL.  */
 static const char *
-scan_head (struct http_reader *reader, struct str bytes)
+scan_head (struct http_reader *reader, struct str bytes, gsize *n)
 {
-  for (gsize i = 0; i < bytes.n && reader->head_end_matched < HEAD_END_BYTES;
-       i++)
+  for (*n = 0; *n < bytes.n && reader->head_end_matched < HEAD_END_BYTES;)
     {
-      const char *error_text = scan_head_byte (reader, bytes.p[i]);
+      const char *error_text = scan_head_byte (reader, bytes.p[(*n)++]);
       reader->head_bytes++;
       if (error_text != NULL)
         return error_text;
@@ -324,14 +388,15 @@
   return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", text);
 }
 
-gssize
-http_reader_feed (struct http_reader *reader, struct str bytes, struct err *err)
+/* Parses BYTES up to the end of a message, also of an informational response.
+   Returns how many were consumed, or a negative ERR_ code.  */
+static gssize
+feed_message (struct http_reader *reader, struct str bytes, struct err *err)
 {
-  if (reader->state == COMPLETE || bytes.n == 0)
-    return 0;
+  gsize n = 0;
   if (reader->state == AT_START || reader->state == IN_HEAD)
     {
-      const char *error_text = scan_head (reader, bytes);
+      const char *error_text = scan_head (reader, bytes, &n);
       if (reader->head_bytes > reader->head_limit)
         return err_set (err, ERR_TOO_LARGE, "http.read", "",
                         "message head longer than %" G_GSIZE_FORMAT " bytes",
@@ -339,24 +404,48 @@
       if (error_text != NULL)
         return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", error_text);
     }
+  reader->counted = bytes.p + n;
   size_t taken
       = http_parser_execute (&reader->parser, &callbacks, bytes.p, bytes.n);
   enum http_errno error = HTTP_PARSER_ERRNO (&reader->parser);
-  if (error == HPE_PAUSED && reader->state == COMPLETE)
+  gboolean complete = error == HPE_PAUSED && reader->state == COMPLETE;
+  if (!complete && (error != HPE_OK || reader->parser.upgrade))
+    return reader_error (reader, err);
+  if (!count_framing (reader, MAX (bytes.p + taken, reader->counted)))
+    return err_set (err, ERR_PROTOCOL, "http.read", "", "%s", framing_error);
+  return (gssize)taken;
+}
+
+gssize
+http_reader_feed (struct http_reader *reader, struct str bytes, struct err *err)
+{
+  gsize taken = 0;
+  while (reader->state != COMPLETE && taken < bytes.n)
     {
-      if (reader->handler.end != NULL)
-        reader->handler.end (reader->ctx);
-      return (gssize)taken;
+      gssize n = feed_message (
+          reader, (struct str){ bytes.p + taken, bytes.n - taken }, err);
+      if (n < 0)
+        return n;
+      taken += (gsize)n;
+      if (reader->state != COMPLETE)
+        continue;
+      if (!reader->in_interim)
+        {
+          if (reader->handler.end != NULL)
+            reader->handler.end (reader->ctx);
+          break;
+        }
+      restart_parser (reader);
+      reader->interim = TRUE;
     }
-  if (error != HPE_OK || reader->parser.upgrade)
-    return reader_error (reader, err);
   return (gssize)taken;
 }
 
 int
 http_reader_finish (struct http_reader *reader, struct err *err)
 {
-  if (reader->state == AT_START || reader->state == COMPLETE)
+  if ((reader->state == AT_START && !reader->interim)
+      || reader->state == COMPLETE)
     return 0;
   http_parser_execute (&reader->parser, &callbacks, NULL, 0);
   if (reader->state != COMPLETE)
@@ -380,11 +469,13 @@
   return &reader->head;
 }
 
-/* Returns whether a message has begun and is not complete.  */
+/* Returns whether a message has begun and is not complete. An informational
+   response begins the one that follows it.  */
 gboolean
 http_reader_in_message (const struct http_reader *reader)
 {
-  return reader->state == IN_HEAD || reader->state == IN_BODY;
+  return reader->state == IN_HEAD || reader->state == IN_BODY
+         || (reader->state == AT_START && reader->interim);
 }
 
 gboolean
