Accept blank lines before a request that arrive on their own

A client that sends CR LF in a segment of its own, before a request or after the body of one, ends the process and with it the requests of all others (SIGSEGV).

Cause: the reader skips blank lines and has begun no message after them. downstream_parse took "not within a message" for "request complete" and passed a NULL exchange to exchange_request_complete. Before that it restarted the head time-out, so that with the crash mended alone, a blank line now and then would have kept an idle connection open.

Now a request is complete only if there is an exchange, and the head time-out starts with the first byte of the request line. Blank lines leave the idle time-out as it is.

--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -207,9 +207,8 @@
       struct err err = { 0 };
       struct str bytes = { (const char *)downstream->read_ahead->data,
                            downstream->read_ahead->len };
-      if (!http_reader_in_message (downstream->http_reader)
-          && downstream->exchange == NULL)
-        set_timer (downstream, limits_of (downstream)->header_timeout_us, TRUE);
+      gboolean at_start = !http_reader_in_message (downstream->http_reader)
+                          && downstream->exchange == NULL;
       gssize n = http_reader_feed (downstream->http_reader, bytes, &err);
       if (n < 0)
         {
@@ -218,7 +217,12 @@
           break;
         }
       g_byte_array_remove_range (downstream->read_ahead, 0, (guint)n);
-      if (http_reader_in_message (downstream->http_reader))
+      if (at_start && http_reader_in_head (downstream->http_reader))
+        set_timer (downstream, limits_of (downstream)->header_timeout_us, TRUE);
+      /* Blank lines before a request are no part of it: the idle time-out goes
+         on. */
+      if (http_reader_in_message (downstream->http_reader)
+          || downstream->exchange == NULL)
         continue;
       downstream->served++;
       exchange_request_complete (downstream->exchange);
