Stop parsing pipelined requests while responses are not taken

A client that pipelines requests which the proxy rejects itself, such as requests without a key, and does not read the responses, could fill the memory: each request of some 60 bytes queued a response three times as long, until the connection failed for lack of acknowledgements.

Cause: parsing waited only for a request in progress, never for the queue of output. Local responses are queued at once, so nothing stopped the loop.

Now the next request is parsed only if fewer than DOWNSTREAM_QUEUE_MAX bytes are queued, and parsing goes on when they have been sent. Reading pauses at DOWNSTREAM_READ_AHEAD_MAX as before. An idle timer that finds bytes read ahead waits again; a client that takes nothing is still closed by the silence limit.

test_endless_pipeline, "responses not read": a client that reads nothing sends 17 MB of requests; the proxy may take 12 MB (kernel buffers included). On the unchanged code it took all 17,400,000 bytes and the case failed; now build/tests/test_endless_pipeline: 2 passed, 0 failed. "Read late" passed before and after: all 20,000 responses arrive. That the idle timer waits again has no case of its own. test_gate 34, test_gate_closing 5, test_gate_shutdown 12, test_gate_leaving 11, none failed.

--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -75,9 +75,11 @@
   struct downstream *downstream = data;
   downstream->timer = 0;
   if (!downstream->timer_limits_read
-      && !tcp_conn_is_idle (downstream->tcp_conn))
+      && (downstream->read_ahead->len > 0
+          || !tcp_conn_is_idle (downstream->tcp_conn)))
     {
-      /* A request has arrived and is about to be read. */
+      /* A request has arrived and is about to be read, at the latest when the
+         client has taken the responses to those before. */
       wait_for_request (downstream);
       return G_SOURCE_REMOVE;
     }
@@ -193,6 +195,15 @@
     reject_and_close (downstream, 400, "malformed");
 }
 
+/* Whether the next request is not parsed yet, because the client has not taken
+   the responses to those before.  */
+static gboolean
+output_is_full (const struct downstream *downstream)
+{
+  return downstream->exchange == NULL
+         && tcp_conn_queued (downstream->tcp_conn) >= DOWNSTREAM_QUEUE_MAX;
+}
+
 /* Parses received bytes until a request is complete. Bytes of later pipelined
    requests stay in the buffer until it has got its response. Callbacks must not
    free DOWNSTREAM meanwhile, hence the flag PARSING. May free DOWNSTREAM at the
@@ -202,7 +213,7 @@
 {
   downstream->parsing = TRUE;
   while (!downstream->release_pending && !is_busy (downstream)
-         && downstream->read_ahead->len > 0)
+         && downstream->read_ahead->len > 0 && !output_is_full (downstream))
     {
       struct err err = { 0 };
       struct str bytes = { (const char *)downstream->read_ahead->data,
@@ -269,8 +280,10 @@
 on_drained (void *ctx)
 {
   struct downstream *downstream = ctx;
-  if (downstream->exchange != NULL)
+  if (is_busy (downstream))
     exchange_output_drained (downstream->exchange);
+  else if (downstream->read_ahead->len > 0)
+    downstream_parse (downstream);
 }
 
 static const struct tcp_conn_handler connection = {
