Bound the body of a request to the ready, peer and metrics listeners

A client could send a body without end to one of these listeners: it was read and dropped at full speed until the idle limit of 30 s, then the connection was closed without a response or a log line. A head that came byte by byte, or was too long, ended without one that said so.

Cause: the reader had no callbacks for head and body, and every end but a malformed request was silent.

Now a body over 8 KiB, as much as a head may have, is rejected (413) at its head if that gives the length, else when it is exceeded; a head over the limit gets 431, a request that is not complete in time 408; each is one log line, request.rejected. http_server_new takes an option struct, so that a test need not wait 30 s.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,12 +1,14 @@
 #include "http/server.h"
 
+#include "base/log.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
 #include "net/tcp_listener.h"
 
 #define HEAD_BYTES_MAX 8192 /* of a request */
+#define BODY_BYTES_MAX 8192 /* of a request; they are ignored */
 #define CONNS_MAX 100       /* at one more, the oldest connection is closed */
-#define IDLE_MS 30000       /* a connection without a request is closed */
+#define IDLE_MS 30000       /* default limit for the next complete request */
 #define SILENCE_MS 5000     /* longest time without a TCP acknowledgement */
 
 struct server_conn
@@ -15,8 +17,11 @@
   struct tcp_conn *tcp;       /* owned */
   struct http_reader *reader; /* owned */
   GList link;
-  guint timer;       /* GLib source that closes an idle connection */
-  gboolean complete; /* the request has been read */
+  char peer[ERR_PEER_MAX]; /* IP number, for the log */
+  guint timer;             /* GLib source that closes an idle connection */
+  gsize body_bytes;        /* of the request, received so far */
+  gboolean complete;       /* the request has been read */
+  gboolean body_too_long;
 };
 
 struct http_server
@@ -24,6 +29,7 @@
   struct tcp_listener *listener;
   http_server_handler handler;
   void *ctx;
+  guint idle_ms;
   GQueue conns; /* of struct server_conn, oldest first */
 };
 
@@ -44,12 +50,60 @@
   conn_free (conn);
 }
 
+static void
+send_response (struct server_conn *conn,
+               const struct http_server_response *response, gboolean keep)
+{
+  GString *out = g_string_new (NULL);
+  g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", response->status,
+                          http_reason_phrase (response->status));
+  if (response->type != NULL)
+    http_put_field (out, "Content-Type", "%s", response->type);
+  http_put_field (out, "Content-Length", "%" G_GSIZE_FORMAT,
+                  response->body->len);
+  if (!keep)
+    http_put_field (out, "Connection", "close");
+  g_string_append (out, "\r\n");
+  g_string_append_len (out, response->body->str, (gssize)response->body->len);
+  tcp_conn_write (conn->tcp, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+/* Responds with STATUS to what is no valid request, logs CAUSE and closes the
+   connection.  */
+static void
+reject (struct server_conn *conn, guint status, const char *cause)
+{
+  const struct http_server_response response
+      = { .status = status, .body = g_string_new (NULL) };
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = "request.rejected",
+                                  .step = "http.serve",
+                                  .peer = conn->peer },
+             "status=%u cause=\"%s\"", status, cause);
+  send_response (conn, &response, FALSE);
+  g_string_free (response.body, TRUE);
+  finish_conn (conn);
+}
+
+static void
+reject_error (struct server_conn *conn, const struct err *err)
+{
+  if (conn->body_too_long)
+    reject (conn, 413, "body too long");
+  else
+    reject (conn, err->code == ERR_TOO_LARGE ? 431 : 400, err->text);
+}
+
 static gboolean
 on_idle (gpointer data)
 {
   struct server_conn *conn = data;
   conn->timer = 0;
-  finish_conn (conn);
+  if (http_reader_in_message (conn->reader))
+    reject (conn, 408, "no complete request in time");
+  else
+    finish_conn (conn);
   return G_SOURCE_REMOVE;
 }
 
@@ -57,37 +111,36 @@
 wait_for_request (struct server_conn *conn)
 {
   g_clear_handle_id (&conn->timer, g_source_remove);
-  conn->timer = g_timeout_add (IDLE_MS, on_idle, conn);
+  conn->timer = g_timeout_add (conn->server->idle_ms, on_idle, conn);
 }
 
-static void
-on_end (void *ctx)
+static gboolean
+on_head (void *ctx, const struct http_head *head)
 {
-  ((struct server_conn *)ctx)->complete = TRUE;
+  struct server_conn *conn = ctx;
+  conn->body_bytes = 0;
+  conn->body_too_long = head->has_length && head->length > BODY_BYTES_MAX;
+  return !conn->body_too_long;
 }
 
-static const struct http_reader_handler reader_callbacks
-    = { NULL, NULL, on_end };
+static gboolean
+on_body (void *ctx, struct str bytes)
+{
+  struct server_conn *conn = ctx;
+  conn->body_bytes += bytes.n;
+  conn->body_too_long = conn->body_bytes > BODY_BYTES_MAX;
+  return !conn->body_too_long;
+}
 
 static void
-send_response (struct server_conn *conn,
-               const struct http_server_response *response, gboolean keep)
+on_end (void *ctx)
 {
-  GString *out = g_string_new (NULL);
-  g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", response->status,
-                          http_reason_phrase (response->status));
-  if (response->type != NULL)
-    http_put_field (out, "Content-Type", "%s", response->type);
-  http_put_field (out, "Content-Length", "%" G_GSIZE_FORMAT,
-                  response->body->len);
-  if (!keep)
-    http_put_field (out, "Connection", "close");
-  g_string_append (out, "\r\n");
-  g_string_append_len (out, response->body->str, (gssize)response->body->len);
-  tcp_conn_write (conn->tcp, out->str, out->len);
-  g_string_free (out, TRUE);
+  ((struct server_conn *)ctx)->complete = TRUE;
 }
 
+static const struct http_reader_handler reader_callbacks
+    = { on_head, on_body, on_end };
+
 /* Responds to a complete request. Returns FALSE if the connection was closed
    after it.  */
 static gboolean
@@ -121,11 +174,7 @@
       gssize n = http_reader_feed (conn->reader, data, &err);
       if (n < 0)
         {
-          struct http_server_response bad
-              = { .status = 400, .body = g_string_new (NULL) };
-          send_response (conn, &bad, FALSE);
-          g_string_free (bad.body, TRUE);
-          finish_conn (conn);
+          reject_error (conn, &err);
           return;
         }
       data.p += n;
@@ -158,7 +207,7 @@
   struct server_conn *conn = g_new0 (struct server_conn, 1);
   const struct tcp_conn_options options
       = { .handler = &tcp_callbacks, .ctx = conn, .silence_ms = SILENCE_MS };
-  (void)peer;
+  g_strlcpy (conn->peer, peer, sizeof conn->peer);
   conn->server = server;
   conn->reader = http_reader_new (FALSE, &reader_callbacks, conn);
   http_reader_limit_head (conn->reader, HEAD_BYTES_MAX);
@@ -170,17 +219,17 @@
     finish_conn (server->conns.head->data);
 }
 
-/* Listens on ADDRESS (IP:PORT; with port 0 the kernel chooses one). Returns
-   NULL and sets ERR if it cannot.  */
+/* Listens on the address of OPTIONS. Returns NULL and sets ERR if it cannot. */
 struct http_server *
-http_server_new (const char *address, http_server_handler handler, void *ctx,
-                 struct err *err)
+http_server_new (const struct http_server_options *options, struct err *err)
 {
   struct http_server *server = g_new0 (struct http_server, 1);
-  server->handler = handler;
-  server->ctx = ctx;
+  server->handler = options->handler;
+  server->ctx = options->ctx;
+  server->idle_ms = options->idle_ms ? options->idle_ms : IDLE_MS;
   g_queue_init (&server->conns);
-  server->listener = tcp_listener_new (address, on_accepted, server, err);
+  server->listener
+      = tcp_listener_new (options->address, on_accepted, server, err);
   if (server->listener == NULL)
     g_clear_pointer (&server, g_free);
   return server;
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -21,8 +21,15 @@
 typedef void (*http_server_handler) (void *ctx, const struct http_head *head,
                                      struct http_server_response *response);
 
-struct http_server *http_server_new (const char *address,
-                                     http_server_handler handler, void *ctx,
+struct http_server_options
+{
+  const char *address; /* IP:PORT; with port 0 the kernel chooses one */
+  http_server_handler handler;
+  void *ctx;     /* for the handler */
+  guint idle_ms; /* until a complete request; 0: the default */
+};
+
+struct http_server *http_server_new (const struct http_server_options *options,
                                      struct err *err);
 void http_server_free (struct http_server *server);
 guint http_server_port (const struct http_server *server);
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -122,17 +122,26 @@
   transfer_budget_count (&daemon->transfer_budget, response->body->len);
 }
 
+static struct http_server *
+open_endpoints (struct proxy_daemon *daemon, const char *address,
+                http_server_handler handler, struct err *err)
+{
+  const struct http_server_options options
+      = { .address = address, .handler = handler, .ctx = daemon };
+  return http_server_new (&options, err);
+}
+
 int
 proxy_daemon_endpoints_open (struct proxy_daemon *daemon, struct err *err)
 {
   const struct proxy_settings *settings = daemon->settings;
   daemon->ready_endpoints
-      = http_server_new (settings->listen_ready, on_ready_request, daemon, err);
+      = open_endpoints (daemon, settings->listen_ready, on_ready_request, err);
   daemon->peer_endpoints
-      = http_server_new (settings->listen_peers, on_peer_request, daemon, err);
+      = open_endpoints (daemon, settings->listen_peers, on_peer_request, err);
   if (settings->listen_metrics[0] != '\0')
-    daemon->metrics_endpoints = http_server_new (
-        settings->listen_metrics, on_metrics_request, daemon, err);
+    daemon->metrics_endpoints = open_endpoints (
+        daemon, settings->listen_metrics, on_metrics_request, err);
   gboolean ok = daemon->ready_endpoints != NULL
                 && daemon->peer_endpoints != NULL
                 && (settings->listen_metrics[0] == '\0'
--- /dev/null
+++ b/tests/unit/test_endless_server.c
@@ -0,0 +1,143 @@
+/* Clients of the listeners for readiness, metrics and peers that send without
+   end: what is read, kept and computed for them is bounded.  */
+#include "unit/proxy_fixture.h"
+
+#include "http/server.h"
+
+#define IDLE_MS 300       /* limit for a complete request in the tests */
+#define STEP_MS 20        /* between the pieces that a client sends */
+#define MARGIN_MS 1000    /* for a busy machine */
+#define BODY_BYTES 100000 /* of a response */
+
+static guint handled; /* requests */
+
+static void
+handle (void *ctx, const struct http_head *head,
+        struct http_server_response *response)
+{
+  (void)ctx;
+  (void)head;
+  handled++;
+  response->status = 200;
+  g_string_set_size (response->body, BODY_BYTES);
+  memset (response->body->str, 'x', BODY_BYTES);
+}
+
+static struct http_server *
+start (void)
+{
+  struct err err = { 0 };
+  const struct http_server_options options
+      = { .address = "127.0.0.1:0", .handler = handle, .idle_ms = IDLE_MS };
+  struct http_server *server = http_server_new (&options, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  handled = 0;
+  return server;
+}
+
+/* Sends HEAD, then PIECE every STEP_MS until the connection ends. The server
+   must answer with STATUS (0: with nothing) and end it in time.  */
+static void
+expect_end (const char *head, const char *piece, guint status)
+{
+  struct http_server *server = start ();
+  struct proxy_test_client *client
+      = proxy_test_open_client_port (http_server_port (server));
+  gint64 end = g_get_monotonic_time () + (IDLE_MS + MARGIN_MS) * CLK_MS;
+  proxy_test_send_text (client, head);
+  while (!client->ended && g_get_monotonic_time () < end)
+    {
+      proxy_test_send_text (client, piece);
+      proxy_test_wait_until (proxy_test_has_ended, client, STEP_MS);
+    }
+  CU_ASSERT_TRUE (client->ended);
+  struct proxy_test_response response = proxy_test_parse_response (client);
+  CU_ASSERT_EQUAL (response.status, status);
+  CU_ASSERT_EQUAL (handled, 0);
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  http_server_free (server);
+}
+
+static void
+test_head_byte_by_byte (void)
+{
+  expect_end ("GET /dump HTTP/1.1\r\nX-Long: ", "x", 408);
+}
+
+static void
+test_blank_lines (void)
+{
+  expect_end ("\r\n", "\r\n", 0);
+}
+
+static void
+test_head_without_end (void)
+{
+  char *piece = g_strnfill (4000, 'x');
+  expect_end ("GET /dump HTTP/1.1\r\nX-Long: ", piece, 431);
+  g_free (piece);
+}
+
+static void
+test_body_without_end (void)
+{
+  char *piece = g_strnfill (4000, 'x');
+  char *chunk = g_strdup_printf ("fa0\r\n%s\r\n", piece);
+  expect_end ("POST /dump HTTP/1.1\r\nHost: a\r\n"
+              "Content-Length: 1000000000000\r\n\r\n",
+              piece, 413);
+  expect_end ("POST /dump HTTP/1.1\r\nHost: a\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n",
+              chunk, 413);
+  g_free (chunk);
+  g_free (piece);
+}
+
+static void
+test_body_byte_by_byte (void)
+{
+  expect_end ("POST /dump HTTP/1.1\r\nHost: a\r\nContent-Length: 8000\r\n\r\n",
+              "x", 408);
+}
+
+/* A request, its short body and the next request are served.  */
+static void
+test_requests_in_turn (void)
+{
+  struct http_server *server = start ();
+  struct proxy_test_client *client
+      = proxy_test_open_client_port (http_server_port (server));
+  for (guint i = 0; i < 3; i++)
+    {
+      proxy_test_send_text (client, "POST /dump HTTP/1.1\r\nHost: a\r\n"
+                                    "Content-Length: 4\r\n\r\nbody");
+      struct proxy_test_response response = proxy_test_wait_response (client);
+      CU_ASSERT_EQUAL (response.status, 200);
+      CU_ASSERT_TRUE (response.complete);
+      CU_ASSERT_FALSE (response.closes);
+      CU_ASSERT_EQUAL (response.body->len, BODY_BYTES);
+      proxy_test_response_clear (&response);
+    }
+  CU_ASSERT_EQUAL (handled, 3);
+  proxy_test_close_client (client);
+  http_server_free (server);
+}
+
+static CU_TestInfo tests[] = {
+  { "a head byte by byte", test_head_byte_by_byte },
+  { "blank lines without end", test_blank_lines },
+  { "a head without end", test_head_without_end },
+  { "a body without end", test_body_without_end },
+  { "a body byte by byte", test_body_byte_by_byte },
+  { "requests in turn", test_requests_in_turn },
+  CU_TEST_INFO_NULL,
+};
+
+static CU_SuiteInfo suites[] = {
+  { "listeners and clients that send without end", NULL, NULL, NULL, NULL,
+    tests },
+  CU_SUITE_INFO_NULL,
+};
+
+UNIT_MAIN (suites)
