Serve one request at a time on the ready, peer and metrics listeners

A client that pipelines requests without reading could stop the daemon: all requests of one read of 64 KiB were answered at once, more than a thousand dumps or lists of metrics, and all responses were kept. Requests sent one by one and not read filled the memory the same way.

Cause: on_data looped over the received bytes and queued each response without a look at what was queued.

Now a request that is followed by more bytes is answered with "Connection: close", and the rest is dropped, as RFC 9112 (9.3.2) lets a server do; peers and probes do not pipeline. Reading pauses until the response has been sent.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -141,47 +141,48 @@
 static const struct http_reader_handler reader_callbacks
     = { on_head, on_body, on_end };
 
-/* Responds to a complete request. Returns FALSE if the connection was closed
-   after it.  */
-static gboolean
-serve_request (struct server_conn *conn)
+/* Responds to a complete request. LAST: the connection is closed after it. Else
+   reading pauses until the response has been sent, so that a client that does
+   not read cannot queue more.  */
+static void
+serve_request (struct server_conn *conn, gboolean last)
 {
   const struct http_head *head = http_reader_head (conn->reader);
   struct http_server_response response
       = { .status = 404, .body = g_string_new (NULL) };
-  gboolean keep = head->keep_alive;
+  gboolean keep = head->keep_alive && !last;
   conn->server->handler (conn->server->ctx, head, &response);
   send_response (conn, &response, keep);
   g_string_free (response.body, TRUE);
   if (!keep)
     {
       finish_conn (conn);
-      return FALSE;
+      return;
     }
   http_reader_next (conn->reader, FALSE);
   wait_for_request (conn);
-  return TRUE;
+  tcp_conn_pause (conn->tcp, tcp_conn_queued (conn->tcp) > 0);
 }
 
+/* Reads a request. A pipelined one after it is not served: a client must not
+   make this process write responses faster than it takes them.  */
 static void
 on_data (void *ctx, struct str data)
 {
   struct server_conn *conn = ctx;
-  while (data.n > 0)
-    {
-      struct err err = { 0 };
-      conn->complete = FALSE;
-      gssize n = http_reader_feed (conn->reader, data, &err);
-      if (n < 0)
-        {
-          reject_error (conn, &err);
-          return;
-        }
-      data.p += n;
-      data.n -= (gsize)n;
-      if (conn->complete && !serve_request (conn))
-        return;
-    }
+  struct err err = { 0 };
+  conn->complete = FALSE;
+  gssize n = http_reader_feed (conn->reader, data, &err);
+  if (n < 0)
+    reject_error (conn, &err);
+  else if (conn->complete)
+    serve_request (conn, (gsize)n < data.n);
+}
+
+static void
+on_drained (void *ctx)
+{
+  tcp_conn_pause (((struct server_conn *)ctx)->tcp, FALSE);
 }
 
 static void
@@ -197,8 +198,9 @@
   conn_free (ctx);
 }
 
-static const struct tcp_conn_handler tcp_callbacks
-    = { .data = on_data, .ended = on_ended, .failed = on_failed };
+static const struct tcp_conn_handler tcp_callbacks = {
+  .data = on_data, .ended = on_ended, .failed = on_failed, .drained = on_drained
+};
 
 static void
 on_accepted (void *ctx, int fd, const char *peer)
--- a/tests/unit/test_endless_server.c
+++ b/tests/unit/test_endless_server.c
@@ -8,6 +8,11 @@
 #define STEP_MS 20        /* between the pieces that a client sends */
 #define MARGIN_MS 1000    /* for a busy machine */
 #define BODY_BYTES 100000 /* of a response */
+#define REQUESTS 1000     /* pipelined; they arrive with one read */
+#define RESPONSES_MAX                                                          \
+  200 /* that a client which reads nothing can cause:                          \
+         the kernel takes so many */
+#define REQUEST "GET /dump HTTP/1.1\r\nHost: a\r\n\r\n"
 
 static guint handled; /* requests */
 
@@ -124,6 +129,51 @@
   http_server_free (server);
 }
 
+/* Pipelined requests must not make the process compute and keep a response to
+   each: the first is answered, then the connection ends.  */
+static void
+test_pipelined (void)
+{
+  struct http_server *server = start ();
+  struct proxy_test_client *client
+      = proxy_test_open_client_port (http_server_port (server));
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < REQUESTS; i++)
+    g_string_append (text, REQUEST);
+  proxy_test_send_text (client, text->str);
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, 200);
+  CU_ASSERT_TRUE (response.complete);
+  CU_ASSERT_TRUE (response.closes);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (proxy_test_has_ended, client, PROXY_TEST_WAIT_MS));
+  CU_ASSERT_EQUAL (handled, 1);
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  g_string_free (text, TRUE);
+  http_server_free (server);
+}
+
+/* The same with requests that arrive one by one while nothing is read.  */
+static void
+test_responses_not_read (void)
+{
+  struct http_server *server = start ();
+  struct proxy_test_client *client
+      = proxy_test_open_client_port (http_server_port (server));
+  proxy_test_run_for (STEP_MS);
+  tcp_conn_pause (client->tcp_conn, TRUE);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      proxy_test_send_text (client, REQUEST);
+      for (guint k = 0; k < 4; k++)
+        g_main_context_iteration (NULL, FALSE);
+    }
+  CU_ASSERT_TRUE (handled < RESPONSES_MAX);
+  proxy_test_close_client (client);
+  http_server_free (server);
+}
+
 static CU_TestInfo tests[] = {
   { "a head byte by byte", test_head_byte_by_byte },
   { "blank lines without end", test_blank_lines },
@@ -131,6 +181,8 @@
   { "a body without end", test_body_without_end },
   { "a body byte by byte", test_body_byte_by_byte },
   { "requests in turn", test_requests_in_turn },
+  { "pipelined requests", test_pipelined },
+  { "responses not read", test_responses_not_read },
   CU_TEST_INFO_NULL,
 };
 
