Bound what the poller reads of an engine's response

An engine whose response to a poll has no end filled the memory of the instance for 400 ms per poll, twice a second: 205 to 242 MB of a poll over loopback, each time kept until the time limit and then dropped. The failure was in no log line.

Cause: soup_session_send_and_read_async collects the whole body; the limit of 256 KiB was compared only afterwards.

Now the poller reads at most one byte over the limit, then cancels the request, which closes the connection; a status other than 200 is not read at all. The first of several failures in a row is logged (engine.poll_failed) with its cause.

--- a/packages/backend/engine_poller.c
+++ b/packages/backend/engine_poller.c
@@ -1,5 +1,6 @@
 #include "backend/engine_poller.h"
 #include "backend/json_get.h"
+#include "base/log.h"
 
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
@@ -21,6 +22,7 @@
   gint64 next_event;   /* number of the first event not yet received */
   gboolean pending;    /* a request is under way */
   gboolean events_due; /* the next request is for cache events */
+  gboolean failing;    /* the last request failed, which has been logged */
   guint timeout_timer; /* GLib source; 0: none */
   GCancellable *cancellable;
 };
@@ -105,17 +107,17 @@
     report_event (engine, json_array_get_element (array, i));
 }
 
-/* Reports the events or the load in a response. Ignores a response that is not
-   a JSON object or too large.  */
-static void
-parse_response (struct engine *engine, GBytes *bytes)
+/* Reports the events or the load in a response. Returns FALSE if it is not a
+   JSON object.  */
+static gboolean
+parse_response (struct engine *engine, struct str text)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  gsize n;
-  const char *text = g_bytes_get_data (bytes, &n);
-  if (n > 0 && n <= RESPONSE_MAX
-      && json_parser_load_from_data (parser, text, (gssize)n, NULL)
-      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+  gboolean ok
+      = text.n > 0
+        && json_parser_load_from_data (parser, text.p, (gssize)text.n, NULL)
+        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  if (ok)
     {
       JsonObject *object = json_node_get_object (json_parser_get_root (parser));
       if (json_object_has_member (object, "events"))
@@ -124,40 +126,91 @@
         report_load (engine, object);
     }
   g_object_unref (parser);
+  return ok;
+}
+
+/* Ends the request. CAUSE, NULL if it succeeded, is logged unless the one
+   before failed too. A request that failed is cancelled, which closes its
+   connection, and what still comes of it is ignored.  */
+static void
+finish_request (struct engine *engine, const char *cause)
+{
+  engine->pending = FALSE;
+  g_clear_handle_id (&engine->timeout_timer, g_source_remove);
+  if (cause != NULL && !engine->failing)
+    log_write (&(struct log_entry){ .level = LOG_WARN,
+                                    .event = "engine.poll_failed",
+                                    .step = "backend.poll",
+                                    .peer = engine->name.s },
+               "%s", cause);
+  engine->failing = cause != NULL;
+  if (cause == NULL)
+    return;
+  g_object_set_data (G_OBJECT (engine->cancellable), "engine", NULL);
+  g_cancellable_cancel (engine->cancellable);
+  g_object_unref (engine->cancellable);
+  engine->cancellable = g_cancellable_new ();
+  g_object_set_data (G_OBJECT (engine->cancellable), "engine", engine);
 }
 
+/* The body has been read to its end or over RESPONSE_MAX.  */
 static void
-on_response (GObject *source, GAsyncResult *result, gpointer data)
+on_body (GObject *source, GAsyncResult *result, gpointer data)
+{
+  GCancellable *cancellable = data;
+  struct engine *engine = g_object_get_data (G_OBJECT (cancellable), "engine");
+  const char *buffer = g_object_get_data (G_OBJECT (cancellable), "buffer");
+  GError *error = NULL;
+  gsize n = 0;
+  g_input_stream_read_all_finish (G_INPUT_STREAM (source), result, &n, &error);
+  if (engine != NULL && error != NULL)
+    finish_request (engine, error->message);
+  else if (engine != NULL && n > RESPONSE_MAX)
+    finish_request (engine, "response too large");
+  else if (engine != NULL)
+    finish_request (engine, parse_response (engine, (struct str){ buffer, n })
+                                ? NULL
+                                : "the response is not a JSON object");
+  g_clear_error (&error);
+  g_object_set_data (G_OBJECT (cancellable), "buffer", NULL);
+  g_object_unref (cancellable);
+}
+
+/* Reads the body that follows the response head, one byte over RESPONSE_MAX at
+   most.  */
+static void
+on_head (GObject *source, GAsyncResult *result, gpointer data)
 {
   GCancellable *cancellable = data;
   struct engine *engine = g_object_get_data (G_OBJECT (cancellable), "engine");
   SoupMessage *message
       = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *bytes
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-  if (engine != NULL)
+  GError *error = NULL;
+  GInputStream *stream
+      = soup_session_send_finish (SOUP_SESSION (source), result, &error);
+  if (engine != NULL && stream == NULL)
+    finish_request (engine, error->message);
+  else if (engine != NULL && soup_message_get_status (message) != 200)
+    finish_request (engine, "status other than 200");
+  else if (engine != NULL)
     {
-      engine->pending = FALSE;
-      g_clear_handle_id (&engine->timeout_timer, g_source_remove);
-      if (bytes != NULL && soup_message_get_status (message) == 200)
-        parse_response (engine, bytes);
+      char *buffer = g_malloc (RESPONSE_MAX + 1);
+      g_object_set_data_full (G_OBJECT (cancellable), "buffer", buffer, g_free);
+      g_input_stream_read_all_async (stream, buffer, RESPONSE_MAX + 1,
+                                     G_PRIORITY_DEFAULT, cancellable, on_body,
+                                     g_object_ref (cancellable));
     }
-  g_clear_pointer (&bytes, g_bytes_unref);
+  g_clear_object (&stream);
+  g_clear_error (&error);
   g_object_unref (cancellable);
 }
 
-/* Cancels the request and ignores a late response.  */
 static gboolean
 on_timeout (gpointer data)
 {
   struct engine *engine = data;
   engine->timeout_timer = 0;
-  engine->pending = FALSE;
-  g_object_set_data (G_OBJECT (engine->cancellable), "engine", NULL);
-  g_cancellable_cancel (engine->cancellable);
-  g_object_unref (engine->cancellable);
-  engine->cancellable = g_cancellable_new ();
-  g_object_set_data (G_OBJECT (engine->cancellable), "engine", engine);
+  finish_request (engine, "no complete response in time");
   return G_SOURCE_REMOVE;
 }
 
@@ -201,8 +254,8 @@
   engine->pending = TRUE;
   engine->timeout_timer = g_timeout_add (
       (guint)(ENGINE_POLLER_TIMEOUT_US / CLK_MS), on_timeout, engine);
-  soup_session_send_and_read_async (
-      poller->session, message, G_PRIORITY_DEFAULT, engine->cancellable,
-      on_response, g_object_ref (engine->cancellable));
+  soup_session_send_async (poller->session, message, G_PRIORITY_DEFAULT,
+                           engine->cancellable, on_head,
+                           g_object_ref (engine->cancellable));
   g_object_unref (message);
 }
