End a request that carries orders once its response is too large

An engine whose response to an order has no end was read at full speed until the time limit of the order, and the reconciler learned only then that the order had failed. Nothing logged it.

Cause: the bytes over the limit of 64 KiB were dropped, but the call went on.

Now the call is cancelled, which closes its connection, and the response is delivered at once with the code that it had before: ERR_TOO_LARGE for 200, ERR_CONFLICT for a 409 to an order. Each failed request is one log line, order.failed; the reconciler's back-off bounds them.

test_endless_engine, new cases of orders with bodies and heads without end, at full speed and byte by byte. On the unchanged code "orders: a body without end" failed (no response within 600 ms, over 12 MB taken), the others passed. Now build/tests/test_endless_engine: 9 passed, 0 failed; test_orh: 6 passed, 0 failed.

--- a/packages/backend/order_client.c
+++ b/packages/backend/order_client.c
@@ -3,6 +3,7 @@
 
 #include "backend/backend_client.h"
 #include "backend/json_get.h"
+#include "base/log.h"
 
 #include <string.h>
 
@@ -20,11 +21,13 @@
 struct request
 {
   struct order_client *client; /* borrowed */
+  struct backend_call *call;   /* borrowed */
+  struct str_id backend;
   guint64 token;
   gboolean post;
   guint status;       /* HTTP status; 0: not received yet */
   GString *body;      /* received so far, at most RESPONSE_MAX */
-  gboolean too_large; /* the rest of the body was dropped */
+  gboolean too_large; /* the body exceeds RESPONSE_MAX */
 };
 
 static void
@@ -63,16 +66,6 @@
   ((struct request *)ctx)->status = status;
 }
 
-static void
-on_data (void *ctx, struct str data)
-{
-  struct request *request = ctx;
-  if (request->body->len + data.n > RESPONSE_MAX)
-    request->too_large = TRUE;
-  else
-    g_string_append_len (request->body, data.p, (gssize)data.n);
-}
-
 /* Returns the error code of a request without a complete response. Unless part
    of the request may have been sent, the engine cannot have applied it.  */
 static int
@@ -138,6 +131,13 @@
                   struct reconciler_response *response)
 {
   const struct order_client_options *options = &request->client->options;
+  if (response->code != 0)
+    log_write (&(struct log_entry){ .level = LOG_WARN,
+                                    .event = "order.failed",
+                                    .step = "backend.order",
+                                    .peer = request->backend.s },
+               "%s; status=%u received=%" G_GSIZE_FORMAT,
+               err_name (response->code), request->status, request->body->len);
   options->response (options->ctx, request->token, response);
 }
 
@@ -165,23 +165,47 @@
   g_object_unref (parser);
 }
 
+/* Delivers the response, of which the head and some or all of the body have
+   been received, and frees REQUEST.  */
+static void
+finish_with_body (struct request *request)
+{
+  struct reconciler_response response = { .code = get_status_error (request) };
+  g_hash_table_steal (request->client->requests, request);
+  deliver_body (request, &response);
+  free_request (request);
+}
+
+/* Collects the body. One over the limit ends the request, so that an engine
+   which goes on sending is not read until the time limit.  */
+static void
+on_data (void *ctx, struct str data)
+{
+  struct request *request = ctx;
+  request->too_large = request->body->len + data.n > RESPONSE_MAX;
+  if (!request->too_large)
+    {
+      g_string_append_len (request->body, data.p, (gssize)data.n);
+      return;
+    }
+  backend_call_cancel (request->call);
+  finish_with_body (request);
+}
+
 static void
 on_end (void *ctx, enum msg_result result, gboolean sent, const struct err *err)
 {
   struct request *request = ctx;
   struct reconciler_response response = { 0 };
   (void)err;
-  g_hash_table_steal (request->client->requests, request);
   if (result == MSG_RESULT_OK)
     {
-      response.code = get_status_error (request);
-      deliver_body (request, &response);
-    }
-  else
-    {
-      response.code = get_result_error (result, sent);
-      deliver_response (request, &response);
+      finish_with_body (request);
+      return;
     }
+  g_hash_table_steal (request->client->requests, request);
+  response.code = get_result_error (result, sent);
+  deliver_response (request, &response);
   free_request (request);
 }
 
@@ -215,6 +239,7 @@
   GBytes *body = order->post ? encode_order (order) : NULL;
   gint64 timeout_us = MIN (order->timeout_us, LEASE_ORDER_DELIVERY_MAX_US);
   request->client = client;
+  request->backend = backend->name;
   request->token = token;
   request->post = order->post;
   request->body = g_string_new (NULL);
@@ -234,7 +259,7 @@
     .end = on_end,
     .ctx = request,
   };
-  backend_call_open (client->http, &options);
+  request->call = backend_call_open (client->http, &options);
   g_clear_pointer (&body, g_bytes_unref);
   soup_message_headers_unref (headers);
 }
--- a/tests/unit/test_endless_engine.c
+++ b/tests/unit/test_endless_engine.c
@@ -7,6 +7,8 @@
 
 #define PIECE_BYTES 65536
 #define MARGIN_MS 2000 /* for a busy machine */
+#define ORDER_TIMEOUT_MS 1000
+#define SOON_MS 600 /* less than that */
 #define HEAD "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
 struct fixture
@@ -14,7 +16,10 @@
   struct endless_peer peer;
   struct cluster_backend backend;
   struct engine_poller *poller;
+  struct order_client *order_client;
   guint loads;
+  guint responses; /* to orders */
+  int code;        /* of the last one */
   char *piece;
 };
 
@@ -38,6 +43,16 @@
   (void)cached;
 }
 
+static void
+on_order_response (void *ctx, guint64 token,
+                   const struct reconciler_response *response)
+{
+  struct fixture *f = ctx;
+  (void)token;
+  f->responses++;
+  f->code = response->code;
+}
+
 /* Starts an engine that answers with BEGINNING and then repeats UNIT, in large
    pieces unless it drips.  */
 static void
@@ -46,6 +61,8 @@
 {
   const struct engine_poller_options options
       = { .load = on_load, .cache = on_cache, .ctx = f };
+  const struct order_client_options order_options
+      = { .response = on_order_response, .ctx = f };
   GString *piece = g_string_new (unit);
   memset (f, 0, sizeof *f);
   while (!drips && piece->len > 0 && piece->len < PIECE_BYTES)
@@ -56,12 +73,14 @@
   str_id_set (&f->backend.name, STR_LIT ("e1"));
   g_strlcpy (f->backend.address, f->peer.address, sizeof f->backend.address);
   f->poller = engine_poller_new (&options);
+  f->order_client = order_client_new (&order_options);
 }
 
 static void
 stop (struct fixture *f)
 {
   engine_poller_free (f->poller);
+  order_client_free (f->order_client);
   endless_peer_stop (&f->peer);
   while (g_main_context_iteration (NULL, FALSE))
     ;
@@ -124,6 +143,59 @@
                     "HTTP/1.1 100 Continue\r\n\r\n", TRUE);
 }
 
+/* Sends an order. It must fail with CODE within MS, with its connection closed
+   and without having read much.  */
+static void
+expect_order_fails (const char *beginning, const char *unit, gboolean drips,
+                    int code, gint64 ms)
+{
+  struct fixture f;
+  struct reconciler_request order = { .post = TRUE,
+                                      .fence = 12,
+                                      .id = "12-1",
+                                      .kind = RECONCILER_SET_ROLE,
+                                      .timeout_us = ORDER_TIMEOUT_MS * CLK_MS };
+  start (&f, beginning, unit, drips);
+  str_id_set (&order.name, STR_LIT ("decode"));
+  order_client_start (f.order_client, 7, &f.backend, &order);
+  CU_ASSERT_TRUE (endless_wait (&f.responses, 1, ms));
+  CU_ASSERT_EQUAL (f.code, code);
+  CU_ASSERT_TRUE (endless_wait (&f.peer.closed, 1, MARGIN_MS));
+  CU_ASSERT_TRUE (endless_peer_sent (&f.peer) < ENDLESS_KERNEL_MAX);
+  endless_wait (&f.responses, 2, ENDLESS_DRIP_MS);
+  CU_ASSERT_EQUAL (f.responses, 1);
+  stop (&f);
+}
+
+/* An order is not read until its time limit if its body is too long before.  */
+static void
+test_order_body (void)
+{
+  expect_order_fails (HEAD "\r\n{", " ", FALSE, ERR_TOO_LARGE, SOON_MS);
+  expect_order_fails (HEAD "Transfer-Encoding: chunked\r\n\r\n",
+                      "4\r\n    \r\n", FALSE, ERR_TOO_LARGE, SOON_MS);
+  expect_order_fails ("HTTP/1.1 409 Conflict\r\n\r\n", " ", FALSE, ERR_CONFLICT,
+                      SOON_MS);
+}
+
+static void
+test_order_slow (void)
+{
+  expect_order_fails (HEAD "\r\n{", " ", TRUE, ERR_TIMEOUT,
+                      ORDER_TIMEOUT_MS + MARGIN_MS);
+  expect_order_fails (HEAD "X-Long: ", "x", TRUE, ERR_TIMEOUT,
+                      ORDER_TIMEOUT_MS + MARGIN_MS);
+}
+
+static void
+test_order_head (void)
+{
+  expect_order_fails (HEAD "X-Long: ", "x", FALSE, ERR_IO,
+                      ORDER_TIMEOUT_MS + MARGIN_MS);
+  expect_order_fails (HEAD, "X-Field: x\r\n", FALSE, ERR_IO,
+                      ORDER_TIMEOUT_MS + MARGIN_MS);
+}
+
 /* Complete responses are reported, and the connection is kept.  */
 static void
 test_polls_in_turn (void)
@@ -146,6 +218,9 @@
   { "polling: a head without end", test_poll_head },
   { "polling: a head byte by byte", test_poll_head_slow },
   { "polling: interim responses without end", test_poll_interim },
+  { "orders: a body without end", test_order_body },
+  { "orders: a response byte by byte", test_order_slow },
+  { "orders: a head without end", test_order_head },
   CU_TEST_INFO_NULL,
 };
 
