--- a/tests/unit/test_endless_store.c
+++ b/tests/unit/test_endless_store.c
@@ -14,6 +14,7 @@
 #define PAGE_ITEMS 500
 #define ENTRIES_MAX 4096
 #define HEAD "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
 #define SERVER                                                                 \
   "{\"service\":\"s1\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a-1\","      \
   "\"version\":\"v1\",\"max_batch\":64,\"state\":\"ready\","                   \
@@ -116,6 +117,76 @@
   expect_read_fails (HEAD "X-Long: ", "x", TRUE, ERR_TIMEOUT);
 }
 
+/* Interim responses are no answer, but may precede one.  */
+static void
+test_interim (void)
+{
+  expect_read_fails (INTERIM, INTERIM, FALSE, ERR_PROTOCOL);
+  expect_read_fails (INTERIM, INTERIM, TRUE, ERR_TIMEOUT);
+}
+
+static void
+respond_after_interim (struct proxy_test_link *link,
+                       struct proxy_test_request *request)
+{
+  tcp_conn_write (link->tcp_conn, INTERIM INTERIM, strlen (INTERIM INTERIM));
+  proxy_test_run_for (ENDLESS_DRIP_MS);
+  proxy_test_respond (link, request, "404 Not Found", "", "{}");
+}
+
+/* With an interim response taken for the answer, the answer itself would be
+   taken for that to the next request.  */
+static void
+test_answer_after_interim (void)
+{
+  proxy_test_start (0);
+  proxy_test.servers[0].script = respond_after_interim;
+  struct platform_adapter *adapter
+      = open_adapter (proxy_test.servers[0].address);
+  for (guint i = 0; i < 3; i++)
+    {
+      observed.results = 0;
+      adapter_read_config (adapter, on_config, NULL);
+      CU_ASSERT_TRUE (
+          proxy_test_wait_until (has_result, NULL, PROXY_TEST_WAIT_MS));
+      CU_ASSERT_EQUAL (observed.code, ERR_NOT_FOUND);
+    }
+  CU_ASSERT_EQUAL (proxy_test.servers[0].connections, 1);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), 3);
+  adapter_free (adapter);
+  proxy_test_stop ();
+}
+
+/* Bytes after a response, in the same segment or later, close the connection
+   and do not harm the next read.  */
+static void
+test_bytes_after_response (void)
+{
+  struct endless_peer peer;
+  proxy_test_start (0);
+  for (guint drips = 0; drips < 2; drips++)
+    {
+      endless_peer_start (&peer,
+                          "HTTP/1.1 404 Not Found\r\n"
+                          "Content-Length: 0\r\n\r\n",
+                          STR_LIT ("HTTP/1.1 200 OK\r\n\r\n"), drips);
+      struct platform_adapter *adapter = open_adapter (peer.address);
+      for (guint i = 1; i <= 2; i++)
+        {
+          adapter_read_config (adapter, on_config, NULL);
+          CU_ASSERT_TRUE (
+              endless_wait (&observed.results, i, TIMEOUT_MS + MARGIN_MS));
+          CU_ASSERT_EQUAL (observed.code, ERR_NOT_FOUND);
+          CU_ASSERT_TRUE (endless_wait (&peer.closed, i, MARGIN_MS));
+        }
+      CU_ASSERT_EQUAL (peer.connections, 2);
+      CU_ASSERT_TRUE (endless_peer_sent (&peer) < 2 * ENDLESS_KERNEL_MAX);
+      adapter_free (adapter);
+      endless_peer_stop (&peer);
+    }
+  proxy_test_stop ();
+}
+
 static guint page_items;      /* in a page of the scripted store */
 static gboolean page_repeats; /* the store ignores which page is wanted */
 static guint page_delay_ms;
@@ -229,6 +300,9 @@
   { "a body byte by byte", test_body_slow },
   { "a head without end", test_head },
   { "a head byte by byte", test_head_slow },
+  { "interim responses without end", test_interim },
+  { "an answer after interim responses", test_answer_after_interim },
+  { "bytes after a response", test_bytes_after_response },
   { "a list of small pages without end", test_list_of_small_pages },
   { "a list that repeats a page", test_list_repeats_page },
   { "a list of too many servers", test_list_too_long },
