--- a/tests/unit/test_pob.c
+++ b/tests/unit/test_pob.c
@@ -314,6 +314,22 @@
   stop_fake_store ();
 }
 
+/* A store that answers 410 to reads too must not get requests as fast as it
+   answers.  */
+static void
+test_watch_gone_for_good (void)
+{
+  start_fake_store ();
+  struct object_client *client = new_client ();
+  fake_store.mode = MODE_STATUS;
+  fake_store.status = 410;
+  struct outcome outcome = run (client, STORAGE_WATCH, 3, NULL, 1500 * CLK_MS);
+  CU_ASSERT_EQUAL (outcome.code, ERR_TIMEOUT);
+  CU_ASSERT_TRUE (fake_store.requests <= 4);
+  object_client_free (client);
+  stop_fake_store ();
+}
+
 static void
 test_status_codes (void)
 {
@@ -425,6 +441,7 @@
   { "reads and conditional writes", test_get_and_put },
   { "a watch without changes", test_watch },
   { "a watch without history", test_watch_without_history },
+  { "a watch and reads without history", test_watch_gone_for_good },
   { "statuses map to codes, without retries", test_status_codes },
   { "after a lost response a write's outcome is unknown", test_lost_responses },
   { "redirects are not followed", test_follows_no_redirect },
