Bound what is read of a client while its last response is sent

A client that takes its last response slowly could go on sending at full speed for as long as it took a byte of it every 8 s: all of it was read and dropped.

Cause: a connection that is being finished discards input in both phases, while output is queued and afterwards. Only the second one ends soon.

Now reading pauses after 4 MiB, the default limit of a request body, until the output has been sent; then what is left is discarded for the 2 to 4 s of lingering as before.

test_endless_client, "bytes while the last response is sent": a client that does not read sends 64 MiB after its request; within 3 s the kernel and the proxy may take 24 MiB, and the response of 7 MiB must arrive afterwards.

--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -16,6 +16,9 @@
 #define FLUSH_STALL_MS                                                         \
   8000 /* a finished connection is closed if the peer takes no byte of its     \
           output for this time, checked as often */
+#define DISCARD_MAX                                                            \
+  (4 * 1024 * 1024) /* bytes read of a peer while the last output is sent; as  \
+                       many as a request body may have by default */
 #define SILENCE_CHECKS 4    /* during the longest silence of a peer */
 #define COMPACT_BYTES 65536 /* most sent bytes kept in OUT */
 
@@ -342,7 +345,12 @@
       return TRUE;
     }
   if (conn->finishing)
-    conn->discarded += (gsize)n;
+    {
+      conn->discarded += (gsize)n;
+      /* Lingering, which resumes reading, ends soon; sending may take long. */
+      if (!conn->lingering && conn->discarded > DISCARD_MAX)
+        conn->paused = TRUE;
+    }
   else if (conn->handler.data != NULL)
     conn->handler.data (conn->ctx, (struct str){ buffer, (gsize)n });
   return TRUE;
--- a/tests/unit/test_endless_client.c
+++ b/tests/unit/test_endless_client.c
@@ -7,6 +7,10 @@
 #define STEP_MS 20            /* between the pieces that a client sends */
 #define MARGIN_MS 1000        /* for a busy machine */
 #define LINGER_MAX_MS 4000    /* from the last response to the close */
+#define FLOOD_BYTES (64 * 1024 * 1024)
+#define FLOOD_MS 3000
+/* Of them, what the kernel and the proxy may take while a response is sent. */
+#define FLOOD_TAKEN_MAX (24 * 1024 * 1024)
 
 static void
 start (void)
@@ -158,6 +162,46 @@
   proxy_test_stop ();
 }
 
+static gboolean
+flood_is_taken (void *ctx)
+{
+  const struct proxy_test_client *client = ctx;
+  return tcp_conn_sent (client->tcp_conn) > FLOOD_TAKEN_MAX;
+}
+
+static gboolean
+has_responded (void *ctx)
+{
+  (void)ctx;
+  return proxy_test.counter_set.v[COUNTER_ANSWERED] == 1;
+}
+
+/* The same while the last response waits for a client that does not read: that
+   may take long, so the bytes are bounded. The response still arrives.  */
+static void
+test_bytes_during_close (void)
+{
+  start ();
+  proxy_test_script_all (proxy_test_respond_long);
+  struct proxy_test_client *client = proxy_test_open_stalled_client ();
+  char *flood = g_strnfill (FLOOD_BYTES, 'x');
+  proxy_test_send_request (client, "/open/x", "Connection: close\r\n");
+  CU_ASSERT_TRUE_FATAL (
+      proxy_test_wait_until (has_responded, NULL, PROXY_TEST_WAIT_MS));
+  tcp_conn_write (client->tcp_conn, flood, FLOOD_BYTES);
+  CU_ASSERT_FALSE (proxy_test_wait_until (flood_is_taken, client, FLOOD_MS));
+  tcp_conn_pause (client->tcp_conn, FALSE);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (proxy_test_has_ended, client, PROXY_TEST_WAIT_MS));
+  struct proxy_test_response response = proxy_test_parse_response (client);
+  CU_ASSERT_TRUE (response.complete);
+  CU_ASSERT_EQUAL (response.body->len, PROXY_TEST_LONG_BYTES);
+  proxy_test_response_clear (&response);
+  proxy_test_close_client (client);
+  g_free (flood);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "a head byte by byte", test_head_byte_by_byte },
   { "a head without end", test_head_too_long },
@@ -166,6 +210,7 @@
   { "a body without end", test_body_without_end },
   { "trailers without end", test_trailers_without_end },
   { "bytes after the last response", test_bytes_after_close },
+  { "bytes while the last response is sent", test_bytes_during_close },
   CU_TEST_INFO_NULL,
 };
 
