End a stream with an error when its position is rejected

A client got a stream that ended properly and without an error although its text was cut: the engine had failed, and the one that was asked to continue answered 400, 404 or another status below 500.

Such a response was read as the answer to the request and the request completed with it. For a stream that has begun nothing of it can be relayed, so the response only ended the body.

After the begin of the stream, a status other than 200 now fails the attempt: another engine is asked, and without one the stream ends with the error event. The log line of an attempt that its status ends names the status.

On the code before, test_ing_resume "the position is rejected" failed: 2 requests reached engines instead of 3, and no error followed the first text. build/tests/test_ing_resume: 4 passed, 0 failed.

--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -275,7 +275,8 @@
 
 /* Returns the result with which an attempt ends at once because of its
    response's STATUS and HEADERS, or MSG_RESULT_OK if the response is read on.
- */
+   A stream that has begun can be continued by events only: any other response
+   would end it without an error.  */
 static enum msg_result
 classify_head (const struct ingress_request *request, guint status,
                SoupMessageHeaders *headers)
@@ -289,7 +290,7 @@
     return MSG_RESULT_LEAVING;
   if (status == 429 || status == 503)
     return MSG_RESULT_BUSY;
-  if (status >= 500)
+  if (status >= 500 || (request->stream_started && status != 200))
     return MSG_RESULT_BROKEN;
   return MSG_RESULT_OK;
 }
@@ -301,8 +302,11 @@
   enum msg_result result = classify_head (request, status, headers);
   if (result != MSG_RESULT_OK)
     {
+      struct err err;
+      err_set (&err, ERR_PROTOCOL, "backend.read", request->server.s,
+               "status %u", status);
       cancel_attempt (request);
-      report_attempt_end (request, result, result == MSG_RESULT_BROKEN, NULL);
+      report_attempt_end (request, result, result == MSG_RESULT_BROKEN, &err);
       return;
     }
   request->status = status;
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -505,6 +505,23 @@
     }
 }
 
+/* The engine that shall continue the stream rejects the position. The client
+   got an end without an error, as if the stream were whole.  */
+static void
+test_position_rejected (void)
+{
+  struct fixture f;
+  RUN (&f, TEXT_PATH, TEXT_REQUEST, { TEXT ("a"), END_CUT },
+       { "{\"error\":{}}", END_WHOLE, "400 Bad Request", "application/json" },
+       { TEXT ("z") DONE, END_WHOLE });
+  check_whole (&f, TEXT ("a") TEXT ("z") DONE, 3);
+  stop (&f);
+  RUN (&f, TEXT_PATH, TEXT_REQUEST, { TEXT ("a"), END_CUT },
+       { "", END_WHOLE, "400 Bad Request" }, { "", END_WHOLE, "404 No" });
+  check_error (&f, TEXT ("a"), 3);
+  stop (&f);
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -552,6 +569,7 @@
 
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
+  { "the position is rejected", test_position_rejected },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   CU_TEST_INFO_NULL,
