Relay a response as a stream only if it is one

A client that asked for a stream could get the pieces of an HTML page or of a JSON object as events, also in the middle of its stream.

A response of status 200 to a request for a stream was split at its empty lines whatever its type.

A Content-Type other than text/event-stream now fails the attempt, as the end without [DONE] did before, but with nothing relayed. A response without the field is still taken for a stream. The log line names the type.

--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -276,11 +276,13 @@
 /* Returns the result with which an attempt ends at once because of its
    response's STATUS and HEADERS, or MSG_RESULT_OK if the response is read on.
    A stream that has begun can be continued by events only: any other response
-   would end it without an error.  */
+   would end it without an error. Nor is a body of another type split into
+   events.  */
 static enum msg_result
 classify_head (const struct ingress_request *request, guint status,
                SoupMessageHeaders *headers)
 {
+  const char *type = soup_message_headers_get_content_type (headers, NULL);
   const char *leaving
       = soup_message_headers_get_one (headers, "Jacinthward-Leaving");
   if (!request->to_engine)
@@ -292,6 +294,9 @@
     return MSG_RESULT_BUSY;
   if (status >= 500 || (request->stream_started && status != 200))
     return MSG_RESULT_BROKEN;
+  if (request->streamed && status == 200 && type != NULL
+      && g_ascii_strcasecmp (type, "text/event-stream") != 0)
+    return MSG_RESULT_BROKEN;
   return MSG_RESULT_OK;
 }
 
@@ -299,20 +304,20 @@
 on_head (void *ctx, guint status, SoupMessageHeaders *headers)
 {
   struct ingress_request *request = ctx;
+  const char *type = soup_message_headers_get_one (headers, "Content-Type");
   enum msg_result result = classify_head (request, status, headers);
   if (result != MSG_RESULT_OK)
     {
       struct err err;
       err_set (&err, ERR_PROTOCOL, "backend.read", request->server.s,
-               "status %u", status);
+               "status %u, type %.64s", status, type ? type : "none");
       cancel_attempt (request);
       report_attempt_end (request, result, result == MSG_RESULT_BROKEN, &err);
       return;
     }
   request->status = status;
   g_free (request->response_type);
-  request->response_type
-      = g_strdup (soup_message_headers_get_one (headers, "Content-Type"));
+  request->response_type = g_strdup (type);
   request->buffered = !request->streamed || status != 200;
 }
 
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -522,6 +522,25 @@
   stop (&f);
 }
 
+/* A response that is no stream of events was split at its empty lines and
+   relayed as events.  */
+static void
+test_other_type (void)
+{
+  struct fixture f;
+  RUN (
+      &f, TEXT_PATH, TEXT_REQUEST, { TEXT ("a"), END_CUT },
+      { "<p>\n\n<p>", END_WHOLE, NULL, "text/html" },
+      { TEXT ("z") DONE, END_WHOLE, NULL, "text/event-stream; charset=utf-8" });
+  check_whole (&f, TEXT ("a") TEXT ("z") DONE, 3);
+  stop (&f);
+  RUN (&f, TEXT_PATH, TEXT_REQUEST,
+       { "{}\n\n", END_WHOLE, NULL, "application/json" },
+       { TEXT ("z") DONE, END_WHOLE });
+  check_whole (&f, TEXT ("z") DONE, 2);
+  stop (&f);
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -570,6 +589,7 @@
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
   { "the position is rejected", test_position_rejected },
+  { "a response of another type", test_other_type },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   CU_TEST_INFO_NULL,
