Take a stream for complete once [DONE] has been relayed

After "data: [DONE]" a client could get further text and a second [DONE], an error event, or no end until the deadline of its class.

The end of the attempt decided alone: if the engine kept the connection open after [DONE], the stall limit ended the attempt, and another engine was asked to continue a stream of which nothing was left. A preemption at that point did the same. An engine that sent on after [DONE] kept the request open, since what it sent counted against the stall limit.

An attempt whose [DONE] was relayed now ends as complete, whatever its end is; bytes that come later end it at once. The core is told that the stream cannot be continued, so that the shard owner cannot preempt it; a report of zero tokens no longer counts as the first token.

--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -240,6 +240,14 @@
   notify_core (request, &event);
 }
 
+/* Whether another engine may continue the stream.  */
+static gboolean
+is_resumable (const struct ingress_request *request)
+{
+  return !request->done_received
+         && request->sent_text->len <= INGRESS_RESUME_MAX;
+}
+
 static void
 report_attempt_end (struct ingress_request *request, enum msg_result result,
                     gboolean sent, const struct err *err)
@@ -259,7 +267,7 @@
   end->result = result;
   end->sent = sent;
   end->delivered = request->stream_started;
-  end->resumable = request->sent_text->len <= INGRESS_RESUME_MAX;
+  end->resumable = is_resumable (request);
   end->status = request->status;
   end->bytes = request->response_body ? request->response_body->len : 0;
   if (request->response_body != NULL && result == MSG_RESULT_OK)
@@ -382,8 +390,8 @@
   progress.tokens.attempt = request->attempt_number;
   progress.tokens.count = tokens;
   progress.tokens.bytes = bytes;
-  progress.tokens.resumable = request->sent_text->len <= INGRESS_RESUME_MAX;
-  if (tokens > 0)
+  progress.tokens.resumable = is_resumable (request);
+  if (tokens > 0 || !progress.tokens.resumable)
     notify_core (request, &progress);
 }
 
@@ -409,7 +417,12 @@
                              (guint)data.n);
       return;
     }
-  if (sse_add (&request->sse, data) < 0)
+  if (request->done_received)
+    {
+      cancel_attempt (request);
+      report_attempt_end (request, MSG_RESULT_OK, TRUE, NULL);
+    }
+  else if (sse_add (&request->sse, data) < 0)
     fail_attempt (request, "event too large");
   else
     relay_events (request);
@@ -421,7 +434,9 @@
   struct ingress_request *request = ctx;
   struct err truncated;
   request->attempt = NULL;
-  if (result == MSG_RESULT_OK && !request->buffered && !request->done_received)
+  if (request->done_received)
+    result = MSG_RESULT_OK; /* the client has all of it */
+  else if (result == MSG_RESULT_OK && !request->buffered)
     {
       result = MSG_RESULT_BROKEN;
       err_set (&truncated, ERR_CLOSED, "backend.read", request->server.s,
--- a/packages/node/attempts.c
+++ b/packages/node/attempts.c
@@ -65,8 +65,8 @@
          && cluster_find_backend (core->cfg, str_of (backend)) >= 0;
 }
 
-/* Records COUNT tokens, BYTES bytes of the stream, that were sent to the
-   client.  */
+/* Records COUNT tokens, which may be 0, and BYTES bytes of the stream that were
+   sent to the client.  */
 void
 core_attempt_tokens (struct core *core, guint64 id, guint32 attempt,
                      guint32 count, gsize bytes, gboolean resumable)
@@ -75,9 +75,10 @@
   if (req == NULL || req->attempt != attempt || req->state != REQUEST_RUNNING)
     return;
   gint64 now = clk_now (core->clk);
-  if (req->first_token == 0)
+  if (count > 0 && req->first_token == 0)
     req->first_token = now;
-  req->last_token = now;
+  if (count > 0)
+    req->last_token = now;
   req->not_resumable = !resumable;
   charge_link (core, req, bytes);
   req->attempt_tokens += count;
--- a/packages/node/core.h
+++ b/packages/node/core.h
@@ -61,7 +61,7 @@
 #define CORE_EVENTS(X)                                                         \
   X (REQUEST)             /* a client request arrived */                       \
   X (CLIENT_DISCONNECTED) /* the client closed its connection */               \
-  X (TOKENS)              /* a running attempt delivered tokens */             \
+  X (TOKENS)              /* a running attempt sent a part of its stream */    \
   X (ATTEMPT_END)         /* a running attempt ended */                        \
   X (MESSAGE)             /* from another instance */                          \
   X (PEER_UP)             /* a connection to an instance is established */     \
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -541,6 +541,25 @@
   stop (&f);
 }
 
+/* After [DONE] the stream is whole, however its engine ends. Another engine
+   was asked to continue it, and its events followed.  */
+static void
+test_after_done (void)
+{
+  static const enum ending endings[]
+      = { END_WHOLE, END_CUT, END_OPEN, END_CLOSE, END_NEVER };
+  for (guint i = 0; i < G_N_ELEMENTS (endings); i++)
+    {
+      const struct step steps[]
+          = { { TEXT ("a") DONE, endings[i] }, { TEXT ("z") DONE, END_WHOLE } };
+      struct fixture f;
+      start (&f, steps, G_N_ELEMENTS (steps));
+      request (&f, TEXT_PATH, TEXT_REQUEST);
+      check_whole (&f, TEXT ("a") DONE, 1);
+      stop (&f);
+    }
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -586,12 +605,61 @@
   stop (&f);
 }
 
+/* A shard owner takes the server away while the stream is one that cannot be
+   continued: it goes on.  */
+static void
+preempt (struct fixture *f)
+{
+  struct msg msg = { .kind = MSG_PREEMPT };
+  struct core_event event = { .kind = CORE_MESSAGE };
+  msg.preempt.queue_entry = 1;
+  event.message.from = "a";
+  event.message.msg = &msg;
+  core_handle (f->core, &event);
+}
+
+static void
+test_preempted (void)
+{
+  static const struct
+  {
+    const char *path;
+    const char *body;
+    const char *sent;
+    const char *position; /* NULL: not preempted */
+  } cases[] = {
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a"), POSITION ("1", "a") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") DONE, NULL },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct step steps[]
+          = { { cases[i].sent, END_OPEN }, { TEXT ("z") DONE, END_WHOLE } };
+      struct fixture f;
+      start (&f, steps, G_N_ELEMENTS (steps));
+      send_request (&f, cases[i].path, cases[i].body);
+      while (strstr (f.received->str, "choices") == NULL)
+        iterate (&f);
+      preempt (&f);
+      finish_request (&f);
+      CU_ASSERT_EQUAL (f.bodies->len, cases[i].position ? 2 : 1);
+      if (cases[i].position != NULL)
+        CU_ASSERT_TRUE (
+            g_str_has_prefix (request_body (&f, 1), cases[i].position));
+      CU_ASSERT_EQUAL (f.counter_set.v[COUNTER_CANCELS],
+                       cases[i].position ? 1 : 0);
+      stop (&f);
+    }
+}
+
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
   { "the position is rejected", test_position_rejected },
   { "a response of another type", test_other_type },
+  { "after [DONE]", test_after_done },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
+  { "preempted", test_preempted },
   CU_TEST_INFO_NULL,
 };
 
