Resume only streams of which the position holds everything

A client could get a stream in which a tool call came twice, the texts of several choices were mixed, or a part of the text was missing or came again, ended as complete.

The position with which another engine continues a stream is the text of the first choice of each event. Whatever else an event held was relayed but not recorded: tool calls, refusals, choices with another index, text with a NUL (cut there by json-glib), half of a surrogate pair, data that is not JSON or not UTF-8, an error. The stream was continued all the same, also after a preemption.

Such an event now marks the stream as one that cannot be resumed. It ends with the error event if its engine fails, and is not preempted. The log line of the failed attempt says why. A role, an empty member and an event without choices do not mark it.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -3,57 +3,112 @@
 
 #include <string.h>
 
-static JsonObject *
-first_choice (JsonNode *root)
+/* Whether NODE holds nothing: null, an empty string or an empty array.  */
+static gboolean
+is_empty (JsonNode *node)
 {
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return NULL;
-  JsonNode *node
-      = json_object_get_member (json_node_get_object (root), "choices");
-  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node)
-      || json_array_get_length (json_node_get_array (node)) == 0)
-    return NULL;
-  node = json_array_get_element (json_node_get_array (node), 0);
-  return JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
+  if (JSON_NODE_HOLDS_ARRAY (node))
+    return json_array_get_length (json_node_get_array (node)) == 0;
+  return json_node_is_null (node)
+         || (JSON_NODE_HOLDS_VALUE (node)
+             && json_node_get_value_type (node) == G_TYPE_STRING
+             && json_node_get_string (node)[0] == '\0');
 }
 
-static const char *
-get_string (JsonObject *object, const char *name)
+/* Sets TEXT to the string in NODE, which may be NULL or hold nothing. Returns
+   FALSE if NODE holds something else.  */
+static gboolean
+read_text (JsonNode *node, const char **text)
 {
-  JsonNode *node = json_object_get_member (object, name);
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+  if (node == NULL || is_empty (node))
+    return TRUE;
+  if (!JSON_NODE_HOLDS_VALUE (node)
       || json_node_get_value_type (node) != G_TYPE_STRING)
-    return NULL;
-  return json_node_get_string (node);
+    return FALSE;
+  *text = json_node_get_string (node);
+  return TRUE;
+}
+
+/* Sets TEXT to the content of DELTA. Returns FALSE if it holds anything else
+   but the role, such as a tool call.  */
+static gboolean
+read_delta (JsonObject *delta, const char **text)
+{
+  JsonObjectIter iter;
+  const char *name;
+  JsonNode *node;
+  json_object_iter_init (&iter, delta);
+  while (json_object_iter_next (&iter, &name, &node))
+    if (strcmp (name, "content") != 0 && strcmp (name, "role") != 0
+        && !is_empty (node))
+      return FALSE;
+  return read_text (json_object_get_member (delta, "content"), text);
 }
 
+/* Sets TEXT to what CHOICE adds to the text, "" if nothing. Returns NULL, or
+   why the text does not hold all that it adds.  */
 static const char *
-choice_text (JsonObject *choice)
+read_choice (JsonObject *choice, const char **text)
 {
   JsonNode *delta = json_object_get_member (choice, "delta");
+  gboolean ok;
+  if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
+    return "several choices";
   if (delta != NULL && JSON_NODE_HOLDS_OBJECT (delta))
-    return get_string (json_node_get_object (delta), "content");
-  return get_string (choice, "text");
+    ok = read_delta (json_node_get_object (delta), text);
+  else
+    ok = read_text (json_object_get_member (choice, "text"), text);
+  return ok ? NULL : "not only text";
 }
 
-/* Adds the text in DATA, the data of one event, to the text that was sent.
-   Returns the number of tokens: one for an event with text, else 0.  */
+/* Does the same for an event with the data ROOT, which may be NULL.  */
+static const char *
+read_event (JsonNode *root, const char **text)
+{
+  JsonNode *node;
+  JsonArray *choices;
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return "not a JSON object";
+  node = json_object_get_member (json_node_get_object (root), "choices");
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
+    return "no choices";
+  choices = json_node_get_array (node);
+  if (json_array_get_length (choices) == 0)
+    return NULL;
+  if (json_array_get_length (choices) > 1)
+    return "several choices";
+  node = json_array_get_element (choices, 0);
+  return JSON_NODE_HOLDS_OBJECT (node)
+             ? read_choice (json_node_get_object (node), text)
+             : "not a JSON object";
+}
+
+/* Adds the text in DATA, the data of one event, to the text that was sent. If
+   that text is not all that the client has, the stream cannot be continued and
+   the reason is stored. Returns the number of tokens: one for an event with
+   text, else 0.  */
 guint32
 ingress_record_event (struct ingress_request *request, struct str data)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  guint32 tokens = 0;
-  if (json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
-    {
-      JsonObject *choice = first_choice (json_parser_get_root (parser));
-      const char *text = choice ? choice_text (choice) : NULL;
-      if (text != NULL && *text != '\0')
-        {
-          tokens = 1;
-          if (request->sent_text->len <= INGRESS_RESUME_MAX)
-            g_string_append (request->sent_text, text);
-        }
-    }
+  const char *text = "";
+  const char *problem;
+  if (!json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
+    problem = "not JSON";
+  else if (g_strstr_len (data.p, (gssize)data.n, "\\u0000") != NULL)
+    problem = "a NUL in the text"; /* which json-glib would end there */
+  else
+    problem = read_event (json_parser_get_root (parser), &text);
+  if (problem == NULL && !g_utf8_validate (text, -1, NULL))
+    problem = "not UTF-8"; /* half of a surrogate pair */
+  guint32 tokens = *text != '\0';
+  if (request->not_resumable == NULL)
+    request->not_resumable = problem;
+  if (request->not_resumable == NULL)
+    g_string_append (request->sent_text, text);
+  if (request->not_resumable == NULL
+      && request->sent_text->len > INGRESS_RESUME_MAX)
+    request->not_resumable = "too long a text";
   g_object_unref (parser);
   return tokens;
 }
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -46,10 +46,13 @@
   struct sse sse;            /* streamed */
   gboolean done_received;    /* the stream's "[DONE]" */
   gboolean stream_started;   /* streamed: headers were sent to the client */
-  gboolean detached;   /* the client has disconnected; the request goes on so
-                          that its response is recorded */
-  gboolean finished;   /* the response to the client is complete */
-  GString *sent_text;  /* streamed: generated text that was sent */
+  gboolean detached;  /* the client has disconnected; the request goes on so
+                         that its response is recorded */
+  gboolean finished;  /* the response to the client is complete */
+  GString *sent_text; /* streamed: generated text that was sent */
+  /* Streamed: why SENT_TEXT is not all that was sent, static, so that no other
+     engine may continue the stream; or NULL. */
+  const char *not_resumable;
   guint32 sent_tokens; /* streamed: in SENT_TEXT */
   gsize unsent_bytes;  /* not yet written to the client */
   gint64 last_write;   /* to the client, or when bytes became unsent;
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -244,8 +244,7 @@
 static gboolean
 is_resumable (const struct ingress_request *request)
 {
-  return !request->done_received
-         && request->sent_text->len <= INGRESS_RESUME_MAX;
+  return !request->done_received && request->not_resumable == NULL;
 }
 
 static void
@@ -260,8 +259,10 @@
                                     .request_id = request->request_id,
                                     .step = err ? err->step : "attempt",
                                     .peer = err ? err->peer : NULL },
-               "attempt %u: %s: %s", request->attempt_number,
-               msg_result_name (result), err ? err->text : "");
+               "attempt %u: %s: %s%s%s", request->attempt_number,
+               msg_result_name (result), err ? err->text : "",
+               request->not_resumable ? "; cannot be resumed: " : "",
+               request->not_resumable ? request->not_resumable : "");
   end->request = request->id;
   end->attempt = request->attempt_number;
   end->result = result;
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -560,6 +560,54 @@
     }
 }
 
+/* The position holds the text of one choice only. A stream with anything else
+   must not be continued by it.  */
+static void
+test_not_only_text (void)
+{
+  static const struct
+  {
+    const char *path;
+    const char *body;
+    const char *sent;
+  } cases[] = {
+    /* several choices */
+    { TEXT_PATH, TEXT_REQUEST,
+      TEXT ("a") "data: {\"choices\":[{\"index\":1,\"text\":\"b\"}]}\n\n" },
+    { TEXT_PATH, TEXT_REQUEST,
+      "data: {\"choices\":[{\"index\":0,\"text\":\"a\"},"
+      "{\"index\":1,\"text\":\"b\"}]}\n\n" },
+    /* tool calls and the like */
+    { CHAT_PATH, CHAT_REQUEST,
+      DELTA ("\"tool_calls\":[{\"index\":0,\"function\":{\"arguments\":"
+             "\"{\"}}]") },
+    { CHAT_PATH, CHAT_REQUEST,
+      DELTA ("\"content\":\"a\"") DELTA ("\"refusal\":\"no\"") },
+    /* text that the position cannot hold */
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") TEXT ("b\\u0000c") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") TEXT ("\\u0000") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") TEXT ("\\ud83d") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") TEXT ("\\ude00") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") TEXT ("b\xff") },
+    /* other contents */
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") "data: {\"text\":\n\n" },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") "data: 7\n\n" },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") EVENT ("\"text\":7") },
+    { TEXT_PATH, TEXT_REQUEST,
+      TEXT ("a") "data: {\"error\":{\"message\":\"x\"}}\n\n" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct step steps[]
+          = { { cases[i].sent, END_CUT }, { TEXT ("z") DONE, END_WHOLE } };
+      struct fixture f;
+      start (&f, steps, G_N_ELEMENTS (steps));
+      request (&f, cases[i].path, cases[i].body);
+      check_error (&f, cases[i].sent, 1);
+      stop (&f);
+    }
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -630,6 +678,8 @@
   } cases[] = {
     { TEXT_PATH, TEXT_REQUEST, TEXT ("a"), POSITION ("1", "a") },
     { TEXT_PATH, TEXT_REQUEST, TEXT ("a") DONE, NULL },
+    { CHAT_PATH, CHAT_REQUEST,
+      DELTA ("\"tool_calls\":[{\"index\":0,\"id\":\"a\"}]"), NULL },
   };
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -657,6 +707,7 @@
   { "the position is rejected", test_position_rejected },
   { "a response of another type", test_other_type },
   { "after [DONE]", test_after_done },
+  { "not only text", test_not_only_text },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   { "preempted", test_preempted },
