Do not resume a stream whose text is finished

A client could get more text after the event with the finish_reason.

An engine that ended after that event and before [DONE] was replaced by another one, which was asked to continue after the last token. What it should answer is not defined: the stand-in rejects the position, another engine may generate on. A preemption at that point did the same.

The event with a finish_reason now marks the stream as one that cannot be resumed, so that it ends with the error event and is not preempted.

Without the change of engine_response.c test_ing_resume failed in "after the reason of the end" (a second engine was asked, its text followed) and in "preempted" after the finish_reason.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -46,11 +46,13 @@
 }
 
 /* Sets TEXT to what CHOICE adds to the text, "" if nothing. Returns NULL, or
-   why the text does not hold all that it adds.  */
+   why no other engine may add to it: the text does not hold all of CHOICE, or
+   it is finished.  */
 static const char *
 read_choice (JsonObject *choice, const char **text)
 {
   JsonNode *delta = json_object_get_member (choice, "delta");
+  JsonNode *node;
   gboolean ok;
   if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
     return "several choices";
@@ -58,7 +60,10 @@
     ok = read_delta (json_node_get_object (delta), text);
   else
     ok = read_text (json_object_get_member (choice, "text"), text);
-  return ok ? NULL : "not only text";
+  if (!ok)
+    return "not only text";
+  node = json_object_get_member (choice, "finish_reason");
+  return node == NULL || is_empty (node) ? NULL : "the text is finished";
 }
 
 /* Does the same for an event with the data ROOT, which may be NULL.  */
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -50,8 +50,8 @@
                          that its response is recorded */
   gboolean finished;  /* the response to the client is complete */
   GString *sent_text; /* streamed: generated text that was sent */
-  /* Streamed: why SENT_TEXT is not all that was sent, static, so that no other
-     engine may continue the stream; or NULL. */
+  /* Streamed: why no other engine may continue the stream after SENT_TEXT,
+     static; or NULL. */
   const char *not_resumable;
   guint32 sent_tokens; /* streamed: in SENT_TEXT */
   gsize unsent_bytes;  /* not yet written to the client */
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -560,6 +560,18 @@
     }
 }
 
+/* Once the engine has given a reason for the end of the text, no other one
+   may add to it.  */
+static void
+test_after_finish (void)
+{
+  struct fixture f;
+  RUN (&f, TEXT_PATH, TEXT_REQUEST, { TEXT ("a") STOP, END_CUT },
+       { TEXT ("z") DONE, END_WHOLE });
+  check_error (&f, TEXT ("a") STOP, 1);
+  stop (&f);
+}
+
 /* The position holds the text of one choice only. A stream with anything else
    must not be continued by it.  */
 static void
@@ -677,6 +689,7 @@
     const char *position; /* NULL: not preempted */
   } cases[] = {
     { TEXT_PATH, TEXT_REQUEST, TEXT ("a"), POSITION ("1", "a") },
+    { TEXT_PATH, TEXT_REQUEST, TEXT ("a") STOP, NULL },
     { TEXT_PATH, TEXT_REQUEST, TEXT ("a") DONE, NULL },
     { CHAT_PATH, CHAT_REQUEST,
       DELTA ("\"tool_calls\":[{\"index\":0,\"id\":\"a\"}]"), NULL },
@@ -707,6 +720,7 @@
   { "the position is rejected", test_position_rejected },
   { "a response of another type", test_other_type },
   { "after [DONE]", test_after_done },
+  { "after the reason of the end", test_after_finish },
   { "not only text", test_not_only_text },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
