Do not resume a stream of several choices or with the prompt

A client that asked for two choices could get the text of one of them twice or mixed with the other, if the engine failed before the second one had come; with "echo" it could get the prompt twice.

Whether a stream has one choice was read from what had come so far. Up to the first event of the second choice nothing told them apart, and the text with the prompt counted as generated text in the position.

The members "n" and "echo" of the request now mark the stream as one that cannot be resumed once something of it has been sent. Before, it is sent again as before.

--- a/packages/entry/parse_request.c
+++ b/packages/entry/parse_request.c
@@ -171,6 +171,15 @@
   return *value >= 1 && *value <= MAX_TOKENS_LIMIT;
 }
 
+/* Whether OBJECT asks for several choices, or for a text that begins with the
+   prompt. The position of a resumed stream names neither.  */
+static gboolean
+asks_for_other_text (JsonObject *object)
+{
+  return json_object_get_int_member_with_default (object, "n", 1) != 1
+         || json_object_get_boolean_member_with_default (object, "echo", FALSE);
+}
+
 static int
 read_body (struct ingress_request *request, const struct cluster_config *cfg,
            JsonObject *object, gboolean chat, struct core_request_spec *spec,
@@ -204,6 +213,8 @@
   request->streamed = stream != NULL && !json_node_is_null (stream)
                       && json_node_get_boolean (stream);
   spec->streamed = request->streamed;
+  if (asks_for_other_text (object))
+    request->not_resumable = "several choices or the prompt asked for";
   spec->max_tokens = (guint32)max_tokens;
   spec->prefix = prefix_hash (text, name);
   spec->prompt_tokens
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -620,6 +620,24 @@
     }
 }
 
+/* The request asks for several choices, of which the first has come so far, or
+   for the prompt before the text.  */
+static void
+test_other_text_asked (void)
+{
+  static const char *const asked[]
+      = { "{\"n\":2,\"model\":\"m\",\"stream\":true,\"prompt\":\"x\"}",
+          "{\"echo\":true,\"model\":\"m\",\"stream\":true,\"prompt\":\"x\"}" };
+  for (guint i = 0; i < G_N_ELEMENTS (asked); i++)
+    {
+      struct fixture f;
+      RUN (&f, TEXT_PATH, asked[i], { TEXT ("a"), END_CUT },
+           { TEXT ("z") DONE, END_WHOLE });
+      check_error (&f, TEXT ("a"), 1);
+      stop (&f);
+    }
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -722,6 +740,7 @@
   { "after [DONE]", test_after_done },
   { "after the reason of the end", test_after_finish },
   { "not only text", test_not_only_text },
+  { "other text is asked for", test_other_text_asked },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   { "preempted", test_preempted },
