Read all data lines of an event for the position

A client could get a part of the text twice if the engine writes an event's data in several lines, which the format of server-sent events allows.

sse_data returned the value of the first line only. A JSON text in several lines was then not readable, so its text was missing in the position with which another engine continued the stream.

sse_data now joins the lines with LF, as a client does.

On the code before, test_ing_resume "data in several lines" failed: the stream was not resumed (before the checks of what an event holds: resumed without its text). build/tests/test_ing_resume: 11 passed, 0 failed.

--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -369,7 +369,7 @@
   guint32 tokens = 0;
   while (!request->done_received && sse_next (&request->sse, &event))
     {
-      struct str data = sse_data (event);
+      struct str data = sse_data (&request->sse, event);
       if (str_eq (data, STR_LIT ("[DONE]")))
         request->done_received = TRUE;
       else if (data.n > 0)
--- a/packages/entry/sse.c
+++ b/packages/entry/sse.c
@@ -8,6 +8,7 @@
 sse_init (struct sse *sse)
 {
   sse->buffer = g_string_new (NULL);
+  sse->data = g_string_new (NULL);
   sse->consumed = 0;
 }
 
@@ -16,7 +17,10 @@
 {
   if (sse->buffer != NULL)
     g_string_free (sse->buffer, TRUE);
+  if (sse->data != NULL)
+    g_string_free (sse->data, TRUE);
   sse->buffer = NULL;
+  sse->data = NULL;
 }
 
 static void
@@ -71,29 +75,34 @@
   return TRUE;
 }
 
-/* Returns the value of EVENT's first "data:" line; empty if it has none.  */
+/* Returns the data of EVENT, the values of its "data:" lines joined by LF;
+   empty if it has none. Valid until the next call.  */
 struct str
-sse_data (struct str event)
+sse_data (struct sse *sse, struct str event)
 {
   static const char field[] = "data:";
+  gboolean joined = FALSE;
   gsize at = 0;
+  g_string_truncate (sse->data, 0);
   while (at + sizeof field - 1 <= event.n)
     {
       const char *line = event.p + at;
       const char *end = memchr (line, '\n', event.n - at);
       gsize length = end ? (gsize)(end - line) : event.n - at;
-      if (length >= sizeof field - 1
-          && memcmp (line, field, sizeof field - 1) == 0)
-        {
-          struct str data
-              = { line + sizeof field - 1, length - (sizeof field - 1) };
-          if (data.n > 0 && data.p[0] == ' ')
-            data = (struct str){ data.p + 1, data.n - 1 };
-          if (data.n > 0 && data.p[data.n - 1] == '\r')
-            data.n--;
-          return data;
-        }
       at += length + 1;
+      if (length < sizeof field - 1
+          || memcmp (line, field, sizeof field - 1) != 0)
+        continue;
+      struct str data
+          = { line + sizeof field - 1, length - (sizeof field - 1) };
+      if (data.n > 0 && data.p[0] == ' ')
+        data = (struct str){ data.p + 1, data.n - 1 };
+      if (data.n > 0 && data.p[data.n - 1] == '\r')
+        data.n--;
+      if (joined)
+        g_string_append_c (sse->data, '\n');
+      joined = TRUE;
+      g_string_append_len (sse->data, data.p, (gssize)data.n);
     }
-  return (struct str){ "", 0 };
+  return (struct str){ sse->data->str, sse->data->len };
 }
--- a/packages/entry/sse.h
+++ b/packages/entry/sse.h
@@ -10,12 +10,13 @@
 {
   GString *buffer; /* bytes after the last complete event, owned */
   gsize consumed;  /* bytes of BUFFER that sse_next has returned */
+  GString *data;   /* returned by sse_data, owned */
 };
 
 void sse_init (struct sse *sse);
 void sse_clear (struct sse *sse);
 int sse_add (struct sse *sse, struct str data);
 gboolean sse_next (struct sse *sse, struct str *event);
-struct str sse_data (struct str event);
+struct str sse_data (struct sse *sse, struct str event);
 
 #endif
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -638,6 +638,20 @@
     }
 }
 
+/* An event's data may stand in several lines. Only the first was read.  */
+static void
+test_data_lines (void)
+{
+  struct fixture f;
+  RUN (&f, TEXT_PATH, TEXT_REQUEST,
+       { "data: {\"choices\":[{\"index\":0,\n: x\ndata: \"text\":\"a\"}]}\n\n",
+         END_CUT },
+       { TEXT ("z") DONE, END_WHOLE });
+  CU_ASSERT_EQUAL (f.bodies->len, 2);
+  CU_ASSERT_TRUE (g_str_has_prefix (request_body (&f, 1), POSITION ("1", "a")));
+  stop (&f);
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -741,6 +755,7 @@
   { "after the reason of the end", test_after_finish },
   { "not only text", test_not_only_text },
   { "other text is asked for", test_other_text_asked },
+  { "data in several lines", test_data_lines },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   { "preempted", test_preempted },
