Drop the byte order mark of an engine's stream

If an engine begins its stream with a byte order mark, as the format allows, a client could get the text of the first event twice, and after a resumption lose the first event of the second engine, before which the mark stood.

The first line was no data line for sse_data, so that the event was relayed but its text missing in the position. The second engine's mark was relayed in the middle of the client's stream, where it is part of the field name.

The mark is now dropped at the start of each response.

--- a/packages/entry/sse.c
+++ b/packages/entry/sse.c
@@ -10,6 +10,7 @@
   sse->buffer = g_string_new (NULL);
   sse->data = g_string_new (NULL);
   sse->consumed = 0;
+  sse->begun = FALSE;
 }
 
 void
@@ -61,15 +62,31 @@
   return 0;
 }
 
+/* Skips a byte order mark at the start of the stream and returns its length. In
+   the middle of the client's stream it would hide the field after it.  */
+static gsize
+skip_byte_order_mark (struct sse *sse)
+{
+  static const char mark[] = "\xef\xbb\xbf";
+  sse->begun = TRUE;
+  if (!g_str_has_prefix (sse->buffer->str, mark))
+    return 0;
+  sse->consumed = sizeof mark - 1;
+  return sizeof mark - 1;
+}
+
 /* Returns the next complete event in EVENT, with its blank line and valid until
    the next sse_add. Returns FALSE if there is none.  */
 gboolean
 sse_next (struct sse *sse, struct str *event)
 {
-  const char *p = sse->buffer->str + sse->consumed;
-  gsize n = event_length (p, sse->buffer->len - sse->consumed);
+  gsize n = event_length (sse->buffer->str + sse->consumed,
+                          sse->buffer->len - sse->consumed);
   if (n == 0)
     return FALSE;
+  if (!sse->begun)
+    n -= skip_byte_order_mark (sse);
+  const char *p = sse->buffer->str + sse->consumed;
   *event = (struct str){ p, n };
   sse->consumed += n;
   return TRUE;
--- a/packages/entry/sse.h
+++ b/packages/entry/sse.h
@@ -10,6 +10,7 @@
 {
   GString *buffer; /* bytes after the last complete event, owned */
   gsize consumed;  /* bytes of BUFFER that sse_next has returned */
+  gboolean begun;  /* sse_next has returned an event */
   GString *data;   /* returned by sse_data, owned */
 };
 
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -652,6 +652,20 @@
   stop (&f);
 }
 
+/* A stream may begin with a byte order mark. It hid the first event, so that
+   its text came again.  */
+static void
+test_byte_order_mark (void)
+{
+#define MARK "\xef\xbb\xbf"
+  struct fixture f;
+  RUN (&f, TEXT_PATH, TEXT_REQUEST, { MARK TEXT ("a"), END_CUT },
+       { MARK TEXT ("z") DONE, END_WHOLE });
+  check_whole (&f, TEXT ("a") TEXT ("z") DONE, 2);
+  CU_ASSERT_TRUE (g_str_has_prefix (request_body (&f, 1), POSITION ("1", "a")));
+  stop (&f);
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -756,6 +770,7 @@
   { "not only text", test_not_only_text },
   { "other text is asked for", test_other_text_asked },
   { "data in several lines", test_data_lines },
+  { "a byte order mark", test_byte_order_mark },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   { "preempted", test_preempted },
