Reject a request that names a position itself

A client that sent the member jacinthward_resume had it passed to the engine, and after a resumption two members of that name stood in the body, the product's first. A reader that takes the last one, as json-glib does, begins at the client's position: the text since then comes twice.

The member is the product's own towards engines; the callers' interface has none. A body with it now gets 400 bad_request.

On the code before, test_ing_resume "a position of the client" failed: the request reached an engine. build/tests/test_ing_resume: 13 passed, 0 failed.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -159,7 +159,7 @@
   char *text = json_quote (request->sent_text->str);
   GString *out = g_string_new (NULL);
   g_string_append_printf (out,
-                          "{\"jacinthward_resume\":{\"tokens\":%u,"
+                          "{\"" INGRESS_RESUME_MEMBER "\":{\"tokens\":%u,"
                           "\"text\":%s},",
                           request->sent_tokens, text);
   g_string_append_len (out, brace + 1, (gssize)(body + n - brace - 1));
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -14,6 +14,8 @@
 #define INGRESS_UNSENT_LOW (64 * 1024)
 /* Bytes of generated text; a longer stream cannot be resumed. */
 #define INGRESS_RESUME_MAX (64 * 1024)
+/* Member of a request's body that names the position to engines. */
+#define INGRESS_RESUME_MEMBER "jacinthward_resume"
 #define INGRESS_PREFIX_BYTES 512  /* of the prompt that are hashed */
 #define INGRESS_BYTES_PER_TOKEN 4 /* for estimates */
 
--- a/packages/entry/parse_request.c
+++ b/packages/entry/parse_request.c
@@ -200,6 +200,9 @@
       || !read_int (object, "max_completion_tokens", &max_tokens))
     return reject (rejection, 400, "bad_request",
                    "max_tokens: a number from 1 to 1000000 expected");
+  if (json_object_has_member (object, INGRESS_RESUME_MEMBER))
+    return reject (rejection, 400, "bad_request",
+                   INGRESS_RESUME_MEMBER ": not allowed");
   const char *text = prompt_text (object, chat);
   if (text == NULL)
     return reject (rejection, 400, "bad_request",
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -666,6 +666,21 @@
   stop (&f);
 }
 
+/* The position is the product's own. A client that names one would have two of
+   them in the body.  */
+static void
+test_position_of_client (void)
+{
+  struct fixture f;
+  RUN (&f, TEXT_PATH,
+       POSITION ("1", "a") "\"model\":\"m\",\"stream\":true,\"prompt\":\"x\"}",
+       { TEXT ("b"), END_CUT }, { TEXT ("z") DONE, END_WHOLE });
+  CU_ASSERT_EQUAL (f.bodies->len, 0);
+  CU_ASSERT_TRUE (g_str_has_prefix (f.received->str, "HTTP/1.1 400"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received->str, "bad_request"));
+  stop (&f);
+}
+
 /* Text up to the limit is continued whole, a longer one not at all.  */
 static void
 test_longest_text (void)
@@ -771,6 +786,7 @@
   { "other text is asked for", test_other_text_asked },
   { "data in several lines", test_data_lines },
   { "a byte order mark", test_byte_order_mark },
+  { "a position of the client", test_position_of_client },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
   { "preempted", test_preempted },
