Send the role once in a resumed chat stream

A client of a chat stream got the event with the role again, also in the middle of the text, after its engine had failed or the request had been preempted.

Engines of the OpenAI interface begin a stream with an event that has the role and no text. It adds no token, so that an engine that fails right after it is followed by one that begins anew, and it is no part of the position, so that each engine sends it.

An event that holds only the role is now left out if an earlier attempt has sent the role.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -29,27 +29,34 @@
   return TRUE;
 }
 
-/* Sets TEXT to the content of DELTA. Returns FALSE if it holds anything else
-   but the role, such as a tool call.  */
+/* What an event of a stream holds.  */
+struct content
+{
+  const char *text;  /* "": none */
+  gboolean has_role; /* of the author of the text */
+};
+
+/* Reads text and role of DELTA. Returns FALSE if it holds anything else, such
+   as a tool call.  */
 static gboolean
-read_delta (JsonObject *delta, const char **text)
+read_delta (JsonObject *delta, struct content *content)
 {
   JsonObjectIter iter;
   const char *name;
   JsonNode *node;
   json_object_iter_init (&iter, delta);
   while (json_object_iter_next (&iter, &name, &node))
-    if (strcmp (name, "content") != 0 && strcmp (name, "role") != 0
-        && !is_empty (node))
+    if (strcmp (name, "role") == 0)
+      content->has_role = !is_empty (node);
+    else if (strcmp (name, "content") != 0 && !is_empty (node))
       return FALSE;
-  return read_text (json_object_get_member (delta, "content"), text);
+  return read_text (json_object_get_member (delta, "content"), &content->text);
 }
 
-/* Sets TEXT to what CHOICE adds to the text, "" if nothing. Returns NULL, or
-   why no other engine may add to it: the text does not hold all of CHOICE, or
-   it is finished.  */
+/* Reads the contents of CHOICE. Returns NULL, or why no other engine may add to
+   the text: it does not hold all of CHOICE, or it is finished.  */
 static const char *
-read_choice (JsonObject *choice, const char **text)
+read_choice (JsonObject *choice, struct content *content)
 {
   JsonNode *delta = json_object_get_member (choice, "delta");
   JsonNode *node;
@@ -57,9 +64,9 @@
   if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
     return "several choices";
   if (delta != NULL && JSON_NODE_HOLDS_OBJECT (delta))
-    ok = read_delta (json_node_get_object (delta), text);
+    ok = read_delta (json_node_get_object (delta), content);
   else
-    ok = read_text (json_object_get_member (choice, "text"), text);
+    ok = read_text (json_object_get_member (choice, "text"), &content->text);
   if (!ok)
     return "not only text";
   node = json_object_get_member (choice, "finish_reason");
@@ -68,7 +75,7 @@
 
 /* Does the same for an event with the data ROOT, which may be NULL.  */
 static const char *
-read_event (JsonNode *root, const char **text)
+read_event (JsonNode *root, struct content *content)
 {
   JsonNode *node;
   JsonArray *choices;
@@ -84,38 +91,54 @@
     return "several choices";
   node = json_array_get_element (choices, 0);
   return JSON_NODE_HOLDS_OBJECT (node)
-             ? read_choice (json_node_get_object (node), text)
+             ? read_choice (json_node_get_object (node), content)
              : "not a JSON object";
 }
 
-/* Adds the text in DATA, the data of one event, to the text that was sent. If
-   that text is not all that the client has, the stream cannot be continued and
-   the reason is stored. Returns the number of tokens: one for an event with
-   text, else 0.  */
-guint32
-ingress_record_event (struct ingress_request *request, struct str data)
+/* Whether an event with CONTENT only repeats the role that an earlier attempt
+   has sent.  */
+static gboolean
+repeats_role (struct ingress_request *request, const struct content *content)
+{
+  if (!content->has_role)
+    return FALSE;
+  if (request->role_attempt == 0)
+    request->role_attempt = request->attempt_number;
+  return request->role_attempt != request->attempt_number
+         && *content->text == '\0';
+}
+
+/* Reads DATA, the data of one event that is about to be sent, and adds its text
+   to the text that was sent. If that text is not all that the client has then,
+   the stream cannot be continued and the reason is stored. Adds to TOKENS one
+   for an event with text. Returns FALSE if the event must not be sent, since
+   the client has what it holds.  */
+gboolean
+ingress_record_event (struct ingress_request *request, struct str data,
+                      guint32 *tokens)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  const char *text = "";
+  struct content content = { .text = "" };
   const char *problem;
   if (!json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
     problem = "not JSON";
   else if (g_strstr_len (data.p, (gssize)data.n, "\\u0000") != NULL)
     problem = "a NUL in the text"; /* which json-glib would end there */
   else
-    problem = read_event (json_parser_get_root (parser), &text);
-  if (problem == NULL && !g_utf8_validate (text, -1, NULL))
+    problem = read_event (json_parser_get_root (parser), &content);
+  if (problem == NULL && !g_utf8_validate (content.text, -1, NULL))
     problem = "not UTF-8"; /* half of a surrogate pair */
-  guint32 tokens = *text != '\0';
+  *tokens += *content.text != '\0';
   if (request->not_resumable == NULL)
     request->not_resumable = problem;
   if (request->not_resumable == NULL)
-    g_string_append (request->sent_text, text);
+    g_string_append (request->sent_text, content.text);
   if (request->not_resumable == NULL
       && request->sent_text->len > INGRESS_RESUME_MAX)
     request->not_resumable = "too long a text";
+  gboolean repeated = problem == NULL && repeats_role (request, &content);
   g_object_unref (parser);
-  return tokens;
+  return !repeated;
 }
 
 /* Returns usage.completion_tokens of the JSON text BODY, 0 if it has none.  */
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -55,10 +55,11 @@
   /* Streamed: why no other engine may continue the stream after SENT_TEXT,
      static; or NULL. */
   const char *not_resumable;
-  guint32 sent_tokens; /* streamed: in SENT_TEXT */
-  gsize unsent_bytes;  /* not yet written to the client */
-  gint64 last_write;   /* to the client, or when bytes became unsent;
-                          monotonic microseconds */
+  guint32 role_attempt; /* streamed: whose role was sent; 0: none was */
+  guint32 sent_tokens;  /* streamed: in SENT_TEXT */
+  gsize unsent_bytes;   /* not yet written to the client */
+  gint64 last_write;    /* to the client, or when bytes became unsent;
+                           monotonic microseconds */
 };
 
 struct ingress
@@ -98,7 +99,8 @@
 
 /* engine_response.c */
 
-guint32 ingress_record_event (struct ingress_request *request, struct str data);
+gboolean ingress_record_event (struct ingress_request *request, struct str data,
+                               guint32 *tokens);
 guint32 ingress_completion_tokens (struct str body);
 GBytes *ingress_resume_body (const struct ingress_request *request);
 
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -372,8 +372,8 @@
       struct str data = sse_data (&request->sse, event);
       if (str_eq (data, STR_LIT ("[DONE]")))
         request->done_received = TRUE;
-      else if (data.n > 0)
-        tokens += ingress_record_event (request, data);
+      else if (data.n > 0 && !ingress_record_event (request, data, &tokens))
+        continue;
       g_string_append_len (out, event.p, (gssize)event.n);
     }
   if (out->len == 0)
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -666,6 +666,25 @@
   stop (&f);
 }
 
+/* Each engine begins with the role, of which the client needs one.  */
+static void
+test_role (void)
+{
+#define ROLE DELTA ("\"role\":\"assistant\",\"content\":\"\"")
+  struct fixture f;
+  RUN (&f, CHAT_PATH, CHAT_REQUEST, { ROLE, END_CUT },
+       { ROLE DELTA ("\"content\":\"z\"") DONE, END_WHOLE });
+  check_whole (&f, ROLE DELTA ("\"content\":\"z\"") DONE, 2);
+  stop (&f);
+  RUN (&f, CHAT_PATH, CHAT_REQUEST,
+       { ROLE DELTA ("\"content\":\"a\""), END_CUT },
+       { ROLE DELTA ("\"content\":\"z\"") DONE, END_WHOLE });
+  check_whole (
+      &f, ROLE DELTA ("\"content\":\"a\"") DELTA ("\"content\":\"z\"") DONE, 2);
+  CU_ASSERT_TRUE (g_str_has_prefix (request_body (&f, 1), POSITION ("1", "a")));
+  stop (&f);
+}
+
 /* The position is the product's own. A client that names one would have two of
    them in the body.  */
 static void
@@ -786,6 +805,7 @@
   { "other text is asked for", test_other_text_asked },
   { "data in several lines", test_data_lines },
   { "a byte order mark", test_byte_order_mark },
+  { "the role", test_role },
   { "a position of the client", test_position_of_client },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
