Do not pass on a cut completion as a complete one

A client that asked for a completion without a stream could get the beginning of the JSON object as a complete response of status 200. With an idempotency key it was stored, and each repetition of the call got it.

libsoup reports no error if a connection is closed between two chunks of a response, and a response without a length has no other end than that. A stream has [DONE]; of other responses nothing was checked.

A response of status 200 by an engine now has to be a JSON object that can be read, which was read before for its number of tokens; otherwise the attempt fails. Responses of plain services have no such mark and are not checked.

On the code before, test_ing_resume "a cut object" failed in its three cases (cut between chunks, cut without a length, empty): the client got the cut body and no other engine was asked. build/tests/test_ing_resume: 15 passed, 0 failed.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -141,23 +141,29 @@
   return !repeated;
 }
 
-/* Returns usage.completion_tokens of the JSON text BODY, 0 if it has none.  */
-guint32
-ingress_completion_tokens (struct str body)
+/* Sets TOKENS to usage.completion_tokens of the JSON object BODY, 0 if it has
+   none. Returns FALSE if BODY is not a complete JSON object.  */
+gboolean
+ingress_read_completion (struct str body, guint32 *tokens)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  gint64 tokens = 0;
-  if (json_parser_load_from_data (parser, body.p, (gssize)body.n, NULL)
-      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+  gint64 n = 0;
+  gboolean ok
+      = body.n > 0
+        && json_parser_load_from_data (parser, body.p, (gssize)body.n, NULL)
+        && json_parser_get_root (parser) != NULL
+        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  if (ok)
     {
       JsonNode *usage = json_object_get_member (
           json_node_get_object (json_parser_get_root (parser)), "usage");
       if (usage != NULL && JSON_NODE_HOLDS_OBJECT (usage))
-        tokens = json_object_get_int_member_with_default (
+        n = json_object_get_int_member_with_default (
             json_node_get_object (usage), "completion_tokens", 0);
     }
   g_object_unref (parser);
-  return (guint32)CLAMP (tokens, 0, G_MAXINT32);
+  *tokens = (guint32)CLAMP (n, 0, G_MAXINT32);
+  return ok;
 }
 
 static char *
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -45,6 +45,7 @@
   guint status;              /* of its response; 0: no headers yet */
   char *response_type;       /* its content type; or NULL */
   GByteArray *response_body; /* buffered: received so far */
+  guint32 response_tokens;   /* buffered: generated, by its own account */
   struct sse sse;            /* streamed */
   gboolean done_received;    /* the stream's "[DONE]" */
   gboolean stream_started;   /* streamed: headers were sent to the client */
@@ -101,7 +102,7 @@
 
 gboolean ingress_record_event (struct ingress_request *request, struct str data,
                                guint32 *tokens);
-guint32 ingress_completion_tokens (struct str body);
+gboolean ingress_read_completion (struct str body, guint32 *tokens);
 GBytes *ingress_resume_body (const struct ingress_request *request);
 
 /* ingress_request.c */
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -276,8 +276,7 @@
       end->body = (struct str){ (const char *)request->response_body->data,
                                 request->response_body->len };
       end->content_type = str_of (request->response_type);
-      if (request->to_engine && end->body.n > 0)
-        end->tokens = ingress_completion_tokens (end->body);
+      end->tokens = request->response_tokens;
     }
   notify_core (request, &event);
 }
@@ -429,6 +428,22 @@
     relay_events (request);
 }
 
+/* Returns what is missing of a response whose framing is complete, or NULL.
+   libsoup takes a connection that is closed between two chunks for the end of
+   the response, and a response without a length ends that way.  */
+static const char *
+find_cut (struct ingress_request *request)
+{
+  if (!request->to_engine)
+    return NULL;
+  if (!request->buffered)
+    return request->done_received ? NULL : "the stream ended without [DONE]";
+  struct str body = { (const char *)request->response_body->data,
+                      request->response_body->len };
+  gboolean whole = ingress_read_completion (body, &request->response_tokens);
+  return whole || request->status != 200 ? NULL : "not a complete JSON object";
+}
+
 static void
 on_end (void *ctx, enum msg_result result, gboolean sent, const struct err *err)
 {
@@ -437,11 +452,12 @@
   request->attempt = NULL;
   if (request->done_received)
     result = MSG_RESULT_OK; /* the client has all of it */
-  else if (result == MSG_RESULT_OK && !request->buffered)
+  const char *cut = result == MSG_RESULT_OK ? find_cut (request) : NULL;
+  if (cut != NULL)
     {
       result = MSG_RESULT_BROKEN;
-      err_set (&truncated, ERR_CLOSED, "backend.read", request->server.s,
-               "the stream ended without [DONE]");
+      err_set (&truncated, ERR_CLOSED, "backend.read", request->server.s, "%s",
+               cut);
       err = &truncated;
     }
   report_attempt_end (request, result, sent, err);
@@ -505,6 +521,7 @@
   request->server = action->open.backend->name;
   request->status = 0;
   request->done_received = FALSE;
+  request->response_tokens = 0;
   request->buffered = !request->streamed;
   sse_clear (&request->sse);
   sse_init (&request->sse);
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -745,6 +745,33 @@
   stop (&f);
 }
 
+/* A response that is not a stream, and is cut off at a place where its framing
+   does not show it: between two chunks, or without a length. The client got it
+   as a complete one.  */
+static void
+test_cut_object (void)
+{
+  static const struct
+  {
+    const char *body;
+    enum ending ending;
+  } cases[] = { { "{\"choices\":[{\"te", END_CUT },
+                { "{\"choices\":[{\"te", END_CLOSE },
+                { "", END_WHOLE } };
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct step steps[]
+          = { { cases[i].body, cases[i].ending, NULL, "application/json" },
+              { "{\"choices\":[]}", END_WHOLE, NULL, "application/json" } };
+      struct fixture f;
+      start (&f, steps, G_N_ELEMENTS (steps));
+      request (&f, TEXT_PATH, "{\"model\":\"m\",\"prompt\":\"x\"}");
+      CU_ASSERT_EQUAL (f.bodies->len, 2);
+      CU_ASSERT_STRING_EQUAL (f.body->str, "{\"choices\":[]}");
+      stop (&f);
+    }
+}
+
 /* A shard owner takes the server away while the stream is one that cannot be
    continued: it goes on.  */
 static void
@@ -809,6 +836,7 @@
   { "a position of the client", test_position_of_client },
   { "the longest text", test_longest_text },
   { "lines that end with CR", test_cr_lines },
+  { "a cut object", test_cut_object },
   { "preempted", test_preempted },
   CU_TEST_INFO_NULL,
 };
