Count the earlier tokens of a resumed request as its prompt

A server that got resumed requests could be ejected as slow, and the estimate of the prefill time, by which preemption chooses, rose.

The time to the first token was scaled by the tokens of the prompt alone, while an engine that continues a stream also has to prefill the text generated so far; the estimate of a request's own prefill time counts both.

The tokens that a request had when it was enqueued are now kept with it and counted as a part of its prompt when its time to the first token is judged.

--- a/packages/cell/queued_request.h
+++ b/packages/cell/queued_request.h
@@ -51,6 +51,7 @@
   guint64 prefix;    /* hash of the shared prompt prefix; 0: none */
   guint32 prompt_tokens;
   guint32 generated; /* tokens generated so far */
+  guint32 resumed;   /* of these, in earlier attempts */
   gboolean resumable;
   guint32 charged;     /* tokens charged to team and class at its start */
   gboolean preempted;  /* a PREEMPT message was sent for it */
--- a/packages/cell/shard.c
+++ b/packages/cell/shard.c
@@ -58,6 +58,7 @@
   request->sent_us = entry->sent_us;
   request->prompt_tokens = entry->prompt_tokens;
   request->generated = entry->generated;
+  request->resumed = entry->generated;
   request->resumable = entry->resumable;
   memcpy (request->avoid, entry->avoid, sizeof request->avoid);
 }
@@ -272,16 +273,16 @@
     }
 }
 
-/* Updates the mean prefill time per prompt token from a time to first
-   token.  */
+/* Updates the mean prefill time per token from a time to first token. A resumed
+   request has its earlier tokens to prefill as well.  */
 static void
 update_prefill_estimate (struct shard_owner *shard,
                          const struct queued_request *request, guint32 ttft_us)
 {
-  if (ttft_us > 0 && request->prompt_tokens >= SHARD_PREFILL_TOKENS_MIN)
+  guint32 tokens = request->prompt_tokens + request->resumed;
+  if (ttft_us > 0 && tokens >= SHARD_PREFILL_TOKENS_MIN)
     server_health_mean_add (&shard->prefill_us_per_token,
-                            (double)ttft_us / request->prompt_tokens,
-                            SHARD_PREFILL_WEIGHT);
+                            (double)ttft_us / tokens, SHARD_PREFILL_WEIGHT);
 }
 
 static void
--- a/packages/cell/shard_server.c
+++ b/packages/cell/shard_server.c
@@ -118,7 +118,7 @@
 {
   if (release->ttft_us > 0)
     server_health_add_ttft (&server->health, release->ttft_us,
-                            request->prompt_tokens);
+                            request->prompt_tokens + request->resumed);
   switch (release->result)
     {
     case MSG_RESULT_OK:
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -779,6 +779,43 @@
   CU_ASSERT_TRUE (fixture_granted (&fixture, 101));
 }
 
+/* Serves request ID, of which RESUMED tokens were generated before, on a server
+   that takes US_PER_TOKEN for each token before the first new one. Returns the
+   server.  */
+static const char *
+serve_from (guint64 id, guint32 resumed, const char *avoid, gint64 us_per_token)
+{
+  struct msg_enqueue entry = fixture_entry (&fixture, id, FIXTURE_NORMAL, "a");
+  struct msg_release release = { .queue_entry = id, .result = MSG_RESULT_OK };
+  entry.generated = resumed;
+  entry.avoid[0] = fixture_id (avoid);
+  shard_enqueue (fixture.shard, "e1", &entry);
+  release.backend = fixture_id (fixture_server (&fixture, id));
+  release.ttft_us
+      = (guint32)(us_per_token * (500 + entry.prompt_tokens + resumed));
+  fixture_progress (&fixture, id, 20, 20 * CLK_MS);
+  shard_release (fixture.shard, "e1", &release);
+  return fixture_server (&fixture, id);
+}
+
+/* A server that got the resumed requests, whose earlier tokens are prefilled
+   again, must not be taken for slow.  */
+static void
+test_resumed_prefill (void)
+{
+  guint count = 0;
+  fixture_open (&fixture, 2, 8);
+  for (guint64 id = 1; id <= 60; id += 2)
+    {
+      serve_from (id, 4000, "sb", 250);
+      serve_from (id + 1, 0, "sa", 250);
+      fixture_advance (&fixture, SHARD_TICK_US);
+    }
+  for (guint64 id = 101; id <= 110; id++)
+    count += strcmp (serve_from (id, 0, "sb", 250), "sa") == 0;
+  CU_ASSERT_EQUAL (count, 10);
+}
+
 static CU_TestInfo tests[] = {
   { "the highest tier starts first", test_tier_order },
   { "an unused grant expires", test_unused_grant_expires },
@@ -795,6 +832,7 @@
   { "a team at its limit waits, others pass", test_team_limit },
   { "a class gets its minimum share of starts", test_minimum_share },
   { "tier order is strict beyond the shares", test_no_share_no_start },
+  { "prefill of a resumed request", test_resumed_prefill },
   { "a higher tier evicts the lowest", test_higher_tier_evicts },
   { "reserved room is kept for its class", test_reserved_room },
   { "a shard without servers rejects", test_no_server },
