Preempt another request if the chosen one cannot be resumed

An urgent request could wait for a slot until one became free by itself, although a request of a lower tier could have been preempted.

Whether a stream can be resumed is known to the shard owner from the time at which it was enqueued. Since then it may have become one that cannot, by its length or its contents; the ingress then ignored the preemption, and the owner took the urgent request for one that gets a slot, and the other for one that ends.

The ingress now sends its queue entry again, which says that it cannot be resumed. The owner takes the preemption back and may choose another victim for the urgent request.

On the code before, test_cel "a preemption is refused" failed (no second preemption, the urgent request not granted) and test_ing_resume "preempted" (the owner was not told). test_cel: 39 passed, 0 failed; test_ing_resume: 15 passed, 0 failed; test_cel_random, test_nod, test_nod_keyed and test_nod_lease passed.

--- a/packages/cell/queued_request.h
+++ b/packages/cell/queued_request.h
@@ -53,8 +53,11 @@
   guint32 generated; /* tokens generated so far */
   guint32 resumed;   /* of these, in earlier attempts */
   gboolean resumable;
-  guint32 charged;     /* tokens charged to team and class at its start */
-  gboolean preempted;  /* a PREEMPT message was sent for it */
+  guint32 charged;    /* tokens charged to team and class at its start */
+  gboolean preempted; /* a PREEMPT message was sent for it */
+  /* The request that it was preempted for: its ingress instance and number. */
+  struct str_id preempted_for;
+  guint64 preempted_for_id;
   gboolean has_victim; /* another request was preempted for this one */
   struct str_id avoid[MSG_AVOID_MAX];
 
--- a/packages/cell/shard.c
+++ b/packages/cell/shard.c
@@ -93,6 +93,8 @@
       && strcmp (request->server->cfg.name.s, entry->running.s) == 0)
     {
       request->state = QUEUED_RUNNING;
+      if (request->resumable && !entry->resumable)
+        shard_preempt_refused (shard, request);
       return;
     }
   shard_drop (shard, request);
--- a/packages/cell/shard_internal.h
+++ b/packages/cell/shard_internal.h
@@ -136,6 +136,8 @@
 
 /* shard_preemption.c */
 void shard_preempt (struct shard_owner *shard);
+void shard_preempt_refused (struct shard_owner *shard,
+                            struct queued_request *request);
 
 /* shard_dispatch.c */
 void shard_dispatch (struct shard_owner *shard);
--- a/packages/cell/shard_preemption.c
+++ b/packages/cell/shard_preemption.c
@@ -192,9 +192,29 @@
   struct msg msg = { .kind = MSG_PREEMPT };
   msg.preempt.queue_entry = victim->id;
   victim->preempted = TRUE;
+  victim->preempted_for = beneficiary->ingress->id;
+  victim->preempted_for_id = beneficiary->id;
   victim->class->n_preempted++;
   beneficiary->has_victim = TRUE;
   shard->last_preemption = now;
   counter_add (shard->counter_set, COUNTER_PREEMPTED, 1);
   shard->send (shard->ctx, victim->ingress->id.s, &msg);
 }
+
+/* The ingress of REQUEST, which runs, has told that it can no longer be
+   resumed. If it was to be preempted, it is not, and another one may be.  */
+void
+shard_preempt_refused (struct shard_owner *shard,
+                       struct queued_request *request)
+{
+  request->resumable = FALSE;
+  if (!request->preempted)
+    return;
+  struct queued_request *beneficiary = queued_find (
+      &shard->requests, request->preempted_for.s, request->preempted_for_id);
+  request->preempted = FALSE;
+  if (request->class)
+    request->class->n_preempted--;
+  if (beneficiary)
+    beneficiary->has_victim = FALSE;
+}
--- a/packages/node/queue_entries.c
+++ b/packages/node/queue_entries.c
@@ -192,7 +192,9 @@
 }
 
 /* Handles a preemption: shard owner FROM needs the server for a higher tier.
-   The attempt is cancelled and the request enqueued again to be resumed.  */
+   The attempt is cancelled and the request enqueued again to be resumed. If it
+   cannot be resumed any more, the owner is told, which may preempt another
+   one.  */
 void
 core_queue_preempt (struct core *core, const char *from,
                     const struct msg_preempt *preempt)
@@ -200,8 +202,13 @@
   struct core_request *req
       = g_hash_table_lookup (core->queue_entries, &preempt->queue_entry);
   if (req == NULL || strcmp (req->owner.s, from) != 0
-      || req->state != REQUEST_RUNNING || !core_request_is_resumable (req))
+      || req->state != REQUEST_RUNNING)
     return;
+  if (!core_request_is_resumable (req))
+    {
+      send_enqueue (core, req);
+      return;
+    }
   core_request_cancel_work (core, req);
   if (core_request_step (core, req, REQUEST_EV_REQUEUE)
       && !core_queue_enqueue (core, req))
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -615,6 +615,27 @@
   CU_ASSERT_EQUAL (preempted (), 2);
 }
 
+/* A request was resumable when it started but is not when it is preempted,
+   which its ingress tells. Another one is preempted instead, and the first one
+   not again.  */
+static void
+test_preemption_refused (void)
+{
+  fill_with_batch (TRUE, 200);
+  fixture_enqueue (&fixture, 10, FIXTURE_URGENT);
+  CU_ASSERT_PTR_NOT_NULL (fixture_find (&fixture, MSG_PREEMPT, 3));
+  struct msg_enqueue entry = fixture_entry (&fixture, 3, FIXTURE_BATCH, "a");
+  entry.running = fixture_id ("sa");
+  shard_enqueue (fixture.shard, "e1", &entry);
+  fixture_advance (&fixture, 150 * CLK_MS);
+  CU_ASSERT_EQUAL (preempted (), 2);
+  for (guint64 id = 1; id <= 8; id++)
+    if (id != 3 && fixture_find (&fixture, MSG_PREEMPT, id) != NULL)
+      fixture_release (&fixture, id, MSG_RESULT_CANCELLED);
+  CU_ASSERT_TRUE (fixture_granted (&fixture, 10));
+  fixture_release (&fixture, 3, MSG_RESULT_OK);
+}
+
 static void
 test_preemption_keeps_the_share (void)
 {
@@ -847,6 +868,7 @@
   { "a too long wait is rejected at once", test_too_long_wait },
   { "a team's limit is given as the reason", test_team_limit_reason },
   { "a running request is preempted for a higher tier", test_preemption },
+  { "a preemption is refused", test_preemption_refused },
   { "preemption keeps the minimum share", test_preemption_keeps_the_share },
   { "no preemption without need or use", test_no_preemption },
   { "a removed server gets no requests", test_config_removes_a_server },
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -816,6 +816,8 @@
       if (cases[i].position != NULL)
         CU_ASSERT_TRUE (
             g_str_has_prefix (request_body (&f, 1), cases[i].position));
+      /* The owner is told of the new or the changed entry. */
+      CU_ASSERT_EQUAL (f.counter_set.v[COUNTER_ENQUEUED], 2);
       CU_ASSERT_EQUAL (f.counter_set.v[COUNTER_CANCELS],
                        cases[i].position ? 1 : 0);
       stop (&f);
