Continue a stream only at an engine that confirms the position

A client could get its stream from the first token again, or with a part missing, if the engine that was to continue it did not know the position or took another one.

Nothing in the engine's response said where it begins, and the text alone cannot tell: a text may repeat itself.

An engine now names the position by "Jacinthward-Resumed: N". Without it, or with another number, the attempt fails before anything is relayed, and the next engine is asked or the stream ends with the error event.

--- a/emulator/standin/engine_completion.c
+++ b/emulator/standin/engine_completion.c
@@ -25,6 +25,7 @@
   GSource *client_source;
   GString *pending;     /* bytes that are not passed to libsoup yet */
   guint delay_timer;    /* ends the delay of a late chunk; 0: none */
+  gboolean resumed;     /* the request names a position */
   guint resumed_tokens; /* tokens that the client already had */
   gint64 crash_after;
   gboolean complete; /* all bytes are in pending or passed to libsoup */
@@ -247,6 +248,7 @@
       = json_object_get_string_member_with_default (resume, "text", "");
   if (tokens < 0 || tokens > response->completion.response_tokens)
     return FALSE;
+  response->resumed = TRUE;
   response->resumed_tokens = (guint)tokens;
   response->engine->counts.resumed++;
   GString *expected = g_string_new (NULL);
@@ -266,6 +268,12 @@
   soup_message_headers_set_encoding (headers, SOUP_ENCODING_CHUNKED);
   soup_message_headers_replace (headers, "Content-Type", "text/event-stream");
   soup_message_headers_replace (headers, "Cache-Control", "no-cache");
+  if (response->resumed)
+    {
+      char *tokens = g_strdup_printf ("%u", response->resumed_tokens);
+      soup_message_headers_replace (headers, "Jacinthward-Resumed", tokens);
+      g_free (tokens);
+    }
   soup_message_body_set_accumulate (soup_server_message_get_response_body (msg),
                                     FALSE);
   push_segment (msg, 1);
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -16,6 +16,8 @@
 #define INGRESS_RESUME_MAX (64 * 1024)
 /* Member of a request's body that names the position to engines. */
 #define INGRESS_RESUME_MEMBER "jacinthward_resume"
+/* Header in which an engine names the position after which it continues. */
+#define INGRESS_RESUMED_HEADER "Jacinthward-Resumed"
 #define INGRESS_PREFIX_BYTES 512  /* of the prompt that are hashed */
 #define INGRESS_BYTES_PER_TOKEN 4 /* for estimates */
 
@@ -41,6 +43,7 @@
   struct backend_call *attempt; /* in progress; or NULL */
   guint32 attempt_number;
   struct str_id server;      /* of the current attempt */
+  gboolean resumed;          /* it was given a position */
   gboolean buffered;         /* its response is not relayed event by event */
   guint status;              /* of its response; 0: no headers yet */
   char *response_type;       /* its content type; or NULL */
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -281,14 +281,46 @@
   notify_core (request, &event);
 }
 
+/* Whether HEADERS name the position that the engine was given, if it was. One
+   that does not know positions begins anew.  */
+static gboolean
+confirms_position (const struct ingress_request *request,
+                   SoupMessageHeaders *headers)
+{
+  char expected[16];
+  g_snprintf (expected, sizeof expected, "%u", request->sent_tokens);
+  return !request->resumed
+         || g_strcmp0 (
+                soup_message_headers_get_one (headers, INGRESS_RESUMED_HEADER),
+                expected)
+                == 0;
+}
+
+/* Returns why the response with STATUS, TYPE (may be NULL) and HEADERS must not
+   be read, or NULL. A stream that has begun can be continued only by events
+   after the position that the engine was given: any other response would end
+   it without an error.  */
+static const char *
+find_head_problem (const struct ingress_request *request, guint status,
+                   const char *type, SoupMessageHeaders *headers)
+{
+  if (status >= 500 || (request->stream_started && status != 200))
+    return "the status";
+  if (!request->streamed || status != 200)
+    return NULL;
+  if (type != NULL && g_ascii_strcasecmp (type, "text/event-stream") != 0)
+    return "the type";
+  if (!confirms_position (request, headers))
+    return "the position is not confirmed";
+  return NULL;
+}
+
 /* Returns the result with which an attempt ends at once because of its
    response's STATUS and HEADERS, or MSG_RESULT_OK if the response is read on.
-   A stream that has begun can be continued by events only: any other response
-   would end it without an error. Nor is a body of another type split into
-   events.  */
+   PROBLEM says why the result is MSG_RESULT_BROKEN.  */
 static enum msg_result
 classify_head (const struct ingress_request *request, guint status,
-               SoupMessageHeaders *headers)
+               SoupMessageHeaders *headers, const char **problem)
 {
   const char *type = soup_message_headers_get_content_type (headers, NULL);
   const char *leaving
@@ -300,12 +332,8 @@
     return MSG_RESULT_LEAVING;
   if (status == 429 || status == 503)
     return MSG_RESULT_BUSY;
-  if (status >= 500 || (request->stream_started && status != 200))
-    return MSG_RESULT_BROKEN;
-  if (request->streamed && status == 200 && type != NULL
-      && g_ascii_strcasecmp (type, "text/event-stream") != 0)
-    return MSG_RESULT_BROKEN;
-  return MSG_RESULT_OK;
+  *problem = find_head_problem (request, status, type, headers);
+  return *problem ? MSG_RESULT_BROKEN : MSG_RESULT_OK;
 }
 
 static void
@@ -313,12 +341,14 @@
 {
   struct ingress_request *request = ctx;
   const char *type = soup_message_headers_get_one (headers, "Content-Type");
-  enum msg_result result = classify_head (request, status, headers);
+  const char *problem = NULL;
+  enum msg_result result = classify_head (request, status, headers, &problem);
   if (result != MSG_RESULT_OK)
     {
       struct err err;
       err_set (&err, ERR_PROTOCOL, "backend.read", request->server.s,
-               "status %u, type %.64s", status, type ? type : "none");
+               "status %u, type %.64s%s%s", status, type ? type : "none",
+               problem ? ": " : "", problem ? problem : "");
       cancel_attempt (request);
       report_attempt_end (request, result, result == MSG_RESULT_BROKEN, &err);
       return;
@@ -531,6 +561,7 @@
   GBytes *resume = action->open.resume && request->stream_started
                        ? ingress_resume_body (request)
                        : NULL;
+  request->resumed = resume != NULL;
   if (resume != NULL)
     options.body = resume;
   request->attempt
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -45,7 +45,7 @@
   enum ending ending;
   const char *status; /* NULL: "200 OK" */
   const char *type;   /* NULL: "text/event-stream" */
-  const char *fields; /* further header lines; or NULL */
+  const char *fields; /* further header lines; NULL: the position's */
 };
 
 /* A connection that an engine has accepted. */
@@ -240,14 +240,27 @@
     }
 }
 
+/* Returns the header line that confirms the position in the request BODY, ""
+   if there is none. Freed by g_free.  */
+static char *
+confirm_position (const char *body)
+{
+  static const char start[] = "{\"jacinthward_resume\":{\"tokens\":";
+  if (!g_str_has_prefix (body, start))
+    return g_strdup ("");
+  return g_strdup_printf ("Jacinthward-Resumed: %" G_GUINT64_FORMAT "\r\n",
+                          g_ascii_strtoull (body + strlen (start), NULL, 10));
+}
+
 static void
-respond (struct link *link, const struct step *step)
+respond (struct link *link, const struct step *step, const char *body)
 {
   GString *out = g_string_new (NULL);
+  char *fields
+      = step->fields ? g_strdup (step->fields) : confirm_position (body);
   g_string_append_printf (out, "HTTP/1.1 %s\r\nContent-Type: %s\r\n%s%s\r\n",
                           step->status ? step->status : "200 OK",
-                          step->type ? step->type : "text/event-stream",
-                          step->fields ? step->fields : "",
+                          step->type ? step->type : "text/event-stream", fields,
                           step->ending == END_CLOSE
                               ? "Connection: close\r\n"
                               : "Transfer-Encoding: chunked\r\n");
@@ -265,6 +278,7 @@
   if (step->ending == END_CUT || step->ending == END_CLOSE)
     g_clear_object (&link->socket);
   g_string_free (out, TRUE);
+  g_free (fields);
 }
 
 /* Returns the body of the request in TEXT once it is complete, or NULL.  */
@@ -305,7 +319,8 @@
   g_ptr_array_add (f->bodies, g_strdup (body));
   g_string_truncate (link->received, 0);
   if (f->bodies->len <= f->n_steps)
-    respond (link, &f->steps[f->bodies->len - 1]);
+    respond (link, &f->steps[f->bodies->len - 1],
+             f->bodies->pdata[f->bodies->len - 1]);
   else
     g_clear_object (&link->socket);
 }
@@ -522,6 +537,30 @@
   stop (&f);
 }
 
+/* An engine that does not know the position begins anew, and one that takes
+   another position repeats or leaves out text. Only one that names the position
+   continues the stream.  */
+static void
+test_position_ignored (void)
+{
+  static const char *const fields[]
+      = { "X-Other: 1\r\n", "Jacinthward-Resumed: 0\r\n",
+          "Jacinthward-Resumed: 2\r\n", "Jacinthward-Resumed: 1x\r\n",
+          "Jacinthward-Resumed:\r\n" };
+  for (guint i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      const struct step steps[]
+          = { { TEXT ("a"), END_CUT },
+              { TEXT ("a") TEXT ("b") DONE, END_WHOLE, NULL, NULL, fields[i] },
+              { TEXT ("b") DONE, END_WHOLE } };
+      struct fixture f;
+      start (&f, steps, G_N_ELEMENTS (steps));
+      request (&f, TEXT_PATH, TEXT_REQUEST);
+      check_whole (&f, TEXT ("a") TEXT ("b") DONE, 3);
+      stop (&f);
+    }
+}
+
 /* A response that is no stream of events was split at its empty lines and
    relayed as events.  */
 static void
@@ -827,6 +866,7 @@
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
   { "the position is rejected", test_position_rejected },
+  { "the position is ignored", test_position_ignored },
   { "a response of another type", test_other_type },
   { "after [DONE]", test_after_done },
   { "after the reason of the end", test_after_finish },
