Fail an attempt whose response is cut between two chunks

A client could get a part of a chunked response as a complete one; the response of a keyed call was stored in the ledger so, and each repetition of the call got it.

The check of completions by JSON does not cover plain services.

After the last chunk the body's stream of libsoup returns 0 without a read from the connection; after a cut it reads on. The client now tells the two by a read with a cancellable that is cancelled beforehand, so that nothing is taken from a connection that is in use again.

--- a/packages/backend/backend_client.c
+++ b/packages/backend/backend_client.c
@@ -133,6 +133,29 @@
 
 static void start_read (struct backend_call *call);
 
+/* Whether the response of CALL, which libsoup takes for ended, lacks its last
+   chunk. libsoup reports no error if the connection is closed between two
+   chunks, but its stream of the body would read on then. So a read that is
+   cancelled beforehand, and thus takes nothing from the connection, fails;
+   after the last chunk it returns 0.  */
+static gboolean
+is_cut (const struct backend_call *call)
+{
+  char rest[64];
+  if (!G_IS_FILTER_INPUT_STREAM (call->stream)
+      || soup_message_headers_get_encoding (
+             soup_message_get_response_headers (call->message))
+             != SOUP_ENCODING_CHUNKED)
+    return FALSE;
+  GInputStream *body = g_filter_input_stream_get_base_stream (
+      G_FILTER_INPUT_STREAM (call->stream));
+  GCancellable *cancelled = g_cancellable_new ();
+  g_cancellable_cancel (cancelled);
+  gssize n = g_input_stream_read (body, rest, sizeof rest, cancelled, NULL);
+  g_object_unref (cancelled);
+  return n != 0;
+}
+
 static void
 on_read (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -146,6 +169,8 @@
     free_call (call);
   else if (n < 0)
     end_call (call, MSG_RESULT_BROKEN, error->message);
+  else if (n == 0 && is_cut (call))
+    end_call (call, MSG_RESULT_BROKEN, "connection closed between two chunks");
   else if (n == 0)
     end_call (call, MSG_RESULT_OK, "");
   else
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -458,9 +458,8 @@
     relay_events (request);
 }
 
-/* Returns what is missing of a response whose framing is complete, or NULL.
-   libsoup takes a connection that is closed between two chunks for the end of
-   the response, and a response without a length ends that way.  */
+/* Returns what is missing of a response whose framing is complete, or NULL. A
+   response without a length ends whenever the connection is closed.  */
 static const char *
 find_cut (struct ingress_request *request)
 {
