--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -3,78 +3,167 @@
 
 #include <string.h>
 
-static JsonObject *
-first_choice (JsonNode *root)
+/* Whether NODE holds nothing: null, an empty string or an empty array.  */
+static gboolean
+is_empty (JsonNode *node)
 {
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return NULL;
-  JsonNode *node
-      = json_object_get_member (json_node_get_object (root), "choices");
-  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node)
-      || json_array_get_length (json_node_get_array (node)) == 0)
-    return NULL;
-  node = json_array_get_element (json_node_get_array (node), 0);
-  return JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
+  if (JSON_NODE_HOLDS_ARRAY (node))
+    return json_array_get_length (json_node_get_array (node)) == 0;
+  return json_node_is_null (node)
+         || (JSON_NODE_HOLDS_VALUE (node)
+             && json_node_get_value_type (node) == G_TYPE_STRING
+             && json_node_get_string (node)[0] == '\0');
 }
 
-static const char *
-get_string (JsonObject *object, const char *name)
+/* Sets TEXT to the string in NODE, which may be NULL or hold nothing. Returns
+   FALSE if NODE holds something else.  */
+static gboolean
+read_text (JsonNode *node, const char **text)
 {
-  JsonNode *node = json_object_get_member (object, name);
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+  if (node == NULL || is_empty (node))
+    return TRUE;
+  if (!JSON_NODE_HOLDS_VALUE (node)
       || json_node_get_value_type (node) != G_TYPE_STRING)
-    return NULL;
-  return json_node_get_string (node);
+    return FALSE;
+  *text = json_node_get_string (node);
+  return TRUE;
 }
 
+/* What an event of a stream holds.  */
+struct content
+{
+  const char *text;  /* "": none */
+  gboolean has_role; /* of the author of the text */
+};
+
+/* Reads text and role of DELTA. Returns FALSE if it holds anything else, such
+   as a tool call.  */
+static gboolean
+read_delta (JsonObject *delta, struct content *content)
+{
+  JsonObjectIter iter;
+  const char *name;
+  JsonNode *node;
+  json_object_iter_init (&iter, delta);
+  while (json_object_iter_next (&iter, &name, &node))
+    if (strcmp (name, "role") == 0)
+      content->has_role = !is_empty (node);
+    else if (strcmp (name, "content") != 0 && !is_empty (node))
+      return FALSE;
+  return read_text (json_object_get_member (delta, "content"), &content->text);
+}
+
+/* Reads the contents of CHOICE. Returns NULL, or why no other engine may add to
+   the text: it does not hold all of CHOICE, or it is finished.  */
 static const char *
-choice_text (JsonObject *choice)
+read_choice (JsonObject *choice, struct content *content)
 {
   JsonNode *delta = json_object_get_member (choice, "delta");
+  JsonNode *node;
+  gboolean ok;
+  if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
+    return "several choices";
   if (delta != NULL && JSON_NODE_HOLDS_OBJECT (delta))
-    return get_string (json_node_get_object (delta), "content");
-  return get_string (choice, "text");
+    ok = read_delta (json_node_get_object (delta), content);
+  else
+    ok = read_text (json_object_get_member (choice, "text"), &content->text);
+  if (!ok)
+    return "not only text";
+  node = json_object_get_member (choice, "finish_reason");
+  return node == NULL || is_empty (node) ? NULL : "the text is finished";
 }
 
-/* Adds the text in DATA, the data of one event, to the text that was sent.
-   Returns the number of tokens: one for an event with text, else 0.  */
-guint32
-ingress_record_event (struct ingress_request *request, struct str data)
+/* Does the same for an event with the data ROOT, which may be NULL.  */
+static const char *
+read_event (JsonNode *root, struct content *content)
+{
+  JsonNode *node;
+  JsonArray *choices;
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return "not a JSON object";
+  node = json_object_get_member (json_node_get_object (root), "choices");
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
+    return "no choices";
+  choices = json_node_get_array (node);
+  if (json_array_get_length (choices) == 0)
+    return NULL;
+  if (json_array_get_length (choices) > 1)
+    return "several choices";
+  node = json_array_get_element (choices, 0);
+  return JSON_NODE_HOLDS_OBJECT (node)
+             ? read_choice (json_node_get_object (node), content)
+             : "not a JSON object";
+}
+
+/* Whether an event with CONTENT only repeats the role that an earlier attempt
+   has sent.  */
+static gboolean
+repeats_role (struct ingress_request *request, const struct content *content)
+{
+  if (!content->has_role)
+    return FALSE;
+  if (request->role_attempt == 0)
+    request->role_attempt = request->attempt_number;
+  return request->role_attempt != request->attempt_number
+         && *content->text == '\0';
+}
+
+/* Reads DATA, the data of one event that is about to be sent, and adds its text
+   to the text that was sent. If that text is not all that the client has then,
+   the stream cannot be continued and the reason is stored. Adds to TOKENS one
+   for an event with text. Returns FALSE if the event must not be sent, since
+   the client has what it holds.  */
+gboolean
+ingress_record_event (struct ingress_request *request, struct str data,
+                      guint32 *tokens)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  guint32 tokens = 0;
-  if (json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
-    {
-      JsonObject *choice = first_choice (json_parser_get_root (parser));
-      const char *text = choice ? choice_text (choice) : NULL;
-      if (text != NULL && *text != '\0')
-        {
-          tokens = 1;
-          if (request->sent_text->len <= INGRESS_RESUME_MAX)
-            g_string_append (request->sent_text, text);
-        }
-    }
+  struct content content = { .text = "" };
+  const char *problem;
+  if (!json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
+    problem = "not JSON";
+  else if (g_strstr_len (data.p, (gssize)data.n, "\\u0000") != NULL)
+    problem = "a NUL in the text"; /* which json-glib would end there */
+  else
+    problem = read_event (json_parser_get_root (parser), &content);
+  if (problem == NULL && !g_utf8_validate (content.text, -1, NULL))
+    problem = "not UTF-8"; /* half of a surrogate pair */
+  *tokens += *content.text != '\0';
+  if (request->not_resumable == NULL)
+    request->not_resumable = problem;
+  if (request->not_resumable == NULL)
+    g_string_append (request->sent_text, content.text);
+  if (request->not_resumable == NULL
+      && request->sent_text->len > INGRESS_RESUME_MAX)
+    request->not_resumable = "too long a text";
+  gboolean repeated = problem == NULL && repeats_role (request, &content);
   g_object_unref (parser);
-  return tokens;
+  return !repeated;
 }
 
-/* Returns usage.completion_tokens of the JSON text BODY, 0 if it has none.  */
-guint32
-ingress_completion_tokens (struct str body)
+/* Sets TOKENS to usage.completion_tokens of the JSON object BODY, 0 if it has
+   none. Returns FALSE if BODY is not a complete JSON object.  */
+gboolean
+ingress_read_completion (struct str body, guint32 *tokens)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  gint64 tokens = 0;
-  if (json_parser_load_from_data (parser, body.p, (gssize)body.n, NULL)
-      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+  gint64 n = 0;
+  gboolean ok
+      = body.n > 0
+        && json_parser_load_from_data (parser, body.p, (gssize)body.n, NULL)
+        && json_parser_get_root (parser) != NULL
+        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  if (ok)
     {
       JsonNode *usage = json_object_get_member (
           json_node_get_object (json_parser_get_root (parser)), "usage");
       if (usage != NULL && JSON_NODE_HOLDS_OBJECT (usage))
-        tokens = json_object_get_int_member_with_default (
+        n = json_object_get_int_member_with_default (
             json_node_get_object (usage), "completion_tokens", 0);
     }
   g_object_unref (parser);
-  return (guint32)CLAMP (tokens, 0, G_MAXINT32);
+  *tokens = (guint32)CLAMP (n, 0, G_MAXINT32);
+  return ok;
 }
 
 static char *
@@ -99,7 +188,7 @@
   char *text = json_quote (request->sent_text->str);
   GString *out = g_string_new (NULL);
   g_string_append_printf (out,
-                          "{\"jacinthward_resume\":{\"tokens\":%u,"
+                          "{\"" INGRESS_RESUME_MEMBER "\":{\"tokens\":%u,"
                           "\"text\":%s},",
                           request->sent_tokens, text);
   g_string_append_len (out, brace + 1, (gssize)(body + n - brace - 1));
--- a/packages/entry/ingress_internal.h
+++ b/packages/entry/ingress_internal.h
@@ -14,6 +14,10 @@
 #define INGRESS_UNSENT_LOW (64 * 1024)
 /* Bytes of generated text; a longer stream cannot be resumed. */
 #define INGRESS_RESUME_MAX (64 * 1024)
+/* Member of a request's body that names the position to engines. */
+#define INGRESS_RESUME_MEMBER "jacinthward_resume"
+/* Header in which an engine names the position after which it continues. */
+#define INGRESS_RESUMED_HEADER "Jacinthward-Resumed"
 #define INGRESS_PREFIX_BYTES 512  /* of the prompt that are hashed */
 #define INGRESS_BYTES_PER_TOKEN 4 /* for estimates */
 
@@ -39,21 +43,27 @@
   struct backend_call *attempt; /* in progress; or NULL */
   guint32 attempt_number;
   struct str_id server;      /* of the current attempt */
+  gboolean resumed;          /* it was given a position */
   gboolean buffered;         /* its response is not relayed event by event */
   guint status;              /* of its response; 0: no headers yet */
   char *response_type;       /* its content type; or NULL */
   GByteArray *response_body; /* buffered: received so far */
+  guint32 response_tokens;   /* buffered: generated, by its own account */
   struct sse sse;            /* streamed */
   gboolean done_received;    /* the stream's "[DONE]" */
   gboolean stream_started;   /* streamed: headers were sent to the client */
-  gboolean detached;   /* the client has disconnected; the request goes on so
-                          that its response is recorded */
-  gboolean finished;   /* the response to the client is complete */
-  GString *sent_text;  /* streamed: generated text that was sent */
-  guint32 sent_tokens; /* streamed: in SENT_TEXT */
-  gsize unsent_bytes;  /* not yet written to the client */
-  gint64 last_write;   /* to the client, or when bytes became unsent;
-                          monotonic microseconds */
+  gboolean detached;  /* the client has disconnected; the request goes on so
+                         that its response is recorded */
+  gboolean finished;  /* the response to the client is complete */
+  GString *sent_text; /* streamed: generated text that was sent */
+  /* Streamed: why no other engine may continue the stream after SENT_TEXT,
+     static; or NULL. */
+  const char *not_resumable;
+  guint32 role_attempt; /* streamed: whose role was sent; 0: none was */
+  guint32 sent_tokens;  /* streamed: in SENT_TEXT */
+  gsize unsent_bytes;   /* not yet written to the client */
+  gint64 last_write;    /* to the client, or when bytes became unsent;
+                           monotonic microseconds */
 };
 
 struct ingress
@@ -93,8 +103,9 @@
 
 /* engine_response.c */
 
-guint32 ingress_record_event (struct ingress_request *request, struct str data);
-guint32 ingress_completion_tokens (struct str body);
+gboolean ingress_record_event (struct ingress_request *request, struct str data,
+                               guint32 *tokens);
+gboolean ingress_read_completion (struct str body, guint32 *tokens);
 GBytes *ingress_resume_body (const struct ingress_request *request);
 
 /* ingress_request.c */
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -240,6 +240,13 @@
   notify_core (request, &event);
 }
 
+/* Whether another engine may continue the stream.  */
+static gboolean
+is_resumable (const struct ingress_request *request)
+{
+  return !request->done_received && request->not_resumable == NULL;
+}
+
 static void
 report_attempt_end (struct ingress_request *request, enum msg_result result,
                     gboolean sent, const struct err *err)
@@ -252,14 +259,16 @@
                                     .request_id = request->request_id,
                                     .step = err ? err->step : "attempt",
                                     .peer = err ? err->peer : NULL },
-               "attempt %u: %s: %s", request->attempt_number,
-               msg_result_name (result), err ? err->text : "");
+               "attempt %u: %s: %s%s%s", request->attempt_number,
+               msg_result_name (result), err ? err->text : "",
+               request->not_resumable ? "; cannot be resumed: " : "",
+               request->not_resumable ? request->not_resumable : "");
   end->request = request->id;
   end->attempt = request->attempt_number;
   end->result = result;
   end->sent = sent;
   end->delivered = request->stream_started;
-  end->resumable = request->sent_text->len <= INGRESS_RESUME_MAX;
+  end->resumable = is_resumable (request);
   end->status = request->status;
   end->bytes = request->response_body ? request->response_body->len : 0;
   if (request->response_body != NULL && result == MSG_RESULT_OK)
@@ -267,19 +276,53 @@
       end->body = (struct str){ (const char *)request->response_body->data,
                                 request->response_body->len };
       end->content_type = str_of (request->response_type);
-      if (request->to_engine && end->body.n > 0)
-        end->tokens = ingress_completion_tokens (end->body);
+      end->tokens = request->response_tokens;
     }
   notify_core (request, &event);
 }
 
+/* Whether HEADERS name the position that the engine was given, if it was. One
+   that does not know positions begins anew.  */
+static gboolean
+confirms_position (const struct ingress_request *request,
+                   SoupMessageHeaders *headers)
+{
+  char expected[16];
+  g_snprintf (expected, sizeof expected, "%u", request->sent_tokens);
+  return !request->resumed
+         || g_strcmp0 (
+                soup_message_headers_get_one (headers, INGRESS_RESUMED_HEADER),
+                expected)
+                == 0;
+}
+
+/* Returns why the response with STATUS, TYPE (may be NULL) and HEADERS must not
+   be read, or NULL. A stream that has begun can be continued only by events
+   after the position that the engine was given: any other response would end
+   it without an error.  */
+static const char *
+find_head_problem (const struct ingress_request *request, guint status,
+                   const char *type, SoupMessageHeaders *headers)
+{
+  if (status >= 500 || (request->stream_started && status != 200))
+    return "the status";
+  if (!request->streamed || status != 200)
+    return NULL;
+  if (type != NULL && g_ascii_strcasecmp (type, "text/event-stream") != 0)
+    return "the type";
+  if (!confirms_position (request, headers))
+    return "the position is not confirmed";
+  return NULL;
+}
+
 /* Returns the result with which an attempt ends at once because of its
    response's STATUS and HEADERS, or MSG_RESULT_OK if the response is read on.
- */
+   PROBLEM says why the result is MSG_RESULT_BROKEN.  */
 static enum msg_result
 classify_head (const struct ingress_request *request, guint status,
-               SoupMessageHeaders *headers)
+               SoupMessageHeaders *headers, const char **problem)
 {
+  const char *type = soup_message_headers_get_content_type (headers, NULL);
   const char *leaving
       = soup_message_headers_get_one (headers, "Jacinthward-Leaving");
   if (!request->to_engine)
@@ -289,26 +332,30 @@
     return MSG_RESULT_LEAVING;
   if (status == 429 || status == 503)
     return MSG_RESULT_BUSY;
-  if (status >= 500)
-    return MSG_RESULT_BROKEN;
-  return MSG_RESULT_OK;
+  *problem = find_head_problem (request, status, type, headers);
+  return *problem ? MSG_RESULT_BROKEN : MSG_RESULT_OK;
 }
 
 static void
 on_head (void *ctx, guint status, SoupMessageHeaders *headers)
 {
   struct ingress_request *request = ctx;
-  enum msg_result result = classify_head (request, status, headers);
+  const char *type = soup_message_headers_get_one (headers, "Content-Type");
+  const char *problem = NULL;
+  enum msg_result result = classify_head (request, status, headers, &problem);
   if (result != MSG_RESULT_OK)
     {
+      struct err err;
+      err_set (&err, ERR_PROTOCOL, "backend.read", request->server.s,
+               "status %u, type %.64s%s%s", status, type ? type : "none",
+               problem ? ": " : "", problem ? problem : "");
       cancel_attempt (request);
-      report_attempt_end (request, result, result == MSG_RESULT_BROKEN, NULL);
+      report_attempt_end (request, result, result == MSG_RESULT_BROKEN, &err);
       return;
     }
   request->status = status;
   g_free (request->response_type);
-  request->response_type
-      = g_strdup (soup_message_headers_get_one (headers, "Content-Type"));
+  request->response_type = g_strdup (type);
   request->buffered = !request->streamed || status != 200;
 }
 
@@ -351,11 +398,11 @@
   guint32 tokens = 0;
   while (!request->done_received && sse_next (&request->sse, &event))
     {
-      struct str data = sse_data (event);
+      struct str data = sse_data (&request->sse, event);
       if (str_eq (data, STR_LIT ("[DONE]")))
         request->done_received = TRUE;
-      else if (data.n > 0)
-        tokens += ingress_record_event (request, data);
+      else if (data.n > 0 && !ingress_record_event (request, data, &tokens))
+        continue;
       g_string_append_len (out, event.p, (gssize)event.n);
     }
   if (out->len == 0)
@@ -373,8 +420,8 @@
   progress.tokens.attempt = request->attempt_number;
   progress.tokens.count = tokens;
   progress.tokens.bytes = bytes;
-  progress.tokens.resumable = request->sent_text->len <= INGRESS_RESUME_MAX;
-  if (tokens > 0)
+  progress.tokens.resumable = is_resumable (request);
+  if (tokens > 0 || !progress.tokens.resumable)
     notify_core (request, &progress);
 }
 
@@ -400,23 +447,46 @@
                              (guint)data.n);
       return;
     }
-  if (sse_add (&request->sse, data) < 0)
+  if (request->done_received)
+    {
+      cancel_attempt (request);
+      report_attempt_end (request, MSG_RESULT_OK, TRUE, NULL);
+    }
+  else if (sse_add (&request->sse, data) < 0)
     fail_attempt (request, "event too large");
   else
     relay_events (request);
 }
 
+/* Returns what is missing of a response whose framing is complete, or NULL. A
+   response without a length ends whenever the connection is closed.  */
+static const char *
+find_cut (struct ingress_request *request)
+{
+  if (!request->to_engine)
+    return NULL;
+  if (!request->buffered)
+    return request->done_received ? NULL : "the stream ended without [DONE]";
+  struct str body = { (const char *)request->response_body->data,
+                      request->response_body->len };
+  gboolean whole = ingress_read_completion (body, &request->response_tokens);
+  return whole || request->status != 200 ? NULL : "not a complete JSON object";
+}
+
 static void
 on_end (void *ctx, enum msg_result result, gboolean sent, const struct err *err)
 {
   struct ingress_request *request = ctx;
   struct err truncated;
   request->attempt = NULL;
-  if (result == MSG_RESULT_OK && !request->buffered && !request->done_received)
+  if (request->done_received)
+    result = MSG_RESULT_OK; /* the client has all of it */
+  const char *cut = result == MSG_RESULT_OK ? find_cut (request) : NULL;
+  if (cut != NULL)
     {
       result = MSG_RESULT_BROKEN;
-      err_set (&truncated, ERR_CLOSED, "backend.read", request->server.s,
-               "the stream ended without [DONE]");
+      err_set (&truncated, ERR_CLOSED, "backend.read", request->server.s, "%s",
+               cut);
       err = &truncated;
     }
   report_attempt_end (request, result, sent, err);
@@ -480,6 +550,7 @@
   request->server = action->open.backend->name;
   request->status = 0;
   request->done_received = FALSE;
+  request->response_tokens = 0;
   request->buffered = !request->streamed;
   sse_clear (&request->sse);
   sse_init (&request->sse);
@@ -489,6 +560,7 @@
   GBytes *resume = action->open.resume && request->stream_started
                        ? ingress_resume_body (request)
                        : NULL;
+  request->resumed = resume != NULL;
   if (resume != NULL)
     options.body = resume;
   request->attempt
