Let servers of the soak begin a resumed stream anew

What was missed: no server of the soak went on elsewhere than it was told, so nothing but unit tests showed what an instance makes of that.

Change: one in five streams that are to go on after an event begin at the first one, at a server that has the fault of breaking off streams. Such a request may end without a complete response; its events must not come twice.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -307,11 +307,11 @@
   for (guint i = 0; i < SOAK_EXCUSE_N; i++)
     g_print ("%s %u %s", i > 0 ? "," : "", counts->cut[i], excuse_names[i]);
   g_print (
-      "; streams broken off %u, resumed %u, finished then %u"
+      "; streams broken off %u, begun anew %u, resumed %u, finished then %u"
       "; Retry-After sent %u, %u requests meanwhile; leaving passed on %u, "
       "%u requests after that\n",
-      counts->broken, counts->resumed, counts->finished, counts->hints.backoffs,
-      counts->hints.in_backoff, counts->hints.passed_on,
+      counts->broken, counts->begun_anew, counts->resumed, counts->finished,
+      counts->hints.backoffs, counts->hints.in_backoff, counts->hints.passed_on,
       counts->hints.after_leave);
   if (!ok)
     harness_explain (soak.harness);
--- a/tests/soak/soak_stream.c
+++ b/tests/soak/soak_stream.c
@@ -18,6 +18,9 @@
 #define BREAK_SHARE 0.8
 #define BREAK_AT_FIRST 0.5 /* of these: before the first event */
 #define BREAK_INSIDE 0.3   /* of these: in the middle of an event */
+/* Share of the streams which such a server begins at the first event though it
+   was told another one.  */
+#define BEGIN_ANEW_SHARE 0.2
 
 struct stream *
 stream_new (struct soak_traffic *traffic, const char *key)
@@ -76,7 +79,8 @@
   g_string_free (ids, TRUE);
 }
 
-/* Fills in how SERVER breaks off RESPONSE to REQUEST, if it does.  */
+/* Fills in how SERVER breaks off RESPONSE to REQUEST, if it does, or that it
+   begins at the first event though it was told another one.  */
 void
 stream_plan (const struct server *server, struct request *request,
              struct scripted_response *response)
@@ -87,10 +91,17 @@
           [SCRIPTED_BREAK_RESET] = "then to reset",
           [SCRIPTED_BREAK_SILENCE] = "then to be silent" };
   GRand *rand = server->traffic->stream_rand;
+  gboolean faulty = g_get_monotonic_time () < server->breaks_until;
+  if (faulty && response->first_event > 1
+      && g_rand_double (rand) < BEGIN_ANEW_SHARE)
+    {
+      response->first_event = 1;
+      request->broken_off = TRUE;
+      server->traffic->counts.begun_anew++;
+    }
   guint first = response->first_event;
   response->break_event = response->last_event + 1;
-  if (first <= response->last_event
-      && g_get_monotonic_time () < server->breaks_until
+  if (faulty && first <= response->last_event
       && g_rand_double (rand) < BREAK_SHARE)
     {
       response->broken = (enum scripted_break)g_rand_int_range (
--- a/tests/soak/soak_traffic.h
+++ b/tests/soak/soak_traffic.h
@@ -63,6 +63,7 @@
   guint refused;    /* not sent: no instance accepts connections */
   guint violations; /* of the guarantees */
   guint broken;     /* streams, by a server as part of a fault */
+  guint begun_anew; /* by a server that was told to go on */
   guint resumed;    /* attempts at streams that a client has a part of */
   guint finished;   /* of RESUMED: served */
   struct server_hints_counts hints;
--- a/tests/soak/soak_traffic_internal.h
+++ b/tests/soak/soak_traffic_internal.h
@@ -43,7 +43,7 @@
   guint executions;    /* begun */
   guint running;       /* executions in progress */
   gint64 worked_until; /* end of the last execution */
-  gboolean broken_off; /* a server has dropped its connection */
+  gboolean broken_off; /* a server has broken off or spoilt the response */
   gboolean rejected;   /* the client was told that it has not run */
 };
 
