Tell a new shard owner each token of a running request once

The owner that took over a shard counted up to a second's tokens of each running request twice, and with them the prefill that a preemption would repeat, by which it chooses whom to preempt.

The queue entry for the new owner had all tokens of the request, and the next report again those since the last report to the owner before.

The entry now has the tokens that were reported; the others follow in the report.

Without the change of queue_entries.c test_ing_resume "a new owner" failed: the owner was told more than the 2 tokens that the client has.

--- a/packages/node/queue_entries.c
+++ b/packages/node/queue_entries.c
@@ -71,7 +71,7 @@
   entry->prefix = req->spec.prefix;
   entry->prompt_tokens = req->spec.prompt_tokens;
   entry->max_tokens = req->spec.max_tokens;
-  entry->generated = req->generated;
+  entry->generated = req->generated - req->unreported;
   entry->resumable = core_request_is_resumable (req);
   if (req->state != REQUEST_WAITING)
     entry->running = req->backend;
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -8,9 +8,10 @@
 
 #include <string.h>
 
-#define WAIT_MS 5000 /* such a wait normally takes a few ms */
-#define STALL_MS 200 /* limit for an engine that sends nothing */
-#define WARMUP_TICKS 100
+#define WAIT_MS 5000        /* such a wait normally takes a few ms */
+#define STALL_MS 200        /* limit for an engine that sends nothing */
+#define WARMUP_TICKS 105    /* the next report to owners is not due at once */
+#define TICKS_PER_REPORT 60 /* of tokens to owners, at least */
 #define ENGINES 2
 #define TEAM_KEY "key-of-crew"
 
@@ -74,12 +75,29 @@
   gboolean closed;   /* the client has seen the end of its connection */
   GString *body;     /* of the response, without its framing */
   gboolean whole;    /* the response's framing is complete */
+  guint entries;     /* sent to owners that are other instances */
+  guint told_tokens; /* in the last of them and in reports since then */
 };
 
+static void
+note_tokens (struct fixture *f, const struct msg *msg)
+{
+  if (msg->kind == MSG_ENQUEUE)
+    {
+      f->entries++;
+      f->told_tokens = msg->enqueue.generated;
+    }
+  if (msg->kind == MSG_PROGRESS)
+    for (guint i = 0; i < msg->progress.n_items; i++)
+      f->told_tokens += msg->progress.items[i].tokens;
+}
+
 static void
 act (void *ctx, const struct core_action *action)
 {
   struct fixture *f = ctx;
+  if (action->kind == CORE_DO_SEND)
+    note_tokens (f, action->send.msg);
   if (f->ingress != NULL)
     ingress_execute (f->ingress, action);
 }
@@ -863,6 +881,40 @@
     }
 }
 
+/* An instance that becomes the owner of the shard while the stream runs learns
+   each token once, from the entry or from a report.  */
+static void
+test_new_owner (void)
+{
+  struct fixture f;
+  static const struct step steps[] = { { TEXT ("a") TEXT ("b"), END_OPEN } };
+  start (&f, steps, G_N_ELEMENTS (steps));
+  send_request (&f, TEXT_PATH, TEXT_REQUEST);
+  while (strstr (f.received->str, "\"b\"") == NULL)
+    iterate (&f);
+  for (char id[] = "b"; id[0] <= 'z' && f.entries == 0; id[0]++)
+    {
+      struct msg msg = { .kind = MSG_HEARTBEAT };
+      struct core_event event = { .kind = CORE_MESSAGE };
+      msg.heartbeat.incarnation = 1;
+      msg.heartbeat.sequence = 1;
+      msg.heartbeat.config_version = 1;
+      str_id_set (&msg.heartbeat.domain, STR_LIT ("d"));
+      str_id_set (&msg.heartbeat.region, STR_LIT ("r"));
+      g_strlcpy (msg.heartbeat.address, "127.0.0.1:2",
+                 sizeof msg.heartbeat.address);
+      event.message.from = id;
+      event.message.msg = &msg;
+      core_handle (f.core, &event);
+      on_tick (&f);
+    }
+  CU_ASSERT_EQUAL (f.entries, 1);
+  for (guint i = 0; i < TICKS_PER_REPORT; i++)
+    on_tick (&f);
+  CU_ASSERT_EQUAL (f.told_tokens, 2);
+  stop (&f);
+}
+
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
   { "the position is rejected", test_position_rejected },
@@ -880,6 +932,7 @@
   { "lines that end with CR", test_cr_lines },
   { "a cut object", test_cut_object },
   { "preempted", test_preempted },
+  { "a new owner", test_new_owner },
   CU_TEST_INFO_NULL,
 };
 
