Test that comments without end are cut at the class's deadline

An engine that sends comments without end is not silent, so the stall limit does not apply. The stream ends with the error event at the deadline of its class.

--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -22,7 +22,11 @@
       "[class:urgent]\ntier=0\nttft_ms=2000\ntbt_ms=200\ndeadline_ms=60000\n"
       "min_share=0.3\nmax_waiting=256\nreserved_waiting=16\nretry_share=0.5\n"
       "link_bytes_per_s=4000000\nspill=anywhere\n"
-      "[team:crew]\nkey_sha256=%s\nweight=1\nmax_running=0\nclasses=urgent\n"
+      "[class:short]\ntier=1\nttft_ms=200\ntbt_ms=200\ndeadline_ms=400\n"
+      "min_share=0.1\nmax_waiting=256\nreserved_waiting=16\nretry_share=0.5\n"
+      "link_bytes_per_s=4000000\nspill=anywhere\n"
+      "[team:crew]\nkey_sha256=%s\nweight=1\nmax_running=0\n"
+      "classes=urgent;short\n"
       "default_class=urgent\n"
       "[operator:ops]\ntoken_sha256=%s\nwrite=yes\n"
       "[domain:d]\nregion=r\n"
@@ -70,6 +74,7 @@
   const struct step *steps;
   guint n_steps;
   GPtrArray *bodies; /* char *, of the requests that the engines got */
+  const char *class; /* of the client's request; NULL: the team's */
   GSocket *client;
   GString *received; /* by the client, as on the wire */
   gboolean closed;   /* the client has seen the end of its connection */
@@ -402,8 +407,9 @@
       "127.0.0.1", ingress_port (f->ingress));
   char *text = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-      "Authorization: Bearer " TEAM_KEY "\r\nContent-Length: %zu\r\n\r\n%s",
-      path, strlen (body), body);
+      "Authorization: Bearer " TEAM_KEY "\r\nJacinthward-Class: %s\r\n"
+      "Content-Length: %zu\r\n\r\n%s",
+      path, f->class ? f->class : "urgent", strlen (body), body);
   f->client = new_socket ();
   g_socket_set_blocking (f->client, TRUE);
   CU_ASSERT_TRUE_FATAL (g_socket_connect (f->client, to, NULL, NULL));
@@ -881,6 +887,23 @@
     }
 }
 
+/* Comments without end keep a stream open, for an engine may send them while it
+   works on a long prompt, but not longer than the deadline of its class.  */
+static void
+test_endless_comments (void)
+{
+  static const struct step steps[] = { { TEXT ("a"), END_NEVER } };
+  struct fixture f;
+  start (&f, steps, G_N_ELEMENTS (steps));
+  f.class = "short";
+  request (&f, TEXT_PATH, TEXT_REQUEST);
+  const char *error = strstr (f.body->str, "data: {\"error\":");
+  CU_ASSERT_TRUE (g_str_has_prefix (f.body->str, TEXT ("a") ": x\n\n"));
+  CU_ASSERT_PTR_NOT_NULL (error);
+  CU_ASSERT_PTR_NULL (strstr (f.body->str, "[DONE]"));
+  stop (&f);
+}
+
 /* An instance that becomes the owner of the shard while the stream runs learns
    each token once, from the entry or from a report.  */
 static void
@@ -932,6 +955,7 @@
   { "lines that end with CR", test_cr_lines },
   { "a cut object", test_cut_object },
   { "preempted", test_preempted },
+  { "comments without end", test_endless_comments },
   { "a new owner", test_new_owner },
   CU_TEST_INFO_NULL,
 };
