Give the scripted engines of a test half a second before a stall

A test process that is not run for 200 ms on a busy machine would take an engine that has answered for a silent one.

--- a/tests/unit/scripted_engines.h
+++ b/tests/unit/scripted_engines.h
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define SCRIPTED_WAIT_MS 5000 /* such a wait normally takes a few ms */
-#define SCRIPTED_STALL_MS 200 /* limit for an engine that sends nothing */
+#define SCRIPTED_STALL_MS 500 /* limit for an engine that sends nothing */
 /* After these the next report of tokens to owners is not due at once. */
 #define SCRIPTED_WARMUP_TICKS 105
 #define SCRIPTED_ENGINES 2
