--- a/tests/soak/soak_stream.c
+++ b/tests/soak/soak_stream.c
@@ -1,5 +1,8 @@
 /* Streams that servers break off and clients resume: how a server breaks one
-   off, when a client comes back, and the check of what it has got.  */
+   off, when a client comes back, and the check of what it has got. Guards
+   against events that come twice, are missing or belong to another attempt,
+   such as when the position of a client that has come back is lost because the
+   first server ends before an event.  */
 #include "soak/soak_traffic_internal.h"
 
 #include <string.h>
