Count bytes that are no response until the deadline as a failure

What callers saw: 504 at the deadline, again and again from the same server. A server that sends a head a byte at a time, 1xx responses or responses to other requests slowly enough kept each attempt until its deadline and stayed healthy, because an attempt that ends there charged nothing.

Change: if the server has sent bytes but not the head of its response when the deadline ends the attempt, answer.none is logged and a failure is added to its health. A server that has sent nothing may only be busy, and one that has sent its head may be slow: both are judged as before.

All test_gate* programs pass.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -43,6 +43,7 @@
                                 request */
   gboolean discarding;       /* the response being read belongs to another
                                 request */
+  gboolean has_bytes;        /* bytes have arrived for the attempt */
   gboolean response_started; /* the head of the response has arrived */
   gboolean relaying;         /* the response is relayed, not buffered */
   gboolean complete;         /* the end of a response has been read */
@@ -51,6 +52,7 @@
   gsize stray_bytes;         /* of their bodies */
   const char *error_text;    /* why the response is unusable, static text;
                                 NULL: the reader says it, or nothing is wrong */
+  gboolean charged;          /* the server's health has the failure */
   gboolean is_trial;         /* the server's first request after a backoff */
 };
 
@@ -271,6 +273,7 @@
                                  ? RETRY_RESULT_LOST
                                  : RETRY_RESULT_NOT_SENT;
   const struct str none = { "", 0 };
+  upstream->charged = TRUE;
   g_strlcpy (copy.peer, upstream->server->entry.id, sizeof copy.peer);
   server_health_add_result (&upstream->server->server_health,
                             result == RETRY_RESULT_NOT_SENT
@@ -379,6 +382,7 @@
   struct upstream *upstream = ctx;
   registry_mark_reached (upstream->server,
                          clk_now (upstream->reverse_proxy->options.clk));
+  upstream->has_bytes = TRUE;
   while (data.n > 0)
     {
       struct err err = { 0 };
@@ -498,6 +502,26 @@
   return upstream;
 }
 
+/* Counts an attempt that ends at the request's deadline as a failure of the
+   server, if the server has sent bytes, but not the head of its response. A
+   server that has sent nothing may only be busy.  */
+static void
+charge_no_response (struct upstream *upstream)
+{
+  if (!upstream->has_bytes || upstream->response_started || upstream->charged
+      || clk_now (upstream->reverse_proxy->options.clk)
+             < upstream->exchange->deadline)
+    return;
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "answer.none",
+                                  .request_id = upstream->exchange->id,
+                                  .peer = upstream->server->entry.id },
+             "bytes until the deadline, but no head of a response; stray=%u",
+             upstream->stray_responses);
+  server_health_add_result (&upstream->server->server_health,
+                            SERVER_HEALTH_FAILURE);
+}
+
 /* Ends the attempt. If the server is still processing the request, the reset of
    the connection cancels it.  */
 void
@@ -505,6 +529,7 @@
 {
   if (upstream == NULL)
     return;
+  charge_no_response (upstream);
   tcp_conn_reset (upstream->tcp_conn);
   http_reader_free (upstream->http_reader);
   g_string_free (upstream->body, TRUE);
--- a/tests/unit/test_gate_endless.c
+++ b/tests/unit/test_gate_endless.c
@@ -173,15 +173,18 @@
 }
 
 /* A response that never becomes complete, a byte at a time, ends at the
-   deadline of the request: bytes do not prolong it.  */
+   deadline of the request: bytes do not prolong it. Such a server gets FAILURES
+   in its health: one if it has not sent the head of its response.  */
 static void
-check_slow (const struct endless_reply *reply)
+check_slow (const struct endless_reply *reply, guint failures)
 {
   start (reply, 1);
   gint64 before = g_get_monotonic_time ();
   CU_ASSERT_EQUAL (
       proxy_test_request_status ("/once/x", "X-Deadline-Ms: 300\r\n"), 504);
   CU_ASSERT_TRUE (g_get_monotonic_time () - before < SOON_US);
+  CU_ASSERT_EQUAL (endless_health ()->error_rate.n, failures);
+  CU_ASSERT_EQUAL (endless_health ()->consecutive_failures, failures);
   check_closed ();
   stop ();
 }
@@ -189,10 +192,8 @@
 static void
 test_slow (void)
 {
-  static const struct endless_reply replies[] = {
+  static const struct endless_reply none[] = {
     { .begin = OK_HEAD "A: ", .repeated = "b", .piece_pause_ms = 1 },
-    { .begin = OK_HEAD CHUNKED "1;", .repeated = "e", .piece_pause_ms = 1 },
-    { .begin = OK_HEAD CHUNKED, .repeated = "1\r\nx\r\n", .piece_pause_ms = 1 },
     { .begin = OTHER_HEAD CHUNKED,
       .repeated = "1\r\nx\r\n",
       .piece_pause_ms = 1 },
@@ -200,8 +201,14 @@
       .repeated = "HTTP/1.1 100 Continue\r\n\r\n",
       .piece_pause_ms = 5 },
   };
-  for (guint i = 0; i < G_N_ELEMENTS (replies); i++)
-    check_slow (&replies[i]);
+  static const struct endless_reply begun[] = {
+    { .begin = OK_HEAD CHUNKED "1;", .repeated = "e", .piece_pause_ms = 1 },
+    { .begin = OK_HEAD CHUNKED, .repeated = "1\r\nx\r\n", .piece_pause_ms = 1 },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (none); i++)
+    check_slow (&none[i], 1);
+  for (guint i = 0; i < G_N_ELEMENTS (begun); i++)
+    check_slow (&begun[i], 0);
 }
 
 /* Checks that the request gets the response that REPLY begins with, and that
