Bound the connections that the listeners are closing

A client of the ready, peer or metrics listener that asks for "Connection: close" and does not read left its response in memory for as long as it took a byte of it every 8 s, on any number of connections.

Cause: a connection that was being closed left the list that is limited to 100.

Now those connections form a second list with the same limit; beyond it the oldest is closed at once, with a log line (client.closed) if output is lost. The limit is an option, so that a test need not open 100.

test_endless_server, "responses kept on connections being closed": with the limit 3, 8 clients that do not read ask for 7 MiB each, and the last 3 must get it.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -7,9 +7,9 @@
 
 #define HEAD_BYTES_MAX 8192 /* of a request */
 #define BODY_BYTES_MAX 8192 /* of a request; they are ignored */
-#define CONNS_MAX 100       /* at one more, the oldest connection is closed */
-#define IDLE_MS 30000       /* default limit for the next complete request */
-#define SILENCE_MS 5000     /* longest time without a TCP acknowledgement */
+#define CONNS_MAX 100   /* default limit; at one more, the oldest is closed */
+#define IDLE_MS 30000   /* default limit for the next complete request */
+#define SILENCE_MS 5000 /* longest time without a TCP acknowledgement */
 
 struct server_conn
 {
@@ -22,6 +22,7 @@
   gsize body_bytes;        /* of the request, received so far */
   gboolean complete;       /* the request has been read */
   gboolean body_too_long;
+  gboolean finishing; /* the last response is being sent */
 };
 
 struct http_server
@@ -30,26 +31,65 @@
   http_server_handler handler;
   void *ctx;
   guint idle_ms;
-  GQueue conns; /* of struct server_conn, oldest first */
+  guint conns_max;
+  GQueue conns;     /* of struct server_conn, oldest first */
+  GQueue finishing; /* the same, of those that are being closed */
 };
 
 static void
 conn_free (struct server_conn *conn)
 {
   g_clear_handle_id (&conn->timer, g_source_remove);
-  g_queue_unlink (&conn->server->conns, &conn->link);
+  g_queue_unlink (conn->finishing ? &conn->server->finishing
+                                  : &conn->server->conns,
+                  &conn->link);
   tcp_conn_close (conn->tcp);
   http_reader_free (conn->reader);
   g_free (conn);
 }
 
 static void
-finish_conn (struct server_conn *conn)
+log_unsent (const struct server_conn *conn, gsize unsent)
 {
-  tcp_conn_finish (g_steal_pointer (&conn->tcp));
+  if (unsent > 0)
+    log_write (&(struct log_entry){ .level = LOG_INFO,
+                                    .event = "client.closed",
+                                    .step = "http.serve",
+                                    .peer = conn->peer },
+               "unsent=%" G_GSIZE_FORMAT, unsent);
+}
+
+static void
+on_finished (void *ctx, const struct tcp_conn_remainder *remainder)
+{
+  struct server_conn *conn = ctx;
+  log_unsent (conn, remainder->unsent);
+  conn->tcp = NULL; /* it frees itself */
   conn_free (conn);
 }
 
+static const struct tcp_conn_handler finishing_callbacks
+    = { .finished = on_finished };
+
+/* Closes CONN once its output has been sent. If too many are waiting for that,
+   the oldest is closed at once.  */
+static void
+finish_conn (struct server_conn *conn)
+{
+  struct http_server *server = conn->server;
+  g_clear_handle_id (&conn->timer, g_source_remove);
+  g_queue_unlink (&server->conns, &conn->link);
+  conn->finishing = TRUE;
+  g_queue_push_tail_link (&server->finishing, &conn->link);
+  tcp_conn_set_handler (conn->tcp, &finishing_callbacks, conn);
+  tcp_conn_finish (conn->tcp);
+  if (server->finishing.length <= server->conns_max)
+    return;
+  struct server_conn *oldest = server->finishing.head->data;
+  log_unsent (oldest, tcp_conn_queued (oldest->tcp));
+  conn_free (oldest);
+}
+
 static void
 send_response (struct server_conn *conn,
                const struct http_server_response *response, gboolean keep)
@@ -217,7 +257,7 @@
   conn->link.data = conn;
   g_queue_push_tail_link (&server->conns, &conn->link);
   wait_for_request (conn);
-  if (server->conns.length > CONNS_MAX)
+  if (server->conns.length > server->conns_max)
     finish_conn (server->conns.head->data);
 }
 
@@ -229,7 +269,9 @@
   server->handler = options->handler;
   server->ctx = options->ctx;
   server->idle_ms = options->idle_ms ? options->idle_ms : IDLE_MS;
+  server->conns_max = options->conns_max ? options->conns_max : CONNS_MAX;
   g_queue_init (&server->conns);
+  g_queue_init (&server->finishing);
   server->listener
       = tcp_listener_new (options->address, on_accepted, server, err);
   if (server->listener == NULL)
@@ -243,7 +285,8 @@
   if (server == NULL)
     return;
   struct server_conn *conn;
-  while ((conn = g_queue_peek_head (&server->conns)) != NULL)
+  while ((conn = g_queue_peek_head (&server->conns)) != NULL
+         || (conn = g_queue_peek_head (&server->finishing)) != NULL)
     conn_free (conn);
   tcp_listener_free (server->listener);
   g_free (server);
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -25,8 +25,10 @@
 {
   const char *address; /* IP:PORT; with port 0 the kernel chooses one */
   http_server_handler handler;
-  void *ctx;     /* for the handler */
-  guint idle_ms; /* until a complete request; 0: the default */
+  void *ctx;       /* for the handler */
+  guint idle_ms;   /* until a complete request; 0: the default */
+  guint conns_max; /* open connections, and as many that are being closed; 0:
+                      the default */
 };
 
 struct http_server *http_server_new (const struct http_server_options *options,
--- a/tests/unit/test_endless_server.c
+++ b/tests/unit/test_endless_server.c
@@ -14,7 +14,12 @@
          the kernel takes so many */
 #define REQUEST "GET /dump HTTP/1.1\r\nHost: a\r\n\r\n"
 
-static guint handled; /* requests */
+#define CONNS_MAX 3                  /* option of the server */
+#define CLIENTS 8                    /* that read nothing */
+#define LONG_BYTES (7 * 1024 * 1024) /* more than the kernel takes */
+
+static guint handled;    /* requests */
+static gsize body_bytes; /* of a response */
 
 static void
 handle (void *ctx, const struct http_head *head,
@@ -24,19 +29,22 @@
   (void)head;
   handled++;
   response->status = 200;
-  g_string_set_size (response->body, BODY_BYTES);
-  memset (response->body->str, 'x', BODY_BYTES);
+  g_string_set_size (response->body, body_bytes);
+  memset (response->body->str, 'x', body_bytes);
 }
 
 static struct http_server *
 start (void)
 {
   struct err err = { 0 };
-  const struct http_server_options options
-      = { .address = "127.0.0.1:0", .handler = handle, .idle_ms = IDLE_MS };
+  const struct http_server_options options = { .address = "127.0.0.1:0",
+                                               .handler = handle,
+                                               .idle_ms = IDLE_MS,
+                                               .conns_max = CONNS_MAX };
   struct http_server *server = http_server_new (&options, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (server);
   handled = 0;
+  body_bytes = BODY_BYTES;
   return server;
 }
 
@@ -174,6 +182,47 @@
   http_server_free (server);
 }
 
+static gboolean
+all_handled (void *ctx)
+{
+  return handled == *(const guint *)ctx;
+}
+
+/* Responses that wait for clients which do not read, on connections that are
+   being closed, are kept for CONNS_MAX of them; the oldest lose theirs.  */
+static void
+test_responses_kept (void)
+{
+  struct http_server *server = start ();
+  struct proxy_test_client *clients[CLIENTS];
+  guint complete = 0;
+  body_bytes = LONG_BYTES;
+  for (guint i = 0; i < CLIENTS; i++)
+    {
+      guint n = i + 1;
+      clients[i] = proxy_test_open_client_port (http_server_port (server));
+      tcp_conn_pause (clients[i]->tcp_conn, TRUE);
+      proxy_test_send_text (clients[i], "GET /dump HTTP/1.1\r\nHost: a\r\n"
+                                        "Connection: close\r\n\r\n");
+      CU_ASSERT_TRUE_FATAL (
+          proxy_test_wait_until (all_handled, &n, PROXY_TEST_WAIT_MS));
+    }
+  for (guint i = 0; i < CLIENTS; i++)
+    {
+      tcp_conn_pause (clients[i]->tcp_conn, FALSE);
+      CU_ASSERT_TRUE (proxy_test_wait_until (proxy_test_has_ended, clients[i],
+                                             PROXY_TEST_WAIT_MS));
+      struct proxy_test_response response
+          = proxy_test_parse_response (clients[i]);
+      CU_ASSERT_EQUAL (response.complete, i >= CLIENTS - CONNS_MAX);
+      complete += response.complete;
+      proxy_test_response_clear (&response);
+      proxy_test_close_client (clients[i]);
+    }
+  CU_ASSERT_EQUAL (complete, CONNS_MAX);
+  http_server_free (server);
+}
+
 static CU_TestInfo tests[] = {
   { "a head byte by byte", test_head_byte_by_byte },
   { "blank lines without end", test_blank_lines },
@@ -183,6 +232,7 @@
   { "requests in turn", test_requests_in_turn },
   { "pipelined requests", test_pipelined },
   { "responses not read", test_responses_not_read },
+  { "responses kept on connections being closed", test_responses_kept },
   CU_TEST_INFO_NULL,
 };
 
