--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -26,6 +26,14 @@
   "\"version\":\"v1\",\"max_batch\":64,\"state\":\"ready\","                   \
   "\"cold_left_ms\":0,\"sequence\":4,\"born\":1700000000000}"
 
+/* Of lists without end. */
+#define PAGE_MS 150      /* until a slow page arrives; less than a time-out */
+#define LIST_MAX_MS 1800 /* nine time-outs of a request */
+#define MARGIN_MS 1000   /* for a busy machine */
+#define PAGES_MAX 64
+#define PAGE_ITEMS 500
+#define ENTRIES_MAX 4096
+
 static struct routing_table *
 decode (const char *text, struct err *err)
 {
@@ -340,6 +348,112 @@
   proxy_test_stop ();
 }
 
+static guint page_items;      /* in a page of the scripted store */
+static gboolean page_repeats; /* the store ignores which page is wanted */
+static guint page_delay_ms;
+static guint pages;
+
+static void
+send_page (struct proxy_test_link *link, struct proxy_test_request *request)
+{
+  GString *body = g_string_new ("{\"items\":[");
+  guint first = page_repeats ? 0 : pages * page_items;
+  pages++;
+  for (guint i = first; i < first + page_items; i++)
+    g_string_append_printf (body,
+                            "%s{\"metadata\":{\"name\":\"i-%u\"},\"spec\":%s}",
+                            i > first ? "," : "", i, SERVER);
+  g_string_append (body, "],\"has_more\":true,\"at\":9}");
+  proxy_test_respond (link, request, "200 OK", "", body->str);
+  g_string_free (body, TRUE);
+}
+
+struct delayed_page
+{
+  struct proxy_test_link *link;
+  struct proxy_test_request *request;
+};
+
+static gboolean
+on_page_due (gpointer data)
+{
+  struct delayed_page *page = data;
+  /* The adapter may have closed the connection. */
+  if (g_ptr_array_find (proxy_test.servers[0].links, page->link, NULL))
+    send_page (page->link, page->request);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+respond_with_page (struct proxy_test_link *link,
+                   struct proxy_test_request *request)
+{
+  const struct delayed_page page = { link, request };
+  if (page_delay_ms == 0)
+    send_page (link, request);
+  else
+    g_timeout_add_full (G_PRIORITY_DEFAULT, page_delay_ms, on_page_due,
+                        g_memdup2 (&page, sizeof page), g_free);
+}
+
+/* Reads a list without end. The read must fail with CODE within MS and after
+   PAGES_LIMIT pages at most.  */
+static void
+expect_list_fails (int code, gint64 ms, guint pages_limit)
+{
+  pages = 0;
+  struct platform_adapter *adapter = open_store (respond_with_page);
+  memset (&observed, 0, sizeof observed);
+  adapter_read_servers (adapter, on_servers, NULL);
+  CU_ASSERT_TRUE (proxy_test_wait_until (has_result, NULL, ms));
+  CU_ASSERT_EQUAL (observed.lists, 1);
+  CU_ASSERT_EQUAL (observed.code, code);
+  CU_ASSERT_TRUE (pages <= pages_limit);
+  proxy_test_run_for (2 * PAGE_MS); /* no page is requested after that */
+  CU_ASSERT_TRUE (pages <= pages_limit);
+  CU_ASSERT_EQUAL (observed.lists, 1);
+  adapter_free (adapter);
+  proxy_test_stop ();
+}
+
+static void
+test_list_of_small_pages (void)
+{
+  page_items = 1;
+  page_repeats = FALSE;
+  page_delay_ms = 0;
+  expect_list_fails (ERR_PROTOCOL, PROXY_TEST_WAIT_MS, PAGES_MAX);
+}
+
+static void
+test_list_repeats_page (void)
+{
+  page_items = PAGE_ITEMS;
+  page_repeats = TRUE;
+  page_delay_ms = 0;
+  expect_list_fails (ERR_PROTOCOL, PROXY_TEST_WAIT_MS, 2);
+}
+
+static void
+test_list_too_long (void)
+{
+  page_items = PAGE_ITEMS;
+  page_repeats = FALSE;
+  page_delay_ms = 0;
+  expect_list_fails (ERR_TOO_LARGE, PROXY_TEST_WAIT_MS,
+                     ENTRIES_MAX / PAGE_ITEMS + 1);
+}
+
+/* Each page arrives within the time-out of its request.  */
+static void
+test_list_slow (void)
+{
+  page_items = 1;
+  page_repeats = FALSE;
+  page_delay_ms = PAGE_MS;
+  expect_list_fails (ERR_TIMEOUT, LIST_MAX_MS + MARGIN_MS, PAGES_MAX);
+}
+
 static const char *status_line;
 
 static void
@@ -428,6 +542,10 @@
   { "randomly corrupted input", test_random_corruption },
   { "reading the store", test_store_reads },
   { "eras of the store", test_store_eras },
+  { "a list of small pages without end", test_list_of_small_pages },
+  { "a list that repeats a page", test_list_repeats_page },
+  { "a list of too many servers", test_list_too_long },
+  { "a list of slow pages without end", test_list_slow },
   { "failures of the store", test_store_failures },
   { "age counts from the request", test_age_counts_from_request },
   CU_TEST_INFO_NULL,
