Count a response from before a new life's entry for that life too

It had begun a new life under its id and said so before the instance had read the new entry.

Cause: responses do not state `born`, so such a response was recorded for the life before alone. With the new entry the drain time began anew at the next response. At one of three instances none came for longer than the drain time, 1.18 s at 1 s, so its first request was late already, and a record that only moves the start of the drain time cannot mend it.

Change: when a later `born` is listed, or an attempt at the life before is answered after that, a leaving response may be of the new life if it came after `born` by this machine's clock, and no more than 2 s before a list without the new entry; the second keeps a wrong clock from taking old words for new ones. The new life gets requests like any other server, but only until drain_ms after that response. Its first response decides: with the header the drain time counts from the earlier one; without it, to a request sent after the word, the limit is gone, since a life says it in all its responses. Until then it is not leaving for peers or placement, so a sound new life gets work at once. An entry that goes and comes back changes none of this. A line server.may_leave says when a limit begins.

--- a/packages/fleet/leave_records.h
+++ b/packages/fleet/leave_records.h
@@ -12,10 +12,17 @@
 
 struct leave_records *leave_records_new (void);
 void leave_records_free (struct leave_records *leave_records);
-gint64 leave_records_add (struct leave_records *leave_records,
-                          const struct registry_entry *entry, gint64 now);
+void leave_records_add (struct leave_records *leave_records,
+                        const struct registry_entry *entry, gint64 first_at,
+                        gint64 now);
 gint64 leave_records_find (struct leave_records *leave_records,
                            const struct registry_entry *entry, gint64 now);
+gint64 leave_records_first_response (const struct leave_records *leave_records,
+                                     const struct registry_entry *entry,
+                                     gint64 from);
+gint64 leave_records_find_earlier (struct leave_records *leave_records,
+                                   const struct registry_entry *entry,
+                                   gint64 from, gint64 now);
 void leave_records_expire (struct leave_records *leave_records, gint64 now);
 
 #endif
--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -1,5 +1,6 @@
 #include "fleet/registry.h"
 
+#include "base/log.h"
 #include "fleet/leave_records.h"
 
 #include <string.h>
@@ -16,6 +17,8 @@
 /* A peer's report is ignored if this instance had contact with the server
    within this time. */
 #define RECENT_CONTACT_US (300 * CLK_MS)
+/* A server that starts is in the list within this time. */
+#define REGISTRATION_US (2 * CLK_S)
 
 struct registry
 {
@@ -33,6 +36,9 @@
   struct leave_records *leave_records; /* owned */
   gint64 drain_us; /* how long a server that has said that it is leaving may
                       get new requests */
+  gint64 previous_list_at; /* clock time as of which the store had the list
+                              before the present one; 0: none */
+  gint64 wall_offset;      /* wall clock minus clock; 0: unknown */
 };
 
 static const char *const state_names[] = {
@@ -177,6 +183,17 @@
   registry->drain_us = us;
 }
 
+/* Relates the next list to responses: PREVIOUS_LIST_AT is the clock time as of
+   which the store still had the list before, WALL_OFFSET the wall clock minus
+   the clock.  */
+void
+registry_set_times (struct registry *registry, gint64 previous_list_at,
+                    gint64 wall_offset)
+{
+  registry->previous_list_at = previous_list_at;
+  registry->wall_offset = wall_offset;
+}
+
 static void
 notify (struct registry *registry, enum registry_change_kind kind,
         struct registry_server *server)
@@ -209,16 +226,62 @@
   notify_leaving (registry, server, REGISTRY_FROM_RESPONSE);
 }
 
+/* Decides whether SERVER may have said already that it is leaving, in a
+   response that was received for the life before because the entry of this one
+   was not known. Its next response says which. Until then it gets requests like
+   any other server, but only for the drain time, since it may have said so.  */
+static void
+apply_earlier_record (struct registry *registry, struct registry_server *server,
+                      gint64 now)
+{
+  if (server->said_leaving_at != 0 || server->may_leave_since != 0
+      || server->may_leave_from == 0)
+    return;
+  gint64 since = leave_records_find_earlier (
+      registry->leave_records, &server->entry, server->may_leave_from, now);
+  if (since == 0)
+    return;
+  server->may_leave_since = since;
+  server->drain_until = since + registry->drain_us;
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = "server.may_leave",
+                                  .peer = server->entry.id },
+             "born=%" G_GINT64_FORMAT " since_ms=%" G_GINT64_FORMAT,
+             server->entry.start_time_ms, (now - since) / CLK_MS);
+}
+
 /* Records that SERVER has said in a response to this instance that it is
    leaving. SERVER may have been removed from the list meanwhile.  */
 void
 registry_mark_leaving (struct registry *registry,
                        const struct registry_server *server, gint64 now)
 {
-  leave_records_add (registry->leave_records, &server->entry, now);
+  gint64 since = server->may_leave_since;
+  leave_records_add (registry->leave_records, &server->entry,
+                     since != 0 ? since : now, now);
   struct registry_server *listed = registry_find (registry, server->entry.id);
-  if (listed != NULL)
-    apply_leave_record (registry, listed, now);
+  if (listed == NULL)
+    return;
+  apply_leave_record (registry, listed, now);
+  apply_earlier_record (registry, listed, now);
+}
+
+/* Records that a response of SERVER to an attempt that began at STARTED does
+   not say that it is leaving. A life says it in all its responses once it has
+   said it, so those before STARTED were not of this one.  */
+void
+registry_mark_not_leaving (struct registry *registry,
+                           struct registry_server *server, gint64 started,
+                           gint64 now)
+{
+  if (server->said_leaving_at != 0 || server->may_leave_from == 0)
+    return;
+  server->may_leave_from = MAX (server->may_leave_from, started);
+  if (server->may_leave_since == 0)
+    return;
+  server->may_leave_since = 0;
+  server->drain_until = 0;
+  apply_earlier_record (registry, server, now);
 }
 
 /* Records that SERVER has said to another instance that it is leaving. This is
@@ -244,12 +307,13 @@
 }
 
 /* Returns whether SERVER may get new requests. One that the list has as leaving
-   gets none; one that has said so itself may get some for the drain time.  */
+   gets none; one that has said so itself, or may have, may get some for the
+   drain time.  */
 gboolean
 registry_may_serve (const struct registry_server *server, gint64 now)
 {
   return server->state == REGISTRY_READY
-         && (server->said_leaving_at == 0 || now <= server->drain_until);
+         && (server->drain_until == 0 || now <= server->drain_until);
 }
 
 static gint
@@ -279,6 +343,21 @@
   registry_server_unref (server);
 }
 
+/* Returns the clock time before which no response was of the life of ENTRY,
+   which is listed for the first time; 0: unknown. The start time is by the
+   clock of the server. Should this one be ahead, responses of the life before
+   would seem to be of this one; the list before, which did not have it,
+   excludes most.  */
+static gint64
+earliest_response (const struct registry *registry,
+                   const struct registry_entry *entry, gint64 now)
+{
+  if (entry->start_time_ms == 0 || registry->wall_offset == 0)
+    return 0;
+  gint64 started = entry->start_time_ms * CLK_MS - registry->wall_offset;
+  return MAX (MIN (started, now), registry->previous_list_at - REGISTRATION_US);
+}
+
 static void
 add_server (struct registry *registry, const struct registry_entry *entry,
             gint64 now)
@@ -290,12 +369,15 @@
   registry->generation++;
   server->state = entry->leaving ? REGISTRY_LEAVING : REGISTRY_READY;
   server->listed_since = now;
+  server->may_leave_from = leave_records_first_response (
+      registry->leave_records, entry, earliest_response (registry, entry, now));
   server_health_init (&server->server_health, now);
   server->list_number = registry->list_number;
   g_ptr_array_add (registry->servers, server);
   g_hash_table_insert (registry->by_id, server->entry.id, server);
   notify (registry, REGISTRY_SERVER_ADDED, server);
   apply_leave_record (registry, server, now);
+  apply_earlier_record (registry, server, now);
 }
 
 /* Updates the server of ENTRY. Its health and other measurements are kept until
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -61,8 +61,14 @@
   gint64 last_reached;      /* clock time of its last message; 0: never */
   gint64 said_leaving_at; /* clock time of its first response that says that it
                              is leaving; 0: none */
-  gint64 drain_until; /* if it has said so: clock time until which it may get
-                         new requests */
+  gint64 may_leave_since; /* clock time of the first response that was received
+                             for an earlier life, may be of this one and says
+                             that it is leaving; 0: none */
+  gint64 may_leave_from;  /* responses before this clock time are not of this
+                             life, or of a time when it was not leaving; 0:
+                             unknown */
+  gint64 drain_until; /* if it has said so, or may have: clock time until which
+                         it may get new requests; 0: no limit */
   gboolean peer_said_leaving; /* it has said so to another instance */
   guint refs;
   void *owner_data; /* of the registry's user; borrowed */
@@ -103,6 +109,8 @@
 struct registry *registry_new (registry_changed changed, void *ctx);
 void registry_free (struct registry *registry);
 void registry_set_drain_time (struct registry *registry, gint64 us);
+void registry_set_times (struct registry *registry, gint64 previous_list_at,
+                         gint64 wall_offset);
 void registry_store_failed (struct registry *registry, gint64 now);
 void registry_update (struct registry *registry,
                       const struct registry_entry *entries, guint n,
@@ -127,6 +135,9 @@
 void registry_mark_serving (struct registry_server *server);
 void registry_mark_leaving (struct registry *registry,
                             const struct registry_server *server, gint64 now);
+void registry_mark_not_leaving (struct registry *registry,
+                                struct registry_server *server, gint64 started,
+                                gint64 now);
 void registry_peer_found_leaving (struct registry *registry,
                                   struct registry_server *server);
 gboolean registry_is_leaving (const struct registry_server *server);
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -96,21 +96,27 @@
   return !str_eq (id, str_of (upstream->server->entry.id));
 }
 
-/* Records that the server is leaving if the response says so. Other values of
+/* Records whether the response says that the server is leaving. Other values of
    the header than 1 mean nothing.  */
 static void
 check_leaving (struct upstream *upstream, const struct http_head *head)
 {
   struct reverse_proxy *reverse_proxy = upstream->reverse_proxy;
+  struct registry *registry = reverse_proxy->options.registry;
+  gint64 now = clk_now (reverse_proxy->options.clk);
   const char *name = reverse_proxy->header_names->leaving;
   gboolean leaving = FALSE;
+  if (may_be_of_other_server (upstream, head))
+    return;
   for (guint i = 0; i < head->fields->len; i++)
     leaving |= http_equals_ignore_case (http_head_field_name (head, i), name)
                && str_eq (http_trim (http_head_field_value (head, i)),
                           STR_LIT ("1"));
-  if (leaving && !may_be_of_other_server (upstream, head))
-    registry_mark_leaving (reverse_proxy->options.registry, upstream->server,
-                           clk_now (reverse_proxy->options.clk));
+  if (leaving)
+    registry_mark_leaving (registry, upstream->server, now);
+  else
+    registry_mark_not_leaving (registry, upstream->server, upstream->started,
+                               now);
 }
 
 /* Returns whether a response to the request of EXCHANGE has a body.  */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -146,6 +146,8 @@
     g_array_append_vals (newer.entries, entries, n);
   if (list->entries != NULL && newer.digest != list->digest)
     server_list_history_add (daemon->server_list_history, list, &newer);
+  registry_set_times (daemon->registry, list->requested_at,
+                      clk_wall (daemon->clk) - now);
   g_clear_pointer (&list->entries, g_array_unref);
   *list = newer;
   registry_update (daemon->registry,
--- a/tests/unit/test_gate_leaving.c
+++ b/tests/unit/test_gate_leaving.c
@@ -470,6 +470,56 @@
   proxy_test_stop ();
 }
 
+/* Lists server 0 with a life that began AGO_US before now.  */
+static void
+list_life (gint64 ago_us)
+{
+  gint64 now = proxy_test_now (NULL);
+  gint64 wall_offset = clk_wall (&proxy_test.clk) - now;
+  struct registry_entry entry
+      = registry_find (proxy_test.registry, proxy_test.servers[0].id)->entry;
+  entry.start_time_ms = (now - ago_us + wall_offset) / CLK_MS;
+  registry_set_times (proxy_test.registry, now - ago_us, wall_offset);
+  registry_update (proxy_test.registry, &entry, 1, now);
+}
+
+/* Server 0 says that it is leaving and is listed with a new life that began
+   before that. Its first response since, of SCRIPT, says FIELDS. Returns the
+   status of a request after the drain time.  */
+static guint
+status_after_new_life (proxy_test_script script, const char *fields)
+{
+  set_up (1);
+  list_life (60 * CLK_S);
+  proxy_test_script_all (respond_signed);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 200);
+  CU_ASSERT_TRUE (is_marked (0));
+  list_life (2 * CLK_S);
+  CU_ASSERT_FALSE (is_marked (0));
+  value = fields;
+  proxy_test_script_all (script);
+  proxy_test_request_status ("/again/x", "");
+  CU_ASSERT_EQUAL (is_marked (0), g_str_equal (fields, LEAVING));
+  proxy_test_script_all (respond_signed);
+  proxy_test.skew = DRAIN_US + CLK_S;
+  proxy_confirm_version (proxy_test.reverse_proxy, 1, proxy_test_now (NULL));
+  guint after = proxy_test_request_status ("/again/x", "");
+  proxy_test_stop ();
+  return after;
+}
+
+/* The word of the moments before the new life was listed may be of either. The
+   first response since then says which, if it is the server's own.  */
+static void
+test_new_life (void)
+{
+  CU_ASSERT_EQUAL (status_after_new_life (respond_signed, ""), 200);
+  CU_ASSERT_EQUAL (status_after_new_life (reject, ""), 200);
+  CU_ASSERT_EQUAL (status_after_new_life (respond_signed, LEAVING), 503);
+  CU_ASSERT_EQUAL (
+      status_after_new_life (respond_signed, "X-Server-Id: other\r\n"), 503);
+}
+
 static CU_TestInfo tests[] = {
   { "forms of response", test_forms },
   { "responses that are not the server's", test_not_of_this_server },
@@ -482,6 +532,7 @@
   { "all servers are leaving", test_all_leaving },
   { "a new configuration", test_new_configuration },
   { "the other server fails", test_other_server_fails },
+  { "a new life", test_new_life },
   CU_TEST_INFO_NULL,
 };
 
