Do not move the received bytes of an event at each piece

Change: bytes are removed only if some were taken. The test counts its million results and checks them once; "a response without a body" compares a text that may be missing in a way that the linter accepts.

--- a/packages/gate/event_splitter.c
+++ b/packages/gate/event_splitter.c
@@ -20,7 +20,9 @@
 void
 splitter_add (struct event_splitter *event_splitter, struct str bytes)
 {
-  g_string_erase (event_splitter->text, 0, (gssize)event_splitter->taken);
+  if (event_splitter->taken
+      > 0) /* g_string_erase copies the rest in any case */
+    g_string_erase (event_splitter->text, 0, (gssize)event_splitter->taken);
   event_splitter->scanned -= event_splitter->taken;
   event_splitter->line -= event_splitter->taken;
   event_splitter->taken = 0;
--- a/tests/unit/test_gate_stream.c
+++ b/tests/unit/test_gate_stream.c
@@ -314,8 +314,7 @@
   proxy_test_send_text (client, request);
   proxy_test_run_for (100);
   const char *end = strstr (client->in->str, "\r\n\r\n");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (end);
-  CU_ASSERT_STRING_EQUAL (end, "\r\n\r\n");
+  CU_ASSERT_EQUAL (g_strcmp0 (end, "\r\n\r\n"), 0);
   proxy_test_close_client (client);
   proxy_test_stop ();
 }
@@ -379,11 +378,13 @@
   struct stream_event event;
   splitter_init (&event_splitter);
   gint64 before = g_get_monotonic_time ();
+  guint n = 0;
   for (guint i = 0; i < SPLITTER_EVENT_MAX; i++)
     {
       splitter_add (&event_splitter, STR_LIT ("x"));
-      CU_ASSERT_FALSE (splitter_next (&event_splitter, &event));
+      n += splitter_next (&event_splitter, &event);
     }
+  CU_ASSERT_EQUAL (n, 0);
   CU_ASSERT_TRUE (g_get_monotonic_time () - before < 2 * CLK_S);
   CU_ASSERT_FALSE (splitter_is_over_limit (&event_splitter));
   splitter_add (&event_splitter, STR_LIT ("x"));
