Relay a response that is no event stream as it is

What callers would see: a reset instead of a complete response, when a server answers a request on a route of streams with another type of body, such as JSON: it was split into events and "ended inside an event".

The route alone said that the response is a stream.

Change: a Content-Type other than text/event-stream says that it is none; without the field it counts as one.

--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -63,7 +63,9 @@
   GString *out = g_string_new (NULL);
   append_response_head (head, out);
   exchange->status = head->status;
-  exchange->is_sse = exchange->route->kind == ROUTING_STREAM;
+  exchange->is_sse
+      = exchange->route->kind == ROUTING_STREAM
+        && (type.n == 0 || http_equals_ignore_case (type, "text/event-stream"));
   exchange->chunked = !exchange->head->http_1_0;
   if (exchange->chunked)
     http_put_field (out, "Transfer-Encoding", "chunked");
--- a/tests/unit/test_gate_stream.c
+++ b/tests/unit/test_gate_stream.c
@@ -370,6 +370,29 @@
   proxy_test_stop ();
 }
 
+static void
+respond_json (struct proxy_test_link *link, struct proxy_test_request *request)
+{
+  proxy_test_respond (link, request, "200 OK",
+                      PROXY_TEST_SIGNED "Content-Type: application/json\r\n",
+                      "{\"a\":1}");
+}
+
+/* A body that is no event stream was cut, because it ends "inside an event". */
+static void
+test_plain_response (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (respond_json);
+  struct proxy_test_response response
+      = proxy_test_request_once ("/stream/x", "");
+  CU_ASSERT_TRUE (response.complete);
+  CU_ASSERT_STRING_EQUAL (response.body->str, "{\"a\":1}");
+  proxy_test_response_clear (&response);
+  proxy_test_stop ();
+}
+
 /* A long event in small pieces took time with the square of its length.  */
 static void
 test_long_event (void)
@@ -404,6 +427,7 @@
   { "lines that end with CR", test_line_ends },
   { "lines that end with CR are relayed", test_cr_relayed },
   { "a response without a body", test_no_body },
+  { "a response that is no event stream", test_plain_response },
   { "a long event in small pieces", test_long_event },
   { "comments without end", test_endless_comments },
   CU_TEST_INFO_NULL,
