Forward no promise that a server has not made

What callers would see: 503 (or 408, 421, 429) for a request that runs at most once and may have run; they send it again (REFUSED, TWICE). A server that answers 503 without saying that it has not run the request makes no promise.

Its response was forwarded as it came.

Change: on routes that may not repeat such a response becomes 502, outcome unknown; on others it is forwarded as before.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -681,6 +681,17 @@
   enqueue (exchange);
 }
 
+/* Returns whether the error response HEAD of a server may go to the client.
+   With these statuses the client would take the request for not run, which this
+   server has not said.  */
+static gboolean
+may_forward (const struct exchange *exchange, const struct http_head *head)
+{
+  return routing_may_repeat (exchange->route)
+         || (head->status != 408 && head->status != 421 && head->status != 429
+             && head->status != 503);
+}
+
 /* The attempt has ended without a complete successful response. HEAD and BODY
    are the server's error response; HEAD is NULL if there is none. Retries the
    request or ends it. May free EXCHANGE.  */
@@ -701,7 +712,7 @@
     .response_begun = exchange->head_sent,
     .can_resume = exchange->is_sse && exchange->route->resumable
                   && exchange->position.state == STREAM_POSITION_KNOWN,
-    .has_response = head != NULL,
+    .has_response = head != NULL && may_forward (exchange, head),
     .sent = exchange->sent,
     .attempts_max = exchange->route->attempts,
     .within_budget = retry_budget_allows (retry_budget_of (exchange),
--- a/tests/unit/test_gate_answers.c
+++ b/tests/unit/test_gate_answers.c
@@ -159,6 +159,28 @@
   proxy_test_stop ();
 }
 
+static void
+respond_unavailable (struct proxy_test_link *link,
+                     struct proxy_test_request *request)
+{
+  proxy_test_respond (link, request, "503 Service Unavailable",
+                      PROXY_TEST_SIGNED, "busy");
+}
+
+/* A 503 of a server that has not said that it did not run the request reached
+   the client, to whom it is a promise, and who sends the request again.  */
+static void
+test_unsaid_rejection (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_script_all (respond_unavailable);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/once/x", ""), 502);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/stream/x", ""), 502);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/open/x", ""), 503);
+  proxy_test_stop ();
+}
+
 static CU_TestInfo tests[] = {
   { "Connection: close", test_connection_close },
   { "informational responses", test_informational },
@@ -167,6 +189,7 @@
   { "a response to another request, without a body", test_other_without_body },
   { "a response to another request before that to HEAD",
     test_other_before_head },
+  { "a rejection that does not say so", test_unsaid_rejection },
   CU_TEST_INFO_NULL,
 };
 
