Add an explorer of a request's life

Change: tests/explore plays cases of 6 routes, 11 clients, 36 kinds of server and 7 events of the instance against a real reverse proxy in one process: all ordered pairs of servers on four routes, each client and each event with each server on all routes, then random cases for as long as asked. An oracle that knows only what clients and servers saw checks eleven rules. 17 planted faults, put in by the linker in this program alone, test the oracle.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
   libhttp-parser-dev \
   liblog4c-dev libcunit1-dev pkg-config cmake gcc clang-format clang-tidy
 
-.PHONY: all deps check demo bench bench-policy bench-peers format lint \
+SECONDS ?= 60
+SEED ?= 1
+
+.PHONY: all deps check demo bench bench-policy bench-peers explore format lint \
   format-check sanitize clean
 
 all: $(BUILD)/Makefile
@@ -32,6 +35,9 @@
 bench-peers: all
 	$(BUILD)/bench/peers/bench_peers
 
+explore: all
+	$(BUILD)/tests/explore/explore_exchange --seconds $(SECONDS) --seed $(SEED)
+
 format:
 	# clang-format needs a second pass to align trailing comments.
 	for pass in 1 2; do git ls-files '*.c' '*.h' | xargs clang-format -i; done
--- /dev/null
+++ b/tests/explore/explore_run.c
@@ -0,0 +1,134 @@
+/* Runs one case.  */
+#include "explore/explore_world.h"
+
+#include <dirent.h>
+
+#define SETTLE_MS 10 /* after the client is done */
+
+struct explore_world explore_world;
+
+gboolean
+explore_is_stream (enum explore_route route)
+{
+  return route >= EXPLORE_ROUTE_STREAM;
+}
+
+gboolean
+explore_may_repeat (enum explore_route route)
+{
+  return route == EXPLORE_ROUTE_AGAIN || route == EXPLORE_ROUTE_RESUME
+         || route == EXPLORE_ROUTE_RESUME3;
+}
+
+guint
+explore_attempts (enum explore_route route)
+{
+  switch (route)
+    {
+    case EXPLORE_ROUTE_ONCE:
+    case EXPLORE_ROUTE_STREAM:
+      return 1;
+    case EXPLORE_ROUTE_RESUME3:
+      return 3;
+    case EXPLORE_ROUTE_AGAIN:
+    case EXPLORE_ROUTE_ONCE2:
+    case EXPLORE_ROUTE_RESUME:
+    case EXPLORE_ROUTE_N:
+      break;
+    }
+  return 2;
+}
+
+const char *
+explore_path (enum explore_route route)
+{
+#define X(id, word) "/" word "/x/y",
+  static const char *const paths[] = { EXPLORE_ROUTES (X) };
+#undef X
+  return paths[route];
+}
+
+static guint
+count_descriptors (void)
+{
+  guint n = 0;
+  DIR *dir = opendir ("/proc/self/fd");
+  while (dir != NULL && readdir (dir) != NULL)
+    n++;
+  if (dir != NULL)
+    closedir (dir);
+  return n;
+}
+
+static void
+request_free (gpointer data)
+{
+  struct explore_request *request = data;
+  g_string_free (request->body, TRUE);
+  g_free (request);
+}
+
+static void
+arrival_free (gpointer data)
+{
+  struct explore_arrival *arrival = data;
+  g_string_free (arrival->body, TRUE);
+  g_free (arrival->position);
+  g_free (arrival);
+}
+
+static void
+set_up (void)
+{
+  proxy_test_timeout_us = EXPLORE_TIMEOUT_MS * CLK_MS;
+  /* With one server the next request gets the connection of the one before. */
+  proxy_test_start (
+      explore_world.c.client == EXPLORE_CLIENT_NEXT ? 1 : PROXY_TEST_SERVERS);
+  struct routing_table *routing_table = proxy_test_table (1, PROXY_TEST_KEY);
+  proxy_test_add_route (routing_table, "resume3", ROUTING_STREAM, TRUE, 3,
+                        FALSE);
+  proxy_set_table (proxy_test.reverse_proxy, routing_table);
+  proxy_confirm_version (proxy_test.reverse_proxy, 1, proxy_test_now (NULL));
+  routing_table_unref (routing_table);
+  proxy_test_script_all (explore_serve);
+}
+
+/* Checks that the requests have left nothing in the scheduler.  */
+static void
+check_scheduler (struct explore_result *result)
+{
+  if (scheduler_n_waiting (proxy_test.scheduler) > 0)
+    explore_break (result, EXPLORE_RULE_REMAINS, "a request is still queued");
+  guint n;
+  struct registry_server *const *servers
+      = registry_servers (proxy_test.registry, &n);
+  for (guint i = 0; i < n; i++)
+    if (server_load_own (scheduler_loads (proxy_test.scheduler),
+                         servers[i]->number)
+            ->requests
+        > 0)
+      explore_break (result, EXPLORE_RULE_REMAINS,
+                     "a place at %s is still taken", servers[i]->entry.id);
+}
+
+void
+explore_run (const struct explore_case *c, struct explore_result *result)
+{
+  guint descriptors = count_descriptors ();
+  explore_world = (struct explore_world){ .c = *c, .result = result };
+  explore_world.requests = g_ptr_array_new_with_free_func (request_free);
+  explore_world.arrivals = g_ptr_array_new_with_free_func (arrival_free);
+  explore_world.surplus = g_string_new (NULL);
+  set_up ();
+  explore_play_client ();
+  proxy_test_run_for (SETTLE_MS);
+  explore_check ();
+  check_scheduler (result);
+  proxy_test_stop ();
+  if (count_descriptors () > descriptors)
+    explore_break (result, EXPLORE_RULE_REMAINS, "%u descriptors more",
+                   count_descriptors () - descriptors);
+  g_ptr_array_unref (explore_world.requests);
+  g_ptr_array_unref (explore_world.arrivals);
+  g_string_free (explore_world.surplus, TRUE);
+}
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -2,6 +2,7 @@
 
 struct proxy_test proxy_test;
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
+gint64 proxy_test_timeout_us = 1500 * CLK_MS;
 
 gint64
 proxy_test_now (const struct clk *clk)
@@ -196,8 +197,8 @@
                                  .kind = kind,
                                  .resumable = resumable,
                                  .is_public = open,
-                                 .timeout_us = 1500 * CLK_MS,
-                                 .target_us = 1000 * CLK_MS,
+                                 .timeout_us = proxy_test_timeout_us,
+                                 .target_us = proxy_test_timeout_us * 2 / 3,
                                  .attempts = attempts,
                                  .priority = 2 };
   route.shares = g_array_new (FALSE, FALSE, sizeof (struct routing_share));
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -91,6 +91,9 @@
 
 extern struct proxy_test proxy_test;
 
+/* Time-out of routes added from now on. */
+extern gint64 proxy_test_timeout_us;
+
 /* Option shutdown_limit_us of proxies started from now on. */
 extern gint64 proxy_test_shutdown_limit_us;
 
