Choose a server once for waiting retries of a kind

What callers would see: an instance that does nothing else for up to 18 ms at each poll while many retries wait, for instance after a domain has gone; a poll follows each attempt that ends.

Change: retries that were sent to the same servers hold up each other as other requests do, in up to 8 groups in one pass; further ones hold up all.

--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -21,6 +21,7 @@
 /* Share of a new request's time to its target that the first queued request
    may have waited already. In a sustained overload, a longer queue would only
    make all of its requests late. */
+#define RETRY_GROUPS_MAX 8 /* further retries hold up all others */
 #define HEAD_WAIT_SHARE 0.2
 /* Drain rate that is assumed while nothing has waited. */
 #define DRAIN_DEFAULT_PER_S 50.0
@@ -46,8 +47,7 @@
 {
   GQueue waiting[SCHEDULER_TIERS]; /* of struct scheduler_entry, by target */
   guint n_waiting;
-  guint n_retries; /* of those waiting: were sent to a server before */
-  guint n_held;    /* of these, held back at the last poll */
+  guint n_held;                  /* of these, held back at the last poll */
   struct overload_hold hold;     /* rejections in the own domain */
   struct overload_hold own_hold; /* those of this instance */
   struct rate_window rate;       /* of starts */
@@ -209,13 +209,12 @@
   return entry->request.n_tried > 0;
 }
 
-/* Returns whether ENTRY may start at SERVER before the queued entries that go
-   first. Those that must not use SERVER do not wait for it. RETRIES_ONLY: looks
-   only at entries that were sent to a server before.  */
+/* Returns whether ENTRY, which arrives, may start at SERVER before the queued
+   entries that go first. Those that must not use SERVER do not wait for it.  */
 static gboolean
 may_start_first (const struct service *service,
                  const struct scheduler_entry *entry,
-                 const struct registry_server *server, gboolean retries_only)
+                 const struct registry_server *server)
 {
   struct backfill backfill;
   backfill_init (&backfill);
@@ -223,15 +222,77 @@
     for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
       {
         const struct scheduler_entry *ahead = l->data;
-        if (ahead == entry)
-          break;
-        if ((is_retry (ahead) || !retries_only)
-            && !placement_was_tried (&ahead->request, server))
+        if (!placement_was_tried (&ahead->request, server))
           backfill_add_waiting (&backfill, ahead->request.prompt_tokens);
       }
   return backfill_allows (&backfill, entry->request.prompt_tokens);
 }
 
+/* Queued entries that were sent to the same servers before, in one pass over
+   the queue.  */
+struct retry_group
+{
+  const struct placement_request *request; /* of one of them */
+  struct backfill backfill;
+};
+
+struct retry_groups
+{
+  struct retry_group groups[RETRY_GROUPS_MAX];
+  guint n;
+};
+
+static struct retry_group *
+find_group (struct retry_groups *retry_groups,
+            const struct scheduler_entry *entry)
+{
+  const struct placement_request *request = &entry->request;
+  for (guint i = 0; i < retry_groups->n; i++)
+    {
+      const struct placement_request *other = retry_groups->groups[i].request;
+      if (other->n_tried == request->n_tried
+          && memcmp (other->tried, request->tried,
+                     request->n_tried * sizeof request->tried[0])
+                 == 0)
+        return &retry_groups->groups[i];
+    }
+  return NULL;
+}
+
+/* Adds ENTRY, which has to wait. Returns FALSE if there are too many groups.
+ */
+static gboolean
+add_to_group (struct retry_groups *retry_groups,
+              const struct scheduler_entry *entry)
+{
+  struct retry_group *group = find_group (retry_groups, entry);
+  if (group == NULL && retry_groups->n == RETRY_GROUPS_MAX)
+    return FALSE;
+  if (group == NULL)
+    {
+      group = &retry_groups->groups[retry_groups->n++];
+      group->request = &entry->request;
+      backfill_init (&group->backfill);
+    }
+  backfill_add_waiting (&group->backfill, entry->request.prompt_tokens);
+  return TRUE;
+}
+
+/* Returns whether ENTRY may start at SERVER before the retries in front of it.
+ */
+static gboolean
+may_pass_retries (const struct retry_groups *retry_groups,
+                  const struct scheduler_entry *entry,
+                  const struct registry_server *server)
+{
+  for (guint i = 0; i < retry_groups->n; i++)
+    if (!placement_was_tried (retry_groups->groups[i].request, server)
+        && !backfill_allows (&retry_groups->groups[i].backfill,
+                             entry->request.prompt_tokens))
+      return FALSE;
+  return TRUE;
+}
+
 /* Predicts the time until a start: some server must have capacity, and the
    AHEAD entries must have started.  */
 static gint64
@@ -344,7 +405,6 @@
   entry->waiting = TRUE;
   entry->queued_at = now;
   service->n_waiting++;
-  service->n_retries += is_retry (entry);
   scheduler->n_waiting++;
 }
 
@@ -361,7 +421,7 @@
   decision->ahead = count_ahead (service, entry);
   choose (scheduler, service, entry, now, &decision->choice);
   if (decision->choice.server != NULL
-      && may_start_first (service, entry, decision->choice.server, FALSE)
+      && may_start_first (service, entry, decision->choice.server)
       && !is_held (service, entry, now))
     {
       decision->verdict = SCHEDULER_START;
@@ -421,20 +481,20 @@
   g_queue_unlink (&service->waiting[queue_tier (entry)], &entry->link);
   entry->waiting = FALSE;
   service->n_waiting--;
-  service->n_retries -= is_retry (entry);
   scheduler->n_waiting--;
 }
 
 /* Decides on ENTRY, which is queued. Returns FALSE if it has to wait.  */
 static gboolean
 poll_entry (struct scheduler *scheduler, struct service *service,
-            struct scheduler_entry *entry, gint64 now,
+            struct scheduler_entry *entry,
+            const struct retry_groups *retry_groups, gint64 now,
             scheduler_decided decided, void *ctx)
 {
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
-  if (decision.choice.server != NULL && service->n_retries > 0
-      && !may_start_first (service, entry, decision.choice.server, TRUE))
+  if (decision.choice.server != NULL
+      && !may_pass_retries (retry_groups, entry, decision.choice.server))
     return FALSE;
   if (decision.choice.server == NULL || is_held (service, entry, now))
     {
@@ -459,16 +519,23 @@
            scheduler_decided decided, void *ctx)
 {
   struct backfill backfill;
+  struct retry_groups retry_groups = { .n = 0 };
   backfill_init (&backfill);
   for (guint tier = 0; tier < SCHEDULER_TIERS; tier++)
     for (GList *l = service->waiting[tier].head; l != NULL; l = l->next)
       {
         struct scheduler_entry *entry = l->data;
-        if (!backfill_allows (&backfill, entry->request.prompt_tokens))
+        const struct retry_group *group
+            = is_retry (entry) ? find_group (&retry_groups, entry) : NULL;
+        if (!backfill_allows (&backfill, entry->request.prompt_tokens)
+            || (group != NULL
+                && !backfill_allows (&group->backfill,
+                                     entry->request.prompt_tokens)))
           continue;
-        if (poll_entry (scheduler, service, entry, now, decided, ctx))
+        if (poll_entry (scheduler, service, entry, &retry_groups, now, decided,
+                        ctx))
           return TRUE;
-        if (!is_retry (entry))
+        if (!is_retry (entry) || !add_to_group (&retry_groups, entry))
           backfill_add_waiting (&backfill, entry->request.prompt_tokens);
       }
   return FALSE;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -2,6 +2,8 @@
    decision addresses has a test that reproduces it.  */
 #include "unit/unit.h"
 
+#include <time.h>
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -743,6 +745,46 @@
   tear_down ();
 }
 
+/* Many waiting retries made each poll choose a server for every one of them, so
+   that an instance did nothing else for many milliseconds. The bound is the
+   processor time with which 0.12 of a core keeps 31 ms between two tokens.  */
+static void
+test_many_retries (void)
+{
+  enum
+  {
+    RETRIES = 1900,
+    POLLS = 10,
+    BOUND_US = 3720
+  };
+  struct scheduler_decision d;
+  set_up_engines (ENGINES_MAX);
+  order = g_ptr_array_new ();
+  report_prefill (ENGINES_MAX, G_MAXUINT, 40000);
+  GPtrArray *retries = g_ptr_array_new ();
+  for (guint i = 0; i < RETRIES; i++)
+    {
+      struct scheduler_entry *entry = make_entry (1, i, 0, 3000, FALSE);
+      entry->request.tried[entry->request.n_tried++]
+          = registry_find (world.registry, i % 2 ? "e-0" : "e-1")->number;
+      entry->target = entry->deadline = world.now + 1000 * CLK_S;
+      submit (entry, &d);
+      CU_ASSERT_EQUAL_FATAL (d.verdict, SCHEDULER_WAIT);
+      g_ptr_array_add (retries, entry);
+    }
+  clock_t before = clock ();
+  for (guint i = 0; i < POLLS; i++)
+    scheduler_poll (world.scheduler, world.now, on_decided, NULL);
+  CU_ASSERT_TRUE ((double)(clock () - before) / CLOCKS_PER_SEC * 1e6 / POLLS
+                  < BOUND_US);
+  CU_ASSERT_EQUAL (order->len, 0);
+  for (guint i = 0; i < retries->len; i++)
+    drop (g_ptr_array_index (retries, i));
+  g_ptr_array_unref (retries);
+  g_ptr_array_unref (order);
+  tear_down ();
+}
+
 /* A resumption that was rejected was told to the peers as a request of the
    highest tier, which then held up the requests of all others.  */
 static void
@@ -1121,6 +1163,7 @@
   { "a hold during overload", test_hold_during_overload },
   { "rejections for peers", test_rejections_for_peers },
   { "a waiting retry and other servers", test_waiting_retry },
+  { "many waiting retries", test_many_retries },
   { "a rejected resumption keeps its tier", test_rejected_resumption },
   { "late entries are rejected", test_late_entry_is_rejected },
   { "more prefixes than a domain caches", test_region_scope },
