Check a stream's position only where it can be resumed, and there in full

On resumable ones an event without an id, with which a resumed server began, could come twice; and a resumed stream without events was complete although the server before had begun another event.

Change: each attempt says whether it is checked; a checked one must begin with an id, and must have an event if one had begun.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -554,6 +554,8 @@
     reverse_proxy->options.request_sent (
         reverse_proxy->options.ctx, choice->server, prompt, choice->at_home);
   exchange->last_event_at = now;
+  stream_position_begin_attempt (&exchange->position,
+                                 exchange->route->resumable);
   exchange->upstream = upstream_start (exchange, choice);
   if (exchange->upstream != NULL)
     return;
@@ -669,8 +671,9 @@
     {
       counter_add (exchange->reverse_proxy->options.counter_set,
                    COUNTER_RESUMES, 1);
+      exchange->began_event
+          |= !splitter_is_at_boundary (&exchange->event_splitter);
       splitter_restart (&exchange->event_splitter);
-      stream_position_begin_attempt (&exchange->position);
       exchange->attempt_events = 0;
       /* The client is already reading the stream, so the request goes to the
          head of the queue. At the server it keeps its priority. */
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -152,6 +152,7 @@
     exchange->first_event_us = now - exchange->arrived;
   exchange->last_event_at = now;
   exchange->events += n;
+  exchange->began_event = FALSE;
   exchange->attempt_events += n;
 }
 
@@ -205,7 +206,9 @@
                    (struct str){ complete_events->str, complete_events->len });
   g_string_free (complete_events, TRUE);
   if (!in_order)
-    log_repeat (exchange, event.id);
+    log_repeat (exchange, event.id_kind == STREAM_ID_VALUE
+                              ? event.id
+                              : (struct str){ "", 0 });
   return in_order && !splitter_is_over_limit (event_splitter);
 }
 
@@ -220,6 +223,8 @@
     return "event stream ended inside an event";
   if (!framed && exchange->attempt_events == 0)
     return "event stream without a length ended before an event";
+  if (exchange->began_event && exchange->attempt_events == 0)
+    return "resumed event stream ended before the event that had begun";
   return NULL;
 }
 
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -158,7 +158,9 @@
   struct event_splitter event_splitter; /* of the response, if is_sse */
   struct stream_position position;      /* of the client in the stream */
   guint events;                         /* with data or an id, relayed */
-  guint attempt_events;                 /* those of the present attempt */
+  gboolean began_event;   /* an attempt has ended inside the event after the
+                             position */
+  guint attempt_events;   /* those of the present attempt */
   gint64 last_event_at;   /* clock time; before the first event: of the
                              attempt's start */
   gint64 first_event_us;  /* from the arrival to the first event; 0: none yet */
--- a/packages/gate/stream_position.c
+++ b/packages/gate/stream_position.c
@@ -32,11 +32,13 @@
   *stream_position = (struct stream_position){ 0 };
 }
 
-/* The next event is the first one of another response.  */
+/* Begins an attempt. CHECKED: its server is to go on at the position; without
+   that a server may begin anew whatever the client names.  */
 void
-stream_position_begin_attempt (struct stream_position *stream_position)
+stream_position_begin_attempt (struct stream_position *stream_position,
+                               gboolean checked)
 {
-  stream_position->unchecked = TRUE;
+  stream_position->unchecked = checked;
 }
 
 /* Returns the id of the last event that the client has.  */
@@ -70,14 +72,17 @@
 }
 
 /* Moves the position to EVENT, which is relayed next. Returns FALSE, and stays,
-   if EVENT is the first one with an id of its attempt and does not follow: the
-   server has not gone on at the position.  */
+   if EVENT is the first one of an attempt that goes on at a position and is not
+   known to follow: the server has not gone on there.  */
 gboolean
 stream_position_advance (struct stream_position *stream_position,
                          const struct stream_event *event)
 {
   if (event->id_kind == STREAM_ID_ABSENT && !event->has_data)
     return TRUE;
+  if (event->id_kind != STREAM_ID_VALUE && stream_position->unchecked
+      && stream_position->id->len > 0)
+    return FALSE;
   if (event->id_kind == STREAM_ID_VALUE)
     {
       gboolean in_order = follows (stream_position, event->id);
--- a/packages/gate/stream_position.h
+++ b/packages/gate/stream_position.h
@@ -32,7 +32,8 @@
 void stream_position_init (struct stream_position *stream_position,
                            struct str id);
 void stream_position_clear (struct stream_position *stream_position);
-void stream_position_begin_attempt (struct stream_position *stream_position);
+void stream_position_begin_attempt (struct stream_position *stream_position,
+                                    gboolean checked);
 gboolean stream_position_advance (struct stream_position *stream_position,
                                   const struct stream_event *event);
 struct str stream_position_id (const struct stream_position *stream_position);
