Charge no server for harmless bytes around a response

What callers would see: sound servers that are ejected.

Evidence: "bytes after a response that do no harm" fails on the commit before; test_gate_answers passes 8 of 8, test_gate_endless 9 of 9.

--- a/packages/gate/backend_pool.c
+++ b/packages/gate/backend_pool.c
@@ -5,7 +5,10 @@
 
 #include "base/log.h"
 
-#define IDLE_MAX 32 /* idle connections to one server */
+#include <string.h>
+
+#define PEEK_BYTES 16 /* of what has arrived on an idle connection */
+#define IDLE_MAX 32   /* idle connections to one server */
 
 struct idle_connection
 {
@@ -78,12 +81,24 @@
   server_health_add_result (&server->server_health, SERVER_HEALTH_FAILURE);
 }
 
+/* Records DATA of an idle connection, unless it is a 408, with which a server
+   may announce that it closes the connection (RFC 9110, section 15.5.9).  */
+static void
+record_idle_data (const struct idle_connection *idle_connection,
+                  struct str data)
+{
+  static const char announcement[] = "HTTP/1.1 408";
+  gsize n = sizeof announcement - 1;
+  if (data.n == 0 || (data.n >= n && memcmp (data.p, announcement, n) == 0))
+    return;
+  backend_pool_record_extra (idle_connection->server, NULL);
+}
+
 static void
 on_data (void *ctx, struct str data)
 {
   struct idle_connection *idle_connection = ctx;
-  (void)data;
-  backend_pool_record_extra (idle_connection->server, NULL);
+  record_idle_data (idle_connection, data);
   idle_connection_free (idle_connection);
 }
 
@@ -126,8 +141,10 @@
       if (now >= idle_connection->reuse_until
           || !tcp_conn_is_idle (idle_connection->tcp_conn))
         {
-          if (tcp_conn_has_input (idle_connection->tcp_conn))
-            backend_pool_record_extra (idle_connection->server, NULL);
+          char bytes[PEEK_BYTES];
+          gsize n
+              = tcp_conn_peek (idle_connection->tcp_conn, bytes, sizeof bytes);
+          record_idle_data (idle_connection, (struct str){ bytes, n });
           idle_connection_free (idle_connection);
           continue;
         }
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -382,6 +382,15 @@
   exchange_attempt_failed (exchange, result, head, body, &err);
 }
 
+/* Returns whether the response has no body but says that it is chunked: some
+   servers send the last chunk all the same.  */
+static gboolean
+is_empty_chunked (const struct http_reader *http_reader)
+{
+  const struct http_head *head = http_reader_head (http_reader);
+  return (head->status == 204 || head->status == 304) && head->chunked;
+}
+
 static void
 on_data (void *ctx, struct str data)
 {
@@ -408,8 +417,9 @@
         return;
       if (!upstream->discarding)
         {
-          upstream->has_extra = data.n > 0;
-          deliver (upstream, !upstream->has_extra);
+          upstream->has_extra
+              = data.n > 0 && !is_empty_chunked (upstream->http_reader);
+          deliver (upstream, data.n == 0);
           return;
         }
       http_reader_next (upstream->http_reader, FALSE);
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -574,13 +574,15 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* Returns whether bytes have arrived that were not read.  */
-gboolean
-tcp_conn_has_input (const struct tcp_conn *conn)
+/* Copies up to SIZE bytes that have arrived to BUFFER, and leaves them to be
+   read. Returns their number.  */
+gsize
+tcp_conn_peek (const struct tcp_conn *conn, char *buffer, gsize size)
 {
-  char byte;
-  return conn->source != NULL
-         && recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (conn->source == NULL)
+    return 0;
+  gssize n = recv (conn->fd, buffer, size, MSG_PEEK | MSG_DONTWAIT);
+  return n > 0 ? (gsize)n : 0;
 }
 
 /* Closes at once, discarding queued output, and frees the connection.  */
--- a/tests/unit/test_gate_answers.c
+++ b/tests/unit/test_gate_answers.c
@@ -181,6 +181,50 @@
   proxy_test_stop ();
 }
 
+static void
+respond_empty_chunked (struct proxy_test_link *link,
+                       struct proxy_test_request *request)
+{
+  proxy_test_write (link, request,
+                    "HTTP/1.1 204 No Content\r\nX-Request-Id: %I\r\n"
+                    "X-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n\r\n");
+}
+
+static void
+respond_and_announce (struct proxy_test_link *link,
+                      struct proxy_test_request *request)
+{
+  proxy_test_respond_ok (link, request);
+  proxy_test_run_for (5);
+  if (link->tcp_conn != NULL)
+    proxy_test_write (link, request,
+                      "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                      "Content-Length: 0\r\n\r\n");
+}
+
+/* What servers in use send around a response counted as failures, so that sound
+   ones were ejected: the last chunk of a 204, and a 408 before they close an
+   idle connection.  */
+static void
+test_harmless_surplus (void)
+{
+  static const proxy_test_script scripts[]
+      = { respond_empty_chunked, respond_and_announce };
+  for (guint i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      proxy_test_start (1);
+      proxy_test_set_table (1, PROXY_TEST_KEY);
+      proxy_test_script_all (scripts[i]);
+      CU_ASSERT_TRUE (proxy_test_request_status ("/again/x", "") < 300);
+      proxy_test_run_for (30);
+      CU_ASSERT_EQUAL (registry_find (proxy_test.registry, "s-0")
+                           ->server_health.consecutive_failures,
+                       0);
+      proxy_test_stop ();
+    }
+}
+
 static CU_TestInfo tests[] = {
   { "Connection: close", test_connection_close },
   { "informational responses", test_informational },
@@ -190,6 +234,7 @@
   { "a response to another request before that to HEAD",
     test_other_before_head },
   { "a rejection that does not say so", test_unsaid_rejection },
+  { "bytes after a response that do no harm", test_harmless_surplus },
   CU_TEST_INFO_NULL,
 };
 
