Count the text of every choice as tokens

What operators would see: a sound engine ejected as one that stands still, because the texts of several choices did not count.

Change: text is read in any case, then the reasons are looked at.

--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -44,13 +44,15 @@
   JsonObjectIter iter;
   const char *name;
   JsonNode *node;
+  gboolean only_text = TRUE;
   json_object_iter_init (&iter, delta);
   while (json_object_iter_next (&iter, &name, &node))
     if (strcmp (name, "role") == 0)
       content->has_role = !is_empty (node);
     else if (strcmp (name, "content") != 0 && !is_empty (node))
-      return FALSE;
-  return read_text (json_object_get_member (delta, "content"), &content->text);
+      only_text = FALSE;
+  return read_text (json_object_get_member (delta, "content"), &content->text)
+         && only_text;
 }
 
 /* Reads the contents of CHOICE. Returns NULL, or why no other engine may add to
@@ -61,12 +63,12 @@
   JsonNode *delta = json_object_get_member (choice, "delta");
   JsonNode *node;
   gboolean ok;
-  if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
-    return "several choices";
   if (delta != NULL && JSON_NODE_HOLDS_OBJECT (delta))
     ok = read_delta (json_node_get_object (delta), content);
   else
     ok = read_text (json_object_get_member (choice, "text"), &content->text);
+  if (json_object_get_int_member_with_default (choice, "index", 0) != 0)
+    return "several choices";
   if (!ok)
     return "not only text";
   node = json_object_get_member (choice, "finish_reason");
@@ -87,12 +89,16 @@
   choices = json_node_get_array (node);
   if (json_array_get_length (choices) == 0)
     return NULL;
-  if (json_array_get_length (choices) > 1)
-    return "several choices";
-  node = json_array_get_element (choices, 0);
-  return JSON_NODE_HOLDS_OBJECT (node)
-             ? read_choice (json_node_get_object (node), content)
-             : "not a JSON object";
+  const char *problem = NULL;
+  /* All of them, so that a text in any is found. */
+  for (guint i = 0; i < json_array_get_length (choices); i++)
+    {
+      node = json_array_get_element (choices, i);
+      problem = JSON_NODE_HOLDS_OBJECT (node)
+                    ? read_choice (json_node_get_object (node), content)
+                    : "not a JSON object";
+    }
+  return json_array_get_length (choices) > 1 ? "several choices" : problem;
 }
 
 /* Whether an event with CONTENT only repeats the role that an earlier attempt
--- a/tests/unit/test_ing_resume.c
+++ b/tests/unit/test_ing_resume.c
@@ -422,11 +422,10 @@
 /* An instance that becomes the owner of the shard while the stream runs learns
    each token once, from the entry or from a report.  */
 static void
-test_new_owner (void)
+check_new_owner (const char *sent)
 {
   struct scripted f;
-  static const struct scripted_step steps[]
-      = { { TEXT ("a") TEXT ("b"), END_OPEN } };
+  const struct scripted_step steps[] = { { sent, END_OPEN } };
   scripted_start (&f, steps, G_N_ELEMENTS (steps));
   scripted_send_request (&f, TEXT_PATH, TEXT_REQUEST);
   while (strstr (f.received->str, "\"b\"") == NULL)
@@ -454,6 +453,22 @@
   scripted_stop (&f);
 }
 
+static void
+test_new_owner (void)
+{
+  check_new_owner (TEXT ("a") TEXT ("b"));
+}
+
+/* Texts of other choices than the first did not count as tokens, so that their
+   engine seemed to stand still and was ejected.  */
+static void
+test_tokens_of_choices (void)
+{
+  check_new_owner ("data: {\"choices\":[{\"index\":1,\"text\":\"a\"}]}\n\n"
+                   "data: {\"choices\":[{\"index\":0,\"text\":\"b\"},"
+                   "{\"index\":1,\"text\":\"c\"}]}\n\n");
+}
+
 static CU_TestInfo tests[] = {
   { "interrupted", test_interrupted },
   { "the position is rejected", test_position_rejected },
@@ -473,6 +488,7 @@
   { "preempted", test_preempted },
   { "comments without end", test_endless_comments },
   { "a new owner", test_new_owner },
+  { "tokens of several choices", test_tokens_of_choices },
   CU_TEST_INFO_NULL,
 };
 
