--- a/packages/gate/event_splitter.c
+++ b/packages/gate/event_splitter.c
@@ -113,9 +113,9 @@
                                             event_splitter->taken - from } };
   read_fields (event);
   if (event->has_data || event->id_kind != STREAM_ID_ABSENT)
-    event_splitter->filler = 0;
+    event_splitter->between = 0;
   else
-    event_splitter->filler += event->text.n;
+    event_splitter->between += event->text.n;
   return TRUE;
 }
 
@@ -125,7 +125,7 @@
 splitter_is_over_limit (const struct event_splitter *event_splitter)
 {
   return event_splitter->text->len - event_splitter->taken > SPLITTER_EVENT_MAX
-         || event_splitter->filler > SPLITTER_EVENT_MAX;
+         || event_splitter->between > SPLITTER_EVENT_MAX;
 }
 
 /* Returns whether the bytes so far end with a complete event.  */
--- a/packages/gate/event_splitter.h
+++ b/packages/gate/event_splitter.h
@@ -16,7 +16,7 @@
   gsize scanned;     /* bytes of TEXT that were searched for the event's end */
   gsize line;        /* offset of the current line in TEXT */
   gboolean after_cr; /* the last byte searched is a CR */
-  gsize filler;      /* bytes without an id or data since the last event */
+  gsize between;     /* bytes without an id or data since the last event */
 };
 
 /* X (NAME): what an event says of its id */
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -487,8 +487,8 @@
 
 /* Sends the request to the server that the scheduler has chosen. While it was
    queued the configuration may have changed, so route, key and freshness are
-   checked again, unless the response has begun: what resumes it belongs to the
-   route and team under which it began. May free EXCHANGE.  */
+   checked again. A response that has begun is continued under the route and
+   team with which it began. May free EXCHANGE.  */
 static void
 start_attempt (struct exchange *exchange, const struct placement_choice *choice)
 {
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -149,8 +149,9 @@
 
 static const char stray_too_long[] = "responses to other requests too long";
 
-/* Begins to skip a response to another request, which MISMATCH tells. Returns
-   FALSE if the response to this one is not waited for any longer.  */
+/* Begins to skip a response that belongs to another request; MISMATCH says how
+   that shows, as static text. Returns FALSE if the response to this request is
+   not waited for any longer.  */
 static gboolean
 skip_stray (struct upstream *upstream, const struct http_head *head,
             const char *mismatch)
@@ -200,7 +201,7 @@
   if (!upstream->relaying || exchange_begin_response (upstream->exchange, head))
     return TRUE;
   log_write (&(struct log_entry){ .level = LOG_WARN,
-                                  .event = "stream.other",
+                                  .event = "stream.mismatch",
                                   .request_id = upstream->exchange->id,
                                   .peer = upstream->server->entry.id },
              "response cannot continue the stream; status=%u", head->status);
