Split the log lines of a request and the groups of retries into files of their own

Change: exchange_log.c and retry_groups.c; functions that are shared now have their package's prefix. No behaviour changes.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -39,15 +39,6 @@
   return clk_now (exchange->reverse_proxy->options.clk);
 }
 
-static struct log_entry
-log_record (const struct exchange *exchange, const char *event,
-            const char *peer)
-{
-  return (struct log_entry){
-    .level = LOG_INFO, .event = event, .request_id = exchange->id, .peer = peer
-  };
-}
-
 /* Changes the state as the chart says. An event that the chart does not allow
    in the present state is a bug: it is logged and the state stays.  */
 void
@@ -133,46 +124,6 @@
   proxy_schedule_poll (exchange->reverse_proxy);
 }
 
-/* Returns ID for the log: cut, and with '?' for what could end the member that
-   it stands in.  */
-struct logged_id
-exchange_logged_id (struct str id)
-{
-  struct logged_id logged = { "" };
-  for (gsize i = 0; i < MIN (id.n, LOGGED_ID_MAX); i++)
-    logged.text[i]
-        = g_ascii_isgraph (id.p[i]) && id.p[i] != '"' ? id.p[i] : '?';
-  return logged;
-}
-
-/* Returns the position in the stream for the log.  */
-static struct logged_id
-logged_position (const struct exchange *exchange)
-{
-  return exchange_logged_id (stream_position_id (&exchange->position));
-}
-
-/* Writes the log line and the latency sample of the complete request.  */
-void
-exchange_log_end (const struct exchange *exchange, const char *outcome)
-{
-  histogram_add (exchange->reverse_proxy->options.histogram_set,
-                 HISTOGRAM_REQUEST,
-                 exchange_now (exchange) - exchange->arrived);
-  struct log_entry e = log_record (exchange, "request.end", NULL);
-  log_write (&e,
-             "outcome=%s status=%u attempts=%u elapsed_ms=%" G_GINT64_FORMAT
-             " bytes=%" G_GUINT64_FORMAT " events=%u"
-             " first_event_ms=%" G_GINT64_FORMAT
-             " longest_pause_ms=%" G_GINT64_FORMAT " last_id=\"%s\" route=%s",
-             outcome, exchange->status, exchange->attempts,
-             (exchange_now (exchange) - exchange->arrived) / CLK_MS,
-             exchange->response_bytes, exchange->events,
-             exchange->first_event_us / CLK_MS,
-             exchange->longest_gap_us / CLK_MS, logged_position (exchange).text,
-             exchange->route ? exchange->route->name : "");
-}
-
 /* Ends the request with a response of the proxy itself. Frees EXCHANGE.  */
 static void
 send_local_response (struct exchange *exchange,
@@ -226,30 +177,6 @@
   send_local_response (exchange, &local_response);
 }
 
-/* Records that the client's connection is closed without a complete response to
-   its request, if the request has arrived completely. WHY is static text.  */
-void
-exchange_dropped (const struct exchange *exchange, const char *why)
-{
-  const struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
-  if (exchange->state == EXCHANGE_RECEIVING
-      || statechart_is_final (reverse_proxy->chart, exchange->state))
-    return;
-  gint64 now = exchange_now (exchange);
-  counter_add (reverse_proxy->options.counter_set, COUNTER_UNANSWERED, 1);
-  struct log_entry e
-      = log_record (exchange, "request.unanswered", exchange->downstream->peer);
-  log_write (&e,
-             "reason=%s state=%s number=%u attempts=%u bytes=%" G_GUINT64_FORMAT
-             " elapsed_ms=%" G_GINT64_FORMAT " shutdown_ms=%" G_GINT64_FORMAT,
-             why, exchange_state_name (exchange->state),
-             exchange->downstream->served, exchange->attempts,
-             exchange->response_bytes, (now - exchange->arrived) / CLK_MS,
-             reverse_proxy->shutdown_started
-                 ? (now - reverse_proxy->shutdown_started) / CLK_MS
-                 : -1);
-}
-
 /* Resets the client's connection in the middle of a response, so that the
    client cannot take the response for complete. Frees EXCHANGE.  */
 static void
@@ -518,9 +445,9 @@
       return;
     }
   const struct prefix_prompt *prompt = &exchange->queue_entry.request.prompt;
-  struct logged_id position = logged_position (exchange);
-  struct log_entry e
-      = log_record (exchange, "request.placed", choice->server->entry.id);
+  struct logged_id position = exchange_logged_position (exchange);
+  struct log_entry e = exchange_log_record (exchange, "request.placed",
+                                            choice->server->entry.id);
   log_write (&e,
              "service=%s tier=%u version=%" G_GUINT64_FORMAT
              " proof_age_ms=%" G_GINT64_FORMAT
@@ -580,7 +507,8 @@
       return;
     case SCHEDULER_WAIT:
       {
-        struct log_entry e = log_record (exchange, "request.queued", NULL);
+        struct log_entry e
+            = exchange_log_record (exchange, "request.queued", NULL);
         log_write (&e,
                    "service=%s tier=%u ahead=%u usable=%u busy=%.2f"
                    " wait_ms=%" G_GINT64_FORMAT,
@@ -592,7 +520,7 @@
     case SCHEDULER_REJECT:
       break;
     }
-  struct log_entry e = log_record (exchange, "request.refused", NULL);
+  struct log_entry e = exchange_log_record (exchange, "request.refused", NULL);
   log_write (&e,
              "reason=%s service=%s tier=%u ahead=%u usable=%u busy=%.2f"
              " wait_ms=%" G_GINT64_FORMAT " retry_after_ms=%" G_GINT64_FORMAT,
@@ -725,7 +653,8 @@
     .left_us = exchange->deadline - now,
   };
   enum retry_action action = retry_decide (&c);
-  struct log_entry e = log_record (exchange, "attempt.lost", err->peer);
+  struct log_entry e
+      = exchange_log_record (exchange, "attempt.lost", err->peer);
   log_write (&e,
              "result=%s step=%s cause=\"%s: %s\" sent=%u/%u budget=%s"
              " left_ms=%" G_GINT64_FORMAT
@@ -733,7 +662,7 @@
              retry_result_name (result), retry_action_name (action), err->step,
              err->text, exchange->sent, exchange->route->attempts,
              c.within_budget ? "yes" : "no", c.left_us / CLK_MS,
-             exchange->events, logged_position (exchange).text,
+             exchange->events, exchange_logged_position (exchange).text,
              stream_position_state_name (&exchange->position));
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -1,7 +1,8 @@
-/* Internal declarations shared by exchange.c and exchange_response.c only.  */
+/* Internal declarations shared by the files of an exchange.  */
 #ifndef EXCHANGE_INTERNAL_H
 #define EXCHANGE_INTERNAL_H
 
+#include "base/log.h"
 #include "gate/reverse_proxy_internal.h"
 
 #define LOGGED_ID_MAX 40 /* bytes of an event id in the log */
@@ -13,6 +14,9 @@
 };
 
 struct logged_id exchange_logged_id (struct str id);
+struct logged_id exchange_logged_position (const struct exchange *exchange);
+struct log_entry exchange_log_record (const struct exchange *exchange,
+                                      const char *event, const char *peer);
 
 gint64 exchange_now (const struct exchange *exchange);
 void exchange_transition (struct exchange *exchange, enum exchange_event event);
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -1,6 +1,7 @@
 #include "sched/scheduler.h"
 
 #include "sched/backfill.h"
+#include "sched/retry_groups.h"
 
 #include <string.h>
 
@@ -21,7 +22,6 @@
 /* Share of a new request's time to its target that the first queued request
    may have waited already. In a sustained overload, a longer queue would only
    make all of its requests late. */
-#define RETRY_GROUPS_MAX 8 /* further retries hold up all others */
 #define HEAD_WAIT_SHARE 0.2
 /* Drain rate that is assumed while nothing has waited. */
 #define DRAIN_DEFAULT_PER_S 50.0
@@ -228,71 +228,6 @@
   return backfill_allows (&backfill, entry->request.prompt_tokens);
 }
 
-/* Queued entries that were sent to the same servers before, in one pass over
-   the queue.  */
-struct retry_group
-{
-  const struct placement_request *request; /* of one of them */
-  struct backfill backfill;
-};
-
-struct retry_groups
-{
-  struct retry_group groups[RETRY_GROUPS_MAX];
-  guint n;
-};
-
-static struct retry_group *
-find_group (struct retry_groups *retry_groups,
-            const struct scheduler_entry *entry)
-{
-  const struct placement_request *request = &entry->request;
-  for (guint i = 0; i < retry_groups->n; i++)
-    {
-      const struct placement_request *other = retry_groups->groups[i].request;
-      if (other->n_tried == request->n_tried
-          && memcmp (other->tried, request->tried,
-                     request->n_tried * sizeof request->tried[0])
-                 == 0)
-        return &retry_groups->groups[i];
-    }
-  return NULL;
-}
-
-/* Adds ENTRY, which has to wait. Returns FALSE if there are too many groups.
- */
-static gboolean
-add_to_group (struct retry_groups *retry_groups,
-              const struct scheduler_entry *entry)
-{
-  struct retry_group *group = find_group (retry_groups, entry);
-  if (group == NULL && retry_groups->n == RETRY_GROUPS_MAX)
-    return FALSE;
-  if (group == NULL)
-    {
-      group = &retry_groups->groups[retry_groups->n++];
-      group->request = &entry->request;
-      backfill_init (&group->backfill);
-    }
-  backfill_add_waiting (&group->backfill, entry->request.prompt_tokens);
-  return TRUE;
-}
-
-/* Returns whether ENTRY may start at SERVER before the retries in front of it.
- */
-static gboolean
-may_pass_retries (const struct retry_groups *retry_groups,
-                  const struct scheduler_entry *entry,
-                  const struct registry_server *server)
-{
-  for (guint i = 0; i < retry_groups->n; i++)
-    if (!placement_was_tried (retry_groups->groups[i].request, server)
-        && !backfill_allows (&retry_groups->groups[i].backfill,
-                             entry->request.prompt_tokens))
-      return FALSE;
-  return TRUE;
-}
-
 /* Predicts the time until a start: some server must have capacity, and the
    AHEAD entries must have started.  */
 static gint64
@@ -494,7 +429,8 @@
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
   if (decision.choice.server != NULL
-      && !may_pass_retries (retry_groups, entry, decision.choice.server))
+      && !retry_groups_allow (retry_groups, &entry->request,
+                              decision.choice.server))
     return FALSE;
   if (decision.choice.server == NULL || is_held (service, entry, now))
     {
@@ -526,7 +462,9 @@
       {
         struct scheduler_entry *entry = l->data;
         const struct retry_group *group
-            = is_retry (entry) ? find_group (&retry_groups, entry) : NULL;
+            = is_retry (entry)
+                  ? retry_groups_find (&retry_groups, &entry->request)
+                  : NULL;
         if (!backfill_allows (&backfill, entry->request.prompt_tokens)
             || (group != NULL
                 && !backfill_allows (&group->backfill,
@@ -535,7 +473,8 @@
         if (poll_entry (scheduler, service, entry, &retry_groups, now, decided,
                         ctx))
           return TRUE;
-        if (!is_retry (entry) || !add_to_group (&retry_groups, entry))
+        if (!is_retry (entry)
+            || !retry_groups_add (&retry_groups, &entry->request))
           backfill_add_waiting (&backfill, entry->request.prompt_tokens);
       }
   return FALSE;
