Log the shared parts of prompts and whether a broken response had a head

Change: the shared parts of a prompt are parsed one by one, up to 32, each with a key of its own wherever it stands; request.placed and attempt.lost name them, the latter also whether the head had arrived.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -453,7 +453,7 @@
              " proof_age_ms=%" G_GINT64_FORMAT
              " attempt=%u prompt=%u shared=%u held=%u unread=%u"
              " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
-             " shared_key=%08x predicted_ms=%" G_GINT64_FORMAT
+             " shared_key=%08x parts=%s predicted_ms=%" G_GINT64_FORMAT
              " fetch=%s waited_ms=%" G_GINT64_FORMAT
              " resume_after=\"%s\" resume_from=%s",
              exchange->queue_entry.service, exchange->tier,
@@ -463,7 +463,8 @@
              prefix_shared_tokens (prompt), choice->cached_tokens,
              choice->prefill_tokens, choice->load.requests,
              choice->load.sensitive, choice->load.prefill_tokens,
-             prefix_shared_key (prompt), choice->first_event_us / CLK_MS,
+             prefix_shared_key (prompt), exchange_logged_parts (exchange).text,
+             choice->first_event_us / CLK_MS,
              choice->fetch_from ? choice->fetch_from->entry.id : "",
              (now - exchange->arrived) / CLK_MS, position.text,
              exchange->position.relayed ? "events"
@@ -658,12 +659,17 @@
   log_write (&e,
              "result=%s step=%s cause=\"%s: %s\" sent=%u/%u budget=%s"
              " left_ms=%" G_GINT64_FORMAT
-             " events=%u last_id=\"%s\" position=%s",
+             " head=%s events=%u last_id=\"%s\" position=%s parts=%s",
              retry_result_name (result), retry_action_name (action), err->step,
              err->text, exchange->sent, exchange->route->attempts,
              c.within_budget ? "yes" : "no", c.left_us / CLK_MS,
+             exchange->upstream != NULL
+                     && upstream_response_started (exchange->upstream)
+                 ? "yes"
+                 : "no",
              exchange->events, exchange_logged_position (exchange).text,
-             stream_position_state_name (&exchange->position));
+             stream_position_state_name (&exchange->position),
+             exchange_logged_parts (exchange).text);
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
   if (action == RETRY_ACTION_FORWARD && head != NULL)
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -13,6 +13,15 @@
   char text[LOGGED_ID_MAX + 1];
 };
 
+#define LOGGED_PARTS_MAX 8 /* of a prompt in the log */
+
+/* Keys of the shared parts of a prompt as the log shows them.  */
+struct logged_parts
+{
+  char text[LOGGED_PARTS_MAX * 17 + 1];
+};
+
+struct logged_parts exchange_logged_parts (const struct exchange *exchange);
 struct logged_id exchange_logged_id (struct str id);
 struct logged_id exchange_logged_position (const struct exchange *exchange);
 struct log_entry exchange_log_record (const struct exchange *exchange,
--- a/packages/gate/exchange_log.c
+++ b/packages/gate/exchange_log.c
@@ -30,6 +30,16 @@
   return exchange_logged_id (stream_position_id (&exchange->position));
 }
 
+/* Returns the shared parts of the prompt for the log, the first ones.  */
+struct logged_parts
+exchange_logged_parts (const struct exchange *exchange)
+{
+  struct logged_parts logged;
+  prompt_parts_print (&exchange->queue_entry.request.parts, logged.text,
+                      sizeof logged.text);
+  return logged;
+}
+
 /* Writes the log line and the latency sample of the complete request.  */
 void
 exchange_log_end (const struct exchange *exchange, const char *outcome)
--- a/packages/gate/request_headers.c
+++ b/packages/gate/request_headers.c
@@ -62,17 +62,22 @@
 }
 
 /* Parses prefix blocks up to the first malformed one. Blocks beyond
-   PREFIX_BLOCKS_MAX are added to the last one.  */
+   PREFIX_BLOCKS_MAX are added to the last one. PARTS gets all but the last,
+   which belongs to the request alone.  */
 static void
-parse_prefix_blocks (struct str list, struct prefix_prompt *prompt)
+parse_prefix_blocks (struct str list, struct prefix_prompt *prompt,
+                     struct prompt_parts *parts)
 {
   struct str item;
   struct str id;
   guint tokens;
   guint32 key = 0;
-  prompt->n = 0;
+  guint64 last_part = 0;
   while (next_item (&list, &item) && parse_prefix_block (item, &id, &tokens))
     {
+      if (last_part != 0 && parts->n < PROMPT_PARTS_MAX)
+        parts->keys[parts->n++] = last_part;
+      last_part = prompt_part_key (id);
       key = prefix_chain_key (key, id);
       if (prompt->n == PREFIX_BLOCKS_MAX)
         prompt->blocks[prompt->n - 1].tokens += tokens;
@@ -111,8 +116,9 @@
   struct str list;
   struct prefix_prompt *prompt = &request->prompt;
   prompt->n = 0;
+  request->parts.n = 0;
   if (http_head_get (head, header_names->prefix_blocks, &list))
-    parse_prefix_blocks (list, prompt);
+    parse_prefix_blocks (list, prompt, &request->parts);
   guint max_output_tokens = parse_token_count (head, header_names->token_counts,
                                                1, OUTPUT_TOKENS_DEFAULT);
   request->prompt_tokens = parse_token_count (head, header_names->token_counts,
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -214,6 +214,7 @@
 gboolean upstream_has_body (const struct exchange *exchange,
                             const struct http_head *head);
 gboolean upstream_request_was_sent (const struct upstream *upstream);
+gboolean upstream_response_started (const struct upstream *upstream);
 const struct registry_server *upstream_server (const struct upstream *upstream);
 void upstream_build_request_head (struct exchange *exchange,
                                   const struct placement_choice *choice,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -252,6 +252,13 @@
          && tcp_conn_sent (upstream->tcp_conn) > upstream->sent_before;
 }
 
+/* Returns whether the head of the response has arrived.  */
+gboolean
+upstream_response_started (const struct upstream *upstream)
+{
+  return upstream->response_started;
+}
+
 /* Reads what has arrived from the server, so that nothing is given up that is
    only waiting to be read because the process was stalled. Returns FALSE if the
    exchange is over and has been freed. Not to be called by a handler of a
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -4,6 +4,7 @@
 
 #include "fleet/registry.h"
 #include "fleet/topology.h"
+#include "policy/prompt_parts.h"
 #include "route/routing_table.h"
 #include "sched/prefix_directory.h"
 #include "sched/server_load.h"
@@ -17,6 +18,7 @@
 struct placement_request
 {
   struct prefix_prompt prompt; /* n is 0 for requests without a prompt */
+  struct prompt_parts parts;
   guint prompt_tokens;
   guint output_tokens; /* estimated */
   gsize body_bytes;
