Hold a part of a prompt under which servers end one after the other

Cause: an attempt that fails was judged from its request alone and charged to its server alone. Nothing remembered what the requests under different crashes shared, at one instance or between them; the clients' own returns carried it on. Change: policy/crash_suspects.c, without I/O. An attempt that breaks off before its first event makes the shared parts of its prompt suspects if its server has ended, which a refused connection shows (gate/server_check.c). A suspected part is tried by one request at a time, and no two at one server; other requests with it wait (gate/part_trial.c). An event clears the parts of its request. The third crash in a row, each under a trial that began after the one before was known, holds the part: requests with it are rejected with 503 and the time of its next trial, or 502 if they may have run. The most suspected part of a crash explains it, so what was only near it is not held. Crashes and what has cleared them are exchanged by gossip, at once; both only grow, so their order does not matter. A held part is tried again after a minute, then two, four and so on, by the instance that saw its last crash.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -41,6 +41,10 @@
   X (MOVED, "moved", "queued requests moved to a shard with free slots")       \
   X (PAUSES, "pauses", "detected pauses of this process")                      \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
+  X (SUSPECT_CRASHES, "suspect_crashes",                                       \
+     "requests that were on a server when it ended, without an event")         \
+  X (PARTS_HELD, "parts_held", "parts of prompts held for crashing servers")   \
+  X (PART_REJECTED, "part_refused", "requests rejected for a held part")       \
   X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -90,6 +90,8 @@
   if (exchange->freed != NULL)
     *exchange->freed = TRUE;
   config_wait_cancel (exchange);
+  part_trial_cancel (exchange);
+  part_trial_end (exchange);
   g_clear_handle_id (&exchange->timer, g_source_remove);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
                       &exchange->queue_entry);
@@ -118,6 +120,7 @@
 void
 exchange_end_attempt (struct exchange *exchange)
 {
+  part_trial_end (exchange);
   scheduler_ended (exchange->reverse_proxy->options.scheduler,
                    &exchange->queue_entry);
   g_clear_pointer (&exchange->upstream, upstream_free);
@@ -130,6 +133,7 @@
                      const struct local_response *local_response)
 {
   struct downstream *downstream = exchange->downstream;
+  part_trial_cancel (exchange);
   exchange_end_attempt (exchange);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
                       &exchange->queue_entry);
@@ -160,9 +164,9 @@
 /* Rejects a request. RETRY_AFTER_US is sent to the client as the time to retry;
    0: none is sent. If an earlier attempt may have been executed, the client is
    told that instead. Frees EXCHANGE.  */
-static void
-reject (struct exchange *exchange, guint status, const char *code,
-        gint64 retry_after_us)
+void
+exchange_reject (struct exchange *exchange, guint status, const char *code,
+                 gint64 retry_after_us)
 {
   const struct local_response local_response
       = { .status = status,
@@ -179,8 +183,8 @@
 
 /* Resets the client's connection in the middle of a response, so that the
    client cannot take the response for complete. Frees EXCHANGE.  */
-static void
-abort_response (struct exchange *exchange, const char *why)
+void
+exchange_abort (struct exchange *exchange, const char *why)
 {
   struct downstream *downstream = exchange->downstream;
   exchange_dropped (exchange, why);
@@ -207,11 +211,11 @@
   if (!upstream_read_arrived (exchange))
     return G_SOURCE_REMOVE;
   if (exchange->head_sent)
-    abort_response (exchange, "deadline");
+    exchange_abort (exchange, "deadline");
   else if (may_have_run (exchange))
     send_outcome_unknown (exchange, 504, "timeout");
   else
-    reject (exchange, 503, "timeout_waiting", DEFAULT_RETRY_US);
+    exchange_reject (exchange, 503, "timeout_waiting", DEFAULT_RETRY_US);
   return G_SOURCE_REMOVE;
 }
 
@@ -224,11 +228,11 @@
   if (!upstream_read_arrived (exchange))
     return;
   if (exchange->head_sent)
-    abort_response (exchange, why);
+    exchange_abort (exchange, why);
   else if (may_have_run (exchange))
     send_outcome_unknown (exchange, 502, why);
   else
-    reject (exchange, 503, why, SHUTDOWN_RETRY_US);
+    exchange_reject (exchange, 503, why, SHUTDOWN_RETRY_US);
 }
 
 /* Sets the deadline to the route's time-out or, if it is earlier, the one that
@@ -273,7 +277,7 @@
   if (reverse_proxy->routing_table == NULL)
     {
       if (!config_wait_begin (exchange))
-        reject (exchange, 503, "no_configuration", DEFAULT_RETRY_US);
+        exchange_reject (exchange, 503, "no_configuration", DEFAULT_RETRY_US);
       return FALSE;
     }
   if (exchange->routing_table != reverse_proxy->routing_table)
@@ -291,12 +295,13 @@
   if (!config_is_fresh (exchange))
     {
       if (!config_wait_begin (exchange))
-        reject (exchange, 503, "configuration_unproved", STALE_CONFIG_RETRY_US);
+        exchange_reject (exchange, 503, "configuration_unproved",
+                         STALE_CONFIG_RETRY_US);
       return FALSE;
     }
   if (exchange->route == NULL)
     {
-      reject (exchange, 404, "no_route", 0);
+      exchange_reject (exchange, 404, "no_route", 0);
       return FALSE;
     }
   if (!routing_table_has_teams (exchange->routing_table))
@@ -306,7 +311,7 @@
   if (exchange->team != NULL)
     return TRUE;
   counter_add (reverse_proxy->options.counter_set, COUNTER_UNKNOWN_KEY, 1);
-  reject (exchange, 401, "unknown_key", 0);
+  exchange_reject (exchange, 401, "unknown_key", 0);
   return FALSE;
 }
 
@@ -354,8 +359,6 @@
     queue_entry->request.affinity_hash = id_hash;
 }
 
-static void enqueue (struct exchange *exchange);
-
 /* Routes and enqueues the request, or rejects it. May free EXCHANGE.  */
 void
 exchange_route_request (struct exchange *exchange)
@@ -370,7 +373,7 @@
   if (exchange->attempts == 0)
     retry_budget_count_request (retry_budget_of (exchange),
                                 exchange_now (exchange));
-  enqueue (exchange);
+  exchange_enqueue (exchange);
 }
 
 /* Handles a request that has arrived completely. May free EXCHANGE.  */
@@ -387,7 +390,7 @@
     {
       counter_add (reverse_proxy->options.counter_set, COUNTER_INVALID_REQUEST,
                    1);
-      reject (exchange, 400, "no_request_id", 0);
+      exchange_reject (exchange, 400, "no_request_id", 0);
       return;
     }
   if (http_head_count (exchange->head, reverse_proxy->header_names->last_event)
@@ -395,7 +398,7 @@
     {
       counter_add (reverse_proxy->options.counter_set, COUNTER_INVALID_REQUEST,
                    1);
-      reject (exchange, 400, "repeated_last_event_id", 0);
+      exchange_reject (exchange, 400, "repeated_last_event_id", 0);
       return;
     }
   exchange_route_request (exchange);
@@ -429,21 +432,23 @@
         return;
       if (!route_allows_attempt (exchange))
         {
-          reject (exchange, 503, "route_changed", DEFAULT_RETRY_US);
+          exchange_reject (exchange, 503, "route_changed", DEFAULT_RETRY_US);
           return;
         }
       fill_queue_entry (exchange);
       if (!g_str_equal (service, exchange->queue_entry.service))
         {
-          enqueue (exchange);
+          exchange_enqueue (exchange);
           return;
         }
     }
   else if (exchange->team != NULL && !config_is_fresh (exchange))
     {
-      abort_response (exchange, "configuration_unproved");
+      exchange_abort (exchange, "configuration_unproved");
       return;
     }
+  if (!part_trial_allows (exchange, choice->server))
+    return;
   const struct prefix_prompt *prompt = &exchange->queue_entry.request.prompt;
   struct logged_id position = exchange_logged_position (exchange);
   struct log_entry e = exchange_log_record (exchange, "request.placed",
@@ -478,6 +483,7 @@
   counter_add (reverse_proxy->options.counter_set, COUNTER_ATTEMPTS, 1);
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
+  part_trial_begin (exchange, choice->server);
   if (reverse_proxy->options.request_sent != NULL && prompt->n > 0)
     reverse_proxy->options.request_sent (
         reverse_proxy->options.ctx, choice->server, prompt, choice->at_home);
@@ -530,17 +536,17 @@
              decision->choice.busy, decision->wait_us / CLK_MS,
              decision->retry_after_us / CLK_MS);
   if (exchange->head_sent)
-    abort_response (exchange, scheduler_reason_name (decision->reason));
+    exchange_abort (exchange, scheduler_reason_name (decision->reason));
   else if (exchange->may_have_run)
     send_outcome_unknown (exchange, 502,
                           scheduler_reason_name (decision->reason));
   else
-    reject (exchange, 503, scheduler_reason_name (decision->reason),
-            decision->retry_after_us);
+    exchange_reject (exchange, 503, scheduler_reason_name (decision->reason),
+                     decision->retry_after_us);
 }
 
-static void
-enqueue (struct exchange *exchange)
+void
+exchange_enqueue (struct exchange *exchange)
 {
   struct scheduler_decision decision;
   scheduler_submit (exchange->reverse_proxy->options.scheduler,
@@ -555,6 +561,7 @@
   if (statechart_is_final (exchange->reverse_proxy->chart, exchange->state))
     return;
   config_wait_cancel (exchange);
+  part_trial_cancel (exchange);
   exchange_transition (exchange, EXCHANGE_ON_DISCONNECT);
   exchange_log_end (exchange, "caller_gone");
   counter_add (exchange->reverse_proxy->options.counter_set,
@@ -610,7 +617,7 @@
       exchange->queue_entry.target = exchange->deadline;
     }
   exchange_transition (exchange, EXCHANGE_ON_RETRY);
-  enqueue (exchange);
+  exchange_enqueue (exchange);
 }
 
 /* Returns whether the error response HEAD of a server may go to the client.
@@ -672,6 +679,8 @@
              exchange_logged_parts (exchange).text);
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
+  if (result == RETRY_RESULT_LOST)
+    part_trial_broke (exchange, err);
   if (action == RETRY_ACTION_FORWARD && head != NULL)
     {
       exchange_send_buffered_response (exchange, head, body);
@@ -687,15 +696,15 @@
       {
         gint64 retry_us = scheduler_retry_after_us (
             reverse_proxy->options.scheduler, &exchange->queue_entry, now);
-        reject (exchange, 503, "not_run",
-                retry_us > 0 ? retry_us : DEFAULT_RETRY_US);
+        exchange_reject (exchange, 503, "not_run",
+                         retry_us > 0 ? retry_us : DEFAULT_RETRY_US);
         return;
       }
     case RETRY_ACTION_REPORT_UNKNOWN:
       send_outcome_unknown (exchange, 502, "outcome_unknown");
       return;
     case RETRY_ACTION_ABORT:
-      abort_response (exchange, "backend_lost");
+      exchange_abort (exchange, "backend_lost");
       return;
     case RETRY_ACTION_FORWARD:
       return;
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -100,6 +100,7 @@
       server_health_add_ttft (server_health, MAX (excess, 0),
                               HEALTH_PROMPT_TOKENS);
       scheduler_first_event (scheduler, &exchange->queue_entry, gap);
+      part_trial_wrote (exchange);
       return;
     }
   histogram_add (exchange->reverse_proxy->options.histogram_set, HISTOGRAM_GAP,
@@ -238,6 +239,7 @@
     tcp_conn_write (downstream->tcp_conn, "0\r\n\r\n", 5);
   exchange_transition (exchange, EXCHANGE_ON_RESPONSE_END);
   exchange_log_end (exchange, "complete");
+  part_trial_wrote (exchange);
   counter_add (exchange->reverse_proxy->options.counter_set, COUNTER_ANSWERED,
                1);
   exchange_end_attempt (exchange);
@@ -256,6 +258,8 @@
   GString *out = g_string_new (NULL);
   gboolean no_body = !upstream_has_body (exchange, head);
   append_response_head (head, out);
+  if (head->status < 300)
+    part_trial_wrote (exchange);
   exchange->status = head->status;
   exchange->response_bytes = body.n;
   if (!no_body)
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -50,6 +50,8 @@
   g_queue_init (&reverse_proxy->clients);
   g_queue_init (&reverse_proxy->closing);
   g_queue_init (&reverse_proxy->awaiting_config);
+  g_queue_init (&reverse_proxy->awaiting_parts);
+  g_queue_init (&reverse_proxy->server_checks);
   reverse_proxy->started_at = clk_now (options->clk);
   int code
       = statechart_load (options->chart, &binding, &reverse_proxy->chart, err);
@@ -79,6 +81,7 @@
   while (reverse_proxy->clients.head != NULL)
     downstream_free (reverse_proxy->clients.head->data);
   closing_free_all (reverse_proxy);
+  server_check_free_all (reverse_proxy);
   tcp_listener_free (reverse_proxy->listener);
   g_clear_handle_id (&reverse_proxy->poll_source, g_source_remove);
   backend_pool_free (reverse_proxy->backend_pool);
@@ -180,6 +183,7 @@
 proxy_poll (struct reverse_proxy *reverse_proxy)
 {
   config_wait_check (reverse_proxy);
+  part_trial_check (reverse_proxy);
   scheduler_poll (reverse_proxy->options.scheduler,
                   clk_now (reverse_proxy->options.clk), exchange_on_decision,
                   NULL);
@@ -323,7 +327,8 @@
 proxy_schedule_poll (struct reverse_proxy *reverse_proxy)
 {
   if (reverse_proxy->poll_source == 0
-      && scheduler_n_waiting (reverse_proxy->options.scheduler) > 0)
+      && (scheduler_n_waiting (reverse_proxy->options.scheduler) > 0
+          || reverse_proxy->awaiting_parts.length > 0))
     reverse_proxy->poll_source = g_idle_add (on_poll_source, reverse_proxy);
 }
 
@@ -428,6 +433,10 @@
   json_add_int (json, "exchanges", reverse_proxy->exchanges);
   json_add_int (json, "waiting",
                 scheduler_n_waiting (reverse_proxy->options.scheduler));
+  json_add_int (json, "waiting_for_parts",
+                reverse_proxy->awaiting_parts.length);
+  if (reverse_proxy->options.suspects != NULL)
+    suspects_dump (reverse_proxy->options.suspects, json, now);
   json_add_int (json, "idle_backend_connections",
                 backend_pool_idle_count (reverse_proxy->backend_pool));
   json_builder_set_member_name (json, "servers");
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -12,6 +12,7 @@
 #include "base/histogram.h"
 #include "fleet/registry.h"
 #include "fleet/freshness.h"
+#include "policy/crash_suspects.h"
 #include "gate/header_names.h"
 #include "route/routing_table.h"
 #include "sched/retry_budget.h"
@@ -29,6 +30,7 @@
   const char *chart; /* path of exchange.chart, not used after the call */
   struct registry *registry;          /* borrowed */
   struct scheduler *scheduler;        /* borrowed */
+  struct suspects *suspects;          /* borrowed; NULL: no part is held */
   struct retry_budget_options budget; /* of retries, for each service */
   /* Highest configuration age at which team keys are accepted; 0: no limit. */
   gint64 key_freshness_limit_us;
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -38,6 +38,9 @@
   GQueue awaiting_config;  /* of struct exchange: requests that wait for it */
   guint config_source;     /* GLib source: routes them; 0: none */
   struct backend_pool *backend_pool;
+  GQueue awaiting_parts; /* of struct exchange: requests that wait for the trial
+                            of a suspected part */
+  GQueue server_checks;  /* of struct server_check */
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
   GQueue clients;            /* of struct downstream */
   GQueue closing;            /* of struct closing_connection */
@@ -148,6 +151,9 @@
                       configuration; 0: none */
   GList config_link; /* in awaiting_config; data is NULL if it is not there */
   gboolean waited_for_config;
+  GList parts_link; /* in awaiting_parts; data is NULL if it is not there */
+  struct suspects_attempt suspects_attempt;
+  gboolean trial_broke;   /* the trial of a part has broken off under it */
   guint sent;             /* attempts that count towards the route's limit */
   gint64 attempt_started; /* clock time of the attempt's start */
   guint attempts;         /* all attempts, also those that reached no server */
@@ -190,6 +196,24 @@
 void config_wait_cancel (struct exchange *exchange);
 void config_wait_check (struct reverse_proxy *reverse_proxy);
 
+/* Requests with parts that are suspected of crashing servers. */
+gboolean part_trial_allows (struct exchange *exchange,
+                            const struct registry_server *server);
+void part_trial_cancel (struct exchange *exchange);
+void part_trial_check (struct reverse_proxy *reverse_proxy);
+void part_trial_begin (struct exchange *exchange,
+                       const struct registry_server *server);
+void part_trial_wrote (struct exchange *exchange);
+void part_trial_end (struct exchange *exchange);
+void part_trial_broke (struct exchange *exchange, const struct err *err);
+void part_trial_checked (struct reverse_proxy *reverse_proxy,
+                         const struct registry_server *server, gboolean ended);
+
+/* Checks whether backend servers have ended. */
+void server_check_start (struct reverse_proxy *reverse_proxy,
+                         struct registry_server *server);
+void server_check_free_all (struct reverse_proxy *reverse_proxy);
+
 /* Called by the attempt at a backend server. */
 gboolean exchange_begin_response (struct exchange *exchange,
                                   const struct http_head *head);
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -12,6 +12,9 @@
   (300 * CLK_MS) /* subtracted from the limit on the use of keys without a     \
                     fresh configuration, because the request still has to      \
                     reach a server */
+#define SUSPECTS_INTERVAL_US                                                   \
+  (20 * CLK_MS) /* between two rounds of messages about suspected parts */
+#define SUSPECTS_MAX_MS 20
 #define PAUSE_THRESHOLD_US                                                     \
   (1 * CLK_S) /* a tick this late means that the process was suspended or      \
                  starved */
@@ -78,6 +81,35 @@
                scheduler_loads (daemon->scheduler), now, send_datagram, daemon);
 }
 
+/* Tells peers at once what has changed of the suspected parts, and lets the
+   requests go on that wait for it.  */
+static gboolean
+on_suspects_due (gpointer data)
+{
+  struct proxy_daemon *daemon = data;
+  gint64 now = clk_now (daemon->clk);
+  daemon->suspects_source = 0;
+  proxy_poll (daemon->reverse_proxy);
+  gossip_hurry (daemon->gossip, daemon->suspects_own, now);
+  daemon->suspects_own = FALSE;
+  daemon->suspects_sent_at = now;
+  send_state_to_peers (daemon, now);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_suspects_changed (void *ctx, gboolean own)
+{
+  struct proxy_daemon *daemon = ctx;
+  gint64 wait
+      = daemon->suspects_sent_at + SUSPECTS_INTERVAL_US - clk_now (daemon->clk);
+  daemon->suspects_own |= own;
+  if (daemon->suspects_source == 0)
+    daemon->suspects_source = g_timeout_add_full (
+        G_PRIORITY_DEFAULT, (guint)CLAMP (wait / CLK_MS, 0, SUSPECTS_MAX_MS),
+        on_suspects_due, daemon, NULL);
+}
+
 static void
 on_datagram (void *ctx, guint32 ip, struct str bytes)
 {
@@ -145,6 +177,7 @@
     }
   daemon->last_tick = now;
   registry_tick (daemon->registry, now);
+  suspects_expire (daemon->suspects, now);
   proxy_daemon_sync_step (daemon, now);
   send_state_to_peers (daemon, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
@@ -211,6 +244,7 @@
           .chart = chart,
           .registry = daemon->registry,
           .scheduler = daemon->scheduler,
+          .suspects = daemon->suspects,
           .budget = { .ratio = settings->retry_ratio,
                       .slack = settings->retry_slack,
                       .window_us = settings->retry_window_us },
@@ -236,7 +270,8 @@
   struct gossip_options options = { .id = settings->id.s,
                                     .domain = settings->domain.s,
                                     .incarnation = g_rand_int (daemon->rand),
-                                    .seeds = seeds };
+                                    .seeds = seeds,
+                                    .suspects = daemon->suspects };
   udp_ip_parse (settings->listen_peers, &options.ip);
   daemon->ip = options.ip;
   for (guint i = 0; i < n; i++)
@@ -273,7 +308,13 @@
           .clk = daemon->clk,
           .counter_set = &daemon->counter_set,
           .timeout_ms = (guint)(settings->store_timeout_us / CLK_MS) };
+  const struct suspects_options suspects_options
+      = { .seed = g_rand_int (daemon->rand),
+          .counter_set = &daemon->counter_set,
+          .changed = on_suspects_changed,
+          .ctx = daemon };
   daemon->scheduler = scheduler_new (&scheduler_options, now);
+  daemon->suspects = suspects_new (&suspects_options);
   daemon->adapter = adapter_new (&adapter_options);
   int code = open_proxy (daemon, err);
   proxy_daemon_sync_init (daemon, now);
@@ -298,6 +339,7 @@
   if (daemon == NULL)
     return;
   g_clear_handle_id (&daemon->tick_timer, g_source_remove);
+  g_clear_handle_id (&daemon->suspects_source, g_source_remove);
   proxy_daemon_endpoints_free (daemon);
   proxy_daemon_sync_free (daemon);
   proxy_free (daemon->reverse_proxy);
@@ -305,6 +347,7 @@
   udp_free (daemon->udp);
   gossip_free (daemon->gossip);
   scheduler_free (daemon->scheduler);
+  suspects_free (daemon->suspects);
   registry_free (daemon->registry);
   topology_free (daemon->topology);
   g_rand_free (daemon->rand);
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -94,6 +94,7 @@
   str_id_set (&gossip->domain, str_of (options->domain));
   gossip->ip = options->ip;
   gossip->incarnation = options->incarnation;
+  gossip->suspects = options->suspects;
   gossip->started_at = now;
   gossip->seeds = g_array_new (FALSE, FALSE, sizeof (guint32));
   g_array_append_vals (gossip->seeds, options->seeds, options->n_seeds);
@@ -167,6 +168,23 @@
     peer->next_send = 0;
 }
 
+/* Has the next messages to all peers sent at the next tick, because a suspected
+   part has changed here or, if not OWN, at a peer: then only the leader of a
+   domain sends them, to forward it.  */
+void
+gossip_hurry (struct gossip *gossip, gboolean own, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  if (!own
+      && (gossip_is_full_mesh (gossip, now)
+          || gossip_domain_rank (gossip, now) != 0))
+    return;
+  g_hash_table_iter_init (&iter, gossip->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct peer *)value)->next_send = 0;
+}
+
 static gboolean
 is_starting (const struct gossip *gossip, gint64 now)
 {
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -7,6 +7,7 @@
 
 #include "fleet/registry.h"
 #include "peer/gossip_message.h"
+#include "policy/crash_suspects.h"
 #include "sched/overload_hold.h"
 #include "sched/placement.h"
 
@@ -21,6 +22,7 @@
   guint32 incarnation;  /* random number, new at each start */
   const guint32 *seeds; /* host byte order; borrowed for the call */
   guint n_seeds;
+  struct suspects *suspects; /* borrowed; NULL: not exchanged */
 };
 
 /* State of this instance that its messages carry; the fields have the same
@@ -71,6 +73,7 @@
                            const struct prefix_prompt *prompt,
                            gboolean at_home);
 void gossip_ask (struct gossip *gossip, guint32 ip);
+void gossip_hurry (struct gossip *gossip, gboolean own, gint64 now);
 void gossip_tick (struct gossip *gossip, const struct gossip_local_state *state,
                   struct registry *registry,
                   struct server_load_table *server_load_table, gint64 now,
--- a/packages/peer/gossip_contents.c
+++ b/packages/peer/gossip_contents.c
@@ -339,6 +339,33 @@
   return FALSE;
 }
 
+/* Adds what has changed of the suspected parts since TO confirmed it. To one
+   that holds nothing, and from a leader that forwards, everything; otherwise
+   each instance tells what it has seen itself.  */
+static void
+add_suspects (const struct gossip *gossip, const struct peer *to,
+              struct gossip_message *message, const struct gossip_round *round)
+{
+  const struct suspects_crash *crashes[GOSSIP_MESSAGE_CRASHES_MAX];
+  struct gossip_message_suspects *suspects = &message->suspects;
+  guint64 since = to->suspects_confirmed;
+  gboolean forwards = round->is_leader && !round->full_mesh;
+  if (gossip->suspects == NULL)
+    return;
+  suspects->held = to->suspects_held;
+  suspects->range.since = since;
+  suspects->n_crashes = suspects_changes_since (
+      gossip->suspects, since, since == 0 || forwards, crashes,
+      GOSSIP_MESSAGE_CRASHES_MAX, &suspects->range.through);
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    {
+      suspects->crashes[i] = *crashes[i];
+      suspects->crashes[i].at = MAX (round->now - crashes[i]->at, 0);
+    }
+  suspects->n_trials = suspects_trials (gossip->suspects, suspects->trials,
+                                        SUSPECTS_TRIALS_MAX);
+}
+
 /* Fills in the lists of a message to PEER. An unresponsive one gets members
    only.  */
 void
@@ -348,6 +375,7 @@
 {
   add_members (gossip, peer, message, round->now);
   add_held (gossip, peer, message);
+  add_suspects (gossip, peer, message, round);
   if (gossip_is_unresponsive (peer, round->now))
     return;
   gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -67,6 +67,8 @@
                               complete list is needed */
   guint64 loads_confirmed; /* last change of the loads here that it holds */
   GArray *summaries_confirmed; /* of struct gossip_message_held, likewise */
+  guint64 suspects_held; /* last change of its suspects that is held here */
+  guint64 suspects_confirmed; /* last change of those here that it holds */
   guint64 n_placements_sent[RING_N]; /* position in each ring */
   gint64 sent_at[SENT_TIMES_KEPT];   /* clock time of each message by its seq */
 };
@@ -90,10 +92,11 @@
   struct str_id domain;
   guint32 ip;
   guint32 incarnation;
-  gint64 started_at;     /* clock time */
-  GArray *seeds;         /* of guint32 */
-  GHashTable *peers;     /* IP: struct peer, owned */
-  GHashTable *summaries; /* domain: struct summary, owned */
+  gint64 started_at;         /* clock time */
+  struct suspects *suspects; /* borrowed; NULL: not exchanged */
+  GArray *seeds;             /* of guint32 */
+  GHashTable *peers;         /* IP: struct peer, owned */
+  GHashTable *summaries;     /* domain: struct summary, owned */
   struct placement_ring placement_rings[RING_N];
   GHashTable *servers_by_key; /* server key: struct registry_server, borrowed */
   guint index_generation;     /* of the server registry, for servers_by_key */
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 28 /* of a message in the current format */
+#define FIELDS 30 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -23,6 +23,9 @@
   gossip_message->n_own_placements = gossip_message->n_home_placements
       = gossip_message->n_unreachable = gossip_message->n_leaving
       = gossip_message->n_rejections = gossip_message->n_held = 0;
+  gossip_message->suspects.held = 0;
+  gossip_message->suspects.range = (struct gossip_message_range){ 0 };
+  gossip_message->suspects.n_crashes = gossip_message->suspects.n_trials = 0;
   for (guint i = 0; i < GOSSIP_MESSAGE_SUMMARIES_MAX; i++)
     {
       gossip_message->summaries[i].n = 0;
@@ -64,6 +67,46 @@
     pack_load (pk, &summary->loads[i]);
 }
 
+/* Packs an age in milliseconds and the parts: key, and weight with the lowest
+   bit for cleared.  */
+static void
+pack_crash (msgpack_packer *pk, const struct suspects_crash *crash)
+{
+  msgpack_pack_array (pk, 3 + 2 * (size_t)crash->parts.n);
+  msgpack_pack_uint64 (pk, crash->id);
+  msgpack_pack_uint64 (pk, crash->server);
+  msgpack_pack_int64 (pk, crash->at / CLK_MS);
+  for (guint i = 0; i < crash->parts.n; i++)
+    {
+      msgpack_pack_uint64 (pk, crash->parts.keys[i]);
+      msgpack_pack_unsigned_int (pk, crash->weights[i] * 2u
+                                         + (crash->cleared[i] ? 1 : 0));
+    }
+}
+
+static void
+pack_suspects (msgpack_packer *pk,
+               const struct gossip_message_suspects *suspects)
+{
+  /* Mostly there is nothing to tell. */
+  gboolean any = suspects->held != 0 || suspects->range.through != 0;
+  msgpack_pack_array (pk, any ? 3 + (size_t)suspects->n_crashes : 0);
+  if (any)
+    {
+      msgpack_pack_uint64 (pk, suspects->held);
+      msgpack_pack_uint64 (pk, suspects->range.since);
+      msgpack_pack_uint64 (pk, suspects->range.through);
+    }
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    pack_crash (pk, &suspects->crashes[i]);
+  msgpack_pack_array (pk, 2 * (size_t)suspects->n_trials);
+  for (guint i = 0; i < suspects->n_trials; i++)
+    {
+      msgpack_pack_uint64 (pk, suspects->trials[i].part);
+      msgpack_pack_uint64 (pk, suspects->trials[i].server);
+    }
+}
+
 /* Appends a message to OUT as one msgpack array.  */
 void
 gossip_message_encode (const struct gossip_message *gossip_message,
@@ -136,6 +179,7 @@
       peer_msgpack_pack_text (&pk, gossip_message->held[i].domain);
       msgpack_pack_uint64 (&pk, gossip_message->held[i].through);
     }
+  pack_suspects (&pk, &gossip_message->suspects);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -340,6 +384,53 @@
   c->bad |= held.bad;
 }
 
+static void
+read_crash (struct cursor *list, struct suspects_crash *crash)
+{
+  struct cursor c = read_array (list, 3 + 2 * PROMPT_PARTS_MAX);
+  memset (crash, 0, sizeof *crash);
+  crash->id = read_number (&c, G_MAXUINT64);
+  crash->server = read_number (&c, G_MAXUINT64);
+  crash->at = (gint64)read_number (&c, G_MAXINT32) * CLK_MS;
+  while (!c.bad && c.left > 0)
+    {
+      guint i = crash->parts.n++;
+      crash->parts.keys[i] = read_number (&c, G_MAXUINT64);
+      guint weight = (guint)read_number (&c, 2 * G_MAXUINT8 + 1);
+      crash->weights[i] = (guint8)(weight / 2);
+      crash->cleared[i] = weight % 2 != 0;
+    }
+  list->bad |= c.bad;
+}
+
+static void
+read_suspects (struct cursor *c, struct gossip_message_suspects *suspects)
+{
+  struct cursor list = read_array (c, 3 + GOSSIP_MESSAGE_CRASHES_MAX);
+  if (list.left > 0)
+    {
+      suspects->held = read_number (&list, G_MAXUINT64);
+      suspects->range.since = read_number (&list, G_MAXUINT64);
+      suspects->range.through = read_number (&list, G_MAXUINT64);
+    }
+  while (!list.bad && list.left > 0)
+    read_crash (&list, &suspects->crashes[suspects->n_crashes++]);
+  c->bad |= list.bad;
+}
+
+static void
+read_trials (struct cursor *c, struct gossip_message_suspects *suspects)
+{
+  struct cursor trials = read_array (c, 2 * SUSPECTS_TRIALS_MAX);
+  while (!trials.bad && trials.left > 0)
+    {
+      struct suspects_trial *trial = &suspects->trials[suspects->n_trials++];
+      trial->part = read_number (&trials, G_MAXUINT64);
+      trial->server = read_number (&trials, G_MAXUINT64);
+    }
+  c->bad |= trials.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -386,6 +477,10 @@
     read_ranges (&c, gossip_message);
   if (c.left > 0)
     read_held (&c, gossip_message);
+  if (c.left > 0)
+    read_suspects (&c, &gossip_message->suspects);
+  if (c.left > 0)
+    read_trials (&c, &gossip_message->suspects);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -6,6 +6,7 @@
 
 #include "base/err.h"
 #include "base/str.h"
+#include "policy/crash_suspects.h"
 #include "sched/prefix_directory.h"
 #include "sched/server_load.h"
 
@@ -21,6 +22,7 @@
 #define GOSSIP_MESSAGE_SUMMARY_LOADS_MAX GOSSIP_MESSAGE_LOADS_MAX
 #define GOSSIP_MESSAGE_PLACEMENTS_MAX 64
 #define GOSSIP_MESSAGE_HELD_MAX 64
+#define GOSSIP_MESSAGE_CRASHES_MAX 6
 #define GOSSIP_AGE_UNKNOWN (-1) /* nothing confirmed or read yet */
 
 /* Load that the sender has at one backend server. */
@@ -82,6 +84,17 @@
   guint age_ms;
 };
 
+/* Requests that were on servers when these ended. */
+struct gossip_message_suspects
+{
+  guint64 held; /* last change that the sender holds of the receiver's */
+  struct gossip_message_range range; /* of CRASHES; since 0: complete */
+  struct suspects_crash crashes[GOSSIP_MESSAGE_CRASHES_MAX]; /* AT is an age */
+  guint n_crashes;
+  struct suspects_trial trials[SUSPECTS_TRIALS_MAX]; /* of the sender */
+  guint n_trials;
+};
+
 struct gossip_message
 {
   char id[STR_ID_MAX + 1]; /* of the sender */
@@ -124,6 +137,7 @@
   guint n_summaries;
   struct gossip_message_held held[GOSSIP_MESSAGE_HELD_MAX];
   guint n_held;
+  struct gossip_message_suspects suspects;
 };
 
 void gossip_message_clear (struct gossip_message *gossip_message);
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -210,6 +210,31 @@
                          message->n_held);
 }
 
+/* Records what PEER has told of suspected parts, and what it holds of those
+   here.  */
+static void
+apply_suspects (const struct gossip *gossip, struct peer *peer,
+                const struct gossip_message *message, gint64 now)
+{
+  const struct gossip_message_suspects *suspects = &message->suspects;
+  if (gossip->suspects == NULL)
+    return;
+  peer->suspects_confirmed
+      = message->echo_incarnation == gossip->incarnation
+            ? MIN (suspects->held, suspects_n_changes (gossip->suspects))
+            : 0;
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    {
+      struct suspects_crash crash = suspects->crashes[i];
+      crash.at = now - crash.at;
+      suspects_merge (gossip->suspects, &crash);
+    }
+  if (suspects->range.since <= peer->suspects_held)
+    peer->suspects_held = suspects->range.through;
+  suspects_set_peer_trials (gossip->suspects, peer->ip, suspects->trials,
+                            suspects->n_trials, now);
+}
+
 /* Drops what is known of the lists of the former incarnation of PEER.  */
 static void
 forget_incarnation (struct gossip *gossip, struct peer *peer)
@@ -217,6 +242,7 @@
   GHashTableIter iter;
   gpointer value;
   peer->loads_held = 0;
+  peer->suspects_held = 0;
   g_hash_table_iter_init (&iter, gossip->summaries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -357,6 +383,7 @@
         registry_peer_found_unreachable (server, now);
     }
   apply_leaving (servers_by_key, message, registry);
+  apply_suspects (gossip, peer, message, now);
   apply_held (gossip, peer, message);
   apply_summaries (gossip, servers_by_key, ip, message, is_local,
                    server_load_table, now);
--- /dev/null
+++ b/packages/policy/crash_suspects.h
@@ -0,0 +1,126 @@
+/* Parts of prompts that may crash backend servers. Requests that were on a
+   server when it ended, and had got nothing of their response, make their
+   shared parts suspects. A suspected part is tried by one request at a time; an
+   event of a response clears the parts of its request. A part whose trials end
+   server after server is held: requests with it are rejected.
+
+   Instances exchange the crashes that they have seen and what has been cleared
+   since. Both only grow, so the order in which news arrives does not matter.
+   Does no I/O; times are clock times in microseconds.  */
+#ifndef CRASH_SUSPECTS_H
+#define CRASH_SUSPECTS_H
+
+#include <json-glib/json-glib.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "policy/prompt_parts.h"
+
+#define SUSPECTS_TRIALS_MAX 8 /* of one instance that it tells */
+
+/* X (NAME, "name"): what a broken attempt had got of its response  */
+#define SUSPECTS_EVIDENCE(X)                                                   \
+  X (HEAD, "head")       /* a stream's head, but no event */                   \
+  X (NO_HEAD, "no_head") /* nothing of a stream */                             \
+  X (PLAIN, "plain")     /* no complete response; it is no stream */
+
+enum suspects_evidence
+{
+#define SUSPECTS_ENUM(id, name) SUSPECTS_##id,
+  SUSPECTS_EVIDENCE (SUSPECTS_ENUM)
+#undef SUSPECTS_ENUM
+};
+
+enum suspects_verdict
+{
+  SUSPECTS_FREE,
+  SUSPECTS_TRIAL, /* may be sent, alone among those with the suspected part */
+  SUSPECTS_WAIT,  /* a trial or a check of a server is in progress */
+  SUSPECTS_HELD   /* to be rejected */
+};
+
+/* A request that was on a server when the server ended. A part's weight is that
+   of all crashes in a row that its trials have led to.  */
+struct suspects_crash
+{
+  guint64 id;     /* random */
+  guint64 server; /* key of the server's life */
+  gint64 at;
+  struct prompt_parts parts;
+  guint8 weights[PROMPT_PARTS_MAX];
+  gboolean cleared[PROMPT_PARTS_MAX]; /* a server has written on it since */
+  /* Private. */
+  guint64 changed; /* number of the last change */
+  gboolean own;    /* seen here */
+  gboolean tell;   /* changed here; otherwise a peer has told it */
+};
+
+/* An attempt at a server that has got no event. Owned by its user.  */
+struct suspects_attempt
+{
+  /* Private. */
+  GList link;                       /* data is NULL: not in progress */
+  const struct prompt_parts *parts; /* borrowed */
+  guint64 server;                   /* key of its life */
+  guint8 weights[PROMPT_PARTS_MAX]; /* of the parts when it was sent */
+};
+
+/* A suspected part that a server is being sent.  */
+struct suspects_trial
+{
+  guint64 part;
+  guint64 server; /* key of its life */
+};
+
+struct suspects_options
+{
+  guint32 seed;
+  struct counter_set *counter_set; /* borrowed */
+  /* Something has changed that peers or waiting requests should know of soon.
+     May be NULL. */
+  void (*changed) (void *ctx, gboolean own);
+  void *ctx;
+};
+
+struct suspects;
+
+struct suspects *suspects_new (const struct suspects_options *options);
+void suspects_free (struct suspects *suspects);
+enum suspects_verdict suspects_check (const struct suspects *suspects,
+                                      const struct prompt_parts *parts,
+                                      guint64 server, gint64 now);
+gboolean suspects_was_trial (const struct suspects_attempt *attempt);
+gboolean suspects_confirmed (const struct suspects *suspects,
+                             const struct prompt_parts *parts);
+gint64 suspects_held_until (const struct suspects *suspects,
+                            const struct prompt_parts *parts, gint64 now);
+void suspects_begin (struct suspects *suspects,
+                     struct suspects_attempt *attempt,
+                     const struct prompt_parts *parts, guint64 server);
+void suspects_wrote (struct suspects *suspects,
+                     struct suspects_attempt *attempt);
+void suspects_end (struct suspects *suspects, struct suspects_attempt *attempt);
+gboolean suspects_broke (struct suspects *suspects,
+                         struct suspects_attempt *attempt,
+                         enum suspects_evidence evidence, gint64 now);
+void suspects_server_ended (struct suspects *suspects, guint64 server,
+                            gint64 now);
+void suspects_server_lives (struct suspects *suspects, guint64 server);
+void suspects_expire (struct suspects *suspects, gint64 now);
+
+/* Exchange with other instances.  */
+guint64 suspects_n_changes (const struct suspects *suspects);
+guint suspects_changes_since (const struct suspects *suspects, guint64 since,
+                              gboolean all, const struct suspects_crash **found,
+                              guint max, guint64 *through);
+void suspects_merge (struct suspects *suspects,
+                     const struct suspects_crash *crash);
+guint suspects_trials (const struct suspects *suspects,
+                       struct suspects_trial *trials, guint max);
+void suspects_set_peer_trials (struct suspects *suspects, guint32 peer,
+                               const struct suspects_trial *trials, guint n,
+                               gint64 now);
+void suspects_dump (const struct suspects *suspects, JsonBuilder *json,
+                    gint64 now);
+
+#endif
--- a/tests/proc/test_crash_spread.c
+++ b/tests/proc/test_crash_spread.c
@@ -91,6 +91,7 @@
   guint second;      /* servers ended by a request that had ended one */
   gboolean crashing; /* the parts crash servers */
   guint n_sent;
+  guint n_crashing; /* of these */
 };
 
 /* Creates object NAME of the store with BODY, or deletes it if BODY is NULL. */
@@ -319,7 +320,7 @@
   GString *parts = g_string_new (NULL);
   if (crashing)
     g_string_append_printf (parts, "%sbad%u:200,", scenario->middle,
-                            n % scenario->parts);
+                            testbed->n_crashing++ % scenario->parts);
   else if (request->same_key)
     g_string_append (parts, scenario->middle);
   else
--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -49,9 +49,10 @@
   double loss;
   gint64 delay_max;
   guint sender;
-  guint servers;     /* 0: two servers */
-  guint slots;       /* of each server; 0: 8 */
-  guint undecodable; /* messages that could not be decoded */
+  guint servers;              /* 0: two servers */
+  guint slots;                /* of each server; 0: 8 */
+  guint undecodable;          /* messages that could not be decoded */
+  struct suspects **suspects; /* of the instances, borrowed; NULL: none */
 } net;
 
 static void
@@ -96,12 +97,14 @@
   const guint32 seeds[] = { ip_of (0), ip_of (1), ip_of (2) };
   g_snprintf (id, sizeof id, "n%u", i);
   g_snprintf (domain, sizeof domain, "d%u", i % domains);
-  const struct gossip_options options = { .id = id,
-                                          .domain = domain,
-                                          .ip = ip_of (i),
-                                          .incarnation = g_rand_int (net.rand),
-                                          .seeds = seeds,
-                                          .n_seeds = 3 };
+  const struct gossip_options options
+      = { .id = id,
+          .domain = domain,
+          .ip = ip_of (i),
+          .incarnation = g_rand_int (net.rand),
+          .seeds = seeds,
+          .n_seeds = 3,
+          .suspects = net.suspects != NULL ? net.suspects[i] : NULL };
   memset (node, 0, sizeof *node);
   node->ip = ip_of (i);
   node->gossip = gossip_new (&options, net.now);
@@ -129,7 +132,9 @@
 static void
 start (guint n, guint domains, guint32 seed)
 {
+  struct suspects **suspects = net.suspects;
   memset (&net, 0, sizeof net);
+  net.suspects = suspects;
   net.now = 1000 * CLK_S;
   net.n = n;
   net.rand = g_rand_new_with_seed (seed);
--- a/tests/unit/test_gossip_leaving.c
+++ b/tests/unit/test_gossip_leaving.c
@@ -159,7 +159,7 @@
 }
 
 #define FIELD_COUNT_AT 2 /* its low byte, in the header of the array */
-#define LATER_FIELDS 5   /* after that of the leaving servers; one byte each */
+#define LATER_FIELDS 7   /* after that of the leaving servers; one byte each */
 
 static int
 decode (const GByteArray *bytes, struct gossip_message *message)
