--- a/packages/jacinthctl/explain.c
+++ b/packages/jacinthctl/explain.c
@@ -10,7 +10,7 @@
         "store.regained",  "server.leaving",   "server.gone",
         "server.appeared", "server.ejected",   "peer.joined",
         "process.start",   "process.stopping", "process.paused",
-        "log.dropped" };
+        "part.held",       "part.released",    "log.dropped" };
 
 /* Members that are printed at the start of a line, or not at all. */
 static const char *const header_members[]
