Send a call that has broken two engines in a row to no third one

Cause: may_retry (node/attempts.c) knew no limit of attempts; a broken attempt says nothing about whether the server or the request was at fault. Change: after two attempts in a row that broke off without a token the call fails. Measured: test_nod, "a request that ends servers": 3 servers ended before, of 3 that it could reach; at most 2 now. test_nod, test_nod_keyed, test_nod_lease, test_ing, test_ing_resume, test_answers, test_once pass. Parts of prompts are not declared on this interface, so calls of different clients are not compared: open.

--- a/packages/node/attempts.c
+++ b/packages/node/attempts.c
@@ -124,6 +124,10 @@
   req->avoid[i] = req->backend;
 }
 
+/* A request may itself be what ends its servers, so it is not sent to a further
+   one after so many attempts in a row that broke off without a token.  */
+#define BROKEN_MAX 2
+
 /* Whether a failed attempt may be followed by another one. If so, takes a
    retry from the budget of the class.  */
 static gboolean
@@ -137,7 +141,7 @@
     return FALSE;
   if (end->delivered && !(core_request_is_resumable (req) && end->resumable))
     return FALSE;
-  if (clk_now (core->clk) >= req->deadline)
+  if (clk_now (core->clk) >= req->deadline || req->n_broken >= BROKEN_MAX)
     return FALSE;
   return core_budget_retry (core, req->spec.class_index);
 }
@@ -195,6 +199,10 @@
       req->unreported += end->tokens;
       counter_add (core->counter_set, COUNTER_TOKENS, end->tokens);
     }
+  if (req->attempt_tokens > 0 || end->tokens > 0)
+    req->n_broken = 0;
+  else if (end->result == MSG_RESULT_BROKEN && end->sent)
+    req->n_broken++;
   charge_link (core, req, end->bytes);
   core_queue_release (core, req, end->result);
   switch (end->result)
--- a/packages/node/core_internal.h
+++ b/packages/node/core_internal.h
@@ -120,6 +120,8 @@
   gint64 grant_not_before;         /* local time; the grant is not older */
   guint32 attempt;                 /* number of the last attempt; 0: none */
   guint sent_attempts;             /* that may have reached a server */
+  guint n_broken;                  /* attempts in a row that broke off without
+                                      a token */
   guint32 generated;               /* tokens sent to the client, all attempts */
   guint32 unreported;              /* tokens since the last progress report */
   gint64 attempt_started;          /* start of this attempt, microseconds */
--- a/tests/unit/core_sim.h
+++ b/tests/unit/core_sim.h
@@ -119,7 +119,8 @@
   GArray *history; /* of struct rec */
   gint64 partitioned_until;
   gint64 store_unreachable_until[DOMAINS];
-  gboolean faults; /* servers fail at random */
+  gboolean faults;  /* servers fail at random */
+  gboolean crashes; /* each request ends the server that begins to run it */
   gboolean over;
 };
 
@@ -546,6 +547,11 @@
     }
   else if (rejection != MSG_RESULT_OK)
     end_attempt (attempt, rejection, rejection != MSG_RESULT_NOT_SENT);
+  else if (world->crashes)
+    {
+      world->servers[attempt->server].down_until = world->sim.clk.t + CLK_S;
+      end_attempt (attempt, MSG_RESULT_BROKEN, TRUE);
+    }
   else if (fate < 0.04) /* connection breaks before it runs */
     end_attempt (attempt, MSG_RESULT_BROKEN, TRUE);
   else
--- a/tests/unit/test_nod.c
+++ b/tests/unit/test_nod.c
@@ -424,9 +424,31 @@
   CU_ASSERT_TRUE (totals.jobs > 0);
 }
 
+/* A request that ends each server which runs it must not be taken from server
+   to server.  */
+static void
+test_crashing_request (void)
+{
+  struct report *report = open_report (1);
+  struct world *world = report->world;
+  guint arrived = 0;
+  struct totals totals = { 0 };
+  world->crashes = TRUE;
+  new_job (world, &world->instances[0], JOB_STREAM, 0);
+  sim_run (&world->sim, world->sim.clk.t + IDLE_US);
+  for (guint i = 0; i < SERVERS; i++)
+    arrived += world->servers[i].down_until > 0;
+  g_print ("%u servers ended ", arrived);
+  CU_ASSERT_TRUE (arrived > 0);
+  CU_ASSERT_TRUE (arrived <= 2);
+  CU_ASSERT_TRUE (world->jobs[0].over);
+  CU_ASSERT_TRUE (close_report (report, 1, &totals));
+}
+
 static CU_TestInfo tests[] = {
   { "random faults violate no rule", test_schedules },
   { "lost shard owners fail no request", test_losses },
+  { "a request that ends servers", test_crashing_request },
   CU_TEST_INFO_NULL,
 };
 
