Keep what a new life asked for before its entry was read

Cause: until the new entry is read the response counts for the life before, and was forgotten with it. Change: if the response may have been of the new life, by the time from which on its responses can be, the new life has asked (registry.c, replace_server).

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -125,6 +125,7 @@
 registry_back_off (struct registry_server *server, gint64 now, gint64 us)
 {
   server->backoff.until = MAX (server->backoff.until, now + us);
+  server->backoff.asked = now;
   server->backoff.trial = TRUE;
 }
 
@@ -380,6 +381,26 @@
   apply_earlier_record (registry, server, now);
 }
 
+/* Replaces SERVER, an earlier life, by that of ENTRY. If it asked for nothing
+   so late that the response may have been of the new life, this one has asked.
+ */
+static void
+replace_server (struct registry *registry, struct registry_server *server,
+                const struct registry_entry *entry, gint64 now)
+{
+  struct registry_backoff backoff = server->backoff;
+  gboolean same_place = g_str_equal (entry->service, server->entry.service)
+                        && g_str_equal (entry->address, server->entry.address);
+  remove_server (registry, server);
+  add_server (registry, entry, now);
+  server = registry_find (registry, entry->id);
+  if (!same_place || backoff.until <= now || server->may_leave_from == 0
+      || backoff.asked < server->may_leave_from)
+    return;
+  server->backoff = backoff;
+  server->backoff.trials = 0;
+}
+
 /* Updates the server of ENTRY. Its health and other measurements are kept until
    it restarts. An entry with an older start time than the present one arrived
    late and is ignored.  */
@@ -401,12 +422,11 @@
             || strcmp (entry->service, server->entry.service) != 0
             || strcmp (entry->address, server->entry.address) != 0);
   if (restarted)
-    remove_server (registry, server);
+    replace_server (registry, server, entry, now);
+  else if (server == NULL)
+    add_server (registry, entry, now);
   if (server == NULL || restarted)
-    {
-      add_server (registry, entry, now);
-      return;
-    }
+    return;
   server->missing_since = 0;
   server->entry.slots = entry->slots;
   server->entry.warming_until = entry->warming_until;
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -40,6 +40,7 @@
 struct registry_backoff
 {
   gint64 until;   /* clock time; 0: never asked */
+  gint64 asked;   /* clock time of the last response that asked for it */
   gboolean trial; /* it has not answered a request since: one at a time */
   guint trials;   /* requests in progress that were sent since */
 };
--- a/tests/unit/test_registry_lives.c
+++ b/tests/unit/test_registry_lives.c
@@ -268,6 +268,31 @@
   tear_down ();
 }
 
+/* The new life has asked for nothing before its entry was read; or the life
+   before has, or another server at the address of then.  */
+static void
+test_asked_before_entry (void)
+{
+  set_up ();
+  registry_back_off (server (), SAID_AT, 5 * CLK_S);
+  list (BORN_AT, LIST_BEFORE_AT, READ_AT);
+  CU_ASSERT_PTR_NOT_EQUAL (server (), world.before);
+  CU_ASSERT_TRUE (registry_is_backing_off (server (), SAID_AT + 5 * CLK_S - 1));
+  CU_ASSERT_FALSE (registry_is_backing_off (server (), SAID_AT + 5 * CLK_S));
+  tear_down ();
+  set_up ();
+  registry_back_off (server (), BORN_AT - CLK_S, 5 * CLK_S);
+  list (BORN_AT, LIST_BEFORE_AT, READ_AT);
+  CU_ASSERT_FALSE (registry_is_backing_off (server (), READ_AT));
+  tear_down ();
+  set_up ();
+  registry_back_off (server (), SAID_AT, 5 * CLK_S);
+  g_strlcpy (world.entry.address, "10.0.0.2:80", sizeof world.entry.address);
+  list (BORN_AT, LIST_BEFORE_AT, READ_AT);
+  CU_ASSERT_FALSE (registry_is_backing_off (server (), READ_AT));
+  tear_down ();
+}
+
 static CU_TestInfo tests[] = {
   { "said before the entry was read", test_said_before_entry },
   { "no further response", test_no_further_response },
@@ -280,6 +305,7 @@
   { "its own word stays", test_own_word_stays },
   { "a clock that is ahead", test_clock_ahead },
   { "lives that cannot be compared", test_not_comparable },
+  { "asked for nothing before the entry was read", test_asked_before_entry },
   CU_TEST_INFO_NULL,
 };
 
