Send an instance that starts all crashes, also if their witnesses are gone

What callers would see: an instance that had just started learned the first six crashes from each peer; of the others it got only those that this peer had seen itself. A part held by instances that had ended in the meantime was unknown to it. Cause: whether a peer sends all it knows was decided from the last change that the receiver confirmed being 0, which holds for the first message only. Change: up to the last change at the time of the first message it gets all of them, up to 24 crashes a message (128 parts together). The key of a server's life is one function (registry_life_key); the configuration of the crash tests is a file in platform/.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -508,6 +508,14 @@
   return (struct registry_server *const *)registry->servers->pdata;
 }
 
+/* Returns a key of the life of SERVER, the same at all instances.  */
+guint64
+registry_life_key (const struct registry_server *server)
+{
+  return str_hash (str_of (server->entry.id),
+                   (guint64)server->entry.start_time_ms);
+}
+
 /* Returns a number that changes whenever a server is added or removed.  */
 guint
 registry_generation (const struct registry *registry)
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -124,6 +124,7 @@
 struct registry_server *registry_find (const struct registry *registry,
                                        const char *id);
 guint registry_generation (const struct registry *registry);
+guint64 registry_life_key (const struct registry_server *server);
 void registry_mark_reached (struct registry_server *server, gint64 now);
 void registry_mark_unreachable (struct registry_server *server, gint64 now);
 gboolean registry_is_unreachable (const struct registry_server *server,
--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -2,14 +2,6 @@
    they wait for the trial of the part, or are rejected.  */
 #include "gate/exchange_internal.h"
 
-/* Returns a key of the life of SERVER, the same at all instances.  */
-static guint64
-server_key (const struct registry_server *server)
-{
-  return str_hash (str_of (server->entry.id),
-                   (guint64)server->entry.start_time_ms);
-}
-
 /* Lets the request wait for the trial of one of its parts.  */
 static void
 wait_for_trial (struct exchange *exchange)
@@ -54,8 +46,7 @@
 }
 
 /* Returns whether the request, which is about to be sent to SERVER, may be.
-   Otherwise it
-   waits, or it is rejected and EXCHANGE is freed.  */
+   Otherwise it waits, or it is rejected and EXCHANGE is freed.  */
 gboolean
 part_trial_allows (struct exchange *exchange,
                    const struct registry_server *server)
@@ -64,7 +55,7 @@
   if (suspects == NULL)
     return TRUE;
   switch (suspects_check (suspects, &exchange->queue_entry.request.parts,
-                          server_key (server), exchange_now (exchange)))
+                          registry_life_key (server), exchange_now (exchange)))
     {
     case SUSPECTS_FREE:
       return TRUE;
@@ -129,7 +120,8 @@
   struct suspects *suspects = exchange->reverse_proxy->options.suspects;
   if (suspects != NULL)
     suspects_begin (suspects, &exchange->suspects_attempt,
-                    &exchange->queue_entry.request.parts, server_key (server));
+                    &exchange->queue_entry.request.parts,
+                    registry_life_key (server));
 }
 
 /* The server has written on the prompt of the request.  */
@@ -181,9 +173,9 @@
 {
   struct suspects *suspects = reverse_proxy->options.suspects;
   if (ended)
-    suspects_server_ended (suspects, server_key (server),
+    suspects_server_ended (suspects, registry_life_key (server),
                            clk_now (reverse_proxy->options.clk));
   else
-    suspects_server_lives (suspects, server_key (server));
+    suspects_server_lives (suspects, registry_life_key (server));
   proxy_schedule_poll (reverse_proxy);
 }
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -39,8 +39,7 @@
 guint32
 gossip_server_key (const struct registry_server *server)
 {
-  guint64 hash = str_hash (str_of (server->entry.id),
-                           (guint64)server->entry.start_time_ms);
+  guint64 hash = registry_life_key (server);
   return (guint32)(hash ^ (hash >> 32));
 }
 
--- a/packages/peer/gossip_contents.c
+++ b/packages/peer/gossip_contents.c
@@ -343,20 +343,23 @@
    that holds nothing, and from a leader that forwards, everything; otherwise
    each instance tells what it has seen itself.  */
 static void
-add_suspects (const struct gossip *gossip, const struct peer *to,
+add_suspects (const struct gossip *gossip, struct peer *to,
               struct gossip_message *message, const struct gossip_round *round)
 {
   const struct suspects_crash *crashes[GOSSIP_MESSAGE_CRASHES_MAX];
   struct gossip_message_suspects *suspects = &message->suspects;
   guint64 since = to->suspects_confirmed;
-  gboolean forwards = round->is_leader && !round->full_mesh;
   if (gossip->suspects == NULL)
     return;
+  if (since == 0)
+    to->suspects_full_through = suspects_n_changes (gossip->suspects);
+  gboolean all = since < to->suspects_full_through
+                 || (round->is_leader && !round->full_mesh);
   suspects->held = to->suspects_held;
   suspects->range.since = since;
   suspects->n_crashes = suspects_changes_since (
-      gossip->suspects, since, since == 0 || forwards, crashes,
-      GOSSIP_MESSAGE_CRASHES_MAX, &suspects->range.through);
+      gossip->suspects, since, all, crashes, GOSSIP_MESSAGE_CRASHES_MAX,
+      GOSSIP_MESSAGE_CRASH_PARTS_MAX, &suspects->range.through);
   for (guint i = 0; i < suspects->n_crashes; i++)
     {
       suspects->crashes[i] = *crashes[i];
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -68,7 +68,9 @@
   guint64 loads_confirmed; /* last change of the loads here that it holds */
   GArray *summaries_confirmed; /* of struct gossip_message_held, likewise */
   guint64 suspects_held; /* last change of its suspects that is held here */
-  guint64 suspects_confirmed; /* last change of those here that it holds */
+  guint64 suspects_confirmed;    /* last change of those here that it holds */
+  guint64 suspects_full_through; /* up to this change it gets all of them, as it
+                                    held none */
   guint64 n_placements_sent[RING_N]; /* position in each ring */
   gint64 sent_at[SENT_TIMES_KEPT];   /* clock time of each message by its seq */
 };
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -22,8 +22,9 @@
 #define GOSSIP_MESSAGE_SUMMARY_LOADS_MAX GOSSIP_MESSAGE_LOADS_MAX
 #define GOSSIP_MESSAGE_PLACEMENTS_MAX 64
 #define GOSSIP_MESSAGE_HELD_MAX 64
-#define GOSSIP_MESSAGE_CRASHES_MAX 6
-#define GOSSIP_AGE_UNKNOWN (-1) /* nothing confirmed or read yet */
+#define GOSSIP_MESSAGE_CRASHES_MAX 24
+#define GOSSIP_MESSAGE_CRASH_PARTS_MAX 128 /* of all crashes together */
+#define GOSSIP_AGE_UNKNOWN (-1)            /* nothing confirmed or read yet */
 
 /* Load that the sender has at one backend server. */
 struct gossip_message_load
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -637,14 +637,15 @@
 }
 
 /* Finds the crashes that have changed after the change SINCE, in order, MAX at
-   most; without ALL only those that changed here. THROUGH is the last change
-   that they cover.  */
+   most with about PARTS_MAX parts together; without ALL only those that changed
+   here. THROUGH is the last change that they cover.  */
 guint
 suspects_changes_since (const struct suspects *suspects, guint64 since,
                         gboolean all, const struct suspects_crash **found,
-                        guint max, guint64 *through)
+                        guint max, guint parts_max, guint64 *through)
 {
   guint n = 0;
+  guint n_parts = 0;
   guint64 last = since;
   for (;;)
     {
@@ -658,12 +659,13 @@
         }
       if (next == NULL)
         break;
-      if (n == max)
+      if (n == max || n_parts >= parts_max)
         {
           *through = last;
           return n;
         }
       last = next->changed;
+      n_parts += next->parts.n;
       found[n++] = next;
     }
   *through = suspects->n_changes;
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -112,7 +112,7 @@
 guint64 suspects_n_changes (const struct suspects *suspects);
 guint suspects_changes_since (const struct suspects *suspects, guint64 since,
                               gboolean all, const struct suspects_crash **found,
-                              guint max, guint64 *through);
+                              guint max, guint parts_max, guint64 *through);
 void suspects_merge (struct suspects *suspects,
                      const struct suspects_crash *crash);
 guint suspects_trials (const struct suspects *suspects,
--- a/tests/proc/crash_testbed.h
+++ b/tests/proc/crash_testbed.h
@@ -424,29 +424,11 @@
 static void
 put_config (const struct testbed *testbed)
 {
-  static const char *const routes[][4]
-      = { { "feed1", "streaming", "1", "false" },
-          { "feed2", "streaming", "2", "true" },
-          { "feed3", "streaming", "3", "true" },
-          { "again", "idempotent", "3", "false" },
-          { "once", "non_idempotent", "2", "false" } };
-  GString *text = g_string_new (
-      "{\"version\":1,\"limits\":{\"header_timeout_ms\":3000,"
-      "\"idle_timeout_ms\":30000},\"services\":[{\"name\":\"pool\"}],"
-      "\"tenants\":[{\"name\":\"steady\",\"api_keys\":[\"key-steady\"]}],"
-      "\"routes\":[");
-  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
-    g_string_append_printf (
-        text,
-        "%s{\"name\":\"%s\",\"host\":\"a.example\",\"path_prefix\":\"/%s/\","
-        "\"route_type\":\"%s\",\"service\":\"pool\",\"timeout_ms\":%d,"
-        "\"target_latency_ms\":1500,\"gap_aim_ms\":1000,\"max_attempts\":%s,"
-        "\"priority\":1,\"resumable\":%s}",
-        i > 0 ? "," : "", routes[i][0], routes[i][0], routes[i][1], TIMEOUT_MS,
-        routes[i][2], routes[i][3]);
-  g_string_append (text, "]}");
-  put (testbed, "config/main", text->str);
-  g_string_free (text, TRUE);
+  char *text = NULL;
+  g_assert (g_file_get_contents (
+      JW_SOURCE_DIR "/platform/test_crash_config.json", &text, NULL, NULL));
+  put (testbed, "config/main", text);
+  g_free (text);
 }
 
 static void
--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -8,7 +8,8 @@
 
 #define MINUTE_US (60 * CLK_S)
 #define INSTANCES_MAX 32
-#define LOADED_PARTS 40 /* different ones of an attacker, per test step */
+#define CRASHES_KNOWN 40 /* more than one message holds */
+#define LOADED_PARTS 40  /* different ones of an attacker, per test step */
 
 static struct counter_set counter_set;
 
@@ -341,6 +342,11 @@
 test_restart (void)
 {
   start_fleet (7, 3, 12);
+  for (guint i = 0; i < CRASHES_KNOWN; i++)
+    {
+      const char text[] = { (char)(1 + i), '\0' };
+      crash (fleet[0], text, 100 + i, net.now);
+    }
   for (guint i = 0; i < 3; i++)
     {
       crash (fleet[i], "ax", i + 1, net.now);
