--- a/packages/policy/prompt_parts.h
+++ b/packages/policy/prompt_parts.h
@@ -1,5 +1,5 @@
-/* The shared parts of a prompt, each by itself: unlike the blocks of a prefix, a
-   part has the same key wherever it stands.  */
+/* The shared parts of a prompt, each by itself: unlike the blocks of a prefix,
+   a part has the same key wherever it stands.  */
 #ifndef PROMPT_PARTS_H
 #define PROMPT_PARTS_H
 
