Let a repeated begin of an attempt end the one before

Cause: an assertion in suspects_begin would take the whole instance down, should a later change begin an attempt twice. No caller does. Change: the former attempt ends.

--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -398,7 +398,7 @@
                 const struct prompt_parts *parts, guint64 server)
 {
   guint weight;
-  g_assert (attempt->link.data == NULL);
+  suspects_end (suspects, attempt);
   if (parts->n == 0)
     return;
   attempt->parts = parts;
