Choose one instance and the clearest request for each trial of a part

Change: an instance claims a trial 60 ms before it begins; the lowest claim goes first. Requests with fewer doubtful parts (suspected, or on which no server has written lately) go before others, which wait longer. Two crashes in a row hold a part if five servers have ended and nothing else explains them. A plain response beside a stream is a weak suspect instead of none.

--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -2,16 +2,33 @@
    they wait for the trial of the part, or are rejected.  */
 #include "gate/exchange_internal.h"
 
+#define CHECK_INTERVAL_MS 10 /* while requests wait for a trial */
+
+static gboolean
+on_check_due (gpointer data)
+{
+  struct reverse_proxy *reverse_proxy = data;
+  part_trial_check (reverse_proxy);
+  if (reverse_proxy->awaiting_parts.length > 0)
+    return G_SOURCE_CONTINUE;
+  reverse_proxy->parts_source = 0;
+  return G_SOURCE_REMOVE;
+}
+
 /* Lets the request wait for the trial of one of its parts.  */
 static void
 wait_for_trial (struct exchange *exchange)
 {
+  struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   struct log_entry e
       = exchange_log_record (exchange, "request.awaits_trial", NULL);
   log_write (&e, "parts=%s", exchange_logged_parts (exchange).text);
   exchange->parts_link.data = exchange;
-  g_queue_push_tail_link (&exchange->reverse_proxy->awaiting_parts,
+  g_queue_push_tail_link (&reverse_proxy->awaiting_parts,
                           &exchange->parts_link);
+  if (reverse_proxy->parts_source == 0)
+    reverse_proxy->parts_source
+        = g_timeout_add (CHECK_INTERVAL_MS, on_check_due, reverse_proxy);
 }
 
 /* Returns whether the request has ended a server as the trial of a part that is
@@ -51,7 +68,7 @@
 part_trial_allows (struct exchange *exchange,
                    const struct registry_server *server)
 {
-  const struct suspects *suspects = exchange->reverse_proxy->options.suspects;
+  struct suspects *suspects = exchange->reverse_proxy->options.suspects;
   if (suspects == NULL)
     return TRUE;
   switch (suspects_check (suspects, &exchange->queue_entry.request.parts,
@@ -130,7 +147,8 @@
 {
   struct suspects *suspects = exchange->reverse_proxy->options.suspects;
   if (suspects != NULL)
-    suspects_wrote (suspects, &exchange->suspects_attempt);
+    suspects_wrote (suspects, &exchange->suspects_attempt,
+                    exchange_now (exchange));
 }
 
 /* The attempt has ended.  */
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -82,6 +82,7 @@
     downstream_free (reverse_proxy->clients.head->data);
   closing_free_all (reverse_proxy);
   server_check_free_all (reverse_proxy);
+  g_clear_handle_id (&reverse_proxy->parts_source, g_source_remove);
   tcp_listener_free (reverse_proxy->listener);
   g_clear_handle_id (&reverse_proxy->poll_source, g_source_remove);
   backend_pool_free (reverse_proxy->backend_pool);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -40,6 +40,7 @@
   struct backend_pool *backend_pool;
   GQueue awaiting_parts; /* of struct exchange: requests that wait for the trial
                             of a suspected part */
+  guint parts_source;    /* GLib source: checks them; 0: none waits */
   GQueue server_checks;  /* of struct server_check */
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
   GQueue clients;            /* of struct downstream */
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -99,11 +99,12 @@
     }
   for (guint i = 0; i < suspects->n_crashes; i++)
     pack_crash (pk, &suspects->crashes[i]);
-  msgpack_pack_array (pk, 2 * (size_t)suspects->n_trials);
+  msgpack_pack_array (pk, 3 * (size_t)suspects->n_trials);
   for (guint i = 0; i < suspects->n_trials; i++)
     {
       msgpack_pack_uint64 (pk, suspects->trials[i].part);
       msgpack_pack_uint64 (pk, suspects->trials[i].server);
+      msgpack_pack_uint32 (pk, suspects->trials[i].order);
     }
 }
 
@@ -421,12 +422,13 @@
 static void
 read_trials (struct cursor *c, struct gossip_message_suspects *suspects)
 {
-  struct cursor trials = read_array (c, 2 * SUSPECTS_TRIALS_MAX);
+  struct cursor trials = read_array (c, 3 * SUSPECTS_TRIALS_MAX);
   while (!trials.bad && trials.left > 0)
     {
       struct suspects_trial *trial = &suspects->trials[suspects->n_trials++];
       trial->part = read_number (&trials, G_MAXUINT64);
       trial->server = read_number (&trials, G_MAXUINT64);
+      trial->order = (guint32)read_number (&trials, G_MAXUINT32);
     }
   c->bad |= trials.bad;
 }
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -1,4 +1,4 @@
-#include "policy/crash_suspects.h"
+#include "policy/crash_suspects_internal.h"
 
 #include "base/json_add.h"
 #include "base/log.h"
@@ -10,16 +10,15 @@
    each return of a client, takes it to a server that is still up, until few are
    left.  */
 
-#define CRASHES_MAX 64
-#define BROKEN_MAX 32 /* attempts whose servers are being checked */
-#define HELD_MAX 16   /* parts */
 /* Weight of a crash under an attempt that a server had begun to write on, and
    of one that may only have waited there. */
 #define WEIGHT_BEGUN 2
 #define WEIGHT_WAITED 1
 #define WEIGHT_MAX 255
-#define WEIGHT_TRIAL 2 /* from here on a part is tried by one at a time */
-#define WEIGHT_HELD 5  /* from here on requests are rejected */
+#define WEIGHT_HELD 5 /* from here on requests are rejected */
+/* The same with fewer crashes in a row, if so many servers have ended. */
+#define WEIGHT_HELD_MANY 4
+#define MANY_SERVERS 5
 /* A check of a server takes no longer; then the server counts as alive. */
 #define BROKEN_KEPT_US (1 * CLK_S)
 #define CRASH_KEPT_US (120 * CLK_S)
@@ -30,39 +29,6 @@
 /* A crash is kept for so many times the hold, in case the instance that is to
    try the part is gone. */
 #define HOLDS_KEPT 4
-#define PEER_TRIALS_US (1 * CLK_S) /* from the last message of the peer */
-
-/* An attempt that broke off, whose server may have ended.  */
-struct broken
-{
-  guint64 server; /* key of its life */
-  enum suspects_evidence evidence;
-  struct prompt_parts parts;
-  guint8 weights[PROMPT_PARTS_MAX];
-  gint64 at;
-};
-
-struct peer_trials
-{
-  struct suspects_trial trials[SUSPECTS_TRIALS_MAX];
-  guint n;
-  gint64 at;
-};
-
-struct suspects
-{
-  struct suspects_options options;
-  GRand *rand;
-  struct suspects_crash crashes[CRASHES_MAX];
-  guint n_crashes;
-  guint64 n_changes;
-  struct broken broken[BROKEN_MAX];
-  guint n_broken;
-  GQueue attempts;        /* of struct suspects_attempt, borrowed */
-  GHashTable *peers;      /* IP: struct peer_trials, owned */
-  guint64 held[HELD_MAX]; /* keys of the held parts */
-  guint n_held;
-};
 
 struct suspects *
 suspects_new (const struct suspects_options *options)
@@ -71,8 +37,7 @@
   suspects->options = *options;
   suspects->rand = g_rand_new_with_seed (options->seed);
   g_queue_init (&suspects->attempts);
-  suspects->peers
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  suspects_trials_init (suspects);
   return suspects;
 }
 
@@ -81,15 +46,15 @@
 {
   if (suspects == NULL)
     return;
-  g_hash_table_unref (suspects->peers);
+  suspects_trials_free (suspects);
   g_rand_free (suspects->rand);
   g_free (suspects);
 }
 
 /* Returns the highest weight that any crash gives the part KEY; 0: it is not
    suspected.  */
-static guint
-weight_of (const struct suspects *suspects, guint64 key)
+guint
+suspects_weight_of (const struct suspects *suspects, guint64 key)
 {
   guint weight = 0;
   for (guint i = 0; i < suspects->n_crashes; i++)
@@ -105,10 +70,10 @@
 /* Returns the index of the most suspected of PARTS, and its weight in WEIGHT.
    Of two it is the later one, which fewer requests share. CLEARED: parts to
    leave out, NULL: none.  */
-static guint
-most_suspected (const struct suspects *suspects,
-                const struct prompt_parts *parts, const gboolean *cleared,
-                guint *weight)
+guint
+suspects_most_suspected (const struct suspects *suspects,
+                         const struct prompt_parts *parts,
+                         const gboolean *cleared, guint *weight)
 {
   guint index = 0;
   *weight = 0;
@@ -116,7 +81,7 @@
     {
       guint of_part = cleared != NULL && cleared[i]
                           ? 0
-                          : weight_of (suspects, parts->keys[i]);
+                          : suspects_weight_of (suspects, parts->keys[i]);
       if (of_part == 0 || of_part < *weight)
         continue;
       *weight = of_part;
@@ -157,7 +122,8 @@
 culprit_of (const struct suspects *suspects, const struct suspects_crash *crash,
             guint *weight)
 {
-  guint part = most_suspected (suspects, &crash->parts, crash->cleared, weight);
+  guint part = suspects_most_suspected (suspects, &crash->parts, crash->cleared,
+                                        weight);
   if (*weight == 0)
     return 0;
   guint64 key = crash->parts.keys[part];
@@ -167,139 +133,116 @@
       guint other_weight;
       if (other == crash || other->server != crash->server)
         continue;
-      guint other_part = most_suspected (suspects, &other->parts,
-                                         other->cleared, &other_weight);
+      guint other_part = suspects_most_suspected (
+          suspects, &other->parts, other->cleared, &other_weight);
       if (other_weight >= *weight && other->parts.keys[other_part] != key)
         return 0;
     }
   return key;
 }
 
+/* Returns how many servers have ended under the part KEY since it was cleared.
+ */
+static guint
+count_servers (const struct suspects *suspects, guint64 key)
+{
+  guint64 servers[SUSPECTS_CRASHES_MAX];
+  guint n = 0;
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    {
+      const struct suspects_crash *crash = &suspects->crashes[i];
+      for (guint j = 0; j < crash->parts.n; j++)
+        if (crash->parts.keys[j] == key && !crash->cleared[j]
+            && !contains (servers, n, crash->server))
+          servers[n++] = crash->server;
+    }
+  return n;
+}
+
+/* Returns whether only the part KEY with WEIGHT can explain CRASH: no other part
+   of it is as suspected, and no other suspect request was on the server.  */
+static gboolean
+explains_alone (const struct suspects *suspects,
+                const struct suspects_crash *crash, guint64 key, guint weight)
+{
+  for (guint i = 0; i < crash->parts.n; i++)
+    if (crash->parts.keys[i] != key && !crash->cleared[i]
+        && suspects_weight_of (suspects, crash->parts.keys[i]) >= weight)
+      return FALSE;
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    if (&suspects->crashes[i] != crash
+        && suspects->crashes[i].server == crash->server)
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns whether the part KEY with WEIGHT, which explains CRASH, is to be held.
+ */
+static gboolean
+is_convicted (const struct suspects *suspects,
+              const struct suspects_crash *crash, guint64 key, guint weight)
+{
+  return weight >= WEIGHT_HELD
+         || (weight >= WEIGHT_HELD_MANY
+             && count_servers (suspects, key) >= MANY_SERVERS
+             && explains_alone (suspects, crash, key, weight));
+}
+
 /* Determines the held parts anew. The most suspected part of a crash explains
    it; the others are not held for it.  */
 static void
 update_held (struct suspects *suspects)
 {
-  guint64 held[HELD_MAX];
+  guint64 held[SUSPECTS_HELD_MAX];
   guint n = 0;
-  for (guint i = 0; i < suspects->n_crashes && n < HELD_MAX; i++)
+  for (guint i = 0; i < suspects->n_crashes && n < SUSPECTS_HELD_MAX; i++)
     {
       const struct suspects_crash *crash = &suspects->crashes[i];
       guint weight;
-      if (highest_weight (crash) < WEIGHT_HELD)
+      if (highest_weight (crash) < WEIGHT_HELD_MANY)
         continue;
       guint64 key = culprit_of (suspects, crash, &weight);
-      if (key != 0 && weight >= WEIGHT_HELD && !contains (held, n, key))
+      if (key != 0 && !contains (held, n, key)
+          && is_convicted (suspects, crash, key, weight))
         held[n++] = key;
     }
   for (guint i = 0; i < n; i++)
     if (!contains (suspects->held, suspects->n_held, held[i]))
       {
         counter_add (suspects->options.counter_set, COUNTER_PARTS_HELD, 1);
-        log_part ("part.held", held[i], weight_of (suspects, held[i]));
+        log_part ("part.held", held[i], suspects_weight_of (suspects, held[i]));
       }
   for (guint i = 0; i < suspects->n_held; i++)
     if (!contains (held, n, suspects->held[i]))
       log_part ("part.released", suspects->held[i],
-                weight_of (suspects, suspects->held[i]));
+                suspects_weight_of (suspects, suspects->held[i]));
   memcpy (suspects->held, held, n * sizeof held[0]);
   suspects->n_held = n;
 }
 
 /* Something has changed, seen here if OWN or else told by a peer.  */
-static void
-note_changed (struct suspects *suspects, gboolean own)
+void
+suspects_note_changed (struct suspects *suspects, gboolean own)
 {
   update_held (suspects);
   if (suspects->options.changed != NULL)
     suspects->options.changed (suspects->options.ctx, own);
 }
 
-static gboolean
-is_in_progress (const struct suspects *suspects, guint64 key)
-{
-  for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
-    if (prompt_parts_contain (((const struct suspects_attempt *)l->data)->parts,
-                              key))
-      return TRUE;
-  return FALSE;
-}
-
-/* Returns whether a part is being tried, here or at a peer.  */
-static gboolean
-is_tried (const struct suspects *suspects, guint64 key, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer value;
-  if (is_in_progress (suspects, key))
-    return TRUE;
-  g_hash_table_iter_init (&iter, suspects->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct peer_trials *peer = value;
-      for (guint i = 0; i < peer->n && now - peer->at < PEER_TRIALS_US; i++)
-        if (peer->trials[i].part == key)
-          return TRUE;
-    }
-  return FALSE;
-}
-
-/* Returns whether SERVER is being sent a suspected part, from here or from a
-   peer. Two trials there at once would not tell which part has ended it.  */
-static gboolean
-has_trial (const struct suspects *suspects, guint64 server, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer value;
-  guint weight;
-  for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
-    {
-      const struct suspects_attempt *attempt = l->data;
-      if (attempt->server != server)
-        continue;
-      most_suspected (suspects, attempt->parts, NULL, &weight);
-      if (weight >= WEIGHT_TRIAL)
-        return TRUE;
-    }
-  g_hash_table_iter_init (&iter, suspects->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct peer_trials *peer = value;
-      for (guint i = 0; i < peer->n && now - peer->at < PEER_TRIALS_US; i++)
-        if (peer->trials[i].server == server)
-          return TRUE;
-    }
-  return FALSE;
-}
-
-/* Returns whether an attempt with one of PARTS has broken off whose server is
-   being checked.  */
-static gboolean
-is_being_checked (const struct suspects *suspects,
-                  const struct prompt_parts *parts)
-{
-  for (guint i = 0; i < suspects->n_broken; i++)
-    for (guint j = 0; j < parts->n; j++)
-      if (suspects->broken[i].evidence != SUSPECTS_NO_HEAD
-          && prompt_parts_contain (&suspects->broken[i].parts, parts->keys[j]))
-        return TRUE;
-  return FALSE;
-}
-
 /* Returns for how long a part of WEIGHT is held before its next trial.  */
-static gint64
-hold_us (guint weight)
+gint64
+suspects_hold_us (guint weight)
 {
-  guint doublings = (weight - WEIGHT_HELD) / WEIGHT_BEGUN;
+  guint doublings = (MAX (weight, WEIGHT_HELD) - WEIGHT_HELD) / WEIGHT_BEGUN;
   return HOLD_US << MIN (doublings, HOLD_DOUBLINGS_MAX);
 }
 
 /* Returns the latest crash that has made the part KEY as suspected as it is. */
-static const struct suspects_crash *
-latest_crash (const struct suspects *suspects, guint64 key)
+const struct suspects_crash *
+suspects_latest_crash (const struct suspects *suspects, guint64 key)
 {
   const struct suspects_crash *latest = NULL;
-  guint weight = weight_of (suspects, key);
+  guint weight = suspects_weight_of (suspects, key);
   for (guint i = 0; i < suspects->n_crashes; i++)
     {
       const struct suspects_crash *crash = &suspects->crashes[i];
@@ -312,41 +255,6 @@
   return latest;
 }
 
-/* Returns whether the held part KEY may be tried again here. The instance that
-   saw its last crash tries it, so that not each one does.  */
-static gboolean
-is_trial_due (const struct suspects *suspects, guint64 key, gint64 now)
-{
-  const struct suspects_crash *crash = latest_crash (suspects, key);
-  return crash != NULL && crash->own
-         && now - crash->at >= hold_us (weight_of (suspects, key))
-         && !is_tried (suspects, key, now);
-}
-
-/* Returns whether a request with PARTS may be sent to SERVER now, the key of
-   its life; 0: to some server.  */
-enum suspects_verdict
-suspects_check (const struct suspects *suspects,
-                const struct prompt_parts *parts, guint64 server, gint64 now)
-{
-  guint weight;
-  if (suspects->n_crashes == 0 && suspects->n_broken == 0)
-    return SUSPECTS_FREE;
-  for (guint i = 0; i < parts->n; i++)
-    if (contains (suspects->held, suspects->n_held, parts->keys[i])
-        && !is_trial_due (suspects, parts->keys[i], now))
-      return SUSPECTS_HELD;
-  if (is_being_checked (suspects, parts))
-    return SUSPECTS_WAIT;
-  guint part = most_suspected (suspects, parts, NULL, &weight);
-  if (weight < WEIGHT_TRIAL)
-    return SUSPECTS_FREE;
-  return is_tried (suspects, parts->keys[part], now)
-                 || (server != 0 && has_trial (suspects, server, now))
-             ? SUSPECTS_WAIT
-             : SUSPECTS_TRIAL;
-}
-
 /* Returns whether the attempt, which is in progress, has been sent as the trial
    of a part.  */
 gboolean
@@ -355,7 +263,7 @@
   if (attempt->link.data == NULL)
     return FALSE;
   for (guint i = 0; i < attempt->parts->n; i++)
-    if (attempt->weights[i] >= WEIGHT_TRIAL)
+    if (attempt->weights[i] >= SUSPECTS_WEIGHT_TRIAL)
       return TRUE;
   return FALSE;
 }
@@ -367,8 +275,14 @@
                     const struct prompt_parts *parts)
 {
   guint weight;
-  most_suspected (suspects, parts, NULL, &weight);
-  return weight > WEIGHT_TRIAL;
+  suspects_most_suspected (suspects, parts, NULL, &weight);
+  return weight > SUSPECTS_WEIGHT_TRIAL;
+}
+
+gboolean
+suspects_is_held (const struct suspects *suspects, guint64 key)
+{
+  return contains (suspects->held, suspects->n_held, key);
 }
 
 /* Returns the clock time from which on a held part of PARTS may be tried again;
@@ -382,11 +296,13 @@
     {
       guint64 key = parts->keys[i];
       const struct suspects_crash *crash
-          = contains (suspects->held, suspects->n_held, key)
-                ? latest_crash (suspects, key)
+          = suspects_is_held (suspects, key)
+                ? suspects_latest_crash (suspects, key)
                 : NULL;
       if (crash != NULL)
-        until = MAX (until, crash->at + hold_us (weight_of (suspects, key)));
+        until = MAX (
+            until,
+            crash->at + suspects_hold_us (suspects_weight_of (suspects, key)));
     }
   return until;
 }
@@ -404,12 +320,14 @@
   attempt->parts = parts;
   attempt->server = server;
   for (guint i = 0; i < parts->n; i++)
-    attempt->weights[i] = (guint8)weight_of (suspects, parts->keys[i]);
+    attempt->weights[i] = (guint8)suspects_weight_of (suspects, parts->keys[i]);
   attempt->link = (GList){ .data = attempt };
   g_queue_push_tail_link (&suspects->attempts, &attempt->link);
-  most_suspected (suspects, parts, NULL, &weight);
-  if (weight >= WEIGHT_TRIAL && suspects->options.changed != NULL)
-    suspects->options.changed (suspects->options.ctx, TRUE);
+  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
+  if (weight < SUSPECTS_WEIGHT_TRIAL)
+    return;
+  suspects_drop_claim (suspects, parts->keys[part]);
+  suspects_note_changed (suspects, TRUE);
 }
 
 /* The attempt has ended, which says nothing about its parts.  */
@@ -420,16 +338,20 @@
     return;
   g_queue_unlink (&suspects->attempts, &attempt->link);
   attempt->link.data = NULL;
+  if (suspects->told_trials)
+    suspects_note_changed (suspects, TRUE);
 }
 
 /* A server has written on the prompt of the attempt: clears its parts.  */
 void
-suspects_wrote (struct suspects *suspects, struct suspects_attempt *attempt)
+suspects_wrote (struct suspects *suspects, struct suspects_attempt *attempt,
+                gint64 now)
 {
   gboolean changed = FALSE;
   if (attempt->link.data == NULL)
     return;
   suspects_end (suspects, attempt);
+  suspects_note_sound (suspects, attempt->parts, now);
   for (guint i = 0; i < suspects->n_crashes; i++)
     {
       struct suspects_crash *crash = &suspects->crashes[i];
@@ -446,7 +368,7 @@
         }
     }
   if (changed)
-    note_changed (suspects, TRUE);
+    suspects_note_changed (suspects, TRUE);
 }
 
 /* The attempt has broken off before the first event. Returns whether it matters
@@ -459,16 +381,16 @@
   if (attempt->link.data == NULL)
     return FALSE;
   suspects_end (suspects, attempt);
-  if (suspects->n_broken == BROKEN_MAX)
+  if (suspects->n_broken == SUSPECTS_BROKEN_MAX)
     {
       log_event (LOG_WARN, "part.overflow", "broken=%u", suspects->n_broken);
       return FALSE;
     }
-  struct broken *broken = &suspects->broken[suspects->n_broken++];
-  *broken = (struct broken){ .server = attempt->server,
-                             .evidence = evidence,
-                             .parts = *attempt->parts,
-                             .at = now };
+  struct suspects_broken *broken = &suspects->broken[suspects->n_broken++];
+  *broken = (struct suspects_broken){ .server = attempt->server,
+                                      .evidence = evidence,
+                                      .parts = *attempt->parts,
+                                      .at = now };
   memcpy (broken->weights, attempt->weights, sizeof broken->weights);
   return TRUE;
 }
@@ -476,7 +398,7 @@
 /* Returns the weight of the crash under BROKEN, one of N_BROKEN attempts that a
    server had when it ended; 0: it says nothing.  */
 static guint
-crash_weight (const struct broken *broken, guint n_broken, gboolean any_head)
+crash_weight (const struct suspects_broken *broken, guint n_broken)
 {
   switch (broken->evidence)
     {
@@ -485,20 +407,20 @@
     case SUSPECTS_NO_HEAD:
       return n_broken == 1 ? WEIGHT_WAITED : 0;
     case SUSPECTS_PLAIN:
-      return any_head ? 0 : n_broken == 1 ? WEIGHT_BEGUN : WEIGHT_WAITED;
+      return n_broken == 1 ? WEIGHT_BEGUN : WEIGHT_WAITED;
     }
   return 0;
 }
 
 /* Returns a free crash. If there is none, the least suspected and oldest one is
    dropped.  */
-static struct suspects_crash *
-add_crash (struct suspects *suspects)
+struct suspects_crash *
+suspects_add_crash (struct suspects *suspects)
 {
-  if (suspects->n_crashes < CRASHES_MAX)
+  if (suspects->n_crashes < SUSPECTS_CRASHES_MAX)
     return &suspects->crashes[suspects->n_crashes++];
   struct suspects_crash *least = &suspects->crashes[0];
-  for (guint i = 1; i < CRASHES_MAX; i++)
+  for (guint i = 1; i < SUSPECTS_CRASHES_MAX; i++)
     {
       struct suspects_crash *crash = &suspects->crashes[i];
       guint a = highest_weight (crash);
@@ -510,12 +432,13 @@
   return least;
 }
 
-/* Returns whether another crash says as much as one under PARTS with WEIGHTS.
- */
+/* Returns whether the crashes known say as much as one more under PARTS with
+   WEIGHTS.  */
 static gboolean
 is_known (const struct suspects *suspects, const struct prompt_parts *parts,
           const guint8 *weights)
 {
+  guint n = 0;
   for (guint i = 0; i < suspects->n_crashes; i++)
     {
       const struct suspects_crash *crash = &suspects->crashes[i];
@@ -525,14 +448,13 @@
                              == 0;
       for (guint j = 0; same && j < parts->n; j++)
         same = !crash->cleared[j] && crash->weights[j] >= weights[j];
-      if (same)
-        return TRUE;
+      n += same;
     }
-  return FALSE;
+  return n >= MANY_SERVERS;
 }
 
 static void
-record_crash (struct suspects *suspects, const struct broken *broken,
+record_crash (struct suspects *suspects, const struct suspects_broken *broken,
               guint weight, gint64 now)
 {
   guint8 weights[PROMPT_PARTS_MAX] = { 0 };
@@ -546,7 +468,7 @@
   counter_add (suspects->options.counter_set, COUNTER_SUSPECT_CRASHES, 1);
   if (is_known (suspects, &broken->parts, weights))
     return;
-  struct suspects_crash *crash = add_crash (suspects);
+  struct suspects_crash *crash = suspects_add_crash (suspects);
   *crash = (struct suspects_crash){ .server = broken->server,
                                     .at = now,
                                     .parts = broken->parts,
@@ -572,25 +494,19 @@
 suspects_server_ended (struct suspects *suspects, guint64 server, gint64 now)
 {
   guint n = 0;
-  gboolean any_head = FALSE;
   for (guint i = 0; i < suspects->n_broken; i++)
-    if (suspects->broken[i].server == server)
-      {
-        n++;
-        any_head |= suspects->broken[i].evidence == SUSPECTS_HEAD;
-      }
+    n += suspects->broken[i].server == server;
   if (n == 0)
     return;
   for (guint i = 0; i < suspects->n_broken; i++)
     {
-      const struct broken *broken = &suspects->broken[i];
-      guint weight
-          = broken->server == server ? crash_weight (broken, n, any_head) : 0;
+      const struct suspects_broken *broken = &suspects->broken[i];
+      guint weight = broken->server == server ? crash_weight (broken, n) : 0;
       if (weight > 0)
         record_crash (suspects, broken, weight, now);
     }
   drop_broken (suspects, server);
-  note_changed (suspects, TRUE);
+  suspects_note_changed (suspects, TRUE);
 }
 
 /* The server with key SERVER runs: the attempts that broke off there say
@@ -601,14 +517,14 @@
   guint before = suspects->n_broken;
   drop_broken (suspects, server);
   if (suspects->n_broken < before)
-    note_changed (suspects, FALSE);
+    suspects_note_changed (suspects, TRUE);
 }
 
 /* Forgets what is out of date.  */
 void
 suspects_expire (struct suspects *suspects, gint64 now)
 {
-  gboolean changed = FALSE;
+  gboolean changed = suspects_expire_claims (suspects, now);
   for (guint i = suspects->n_broken; i-- > 0;)
     if (now - suspects->broken[i].at >= BROKEN_KEPT_US)
       {
@@ -618,132 +534,16 @@
   for (guint i = suspects->n_crashes; i-- > 0;)
     {
       guint weight = highest_weight (&suspects->crashes[i]);
-      gint64 kept = weight >= WEIGHT_HELD ? HOLDS_KEPT * hold_us (weight)
-                                          : CRASH_KEPT_US;
+      gint64 kept = weight >= WEIGHT_HELD
+                        ? HOLDS_KEPT * suspects_hold_us (weight)
+                        : CRASH_KEPT_US;
       if (now - suspects->crashes[i].at < kept)
         continue;
       suspects->crashes[i] = suspects->crashes[--suspects->n_crashes];
       changed = TRUE;
     }
   if (changed)
-    note_changed (suspects, FALSE);
-}
-
-/* Returns the number of the last change.  */
-guint64
-suspects_n_changes (const struct suspects *suspects)
-{
-  return suspects->n_changes;
-}
-
-/* Finds the crashes that have changed after the change SINCE, in order, MAX at
-   most with about PARTS_MAX parts together; without ALL only those that changed
-   here. THROUGH is the last change that they cover.  */
-guint
-suspects_changes_since (const struct suspects *suspects, guint64 since,
-                        gboolean all, const struct suspects_crash **found,
-                        guint max, guint parts_max, guint64 *through)
-{
-  guint n = 0;
-  guint n_parts = 0;
-  guint64 last = since;
-  for (;;)
-    {
-      const struct suspects_crash *next = NULL;
-      for (guint i = 0; i < suspects->n_crashes; i++)
-        {
-          const struct suspects_crash *crash = &suspects->crashes[i];
-          if (crash->changed > last && (all || crash->tell)
-              && (next == NULL || crash->changed < next->changed))
-            next = crash;
-        }
-      if (next == NULL)
-        break;
-      if (n == max || n_parts >= parts_max)
-        {
-          *through = last;
-          return n;
-        }
-      last = next->changed;
-      n_parts += next->parts.n;
-      found[n++] = next;
-    }
-  *through = suspects->n_changes;
-  return n;
-}
-
-/* Adds what a peer has told. CRASH is copied; its private members count for
-   nothing.  */
-void
-suspects_merge (struct suspects *suspects, const struct suspects_crash *crash)
-{
-  struct suspects_crash *known = NULL;
-  gboolean changed = FALSE;
-  for (guint i = 0; i < suspects->n_crashes; i++)
-    if (suspects->crashes[i].id == crash->id)
-      known = &suspects->crashes[i];
-  if (known == NULL)
-    {
-      known = add_crash (suspects);
-      *known = *crash;
-      known->own = known->tell = FALSE;
-      changed = TRUE;
-    }
-  for (guint i = 0; i < MIN (known->parts.n, crash->parts.n); i++)
-    {
-      changed |= crash->cleared[i] && !known->cleared[i];
-      known->cleared[i] |= crash->cleared[i];
-    }
-  if (!changed)
-    return;
-  known->changed = ++suspects->n_changes;
-  note_changed (suspects, FALSE);
-}
-
-/* Fills TRIALS with the suspected parts that are being tried here. Returns how
-   many there are, MAX at most.  */
-guint
-suspects_trials (const struct suspects *suspects, struct suspects_trial *trials,
-                 guint max)
-{
-  guint n = 0;
-  guint weight;
-  if (suspects->n_crashes == 0)
-    return 0;
-  for (const GList *l = suspects->attempts.head; l != NULL && n < max;
-       l = l->next)
-    {
-      const struct suspects_attempt *attempt = l->data;
-      guint part = most_suspected (suspects, attempt->parts, NULL, &weight);
-      if (weight >= WEIGHT_TRIAL)
-        trials[n++] = (struct suspects_trial){ attempt->parts->keys[part],
-                                               attempt->server };
-    }
-  return n;
-}
-
-/* Replaces the parts that the instance at IP address PEER is trying.  */
-void
-suspects_set_peer_trials (struct suspects *suspects, guint32 peer,
-                          const struct suspects_trial *trials, guint n,
-                          gint64 now)
-{
-  gpointer key = GUINT_TO_POINTER (peer);
-  struct peer_trials *known = g_hash_table_lookup (suspects->peers, key);
-  if (n == 0)
-    {
-      if (known != NULL && g_hash_table_remove (suspects->peers, key))
-        note_changed (suspects, FALSE);
-      return;
-    }
-  if (known == NULL)
-    {
-      known = g_new0 (struct peer_trials, 1);
-      g_hash_table_insert (suspects->peers, key, known);
-    }
-  known->n = MIN (n, SUSPECTS_TRIALS_MAX);
-  memcpy (known->trials, trials, known->n * sizeof trials[0]);
-  known->at = now;
+    suspects_note_changed (suspects, FALSE);
 }
 
 /* Writes the held parts as a member of the open JSON object.  */
@@ -760,7 +560,8 @@
       prompt_parts_print (&parts, text, sizeof text);
       json_builder_begin_object (json);
       json_add_str (json, "part", text);
-      json_add_int (json, "weight", weight_of (suspects, suspects->held[i]));
+      json_add_int (json, "weight",
+                    suspects_weight_of (suspects, suspects->held[i]));
       json_add_int (json, "held_ms",
                     (suspects_held_until (suspects, &parts, now) - now)
                         / CLK_MS);
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -65,11 +65,12 @@
   guint8 weights[PROMPT_PARTS_MAX]; /* of the parts when it was sent */
 };
 
-/* A suspected part that a server is being sent.  */
+/* A suspected part that a server is being sent, or is to be.  */
 struct suspects_trial
 {
   guint64 part;
-  guint64 server; /* key of its life */
+  guint64 server; /* key of its life; 0: none yet, a claim */
+  guint32 order;  /* of a claim; the lowest goes first */
 };
 
 struct suspects_options
@@ -86,7 +87,7 @@
 
 struct suspects *suspects_new (const struct suspects_options *options);
 void suspects_free (struct suspects *suspects);
-enum suspects_verdict suspects_check (const struct suspects *suspects,
+enum suspects_verdict suspects_check (struct suspects *suspects,
                                       const struct prompt_parts *parts,
                                       guint64 server, gint64 now);
 gboolean suspects_was_trial (const struct suspects_attempt *attempt);
@@ -98,7 +99,7 @@
                      struct suspects_attempt *attempt,
                      const struct prompt_parts *parts, guint64 server);
 void suspects_wrote (struct suspects *suspects,
-                     struct suspects_attempt *attempt);
+                     struct suspects_attempt *attempt, gint64 now);
 void suspects_end (struct suspects *suspects, struct suspects_attempt *attempt);
 gboolean suspects_broke (struct suspects *suspects,
                          struct suspects_attempt *attempt,
@@ -115,8 +116,8 @@
                               guint max, guint parts_max, guint64 *through);
 void suspects_merge (struct suspects *suspects,
                      const struct suspects_crash *crash);
-guint suspects_trials (const struct suspects *suspects,
-                       struct suspects_trial *trials, guint max);
+guint suspects_trials (struct suspects *suspects, struct suspects_trial *trials,
+                       guint max);
 void suspects_set_peer_trials (struct suspects *suspects, guint32 peer,
                                const struct suspects_trial *trials, guint n,
                                gint64 now);
--- /dev/null
+++ b/packages/policy/crash_suspects_internal.h
@@ -0,0 +1,81 @@
+/* Shared by the files of crash_suspects.h.  */
+#ifndef CRASH_SUSPECTS_INTERNAL_H
+#define CRASH_SUSPECTS_INTERNAL_H
+
+#include "policy/crash_suspects.h"
+
+#define SUSPECTS_CRASHES_MAX 64
+#define SUSPECTS_BROKEN_MAX 32 /* attempts whose servers are being checked */
+#define SUSPECTS_HELD_MAX 16   /* parts */
+#define SUSPECTS_CLAIMS_MAX 16
+#define SUSPECTS_SOUND_MAX 512
+/* Weight from which on a part is tried by one request at a time.  */
+#define SUSPECTS_WEIGHT_TRIAL 2
+
+/* An attempt that broke off, whose server may have ended.  */
+struct suspects_broken
+{
+  guint64 server; /* key of its life */
+  enum suspects_evidence evidence;
+  struct prompt_parts parts;
+  guint8 weights[PROMPT_PARTS_MAX];
+  gint64 at;
+};
+
+/* Requests here want to try a part.  */
+struct suspects_claim
+{
+  guint64 part;
+  guint32 order;       /* the lowest of all instances goes first */
+  guint n_doubtful;    /* parts of the request with the fewest */
+  gint64 lowest_since; /* peers claim none lower and try nothing; 0: they do */
+  gint64 seen;         /* a request wanted it */
+  gint64 fewest;       /* one with N_DOUBTFUL parts did */
+};
+
+/* A part on which a server has written.  */
+struct suspects_sound_part
+{
+  guint64 key;
+  gint64 at; /* the last time */
+};
+
+struct suspects
+{
+  struct suspects_options options;
+  GRand *rand;
+  struct suspects_crash crashes[SUSPECTS_CRASHES_MAX];
+  guint n_crashes;
+  guint64 n_changes;
+  struct suspects_broken broken[SUSPECTS_BROKEN_MAX];
+  guint n_broken;
+  GQueue attempts; /* of struct suspects_attempt, borrowed */
+  struct suspects_claim claims[SUSPECTS_CLAIMS_MAX];
+  guint n_claims;
+  GHashTable *peers;               /* IP: struct peer_trials, owned */
+  gboolean told_trials;            /* the last message to a peer had some */
+  guint64 held[SUSPECTS_HELD_MAX]; /* keys of the held parts */
+  guint n_held;
+  struct suspects_sound_part sound[SUSPECTS_SOUND_MAX]; /* by their keys */
+};
+
+struct suspects_crash *suspects_add_crash (struct suspects *suspects);
+void suspects_note_changed (struct suspects *suspects, gboolean own);
+guint suspects_weight_of (const struct suspects *suspects, guint64 key);
+guint suspects_most_suspected (const struct suspects *suspects,
+                               const struct prompt_parts *parts,
+                               const gboolean *cleared, guint *weight);
+const struct suspects_crash *
+suspects_latest_crash (const struct suspects *suspects, guint64 key);
+gboolean suspects_is_held (const struct suspects *suspects, guint64 key);
+gint64 suspects_hold_us (guint weight);
+
+/* Trials and claims of them. */
+void suspects_trials_init (struct suspects *suspects);
+void suspects_trials_free (struct suspects *suspects);
+void suspects_drop_claim (struct suspects *suspects, guint64 part);
+gboolean suspects_expire_claims (struct suspects *suspects, gint64 now);
+void suspects_note_sound (struct suspects *suspects,
+                          const struct prompt_parts *parts, gint64 now);
+
+#endif
--- /dev/null
+++ b/packages/policy/crash_trials.c
@@ -0,0 +1,378 @@
+/* Which request may try a suspected part. An instance claims a trial some time
+   before it begins, so that of several instances one goes first. Requests with
+   fewer doubtful parts go before others, as they tell more.  */
+#include "policy/crash_suspects_internal.h"
+
+#include <string.h>
+
+#define PEER_TRIALS_US (1 * CLK_S)   /* from the last message of the peer */
+#define CLAIM_US (60 * CLK_MS)       /* from a claim to its trial */
+#define CLAIM_KEPT_US (300 * CLK_MS) /* without a request that wants it */
+/* From a crash to the next trial of its part: other crashes become known, and
+   what is in progress on other servers clears sound parts. */
+#define SETTLE_US (80 * CLK_MS)
+/* Longer for a request with several doubtful parts. */
+#define SETTLE_SEVERAL_US (230 * CLK_MS)
+#define SOUND_KNOWN_US (30 * CLK_S)
+#define ORDER_BITS 24 /* random ones of the order of a claim */
+
+struct peer_trials
+{
+  struct suspects_trial trials[SUSPECTS_TRIALS_MAX];
+  guint n;
+  gint64 at;
+};
+
+void
+suspects_trials_init (struct suspects *suspects)
+{
+  suspects->peers
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+}
+
+void
+suspects_trials_free (struct suspects *suspects)
+{
+  g_hash_table_unref (suspects->peers);
+}
+
+/* What peers do about a part.  */
+struct peers_state
+{
+  gboolean tries;
+  guint32 lowest; /* order of their claims */
+};
+
+static struct peers_state
+peers_state_of (const struct suspects *suspects, guint64 key, gint64 now)
+{
+  struct peers_state state = { FALSE, G_MAXUINT32 };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, suspects->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer_trials *peer = value;
+      for (guint i = 0; i < peer->n && now - peer->at < PEER_TRIALS_US; i++)
+        {
+          const struct suspects_trial *trial = &peer->trials[i];
+          if (trial->part != key)
+            continue;
+          state.tries |= trial->server != 0;
+          if (trial->server == 0)
+            state.lowest = MIN (state.lowest, trial->order);
+        }
+    }
+  return state;
+}
+
+static gboolean
+is_in_progress (const struct suspects *suspects, guint64 key)
+{
+  for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
+    if (prompt_parts_contain (((const struct suspects_attempt *)l->data)->parts,
+                              key))
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether SERVER is being sent a suspected part, from here or from a
+   peer. Two trials there at once would not tell which part has ended it.  */
+static gboolean
+has_trial (const struct suspects *suspects, guint64 server, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint weight;
+  for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
+    {
+      const struct suspects_attempt *attempt = l->data;
+      if (attempt->server != server)
+        continue;
+      suspects_most_suspected (suspects, attempt->parts, NULL, &weight);
+      if (weight >= SUSPECTS_WEIGHT_TRIAL)
+        return TRUE;
+    }
+  g_hash_table_iter_init (&iter, suspects->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer_trials *peer = value;
+      for (guint i = 0; i < peer->n && now - peer->at < PEER_TRIALS_US; i++)
+        if (peer->trials[i].server == server)
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns whether an attempt with one of PARTS has broken off whose server is
+   being checked.  */
+static gboolean
+is_being_checked (const struct suspects *suspects,
+                  const struct prompt_parts *parts)
+{
+  for (guint i = 0; i < suspects->n_broken; i++)
+    for (guint j = 0; j < parts->n; j++)
+      if (suspects->broken[i].evidence != SUSPECTS_NO_HEAD
+          && prompt_parts_contain (&suspects->broken[i].parts, parts->keys[j]))
+        return TRUE;
+  return FALSE;
+}
+
+/* Returns whether the held part KEY may be tried again here. The instance that
+   saw its last crash tries it, so that not each one does.  */
+static gboolean
+is_trial_due (const struct suspects *suspects, guint64 key, gint64 now)
+{
+  const struct suspects_crash *crash = suspects_latest_crash (suspects, key);
+  return crash != NULL && crash->own
+         && now - crash->at
+                >= suspects_hold_us (suspects_weight_of (suspects, key))
+         && !is_in_progress (suspects, key)
+         && !peers_state_of (suspects, key, now).tries;
+}
+
+/* A server has written on a prompt with PARTS.  */
+void
+suspects_note_sound (struct suspects *suspects,
+                     const struct prompt_parts *parts, gint64 now)
+{
+  for (guint i = 0; i < parts->n; i++)
+    suspects->sound[parts->keys[i] % SUSPECTS_SOUND_MAX]
+        = (struct suspects_sound_part){ parts->keys[i], now };
+}
+
+static gboolean
+is_known_sound (const struct suspects *suspects, guint64 key, gint64 now)
+{
+  const struct suspects_sound_part *sound
+      = &suspects->sound[key % SUSPECTS_SOUND_MAX];
+  return sound->key == key && now - sound->at < SOUND_KNOWN_US;
+}
+
+/* Returns how many of PARTS may be the cause if a request with them ends a
+   server: suspected ones, and those on which none has written lately.  */
+static guint
+count_doubtful (const struct suspects *suspects,
+                const struct prompt_parts *parts, gint64 now)
+{
+  guint n = 0;
+  for (guint i = 0; i < parts->n; i++)
+    n += suspects_weight_of (suspects, parts->keys[i]) >= SUSPECTS_WEIGHT_TRIAL
+         || !is_known_sound (suspects, parts->keys[i], now);
+  return n;
+}
+
+/* Withdraws the claim of PART, if there is one.  */
+void
+suspects_drop_claim (struct suspects *suspects, guint64 part)
+{
+  for (guint i = suspects->n_claims; i-- > 0;)
+    if (suspects->claims[i].part == part)
+      suspects->claims[i] = suspects->claims[--suspects->n_claims];
+}
+
+/* Drops the claims that no request wants any longer. Returns whether there were
+   any.  */
+gboolean
+suspects_expire_claims (struct suspects *suspects, gint64 now)
+{
+  guint before = suspects->n_claims;
+  for (guint i = suspects->n_claims; i-- > 0;)
+    if (now - suspects->claims[i].seen >= CLAIM_KEPT_US)
+      suspects->claims[i] = suspects->claims[--suspects->n_claims];
+  return suspects->n_claims < before;
+}
+
+static struct suspects_claim *
+find_claim (struct suspects *suspects, guint64 part)
+{
+  for (guint i = 0; i < suspects->n_claims; i++)
+    if (suspects->claims[i].part == part)
+      return &suspects->claims[i];
+  return NULL;
+}
+
+/* Claims the trial of the part KEY for a request with N doubtful parts.
+   Returns the claim, NULL if there is no room.  */
+static struct suspects_claim *
+claim_trial (struct suspects *suspects, guint64 key, guint n, gint64 now)
+{
+  struct suspects_claim *claim = find_claim (suspects, key);
+  gboolean added = claim == NULL;
+  if (added)
+    {
+      if (suspects->n_claims == SUSPECTS_CLAIMS_MAX)
+        return NULL;
+      claim = &suspects->claims[suspects->n_claims++];
+      *claim = (struct suspects_claim){ .part = key };
+    }
+  if (added || n < claim->n_doubtful || now - claim->fewest >= CLAIM_KEPT_US)
+    {
+      claim->n_doubtful = n;
+      claim->order = (n << ORDER_BITS)
+                     | (g_rand_int (suspects->rand) & ((1U << ORDER_BITS) - 1));
+      claim->lowest_since = 0;
+    }
+  claim->seen = now;
+  if (n == claim->n_doubtful)
+    claim->fewest = now;
+  return claim;
+}
+
+/* Returns whether one of the suspected PARTS is being tried, or is to be by a
+   request that goes before CLAIM, which is of another part then. SETTLED is the
+   time from which on a request with N doubtful parts may try them.  */
+static gboolean
+is_contended (const struct suspects *suspects, const struct prompt_parts *parts,
+              const struct suspects_claim *claim, gint64 now)
+{
+  for (guint i = 0; i < parts->n; i++)
+    {
+      guint64 key = parts->keys[i];
+      if (suspects_weight_of (suspects, key) < SUSPECTS_WEIGHT_TRIAL)
+        continue;
+      struct peers_state peers = peers_state_of (suspects, key, now);
+      if (is_in_progress (suspects, key) || peers.tries
+          || peers.lowest <= claim->order)
+        return TRUE;
+      for (guint j = 0; j < suspects->n_claims; j++)
+        if (suspects->claims[j].part == key
+            && suspects->claims[j].order < claim->order)
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns the clock time of the latest crash that makes one of PARTS suspect;
+   G_MININT64 if there is none.  */
+static gint64
+latest_crash_time (const struct suspects *suspects,
+                   const struct prompt_parts *parts)
+{
+  gint64 latest = G_MININT64;
+  for (guint i = 0; i < parts->n; i++)
+    {
+      const struct suspects_crash *crash
+          = suspects_weight_of (suspects, parts->keys[i])
+                    >= SUSPECTS_WEIGHT_TRIAL
+                ? suspects_latest_crash (suspects, parts->keys[i])
+                : NULL;
+      if (crash != NULL)
+        latest = MAX (latest, crash->at);
+    }
+  return latest;
+}
+
+/* Returns whether a request with PARTS that wants to try the part KEY may be
+   sent to SERVER now.  */
+static gboolean
+may_try (struct suspects *suspects, const struct prompt_parts *parts,
+         guint64 key, guint64 server, gint64 now)
+{
+  guint n = count_doubtful (suspects, parts, now);
+  struct suspects_claim *claim = claim_trial (suspects, key, n, now);
+  if (claim == NULL || n > claim->n_doubtful)
+    return FALSE;
+  if (is_contended (suspects, parts, claim, now))
+    {
+      claim->lowest_since = 0;
+      return FALSE;
+    }
+  if (claim->lowest_since == 0)
+    {
+      claim->lowest_since = now;
+      suspects_note_changed (suspects, TRUE);
+    }
+  gint64 settled = latest_crash_time (suspects, parts)
+                   + (n > 1 ? SETTLE_SEVERAL_US : SETTLE_US);
+  return now - claim->lowest_since >= CLAIM_US && now >= settled
+         && (server == 0 || !has_trial (suspects, server, now));
+}
+
+/* Returns whether a request with PARTS may be sent to SERVER now, the key of
+   its life; 0: to some server. A request that is to wait must be checked again
+   every few milliseconds, or its claim of the trial ends.  */
+enum suspects_verdict
+suspects_check (struct suspects *suspects, const struct prompt_parts *parts,
+                guint64 server, gint64 now)
+{
+  guint weight;
+  if (suspects->n_crashes == 0 && suspects->n_broken == 0)
+    return SUSPECTS_FREE;
+  for (guint i = 0; i < parts->n; i++)
+    if (suspects_is_held (suspects, parts->keys[i])
+        && !is_trial_due (suspects, parts->keys[i], now))
+      return SUSPECTS_HELD;
+  if (is_being_checked (suspects, parts))
+    return SUSPECTS_WAIT;
+  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
+  if (weight < SUSPECTS_WEIGHT_TRIAL)
+    return SUSPECTS_FREE;
+  return may_try (suspects, parts, parts->keys[part], server, now)
+             ? SUSPECTS_TRIAL
+             : SUSPECTS_WAIT;
+}
+
+/* Adds the most suspected of PARTS to TRIALS, if it is being tried. Returns the
+   new number of trials.  */
+static guint
+add_trial (const struct suspects *suspects, const struct prompt_parts *parts,
+           guint64 server, struct suspects_trial *trials, guint n)
+{
+  guint weight;
+  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
+  if (weight >= SUSPECTS_WEIGHT_TRIAL)
+    trials[n++] = (struct suspects_trial){ .part = parts->keys[part],
+                                           .server = server };
+  return n;
+}
+
+/* Fills TRIALS with the suspected parts that are being tried here, and then
+   those that are claimed. Returns how many there are, MAX at most.  */
+guint
+suspects_trials (struct suspects *suspects, struct suspects_trial *trials,
+                 guint max)
+{
+  guint n = 0;
+  suspects->told_trials = FALSE;
+  if (suspects->n_crashes == 0)
+    return 0;
+  for (const GList *l = suspects->attempts.head; l != NULL && n < max;
+       l = l->next)
+    {
+      const struct suspects_attempt *attempt = l->data;
+      n = add_trial (suspects, attempt->parts, attempt->server, trials, n);
+    }
+  for (guint i = 0; i < suspects->n_broken && n < max; i++)
+    n = add_trial (suspects, &suspects->broken[i].parts,
+                   suspects->broken[i].server, trials, n);
+  for (guint i = 0; i < suspects->n_claims && n < max; i++)
+    trials[n++] = (struct suspects_trial){ .part = suspects->claims[i].part,
+                                           .order = suspects->claims[i].order };
+  suspects->told_trials = n > 0;
+  return n;
+}
+
+/* Replaces the parts that the instance at IP address PEER is trying.  */
+void
+suspects_set_peer_trials (struct suspects *suspects, guint32 peer,
+                          const struct suspects_trial *trials, guint n,
+                          gint64 now)
+{
+  gpointer key = GUINT_TO_POINTER (peer);
+  struct peer_trials *known = g_hash_table_lookup (suspects->peers, key);
+  if (n == 0)
+    {
+      if (known != NULL && g_hash_table_remove (suspects->peers, key))
+        suspects_note_changed (suspects, FALSE);
+      return;
+    }
+  if (known == NULL)
+    {
+      known = g_new0 (struct peer_trials, 1);
+      g_hash_table_insert (suspects->peers, key, known);
+    }
+  known->n = MIN (n, SUSPECTS_TRIALS_MAX);
+  memcpy (known->trials, trials, known->n * sizeof trials[0]);
+  known->at = now;
+}
