Keep the crashes under the same parts that tell servers apart

Cause: of crashes under the same parts only five were kept, so a bystander on the server of a further one looked like the only suspect there. Change: twelve are kept.

--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -19,6 +19,7 @@
 /* The same with fewer crashes in a row, if so many servers have ended. */
 #define WEIGHT_HELD_MANY 4
 #define MANY_SERVERS 5
+#define SAME_CRASHES_MAX 12 /* kept of those under the same parts */
 /* A check of a server takes no longer; then the server counts as alive. */
 #define BROKEN_KEPT_US (1 * CLK_S)
 #define CRASH_KEPT_US (120 * CLK_S)
@@ -159,8 +160,9 @@
   return n;
 }
 
-/* Returns whether only the part KEY with WEIGHT can explain CRASH: no other part
-   of it is as suspected, and no other suspect request was on the server.  */
+/* Returns whether only the part KEY with WEIGHT can explain CRASH: no other
+   part of it is as suspected, and no other suspect request was on the server.
+ */
 static gboolean
 explains_alone (const struct suspects *suspects,
                 const struct suspects_crash *crash, guint64 key, guint weight)
@@ -176,7 +178,8 @@
   return TRUE;
 }
 
-/* Returns whether the part KEY with WEIGHT, which explains CRASH, is to be held.
+/* Returns whether the part KEY with WEIGHT, which explains CRASH, is to be
+ * held.
  */
 static gboolean
 is_convicted (const struct suspects *suspects,
@@ -450,7 +453,7 @@
         same = !crash->cleared[j] && crash->weights[j] >= weights[j];
       n += same;
     }
-  return n >= MANY_SERVERS;
+  return n >= SAME_CRASHES_MAX;
 }
 
 static void
