Excuse only a last chunk after a response without a body

Cause of test_gate_endless, "a body where there is none" (KNOWN-RED): bytes without end after a chunked 204 were excused as the needless last chunk that some servers send, if they arrived together with the head, and charged to the server otherwise. Change: only the bytes of a last chunk are excused.

--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -390,13 +390,16 @@
   exchange_attempt_failed (exchange, result, head, body, &err);
 }
 
-/* Returns whether the response has no body but says that it is chunked: some
-   servers send the last chunk all the same.  */
+/* Returns whether DATA is the last chunk of a response that has no body but
+   says that it is chunked: some servers send it all the same.  */
 static gboolean
-is_empty_chunked (const struct http_reader *http_reader)
+is_needless_last_chunk (const struct http_reader *http_reader, struct str data)
 {
+  static const char last_chunk[] = "0\r\n\r\n";
   const struct http_head *head = http_reader_head (http_reader);
-  return (head->status == 204 || head->status == 304) && head->chunked;
+  return (head->status == 204 || head->status == 304) && head->chunked
+         && data.n < sizeof last_chunk
+         && memcmp (data.p, last_chunk, data.n) == 0;
 }
 
 static void
@@ -426,7 +429,8 @@
       if (!upstream->discarding)
         {
           upstream->has_extra
-              = data.n > 0 && !is_empty_chunked (upstream->http_reader);
+              = data.n > 0
+                && !is_needless_last_chunk (upstream->http_reader, data);
           deliver (upstream, data.n == 0);
           return;
         }
