Renew the configuration during a long check of test_gate_endless

Cause, from the responses that the test now prints: beside load the eight repeats of a case take longer than the 2 s for which a proof that the configuration is in force lasts, and the fixture gives it once: 503 configuration_unproved.

--- a/tests/unit/test_gate_endless.c
+++ b/tests/unit/test_gate_endless.c
@@ -86,7 +86,20 @@
   stop ();
   start (reply, 2);
   for (guint i = 0; i < 8; i++)
-    CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 200);
+    {
+      /* The proof that the configuration is in force ends after 2 s. */
+      proxy_test_set_table (1, PROXY_TEST_KEY);
+      before = g_get_monotonic_time ();
+      struct proxy_test_response response
+          = proxy_test_request_once ("/again/x", "");
+      if (response.status != 200)
+        g_print ("%s: repeated, status %u after %" G_GINT64_FORMAT " ms: %s\n",
+                 what, response.status,
+                 (g_get_monotonic_time () - before) / CLK_MS,
+                 response.body->str);
+      CU_ASSERT_EQUAL (response.status, 200);
+      proxy_test_response_clear (&response);
+    }
   check_closed ();
   stop ();
 }
