Keep the logs of failed crash tests and say why a request was rejected

test_server_hints and test_crash_spread left nothing to trace a failure with. They keep the folder of a failed run, and the former prints the response of the first request that was not served.

--- a/tests/proc/crash_testbed.h
+++ b/tests/proc/crash_testbed.h
@@ -580,6 +580,7 @@
 check_scenario (const struct scenario *scenario)
 {
   struct testbed *testbed = testbed_new (scenario);
+  guint failures = CU_get_number_of_failures ();
   gint64 warm_up = g_get_monotonic_time ();
   run_traffic (testbed, WARM_UP_MS,
                scenario->turns ? scenario->crashing_per_s : 0);
@@ -615,6 +616,8 @@
       CU_ASSERT_TRUE (after[i] >= before[i] / 2);
     }
   check_promises (testbed);
+  if (CU_get_number_of_failures () > failures)
+    harness_explain (testbed->harness);
   testbed_free (testbed);
 }
 
--- a/tests/proc/test_server_hints.c
+++ b/tests/proc/test_server_hints.c
@@ -91,16 +91,24 @@
 }
 
 /* Checks that all requests were served, except those that MAX_ATTEMPTS servers
-   have rejected.  */
+   have rejected. Prints the first one that was not, and keeps the logs.  */
 static void
 check_served (void)
 {
+  guint n = 0;
   for (guint i = 0; i < site->requests->len; i++)
     {
       const struct proxy_site_request *request = site->requests->pdata[i];
-      CU_ASSERT_TRUE (
-          request->status == 200
-          || (request->status == 503 && request->arrivals == MAX_ATTEMPTS));
+      gboolean served
+          = request->status == 200
+            || (request->status == 503 && request->arrivals == MAX_ATTEMPTS);
+      CU_ASSERT_TRUE (served);
+      if (!served && n++ == 0)
+        {
+          g_print ("%s: status %u, %u servers reached: %s\n", request->id,
+                   request->status, request->arrivals, request->body->str);
+          harness_explain (site->harness);
+        }
     }
 }
 
