Let the explorer's servers end, and send a request on past two of them no more

The explorer gets servers that end with nothing or the head sent, a rule (a request ends two servers at most), longer time-outs for such cases, as requests then wait for a trial, a check that no trial is left behind and two planted faults. It found two cases: a request under which two servers had ended before a head went to a third one, as such crashes are weak evidence against its parts. Cause: only a crash of a trial was counted against the request itself. Change: a request remembers the first two servers that broke it off before an event, waits while they are checked, and is rejected if both have ended.

--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -41,6 +41,33 @@
                                 &exchange->queue_entry.request.parts);
 }
 
+/* Returns whether one of the servers that have broken off the request is being
+   checked, and it depends on the result if the request is sent on.  */
+static gboolean
+awaits_check (const struct exchange *exchange)
+{
+  const struct suspects *suspects = exchange->reverse_proxy->options.suspects;
+  if (exchange->n_broken_servers < PART_TRIAL_SERVERS_MAX)
+    return FALSE;
+  for (guint i = 0; i < PART_TRIAL_SERVERS_MAX; i++)
+    if (suspects_is_checking (suspects, exchange->broken_servers[i]))
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether as many servers have ended under the request as may.  */
+static gboolean
+has_ended_servers (const struct exchange *exchange)
+{
+  const struct suspects *suspects = exchange->reverse_proxy->options.suspects;
+  if (exchange->n_broken_servers < PART_TRIAL_SERVERS_MAX)
+    return FALSE;
+  for (guint i = 0; i < PART_TRIAL_SERVERS_MAX; i++)
+    if (!suspects_has_ended (suspects, exchange->broken_servers[i]))
+      return FALSE;
+  return TRUE;
+}
+
 /* Rejects the request for a held part. A repeat would not help, so the client
    is told when the part may be tried again. Frees EXCHANGE.  */
 static void
@@ -71,6 +98,16 @@
   struct suspects *suspects = exchange->reverse_proxy->options.suspects;
   if (suspects == NULL)
     return TRUE;
+  if (awaits_check (exchange))
+    {
+      wait_for_trial (exchange);
+      return FALSE;
+    }
+  if (has_ended_servers (exchange))
+    {
+      reject_held (exchange);
+      return FALSE;
+    }
   switch (suspects_check (suspects, &exchange->queue_entry.request.parts,
                           registry_life_key (server), exchange_now (exchange)))
     {
@@ -177,6 +214,9 @@
         : upstream_response_started (exchange->upstream) ? SUSPECTS_HEAD
                                                          : SUSPECTS_NO_HEAD;
   exchange->trial_broke |= suspects_was_trial (&exchange->suspects_attempt);
+  if (exchange->n_broken_servers < PART_TRIAL_SERVERS_MAX)
+    exchange->broken_servers[exchange->n_broken_servers++]
+        = registry_life_key (server);
   if (suspects_broke (reverse_proxy->options.suspects,
                       &exchange->suspects_attempt, evidence,
                       exchange_now (exchange)))
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -13,6 +13,8 @@
 #include "net/tcp_listener.h"
 #include "sched/retry.h"
 
+#define PART_TRIAL_SERVERS_MAX 2 /* that end under one request */
+
 #define DOWNSTREAM_READ_AHEAD_MAX                                              \
   (64 * 1024) /* bytes; reading from the client pauses from here on */
 #define DOWNSTREAM_QUEUE_MAX                                                   \
@@ -154,7 +156,11 @@
   gboolean waited_for_config;
   GList parts_link; /* in awaiting_parts; data is NULL if it is not there */
   struct suspects_attempt suspects_attempt;
-  gboolean trial_broke;   /* the trial of a part has broken off under it */
+  gboolean trial_broke; /* the trial of a part has broken off under it */
+  /* Keys of the servers' lives that broke it off without an event, the first
+     ones. */
+  guint64 broken_servers[PART_TRIAL_SERVERS_MAX];
+  guint n_broken_servers;
   guint sent;             /* attempts that count towards the route's limit */
   gint64 attempt_started; /* clock time of the attempt's start */
   guint attempts;         /* all attempts, also those that reached no server */
--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -7,8 +7,9 @@
 #include "base/log.h"
 
 #define CONNECT_TIMEOUT_MS 400
-#define OPEN_MS 50 /* a connection that stays open shows that the server runs  \
-                    */
+#define OPEN_MS                                                                \
+  50 /* a connection that stays open shows that the server runs                \
+      */
 #define CONNECTIONS_MAX 4
 #define AGAIN_MS 10 /* until the next connection */
 
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -282,6 +282,29 @@
   return weight > SUSPECTS_WEIGHT_TRIAL;
 }
 
+/* Returns whether the server with key SERVER, which has broken off an attempt,
+   is being checked.  */
+gboolean
+suspects_is_checking (const struct suspects *suspects, guint64 server)
+{
+  for (guint i = 0; i < suspects->n_broken; i++)
+    if (suspects->broken[i].server == server)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether the server with key SERVER has ended under a request with a
+   part that may be the cause.  */
+gboolean
+suspects_has_ended (const struct suspects *suspects, guint64 server)
+{
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    if (suspects->crashes[i].server == server
+        && highest_weight (&suspects->crashes[i]) > 0)
+      return TRUE;
+  return FALSE;
+}
+
 gboolean
 suspects_is_held (const struct suspects *suspects, guint64 key)
 {
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -91,6 +91,8 @@
                                       const struct prompt_parts *parts,
                                       guint64 server, gint64 now);
 gboolean suspects_was_trial (const struct suspects_attempt *attempt);
+gboolean suspects_is_checking (const struct suspects *suspects, guint64 server);
+gboolean suspects_has_ended (const struct suspects *suspects, guint64 server);
 gboolean suspects_confirmed (const struct suspects *suspects,
                              const struct prompt_parts *parts);
 gint64 suspects_held_until (const struct suspects *suspects,
--- a/tests/explore/explore.h
+++ b/tests/explore/explore.h
@@ -37,6 +37,8 @@
   X (NOTHING_CLOSE, "nothing_close")                                           \
   X (NOTHING_RESET, "nothing_reset")                                           \
   X (SILENCE, "silence")                                                       \
+  X (NOTHING_END, "nothing_end") /* the server itself ends */                  \
+  X (HEAD_END, "head_end")                                                     \
   X (HEAD_CLOSE, "head_close")                                                 \
   X (HEAD_RESET, "head_reset")                                                 \
   X (PART_CLOSE, "part_close")     /* inside the first event or body */        \
@@ -186,8 +188,10 @@
   X (14, "a server is given more time than is left")                           \
   X (15, "a place at a server is not given back")                              \
   X (16, "an incomplete event is kept for the next attempt")                   \
-  X (17, "unread bytes of a kept connection are taken for the response")
-#define EXPLORE_PLANT_N 17
+  X (17, "unread bytes of a kept connection are taken for the response")       \
+  X (18, "a request that has ended two servers is sent to a third")            \
+  X (19, "an attempt that has ended stays a trial of its parts")
+#define EXPLORE_PLANT_N 19
 const char *explore_plant_name (guint plant);
 
 #endif
--- a/tests/explore/explore_client.c
+++ b/tests/explore/explore_client.c
@@ -30,7 +30,8 @@
   g_string_append_printf (
       text,
       "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\n"
-      "Authorization: Bearer " PROXY_TEST_KEY "\r\nContent-Length: 10\r\n",
+      "Authorization: Bearer " PROXY_TEST_KEY "\r\nContent-Length: 10\r\n"
+      "X-Prompt-Parts: shared:9,own:9\r\n",
       explore_path (explore_world.c.route), request->id);
   if (request->after[0] != '\0')
     g_string_append_printf (text, "Last-Event-ID: %s\r\n", request->after);
@@ -238,9 +239,9 @@
     }
   send_request (client, request);
   if (explore_world.c.client == EXPLORE_CLIENT_LEAVE_HEAD)
-    proxy_test_wait_until (has_arrived, NULL, EXPLORE_TIMEOUT_MS);
+    proxy_test_wait_until (has_arrived, NULL, explore_timeout_ms ());
   else
-    proxy_test_wait_until (has_head, client, EXPLORE_TIMEOUT_MS);
+    proxy_test_wait_until (has_head, client, explore_timeout_ms ());
   leave (client, request);
 }
 
--- a/tests/explore/explore_main.c
+++ b/tests/explore/explore_main.c
@@ -173,6 +173,12 @@
       return c->servers[0] == EXPLORE_SERVER_PART_CLOSE;
     case 17:
       return c->client == EXPLORE_CLIENT_NEXT;
+    case 18:
+      return c->route == EXPLORE_ROUTE_RESUME3
+             && c->servers[0] == EXPLORE_SERVER_NOTHING_END
+             && c->servers[1] == EXPLORE_SERVER_NOTHING_END;
+    case 19:
+      return c->servers[0] == EXPLORE_SERVER_HEAD_END;
     default:
       return TRUE;
     }
--- a/tests/explore/explore_oracle.c
+++ b/tests/explore/explore_oracle.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#define ENDED_MAX 2                   /* servers that end under one request */
 #define LATE_ARRIVAL_US (50 * CLK_MS) /* after the client has left */
 
 static void G_GNUC_PRINTF (2, 3)
@@ -230,6 +231,7 @@
 check_outcome (const struct explore_request *request)
 {
   guint runs = 0;
+  guint ended = 0;
   guint arrivals = 0;
   gboolean may_repeat = explore_may_repeat (explore_world.c.route);
   guint attempts = explore_attempts (explore_world.c.route);
@@ -244,12 +246,16 @@
       if (arrival->of != request)
         continue;
       runs += !arrival->not_run;
+      ended += explore_server_ends (arrival->server);
       arrivals += arrival->status != 421;
       if (request->left_at != 0
           && arrival->at > request->left_at + LATE_ARRIVAL_US)
         broken (EXPLORE_RULE_GONE, "%s: run %u after the client has left",
                 request->id, arrival->run);
     }
+  if (ended > ENDED_MAX || (ended == ENDED_MAX && arrivals > ENDED_MAX))
+    broken (EXPLORE_RULE_BUDGET, "%s has ended %u servers and went on",
+            request->id, ended);
   if (!may_repeat && runs > 1)
     broken (EXPLORE_RULE_TWICE, "%s ran %u times", request->id, runs);
   if (arrivals > attempts)
@@ -280,7 +286,7 @@
     }
   const char *deadline = proxy_test_field (request, "x-deadline-ms");
   guint most = arrival->of->deadline_ms > 0 ? arrival->of->deadline_ms
-                                            : EXPLORE_TIMEOUT_MS;
+                                            : explore_timeout_ms ();
   if (!g_str_equal (request->method, "POST")
       || !g_str_equal (request->target, explore_path (explore_world.c.route))
       || !g_str_equal (request->body->str, "body body."))
--- a/tests/explore/explore_plant.c
+++ b/tests/explore/explore_plant.c
@@ -27,7 +27,9 @@
   X (gboolean, str_eq, (struct str, struct str))                               \
   X (gssize, http_reader_feed,                                                 \
      (struct http_reader *, struct str, struct err *))                         \
-  X (void, scheduler_ended, (struct scheduler *, struct scheduler_entry *))
+  X (void, scheduler_ended, (struct scheduler *, struct scheduler_entry *))    \
+  X (gboolean, suspects_has_ended, (const struct suspects *, guint64))         \
+  X (void, suspects_end, (struct suspects *, struct suspects_attempt *))
 #define X(result, name, parameters)                                            \
   result __real_##name parameters;                                             \
   result __wrap_##name parameters;
@@ -170,6 +172,20 @@
     __real_scheduler_ended (scheduler, entry);
 }
 
+gboolean
+__wrap_suspects_has_ended (const struct suspects *suspects, guint64 server)
+{
+  return explore_plant != 18 && __real_suspects_has_ended (suspects, server);
+}
+
+void
+__wrap_suspects_end (struct suspects *suspects,
+                     struct suspects_attempt *attempt)
+{
+  if (explore_plant != 19)
+    __real_suspects_end (suspects, attempt);
+}
+
 void
 explore_put_field (GString *out, const char *name, const char *format, ...)
 {
--- a/tests/explore/explore_run.c
+++ b/tests/explore/explore_run.c
@@ -48,6 +48,23 @@
   return paths[route];
 }
 
+gboolean
+explore_server_ends (enum explore_server server)
+{
+  return server == EXPLORE_SERVER_NOTHING_END
+         || server == EXPLORE_SERVER_HEAD_END;
+}
+
+/* Returns the time-out of the routes of the case, in milliseconds.  */
+guint
+explore_timeout_ms (void)
+{
+  for (guint i = 0; i < EXPLORE_ATTEMPTS; i++)
+    if (explore_server_ends (explore_world.c.servers[i]))
+      return EXPLORE_TRIAL_TIMEOUT_MS;
+  return EXPLORE_TIMEOUT_MS;
+}
+
 static guint
 count_descriptors (void)
 {
@@ -80,7 +97,11 @@
 static void
 set_up (void)
 {
-  proxy_test_timeout_us = EXPLORE_TIMEOUT_MS * CLK_MS;
+  static struct counter_set counter_set;
+  const struct suspects_options suspects_options
+      = { .seed = 1, .counter_set = &counter_set };
+  proxy_test_suspects = suspects_new (&suspects_options);
+  proxy_test_timeout_us = explore_timeout_ms () * CLK_MS;
   /* With one server the next request gets the connection of the one before. */
   proxy_test_start (
       explore_world.c.client == EXPLORE_CLIENT_NEXT ? 1 : PROXY_TEST_SERVERS);
@@ -93,10 +114,15 @@
   proxy_test_script_all (explore_serve);
 }
 
-/* Checks that the requests have left nothing in the scheduler.  */
+/* Checks that the requests have left nothing in the scheduler, and no attempt
+   as a trial of its parts.  */
 static void
-check_scheduler (struct explore_result *result)
+check_remains (struct explore_result *result)
 {
+  struct suspects_trial trials[SUSPECTS_TRIALS_MAX];
+  suspects_expire (proxy_test_suspects, proxy_test_now (NULL) + CLK_S);
+  if (suspects_trials (proxy_test_suspects, trials, SUSPECTS_TRIALS_MAX) > 0)
+    explore_break (result, EXPLORE_RULE_REMAINS, "a part is still tried");
   if (scheduler_n_waiting (proxy_test.scheduler) > 0)
     explore_break (result, EXPLORE_RULE_REMAINS, "a request is still queued");
   guint n;
@@ -123,8 +149,9 @@
   explore_play_client ();
   proxy_test_run_for (SETTLE_MS);
   explore_check ();
-  check_scheduler (result);
+  check_remains (result);
   proxy_test_stop ();
+  g_clear_pointer (&proxy_test_suspects, suspects_free);
   if (count_descriptors () > descriptors)
     explore_break (result, EXPLORE_RULE_REMAINS, "%u descriptors more",
                    count_descriptors () - descriptors);
--- a/tests/explore/explore_server.c
+++ b/tests/explore/explore_server.c
@@ -130,6 +130,22 @@
     proxy_test_reset_link (w->link, w->request);
 }
 
+/* Ends the server: it closes all connections and refuses new ones.  */
+static void
+end_server (struct writer *w)
+{
+  struct proxy_test_server *server = w->request->server;
+  proxy_test_run_for (2); /* what was written arrives before */
+  g_clear_pointer (&server->listener, tcp_listener_free);
+  for (guint i = 0; i < server->links->len; i++)
+    {
+      struct proxy_test_link *link = server->links->pdata[i];
+      if (link->tcp_conn != NULL)
+        tcp_conn_reset (g_steal_pointer (&link->tcp_conn));
+      link->request = NULL;
+    }
+}
+
 static void
 begin (struct writer *w)
 {
@@ -273,6 +289,13 @@
       return;
     case EXPLORE_SERVER_SILENCE:
       return;
+    case EXPLORE_SERVER_NOTHING_END:
+      end_server (w);
+      return;
+    case EXPLORE_SERVER_HEAD_END:
+      begin (w);
+      end_server (w);
+      return;
     case EXPLORE_SERVER_HEAD_CLOSE:
       begin (w);
       close_link (w);
@@ -402,7 +425,7 @@
     case EXPLORE_EVENT_NONE:
       return;
     case EXPLORE_EVENT_STALL:
-      g_usleep ((EXPLORE_TIMEOUT_MS + 20) * CLK_MS);
+      g_usleep ((explore_timeout_ms () + 20) * CLK_MS);
       return;
     case EXPLORE_EVENT_TERM:
       proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
--- a/tests/explore/explore_world.h
+++ b/tests/explore/explore_world.h
@@ -9,8 +9,10 @@
 #define EXPLORE_EVENTS_OF_STREAM 4
 #define EXPLORE_PLAIN "plain\n\n" /* body that is no event stream */
 #define EXPLORE_TIMEOUT_MS 150    /* of the routes */
-#define EXPLORE_SHORT_MS 90       /* deadline of a client that asks for it */
-#define EXPLORE_STUCK_MS 4000     /* longest time of a case */
+/* The same if a server ends, and requests wait for the trial of a part. */
+#define EXPLORE_TRIAL_TIMEOUT_MS 900
+#define EXPLORE_SHORT_MS 90   /* deadline of a client that asks for it */
+#define EXPLORE_STUCK_MS 4000 /* longest time of a case */
 
 /* An attempt, as its server saw it.  */
 struct explore_arrival
@@ -60,6 +62,8 @@
 gboolean explore_may_repeat (enum explore_route route);
 guint explore_attempts (enum explore_route route);
 const char *explore_path (enum explore_route route);
+guint explore_timeout_ms (void);
+gboolean explore_server_ends (enum explore_server server);
 
 /* Server side: the script of all servers of the fixture.  */
 void explore_serve (struct proxy_test_link *link,
