Look suspected parts up in an index

Cause, by reading: the weight of a part was found by a walk over all crashes and their parts, and a request that waits for a trial asks for it dozens of times in each check: with 64 crashes of 32 parts some hundred thousand comparisons, 50 times a second for each waiting request. Change: an index of the suspected parts, made anew when crashes change; news of trials alone no longer determines the held parts anew. Waiting requests are checked every 20 ms, as in test_held_sound_part. Processor time was not measured.

--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -2,7 +2,7 @@
    they wait for the trial of the part, or are rejected.  */
 #include "gate/exchange_internal.h"
 
-#define CHECK_INTERVAL_MS 10 /* while requests wait for a trial */
+#define CHECK_INTERVAL_MS 20 /* while requests wait for a trial */
 
 static gboolean
 on_check_due (gpointer data)
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -38,6 +38,7 @@
   suspects->options = *options;
   suspects->rand = g_rand_new_with_seed (options->seed);
   g_queue_init (&suspects->attempts);
+  suspects->index = g_hash_table_new (g_int64_hash, g_int64_equal);
   suspects_trials_init (suspects);
   return suspects;
 }
@@ -48,24 +49,57 @@
   if (suspects == NULL)
     return;
   suspects_trials_free (suspects);
+  g_hash_table_unref (suspects->index);
   g_rand_free (suspects->rand);
   g_free (suspects);
 }
 
-/* Returns the highest weight that any crash gives the part KEY; 0: it is not
-   suspected.  */
+/* Returns how suspected the part KEY is; NULL: not at all. Valid until the next
+   change.  */
+const struct suspects_part *
+suspects_find_part (const struct suspects *suspects, guint64 key)
+{
+  return g_hash_table_lookup (suspects->index, &key);
+}
+
 guint
 suspects_weight_of (const struct suspects *suspects, guint64 key)
 {
-  guint weight = 0;
-  for (guint i = 0; i < suspects->n_crashes; i++)
+  const struct suspects_part *part = suspects_find_part (suspects, key);
+  return part != NULL ? part->weight : 0;
+}
+
+/* Adds a part of CRASH that nothing has cleared to the index.  */
+static void
+index_part (struct suspects *suspects, const struct suspects_crash *crash,
+            guint number)
+{
+  guint64 key = crash->parts.keys[number];
+  guint weight = crash->weights[number];
+  struct suspects_part *part = g_hash_table_lookup (suspects->index, &key);
+  if (part == NULL)
     {
-      const struct suspects_crash *crash = &suspects->crashes[i];
-      for (guint j = 0; j < crash->parts.n; j++)
-        if (crash->parts.keys[j] == key && !crash->cleared[j])
-          weight = MAX (weight, crash->weights[j]);
+      part = &suspects->parts[suspects->n_parts++];
+      *part = (struct suspects_part){ .key = key };
+      g_hash_table_insert (suspects->index, &part->key, part);
     }
-  return weight;
+  if (weight > part->weight || (weight == part->weight && crash->at > part->at))
+    {
+      part->weight = weight;
+      part->at = crash->at;
+      part->own = crash->own;
+    }
+}
+
+static void
+update_index (struct suspects *suspects)
+{
+  g_hash_table_remove_all (suspects->index);
+  suspects->n_parts = 0;
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    for (guint j = 0; j < suspects->crashes[i].parts.n; j++)
+      if (!suspects->crashes[i].cleared[j])
+        index_part (suspects, &suspects->crashes[i], j);
 }
 
 /* Returns the index of the most suspected of PARTS, and its weight in WEIGHT.
@@ -223,15 +257,25 @@
   suspects->n_held = n;
 }
 
-/* Something has changed, seen here if OWN or else told by a peer.  */
+/* Peers or waiting requests should know soon of what has changed here, if OWN,
+   or what a peer has told.  */
 void
-suspects_note_changed (struct suspects *suspects, gboolean own)
+suspects_tell (const struct suspects *suspects, gboolean own)
 {
-  update_held (suspects);
   if (suspects->options.changed != NULL)
     suspects->options.changed (suspects->options.ctx, own);
 }
 
+/* The crashes or what clears their parts have changed, here if OWN or else at a
+   peer.  */
+void
+suspects_note_changed (struct suspects *suspects, gboolean own)
+{
+  update_index (suspects);
+  update_held (suspects);
+  suspects_tell (suspects, own);
+}
+
 /* Returns for how long a part of WEIGHT is held before its next trial.  */
 gint64
 suspects_hold_us (guint weight)
@@ -240,24 +284,6 @@
   return HOLD_US << MIN (doublings, HOLD_DOUBLINGS_MAX);
 }
 
-/* Returns the latest crash that has made the part KEY as suspected as it is. */
-const struct suspects_crash *
-suspects_latest_crash (const struct suspects *suspects, guint64 key)
-{
-  const struct suspects_crash *latest = NULL;
-  guint weight = suspects_weight_of (suspects, key);
-  for (guint i = 0; i < suspects->n_crashes; i++)
-    {
-      const struct suspects_crash *crash = &suspects->crashes[i];
-      for (guint j = 0; j < crash->parts.n; j++)
-        if (crash->parts.keys[j] == key && !crash->cleared[j]
-            && crash->weights[j] == weight
-            && (latest == NULL || crash->at > latest->at))
-          latest = crash;
-    }
-  return latest;
-}
-
 /* Returns whether the attempt, which is in progress, has been sent as the trial
    of a part.  */
 gboolean
@@ -321,14 +347,12 @@
   for (guint i = 0; i < parts->n; i++)
     {
       guint64 key = parts->keys[i];
-      const struct suspects_crash *crash
+      const struct suspects_part *part
           = suspects_is_held (suspects, key)
-                ? suspects_latest_crash (suspects, key)
+                ? suspects_find_part (suspects, key)
                 : NULL;
-      if (crash != NULL)
-        until = MAX (
-            until,
-            crash->at + suspects_hold_us (suspects_weight_of (suspects, key)));
+      if (part != NULL)
+        until = MAX (until, part->at + suspects_hold_us (part->weight));
     }
   return until;
 }
@@ -353,7 +377,7 @@
   if (weight < SUSPECTS_WEIGHT_TRIAL)
     return;
   suspects_drop_claim (suspects, parts->keys[part]);
-  suspects_note_changed (suspects, TRUE);
+  suspects_tell (suspects, TRUE);
 }
 
 /* The attempt has ended, which says nothing about its parts.  */
@@ -365,7 +389,7 @@
   g_queue_unlink (&suspects->attempts, &attempt->link);
   attempt->link.data = NULL;
   if (suspects->told_trials)
-    suspects_note_changed (suspects, TRUE);
+    suspects_tell (suspects, TRUE);
 }
 
 /* A server has written on the prompt of the attempt: clears its parts.  */
@@ -543,7 +567,7 @@
   guint before = suspects->n_broken;
   drop_broken (suspects, server);
   if (suspects->n_broken < before)
-    suspects_note_changed (suspects, TRUE);
+    suspects_tell (suspects, TRUE);
 }
 
 /* Forgets what is out of date.  */
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -33,6 +33,16 @@
   gint64 fewest;       /* one with N_DOUBTFUL parts did */
 };
 
+/* A part that crashes make suspect.  */
+struct suspects_part
+{
+  guint64 key;
+  guint weight; /* the highest that a crash gives it */
+  /* Of the latest crash that does: */
+  gint64 at;
+  gboolean own;
+};
+
 /* A part on which a server has written.  */
 struct suspects_sound_part
 {
@@ -47,6 +57,9 @@
   struct suspects_crash crashes[SUSPECTS_CRASHES_MAX];
   guint n_crashes;
   guint64 n_changes;
+  struct suspects_part parts[SUSPECTS_CRASHES_MAX * PROMPT_PARTS_MAX];
+  guint n_parts;
+  GHashTable *index; /* key: struct suspects_part in PARTS */
   struct suspects_broken broken[SUSPECTS_BROKEN_MAX];
   guint n_broken;
   GQueue attempts; /* of struct suspects_attempt, borrowed */
@@ -61,12 +74,13 @@
 
 struct suspects_crash *suspects_add_crash (struct suspects *suspects);
 void suspects_note_changed (struct suspects *suspects, gboolean own);
+void suspects_tell (const struct suspects *suspects, gboolean own);
 guint suspects_weight_of (const struct suspects *suspects, guint64 key);
 guint suspects_most_suspected (const struct suspects *suspects,
                                const struct prompt_parts *parts,
                                const gboolean *cleared, guint *weight);
-const struct suspects_crash *
-suspects_latest_crash (const struct suspects *suspects, guint64 key);
+const struct suspects_part *suspects_find_part (const struct suspects *suspects,
+                                                guint64 key);
 gboolean suspects_is_held (const struct suspects *suspects, guint64 key);
 gint64 suspects_hold_us (guint weight);
 
--- a/packages/policy/crash_trials.c
+++ b/packages/policy/crash_trials.c
@@ -123,10 +123,9 @@
 static gboolean
 is_trial_due (const struct suspects *suspects, guint64 key, gint64 now)
 {
-  const struct suspects_crash *crash = suspects_latest_crash (suspects, key);
-  return crash != NULL && crash->own
-         && now - crash->at
-                >= suspects_hold_us (suspects_weight_of (suspects, key))
+  const struct suspects_part *part = suspects_find_part (suspects, key);
+  return part != NULL && part->own
+         && now - part->at >= suspects_hold_us (part->weight)
          && !is_in_progress (suspects, key)
          && !peers_state_of (suspects, key, now).tries;
 }
@@ -220,8 +219,7 @@
 }
 
 /* Returns whether one of the suspected PARTS is being tried, or is to be by a
-   request that goes before CLAIM, which is of another part then. SETTLED is the
-   time from which on a request with N doubtful parts may try them.  */
+   request that goes before CLAIM, which may be of another part.  */
 static gboolean
 is_contended (const struct suspects *suspects, const struct prompt_parts *parts,
               const struct suspects_claim *claim, gint64 now)
@@ -252,13 +250,10 @@
   gint64 latest = G_MININT64;
   for (guint i = 0; i < parts->n; i++)
     {
-      const struct suspects_crash *crash
-          = suspects_weight_of (suspects, parts->keys[i])
-                    >= SUSPECTS_WEIGHT_TRIAL
-                ? suspects_latest_crash (suspects, parts->keys[i])
-                : NULL;
-      if (crash != NULL)
-        latest = MAX (latest, crash->at);
+      const struct suspects_part *part
+          = suspects_find_part (suspects, parts->keys[i]);
+      if (part != NULL && part->weight >= SUSPECTS_WEIGHT_TRIAL)
+        latest = MAX (latest, part->at);
     }
   return latest;
 }
@@ -281,7 +276,7 @@
   if (claim->lowest_since == 0)
     {
       claim->lowest_since = now;
-      suspects_note_changed (suspects, TRUE);
+      suspects_tell (suspects, TRUE);
     }
   gint64 settled = latest_crash_time (suspects, parts)
                    + (n > 1 ? SETTLE_SEVERAL_US : SETTLE_US);
@@ -364,7 +359,7 @@
   if (n == 0)
     {
       if (known != NULL && g_hash_table_remove (suspects->peers, key))
-        suspects_note_changed (suspects, FALSE);
+        suspects_tell (suspects, FALSE);
       return;
     }
   if (known == NULL)
