Send parts that are not known to be sound one at a time after a crash

Cause: requests that had waited for the trial of a sound part were sent together when it was cleared. Change: for 2 s after a crash an instance sends one request at a time with a part on which no server has written within 30 s.

--- a/packages/policy/crash_exchange.c
+++ b/packages/policy/crash_exchange.c
@@ -59,6 +59,7 @@
       known = suspects_add_crash (suspects);
       *known = *crash;
       known->own = known->tell = FALSE;
+      suspects->last_crash_at = MAX (suspects->last_crash_at, crash->at);
       changed = TRUE;
     }
   for (guint i = 0; i < MIN (known->parts.n, crash->parts.n); i++)
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -36,6 +36,7 @@
 {
   struct suspects *suspects = g_new0 (struct suspects, 1);
   suspects->options = *options;
+  suspects->last_crash_at = G_MININT64 / 2;
   suspects->rand = g_rand_new_with_seed (options->seed);
   g_queue_init (&suspects->attempts);
   suspects->index = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -528,6 +529,7 @@
   crash->id = ((guint64)g_rand_int (suspects->rand) << 32)
               | g_rand_int (suspects->rand);
   memcpy (crash->weights, weights, sizeof weights);
+  suspects->last_crash_at = now;
 }
 
 /* Drops the broken attempts of SERVER.  */
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -56,6 +56,7 @@
   GRand *rand;
   struct suspects_crash crashes[SUSPECTS_CRASHES_MAX];
   guint n_crashes;
+  gint64 last_crash_at;
   guint64 n_changes;
   struct suspects_part parts[SUSPECTS_CRASHES_MAX * PROMPT_PARTS_MAX];
   guint n_parts;
--- a/packages/policy/crash_trials.c
+++ b/packages/policy/crash_trials.c
@@ -14,7 +14,8 @@
 /* Longer for a request with several doubtful parts. */
 #define SETTLE_SEVERAL_US (230 * CLK_MS)
 #define SOUND_KNOWN_US (30 * CLK_S)
-#define ORDER_BITS 24 /* random ones of the order of a claim */
+#define CAUTION_US (2 * CLK_S) /* after a crash */
+#define ORDER_BITS 24          /* random ones of the order of a claim */
 
 struct peer_trials
 {
@@ -284,6 +285,22 @@
          && (server == 0 || !has_trial (suspects, server, now));
 }
 
+/* Returns whether one of PARTS, on which no server has written lately, is on
+   its way to one, soon after a crash. Requests that have waited together for
+   the trial of one part may share another one that ends servers.  */
+static gboolean
+has_unknown_in_progress (const struct suspects *suspects,
+                         const struct prompt_parts *parts, gint64 now)
+{
+  if (now - suspects->last_crash_at >= CAUTION_US)
+    return FALSE;
+  for (guint i = 0; i < parts->n; i++)
+    if (!is_known_sound (suspects, parts->keys[i], now)
+        && is_in_progress (suspects, parts->keys[i]))
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns whether a request with PARTS may be sent to SERVER now, the key of
    its life; 0: to some server. A request that is to wait must be checked again
    every few milliseconds, or its claim of the trial ends.  */
@@ -302,7 +319,8 @@
     return SUSPECTS_WAIT;
   guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
   if (weight < SUSPECTS_WEIGHT_TRIAL)
-    return SUSPECTS_FREE;
+    return has_unknown_in_progress (suspects, parts, now) ? SUSPECTS_WAIT
+                                                          : SUSPECTS_FREE;
   return may_try (suspects, parts, parts->keys[part], server, now)
              ? SUSPECTS_TRIAL
              : SUSPECTS_WAIT;
