Do not wait for a long attempt before a suspected part is tried

Cause, by reading: a part counted as being tried while any attempt with it was in progress, a plain response that takes minutes too. After a crash of chance all requests with that part would have waited for it, up to their deadlines. Claims were told last, after all attempts in progress, so that after the crash of many servers peers would not have seen them; and only 16 were possible. Change: an attempt counts for 2 s from its begin; claims are told first, 16 entries instead of 8 a message; as many claims as crashes are possible.

--- a/bench/peers/bench_peers.c
+++ b/bench/peers/bench_peers.c
@@ -69,7 +69,7 @@
       = { .keys = { POPULAR_PART, 1000 + number }, .n = 2 };
   struct suspects_attempt attempt = { 0 };
   guint64 server = 1 + number;
-  suspects_begin (suspects[i], &attempt, &parts, server);
+  suspects_begin (suspects[i], &attempt, &parts, server, net.now);
   suspects_broke (suspects[i], &attempt, SUSPECTS_HEAD, net.now);
   suspects_server_ended (suspects[i], server, net.now);
 }
@@ -88,7 +88,8 @@
       if (suspects_check (watcher->suspects, &watcher->parts, 0, net.now)
           != SUSPECTS_TRIAL)
         continue;
-      suspects_begin (watcher->suspects, &watcher->attempt, &watcher->parts, 1);
+      suspects_begin (watcher->suspects, &watcher->attempt, &watcher->parts, 1,
+                      net.now);
       trials++;
     }
   return trials;
--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -175,7 +175,7 @@
   if (suspects != NULL)
     suspects_begin (suspects, &exchange->suspects_attempt,
                     &exchange->queue_entry.request.parts,
-                    registry_life_key (server));
+                    registry_life_key (server), exchange_now (exchange));
 }
 
 /* The server has written on the prompt of the request.  */
--- a/packages/peer/gossip_contents.c
+++ b/packages/peer/gossip_contents.c
@@ -366,7 +366,7 @@
       suspects->crashes[i].at = MAX (round->now - crashes[i]->at, 0);
     }
   suspects->n_trials = suspects_trials (gossip->suspects, suspects->trials,
-                                        SUSPECTS_TRIALS_MAX);
+                                        SUSPECTS_TRIALS_MAX, round->now);
 }
 
 /* Fills in the lists of a message to PEER. An unresponsive one gets members
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -362,7 +362,7 @@
    with number SERVER.  */
 void
 suspects_begin (struct suspects *suspects, struct suspects_attempt *attempt,
-                const struct prompt_parts *parts, guint64 server)
+                const struct prompt_parts *parts, guint64 server, gint64 now)
 {
   guint weight;
   suspects_end (suspects, attempt);
@@ -370,6 +370,7 @@
     return;
   attempt->parts = parts;
   attempt->server = server;
+  attempt->at = now;
   for (guint i = 0; i < parts->n; i++)
     attempt->weights[i] = (guint8)suspects_weight_of (suspects, parts->keys[i]);
   attempt->link = (GList){ .data = attempt };
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -16,7 +16,7 @@
 #include "base/counter.h"
 #include "policy/prompt_parts.h"
 
-#define SUSPECTS_TRIALS_MAX 8 /* of one instance that it tells */
+#define SUSPECTS_TRIALS_MAX 16 /* of one instance that it tells */
 
 /* X (NAME, "name"): what a broken attempt had got of its response  */
 #define SUSPECTS_EVIDENCE(X)                                                   \
@@ -62,6 +62,7 @@
   GList link;                       /* data is NULL: not in progress */
   const struct prompt_parts *parts; /* borrowed */
   guint64 server;                   /* key of its life */
+  gint64 at;                        /* begin */
   guint8 weights[PROMPT_PARTS_MAX]; /* of the parts when it was sent */
 };
 
@@ -99,7 +100,8 @@
                             const struct prompt_parts *parts, gint64 now);
 void suspects_begin (struct suspects *suspects,
                      struct suspects_attempt *attempt,
-                     const struct prompt_parts *parts, guint64 server);
+                     const struct prompt_parts *parts, guint64 server,
+                     gint64 now);
 void suspects_wrote (struct suspects *suspects,
                      struct suspects_attempt *attempt, gint64 now);
 void suspects_end (struct suspects *suspects, struct suspects_attempt *attempt);
@@ -119,7 +121,7 @@
 void suspects_merge (struct suspects *suspects,
                      const struct suspects_crash *crash);
 guint suspects_trials (struct suspects *suspects, struct suspects_trial *trials,
-                       guint max);
+                       guint max, gint64 now);
 void suspects_set_peer_trials (struct suspects *suspects, guint32 peer,
                                const struct suspects_trial *trials, guint n,
                                gint64 now);
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -7,7 +7,7 @@
 #define SUSPECTS_CRASHES_MAX 64
 #define SUSPECTS_BROKEN_MAX 32 /* attempts whose servers are being checked */
 #define SUSPECTS_HELD_MAX 16   /* parts */
-#define SUSPECTS_CLAIMS_MAX 16
+#define SUSPECTS_CLAIMS_MAX 64
 #define SUSPECTS_SOUND_MAX 512
 /* Weight from which on a part is tried by one request at a time.  */
 #define SUSPECTS_WEIGHT_TRIAL 2
--- a/packages/policy/crash_trials.c
+++ b/packages/policy/crash_trials.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define PEER_TRIALS_US (1 * CLK_S)   /* from the last message of the peer */
+#define TRIAL_US (2 * CLK_S)         /* the longest, from its begin */
 #define CLAIM_US (60 * CLK_MS)       /* from a claim to its trial */
 #define CLAIM_KEPT_US (300 * CLK_MS) /* without a request that wants it */
 /* From a crash to the next trial of its part: other crashes become known, and
@@ -67,13 +68,18 @@
   return state;
 }
 
+/* Returns whether the part KEY is on its way to a server. A plain response may
+   take minutes; after a while it says no more.  */
 static gboolean
-is_in_progress (const struct suspects *suspects, guint64 key)
+is_in_progress (const struct suspects *suspects, guint64 key, gint64 now)
 {
   for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
-    if (prompt_parts_contain (((const struct suspects_attempt *)l->data)->parts,
-                              key))
-      return TRUE;
+    {
+      const struct suspects_attempt *attempt = l->data;
+      if (now - attempt->at < TRIAL_US
+          && prompt_parts_contain (attempt->parts, key))
+        return TRUE;
+    }
   return FALSE;
 }
 
@@ -88,7 +94,7 @@
   for (const GList *l = suspects->attempts.head; l != NULL; l = l->next)
     {
       const struct suspects_attempt *attempt = l->data;
-      if (attempt->server != server)
+      if (attempt->server != server || now - attempt->at >= TRIAL_US)
         continue;
       suspects_most_suspected (suspects, attempt->parts, NULL, &weight);
       if (weight >= SUSPECTS_WEIGHT_TRIAL)
@@ -127,7 +133,7 @@
   const struct suspects_part *part = suspects_find_part (suspects, key);
   return part != NULL && part->own
          && now - part->at >= suspects_hold_us (part->weight)
-         && !is_in_progress (suspects, key)
+         && !is_in_progress (suspects, key, now)
          && !peers_state_of (suspects, key, now).tries;
 }
 
@@ -231,7 +237,7 @@
       if (suspects_weight_of (suspects, key) < SUSPECTS_WEIGHT_TRIAL)
         continue;
       struct peers_state peers = peers_state_of (suspects, key, now);
-      if (is_in_progress (suspects, key) || peers.tries
+      if (is_in_progress (suspects, key, now) || peers.tries
           || peers.lowest <= claim->order)
         return TRUE;
       for (guint j = 0; j < suspects->n_claims; j++)
@@ -296,7 +302,7 @@
     return FALSE;
   for (guint i = 0; i < parts->n; i++)
     if (!is_known_sound (suspects, parts->keys[i], now)
-        && is_in_progress (suspects, parts->keys[i]))
+        && is_in_progress (suspects, parts->keys[i], now))
       return TRUE;
   return FALSE;
 }
@@ -340,28 +346,30 @@
   return n;
 }
 
-/* Fills TRIALS with the suspected parts that are being tried here, and then
-   those that are claimed. Returns how many there are, MAX at most.  */
+/* Fills TRIALS with the suspected parts whose trials are claimed here, and then
+   those that are being tried. Returns how many there are, MAX at most.  */
 guint
 suspects_trials (struct suspects *suspects, struct suspects_trial *trials,
-                 guint max)
+                 guint max, gint64 now)
 {
   guint n = 0;
   suspects->told_trials = FALSE;
   if (suspects->n_crashes == 0)
     return 0;
+  for (guint i = 0; i < suspects->n_claims && n < max; i++)
+    trials[n++] = (struct suspects_trial){ .part = suspects->claims[i].part,
+                                           .order = suspects->claims[i].order };
   for (const GList *l = suspects->attempts.head; l != NULL && n < max;
        l = l->next)
     {
       const struct suspects_attempt *attempt = l->data;
+      if (now - attempt->at >= TRIAL_US)
+        continue;
       n = add_trial (suspects, attempt->parts, attempt->server, trials, n);
     }
   for (guint i = 0; i < suspects->n_broken && n < max; i++)
     n = add_trial (suspects, &suspects->broken[i].parts,
                    suspects->broken[i].server, trials, n);
-  for (guint i = 0; i < suspects->n_claims && n < max; i++)
-    trials[n++] = (struct suspects_trial){ .part = suspects->claims[i].part,
-                                           .order = suspects->claims[i].order };
   suspects->told_trials = n > 0;
   return n;
 }
--- a/tests/explore/explore_run.c
+++ b/tests/explore/explore_run.c
@@ -121,7 +121,9 @@
 {
   struct suspects_trial trials[SUSPECTS_TRIALS_MAX];
   suspects_expire (proxy_test_suspects, proxy_test_now (NULL) + CLK_S);
-  if (suspects_trials (proxy_test_suspects, trials, SUSPECTS_TRIALS_MAX) > 0)
+  if (suspects_trials (proxy_test_suspects, trials, SUSPECTS_TRIALS_MAX,
+                       proxy_test_now (NULL))
+      > 0)
     explore_break (result, EXPLORE_RULE_REMAINS, "a part is still tried");
   if (scheduler_n_waiting (proxy_test.scheduler) > 0)
     explore_break (result, EXPLORE_RULE_REMAINS, "a request is still queued");
--- a/tests/unit/test_held_sound_part.c
+++ b/tests/unit/test_held_sound_part.c
@@ -167,7 +167,8 @@
   for (guint i = 0; i < n; i++)
     g_array_append_val (message->crashes, *found[i]);
   message->n_trials
-      = suspects_trials (from->suspects, message->trials, SUSPECTS_TRIALS_MAX);
+      = suspects_trials (from->suspects, message->trials, SUSPECTS_TRIALS_MAX,
+                         from->world->sim.clk.t);
   after (to, CLK_MS / 2 + sim_delay (&from->world->sim, NETWORK_MAX_US),
          on_message, message);
 }
@@ -349,7 +350,7 @@
   request->sent_at = now;
   request->in_progress = TRUE;
   suspects_begin (suspects, &request->attempt, &request->parts,
-                  server_key (number, server->life));
+                  server_key (number, server->life), now);
   sim_after (&world->sim,
              g_rand_int_range (world->sim.rand, PREFILL_MIN_MS, PREFILL_MAX_MS)
                  * CLK_MS,
--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -55,7 +55,7 @@
 {
   const struct prompt_parts parts = parts_of (text);
   struct suspects_attempt attempt = { .server = 0 };
-  suspects_begin (suspects, &attempt, &parts, server);
+  suspects_begin (suspects, &attempt, &parts, server, now);
   CU_ASSERT_TRUE (suspects_broke (suspects, &attempt, SUSPECTS_HEAD, now));
   suspects_server_ended (suspects, server, now);
 }
@@ -66,7 +66,7 @@
 {
   const struct prompt_parts parts = parts_of (text);
   struct suspects_attempt attempt = { .server = 0 };
-  suspects_begin (suspects, &attempt, &parts, server);
+  suspects_begin (suspects, &attempt, &parts, server, 0);
   suspects_wrote (suspects, &attempt, 0);
 }
 
@@ -131,7 +131,7 @@
   const struct prompt_parts parts = parts_of ("ab");
   struct suspects_attempt attempts[6] = { 0 };
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
-    suspects_begin (suspects, &attempts[i], &parts, i + 1);
+    suspects_begin (suspects, &attempts[i], &parts, i + 1, CLK_S);
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
     {
       suspects_broke (suspects, &attempts[i], SUSPECTS_HEAD, CLK_S);
@@ -153,11 +153,11 @@
   for (guint i = 1; i <= 3; i++)
     {
       struct suspects_attempt attempts[2] = { 0 };
-      suspects_begin (suspects, &attempts[0], &bad, i);
+      suspects_begin (suspects, &attempts[0], &bad, i, i * CLK_S);
       if (i > 1)
         CU_ASSERT_EQUAL (suspects_check (suspects, &sound, i, i * CLK_S),
                          SUSPECTS_WAIT);
-      suspects_begin (suspects, &attempts[1], &sound, i);
+      suspects_begin (suspects, &attempts[1], &sound, i, i * CLK_S);
       suspects_broke (suspects, &attempts[0], SUSPECTS_HEAD, i * CLK_S);
       suspects_broke (suspects, &attempts[1], SUSPECTS_HEAD, i * CLK_S);
       suspects_server_ended (suspects, i, i * CLK_S);
@@ -177,7 +177,7 @@
   const struct prompt_parts parts = parts_of ("ax");
   struct suspects_attempt attempt = { 0 };
   crash (suspects, "ax", 1, CLK_S);
-  suspects_begin (suspects, &attempt, &parts, 2);
+  suspects_begin (suspects, &attempt, &parts, 2, CLK_S);
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_WAIT);
   suspects_broke (suspects, &attempt, SUSPECTS_HEAD, CLK_S);
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_WAIT);
@@ -209,7 +209,8 @@
   crash (suspects, "ax", 1, now);
   now += SETTLED_US;
   CU_ASSERT_EQUAL (suspects_check (suspects, &both, 0, now), SUSPECTS_WAIT);
-  CU_ASSERT_EQUAL (suspects_trials (suspects, trials, SUSPECTS_TRIALS_MAX), 1);
+  CU_ASSERT_EQUAL (suspects_trials (suspects, trials, SUSPECTS_TRIALS_MAX, now),
+                   1);
   struct suspects_trial peer = trials[0];
   CU_ASSERT_EQUAL (peer.server, 0);
   CU_ASSERT_EQUAL (peer.part, prompt_part_key (STR_LIT ("x")));
@@ -224,7 +225,24 @@
   suspects_set_peer_trials (suspects, 7, NULL, 0, now);
   now += 2 * CLK_S;
   suspects_expire (suspects, now);
-  CU_ASSERT_EQUAL (suspects_trials (suspects, trials, SUSPECTS_TRIALS_MAX), 0);
+  CU_ASSERT_EQUAL (suspects_trials (suspects, trials, SUSPECTS_TRIALS_MAX, now),
+                   0);
+  suspects_free (suspects);
+}
+
+/* A response that takes minutes does not keep the requests with a suspected
+   part waiting for as long.  */
+static void
+test_long_attempt (void)
+{
+  struct suspects *suspects = new_suspects (16);
+  const struct prompt_parts parts = parts_of ("ab");
+  struct suspects_attempt attempt = { 0 };
+  suspects_begin (suspects, &attempt, &parts, 1, CLK_S);
+  crash (suspects, "a", 2, 2 * CLK_S);
+  CU_ASSERT_EQUAL (check (suspects, "a", 2 * CLK_S), SUSPECTS_WAIT);
+  CU_ASSERT_EQUAL (check (suspects, "a", 4 * CLK_S), SUSPECTS_TRIAL);
+  suspects_end (suspects, &attempt);
   suspects_free (suspects);
 }
 
@@ -237,7 +255,7 @@
   const struct prompt_parts parts = parts_of ("x");
   struct suspects_attempt attempts[4] = { 0 };
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
-    suspects_begin (suspects, &attempts[i], &parts, i + 1);
+    suspects_begin (suspects, &attempts[i], &parts, i + 1, CLK_S);
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
     {
       suspects_broke (suspects, &attempts[i], SUSPECTS_HEAD, CLK_S);
@@ -258,7 +276,7 @@
   for (guint i = 1; i <= 10; i++)
     {
       struct suspects_attempt attempt = { 0 };
-      suspects_begin (suspects, &attempt, &parts, i);
+      suspects_begin (suspects, &attempt, &parts, i, i * CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_HEAD, i * CLK_S);
       if (i % 2 == 0)
         suspects_server_lives (suspects, i);
@@ -305,7 +323,7 @@
   while (check (suspects, "x", CLK_S) != SUSPECTS_HELD && crashes < 9)
     {
       struct suspects_attempt attempt = { 0 };
-      suspects_begin (suspects, &attempt, &parts, ++crashes);
+      suspects_begin (suspects, &attempt, &parts, ++crashes, CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_NO_HEAD, CLK_S);
       suspects_server_ended (suspects, crashes, CLK_S);
     }
@@ -327,7 +345,7 @@
       struct suspects_attempt attempt = { 0 };
       parts.keys[0] = 1000 + i;
       parts.keys[1] = 5000 + i;
-      suspects_begin (suspects, &attempt, &parts, 100 + i);
+      suspects_begin (suspects, &attempt, &parts, 100 + i, CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_HEAD, CLK_S);
       suspects_server_ended (suspects, 100 + i, CLK_S);
     }
@@ -443,7 +461,7 @@
       struct suspects_attempt attempt = { 0 };
       for (guint j = 0; j < PROMPT_PARTS_MAX; j++)
         parts.keys[j] = G_MAXUINT64 - i * PROMPT_PARTS_MAX - j;
-      suspects_begin (fleet[0], &attempt, &parts, 100 + i);
+      suspects_begin (fleet[0], &attempt, &parts, 100 + i, net.now);
       suspects_broke (fleet[0], &attempt, SUSPECTS_HEAD, net.now);
       suspects_server_ended (fleet[0], 100 + i, net.now);
     }
@@ -464,6 +482,7 @@
   { "two suspects on one server", test_two_on_one_server },
   { "one trial at a time", test_one_trial },
   { "several claim a trial", test_claims },
+  { "a long attempt", test_long_attempt },
   { "many servers at once, then a trial", test_many_servers },
   { "streams reset by servers that live", test_resets },
   { "a hold ends", test_hold_ends },
