Give short deadlines time for a trial in the explorer

Change: with a server that ends the short deadline is 600 ms, as the time-out of the routes is longer there too.

--- a/tests/explore/explore_world.h
+++ b/tests/explore/explore_world.h
@@ -11,6 +11,7 @@
 #define EXPLORE_TIMEOUT_MS 150    /* of the routes */
 /* The same if a server ends, and requests wait for the trial of a part. */
 #define EXPLORE_TRIAL_TIMEOUT_MS 900
+#define EXPLORE_TRIAL_SHORT_MS 600
 #define EXPLORE_SHORT_MS 90   /* deadline of a client that asks for it */
 #define EXPLORE_STUCK_MS 4000 /* longest time of a case */
 
@@ -63,6 +64,7 @@
 guint explore_attempts (enum explore_route route);
 const char *explore_path (enum explore_route route);
 guint explore_timeout_ms (void);
+guint explore_short_ms (void);
 gboolean explore_server_ends (enum explore_server server);
 
 /* Server side: the script of all servers of the fixture.  */
