--- a/tests/unit/test_held_sound_part.c
+++ b/tests/unit/test_held_sound_part.c
@@ -111,7 +111,7 @@
   guint n_crashes;  /* not by chance */
   guint held_sound; /* checks that found a sound part held */
   gint64 waited;    /* by sound requests, the longest */
-  char held[8];     /* the first sound part held */
+  char held[8];     /* parts of the first of them */
 };
 
 static gboolean
