--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -474,6 +474,63 @@
   stop_fleet (4);
 }
 
+/* A damaged message that decodes changes what is suspected, but causes no
+   memory error.  */
+static void
+test_damaged_messages (void)
+{
+  static struct gossip_message message;
+  static struct gossip_message read;
+  struct gossip_message_suspects *told = &message.suspects;
+  struct suspects *suspects = new_suspects (17);
+  GRand *rand = g_rand_new_with_seed (17);
+  GByteArray *bytes = g_byte_array_new ();
+  struct err err = { 0 };
+  guint n_merged = 0;
+  g_strlcpy (message.id, "n1", sizeof message.id);
+  g_strlcpy (message.domain, "d1", sizeof message.domain);
+  told->range.through = told->n_crashes = 3;
+  for (guint i = 0; i < told->n_crashes; i++)
+    told->crashes[i]
+        = (struct suspects_crash){ .id = i + 1,
+                                   .server = i + 1,
+                                   .at = i * CLK_S,
+                                   .parts = { .keys = { 7, 8 + i }, .n = 2 },
+                                   .weights = { 2 * (i + 1), 2 } };
+  told->trials[told->n_trials++] = (struct suspects_trial){ 7, 1, 0 };
+  told->trials[told->n_trials++] = (struct suspects_trial){ 8, 0, 1U << 25 };
+  gossip_message_encode (&message, bytes);
+  for (gint64 now = CLK_S; now < 30000 * CLK_MS; now += CLK_MS)
+    {
+      const struct prompt_parts parts
+          = { .keys = { g_rand_int (rand) % 16, 7 }, .n = 2 };
+      guint8 *copy = g_memdup2 (bytes->data, bytes->len);
+      for (guint k = 0; k < 1 + now / CLK_MS % 3; k++)
+        copy[g_rand_int_range (rand, 0, (gint)bytes->len)]
+            = (guint8)g_rand_int_range (rand, 0, 256);
+      const struct str text = { (const char *)copy, bytes->len };
+      gboolean ok = gossip_message_decode (text, &read, &err) == 0;
+      g_free (copy);
+      if (!ok)
+        continue;
+      for (guint i = 0; i < read.suspects.n_crashes; i++, n_merged++)
+        {
+          struct suspects_crash crash = read.suspects.crashes[i];
+          crash.at = now - crash.at;
+          suspects_merge (suspects, &crash);
+        }
+      suspects_set_peer_trials (suspects, g_rand_int (rand) % 8,
+                                read.suspects.trials, read.suspects.n_trials,
+                                now);
+      suspects_check (suspects, &parts, 0, now);
+      suspects_expire (suspects, now);
+    }
+  CU_ASSERT_TRUE (n_merged > 1000);
+  g_byte_array_unref (bytes);
+  g_rand_free (rand);
+  suspects_free (suspects);
+}
+
 static CU_TestInfo tests[] = {
   { "the shared part is held", test_holds_the_shared_part },
   { "parts that are always together", test_parts_together },
@@ -493,6 +550,7 @@
   { "a large fleet", test_large_fleet },
   { "an instance that starts again", test_restart },
   { "long messages", test_long_messages },
+  { "damaged messages", test_damaged_messages },
   CU_TEST_INFO_NULL,
 };
 
