--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -213,8 +213,7 @@
   return TRUE;
 }
 
-/* Returns whether the part KEY with WEIGHT, which explains CRASH, is to be
- * held.
+/* Returns whether KEY, a part with WEIGHT that explains CRASH, is to be held.
  */
 static gboolean
 is_convicted (const struct suspects *suspects,
