Let test_gate_shutdown wait for its requests and long responses

Cause: the test gave its requests 50 ms to arrive, and cases with a response of 7 MB left the 1.5 s of the fixture's routes for it, which such a machine exceeds (the first check that failed is on the status and the bytes received). Change: it waits until all requests are at servers or queued; the cases with long responses have routes of 10 s.

--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -8,6 +8,7 @@
 #define PAST_NOTICE_MS 2700 /* the proxy closes idle connections before */
 #define PAST_LINGER_MS 2500 /* longer than the wait for the peer's FIN */
 #define SHORT_LIMIT_US (1 * CLK_S)
+#define LONG_TIMEOUT_US (10 * CLK_S)
 #define LIMIT_CLIENTS 60       /* more than two servers take at once */
 #define BUSY_US (450 * CLK_MS) /* length of a main loop iteration */
 #define BUSY_LIMIT_US (4 * CLK_S)
@@ -40,17 +41,30 @@
   CU_ASSERT_EQUAL (response.status, 200);
   CU_ASSERT_TRUE (response.complete);
   CU_ASSERT_EQUAL (response.body->len, PROXY_TEST_LONG_BYTES);
+  if (response.status != 200)
+    g_print ("status %u: %s\n", response.status, response.body->str);
   proxy_test_response_clear (&response);
 }
 
-/* A response that a slow client has not read when its connection is to be
-   closed must still reach it.  */
+/* Starts a proxy whose server sends long responses; its routes leave time for
+   them on a busy machine.  */
 static void
-test_slow_reader_of_last_response (void)
+start_with_long_responses (void)
 {
+  gint64 before = proxy_test_timeout_us;
+  proxy_test_timeout_us = LONG_TIMEOUT_US;
   proxy_test_start (1);
   proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_timeout_us = before;
   proxy_test_script_all (proxy_test_respond_long);
+}
+
+/* A response that a slow client has not read when its connection is to be
+   closed must still reach it.  */
+static void
+test_slow_reader_of_last_response (void)
+{
+  start_with_long_responses ();
   struct proxy_test_client *client = proxy_test_open_stalled_client ();
   proxy_test_send_request (client, "/again/x", "Connection: close\r\n");
   proxy_test_run_for (PAST_LINGER_MS);
@@ -63,9 +77,7 @@
 static void
 test_shutdown_sends_responses (void)
 {
-  proxy_test_start (1);
-  proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_test_script_all (proxy_test_respond_long);
+  start_with_long_responses ();
   struct proxy_test_client *client = proxy_test_open_stalled_client ();
   proxy_test_send_request (client, "/again/x", "");
   proxy_test_run_for (50);
@@ -99,6 +111,15 @@
   proxy_free (g_steal_pointer (&proxy_test.reverse_proxy));
 }
 
+/* Returns whether all requests are at servers or queued.  */
+static gboolean
+have_arrived (void *ctx)
+{
+  (void)ctx;
+  return proxy_test_n_requests () + scheduler_n_waiting (proxy_test.scheduler)
+         == LIMIT_CLIENTS;
+}
+
 /* Sends more requests for PATH than the servers take, one on each of CLIENTS.
  */
 static void
@@ -109,7 +130,8 @@
   proxy_test_run_for (50);
   for (guint i = 0; i < LIMIT_CLIENTS; i++)
     proxy_test_send_request (clients[i], path, "");
-  proxy_test_run_for (50);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (have_arrived, NULL, PROXY_TEST_WAIT_MS));
   CU_ASSERT_TRUE (proxy_test_n_requests () > 0);
   CU_ASSERT_TRUE (scheduler_n_waiting (proxy_test.scheduler) > 0);
 }
@@ -158,6 +180,7 @@
   struct proxy_test_client *clients[LIMIT_CLIENTS];
   start_with_limit (2, SHORT_LIMIT_US);
   fill_queue (clients, "/again/x");
+  CU_ASSERT_TRUE_FATAL (proxy_test.servers[0].links->len > 0);
   struct proxy_test_link *link
       = g_ptr_array_index (proxy_test.servers[0].links, 0);
   proxy_test_reset_link (link, link->request);
@@ -373,9 +396,7 @@
 test_steady_slow_reader (void)
 {
   static char bytes[SLOW_READ_BYTES];
-  proxy_test_start (1);
-  proxy_test_set_table (1, PROXY_TEST_KEY);
-  proxy_test_script_all (proxy_test_respond_long);
+  start_with_long_responses ();
   int fd = proxy_test_connect_socket (TRUE);
   char *request
       = g_strdup_printf ("POST /open/x HTTP/1.1\r\nHost: a.example\r\n"
