Keep the port of a test's server while it is down

Change: scripted servers and the proxy fixture hold their port with a socket that is bound and does not listen; connections are refused as before.

--- a/tests/harness/scripted_server.c
+++ b/tests/harness/scripted_server.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "harness/reserved_port.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
 #include "net/tcp_listener.h"
@@ -14,6 +15,8 @@
   struct tcp_listener *listener; /* NULL: down */
   char address[ERR_PEER_MAX];
   guint port;
+  int reserved_fd; /* bound to the port, so that no other process takes it while
+                      the server is down */
   GPtrArray *connections; /* of struct scripted_connection, owned */
 };
 
@@ -308,11 +311,10 @@
   server->ctx = ctx;
   server->hints = hints;
   server->connections = g_ptr_array_new_with_free_func (connection_free);
-  g_strlcpy (server->address, "127.0.0.1:0", sizeof server->address);
-  start_listening (server);
-  server->port = tcp_listener_port (server->listener);
+  server->port = reserved_port_open (&server->reserved_fd);
   g_snprintf (server->address, sizeof server->address, "127.0.0.1:%u",
               server->port);
+  start_listening (server);
   return server;
 }
 
@@ -333,6 +335,7 @@
 {
   g_ptr_array_unref (server->connections);
   tcp_listener_free (server->listener);
+  close (server->reserved_fd);
   server_hints_free (server->hints);
   g_free (server);
 }
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -1,5 +1,7 @@
 #include "unit/proxy_fixture.h"
 
+#include "harness/reserved_port.h"
+
 struct proxy_test proxy_test;
 struct suspects *proxy_test_suspects;
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
@@ -323,11 +325,11 @@
       struct proxy_test_server *server = &proxy_test.servers[i];
       server->links = g_ptr_array_new_with_free_func (proxy_test_link_free);
       server->script = proxy_test_respond_ok;
-      server->listener
-          = tcp_listener_new ("127.0.0.1:0", proxy_test_accepted, server, &err);
-      g_assert_nonnull (server->listener);
       g_snprintf (server->address, sizeof server->address, "127.0.0.1:%u",
-                  tcp_listener_port (server->listener));
+                  reserved_port_open (&server->reserved_fd));
+      server->listener = tcp_listener_new (server->address, proxy_test_accepted,
+                                           server, &err);
+      g_assert_nonnull (server->listener);
       g_snprintf (server->id, sizeof server->id, "s-%u", i);
     }
   if (n_servers > 0)
@@ -342,6 +344,7 @@
     {
       g_ptr_array_unref (proxy_test.servers[i].links);
       tcp_listener_free (proxy_test.servers[i].listener);
+      close (proxy_test.servers[i].reserved_fd);
     }
   scheduler_free (proxy_test.scheduler);
   registry_free (proxy_test.registry);
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -43,6 +43,7 @@
 struct proxy_test_server
 {
   struct tcp_listener *listener;
+  int reserved_fd; /* keeps the port if the listener is closed */
   proxy_test_script script;
   proxy_test_script head_script; /* called before the body has been read; NULL:
                                     none */
