--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -46,6 +46,9 @@
   X (PARTS_HELD, "parts_held", "parts of prompts held for crashing servers")   \
   X (PART_REJECTED, "part_refused", "requests rejected for a held part")       \
   X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
+  X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
+  X (LIMITS_INVALID, "limits_invalid",                                         \
+     "responses that name a limit that is not valid")                          \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
   X (BYTES_IN, "peer_bytes_in", "bytes from other instances")                  \
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "base/str.h"
 #include "policy/server_health.h"
+#include "policy/server_limit.h"
 
 /* An entry of the store's list. */
 struct registry_entry
@@ -58,6 +59,7 @@
   struct server_health server_health; /* as measured by this instance */
   gint64 avoid_until; /* not to be used before this clock time; 0: no limit */
   struct registry_backoff backoff;
+  struct server_limit limit;
   guint unreachable_in_row; /* consecutive attempts that could not reach it */
   gint64 last_reached;      /* clock time of its last message; 0: never */
   gint64 said_leaving_at; /* clock time of its first response that says that it
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -28,6 +28,8 @@
     .signature = "X-Signature",
     /* 1 in responses of a server that is leaving. */
     .leaving = "X-Leaving",
+    /* Requests a second that the server takes from all instances together. */
+    .limit = "X-Limit",
     /* Id of the event after which a stream is resumed. */
     .last_event = "Last-Event-ID",
     .model = "X-Model",
--- a/packages/gate/header_names.h
+++ b/packages/gate/header_names.h
@@ -15,6 +15,7 @@
   X (not_run)                                                                  \
   X (signature)                                                                \
   X (leaving)                                                                  \
+  X (limit)                                                                    \
   X (last_event)                                                               \
   X (model)                                                                    \
   X (token_counts)                                                             \
--- a/packages/gate/response_hints.c
+++ b/packages/gate/response_hints.c
@@ -34,12 +34,63 @@
   return 0;
 }
 
-/* Records what HEAD says of SERVER, which has sent it.  */
+/* Reads the limit that HEAD names into PER_S; 0: none. Returns FALSE if what it
+   names is not valid, which is logged and ignored: the limit stays as it was.
+ */
+static gboolean
+read_limit (const struct reverse_proxy *reverse_proxy,
+            const struct registry_server *server, const char *request_id,
+            const struct http_head *head, double *per_s)
+{
+  const char *name = reverse_proxy->header_names->limit;
+  struct str value;
+  *per_s = 0;
+  if (!http_head_get (head, name, &value))
+    return TRUE;
+  if (http_head_count (head, name) == 1 && http_parse_decimal (value, per_s)
+      && *per_s > 0 && *per_s <= SERVER_LIMIT_MAX_PER_S)
+    return TRUE;
+  counter_add (reverse_proxy->options.counter_set, COUNTER_LIMITS_INVALID, 1);
+  log_write (&(struct log_entry){ .level = LOG_WARN,
+                                  .event = "server.limit_invalid",
+                                  .request_id = request_id,
+                                  .peer = server->entry.id },
+             "%s is not one number of requests a second: %.*s", name,
+             (int)MIN (value.n, LOGGED_VALUE_MAX), value.p);
+  return FALSE;
+}
+
+/* Records the limit that HEAD, the response to a request that was sent at
+   STARTED, names.  */
+static void
+record_limit (struct reverse_proxy *reverse_proxy,
+              struct registry_server *server, const char *request_id,
+              const struct http_head *head, gint64 started)
+{
+  gint64 now = clk_now (reverse_proxy->options.clk);
+  struct server_limit_report report
+      = { .after = started, .before = now, .source = SERVER_LIMIT_OWN };
+  double known = server->limit.report.per_s;
+  if (!read_limit (reverse_proxy, server, request_id, head, &report.per_s)
+      || !server_limit_update (&server->limit, &report, now))
+    return;
+  counter_add (reverse_proxy->options.counter_set, COUNTER_LIMITS_NAMED, 1);
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = "server.limit",
+                                  .request_id = request_id,
+                                  .peer = server->entry.id },
+             "per_s=%g before=%g source=%s", report.per_s, known,
+             server_limit_source_name (report.source));
+}
+
+/* Records what HEAD says of SERVER, which has sent it in response to a request
+   that was sent at STARTED.  */
 void
 response_hints_record (struct reverse_proxy *reverse_proxy,
                        struct registry_server *server, const char *request_id,
-                       const struct http_head *head)
+                       const struct http_head *head, gint64 started)
 {
+  record_limit (reverse_proxy, server, request_id, head, started);
   gint64 us = read_backoff (server, request_id, head);
   if (us <= 0)
     {
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -409,6 +409,9 @@
       json, "backoff_ms",
       MAX (server->backoff.until - clk_now (reverse_proxy->options.clk), 0)
           / CLK_MS);
+  json_add_double (json, "limit_per_s", server->limit.report.per_s);
+  json_add_str (json, "limit_source",
+                server_limit_source_name (server->limit.report.source));
   json_add_int (json, "requests", load.requests);
   json_add_int (json, "unread_tokens", (gint64)load.prefill_tokens);
   json_add_int (json, "memory_tokens", (gint64)load.memory);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -254,7 +254,7 @@
 void response_hints_record (struct reverse_proxy *reverse_proxy,
                             struct registry_server *server,
                             const char *request_id,
-                            const struct http_head *head);
+                            const struct http_head *head, gint64 started);
 
 /* A response that the reverse proxy generates itself. */
 struct local_response
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -190,7 +190,7 @@
   upstream->response_started = TRUE;
   if (head->status != 421)
     response_hints_record (upstream->reverse_proxy, upstream->server,
-                           upstream->exchange->id, head);
+                           upstream->exchange->id, head, upstream->started);
   upstream->relaying
       = is_success (head)
         && (upstream->exchange->head_sent
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -194,10 +194,10 @@
   return TRUE;
 }
 
-/* Parses seconds with an optional fraction, of less than 1e6, into
-   microseconds. Returns FALSE if TEXT is anything else.  */
+/* Parses a decimal number without sign or exponent. Returns FALSE if TEXT is
+   anything else.  */
 gboolean
-http_parse_seconds (struct str text, gint64 *us)
+http_parse_decimal (struct str text, double *number)
 {
   char copy[32];
   text = http_trim (text);
@@ -209,8 +209,17 @@
   memcpy (copy, text.p, text.n);
   copy[text.n] = '\0';
   char *end;
-  double seconds = g_ascii_strtod (copy, &end);
-  if (*end != '\0' || !(seconds >= 0 && seconds < 1e6))
+  *number = g_ascii_strtod (copy, &end);
+  return *end == '\0';
+}
+
+/* Parses seconds with an optional fraction, of less than 1e6, into
+   microseconds. Returns FALSE if TEXT is anything else.  */
+gboolean
+http_parse_seconds (struct str text, gint64 *us)
+{
+  double seconds;
+  if (!http_parse_decimal (text, &seconds) || seconds >= 1e6)
     return FALSE;
   *us = (gint64)(seconds * 1e6);
   return TRUE;
--- a/packages/http/head.h
+++ b/packages/http/head.h
@@ -53,6 +53,7 @@
 gboolean http_equals_ignore_case (struct str a, const char *b);
 struct str http_trim (struct str s);
 gboolean http_parse_number (struct str text, guint64 *number);
+gboolean http_parse_decimal (struct str text, double *number);
 gboolean http_parse_seconds (struct str text, gint64 *us);
 
 void http_put_field (GString *out, const char *name, const char *format, ...)
--- /dev/null
+++ b/tests/harness/proxy_fleet.c
@@ -0,0 +1,170 @@
+#include "harness/proxy_fleet.h"
+
+#include "unit/unit.h"
+
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define REAP_MS 3000 /* until a killed process is gone */
+
+/* Creates object NAME of the store with BODY, or deletes it if BODY is NULL. */
+static void
+put (const struct proxy_fleet *fleet, const char *name, const char *body)
+{
+  char *path = g_strdup_printf ("/objects/%s", name);
+  struct harness_request request = { .port = fleet->store->port, .path = path };
+  const char *headers[] = { "If-None-Match", "*", NULL };
+  struct harness_response *before = harness_request (&request);
+  if (body == NULL)
+    {
+      headers[0] = "If-Match";
+      headers[1] = g_hash_table_lookup (before->headers, "etag");
+    }
+  request.method = body != NULL ? "PUT" : "DELETE";
+  request.headers = headers;
+  request.body = body;
+  struct harness_response *response = harness_request (&request);
+  CU_ASSERT_EQUAL (response->status, 200);
+  harness_response_free (response);
+  harness_response_free (before);
+  g_free (path);
+}
+
+static char *
+server_name (guint number, guint life)
+{
+  return g_strdup_printf ("servers/s-%u-%u", number, life);
+}
+
+void
+proxy_fleet_list_server (const struct proxy_fleet *fleet, guint number,
+                         guint life, guint port)
+{
+  char *name = server_name (number, life);
+  char *body = g_strdup_printf (
+      "{\"service\":\"pool\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
+      "\"max_batch\":64,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
+      port, number % PROXY_FLEET_DOMAINS, g_get_real_time () / 1000);
+  put (fleet, name, body);
+  g_free (body);
+  g_free (name);
+}
+
+void
+proxy_fleet_unlist_server (const struct proxy_fleet *fleet, guint number,
+                           guint life)
+{
+  char *name = server_name (number, life);
+  put (fleet, name, NULL);
+  g_free (name);
+}
+
+void
+proxy_fleet_run_for (guint ms)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)ms * 1000;
+  while (g_get_monotonic_time () < end)
+    if (!g_main_context_iteration (NULL, FALSE))
+      g_usleep (200);
+}
+
+static void
+launch (struct proxy_fleet *fleet, guint number, guint start)
+{
+  char *name = g_strdup_printf ("gate-%u-%u", number, start);
+  const char *argv[] = { "packages/jacinthward/jacinthward", "--settings",
+                         fleet->instances[number].settings, NULL };
+  fleet->instances[number].proc = harness_start (fleet->harness, name, argv);
+  g_assert (fleet->instances[number].proc != NULL);
+  g_free (name);
+}
+
+void
+proxy_fleet_kill_instance (struct proxy_fleet *fleet)
+{
+  guint number = fleet->n_killed++ % PROXY_FLEET_INSTANCES;
+  harness_signal (fleet->instances[number].proc, SIGKILL);
+  harness_reap (fleet->instances[number].proc, REAP_MS);
+  launch (fleet, number, fleet->n_killed);
+}
+
+static void
+add_instance (struct proxy_fleet *fleet, guint number)
+{
+  struct proxy_fleet_instance *instance = &fleet->instances[number];
+  guint pid = (guint)getpid ();
+  char *net = g_strdup_printf ("127.%u.%u", 1 + (pid >> 8) % 250, pid % 256);
+  int base = 20000 + (int)(pid % 5000) * 3;
+  g_snprintf (instance->address, sizeof instance->address, "%s.%u:%d", net,
+              10 + number, base);
+  char *text = g_strdup_printf (
+      "[instance]\nid=gate-%u\ndomain=d%u\nregion=r\ncharts=" JW_SOURCE_DIR
+      "/charts\n[gate]\ncallers=%s\nready=%s.%u:%d\nkey_limit_ms=4000\n"
+      "grace_ms=4000\ndrain_ms=3000\nretry_ratio=0.2\nretry_slack=50\n"
+      "[peers]\nlisten=%s.%u:%d\nseeds=%s.10;%s.11;%s.12;\n"
+      "[store]\naddress=127.0.0.1:%d\n[domains]\nd0=r\nd1=r\nd2=r\n",
+      number, number % PROXY_FLEET_DOMAINS, instance->address, net, 10 + number,
+      base + 1, net, 10 + number, base + 2, net, net, net, fleet->store->port);
+  instance->settings = g_strdup_printf ("%s/gate-%u.ini",
+                                        harness_dir (fleet->harness), number);
+  g_assert (g_file_set_contents (instance->settings, text, -1, NULL));
+  g_free (text);
+  g_free (net);
+  launch (fleet, number, 0);
+}
+
+guint
+proxy_fleet_count_logged (const struct proxy_fleet *fleet, const char *event)
+{
+  guint n = 0;
+  char *quoted = g_strdup_printf ("\"event\":\"%s\"", event);
+  GDir *dir = g_dir_open (harness_dir (fleet->harness), 0, NULL);
+  const char *name;
+  while ((name = g_dir_read_name (dir)) != NULL)
+    {
+      char *path = g_build_filename (harness_dir (fleet->harness), name, NULL);
+      char *text = NULL;
+      if (g_str_has_prefix (name, "gate-")
+          && g_file_get_contents (path, &text, NULL, NULL))
+        for (const char *at = text; (at = strstr (at, quoted)) != NULL; at++)
+          n++;
+      g_free (text);
+      g_free (path);
+    }
+  g_dir_close (dir);
+  g_free (quoted);
+  return n;
+}
+
+struct proxy_fleet *
+proxy_fleet_new (const char *config)
+{
+  const char *argv[]
+      = { "emulator/standin/standin_platform", "--history", "/dev/null", NULL };
+  struct proxy_fleet *fleet = g_new0 (struct proxy_fleet, 1);
+  char *text = NULL;
+  fleet->harness = harness_new ();
+  fleet->store = harness_start (fleet->harness, "store", argv);
+  g_assert (fleet->store != NULL && harness_wait_ready (fleet->store));
+  g_assert (g_file_get_contents (config, &text, NULL, NULL));
+  put (fleet, "config/main", text);
+  g_free (text);
+  return fleet;
+}
+
+void
+proxy_fleet_launch (struct proxy_fleet *fleet)
+{
+  for (guint i = 0; i < PROXY_FLEET_INSTANCES; i++)
+    add_instance (fleet, i);
+}
+
+void
+proxy_fleet_free (struct proxy_fleet *fleet)
+{
+  for (guint i = 0; i < PROXY_FLEET_INSTANCES; i++)
+    g_free (fleet->instances[i].settings);
+  harness_free (fleet->harness);
+  g_free (fleet);
+}
--- /dev/null
+++ b/tests/harness/proxy_fleet.h
@@ -0,0 +1,45 @@
+/* Several real reverse proxies in three failure domains before one stand-in
+   store, as processes. Clients and servers run on the main loop of the test. */
+#ifndef PROXY_FLEET_H
+#define PROXY_FLEET_H
+
+#include "base/err.h"
+#include "harness/harness.h"
+
+#define PROXY_FLEET_INSTANCES 7
+#define PROXY_FLEET_DOMAINS 3
+
+struct proxy_fleet_instance
+{
+  struct harness_process *proc;
+  char *settings; /* path */
+  char address[ERR_PEER_MAX];
+};
+
+struct proxy_fleet
+{
+  struct harness *harness;
+  struct harness_process *store;
+  struct proxy_fleet_instance instances[PROXY_FLEET_INSTANCES];
+  guint n_killed; /* instances */
+};
+
+/* Starts the store, with the configuration of the file CONFIG.  */
+struct proxy_fleet *proxy_fleet_new (const char *config);
+void proxy_fleet_free (struct proxy_fleet *fleet);
+/* Starts the instances. Does not wait until they are ready.  */
+void proxy_fleet_launch (struct proxy_fleet *fleet);
+/* Kills the next instance and starts it again.  */
+void proxy_fleet_kill_instance (struct proxy_fleet *fleet);
+/* Writes the entry of a server of service pool, listening on PORT.  */
+void proxy_fleet_list_server (const struct proxy_fleet *fleet, guint number,
+                              guint life, guint port);
+void proxy_fleet_unlist_server (const struct proxy_fleet *fleet, guint number,
+                                guint life);
+/* Returns how many times the instances have logged EVENT.  */
+guint proxy_fleet_count_logged (const struct proxy_fleet *fleet,
+                                const char *event);
+/* Runs the main loop for MS.  */
+void proxy_fleet_run_for (guint ms);
+
+#endif
--- a/tests/harness/server_hints.c
+++ b/tests/harness/server_hints.c
@@ -22,6 +22,7 @@
   gint64 drain_us;
   guint life;
   gboolean leaving;
+  double limit_per_s;
   guint backoff_ms;
   GHashTable *told; /* sender id: struct told, owned */
   struct server_hints_counts counts;
@@ -57,10 +58,17 @@
 {
   hints->life++;
   hints->leaving = FALSE;
+  hints->limit_per_s = 0;
   hints->backoff_ms = 0;
   g_hash_table_remove_all (hints->told);
 }
 
+void
+server_hints_set_limit (struct server_hints *hints, double per_s)
+{
+  hints->limit_per_s = per_s;
+}
+
 void
 server_hints_set_leaving (struct server_hints *hints, gboolean leaving)
 {
@@ -86,6 +94,8 @@
   if (hints->leaving)
     g_string_append_printf (fields, "X-Leaving: 1\r\nX-Life: %u.%u\r\n",
                             hints->server, hints->life);
+  if (hints->limit_per_s > 0)
+    g_string_append_printf (fields, "X-Limit: %g\r\n", hints->limit_per_s);
   if (!rejected || hints->backoff_ms == 0)
     return;
   g_string_append_printf (fields, "Retry-After: %u", hints->backoff_ms / 1000);
--- a/tests/harness/server_hints.h
+++ b/tests/harness/server_hints.h
@@ -1,7 +1,8 @@
 /* What a backend server of a test says of itself in its responses: that it is
    leaving (X-Leaving), and for how long it wants nothing from an instance
-   (Retry-After with a 503); and the check whether instances keep to it. A
-   sender is a process of an instance; times are monotonic microseconds.  */
+   (Retry-After with a 503), or how many requests a second it takes (X-Limit,
+   see limit_check.h); and the check whether instances keep to it. A sender is a
+   process of an instance; times are monotonic microseconds.  */
 #ifndef SERVER_HINTS_H
 #define SERVER_HINTS_H
 
@@ -44,6 +45,8 @@
 void server_hints_free (struct server_hints *hints);
 /* A new life begins, which has said nothing yet.  */
 void server_hints_restart (struct server_hints *hints);
+/* What all responses say in X-Limit; 0: nothing.  */
+void server_hints_set_limit (struct server_hints *hints, double per_s);
 void server_hints_set_leaving (struct server_hints *hints, gboolean leaving);
 /* The Retry-After of the next rejections; 0: none.  */
 void server_hints_set_backoff (struct server_hints *hints, guint ms);
--- a/tests/proc/crash_testbed.h
+++ b/tests/proc/crash_testbed.h
@@ -3,19 +3,15 @@
 #ifndef CRASH_TESTBED_H
 #define CRASH_TESTBED_H
 
-#include "harness/harness.h"
+#include "harness/proxy_fleet.h"
 #include "harness/scripted_server.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
 #include "unit/unit.h"
 
-#include <signal.h>
 #include <string.h>
-#include <unistd.h>
 
-#define INSTANCES 7
 #define SERVERS 12
-#define DOMAINS 3
 #define BACK_MIN_MS 2000
 #define BACK_MAX_MS 5000
 #define PREFILL_MIN_MS 20 /* from the head to the first event, or the crash */
@@ -43,13 +39,6 @@
   guint timer;
 };
 
-struct instance
-{
-  struct harness_process *proc;
-  char *settings;
-  char address[ERR_PEER_MAX];
-};
-
 /* What varies between the tests.  */
 struct scenario
 {
@@ -82,11 +71,9 @@
 
 struct testbed
 {
-  struct harness *harness;
-  struct harness_process *store;
+  struct proxy_fleet *fleet;
   struct scenario scenario;
   struct server servers[SERVERS];
-  struct instance instances[INSTANCES];
   GPtrArray *requests; /* of struct request, owned */
   GHashTable *by_id;
   GRand *rand;
@@ -96,62 +83,23 @@
   gboolean crashing; /* the parts crash servers */
   guint n_sent;
   guint n_crashing;  /* of these */
-  guint n_killed;    /* instances */
   guint n_by_chance; /* servers that ended so */
 };
 
-/* Creates object NAME of the store with BODY, or deletes it if BODY is NULL. */
-static void
-put (const struct testbed *testbed, const char *name, const char *body)
-{
-  char *path = g_strdup_printf ("/objects/%s", name);
-  struct harness_request request
-      = { .port = testbed->store->port, .path = path };
-  const char *headers[] = { "If-None-Match", "*", NULL };
-  struct harness_response *before = harness_request (&request);
-  if (body == NULL)
-    {
-      headers[0] = "If-Match";
-      headers[1] = g_hash_table_lookup (before->headers, "etag");
-    }
-  request.method = body != NULL ? "PUT" : "DELETE";
-  request.headers = headers;
-  request.body = body;
-  struct harness_response *response = harness_request (&request);
-  CU_ASSERT_EQUAL (response->status, 200);
-  harness_response_free (response);
-  harness_response_free (before);
-  g_free (path);
-}
-
-static char *
-server_name (const struct server *server)
-{
-  return g_strdup_printf ("servers/s-%u-%u", server->number, server->life);
-}
-
 static void
 list_server (const struct server *server)
 {
-  char *name = server_name (server);
-  char *body = g_strdup_printf (
-      "{\"service\":\"pool\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
-      "\"max_batch\":64,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
-      scripted_server_port (server->scripted), server->number % DOMAINS,
-      g_get_real_time () / 1000);
-  put (server->testbed, name, body);
-  g_free (body);
-  g_free (name);
+  proxy_fleet_list_server (server->testbed->fleet, server->number, server->life,
+                           scripted_server_port (server->scripted));
 }
 
 static gboolean
 on_back (gpointer data)
 {
   struct server *server = data;
-  char *name = server_name (server);
   server->timer = 0;
-  put (server->testbed, name, NULL);
-  g_free (name);
+  proxy_fleet_unlist_server (server->testbed->fleet, server->number,
+                             server->life);
   server->life++;
   scripted_server_set_down (server->scripted, FALSE);
   list_server (server);
@@ -337,9 +285,10 @@
     g_string_append (parts, scenario->middle);
   else
     g_string_append_printf (parts, "other%u:300,", n % 3);
-  guint port = (guint)g_rand_int_range (testbed->rand, 0, INSTANCES);
-  request->tcp_conn
-      = tcp_conn_connect (testbed->instances[port].address, &options, &err);
+  guint port
+      = (guint)g_rand_int_range (testbed->rand, 0, PROXY_FLEET_INSTANCES);
+  request->tcp_conn = tcp_conn_connect (testbed->fleet->instances[port].address,
+                                        &options, &err);
   char *text = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\n"
       "Authorization: Bearer key-steady\r\nX-Prompt-Parts: %sown%u:100\r\n"
@@ -353,37 +302,6 @@
   g_string_free (parts, TRUE);
 }
 
-static void
-run_for (guint ms)
-{
-  gint64 end = g_get_monotonic_time () + (gint64)ms * 1000;
-  while (g_get_monotonic_time () < end)
-    if (!g_main_context_iteration (NULL, FALSE))
-      g_usleep (200);
-}
-
-static void
-launch (struct testbed *testbed, guint number, guint start)
-{
-  char *name = g_strdup_printf ("gate-%u-%u", number, start);
-  const char *argv[] = { "packages/jacinthward/jacinthward", "--settings",
-                         testbed->instances[number].settings, NULL };
-  testbed->instances[number].proc
-      = harness_start (testbed->harness, name, argv);
-  g_assert (testbed->instances[number].proc != NULL);
-  g_free (name);
-}
-
-/* Kills the next instance and starts it again.  */
-static void
-kill_instance (struct testbed *testbed)
-{
-  guint number = testbed->n_killed++ % INSTANCES;
-  harness_signal (testbed->instances[number].proc, SIGKILL);
-  harness_reap (testbed->instances[number].proc, TIMEOUT_MS);
-  launch (testbed, number, testbed->n_killed);
-}
-
 /* Ends a server that runs, if one does.  */
 static void
 end_by_chance (struct testbed *testbed)
@@ -411,8 +329,8 @@
       while (crashing < us * crashing_per_s / G_USEC_PER_SEC)
         send_request (testbed, (crashing++, TRUE));
       if (testbed->crashing && testbed->scenario.kill_ms > 0
-          && us / 1000 / testbed->scenario.kill_ms > testbed->n_killed)
-        kill_instance (testbed);
+          && us / 1000 / testbed->scenario.kill_ms > testbed->fleet->n_killed)
+        proxy_fleet_kill_instance (testbed->fleet);
       if (testbed->crashing && testbed->scenario.end_ms > 0
           && us / 1000 / testbed->scenario.end_ms > testbed->n_by_chance)
         end_by_chance (testbed);
@@ -421,66 +339,6 @@
     }
 }
 
-static void
-put_config (const struct testbed *testbed)
-{
-  char *text = NULL;
-  g_assert (g_file_get_contents (
-      JW_SOURCE_DIR "/platform/test_crash_config.json", &text, NULL, NULL));
-  put (testbed, "config/main", text);
-  g_free (text);
-}
-
-static void
-add_instance (struct testbed *testbed, guint number)
-{
-  struct instance *instance = &testbed->instances[number];
-  guint pid = (guint)getpid ();
-  char *net = g_strdup_printf ("127.%u.%u", 1 + (pid >> 8) % 250, pid % 256);
-  int base = 20000 + (int)(pid % 5000) * 3;
-  g_snprintf (instance->address, sizeof instance->address, "%s.%u:%d", net,
-              10 + number, base);
-  char *text = g_strdup_printf (
-      "[instance]\nid=gate-%u\ndomain=d%u\nregion=r\ncharts=" JW_SOURCE_DIR
-      "/charts\n[gate]\ncallers=%s\nready=%s.%u:%d\nkey_limit_ms=4000\n"
-      "grace_ms=4000\ndrain_ms=3000\nretry_ratio=0.2\nretry_slack=50\n"
-      "[peers]\nlisten=%s.%u:%d\nseeds=%s.10;%s.11;%s.12;\n"
-      "[store]\naddress=127.0.0.1:%d\n[domains]\nd0=r\nd1=r\nd2=r\n",
-      number, number % DOMAINS, instance->address, net, 10 + number, base + 1,
-      net, 10 + number, base + 2, net, net, net, testbed->store->port);
-  instance->settings = g_strdup_printf ("%s/gate-%u.ini",
-                                        harness_dir (testbed->harness), number);
-  g_assert (g_file_set_contents (instance->settings, text, -1, NULL));
-  g_free (text);
-  g_free (net);
-  launch (testbed, number, 0);
-}
-
-/* Returns how many times the instances have logged EVENT.  */
-static guint
-count_logged (const struct testbed *testbed, const char *event)
-{
-  guint n = 0;
-  char *quoted = g_strdup_printf ("\"event\":\"%s\"", event);
-  GDir *dir = g_dir_open (harness_dir (testbed->harness), 0, NULL);
-  const char *name;
-  while ((name = g_dir_read_name (dir)) != NULL)
-    {
-      char *path
-          = g_build_filename (harness_dir (testbed->harness), name, NULL);
-      char *text = NULL;
-      if (g_str_has_prefix (name, "gate-")
-          && g_file_get_contents (path, &text, NULL, NULL))
-        for (const char *at = text; (at = strstr (at, quoted)) != NULL; at++)
-          n++;
-      g_free (text);
-      g_free (path);
-    }
-  g_dir_close (dir);
-  g_free (quoted);
-  return n;
-}
-
 static struct testbed *
 testbed_new (const struct scenario *scenario)
 {
@@ -490,18 +348,14 @@
           .delay_ms = delay_ms,
           .ended = on_ended,
           .unexpected = on_unexpected };
-  const char *argv[]
-      = { "emulator/standin/standin_platform", "--history", "/dev/null", NULL };
   struct testbed *testbed = g_new0 (struct testbed, 1);
-  testbed->harness = harness_new ();
+  testbed->fleet
+      = proxy_fleet_new (JW_SOURCE_DIR "/platform/test_crash_config.json");
   testbed->scenario = *scenario;
   testbed->rand = g_rand_new_with_seed (34);
   testbed->requests = g_ptr_array_new ();
   testbed->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   testbed->crashes = g_array_new (FALSE, FALSE, sizeof (gint64));
-  testbed->store = harness_start (testbed->harness, "store", argv);
-  g_assert (testbed->store != NULL && harness_wait_ready (testbed->store));
-  put_config (testbed);
   for (guint i = 0; i < SERVERS; i++)
     {
       struct server *server = &testbed->servers[i];
@@ -511,9 +365,8 @@
           = scripted_server_new (&script, server, server_hints_new (i, 3000));
       list_server (server);
     }
-  for (guint i = 0; i < INSTANCES; i++)
-    add_instance (testbed, i);
-  run_for (2500); /* until all know all */
+  proxy_fleet_launch (testbed->fleet);
+  proxy_fleet_run_for (2500); /* until all know all */
   return testbed;
 }
 
@@ -532,13 +385,11 @@
       http_reader_free (request->http_reader);
       g_free (request);
     }
-  for (guint i = 0; i < INSTANCES; i++)
-    g_free (testbed->instances[i].settings);
   g_ptr_array_unref (testbed->requests);
   g_hash_table_unref (testbed->by_id);
   g_array_unref (testbed->crashes);
   g_rand_free (testbed->rand);
-  harness_free (testbed->harness);
+  proxy_fleet_free (testbed->fleet);
   g_free (testbed);
 }
 
@@ -588,9 +439,9 @@
   testbed->crashing = TRUE;
   run_traffic (testbed, RUN_MS, scenario->crashing_per_s);
   gint64 end = g_get_monotonic_time ();
-  run_for (TIMEOUT_MS);
+  proxy_fleet_run_for (TIMEOUT_MS);
   gint64 settled = begin + 2 * STABLE_WINDOW_US;
-  guint held = count_logged (testbed, "part.held");
+  guint held = proxy_fleet_count_logged (testbed->fleet, "part.held");
   double before[2];
   double after[2];
   for (guint i = 0; i < 2; i++)
@@ -604,8 +455,8 @@
            "%u instances killed, parts held %u times, cleared %u times\n",
            scenario->path, testbed->crashes->len, testbed->second,
            testbed->late, after[1], before[1], after[0], before[0],
-           testbed->n_by_chance, testbed->n_killed, held,
-           count_logged (testbed, "part.cleared"));
+           testbed->n_by_chance, testbed->fleet->n_killed, held,
+           proxy_fleet_count_logged (testbed->fleet, "part.cleared"));
   if (scenario->crashing_per_s == 0)
     CU_ASSERT_EQUAL (held, 0);
   CU_ASSERT_TRUE (testbed->crashes->len <= CRASHES_MAX * scenario->parts);
@@ -617,7 +468,7 @@
     }
   check_promises (testbed);
   if (CU_get_number_of_failures () > failures)
-    harness_explain (testbed->harness);
+    harness_explain (testbed->fleet->harness);
   testbed_free (testbed);
 }
 
