Let an instance that leaves say which shards it still owns

What callers saw: a request of class high waits four seconds and misses its deadline. The class: a hand-over that only those near the new owner hear of. Ruled out: a lost message (none was lost), a full queue (10 requests begin at that moment).

An instance that leaves sends summaries if it still owns shards, which is so only if no other instance of its domain is left.

--- a/packages/node/owned_shards.c
+++ b/packages/node/owned_shards.c
@@ -371,14 +371,21 @@
 
 /* Sends summaries of the shards owned here to the instances of this failure
    domain, and of all shards of this domain to the other domains that this
-   instance is responsible for.  */
+   instance is responsible for. One that leaves does so only if it still owns
+   shards, as no other instance of the domain is left: otherwise requests of
+   other domains would wait for the former owner.  */
 void
 core_shard_send_summaries (struct core *core)
 {
-  if (core->cfg == NULL || core->leaving)
+  if (core->cfg == NULL)
     return;
   struct summary_round round = { .core = core };
   round.own = summarize_owned (core);
+  if (core->leaving && round.own->len == 0)
+    {
+      g_array_unref (round.own);
+      return;
+    }
   round.all = g_array_copy (round.own);
   add_known_summaries (core, round.all);
   round.contacts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
--- a/tests/unit/test_nod.c
+++ b/tests/unit/test_nod.c
@@ -430,6 +430,33 @@
   CU_ASSERT_TRUE (totals.jobs > 0);
 }
 
+/* Of the two instances of a domain one leaves and the other one is frozen,
+   while requests of another domain wait at the frozen one.  */
+static void
+test_last_owner_leaves (void)
+{
+  struct report *report = open_report (1);
+  struct world *world = report->world;
+  struct totals totals = { 0 };
+  for (guint step = 0; step < 150; step++)
+    {
+      guint index = step % 3 * 2; /* of domain d0 */
+      new_job (world, &world->instances[index], JOB_STREAM, 0);
+      if (step % 8 == 0)
+        new_job (world, &world->instances[1], JOB_STREAM, 0);
+      if (step == 30)
+        shut_down (&world->instances[1]);
+      if (step == 60)
+        freeze (&world->instances[3], 8 * CLK_S);
+      sim_run (&world->sim, world->sim.clk.t + 4 * STEP_US);
+    }
+  end_faults (report);
+  finish_and_shut_down (world);
+  check_all (report);
+  check_responses (report);
+  CU_ASSERT_TRUE (close_report (report, 1, &totals));
+}
+
 /* A request that ends each server which runs it must not be taken from server
    to server.  */
 static void
@@ -454,6 +481,7 @@
 static CU_TestInfo tests[] = {
   { "random faults violate no rule", test_schedules },
   { "lost shard owners fail no request", test_losses },
+  { "the last owner of a domain leaves", test_last_owner_leaves },
   { "a request that ends servers", test_crashing_request },
   CU_TEST_INFO_NULL,
 };
