Let the age of the server list grow while nobody can read it

Cause: an instance takes the time at which a peer's list was read from the age in the message, without the message's delay, and tells it on. So the list grew newer with each of the 20 or more messages a second that the instances send each other, by their delay; nobody saw it get old. Messages that had waited while an instance was frozen made it newer by seconds. The class: news that renews itself when it is repeated. The limits of servers and the confirmation of the configuration use bounds by the own clock; members age with each forwarding.

Now each forwarding adds 100 ms, and a message counts as sent no later than half a second (in a large fleet, an interval) after the one that it echoes.

test_gossip_list_age: seven instances, a slow network, sixty instances, messages held back; each failed before (all instances took the list for over half a second newer than it was, 4 s after the last read) and passes.

--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -354,7 +354,7 @@
     daemon->fresh_peer_at = now;
   if (update->config_version > proxy_config_version (daemon->reverse_proxy))
     start_fetch (daemon, &daemon->config_fetch, ip, TRUE, now);
-  gint64 peer_read_at = now - update->server_list_age_us;
+  gint64 peer_read_at = update->server_list_read_at;
   if (!accept_era (daemon, update->store_era, update->id)
       || update->server_list_age_us < 0
       || (daemon->server_list.entries != NULL
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -55,7 +55,8 @@
   gint64 config_age_us;
   guint64 server_list_digest;
   gint64 server_list_age_us;
-  guint64 store_era; /* newest one that the peer knows; 0: none */
+  gint64 server_list_read_at; /* estimated clock time; 0: unknown */
+  guint64 store_era;          /* newest one that the peer knows; 0: none */
   /* Rejections for overload at a peer of the own domain. */
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -6,6 +6,13 @@
    keep repeating to each other, age until they are dropped.  */
 #define MEMBER_HOP_AGE_US (500 * CLK_MS)
 
+/* Added to the age of the list of servers with each forwarding, for the same
+   reason. */
+#define LIST_HOP_AGE_US (100 * CLK_MS)
+
+/* Longest time between a message to a peer and the peer's next one. */
+#define LIST_ECHO_WAIT_US (500 * CLK_MS)
+
 /* Between two messages that are sent to a peer before they are due. */
 #define HELP_INTERVAL_US (100 * CLK_MS)
 
@@ -326,6 +333,26 @@
   return freshness;
 }
 
+/* Estimates the clock time at which the peer's list of servers was read; 0:
+   unknown. The age does not include the delay of the message, so instances that
+   repeat it to each other would make the list newer and newer: each message
+   counts as delayed by more than most are. One that has waited here, as while
+   this process was frozen, is told by what it echoes.  */
+static gint64
+list_read_at (const struct gossip *gossip, const struct peer *peer,
+              const struct gossip_message *message, gint64 now)
+{
+  gint64 wait
+      = gossip_is_full_mesh (gossip, now)
+            ? LIST_ECHO_WAIT_US
+            : MAX (gossip_local_interval_us (gossip, now), LIST_ECHO_WAIT_US);
+  gint64 echoed = sent_after (gossip, peer, message);
+  if (message->server_list_age_us < 0 || echoed == 0)
+    return 0;
+  gint64 sent = MIN (now - LIST_HOP_AGE_US, echoed + wait);
+  return MAX (sent - message->server_list_age_us, 0);
+}
+
 /* Sends the next message to PEER at once if MESSAGE shows that it has just
    started: it has an older configuration than this instance, or no confirmation
    that its configuration is the newest. Clients reach it before its next
@@ -374,6 +401,7 @@
     .config_age_us = message->config_age_us,
     .server_list_digest = message->server_list_digest,
     .server_list_age_us = message->server_list_age_us,
+    .server_list_read_at = list_read_at (gossip, peer, message, now),
     .store_era = message->store_era,
     .joined = !same
   };
--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -27,6 +27,7 @@
   gint64 confirmed_after_max;          /* latest one received for version 9 */
   guint64 store_era_max;               /* newest one received */
   guint64 config_version_max;          /* likewise */
+  gint64 list_read_at;                 /* latest one received or set */
   guint rejections;                    /* messages that carried some */
   struct overload_rejection rejection; /* the first of the last such one */
 };
@@ -48,6 +49,7 @@
   GRand *rand;
   double loss;
   gint64 delay_max;
+  gboolean held; /* no message arrives */
   guint sender;
   guint servers;              /* 0: two servers */
   guint slots;                /* of each server; 0: 8 */
@@ -210,6 +212,8 @@
                   = MAX (node->store_era_max, node->update.store_era);
               node->config_version_max
                   = MAX (node->config_version_max, node->update.config_version);
+              node->list_read_at
+                  = MAX (node->list_read_at, node->update.server_list_read_at);
             }
           if (code == 0 && node->update.freshness.config_version == 9)
             node->confirmed_after_max
@@ -227,7 +231,8 @@
 {
   for (gint64 end = net.now + us; net.now < end; net.now += STEP_US)
     {
-      deliver ();
+      if (!net.held)
+        deliver ();
       for (guint i = 0; i < net.n; i++)
         if (!net.nodes[i].stopped)
           {
