--- a/packages/policy/limit_share.c
+++ b/packages/policy/limit_share.c
@@ -189,11 +189,13 @@
   gint64 now = slot_time (query);
   guint64 version = query->members->version + query->domains->version;
   gint64 slot_us = slot_length (slots_per_s (query));
-  gboolean set_back = share->slot_us != 0
-                      && share->next > now / share->slot_us + 2 * SEARCH_SLOTS;
-  if (share->per_s == query->per_s && share->version == version && !set_back)
+  gboolean is_new = share->slot_us == 0;
+  gboolean set_back
+      = !is_new && share->next > now / share->slot_us + 2 * SEARCH_SLOTS;
+  if (!is_new && !set_back && share->per_s == query->per_s
+      && share->version == version)
     return;
-  if (slot_us != share->slot_us || set_back)
+  if (is_new || set_back || slot_us != share->slot_us)
     memset (share->grants, 0, sizeof share->grants);
   share->per_s = query->per_s;
   share->version = version;
--- a/tests/unit/test_limit_share.c
+++ b/tests/unit/test_limit_share.c
@@ -95,9 +95,11 @@
                                                         : world.other_per_s;
         if (world.stopped[i])
           continue;
-        for (double left = per_s * STEP_US / CLK_S; left > 0; left--)
-          if (g_rand_double (world.rand) < left)
-            try_to_send (i);
+        double requests = per_s * STEP_US / CLK_S;
+        guint whole = (guint)requests;
+        guint n = whole + (g_rand_double (world.rand) < requests - whole);
+        for (guint k = 0; k < n; k++)
+          try_to_send (i);
       }
 }
 
