Count a pause before the first event, and skip requests near their deadline less

A pause is the time since the last event, which did not count from the start, so the freeze passed for the time in which an instance warms up. The resumed shard owner granted slots of a server that had begun to leave meanwhile, until its next load report. The class: a frozen process takes time in which it has not run for time in which it has listened. The time counts from the start now. New case "an instance is frozen at its start": broke in 4 of 5 phases before, passes.

A request that has used up half of its time is skipped at most once in a row now. New case "requests near their deadline wait less": failed before, passes; "late requests wait, but not for ever" is unchanged.

--- a/packages/cell/class_queue.c
+++ b/packages/cell/class_queue.c
@@ -6,6 +6,9 @@
 /* Consecutive starts of a team that may skip its oldest request, so that late
    requests are not starved. */
 #define CLASS_PASSED_OVER_MAX 7
+/* The same for a request that has used up half of the time until its deadline,
+   so that enough is left for its run.  */
+#define CLASS_DUE_PASSED_OVER_MAX 1
 
 static void
 flow_free (gpointer p)
@@ -137,16 +140,26 @@
   return g_sequence_get (g_sequence_iter_prev (end));
 }
 
+/* Returns how many consecutive starts may skip REQUEST, the oldest.  */
+static guint
+passed_over_max (const struct queued_request *request, gint64 now)
+{
+  return now - request->arrived > request->deadline - now
+             ? CLASS_DUE_PASSED_OVER_MAX
+             : CLASS_PASSED_OVER_MAX;
+}
+
 /* Returns the request of FLOW to start first: the oldest that can still meet
    its target for the time to first token, so that an overload does not make all
    requests late. Returns the oldest of all if none can meet it or the oldest
-   was skipped CLASS_PASSED_OVER_MAX times in a row.  */
+   was skipped often enough.  */
 static GSequenceIter *
 first_to_start (const struct class_queue *class, const struct team_flow *flow,
                 gint64 now)
 {
   GSequenceIter *first = g_sequence_get_begin_iter (flow->waiting);
-  if (class->cfg.ttft_us == 0 || flow->passed_over >= CLASS_PASSED_OVER_MAX)
+  if (class->cfg.ttft_us == 0
+      || flow->passed_over >= passed_over_max (g_sequence_get (first), now))
     return first;
   struct queued_request late = { .arrived = now - class->cfg.ttft_us };
   GSequenceIter *iter
--- a/packages/node/core.c
+++ b/packages/node/core.c
@@ -104,6 +104,7 @@
   core->ctx = options->ctx;
   core->rand = g_rand_new_with_seed (options->seed);
   core->started = core->resumed_at = clk_now (core->clk);
+  core->last_event_at = core->started; /* also a pause before the first event */
   core->heard_from_peer = TRUE;
   core_budget_init (core);
   g_queue_init (&core->self_messages);
@@ -266,7 +267,7 @@
 detect_pause (struct core *core)
 {
   gint64 now = clk_now (core->clk);
-  gint64 gap = core->last_event_at != 0 ? now - core->last_event_at : 0;
+  gint64 gap = now - core->last_event_at;
   guint instances = 0;
   if (gap > 2 * CORE_TICK_US
       && core->last_event_at - core->resumed_at < CORE_WARMUP_US)
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -748,6 +748,26 @@
   CU_ASSERT_TRUE (fixture_granted (&fixture, 2));
 }
 
+/* A late request that has lost half of its time, as with a shard owner that was
+   frozen, must not be skipped until its deadline.  */
+static void
+test_due_requests_wait_less (void)
+{
+  fixture_open (&fixture, 1, 1);
+  fixture_enqueue (&fixture, 1, FIXTURE_NORMAL);
+  struct msg_enqueue moved
+      = fixture_entry (&fixture, 2, FIXTURE_NORMAL, "a");
+  moved.waited_us = 5 * CLK_S;
+  moved.wait_us = 3 * CLK_S;
+  shard_enqueue (fixture.shard, "gw", &moved);
+  fixture_progress (&fixture, 1, 1, 0);
+  enqueue_many (10, 10, FIXTURE_NORMAL);
+  fixture_release (&fixture, 1, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fixture_granted (&fixture, 10));
+  fixture_release (&fixture, 10, MSG_RESULT_OK);
+  CU_ASSERT_TRUE (fixture_granted (&fixture, 2));
+}
+
 static void
 test_crash_counts_at_once (void)
 {
@@ -875,6 +895,7 @@
   { "a removed server's requests still count", test_removed_server_counts },
   { "a removed class's requests are rejected", test_config_removes_a_class },
   { "late requests wait, but not for ever", test_late_requests_wait },
+  { "requests near their deadline wait less", test_due_requests_wait_less },
   { "a crash counts without a tick", test_crash_counts_at_once },
   { "resuming after a preemption is no start", test_resuming_is_no_start },
   { "idle servers are not reserved", test_idle_servers_are_not_reserved },
--- a/tests/unit/test_nod.c
+++ b/tests/unit/test_nod.c
@@ -457,6 +457,36 @@
   CU_ASSERT_TRUE (close_report (report, 1, &totals));
 }
 
+/* A shard owner is restarted and frozen before its first event, for longer than
+   an instance warms up. It must not grant slots of a server that has begun to
+   leave meanwhile.  */
+static void
+test_frozen_at_start (void)
+{
+  for (guint phase = 0; phase < 5; phase++)
+    {
+      struct report *report = open_report (1);
+      struct world *world = report->world;
+      struct instance *owner = &world->instances[2];
+      struct totals totals = { 0 };
+      stop_instance (owner);
+      world->servers[2].leaving = TRUE;
+      record (world, REC_LEAVE, 0, 0)->server = 2;
+      sim_run (&world->sim, world->sim.clk.t + CLK_S);
+      start_instance (owner);
+      freeze (owner, 5 * CLK_S + phase * 100 * CLK_MS);
+      for (guint step = 0; step < 400; step++)
+        {
+          new_job (world, &world->instances[step % 2 * 4], JOB_STREAM, 0);
+          sim_run (&world->sim, world->sim.clk.t + STEP_US);
+        }
+      end_faults (report);
+      finish_and_shut_down (world);
+      check_all (report);
+      CU_ASSERT_TRUE (close_report (report, 1, &totals));
+    }
+}
+
 /* A request that ends each server which runs it must not be taken from server
    to server.  */
 static void
@@ -482,6 +512,7 @@
   { "random faults violate no rule", test_schedules },
   { "lost shard owners fail no request", test_losses },
   { "the last owner of a domain leaves", test_last_owner_leaves },
+  { "an instance is frozen at its start", test_frozen_at_start },
   { "a request that ends servers", test_crashing_request },
   CU_TEST_INFO_NULL,
 };
