Tell other instances which ones hear backend servers

Messages say how long ago the sender has heard a server, where it takes requests, and whether it asks for such news; leaders tell other domains a few instances of theirs in turn. Ages are lower bounds by the receiver's clock, so news doesn't renew itself by repetition. An instance that asks is in doubt about its own connection, so it doesn't tell which servers it could not reach.

--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -36,9 +36,27 @@
   guint n_waiting; /* requests queued here */
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
-  guint64 store_era; /* newest one known; 0: none */
+  guint64 store_era;       /* newest one known; 0: none */
+  gint64 servers_heard_at; /* clock time at which this instance last heard a
+                              backend server; 0: never */
+  gboolean
+      asks_for_servers; /* it cannot reach any: peers find out if they can,
+                           and are not told of those that it cannot reach */
+  guint32 client_ip;    /* its address for clients, host byte order */
+  guint client_port;
 };
 
+/* An instance to which requests can be passed on. */
+struct gossip_relay
+{
+  guint32 ip; /* its address for clients, host byte order */
+  guint port;
+  gboolean is_local;
+};
+
+/* Age up to which it counts that an instance has heard a server. */
+#define GOSSIP_HEARD_MAX_US (3 * CLK_S)
+
 /* A peer's confirmation that config_version was the newest version at some time
    after confirmed_after. */
 struct gossip_config_freshness
@@ -60,7 +78,8 @@
   /* Rejections for overload at a peer of the own domain. */
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
-  gboolean joined; /* first message of this incarnation */
+  gboolean joined;           /* first message of this incarnation */
+  gboolean asks_for_servers; /* as in struct gossip_local_state */
   char id[STR_ID_MAX + 1];
 };
 
@@ -94,6 +113,8 @@
                             GArray *members);
 guint gossip_contenders (const struct gossip *gossip, gint64 now,
                          struct placement_contender *contenders, guint max);
+gint64 gossip_servers_heard_at (const struct gossip *gossip);
+void gossip_relays (const struct gossip *gossip, gint64 now, GArray *relays);
 gint64 gossip_local_interval_us (const struct gossip *gossip, gint64 now);
 guint64 gossip_instance_hash (guint32 ip);
 guint32 gossip_server_key (const struct registry_server *server);
--- a/packages/peer/gossip_contents.c
+++ b/packages/peer/gossip_contents.c
@@ -447,6 +447,7 @@
   add_suspects (gossip, peer, message, round);
   if (gossip_is_unresponsive (peer, round->now))
     return;
+  gossip_add_relays (gossip, peer, message, round);
   gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
   add_leaving (message, round->registry, peer,
                round->is_leader && !round->full_mesh);
@@ -455,7 +456,8 @@
     {
       add_loads (gossip, peer, message, round->registry,
                  round->server_load_table, round->now);
-      add_unreachable (message, round->registry, round->now);
+      if (!round->state->asks_for_servers)
+        add_unreachable (message, round->registry, round->now);
       add_placements (gossip, peer, RING_HOME, GOSSIP_MESSAGE_PLACEMENTS_MAX,
                       message);
       message->n_home_placements = message->n_placements;
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -60,8 +60,13 @@
   guint n_summaries_sent;   /* in the current round */
   gboolean wants_reply;     /* as in its last message */
   guint n_waiting;          /* likewise */
-  guint32 seq;              /* of the last message sent to it */
-  guint32 last_seq;         /* of the last message received from it */
+  /* Lower bound of the clock time at which it last heard a server; 0: unknown.
+   */
+  gint64 servers_heard_at;
+  guint32 client_ip; /* as in its messages */
+  guint client_port;
+  guint32 seq;      /* of the last message sent to it */
+  guint32 last_seq; /* of the last message received from it */
   guint32 last_incarnation;
   guint64 loads_held;      /* last change of its loads that is held here; 0: the
                               complete list is needed */
@@ -146,6 +151,11 @@
 void gossip_add_contents (struct gossip *gossip, struct peer *peer,
                           struct gossip_message *message,
                           const struct gossip_round *round);
+void gossip_add_relays (const struct gossip *gossip, const struct peer *to,
+                        struct gossip_message *message,
+                        const struct gossip_round *round);
+void gossip_apply_relays (struct gossip *gossip, struct peer *peer,
+                          const struct gossip_message *message, gint64 sent);
 void gossip_encode_within_limit (struct gossip *gossip, struct peer *to,
                                  gint64 now);
 gboolean gossip_has_more_placements (const struct gossip *gossip,
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 31 /* of a message in the current format */
+#define FIELDS 36 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -23,7 +23,10 @@
   gossip_message->n_own_placements = gossip_message->n_home_placements
       = gossip_message->n_unreachable = gossip_message->n_leaving
       = gossip_message->n_rejections = gossip_message->n_held
-      = gossip_message->n_limits = 0;
+      = gossip_message->n_limits = gossip_message->n_relays = 0;
+  gossip_message->servers_heard_age = gossip_message->client_port = 0;
+  gossip_message->asks_for_servers = FALSE;
+  gossip_message->client_ip = 0;
   gossip_message->suspects.held = 0;
   gossip_message->suspects.range = (struct gossip_message_range){ 0 };
   gossip_message->suspects.n_crashes = gossip_message->suspects.n_trials = 0;
@@ -109,6 +112,24 @@
     }
 }
 
+static void
+pack_relays (msgpack_packer *pk, const struct gossip_message *gossip_message)
+{
+  msgpack_pack_unsigned_int (pk, gossip_message->servers_heard_age);
+  msgpack_pack_unsigned_int (pk, gossip_message->asks_for_servers ? 1 : 0);
+  msgpack_pack_uint32 (pk, gossip_message->client_ip);
+  msgpack_pack_unsigned_int (pk, gossip_message->client_port);
+  msgpack_pack_array (pk, 4 * (size_t)gossip_message->n_relays);
+  for (guint i = 0; i < gossip_message->n_relays; i++)
+    {
+      const struct gossip_message_relay *relay = &gossip_message->relays[i];
+      msgpack_pack_uint32 (pk, relay->ip);
+      msgpack_pack_uint32 (pk, relay->client_ip);
+      msgpack_pack_unsigned_int (pk, relay->client_port);
+      msgpack_pack_unsigned_int (pk, relay->servers_heard_age);
+    }
+}
+
 /* Appends a message to OUT as one msgpack array.  */
 void
 gossip_message_encode (const struct gossip_message *gossip_message,
@@ -191,6 +212,7 @@
       msgpack_pack_unsigned_int (&pk, limit->after_age_ms);
       msgpack_pack_unsigned_int (&pk, limit->before_age_ms);
     }
+  pack_relays (&pk, gossip_message);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -461,6 +483,23 @@
   c->bad |= limits.bad;
 }
 
+static void
+read_relays (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor relays = read_array (c, 4 * GOSSIP_MESSAGE_RELAYS_MAX);
+  relays.bad |= relays.left % 4 != 0;
+  while (!relays.bad && relays.left > 0)
+    {
+      struct gossip_message_relay *relay
+          = &gossip_message->relays[gossip_message->n_relays++];
+      relay->ip = (guint32)read_number (&relays, G_MAXUINT32);
+      relay->client_ip = (guint32)read_number (&relays, G_MAXUINT32);
+      relay->client_port = (guint)read_number (&relays, G_MAXUINT16);
+      relay->servers_heard_age = (guint)read_number (&relays, G_MAXINT32);
+    }
+  c->bad |= relays.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -513,6 +552,16 @@
     read_trials (&c, &gossip_message->suspects);
   if (c.left > 0)
     read_limits (&c, gossip_message);
+  if (c.left > 0)
+    gossip_message->servers_heard_age = (guint)read_number (&c, G_MAXINT32);
+  if (c.left > 0)
+    gossip_message->asks_for_servers = read_number (&c, 1) != 0;
+  if (c.left > 0)
+    gossip_message->client_ip = (guint32)read_number (&c, G_MAXUINT32);
+  if (c.left > 0)
+    gossip_message->client_port = (guint)read_number (&c, G_MAXUINT16);
+  if (c.left > 0)
+    read_relays (&c, gossip_message);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -18,6 +18,7 @@
 #define GOSSIP_MESSAGE_LEAVING_MAX 32
 #define GOSSIP_MESSAGE_REJECTIONS_MAX 8
 #define GOSSIP_MESSAGE_LIMITS_MAX 8
+#define GOSSIP_MESSAGE_RELAYS_MAX 4
 #define GOSSIP_MESSAGE_SUMMARIES_MAX 12
 /* Servers at which one instance or domain has load. */
 #define GOSSIP_MESSAGE_LOADS_MAX 200
@@ -97,6 +98,15 @@
   guint before_age_ms;
 };
 
+/* An instance that has heard servers. */
+struct gossip_message_relay
+{
+  guint32 ip;
+  guint32 client_ip; /* for clients; 0: the same */
+  guint client_port;
+  guint servers_heard_age; /* as in struct gossip_message */
+};
+
 /* Requests that were on servers when these ended. */
 struct gossip_message_suspects
 {
@@ -153,6 +163,14 @@
   struct gossip_message_suspects suspects;
   struct gossip_message_limit limits[GOSSIP_MESSAGE_LIMITS_MAX];
   guint n_limits;
+  /* Milliseconds since the sender last heard a server, rounded up, plus 1; 0:
+     never. */
+  guint servers_heard_age;
+  gboolean asks_for_servers; /* the sender cannot reach any */
+  guint32 client_ip;         /* its address for clients; 0: as for peers */
+  guint client_port;         /* 0: unknown */
+  struct gossip_message_relay relays[GOSSIP_MESSAGE_RELAYS_MAX];
+  guint n_relays;
 };
 
 void gossip_message_clear (struct gossip_message *gossip_message);
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -403,7 +403,8 @@
     .server_list_age_us = message->server_list_age_us,
     .server_list_read_at = list_read_at (gossip, peer, message, now),
     .store_era = message->store_era,
-    .joined = !same
+    .joined = !same,
+    .asks_for_servers = message->asks_for_servers
   };
   g_strlcpy (update->id, message->id, sizeof update->id);
   g_strlcpy (peer->domain, message->domain, sizeof peer->domain);
@@ -445,6 +446,8 @@
     }
   apply_leaving (servers_by_key, message, registry);
   apply_limits (gossip, servers_by_key, peer, message, now);
+  gossip_apply_relays (gossip, peer, message,
+                       sent_after (gossip, peer, message));
   apply_suspects (gossip, peer, message, now);
   apply_held (gossip, peer, message);
   apply_summaries (gossip, servers_by_key, ip, message, is_local,
