Pass requests on to another instance while no backend server can be reached

Cause: each attempt was made from here, whatever the others could do, and nothing told a cut from servers that are down.

Change: policy/server_reach decides: no server was heard since two could not be reached, but a peer has heard one since. Then, or after two attempts of one request that could not reach a server, the request goes to another instance like a client's, with its key, deadline, position and number of attempts made; it is not passed on again. While cut off, a connection every 0.5 s finds out when it ends; what was noted of unreachable servers is forgotten then. A refused connection after a broken response counts as the end of a server only if another server accepts one, so that a cut holds no part of a prompt. Ruled out: readiness off (kept connections stay; with over half of a zone the platform ignores it), refusing at once (clients of the domain come back to the same instances).

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -49,6 +49,9 @@
   X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
   X (LIMITS_INVALID, "limits_invalid",                                         \
      "responses that name a limit that is not valid")                          \
+  X (CUT_OFF, "cut_offs",                                                      \
+     "times that no backend server could be reached, but peers reached some")  \
+  X (RELAYED, "relayed", "requests passed on to another instance")             \
   X (MSG_IN, "msg_in", "messages from other instances")                        \
   X (MSG_OUT, "msg_out", "messages to other instances")                        \
   X (BYTES_IN, "peer_bytes_in", "bytes from other instances")                  \
--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -99,6 +99,20 @@
   server->avoid_until = MAX (server->avoid_until, now + pause);
 }
 
+/* Forgets which servers this instance could not reach: it was cut off itself.
+ */
+void
+registry_forget_unreachable (struct registry *registry)
+{
+  for (guint i = 0; i < registry->servers->len; i++)
+    {
+      struct registry_server *server = g_ptr_array_index (registry->servers, i);
+      if (server->unreachable_in_row > 0)
+        server->avoid_until = 0;
+      server->unreachable_in_row = 0;
+    }
+}
+
 /* Returns whether this instance avoids SERVER because its own attempts could
    not reach it.  */
 gboolean
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -131,6 +131,7 @@
 guint64 registry_life_key (const struct registry_server *server);
 void registry_mark_reached (struct registry_server *server, gint64 now);
 void registry_mark_unreachable (struct registry_server *server, gint64 now);
+void registry_forget_unreachable (struct registry *registry);
 gboolean registry_is_unreachable (const struct registry_server *server,
                                   gint64 now);
 void registry_peer_found_unreachable (struct registry_server *server,
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -370,7 +370,9 @@
     return;
   set_deadline (exchange);
   fill_queue_entry (exchange);
-  if (exchange->attempts == 0)
+  /* The instance that it is passed on to counts it. */
+  if (exchange->attempts == 0 && exchange->sent == 0
+      && !relay_is_wanted (exchange))
     retry_budget_count_request (retry_budget_of (exchange),
                                 exchange_now (exchange));
   exchange_enqueue (exchange);
@@ -383,6 +385,7 @@
   struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   counter_add (reverse_proxy->options.counter_set, COUNTER_REQUESTS, 1);
   exchange_transition (exchange, EXCHANGE_ON_REQUEST_END);
+  relay_read_header (exchange);
   if (exchange->id[0] == '\0'
       || http_head_count (exchange->head,
                           reverse_proxy->header_names->request_id)
@@ -415,6 +418,34 @@
                  || routing_may_repeat (exchange->route)));
 }
 
+/* Begins an attempt at SERVER, or at another instance if CHOICE is NULL. May
+   free EXCHANGE.  */
+void
+exchange_start_upstream (struct exchange *exchange,
+                         struct registry_server *server,
+                         const struct placement_choice *choice)
+{
+  struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
+  gint64 now = exchange_now (exchange);
+  exchange_transition (exchange, EXCHANGE_ON_PLACE);
+  if (exchange->attempts++ == 0)
+    histogram_add (reverse_proxy->options.histogram_set, HISTOGRAM_WAIT,
+                   now - exchange->arrived);
+  exchange->attempt_started = now;
+  counter_add (reverse_proxy->options.counter_set, COUNTER_ATTEMPTS, 1);
+  exchange->last_event_at = now;
+  stream_position_begin_attempt (&exchange->position,
+                                 exchange->route->resumable);
+  exchange->upstream = upstream_start (exchange, server, choice);
+  if (exchange->upstream != NULL)
+    return;
+  struct err err = { 0 };
+  const struct str none = { "", 0 };
+  err_set (&err, ERR_UNAVAILABLE, "backend.connect", server->entry.id,
+           "cannot connect");
+  exchange_attempt_failed (exchange, RETRY_RESULT_NOT_SENT, NULL, none, &err);
+}
+
 /* Sends the request to the server that the scheduler has chosen. While it was
    queued the configuration may have changed, so route, key and freshness are
    checked again. A response that has begun is continued under the route and
@@ -475,29 +506,13 @@
              exchange->position.relayed ? "events"
              : position.text[0] != '\0' ? "client"
                                         : "none");
-  exchange_transition (exchange, EXCHANGE_ON_PLACE);
-  if (exchange->attempts++ == 0)
-    histogram_add (reverse_proxy->options.histogram_set, HISTOGRAM_WAIT,
-                   now - exchange->arrived);
-  exchange->attempt_started = now;
-  counter_add (reverse_proxy->options.counter_set, COUNTER_ATTEMPTS, 1);
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
   part_trial_begin (exchange, choice->server);
   if (reverse_proxy->options.request_sent != NULL && prompt->n > 0)
     reverse_proxy->options.request_sent (
         reverse_proxy->options.ctx, choice->server, prompt, choice->at_home);
-  exchange->last_event_at = now;
-  stream_position_begin_attempt (&exchange->position,
-                                 exchange->route->resumable);
-  exchange->upstream = upstream_start (exchange, choice);
-  if (exchange->upstream != NULL)
-    return;
-  struct err err = { 0 };
-  const struct str none = { "", 0 };
-  err_set (&err, ERR_UNAVAILABLE, "backend.connect", choice->server->entry.id,
-           "cannot connect");
-  exchange_attempt_failed (exchange, RETRY_RESULT_NOT_SENT, NULL, none, &err);
+  exchange_start_upstream (exchange, choice->server, choice);
 }
 
 /* Acts on the scheduler's decision about a request. May free the exchange.  */
@@ -507,6 +522,10 @@
 {
   (void)ctx;
   struct exchange *exchange = queue_entry->owner;
+  if (decision->verdict != SCHEDULER_WAIT
+      && relay_start (exchange, decision->verdict == SCHEDULER_REJECT
+                                    && decision->choice.usable == 0))
+    return;
   switch (decision->verdict)
     {
     case SCHEDULER_START:
@@ -549,6 +568,8 @@
 exchange_enqueue (struct exchange *exchange)
 {
   struct scheduler_decision decision;
+  if (relay_start (exchange, FALSE))
+    return;
   scheduler_submit (exchange->reverse_proxy->options.scheduler,
                     &exchange->queue_entry, exchange_now (exchange), &decision);
   exchange_on_decision (NULL, &exchange->queue_entry, &decision);
@@ -643,6 +664,8 @@
   gint64 now = exchange_now (exchange);
   if (result != RETRY_RESULT_NOT_SENT && result != RETRY_RESULT_MISDIRECTED)
     exchange->sent++;
+  exchange->n_unreached += result == RETRY_RESULT_NOT_SENT
+                           && exchange->queue_entry.server != NULL;
   record_server_result (exchange, result);
   struct retry_case c = {
     .result = result,
@@ -657,7 +680,8 @@
     .within_budget = retry_budget_allows (retry_budget_of (exchange),
                                           reverse_proxy->instances, now),
     .has_server = scheduler_has_server (reverse_proxy->options.scheduler,
-                                        &exchange->queue_entry, now),
+                                        &exchange->queue_entry, now)
+                  || relay_may_help (exchange),
     .left_us = exchange->deadline - now,
   };
   enum retry_action action = retry_decide (&c);
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -32,6 +32,9 @@
 void exchange_log_end (const struct exchange *exchange, const char *outcome);
 void exchange_end_attempt (struct exchange *exchange);
 void exchange_enqueue (struct exchange *exchange);
+void exchange_start_upstream (struct exchange *exchange,
+                              struct registry_server *server,
+                              const struct placement_choice *choice);
 void exchange_reject (struct exchange *exchange, guint status, const char *code,
                       gint64 retry_after_us);
 void exchange_abort (struct exchange *exchange, const char *why);
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -87,6 +87,8 @@
 record_event_time (struct exchange *exchange, gint64 gap, guint events)
 {
   struct scheduler *scheduler = exchange->reverse_proxy->options.scheduler;
+  if (exchange->queue_entry.server == NULL)
+    return; /* another instance serves it */
   struct server_health *server_health
       = &exchange->queue_entry.server->server_health;
   guint number = exchange->queue_entry.server->number;
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -3,7 +3,8 @@
 #include <stddef.h>
 
 static const char *const default_reserved[]
-    = { "X-Team", "X-Priority", "X-Expect-Server", "X-Fetch-From", NULL };
+    = { "X-Team",       "X-Priority", "X-Expect-Server",
+        "X-Fetch-From", "X-Relayed",  NULL };
 
 /* Returns the default header names. The result is static.  */
 const struct header_names *
@@ -30,6 +31,9 @@
     .leaving = "X-Leaving",
     /* Requests a second that the server takes from all instances together. */
     .limit = "X-Limit",
+    /* Attempts that another instance has made of a request before it has passed
+       it on. */
+    .relayed = "X-Relayed",
     /* Id of the event after which a stream is resumed. */
     .last_event = "Last-Event-ID",
     .model = "X-Model",
--- a/packages/gate/header_names.h
+++ b/packages/gate/header_names.h
@@ -15,6 +15,7 @@
   X (not_run)                                                                  \
   X (signature)                                                                \
   X (leaving)                                                                  \
+  X (relayed)                                                                  \
   X (limit)                                                                    \
   X (last_event)                                                               \
   X (model)                                                                    \
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -82,10 +82,12 @@
     downstream_free (reverse_proxy->clients.head->data);
   closing_free_all (reverse_proxy);
   server_check_free_all (reverse_proxy);
+  reachability_free (reverse_proxy);
   g_clear_handle_id (&reverse_proxy->parts_source, g_source_remove);
   tcp_listener_free (reverse_proxy->listener);
   g_clear_handle_id (&reverse_proxy->poll_source, g_source_remove);
   backend_pool_free (reverse_proxy->backend_pool);
+  relay_free_peers (reverse_proxy);
   g_hash_table_unref (reverse_proxy->retry_budgets);
   routing_table_unref (reverse_proxy->routing_table);
   g_rand_free (reverse_proxy->rand);
@@ -184,12 +186,20 @@
 proxy_poll (struct reverse_proxy *reverse_proxy)
 {
   config_wait_check (reverse_proxy);
+  reachability_review (reverse_proxy);
   part_trial_check (reverse_proxy);
   scheduler_poll (reverse_proxy->options.scheduler,
                   clk_now (reverse_proxy->options.clk), exchange_on_decision,
                   NULL);
 }
 
+/* Returns what is known of the reachability of the servers from here.  */
+const struct server_reach *
+proxy_reach (const struct reverse_proxy *reverse_proxy)
+{
+  return &reverse_proxy->reach;
+}
+
 /* Returns whether clients should be sent to this instance: it has a fresh
    configuration and a list of servers, and is not shutting down.  */
 gboolean
@@ -385,6 +395,9 @@
   put_gauge (out, "servers_backing_off",
              "backend servers that have asked this instance to send nothing",
              backing_off);
+  put_gauge (out, "cut_off",
+             "1 if no backend server can be reached, but peers reach some",
+             reverse_proxy->reach.cut_off);
   put_gauge (out, "instances", "instances that share the retry budget",
              reverse_proxy->instances);
   put_gauge (out, "log_lines_dropped", "log lines dropped",
@@ -441,6 +454,11 @@
                 reverse_proxy->awaiting_parts.length);
   if (reverse_proxy->options.suspects != NULL)
     suspects_dump (reverse_proxy->options.suspects, json, now);
+  json_add_bool (json, "cut_off", reverse_proxy->reach.cut_off);
+  json_add_int (json, "servers_heard_ms",
+                reverse_proxy->reach.heard_at != 0
+                    ? (now - reverse_proxy->reach.heard_at) / CLK_MS
+                    : -1);
   json_add_int (json, "idle_backend_connections",
                 backend_pool_idle_count (reverse_proxy->backend_pool));
   json_builder_set_member_name (json, "servers");
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -13,6 +13,7 @@
 #include "fleet/registry.h"
 #include "fleet/freshness.h"
 #include "policy/crash_suspects.h"
+#include "policy/server_reach.h"
 #include "gate/header_names.h"
 #include "route/routing_table.h"
 #include "sched/retry_budget.h"
@@ -20,6 +21,12 @@
 
 struct reverse_proxy;
 
+/* Another instance.  */
+struct proxy_peer
+{
+  char address[ERR_PEER_MAX]; /* for clients, IP:PORT */
+};
+
 struct proxy_options
 {
   const char *listen;                      /* address for clients, IP:PORT */
@@ -43,6 +50,13 @@
      placement_choice. May be NULL. */
   void (*request_sent) (void *ctx, const struct registry_server *server,
                         const struct prefix_prompt *prompt, gboolean at_home);
+  /* Returns a lower bound of the clock time at which another instance last
+     heard a server; 0: unknown. NULL: there is no other instance. */
+  gint64 (*peers_heard_at) (void *ctx);
+  /* Chooses an instance that has heard servers lately, other than the N_TRIED
+     ones in TRIED. Returns FALSE if there is none. May be NULL. */
+  gboolean (*choose_peer) (void *ctx, const struct proxy_peer *tried,
+                           guint n_tried, struct proxy_peer *peer);
   void *ctx;
 };
 
@@ -61,6 +75,9 @@
 void proxy_poll (struct reverse_proxy *reverse_proxy);
 void proxy_shut_down (struct reverse_proxy *reverse_proxy, gint64 requested_at);
 guint proxy_port (const struct reverse_proxy *reverse_proxy);
+void proxy_find_servers (struct reverse_proxy *reverse_proxy);
+const struct server_reach *
+proxy_reach (const struct reverse_proxy *reverse_proxy);
 gboolean proxy_is_ready (const struct reverse_proxy *reverse_proxy);
 void proxy_dump (const struct reverse_proxy *reverse_proxy, JsonBuilder *json);
 void proxy_gauges (const struct reverse_proxy *reverse_proxy, GString *out);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -13,6 +13,7 @@
 #include "net/tcp_listener.h"
 #include "sched/retry.h"
 
+#define RELAYS_MAX 3             /* instances that a request is passed on to */
 #define PART_TRIAL_SERVERS_MAX 2 /* that end under one request */
 
 #define DOWNSTREAM_READ_AHEAD_MAX                                              \
@@ -44,6 +45,11 @@
                             of a suspected part */
   guint parts_source;    /* GLib source: checks them; 0: none waits */
   GQueue server_checks;  /* of struct server_check */
+  struct server_reach reach; /* of the servers from here */
+  guint probe_timer;         /* GLib source; 0: not cut off */
+  struct tcp_conn *probe;    /* being opened, owned; NULL: none */
+  GHashTable *relay_peers;   /* address: struct registry_server, owned; NULL:
+                                none */
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
   GQueue clients;            /* of struct downstream */
   GQueue closing;            /* of struct closing_connection */
@@ -164,10 +170,14 @@
   guint sent;             /* attempts that count towards the route's limit */
   gint64 attempt_started; /* clock time of the attempt's start */
   guint attempts;         /* all attempts, also those that reached no server */
-  gboolean may_have_run;  /* an earlier attempt may have been executed */
-  gboolean head_sent;     /* the response head has been sent to the client */
-  gboolean is_sse;        /* the response is an event stream */
-  gboolean chunked;       /* the response is sent with chunked encoding */
+  gboolean was_relayed;   /* another instance has passed it on */
+  guint n_unreached;      /* attempts that could not reach a server */
+  struct proxy_peer relays[RELAYS_MAX]; /* instances it was passed on to */
+  guint n_relays;
+  gboolean may_have_run; /* an earlier attempt may have been executed */
+  gboolean head_sent;    /* the response head has been sent to the client */
+  gboolean is_sse;       /* the response is an event stream */
+  gboolean chunked;      /* the response is sent with chunked encoding */
   struct event_splitter event_splitter; /* of the response, if is_sse */
   struct stream_position position;      /* of the client in the stream */
   guint events;                         /* with data or an id, relayed */
@@ -216,6 +226,23 @@
 void part_trial_checked (struct reverse_proxy *reverse_proxy,
                          const struct registry_server *server, gboolean ended);
 
+/* Whether the backend servers can be reached. */
+void reachability_heard (struct reverse_proxy *reverse_proxy);
+void reachability_failed (struct reverse_proxy *reverse_proxy,
+                          const struct registry_server *server);
+void reachability_review (struct reverse_proxy *reverse_proxy);
+struct registry_server *
+reachability_any_server (struct reverse_proxy *reverse_proxy,
+                         const struct registry_server *except);
+void reachability_free (struct reverse_proxy *reverse_proxy);
+
+/* Passing requests on to another instance. */
+void relay_read_header (struct exchange *exchange);
+gboolean relay_is_wanted (const struct exchange *exchange);
+gboolean relay_may_help (const struct exchange *exchange);
+gboolean relay_start (struct exchange *exchange, gboolean no_server);
+void relay_free_peers (struct reverse_proxy *reverse_proxy);
+
 /* Checks whether backend servers have ended. */
 void server_check_start (struct reverse_proxy *reverse_proxy,
                          struct registry_server *server);
@@ -236,8 +263,10 @@
                               const struct http_head *head, struct str body,
                               const struct err *err);
 
-/* One attempt to have a request served by one backend server. */
+/* One attempt to have a request served by one backend server, or by another
+   instance if CHOICE is NULL. */
 struct upstream *upstream_start (struct exchange *exchange,
+                                 struct registry_server *server,
                                  const struct placement_choice *choice);
 void upstream_free (struct upstream *upstream);
 void upstream_pause (struct upstream *upstream, gboolean paused);
--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -1,7 +1,9 @@
 /* Checks by a connection whether a backend server that has broken off a
    response has ended: then it refuses the connection. A broken response alone
    does not say so. A server that is ending may still accept a connection, but
-   closes it at once; then another one is tried.  */
+   closes it at once; then another one is tried. An instance that is cut off is
+   refused by all servers, so a refusal counts only if another server accepts.
+ */
 #include "gate/reverse_proxy_internal.h"
 
 #include "base/log.h"
@@ -13,10 +15,16 @@
 #define CONNECTIONS_MAX 4
 #define AGAIN_MS 10 /* until the next connection */
 
+/* Other servers that are tried after a refused connection: it may be this
+   instance that is cut off. */
+#define OTHERS_MAX 3
+
 struct server_check
 {
   struct reverse_proxy *reverse_proxy;
   struct registry_server *server; /* referenced */
+  gboolean refused;               /* other servers are being tried */
+  guint others;                   /* so far */
   struct tcp_conn *tcp_conn;      /* owned; NULL: closed by the server */
   guint connections;              /* so far */
   guint timer;                    /* GLib source, 0: none */
@@ -24,6 +32,7 @@
 };
 
 static void open_connection (struct server_check *check);
+static void try_other_server (struct server_check *check);
 
 static void
 server_check_free (struct server_check *check)
@@ -73,7 +82,13 @@
 on_opened (void *ctx)
 {
   struct server_check *check = ctx;
-  check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
+  if (!check->refused)
+    check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
+  else
+    {
+      reachability_heard (check->reverse_proxy);
+      finish (check, TRUE);
+    }
 }
 
 /* The server has closed the connection.  */
@@ -95,8 +110,10 @@
   struct server_check *check = ctx;
   if (check->timer != 0)
     on_closed (check);
+  else if (check->refused || err->code == ERR_UNAVAILABLE)
+    try_other_server (check);
   else
-    finish (check, err->code == ERR_UNAVAILABLE);
+    finish (check, FALSE);
 }
 
 static const struct tcp_conn_handler connection
@@ -117,6 +134,29 @@
     finish (check, FALSE);
 }
 
+/* The server has refused the connection, or another one could not be reached
+   since. Connects to another one, which shows that the servers can be reached
+   from here. May free CHECK.  */
+static void
+try_other_server (struct server_check *check)
+{
+  struct err err = { 0 };
+  const struct tcp_conn_options options = { .handler = &connection,
+                                            .ctx = check,
+                                            .connect_ms = CONNECT_TIMEOUT_MS };
+  const struct registry_server *other
+      = reachability_any_server (check->reverse_proxy, check->server);
+  g_clear_pointer (&check->tcp_conn, tcp_conn_close);
+  check->refused = TRUE;
+  if (other == NULL)
+    finish (check, TRUE);
+  else if (check->others++ == OTHERS_MAX
+           || (check->tcp_conn
+               = tcp_conn_connect (other->entry.address, &options, &err))
+                  == NULL)
+    finish (check, FALSE);
+}
+
 /* Checks SERVER, unless it is being checked. The result goes to the suspected
    parts.  */
 void
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -38,6 +38,7 @@
                     of the present read */
   guint64 sent_before; /* bytes sent on the connection before this request */
   gint64 started;      /* clock time */
+  gboolean is_relay;   /* another instance serves the request */
   gboolean new_connection;   /* the connection was opened for this attempt */
   gboolean out_of_sync;      /* the connection has carried a response to another
                                 request */
@@ -186,9 +187,10 @@
     return skip_stray (upstream, head, mismatch);
   if (!is_authentic (upstream, head))
     return refuse (upstream, "response without a signature, or encoded");
-  check_leaving (upstream, head);
+  if (!upstream->is_relay)
+    check_leaving (upstream, head);
   upstream->response_started = TRUE;
-  if (head->status != 421)
+  if (head->status != 421 && !upstream->is_relay)
     response_hints_record (upstream->reverse_proxy, upstream->server,
                            upstream->exchange->id, head, upstream->started);
   upstream->relaying
@@ -376,6 +378,11 @@
         exchange_send_buffered_response (exchange, head, body);
       return;
     }
+  if (upstream->is_relay && !exchange->head_sent)
+    {
+      exchange_send_buffered_response (exchange, head, body);
+      return;
+    }
   enum retry_result result = head->status == 421 ? RETRY_RESULT_MISDIRECTED
                              : http_head_count (head, header_names->not_run) > 0
                                  ? RETRY_RESULT_REJECTED
@@ -408,6 +415,8 @@
   struct upstream *upstream = ctx;
   registry_mark_reached (upstream->server,
                          clk_now (upstream->reverse_proxy->options.clk));
+  if (!upstream->is_relay)
+    reachability_heard (upstream->reverse_proxy);
   upstream->has_bytes = TRUE;
   while (data.n > 0)
     {
@@ -459,28 +468,42 @@
 static void
 on_failed (void *ctx, const struct err *err)
 {
-  fail_attempt (ctx, err);
+  struct upstream *upstream = ctx;
+  if (!upstream->is_relay && !upstream->has_bytes)
+    reachability_failed (upstream->reverse_proxy, upstream->server);
+  fail_attempt (upstream, err);
 }
 
 static void
 on_opened (void *ctx)
 {
-  (void)ctx;
+  const struct upstream *upstream = ctx;
+  if (!upstream->is_relay)
+    reachability_heard (upstream->reverse_proxy);
 }
 
-static const struct tcp_conn_handler connection = {
-  .opened = on_opened, .data = on_data, .ended = on_ended, .failed = on_failed
-};
+static void
+on_stalled (void *ctx)
+{
+  const struct upstream *upstream = ctx;
+  if (!upstream->is_relay)
+    reachability_failed (upstream->reverse_proxy, upstream->server);
+}
+
+static const struct tcp_conn_handler connection = { .opened = on_opened,
+                                                    .data = on_data,
+                                                    .ended = on_ended,
+                                                    .failed = on_failed,
+                                                    .stalled = on_stalled };
 
-/* Sends the request of EXCHANGE to the server of CHOICE, on an idle connection
-   of the pool or on a new one. The caller owns the result. Returns NULL if no
-   connection can be started.  */
+/* Sends the request of EXCHANGE to SERVER, on an idle connection of the pool or
+   on a new one. With CHOICE NULL, SERVER stands for another instance. The
+   caller owns the result. Returns NULL if no connection can be started.  */
 struct upstream *
-upstream_start (struct exchange *exchange,
+upstream_start (struct exchange *exchange, struct registry_server *server,
                 const struct placement_choice *choice)
 {
   struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
-  struct registry_server *server = choice->server;
   struct err err = { 0 };
   gboolean repeatable = routing_may_repeat (exchange->route);
   struct upstream *upstream = g_new0 (struct upstream, 1);
@@ -492,6 +515,7 @@
   upstream->reverse_proxy = reverse_proxy;
   upstream->started = clk_now (reverse_proxy->options.clk);
   upstream->server = registry_server_ref (server);
+  upstream->is_relay = choice == NULL;
   upstream->is_trial = server->backoff.trial;
   server->backoff.trials += upstream->is_trial;
   upstream->body = g_string_new (NULL);
@@ -602,9 +626,11 @@
 
 /* Returns whether the client's header NAME with VALUE is not forwarded, because
    the proxy writes it itself or the server must not see it. An Authorization
-   header is omitted if it carries a team key.  */
+   header is omitted if it carries a team key, unless IS_RELAY: another instance
+   needs the key.  */
 static gboolean
-is_omitted (const struct exchange *exchange, struct str name, struct str value)
+is_omitted (const struct exchange *exchange, struct str name, struct str value,
+            gboolean is_relay)
 {
   const struct header_names *header_names
       = exchange->reverse_proxy->header_names;
@@ -614,7 +640,7 @@
       || http_equals_ignore_case (name, header_names->last_event)
       || http_equals_ignore_case (name, "host"))
     return TRUE;
-  return http_equals_ignore_case (name, "authorization")
+  return !is_relay && http_equals_ignore_case (name, "authorization")
          && (exchange->team != NULL || carries_key (header_names, value));
 }
 
@@ -630,7 +656,26 @@
          || http_equals_ignore_case (name, header_names->length_hint);
 }
 
-/* Appends the request head for the server of CHOICE to OUT.  */
+/* Appends what only a backend server gets to OUT.  */
+static void
+put_server_fields (const struct exchange *exchange,
+                   const struct placement_choice *choice, GString *out)
+{
+  const struct header_names *header_names
+      = exchange->reverse_proxy->header_names;
+  http_put_field (out, header_names->expect_server, "%s",
+                  choice->server->entry.id);
+  if (exchange->team != NULL)
+    http_put_field (out, header_names->team, "%s", exchange->team->name);
+  if (exchange->queue_entry.request.prompt.n > 0)
+    http_put_field (out, header_names->priority, "%u", exchange->tier);
+  if (choice->fetch_from != NULL)
+    http_put_field (out, header_names->fetch_from, "%s",
+                    choice->fetch_from->entry.address);
+}
+
+/* Appends the request head for the server of CHOICE, or for another instance if
+   it is NULL, to OUT.  */
 void
 upstream_build_request_head (struct exchange *exchange,
                              const struct placement_choice *choice,
@@ -652,7 +697,7 @@
     {
       struct str name = http_head_field_name (head, i);
       struct str value = http_head_field_value (head, i);
-      if (is_omitted (exchange, name, value)
+      if (is_omitted (exchange, name, value, choice == NULL)
           || (!is_protected (header_names, name)
               && http_head_is_hop_by_hop (head, name)))
         continue;
@@ -660,15 +705,10 @@
     }
   http_put_field (out, header_names->deadline_ms, "%" G_GINT64_FORMAT,
                   MAX (left / CLK_MS, 1));
-  http_put_field (out, header_names->expect_server, "%s",
-                  choice->server->entry.id);
-  if (exchange->team != NULL)
-    http_put_field (out, header_names->team, "%s", exchange->team->name);
-  if (exchange->queue_entry.request.prompt.n > 0)
-    http_put_field (out, header_names->priority, "%u", exchange->tier);
-  if (choice->fetch_from != NULL)
-    http_put_field (out, header_names->fetch_from, "%s",
-                    choice->fetch_from->entry.address);
+  if (choice != NULL)
+    put_server_fields (exchange, choice, out);
+  else
+    http_put_field (out, header_names->relayed, "%u", exchange->sent);
   if (position.n > 0)
     http_put_field_str (out, str_of (header_names->last_event), position);
   if (exchange->body->len > 0 || head->chunked || head->has_length)
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -74,6 +74,11 @@
                               ? now - daemon->server_list.requested_at
                               : GOSSIP_AGE_UNKNOWN,
   };
+  const struct server_reach *reach = proxy_reach (daemon->reverse_proxy);
+  state.servers_heard_at = reach->heard_at;
+  state.asks_for_servers = server_reach_is_doubtful (reach);
+  state.client_ip = daemon->client_ip != 0 ? daemon->client_ip : daemon->ip;
+  state.client_port = daemon->stopping ? 0 : daemon->client_port;
   state.n_rejections
       = scheduler_rejections (daemon->scheduler, now, state.rejections,
                               G_N_ELEMENTS (state.rejections));
@@ -138,6 +143,8 @@
                "instances=%u", gossip_alive_count (daemon->gossip, now));
   for (guint i = 0; i < update.n_rejections; i++)
     scheduler_record_rejection (daemon->scheduler, &update.rejections[i]);
+  if (update.asks_for_servers)
+    proxy_find_servers (daemon->reverse_proxy);
   proxy_daemon_handle_peer_update (daemon, ip, &update, now);
 }
 
@@ -243,6 +250,39 @@
   gossip_add_placement (daemon->gossip, server, prompt, at_home);
 }
 
+static gint64
+on_peers_heard_at (void *ctx)
+{
+  struct proxy_daemon *daemon = ctx;
+  return daemon->gossip != NULL ? gossip_servers_heard_at (daemon->gossip) : 0;
+}
+
+/* Draws an instance to which a request is passed on.  */
+static gboolean
+on_choose_peer (void *ctx, const struct proxy_peer *tried, guint n_tried,
+                struct proxy_peer *peer)
+{
+  struct proxy_daemon *daemon = ctx;
+  gossip_relays (daemon->gossip, clk_now (daemon->clk), daemon->relays);
+  while (daemon->relays->len > 0)
+    {
+      guint i = (guint)g_rand_int_range (daemon->rand, 0,
+                                         (gint32)daemon->relays->len);
+      const struct gossip_relay *relay
+          = &g_array_index (daemon->relays, struct gossip_relay, i);
+      gboolean was_tried = FALSE;
+      g_snprintf (peer->address, sizeof peer->address, "%u.%u.%u.%u:%u",
+                  relay->ip >> 24, relay->ip >> 16 & 255, relay->ip >> 8 & 255,
+                  relay->ip & 255, relay->port);
+      for (guint k = 0; k < n_tried; k++)
+        was_tried |= g_str_equal (tried[k].address, peer->address);
+      if (!was_tried)
+        return TRUE;
+      g_array_remove_index_fast (daemon->relays, i);
+    }
+  return FALSE;
+}
+
 static int
 open_proxy (struct proxy_daemon *daemon, struct err *err)
 {
@@ -269,8 +309,12 @@
           .shutdown_limit_us = settings->shutdown_limit_us,
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
+          .peers_heard_at = on_peers_heard_at,
+          .choose_peer = on_choose_peer,
           .ctx = daemon };
   int code = proxy_new (&options, &daemon->reverse_proxy, err);
+  if (code == 0 && udp_ip_parse (settings->listen_clients, &daemon->client_ip))
+    daemon->client_port = proxy_port (daemon->reverse_proxy);
   g_free (chart);
   return code;
 }
@@ -307,6 +351,7 @@
   struct proxy_daemon *daemon = g_new0 (struct proxy_daemon, 1);
   daemon->limit_members
       = g_array_new (FALSE, FALSE, sizeof (struct limit_member));
+  daemon->relays = g_array_new (FALSE, FALSE, sizeof (struct gossip_relay));
   daemon->settings = settings;
   daemon->clk = clk_boottime ();
   daemon->loop = g_main_loop_new (NULL, FALSE);
@@ -363,6 +408,7 @@
   udp_free (daemon->udp);
   gossip_free (daemon->gossip);
   g_array_unref (daemon->limit_members);
+  g_array_unref (daemon->relays);
   scheduler_free (daemon->scheduler);
   suspects_free (daemon->suspects);
   registry_free (daemon->registry);
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -195,7 +195,9 @@
       conn->silent_checks = 0;
       return G_SOURCE_CONTINUE;
     }
-  if (++conn->silent_checks < SILENCE_CHECKS)
+  if (++conn->silent_checks == 1 && conn->handler.stalled != NULL)
+    conn->handler.stalled (conn->ctx);
+  if (conn->silent_checks < SILENCE_CHECKS)
     return G_SOURCE_CONTINUE;
   conn->silence_timer = 0;
   report_failure (conn, "write", ETIMEDOUT);
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -29,6 +29,9 @@
   /* The connection was refused or reset, or timed out. No callback follows. */
   void (*failed) (void *ctx, const struct err *err);
   void (*drained) (void *ctx); /* the output buffer is empty */
+  /* No output was acknowledged for a quarter of silence_ms. Must not free the
+     connection. */
+  void (*stalled) (void *ctx);
   /* The connection has been closed after tcp_conn_finish, and is being freed.
      This is the only callback after tcp_conn_finish. */
   void (*finished) (void *ctx, const struct tcp_conn_remainder *remainder);
--- /dev/null
+++ b/packages/policy/server_reach.c
@@ -0,0 +1,77 @@
+#include "policy/server_reach.h"
+
+/* Addresses this load pattern: some instances, or all of a failure domain, are
+   partitioned from all backend servers, while clients and the other instances
+   still reach them. Each attempt costs a time-out then, and without a server
+   that answers an instance can't tell whether the servers have ended or it is
+   cut off itself. The other instances can: they hear servers in that time.  */
+
+/* Servers that could not be reached in a row, without one that was heard, for
+   the instance to be taken for cut off. */
+#define CUT_OFF_FAILURES 2
+/* Failures that go so far back are forgotten: without requests, servers that
+   have ended at different times would add up.  */
+#define FAILING_MAX_US (10 * CLK_S)
+
+static void
+forget_failures (struct server_reach *reach)
+{
+  reach->n_failed = 0;
+  reach->failing_since = 0;
+}
+
+/* A server has sent something or accepted a connection. Returns whether the
+   instance was taken for cut off until now.  */
+gboolean
+server_reach_heard (struct server_reach *reach, gint64 now)
+{
+  gboolean was_cut_off = reach->cut_off;
+  reach->heard_at = now;
+  reach->cut_off = FALSE;
+  forget_failures (reach);
+  return was_cut_off;
+}
+
+/* The life SERVER could not be reached, or has broken off a connection without
+   having sent anything.  */
+void
+server_reach_failed (struct server_reach *reach, guint64 server, gint64 now)
+{
+  if (reach->n_failed > 0 && now - reach->failing_since > FAILING_MAX_US)
+    forget_failures (reach);
+  for (guint i = 0; i < reach->n_failed; i++)
+    if (reach->failed[i] == server)
+      return;
+  if (reach->n_failed == SERVER_REACH_FAILED_MAX)
+    return;
+  if (reach->n_failed == 0)
+    reach->failing_since = now;
+  reach->failed[reach->n_failed++] = server;
+}
+
+/* Returns whether several servers in a row could not be reached: what this
+   instance finds out about servers may be due to its own connection.  */
+gboolean
+server_reach_is_doubtful (const struct server_reach *reach)
+{
+  return reach->cut_off || reach->n_failed >= CUT_OFF_FAILURES;
+}
+
+/* Decides whether the instance is cut off from the N_SERVERS that are listed.
+   It is if no server was heard since several could not be reached, or the only
+   one, and a peer has heard one since: PEERS_HEARD_AT is a lower bound of the
+   clock time at which the last of them did. Without such a peer the servers may
+   be down. Returns whether the decision has changed; only a server that is
+   heard ends it.  */
+gboolean
+server_reach_review (struct server_reach *reach, guint n_servers,
+                     gint64 peers_heard_at, gint64 now)
+{
+  if (reach->cut_off || reach->n_failed == 0
+      || reach->n_failed < MIN (CUT_OFF_FAILURES, n_servers)
+      || peers_heard_at <= reach->failing_since)
+    return FALSE;
+  reach->cut_off = TRUE;
+  reach->cut_off_at = now;
+  return TRUE;
+}
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -4,6 +4,9 @@
 
 struct proxy_test proxy_test;
 struct suspects *proxy_test_suspects;
+gint64 (*proxy_test_peers_heard_at) (void *ctx);
+gboolean (*proxy_test_choose_peer) (void *ctx, const struct proxy_peer *tried,
+                                    guint n_tried, struct proxy_peer *peer);
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
 gint64 proxy_test_timeout_us = 1500 * CLK_MS;
 
@@ -314,6 +317,8 @@
           .registry = proxy_test.registry,
           .scheduler = proxy_test.scheduler,
           .suspects = proxy_test_suspects,
+          .peers_heard_at = proxy_test_peers_heard_at,
+          .choose_peer = proxy_test_choose_peer,
           .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
           .key_freshness_limit_us = 2 * CLK_S,
           .shutdown_limit_us = proxy_test_shutdown_limit_us,
@@ -336,6 +341,32 @@
     proxy_test_list_servers (0, n_servers - 1, 0);
 }
 
+/* Resets the connections of server I, which refuses new ones from now on.  */
+void
+proxy_test_close_server (guint i)
+{
+  struct proxy_test_server *server = &proxy_test.servers[i];
+  g_clear_pointer (&server->listener, tcp_listener_free);
+  for (guint k = 0; k < server->links->len; k++)
+    {
+      struct proxy_test_link *link = g_ptr_array_index (server->links, k);
+      if (link->tcp_conn != NULL)
+        tcp_conn_reset (link->tcp_conn);
+      link->tcp_conn = NULL;
+    }
+}
+
+/* Lets server I accept connections again.  */
+void
+proxy_test_open_server (guint i)
+{
+  struct err err = { 0 };
+  struct proxy_test_server *server = &proxy_test.servers[i];
+  server->listener
+      = tcp_listener_new (server->address, proxy_test_accepted, server, &err);
+  g_assert_nonnull (server->listener);
+}
+
 void
 proxy_test_stop (void)
 {
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -101,6 +101,13 @@
 /* Option suspects of proxies started from now on, borrowed; NULL: none. */
 extern struct suspects *proxy_test_suspects;
 
+/* Options of these names of proxies started from now on. */
+extern gint64 (*proxy_test_peers_heard_at) (void *ctx);
+extern gboolean (*proxy_test_choose_peer) (void *ctx,
+                                           const struct proxy_peer *tried,
+                                           guint n_tried,
+                                           struct proxy_peer *peer);
+
 #define PROXY_TEST_SIGNED "X-Signature: sig\r\n"
 
 typedef gboolean (*proxy_test_condition) (void *ctx);
@@ -139,6 +146,8 @@
 void proxy_test_list_servers (guint first, guint last, guint leaving);
 void proxy_test_start (guint n_servers);
 void proxy_test_stop (void);
+void proxy_test_close_server (guint i);
+void proxy_test_open_server (guint i);
 gboolean proxy_test_wait_until (proxy_test_condition condition, void *ctx,
                                 gint64 ms);
 void proxy_test_run_for (gint64 ms);
