--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -50,10 +50,11 @@
      placement_choice. May be NULL. */
   void (*request_sent) (void *ctx, const struct registry_server *server,
                         const struct prefix_prompt *prompt, gboolean at_home);
-  /* Returns a lower bound of the clock time at which another instance last
-     heard a server; 0: unknown. NULL: there is no other instance. */
-  gint64 (*peers_heard_at) (void *ctx);
-  /* Chooses an instance that has heard servers lately, other than the N_TRIED
+  /* Returns a lower bound of the clock time at which another instance was
+     last sure to reach servers; 0: unknown. NULL: there is no other instance.
+   */
+  gint64 (*peers_sure_at) (void *ctx);
+  /* Chooses an instance that reaches servers, other than the N_TRIED
      ones in TRIED. Returns FALSE if there is none. May be NULL. */
   gboolean (*choose_peer) (void *ctx, const struct proxy_peer *tried,
                            guint n_tried, struct proxy_peer *peer);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -46,8 +46,9 @@
   guint parts_source;    /* GLib source: checks them; 0: none waits */
   GQueue server_checks;  /* of struct server_check */
   struct server_reach reach; /* of the servers from here */
-  guint probe_timer;         /* GLib source; 0: not cut off */
+  guint probe_timer;         /* GLib source; 0: not in doubt */
   struct tcp_conn *probe;    /* being opened, owned; NULL: none */
+  guint64 probed;            /* life of the server that it goes to */
   GHashTable *relay_peers;   /* address: struct registry_server, owned; NULL:
                                 none */
   GHashTable *retry_budgets; /* service name: struct retry_budget, owned */
@@ -228,6 +229,7 @@
 
 /* Whether the backend servers can be reached. */
 void reachability_heard (struct reverse_proxy *reverse_proxy);
+void reachability_accepted (struct reverse_proxy *reverse_proxy);
 void reachability_failed (struct reverse_proxy *reverse_proxy,
                           const struct registry_server *server);
 void reachability_review (struct reverse_proxy *reverse_proxy);
--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -86,7 +86,7 @@
     check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
   else
     {
-      reachability_heard (check->reverse_proxy);
+      reachability_accepted (check->reverse_proxy);
       finish (check, TRUE);
     }
 }
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -479,7 +479,7 @@
 {
   const struct upstream *upstream = ctx;
   if (!upstream->is_relay)
-    reachability_heard (upstream->reverse_proxy);
+    reachability_accepted (upstream->reverse_proxy);
 }
 
 static void
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -75,7 +75,7 @@
                               : GOSSIP_AGE_UNKNOWN,
   };
   const struct server_reach *reach = proxy_reach (daemon->reverse_proxy);
-  state.servers_heard_at = reach->heard_at;
+  state.servers_reached_at = server_reach_sure_at (reach);
   state.asks_for_servers = server_reach_is_doubtful (reach);
   state.client_ip = daemon->client_ip != 0 ? daemon->client_ip : daemon->ip;
   state.client_port = daemon->stopping ? 0 : daemon->client_port;
@@ -251,10 +251,11 @@
 }
 
 static gint64
-on_peers_heard_at (void *ctx)
+on_peers_sure_at (void *ctx)
 {
   struct proxy_daemon *daemon = ctx;
-  return daemon->gossip != NULL ? gossip_servers_heard_at (daemon->gossip) : 0;
+  return daemon->gossip != NULL ? gossip_servers_reached_at (daemon->gossip)
+                                : 0;
 }
 
 /* Draws an instance to which a request is passed on.  */
@@ -309,7 +310,7 @@
           .shutdown_limit_us = settings->shutdown_limit_us,
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
-          .peers_heard_at = on_peers_heard_at,
+          .peers_sure_at = on_peers_sure_at,
           .choose_peer = on_choose_peer,
           .ctx = daemon };
   int code = proxy_new (&options, &daemon->reverse_proxy, err);
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -36,9 +36,9 @@
   guint n_waiting; /* requests queued here */
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
-  guint64 store_era;       /* newest one known; 0: none */
-  gint64 servers_heard_at; /* clock time at which this instance last heard a
-                              backend server; 0: never */
+  guint64 store_era;         /* newest one known; 0: none */
+  gint64 servers_reached_at; /* clock time at which this instance was last
+                                sure to reach backend servers; 0: never */
   gboolean
       asks_for_servers; /* it cannot reach any: peers find out if they can,
                            and are not told of those that it cannot reach */
@@ -54,8 +54,8 @@
   gboolean is_local;
 };
 
-/* Age up to which it counts that an instance has heard a server. */
-#define GOSSIP_HEARD_MAX_US (3 * CLK_S)
+/* Age up to which it counts that an instance has reached servers. */
+#define GOSSIP_REACHED_MAX_US (3 * CLK_S)
 
 /* A peer's confirmation that config_version was the newest version at some time
    after confirmed_after. */
@@ -113,7 +113,7 @@
                             GArray *members);
 guint gossip_contenders (const struct gossip *gossip, gint64 now,
                          struct placement_contender *contenders, guint max);
-gint64 gossip_servers_heard_at (const struct gossip *gossip);
+gint64 gossip_servers_reached_at (const struct gossip *gossip);
 void gossip_relays (const struct gossip *gossip, gint64 now, GArray *relays);
 gint64 gossip_local_interval_us (const struct gossip *gossip, gint64 now);
 guint64 gossip_instance_hash (guint32 ip);
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -60,9 +60,9 @@
   guint n_summaries_sent;   /* in the current round */
   gboolean wants_reply;     /* as in its last message */
   guint n_waiting;          /* likewise */
-  /* Lower bound of the clock time at which it last heard a server; 0: unknown.
+  /* Lower bound of the clock time at which it last reached servers; 0: unknown.
    */
-  gint64 servers_heard_at;
+  gint64 servers_reached_at;
   guint32 client_ip; /* as in its messages */
   guint client_port;
   guint32 seq;      /* of the last message sent to it */
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -24,7 +24,7 @@
       = gossip_message->n_unreachable = gossip_message->n_leaving
       = gossip_message->n_rejections = gossip_message->n_held
       = gossip_message->n_limits = gossip_message->n_relays = 0;
-  gossip_message->servers_heard_age = gossip_message->client_port = 0;
+  gossip_message->servers_reached_age = gossip_message->client_port = 0;
   gossip_message->asks_for_servers = FALSE;
   gossip_message->client_ip = 0;
   gossip_message->suspects.held = 0;
@@ -115,7 +115,7 @@
 static void
 pack_relays (msgpack_packer *pk, const struct gossip_message *gossip_message)
 {
-  msgpack_pack_unsigned_int (pk, gossip_message->servers_heard_age);
+  msgpack_pack_unsigned_int (pk, gossip_message->servers_reached_age);
   msgpack_pack_unsigned_int (pk, gossip_message->asks_for_servers ? 1 : 0);
   msgpack_pack_uint32 (pk, gossip_message->client_ip);
   msgpack_pack_unsigned_int (pk, gossip_message->client_port);
@@ -126,7 +126,7 @@
       msgpack_pack_uint32 (pk, relay->ip);
       msgpack_pack_uint32 (pk, relay->client_ip);
       msgpack_pack_unsigned_int (pk, relay->client_port);
-      msgpack_pack_unsigned_int (pk, relay->servers_heard_age);
+      msgpack_pack_unsigned_int (pk, relay->servers_reached_age);
     }
 }
 
@@ -495,7 +495,7 @@
       relay->ip = (guint32)read_number (&relays, G_MAXUINT32);
       relay->client_ip = (guint32)read_number (&relays, G_MAXUINT32);
       relay->client_port = (guint)read_number (&relays, G_MAXUINT16);
-      relay->servers_heard_age = (guint)read_number (&relays, G_MAXINT32);
+      relay->servers_reached_age = (guint)read_number (&relays, G_MAXINT32);
     }
   c->bad |= relays.bad;
 }
@@ -553,7 +553,7 @@
   if (c.left > 0)
     read_limits (&c, gossip_message);
   if (c.left > 0)
-    gossip_message->servers_heard_age = (guint)read_number (&c, G_MAXINT32);
+    gossip_message->servers_reached_age = (guint)read_number (&c, G_MAXINT32);
   if (c.left > 0)
     gossip_message->asks_for_servers = read_number (&c, 1) != 0;
   if (c.left > 0)
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -98,13 +98,13 @@
   guint before_age_ms;
 };
 
-/* An instance that has heard servers. */
+/* An instance that has reached servers. */
 struct gossip_message_relay
 {
   guint32 ip;
   guint32 client_ip; /* for clients; 0: the same */
   guint client_port;
-  guint servers_heard_age; /* as in struct gossip_message */
+  guint servers_reached_age; /* as in struct gossip_message */
 };
 
 /* Requests that were on servers when these ended. */
@@ -163,9 +163,9 @@
   struct gossip_message_suspects suspects;
   struct gossip_message_limit limits[GOSSIP_MESSAGE_LIMITS_MAX];
   guint n_limits;
-  /* Milliseconds since the sender last heard a server, rounded up, plus 1; 0:
-     never. */
-  guint servers_heard_age;
+  /* Milliseconds since the sender was last sure to reach servers, rounded up,
+     plus 1; 0: never. */
+  guint servers_reached_age;
   gboolean asks_for_servers; /* the sender cannot reach any */
   guint32 client_ip;         /* its address for clients; 0: as for peers */
   guint client_port;         /* 0: unknown */
--- a/packages/peer/gossip_relays.c
+++ b/packages/peer/gossip_relays.c
@@ -1,17 +1,17 @@
 #include "peer/gossip_internal.h"
 
-/* Which instances hear backend servers. One that is cut off from all servers
+/* Which instances reach the backend servers. One that is cut off from them
    learns from it that the servers run, and passes requests on to these. In a
    large deployment only the leaders hear of other domains, so they tell theirs
    some instances of those, in turn.  */
 
-/* Returns AGE of what was heard in the form in which messages have it.  */
+/* Returns the age of REACHED_AT, a clock time, as messages have it.  */
 static guint
-encode_age (gint64 heard_at, gint64 now)
+encode_age (gint64 reached_at, gint64 now)
 {
-  if (heard_at == 0)
+  if (reached_at == 0)
     return 0;
-  return 1 + (guint)CLAMP ((now - heard_at) / CLK_MS + 1, 0, G_MAXINT32 - 1);
+  return 1 + (guint)CLAMP ((now - reached_at) / CLK_MS + 1, 0, G_MAXINT32 - 1);
 }
 
 /* Returns a lower bound of the clock time that AGE means in a message that was
@@ -31,7 +31,7 @@
   return gossip_is_local_peer (gossip, peer)
              != gossip_is_local_peer (gossip, to)
          && !g_str_equal (peer->domain, to->domain) && peer->client_port != 0
-         && peer->servers_heard_at >= now - GOSSIP_HEARD_MAX_US;
+         && peer->servers_reached_at >= now - GOSSIP_REACHED_MAX_US;
 }
 
 /* Adds what this instance says of itself and, from a leader, some instances
@@ -45,7 +45,8 @@
   guint n = 0;
   GHashTableIter iter;
   gpointer value;
-  message->servers_heard_age = encode_age (state->servers_heard_at, round->now);
+  message->servers_reached_age
+      = encode_age (state->servers_reached_at, round->now);
   message->asks_for_servers = state->asks_for_servers;
   message->client_ip = state->client_ip == gossip->ip ? 0 : state->client_ip;
   message->client_port = state->client_port;
@@ -71,12 +72,13 @@
           .ip = peer->ip,
           .client_ip = peer->client_ip,
           .client_port = peer->client_port,
-          .servers_heard_age = encode_age (peer->servers_heard_at, round->now)
+          .servers_reached_age
+          = encode_age (peer->servers_reached_at, round->now)
         };
     }
 }
 
-/* Records which servers PEER, and instances that it lists, have heard. SENT is
+/* Records when PEER, and instances that it lists, have reached servers. SENT is
    a lower bound of the time at which MESSAGE was sent; 0: unknown.  */
 void
 gossip_apply_relays (struct gossip *gossip, struct peer *peer,
@@ -86,8 +88,9 @@
   peer->client_port = message->client_port;
   if (sent == 0)
     return;
-  peer->servers_heard_at = MAX (peer->servers_heard_at,
-                                decode_age (message->servers_heard_age, sent));
+  peer->servers_reached_at
+      = MAX (peer->servers_reached_at,
+             decode_age (message->servers_reached_age, sent));
   for (guint i = 0; i < message->n_relays; i++)
     {
       const struct gossip_message_relay *relay = &message->relays[i];
@@ -97,27 +100,28 @@
         continue;
       listed->client_ip = relay->client_ip;
       listed->client_port = relay->client_port;
-      listed->servers_heard_at
-          = MAX (listed->servers_heard_at,
-                 decode_age (relay->servers_heard_age, sent));
+      listed->servers_reached_at
+          = MAX (listed->servers_reached_at,
+                 decode_age (relay->servers_reached_age, sent));
     }
 }
 
-/* Returns a lower bound of the clock time at which another instance last heard
-   a server; 0: unknown.  */
+/* Returns a lower bound of the clock time at which another instance last
+   reached servers; 0: unknown.  */
 gint64
-gossip_servers_heard_at (const struct gossip *gossip)
+gossip_servers_reached_at (const struct gossip *gossip)
 {
-  gint64 heard_at = 0;
+  gint64 reached_at = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, gossip->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    heard_at = MAX (heard_at, ((const struct peer *)value)->servers_heard_at);
-  return heard_at;
+    reached_at
+        = MAX (reached_at, ((const struct peer *)value)->servers_reached_at);
+  return reached_at;
 }
 
-/* Fills RELAYS, of struct gossip_relay, with the instances that have heard
+/* Fills RELAYS, of struct gossip_relay, with the instances that have reached
    servers lately: those of the own domain or, if there are none, all.  */
 void
 gossip_relays (const struct gossip *gossip, gint64 now, GArray *relays)
@@ -131,8 +135,8 @@
     {
       const struct peer *peer = value;
       if (peer->client_port == 0
-          || peer->servers_heard_at < now - GOSSIP_HEARD_MAX_US
-          || peer->servers_heard_at == 0)
+          || peer->servers_reached_at < now - GOSSIP_REACHED_MAX_US
+          || peer->servers_reached_at == 0)
         continue;
       const struct gossip_relay relay
           = { .ip = peer->client_ip != 0 ? peer->client_ip : peer->ip,
--- a/packages/policy/server_reach.c
+++ b/packages/policy/server_reach.c
@@ -6,9 +6,11 @@
    that answers an instance can't tell whether the servers have ended or it is
    cut off itself. The other instances can: they hear servers in that time.  */
 
-/* Servers that could not be reached in a row, without one that was heard, for
-   the instance to be taken for cut off. */
-#define CUT_OFF_FAILURES 2
+/* Servers that could not be reached, without one that has accepted a connection
+   in between, until the instance tries others, and until it is taken for cut
+   off. */
+#define DOUBTFUL_FAILURES 2
+#define CUT_OFF_FAILURES 3
 /* Failures that go so far back are forgotten: without requests, servers that
    have ended at different times would add up.  */
 #define FAILING_MAX_US (10 * CLK_S)
@@ -20,18 +22,36 @@
   reach->failing_since = 0;
 }
 
-/* A server has sent something or accepted a connection. Returns whether the
-   instance was taken for cut off until now.  */
-gboolean
+/* A server has sent something. Connections may live on while no new one can be
+   opened, so this proves nothing of those.  */
+void
 server_reach_heard (struct server_reach *reach, gint64 now)
 {
-  gboolean was_cut_off = reach->cut_off;
   reach->heard_at = now;
+}
+
+/* A server has accepted a connection. Returns whether the instance was taken
+   for cut off until now.  */
+gboolean
+server_reach_accepted (struct server_reach *reach, gint64 now)
+{
+  gboolean was_cut_off = reach->cut_off;
+  reach->accepted_at = now;
   reach->cut_off = FALSE;
   forget_failures (reach);
   return was_cut_off;
 }
 
+/* Returns whether the life SERVER is among those that could not be reached.  */
+gboolean
+server_reach_has_failed (const struct server_reach *reach, guint64 server)
+{
+  for (guint i = 0; i < reach->n_failed; i++)
+    if (reach->failed[i] == server)
+      return TRUE;
+  return FALSE;
+}
+
 /* The life SERVER could not be reached, or has broken off a connection without
    having sent anything.  */
 void
@@ -39,10 +59,8 @@
 {
   if (reach->n_failed > 0 && now - reach->failing_since > FAILING_MAX_US)
     forget_failures (reach);
-  for (guint i = 0; i < reach->n_failed; i++)
-    if (reach->failed[i] == server)
-      return;
-  if (reach->n_failed == SERVER_REACH_FAILED_MAX)
+  if (server_reach_has_failed (reach, server)
+      || reach->n_failed == SERVER_REACH_FAILED_MAX)
     return;
   if (reach->n_failed == 0)
     reach->failing_since = now;
@@ -54,22 +72,32 @@
 gboolean
 server_reach_is_doubtful (const struct server_reach *reach)
 {
-  return reach->cut_off || reach->n_failed >= CUT_OFF_FAILURES;
+  return reach->cut_off || reach->n_failed >= DOUBTFUL_FAILURES;
+}
+
+/* Returns the clock time at which this instance was last sure to reach servers;
+   0: never.  */
+gint64
+server_reach_sure_at (const struct server_reach *reach)
+{
+  return server_reach_is_doubtful (reach)
+             ? reach->accepted_at
+             : MAX (reach->accepted_at, reach->heard_at);
 }
 
 /* Decides whether the instance is cut off from the N_SERVERS that are listed.
-   It is if no server was heard since several could not be reached, or the only
-   one, and a peer has heard one since: PEERS_HEARD_AT is a lower bound of the
-   clock time at which the last of them did. Without such a peer the servers may
-   be down. Returns whether the decision has changed; only a server that is
-   heard ends it.  */
+   It is if no server has accepted a connection since several could not be
+   reached, or all of them, and a peer was sure to reach servers since:
+   PEERS_SURE_AT is a lower bound of the clock time at which the last of them
+   was. Without such a peer the servers may be down. Returns whether the
+   decision has changed; only an accepted connection ends it.  */
 gboolean
 server_reach_review (struct server_reach *reach, guint n_servers,
-                     gint64 peers_heard_at, gint64 now)
+                     gint64 peers_sure_at, gint64 now)
 {
   if (reach->cut_off || reach->n_failed == 0
       || reach->n_failed < MIN (CUT_OFF_FAILURES, n_servers)
-      || peers_heard_at <= reach->failing_since)
+      || peers_sure_at <= reach->failing_since)
     return FALSE;
   reach->cut_off = TRUE;
   reach->cut_off_at = now;
--- a/tests/harness/proxy_fleet.c
+++ b/tests/harness/proxy_fleet.c
@@ -73,6 +73,10 @@
 launch (struct proxy_fleet *fleet, guint number, guint start)
 {
   char *name = g_strdup_printf ("gate-%u-%u", number, start);
+  char *redirects = g_strdup_printf ("%s/redirects-%u",
+                                     harness_dir (fleet->harness), number);
+  g_setenv ("JW_REDIRECTS", redirects, TRUE); /* for redirect_connect */
+  g_free (redirects);
   const char *argv[] = { "packages/jacinthward/jacinthward", "--settings",
                          fleet->instances[number].settings, NULL };
   fleet->instances[number].proc = harness_start (fleet->harness, name, argv);
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -4,7 +4,7 @@
 
 struct proxy_test proxy_test;
 struct suspects *proxy_test_suspects;
-gint64 (*proxy_test_peers_heard_at) (void *ctx);
+gint64 (*proxy_test_peers_sure_at) (void *ctx);
 gboolean (*proxy_test_choose_peer) (void *ctx, const struct proxy_peer *tried,
                                     guint n_tried, struct proxy_peer *peer);
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
@@ -317,7 +317,7 @@
           .registry = proxy_test.registry,
           .scheduler = proxy_test.scheduler,
           .suspects = proxy_test_suspects,
-          .peers_heard_at = proxy_test_peers_heard_at,
+          .peers_sure_at = proxy_test_peers_sure_at,
           .choose_peer = proxy_test_choose_peer,
           .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
           .key_freshness_limit_us = 2 * CLK_S,
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -102,7 +102,7 @@
 extern struct suspects *proxy_test_suspects;
 
 /* Options of these names of proxies started from now on. */
-extern gint64 (*proxy_test_peers_heard_at) (void *ctx);
+extern gint64 (*proxy_test_peers_sure_at) (void *ctx);
 extern gboolean (*proxy_test_choose_peer) (void *ctx,
                                            const struct proxy_peer *tried,
                                            guint n_tried,
--- a/tests/unit/test_gate_cut_off.c
+++ b/tests/unit/test_gate_cut_off.c
@@ -13,7 +13,7 @@
 static gint64 peer_heard_age_us;
 
 static gint64
-peers_heard_at (void *ctx)
+peers_sure_at (void *ctx)
 {
   (void)ctx;
   return peer_is_there ? proxy_test_now (NULL) - peer_heard_age_us : 0;
@@ -42,7 +42,7 @@
 {
   peer_is_there = TRUE;
   peer_heard_age_us = 0;
-  proxy_test_peers_heard_at = peers_heard_at;
+  proxy_test_peers_sure_at = peers_sure_at;
   proxy_test_choose_peer = choose_peer;
   proxy_test_start (2);
   proxy_test_set_table (1, PROXY_TEST_KEY);
--- a/tests/unit/test_gossip_relays.c
+++ b/tests/unit/test_gossip_relays.c
@@ -1,4 +1,4 @@
-/* What instances tell each other of hearing servers. One that is cut off from
+/* What instances tell each other of reaching servers. One that is cut off from
    all servers would take them for down, or pass requests on to instances that
    are cut off too.  */
 #include "unit/gossip_world.h"
@@ -9,7 +9,7 @@
 
 static gboolean cut[NODES_MAX];
 
-/* Runs the network for US, while all instances but those that are cut off hear
+/* Runs the network for US, while all instances but those that are cut off reach
    servers.  */
 static void
 run (gint64 us)
@@ -22,7 +22,7 @@
           state->client_ip = net.nodes[i].ip;
           state->client_port = PORT + i;
           if (!cut[i])
-            state->servers_heard_at = net.now;
+            state->servers_reached_at = net.now;
         }
       step (STEP_US);
     }
@@ -66,7 +66,7 @@
   guint n_cut;
   guint n_local;
   guint n = count_relays (node, &n_cut, &n_local);
-  CU_ASSERT_TRUE (gossip_servers_heard_at (net.nodes[node].gossip) > cut_at);
+  CU_ASSERT_TRUE (gossip_servers_reached_at (net.nodes[node].gossip) > cut_at);
   CU_ASSERT_TRUE (n >= expected_min);
   CU_ASSERT_EQUAL (n_cut, 0);
   CU_ASSERT_EQUAL (n_local, local ? n : 0);
@@ -125,7 +125,7 @@
   stop ();
 }
 
-/* If nobody hears a server any more, that is not told as news for ever.  */
+/* If nobody reaches a server any more, that is not told as news for ever.  */
 static void
 test_all_cut (guint n, guint domains)
 {
@@ -138,7 +138,7 @@
   run (NOTICE_US);
   for (guint i = 0; i < n; i++)
     {
-      CU_ASSERT_TRUE (gossip_servers_heard_at (net.nodes[i].gossip) <= at);
+      CU_ASSERT_TRUE (gossip_servers_reached_at (net.nodes[i].gossip) <= at);
       CU_ASSERT_EQUAL (count_relays (i, &n_cut, &n_local), 0);
     }
   stop ();
@@ -171,7 +171,7 @@
   { "a domain of seven instances", test_domain_of_seven },
   { "six of seven instances", test_six_of_seven },
   { "a domain of sixty instances", test_large_domain },
-  { "no instance hears a server", test_servers_down },
+  { "no instance reaches a server", test_servers_down },
   { "a frozen instance and lost messages", test_disturbed },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit/test_server_reach.c
+++ b/tests/unit/test_server_reach.c
@@ -10,25 +10,48 @@
 test_cut_off (void)
 {
   struct server_reach reach = { 0 };
-  server_reach_heard (&reach, CLK_S);
+  server_reach_accepted (&reach, CLK_S);
   server_reach_failed (&reach, 1, 2 * CLK_S);
   server_reach_failed (&reach, 1, 3 * CLK_S);
   CU_ASSERT_FALSE (server_reach_is_doubtful (&reach));
   CU_ASSERT_FALSE (server_reach_review (&reach, SERVERS, 4 * CLK_S, 4 * CLK_S));
   server_reach_failed (&reach, 2, 4 * CLK_S);
   CU_ASSERT_TRUE (server_reach_is_doubtful (&reach));
+  CU_ASSERT_FALSE (server_reach_review (&reach, SERVERS, 4 * CLK_S, 4 * CLK_S));
+  server_reach_failed (&reach, 3, 4 * CLK_S);
   /* What peers have heard before says nothing. */
   CU_ASSERT_FALSE (server_reach_review (&reach, SERVERS, 2 * CLK_S, 4 * CLK_S));
   CU_ASSERT_FALSE (reach.cut_off);
   CU_ASSERT_TRUE (server_reach_review (&reach, SERVERS, 3 * CLK_S, 4 * CLK_S));
   CU_ASSERT_TRUE (reach.cut_off);
   CU_ASSERT_FALSE (server_reach_review (&reach, SERVERS, 5 * CLK_S, 5 * CLK_S));
-  CU_ASSERT_TRUE (server_reach_heard (&reach, 6 * CLK_S));
+  server_reach_heard (&reach, 6 * CLK_S);
+  CU_ASSERT_TRUE (reach.cut_off);
+  CU_ASSERT_TRUE (server_reach_accepted (&reach, 6 * CLK_S));
   CU_ASSERT_FALSE (reach.cut_off);
-  CU_ASSERT_FALSE (server_reach_heard (&reach, 7 * CLK_S));
+  CU_ASSERT_FALSE (server_reach_accepted (&reach, 7 * CLK_S));
+}
+
+/* Connections live on, but no new one can be opened: the instance is not sure
+   to reach servers, and must not say so.  */
+static void
+test_live_on (void)
+{
+  struct server_reach reach = { 0 };
+  server_reach_accepted (&reach, CLK_S);
+  server_reach_heard (&reach, 2 * CLK_S);
+  CU_ASSERT_EQUAL (server_reach_sure_at (&reach), 2 * CLK_S);
+  server_reach_failed (&reach, 1, 3 * CLK_S);
+  server_reach_failed (&reach, 2, 3 * CLK_S);
+  server_reach_heard (&reach, 4 * CLK_S);
+  CU_ASSERT_EQUAL (server_reach_sure_at (&reach), CLK_S);
+  server_reach_failed (&reach, 3, 4 * CLK_S);
+  server_reach_heard (&reach, 5 * CLK_S);
+  CU_ASSERT_TRUE (server_reach_review (&reach, SERVERS, 4 * CLK_S, 5 * CLK_S));
 }
 
-/* One server that is heard in between shows that the others have ended.  */
+/* One server that accepts a connection in between shows that the others have
+   ended.  */
 static void
 test_servers_end (void)
 {
@@ -36,7 +59,7 @@
   for (guint i = 0; i < 10; i++)
     {
       server_reach_failed (&reach, i, (2 + i) * CLK_S);
-      server_reach_heard (&reach, (2 + i) * CLK_S + 1);
+      server_reach_accepted (&reach, (2 + i) * CLK_S + 1);
       CU_ASSERT_FALSE (
           server_reach_review (&reach, SERVERS, 20 * CLK_S, 20 * CLK_S));
     }
@@ -67,6 +90,7 @@
 
 static CU_TestInfo tests[] = {
   { "cut off", test_cut_off },
+  { "connections live on", test_live_on },
   { "servers that end", test_servers_end },
   { "servers that end in a quiet time", test_quiet },
   { "the only server", test_only_server },
