--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -49,6 +49,7 @@
   X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
   X (LIMITS_INVALID, "limits_invalid",                                         \
      "responses that name a limit that is not valid")                          \
+  X (BRITTLE_FULL, "brittle_full", "rejections by brittle servers")            \
   X (CUT_OFF, "cut_offs",                                                      \
      "times that no backend server could be reached, but peers reached some")  \
   X (RELAYED, "relayed", "requests passed on to another instance")             \
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/str.h"
+#include "policy/brittle_share.h"
 #include "policy/limit_share.h"
 #include "policy/server_health.h"
 #include "policy/server_limit.h"
@@ -62,6 +63,10 @@
   struct registry_backoff backoff;
   struct server_limit limit;
   struct limit_share limit_share; /* of this instance */
+  /* Whether it is brittle: as a limit, one more than the rejections a second
+     that it bears. */
+  struct server_limit brittle;
+  struct brittle_share brittle_share;
   guint unreachable_in_row; /* consecutive attempts that could not reach it */
   gint64 last_reached;      /* clock time of its last message; 0: never */
   gint64 said_leaving_at; /* clock time of its first response that says that it
@@ -142,6 +147,11 @@
 gboolean registry_report_limit (struct registry_server *server,
                                 const struct server_limit_report *report,
                                 const char *request_id, gint64 now);
+void registry_report_brittle (struct registry_server *server,
+                              const struct server_limit_report *report,
+                              const char *request_id, gint64 now);
+void registry_brittle_full (struct registry_server *server, guint room,
+                            gboolean own, gint64 at);
 void registry_mark_serving (struct registry_server *server);
 void registry_mark_leaving (struct registry *registry,
                             const struct registry_server *server, gint64 now);
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -592,6 +592,20 @@
   exchange_end_attempt (exchange);
 }
 
+/* SERVER, which is brittle, has turned the request away.  */
+static void
+record_brittle_full (const struct exchange *exchange,
+                     struct registry_server *server, gint64 now)
+{
+  const struct proxy_options *options = &exchange->reverse_proxy->options;
+  struct server_load load = server_load_total (
+      scheduler_loads (options->scheduler), server->number);
+  counter_add (options->counter_set, COUNTER_BRITTLE_FULL, 1);
+  registry_brittle_full (server, load.requests, TRUE, now);
+  if (options->brittle_full != NULL)
+    options->brittle_full (options->ctx);
+}
+
 /* Excludes the server of a failed attempt from further attempts of the request
    and, depending on RESULT, from all requests for a while.  */
 static void
@@ -609,6 +623,8 @@
                                                       : 0;
   if (result == RETRY_RESULT_NOT_SENT)
     registry_mark_unreachable (server, now);
+  if (result == RETRY_RESULT_REJECTED && server->brittle.report.per_s > 0)
+    record_brittle_full (exchange, server, now);
   server->avoid_until = MAX (server->avoid_until, now + pause);
 }
 
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -31,6 +31,8 @@
     .leaving = "X-Leaving",
     /* Requests a second that the server takes from all instances together. */
     .limit = "X-Limit",
+    /* Rejections a second, to all instances together, that the server bears. */
+    .brittle = "X-Brittle",
     /* Attempts that another instance has made of a request before it has passed
        it on. */
     .relayed = "X-Relayed",
--- a/packages/gate/response_hints.c
+++ b/packages/gate/response_hints.c
@@ -4,11 +4,15 @@
 
 #include "base/log.h"
 
+#include <math.h>
+
 #define BACKOFF_MAX_US                                                         \
   (300 * CLK_S) /* longest time for which a server can ask to be sent nothing  \
                  */
 #define BACKOFF_SPREAD                                                         \
   0.2 /* random share added, so that the instances do not return together */
+/* Lower limits are not valid: between instances they would be none. */
+#define LIMIT_MIN_PER_S 0.5e-6
 #define LOGGED_VALUE_MAX 40 /* bytes of a malformed header in the log */
 
 /* Reads the time for which a 503 asks to send nothing to SERVER, in
@@ -34,49 +38,55 @@
   return 0;
 }
 
-/* Reads the limit that HEAD names into PER_S; 0: none. Returns FALSE if what it
-   names is not valid, which is logged and ignored: the limit stays as it was.
+/* Reads the decimal number in the header NAME of HEAD, SERVER_LIMIT_MAX_PER_S
+   at most, into NUMBER. Returns 1, 0 if there is no such header, or a negative
+   number if it is not valid, which is logged and ignored: what was known stays.
  */
-static gboolean
-read_limit (const struct reverse_proxy *reverse_proxy,
-            const struct registry_server *server, const char *request_id,
-            const struct http_head *head, double *per_s)
+static int
+read_number (const struct reverse_proxy *reverse_proxy,
+             const struct registry_server *server, const char *request_id,
+             const struct http_head *head, const char *name, double min,
+             double *number)
 {
-  const char *name = reverse_proxy->header_names->limit;
   struct str value;
-  *per_s = 0;
+  *number = 0;
   if (!http_head_get (head, name, &value))
-    return TRUE;
-  if (http_head_count (head, name) == 1 && http_parse_decimal (value, per_s)
-      && *per_s <= SERVER_LIMIT_MAX_PER_S)
-    {
-      *per_s = server_limit_of_micro (server_limit_to_micro (*per_s));
-      if (*per_s > 0)
-        return TRUE;
-    }
+    return 0;
+  if (http_head_count (head, name) == 1 && http_parse_decimal (value, number)
+      && *number >= min && *number <= SERVER_LIMIT_MAX_PER_S)
+    return 1;
   counter_add (reverse_proxy->options.counter_set, COUNTER_LIMITS_INVALID, 1);
   log_write (&(struct log_entry){ .level = LOG_WARN,
                                   .event = "server.limit_invalid",
                                   .request_id = request_id,
                                   .peer = server->entry.id },
-             "%s is not one number of requests a second: %.*s", name,
+             "%s is not one decimal number in its range: %.*s", name,
              (int)MIN (value.n, LOGGED_VALUE_MAX), value.p);
-  return FALSE;
+  return ERR_INVALID;
 }
 
 /* Records the limit that HEAD, the response to a request that was sent at
-   STARTED, names.  */
+   STARTED, names, and whether the server says that it is brittle.  */
 static void
-record_limit (struct reverse_proxy *reverse_proxy,
-              struct registry_server *server, const char *request_id,
-              const struct http_head *head, gint64 started)
+record_limits (struct reverse_proxy *reverse_proxy,
+               struct registry_server *server, const char *request_id,
+               const struct http_head *head, gint64 started)
 {
+  const struct header_names *header_names = reverse_proxy->header_names;
   gint64 now = clk_now (reverse_proxy->options.clk);
+  double number;
   struct server_limit_report report
       = { .after = started, .before = now, .source = SERVER_LIMIT_OWN };
-  if (read_limit (reverse_proxy, server, request_id, head, &report.per_s)
-      && registry_report_limit (server, &report, request_id, now))
+  int named = read_number (reverse_proxy, server, request_id, head,
+                           header_names->limit, LIMIT_MIN_PER_S, &number);
+  report.per_s = server_limit_of_micro (server_limit_to_micro (number));
+  if (named >= 0 && registry_report_limit (server, &report, request_id, now))
     counter_add (reverse_proxy->options.counter_set, COUNTER_LIMITS_NAMED, 1);
+  named = read_number (reverse_proxy, server, request_id, head,
+                       header_names->brittle, 0, &number);
+  report.per_s = named > 0 ? floor (number) + 1 : 0;
+  if (named >= 0)
+    registry_report_brittle (server, &report, request_id, now);
 }
 
 /* Records what HEAD says of SERVER, which has sent it in response to a request
@@ -86,7 +96,7 @@
                        struct registry_server *server, const char *request_id,
                        const struct http_head *head, gint64 started)
 {
-  record_limit (reverse_proxy, server, request_id, head, started);
+  record_limits (reverse_proxy, server, request_id, head, started);
   gint64 us = read_backoff (server, request_id, head);
   if (us <= 0)
     {
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -425,6 +425,11 @@
   json_add_double (json, "limit_per_s", server->limit.report.per_s);
   json_add_str (json, "limit_source",
                 server_limit_source_name (server->limit.report.source));
+  json_add_int (json, "brittle_rejections_per_s",
+                (gint64)server->brittle.report.per_s - 1);
+  json_add_int (json, "brittle_room", server->brittle_share.room);
+  json_add_int (json, "brittle_own_places",
+                __builtin_popcountll (server->brittle_share.own));
   json_add_int (json, "requests", load.requests);
   json_add_int (json, "unread_tokens", (gint64)load.prefill_tokens);
   json_add_int (json, "memory_tokens", (gint64)load.memory);
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -50,6 +50,9 @@
      placement_choice. May be NULL. */
   void (*request_sent) (void *ctx, const struct registry_server *server,
                         const struct prefix_prompt *prompt, gboolean at_home);
+  /* A brittle server has turned a request away, which the other instances are
+     to know at once. May be NULL. */
+  void (*brittle_full) (void *ctx);
   /* Returns a lower bound of the clock time at which another instance was
      last sure to reach servers; 0: unknown. NULL: there is no other instance.
    */
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -12,9 +12,9 @@
   (300 * CLK_MS) /* subtracted from the limit on the use of keys without a     \
                     fresh configuration, because the request still has to      \
                     reach a server */
-#define SUSPECTS_INTERVAL_US                                                   \
-  (20 * CLK_MS) /* between two rounds of messages about suspected parts */
-#define SUSPECTS_MAX_MS 20
+#define NEWS_INTERVAL_US                                                       \
+  (20 * CLK_MS) /* between two rounds of messages that are not due yet */
+#define NEWS_MAX_MS 20
 #define PAUSE_THRESHOLD_US                                                     \
   (1 * CLK_S) /* a tick this late means that the process was suspended or      \
                  starved */
@@ -86,33 +86,41 @@
                scheduler_loads (daemon->scheduler), now, send_datagram, daemon);
 }
 
-/* Tells peers at once what has changed of the suspected parts, and lets the
-   requests go on that wait for it.  */
+/* Tells peers at once what has changed of the suspected parts and of brittle
+   servers, and lets the requests go on that wait for it.  */
 static gboolean
-on_suspects_due (gpointer data)
+on_news_due (gpointer data)
 {
   struct proxy_daemon *daemon = data;
   gint64 now = clk_now (daemon->clk);
-  daemon->suspects_source = 0;
+  daemon->news_source = 0;
   proxy_poll (daemon->reverse_proxy);
-  gossip_hurry (daemon->gossip, daemon->suspects_own, now);
-  daemon->suspects_own = FALSE;
-  daemon->suspects_sent_at = now;
+  gossip_hurry (daemon->gossip, daemon->news_is_own, now);
+  daemon->news_is_own = FALSE;
+  daemon->news_sent_at = now;
   send_state_to_peers (daemon, now);
   return G_SOURCE_REMOVE;
 }
 
+/* Something has changed that peers are to know at once; with OWN FALSE, a peer
+   has told it.  */
 static void
-on_suspects_changed (void *ctx, gboolean own)
+on_news (void *ctx, gboolean own)
 {
   struct proxy_daemon *daemon = ctx;
-  gint64 wait
-      = daemon->suspects_sent_at + SUSPECTS_INTERVAL_US - clk_now (daemon->clk);
-  daemon->suspects_own |= own;
-  if (daemon->suspects_source == 0)
-    daemon->suspects_source = g_timeout_add_full (
-        G_PRIORITY_DEFAULT, (guint)CLAMP (wait / CLK_MS, 0, SUSPECTS_MAX_MS),
-        on_suspects_due, daemon, NULL);
+  gint64 wait = daemon->news_sent_at + NEWS_INTERVAL_US - clk_now (daemon->clk);
+  daemon->news_is_own |= own;
+  if (daemon->news_source == 0)
+    daemon->news_source = g_timeout_add_full (
+        G_PRIORITY_DEFAULT, (guint)CLAMP (wait / CLK_MS, 0, NEWS_MAX_MS),
+        on_news_due, daemon, NULL);
+}
+
+/* A brittle server has turned a request away: tells peers at once.  */
+static void
+on_brittle_full (void *ctx)
+{
+  on_news (ctx, TRUE);
 }
 
 static void
@@ -143,6 +151,8 @@
                "instances=%u", gossip_alive_count (daemon->gossip, now));
   for (guint i = 0; i < update.n_rejections; i++)
     scheduler_record_rejection (daemon->scheduler, &update.rejections[i]);
+  if (update.brittle_full)
+    on_news (daemon, FALSE);
   if (update.asks_for_servers)
     proxy_find_servers (daemon->reverse_proxy);
   proxy_daemon_handle_peer_update (daemon, ip, &update, now);
@@ -310,6 +320,7 @@
           .shutdown_limit_us = settings->shutdown_limit_us,
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
+          .brittle_full = on_brittle_full,
           .peers_sure_at = on_peers_sure_at,
           .choose_peer = on_choose_peer,
           .ctx = daemon };
@@ -373,7 +384,7 @@
   const struct suspects_options suspects_options
       = { .seed = g_rand_int (daemon->rand),
           .counter_set = &daemon->counter_set,
-          .changed = on_suspects_changed,
+          .changed = on_news,
           .ctx = daemon };
   daemon->scheduler = scheduler_new (&scheduler_options, now);
   daemon->suspects = suspects_new (&suspects_options);
@@ -401,7 +412,7 @@
   if (daemon == NULL)
     return;
   g_clear_handle_id (&daemon->tick_timer, g_source_remove);
-  g_clear_handle_id (&daemon->suspects_source, g_source_remove);
+  g_clear_handle_id (&daemon->news_source, g_source_remove);
   proxy_daemon_endpoints_free (daemon);
   proxy_daemon_sync_free (daemon);
   proxy_free (daemon->reverse_proxy);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -47,9 +47,9 @@
   struct registry *registry;
   struct scheduler *scheduler;
   struct suspects *suspects;
-  guint suspects_source;   /* GLib source: on_suspects_due; 0: none */
-  gboolean suspects_own;   /* something was seen here since */
-  gint64 suspects_sent_at; /* clock time */
+  guint news_source;    /* GLib source: on_news_due; 0: none */
+  gboolean news_is_own; /* something was seen here since */
+  gint64 news_sent_at;  /* clock time */
   struct reverse_proxy *reverse_proxy;
   struct gossip *gossip;
   struct udp *udp;
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -80,6 +80,7 @@
   guint n_rejections;
   gboolean joined;           /* first message of this incarnation */
   gboolean asks_for_servers; /* as in struct gossip_local_state */
+  gboolean brittle_full;     /* a brittle server has turned a request away */
   char id[STR_ID_MAX + 1];
 };
 
--- a/packages/peer/gossip_contents.c
+++ b/packages/peer/gossip_contents.c
@@ -19,17 +19,6 @@
    of the own domain lists members.  */
 #define MEMBER_LIST_EVERY 8
 
-/* For so long it is told that a server has no limit any more. */
-#define LIMIT_END_TOLD_US (30 * CLK_S)
-
-/* Returns AGE, which is not negative, in milliseconds.  */
-static guint
-age_ms (gint64 age, gboolean round_up)
-{
-  gint64 ms = (age + (round_up ? CLK_MS - 1 : 0)) / CLK_MS;
-  return (guint)CLAMP (ms, 0, G_MAXINT32);
-}
-
 /* Returns whether PEER belongs in the member list of a message to TO.  */
 static gboolean
 is_listable (const struct peer *peer, const struct peer *to, gint64 now)
@@ -164,61 +153,6 @@
     }
 }
 
-/* Returns whether messages tell what is known of the limit of SERVER: what its
-   last response to this instance says, or from a leader that forwards to one of
-   the domain, and within the domain also what comes from others. That a limit
-   has ended is told for a while.  */
-static gboolean
-is_limit_told (const struct registry_server *server,
-               const struct gossip_round *round, gboolean same_domain)
-{
-  const struct server_limit *limit = &server->limit;
-  enum server_limit_source source = limit->report.source;
-  gboolean forwards = round->is_leader && !round->full_mesh;
-  if (limit->report.per_s == 0
-      && (limit->ended_at == 0
-          || round->now - limit->ended_at > LIMIT_END_TOLD_US))
-    return FALSE;
-  return source == SERVER_LIMIT_OWN
-         || (forwards && (same_domain || source == SERVER_LIMIT_DOMAIN));
-}
-
-/* Adds the limits that servers have named. If not all fit into one message, the
-   messages to PEER rotate through them.  */
-static void
-add_limits (const struct gossip *gossip, const struct peer *to,
-            struct gossip_message *message, const struct gossip_round *round)
-{
-  guint n;
-  guint n_told = 0;
-  gboolean same_domain = gossip_is_local_peer (gossip, to);
-  struct registry_server *const *servers
-      = registry_servers (round->registry, &n);
-  for (guint i = 0; i < n; i++)
-    n_told += is_limit_told (servers[i], round, same_domain);
-  guint skip = n_told > GOSSIP_MESSAGE_LIMITS_MAX
-                   ? to->seq % ((n_told - 1) / GOSSIP_MESSAGE_LIMITS_MAX + 1)
-                         * GOSSIP_MESSAGE_LIMITS_MAX
-                   : 0;
-  for (guint i = 0; i < n && message->n_limits < GOSSIP_MESSAGE_LIMITS_MAX; i++)
-    {
-      const struct server_limit_report *report = &servers[i]->limit.report;
-      if (!is_limit_told (servers[i], round, same_domain))
-        continue;
-      if (skip > 0)
-        {
-          skip--;
-          continue;
-        }
-      message->limits[message->n_limits++] = (struct gossip_message_limit){
-        .server_key = gossip_server_key (servers[i]),
-        .micro = server_limit_to_micro (report->per_s),
-        .after_age_ms = age_ms (round->now - report->after, TRUE),
-        .before_age_ms = age_ms (round->now - report->before, FALSE)
-      };
-    }
-}
-
 /* Returns whether another domain would place requests differently if it knew
    LOAD. A few requests that only generate tokens make no difference at an
    engine, and most servers of a large fleet have no more.  */
@@ -451,7 +385,7 @@
   gboolean direct = round->full_mesh || gossip_is_local_peer (gossip, peer);
   add_leaving (message, round->registry, peer,
                round->is_leader && !round->full_mesh);
-  add_limits (gossip, peer, message, round);
+  gossip_add_limits (gossip, peer, message, round);
   if (direct)
     {
       add_loads (gossip, peer, message, round->registry,
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -151,6 +151,14 @@
 void gossip_add_contents (struct gossip *gossip, struct peer *peer,
                           struct gossip_message *message,
                           const struct gossip_round *round);
+void gossip_add_limits (const struct gossip *gossip, const struct peer *to,
+                        struct gossip_message *message,
+                        const struct gossip_round *round);
+gboolean gossip_apply_limits (const struct gossip *gossip,
+                              GHashTable *servers_by_key,
+                              const struct peer *peer,
+                              const struct gossip_message *message, gint64 sent,
+                              gint64 now);
 void gossip_add_relays (const struct gossip *gossip, const struct peer *to,
                         struct gossip_message *message,
                         const struct gossip_round *round);
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 36 /* of a message in the current format */
+#define FIELDS 37 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -23,7 +23,8 @@
   gossip_message->n_own_placements = gossip_message->n_home_placements
       = gossip_message->n_unreachable = gossip_message->n_leaving
       = gossip_message->n_rejections = gossip_message->n_held
-      = gossip_message->n_limits = gossip_message->n_relays = 0;
+      = gossip_message->n_limits = gossip_message->n_relays
+      = gossip_message->n_brittle = 0;
   gossip_message->servers_reached_age = gossip_message->client_port = 0;
   gossip_message->asks_for_servers = FALSE;
   gossip_message->client_ip = 0;
@@ -112,6 +113,15 @@
     }
 }
 
+static void
+pack_limit (msgpack_packer *pk, const struct gossip_message_limit *limit)
+{
+  msgpack_pack_uint32 (pk, limit->server_key);
+  msgpack_pack_uint64 (pk, limit->micro);
+  msgpack_pack_unsigned_int (pk, limit->after_age_ms);
+  msgpack_pack_unsigned_int (pk, limit->before_age_ms);
+}
+
 static void
 pack_relays (msgpack_packer *pk, const struct gossip_message *gossip_message)
 {
@@ -205,14 +215,15 @@
   pack_suspects (&pk, &gossip_message->suspects);
   msgpack_pack_array (&pk, 4 * (size_t)gossip_message->n_limits);
   for (guint i = 0; i < gossip_message->n_limits; i++)
+    pack_limit (&pk, &gossip_message->limits[i]);
+  pack_relays (&pk, gossip_message);
+  msgpack_pack_array (&pk, 6 * (size_t)gossip_message->n_brittle);
+  for (guint i = 0; i < gossip_message->n_brittle; i++)
     {
-      const struct gossip_message_limit *limit = &gossip_message->limits[i];
-      msgpack_pack_uint32 (&pk, limit->server_key);
-      msgpack_pack_uint64 (&pk, limit->micro);
-      msgpack_pack_unsigned_int (&pk, limit->after_age_ms);
-      msgpack_pack_unsigned_int (&pk, limit->before_age_ms);
+      pack_limit (&pk, &gossip_message->brittle[i].limit);
+      msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].room);
+      msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].full_age_ms);
     }
-  pack_relays (&pk, gossip_message);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -465,22 +476,40 @@
   c->bad |= trials.bad;
 }
 
+static void
+read_limit (struct cursor *c, struct gossip_message_limit *limit)
+{
+  limit->server_key = (guint32)read_number (c, G_MAXUINT32);
+  limit->micro
+      = read_number (c, server_limit_to_micro (SERVER_LIMIT_MAX_PER_S + 1));
+  limit->after_age_ms = (guint)read_number (c, G_MAXINT32);
+  limit->before_age_ms = (guint)read_number (c, limit->after_age_ms);
+}
+
 static void
 read_limits (struct cursor *c, struct gossip_message *gossip_message)
 {
   struct cursor limits = read_array (c, 4 * GOSSIP_MESSAGE_LIMITS_MAX);
   limits.bad |= limits.left % 4 != 0;
   while (!limits.bad && limits.left > 0)
+    read_limit (&limits, &gossip_message->limits[gossip_message->n_limits++]);
+  c->bad |= limits.bad;
+}
+
+static void
+read_brittle (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor list = read_array (c, 6 * GOSSIP_MESSAGE_BRITTLE_MAX);
+  list.bad |= list.left % 6 != 0;
+  while (!list.bad && list.left > 0)
     {
-      struct gossip_message_limit *limit
-          = &gossip_message->limits[gossip_message->n_limits++];
-      limit->server_key = (guint32)read_number (&limits, G_MAXUINT32);
-      limit->micro = read_number (
-          &limits, server_limit_to_micro (SERVER_LIMIT_MAX_PER_S));
-      limit->after_age_ms = (guint)read_number (&limits, G_MAXINT32);
-      limit->before_age_ms = (guint)read_number (&limits, limit->after_age_ms);
+      struct gossip_message_brittle *brittle
+          = &gossip_message->brittle[gossip_message->n_brittle++];
+      read_limit (&list, &brittle->limit);
+      brittle->room = (guint)read_number (&list, G_MAXUINT16);
+      brittle->full_age_ms = (guint)read_number (&list, G_MAXINT32);
     }
-  c->bad |= limits.bad;
+  c->bad |= list.bad;
 }
 
 static void
@@ -562,6 +591,8 @@
     gossip_message->client_port = (guint)read_number (&c, G_MAXUINT16);
   if (c.left > 0)
     read_relays (&c, gossip_message);
+  if (c.left > 0)
+    read_brittle (&c, gossip_message);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -19,6 +19,7 @@
 #define GOSSIP_MESSAGE_REJECTIONS_MAX 8
 #define GOSSIP_MESSAGE_LIMITS_MAX 8
 #define GOSSIP_MESSAGE_RELAYS_MAX 4
+#define GOSSIP_MESSAGE_BRITTLE_MAX 8
 #define GOSSIP_MESSAGE_SUMMARIES_MAX 12
 /* Servers at which one instance or domain has load. */
 #define GOSSIP_MESSAGE_LOADS_MAX 200
@@ -98,6 +99,14 @@
   guint before_age_ms;
 };
 
+/* Whether a response of a server says that it is brittle. */
+struct gossip_message_brittle
+{
+  struct gossip_message_limit limit; /* one more than the rejections a second */
+  guint room;        /* requests that all instances may have there */
+  guint full_age_ms; /* since it has turned one away, plus 1; 0: never */
+};
+
 /* An instance that has reached servers. */
 struct gossip_message_relay
 {
@@ -171,6 +180,8 @@
   guint client_port;         /* 0: unknown */
   struct gossip_message_relay relays[GOSSIP_MESSAGE_RELAYS_MAX];
   guint n_relays;
+  struct gossip_message_brittle brittle[GOSSIP_MESSAGE_BRITTLE_MAX];
+  guint n_brittle;
 };
 
 void gossip_message_clear (struct gossip_message *gossip_message);
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -288,31 +288,6 @@
   return peer->sent_at[message->echo_seq % SENT_TIMES_KEPT];
 }
 
-/* Records what a peer has been told of the limits of servers. Their keys name
-   lives, so a server that has started again since is not found.  */
-static void
-apply_limits (const struct gossip *gossip, GHashTable *servers_by_key,
-              const struct peer *peer, const struct gossip_message *message,
-              gint64 now)
-{
-  gint64 sent = sent_after (gossip, peer, message);
-  for (guint i = 0; i < message->n_limits; i++)
-    {
-      const struct gossip_message_limit *limit = &message->limits[i];
-      struct registry_server *server = g_hash_table_lookup (
-          servers_by_key, GUINT_TO_POINTER (limit->server_key));
-      const struct server_limit_report report
-          = { .per_s = server_limit_of_micro (limit->micro),
-              .after = MAX (sent - (gint64)limit->after_age_ms * CLK_MS, 0),
-              .before = now - (gint64)limit->before_age_ms * CLK_MS,
-              .source = gossip_is_local_peer (gossip, peer)
-                            ? SERVER_LIMIT_DOMAIN
-                            : SERVER_LIMIT_REMOTE };
-      if (server != NULL)
-        registry_report_limit (server, &report, NULL, now);
-    }
-}
-
 /* Derives a lower bound for the time at which the peer's configuration version
    was confirmed as the newest: its confirmation had age config_age_us when it
    sent its message. Without a usable echo, confirmed_after is 0.  */
@@ -445,9 +420,10 @@
         registry_peer_found_unreachable (server, now);
     }
   apply_leaving (servers_by_key, message, registry);
-  apply_limits (gossip, servers_by_key, peer, message, now);
-  gossip_apply_relays (gossip, peer, message,
-                       sent_after (gossip, peer, message));
+  gint64 sent = sent_after (gossip, peer, message);
+  update->brittle_full
+      = gossip_apply_limits (gossip, servers_by_key, peer, message, sent, now);
+  gossip_apply_relays (gossip, peer, message, sent);
   apply_suspects (gossip, peer, message, now);
   apply_held (gossip, peer, message);
   apply_summaries (gossip, servers_by_key, ip, message, is_local,
--- a/packages/policy/limit_share.c
+++ b/packages/policy/limit_share.c
@@ -107,8 +107,8 @@
 }
 
 /* Returns how many instances share the slots that do not belong to any.  */
-static guint
-count_local (const struct limit_query *query)
+guint
+limit_share_count_local (const struct limit_query *query)
 {
   guint n = 0;
   for (guint i = 0; i < query->members->n; i++)
@@ -136,10 +136,11 @@
   return shared / members->n + (local ? (per_s - shared) / n_local : 0);
 }
 
-/* Returns whether SLOT belongs to this instance. N_LOCAL is what count_local
-   returns.  */
-static gboolean
-is_own_slot (const struct limit_query *query, guint n_local, gint64 slot)
+/* Returns whether the slot or place number SLOT of a server belongs to this
+   instance, if the limit is not split evenly. N_LOCAL is what
+   limit_share_count_local returns.  */
+gboolean
+limit_share_owns (const struct limit_query *query, guint n_local, gint64 slot)
 {
   const struct limit_members *members = query->members;
   guint64 seed
@@ -147,8 +148,6 @@
   gboolean any = n_local == 0 || seed % SHARED_SLOT_EVERY == 0;
   guint64 own = hash_mix_bits (seed ^ members->self);
   gboolean eligible = FALSE;
-  if (is_split (query))
-    return TRUE;
   for (guint i = 0; i < members->n; i++)
     {
       const struct limit_member *member = &members->members[i];
@@ -174,7 +173,8 @@
       share->next = from + i;
       share->is_next_own
           = slot_requests (query, share->slot_us, share->next) > 0
-            && is_own_slot (query, share->n_local, share->next);
+            && (is_split (query)
+                || limit_share_owns (query, share->n_local, share->next));
     }
   if (!share->is_next_own)
     share->next = from + SEARCH_SLOTS;
@@ -200,7 +200,7 @@
   share->per_s = query->per_s;
   share->version = version;
   share->slot_us = slot_us;
-  share->n_local = count_local (query);
+  share->n_local = limit_share_count_local (query);
   share->own_per_s = own_per_s (query, share->n_local);
   find_next (share, query, now / slot_us + 1);
 }
--- a/packages/policy/limit_share.h
+++ b/packages/policy/limit_share.h
@@ -65,6 +65,9 @@
   struct limit_grant grants[LIMIT_SHARE_GRANTS]; /* by slot */
 };
 
+guint limit_share_count_local (const struct limit_query *query);
+gboolean limit_share_owns (const struct limit_query *query, guint n_local,
+                           gint64 slot);
 void limit_domains_add (struct limit_domains *domains, guint64 key);
 gint64 limit_share_wait (struct limit_share *share,
                          const struct limit_query *query);
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -124,6 +124,26 @@
   c->limited_per_s = c->server->limit_share.own_per_s;
 }
 
+/* Fills in whether the server of C, if it is brittle, has room for a further
+   request of this instance. DOMAINS is filled in on first use.  */
+static void
+apply_brittle (const struct placement_view *view, struct limit_domains *domains,
+               struct placement_candidate *c)
+{
+  if (c->server->brittle.report.per_s == 0)
+    return;
+  find_domains (view, domains);
+  const struct brittle_query query = {
+    .limit = limit_query_of (view, c->server, domains),
+    .slots = MAX (c->server->entry.slots, 1),
+    .in_progress = c->load.requests,
+    .own_in_progress
+    = server_load_own (view->server_load_table, c->server->number)->requests,
+    .now = view->now
+  };
+  c->brittle_wait_us = brittle_share_wait (&c->server->brittle_share, &query);
+}
+
 /* Records that a request is being sent to SERVER, so that it counts towards the
    limit that SERVER may have named.  */
 void
@@ -179,6 +199,7 @@
                                        &request->prompt, view->now);
       c->expected_cached = c->cached_tokens;
       apply_limit (view, &domains, c);
+      apply_brittle (view, &domains, c);
       n_local += c->distance == TOPOLOGY_SAME_DOMAIN;
     }
   for (guint i = 0; i < n; i++)
@@ -492,8 +513,11 @@
           = view->engine != NULL
                 ? placement_estimate_engine (view, request, c, best_cached)
                 : placement_estimate_plain (request, c);
-      e.full |= c->trial_running || c->limit_wait_us > 0;
-      e.capacity_wait_us = MAX (e.capacity_wait_us, (double)c->limit_wait_us);
+      e.full
+          |= c->trial_running || c->limit_wait_us > 0 || c->brittle_wait_us > 0;
+      e.capacity_wait_us
+          = MAX (e.capacity_wait_us,
+                 (double)MAX (c->limit_wait_us, c->brittle_wait_us));
       choice->first_event_us
           = MIN (choice->first_event_us, (gint64)e.first_event_us);
       choice->full |= e.full;
--- a/packages/sched/placement_internal.h
+++ b/packages/sched/placement_internal.h
@@ -47,6 +47,8 @@
                              instance a request; 0: now */
   double limited_per_s; /* requests a second that it allows this instance; 0: no
                            limit */
+  gint64 brittle_wait_us; /* until this instance may probably have a further
+                             request there, if it is brittle; 0: now */
   enum placement_preference preference;
   guint64 rendezvous_score; /* of the request's affinity hash and the engine;
                                the lowest wins */
--- /dev/null
+++ b/tests/harness/fleet_clients.c
@@ -0,0 +1,149 @@
+#include "harness/fleet_clients.h"
+
+#include "unit/unit.h"
+
+#include <string.h>
+
+static gboolean
+on_head (void *ctx, const struct http_head *head)
+{
+  ((struct fleet_request *)ctx)->status = head->status;
+  return TRUE;
+}
+
+static gboolean
+on_body (void *ctx, struct str bytes)
+{
+  (void)ctx;
+  (void)bytes;
+  return TRUE;
+}
+
+static void
+on_end (void *ctx)
+{
+  ((struct fleet_request *)ctx)->answered = TRUE;
+}
+
+static const struct http_reader_handler response_handler
+    = { on_head, on_body, on_end };
+
+static void
+on_data (void *ctx, struct str data)
+{
+  struct fleet_request *request = ctx;
+  struct err err = { 0 };
+  CU_ASSERT_TRUE (http_reader_feed (request->http_reader, data, &err) >= 0);
+}
+
+static void
+on_gone (void *ctx)
+{
+  struct fleet_request *request = ctx;
+  g_clear_pointer (&request->tcp_conn, tcp_conn_close);
+}
+
+static void
+on_failed (void *ctx, const struct err *err)
+{
+  (void)err;
+  on_gone (ctx);
+}
+
+static const struct tcp_conn_handler connection
+    = { .data = on_data, .ended = on_gone, .failed = on_failed };
+
+static void
+request_free (gpointer data)
+{
+  struct fleet_request *request = data;
+  g_clear_pointer (&request->tcp_conn, tcp_conn_close);
+  http_reader_free (request->http_reader);
+  g_free (request);
+}
+
+void
+fleet_clients_init (struct fleet_clients *clients, struct proxy_fleet *fleet,
+                    const char *path, guint timeout_ms, guint requests_per_s,
+                    guint32 seed)
+{
+  *clients = (struct fleet_clients){
+    .fleet = fleet,
+    .path = path,
+    .timeout_ms = timeout_ms,
+    .requests_per_s = requests_per_s,
+    .rand = g_rand_new_with_seed (seed),
+    .requests = g_ptr_array_new_with_free_func (request_free),
+    .by_id = g_hash_table_new (g_str_hash, g_str_equal)
+  };
+}
+
+void
+fleet_clients_clear (struct fleet_clients *clients)
+{
+  g_ptr_array_unref (clients->requests);
+  g_hash_table_unref (clients->by_id);
+  g_rand_free (clients->rand);
+}
+
+static void
+send_request (struct fleet_clients *clients)
+{
+  struct fleet_request *request = g_new0 (struct fleet_request, 1);
+  struct err err = { 0 };
+  const struct tcp_conn_options options
+      = { .handler = &connection, .ctx = request };
+  guint n = clients->requests->len;
+  request->instance
+      = (guint)g_rand_int_range (clients->rand, 0, PROXY_FLEET_INSTANCES);
+  request->sent_at = g_get_monotonic_time ();
+  g_snprintf (request->id, sizeof request->id, "r-%u", n);
+  request->http_reader = http_reader_new (TRUE, &response_handler, request);
+  g_ptr_array_add (clients->requests, request);
+  g_hash_table_insert (clients->by_id, request->id, request);
+  request->tcp_conn = tcp_conn_connect (
+      clients->fleet->instances[request->instance].address, &options, &err);
+  char *text = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\n"
+      "Authorization: Bearer key-steady\r\n"
+      "X-Prompt-Parts: p%u:300,own%u:100\r\nX-Tokens: 400,40\r\n"
+      "X-Deadline-Ms: %u\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+      clients->path, request->id, n % 40, n, clients->timeout_ms);
+  if (request->tcp_conn != NULL)
+    tcp_conn_write (request->tcp_conn, text, strlen (text));
+  g_free (text);
+}
+
+void
+fleet_clients_run (struct fleet_clients *clients, guint ms)
+{
+  gint64 start = g_get_monotonic_time ();
+  guint sent = 0;
+  gint64 us;
+  while ((us = g_get_monotonic_time () - start) < (gint64)ms * 1000)
+    {
+      for (; sent < us * clients->requests_per_s / G_USEC_PER_SEC; sent++)
+        send_request (clients);
+      if (!g_main_context_iteration (NULL, FALSE))
+        g_usleep (200);
+    }
+}
+
+struct fleet_request *
+fleet_clients_find (const struct fleet_clients *clients,
+                    const struct http_head *head)
+{
+  struct str id;
+  CU_ASSERT_TRUE_FATAL (http_head_get (head, "x-request-id", &id));
+  char *text = str_dup (id);
+  struct fleet_request *request = g_hash_table_lookup (clients->by_id, text);
+  g_free (text);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (request);
+  return request;
+}
+
+gboolean
+fleet_request_is_served (const struct fleet_request *request)
+{
+  return request->status == 200 && request->answered;
+}
--- /dev/null
+++ b/tests/harness/fleet_clients.h
@@ -0,0 +1,45 @@
+/* Clients that send requests to the instances of a proxy fleet at a constant
+   rate, each on a connection of its own.  */
+#ifndef FLEET_CLIENTS_H
+#define FLEET_CLIENTS_H
+
+#include "harness/proxy_fleet.h"
+#include "http/reader.h"
+#include "net/tcp_conn.h"
+
+struct fleet_request
+{
+  char id[32];
+  guint instance;    /* number of the one that it was sent to */
+  gint64 sent_at;    /* monotonic microseconds */
+  guint executions;  /* by servers; for the test to count */
+  guint status;      /* of the response; 0: none */
+  gboolean answered; /* the response is complete */
+  struct tcp_conn *tcp_conn;
+  struct http_reader *http_reader;
+};
+
+struct fleet_clients
+{
+  struct proxy_fleet *fleet; /* borrowed */
+  const char *path;          /* of all requests; static */
+  guint timeout_ms;          /* of the requests */
+  guint requests_per_s;
+  GRand *rand;
+  GPtrArray *requests; /* of struct fleet_request, owned */
+  GHashTable *by_id;
+};
+
+/* FLEET is borrowed. The result is cleared by fleet_clients_clear.  */
+void fleet_clients_init (struct fleet_clients *clients,
+                         struct proxy_fleet *fleet, const char *path,
+                         guint timeout_ms, guint requests_per_s, guint32 seed);
+void fleet_clients_clear (struct fleet_clients *clients);
+/* Sends requests to instances drawn at random, for MS.  */
+void fleet_clients_run (struct fleet_clients *clients, guint ms);
+/* Returns the request that a server has received with HEAD.  */
+struct fleet_request *fleet_clients_find (const struct fleet_clients *clients,
+                                          const struct http_head *head);
+gboolean fleet_request_is_served (const struct fleet_request *request);
+
+#endif
--- a/tests/harness/proxy_fleet.c
+++ b/tests/harness/proxy_fleet.c
@@ -44,8 +44,9 @@
   char *name = server_name (number, life);
   char *body = g_strdup_printf (
       "{\"service\":\"pool\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
-      "\"max_batch\":64,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
-      port, number % PROXY_FLEET_DOMAINS, g_get_real_time () / 1000);
+      "\"max_batch\":%u,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
+      port, number % PROXY_FLEET_DOMAINS, fleet->slots ? fleet->slots : 64,
+      g_get_real_time () / 1000);
   put (fleet, name, body);
   g_free (body);
   g_free (name);
--- a/tests/harness/proxy_fleet.h
+++ b/tests/harness/proxy_fleet.h
@@ -21,6 +21,7 @@
   struct harness *harness;
   struct harness_process *store;
   struct proxy_fleet_instance instances[PROXY_FLEET_INSTANCES];
+  guint slots;    /* of servers listed from now on; 0: 64 */
   guint n_killed; /* instances */
   guint n_frozen; /* instances, now and before */
 };
--- a/tests/harness/server_hints.c
+++ b/tests/harness/server_hints.c
@@ -23,6 +23,7 @@
   guint life;
   gboolean leaving;
   double limit_per_s;
+  int brittle; /* rejections a second that the server bears; -1: any */
   guint backoff_ms;
   GHashTable *told; /* sender id: struct told, owned */
   struct server_hints_counts counts;
@@ -41,6 +42,7 @@
 {
   struct server_hints *hints = g_new0 (struct server_hints, 1);
   hints->server = server;
+  hints->brittle = -1;
   hints->drain_us = (gint64)drain_ms * 1000;
   hints->told = g_hash_table_new_full (NULL, NULL, NULL, told_free);
   return hints;
@@ -59,6 +61,7 @@
   hints->life++;
   hints->leaving = FALSE;
   hints->limit_per_s = 0;
+  hints->brittle = -1;
   hints->backoff_ms = 0;
   g_hash_table_remove_all (hints->told);
 }
@@ -69,6 +72,12 @@
   hints->limit_per_s = per_s;
 }
 
+void
+server_hints_set_brittle (struct server_hints *hints, int rejections_per_s)
+{
+  hints->brittle = rejections_per_s;
+}
+
 void
 server_hints_set_leaving (struct server_hints *hints, gboolean leaving)
 {
@@ -96,6 +105,8 @@
                             hints->server, hints->life);
   if (hints->limit_per_s > 0)
     g_string_append_printf (fields, "X-Limit: %g\r\n", hints->limit_per_s);
+  if (hints->brittle >= 0)
+    g_string_append_printf (fields, "X-Brittle: %d\r\n", hints->brittle);
   if (!rejected || hints->backoff_ms == 0)
     return;
   g_string_append_printf (fields, "Retry-After: %u", hints->backoff_ms / 1000);
--- a/tests/harness/server_hints.h
+++ b/tests/harness/server_hints.h
@@ -47,6 +47,9 @@
 void server_hints_restart (struct server_hints *hints);
 /* What all responses say in X-Limit; 0: nothing.  */
 void server_hints_set_limit (struct server_hints *hints, double per_s);
+/* What all responses say in X-Brittle; -1: nothing.  */
+void server_hints_set_brittle (struct server_hints *hints,
+                               int rejections_per_s);
 void server_hints_set_leaving (struct server_hints *hints, gboolean leaving);
 /* The Retry-After of the next rejections; 0: none.  */
 void server_hints_set_backoff (struct server_hints *hints, guint ms);
--- a/tests/proc/test_cut_off.c
+++ b/tests/proc/test_cut_off.c
@@ -2,10 +2,8 @@
    the other instances reach them. Clients of these instances must be served
    like the others. Each instance reaches the servers through fault proxies of
    its own.  */
-#include "harness/proxy_fleet.h"
+#include "harness/fleet_clients.h"
 #include "harness/scripted_server.h"
-#include "http/reader.h"
-#include "net/tcp_conn.h"
 #include "soak/fault_proxy.h"
 #include "unit/unit.h"
 
@@ -42,27 +40,13 @@
   guint stride; /* numbers of these instances: multiples of it */
 };
 
-struct request
-{
-  char id[32];
-  guint instance;
-  gint64 sent_at;
-  guint executions; /* arrivals at servers */
-  guint status;
-  gboolean answered;
-  struct tcp_conn *tcp_conn;
-  struct http_reader *http_reader;
-};
-
 static struct
 {
   struct proxy_fleet *fleet;
+  struct fleet_clients clients;
   struct scenario scenario;
   struct scripted_server *servers[SERVERS];
   struct fault_proxy *proxies[PROXY_FLEET_INSTANCES][SERVERS];
-  GPtrArray *requests; /* of struct request, owned */
-  GHashTable *by_id;
-  GRand *rand;
   guint hanging_port; /* never accepts */
   guint closed_port;
   int sockets[FILL_SOCKETS];
@@ -72,13 +56,8 @@
 on_received (void *ctx, struct scripted_connection *connection,
              const struct http_head *head)
 {
-  struct str id;
   (void)ctx;
-  CU_ASSERT_TRUE_FATAL (http_head_get (head, "x-request-id", &id));
-  char *text = str_dup (id);
-  struct request *request = g_hash_table_lookup (testbed.by_id, text);
-  g_free (text);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (request);
+  struct fleet_request *request = fleet_clients_find (&testbed.clients, head);
   request->executions++;
   const struct scripted_response response
       = { .request = request,
@@ -94,13 +73,14 @@
 {
   (void)ctx;
   (void)request;
-  return (guint)g_rand_int_range (testbed.rand, RESPOND_MIN_MS, RESPOND_MAX_MS);
+  return (guint)g_rand_int_range (testbed.clients.rand, RESPOND_MIN_MS,
+                                  RESPOND_MAX_MS);
 }
 
 static void
 append_part (gconstpointer data, guint part, GString *out)
 {
-  const struct request *request = data;
+  const struct fleet_request *request = data;
   if (g_str_has_prefix (testbed.scenario.path, "/feed"))
     g_string_append_printf (out, "id: %u\ndata: %s\n\n", part, request->id);
   else
@@ -123,110 +103,6 @@
   CU_FAIL ("not a proper request");
 }
 
-static gboolean
-on_client_head (void *ctx, const struct http_head *head)
-{
-  ((struct request *)ctx)->status = head->status;
-  return TRUE;
-}
-
-static gboolean
-on_client_body (void *ctx, struct str bytes)
-{
-  (void)ctx;
-  (void)bytes;
-  return TRUE;
-}
-
-static void
-on_client_end (void *ctx)
-{
-  ((struct request *)ctx)->answered = TRUE;
-}
-
-static const struct http_reader_handler response_handler
-    = { on_client_head, on_client_body, on_client_end };
-
-static void
-on_client_data (void *ctx, struct str data)
-{
-  struct request *request = ctx;
-  struct err err = { 0 };
-  CU_ASSERT_TRUE (http_reader_feed (request->http_reader, data, &err) >= 0);
-}
-
-static void
-on_client_gone (void *ctx)
-{
-  struct request *request = ctx;
-  g_clear_pointer (&request->tcp_conn, tcp_conn_close);
-}
-
-static void
-on_client_failed (void *ctx, const struct err *err)
-{
-  (void)err;
-  on_client_gone (ctx);
-}
-
-static const struct tcp_conn_handler client_handler = {
-  .data = on_client_data, .ended = on_client_gone, .failed = on_client_failed
-};
-
-static void
-request_free (gpointer data)
-{
-  struct request *request = data;
-  g_clear_pointer (&request->tcp_conn, tcp_conn_close);
-  http_reader_free (request->http_reader);
-  g_free (request);
-}
-
-static void
-send_request (void)
-{
-  struct request *request = g_new0 (struct request, 1);
-  struct err err = { 0 };
-  const struct tcp_conn_options options
-      = { .handler = &client_handler, .ctx = request };
-  guint n = testbed.requests->len;
-  request->instance
-      = (guint)g_rand_int_range (testbed.rand, 0, PROXY_FLEET_INSTANCES);
-  request->sent_at = g_get_monotonic_time ();
-  g_snprintf (request->id, sizeof request->id, "r-%u", n);
-  request->http_reader = http_reader_new (TRUE, &response_handler, request);
-  g_ptr_array_add (testbed.requests, request);
-  g_hash_table_insert (testbed.by_id, request->id, request);
-  request->tcp_conn = tcp_conn_connect (
-      testbed.fleet->instances[request->instance].address, &options, &err);
-  char *text = g_strdup_printf (
-      "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\n"
-      "Authorization: Bearer key-steady\r\nX-Prompt-Parts: "
-      "p%u:300,own%u:100\r\n"
-      "X-Tokens: 400,40\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n"
-      "Connection: close\r\n\r\n",
-      testbed.scenario.path, request->id, n % 40, n, TIMEOUT_MS);
-  if (request->tcp_conn != NULL)
-    tcp_conn_write (request->tcp_conn, text, strlen (text));
-  g_free (text);
-}
-
-/* Sends requests at a constant rate for MS.  */
-static void
-run_traffic (guint ms)
-{
-  gint64 start = g_get_monotonic_time ();
-  guint sent = 0;
-  gint64 us;
-  while ((us = g_get_monotonic_time () - start) < (gint64)ms * 1000)
-    {
-      for (; sent < us * REQUESTS_PER_S / G_USEC_PER_SEC; sent++)
-        send_request ();
-      if (!g_main_context_iteration (NULL, FALSE))
-        g_usleep (200);
-    }
-}
-
 static gboolean
 is_cut (guint instance)
 {
@@ -321,9 +197,8 @@
   testbed.fleet
       = proxy_fleet_new (JW_SOURCE_DIR "/platform/test_crash_config.json");
   testbed.scenario = *scenario;
-  testbed.rand = g_rand_new_with_seed (38);
-  testbed.requests = g_ptr_array_new_with_free_func (request_free);
-  testbed.by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  fleet_clients_init (&testbed.clients, testbed.fleet, scenario->path,
+                      TIMEOUT_MS, REQUESTS_PER_S, 38);
   open_ports ();
   for (guint s = 0; s < SERVERS; s++)
     {
@@ -356,9 +231,7 @@
     }
   for (guint k = 0; k < FILL_SOCKETS; k++)
     close (testbed.sockets[k]);
-  g_ptr_array_unref (testbed.requests);
-  g_hash_table_unref (testbed.by_id);
-  g_rand_free (testbed.rand);
+  fleet_clients_clear (&testbed.clients);
   proxy_fleet_free (testbed.fleet);
 }
 
@@ -369,14 +242,14 @@
 {
   guint n = 0;
   guint served = 0;
-  for (guint i = 0; i < testbed.requests->len; i++)
+  for (guint i = 0; i < testbed.clients.requests->len; i++)
     {
-      const struct request *request = testbed.requests->pdata[i];
+      const struct fleet_request *request = testbed.clients.requests->pdata[i];
       if (request->sent_at < from || request->sent_at >= to
           || is_cut (request->instance) != cut)
         continue;
       n++;
-      served += request->status == 200 && request->answered;
+      served += fleet_request_is_served (request);
     }
   return n > 0 ? (double)served / n : 0;
 }
@@ -387,9 +260,9 @@
 check_promises (void)
 {
   gboolean once = g_str_has_prefix (testbed.scenario.path, "/once");
-  for (guint i = 0; i < testbed.requests->len; i++)
+  for (guint i = 0; i < testbed.clients.requests->len; i++)
     {
-      const struct request *request = testbed.requests->pdata[i];
+      const struct fleet_request *request = testbed.clients.requests->pdata[i];
       CU_ASSERT_TRUE (!once || request->executions <= 1);
       CU_ASSERT_TRUE (!once || request->status != 503
                       || request->executions == 0);
@@ -401,13 +274,13 @@
 {
   guint failures = CU_get_number_of_failures ();
   open_testbed (scenario);
-  run_traffic (WARM_UP_MS);
+  fleet_clients_run (&testbed.clients, WARM_UP_MS);
   gint64 begin = g_get_monotonic_time ();
   begin_cut ();
-  run_traffic (CUT_MS);
+  fleet_clients_run (&testbed.clients, CUT_MS);
   gint64 end = g_get_monotonic_time ();
   end_cut ();
-  run_traffic (AFTER_MS);
+  fleet_clients_run (&testbed.clients, AFTER_MS);
   gint64 stop = g_get_monotonic_time ();
   proxy_fleet_run_for (TIMEOUT_MS);
   double before = share_served (TRUE, 0, begin);
--- a/tests/unit/test_gate_limit.c
+++ b/tests/unit/test_gate_limit.c
@@ -82,6 +82,67 @@
                       g_get_real_time () - clk_now (&proxy_test.clk));
 }
 
+static const struct registry_server *
+server (void)
+{
+  guint n;
+  return registry_servers (proxy_test.registry, &n)[0];
+}
+
+static void
+test_brittle (void)
+{
+  static const char *const invalid[]
+      = { "X-Brittle: \r\n", "X-Brittle: -1\r\n", "X-Brittle: nan\r\n",
+          "X-Brittle: 1e3\r\n", "X-Brittle: 1\r\nX-Brittle: 1\r\n" };
+  start ();
+  set_self ();
+  get (PROXY_TEST_SIGNED "X-Brittle: 0\r\n");
+  CU_ASSERT_EQUAL (server ()->brittle.report.per_s, 1);
+  get (PROXY_TEST_SIGNED "X-Brittle: 3\r\n");
+  CU_ASSERT_EQUAL (server ()->brittle.report.per_s, 4);
+  for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      char *text = g_strconcat (PROXY_TEST_SIGNED, invalid[i], NULL);
+      get (text);
+      CU_ASSERT_EQUAL (server ()->brittle.report.per_s, 4);
+      CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_LIMITS_INVALID], i + 1);
+      g_free (text);
+    }
+  get (PROXY_TEST_SIGNED);
+  CU_ASSERT_EQUAL (server ()->brittle.report.per_s, 0);
+  CU_ASSERT_EQUAL (server ()->brittle_share.room, 0);
+  proxy_test_stop ();
+}
+
+static void
+reject (struct proxy_test_link *link, struct proxy_test_request *request)
+{
+  proxy_test_respond (link, request, "503 Service Unavailable",
+                      "X-Not-Run: 1\r\nX-Brittle: 3\r\n", "");
+}
+
+/* A brittle server that has turned a request away gets none for a while.  */
+static void
+test_brittle_full (void)
+{
+  start ();
+  set_self ();
+  get (PROXY_TEST_SIGNED "X-Brittle: 3\r\n");
+  proxy_test.servers[0].script = reject;
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 503);
+  CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_BRITTLE_FULL], 1);
+  guint n = proxy_test_n_requests ();
+  gint64 full_at = server ()->brittle_share.full_at;
+  proxy_test.servers[0].script = respond;
+  proxy_test_request_status ("/again/x", "X-Deadline-Ms: 300\r\n");
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), n);
+  proxy_test_run_for (1000);
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 200);
+  CU_ASSERT_EQUAL (server ()->brittle_share.full_at, full_at);
+  proxy_test_stop ();
+}
+
 /* A server that takes one request in 64 s: the others go elsewhere, and without
    another server they are rejected at once, with a time to return.  */
 static void
@@ -103,6 +164,8 @@
   { "a limit", test_valid },
   { "not a limit", test_invalid },
   { "a limit that is used up", test_low_limit },
+  { "a brittle server", test_brittle },
+  { "a brittle server turns a request away", test_brittle_full },
   CU_TEST_INFO_NULL,
 };
 
--- a/tests/unit/test_gossip_limits.c
+++ b/tests/unit/test_gossip_limits.c
@@ -116,12 +116,61 @@
   stop ();
 }
 
+/* Lets SERVER say to NODE that it is brittle.  */
+static void
+say_brittle (guint node, guint server)
+{
+  const struct server_limit_report report = { .per_s = 4,
+                                              .after = net.now - 20 * CLK_MS,
+                                              .before = net.now,
+                                              .source = SERVER_LIMIT_OWN };
+  registry_report_brittle (server_of (node, server), &report, "r-1", net.now);
+}
+
+/* Returns how many instances know that SERVER is brittle with ROOM.  */
+static guint
+count_room (guint server, guint room)
+{
+  guint n = 0;
+  for (guint i = 0; i < net.n; i++)
+    n += server_of (i, server)->brittle.report.per_s == 4
+         && server_of (i, server)->brittle_share.room == room;
+  return n;
+}
+
+static void
+check_brittle (guint n, guint domains, gint64 us)
+{
+  start (n, domains, 1);
+  step (10 * CLK_S);
+  say_brittle (1, 0);
+  step (us);
+  registry_brittle_full (server_of (1, 0), 4, TRUE, net.now);
+  gint64 full_at = net.now;
+  step (us);
+  CU_ASSERT_EQUAL (count_room (0, 3), n);
+  step (10 * CLK_S);
+  /* Nobody takes the same rejection for a new one. */
+  for (guint i = 0; i < n; i++)
+    CU_ASSERT_TRUE (server_of (i, 0)->brittle_share.full_at <= full_at + CLK_S);
+  CU_ASSERT_EQUAL (count_room (0, 3), n);
+  stop ();
+}
+
+static void
+test_brittle (void)
+{
+  check_brittle (7, 3, CLK_S);
+  check_brittle (60, 6, 4 * CLK_S);
+}
+
 static CU_TestInfo tests[] = {
   { "seven instances", test_small_fleet },
   { "sixty instances", test_large_fleet },
   { "old news", test_old_news },
   { "a slow response", test_slow_response },
   { "messages lost", test_many_limits },
+  { "brittle servers", test_brittle },
   CU_TEST_INFO_NULL,
 };
 
