Send each call to a backend server on a connection of its own

Reported by operators of similar systems: a server sent a second copy of an answer, late, on a connection that was in use again; the next caller got an answer that wasn't its own. It could happen on the product's own interface: engines do not say to which request a response belongs, and connections were reused for calls that may be repeated (test_bec_copy: the second call got the first one's response; passes now). The client of the store reuses connections too; a second copy would be an older state of the same kind there, against what the platform promises; left.

Ruled out: the header Connection: close, with which libsoup takes a response cut inside its framing for complete (test_bec_cut, cases 8 and 9).

--- a/packages/backend/backend_client.c
+++ b/packages/backend/backend_client.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define CONNECTIONS_MAX 512 /* to one backend server */
-#define IDLE_TIMEOUT_S 5    /* a server may close idle connections sooner */
+#define IDLE_TIMEOUT_S 1    /* of connections that have served their call */
 #define READ_BYTES 16384    /* most bytes of one data callback */
 
 struct backend_client
@@ -229,14 +229,13 @@
   g_clear_error (&error);
 }
 
-/* libsoup is about to send the request again, since an idle connection turned
-   out to be closed. The call ends instead: whether to retry is decided
-   elsewhere.  */
+/* libsoup is about to send the request again. The call ends instead: whether to
+   retry is decided elsewhere.  */
 static void
 on_restarted (SoupMessage *message, gpointer data)
 {
   (void)message;
-  end_call (data, MSG_RESULT_BROKEN, "the server closed an idle connection");
+  end_call (data, MSG_RESULT_BROKEN, "the server closed the connection");
 }
 
 /* Part of the request may be sent from here on. A process that was suspended
@@ -301,13 +300,11 @@
   g_free (uri);
   if (message == NULL)
     return NULL;
-  guint flags = SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE;
-  /* libsoup opens a new connection for each POST that is not flagged as
-     idempotent, and keeps the idle ones. The flag lets it reuse them;
-     on_restarted prevents the second attempt that the flag allows.  */
-  flags |= options->new_connection ? SOUP_MESSAGE_NEW_CONNECTION
-                                   : SOUP_MESSAGE_IDEMPOTENT;
-  soup_message_set_flags (message, flags);
+  /* Responses do not say to which request they belong, so a late copy of one
+     would be taken for the next one on the connection. */
+  soup_message_set_flags (message, SOUP_MESSAGE_NO_REDIRECT
+                                       | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE
+                                       | SOUP_MESSAGE_NEW_CONNECTION);
   soup_message_headers_foreach (options->headers, copy_header,
                                 soup_message_get_request_headers (message));
   if (options->body != NULL)
--- a/packages/backend/backend_client.h
+++ b/packages/backend/backend_client.h
@@ -24,7 +24,6 @@
   SoupMessageHeaders *headers; /* copied */
   GBytes *body;                /* a reference is taken; may be NULL */
   const char *content_type;    /* of the body */
-  gboolean new_connection;     /* do not reuse an idle connection */
   gint64 timeout_us;           /* for the complete call */
   gint64 stall_us;             /* longest time without data from the server */
   /* The head, and the first bytes of the body, are not sent later; 0: no
--- a/packages/entry/ingress_request.c
+++ b/packages/entry/ingress_request.c
@@ -534,7 +534,6 @@
     .body = g_bytes_get_size (request->body) > 0 ? request->body : NULL,
     .content_type = request->content_type ? request->content_type
                                           : "application/octet-stream",
-    .new_connection = action->open.fresh,
     .timeout_us = action->open.timeout_us,
     .send_within_us = action->open.send_within_us,
     .stall_us = request->to_engine
--- a/packages/node/attempts.c
+++ b/packages/node/attempts.c
@@ -38,7 +38,6 @@
   action.open.backend = &core->cfg->backends[i];
   action.open.priority = req->priority;
   action.open.resume = req->generated > 0;
-  action.open.fresh = !req->spec.repeatable;
   action.open.timeout_us = MAX (0, req->deadline - now);
   action.open.send_within_us
       = MAX (1, req->grant_not_before + CORE_GRANT_MAX_AGE_US - now);
--- a/packages/node/core.h
+++ b/packages/node/core.h
@@ -182,7 +182,6 @@
       const struct cluster_backend *backend; /* borrowed for the call */
       guint32 priority;                      /* 0 is the highest */
       gboolean resume;   /* continue after the tokens delivered so far */
-      gboolean fresh;    /* use a new connection, not a pooled one */
       gint64 timeout_us; /* for the complete attempt */
       /* An attempt that has not been sent by then must end with UNUSED, since
          its grant is too old. */
