Try servers that have not failed first when a server seems to have ended

Instances are asked to pass requests on at the address that their messages come from; a message names only the port, so that a damaged or forged one cannot send requests with their keys elsewhere.

--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -23,7 +23,8 @@
 {
   struct reverse_proxy *reverse_proxy;
   struct registry_server *server; /* referenced */
-  gboolean refused;               /* other servers are being tried */
+  struct registry_server *other;  /* that is being tried, referenced; NULL: the
+                                     server itself is */
   guint others;                   /* so far */
   struct tcp_conn *tcp_conn;      /* owned; NULL: closed by the server */
   guint connections;              /* so far */
@@ -42,6 +43,7 @@
     tcp_conn_close (check->tcp_conn);
   g_clear_handle_id (&check->timer, g_source_remove);
   registry_server_unref (check->server);
+  registry_server_unref (check->other);
   g_free (check);
 }
 
@@ -82,7 +84,7 @@
 on_opened (void *ctx)
 {
   struct server_check *check = ctx;
-  if (!check->refused)
+  if (check->other == NULL)
     check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
   else
     {
@@ -110,7 +112,7 @@
   struct server_check *check = ctx;
   if (check->timer != 0)
     on_closed (check);
-  else if (check->refused || err->code == ERR_UNAVAILABLE)
+  else if (check->other != NULL || err->code == ERR_UNAVAILABLE)
     try_other_server (check);
   else
     finish (check, FALSE);
@@ -144,16 +146,21 @@
   const struct tcp_conn_options options = { .handler = &connection,
                                             .ctx = check,
                                             .connect_ms = CONNECT_TIMEOUT_MS };
-  const struct registry_server *other
-      = reachability_any_server (check->reverse_proxy, check->server);
   g_clear_pointer (&check->tcp_conn, tcp_conn_close);
-  check->refused = TRUE;
-  if (other == NULL)
-    finish (check, TRUE);
-  else if (check->others++ == OTHERS_MAX
-           || (check->tcp_conn
-               = tcp_conn_connect (other->entry.address, &options, &err))
-                  == NULL)
+  reachability_failed (check->reverse_proxy,
+                       check->other != NULL ? check->other : check->server);
+  registry_server_unref (check->other);
+  check->other = reachability_any_server (check->reverse_proxy, check->server);
+  if (check->other == NULL)
+    {
+      finish (check, TRUE);
+      return;
+    }
+  registry_server_ref (check->other);
+  if (check->others++ < OTHERS_MAX)
+    check->tcp_conn
+        = tcp_conn_connect (check->other->entry.address, &options, &err);
+  if (check->tcp_conn == NULL)
     finish (check, FALSE);
 }
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -77,7 +77,6 @@
   const struct server_reach *reach = proxy_reach (daemon->reverse_proxy);
   state.servers_reached_at = server_reach_sure_at (reach);
   state.asks_for_servers = server_reach_is_doubtful (reach);
-  state.client_ip = daemon->client_ip != 0 ? daemon->client_ip : daemon->ip;
   state.client_port = daemon->stopping ? 0 : daemon->client_port;
   state.n_rejections
       = scheduler_rejections (daemon->scheduler, now, state.rejections,
@@ -325,7 +324,7 @@
           .choose_peer = on_choose_peer,
           .ctx = daemon };
   int code = proxy_new (&options, &daemon->reverse_proxy, err);
-  if (code == 0 && udp_ip_parse (settings->listen_clients, &daemon->client_ip))
+  if (code == 0)
     daemon->client_port = proxy_port (daemon->reverse_proxy);
   g_free (chart);
   return code;
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -75,10 +75,9 @@
   gboolean no_changes;  /* the last fetch of changes failed: the next one asks
                            for the whole list */
   struct placement_contender contenders[PROXY_DAEMON_CONTENDERS_MAX];
-  GArray *limit_members; /* of struct limit_member */
-  GArray *relays;        /* of struct gossip_relay, for one call */
-  guint32 client_ip;     /* address for clients, host byte order */
-  guint client_port;
+  GArray *limit_members;      /* of struct limit_member */
+  GArray *relays;             /* of struct gossip_relay, for one call */
+  guint client_port;          /* where clients reach this instance */
   struct placement_self self; /* as the scheduler has it */
   gint64 waiting_since;       /* clock time since which requests are queued
                                  without a break; 0: none are */
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -42,14 +42,13 @@
   gboolean
       asks_for_servers; /* it cannot reach any: peers find out if they can,
                            and are not told of those that it cannot reach */
-  guint32 client_ip;    /* its address for clients, host byte order */
-  guint client_port;
+  guint client_port;    /* where it takes requests; 0: nowhere */
 };
 
 /* An instance to which requests can be passed on. */
 struct gossip_relay
 {
-  guint32 ip; /* its address for clients, host byte order */
+  guint32 ip; /* host byte order */
   guint port;
   gboolean is_local;
 };
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -63,10 +63,9 @@
   /* Lower bound of the clock time at which it last reached servers; 0: unknown.
    */
   gint64 servers_reached_at;
-  guint32 client_ip; /* as in its messages */
-  guint client_port;
-  guint32 seq;      /* of the last message sent to it */
-  guint32 last_seq; /* of the last message received from it */
+  guint client_port; /* as in its messages */
+  guint32 seq;       /* of the last message sent to it */
+  guint32 last_seq;  /* of the last message received from it */
   guint32 last_incarnation;
   guint64 loads_held;      /* last change of its loads that is held here; 0: the
                               complete list is needed */
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 37 /* of a message in the current format */
+#define FIELDS 36 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -27,7 +27,6 @@
       = gossip_message->n_brittle = 0;
   gossip_message->servers_reached_age = gossip_message->client_port = 0;
   gossip_message->asks_for_servers = FALSE;
-  gossip_message->client_ip = 0;
   gossip_message->suspects.held = 0;
   gossip_message->suspects.range = (struct gossip_message_range){ 0 };
   gossip_message->suspects.n_crashes = gossip_message->suspects.n_trials = 0;
@@ -127,14 +126,12 @@
 {
   msgpack_pack_unsigned_int (pk, gossip_message->servers_reached_age);
   msgpack_pack_unsigned_int (pk, gossip_message->asks_for_servers ? 1 : 0);
-  msgpack_pack_uint32 (pk, gossip_message->client_ip);
   msgpack_pack_unsigned_int (pk, gossip_message->client_port);
-  msgpack_pack_array (pk, 4 * (size_t)gossip_message->n_relays);
+  msgpack_pack_array (pk, 3 * (size_t)gossip_message->n_relays);
   for (guint i = 0; i < gossip_message->n_relays; i++)
     {
       const struct gossip_message_relay *relay = &gossip_message->relays[i];
       msgpack_pack_uint32 (pk, relay->ip);
-      msgpack_pack_uint32 (pk, relay->client_ip);
       msgpack_pack_unsigned_int (pk, relay->client_port);
       msgpack_pack_unsigned_int (pk, relay->servers_reached_age);
     }
@@ -515,14 +512,13 @@
 static void
 read_relays (struct cursor *c, struct gossip_message *gossip_message)
 {
-  struct cursor relays = read_array (c, 4 * GOSSIP_MESSAGE_RELAYS_MAX);
-  relays.bad |= relays.left % 4 != 0;
+  struct cursor relays = read_array (c, 3 * GOSSIP_MESSAGE_RELAYS_MAX);
+  relays.bad |= relays.left % 3 != 0;
   while (!relays.bad && relays.left > 0)
     {
       struct gossip_message_relay *relay
           = &gossip_message->relays[gossip_message->n_relays++];
       relay->ip = (guint32)read_number (&relays, G_MAXUINT32);
-      relay->client_ip = (guint32)read_number (&relays, G_MAXUINT32);
       relay->client_port = (guint)read_number (&relays, G_MAXUINT16);
       relay->servers_reached_age = (guint)read_number (&relays, G_MAXINT32);
     }
@@ -585,8 +581,6 @@
     gossip_message->servers_reached_age = (guint)read_number (&c, G_MAXINT32);
   if (c.left > 0)
     gossip_message->asks_for_servers = read_number (&c, 1) != 0;
-  if (c.left > 0)
-    gossip_message->client_ip = (guint32)read_number (&c, G_MAXUINT32);
   if (c.left > 0)
     gossip_message->client_port = (guint)read_number (&c, G_MAXUINT16);
   if (c.left > 0)
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -111,7 +111,6 @@
 struct gossip_message_relay
 {
   guint32 ip;
-  guint32 client_ip; /* for clients; 0: the same */
   guint client_port;
   guint servers_reached_age; /* as in struct gossip_message */
 };
@@ -176,8 +175,7 @@
      plus 1; 0: never. */
   guint servers_reached_age;
   gboolean asks_for_servers; /* the sender cannot reach any */
-  guint32 client_ip;         /* its address for clients; 0: as for peers */
-  guint client_port;         /* 0: unknown */
+  guint client_port;         /* where it takes requests; 0: nowhere */
   struct gossip_message_relay relays[GOSSIP_MESSAGE_RELAYS_MAX];
   guint n_relays;
   struct gossip_message_brittle brittle[GOSSIP_MESSAGE_BRITTLE_MAX];
--- a/packages/peer/gossip_relays.c
+++ b/packages/peer/gossip_relays.c
@@ -48,7 +48,6 @@
   message->servers_reached_age
       = encode_age (state->servers_reached_at, round->now);
   message->asks_for_servers = state->asks_for_servers;
-  message->client_ip = state->client_ip == gossip->ip ? 0 : state->client_ip;
   message->client_port = state->client_port;
   if (!round->is_leader || round->full_mesh)
     return;
@@ -70,7 +69,6 @@
       else
         message->relays[message->n_relays++] = (struct gossip_message_relay){
           .ip = peer->ip,
-          .client_ip = peer->client_ip,
           .client_port = peer->client_port,
           .servers_reached_age
           = encode_age (peer->servers_reached_at, round->now)
@@ -84,7 +82,6 @@
 gossip_apply_relays (struct gossip *gossip, struct peer *peer,
                      const struct gossip_message *message, gint64 sent)
 {
-  peer->client_ip = message->client_ip;
   peer->client_port = message->client_port;
   if (sent == 0)
     return;
@@ -98,7 +95,6 @@
           = g_hash_table_lookup (gossip->peers, GUINT_TO_POINTER (relay->ip));
       if (listed == NULL)
         continue;
-      listed->client_ip = relay->client_ip;
       listed->client_port = relay->client_port;
       listed->servers_reached_at
           = MAX (listed->servers_reached_at,
@@ -139,7 +135,7 @@
           || peer->servers_reached_at == 0)
         continue;
       const struct gossip_relay relay
-          = { .ip = peer->client_ip != 0 ? peer->client_ip : peer->ip,
+          = { .ip = peer->ip,
               .port = peer->client_port,
               .is_local = gossip_is_local_peer (gossip, peer) };
       has_local |= relay.is_local;
--- a/tests/unit/test_gossip_relays.c
+++ b/tests/unit/test_gossip_relays.c
@@ -19,7 +19,6 @@
       for (guint i = 0; i < net.n; i++)
         {
           struct gossip_local_state *state = &net.nodes[i].state;
-          state->client_ip = net.nodes[i].ip;
           state->client_port = PORT + i;
           if (!cut[i])
             state->servers_reached_at = net.now;
