--- a/tests/harness/redirect_connect.c
+++ b/tests/harness/redirect_connect.c
@@ -26,8 +26,11 @@
   return result;
 }
 
+int redirect_connect (int fd, const struct sockaddr *address,
+                      socklen_t size) __asm__("connect");
+
 int
-connect (int fd, const struct sockaddr *address, socklen_t size)
+redirect_connect (int fd, const struct sockaddr *address, socklen_t size)
 {
   static int (*real) (int, const struct sockaddr *, socklen_t);
   struct sockaddr_in changed;
--- a/tests/unit/test_cel.c
+++ b/tests/unit/test_cel.c
@@ -755,8 +755,7 @@
 {
   fixture_open (&fixture, 1, 1);
   fixture_enqueue (&fixture, 1, FIXTURE_NORMAL);
-  struct msg_enqueue moved
-      = fixture_entry (&fixture, 2, FIXTURE_NORMAL, "a");
+  struct msg_enqueue moved = fixture_entry (&fixture, 2, FIXTURE_NORMAL, "a");
   moved.waited_us = 5 * CLK_S;
   moved.wait_us = 3 * CLK_S;
   shard_enqueue (fixture.shard, "gw", &moved);
