Let the room of a brittle server of many slots grow in larger steps

The step is a sixteenth of the slots, but no more than the rejections that the server bears. test_brittle_share, new case "a large room grows" (192 slots, 30 s): room over 176 (with steps of one it ends at 156 by the numbers, not run).

--- a/packages/policy/brittle_share.c
+++ b/packages/policy/brittle_share.c
@@ -5,7 +5,7 @@
    away. The room of a server is divided into places; each belongs to one
    instance, which all find by rendezvous hashing, without a message, so that
    the sum stays within the room whichever instances are killed or resume. The
-   room grows by one at a time, and only while it is used. When a server turns a
+   room grows in small steps, and only while it is used. When a server turns a
    request away, all instances take less room; unless that was to be expected,
    they leave the server alone for a second, and its places open one after the
    other then, so that an excess shows by one rejection instead of many.  */
@@ -18,6 +18,9 @@
    after.  */
 #define FIRST_HOLD_US (6 * CLK_S)
 #define RAISE_INTERVAL_US (400 * CLK_MS)
+/* One part in so many of a server's slots is a step of growth, but no more than
+   the rejections that it bears.  */
+#define RAISE_SHARE 16
 #define HOLD_US                                                                \
   (4 * CLK_S) /* after a rejection; longer after each further one */
 #define HOLD_MAX_US (32 * CLK_S)
@@ -46,7 +49,9 @@
   if (share->room >= query->slots || query->in_progress + 1 < share->room
       || since < (share->grows ? RAISE_INTERVAL_US : share->hold_us))
     return;
-  share->room++;
+  guint step
+      = CLAMP (query->slots / RAISE_SHARE, 1, MAX (query->rejections_per_s, 1));
+  share->room = MIN (share->room + step, query->slots);
   share->grows = TRUE;
   share->raised_at = query->now;
 }
--- a/packages/policy/brittle_share.h
+++ b/packages/policy/brittle_share.h
@@ -28,6 +28,7 @@
 {
   struct limit_query limit; /* without PER_S */
   guint slots;              /* requests that it runs at once */
+  guint rejections_per_s;   /* that it bears */
   guint in_progress;        /* of all instances, as far as known */
   guint own_in_progress;    /* of this instance */
   gint64 now;
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -136,6 +136,7 @@
   const struct brittle_query query = {
     .limit = limit_query_of (view, c->server, domains),
     .slots = MAX (c->server->entry.slots, 1),
+    .rejections_per_s = (guint)c->server->brittle.report.per_s - 1,
     .in_progress = c->load.requests,
     .own_in_progress
     = server_load_own (view->server_load_table, c->server->number)->requests,
--- a/tests/unit/test_brittle_share.c
+++ b/tests/unit/test_brittle_share.c
@@ -24,6 +24,7 @@
   guint own[MAX_INSTANCES]; /* requests in progress */
   guint in_progress;
   guint known_in_progress; /* some time ago */
+  guint slots;
   gint64 now;
   GRand *rand;
   GArray *rejected_at; /* of gint64 */
@@ -40,6 +41,7 @@
   memset (&world, 0, sizeof world);
   world.n = n;
   world.now = CLK_S;
+  world.slots = SLOTS;
   world.rand = g_rand_new_with_seed (seed);
   world.rejected_at = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (guint i = 0; i < n; i++)
@@ -64,7 +66,8 @@
                                                   .domain_key = 0,
                                                   .domains = &domains,
                                                   .members = &members },
-                                       .slots = SLOTS,
+                                       .slots = world.slots,
+                                       .rejections_per_s = REJECTIONS,
                                        .in_progress = world.known_in_progress,
                                        .own_in_progress = world.own[i],
                                        .now = world.now };
@@ -200,6 +203,18 @@
   stop ();
 }
 
+/* A server of many slots is used after about the same time.  */
+static void
+test_grows_large (void)
+{
+  start (7, 1);
+  world.slots = 12 * SLOTS;
+  run (30 * CLK_S, world.slots, 330 * CLK_MS, 0.9);
+  CU_ASSERT_EQUAL (world.rejected_at->len, 0);
+  CU_ASSERT_TRUE (world.shares[0].room > 11 * SLOTS);
+  stop ();
+}
+
 /* Without demand the room does not grow: a later burst would find out that it
    is not there.  */
 static void
@@ -240,6 +255,7 @@
   { "places", test_places },
   { "the room shrinks", test_shrinks },
   { "the room grows", test_grows },
+  { "a large room grows", test_grows_large },
   { "the room is not used", test_unused },
   { "a pause after a rejection", test_pause },
   CU_TEST_INFO_NULL,
