--- a/packages/gate/reachability.c
+++ b/packages/gate/reachability.c
@@ -142,7 +142,7 @@
   const struct server_reach *reach = &reverse_proxy->reach;
   gint64 now = clk_now (options->clk);
   guint n;
-  if (options->peers_sure_at == NULL)
+  if (options->peers_sure_at == NULL || reach->cut_off || reach->n_failed == 0)
     return;
   registry_servers (options->registry, &n);
   gint64 peers_sure_at = options->peers_sure_at (options->ctx);
--- a/tests/unit/test_tcp_conn.c
+++ b/tests/unit/test_tcp_conn.c
@@ -25,6 +25,7 @@
   struct tcp_conn *tcp_conn; /* the writing end; NULL: none */
   gint64 failed_at;          /* monotonic time; 0: not failed */
   int failure;               /* ERR_ number */
+  gint64 stalled_at;         /* monotonic time; 0: not stalled */
   int fd;                    /* the reading end */
 } test;
 
@@ -44,8 +45,15 @@
   test.tcp_conn = NULL;
 }
 
+static void
+on_stalled (void *ctx)
+{
+  (void)ctx;
+  test.stalled_at = g_get_monotonic_time ();
+}
+
 static const struct tcp_conn_handler handler
-    = { .failed = on_failed, .finished = on_finished };
+    = { .failed = on_failed, .finished = on_finished, .stalled = on_stalled };
 
 static void
 on_accepted (void *ctx, int fd, const char *peer)
@@ -171,6 +179,8 @@
   run_for (2 * SILENCE_MS);
   CU_ASSERT_EQUAL (test.failure, ERR_TIMEOUT);
   CU_ASSERT_TRUE (test.failed_at - stopped < DETECTION_MAX_MS * 1000);
+  CU_ASSERT_TRUE (test.stalled_at > stopped);
+  CU_ASSERT_TRUE (test.stalled_at < test.failed_at - SILENCE_MS * 500);
   stop ();
 }
 
@@ -182,6 +192,7 @@
   tcp_conn_write (test.tcp_conn, "x", 1);
   run_for (2 * SILENCE_MS);
   CU_ASSERT_EQUAL (test.failed_at, 0);
+  CU_ASSERT_EQUAL (test.stalled_at, 0);
   CU_ASSERT_EQUAL (read_some (), 1);
   stop ();
 }
