--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -5,6 +5,11 @@
 #include "base/log.h"
 #include "gate/reverse_proxy_internal.h"
 
+/* After which a client may return for which nothing better is known; also
+   without a configuration, as the first one normally arrives within a second.
+ */
+#define DEFAULT_RETRY_US (500 * CLK_MS)
+
 #define LOGGED_ID_MAX 40 /* bytes of an event id in the log */
 
 /* An event id as the log shows it.  */
@@ -37,6 +42,9 @@
                               const struct placement_choice *choice);
 void exchange_reject (struct exchange *exchange, guint status, const char *code,
                       gint64 retry_after_us);
+void exchange_send_outcome_unknown (struct exchange *exchange, guint status,
+                                    const char *code);
+struct retry_budget *exchange_retry_budget (struct exchange *exchange);
 void exchange_abort (struct exchange *exchange, const char *why);
 
 #endif
