--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -15,25 +15,25 @@
 #define CONNECTIONS_MAX 4
 #define AGAIN_MS 10 /* until the next connection */
 
-/* Other servers that are tried after a refused connection: it may be this
-   instance that is cut off. */
+/* Other servers that are tried: it may be this instance that is cut off. */
 #define OTHERS_MAX 3
 
 struct server_check
 {
   struct reverse_proxy *reverse_proxy;
   struct registry_server *server; /* referenced */
-  struct registry_server *other;  /* that is being tried, referenced; NULL: the
-                                     server itself is */
-  guint others;                   /* so far */
-  struct tcp_conn *tcp_conn;      /* owned; NULL: closed by the server */
-  guint connections;              /* so far */
-  guint timer;                    /* GLib source, 0: none */
+  struct registry_server *other;  /* tried meanwhile, referenced; NULL: none */
+  struct tcp_conn *other_conn; /* to it, owned; NULL: none could be reached */
+  guint others;                /* so far */
+  gboolean reached;            /* another server has accepted a connection */
+  gboolean refused;            /* by the server; others are being tried */
+  struct tcp_conn *tcp_conn;   /* owned; NULL: closed by the server */
+  guint connections;           /* so far */
+  guint timer;                 /* GLib source, 0: none */
   GList link;
 };
 
 static void open_connection (struct server_check *check);
-static void try_other_server (struct server_check *check);
 
 static void
 server_check_free (struct server_check *check)
@@ -43,6 +43,8 @@
     tcp_conn_close (check->tcp_conn);
   g_clear_handle_id (&check->timer, g_source_remove);
   registry_server_unref (check->server);
+  if (check->other_conn != NULL)
+    tcp_conn_close (check->other_conn);
   registry_server_unref (check->other);
   g_free (check);
 }
@@ -84,13 +86,7 @@
 on_opened (void *ctx)
 {
   struct server_check *check = ctx;
-  if (check->other == NULL)
-    check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
-  else
-    {
-      reachability_accepted (check->reverse_proxy);
-      finish (check, TRUE);
-    }
+  check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
 }
 
 /* The server has closed the connection.  */
@@ -106,14 +102,27 @@
     check->timer = g_timeout_add (AGAIN_MS, on_again, check);
 }
 
+/* The server has refused the connection. May free CHECK.  */
+static void
+refuse (struct server_check *check)
+{
+  g_clear_pointer (&check->tcp_conn, tcp_conn_close);
+  check->refused = TRUE;
+  reachability_failed (check->reverse_proxy, check->server);
+  if (check->reached || check->others == 0)
+    finish (check, TRUE);
+  else if (check->other_conn == NULL)
+    finish (check, FALSE);
+}
+
 static void
 on_failed (void *ctx, const struct err *err)
 {
   struct server_check *check = ctx;
   if (check->timer != 0)
     on_closed (check);
-  else if (check->other != NULL || err->code == ERR_UNAVAILABLE)
-    try_other_server (check);
+  else if (err->code == ERR_UNAVAILABLE)
+    refuse (check);
   else
     finish (check, FALSE);
 }
@@ -136,32 +145,52 @@
     finish (check, FALSE);
 }
 
-/* The server has refused the connection, or another one could not be reached
-   since. Connects to another one, which shows that the servers can be reached
-   from here. May free CHECK.  */
+static void
+on_other_opened (void *ctx)
+{
+  struct server_check *check = ctx;
+  check->reached = TRUE;
+  reachability_accepted (check->reverse_proxy);
+  if (check->refused)
+    finish (check, TRUE);
+}
+
+static void try_other_server (struct server_check *check);
+
+static void
+on_other_failed (void *ctx, const struct err *err)
+{
+  struct server_check *check = ctx;
+  (void)err;
+  g_clear_pointer (&check->other_conn, tcp_conn_close);
+  if (check->reached)
+    return;
+  reachability_failed (check->reverse_proxy, check->other);
+  try_other_server (check);
+  if (check->refused && check->other_conn == NULL)
+    finish (check, FALSE);
+}
+
+static const struct tcp_conn_handler other_handler
+    = { .opened = on_other_opened, .failed = on_other_failed };
+
+/* Connects to another server, which shows that the servers can be reached from
+   here, unless enough have been tried.  */
 static void
 try_other_server (struct server_check *check)
 {
   struct err err = { 0 };
-  const struct tcp_conn_options options = { .handler = &connection,
+  const struct tcp_conn_options options = { .handler = &other_handler,
                                             .ctx = check,
                                             .connect_ms = CONNECT_TIMEOUT_MS };
-  g_clear_pointer (&check->tcp_conn, tcp_conn_close);
-  reachability_failed (check->reverse_proxy,
-                       check->other != NULL ? check->other : check->server);
+  struct registry_server *other
+      = reachability_any_server (check->reverse_proxy, check->server);
+  if (other == NULL || check->others == OTHERS_MAX)
+    return;
   registry_server_unref (check->other);
-  check->other = reachability_any_server (check->reverse_proxy, check->server);
-  if (check->other == NULL)
-    {
-      finish (check, TRUE);
-      return;
-    }
-  registry_server_ref (check->other);
-  if (check->others++ < OTHERS_MAX)
-    check->tcp_conn
-        = tcp_conn_connect (check->other->entry.address, &options, &err);
-  if (check->tcp_conn == NULL)
-    finish (check, FALSE);
+  check->other = registry_server_ref (other);
+  check->others++;
+  check->other_conn = tcp_conn_connect (other->entry.address, &options, &err);
 }
 
 /* Checks SERVER, unless it is being checked. The result goes to the suspected
@@ -179,6 +208,7 @@
   check->server = registry_server_ref (server);
   check->link = (GList){ .data = check };
   g_queue_push_tail_link (&reverse_proxy->server_checks, &check->link);
+  try_other_server (check);
   open_connection (check);
 }
 
