--- a/tests/harness/proxy_fleet.c
+++ b/tests/harness/proxy_fleet.c
@@ -82,6 +82,9 @@
                          fleet->instances[number].settings, NULL };
   fleet->instances[number].proc = harness_start (fleet->harness, name, argv);
   g_assert (fleet->instances[number].proc != NULL);
+  g_free (fleet->instances[number].log);
+  fleet->instances[number].log
+      = g_strdup_printf ("%s/%s.out", harness_dir (fleet->harness), name);
   g_free (name);
 }
 
@@ -158,6 +161,15 @@
   return n;
 }
 
+char *
+proxy_fleet_log (const struct proxy_fleet *fleet, guint number)
+{
+  char *text = NULL;
+  g_assert (
+      g_file_get_contents (fleet->instances[number].log, &text, NULL, NULL));
+  return text;
+}
+
 struct proxy_fleet *
 proxy_fleet_new (const char *config)
 {
@@ -185,7 +197,10 @@
 proxy_fleet_free (struct proxy_fleet *fleet)
 {
   for (guint i = 0; i < PROXY_FLEET_INSTANCES; i++)
-    g_free (fleet->instances[i].settings);
+    {
+      g_free (fleet->instances[i].settings);
+      g_free (fleet->instances[i].log);
+    }
   harness_free (fleet->harness);
   g_free (fleet);
 }
--- a/tests/harness/proxy_fleet.h
+++ b/tests/harness/proxy_fleet.h
@@ -13,6 +13,7 @@
 {
   struct harness_process *proc;
   char *settings; /* path */
+  char *log;      /* path, of the present process */
   char address[ERR_PEER_MAX];
 };
 
@@ -45,6 +46,9 @@
 /* Returns how many times the instances have logged EVENT.  */
 guint proxy_fleet_count_logged (const struct proxy_fleet *fleet,
                                 const char *event);
+/* Returns what the present process of instance NUMBER has logged; owned by the
+   caller.  */
+char *proxy_fleet_log (const struct proxy_fleet *fleet, guint number);
 /* Runs the main loop for MS.  */
 void proxy_fleet_run_for (guint ms);
 
