--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -39,10 +39,10 @@
   guint64 store_era;         /* newest one known; 0: none */
   gint64 servers_reached_at; /* clock time at which this instance was last
                                 sure to reach backend servers; 0: never */
-  gboolean
-      asks_for_servers; /* it cannot reach any: peers find out if they can,
-                           and are not told of those that it cannot reach */
-  guint client_port;    /* where it takes requests; 0: nowhere */
+  /* It cannot reach any: peers find out if they can, and are not told of those
+     that it cannot reach. */
+  gboolean asks_for_servers;
+  guint client_port; /* where it takes requests; 0: nowhere */
 };
 
 /* An instance to which requests can be passed on. */
--- a/packages/peer/gossip_limits.c
+++ b/packages/peer/gossip_limits.c
@@ -23,10 +23,10 @@
   return (guint)CLAMP (ms, 0, G_MAXINT32);
 }
 
-/* Returns whether messages tell LIMIT: what the
-   last response to this instance says, or from a leader that forwards to one of
-   the domain, and within the domain also what comes from others. That a limit
-   has ended is told for a while.  */
+/* Returns whether messages tell LIMIT: what the last response to this instance
+   says, or from a leader that forwards to one of the domain, and within the
+   domain also what comes from others. That a limit has ended is told for a
+   while.  */
 static gboolean
 is_told (const struct server_limit *limit, const struct gossip_round *round,
          gboolean same_domain)
