--- a/tests/proc/limit_testbed.h
+++ b/tests/proc/limit_testbed.h
@@ -409,8 +409,8 @@
   name_limit (testbed, 0);
   double last_per_s
       = scenario->later_per_s > 0 ? scenario->later_per_s : scenario->per_s;
-  guint notice_ms
-      = (guint)(RECOVER_US / 1000 + NOTICE_REQUESTS * 1000 / last_per_s);
+  double notice_us = RECOVER_US + NOTICE_REQUESTS * G_USEC_PER_SEC / last_per_s;
+  guint notice_ms = (guint)(notice_us / 1000);
   run_traffic (testbed, notice_ms, FALSE);
   guint believed = count_believed (testbed);
   gint64 recovered = g_get_monotonic_time ();
