Log fingerprints of requests: the same one has them under every id

request.placed and attempt.lost have 'fingerprints' now: HMAC-SHA256 with the caller's key as the key, over method, path and body (the first), and over query and prompt parts as well (the second, where there are any). attempt.lost also says how old the attempt was. Requests of more than 16 kB are hashed only when one of their attempts breaks off: 200 kB take 0.8 ms here, 4 MB 17 ms, 1 kB 5 us (a loop around g_hmac_*, -O2, not kept). Keys of parts lose their lowest bit, which marks fingerprints.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -11,6 +11,10 @@
 #define STALE_CONFIG_RETRY_US                                                  \
   (700 * CLK_MS) /* the configuration is normally confirmed again within a     \
                     second */
+/* Bytes; the fingerprint of a longer request is computed only when it is
+ * needed.
+ */
+#define IDENTIFIED_BODY_MAX (16 * 1024)
 #define SHUTDOWN_RETRY_US                                                      \
   (50 * CLK_MS) /* other instances can serve the request at once */
 
@@ -329,6 +333,18 @@
   return retry_budget;
 }
 
+/* Computes the fingerprints of the request.  */
+void
+exchange_identify (struct exchange *exchange)
+{
+  const struct str body
+      = { (const char *)exchange->body->data, exchange->body->len };
+  if (exchange->n_fingerprints == 0)
+    exchange->n_fingerprints = request_headers_fingerprint (
+        exchange->head, exchange->reverse_proxy->header_names, body,
+        exchange->fingerprints);
+}
+
 /* Fills in what the scheduler needs. A route with several services picks one by
    the hash of the request id, so that all attempts of a request with the same
    table get the same one.  */
@@ -348,6 +364,8 @@
       = MIN (exchange->deadline, exchange->arrived + route->target_us);
   request_headers_prompt (exchange->head, exchange->reverse_proxy->header_names,
                           route, &queue_entry->request);
+  if (exchange->body->len <= IDENTIFIED_BODY_MAX)
+    exchange_identify (exchange);
   queue_entry->request.body_bytes = exchange->body->len;
   if (queue_entry->request.prompt.n == 0)
     queue_entry->request.affinity_hash = id_hash;
@@ -478,28 +496,29 @@
   struct logged_id position = exchange_logged_position (exchange);
   struct log_entry e = exchange_log_record (exchange, "request.placed",
                                             choice->server->entry.id);
-  log_write (&e,
-             "service=%s tier=%u version=%" G_GUINT64_FORMAT
-             " proof_age_ms=%" G_GINT64_FORMAT
-             " attempt=%u prompt=%u shared=%u held=%u unread=%u"
-             " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
-             " shared_key=%08x parts=%s predicted_ms=%" G_GINT64_FORMAT
-             " fetch=%s waited_ms=%" G_GINT64_FORMAT
-             " resume_after=\"%s\" resume_from=%s",
-             exchange->queue_entry.service, exchange->tier,
-             routing_table_version (exchange->routing_table),
-             proxy_config_age (reverse_proxy, now) / CLK_MS,
-             exchange->attempts + 1, prefix_prompt_tokens (prompt),
-             prefix_shared_tokens (prompt), choice->cached_tokens,
-             choice->prefill_tokens, choice->load.requests,
-             choice->load.sensitive, choice->load.prefill_tokens,
-             prefix_shared_key (prompt), exchange_logged_parts (exchange).text,
-             choice->first_event_us / CLK_MS,
-             choice->fetch_from ? choice->fetch_from->entry.id : "",
-             (now - exchange->arrived) / CLK_MS, position.text,
-             exchange->position.relayed ? "events"
-             : position.text[0] != '\0' ? "client"
-                                        : "none");
+  log_write (
+      &e,
+      "service=%s tier=%u version=%" G_GUINT64_FORMAT
+      " proof_age_ms=%" G_GINT64_FORMAT
+      " attempt=%u prompt=%u shared=%u held=%u unread=%u"
+      " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
+      " shared_key=%08x parts=%s fingerprints=%s"
+      " predicted_ms=%" G_GINT64_FORMAT " fetch=%s waited_ms=%" G_GINT64_FORMAT
+      " resume_after=\"%s\" resume_from=%s",
+      exchange->queue_entry.service, exchange->tier,
+      routing_table_version (exchange->routing_table),
+      proxy_config_age (reverse_proxy, now) / CLK_MS, exchange->attempts + 1,
+      prefix_prompt_tokens (prompt), prefix_shared_tokens (prompt),
+      choice->cached_tokens, choice->prefill_tokens, choice->load.requests,
+      choice->load.sensitive, choice->load.prefill_tokens,
+      prefix_shared_key (prompt), exchange_logged_parts (exchange).text,
+      exchange_logged_fingerprints (exchange).text,
+      choice->first_event_us / CLK_MS,
+      choice->fetch_from ? choice->fetch_from->entry.id : "",
+      (now - exchange->arrived) / CLK_MS, position.text,
+      exchange->position.relayed ? "events"
+      : position.text[0] != '\0' ? "client"
+                                 : "none");
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
   part_trial_begin (exchange, choice->server);
--- a/packages/gate/exchange_attempt.c
+++ b/packages/gate/exchange_attempt.c
@@ -117,12 +117,15 @@
     .left_us = exchange->deadline - now,
   };
   enum retry_action action = retry_decide (&c);
+  if (result == RETRY_RESULT_LOST)
+    exchange_identify (exchange);
   struct log_entry e
       = exchange_log_record (exchange, "attempt.lost", err->peer);
   log_write (&e,
              "result=%s step=%s cause=\"%s: %s\" sent=%u/%u budget=%s"
              " left_ms=%" G_GINT64_FORMAT
-             " head=%s events=%u last_id=\"%s\" position=%s parts=%s",
+             " head=%s events=%u last_id=\"%s\" position=%s parts=%s"
+             " fingerprints=%s attempt_ms=%" G_GINT64_FORMAT,
              retry_result_name (result), retry_action_name (action), err->step,
              err->text, exchange->sent, exchange->route->attempts,
              c.within_budget ? "yes" : "no", c.left_us / CLK_MS,
@@ -132,7 +135,9 @@
                  : "no",
              exchange->events, exchange_logged_position (exchange).text,
              stream_position_state_name (&exchange->position),
-             exchange_logged_parts (exchange).text);
+             exchange_logged_parts (exchange).text,
+             exchange_logged_fingerprints (exchange).text,
+             (now - exchange->attempt_started) / CLK_MS);
   if (result == RETRY_RESULT_FAILED || result == RETRY_RESULT_LOST)
     exchange->may_have_run = TRUE;
   if (result == RETRY_RESULT_LOST)
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -20,13 +20,16 @@
 
 #define LOGGED_PARTS_MAX 8 /* of a prompt in the log */
 
-/* Keys of the shared parts of a prompt as the log shows them.  */
+/* Keys of the shared parts of a prompt, or of the request, as the log shows
+   them.  */
 struct logged_parts
 {
   char text[LOGGED_PARTS_MAX * 17 + 1];
 };
 
 struct logged_parts exchange_logged_parts (const struct exchange *exchange);
+struct logged_parts
+exchange_logged_fingerprints (const struct exchange *exchange);
 struct logged_id exchange_logged_id (struct str id);
 struct logged_id exchange_logged_position (const struct exchange *exchange);
 struct log_entry exchange_log_record (const struct exchange *exchange,
@@ -45,6 +48,8 @@
 void exchange_send_outcome_unknown (struct exchange *exchange, guint status,
                                     const char *code);
 struct retry_budget *exchange_retry_budget (struct exchange *exchange);
+void exchange_identify (struct exchange *exchange);
+
 void exchange_abort (struct exchange *exchange, const char *why);
 
 #endif
--- a/packages/gate/exchange_log.c
+++ b/packages/gate/exchange_log.c
@@ -35,8 +35,23 @@
 exchange_logged_parts (const struct exchange *exchange)
 {
   struct logged_parts logged;
-  prompt_parts_print (&exchange->queue_entry.request.parts, logged.text,
-                      sizeof logged.text);
+  struct prompt_parts shared = exchange->queue_entry.request.parts;
+  while (shared.n > 0 && prompt_part_is_request (shared.keys[shared.n - 1]))
+    shared.n--;
+  prompt_parts_print (&shared, logged.text, sizeof logged.text);
+  return logged;
+}
+
+/* Returns the fingerprints of the request for the log, the broadest first; none
+   if they have not been needed.  */
+struct logged_parts
+exchange_logged_fingerprints (const struct exchange *exchange)
+{
+  struct logged_parts logged;
+  struct prompt_parts keys = { .n = exchange->n_fingerprints };
+  for (guint i = 0; i < keys.n; i++)
+    keys.keys[i] = exchange->fingerprints[i];
+  prompt_parts_print (&keys, logged.text, sizeof logged.text);
   return logged;
 }
 
--- a/packages/gate/request_headers.c
+++ b/packages/gate/request_headers.c
@@ -75,7 +75,7 @@
   guint64 last_part = 0;
   while (next_item (&list, &item) && parse_prefix_block (item, &id, &tokens))
     {
-      if (last_part != 0 && parts->n < PROMPT_PARTS_MAX)
+      if (last_part != 0 && parts->n < PROMPT_SHARED_MAX)
         parts->keys[parts->n++] = last_part;
       last_part = prompt_part_key (id);
       key = prefix_chain_key (key, id);
@@ -130,3 +130,19 @@
   guint last_shared = prompt->n > 1 ? prompt->n - 2 : 0;
   request->affinity_hash = prompt->n > 0 ? prompt->blocks[last_shared].key : 0;
 }
+
+/* Stores the fingerprints of the request with BODY in KEYS, FINGERPRINTS_MAX at
+   most. Returns how many there are.  */
+guint
+request_headers_fingerprint (const struct http_head *head,
+                             const struct header_names *header_names,
+                             struct str body, guint64 *keys)
+{
+  struct fingerprint_input input = { .method = str_of (head->method),
+                                     .target = http_head_target (head),
+                                     .body = body };
+  if (!request_headers_key (head, header_names, &input.caller))
+    http_head_get (head, "authorization", &input.caller);
+  http_head_get (head, header_names->prefix_blocks, &input.prompt);
+  return fingerprint_request (&input, keys);
+}
--- a/packages/gate/request_headers.h
+++ b/packages/gate/request_headers.h
@@ -1,5 +1,5 @@
-/* Extracts the team key and the information for placement from the headers of a
-   request.  */
+/* Extracts the team key, the information for placement and the fingerprints
+   from a request.  */
 #ifndef REQUEST_HEADERS_H
 #define REQUEST_HEADERS_H
 
@@ -15,5 +15,8 @@
                              const struct header_names *header_names,
                              const struct routing_route *route,
                              struct placement_request *request);
+guint request_headers_fingerprint (const struct http_head *head,
+                                   const struct header_names *header_names,
+                                   struct str body, guint64 *keys);
 
 #endif
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -154,6 +154,8 @@
   const struct routing_team *team;     /* NULL: no key is needed */
   guint tier; /* from routing_tier; 0: the most urgent */
   struct scheduler_entry queue_entry;
+  guint64 fingerprints[FINGERPRINTS_MAX];
+  guint n_fingerprints;      /* 0: not computed yet */
   struct upstream *upstream; /* the attempt in progress, owned; NULL: none */
   gint64 arrived;            /* clock time at which the head was complete */
   gint64 deadline; /* clock time; the earlier of the client's and the route's */
--- a/packages/policy/prompt_parts.c
+++ b/packages/policy/prompt_parts.c
@@ -1,13 +1,28 @@
 #include "policy/prompt_parts.h"
 
 #define KEY_SEED 0x70617274
+#define REQUEST_BIT ((guint64)1) /* set in fingerprints only */
 
 /* Returns the key of the part named ID, never 0.  */
 guint64
 prompt_part_key (struct str id)
 {
-  guint64 key = str_hash (id, KEY_SEED);
-  return key != 0 ? key : 1;
+  guint64 key = str_hash (id, KEY_SEED) & ~REQUEST_BIT;
+  return key != 0 ? key : REQUEST_BIT << 1;
+}
+
+/* Returns the key of a request with HASH as a fingerprint.  */
+guint64
+prompt_part_request_key (guint64 hash)
+{
+  return hash | REQUEST_BIT;
+}
+
+/* Returns whether KEY is a fingerprint.  */
+gboolean
+prompt_part_is_request (guint64 key)
+{
+  return (key & REQUEST_BIT) != 0;
 }
 
 gboolean
