--- a/packages/policy/request_fingerprint.c
+++ b/packages/policy/request_fingerprint.c
@@ -39,8 +39,8 @@
   const char *query = input->target.n > 0
                           ? memchr (input->target.p, '?', input->target.n)
                           : NULL;
-  gsize path_n = query != NULL ? (gsize)(query - input->target.p)
-                               : input->target.n;
+  gsize path_n
+      = query != NULL ? (gsize)(query - input->target.p) : input->target.n;
   struct str path = { input->target.p, path_n };
   struct str rest = { input->target.p + path_n, input->target.n - path_n };
   guint n = 0;
--- a/tests/harness/fleet_clients.c
+++ b/tests/harness/fleet_clients.c
@@ -86,32 +86,78 @@
   g_rand_free (clients->rand);
 }
 
+#define CHUNK_BYTES 10000
+
+/* Appends BODY and the fields that frame it.  */
 static void
-send_request (struct fleet_clients *clients)
+append_body (struct str body, gboolean chunked, GString *out)
+{
+  if (!chunked)
+    {
+      g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", body.n);
+      g_string_append_len (out, body.p, (gssize)body.n);
+      return;
+    }
+  g_string_append (out, "Transfer-Encoding: chunked\r\n\r\n");
+  for (gsize at = 0; at < body.n; at += CHUNK_BYTES)
+    {
+      gsize n = MIN (CHUNK_BYTES, body.n - at);
+      g_string_append_printf (out, "%zx\r\n", n);
+      g_string_append_len (out, body.p + at, (gssize)n);
+      g_string_append (out, "\r\n");
+    }
+  g_string_append (out, "0\r\n\r\n");
+}
+
+struct fleet_request *
+fleet_clients_send (struct fleet_clients *clients,
+                    const struct fleet_message *message)
 {
   struct fleet_request *request = g_new0 (struct fleet_request, 1);
   struct err err = { 0 };
   const struct tcp_conn_options options
       = { .handler = &connection, .ctx = request };
-  guint n = clients->requests->len;
+  request->kind = message->kind;
   request->instance
-      = (guint)g_rand_int_range (clients->rand, 0, PROXY_FLEET_INSTANCES);
+      = message->instance >= 0
+            ? (guint)message->instance
+            : (guint)g_rand_int_range (clients->rand, 0, PROXY_FLEET_INSTANCES);
   request->sent_at = g_get_monotonic_time ();
-  g_snprintf (request->id, sizeof request->id, "r-%u", n);
+  g_snprintf (request->id, sizeof request->id, "r-%u", clients->requests->len);
   request->http_reader = http_reader_new (TRUE, &response_handler, request);
   g_ptr_array_add (clients->requests, request);
   g_hash_table_insert (clients->by_id, request->id, request);
   request->tcp_conn = tcp_conn_connect (
       clients->fleet->instances[request->instance].address, &options, &err);
-  char *text = g_strdup_printf (
+  GString *text = g_string_new (NULL);
+  g_string_append_printf (
+      text,
       "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\n"
-      "Authorization: Bearer key-steady\r\n"
-      "X-Prompt-Parts: p%u:300,own%u:100\r\nX-Tokens: 400,40\r\n"
-      "X-Deadline-Ms: %u\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-      clients->path, request->id, n % 40, n, clients->timeout_ms);
+      "Authorization: Bearer %s\r\nX-Deadline-Ms: %u\r\n"
+      "Connection: close\r\n",
+      message->path, request->id, message->key, message->timeout_ms);
+  if (message->prompt != NULL)
+    g_string_append_printf (text, "X-Prompt-Parts: %s\r\nX-Tokens: 400,40\r\n",
+                            message->prompt);
+  append_body (message->body, message->chunked, text);
   if (request->tcp_conn != NULL)
-    tcp_conn_write (request->tcp_conn, text, strlen (text));
-  g_free (text);
+    tcp_conn_write (request->tcp_conn, text->str, text->len);
+  g_string_free (text, TRUE);
+  return request;
+}
+
+static void
+send_request (struct fleet_clients *clients)
+{
+  guint n = clients->requests->len;
+  char *prompt = g_strdup_printf ("p%u:300,own%u:100", n % 40, n);
+  const struct fleet_message message = { .path = clients->path,
+                                         .key = "key-steady",
+                                         .prompt = prompt,
+                                         .timeout_ms = clients->timeout_ms,
+                                         .instance = -1 };
+  fleet_clients_send (clients, &message);
+  g_free (prompt);
 }
 
 void
--- a/tests/harness/fleet_clients.h
+++ b/tests/harness/fleet_clients.h
@@ -7,9 +7,23 @@
 #include "http/reader.h"
 #include "net/tcp_conn.h"
 
+/* What a request says. Strings are borrowed while it is being sent.  */
+struct fleet_message
+{
+  const char *path;
+  const char *key;    /* of the caller */
+  const char *prompt; /* its parts; NULL: none */
+  struct str body;
+  gboolean chunked; /* the body is sent in chunks */
+  guint timeout_ms;
+  guint kind;   /* for the test */
+  int instance; /* number of the one that gets it; -1: drawn at random */
+};
+
 struct fleet_request
 {
   char id[32];
+  guint kind;        /* of its message */
   guint instance;    /* number of the one that it was sent to */
   gint64 sent_at;    /* monotonic microseconds */
   guint executions;  /* by servers; for the test to count */
@@ -37,6 +51,9 @@
 void fleet_clients_clear (struct fleet_clients *clients);
 /* Sends requests to instances drawn at random, for MS.  */
 void fleet_clients_run (struct fleet_clients *clients, guint ms);
+/* Sends a request. The result is owned by CLIENTS.  */
+struct fleet_request *fleet_clients_send (struct fleet_clients *clients,
+                                          const struct fleet_message *message);
 /* Returns the request that a server has received with HEAD.  */
 struct fleet_request *fleet_clients_find (const struct fleet_clients *clients,
                                           const struct http_head *head);
--- a/tests/unit/test_fingerprint.c
+++ b/tests/unit/test_fingerprint.c
@@ -8,11 +8,10 @@
 
 #include <string.h>
 
-static const struct fingerprint_input plain
-    = { .caller = { "key-1", 5 },
-        .method = { "POST", 4 },
-        .target = { "/a/b", 4 },
-        .body = { "body", 4 } };
+static const struct fingerprint_input plain = { .caller = { "key-1", 5 },
+                                                .method = { "POST", 4 },
+                                                .target = { "/a/b", 4 },
+                                                .body = { "body", 4 } };
 
 /* Returns the narrowest fingerprint of INPUT, which has N.  */
 static guint64
@@ -41,11 +40,10 @@
 test_different (void)
 {
   struct fingerprint_input inputs[] = { plain, plain, plain, plain, plain };
-  struct fingerprint_input moved
-      = { .caller = plain.caller,
-          .method = plain.method,
-          .target = { "/a/bb", 5 },
-          .body = { "ody", 3 } };
+  struct fingerprint_input moved = { .caller = plain.caller,
+                                     .method = plain.method,
+                                     .target = { "/a/bb", 5 },
+                                     .body = { "ody", 3 } };
   guint64 seen[7];
   guint n = 0;
   inputs[0].caller = STR_LIT ("key-2");
