--- a/bench/peers/bench_peers.c
+++ b/bench/peers/bench_peers.c
@@ -71,7 +71,7 @@
   guint64 server = 1 + number;
   suspects_begin (suspects[i], &attempt, &parts, server, net.now);
   suspects_broke (suspects[i], &attempt, SUSPECTS_HEAD, net.now);
-  suspects_server_ended (suspects[i], server, net.now);
+  suspects_server_checked (suspects[i], server, SUSPECTS_SERVER_ENDED, net.now);
 }
 
 /* A request with the popular part arrives at each instance; a trial that is in
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -333,16 +333,21 @@
   return retry_budget;
 }
 
-/* Computes the fingerprints of the request.  */
+/* Adds the fingerprints of the request to its parts, if they are not there.  */
 void
 exchange_identify (struct exchange *exchange)
 {
+  struct prompt_parts *parts = &exchange->queue_entry.request.parts;
   const struct str body
       = { (const char *)exchange->body->data, exchange->body->len };
   if (exchange->n_fingerprints == 0)
     exchange->n_fingerprints = request_headers_fingerprint (
         exchange->head, exchange->reverse_proxy->header_names, body,
         exchange->fingerprints);
+  if (parts->n > 0 && prompt_part_is_request (parts->keys[parts->n - 1]))
+    return;
+  for (guint i = 0; i < exchange->n_fingerprints; i++)
+    parts->keys[parts->n++] = exchange->fingerprints[i];
 }
 
 /* Fills in what the scheduler needs. A route with several services picks one by
@@ -364,7 +369,8 @@
       = MIN (exchange->deadline, exchange->arrived + route->target_us);
   request_headers_prompt (exchange->head, exchange->reverse_proxy->header_names,
                           route, &queue_entry->request);
-  if (exchange->body->len <= IDENTIFIED_BODY_MAX)
+  if (exchange->body->len <= IDENTIFIED_BODY_MAX || exchange->n_fingerprints > 0
+      || part_trial_is_active (exchange->reverse_proxy))
     exchange_identify (exchange);
   queue_entry->request.body_bytes = exchange->body->len;
   if (queue_entry->request.prompt.n == 0)
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -241,13 +241,22 @@
     tcp_conn_write (downstream->tcp_conn, "0\r\n\r\n", 5);
   exchange_transition (exchange, EXCHANGE_ON_RESPONSE_END);
   exchange_log_end (exchange, "complete");
-  part_trial_wrote (exchange);
+  part_trial_completed (exchange);
   counter_add (exchange->reverse_proxy->options.counter_set, COUNTER_ANSWERED,
                1);
   exchange_end_attempt (exchange);
   downstream_end_exchange (downstream, keep);
 }
 
+/* Returns whether a complete response with STATUS shows that its server has run
+   the request and lives on. One that fails may have done so before it began.
+ */
+static gboolean
+has_run (guint status)
+{
+  return status < 500 && status != 408 && status != 421 && status != 429;
+}
+
 /* Sends a buffered response of the server to the client. Frees EXCHANGE.  */
 void
 exchange_send_buffered_response (struct exchange *exchange,
@@ -260,8 +269,8 @@
   GString *out = g_string_new (NULL);
   gboolean no_body = !upstream_has_body (exchange, head);
   append_response_head (head, out);
-  if (head->status < 300)
-    part_trial_wrote (exchange);
+  if (has_run (head->status))
+    part_trial_completed (exchange);
   exchange->status = head->status;
   exchange->response_bytes = body.n;
   if (!no_body)
--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -1,5 +1,5 @@
-/* Requests whose prompts have parts that are suspected of crashing servers:
-   they wait for the trial of the part, or are rejected.  */
+/* Requests that are suspected of crashing servers, or parts of whose prompts
+   are: they wait for the trial of the part, or are rejected.  */
 #include "gate/exchange_internal.h"
 
 #define CHECK_INTERVAL_MS 20 /* while requests wait for a trial */
@@ -20,9 +20,15 @@
 wait_for_trial (struct exchange *exchange)
 {
   struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
-  struct log_entry e
-      = exchange_log_record (exchange, "request.awaits_trial", NULL);
-  log_write (&e, "parts=%s", exchange_logged_parts (exchange).text);
+  if (!exchange->awaited_trial)
+    {
+      struct log_entry e
+          = exchange_log_record (exchange, "request.awaits_trial", NULL);
+      log_write (&e, "parts=%s fingerprints=%s",
+                 exchange_logged_parts (exchange).text,
+                 exchange_logged_fingerprints (exchange).text);
+      exchange->awaited_trial = TRUE;
+    }
   exchange->parts_link.data = exchange;
   g_queue_push_tail_link (&reverse_proxy->awaiting_parts,
                           &exchange->parts_link);
@@ -73,15 +79,26 @@
 static void
 reject_held (struct exchange *exchange)
 {
-  static const char reason[] = "part_crashes_servers";
   const struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   gint64 now = exchange_now (exchange);
+  struct suspects_held_evidence evidence
+      = suspects_held_evidence (reverse_proxy->options.suspects,
+                                &exchange->queue_entry.request.parts, now);
+  const char *reason
+      = evidence.part != 0 && !prompt_part_is_request (evidence.part)
+            ? "part_crashes_servers"
+            : "request_crashes_servers";
   gint64 until
       = suspects_held_until (reverse_proxy->options.suspects,
                              &exchange->queue_entry.request.parts, now);
   struct log_entry e = exchange_log_record (exchange, "request.refused", NULL);
-  log_write (&e, "reason=%s parts=%s retry_after_ms=%" G_GINT64_FORMAT, reason,
-             exchange_logged_parts (exchange).text, (until - now) / CLK_MS);
+  log_write (
+      &e,
+      "reason=%s parts=%s fingerprints=%s weight=%u age_ms=%" G_GINT64_FORMAT
+      " retry_after_ms=%" G_GINT64_FORMAT,
+      reason, exchange_logged_parts (exchange).text,
+      exchange_logged_fingerprints (exchange).text, evidence.weight,
+      evidence.age_us / CLK_MS, (until - now) / CLK_MS);
   counter_add (reverse_proxy->options.counter_set, COUNTER_PART_REJECTED, 1);
   if (exchange->head_sent)
     exchange_abort (exchange, reason);
@@ -89,6 +106,43 @@
     exchange_reject (exchange, 503, reason, MAX (until - now, CLK_S));
 }
 
+/* Returns whether requests may be suspected at all at present.  */
+gboolean
+part_trial_is_active (const struct reverse_proxy *reverse_proxy)
+{
+  const struct suspects *suspects = reverse_proxy->options.suspects;
+  return suspects != NULL && suspects_is_active (suspects);
+}
+
+/* Returns whether the request, which is likely to end its server, would be sent
+   to the last one of its service that runs, though more are listed.  */
+static gboolean
+takes_last_server (const struct exchange *exchange)
+{
+  const struct proxy_options *options = &exchange->reverse_proxy->options;
+  gint64 now = exchange_now (exchange);
+  guint n;
+  guint listed = 0;
+  guint running = 0;
+  if (!suspects_takes_last_server (options->suspects,
+                                   &exchange->queue_entry.request.parts))
+    return FALSE;
+  struct registry_server *const *servers
+      = registry_servers (options->registry, &n);
+  for (guint i = 0; i < n; i++)
+    {
+      if (!g_str_equal (servers[i]->entry.service,
+                        exchange->queue_entry.service))
+        continue;
+      listed++;
+      running += registry_may_serve (servers[i], now)
+                 && !registry_is_unreachable (servers[i], now)
+                 && !suspects_has_ended (options->suspects,
+                                         registry_life_key (servers[i]));
+    }
+  return listed > 1 && running < 2;
+}
+
 /* Returns whether the request, which is about to be sent to SERVER, may be.
    Otherwise it waits, or it is rejected and EXCHANGE is freed.  */
 gboolean
@@ -114,9 +168,14 @@
     case SUSPECTS_FREE:
       return TRUE;
     case SUSPECTS_TRIAL:
-      if (!has_failed_trial (exchange))
+      if (has_failed_trial (exchange))
+        {
+          reject_held (exchange);
+          return FALSE;
+        }
+      if (!takes_last_server (exchange))
         return TRUE;
-      reject_held (exchange);
+      wait_for_trial (exchange);
       return FALSE;
     case SUSPECTS_WAIT:
       wait_for_trial (exchange);
@@ -188,6 +247,16 @@
                     exchange_now (exchange));
 }
 
+/* The server has responded to the request completely.  */
+void
+part_trial_completed (struct exchange *exchange)
+{
+  struct suspects *suspects = exchange->reverse_proxy->options.suspects;
+  if (suspects != NULL)
+    suspects_completed (suspects, &exchange->suspects_attempt,
+                        exchange_now (exchange));
+}
+
 /* The attempt has ended.  */
 void
 part_trial_end (struct exchange *exchange)
@@ -197,9 +266,8 @@
     suspects_end (suspects, &exchange->suspects_attempt);
 }
 
-/* The attempt in progress has lost its server because of ERR. If the server has
-   written nothing on the prompt, checks whether it has ended. A server that was
-   about to leave has not crashed.  */
+/* The attempt in progress has lost its server because of ERR: checks whether it
+   has ended. A server that was about to leave has not crashed.  */
 void
 part_trial_broke (struct exchange *exchange, const struct err *err)
 {
@@ -211,6 +279,7 @@
     return;
   enum suspects_evidence evidence
       = exchange->route->kind != ROUTING_STREAM          ? SUSPECTS_PLAIN
+        : exchange->suspects_attempt.begun               ? SUSPECTS_BEGUN
         : upstream_response_started (exchange->upstream) ? SUSPECTS_HEAD
                                                          : SUSPECTS_NO_HEAD;
   exchange->trial_broke |= suspects_was_trial (&exchange->suspects_attempt);
@@ -223,17 +292,26 @@
     server_check_start (reverse_proxy, server);
 }
 
-/* The check of SERVER, which has broken off a response, has shown whether it
-   has ENDED.  */
+/* The check of SERVER, which has broken off a response, has shown its STATE.
+ */
 void
 part_trial_checked (struct reverse_proxy *reverse_proxy,
-                    const struct registry_server *server, gboolean ended)
+                    const struct registry_server *server,
+                    enum suspects_server_state state)
 {
-  struct suspects *suspects = reverse_proxy->options.suspects;
-  if (ended)
-    suspects_server_ended (suspects, registry_life_key (server),
+  suspects_server_checked (reverse_proxy->options.suspects,
+                           registry_life_key (server), state,
                            clk_now (reverse_proxy->options.clk));
-  else
-    suspects_server_lives (suspects, registry_life_key (server));
   proxy_schedule_poll (reverse_proxy);
 }
+
+/* SERVER is no longer listed, or has begun a new life. If it had not said that
+   it leaves, it has ended under what it broke off just before.  */
+void
+part_trial_server_removed (struct reverse_proxy *reverse_proxy,
+                           const struct registry_server *server)
+{
+  if (part_trial_is_active (reverse_proxy) && !server->entry.leaving
+      && !registry_is_leaving (server))
+    part_trial_checked (reverse_proxy, server, SUSPECTS_SERVER_ENDED);
+}
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -176,6 +176,7 @@
       directory_forget (
           scheduler_prefix_directory (reverse_proxy->options.scheduler),
           server->number);
+      part_trial_server_removed (reverse_proxy, server);
       break;
     }
 }
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -165,7 +165,8 @@
   gboolean waited_for_config;
   GList parts_link; /* in awaiting_parts; data is NULL if it is not there */
   struct suspects_attempt suspects_attempt;
-  gboolean trial_broke; /* the trial of a part has broken off under it */
+  gboolean awaited_trial; /* has been logged as waiting for one */
+  gboolean trial_broke;   /* the trial of a part has broken off under it */
   /* Keys of the servers' lives that broke it off without an event, the first
      ones. */
   guint64 broken_servers[PART_TRIAL_SERVERS_MAX];
@@ -216,7 +217,9 @@
 void config_wait_cancel (struct exchange *exchange);
 void config_wait_check (struct reverse_proxy *reverse_proxy);
 
-/* Requests with parts that are suspected of crashing servers. */
+/* Requests that are suspected of crashing servers, or parts of whose prompts
+   are. */
+gboolean part_trial_is_active (const struct reverse_proxy *reverse_proxy);
 gboolean part_trial_allows (struct exchange *exchange,
                             const struct registry_server *server);
 void part_trial_cancel (struct exchange *exchange);
@@ -224,10 +227,14 @@
 void part_trial_begin (struct exchange *exchange,
                        const struct registry_server *server);
 void part_trial_wrote (struct exchange *exchange);
+void part_trial_completed (struct exchange *exchange);
 void part_trial_end (struct exchange *exchange);
 void part_trial_broke (struct exchange *exchange, const struct err *err);
 void part_trial_checked (struct reverse_proxy *reverse_proxy,
-                         const struct registry_server *server, gboolean ended);
+                         const struct registry_server *server,
+                         enum suspects_server_state state);
+void part_trial_server_removed (struct reverse_proxy *reverse_proxy,
+                                const struct registry_server *server);
 
 /* Whether the backend servers can be reached. */
 void reachability_heard (struct reverse_proxy *reverse_proxy);
--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -18,6 +18,12 @@
 /* Other servers that are tried: it may be this instance that is cut off. */
 #define OTHERS_MAX 3
 
+/* As the log says whether a server has ended. */
+static const char *const state_names[]
+    = { [SUSPECTS_SERVER_ENDED] = "yes",
+        [SUSPECTS_SERVER_LIVES] = "no",
+        [SUSPECTS_SERVER_UNKNOWN] = "unknown" };
+
 struct server_check
 {
   struct reverse_proxy *reverse_proxy;
@@ -51,16 +57,16 @@
 
 /* Ends the check with its result.  */
 static void
-finish (struct server_check *check, gboolean ended)
+finish (struct server_check *check, enum suspects_server_state state)
 {
   struct reverse_proxy *reverse_proxy = check->reverse_proxy;
   struct registry_server *server = registry_server_ref (check->server);
   log_write (&(struct log_entry){ .level = LOG_INFO,
                                   .event = "server.checked",
                                   .peer = server->entry.id },
-             "ended=%s", ended ? "yes" : "no");
+             "ended=%s", state_names[state]);
   server_check_free (check);
-  part_trial_checked (reverse_proxy, server, ended);
+  part_trial_checked (reverse_proxy, server, state);
   registry_server_unref (server);
 }
 
@@ -69,7 +75,7 @@
 {
   struct server_check *check = data;
   check->timer = 0;
-  finish (check, FALSE);
+  finish (check, SUSPECTS_SERVER_LIVES);
   return G_SOURCE_REMOVE;
 }
 
@@ -89,7 +95,8 @@
   check->timer = g_timeout_add (OPEN_MS, on_still_open, check);
 }
 
-/* The server has closed the connection.  */
+/* The server has closed the connection. One that is ending may close it before
+   it is known that it was opened.  */
 static void
 on_closed (void *ctx)
 {
@@ -97,7 +104,7 @@
   g_clear_pointer (&check->tcp_conn, tcp_conn_close);
   g_clear_handle_id (&check->timer, g_source_remove);
   if (check->connections == CONNECTIONS_MAX)
-    finish (check, FALSE);
+    finish (check, SUSPECTS_SERVER_LIVES);
   else
     check->timer = g_timeout_add (AGAIN_MS, on_again, check);
 }
@@ -110,21 +117,21 @@
   check->refused = TRUE;
   reachability_failed (check->reverse_proxy, check->server);
   if (check->reached || check->others == 0)
-    finish (check, TRUE);
+    finish (check, SUSPECTS_SERVER_ENDED);
   else if (check->other_conn == NULL)
-    finish (check, FALSE);
+    finish (check, SUSPECTS_SERVER_UNKNOWN);
 }
 
 static void
 on_failed (void *ctx, const struct err *err)
 {
   struct server_check *check = ctx;
-  if (check->timer != 0)
+  if (check->timer != 0 || err->code == ERR_CLOSED)
     on_closed (check);
   else if (err->code == ERR_UNAVAILABLE)
     refuse (check);
   else
-    finish (check, FALSE);
+    finish (check, SUSPECTS_SERVER_LIVES);
 }
 
 static const struct tcp_conn_handler connection
@@ -142,7 +149,7 @@
   check->tcp_conn
       = tcp_conn_connect (check->server->entry.address, &options, &err);
   if (check->tcp_conn == NULL)
-    finish (check, FALSE);
+    finish (check, SUSPECTS_SERVER_LIVES);
 }
 
 static void
@@ -152,7 +159,7 @@
   check->reached = TRUE;
   reachability_accepted (check->reverse_proxy);
   if (check->refused)
-    finish (check, TRUE);
+    finish (check, SUSPECTS_SERVER_ENDED);
 }
 
 static void try_other_server (struct server_check *check);
@@ -168,7 +175,7 @@
   reachability_failed (check->reverse_proxy, check->other);
   try_other_server (check);
   if (check->refused && check->other_conn == NULL)
-    finish (check, FALSE);
+    finish (check, SUSPECTS_SERVER_UNKNOWN);
 }
 
 static const struct tcp_conn_handler other_handler
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -5,10 +5,11 @@
 
 #include <string.h>
 
-/* Addresses this load pattern: requests, no two alike, with one part in their
-   prompts that ends each server which begins to write on it. Each attempt, and
-   each return of a client, takes it to a server that is still up, until few are
-   left.  */
+/* Addresses these load patterns: requests, no two alike, with one part in their
+   prompts that ends each server which begins to write on it; and one request
+   that ends each server which begins to run it, sent again and again under new
+   ids. Each attempt, and each return of a client, takes it to a server that is
+   still up, until few are left.  */
 
 /* Weight of a crash under an attempt that a server had begun to write on, and
    of one that may only have waited there. */
@@ -20,8 +21,13 @@
 #define WEIGHT_HELD_MANY 4
 #define MANY_SERVERS 5
 #define SAME_CRASHES_MAX 12 /* kept of those under the same parts */
+/* From here on a request is tried only where the service keeps a server. */
+#define WEIGHT_DANGEROUS 4
 /* A check of a server takes no longer; then the server counts as alive. */
 #define BROKEN_KEPT_US (1 * CLK_S)
+/* Until it is listed that a server has ended which seemed to run, or while no
+   server could be reached. */
+#define END_LISTED_US (6 * CLK_S)
 #define CRASH_KEPT_US (120 * CLK_S)
 /* Time until a held part is tried again, for the first time; it doubles with
    each trial. */
@@ -31,6 +37,12 @@
    try the part is gone. */
 #define HOLDS_KEPT 4
 
+static const char *const evidence_names[] = {
+#define SUSPECTS_NAME(id, name) name,
+  SUSPECTS_EVIDENCE (SUSPECTS_NAME)
+#undef SUSPECTS_NAME
+};
+
 struct suspects *
 suspects_new (const struct suspects_options *options)
 {
@@ -126,6 +138,13 @@
   return index;
 }
 
+/* Returns what the part KEY is, for logs and dumps.  */
+static const char *
+kind_name (guint64 key)
+{
+  return prompt_part_is_request (key) ? "request" : "prompt";
+}
+
 static gboolean
 contains (const guint64 *keys, guint n, guint64 key)
 {
@@ -138,8 +157,9 @@
 static void
 log_part (const char *event, guint64 key, guint weight)
 {
-  log_event (LOG_WARN, event, "part=%016" G_GINT64_MODIFIER "x weight=%u", key,
-             weight);
+  log_event (LOG_WARN, event,
+             "part=%016" G_GINT64_MODIFIER "x weight=%u kind=%s", key, weight,
+             kind_name (key));
 }
 
 static guint
@@ -292,7 +312,9 @@
   if (attempt->link.data == NULL)
     return FALSE;
   for (guint i = 0; i < attempt->parts->n; i++)
-    if (attempt->weights[i] >= SUSPECTS_WEIGHT_TRIAL)
+    if (attempt->weights[i] >= SUSPECTS_WEIGHT_TRIAL
+        && (!attempt->begun
+            || prompt_part_is_request (attempt->parts->keys[i])))
       return TRUE;
   return FALSE;
 }
@@ -314,7 +336,7 @@
 suspects_is_checking (const struct suspects *suspects, guint64 server)
 {
   for (guint i = 0; i < suspects->n_broken; i++)
-    if (suspects->broken[i].server == server)
+    if (suspects->broken[i].server == server && !suspects->broken[i].settled)
       return TRUE;
   return FALSE;
 }
@@ -337,6 +359,23 @@
   return contains (suspects->held, suspects->n_held, key);
 }
 
+/* Returns which of PARTS is held, the first one, and why.  */
+struct suspects_held_evidence
+suspects_held_evidence (const struct suspects *suspects,
+                        const struct prompt_parts *parts, gint64 now)
+{
+  for (guint i = 0; i < parts->n; i++)
+    {
+      const struct suspects_part *part
+          = suspects_find_part (suspects, parts->keys[i]);
+      if (part != NULL && suspects_is_held (suspects, part->key))
+        return (struct suspects_held_evidence){ .part = part->key,
+                                                .weight = part->weight,
+                                                .age_us = now - part->at };
+    }
+  return (struct suspects_held_evidence){ .part = 0 };
+}
+
 /* Returns the clock time from which on a held part of PARTS may be tried again;
    NOW if none is held.  */
 gint64
@@ -357,19 +396,52 @@
   return until;
 }
 
+/* Returns whether any crash is known, or may turn out to be one.  */
+gboolean
+suspects_is_active (const struct suspects *suspects)
+{
+  return suspects->n_crashes > 0 || suspects->n_broken > 0;
+}
+
+/* Returns whether a trial of PARTS is so likely to end its server that it is
+   not to be the last one of a service. Only requests are that narrow that
+   nothing else waits for it.  */
+gboolean
+suspects_takes_last_server (const struct suspects *suspects,
+                            const struct prompt_parts *parts)
+{
+  guint weight;
+  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
+  return weight >= WEIGHT_DANGEROUS
+         && prompt_part_is_request (parts->keys[part]);
+}
+
+/* Returns the index of the most suspected part that the attempt, which is in
+   progress, may still crash its server with, and its weight in WEIGHT.  */
+guint
+suspects_of_attempt (const struct suspects *suspects,
+                     const struct suspects_attempt *attempt, guint *weight)
+{
+  gboolean cleared[PROMPT_PARTS_MAX];
+  for (guint i = 0; i < attempt->parts->n; i++)
+    cleared[i]
+        = attempt->begun && !prompt_part_is_request (attempt->parts->keys[i]);
+  return suspects_most_suspected (suspects, attempt->parts, cleared, weight);
+}
+
 /* An attempt with PARTS, borrowed until its end, is being sent to the server
-   with number SERVER.  */
+   with key SERVER. The fingerprints may be added to PARTS later.  */
 void
 suspects_begin (struct suspects *suspects, struct suspects_attempt *attempt,
                 const struct prompt_parts *parts, guint64 server, gint64 now)
 {
   guint weight;
   suspects_end (suspects, attempt);
-  if (parts->n == 0)
-    return;
   attempt->parts = parts;
   attempt->server = server;
   attempt->at = now;
+  attempt->begun = FALSE;
+  memset (attempt->weights, 0, sizeof attempt->weights);
   for (guint i = 0; i < parts->n; i++)
     attempt->weights[i] = (guint8)suspects_weight_of (suspects, parts->keys[i]);
   attempt->link = (GList){ .data = attempt };
@@ -393,22 +465,21 @@
     suspects_tell (suspects, TRUE);
 }
 
-/* A server has written on the prompt of the attempt: clears its parts.  */
-void
-suspects_wrote (struct suspects *suspects, struct suspects_attempt *attempt,
-                gint64 now)
+/* Clears the parts of the prompt of the attempt; if COMPLETE, also its
+   fingerprints.  */
+static void
+clear_parts (struct suspects *suspects, const struct suspects_attempt *attempt,
+             gboolean complete, gint64 now)
 {
   gboolean changed = FALSE;
-  if (attempt->link.data == NULL)
-    return;
-  suspects_end (suspects, attempt);
-  suspects_note_sound (suspects, attempt->parts, now);
+  suspects_note_sound (suspects, attempt->parts, complete, now);
   for (guint i = 0; i < suspects->n_crashes; i++)
     {
       struct suspects_crash *crash = &suspects->crashes[i];
       for (guint j = 0; j < crash->parts.n; j++)
         {
           if (crash->cleared[j]
+              || (!complete && prompt_part_is_request (crash->parts.keys[j]))
               || !prompt_parts_contain (attempt->parts, crash->parts.keys[j]))
             continue;
           log_part ("part.cleared", crash->parts.keys[j], crash->weights[j]);
@@ -422,9 +493,50 @@
     suspects_note_changed (suspects, TRUE);
 }
 
-/* The attempt has broken off before the first event. Returns whether it matters
-   if its server has ended; then the caller checks the server and calls
-   suspects_server_ended or suspects_server_lives.  */
+/* A server has written on the prompt of the attempt, for the first time.  */
+void
+suspects_wrote (struct suspects *suspects, struct suspects_attempt *attempt,
+                gint64 now)
+{
+  if (attempt->link.data == NULL || attempt->begun)
+    return;
+  attempt->begun = TRUE;
+  clear_parts (suspects, attempt, FALSE, now);
+  if (suspects->told_trials)
+    suspects_tell (suspects, TRUE);
+}
+
+/* The response of the server to the attempt is complete.  */
+void
+suspects_completed (struct suspects *suspects, struct suspects_attempt *attempt,
+                    gint64 now)
+{
+  if (attempt->link.data == NULL)
+    return;
+  suspects_end (suspects, attempt);
+  clear_parts (suspects, attempt, TRUE, now);
+}
+
+/* Drops the oldest attempt that is of least use. Returns whether there is one.
+ */
+static gboolean
+drop_settled (struct suspects *suspects)
+{
+  guint oldest = SUSPECTS_BROKEN_MAX;
+  for (guint i = 0; i < suspects->n_broken; i++)
+    if (suspects->broken[i].settled
+        && (oldest == SUSPECTS_BROKEN_MAX
+            || suspects->broken[i].at < suspects->broken[oldest].at))
+      oldest = i;
+  if (oldest == SUSPECTS_BROKEN_MAX)
+    return FALSE;
+  suspects->broken[oldest] = suspects->broken[--suspects->n_broken];
+  return TRUE;
+}
+
+/* The attempt has broken off. Returns whether it matters if its server has
+   ended; then the caller checks the server and calls suspects_server_checked,
+   also when the server's end is listed later.  */
 gboolean
 suspects_broke (struct suspects *suspects, struct suspects_attempt *attempt,
                 enum suspects_evidence evidence, gint64 now)
@@ -432,7 +544,7 @@
   if (attempt->link.data == NULL)
     return FALSE;
   suspects_end (suspects, attempt);
-  if (suspects->n_broken == SUSPECTS_BROKEN_MAX)
+  if (suspects->n_broken == SUSPECTS_BROKEN_MAX && !drop_settled (suspects))
     {
       log_event (LOG_WARN, "part.overflow", "broken=%u", suspects->n_broken);
       return FALSE;
@@ -446,13 +558,16 @@
   return TRUE;
 }
 
-/* Returns the weight of the crash under BROKEN, one of N_BROKEN attempts that a
-   server had when it ended; 0: it says nothing.  */
+/* Returns the weight that the crash under BROKEN, one of N_BROKEN attempts that
+   a server had when it ended, gives the parts of its prompt; 0: it says
+   nothing.  */
 static guint
-crash_weight (const struct suspects_broken *broken, guint n_broken)
+part_weight (const struct suspects_broken *broken, guint n_broken)
 {
   switch (broken->evidence)
     {
+    case SUSPECTS_BEGUN:
+      return 0;
     case SUSPECTS_HEAD:
       return WEIGHT_BEGUN;
     case SUSPECTS_NO_HEAD:
@@ -463,6 +578,16 @@
   return 0;
 }
 
+/* Returns the same for fingerprint number I. A request that has crashed a
+   server before is a better explanation than others on the same server.  */
+static guint
+fingerprint_weight (const struct suspects_broken *broken, guint i,
+                    guint n_broken)
+{
+  gboolean is_alone = n_broken == 1 && broken->evidence != SUSPECTS_BEGUN;
+  return broken->weights[i] > 0 || is_alone ? WEIGHT_BEGUN : WEIGHT_WAITED;
+}
+
 /* Returns a free crash. If there is none, the least suspected and oldest one is
    dropped.  */
 struct suspects_crash *
@@ -504,18 +629,32 @@
   return n >= SAME_CRASHES_MAX;
 }
 
+/* Records that a server has ended under BROKEN, one of N_BROKEN attempts that
+   it had.  */
 static void
 record_crash (struct suspects *suspects, const struct suspects_broken *broken,
-              guint weight, gint64 now)
+              guint n_broken, gint64 now)
 {
   guint8 weights[PROMPT_PARTS_MAX] = { 0 };
   char text[PROMPT_PARTS_MAX * 17 + 1];
+  guint most = 0;
   for (guint i = 0; i < broken->parts.n; i++)
-    weights[i] = (guint8)MIN (broken->weights[i] + weight, WEIGHT_MAX);
+    {
+      guint added = prompt_part_is_request (broken->parts.keys[i])
+                        ? fingerprint_weight (broken, i, n_broken)
+                        : part_weight (broken, n_broken);
+      if (added > 0)
+        weights[i] = (guint8)MIN (broken->weights[i] + added, WEIGHT_MAX);
+      most = MAX (most, weights[i]);
+    }
+  if (most == 0)
+    return;
   prompt_parts_print (&broken->parts, text, sizeof text);
   log_event (LOG_WARN, "part.suspected",
-             "parts=%s weight=%u server=%016" G_GINT64_MODIFIER "x", text,
-             weight, broken->server);
+             "parts=%s weight=%u evidence=%s others=%u"
+             " server=%016" G_GINT64_MODIFIER "x age_ms=%" G_GINT64_FORMAT,
+             text, most, evidence_names[broken->evidence], n_broken - 1,
+             broken->server, (now - broken->at) / CLK_MS);
   counter_add (suspects->options.counter_set, COUNTER_SUSPECT_CRASHES, 1);
   if (is_known (suspects, &broken->parts, weights))
     return;
@@ -529,6 +668,9 @@
   crash->id = (guint64)g_rand_int (suspects->rand) << 32;
   crash->id |= g_rand_int (suspects->rand);
   memcpy (crash->weights, weights, sizeof weights);
+  /* A crash that says nothing of a part counts for none of it. */
+  for (guint i = 0; i < crash->parts.n; i++)
+    crash->cleared[i] = weights[i] == 0;
   suspects->last_crash_at = now;
 }
 
@@ -542,8 +684,8 @@
 }
 
 /* The server with key SERVER has ended.  */
-void
-suspects_server_ended (struct suspects *suspects, guint64 server, gint64 now)
+static void
+server_ended (struct suspects *suspects, guint64 server, gint64 now)
 {
   guint n = 0;
   for (guint i = 0; i < suspects->n_broken; i++)
@@ -551,38 +693,58 @@
   if (n == 0)
     return;
   for (guint i = 0; i < suspects->n_broken; i++)
-    {
-      const struct suspects_broken *broken = &suspects->broken[i];
-      guint weight = broken->server == server ? crash_weight (broken, n) : 0;
-      if (weight > 0)
-        record_crash (suspects, broken, weight, now);
-    }
+    if (suspects->broken[i].server == server)
+      record_crash (suspects, &suspects->broken[i], n, now);
   drop_broken (suspects, server);
   suspects_note_changed (suspects, TRUE);
 }
 
-/* The server with key SERVER runs: the attempts that broke off there say
-   nothing about their parts.  */
-void
-suspects_server_lives (struct suspects *suspects, guint64 server)
+/* The server with key SERVER seems to run: the attempts that broke off there
+   say nothing about their parts, unless its end is listed soon. It may have
+   ended and begun anew before it was checked.  */
+static void
+settle (struct suspects *suspects, guint64 server)
 {
-  guint before = suspects->n_broken;
-  drop_broken (suspects, server);
-  if (suspects->n_broken < before)
+  gboolean changed = FALSE;
+  for (guint i = 0; i < suspects->n_broken; i++)
+    if (suspects->broken[i].server == server && !suspects->broken[i].settled)
+      suspects->broken[i].settled = changed = TRUE;
+  if (changed)
     suspects_tell (suspects, TRUE);
 }
 
+/* It has been found out, by a check or from the list, in which STATE the server
+   with key SERVER is.  */
+void
+suspects_server_checked (struct suspects *suspects, guint64 server,
+                         enum suspects_server_state state, gint64 now)
+{
+  switch (state)
+    {
+    case SUSPECTS_SERVER_ENDED:
+      server_ended (suspects, server, now);
+      return;
+    case SUSPECTS_SERVER_LIVES:
+      settle (suspects, server);
+      return;
+    case SUSPECTS_SERVER_UNKNOWN:
+      return;
+    }
+}
+
 /* Forgets what is out of date.  */
 void
 suspects_expire (struct suspects *suspects, gint64 now)
 {
   gboolean changed = suspects_expire_claims (suspects, now);
   for (guint i = suspects->n_broken; i-- > 0;)
-    if (now - suspects->broken[i].at >= BROKEN_KEPT_US)
-      {
-        suspects->broken[i] = suspects->broken[--suspects->n_broken];
-        changed = TRUE;
-      }
+    {
+      struct suspects_broken *broken = &suspects->broken[i];
+      if (now - broken->at >= END_LISTED_US)
+        *broken = suspects->broken[--suspects->n_broken];
+      else if (now - broken->at >= BROKEN_KEPT_US && !broken->settled)
+        broken->settled = changed = TRUE;
+    }
   for (guint i = suspects->n_crashes; i-- > 0;)
     {
       guint weight = highest_weight (&suspects->crashes[i]);
@@ -612,6 +774,7 @@
       prompt_parts_print (&parts, text, sizeof text);
       json_builder_begin_object (json);
       json_add_str (json, "part", text);
+      json_add_str (json, "kind", kind_name (suspects->held[i]));
       json_add_int (json, "weight",
                     suspects_weight_of (suspects, suspects->held[i]));
       json_add_int (json, "held_ms",
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -1,8 +1,10 @@
-/* Parts of prompts that may crash backend servers. Requests that were on a
-   server when it ended, and had got nothing of their response, make their
-   shared parts suspects. A suspected part is tried by one request at a time; an
-   event of a response clears the parts of its request. A part whose trials end
-   server after server is held: requests with it are rejected.
+/* Requests that may crash backend servers. Those that were on a server when it
+   ended make what they share with others suspects: the parts of their prompts,
+   and their fingerprints, which a request shares with its repeats only. A
+   suspected part is tried by one request at a time; an event of a response
+   clears the parts of its prompt, a complete response its fingerprints too. A
+   part whose trials end server after server is held: requests with it are
+   rejected. "Part" stands for both below.
 
    Instances exchange the crashes that they have seen and what has been cleared
    since. Both only grow, so the order in which news arrives does not matter.
@@ -20,6 +22,7 @@
 
 /* X (NAME, "name"): what a broken attempt had got of its response  */
 #define SUSPECTS_EVIDENCE(X)                                                   \
+  X (BEGUN, "begun")     /* events of a stream */                              \
   X (HEAD, "head")       /* a stream's head, but no event */                   \
   X (NO_HEAD, "no_head") /* nothing of a stream */                             \
   X (PLAIN, "plain")     /* no complete response; it is no stream */
@@ -39,6 +42,14 @@
   SUSPECTS_HELD   /* to be rejected */
 };
 
+/* What a check of a server that has broken off an attempt has found out.  */
+enum suspects_server_state
+{
+  SUSPECTS_SERVER_ENDED,
+  SUSPECTS_SERVER_LIVES,
+  SUSPECTS_SERVER_UNKNOWN /* no server could be reached */
+};
+
 /* A request that was on a server when the server ended. A part's weight is that
    of all crashes in a row that its trials have led to.  */
 struct suspects_crash
@@ -55,7 +66,7 @@
   gboolean tell;   /* changed here; otherwise a peer has told it */
 };
 
-/* An attempt at a server that has got no event. Owned by its user.  */
+/* An attempt at a server. Owned by its user.  */
 struct suspects_attempt
 {
   /* Private. */
@@ -63,6 +74,7 @@
   const struct prompt_parts *parts; /* borrowed */
   guint64 server;                   /* key of its life */
   gint64 at;                        /* begin */
+  gboolean begun;                   /* has got an event */
   guint8 weights[PROMPT_PARTS_MAX]; /* of the parts when it was sent */
 };
 
@@ -84,6 +96,14 @@
   void *ctx;
 };
 
+/* Why a part is held.  */
+struct suspects_held_evidence
+{
+  guint64 part; /* 0: none is held */
+  guint weight;
+  gint64 age_us; /* of its last crash */
+};
+
 struct suspects;
 
 struct suspects *suspects_new (const struct suspects_options *options);
@@ -91,11 +111,17 @@
 enum suspects_verdict suspects_check (struct suspects *suspects,
                                       const struct prompt_parts *parts,
                                       guint64 server, gint64 now);
+gboolean suspects_is_active (const struct suspects *suspects);
+gboolean suspects_takes_last_server (const struct suspects *suspects,
+                                     const struct prompt_parts *parts);
 gboolean suspects_was_trial (const struct suspects_attempt *attempt);
 gboolean suspects_is_checking (const struct suspects *suspects, guint64 server);
 gboolean suspects_has_ended (const struct suspects *suspects, guint64 server);
 gboolean suspects_confirmed (const struct suspects *suspects,
                              const struct prompt_parts *parts);
+struct suspects_held_evidence
+suspects_held_evidence (const struct suspects *suspects,
+                        const struct prompt_parts *parts, gint64 now);
 gint64 suspects_held_until (const struct suspects *suspects,
                             const struct prompt_parts *parts, gint64 now);
 void suspects_begin (struct suspects *suspects,
@@ -104,13 +130,14 @@
                      gint64 now);
 void suspects_wrote (struct suspects *suspects,
                      struct suspects_attempt *attempt, gint64 now);
+void suspects_completed (struct suspects *suspects,
+                         struct suspects_attempt *attempt, gint64 now);
 void suspects_end (struct suspects *suspects, struct suspects_attempt *attempt);
 gboolean suspects_broke (struct suspects *suspects,
                          struct suspects_attempt *attempt,
                          enum suspects_evidence evidence, gint64 now);
-void suspects_server_ended (struct suspects *suspects, guint64 server,
-                            gint64 now);
-void suspects_server_lives (struct suspects *suspects, guint64 server);
+void suspects_server_checked (struct suspects *suspects, guint64 server,
+                              enum suspects_server_state state, gint64 now);
 void suspects_expire (struct suspects *suspects, gint64 now);
 
 /* Exchange with other instances.  */
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -5,10 +5,11 @@
 #include "policy/crash_suspects.h"
 
 #define SUSPECTS_CRASHES_MAX 64
-#define SUSPECTS_BROKEN_MAX 32 /* attempts whose servers are being checked */
-#define SUSPECTS_HELD_MAX 16   /* parts */
+#define SUSPECTS_BROKEN_MAX 128 /* attempts whose servers may have ended */
+#define SUSPECTS_HELD_MAX 16    /* parts */
 #define SUSPECTS_CLAIMS_MAX 64
 #define SUSPECTS_SOUND_MAX 512
+#define SUSPECTS_SOUND_REQUESTS_MAX 1024
 /* Weight from which on a part is tried by one request at a time.  */
 #define SUSPECTS_WEIGHT_TRIAL 2
 
@@ -20,6 +21,7 @@
   struct prompt_parts parts;
   guint8 weights[PROMPT_PARTS_MAX];
   gint64 at;
+  gboolean settled; /* checked: the server seemed to run */
 };
 
 /* Requests here want to try a part.  */
@@ -70,7 +72,9 @@
   gboolean told_trials;            /* the last message to a peer had some */
   guint64 held[SUSPECTS_HELD_MAX]; /* keys of the held parts */
   guint n_held;
-  struct suspects_sound_part sound[SUSPECTS_SOUND_MAX]; /* by their keys */
+  /* By their keys: parts of prompts, then fingerprints. */
+  struct suspects_sound_part
+      sound[SUSPECTS_SOUND_MAX + SUSPECTS_SOUND_REQUESTS_MAX];
 };
 
 struct suspects_crash *suspects_add_crash (struct suspects *suspects);
@@ -80,6 +84,9 @@
 guint suspects_most_suspected (const struct suspects *suspects,
                                const struct prompt_parts *parts,
                                const gboolean *cleared, guint *weight);
+guint suspects_of_attempt (const struct suspects *suspects,
+                           const struct suspects_attempt *attempt,
+                           guint *weight);
 const struct suspects_part *suspects_find_part (const struct suspects *suspects,
                                                 guint64 key);
 gboolean suspects_is_held (const struct suspects *suspects, guint64 key);
@@ -91,6 +98,7 @@
 void suspects_drop_claim (struct suspects *suspects, guint64 part);
 gboolean suspects_expire_claims (struct suspects *suspects, gint64 now);
 void suspects_note_sound (struct suspects *suspects,
-                          const struct prompt_parts *parts, gint64 now);
+                          const struct prompt_parts *parts, gboolean complete,
+                          gint64 now);
 
 #endif
--- a/packages/policy/crash_trials.c
+++ b/packages/policy/crash_trials.c
@@ -16,7 +16,10 @@
 #define SETTLE_SEVERAL_US (230 * CLK_MS)
 #define SOUND_KNOWN_US (30 * CLK_S)
 #define CAUTION_US (2 * CLK_S) /* after a crash */
-#define ORDER_BITS 24          /* random ones of the order of a claim */
+/* Times of the hold until instances that did not see the last crash try a held
+   part. */
+#define HOLDS_OF_OTHERS 2
+#define ORDER_BITS 24 /* random ones of the order of a claim */
 
 struct peer_trials
 {
@@ -77,6 +80,7 @@
     {
       const struct suspects_attempt *attempt = l->data;
       if (now - attempt->at < TRIAL_US
+          && (!attempt->begun || prompt_part_is_request (key))
           && prompt_parts_contain (attempt->parts, key))
         return TRUE;
     }
@@ -96,7 +100,7 @@
       const struct suspects_attempt *attempt = l->data;
       if (attempt->server != server || now - attempt->at >= TRIAL_US)
         continue;
-      suspects_most_suspected (suspects, attempt->parts, NULL, &weight);
+      suspects_of_attempt (suspects, attempt, &weight);
       if (weight >= SUSPECTS_WEIGHT_TRIAL)
         return TRUE;
     }
@@ -118,45 +122,63 @@
                   const struct prompt_parts *parts)
 {
   for (guint i = 0; i < suspects->n_broken; i++)
-    for (guint j = 0; j < parts->n; j++)
-      if (suspects->broken[i].evidence != SUSPECTS_NO_HEAD
+    for (guint j = 0; !suspects->broken[i].settled && j < parts->n; j++)
+      if ((prompt_part_is_request (parts->keys[j])
+           || suspects->broken[i].evidence == SUSPECTS_HEAD
+           || suspects->broken[i].evidence == SUSPECTS_PLAIN)
           && prompt_parts_contain (&suspects->broken[i].parts, parts->keys[j]))
         return TRUE;
   return FALSE;
 }
 
 /* Returns whether the held part KEY may be tried again here. The instance that
-   saw its last crash tries it, so that not each one does.  */
+   saw its last crash tries it, so that not each one does; if that one is gone,
+   the others compete for it later.  */
 static gboolean
 is_trial_due (const struct suspects *suspects, guint64 key, gint64 now)
 {
   const struct suspects_part *part = suspects_find_part (suspects, key);
-  return part != NULL && part->own
-         && now - part->at >= suspects_hold_us (part->weight)
+  return part != NULL
+         && now - part->at >= (part->own ? 1 : HOLDS_OF_OTHERS)
+                                  * suspects_hold_us (part->weight)
          && !is_in_progress (suspects, key, now)
          && !peers_state_of (suspects, key, now).tries;
 }
 
-/* A server has written on a prompt with PARTS.  */
+/* Returns the place of the part KEY among those known as sound. Fingerprints,
+   of which most are seen once only, don't displace parts of prompts.  */
+static guint
+sound_place (guint64 key)
+{
+  guint64 hash = key >> 1; /* without the bit that tells the kind */
+  return (guint)(prompt_part_is_request (key)
+                     ? SUSPECTS_SOUND_MAX + hash % SUSPECTS_SOUND_REQUESTS_MAX
+                     : hash % SUSPECTS_SOUND_MAX);
+}
+
+/* A server has written on a prompt with PARTS; if COMPLETE, its response is
+   complete.  */
 void
 suspects_note_sound (struct suspects *suspects,
-                     const struct prompt_parts *parts, gint64 now)
+                     const struct prompt_parts *parts, gboolean complete,
+                     gint64 now)
 {
   for (guint i = 0; i < parts->n; i++)
-    suspects->sound[parts->keys[i] % SUSPECTS_SOUND_MAX]
-        = (struct suspects_sound_part){ parts->keys[i], now };
+    if (complete || !prompt_part_is_request (parts->keys[i]))
+      suspects->sound[sound_place (parts->keys[i])]
+          = (struct suspects_sound_part){ parts->keys[i], now };
 }
 
 static gboolean
 is_known_sound (const struct suspects *suspects, guint64 key, gint64 now)
 {
-  const struct suspects_sound_part *sound
-      = &suspects->sound[key % SUSPECTS_SOUND_MAX];
+  const struct suspects_sound_part *sound = &suspects->sound[sound_place (key)];
   return sound->key == key && now - sound->at < SOUND_KNOWN_US;
 }
 
 /* Returns how many of PARTS may be the cause if a request with them ends a
-   server: suspected ones, and those on which none has written lately.  */
+   server: suspected ones, and parts of its prompt on which none has written
+   lately.  */
 static guint
 count_doubtful (const struct suspects *suspects,
                 const struct prompt_parts *parts, gint64 now)
@@ -164,7 +186,8 @@
   guint n = 0;
   for (guint i = 0; i < parts->n; i++)
     n += suspects_weight_of (suspects, parts->keys[i]) >= SUSPECTS_WEIGHT_TRIAL
-         || !is_known_sound (suspects, parts->keys[i], now);
+         || (!prompt_part_is_request (parts->keys[i])
+             && !is_known_sound (suspects, parts->keys[i], now));
   return n;
 }
 
@@ -307,6 +330,20 @@
   return FALSE;
 }
 
+/* Returns whether a fingerprint among PARTS, which one crash makes suspect but
+   for others on the same server, is on its way to one.  */
+static gboolean
+has_suspect_in_progress (const struct suspects *suspects,
+                         const struct prompt_parts *parts, gint64 now)
+{
+  for (guint i = 0; i < parts->n; i++)
+    if (prompt_part_is_request (parts->keys[i])
+        && suspects_weight_of (suspects, parts->keys[i]) > 0
+        && is_in_progress (suspects, parts->keys[i], now))
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns whether a request with PARTS may be sent to SERVER now, the key of
    its life; 0: to some server. A request that is to wait must be checked again
    every few milliseconds, or its claim of the trial ends.  */
@@ -325,24 +362,23 @@
     return SUSPECTS_WAIT;
   guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
   if (weight < SUSPECTS_WEIGHT_TRIAL)
-    return has_unknown_in_progress (suspects, parts, now) ? SUSPECTS_WAIT
-                                                          : SUSPECTS_FREE;
+    return has_unknown_in_progress (suspects, parts, now)
+                   || has_suspect_in_progress (suspects, parts, now)
+               ? SUSPECTS_WAIT
+               : SUSPECTS_FREE;
   return may_try (suspects, parts, parts->keys[part], server, now)
              ? SUSPECTS_TRIAL
              : SUSPECTS_WAIT;
 }
 
-/* Adds the most suspected of PARTS to TRIALS, if it is being tried. Returns the
-   new number of trials.  */
+/* Adds PART with WEIGHT to TRIALS, if it is so suspected that it is being
+   tried at SERVER. Returns the new number of trials.  */
 static guint
-add_trial (const struct suspects *suspects, const struct prompt_parts *parts,
-           guint64 server, struct suspects_trial *trials, guint n)
+add_trial (guint64 part, guint weight, guint64 server,
+           struct suspects_trial *trials, guint n)
 {
-  guint weight;
-  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
   if (weight >= SUSPECTS_WEIGHT_TRIAL)
-    trials[n++] = (struct suspects_trial){ .part = parts->keys[part],
-                                           .server = server };
+    trials[n++] = (struct suspects_trial){ .part = part, .server = server };
   return n;
 }
 
@@ -353,6 +389,8 @@
                  guint max, gint64 now)
 {
   guint n = 0;
+  guint weight;
+  guint part;
   suspects->told_trials = FALSE;
   if (suspects->n_crashes == 0)
     return 0;
@@ -365,11 +403,18 @@
       const struct suspects_attempt *attempt = l->data;
       if (now - attempt->at >= TRIAL_US)
         continue;
-      n = add_trial (suspects, attempt->parts, attempt->server, trials, n);
+      part = suspects_of_attempt (suspects, attempt, &weight);
+      n = add_trial (attempt->parts->keys[part], weight, attempt->server,
+                     trials, n);
     }
   for (guint i = 0; i < suspects->n_broken && n < max; i++)
-    n = add_trial (suspects, &suspects->broken[i].parts,
-                   suspects->broken[i].server, trials, n);
+    {
+      const struct suspects_broken *broken = &suspects->broken[i];
+      part = suspects_most_suspected (suspects, &broken->parts, NULL, &weight);
+      if (!broken->settled)
+        n = add_trial (broken->parts.keys[part], weight, broken->server, trials,
+                       n);
+    }
   suspects->told_trials = n > 0;
   return n;
 }
--- a/tests/proc/repeat_testbed.h
+++ b/tests/proc/repeat_testbed.h
@@ -81,7 +81,7 @@
   struct scripted_server *scripted;
   guint number;
   guint life;
-  guint timer; /* until it ends, or until it is back */
+  guint timer;    /* until it ends, or until it is back */
   guint crashing; /* number of the request under which it is to end */
 };
 
@@ -93,10 +93,10 @@
   struct server servers[SERVERS_MAX];
   GRand *rand;
   gboolean stream;
-  char *padding;                      /* of the bodies */
-  guint crashes[CRASHING_MAX];        /* servers that ended under each */
-  gint64 known_at[CRASHING_MAX];      /* the last crash that needs to be */
-  guint late[CRASHING_MAX];           /* arrivals after the bound */
+  char *padding;                 /* of the bodies */
+  guint crashes[CRASHING_MAX];   /* servers that ended under each */
+  gint64 known_at[CRASHING_MAX]; /* the last crash that needs to be */
+  guint late[CRASHING_MAX];      /* arrivals after the bound */
   guint n_sound;
   guint n_crashing;
   guint n_by_chance;
@@ -132,10 +132,10 @@
   const struct scenario *scenario = server->testbed->scenario;
   g_clear_handle_id (&server->timer, g_source_remove);
   scripted_server_set_down (server->scripted, TRUE);
-  server->timer = g_timeout_add (draw_ms (server->testbed,
-                                          scenario->back_min_ms,
-                                          scenario->back_max_ms, 2000, 4000),
-                                 on_back, server);
+  server->timer
+      = g_timeout_add (draw_ms (server->testbed, scenario->back_min_ms,
+                                scenario->back_max_ms, 2000, 4000),
+                       on_back, server);
 }
 
 static gboolean
@@ -157,15 +157,15 @@
   const struct scenario *scenario = testbed->scenario;
   guint number = request->kind - CRASHING;
   gint64 now = g_get_monotonic_time ();
-  testbed->late[number] += testbed->known_at[number] != 0
-                           && now > testbed->known_at[number] + STABLE_WINDOW_US;
+  testbed->late[number]
+      += testbed->known_at[number] != 0
+         && now > testbed->known_at[number] + STABLE_WINDOW_US;
   if (scenario->kind == CRASH_RESETS || server->timer != 0)
     return;
   server->crashing = number;
-  server->timer
-      = g_timeout_add (draw_ms (testbed, scenario->end_min_ms,
-                                scenario->end_max_ms, 30, 120),
-                       on_crash, server);
+  server->timer = g_timeout_add (
+      draw_ms (testbed, scenario->end_min_ms, scenario->end_max_ms, 30, 120),
+      on_crash, server);
 }
 
 static void
@@ -175,11 +175,15 @@
   struct server *server = ctx;
   struct testbed *testbed = server->testbed;
   struct fleet_request *request = fleet_clients_find (&testbed->clients, head);
+  struct str after;
+  guint64 last = 0;
   request->executions++;
+  if (http_head_get (head, "last-event-id", &after))
+    CU_ASSERT_TRUE (http_parse_number (after, &last));
   struct scripted_response response = { .request = request,
                                         .id = request->id,
                                         .stream = testbed->stream,
-                                        .first_event = 1,
+                                        .first_event = (guint)last + 1,
                                         .last_event = EVENTS };
   if (request->kind >= CRASHING)
     {
@@ -251,7 +255,8 @@
           .prompt = scenario->prompt,
           .body = str_of (body),
           .chunked = scenario->body_bytes > 0 && n % 2 == 0,
-          .timeout_ms = kind >= CRASHING ? TIMEOUT_MS - n % 7 * 100 : TIMEOUT_MS,
+          .timeout_ms
+          = kind >= CRASHING ? TIMEOUT_MS - n % 7 * 100 : TIMEOUT_MS,
           .kind = kind,
           .instance = kind >= CRASHING && scenario->same_instance ? 3 : -1 };
   fleet_clients_send (&testbed->clients, &message);
@@ -325,7 +330,8 @@
     {
       for (; sound < us * SOUND_PER_S / G_USEC_PER_SEC; sound++)
         send_sound (testbed);
-      for (; disturbed && crashing < us * scenario->crashing_per_s / G_USEC_PER_SEC;
+      for (; disturbed
+             && crashing < us * scenario->crashing_per_s / G_USEC_PER_SEC;
            crashing++)
         send_crashing (testbed);
       if (disturbed && scenario->kill_ms > 0
@@ -401,8 +407,7 @@
   guint served = 0;
   for (guint i = 0; i < testbed->clients.requests->len; i++)
     {
-      const struct fleet_request *request
-          = testbed->clients.requests->pdata[i];
+      const struct fleet_request *request = testbed->clients.requests->pdata[i];
       if (request->kind != kind || request->sent_at < from
           || request->sent_at >= to)
         continue;
@@ -419,8 +424,7 @@
 {
   for (guint i = 0; i < testbed->clients.requests->len; i++)
     {
-      const struct fleet_request *request
-          = testbed->clients.requests->pdata[i];
+      const struct fleet_request *request = testbed->clients.requests->pdata[i];
       if (request->executions > 0)
         CU_ASSERT_TRUE (request->status != 503 && request->status != 429);
       CU_ASSERT_TRUE (request->status < 400 || request->status >= 500);
--- a/tests/unit/test_held_sound_part.c
+++ b/tests/unit/test_held_sound_part.c
@@ -224,9 +224,11 @@
   const struct server *server = &world->servers[request->server];
   guint64 key = server_key (request->server, request->life);
   if (server->up && server->life == request->life)
-    suspects_server_lives (request->instance->suspects, key);
+    suspects_server_checked (request->instance->suspects, key,
+                             SUSPECTS_SERVER_LIVES, 0);
   else
-    suspects_server_ended (request->instance->suspects, key, world->sim.clk.t);
+    suspects_server_checked (request->instance->suspects, key,
+                             SUSPECTS_SERVER_ENDED, world->sim.clk.t);
   if (request->sent < world->scenario->attempts)
     submit (request);
 }
--- a/tests/unit/test_server_check.c
+++ b/tests/unit/test_server_check.c
@@ -59,6 +59,34 @@
   stop ();
 }
 
+/* Ends the server as soon as the connection of the check waits to be accepted:
+   then it is reset instead of refused.  */
+static gboolean
+on_idle (gpointer data)
+{
+  return suspects_is_active (proxy_test_suspects) ? on_ended (data)
+                                                  : G_SOURCE_CONTINUE;
+}
+
+static void
+end_when_checked (struct proxy_test_link *link,
+                  struct proxy_test_request *request)
+{
+  g_idle_add_full (G_PRIORITY_DEFAULT, on_idle, link->server, NULL);
+  proxy_test_reset_link (link, request);
+}
+
+static void
+test_ends_when_checked (void)
+{
+  start (end_when_checked);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  proxy_test_send_request (client, "/once/x", "X-Prompt-Parts: a:9,b:9\r\n");
+  CU_ASSERT_TRUE (proxy_test_wait_until (has_crash, NULL, PROXY_TEST_WAIT_MS));
+  proxy_test_close_client (client);
+  stop ();
+}
+
 static void
 test_lives (void)
 {
@@ -74,6 +102,7 @@
 
 static CU_TestInfo tests[] = {
   { "a server that ends slowly", test_ends_slowly },
+  { "a server that ends when it is checked", test_ends_when_checked },
   { "a server that lives", test_lives },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -57,7 +57,7 @@
   struct suspects_attempt attempt = { .server = 0 };
   suspects_begin (suspects, &attempt, &parts, server, now);
   CU_ASSERT_TRUE (suspects_broke (suspects, &attempt, SUSPECTS_HEAD, now));
-  suspects_server_ended (suspects, server, now);
+  suspects_server_checked (suspects, server, SUSPECTS_SERVER_ENDED, now);
 }
 
 /* Sends a request with the parts TEXT and receives an event.  */
@@ -68,6 +68,7 @@
   struct suspects_attempt attempt = { .server = 0 };
   suspects_begin (suspects, &attempt, &parts, server, 0);
   suspects_wrote (suspects, &attempt, 0);
+  suspects_end (suspects, &attempt);
 }
 
 /* The third crash in a row holds the part that the requests share, wherever it
@@ -135,7 +136,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
     {
       suspects_broke (suspects, &attempts[i], SUSPECTS_HEAD, CLK_S);
-      suspects_server_ended (suspects, i + 1, CLK_S);
+      suspects_server_checked (suspects, i + 1, SUSPECTS_SERVER_ENDED, CLK_S);
     }
   CU_ASSERT_EQUAL (check (suspects, "a", CLK_S), SUSPECTS_TRIAL);
   CU_ASSERT_EQUAL (check (suspects, "b", CLK_S), SUSPECTS_TRIAL);
@@ -160,7 +161,7 @@
       suspects_begin (suspects, &attempts[1], &sound, i, i * CLK_S);
       suspects_broke (suspects, &attempts[0], SUSPECTS_HEAD, i * CLK_S);
       suspects_broke (suspects, &attempts[1], SUSPECTS_HEAD, i * CLK_S);
-      suspects_server_ended (suspects, i, i * CLK_S);
+      suspects_server_checked (suspects, i, SUSPECTS_SERVER_ENDED, i * CLK_S);
     }
   CU_ASSERT_EQUAL (check (suspects, "a", 3 * CLK_S), SUSPECTS_TRIAL);
   write_on (suspects, "a", 9);
@@ -181,7 +182,7 @@
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_WAIT);
   suspects_broke (suspects, &attempt, SUSPECTS_HEAD, CLK_S);
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_WAIT);
-  suspects_server_lives (suspects, 2);
+  suspects_server_checked (suspects, 2, SUSPECTS_SERVER_LIVES, 0);
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_TRIAL);
   const struct suspects_trial trial
       = { .part = prompt_part_key (STR_LIT ("x")), .server = 3 };
@@ -259,7 +260,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (attempts); i++)
     {
       suspects_broke (suspects, &attempts[i], SUSPECTS_HEAD, CLK_S);
-      suspects_server_ended (suspects, i + 1, CLK_S);
+      suspects_server_checked (suspects, i + 1, SUSPECTS_SERVER_ENDED, CLK_S);
     }
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_TRIAL);
   crash (suspects, "x", 9, 2 * CLK_S);
@@ -279,7 +280,7 @@
       suspects_begin (suspects, &attempt, &parts, i, i * CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_HEAD, i * CLK_S);
       if (i % 2 == 0)
-        suspects_server_lives (suspects, i);
+        suspects_server_checked (suspects, i, SUSPECTS_SERVER_LIVES, 0);
       else
         suspects_expire (suspects, (i + 1) * CLK_S);
       CU_ASSERT_EQUAL (check (suspects, "ab", i * CLK_S), SUSPECTS_FREE);
@@ -325,7 +326,7 @@
       struct suspects_attempt attempt = { 0 };
       suspects_begin (suspects, &attempt, &parts, ++crashes, CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_NO_HEAD, CLK_S);
-      suspects_server_ended (suspects, crashes, CLK_S);
+      suspects_server_checked (suspects, crashes, SUSPECTS_SERVER_ENDED, CLK_S);
     }
   CU_ASSERT_EQUAL (crashes, 5);
   suspects_free (suspects);
@@ -347,7 +348,7 @@
       parts.keys[1] = 5000 + i;
       suspects_begin (suspects, &attempt, &parts, 100 + i, CLK_S);
       suspects_broke (suspects, &attempt, SUSPECTS_HEAD, CLK_S);
-      suspects_server_ended (suspects, 100 + i, CLK_S);
+      suspects_server_checked (suspects, 100 + i, SUSPECTS_SERVER_ENDED, CLK_S);
     }
   CU_ASSERT_EQUAL (check (suspects, "x", CLK_S), SUSPECTS_HELD);
   CU_ASSERT_EQUAL (check (suspects, "a", CLK_S), SUSPECTS_FREE);
@@ -463,7 +464,8 @@
         parts.keys[j] = G_MAXUINT64 - i * PROMPT_PARTS_MAX - j;
       suspects_begin (fleet[0], &attempt, &parts, 100 + i, net.now);
       suspects_broke (fleet[0], &attempt, SUSPECTS_HEAD, net.now);
-      suspects_server_ended (fleet[0], 100 + i, net.now);
+      suspects_server_checked (fleet[0], 100 + i, SUSPECTS_SERVER_ENDED,
+                               net.now);
     }
   step (6 * CLK_S);
   struct prompt_parts last = { .n = 1 };
