Keep an account of crashes that could not be checked at once

When several servers of a service end together, a check finds nobody who accepts a connection, and the crash counted for nothing: three requests at once ended 2, 2 and 7 servers. Such a check is repeated now until a server, the list or a peer tells; the request waits meanwhile. A crash that a peer tells also settles what broke off here at that server.

The model has requests that are repeated now.

--- a/packages/gate/server_check.c
+++ b/packages/gate/server_check.c
@@ -16,7 +16,11 @@
 #define AGAIN_MS 10 /* until the next connection */
 
 /* Other servers that are tried: it may be this instance that is cut off. */
-#define OTHERS_MAX 3
+#define OTHERS_MAX 8
+/* Without an answer of any server the check is repeated until so much time has
+   passed; until then the list may tell. */
+#define UNKNOWN_RETRY_MS 200
+#define UNKNOWN_MAX_US (6 * CLK_S)
 
 /* As the log says whether a server has ended. */
 static const char *const state_names[]
@@ -35,6 +39,8 @@
   gboolean refused;            /* by the server; others are being tried */
   struct tcp_conn *tcp_conn;   /* owned; NULL: closed by the server */
   guint connections;           /* so far */
+  gint64 started;              /* clock time */
+  gboolean unknown;            /* that no server can be reached was reported */
   guint timer;                 /* GLib source, 0: none */
   GList link;
 };
@@ -55,21 +61,61 @@
   g_free (check);
 }
 
+static void
+log_result (const struct server_check *check, enum suspects_server_state state)
+{
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = "server.checked",
+                                  .peer = check->server->entry.id },
+             "ended=%s", state_names[state]);
+}
+
 /* Ends the check with its result.  */
 static void
 finish (struct server_check *check, enum suspects_server_state state)
 {
   struct reverse_proxy *reverse_proxy = check->reverse_proxy;
   struct registry_server *server = registry_server_ref (check->server);
-  log_write (&(struct log_entry){ .level = LOG_INFO,
-                                  .event = "server.checked",
-                                  .peer = server->entry.id },
-             "ended=%s", state_names[state]);
+  log_result (check, state);
   server_check_free (check);
   part_trial_checked (reverse_proxy, server, state);
   registry_server_unref (server);
 }
 
+static void try_other_server (struct server_check *check);
+
+static gboolean
+on_retry (gpointer data)
+{
+  struct server_check *check = data;
+  check->timer = 0;
+  check->others = check->connections = 0;
+  check->refused = FALSE;
+  try_other_server (check);
+  open_connection (check);
+  return G_SOURCE_REMOVE;
+}
+
+/* The server has refused a connection, and no other server could be reached:
+   checks again later, unless the list has told meanwhile. May free CHECK.  */
+static void
+find_out_later (struct server_check *check)
+{
+  struct reverse_proxy *reverse_proxy = check->reverse_proxy;
+  gint64 us = clk_now (reverse_proxy->options.clk) - check->started;
+  if (us >= UNKNOWN_MAX_US || check->server->state == REGISTRY_REMOVED)
+    {
+      finish (check, SUSPECTS_SERVER_LIVES);
+      return;
+    }
+  check->timer = g_timeout_add (UNKNOWN_RETRY_MS, on_retry, check);
+  if (check->unknown)
+    return;
+  check->unknown = TRUE;
+  log_result (check, SUSPECTS_SERVER_UNKNOWN);
+  part_trial_checked (reverse_proxy, check->server, SUSPECTS_SERVER_UNKNOWN);
+}
+
 static gboolean
 on_still_open (gpointer data)
 {
@@ -119,7 +165,7 @@
   if (check->reached || check->others == 0)
     finish (check, SUSPECTS_SERVER_ENDED);
   else if (check->other_conn == NULL)
-    finish (check, SUSPECTS_SERVER_UNKNOWN);
+    find_out_later (check);
 }
 
 static void
@@ -162,8 +208,6 @@
     finish (check, SUSPECTS_SERVER_ENDED);
 }
 
-static void try_other_server (struct server_check *check);
-
 static void
 on_other_failed (void *ctx, const struct err *err)
 {
@@ -175,7 +219,7 @@
   reachability_failed (check->reverse_proxy, check->other);
   try_other_server (check);
   if (check->refused && check->other_conn == NULL)
-    finish (check, SUSPECTS_SERVER_UNKNOWN);
+    find_out_later (check);
 }
 
 static const struct tcp_conn_handler other_handler
@@ -213,6 +257,7 @@
   struct server_check *check = g_new0 (struct server_check, 1);
   check->reverse_proxy = reverse_proxy;
   check->server = registry_server_ref (server);
+  check->started = clk_now (reverse_proxy->options.clk);
   check->link = (GList){ .data = check };
   g_queue_push_tail_link (&reverse_proxy->server_checks, &check->link);
   try_other_server (check);
--- a/packages/policy/crash_exchange.c
+++ b/packages/policy/crash_exchange.c
@@ -51,6 +51,7 @@
 {
   struct suspects_crash *known = NULL;
   gboolean changed = FALSE;
+  gboolean is_new = FALSE;
   for (guint i = 0; i < suspects->n_crashes; i++)
     if (suspects->crashes[i].id == crash->id)
       known = &suspects->crashes[i];
@@ -59,6 +60,7 @@
       known = suspects_add_crash (suspects);
       *known = *crash;
       known->own = known->tell = FALSE;
+      is_new = TRUE;
       suspects->last_crash_at = MAX (suspects->last_crash_at, crash->at);
       changed = TRUE;
     }
@@ -71,4 +73,8 @@
     return;
   known->changed = ++suspects->n_changes;
   suspects_note_changed (suspects, FALSE);
+  /* What broke off here at the same server broke off under the same crash. */
+  if (is_new)
+    suspects_server_checked (suspects, crash->server, SUSPECTS_SERVER_ENDED,
+                             crash->at);
 }
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -23,7 +23,8 @@
 #define SAME_CRASHES_MAX 12 /* kept of those under the same parts */
 /* From here on a request is tried only where the service keeps a server. */
 #define WEIGHT_DANGEROUS 4
-/* A check of a server takes no longer; then the server counts as alive. */
+/* A check of a server that finds out anything takes no longer; then the server
+   counts as alive. */
 #define BROKEN_KEPT_US (1 * CLK_S)
 /* Until it is listed that a server has ended which seemed to run, or while no
    server could be reached. */
@@ -82,6 +83,14 @@
   return part != NULL ? part->weight : 0;
 }
 
+/* Returns whether requests with the part KEY go one at a time.  */
+gboolean
+suspects_needs_trial (const struct suspects *suspects, guint64 key)
+{
+  return suspects_weight_of (suspects, key)
+         >= (prompt_part_is_request (key) ? 1 : SUSPECTS_WEIGHT_TRIAL);
+}
+
 /* Adds a part of CRASH that nothing has cleared to the index.  */
 static void
 index_part (struct suspects *suspects, const struct suspects_crash *crash,
@@ -416,17 +425,35 @@
          && prompt_part_is_request (parts->keys[part]);
 }
 
-/* Returns the index of the most suspected part that the attempt, which is in
-   progress, may still crash its server with, and its weight in WEIGHT.  */
-guint
-suspects_of_attempt (const struct suspects *suspects,
-                     const struct suspects_attempt *attempt, guint *weight)
-{
-  gboolean cleared[PROMPT_PARTS_MAX];
-  for (guint i = 0; i < attempt->parts->n; i++)
-    cleared[i]
-        = attempt->begun && !prompt_part_is_request (attempt->parts->keys[i]);
-  return suspects_most_suspected (suspects, attempt->parts, cleared, weight);
+/* Returns which of PARTS a request is the trial of, 0 if it needs none, and the
+   highest weight of a part in WEIGHT. Once it has BEGUN only its fingerprints
+   count. All requests that share a fingerprint share the part that is returned:
+   the most suspected one of the prompt or, if that needs no trial, the broadest
+   fingerprint.  */
+guint64
+suspects_trial_key (const struct suspects *suspects,
+                    const struct prompt_parts *parts, gboolean begun,
+                    guint *weight)
+{
+  gboolean is_prompt[PROMPT_PARTS_MAX] = { FALSE };
+  gboolean is_request[PROMPT_PARTS_MAX] = { FALSE };
+  guint of_prompt = 0;
+  guint part = 0;
+  for (guint i = 0; i < parts->n; i++)
+    {
+      is_request[i] = prompt_part_is_request (parts->keys[i]);
+      is_prompt[i] = !is_request[i];
+    }
+  suspects_most_suspected (suspects, parts, is_prompt, weight);
+  if (!begun)
+    part = suspects_most_suspected (suspects, parts, is_request, &of_prompt);
+  *weight = MAX (*weight, of_prompt);
+  if (of_prompt > 0 && suspects_needs_trial (suspects, parts->keys[part]))
+    return parts->keys[part];
+  for (guint i = 0; i < parts->n; i++)
+    if (is_request[i] && suspects_needs_trial (suspects, parts->keys[i]))
+      return parts->keys[i];
+  return 0;
 }
 
 /* An attempt with PARTS, borrowed until its end, is being sent to the server
@@ -446,10 +473,10 @@
     attempt->weights[i] = (guint8)suspects_weight_of (suspects, parts->keys[i]);
   attempt->link = (GList){ .data = attempt };
   g_queue_push_tail_link (&suspects->attempts, &attempt->link);
-  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
-  if (weight < SUSPECTS_WEIGHT_TRIAL)
+  guint64 key = suspects_trial_key (suspects, parts, FALSE, &weight);
+  if (key == 0)
     return;
-  suspects_drop_claim (suspects, parts->keys[part]);
+  suspects_drop_claim (suspects, key);
   suspects_tell (suspects, TRUE);
 }
 
@@ -728,6 +755,8 @@
       settle (suspects, server);
       return;
     case SUSPECTS_SERVER_UNKNOWN:
+      for (guint i = 0; i < suspects->n_broken; i++)
+        suspects->broken[i].unknown |= suspects->broken[i].server == server;
       return;
     }
 }
@@ -742,7 +771,8 @@
       struct suspects_broken *broken = &suspects->broken[i];
       if (now - broken->at >= END_LISTED_US)
         *broken = suspects->broken[--suspects->n_broken];
-      else if (now - broken->at >= BROKEN_KEPT_US && !broken->settled)
+      else if (now - broken->at >= BROKEN_KEPT_US && !broken->settled
+               && !broken->unknown)
         broken->settled = changed = TRUE;
     }
   for (guint i = suspects->n_crashes; i-- > 0;)
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -78,6 +78,8 @@
   guint8 weights[PROMPT_PARTS_MAX]; /* of the parts when it was sent */
 };
 
+#define SUSPECTS_ANY_SERVER 1 /* instead of a key: other parts may go there */
+
 /* A suspected part that a server is being sent, or is to be.  */
 struct suspects_trial
 {
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -10,7 +10,9 @@
 #define SUSPECTS_CLAIMS_MAX 64
 #define SUSPECTS_SOUND_MAX 512
 #define SUSPECTS_SOUND_REQUESTS_MAX 1024
-/* Weight from which on a part is tried by one request at a time.  */
+/* Weight from which on a part is tried by one request at a time, and a server
+   by one such part at a time. A fingerprint is tried by one request at a time
+   from the first suspicion on.  */
 #define SUSPECTS_WEIGHT_TRIAL 2
 
 /* An attempt that broke off, whose server may have ended.  */
@@ -22,6 +24,7 @@
   guint8 weights[PROMPT_PARTS_MAX];
   gint64 at;
   gboolean settled; /* checked: the server seemed to run */
+  gboolean unknown; /* checked: no server could be reached */
 };
 
 /* Requests here want to try a part.  */
@@ -84,11 +87,12 @@
 guint suspects_most_suspected (const struct suspects *suspects,
                                const struct prompt_parts *parts,
                                const gboolean *cleared, guint *weight);
-guint suspects_of_attempt (const struct suspects *suspects,
-                           const struct suspects_attempt *attempt,
-                           guint *weight);
+guint64 suspects_trial_key (const struct suspects *suspects,
+                            const struct prompt_parts *parts, gboolean begun,
+                            guint *weight);
 const struct suspects_part *suspects_find_part (const struct suspects *suspects,
                                                 guint64 key);
+gboolean suspects_needs_trial (const struct suspects *suspects, guint64 key);
 gboolean suspects_is_held (const struct suspects *suspects, guint64 key);
 gint64 suspects_hold_us (guint weight);
 
--- a/packages/policy/crash_trials.c
+++ b/packages/policy/crash_trials.c
@@ -100,7 +100,7 @@
       const struct suspects_attempt *attempt = l->data;
       if (attempt->server != server || now - attempt->at >= TRIAL_US)
         continue;
-      suspects_of_attempt (suspects, attempt, &weight);
+      suspects_trial_key (suspects, attempt->parts, attempt->begun, &weight);
       if (weight >= SUSPECTS_WEIGHT_TRIAL)
         return TRUE;
     }
@@ -257,7 +257,7 @@
   for (guint i = 0; i < parts->n; i++)
     {
       guint64 key = parts->keys[i];
-      if (suspects_weight_of (suspects, key) < SUSPECTS_WEIGHT_TRIAL)
+      if (!suspects_needs_trial (suspects, key))
         continue;
       struct peers_state peers = peers_state_of (suspects, key, now);
       if (is_in_progress (suspects, key, now) || peers.tries
@@ -288,11 +288,11 @@
   return latest;
 }
 
-/* Returns whether a request with PARTS that wants to try the part KEY may be
-   sent to SERVER now.  */
+/* Returns whether a request with PARTS, of which the most suspected has WEIGHT,
+   may be sent to SERVER now as the trial of the part KEY.  */
 static gboolean
 may_try (struct suspects *suspects, const struct prompt_parts *parts,
-         guint64 key, guint64 server, gint64 now)
+         guint64 key, guint weight, guint64 server, gint64 now)
 {
   guint n = count_doubtful (suspects, parts, now);
   struct suspects_claim *claim = claim_trial (suspects, key, n, now);
@@ -308,10 +308,13 @@
       claim->lowest_since = now;
       suspects_tell (suspects, TRUE);
     }
+  if (now - claim->lowest_since < CLAIM_US)
+    return FALSE;
+  if (weight < SUSPECTS_WEIGHT_TRIAL)
+    return TRUE;
   gint64 settled = latest_crash_time (suspects, parts)
                    + (n > 1 ? SETTLE_SEVERAL_US : SETTLE_US);
-  return now - claim->lowest_since >= CLAIM_US && now >= settled
-         && (server == 0 || !has_trial (suspects, server, now));
+  return now >= settled && (server == 0 || !has_trial (suspects, server, now));
 }
 
 /* Returns whether one of PARTS, on which no server has written lately, is on
@@ -330,20 +333,6 @@
   return FALSE;
 }
 
-/* Returns whether a fingerprint among PARTS, which one crash makes suspect but
-   for others on the same server, is on its way to one.  */
-static gboolean
-has_suspect_in_progress (const struct suspects *suspects,
-                         const struct prompt_parts *parts, gint64 now)
-{
-  for (guint i = 0; i < parts->n; i++)
-    if (prompt_part_is_request (parts->keys[i])
-        && suspects_weight_of (suspects, parts->keys[i]) > 0
-        && is_in_progress (suspects, parts->keys[i], now))
-      return TRUE;
-  return FALSE;
-}
-
 /* Returns whether a request with PARTS may be sent to SERVER now, the key of
    its life; 0: to some server. A request that is to wait must be checked again
    every few milliseconds, or its claim of the trial ends.  */
@@ -360,25 +349,28 @@
       return SUSPECTS_HELD;
   if (is_being_checked (suspects, parts))
     return SUSPECTS_WAIT;
-  guint part = suspects_most_suspected (suspects, parts, NULL, &weight);
-  if (weight < SUSPECTS_WEIGHT_TRIAL)
-    return has_unknown_in_progress (suspects, parts, now)
-                   || has_suspect_in_progress (suspects, parts, now)
-               ? SUSPECTS_WAIT
-               : SUSPECTS_FREE;
-  return may_try (suspects, parts, parts->keys[part], server, now)
-             ? SUSPECTS_TRIAL
-             : SUSPECTS_WAIT;
+  guint64 key = suspects_trial_key (suspects, parts, FALSE, &weight);
+  if (key == 0)
+    return has_unknown_in_progress (suspects, parts, now) ? SUSPECTS_WAIT
+                                                          : SUSPECTS_FREE;
+  return may_try (suspects, parts, key, weight, server, now) ? SUSPECTS_TRIAL
+                                                             : SUSPECTS_WAIT;
 }
 
-/* Adds PART with WEIGHT to TRIALS, if it is so suspected that it is being
-   tried at SERVER. Returns the new number of trials.  */
+/* Adds the trial of PARTS, which SERVER is being sent, to TRIALS if there is
+   one. Returns the new number of trials.  */
 static guint
-add_trial (guint64 part, guint weight, guint64 server,
-           struct suspects_trial *trials, guint n)
+add_trial (const struct suspects *suspects, const struct prompt_parts *parts,
+           gboolean begun, guint64 server, struct suspects_trial *trials,
+           guint n)
 {
-  if (weight >= SUSPECTS_WEIGHT_TRIAL)
-    trials[n++] = (struct suspects_trial){ .part = part, .server = server };
+  guint weight;
+  guint64 key = suspects_trial_key (suspects, parts, begun, &weight);
+  if (key != 0)
+    trials[n++] = (struct suspects_trial){
+      .part = key,
+      .server = weight >= SUSPECTS_WEIGHT_TRIAL ? server : SUSPECTS_ANY_SERVER
+    };
   return n;
 }
 
@@ -389,8 +381,6 @@
                  guint max, gint64 now)
 {
   guint n = 0;
-  guint weight;
-  guint part;
   suspects->told_trials = FALSE;
   if (suspects->n_crashes == 0)
     return 0;
@@ -403,16 +393,14 @@
       const struct suspects_attempt *attempt = l->data;
       if (now - attempt->at >= TRIAL_US)
         continue;
-      part = suspects_of_attempt (suspects, attempt, &weight);
-      n = add_trial (attempt->parts->keys[part], weight, attempt->server,
+      n = add_trial (suspects, attempt->parts, attempt->begun, attempt->server,
                      trials, n);
     }
   for (guint i = 0; i < suspects->n_broken && n < max; i++)
     {
       const struct suspects_broken *broken = &suspects->broken[i];
-      part = suspects_most_suspected (suspects, &broken->parts, NULL, &weight);
       if (!broken->settled)
-        n = add_trial (broken->parts.keys[part], weight, broken->server, trials,
+        n = add_trial (suspects, &broken->parts, FALSE, broken->server, trials,
                        n);
     }
   suspects->told_trials = n > 0;
--- a/tests/unit/test_held_sound_part.c
+++ b/tests/unit/test_held_sound_part.c
@@ -1,7 +1,8 @@
-/* Seeded schedules of instances that share what they suspect of the parts of
-   prompts, while servers end under a part or by chance. If their news cross, a
-   sound part can be blamed and its requests rejected, or more servers end than
-   needed. JW_SEED=N runs only seed N, JW_SEEDS=N the first N.  */
+/* Seeded schedules of instances that share what they suspect of requests and
+   the parts of their prompts, while servers end under one of them or by chance.
+   If their news cross, a sound one can be blamed and its requests rejected, or
+   more servers end than needed. JW_SEED=N runs only seed N, JW_SEEDS=N the
+   first N.  */
 #include "unit/sim.h"
 #include "unit/unit.h"
 
@@ -18,6 +19,7 @@
 #define PREFILL_MIN_MS 20
 #define PREFILL_MAX_MS 80
 #define HEAD_US (4 * CLK_MS)
+#define STREAM_US (60 * CLK_MS) /* from the first event to the last */
 #define BACK_MIN_MS 2000
 #define BACK_MAX_MS 5000
 #define NETWORK_MAX_US (6 * CLK_MS)
@@ -34,6 +36,8 @@
   const char *parts;
   guint per_s;
   gboolean plain; /* the responses are no streams */
+  char request;   /* the requests are the same one, with this name; 0: no two
+                     are alike */
 };
 
 struct scenario
@@ -72,6 +76,7 @@
   const struct kind *kind;
   struct prompt_parts parts;
   gboolean crashing;
+  gboolean begun; /* a stream has had an event */
   struct suspects_attempt attempt;
   gboolean in_progress;
   gboolean trial_broke;
@@ -241,6 +246,7 @@
   struct suspects *suspects = request->instance->suspects;
   gint64 now = request->world->sim.clk.t;
   enum suspects_evidence evidence = request->kind->plain ? SUSPECTS_PLAIN
+                                    : request->begun     ? SUSPECTS_BEGUN
                                     : now - request->sent_at > HEAD_US
                                         ? SUSPECTS_HEAD
                                         : SUSPECTS_NO_HEAD;
@@ -284,6 +290,25 @@
                   request->world->sim.clk.t);
 }
 
+static void
+on_completed (void *ctx)
+{
+  struct request *request = ctx;
+  suspects_completed (request->instance->suspects, &request->attempt,
+                      request->world->sim.clk.t);
+}
+
+/* The server has sent the last event.  */
+static void
+on_last_event (void *ctx)
+{
+  struct request *request = ctx;
+  if (!request->in_progress)
+    return;
+  request->in_progress = FALSE;
+  after (request->instance, CLK_MS, on_completed, request);
+}
+
 static void
 count_crash (struct crashes *crashes, const struct request *request)
 {
@@ -301,13 +326,21 @@
   struct world *world = request->world;
   if (!request->in_progress)
     return;
+  if (!request->crashing && request->kind->plain)
+    {
+      on_last_event (request);
+      return;
+    }
   if (!request->crashing)
     {
-      request->in_progress = FALSE;
+      request->begun = TRUE;
       after (request->instance, CLK_MS, on_event, request);
+      sim_after (&world->sim, STREAM_US, on_last_event, request);
       return;
     }
   world->n_crashes++;
+  if (is_crashing_part (request->kind->request))
+    count_crash (&world->crashes[request->kind->request - 'A'], request);
   for (const char *part = request->kind->parts; *part != '\0'; part++)
     if (is_crashing_part (*part))
       count_crash (&world->crashes[*part - 'A'], request);
@@ -380,6 +413,12 @@
           = prompt_part_key ((struct str){ part, 1 });
       request->crashing |= is_crashing_part (*part);
     }
+  request->crashing |= is_crashing_part (kind->request);
+  request->parts.keys[request->parts.n++] = prompt_part_request_key (str_hash (
+      kind->request != 0 ? (struct str){ &kind->request, 1 }
+                         : (struct str){ (const char *)&world->requests->len,
+                                         sizeof world->requests->len },
+      kind->request != 0));
   g_ptr_array_add (world->requests, request);
   after (request->instance, 0, on_arrived, request);
 }
@@ -390,7 +429,7 @@
   for (const char *part = kind->parts; *part != '\0'; part++)
     if (is_crashing_part (*part))
       return TRUE;
-  return FALSE;
+  return is_crashing_part (kind->request);
 }
 
 static void
@@ -570,6 +609,42 @@
                .attempts = 2, .chance_every_ms = 1500, .chance_servers = 3,
                .stalls = TRUE)
 
+#define SOUND_PLAIN                                                            \
+  { "", 20, TRUE }, { "", 20, TRUE, 'p' }
+
+SCENARIO_TEST (test_request, "a request",
+               .kinds = { { "", 6, TRUE, 'R' }, SOUND_PLAIN }, .attempts = 1)
+SCENARIO_TEST (test_request_stalls, "a request, three attempts, busy machine",
+               .kinds = { { "", 6, TRUE, 'R' }, SOUND_PLAIN }, .attempts = 3,
+               .stalls = TRUE)
+SCENARIO_TEST (test_request_often, "a request, 60 a second, busy machine",
+               .kinds = { { "", 60, TRUE, 'R' }, SOUND_PLAIN }, .attempts = 1,
+               .stalls = TRUE)
+SCENARIO_TEST (test_requests, "three requests, busy machine",
+               .kinds = { { "", 4, TRUE, 'R' },
+                          { "", 4, TRUE, 'S' },
+                          { "", 4, TRUE, 'T' },
+                          SOUND_PLAIN },
+               .attempts = 2, .stalls = TRUE)
+SCENARIO_TEST (test_request_parts, "a request with parts, busy machine",
+               .kinds
+               = { { "fa", 12, FALSE, 'R' }, { "f", 20, FALSE, 'p' }, SOUND },
+               .attempts = 2, .stalls = TRUE)
+SCENARIO_TEST (test_request_and_part, "a request and a part, busy machine",
+               .kinds = { { "fa", 10, FALSE, 'R' }, { "fX", 10 }, SOUND },
+               .attempts = 2, .stalls = TRUE)
+SCENARIO_TEST (test_request_chance, "a popular request, servers end by chance",
+               .kinds = { { "", 40, TRUE, 'p' }, { "", 20, TRUE } },
+               .attempts = 2, .chance_every_ms = 300, .chance_servers = 1,
+               .stalls = TRUE)
+SCENARIO_TEST (test_request_quarter, "popular requests, a quarter ends",
+               .kinds = { { "", 40, TRUE, 'p' },
+                          { "fa", 40, FALSE, 'q' },
+                          { "", 3, TRUE, 'r' },
+                          { "f", 20 } },
+               .attempts = 2, .chance_every_ms = 1500, .chance_servers = 3,
+               .stalls = TRUE)
+
 static CU_TestInfo tests[] = {
   { "in second place of three", test_second },
   { "in second place, busy machine", test_second_stalls },
@@ -582,6 +657,14 @@
   { "60 requests a second, busy machine", test_often },
   { "servers that end by chance", test_chance },
   { "a quarter of the servers again and again", test_quarter },
+  { "one request again and again", test_request },
+  { "the same, busy machine", test_request_stalls },
+  { "the same, 60 a second", test_request_often },
+  { "three such requests", test_requests },
+  { "such a request with parts", test_request_parts },
+  { "such a request beside such a part", test_request_and_part },
+  { "a popular request, servers end by chance", test_request_chance },
+  { "popular requests, a quarter ends", test_request_quarter },
   CU_TEST_INFO_NULL,
 };
 
