Blame the narrowest explanation of crashes, and count ends at the same time

Causes: a sound request whose trials were on the servers of other trials; a request that shared each crash with a part, but had less weight as others were on the servers; a crash whose other explanations were not known yet.

Servers that ended under one request before the first end was known count together, but never enough to hold it without a trial after it, and not if a server has responded to it in the last 30 s.

--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -124,6 +124,17 @@
         index_part (suspects, &suspects->crashes[i], j);
 }
 
+/* Returns how far a part with KEY and WEIGHT explains a crash, to be compared
+   with others of the same request. A fingerprint is the narrowest explanation,
+   and the better one once its request has crashed two servers.  */
+static guint
+explanation_rank (guint64 key, guint weight)
+{
+  if (weight == 0 || !prompt_part_is_request (key))
+    return weight;
+  return weight > SUSPECTS_WEIGHT_TRIAL ? WEIGHT_MAX + weight : weight + 1;
+}
+
 /* Returns the index of the most suspected of PARTS, and its weight in WEIGHT.
    Of two it is the later one, which fewer requests share. CLEARED: parts to
    leave out, NULL: none.  */
@@ -133,14 +144,17 @@
                          const gboolean *cleared, guint *weight)
 {
   guint index = 0;
+  guint most = 0;
   *weight = 0;
   for (guint i = 0; i < parts->n; i++)
     {
       guint of_part = cleared != NULL && cleared[i]
                           ? 0
                           : suspects_weight_of (suspects, parts->keys[i]);
-      if (of_part == 0 || of_part < *weight)
+      guint rank = explanation_rank (parts->keys[i], of_part);
+      if (rank == 0 || rank < most)
         continue;
+      most = rank;
       *weight = of_part;
       index = i;
     }
@@ -182,7 +196,8 @@
 }
 
 /* Returns the part that explains CRASH, its most suspected one; 0: none does,
-   or another request on the same server may have crashed it as well.  */
+   or another request on the same server may have crashed it as well: it is as
+   suspected or, beside a trial of a request, was a trial too.  */
 static guint64
 culprit_of (const struct suspects *suspects, const struct suspects_crash *crash,
             guint *weight)
@@ -200,7 +215,10 @@
         continue;
       guint other_part = suspects_most_suspected (
           suspects, &other->parts, other->cleared, &other_weight);
-      if (other_weight >= *weight && other->parts.keys[other_part] != key)
+      gboolean is_trial
+          = prompt_part_is_request (key) && other_weight >= WEIGHT_DANGEROUS;
+      if ((other_weight >= *weight || is_trial)
+          && other->parts.keys[other_part] != key)
         return 0;
     }
   return key;
@@ -615,6 +633,30 @@
   return broken->weights[i] > 0 || is_alone ? WEIGHT_BEGUN : WEIGHT_WAITED;
 }
 
+/* Returns the weight that fingerprint number I had before the crash under
+   BROKEN. Crashes of other servers that were not known when it was sent count
+   too if no server has responded to the request, but not so much that it is
+   held without a further trial: servers may have ended together.  */
+static guint
+weight_before (const struct suspects *suspects,
+               const struct suspects_broken *broken, guint i, gint64 now)
+{
+  guint64 key = broken->parts.keys[i];
+  guint weight = 0;
+  if (!prompt_part_is_request (key) || suspects_is_sound (suspects, key, now))
+    return broken->weights[i];
+  for (guint j = 0; j < suspects->n_crashes; j++)
+    {
+      const struct suspects_crash *crash = &suspects->crashes[j];
+      for (guint k = 0; k < crash->parts.n; k++)
+        if (crash->server != broken->server && crash->parts.keys[k] == key
+            && !crash->cleared[k])
+          weight = MAX (weight, crash->weights[k]);
+    }
+  return MAX (broken->weights[i],
+              MIN (weight, WEIGHT_DANGEROUS - WEIGHT_BEGUN));
+}
+
 /* Returns a free crash. If there is none, the least suspected and oldest one is
    dropped.  */
 struct suspects_crash *
@@ -671,7 +713,8 @@
                         ? fingerprint_weight (broken, i, n_broken)
                         : part_weight (broken, n_broken);
       if (added > 0)
-        weights[i] = (guint8)MIN (broken->weights[i] + added, WEIGHT_MAX);
+        weights[i] = (guint8)MIN (
+            weight_before (suspects, broken, i, now) + added, WEIGHT_MAX);
       most = MAX (most, weights[i]);
     }
   if (most == 0)
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -101,6 +101,8 @@
 void suspects_trials_free (struct suspects *suspects);
 void suspects_drop_claim (struct suspects *suspects, guint64 part);
 gboolean suspects_expire_claims (struct suspects *suspects, gint64 now);
+gboolean suspects_is_sound (const struct suspects *suspects, guint64 key,
+                            gint64 now);
 void suspects_note_sound (struct suspects *suspects,
                           const struct prompt_parts *parts, gboolean complete,
                           gint64 now);
