Read JSON from outside with a limit to its nesting, and lists item by item

Nesting is checked before a text is loaded, at most 128 levels, wherever JSON comes from outside: the store, clients of the product's own interface, engines, operators. The list of servers is split into items by a scanner that does not recurse, and each is loaded by itself. Numbers too large and ports out of range were skipped already; now there is a test for them.

--- a/packages/admin/admin_change.c
+++ b/packages/admin/admin_change.c
@@ -2,6 +2,7 @@
 #include "admin/admin_internal.h"
 #include "base/json_add.h"
 #include "base/log.h"
+#include "base/json_text.h"
 
 #define PRECONDITION_REQUIRED 428 /* libsoup has no constant for it */
 
@@ -256,10 +257,10 @@
   g_autoptr (JsonParser) parser = json_parser_new ();
   gsize n;
   const char *text = g_bytes_get_data (body, &n);
-  if (n == 0 || !json_parser_load_from_data (parser, text, (gssize)n, NULL))
+  if (!json_text_load (parser, (struct str){ text, n }))
     return NULL;
   JsonNode *root = json_parser_get_root (parser);
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+  if (!JSON_NODE_HOLDS_OBJECT (root))
     return NULL;
   return g_strdup (json_object_get_string_member_with_default (
       json_node_get_object (root), "preset", NULL));
--- a/packages/backend/engine_poller.c
+++ b/packages/backend/engine_poller.c
@@ -1,6 +1,7 @@
 #include "backend/engine_poller.h"
 #include "backend/json_get.h"
 #include "base/log.h"
+#include "base/json_text.h"
 
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
@@ -113,10 +114,8 @@
 parse_response (struct engine *engine, struct str text)
 {
   JsonParser *parser = json_parser_new_immutable ();
-  gboolean ok
-      = text.n > 0
-        && json_parser_load_from_data (parser, text.p, (gssize)text.n, NULL)
-        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  gboolean ok = json_text_load (parser, text)
+                && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
   if (ok)
     {
       JsonObject *object = json_node_get_object (json_parser_get_root (parser));
--- a/packages/backend/order_client.c
+++ b/packages/backend/order_client.c
@@ -4,6 +4,7 @@
 #include "backend/backend_client.h"
 #include "backend/json_get.h"
 #include "base/log.h"
+#include "base/json_text.h"
 
 #include <string.h>
 
@@ -148,9 +149,8 @@
 {
   JsonParser *parser = json_parser_new_immutable ();
   const char **models = NULL;
-  if (json_parser_load_from_data (parser, request->body->str,
-                                  (gssize)request->body->len, NULL)
-      && json_parser_get_root (parser) != NULL
+  if (json_text_load (parser,
+                      (struct str){ request->body->str, request->body->len })
       && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     {
       JsonObject *object = json_node_get_object (json_parser_get_root (parser));
--- a/packages/entry/engine_response.c
+++ b/packages/entry/engine_response.c
@@ -1,5 +1,6 @@
 /* Reads tokens and text in an engine's responses.  */
 #include "entry/ingress_internal.h"
+#include "base/json_text.h"
 
 #include <string.h>
 
@@ -126,7 +127,7 @@
   JsonParser *parser = json_parser_new_immutable ();
   struct content content = { .text = "" };
   const char *problem;
-  if (!json_parser_load_from_data (parser, data.p, (gssize)data.n, NULL))
+  if (!json_text_load (parser, data))
     problem = "not JSON";
   else if (g_strstr_len (data.p, (gssize)data.n, "\\u0000") != NULL)
     problem = "a NUL in the text"; /* which json-glib would end there */
@@ -154,11 +155,8 @@
 {
   JsonParser *parser = json_parser_new_immutable ();
   gint64 n = 0;
-  gboolean ok
-      = body.n > 0
-        && json_parser_load_from_data (parser, body.p, (gssize)body.n, NULL)
-        && json_parser_get_root (parser) != NULL
-        && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
+  gboolean ok = json_text_load (parser, body)
+                && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser));
   if (ok)
     {
       JsonNode *usage = json_object_get_member (
--- a/packages/entry/parse_request.c
+++ b/packages/entry/parse_request.c
@@ -1,6 +1,7 @@
 /* Parses a client's HTTP request: its team, its class, its pool of backend
    servers and its estimated cost.  */
 #include "entry/ingress_internal.h"
+#include "base/json_text.h"
 
 #include <string.h>
 
@@ -238,7 +239,7 @@
   if (strcmp (request->method, "POST") != 0)
     code = reject (rejection, 405, "bad_request", "POST expected");
   else if (n == 0 || !g_utf8_validate (text, (gssize)n, NULL)
-           || !json_parser_load_from_data (parser, text, (gssize)n, NULL)
+           || !json_text_load (parser, (struct str){ text, n })
            || !JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     code = reject (rejection, 400, "bad_request",
                    "the body is not a JSON object");
--- a/packages/jacinthctl/api_client.c
+++ b/packages/jacinthctl/api_client.c
@@ -1,5 +1,6 @@
 /* The client of the administration API.  */
 #include "jacinthctl/jacinthctl.h"
+#include "base/json_text.h"
 
 #include <libsoup/soup.h>
 #include <stdlib.h>
@@ -231,7 +232,7 @@
   response->version = etag_version (message);
   response->body = g_bytes_ref (body);
   g_autoptr (JsonParser) parser = json_parser_new ();
-  if (n > 0 && json_parser_load_from_data (parser, text, (gssize)n, NULL))
+  if (json_text_load (parser, (struct str){ text, n }))
     response->json = json_parser_steal_root (parser);
 }
 
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -481,6 +481,90 @@
   proxy_test_respond (link, request, status_line, "", "{}");
 }
 
+#define NESTED 200000 /* arrays inside each other */
+
+static const char *odd_spec;
+
+/* Responds with a list whose middle item has ODD_SPEC.  */
+static void
+respond_with_odd_item (struct proxy_test_link *link,
+                       struct proxy_test_request *request)
+{
+  char *body = g_strdup_printf (
+      "{\"items\":[{\"metadata\":{\"name\":\"i-1\"},\"spec\":%s},"
+      "{\"metadata\":{\"name\":\"i-2\"},\"spec\":%s},"
+      "{\"metadata\":{\"name\":\"i-3\"},\"spec\":%s}],\"at\":9,"
+      " \"has_more\": false }",
+      SERVER, odd_spec, SERVER);
+  proxy_test_respond (link, request, "200 OK", "", body);
+  g_free (body);
+}
+
+/* One entry that cannot be read, left by another writer, must neither end the
+   process nor hide the others.  */
+static void
+test_odd_entries (void)
+{
+  struct platform_adapter *adapter = open_store (respond_with_odd_item);
+  char *open = g_strnfill (NESTED, '[');
+  char *close = g_strnfill (NESTED, ']');
+  char *nested = g_strconcat (open, close, NULL);
+  char *member = g_strconcat ("{\"service\":", nested, "}", NULL);
+  char *port = g_strjoinv ("10.128.0.9:70000",
+                           g_strsplit (SERVER, "10.128.0.9:8080", 2));
+  char *number = g_strjoinv ("\"max_batch\":1e999",
+                             g_strsplit (SERVER, "\"max_batch\":64", 2));
+  char *long_number = g_strjoinv ("\"max_batch\":99999999999999999999999999",
+                                  g_strsplit (SERVER, "\"max_batch\":64", 2));
+  const char *const odd[] = { nested,
+                              member,
+                              port,
+                              number,
+                              long_number,
+                              "{\"state\":\"\xff\"}",
+                              "{\"state\":\"\\ud800\"}",
+                              "{\"state\":NaN}",
+                              "{state}",
+                              "\"\"",
+                              "{\"state\":\"]}\"}",
+                              "-" };
+  for (guint i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      odd_spec = odd[i];
+      CU_ASSERT_EQUAL (read_servers (adapter), 0);
+      CU_ASSERT_EQUAL (observed.n, 2);
+      CU_ASSERT_STRING_EQUAL (observed.last, "i-3");
+    }
+  odd_spec = "{";
+  CU_ASSERT_TRUE (read_servers (adapter) < 0);
+  g_free (open);
+  g_free (close);
+  g_free (nested);
+  g_free (member);
+  g_free (port);
+  g_free (number);
+  g_free (long_number);
+  adapter_free (adapter);
+  proxy_test_stop ();
+}
+
+/* The operator's configuration: a nested one is rejected.  */
+static void
+test_nested_config (void)
+{
+  struct err err = { 0 };
+  char *open = g_strnfill (NESTED, '[');
+  char *text = g_strconcat ("{\"spec\":{\"routes\":", open, NULL);
+  char *close = g_strnfill (NESTED, ']');
+  char *whole = g_strconcat (text, close, "}}", NULL);
+  CU_ASSERT_PTR_NULL (adapter_decode_text (str_of (whole), &err));
+  CU_ASSERT_EQUAL (err.code, ERR_INVALID);
+  g_free (open);
+  g_free (text);
+  g_free (close);
+  g_free (whole);
+}
+
 static void
 respond_with_invalid_json (struct proxy_test_link *link,
                            struct proxy_test_request *request)
@@ -566,6 +650,8 @@
   { "a long list", test_long_list },
   { "a list of slow pages without end", test_list_slow },
   { "failures of the store", test_store_failures },
+  { "entries that cannot be read", test_odd_entries },
+  { "a nested configuration", test_nested_config },
   { "age counts from the request", test_age_counts_from_request },
   CU_TEST_INFO_NULL,
 };
