Pass no request on late in a shutdown that may outlast it

From 2.8 s after the signal on, or half of a shorter grace, a request that has not begun goes to a server only if its deadline is before the end; else it is rejected as not run, and another instance serves it. test_gate_shutdown, 'requests late in a shutdown' and 'queued requests late in a shutdown', failed before.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -496,6 +496,12 @@
       exchange_abort (exchange, "configuration_unproved");
       return;
     }
+  if (!exchange->head_sent
+      && proxy_ends_before (reverse_proxy, exchange->deadline))
+    {
+      exchange_reject (exchange, 503, "shutting_down", SHUTDOWN_RETRY_US);
+      return;
+    }
   if (!part_trial_allows (exchange, choice->server))
     return;
   const struct prefix_prompt *prompt = &exchange->queue_entry.request.prompt;
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -262,6 +262,23 @@
   return (struct shutdown_end){ limit - reserve, limit - margin };
 }
 
+/* Returns whether a request that is to be sent to a server now, late in a
+   shutdown, may still be in progress at the end of it: DEADLINE (clock time) is
+   later. Other instances can serve it.  */
+gboolean
+proxy_ends_before (const struct reverse_proxy *reverse_proxy, gint64 deadline)
+{
+  gint64 limit = reverse_proxy->options.shutdown_limit_us;
+  gint64 now = clk_now (reverse_proxy->options.clk);
+  if (reverse_proxy->shutdown_started == 0 || limit == 0
+      || now - reverse_proxy->shutdown_requested
+             < MIN (ACCEPT_MAX_US, limit / 2))
+    return FALSE;
+  struct shutdown_end end
+      = shutdown_end (reverse_proxy, reverse_proxy->shutdown_late_us);
+  return deadline > reverse_proxy->shutdown_requested + end.respond_us;
+}
+
 static gboolean
 on_shutdown_step (gpointer data)
 {
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -103,6 +103,8 @@
 void closing_free_all (struct reverse_proxy *reverse_proxy);
 
 void proxy_schedule_poll (struct reverse_proxy *reverse_proxy);
+gboolean proxy_ends_before (const struct reverse_proxy *reverse_proxy,
+                            gint64 deadline);
 
 /* X (NAME, "name"): states and events of an exchange. charts/exchange.chart
    defines the transitions between them and refers to them by the quoted names.
--- a/tests/unit/test_gate_shutdown.c
+++ b/tests/unit/test_gate_shutdown.c
@@ -12,6 +12,8 @@
 #define LIMIT_CLIENTS 60       /* more than two servers take at once */
 #define BUSY_US (450 * CLK_MS) /* length of a main loop iteration */
 #define BUSY_LIMIT_US (4 * CLK_S)
+#define LATE_LIMIT_US (3 * CLK_S)
+#define LATE_MS 1700 /* past half of it */
 #define SLOW_READ_BYTES (4 * 1024)
 #define SLOW_READ_INTERVAL_MS 100
 #define SLOW_READ_MS 17000  /* two checks whether it reads */
@@ -325,6 +327,86 @@
   proxy_test_stop ();
 }
 
+/* Sends a request whose end arrives late in the time for a shutdown. Checks its
+   response, and how many requests the server has got.  */
+static void
+check_late_request (const char *path, const char *fields, guint status,
+                    guint at_server)
+{
+  start_with_limit (1, LATE_LIMIT_US);
+  struct proxy_test_client *client = proxy_test_open_client ();
+  char *head = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\n"
+      "Authorization: Bearer " PROXY_TEST_KEY "\r\n%s"
+      "Content-Length: 4\r\n\r\nbo",
+      path, fields);
+  proxy_test_send_text (client, head);
+  proxy_test_run_for (50);
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
+  proxy_test_run_for (LATE_MS);
+  proxy_test_send_text (client, "dy");
+  struct proxy_test_response response = proxy_test_wait_response (client);
+  CU_ASSERT_EQUAL (response.status, status);
+  CU_ASSERT_TRUE (response.closes);
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), at_server);
+  proxy_test_response_clear (&response);
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  proxy_test_close_client (client);
+  proxy_test_stop ();
+  g_free (head);
+}
+
+/* A request that comes late and may take longer than the process lasts is not
+   passed on, to be cut at the end: it is rejected as not run, and another
+   instance serves it. One that ends in time is served.  */
+static void
+test_late_requests (void)
+{
+  gint64 before = proxy_test_timeout_us;
+  proxy_test_timeout_us = LONG_TIMEOUT_US;
+  check_late_request ("/once/x", "", 503, 0);
+  check_late_request ("/stream/x", "", 503, 0);
+  check_late_request ("/again/x", "X-Deadline-Ms: 4000\r\n", 503, 0);
+  check_late_request ("/once/x", "X-Deadline-Ms: 2100\r\n", 504, 1);
+  proxy_test_timeout_us = before;
+}
+
+/* The same for a request that waits for a server until then.  */
+static void
+test_late_placement (void)
+{
+  struct proxy_test_client *clients[LIMIT_CLIENTS];
+  gint64 before = proxy_test_timeout_us;
+  proxy_test_timeout_us = LONG_TIMEOUT_US;
+  start_with_limit (1, LATE_LIMIT_US);
+  fill_queue (clients, "/once/x");
+  guint at_server = proxy_test_n_requests ();
+  proxy_shut_down (proxy_test.reverse_proxy, proxy_test_now (NULL));
+  proxy_test_run_for (LATE_MS);
+  for (guint i = 0; i < proxy_test.servers[0].links->len; i++)
+    {
+      struct proxy_test_link *link
+          = g_ptr_array_index (proxy_test.servers[0].links, i);
+      if (link->request != NULL)
+        proxy_test_respond_ok (link, link->request);
+    }
+  CU_ASSERT_TRUE (
+      proxy_test_wait_until (is_shut_down, NULL, PROXY_TEST_WAIT_MS));
+  CU_ASSERT_EQUAL (proxy_test_n_requests (), at_server);
+  proxy_free (g_steal_pointer (&proxy_test.reverse_proxy));
+  for (guint i = 0; i < LIMIT_CLIENTS; i++)
+    {
+      struct proxy_test_response response
+          = proxy_test_wait_response (clients[i]);
+      CU_ASSERT_TRUE (response.status == 200 || response.status == 503);
+      proxy_test_response_clear (&response);
+      proxy_test_close_client (clients[i]);
+    }
+  proxy_test_stop ();
+  proxy_test_timeout_us = before;
+}
+
 /* Reads until the end of the connection or the time-out. Returns whether a
    response arrived.  */
 static gboolean
@@ -432,6 +514,8 @@
     test_limit_counts_from_signal },
   { "a partial request at the shutdown limit",
     test_partial_request_at_shutdown_limit },
+  { "requests late in a shutdown", test_late_requests },
+  { "queued requests late in a shutdown", test_late_placement },
   { "the backlog of a closed listener", test_backlog_is_answered },
   { "the backlog at the shutdown limit", test_backlog_at_shutdown_limit },
   { "a steady slow reader", test_steady_slow_reader },
