Let a peer's word about a server decide only while there are other servers

Cause: a server was avoided for 600 ms on a peer's word unless it had been reached within 300 ms, so an instance that avoided all servers reached none, and the word of peers that were cut off renewed itself: it stopped the trials that could have refuted it.

A peer's word has a time of its own now. Placement compares servers that peers could not reach if there are no others; contact with a server ends the word, and only this instance's own failed attempts keep requests away from all servers. Each server that begins to be avoided on a peer's word is logged (server.avoided).

test_sched, 'servers doubted by peers', fails on (usable 0). test_fleet checks the new time instead of avoid_until, as strictly.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -85,6 +85,7 @@
 {
   server->last_reached = now;
   server->unreachable_in_row = 0;
+  server->peer_avoid_until = 0;
 }
 
 /* Records that an attempt could not reach SERVER. When many servers become
@@ -122,7 +123,8 @@
 }
 
 /* Records that a peer could not reach SERVER. This instance's own experience
-   with the server takes precedence.  */
+   with the server takes precedence: it tries servers that peers could not reach
+   if there are no others, as the peers may be cut off from all of them.  */
 void
 registry_peer_found_unreachable (struct registry_server *server, gint64 now)
 {
@@ -130,7 +132,15 @@
       || (server->last_reached != 0
           && now - server->last_reached < RECENT_CONTACT_US))
     return;
-  server->avoid_until = MAX (server->avoid_until, now + PEER_PAUSE_US);
+  if (server->peer_avoid_until <= now)
+    log_write (&(struct log_entry){ .level = LOG_INFO,
+                                    .event = "server.avoided",
+                                    .peer = server->entry.id },
+               "source=peer contact_ms=%" G_GINT64_FORMAT,
+               server->last_reached != 0 ? (now - server->last_reached) / CLK_MS
+                                         : -1);
+  server->peer_avoid_until
+      = MAX (server->peer_avoid_until, now + PEER_PAUSE_US);
 }
 
 /* Records that SERVER has asked this instance to send nothing for US. After
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -60,6 +60,8 @@
   gint64 missing_since; /* clock time since which it is not listed; 0: listed */
   struct server_health server_health; /* as measured by this instance */
   gint64 avoid_until; /* not to be used before this clock time; 0: no limit */
+  gint64 peer_avoid_until; /* the same by a peer's word alone: only if there are
+                              other servers */
   struct registry_backoff backoff;
   struct server_limit limit;
   struct limit_share limit_share; /* of this instance */
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -171,11 +171,29 @@
       ^ (request->affinity_hash * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)));
 }
 
-/* Fills CANDIDATES with the usable servers that the request was not sent to
-   yet, those that are LEAVING or those that are not. Returns their number.  */
+/* Servers are compared of the first group that has usable ones. */
+enum placement_group
+{
+  GROUP_SOUND,
+  GROUP_DOUBTED, /* peers could not reach them */
+  GROUP_LEAVING,
+  GROUPS_N
+};
+
+static enum placement_group
+group_of (const struct placement_view *view,
+          const struct registry_server *server)
+{
+  if (registry_is_leaving (server))
+    return GROUP_LEAVING;
+  return server->peer_avoid_until > view->now ? GROUP_DOUBTED : GROUP_SOUND;
+}
+
+/* Fills CANDIDATES with the usable servers of GROUP that the request was not
+   sent to yet. Returns their number.  */
 static guint
 collect (const struct placement_view *view,
-         const struct placement_request *request, gboolean leaving,
+         const struct placement_request *request, enum placement_group group,
          struct placement_candidate *candidates)
 {
   guint n = 0;
@@ -184,7 +202,7 @@
   for (guint i = 0; i < view->n_servers && n < CANDIDATES_MAX; i++)
     {
       struct registry_server *server = view->servers[i];
-      if (registry_is_leaving (server) != leaving || !is_usable (view, server)
+      if (group_of (view, server) != group || !is_usable (view, server)
           || placement_was_tried (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
@@ -220,6 +238,7 @@
             ? view->now <= server->drain_until
             : server->peer_said_leaving && server->state == REGISTRY_READY;
   return runs && server->avoid_until <= view->now
+         && server->peer_avoid_until <= view->now
          && g_str_equal (server->entry.service, view->service);
 }
 
@@ -455,23 +474,25 @@
 }
 
 /* Chooses the cheapest server that has capacity, of the few that are compared.
-   Servers that are leaving are compared only if no other one is usable, even if
-   those have no capacity: they may end before a new request does. A server of
-   the sensitive pool whose streams would be delayed is chosen only if there are
-   no servers outside the pool; otherwise the request waits until another server
-   has capacity.  */
+   Servers that peers could not reach, and those that are leaving, are compared
+   only if no other one is usable, even if those have no capacity: the latter
+   may end before a new request does. A server of the sensitive pool whose
+   streams would be delayed is chosen only if there are no servers outside the
+   pool; otherwise the request waits until another server has capacity.  */
 void
 placement_choose (const struct placement_view *view,
                   const struct placement_request *request,
                   struct placement_choice *choice)
 {
   static struct placement_candidate candidates[CANDIDATES_MAX];
-  guint n = collect (view, request, FALSE, candidates);
+  guint n = 0;
   guint n_sources; /* servers to fetch from, the candidates first */
-  if (n > 0)
-    n_sources = add_leaving_sources (view, request, candidates, n);
-  else
-    n = n_sources = collect (view, request, TRUE, candidates);
+  enum placement_group group = GROUP_SOUND;
+  while (n == 0 && group < GROUPS_N)
+    n = collect (view, request, group++, candidates);
+  n_sources = group <= GROUP_LEAVING
+                  ? add_leaving_sources (view, request, candidates, n)
+                  : n;
   guint best_cached = 0;
   guint64 slots = 0;
   guint64 busy_slots = 0;
--- a/tests/proc/test_cut_off.c
+++ b/tests/proc/test_cut_off.c
@@ -335,6 +335,18 @@
   check_scenario (&scenario);
 }
 
+static void
+test_refused (void)
+{
+  static const struct scenario scenario
+      = { .name = "three of seven are refused, plain service",
+          .path = "/again/x",
+          .mode = CUT_RESET,
+          .n_cut = 3,
+          .stride = 2 };
+  check_scenario (&scenario);
+}
+
 static void
 test_most (void)
 {
@@ -373,6 +385,7 @@
 static CU_TestInfo tests[] = {
   { "a domain hangs", test_hanging },
   { "three of seven are reset", test_reset },
+  { "three of seven are refused", test_refused },
   { "six of seven hang", test_most },
   { "connections live on", test_live_on },
   { "an instance is killed during a cut", test_killed },
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -151,10 +151,13 @@
   CU_ASSERT_FALSE (registry_is_unreachable (server, now));
   registry_peer_found_unreachable (server, now + 100 * CLK_MS);
   CU_ASSERT_TRUE (server->avoid_until <= now);
+  CU_ASSERT_TRUE (server->peer_avoid_until <= now);
   registry_peer_found_unreachable (server, now + CLK_S);
-  CU_ASSERT_TRUE (server->avoid_until > now + CLK_S);
+  CU_ASSERT_TRUE (server->peer_avoid_until > now + CLK_S);
   /* A peer's report is not passed on as this instance's own experience. */
   CU_ASSERT_FALSE (registry_is_unreachable (server, now + CLK_S));
+  registry_mark_reached (server, now + CLK_S);
+  CU_ASSERT_TRUE (server->peer_avoid_until <= now + CLK_S);
   registry_free (registry);
 }
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1147,7 +1147,39 @@
       }
 }
 
+/* Peers that are cut off from all servers report them as unreachable. If their
+   word stopped all requests to these servers, nothing could refute it.  */
+static void
+test_servers_doubted_by_peers (void)
+{
+  struct scheduler_decision d;
+  guint n;
+  set_up ();
+  struct registry_server *const *servers
+      = registry_servers (world.registry, &n);
+  for (guint i = 1; i < n; i++)
+    registry_peer_found_unreachable (servers[i], world.now);
+  struct scheduler_entry *first = make_entry (2, 77, 6000, 2000, FALSE);
+  CU_ASSERT_PTR_EQUAL (submit (first, &d), servers[0]);
+  CU_ASSERT_EQUAL (d.choice.usable, 1);
+  registry_peer_found_unreachable (servers[0], world.now);
+  struct scheduler_entry *second = make_entry (2, 78, 6000, 2000, FALSE);
+  CU_ASSERT_PTR_NOT_NULL (submit (second, &d));
+  CU_ASSERT_EQUAL (d.choice.usable, n);
+  /* One that this instance could not reach either is not tried again. */
+  for (guint i = 0; i < n; i++)
+    registry_mark_unreachable (servers[i], world.now);
+  struct scheduler_entry *third = make_entry (2, 79, 6000, 2000, FALSE);
+  CU_ASSERT_PTR_NULL (submit (third, &d));
+  CU_ASSERT_EQUAL (d.choice.usable, 0);
+  drop (first);
+  drop (second);
+  drop (third);
+  tear_down ();
+}
+
 static CU_TestInfo tests[] = {
+  { "servers doubted by peers", test_servers_doubted_by_peers },
   { "requests with one prefix go to one engine", test_preferred_server },
   { "sensitive streams stay apart", test_sensitive_streams_apart },
   { "a burst beside sensitive streams", test_burst_beside_sensitive_streams },
