Await a probe in progress before an instance takes itself for cut off

All three servers of another service had ended, and the third one refused while the probe of a further server was still on its way to another region (30 ms), so requests for engines were passed on to other instances too.

--- a/packages/gate/reachability.c
+++ b/packages/gate/reachability.c
@@ -17,6 +17,7 @@
   if (reverse_proxy->probe != NULL)
     tcp_conn_close (reverse_proxy->probe);
   reverse_proxy->probe = NULL;
+  reverse_proxy->reach.probing = FALSE;
 }
 
 /* A server has sent something.  */
@@ -113,6 +114,7 @@
                                     .step = err.step,
                                     .peer = server->entry.id },
                "%s", err.text);
+  reverse_proxy->reach.probing = reverse_proxy->probe != NULL;
 }
 
 static gboolean
@@ -165,13 +167,14 @@
 {
   server_reach_failed (&reverse_proxy->reach, registry_life_key (server),
                        clk_now (reverse_proxy->options.clk));
+  if (server_reach_is_doubtful (&reverse_proxy->reach)
+      && reverse_proxy->probe_timer == 0)
+    {
+      reverse_proxy->probe_timer
+          = g_timeout_add (PROBE_INTERVAL_MS, on_probe_due, reverse_proxy);
+      start_probe (reverse_proxy);
+    }
   reachability_review (reverse_proxy);
-  if (!server_reach_is_doubtful (&reverse_proxy->reach)
-      || reverse_proxy->probe_timer != 0)
-    return;
-  reverse_proxy->probe_timer
-      = g_timeout_add (PROBE_INTERVAL_MS, on_probe_due, reverse_proxy);
-  start_probe (reverse_proxy);
 }
 
 void
--- a/packages/policy/server_reach.c
+++ b/packages/policy/server_reach.c
@@ -89,13 +89,15 @@
    It is if no server has accepted a connection since several could not be
    reached, or all of them, and a peer was sure to reach servers since:
    PEERS_SURE_AT is a lower bound of the clock time at which the last of them
-   was. Without such a peer the servers may be down. Returns whether the
-   decision has changed; only an accepted connection ends it.  */
+   was. Without such a peer the servers may be down. While a probe is in
+   progress its result is awaited: the servers that failed may be the only ones
+   that have ended. Returns whether the decision has changed; only an accepted
+   connection ends it.  */
 gboolean
 server_reach_review (struct server_reach *reach, guint n_servers,
                      gint64 peers_sure_at, gint64 now)
 {
-  if (reach->cut_off || reach->n_failed == 0
+  if (reach->cut_off || reach->probing || reach->n_failed == 0
       || reach->n_failed < MIN (CUT_OFF_FAILURES, n_servers)
       || peers_sure_at <= reach->failing_since)
     return FALSE;
--- a/packages/policy/server_reach.h
+++ b/packages/policy/server_reach.h
@@ -18,6 +18,7 @@
   guint64 failed[SERVER_REACH_FAILED_MAX];
   guint n_failed;
   gint64 failing_since; /* clock time of the first of these failures */
+  gboolean probing;     /* a connection is being opened to find out */
   gboolean cut_off;
   gint64 cut_off_at; /* clock time since which it is believed */
 };
--- a/tests/unit/test_server_reach.c
+++ b/tests/unit/test_server_reach.c
@@ -50,6 +50,22 @@
   CU_ASSERT_TRUE (server_reach_review (&reach, SERVERS, 4 * CLK_S, 5 * CLK_S));
 }
 
+/* All servers of one service have ended, while a probe of another one is on its
+   way: they alone do not show that the instance is cut off.  */
+static void
+test_probe (void)
+{
+  struct server_reach reach = { 0 };
+  server_reach_accepted (&reach, CLK_S);
+  for (guint i = 0; i < 3; i++)
+    server_reach_failed (&reach, i, 2 * CLK_S);
+  reach.probing = TRUE;
+  CU_ASSERT_FALSE (server_reach_review (&reach, SERVERS, 3 * CLK_S, 3 * CLK_S));
+  CU_ASSERT_TRUE (server_reach_is_doubtful (&reach));
+  reach.probing = FALSE;
+  CU_ASSERT_TRUE (server_reach_review (&reach, SERVERS, 3 * CLK_S, 3 * CLK_S));
+}
+
 /* One server that accepts a connection in between shows that the others have
    ended.  */
 static void
@@ -89,6 +105,7 @@
 }
 
 static CU_TestInfo tests[] = {
+  { "a probe in progress", test_probe },
   { "cut off", test_cut_off },
   { "connections live on", test_live_on },
   { "servers that end", test_servers_end },
