--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -42,9 +42,11 @@
   X (PAUSES, "pauses", "detected pauses of this process")                      \
   X (EJECTIONS, "ejections", "backend servers ejected as outliers")            \
   X (SUSPECT_CRASHES, "suspect_crashes",                                       \
-     "requests that were on a server when it ended, without an event")         \
-  X (PARTS_HELD, "parts_held", "parts of prompts held for crashing servers")   \
-  X (PART_REJECTED, "part_refused", "requests rejected for a held part")       \
+     "requests that may have ended the server that they were on")              \
+  X (PARTS_HELD, "parts_held",                                                 \
+     "requests or parts of prompts held for crashing servers")                 \
+  X (PART_REJECTED, "part_refused",                                            \
+     "requests rejected as one of these is held")                              \
   X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
   X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
   X (LIMITS_INVALID, "limits_invalid",                                         \
