--- /dev/null
+++ b/tests/fuzz/fuzz_decoders.c
@@ -0,0 +1,72 @@
+#include "platform/adapter.h"
+
+#include "base/json_text.h"
+#include "peer/gossip_message.h"
+#include "peer/peer_server_list.h"
+
+#include <stdint.h>
+
+/* libFuzzer sets the name. NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t n);
+
+/* Walks over TEXT as a page of the store's list, and decodes its items.  */
+static void
+decode_page (struct str text)
+{
+  struct str items;
+  struct str item;
+  struct str spec;
+  struct registry_entry entry;
+  if (!json_text_member (text, "items", &items))
+    return;
+  while (json_text_next_element (&items, &item))
+    {
+      JsonNode *root = json_text_member (item, "spec", &spec)
+                           ? json_text_parse_object (spec)
+                           : NULL;
+      if (root == NULL)
+        continue;
+      adapter_decode_server ("fuzzed", json_node_get_object (root), 0, &entry);
+      json_node_unref (root);
+    }
+}
+
+static void
+decode_list (struct str text)
+{
+  struct peer_server_list list = { .entries = NULL };
+  struct err err = { 0 };
+  if (server_list_decode (text, 0, NULL, &list, &err) == 0
+      && list.entries != NULL)
+    g_array_unref (list.entries);
+}
+
+/* Decodes the N BYTES, of which the first says as what: a configuration, a page
+   of servers, a message of a peer or its list of servers.  */
+int
+LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t n)
+{
+  static struct gossip_message message;
+  struct err err = { 0 };
+  if (n == 0)
+    return 0;
+  struct str text = { (const char *)bytes + 1, n - 1 };
+  switch (bytes[0])
+    {
+    case 'c':
+      routing_table_unref (adapter_decode_text (text, &err));
+      break;
+    case 's':
+      decode_page (text);
+      break;
+    case 'm':
+      gossip_message_decode (text, &message, &err);
+      break;
+    case 'l':
+      decode_list (text);
+      break;
+    default:
+      break;
+    }
+  return 0;
+}
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -500,6 +500,16 @@
   g_free (body);
 }
 
+/* Returns SERVER with NEW instead of OLD, to be freed by the caller.  */
+static char *
+replace (const char *old, const char *new)
+{
+  char **parts = g_strsplit (SERVER, old, 2);
+  char *text = g_strjoinv (new, parts);
+  g_strfreev (parts);
+  return text;
+}
+
 /* One entry that cannot be read, left by another writer, must neither end the
    process nor hide the others.  */
 static void
@@ -510,12 +520,10 @@
   char *close = g_strnfill (NESTED, ']');
   char *nested = g_strconcat (open, close, NULL);
   char *member = g_strconcat ("{\"service\":", nested, "}", NULL);
-  char *port = g_strjoinv ("10.128.0.9:70000",
-                           g_strsplit (SERVER, "10.128.0.9:8080", 2));
-  char *number = g_strjoinv ("\"max_batch\":1e999",
-                             g_strsplit (SERVER, "\"max_batch\":64", 2));
-  char *long_number = g_strjoinv ("\"max_batch\":99999999999999999999999999",
-                                  g_strsplit (SERVER, "\"max_batch\":64", 2));
+  char *port = replace ("10.128.0.9:8080", "10.128.0.9:70000");
+  char *number = replace ("\"max_batch\":64", "\"max_batch\":1e999");
+  char *long_number = replace ("\"max_batch\":64",
+                               "\"max_batch\":99999999999999999999999999");
   const char *const odd[] = { nested,
                               member,
                               port,
