--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -11,9 +11,7 @@
 #define STALE_CONFIG_RETRY_US                                                  \
   (700 * CLK_MS) /* the configuration is normally confirmed again within a     \
                     second */
-/* Bytes; the fingerprint of a longer request is computed only when it is
- * needed.
- */
+/* Bytes; longer requests are identified only if a server may have ended. */
 #define IDENTIFIED_BODY_MAX (16 * 1024)
 #define SHUTDOWN_RETRY_US                                                      \
   (50 * CLK_MS) /* other instances can serve the request at once */
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -431,8 +431,8 @@
 }
 
 /* Returns whether a trial of PARTS is so likely to end its server that it is
-   not to be the last one of a service. Only requests are that narrow that
-   nothing else waits for it.  */
+   not to be the last one of a service. Too many requests share a part of a
+   prompt to wait for another server.  */
 gboolean
 suspects_takes_last_server (const struct suspects *suspects,
                             const struct prompt_parts *parts)
