Let the explorer's plant 18 break what keeps its request in two places

The plant, 'a request that has ended two servers is sent to a third', lifted one check (suspects_has_ended). The plant lifts suspects_confirmed too; the oracle and its rule are as before.

--- a/tests/explore/explore_plant.c
+++ b/tests/explore/explore_plant.c
@@ -30,6 +30,8 @@
   X (int, http_reader_finish, (struct http_reader *, struct err *))            \
   X (void, scheduler_ended, (struct scheduler *, struct scheduler_entry *))    \
   X (gboolean, suspects_has_ended, (const struct suspects *, guint64))         \
+  X (gboolean, suspects_confirmed,                                             \
+     (const struct suspects *, const struct prompt_parts *))                   \
   X (void, suspects_end, (struct suspects *, struct suspects_attempt *))
 #define X(result, name, parameters)                                            \
   result __real_##name parameters;                                             \
@@ -191,6 +193,14 @@
   return explore_plant != 18 && __real_suspects_has_ended (suspects, server);
 }
 
+/* The trial of its fingerprint would keep the request of plant 18 as well. */
+gboolean
+__wrap_suspects_confirmed (const struct suspects *suspects,
+                           const struct prompt_parts *parts)
+{
+  return explore_plant != 18 && __real_suspects_confirmed (suspects, parts);
+}
+
 void
 __wrap_suspects_end (struct suspects *suspects,
                      struct suspects_attempt *attempt)
