--- a/tests/unit/test_gate_cut_off.c
+++ b/tests/unit/test_gate_cut_off.c
@@ -293,6 +293,29 @@
   proxy_test_response_clear (&response);
 }
 
+static void
+cut_before_response (struct proxy_test_link *link,
+                     struct proxy_test_request *request)
+{
+  (void)link;
+  (void)request;
+  g_timeout_add (50, on_cut, NULL);
+}
+
+/* The peer knows nothing of an attempt made here, which may have run: what it
+   rejects must not be reported as not run.  */
+static void
+test_rejected_after_attempt (void)
+{
+  start ();
+  proxy_test.servers[0].script = proxy_test.servers[1].script
+      = cut_before_response;
+  proxy_test.servers[PEER].script = reject;
+  CU_ASSERT_EQUAL (proxy_test_request_status ("/again/x", ""), 502);
+  CU_ASSERT_EQUAL (proxy_test.counter_set.v[COUNTER_RELAYED], 1);
+  proxy_test_stop ();
+}
+
 static void
 respond_half (struct proxy_test_link *link, struct proxy_test_request *request)
 {
@@ -350,6 +373,7 @@
   { "one server that is down", test_one_server_down },
   { "the peer breaks off", test_peer_breaks_off },
   { "the peer rejects", test_peer_rejects },
+  { "the peer rejects what may have run", test_rejected_after_attempt },
   { "a request that was passed on", test_not_twice },
   { "a stream goes on at a peer", test_stream },
   { "a stream that the peer rejects", test_stream_rejected },
