--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -423,7 +423,8 @@
                          "value_bytes": 1048576, "ttl_min_ms": 1000},
         }
 
-    async def start(self):
+    def write_settings(self):
+        """Fills in the template and returns the path of the settings file."""
         d = self.deployment
         with open(os.path.join(REPOSITORY, d.role["template"]),
                   encoding="utf-8") as file:
@@ -431,6 +432,11 @@
         path = os.path.join(d.folder, self.name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write(render(template, self.settings()))
+        return path
+
+    async def start(self):
+        d = self.deployment
+        path = self.write_settings()
         out = open(os.path.join(d.folder, self.name + ".log"), "ab")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG")
                if k in os.environ}
