--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit status 1: the rule was broken, 0: it held, 2: the case could not run.
+cd "$(dirname "$0")" && exec /usr/bin/env python3 case.py
