--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "standin"))
+                                ".."))
 from deployment import Clients, Deployment, LIMITS, Worker, main, now
 
 HOST = "rtk.example"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "standin"))
+                                ".."))
 from deployment import Deployment, LIMITS, main, now
 
 HOST = "rtk.example"
@@ -33,7 +33,7 @@
 async def case(record, trouble):
     deployment = Deployment(record)
     try:
-        deployment.add_instances(3)
+        deployment.add_instances(4)
         await deployment.store.open()
         for i, zone in enumerate(deployment.zones):
             await deployment.add_worker("i-%d" % i, "accounts", zone)
--- a/review/standin/deployment.py
+++ b/review/deployment.py
@@ -13,8 +13,7 @@
 import tomllib
 from urllib.parse import parse_qs, unquote, urlsplit
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 # The figures of sites/pwsa-rtk.toml, as DEPLOY.md shows them in settings.
 CONTRACT = {
@@ -234,7 +233,14 @@
             while (head := await read_head(reader)) is not None:
                 line, fields = head
                 await read_body(reader, fields)
-                writer.write(await self.run(line, fields))
+                task = asyncio.create_task(self.run(line, fields))
+                while not task.done():
+                    await asyncio.wait([task], timeout=0.01)
+                    if reader.at_eof() or writer.transport.is_closing():
+                        task.cancel()  # the caller has left
+                if task.cancelled():
+                    break
+                writer.write(task.result())
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -549,8 +555,18 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("case", "trouble=%d" % trouble)
+
+    async def play():
+        """Ends all processes also if the script itself is told to end."""
+        task = asyncio.ensure_future(case(record, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, 110)
+
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
+        held = asyncio.run(play())
+    except asyncio.CancelledError:
+        held = None
     except (OSError, RuntimeError, asyncio.TimeoutError) as error:
         record.line("error", repr(error))
         held = None
