--- a/review/deployment.py
+++ b/review/deployment.py
@@ -210,6 +210,7 @@
         self.born = int(time.time() * 1000)
         self.runs = []  # (time, attempt id, tenant)
         self.running = 0
+        self.leaves = False  # and says so in all its answers
         self.server = None
 
     async def open(self):
@@ -251,6 +252,8 @@
         attempt = fields.get("jacinthward-attempt-id", "")
         echo = {"Jacinthward-Attempt-Id": attempt,
                 "Jacinthward-Instance-Id": self.name}
+        if self.leaves:
+            echo["Server-Leaving"] = 1
         expected = fields.get("jacinthward-expect-instance", self.name)
         if expected != self.name:
             return response(421, echo | {"Jacinthward-Not-Executed": 1})
