--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -101,6 +101,56 @@
   routing_table_unref (routing_table);
 }
 
+/* Returns CONFIG with its first OLD replaced by TEXT; freed by the caller.  */
+static char *
+changed_config (const char *old, const char *text)
+{
+  g_auto (GStrv) parts = g_strsplit (CONFIG, old, 2);
+  CU_ASSERT_EQUAL (g_strv_length (parts), 2);
+  return g_strjoinv (text, parts);
+}
+
+/* Numbers that are written with a fraction or an exponent mean what they say:
+   weights of less than 1 must not send all requests to one service.  */
+static void
+test_number_forms (void)
+{
+  static const struct
+  {
+    const char *old;
+    const char *text;
+    guint second; /* of 1000 requests, those to the second service */
+    gint64 timeout_us;
+  } forms[] = {
+    { "\"weight\":90},{\"service\":\"s2\",\"weight\":10}",
+      "\"weight\":0.9},{\"service\":\"s2\",\"weight\":0.1}", 100, 5 * CLK_S },
+    { "\"weight\":90},{\"service\":\"s2\",\"weight\":10}",
+      "\"weight\":62.5},{\"service\":\"s2\",\"weight\":3.75e1}", 375,
+      5 * CLK_S },
+    { "\"weight\":90}", "\"weight\":0}", 1000, 5 * CLK_S },
+    { "\"weight\":10}", "\"weight\":0.0}", 0, 5 * CLK_S },
+    { "\"timeout_ms\":5000", "\"timeout_ms\":5000.0", 100, 5 * CLK_S },
+    { "\"timeout_ms\":5000", "\"timeout_ms\":4.9995e3", 100, 4999500 },
+    { "\"version\":7", "\"version\":7.0", 100, 5 * CLK_S },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (forms); i++)
+    {
+      struct err err = { 0 };
+      guint second = 0;
+      g_autofree char *text = changed_config (forms[i].old, forms[i].text);
+      struct routing_table *routing_table = decode (text, &err);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (routing_table);
+      CU_ASSERT_EQUAL (routing_table_version (routing_table), 7);
+      const struct routing_route *route = routing_table_find (
+          routing_table, STR_LIT ("a.example"), STR_LIT ("/a/x"));
+      for (guint64 draw = 0; draw < 1000; draw++)
+        second += g_str_equal (routing_pick (route, draw), "s2");
+      CU_ASSERT_EQUAL (second, forms[i].second);
+      CU_ASSERT_EQUAL (route->timeout_us, forms[i].timeout_us);
+      routing_table_unref (routing_table);
+    }
+}
+
 static void
 test_invalid_configs (void)
 {
@@ -646,6 +696,7 @@
 
 static CU_TestInfo tests[] = {
   { "decoding a configuration", test_config },
+  { "numbers in each form", test_number_forms },
   { "rejecting invalid configurations", test_invalid_configs },
   { "decoding server entries", test_servers },
   { "the header of a server that is leaving", test_leaving_header },
