--- a/packages/config/ini.c
+++ b/packages/config/ini.c
@@ -4,13 +4,20 @@
 #include <stdarg.h>
 #include <string.h>
 
-#define MS_US 1000 /* microseconds in a millisecond */
+#define MS_US 1000     /* microseconds in a millisecond */
+#define SECOND_MS 1000 /* milliseconds in a second */
+/* Microseconds by which the product of a decimal fraction may be off. */
+#define ROUNDING_US 1e-3
 
-/* Adds a problem "group [GROUP], key KEY: TEXT", preceded by the source if
+/* Adds "group [GROUP], key KEY: TEXT" to LIST, preceded by the source of INI if
    there is one. GROUP and KEY may be NULL.  */
-void
-ini_problem (struct ini *ini, const char *group, const char *key,
-             const char *format, ...)
+static void add_entry (const struct ini *ini, GPtrArray *list,
+                       const char *group, const char *key, const char *format,
+                       va_list args) G_GNUC_PRINTF (5, 0);
+
+static void
+add_entry (const struct ini *ini, GPtrArray *list, const char *group,
+           const char *key, const char *format, va_list args)
 {
   GString *line = g_string_new (NULL);
   if (ini->source != NULL)
@@ -20,11 +27,33 @@
     g_string_append_printf (line, "group [%s]%s", group, key ? ", " : ": ");
   if (group != NULL && key != NULL)
     g_string_append_printf (line, "key %s: ", key);
+  g_string_append_vprintf (line, format, args);
+  g_ptr_array_add (list, g_string_free (line, FALSE));
+}
+
+/* Adds a problem. GROUP and KEY may be NULL.  */
+void
+ini_problem (struct ini *ini, const char *group, const char *key,
+             const char *format, ...)
+{
   va_list args;
   va_start (args, format);
-  g_string_append_vprintf (line, format, args);
+  add_entry (ini, ini->problems, group, key, format, args);
+  va_end (args);
+}
+
+static void tolerate (struct ini *ini, const char *group, const char *key,
+                      const char *format, ...) G_GNUC_PRINTF (4, 5);
+
+/* Adds what is wrong with a key whose fallback value is used.  */
+static void
+tolerate (struct ini *ini, const char *group, const char *key,
+          const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  add_entry (ini, ini->tolerated, group, key, format, args);
   va_end (args);
-  g_ptr_array_add (ini->problems, g_string_free (line, FALSE));
 }
 
 /* Returns whether TEXT is IP:PORT, with an IPv6 address in brackets. Port 0 is
@@ -147,13 +176,19 @@
   return "";
 }
 
+static gboolean
+is_number (const struct ini_key *key)
+{
+  return key->type >= INI_COUNT && key->type <= INI_NUMBER;
+}
+
 /* Returns the allowed values of KEY for messages; the caller frees the text. */
 static char *
 allowed_text (const struct ini_key *key)
 {
   if (key->type == INI_CHOICE)
     return g_strjoinv (", ", (char **)key->choices);
-  if (key->type >= INI_COUNT && key->type <= INI_NUMBER)
+  if (is_number (key))
     return g_strdup_printf ("%s from %.12g to %.12g", type_allowed (key->type),
                             key->min, key->max);
   return g_strdup (type_allowed (key->type));
@@ -171,7 +206,8 @@
       *(guint64 *)field = (guint64)value;
       break;
     case INI_MS:
-      *(gint64 *)field = (gint64)value * MS_US;
+      /* Rounded down: most times are upper bounds. */
+      *(gint64 *)field = (gint64)(value * MS_US + ROUNDING_US);
       break;
     case INI_NUMBER:
       *(double *)field = value;
@@ -185,26 +221,32 @@
     }
 }
 
+/* Parses a decimal number without sign, with or without a fraction and an
+   exponent.  */
 static gboolean
-parse_number (const struct ini_key *key, const char *text, void *field)
+parse_decimal (const char *text, double *value)
+{
+  char *end;
+  if (!g_ascii_isdigit (text[0]) || strpbrk (text, "xX") != NULL)
+    return FALSE;
+  *value = g_ascii_strtod (text, &end);
+  return *end == '\0' && isfinite (*value);
+}
+
+/* Stores the number in TEXT, multiplied by SCALE to have the unit of KEY.  */
+static gboolean
+parse_number (const struct ini_key *key, const char *text, double scale,
+              void *field)
 {
   double value;
-  if (key->type == INI_NUMBER)
-    {
-      char *end;
-      value = g_ascii_strtod (text, &end);
-      if (end == text || *end != '\0' || !isfinite (value))
-        return FALSE;
-    }
-  else
-    {
-      guint64 integer;
-      if (!g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &integer, NULL))
-        return FALSE;
-      value = (double)integer;
-    }
+  if (!parse_decimal (text, &value))
+    return FALSE;
+  value *= scale;
   if (value < key->min || value > key->max)
     return FALSE;
+  if ((key->type == INI_COUNT || key->type == INI_BYTES)
+      && value != (double)(guint64)value)
+    return FALSE;
   store_number (key, value, field);
   return TRUE;
 }
@@ -278,7 +320,7 @@
     case INI_BYTES:
     case INI_MS:
     case INI_NUMBER:
-      return parse_number (key, text, field);
+      return parse_number (key, text, 1, field);
     case INI_CHOICE:
       return parse_choice (key, text, field);
     case INI_ID:
@@ -298,6 +340,26 @@
   return FALSE;
 }
 
+/* Reads the time KEY of GROUP into FIELD if it is given in seconds. Returns
+   FALSE if it is not. Otherwise TEXT, which the caller frees, is the value, and
+   VALID tells whether it could be stored.  */
+static gboolean
+read_seconds (struct ini *ini, const char *group, const char *name,
+              const struct ini_key *key, void *field, char **text,
+              gboolean *valid)
+{
+  if (key->in_seconds == NULL)
+    return FALSE;
+  *text = g_key_file_get_value (ini->file, group, key->in_seconds, NULL);
+  if (*text == NULL)
+    return FALSE;
+  if (g_key_file_has_key (ini->file, group, name, NULL))
+    ini_problem (ini, group, key->in_seconds,
+                 "is given in milliseconds too; allowed: one of both");
+  *valid = parse_number (key, g_strstrip (*text), SECOND_MS, field);
+  return TRUE;
+}
+
 /* Reads key NAME of GROUP into the field of TARGET that KEY describes. An
    absent key gets its fallback value; if it is required, a problem is added
    too.  */
@@ -306,16 +368,32 @@
               const struct ini_key *key, void *target)
 {
   void *field = (char *)target + key->offset;
-  g_autofree char *text = g_key_file_get_value (ini->file, group, name, NULL);
+  g_autofree char *text = NULL;
+  gboolean valid = FALSE;
+  if (read_seconds (ini, group, name, key, field, &text, &valid))
+    name = key->in_seconds;
+  else
+    {
+      text = g_key_file_get_value (ini->file, group, name, NULL);
+      valid = text != NULL && parse_value (key, g_strstrip (text), field);
+    }
+  if (valid)
+    return;
   if (text == NULL)
     {
       store_number (key, key->fallback, field);
       if (!key->required)
         return;
     }
-  else if (parse_value (key, g_strstrip (text), field))
-    return;
   g_autofree char *allowed = allowed_text (key);
+  if (ini->tolerated != NULL && text != NULL && !key->required
+      && is_number (key))
+    {
+      store_number (key, key->fallback, field);
+      tolerate (ini, group, name, "\"%.80s\" is replaced by %.12g; allowed: %s",
+                text, key->fallback, allowed);
+      return;
+    }
   /* The value is left out: it may be a secret entered in place of its digest,
      which must not be logged. */
   if (text == NULL)
@@ -331,7 +409,8 @@
 is_known_key (const struct ini_key *keys, guint n_keys, const char *name)
 {
   for (guint i = 0; i < n_keys; i++)
-    if (strcmp (keys[i].name, name) == 0)
+    if (strcmp (keys[i].name, name) == 0
+        || g_strcmp0 (keys[i].in_seconds, name) == 0)
       return TRUE;
   return FALSE;
 }
--- a/packages/config/ini.h
+++ b/packages/config/ini.h
@@ -13,13 +13,13 @@
 /* Types of values, with the C type of the target field.
    X (TYPE, "allowed values, for messages") */
 #define INI_TYPES(X)                                                           \
-  X (BOOL, "yes or no")                    /* gboolean */                      \
-  X (COUNT, "a whole number")              /* guint */                         \
-  X (BYTES, "a whole number")              /* guint64 */                       \
-  X (MS, "a whole number of milliseconds") /* gint64, microseconds */          \
-  X (NUMBER, "a decimal number")           /* double */                        \
-  X (CHOICE, "one of the names")           /* int, index of the name */        \
-  X (ID, "1 to 63 of A-Z a-z 0-9 . _ -")   /* struct str_id */                 \
+  X (BOOL, "yes or no")                  /* gboolean */                        \
+  X (COUNT, "a whole number")            /* guint */                           \
+  X (BYTES, "a whole number")            /* guint64 */                         \
+  X (MS, "a number of milliseconds")     /* gint64, microseconds */            \
+  X (NUMBER, "a decimal number")         /* double */                          \
+  X (CHOICE, "one of the names")         /* int, index of the name */          \
+  X (ID, "1 to 63 of A-Z a-z 0-9 . _ -") /* struct str_id */                   \
   X (ADDRESS, "IP:PORT, such as 10.0.0.1:80 or [::1]:80") /* char[64] */       \
   X (LISTEN, "IP:PORT, with port 0 the kernel chooses")   /* char[64] */       \
   X (DIGEST, "64 hexadecimal digits of a SHA-256") /* char[65], lower case */  \
@@ -44,6 +44,8 @@
   double fallback;            /* value if an optional number, bool or choice is
                                  absent; in the same unit */
   const char *const *choices; /* INI_CHOICE: names, NULL-terminated */
+  const char *in_seconds;     /* INI_MS: name under which the same time may be
+                                 given in seconds instead; NULL: none */
 };
 
 struct ini
@@ -52,6 +54,10 @@
   const char *source;  /* file name, for messages and ini_load; NULL: none;
                           borrowed */
   GPtrArray *problems; /* of char *, borrowed; each problem adds one entry */
+  /* For text that is filled in from a template; NULL: each problem counts.
+     Optional numbers that are empty or wrong get their fallback value, with an
+     entry here. Borrowed.  */
+  GPtrArray *tolerated;
 };
 
 int ini_open (struct ini *ini, const char *text, gsize n);
--- a/packages/gate/config_wait.c
+++ b/packages/gate/config_wait.c
@@ -81,7 +81,7 @@
 {
   if (reverse_proxy->was_configured || reverse_proxy->routing_table == NULL
       || !registry_is_loaded (reverse_proxy->options.registry)
-      || (reverse_proxy->options.key_freshness_limit_us > 0
+      || (reverse_proxy->options.limits.key_freshness_limit_us > 0
           && reverse_proxy->freshness.confirmed_at == 0))
     return;
   reverse_proxy->was_configured = TRUE;
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -149,6 +149,23 @@
   return freshness_age (&reverse_proxy->freshness, now);
 }
 
+/* Replaces the limits. A shutdown that has begun keeps its limit.  */
+void
+proxy_set_limits (struct reverse_proxy *reverse_proxy,
+                  const struct proxy_limits *limits)
+{
+  struct proxy_limits *mine = &reverse_proxy->options.limits;
+  gint64 shutdown_limit_us = mine->shutdown_limit_us;
+  GHashTableIter iter;
+  gpointer value;
+  *mine = *limits;
+  if (reverse_proxy->shutdown_started != 0)
+    mine->shutdown_limit_us = shutdown_limit_us;
+  g_hash_table_iter_init (&iter, reverse_proxy->retry_budgets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct retry_budget *)value)->options = limits->budget;
+}
+
 /* Sets the number of instances that share the retry budgets.  */
 void
 proxy_set_instances (struct reverse_proxy *reverse_proxy, guint instances)
@@ -209,11 +226,11 @@
   return reverse_proxy->shutdown_started == 0
          && reverse_proxy->routing_table != NULL
          && registry_is_loaded (reverse_proxy->options.registry)
-         && (reverse_proxy->options.key_freshness_limit_us == 0
+         && (reverse_proxy->options.limits.key_freshness_limit_us == 0
              || freshness_is_within (
                  &reverse_proxy->freshness,
                  clk_now (reverse_proxy->options.clk),
-                 reverse_proxy->options.key_freshness_limit_us));
+                 reverse_proxy->options.limits.key_freshness_limit_us));
 }
 
 /* Calls CLOSE, which may free its argument, for every client connection.  */
@@ -253,7 +270,7 @@
 static struct shutdown_end
 shutdown_end (const struct reverse_proxy *reverse_proxy, gint64 late_us)
 {
-  gint64 limit = reverse_proxy->options.shutdown_limit_us;
+  gint64 limit = reverse_proxy->options.limits.shutdown_limit_us;
   if (limit == 0)
     return (struct shutdown_end){ G_MAXINT64, G_MAXINT64 };
   gint64 reserve = MIN (SHUTDOWN_MARGIN_US + SHUTDOWN_RESPONSE_US + late_us,
@@ -268,7 +285,7 @@
 gboolean
 proxy_ends_before (const struct reverse_proxy *reverse_proxy, gint64 deadline)
 {
-  gint64 limit = reverse_proxy->options.shutdown_limit_us;
+  gint64 limit = reverse_proxy->options.limits.shutdown_limit_us;
   gint64 now = clk_now (reverse_proxy->options.clk);
   if (reverse_proxy->shutdown_started == 0 || limit == 0
       || now - reverse_proxy->shutdown_requested
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -27,6 +27,17 @@
   char address[ERR_PEER_MAX]; /* for clients, IP:PORT */
 };
 
+/* Limits that may change while the proxy runs.  */
+struct proxy_limits
+{
+  struct retry_budget_options budget; /* of retries, for each service */
+  /* Highest configuration age at which team keys are accepted; 0: no limit. */
+  gint64 key_freshness_limit_us;
+  /* Longest time from the request for a shutdown to the end of the process; 0:
+     no limit. */
+  gint64 shutdown_limit_us;
+};
+
 struct proxy_options
 {
   const char *listen;                      /* address for clients, IP:PORT */
@@ -35,15 +46,10 @@
   struct counter_set *counter_set;     /* borrowed */
   struct histogram_set *histogram_set; /* borrowed */
   const char *chart; /* path of exchange.chart, not used after the call */
-  struct registry *registry;          /* borrowed */
-  struct scheduler *scheduler;        /* borrowed */
-  struct suspects *suspects;          /* borrowed; NULL: no part is held */
-  struct retry_budget_options budget; /* of retries, for each service */
-  /* Highest configuration age at which team keys are accepted; 0: no limit. */
-  gint64 key_freshness_limit_us;
-  /* Longest time from the request for a shutdown to the end of the process; 0:
-     no limit. */
-  gint64 shutdown_limit_us;
+  struct registry *registry;   /* borrowed */
+  struct scheduler *scheduler; /* borrowed */
+  struct suspects *suspects;   /* borrowed; NULL: no part is held */
+  struct proxy_limits limits;
   void (*shutdown_done) (
       void *ctx); /* the shutdown is complete, or its limit is almost reached */
   /* A request with a prompt is about to be sent to SERVER, AT_HOME as in struct
@@ -67,6 +73,8 @@
 int proxy_new (const struct proxy_options *options,
                struct reverse_proxy **result, struct err *err);
 void proxy_free (struct reverse_proxy *reverse_proxy);
+void proxy_set_limits (struct reverse_proxy *reverse_proxy,
+                       const struct proxy_limits *limits);
 void proxy_set_table (struct reverse_proxy *reverse_proxy,
                       struct routing_table *routing_table);
 void proxy_confirm_version (struct reverse_proxy *reverse_proxy,
--- a/packages/jacinthward/main.c
+++ b/packages/jacinthward/main.c
@@ -111,40 +111,55 @@
   return status;
 }
 
-/* As on_router_signal.  */
+/* What the handler of a reverse proxy's signals needs.  */
+struct proxy_process
+{
+  struct proxy_daemon *daemon;
+  const char *settings_path; /* borrowed */
+};
+
+/* As on_router_signal, but SIGHUP reloads the limits.  */
 static void
 on_proxy_signal (void *ctx, int signal, gint64 arrived_at)
 {
-  struct proxy_daemon *daemon = *(struct proxy_daemon **)ctx;
+  const struct proxy_process *process = ctx;
+  struct proxy_daemon *daemon = process->daemon;
   if (signal == SIGHUP)
-    proxy_daemon_reload (daemon);
+    proxy_daemon_reload (daemon, process->settings_path);
   else if (signal == SIGINT && proxy_daemon_is_stopping (daemon))
     proxy_daemon_quit (daemon);
   else
     proxy_daemon_shut_down (daemon, arrived_at);
 }
 
+/* Runs a reverse proxy with SETTINGS, which were read from PATH. TOLERATED
+   tells which of them have their defaults because they are wrong.  */
 static int
-run_proxy (const struct proxy_settings *settings)
+run_proxy (const struct proxy_settings *settings, const char *path,
+           const GPtrArray *tolerated)
 {
-  struct proxy_daemon *daemon = NULL;
+  struct proxy_process process = { .settings_path = path };
   struct signal_watch *signal_watch = NULL;
   struct err err = { 0 };
   const struct signal_watch_options options = { .signals = watched_signals,
                                                 .clk = clk_boottime (),
                                                 .handler = on_proxy_signal,
-                                                .ctx = &daemon };
+                                                .ctx = &process };
   int status = EXIT_START;
   if (log_open (settings->id.s, settings->log_level) < 0)
     g_printerr ("jacinthward: cannot open the log\n");
+  for (guint i = 0; i < tolerated->len; i++)
+    log_event (LOG_ERROR, "settings.replaced", "%s",
+               (const char *)g_ptr_array_index (tolerated, i));
   signal_watch = signal_watch_new (&options, &err);
-  if (signal_watch == NULL || proxy_daemon_new (settings, &daemon, &err) < 0)
+  if (signal_watch == NULL
+      || proxy_daemon_new (settings, &process.daemon, &err) < 0)
     {
       g_printerr ("jacinthward: %s: %s: %s\n", err.step, err.peer, err.text);
       goto fail;
     }
-  proxy_daemon_run (daemon);
-  proxy_daemon_free (daemon);
+  proxy_daemon_run (process.daemon);
+  proxy_daemon_free (process.daemon);
   status = EXIT_SUCCESS;
 fail:
   signal_watch_free (signal_watch);
@@ -159,8 +174,12 @@
 {
   struct proxy_settings settings = { 0 };
   GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *tolerated = g_ptr_array_new_with_free_func (g_free);
   int status = EXIT_SUCCESS;
-  if (proxy_settings_read (&settings, arguments->settings, problems) < 0)
+  if (proxy_settings_read (&settings, arguments->settings, problems,
+                           arguments->check ? problems : tolerated)
+          < 0
+      || (arguments->check && problems->len > 0))
     status = EXIT_SETTINGS;
   for (guint i = 0; i < problems->len; i++)
     g_printerr ("jacinthward: %s\n",
@@ -168,8 +187,9 @@
   if (status == EXIT_SUCCESS && arguments->check)
     g_print ("%s: no problems\n", arguments->settings);
   else if (status == EXIT_SUCCESS)
-    status = run_proxy (&settings);
+    status = run_proxy (&settings, arguments->settings, tolerated);
   g_ptr_array_unref (problems);
+  g_ptr_array_unref (tolerated);
   proxy_settings_clear (&settings);
   return status;
 }
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -293,6 +293,20 @@
   return FALSE;
 }
 
+static struct proxy_limits
+limits_of (const struct proxy_settings *settings)
+{
+  gint64 key_limit_us = settings->key_freshness_limit_us;
+  return (struct proxy_limits){
+    .budget = { .ratio = settings->retry_ratio,
+                .slack = settings->retry_slack,
+                .window_us = settings->retry_window_us },
+    .key_freshness_limit_us
+    = key_limit_us > 0 ? MAX (key_limit_us - KEY_FRESHNESS_MARGIN_US, 1) : 0,
+    .shutdown_limit_us = settings->shutdown_limit_us
+  };
+}
+
 static int
 open_proxy (struct proxy_daemon *daemon, struct err *err)
 {
@@ -309,14 +323,7 @@
           .registry = daemon->registry,
           .scheduler = daemon->scheduler,
           .suspects = daemon->suspects,
-          .budget = { .ratio = settings->retry_ratio,
-                      .slack = settings->retry_slack,
-                      .window_us = settings->retry_window_us },
-          .key_freshness_limit_us
-          = settings->key_freshness_limit_us > 0 ? MAX (
-                settings->key_freshness_limit_us - KEY_FRESHNESS_MARGIN_US, 1)
-                                                 : 0,
-          .shutdown_limit_us = settings->shutdown_limit_us,
+          .limits = limits_of (settings),
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
           .brittle_full = on_brittle_full,
@@ -429,12 +436,25 @@
   g_free (daemon);
 }
 
+static void
+log_limits (const char *event, const struct proxy_settings *settings)
+{
+  log_event (LOG_INFO, event,
+             "key_limit_us=%" G_GINT64_FORMAT " grace_us=%" G_GINT64_FORMAT
+             " drain_us=%" G_GINT64_FORMAT " retry_ratio=%g retry_slack=%g"
+             " retry_window_us=%" G_GINT64_FORMAT,
+             settings->key_freshness_limit_us, settings->shutdown_limit_us,
+             settings->drain_us, settings->retry_ratio, settings->retry_slack,
+             settings->retry_window_us);
+}
+
 void
 proxy_daemon_run (struct proxy_daemon *daemon)
 {
   log_event (LOG_INFO, "process.start", "callers=%s domain=%s region=%s",
              daemon->settings->listen_clients, daemon->settings->domain.s,
              daemon->settings->region.s);
+  log_limits ("settings.limits", daemon->settings);
   g_main_loop_run (daemon->loop);
   log_event (LOG_INFO, "process.stop", "pauses=%" G_GUINT64_FORMAT,
              daemon->counter_set.v[COUNTER_PAUSES]);
@@ -466,10 +486,25 @@
   g_main_loop_quit (daemon->loop);
 }
 
+/* Takes over the limits of the settings file PATH, which has changed. If
+   anything in it is wrong, all that was in force stays. Other settings are read
+   at startup only.  */
 void
-proxy_daemon_reload (struct proxy_daemon *daemon)
+proxy_daemon_reload (struct proxy_daemon *daemon, const char *path)
 {
-  (void)daemon;
-  log_event (LOG_INFO, "process.reload",
-             "nothing was reloaded: settings are read at startup only");
+  GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
+  struct proxy_settings settings;
+  proxy_settings_read (&settings, path, problems, problems);
+  for (guint i = 0; i < problems->len; i++)
+    log_event (LOG_ERROR, "settings.rejected", "%s",
+               (const char *)g_ptr_array_index (problems, i));
+  if (problems->len == 0)
+    {
+      const struct proxy_limits limits = limits_of (&settings);
+      proxy_set_limits (daemon->reverse_proxy, &limits);
+      registry_set_drain_time (daemon->registry, settings.drain_us);
+      log_limits ("process.reload", &settings);
+    }
+  g_ptr_array_unref (problems);
+  proxy_settings_clear (&settings);
 }
--- a/packages/jacinthward/proxy_daemon.h
+++ b/packages/jacinthward/proxy_daemon.h
@@ -20,7 +20,6 @@
 gboolean proxy_daemon_is_stopping (const struct proxy_daemon *daemon);
 /* Ends at once, with what is in progress. */
 void proxy_daemon_quit (struct proxy_daemon *daemon);
-/* Called on SIGHUP. Only logs that no setting can be reloaded. */
-void proxy_daemon_reload (struct proxy_daemon *daemon);
+void proxy_daemon_reload (struct proxy_daemon *daemon, const char *path);
 
 #endif
--- a/packages/sched/retry_budget.c
+++ b/packages/sched/retry_budget.c
@@ -53,7 +53,7 @@
       retries += budget->buckets[i].retries;
     }
   double allowed = budget->options.ratio * requests
-                   + (double)budget->options.slack / MAX (instances, 1);
+                   + budget->options.slack / MAX (instances, 1);
   return retries + 1 <= USABLE_SHARE * allowed;
 }
 
--- a/packages/sched/retry_budget.h
+++ b/packages/sched/retry_budget.h
@@ -11,7 +11,7 @@
 struct retry_budget_options
 {
   double ratio;     /* retries allowed for each request */
-  guint slack;      /* further retries of all instances together in a window */
+  double slack;     /* further retries of all instances together in a window */
   gint64 window_us; /* length of the window */
 };
 
--- a/packages/settings/proxy_settings.c
+++ b/packages/settings/proxy_settings.c
@@ -40,12 +40,14 @@
   KEY (LISTEN, "callers", listen_clients, REQUIRED),
   KEY (LISTEN, "ready", listen_ready, REQUIRED),
   KEY (LISTEN, "metrics", listen_metrics, OPTIONAL),
-  KEY (MS, "key_limit_ms", key_freshness_limit_us, OPTIONAL, 0, HOUR_MS, 0),
-  KEY (MS, "grace_ms", shutdown_limit_us, OPTIONAL, 0, HOUR_MS, 8000),
+  KEY (MS, "key_limit_ms", key_freshness_limit_us, OPTIONAL, 0, HOUR_MS, 5000),
+  KEY (MS, "grace_ms", shutdown_limit_us, OPTIONAL, 0, HOUR_MS, 8000,
+       .in_seconds = "grace_s"),
   KEY (MS, "drain_ms", drain_us, OPTIONAL, 0, HOUR_MS, 3000),
   KEY (NUMBER, "retry_ratio", retry_ratio, OPTIONAL, 0, 10, 0.1),
-  KEY (COUNT, "retry_slack", retry_slack, OPTIONAL, 0, 100000, 20),
-  KEY (MS, "retry_window_ms", retry_window_us, OPTIONAL, 1000, HOUR_MS, 10000),
+  KEY (NUMBER, "retry_slack", retry_slack, OPTIONAL, 0, 100000, 20),
+  KEY (MS, "retry_window_ms", retry_window_us, OPTIONAL, 1000, HOUR_MS, 10000,
+       .in_seconds = "retry_window_s"),
 };
 
 static const struct ini_key peers_keys[] = {
@@ -141,16 +143,18 @@
 }
 
 /* Reads the settings file PATH into SETTINGS. The caller always has to call
-   proxy_settings_clear afterwards. Returns < 0 if anything is invalid, with one
-   newly allocated string added to PROBLEMS for each problem. Blocks; for use at
-   startup only.  */
+   proxy_settings_clear afterwards. Returns < 0 if the instance can't run with
+   them, with one newly allocated string added to PROBLEMS for each problem. An
+   optional number that can't be read gets its default, with a string added to
+   TOLERATED. Blocks.  */
 int
 proxy_settings_read (struct proxy_settings *settings, const char *path,
-                     GPtrArray *problems)
+                     GPtrArray *problems, GPtrArray *tolerated)
 {
   memset (settings, 0, sizeof *settings);
   guint before = problems->len;
-  struct ini ini = { .source = path, .problems = problems };
+  struct ini ini
+      = { .source = path, .problems = problems, .tolerated = tolerated };
   int code = ini_load (&ini, FILE_MAX);
   if (code == 0)
     read_groups (&ini, settings);
--- a/packages/settings/proxy_settings.h
+++ b/packages/settings/proxy_settings.h
@@ -1,5 +1,6 @@
 /* The settings of a reverse proxy: an instance that forwards requests by host
-   and path. Read once at startup from an INI file.  */
+   and path. Read at startup from an INI file, which may be filled in from a
+   template; checked again when it has changed.  */
 #ifndef PROXY_SETTINGS_H
 #define PROXY_SETTINGS_H
 
@@ -45,7 +46,7 @@
   gint64 drain_us;    /* how long a backend server may get new requests after it
                          has said that it is leaving */
   double retry_ratio; /* retries allowed per request */
-  guint retry_slack;  /* retries allowed beyond that ratio, for all instances
+  double retry_slack; /* retries allowed beyond that ratio, for all instances
                          together in one window */
   gint64 retry_window_us;
 
@@ -54,7 +55,7 @@
 
 gboolean proxy_settings_detect (const char *path);
 int proxy_settings_read (struct proxy_settings *settings, const char *path,
-                         GPtrArray *problems);
+                         GPtrArray *problems, GPtrArray *tolerated);
 void proxy_settings_clear (struct proxy_settings *settings);
 
 #endif
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -319,9 +319,10 @@
           .suspects = proxy_test_suspects,
           .peers_sure_at = proxy_test_peers_sure_at,
           .choose_peer = proxy_test_choose_peer,
-          .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
-          .key_freshness_limit_us = 2 * CLK_S,
-          .shutdown_limit_us = proxy_test_shutdown_limit_us,
+          .limits
+          = { .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
+              .key_freshness_limit_us = 2 * CLK_S,
+              .shutdown_limit_us = proxy_test_shutdown_limit_us },
           .shutdown_done = proxy_test_on_shutdown_done };
   g_assert_cmpint (proxy_new (&options, &proxy_test.reverse_proxy, &err), ==,
                    0);
