Let a client's deadline with a fraction bind

The field was read as a whole number only and ignored otherwise; it is read as a decimal number now.

test_gate "a deadline with a fraction" failed on (the deadline sent on was the route's), passes now.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -237,12 +237,12 @@
 set_deadline (struct exchange *exchange)
 {
   struct str text;
-  guint64 ms;
+  double ms;
   gint64 us = exchange->route->timeout_us;
   if (http_head_get (exchange->head,
                      exchange->reverse_proxy->header_names->deadline_ms, &text)
-      && http_parse_number (text, &ms) && ms < G_MAXINT32)
-    us = MIN (us, (gint64)ms * CLK_MS);
+      && http_parse_decimal (text, &ms) && ms < G_MAXINT32)
+    us = MIN (us, (gint64)(ms * (double)CLK_MS));
   exchange->deadline = exchange->arrived + us;
   gint64 left = MAX (exchange->deadline - exchange_now (exchange), 0);
   g_clear_handle_id (&exchange->timer, g_source_remove);
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -664,6 +664,21 @@
   proxy_test_stop ();
 }
 
+/* A deadline with a fraction binds as a whole number does.  */
+static void
+test_deadline_with_fraction (void)
+{
+  proxy_test_start (1);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  CU_ASSERT_EQUAL (
+      proxy_test_request_status ("/again/x", "X-Deadline-Ms: 899.5\r\n"), 200);
+  CU_ASSERT_EQUAL_FATAL (proxy_test_n_requests (), 1);
+  int left
+      = atoi (proxy_test_field (proxy_test_request_at (0), "x-deadline-ms"));
+  CU_ASSERT_TRUE (left > 500 && left < 900);
+  proxy_test_stop ();
+}
+
 /* A server that does not accept connections: no byte was sent, so even a
    non-idempotent request may be sent to another server.  */
 static void
@@ -810,6 +825,7 @@
   { "Keep-Alive in any case", test_keep_alive_any_case },
   { "a client that disconnects", test_client_disconnects },
   { "deadline", test_deadline },
+  { "a deadline with a fraction", test_deadline_with_fraction },
   { "an unreachable server", test_server_unreachable },
   { "no server", test_no_server },
   { "leaving servers", test_leaving_servers },
