Move what crashes make suspect into a file of its own

Functions are moved as they were; those that both files use get the module's prefix.

test_suspects, test_suspect_requests, test_held_sound_part and test_server_check pass as before.

--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -14,6 +14,12 @@
    by one such part at a time. A fingerprint is tried by one request at a time
    from the first suspicion on.  */
 #define SUSPECTS_WEIGHT_TRIAL 2
+/* Weight of a crash under an attempt that the server had begun to work on. */
+#define SUSPECTS_WEIGHT_BEGUN 2
+/* From here on a request is tried only where the service keeps a server. */
+#define SUSPECTS_WEIGHT_DANGEROUS 4
+#define SUSPECTS_WEIGHT_HELD 5 /* from here on requests are rejected */
+#define SUSPECTS_WEIGHT_MAX 255
 
 /* An attempt that broke off, whose server may have ended.  */
 struct suspects_broken
@@ -95,6 +101,9 @@
 gboolean suspects_needs_trial (const struct suspects *suspects, guint64 key);
 gboolean suspects_is_held (const struct suspects *suspects, guint64 key);
 gint64 suspects_hold_us (guint weight);
+guint suspects_highest_weight (const struct suspects_crash *crash);
+const char *suspects_kind_name (guint64 key);
+void suspects_log_part (const char *event, guint64 key, guint weight);
 
 /* Trials and claims of them. */
 void suspects_trials_init (struct suspects *suspects);
