Keep in the store what ends servers, so that a loss of power does not forget it

Cause: crashes and holds were in the memory of the instances only. Ruled out by the logs: that the fingerprint changes with the start (it is the same), and that the hold is known but not applied (part.suspected begins at weight 2 again).

What makes a part suspect is saved in one object of the store before the part's next trial, so that not even a loss between two crashes costs a server for nothing; an instance that starts loads it first. Instances join what they know under the condition of the object's version. A store that can't be written delays the next trial until 20 s after the last crash.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -47,6 +47,8 @@
      "requests or parts of prompts held for crashing servers")                 \
   X (PART_REJECTED, "part_refused",                                            \
      "requests rejected as one of these is held")                              \
+  X (CRASHES_SAVED, "crashes_saved", "times that crashes were saved")          \
+  X (CRASHES_UNSAVED, "crashes_unsaved", "failures to save or load crashes")   \
   X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
   X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
   X (LIMITS_INVALID, "limits_invalid",                                         \
--- a/packages/gate/part_trial.c
+++ b/packages/gate/part_trial.c
@@ -106,6 +106,22 @@
     exchange_reject (exchange, 503, reason, MAX (until - now, CLK_S));
 }
 
+/* Rejects the request for a trial that has to wait until the store is back.
+   Another instance may reach it. Frees EXCHANGE.  */
+static void
+reject_unsaved (struct exchange *exchange)
+{
+  static const char reason[] = "crash_not_saved";
+  struct log_entry e = exchange_log_record (exchange, "request.refused", NULL);
+  log_write (&e, "reason=%s parts=%s fingerprints=%s", reason,
+             exchange_logged_parts (exchange).text,
+             exchange_logged_fingerprints (exchange).text);
+  if (exchange->head_sent)
+    exchange_abort (exchange, reason);
+  else
+    exchange_reject (exchange, 503, reason, CLK_S);
+}
+
 /* Returns whether requests may be suspected at all at present.  */
 gboolean
 part_trial_is_active (const struct reverse_proxy *reverse_proxy)
@@ -180,6 +196,9 @@
     case SUSPECTS_WAIT:
       wait_for_trial (exchange);
       return FALSE;
+    case SUSPECTS_UNSAVED:
+      reject_unsaved (exchange);
+      return FALSE;
     case SUSPECTS_HELD:
       reject_held (exchange);
       return FALSE;
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -15,6 +15,9 @@
 #define NEWS_INTERVAL_US                                                       \
   (20 * CLK_MS) /* between two rounds of messages that are not due yet */
 #define NEWS_MAX_MS 20
+/* From the start, requests wait so long at most for the crashes that were saved
+   before. */
+#define CRASHES_LOAD_US (1500 * CLK_MS)
 #define PAUSE_THRESHOLD_US                                                     \
   (1 * CLK_S) /* a tick this late means that the process was suspended or      \
                  starved */
@@ -115,6 +118,21 @@
         on_news_due, daemon, NULL);
 }
 
+static void
+on_crash_to_save (void *ctx)
+{
+  struct proxy_daemon *daemon = ctx;
+  crash_keeper_hurry (daemon->crash_keeper);
+}
+
+/* Requests may have waited for it.  */
+static void
+on_crashes_loaded (void *ctx)
+{
+  struct proxy_daemon *daemon = ctx;
+  proxy_poll (daemon->reverse_proxy);
+}
+
 /* A brittle server has turned a request away: tells peers at once.  */
 static void
 on_brittle_full (void *ctx)
@@ -207,6 +225,8 @@
   daemon->last_tick = now;
   registry_tick (daemon->registry, now);
   suspects_expire (daemon->suspects, now);
+  crash_keeper_step (daemon->crash_keeper,
+                     gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
   send_state_to_peers (daemon, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
@@ -391,9 +411,19 @@
       = { .seed = g_rand_int (daemon->rand),
           .counter_set = &daemon->counter_set,
           .changed = on_news,
+          .save = on_crash_to_save,
+          .load_until = now + CRASHES_LOAD_US,
           .ctx = daemon };
   daemon->scheduler = scheduler_new (&scheduler_options, now);
   daemon->suspects = suspects_new (&suspects_options);
+  const struct crash_keeper_options keeper_options
+      = { .store_address = settings->store_address,
+          .clk = daemon->clk,
+          .counter_set = &daemon->counter_set,
+          .suspects = daemon->suspects,
+          .loaded = on_crashes_loaded,
+          .ctx = daemon };
+  daemon->crash_keeper = crash_keeper_new (&keeper_options);
   daemon->adapter = adapter_new (&adapter_options);
   int code = open_proxy (daemon, err);
   proxy_daemon_sync_init (daemon, now);
@@ -428,6 +458,7 @@
   g_array_unref (daemon->limit_members);
   g_array_unref (daemon->relays);
   scheduler_free (daemon->scheduler);
+  crash_keeper_free (daemon->crash_keeper);
   suspects_free (daemon->suspects);
   registry_free (daemon->registry);
   topology_free (daemon->topology);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -8,6 +8,7 @@
 #include "fleet/store_era.h"
 #include "gate/reverse_proxy.h"
 #include "http/server.h"
+#include "jacinthward/crash_keeper.h"
 #include "jacinthward/proxy_daemon.h"
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
@@ -47,6 +48,7 @@
   struct registry *registry;
   struct scheduler *scheduler;
   struct suspects *suspects;
+  struct crash_keeper *crash_keeper;
   guint news_source;    /* GLib source: on_news_due; 0: none */
   gboolean news_is_own; /* something was seen here since */
   gint64 news_sent_at;  /* clock time */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -87,6 +87,7 @@
               .level = LOG_WARN, .event = "store.new_era", .peer = peer },
           "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT, era, before);
       registry_store_failed (daemon->registry, clk_now (daemon->clk));
+      crash_keeper_store_changed (daemon->crash_keeper);
       break;
     case STORE_ERA_OLDER:
       log_write (&(struct log_entry){ .level = peer ? LOG_DEBUG : LOG_WARN,
--- a/packages/policy/crash_exchange.c
+++ b/packages/policy/crash_exchange.c
@@ -44,22 +44,31 @@
   return n;
 }
 
+/* Returns the crash with ID, NULL if it is not known. Valid until the next
+   change.  */
+struct suspects_crash *
+suspects_find_crash (struct suspects *suspects, guint64 id)
+{
+  for (guint i = 0; i < suspects->n_crashes; i++)
+    if (suspects->crashes[i].id == id)
+      return &suspects->crashes[i];
+  return NULL;
+}
+
 /* Adds what a peer has told. CRASH is copied; its private members count for
    nothing.  */
 void
 suspects_merge (struct suspects *suspects, const struct suspects_crash *crash)
 {
-  struct suspects_crash *known = NULL;
+  struct suspects_crash *known = suspects_find_crash (suspects, crash->id);
   gboolean changed = FALSE;
   gboolean is_new = FALSE;
-  for (guint i = 0; i < suspects->n_crashes; i++)
-    if (suspects->crashes[i].id == crash->id)
-      known = &suspects->crashes[i];
   if (known == NULL)
     {
       known = suspects_add_crash (suspects);
       *known = *crash;
-      known->own = known->tell = FALSE;
+      known->own = known->tell = known->wanted = FALSE;
+      known->saved = 0;
       is_new = TRUE;
       suspects->last_crash_at = MAX (suspects->last_crash_at, crash->at);
       changed = TRUE;
--- a/packages/policy/crash_suspects.c
+++ b/packages/policy/crash_suspects.c
@@ -379,6 +379,8 @@
   crash->id = (guint64)g_rand_int (suspects->rand) << 32;
   crash->id |= g_rand_int (suspects->rand);
   memcpy (crash->weights, weights, sizeof weights);
+  if (most >= SUSPECTS_WEIGHT_DANGEROUS && suspects->options.save != NULL)
+    suspects->options.save (suspects->options.ctx);
   /* A crash that says nothing of a part counts for none of it. */
   for (guint i = 0; i < crash->parts.n; i++)
     crash->cleared[i] = weights[i] == 0;
@@ -445,6 +447,15 @@
     }
 }
 
+/* Returns how long CRASH is known after it has happened.  */
+gint64
+suspects_kept_us (const struct suspects_crash *crash)
+{
+  guint weight = suspects_highest_weight (crash);
+  return weight >= SUSPECTS_WEIGHT_HELD ? HOLDS_KEPT * suspects_hold_us (weight)
+                                        : CRASH_KEPT_US;
+}
+
 /* Forgets what is out of date.  */
 void
 suspects_expire (struct suspects *suspects, gint64 now)
@@ -461,11 +472,8 @@
     }
   for (guint i = suspects->n_crashes; i-- > 0;)
     {
-      guint weight = suspects_highest_weight (&suspects->crashes[i]);
-      gint64 kept = weight >= SUSPECTS_WEIGHT_HELD
-                        ? HOLDS_KEPT * suspects_hold_us (weight)
-                        : CRASH_KEPT_US;
-      if (now - suspects->crashes[i].at < kept)
+      const struct suspects_crash *crash = &suspects->crashes[i];
+      if (now - crash->at < suspects_kept_us (crash))
         continue;
       suspects->crashes[i] = suspects->crashes[--suspects->n_crashes];
       changed = TRUE;
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -8,6 +8,8 @@
 
    Instances exchange the crashes that they have seen and what has been cleared
    since. Both only grow, so the order in which news arrives does not matter.
+   Crashes can be kept in a store, so that they are known when all instances
+   have ended (crash_records.h).
    Does no I/O; times are clock times in microseconds.  */
 #ifndef CRASH_SUSPECTS_H
 #define CRASH_SUSPECTS_H
@@ -37,9 +39,11 @@
 enum suspects_verdict
 {
   SUSPECTS_FREE,
-  SUSPECTS_TRIAL, /* may be sent, alone among those with the suspected part */
-  SUSPECTS_WAIT,  /* a trial or a check of a server is in progress */
-  SUSPECTS_HELD   /* to be rejected */
+  SUSPECTS_TRIAL,   /* may be sent, alone among those with the suspected part */
+  SUSPECTS_WAIT,    /* a trial or a check of a server is in progress */
+  SUSPECTS_UNSAVED, /* to be rejected: a trial is due, but what is known cannot
+                       be saved first */
+  SUSPECTS_HELD     /* to be rejected */
 };
 
 /* What a check of a server that has broken off an attempt has found out.  */
@@ -64,6 +68,8 @@
   guint64 changed; /* number of the last change */
   gboolean own;    /* seen here */
   gboolean tell;   /* changed here; otherwise a peer has told it */
+  guint64 saved;   /* CHANGED of what the store is known to have; 0: nothing */
+  gboolean wanted; /* a trial waits until it is saved */
 };
 
 /* An attempt at a server. Owned by its user.  */
@@ -95,6 +101,11 @@
   /* Something has changed that peers or waiting requests should know of soon.
      May be NULL. */
   void (*changed) (void *ctx, gboolean own);
+  /* A crash is to be saved now: a trial waits for it, or it is the further one
+     of a series. NULL: crashes are not saved. */
+  void (*save) (void *ctx);
+  gint64 load_until; /* until what was saved is loaded, requests wait, but not
+                        longer; 0: not at all */
   void *ctx;
 };
 
--- a/packages/policy/crash_suspects_internal.h
+++ b/packages/policy/crash_suspects_internal.h
@@ -79,6 +79,8 @@
   guint n_claims;
   GHashTable *peers;               /* IP: struct peer_trials, owned */
   gboolean told_trials;            /* the last message to a peer had some */
+  gboolean loaded;                 /* what was saved before */
+  gboolean saving_fails;           /* at present */
   guint64 held[SUSPECTS_HELD_MAX]; /* keys of the held parts */
   guint n_held;
   /* By their keys: parts of prompts, then fingerprints. */
@@ -105,6 +107,13 @@
 const char *suspects_kind_name (guint64 key);
 void suspects_log_part (const char *event, guint64 key, guint weight);
 
+gint64 suspects_kept_us (const struct suspects_crash *crash);
+struct suspects_crash *suspects_find_crash (struct suspects *suspects,
+                                            guint64 id);
+gboolean suspects_is_storable (const struct suspects_crash *crash);
+gboolean suspects_want_saved (struct suspects *suspects,
+                              const struct prompt_parts *parts, gint64 now);
+
 /* Trials and claims of them. */
 void suspects_trials_init (struct suspects *suspects);
 void suspects_trials_free (struct suspects *suspects);
--- a/packages/store/storage.h
+++ b/packages/store/storage.h
@@ -45,7 +45,8 @@
                             ERR_TIMEOUT, ERR_IO: a PUT may have taken effect;
                             ERR_TIMEOUT also ends a WATCH without a change */
   guint64 version;       /* of the object, if known */
-  GBytes *body;          /* GET, WATCH: the value, borrowed; else NULL */
+  GBytes *body;          /* GET, WATCH: the value, borrowed; ERR_CONFLICT: the
+                            one that is stored, NULL if not given; else NULL */
   gint64 retry_after_us; /* ERR_LIMIT, ERR_UNAVAILABLE: 0 if not given */
 };
 
--- a/tests/harness/proxy_fleet.h
+++ b/tests/harness/proxy_fleet.h
@@ -17,6 +17,13 @@
   char address[ERR_PEER_MAX];
 };
 
+/* A write that servers go on trying while the store is down.  */
+struct proxy_fleet_write
+{
+  char *name;
+  char *body; /* NULL: delete */
+};
+
 struct proxy_fleet
 {
   struct harness *harness;
@@ -25,6 +32,8 @@
   guint slots;    /* of servers listed from now on; 0: 64 */
   guint n_killed; /* instances */
   guint n_frozen; /* instances, now and before */
+  gboolean store_is_down;
+  GPtrArray *unwritten; /* of struct proxy_fleet_write, until it is back */
 };
 
 /* Starts the store, with the configuration of the file CONFIG.  */
@@ -34,6 +43,12 @@
 void proxy_fleet_launch (struct proxy_fleet *fleet);
 /* Kills the next instance and starts it again.  */
 void proxy_fleet_kill_instance (struct proxy_fleet *fleet);
+/* Kills all instances at once.  */
+void proxy_fleet_end_all (struct proxy_fleet *fleet);
+/* Starts all instances again.  */
+void proxy_fleet_start_all (struct proxy_fleet *fleet);
+/* The store responds to no call, or does so again.  */
+void proxy_fleet_set_store_down (struct proxy_fleet *fleet, gboolean down);
 /* Resumes the instance that is frozen, if one is, and freezes the next one.  */
 void proxy_fleet_freeze_next (struct proxy_fleet *fleet);
 /* Resumes the instance that is frozen, if one is.  */
--- a/tests/unit/test_held_sound_part.c
+++ b/tests/unit/test_held_sound_part.c
@@ -372,6 +372,7 @@
     case SUSPECTS_WAIT:
       g_queue_push_tail (&request->instance->waiting, request);
       return;
+    case SUSPECTS_UNSAVED:
     case SUSPECTS_HELD:
       if (!request->crashing && world->held_sound++ == 0)
         g_strlcpy (world->held, request->kind->parts, sizeof world->held);
