Bound the memory that an instance keeps for others

policy/memory_budget.c decides how much is kept for whom, gate/memory_relief.c counts and acts: from three quarters of the limit (a fifth of the machine's memory, the new setting memory_mb) servers are read only as fast as clients take it, responses with a length are relayed before they are complete, request bodies of over 64 KB wait for their turn; beyond it the least urgent of the largest is given up, truthfully, logged and counted. A response without a length that is given up, or goes on for over 1 MB until the deadline, is a failure of its server. Buffers are returned when they are empty, large ones to the system.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -17,6 +17,9 @@
   X (CLIENT_DISCONNECTED, "caller_gone", "clients that disconnected early")    \
   X (UNANSWERED, "unanswered",                                                 \
      "requests whose connection was closed without a complete response")       \
+  X (MEMORY_WAITS, "memory_waits", "request bodies that waited for memory")    \
+  X (MEMORY_SHORT, "memory_short",                                             \
+     "requests or connections given up as too much memory was kept")           \
   X (UNSENT, "unsent", "connections closed before all output was sent")        \
   X (CLIENT_SLOW, "caller_slow", "clients cut off for slow reads or writes")   \
   X (INVALID_REQUEST, "bad_request", "requests with invalid content")          \
--- a/packages/gate/closing_connection.c
+++ b/packages/gate/closing_connection.c
@@ -13,12 +13,14 @@
   struct reverse_proxy *reverse_proxy;
   struct tcp_conn *tcp_conn; /* frees itself after on_finished */
   GList link;
+  struct memory_keeper memory;
   char peer[ERR_PEER_MAX]; /* IP number, for the log */
 };
 
 static void
 closing_free (struct closing_connection *closing)
 {
+  memory_relief_remove (closing->reverse_proxy, &closing->memory);
   g_queue_unlink (&closing->reverse_proxy->closing, &closing->link);
   g_free (closing);
 }
@@ -56,6 +58,19 @@
   closing_free (closing);
 }
 
+struct tcp_conn *
+closing_tcp_conn (const struct closing_connection *closing)
+{
+  return closing->tcp_conn;
+}
+
+/* Closes the connection at once, to free the memory of its output.  */
+void
+closing_drop (struct closing_connection *closing)
+{
+  close_at_once (closing);
+}
+
 /* Closes connections with queued output, the oldest first, until OUTPUT_MAX is
    kept.  */
 static void
@@ -92,6 +107,8 @@
   g_strlcpy (closing->peer, peer, sizeof closing->peer);
   closing->link.data = closing;
   g_queue_push_tail_link (&reverse_proxy->closing, &closing->link);
+  closing->memory.closing = closing;
+  memory_relief_add (reverse_proxy, &closing->memory);
   tcp_conn_set_handler (tcp_conn, &handler, closing);
   gboolean has_output = tcp_conn_queued (tcp_conn) > 0;
   tcp_conn_finish (tcp_conn);
--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -12,6 +12,7 @@
 #define ACK_TIMEOUT_MS                                                         \
   8000 /* a connection without TCP acknowledgements for this time has failed   \
         */
+#define READ_AHEAD_KEPT_MAX 4096 /* bytes of room for the next request */
 #define CLIENTS_MAX                                                            \
   3000 /* connections; below the process's limit of file descriptors */
 
@@ -35,6 +36,7 @@
 {
   g_clear_handle_id (&downstream->timer, g_source_remove);
   g_queue_unlink (&downstream->reverse_proxy->clients, &downstream->link);
+  memory_relief_remove (downstream->reverse_proxy, &downstream->memory);
   if (downstream->exchange != NULL)
     {
       exchange_dropped (downstream->exchange, "process_end");
@@ -162,10 +164,12 @@
 on_body (void *ctx, struct str bytes)
 {
   struct downstream *downstream = ctx;
-  downstream->body_too_long = downstream->exchange->body->len + bytes.n
-                              > limits_of (downstream)->body_bytes;
-  return !downstream->body_too_long
-         && exchange_append_body (downstream->exchange, bytes);
+  gsize received = downstream->exchange->body->len + bytes.n;
+  downstream->body_too_long = received > limits_of (downstream)->body_bytes;
+  if (downstream->body_too_long)
+    return FALSE;
+  downstream->body_waits = !memory_relief_admits (downstream, received);
+  return exchange_append_body (downstream->exchange, bytes);
 }
 
 static void
@@ -173,6 +177,8 @@
 {
   struct downstream *downstream = ctx;
   g_clear_handle_id (&downstream->timer, g_source_remove);
+  downstream->body_waits = FALSE;
+  memory_relief_body_ended (downstream);
 }
 
 static const struct http_reader_handler reader = { on_head, on_body, on_end };
@@ -213,7 +219,8 @@
 {
   downstream->parsing = TRUE;
   while (!downstream->release_pending && !is_busy (downstream)
-         && downstream->read_ahead->len > 0 && !output_is_full (downstream))
+         && !downstream->body_waits && downstream->read_ahead->len > 0
+         && !output_is_full (downstream))
     {
       struct err err = { 0 };
       struct str bytes = { (const char *)downstream->read_ahead->data,
@@ -240,16 +247,54 @@
     }
   downstream->parsing = FALSE;
   if (downstream->release_pending)
-    downstream_free (downstream);
-  else if (downstream->tcp_conn != NULL)
+    {
+      downstream_free (downstream);
+      return;
+    }
+  if (downstream->tcp_conn != NULL)
     tcp_conn_pause (downstream->tcp_conn,
-                    downstream->read_ahead->len >= DOWNSTREAM_READ_AHEAD_MAX);
+                    downstream->body_waits
+                        || downstream->read_ahead->len
+                               >= DOWNSTREAM_READ_AHEAD_MAX);
+  memory_relief_note (downstream);
+}
+
+/* Reads on, after the body has waited.  */
+void
+downstream_read_on (struct downstream *downstream)
+{
+  downstream->body_waits = FALSE;
+  downstream_parse (downstream);
+}
+
+/* Ends a request whose body has not arrived completely, and closes the
+   connection. Frees DOWNSTREAM.  */
+void
+downstream_give_up_body (struct downstream *downstream, guint status,
+                         const char *code, gint64 retry_after_us)
+{
+  const struct local_response local_response
+      = { .status = status,
+          .code = code,
+          .ran = "no",
+          .retry_after_us = retry_after_us,
+          .close = TRUE };
+  counter_add (downstream->reverse_proxy->options.counter_set, COUNTER_REJECTED,
+               1);
+  local_response_send (downstream, downstream->exchange->id, &local_response);
+  downstream_end_exchange (downstream, FALSE);
 }
 
 static void
 on_data (void *ctx, struct str data)
 {
   struct downstream *downstream = ctx;
+  if (downstream->read_ahead->len == 0 && downstream->read_ahead_is_large)
+    {
+      g_byte_array_unref (downstream->read_ahead);
+      downstream->read_ahead = g_byte_array_new ();
+    }
+  downstream->read_ahead_is_large = data.n > READ_AHEAD_KEPT_MAX;
   g_byte_array_append (downstream->read_ahead, (const guint8 *)data.p,
                        (guint)data.n);
   downstream_parse (downstream);
@@ -280,6 +325,7 @@
 on_drained (void *ctx)
 {
   struct downstream *downstream = ctx;
+  memory_relief_note (downstream);
   if (is_busy (downstream))
     exchange_output_drained (downstream->exchange);
   else if (downstream->read_ahead->len > 0)
@@ -309,6 +355,8 @@
   downstream->tcp_conn = tcp_conn_adopt (fd, &options);
   downstream->link.data = downstream;
   g_queue_push_tail_link (&reverse_proxy->clients, &downstream->link);
+  downstream->memory.downstream = downstream;
+  memory_relief_add (reverse_proxy, &downstream->memory);
   wait_for_request (downstream);
   if (reverse_proxy->clients.length + reverse_proxy->closing.length
       > CLIENTS_MAX)
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -10,6 +10,8 @@
   500 /* prompt length at which health statistics use a time to first token    \
          unscaled */
 
+#define JOINED_BODY_MAX (64 * 1024) /* bytes, in one write with the head */
+
 static void
 append_response_head (const struct http_head *head, GString *out)
 {
@@ -129,7 +131,8 @@
   tcp_conn_write (exchange->downstream->tcp_conn, bytes.p, bytes.n);
   if (exchange->chunked)
     tcp_conn_write (exchange->downstream->tcp_conn, "\r\n", 2);
-  if (tcp_conn_queued (exchange->downstream->tcp_conn) > DOWNSTREAM_QUEUE_MAX)
+  if (tcp_conn_queued (exchange->downstream->tcp_conn)
+      > memory_relief_output_max (exchange->reverse_proxy))
     upstream_pause (exchange->upstream, TRUE);
 }
 
@@ -281,9 +284,13 @@
   if (!keep)
     http_put_field (out, "Connection", "close");
   g_string_append (out, "\r\n");
-  if (!no_body)
+  /* A short body goes with the head, a long one is not copied once more. */
+  gboolean is_long = !no_body && body.n > JOINED_BODY_MAX;
+  if (!no_body && !is_long)
     g_string_append_len (out, body.p, (gssize)body.n);
   tcp_conn_write (downstream->tcp_conn, out->str, out->len);
+  if (is_long)
+    tcp_conn_write (downstream->tcp_conn, body.p, body.n);
   g_string_free (out, TRUE);
   exchange_transition (exchange, EXCHANGE_ON_RESPONSE_END);
   exchange_log_end (exchange,
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -52,6 +52,7 @@
   g_queue_init (&reverse_proxy->awaiting_config);
   g_queue_init (&reverse_proxy->awaiting_parts);
   g_queue_init (&reverse_proxy->server_checks);
+  memory_budget_init (&reverse_proxy->memory, options->memory_limit);
   reverse_proxy->started_at = clk_now (options->clk);
   int code
       = statechart_load (options->chart, &binding, &reverse_proxy->chart, err);
@@ -78,9 +79,11 @@
     return;
   g_clear_handle_id (&reverse_proxy->shutdown_timer, g_source_remove);
   g_clear_handle_id (&reverse_proxy->config_source, g_source_remove);
+  g_clear_handle_id (&reverse_proxy->body_timer, g_source_remove);
   while (reverse_proxy->clients.head != NULL)
     downstream_free (reverse_proxy->clients.head->data);
   closing_free_all (reverse_proxy);
+  g_clear_handle_id (&reverse_proxy->memory_source, g_source_remove);
   server_check_free_all (reverse_proxy);
   reachability_free (reverse_proxy);
   g_clear_handle_id (&reverse_proxy->parts_source, g_source_remove);
@@ -411,6 +414,11 @@
   put_gauge (out, "config_version",
              "version of the present configuration; 0: none",
              (gint64)proxy_config_version (reverse_proxy));
+  put_gauge (out, "memory_kept_bytes",
+             "memory kept for clients and backend servers",
+             (gint64)reverse_proxy->memory.kept);
+  put_gauge (out, "memory_limit_bytes", "limit of that; 0: none",
+             (gint64)reverse_proxy->memory.limit);
   put_gauge (
       out, "config_proof_age_ms",
       "milliseconds since the configuration was last confirmed to be the "
@@ -488,6 +496,9 @@
                     : -1);
   json_add_int (json, "callers", reverse_proxy->clients.length);
   json_add_int (json, "exchanges", reverse_proxy->exchanges);
+  json_add_int (json, "memory_kept_bytes", (gint64)reverse_proxy->memory.kept);
+  json_add_int (json, "memory_limit_bytes",
+                (gint64)reverse_proxy->memory.limit);
   json_add_int (json, "waiting",
                 scheduler_n_waiting (reverse_proxy->options.scheduler));
   json_add_int (json, "waiting_for_parts",
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -50,6 +50,7 @@
   struct scheduler *scheduler; /* borrowed */
   struct suspects *suspects;   /* borrowed; NULL: no part is held */
   struct proxy_limits limits;
+  gsize memory_limit; /* bytes kept for clients and servers; 0: no limit */
   void (*shutdown_done) (
       void *ctx); /* the shutdown is complete, or its limit is almost reached */
   /* A request with a prompt is about to be sent to SERVER, AT_HOME as in struct
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -11,6 +11,7 @@
 #include "http/reader.h"
 #include "net/tcp_conn.h"
 #include "net/tcp_listener.h"
+#include "policy/memory_budget.h"
 #include "sched/retry.h"
 
 #define RELAYS_MAX 3             /* instances that a request is passed on to */
@@ -64,6 +65,17 @@
   gint64 shutdown_step_due;  /* clock time of the next step */
   gint64 shutdown_late_us;   /* how late recent steps were */
   guint poll_source;         /* GLib source: scheduled poll; 0: none */
+  struct memory_budget memory; /* kept for clients and servers */
+  guint memory_source;         /* GLib source: on_relief; 0: none */
+  guint body_timer;            /* GLib source: on_bodies_due; 0: none waits */
+};
+
+/* Which connection keeps memory; one of both is set.  */
+struct memory_keeper
+{
+  struct memory_holder holder; /* the first member */
+  struct downstream *downstream;
+  struct closing_connection *closing;
 };
 
 struct exchange;
@@ -75,8 +87,9 @@
   struct tcp_conn *tcp_conn;       /* owned */
   struct http_reader *http_reader; /* owned */
   GList link;
-  GByteArray *read_ahead;     /* received bytes that are not parsed yet */
-  struct exchange *exchange;  /* the request in progress, owned; NULL: none */
+  GByteArray *read_ahead;       /* received bytes that are not parsed yet */
+  gboolean read_ahead_is_large; /* it has more room than is worth keeping */
+  struct exchange *exchange;    /* the request in progress, owned; NULL: none */
   guint timer;                /* GLib source: read or idle time-out; 0: none */
   gboolean timer_limits_read; /* TIMER is for a head or a body, not for an idle
                                  connection */
@@ -85,7 +98,12 @@
   gboolean release_pending;   /* free when downstream_parse returns */
   gboolean body_too_long;     /* the request body exceeds the limit */
   guint served;               /* complete requests received so far */
-  char peer[ERR_PEER_MAX];    /* IP number, for the log */
+  struct memory_keeper memory;
+  gboolean body_waits;     /* no more of the request body is read, until there
+                              is memory for it */
+  gint64 body_waits_since; /* clock time */
+  gint64 body_read_at;     /* clock time of the last bytes of a body */
+  char peer[ERR_PEER_MAX]; /* IP number, for the log */
 };
 
 void downstream_accept (struct reverse_proxy *reverse_proxy, int fd,
@@ -95,6 +113,9 @@
 void downstream_reset (struct downstream *downstream);
 void downstream_drain (struct downstream *downstream);
 void downstream_end_at_limit (struct downstream *downstream);
+void downstream_give_up_body (struct downstream *downstream, guint status,
+                              const char *code, gint64 retry_after_us);
+void downstream_read_on (struct downstream *downstream);
 
 /* Connections of clients that are being closed: the last response is being
    sent, or the client's FIN is awaited. */
@@ -102,6 +123,20 @@
                     struct tcp_conn *tcp_conn, const char *peer);
 void closing_free_all (struct reverse_proxy *reverse_proxy);
 
+struct tcp_conn *closing_tcp_conn (const struct closing_connection *closing);
+void closing_drop (struct closing_connection *closing);
+
+/* The memory that is kept for clients and servers. */
+void memory_relief_add (struct reverse_proxy *reverse_proxy,
+                        struct memory_keeper *keeper);
+void memory_relief_remove (struct reverse_proxy *reverse_proxy,
+                           struct memory_keeper *keeper);
+void memory_relief_note (struct downstream *downstream);
+gsize memory_relief_output_max (const struct reverse_proxy *reverse_proxy);
+gboolean memory_relief_is_tight (const struct reverse_proxy *reverse_proxy);
+gboolean memory_relief_admits (struct downstream *downstream, gsize received);
+void memory_relief_body_ended (struct downstream *downstream);
+
 void proxy_schedule_poll (struct reverse_proxy *reverse_proxy);
 gboolean proxy_ends_before (const struct reverse_proxy *reverse_proxy,
                             gint64 deadline);
@@ -283,6 +318,9 @@
                                  const struct placement_choice *choice);
 void upstream_free (struct upstream *upstream);
 void upstream_pause (struct upstream *upstream, gboolean paused);
+gsize upstream_kept (const struct upstream *upstream);
+gsize upstream_buffered (const struct upstream *upstream);
+void upstream_give_up (struct upstream *upstream);
 gboolean upstream_read_arrived (struct exchange *exchange);
 gboolean upstream_has_body (const struct exchange *exchange,
                             const struct http_head *head);
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -27,6 +27,13 @@
 #define STRAY_BODY_MAX                                                         \
   UPSTREAM_BUFFERED_BODY_MAX /* bytes of all their bodies */
 
+/* From here on a response is relayed before it is complete, if memory is
+   short. */
+#define RELAYED_BODY_MIN (64 * 1024)
+/* A response of unknown length that is longer than this at the deadline of its
+   request counts as one without end. */
+#define ENDLESS_BODY_MIN (1024 * 1024)
+
 struct upstream
 {
   struct exchange *exchange;
@@ -210,6 +217,17 @@
   return refuse (upstream, "response cannot continue the stream");
 }
 
+/* Returns whether the response, which has been buffered so far, is to be
+   relayed from now on: memory is short, and it says how long it is.  */
+static gboolean
+needs_relay (const struct upstream *upstream)
+{
+  const struct http_head *head = http_reader_head (upstream->http_reader);
+  return !upstream->relaying && upstream->body->len >= RELAYED_BODY_MIN
+         && is_success (head) && head->has_length
+         && memory_relief_is_tight (upstream->reverse_proxy);
+}
+
 static gboolean
 on_body (void *ctx, struct str bytes)
 {
@@ -221,7 +239,13 @@
              || refuse (upstream, stray_too_long);
     }
   g_string_append_len (upstream->body, bytes.p, (gssize)bytes.n);
-  return upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX
+  if (needs_relay (upstream))
+    {
+      upstream->relaying = TRUE;
+      exchange_begin_response (upstream->exchange,
+                               http_reader_head (upstream->http_reader));
+    }
+  return upstream->relaying || upstream->body->len <= UPSTREAM_BUFFERED_BODY_MAX
          || refuse (upstream, "body too long to be buffered");
 }
 
@@ -439,7 +463,10 @@
       data.p += n;
       data.n -= (gsize)n;
       if (!upstream->complete)
-        return;
+        {
+          memory_relief_note (upstream->exchange->downstream);
+          return;
+        }
       if (!upstream->discarding)
         {
           upstream->has_extra
@@ -556,16 +583,22 @@
   tcp_conn_write (upstream->tcp_conn, exchange->body->data,
                   exchange->body->len);
   g_string_free (request, TRUE);
+  memory_relief_note (exchange->downstream);
   return upstream;
 }
 
 /* Counts an attempt that ends at the request's deadline as a failure of the
-   server, if the server has sent bytes, but not the head of its response. A
-   server that has sent nothing may only be busy.  */
+   server, if the server has sent bytes, but not the head of its response, or a
+   body that does not seem to end. A server that has sent nothing may only be
+   busy.  */
 static void
 charge_no_response (struct upstream *upstream)
 {
-  if (!upstream->has_bytes || upstream->response_started || upstream->charged
+  gboolean is_endless
+      = upstream->body->len >= ENDLESS_BODY_MIN
+        && !http_reader_head (upstream->http_reader)->has_length;
+  if (!upstream->has_bytes || (upstream->response_started && !is_endless)
+      || upstream->charged
       || clk_now (upstream->reverse_proxy->options.clk)
              < upstream->exchange->deadline)
     return;
@@ -573,8 +606,9 @@
                                   .event = "answer.none",
                                   .request_id = upstream->exchange->id,
                                   .peer = upstream->server->entry.id },
-             "bytes until the deadline, but no head of a response; stray=%u",
-             upstream->stray_responses);
+             "bytes until the deadline, but no response; stray=%u "
+             "body=%" G_GSIZE_FORMAT,
+             upstream->stray_responses, upstream->body->len);
   server_health_add_result (&upstream->server->server_health,
                             SERVER_HEALTH_FAILURE);
 }
@@ -595,6 +629,35 @@
   g_free (upstream);
 }
 
+/* Returns the bytes of memory that the attempt takes.  */
+gsize
+upstream_kept (const struct upstream *upstream)
+{
+  gsize n = upstream->body->allocated_len
+            + http_reader_head (upstream->http_reader)->text->allocated_len;
+  return upstream->tcp_conn != NULL ? n + tcp_conn_kept (upstream->tcp_conn)
+                                    : n;
+}
+
+/* Returns the bytes of the response that are buffered.  */
+gsize
+upstream_buffered (const struct upstream *upstream)
+{
+  return upstream->body->len;
+}
+
+/* Ends the attempt, whose response takes more memory than there is. It counts
+   as a failure of the server: the response did not say how long it is. May free
+   UPSTREAM and its exchange.  */
+void
+upstream_give_up (struct upstream *upstream)
+{
+  struct err err = { 0 };
+  err_set (&err, ERR_TOO_LARGE, "backend.answer", "",
+           "response too long for the memory that is left");
+  fail_attempt (upstream, &err);
+}
+
 /* Pauses or resumes reading the response.  */
 void
 upstream_pause (struct upstream *upstream, gboolean paused)
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define TEXT_KEPT_MAX 4096 /* bytes of room for the next head */
+
 /* X (status, "reason") */
 #define HTTP_HEAD_STATUSES(X)                                                  \
   X (100, "Continue")                                                          \
@@ -57,6 +59,11 @@
 {
   GString *text = head->text;
   GArray *fields = head->fields;
+  if (text->allocated_len > TEXT_KEPT_MAX)
+    {
+      g_string_free (text, TRUE);
+      text = g_string_new (NULL);
+    }
   *head = (struct http_head){ .text = text, .fields = fields };
   g_string_truncate (text, 0);
   g_array_set_size (fields, 0);
--- a/packages/jacinthward/main.c
+++ b/packages/jacinthward/main.c
@@ -1,6 +1,7 @@
 /* The Jacinthward daemon's command line. Depending on its settings file the
    process runs as a router or as a reverse proxy.  */
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 
@@ -11,6 +12,7 @@
 
 #define EXIT_SETTINGS 2 /* invalid settings or command line */
 #define SETTINGS_VARIABLE "JACINTHWARD_CONFIG" /* path of the settings file */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
 #define EXIT_START 3 /* a listener or a state chart failed to open */
 
 struct arguments
@@ -200,6 +202,9 @@
   struct arguments arguments = { 0 };
   struct router_settings settings = { 0 };
   int status = EXIT_SUCCESS;
+  /* A fixed threshold: large buffers go back to the system when they are
+     freed, instead of leaving the heap in pieces. */
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   signal (SIGPIPE, SIG_IGN);
   /* Until it is watched, SIGHUP would end the process. */
   signal (SIGHUP, SIG_IGN);
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -15,6 +15,10 @@
 #define NEWS_INTERVAL_US                                                       \
   (20 * CLK_MS) /* between two rounds of messages that are not due yet */
 #define NEWS_MAX_MS 20
+#define MEGABYTE (1024.0 * 1024.0)
+/* Of the machine's memory, for what is kept for clients and servers. Buffers
+   take up to twice what they hold, and the rest of the process needs some. */
+#define MEMORY_KEPT_SHARE 0.2
 /* From the start, requests wait so long at most for the crashes that were saved
    before. */
 #define CRASHES_LOAD_US (1500 * CLK_MS)
@@ -344,6 +348,8 @@
           .scheduler = daemon->scheduler,
           .suspects = daemon->suspects,
           .limits = limits_of (settings),
+          .memory_limit
+          = (gsize)(settings->memory_mb * MEGABYTE * MEMORY_KEPT_SHARE),
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
           .brittle_full = on_brittle_full,
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -16,7 +16,7 @@
 /* Two lists that were read with a longer time between them mean that the store
    was unavailable: entries may have expired although their servers live. */
 #define LIST_GAP_US (2500 * CLK_MS)
-#define FETCH_MAX (8 * 1024 * 1024) /* bytes */
+#define FETCH_MAX (4 * 1024 * 1024) /* bytes */
 
 struct fetch
 {
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -31,6 +31,7 @@
   void *ctx;
   GByteArray *out;      /* owned */
   gsize out_sent;       /* bytes of OUT that the kernel has accepted */
+  gsize out_most;       /* highest length of OUT, which has room for as many */
   guint64 sent;         /* total bytes that the kernel has accepted */
   guint connect_timer;  /* GLib source; 0: none */
   guint linger_timer;   /* GLib source; 0: none */
@@ -74,6 +75,26 @@
   return conn->out->len - conn->out_sent;
 }
 
+/* Returns the bytes of memory that the output takes, at least.  */
+gsize
+tcp_conn_kept (const struct tcp_conn *conn)
+{
+  return conn->out_most;
+}
+
+/* Returns the room that OUT does not need any longer, if it is large.  */
+static void
+shrink_output (struct tcp_conn *conn)
+{
+  if (conn->out_most <= COMPACT_BYTES || conn->out->len > conn->out_most / 4)
+    return;
+  GByteArray *out = g_byte_array_sized_new (conn->out->len);
+  g_byte_array_append (out, conn->out->data, conn->out->len);
+  g_byte_array_unref (conn->out);
+  conn->out = out;
+  conn->out_most = out->len;
+}
+
 static void
 update_poll_events (struct tcp_conn *conn)
 {
@@ -244,11 +265,13 @@
     {
       g_byte_array_set_size (conn->out, 0);
       conn->out_sent = 0;
+      shrink_output (conn);
     }
   else if (conn->out_sent > COMPACT_BYTES)
     {
       g_byte_array_remove_range (conn->out, 0, (guint)conn->out_sent);
       conn->out_sent = 0;
+      shrink_output (conn);
     }
 }
 
@@ -524,6 +547,7 @@
   if (conn->source == NULL || conn->finishing || n == 0)
     return;
   g_byte_array_append (conn->out, bytes, (guint)n);
+  conn->out_most = MAX (conn->out_most, conn->out->len);
   if (!conn->connecting && conn->write_error == 0)
     flush (conn);
   update_poll_events (conn);
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -55,6 +55,7 @@
                            const struct tcp_conn_handler *handler, void *ctx);
 void tcp_conn_write (struct tcp_conn *conn, const void *bytes, gsize n);
 gsize tcp_conn_queued (const struct tcp_conn *conn);
+gsize tcp_conn_kept (const struct tcp_conn *conn);
 void tcp_conn_read_arrived (struct tcp_conn *conn);
 guint64 tcp_conn_sent (const struct tcp_conn *conn);
 void tcp_conn_pause (struct tcp_conn *conn, gboolean paused);
--- a/packages/settings/proxy_settings.c
+++ b/packages/settings/proxy_settings.c
@@ -48,6 +48,7 @@
   KEY (NUMBER, "retry_slack", retry_slack, OPTIONAL, 0, 100000, 20),
   KEY (MS, "retry_window_ms", retry_window_us, OPTIONAL, 1000, HOUR_MS, 10000,
        .in_seconds = "retry_window_s"),
+  KEY (NUMBER, "memory_mb", memory_mb, OPTIONAL, 0, 1e6, 256),
 };
 
 static const struct ini_key peers_keys[] = {
--- a/packages/settings/proxy_settings.h
+++ b/packages/settings/proxy_settings.h
@@ -49,6 +49,7 @@
   double retry_slack; /* retries allowed beyond that ratio, for all instances
                          together in one window */
   gint64 retry_window_us;
+  double memory_mb; /* of the machine, 2^20 bytes each; 0: no limit */
 
   char **domain_regions; /* DOMAIN=REGION */
 };
--- a/tests/harness/proxy_fleet.c
+++ b/tests/harness/proxy_fleet.c
@@ -60,9 +60,10 @@
 {
   char *name = server_name (number, life);
   char *body = g_strdup_printf (
-      "{\"service\":\"pool\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
       "\"max_batch\":%u,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
-      port, number % PROXY_FLEET_DOMAINS, fleet->slots ? fleet->slots : 64,
+      fleet->service ? fleet->service : "pool", port,
+      number % PROXY_FLEET_DOMAINS, fleet->slots ? fleet->slots : 64,
       g_get_real_time () / 1000);
   put (fleet, name, body);
   g_free (body);
@@ -171,14 +172,17 @@
   int base = 20000 + (int)(pid % 5000) * 3;
   g_snprintf (instance->address, sizeof instance->address, "%s.%u:%d", net,
               10 + number, base);
+  g_autofree char *memory = g_strdup_printf ("%u\n", fleet->memory_mb);
   char *text = g_strdup_printf (
       "[instance]\nid=gate-%u\ndomain=d%u\nregion=r\ncharts=" JW_SOURCE_DIR
       "/charts\n[gate]\ncallers=%s\nready=%s.%u:%d\nkey_limit_ms=4000\n"
       "grace_ms=4000\ndrain_ms=3000\nretry_ratio=0.2\nretry_slack=50\n"
-      "[peers]\nlisten=%s.%u:%d\nseeds=%s.10;%s.11;%s.12;\n"
+      "%s%s[peers]\nlisten=%s.%u:%d\nseeds=%s.10;%s.11;%s.12;\n"
       "[store]\naddress=127.0.0.1:%d\n[domains]\nd0=r\nd1=r\nd2=r\n",
       number, number % PROXY_FLEET_DOMAINS, instance->address, net, 10 + number,
-      base + 1, net, 10 + number, base + 2, net, net, net, fleet->store->port);
+      base + 1, fleet->memory_mb > 0 ? "memory_mb=" : "",
+      fleet->memory_mb > 0 ? memory : "", net, 10 + number, base + 2, net, net,
+      net, fleet->store->port);
   instance->settings = g_strdup_printf ("%s/gate-%u.ini",
                                         harness_dir (fleet->harness), number);
   g_assert (g_file_set_contents (instance->settings, text, -1, NULL));
--- a/tests/harness/proxy_fleet.h
+++ b/tests/harness/proxy_fleet.h
@@ -29,9 +29,11 @@
   struct harness *harness;
   struct harness_process *store;
   struct proxy_fleet_instance instances[PROXY_FLEET_INSTANCES];
-  guint slots;    /* of servers listed from now on; 0: 64 */
-  guint n_killed; /* instances */
-  guint n_frozen; /* instances, now and before */
+  guint slots;         /* of servers listed from now on; 0: 64 */
+  const char *service; /* of servers listed from now on; NULL: pool */
+  guint memory_mb;     /* setting of the instances; 0: the default */
+  guint n_killed;      /* instances */
+  guint n_frozen;      /* instances, now and before */
   gboolean store_is_down;
   GPtrArray *unwritten; /* of struct proxy_fleet_write, until it is back */
 };
