Test the template's settings by their own names

make lint allows names of the platform in few files; the test fills in the template by the keys of the settings instead. It checks the same 28 forms.

--- a/tests/unit/test_proxy_settings.c
+++ b/tests/unit/test_proxy_settings.c
@@ -33,80 +33,92 @@
   return 0;
 }
 
-/* A figure of the platform's settings and the text that it is written as.  */
+/* A key of the settings and the text that the template fills in for it.  */
 struct figure
 {
-  const char *placeholder;
+  const char *key;
   const char *text;
 };
 
 static const struct figure usual[] = {
-  { "contract_params.revoke_timeout_ms", "5000" },
-  { "contract_params.grace_period_s", "8" },
-  { "contract_params.drain_timeout_ms", "3000" },
-  { "contract_params.retry_budget_ratio", "0.2" },
-  { "contract_params.budget_slack", "54" },
-  { "contract_params.budget_window_s", "10" },
-  { "node", "edge-a-1" },
-  { "zone", "a" },
+  { "id", "edge-a-1" },
+  { "domain", "a" },
   { "region", "r" },
-  { "bind_ip", "127.0.0.1" },
-  { "bind_addrs.front", "127.0.0.1:8227" },
-  { "bind_addrs.ready", "127.0.0.1:8220" },
-  { "port_range.0", "7340" },
-  { "port_range.1", "7355" },
-  { "provider.address", "127.0.0.1:8223" },
-  { "limits.memory_mb", "110" },
+  { "charts", JW_SOURCE_DIR "/charts" },
+  { "callers", "127.0.0.1:8227" },
+  { "ready", "127.0.0.1:8220" },
+  { "metrics", "127.0.0.1:7355" },
+  { "key_limit_ms", "5000" },
+  { "grace_s", "8" },
+  { "drain_ms", "3000" },
+  { "retry_ratio", "0.2" },
+  { "retry_slack", "54" },
+  { "retry_window_s", "10" },
+  { "memory_mb", "110" },
+  { "listen", "127.0.0.1:7340" },
+  { "seeds", "127.0.0.1:8229;" },
+  { "address", "127.0.0.1:8223" },
 };
 
-/* Renders the sections of TEXT with NAME if SHOWN, or removes them, and those
-   for the opposite. Frees TEXT.  */
-static char *
-render_section (char *text, const char *name, gboolean shown)
+/* Returns the text of KEY; NULL: it is not filled in.  */
+static const char *
+text_of (const char *key, const struct figure *changed)
 {
-  for (gboolean inverted = FALSE; inverted <= TRUE; inverted++)
+  if (changed != NULL && strcmp (changed->key, key) == 0)
+    return changed->text;
+  for (guint i = 0; i < G_N_ELEMENTS (usual); i++)
+    if (strcmp (usual[i].key, key) == 0)
+      return usual[i].text;
+  return NULL;
+}
+
+/* Appends LINE of the template with what is filled in. Returns FALSE if a value
+   is not known here.  */
+static gboolean
+append_line (GString *out, const char *line, const struct figure *changed)
+{
+  const char *equals = strchr (line, '=');
+  const char *placeholder = strstr (line, "{{");
+  if (equals == NULL
+      || (placeholder == NULL && !g_str_has_prefix (line, "charts=")))
     {
-      g_autofree char *pattern
-          = g_strdup_printf ("\\{\\{%s%s\\}\\}\n?(.*?)\\{\\{/%s\\}\\}\n?",
-                             inverted ? "\\^" : "#", name, name);
-      g_autoptr (GRegex) regex = g_regex_new (pattern, G_REGEX_DOTALL, 0, NULL);
-      char *rendered = g_regex_replace (
-          regex, text, -1, 0, shown != inverted ? "\\1" : "", 0, NULL);
-      g_free (text);
-      text = rendered;
+      g_string_append_printf (out, "%s\n", line);
+      return TRUE;
     }
-  return text;
+  g_autofree char *key = g_strndup (line, (gsize)(equals - line));
+  const char *text = text_of (key, changed);
+  g_string_append_printf (out, "%s=%s\n", key, text != NULL ? text : "");
+  return text != NULL;
 }
 
-/* Stores the template, filled in with the usual figures except CHANGED, as
-   a.ini in the test folder.  */
+/* Stores the template as a.ini in the test folder, filled in with the usual
+   figures except CHANGED. STRICT: sections for what is present are shown, not
+   those for the opposite; there are no domains.  */
 static void
 write_settings (const struct figure *changed, gboolean strict)
 {
-  g_autofree char *text = NULL;
+  g_autofree char *template = NULL;
   g_autofree char *path = file_path ();
+  GString *out = g_string_new (NULL);
+  gboolean shown = TRUE;
+  gboolean in_domains = FALSE;
   CU_ASSERT_TRUE_FATAL (g_file_get_contents (
-      JW_SOURCE_DIR "/platform/settings.ini", &text, NULL, NULL));
-  text = render_section (text, "contract_params.strict_revoke", strict);
-  text = render_section (text, "seed_nodes", FALSE);
-  text = render_section (text, "zones", FALSE);
-  for (guint i = 0; i < G_N_ELEMENTS (usual); i++)
+      JW_SOURCE_DIR "/platform/settings.ini", &template, NULL, NULL));
+  g_auto (GStrv) lines = g_strsplit (template, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
     {
-      gboolean is_changed
-          = changed != NULL
-            && strcmp (changed->placeholder, usual[i].placeholder) == 0;
-      g_autofree char *name = g_strdup_printf ("{{%s}}", usual[i].placeholder);
-      g_auto (GStrv) parts = g_strsplit (text, name, -1);
-      g_free (text);
-      text = g_strjoinv (is_changed ? changed->text : usual[i].text, parts);
+      in_domains |= strcmp (lines[i], "[domains]") == 0;
+      if (g_str_has_prefix (lines[i], "{{#"))
+        shown = strict && !in_domains;
+      else if (g_str_has_prefix (lines[i], "{{^"))
+        shown = !strict;
+      else if (g_str_has_prefix (lines[i], "{{/"))
+        shown = TRUE;
+      else if (shown)
+        CU_ASSERT_TRUE (append_line (out, lines[i], changed));
     }
-  CU_ASSERT_PTR_NULL (strstr (text, "{{"));
-  g_autofree char *in_folder
-      = g_strdup_printf ("charts=%s\n", JW_SOURCE_DIR "/charts");
-  g_auto (GStrv) parts = g_strsplit (text, "charts=charts\n", -1);
-  g_free (text);
-  text = g_strjoinv (in_folder, parts);
-  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, text, -1, NULL));
+  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, out->str, -1, NULL));
+  g_string_free (out, TRUE);
 }
 
 /* What the settings are read as.  */
@@ -141,49 +153,45 @@
   g_ptr_array_unref (reading->tolerated);
 }
 
-/* X (field, placeholder, text, value): microseconds, or the number itself  */
+/* X (field, key, text, value): microseconds, or the number itself  */
 #define FORMS(X)                                                               \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "8", 8000000)        \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "8.0", 8000000)      \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "7.5", 7500000)      \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "4.35", 4350000)     \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "8e0", 8000000)      \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "0.75E+1", 7500000)  \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "7.9999999",         \
-     7999999)                                                                  \
-  X (shutdown_limit_us, "contract_params.grace_period_s", "", 8000000)         \
-  X (drain_us, "contract_params.drain_timeout_ms", "3000.0", 3000000)          \
-  X (drain_us, "contract_params.drain_timeout_ms", "2999.9999", 2999999)       \
-  X (drain_us, "contract_params.drain_timeout_ms", "3e3", 3000000)             \
-  X (drain_us, "contract_params.drain_timeout_ms", "0.7", 700)                 \
-  X (drain_us, "contract_params.drain_timeout_ms", "", 3000000)                \
-  X (key_freshness_limit_us, "contract_params.revoke_timeout_ms", "4999.5",    \
-     4999500)                                                                  \
-  X (key_freshness_limit_us, "contract_params.revoke_timeout_ms", "5.0e3",     \
-     5000000)                                                                  \
-  X (key_freshness_limit_us, "contract_params.revoke_timeout_ms", "", 5000000) \
-  X (key_freshness_limit_us, "contract_params.revoke_timeout_ms", "soon",      \
-     5000000)                                                                  \
-  X (retry_window_us, "contract_params.budget_window_s", "10.0", 10000000)     \
-  X (retry_window_us, "contract_params.budget_window_s", "7.25", 7250000)      \
-  X (retry_window_us, "contract_params.budget_window_s", "", 10000000)         \
-  X (retry_slack, "contract_params.budget_slack", "54.0", 54)                  \
-  X (retry_slack, "contract_params.budget_slack", "54.5", 54.5)                \
-  X (retry_slack, "contract_params.budget_slack", "5.4e1", 54)                 \
-  X (retry_slack, "contract_params.budget_slack", "0", 0)                      \
-  X (retry_slack, "contract_params.budget_slack", "", 20)                      \
-  X (retry_ratio, "contract_params.retry_budget_ratio", "1", 1)                \
-  X (retry_ratio, "contract_params.retry_budget_ratio", "2e-1", 0.2)           \
-  X (retry_ratio, "contract_params.retry_budget_ratio", "", 0.1)
+  X (shutdown_limit_us, "grace_s", "8", 8000000)                               \
+  X (shutdown_limit_us, "grace_s", "8.0", 8000000)                             \
+  X (shutdown_limit_us, "grace_s", "7.5", 7500000)                             \
+  X (shutdown_limit_us, "grace_s", "4.35", 4350000)                            \
+  X (shutdown_limit_us, "grace_s", "8e0", 8000000)                             \
+  X (shutdown_limit_us, "grace_s", "0.75E+1", 7500000)                         \
+  X (shutdown_limit_us, "grace_s", "7.9999999", 7999999)                       \
+  X (shutdown_limit_us, "grace_s", "", 8000000)                                \
+  X (drain_us, "drain_ms", "3000.0", 3000000)                                  \
+  X (drain_us, "drain_ms", "2999.9999", 2999999)                               \
+  X (drain_us, "drain_ms", "3e3", 3000000)                                     \
+  X (drain_us, "drain_ms", "0.7", 700)                                         \
+  X (drain_us, "drain_ms", "", 3000000)                                        \
+  X (key_freshness_limit_us, "key_limit_ms", "4999.5", 4999500)                \
+  X (key_freshness_limit_us, "key_limit_ms", "5.0e3", 5000000)                 \
+  X (key_freshness_limit_us, "key_limit_ms", "", 5000000)                      \
+  X (key_freshness_limit_us, "key_limit_ms", "soon", 5000000)                  \
+  X (retry_window_us, "retry_window_s", "10.0", 10000000)                      \
+  X (retry_window_us, "retry_window_s", "7.25", 7250000)                       \
+  X (retry_window_us, "retry_window_s", "", 10000000)                          \
+  X (retry_slack, "retry_slack", "54.0", 54)                                   \
+  X (retry_slack, "retry_slack", "54.5", 54.5)                                 \
+  X (retry_slack, "retry_slack", "5.4e1", 54)                                  \
+  X (retry_slack, "retry_slack", "0", 0)                                       \
+  X (retry_slack, "retry_slack", "", 20)                                       \
+  X (retry_ratio, "retry_ratio", "1", 1)                                       \
+  X (retry_ratio, "retry_ratio", "2e-1", 0.2)                                  \
+  X (retry_ratio, "retry_ratio", "", 0.1)
 
 static void
-check_form (const char *placeholder, const char *text, double expected,
+check_form (const char *key, const char *text, double expected,
             const struct reading *reading, double found)
 {
   gboolean is_number = *text != '\0' && strcmp (text, "soon") != 0;
   if (reading->code != 0 || found != expected)
-    g_print ("%s = \"%s\": code %d, value %.9g instead of %.9g\n", placeholder,
-             text, reading->code, found, expected);
+    g_print ("%s = \"%s\": code %d, value %.9g instead of %.9g\n", key, text,
+             reading->code, found, expected);
   CU_ASSERT_EQUAL (reading->code, 0);
   CU_ASSERT_EQUAL (reading->problems->len, 0);
   CU_ASSERT_EQUAL (reading->tolerated->len, is_number ? 0 : 1);
@@ -193,12 +201,11 @@
 static void
 test_forms (void)
 {
-#define CHECK_FORM(field, placeholder_, text_, value)                          \
+#define CHECK_FORM(field, key_, text_, value)                                  \
   {                                                                            \
-    const struct figure changed = { placeholder_, text_ };                     \
+    const struct figure changed = { key_, text_ };                             \
     struct reading reading = read_settings (&changed, TRUE);                   \
-    check_form (placeholder_, text_, value, &reading,                          \
-                (double)reading.settings.field);                               \
+    check_form (key_, text_, value, &reading, (double)reading.settings.field); \
     reading_clear (&reading);                                                  \
   }
   FORMS (CHECK_FORM)
@@ -223,8 +230,7 @@
           "1e999", "3000 ms", "3,5",  "1e30", "." };
   for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      const struct figure changed
-          = { "contract_params.drain_timeout_ms", texts[i] };
+      const struct figure changed = { "drain_ms", texts[i] };
       struct reading reading = read_settings (&changed, TRUE);
       CU_ASSERT_EQUAL (reading.code, 0);
       CU_ASSERT_EQUAL_FATAL (reading.tolerated->len, 1);
@@ -240,7 +246,7 @@
 static void
 test_required (void)
 {
-  const struct figure changed = { "provider.address", "" };
+  const struct figure changed = { "address", "" };
   struct reading reading = read_settings (&changed, TRUE);
   CU_ASSERT_TRUE (reading.code < 0);
   CU_ASSERT_EQUAL (reading.problems->len, 1);
