Clear the note of an outage when peers have read the list again

Cause: an instance whose read had failed kept store_unavailable until its next changed list. When peers told it that the list they had read meanwhile was the same, it took over their time, but not that the store was back. With the first change, the removal of the server, the outage seemed to end only then, and the server was kept for 2 s more, in case its entry would come back.

A confirmation of the list by a peer that is newer than the failed read ends the outage; entries that are missing within 2 s of that are still kept.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -28,6 +28,7 @@
   void *ctx;
   gboolean loaded;            /* a list was received */
   gboolean store_unavailable; /* a read has failed since the last list */
+  gint64 store_failed_at;     /* time of that */
   gint64 store_back_at;       /* time of the first list after the store was
                                  unavailable; 0: none */
   guint next_number;
@@ -467,8 +468,21 @@
 void
 registry_store_failed (struct registry *registry, gint64 now)
 {
-  (void)now;
   registry->store_unavailable = TRUE;
+  registry->store_failed_at = now;
+}
+
+/* Records that the present list was read again, here or by a peer, at READ_AT
+   or later, and has not changed: the store is back if a read had failed before.
+   Entries that a later list lacks have then been removed after the outage, and
+   not expired in it.  */
+void
+registry_list_confirmed (struct registry *registry, gint64 read_at, gint64 now)
+{
+  if (!registry->store_unavailable || read_at <= registry->store_failed_at)
+    return;
+  registry->store_unavailable = FALSE;
+  registry->store_back_at = now;
 }
 
 /* Applies a complete list, read at NOW. The time grows with the number of
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -124,6 +124,8 @@
 void registry_set_times (struct registry *registry, gint64 previous_list_at,
                          gint64 wall_offset);
 void registry_store_failed (struct registry *registry, gint64 now);
+void registry_list_confirmed (struct registry *registry, gint64 read_at,
+                              gint64 now);
 void registry_update (struct registry *registry,
                       const struct registry_entry *entries, guint n,
                       gint64 now);
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -363,7 +363,10 @@
     return;
   if (daemon->server_list.entries != NULL
       && update->server_list_digest == daemon->server_list.digest)
-    daemon->server_list.requested_at = peer_read_at;
+    {
+      daemon->server_list.requested_at = peer_read_at;
+      registry_list_confirmed (daemon->registry, peer_read_at, now);
+    }
   else
     start_fetch (daemon, &daemon->servers_fetch, ip, FALSE, now);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -100,6 +100,47 @@
   registry_free (registry);
 }
 
+/* After an outage in which the list did not change, peers tell that it has been
+   read again. A server that is removed later has left: it must not be kept as
+   if its entry had expired.  */
+static void
+test_removed_after_outage (void)
+{
+  struct registry *registry = set_up ();
+  struct registry_entry e[]
+      = { make_entry ("s", 5, FALSE), make_entry ("t", 5, FALSE) };
+  registry_update (registry, e, 2, 1);
+  registry_store_failed (registry, 10 * CLK_S);
+  registry_list_confirmed (registry, 14 * CLK_S, 14 * CLK_S + CLK_MS);
+  registry_update (registry, e, 1, 20 * CLK_S);
+  CU_ASSERT_PTR_NULL (registry_find (registry, "t"));
+  CU_ASSERT_PTR_NOT_NULL (registry_find (registry, "s"));
+  registry_free (registry);
+}
+
+/* A list that a peer has read before the outage says nothing of its end, and
+   entries may be missing for a moment after it.  */
+static void
+test_missing_soon_after_outage (void)
+{
+  struct registry *registry = set_up ();
+  struct registry_entry e[]
+      = { make_entry ("s", 5, FALSE), make_entry ("t", 5, FALSE) };
+  registry_update (registry, e, 2, 1);
+  registry_store_failed (registry, 10 * CLK_S);
+  registry_list_confirmed (registry, 9 * CLK_S, 10 * CLK_S + CLK_MS);
+  registry_list_confirmed (registry, 14 * CLK_S, 14 * CLK_S + CLK_MS);
+  registry_update (registry, e, 1, 15 * CLK_S);
+  CU_ASSERT_PTR_NOT_NULL (registry_find (registry, "t"));
+  registry_tick (registry, 17 * CLK_S);
+  CU_ASSERT_PTR_NULL (registry_find (registry, "t"));
+  registry_store_failed (registry, 20 * CLK_S);
+  registry_list_confirmed (registry, 19 * CLK_S, 20 * CLK_S + CLK_MS);
+  registry_update (registry, e, 0, 30 * CLK_S);
+  CU_ASSERT_PTR_NOT_NULL (registry_find (registry, "s"));
+  registry_free (registry);
+}
+
 /* A server that was leaving gets no time to reappear.  */
 static void
 test_leaving_entry_lapses (void)
@@ -469,6 +510,10 @@
   { "a server is leaving until it restarts", test_leaving_persists },
   { "unlisted servers are removed", test_removal },
   { "expired while the store was unavailable", test_lapsed_entries },
+  { "a server that leaves some time after an outage",
+    test_removed_after_outage },
+  { "entries that are missing soon after an outage",
+    test_missing_soon_after_outage },
   { "leaving and expired", test_leaving_entry_lapses },
   { "an id that is used again", test_id_reused },
   { "unreachable servers", test_unreachable },
