Take the store's word for proof only when peers may have been heard

Cause: one answer of the store counted as proof of the newest version, although an instance that has just started can't tell a copy from the newest state and its peers can; their next message came up to 50 ms later. For 600 ms from the start, which requests wait for the first configuration anyway, the store's word counts only once a peer with a fresh confirmation has been heard; a newer version that a peer has counts against an older one of the store. With no other instance in the settings nothing waits.

--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "fleet/read_schedule.h"
+#include "fleet/start_evidence.h"
 #include "fleet/store_era.h"
 #include "gate/reverse_proxy.h"
 #include "http/server.h"
@@ -65,6 +66,7 @@
   struct fetch *config_fetch;  /* owned; NULL: none in progress */
   struct fetch *servers_fetch; /* owned; NULL: none in progress */
   struct store_era store_era;
+  struct start_evidence evidence; /* that a configuration is the newest */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
                              one has been read */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -100,6 +100,19 @@
   return TRUE;
 }
 
+/* Confirms the version that the store has, if it is proved by now to be the
+   newest.  */
+static void
+confirm_proved (struct proxy_daemon *daemon, gint64 now)
+{
+  guint64 version;
+  gint64 requested_at;
+  if (!start_evidence_take (&daemon->evidence, now, &version, &requested_at))
+    return;
+  proxy_confirm_version (daemon->reverse_proxy, version, requested_at);
+  proxy_poll (daemon->reverse_proxy);
+}
+
 static void
 on_config (void *ctx, const struct adapter_config *config)
 {
@@ -120,10 +133,10 @@
   if (config->code != 0)
     return;
   apply_config (daemon, config->routing_table, config->text);
-  proxy_confirm_version (daemon->reverse_proxy,
-                         routing_table_version (config->routing_table),
-                         config->requested_at);
-  proxy_poll (daemon->reverse_proxy);
+  start_evidence_of_store (&daemon->evidence,
+                           routing_table_version (config->routing_table),
+                           config->requested_at);
+  confirm_proved (daemon, now);
 }
 
 /* Applies a server list if it is newer than the current one.  */
@@ -189,11 +202,17 @@
   struct read_schedule_options options
       = { .now = now, .seed = g_rand_int (daemon->rand) };
   udp_ip_parse (settings->listen_peers, &own);
+  gboolean has_peers = FALSE;
   for (guint i = 0; settings->seeds && settings->seeds[i]; i++)
-    options.is_seed |= udp_ip_parse (settings->seeds[i], &seed) && seed == own;
+    if (udp_ip_parse (settings->seeds[i], &seed))
+      {
+        options.is_seed |= seed == own;
+        has_peers |= seed != own;
+      }
   read_schedule_init (&daemon->config_schedule, &options);
   read_schedule_init (&daemon->servers_schedule, &options);
   daemon->server_list_history = server_list_history_new ();
+  start_evidence_init (&daemon->evidence, has_peers, now);
 }
 
 /* Starts the store reads that are due.  */
@@ -204,6 +223,7 @@
       = { .rank = gossip_reader_rank (daemon->gossip, now),
           .instances = gossip_instance_count (daemon->gossip, now),
           .heard = gossip_alive_count (daemon->gossip, now) > 1 };
+  confirm_proved (daemon, now);
   gint64 config_age = proxy_config_age (daemon->reverse_proxy, now);
   const struct read_schedule_confirmation confirmation
       = { .age = config_age,
@@ -212,7 +232,11 @@
           = daemon->fresh_peer_at ? now - daemon->fresh_peer_at : G_MAXINT64 };
   if (read_schedule_is_cut_off (&confirmation))
     read_schedule_peers_failed (&daemon->config_schedule, now);
-  if (read_schedule_is_due (&daemon->config_schedule, now, config_age, &peers))
+  /* What is not proved yet need not be read again sooner. */
+  gint64 read_age = daemon->evidence.pending != 0
+                        ? MIN (config_age, now - daemon->evidence.pending_at)
+                        : config_age;
+  if (read_schedule_is_due (&daemon->config_schedule, now, read_age, &peers))
     {
       read_schedule_started (&daemon->config_schedule, now);
       adapter_read_config (daemon->adapter, on_config, daemon);
@@ -345,6 +369,9 @@
 proxy_daemon_handle_peer_update (struct proxy_daemon *daemon, guint32 ip,
                                  const struct gossip_update *update, gint64 now)
 {
+  start_evidence_of_peer (&daemon->evidence, update->config_version,
+                          update->config_age_us, now);
+  confirm_proved (daemon, now);
   if (update->freshness.confirmed_after > 0)
     proxy_confirm_version (daemon->reverse_proxy,
                            update->freshness.config_version,
