Take a server that comes back among brittle ones for brittle

Cause: brittleness was known of single lives of a server. One that has come back is unknown until its first response, and every instance at which requests waited sent it as many as a sound and empty one takes. A server that has not responded in its present life is taken for what the most brittle listed server of its service says.

--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -124,19 +124,49 @@
   c->limited_per_s = c->server->limit_share.own_per_s;
 }
 
+/* Returns the report of the most brittle server of the service, as a limit; 0:
+   none says that it is brittle.  */
+static double
+brittle_of_service (const struct placement_view *view)
+{
+  double least = 0;
+  for (guint i = 0; i < view->n_servers; i++)
+    {
+      double per_s = view->servers[i]->brittle.report.per_s;
+      if (per_s > 0 && (least == 0 || per_s < least)
+          && g_str_equal (view->servers[i]->entry.service, view->service))
+        least = per_s;
+    }
+  return least;
+}
+
+/* Returns whether SERVER is brittle, as a limit; 0: it is not. Servers of a
+   service are brittle together: one that has not responded yet in its present
+   life, as when it has come back under another id, is taken for what the others
+   are.  */
+static double
+brittle_limit (const struct placement_view *view,
+               const struct registry_server *server)
+{
+  const struct server_limit_report *report = &server->brittle.report;
+  return report->per_s == 0 && report->before == 0 ? brittle_of_service (view)
+                                                   : report->per_s;
+}
+
 /* Fills in whether the server of C, if it is brittle, has room for a further
    request of this instance. DOMAINS is filled in on first use.  */
 static void
 apply_brittle (const struct placement_view *view, struct limit_domains *domains,
                struct placement_candidate *c)
 {
-  if (c->server->brittle.report.per_s == 0)
+  double per_s = brittle_limit (view, c->server);
+  if (per_s == 0)
     return;
   find_domains (view, domains);
   const struct brittle_query query = {
     .limit = limit_query_of (view, c->server, domains),
     .slots = MAX (c->server->entry.slots, 1),
-    .rejections_per_s = (guint)c->server->brittle.report.per_s - 1,
+    .rejections_per_s = (guint)per_s - 1,
     .in_progress = c->load.requests,
     .own_in_progress
     = server_load_own (view->server_load_table, c->server->number)->requests,
--- a/tests/unit/test_gate_limit.c
+++ b/tests/unit/test_gate_limit.c
@@ -143,6 +143,44 @@
   proxy_test_stop ();
 }
 
+#define CLIENTS 16
+#define SLOTS 8 /* of each server */
+
+/* Among brittle servers one that has come back under another id gets no more
+   than a brittle one, although it has not responded yet: it would fall over
+   again before its first response has said so.  */
+static void
+test_brittle_comes_back (void)
+{
+  struct proxy_test_client *clients[CLIENTS];
+  guint n = 0;
+  proxy_test_start (2);
+  proxy_test_set_table (1, PROXY_TEST_KEY);
+  proxy_test_list_servers (0, 0, 0);
+  proxy_test.servers[0].script = respond;
+  set_self ();
+  get (PROXY_TEST_SIGNED "X-Brittle: 3\r\n");
+  proxy_test_list_servers (0, 1, 0);
+  proxy_test_script_all (proxy_test_never_respond);
+  guint first = proxy_test_n_requests ();
+  for (guint i = 0; i < CLIENTS; i++)
+    {
+      clients[i] = proxy_test_open_client ();
+      proxy_test_send_request (clients[i], "/again/x",
+                               "X-Deadline-Ms: 1000\r\n");
+    }
+  proxy_test_run_for (200);
+  for (guint i = first; i < proxy_test_n_requests (); i++)
+    n += g_strcmp0 (
+             proxy_test_field (proxy_test_request_at (i), "x-expect-server"),
+             "s-1")
+         == 0;
+  CU_ASSERT_TRUE (n > 0 && n <= SLOTS / 2);
+  for (guint i = 0; i < CLIENTS; i++)
+    proxy_test_close_client (clients[i]);
+  proxy_test_stop ();
+}
+
 /* A server that takes one request in 64 s: the others go elsewhere, and without
    another server they are rejected at once, with a time to return.  */
 static void
@@ -166,6 +204,7 @@
   { "a limit that is used up", test_low_limit },
   { "a brittle server", test_brittle },
   { "a brittle server turns a request away", test_brittle_full },
+  { "a brittle server comes back", test_brittle_comes_back },
   CU_TEST_INFO_NULL,
 };
 
