Name the instance that saves what is left, and what owns kept memory

Read as a newcomer: is_keeper beside struct crash_keeper, which every instance has, and memory_keeper beside memory_holder were hard to tell apart.

--- a/packages/gate/closing_connection.c
+++ b/packages/gate/closing_connection.c
@@ -13,7 +13,7 @@
   struct reverse_proxy *reverse_proxy;
   struct tcp_conn *tcp_conn; /* frees itself after on_finished */
   GList link;
-  struct memory_keeper memory;
+  struct memory_owner memory;
   char peer[ERR_PEER_MAX]; /* IP number, for the log */
 };
 
--- a/packages/gate/memory_relief.c
+++ b/packages/gate/memory_relief.c
@@ -15,16 +15,16 @@
 
 void
 memory_relief_add (struct reverse_proxy *reverse_proxy,
-                   struct memory_keeper *keeper)
+                   struct memory_owner *owner)
 {
-  memory_budget_add (&reverse_proxy->memory, &keeper->holder);
+  memory_budget_add (&reverse_proxy->memory, &owner->holder);
 }
 
 void
 memory_relief_remove (struct reverse_proxy *reverse_proxy,
-                      struct memory_keeper *keeper)
+                      struct memory_owner *owner)
 {
-  memory_budget_remove (&reverse_proxy->memory, &keeper->holder);
+  memory_budget_remove (&reverse_proxy->memory, &owner->holder);
 }
 
 gboolean
@@ -72,21 +72,21 @@
 }
 
 static void
-update (struct reverse_proxy *reverse_proxy, struct memory_keeper *keeper)
+update (struct reverse_proxy *reverse_proxy, struct memory_owner *owner)
 {
-  struct downstream *downstream = keeper->downstream;
-  keeper->holder.tier = downstream != NULL ? tier_of (downstream) : 0;
-  memory_budget_set (&reverse_proxy->memory, &keeper->holder,
+  struct downstream *downstream = owner->downstream;
+  owner->holder.tier = downstream != NULL ? tier_of (downstream) : 0;
+  memory_budget_set (&reverse_proxy->memory, &owner->holder,
                      downstream != NULL
                          ? downstream_kept (downstream)
-                         : tcp_conn_kept (closing_tcp_conn (keeper->closing)));
+                         : tcp_conn_kept (closing_tcp_conn (owner->closing)));
 }
 
 static void
 log_given_up (const struct reverse_proxy *reverse_proxy,
-              const struct memory_keeper *keeper)
+              const struct memory_owner *owner)
 {
-  const struct downstream *downstream = keeper->downstream;
+  const struct downstream *downstream = owner->downstream;
   const struct exchange *exchange
       = downstream != NULL ? downstream->exchange : NULL;
   counter_add (reverse_proxy->options.counter_set, COUNTER_MEMORY_SHORT, 1);
@@ -99,7 +99,7 @@
       " body=%u response=%" G_GSIZE_FORMAT " kept=%" G_GSIZE_FORMAT
       " limit=%" G_GSIZE_FORMAT,
       exchange ? exchange_state_name (exchange->state) : "none",
-      keeper->holder.tier, memory_holder_kept (&keeper->holder),
+      owner->holder.tier, memory_holder_kept (&owner->holder),
       exchange ? exchange->body->len : 0,
       exchange && exchange->upstream ? upstream_buffered (exchange->upstream)
                                      : 0,
@@ -140,20 +140,20 @@
     update (reverse_proxy, l->data);
   while (memory_budget_is_over (memory))
     {
-      struct memory_keeper *keeper
-          = (struct memory_keeper *)(void *)memory_budget_victim (memory);
+      struct memory_owner *owner
+          = (struct memory_owner *)(void *)memory_budget_victim (memory);
       gsize before = memory->kept;
-      if (keeper == NULL)
+      if (owner == NULL)
         break;
-      log_given_up (reverse_proxy, keeper);
-      if (keeper->downstream != NULL)
+      log_given_up (reverse_proxy, owner);
+      if (owner->downstream != NULL)
         {
-          struct downstream *downstream = keeper->downstream;
-          memory_budget_set (memory, &keeper->holder, 0);
+          struct downstream *downstream = owner->downstream;
+          memory_budget_set (memory, &owner->holder, 0);
           give_up (downstream);
         }
       else
-        closing_drop (keeper->closing);
+        closing_drop (owner->closing);
       if (memory->kept >= before)
         break;
     }
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -71,7 +71,7 @@
 };
 
 /* Which connection keeps memory; one of both is set.  */
-struct memory_keeper
+struct memory_owner
 {
   struct memory_holder holder; /* the first member */
   struct downstream *downstream;
@@ -98,7 +98,7 @@
   gboolean release_pending;   /* free when downstream_parse returns */
   gboolean body_too_long;     /* the request body exceeds the limit */
   guint served;               /* complete requests received so far */
-  struct memory_keeper memory;
+  struct memory_owner memory;
   gboolean body_waits;     /* no more of the request body is read, until there
                               is memory for it */
   gint64 body_waits_since; /* clock time */
@@ -128,9 +128,9 @@
 
 /* The memory that is kept for clients and servers. */
 void memory_relief_add (struct reverse_proxy *reverse_proxy,
-                        struct memory_keeper *keeper);
+                        struct memory_owner *keeper);
 void memory_relief_remove (struct reverse_proxy *reverse_proxy,
-                           struct memory_keeper *keeper);
+                           struct memory_owner *keeper);
 void memory_relief_note (struct downstream *downstream);
 gsize memory_relief_output_max (const struct reverse_proxy *reverse_proxy);
 gboolean memory_relief_is_tight (const struct reverse_proxy *reverse_proxy);
--- a/packages/jacinthward/crash_keeper.c
+++ b/packages/jacinthward/crash_keeper.c
@@ -24,19 +24,19 @@
 {
   struct crash_keeper_options options;
   struct object_client *client;
-  gboolean busy;        /* a call is in progress */
-  gboolean is_known;    /* VERSION is that of the object */
-  guint64 version;      /* 0: there is no object */
-  guint64 through;      /* last change that the call in progress saves */
-  guint max;            /* crashes that the store has room for */
-  guint failures;       /* in a row */
-  gboolean save_failed; /* the last save, and no call since has shown that it
-                           would work */
-  gint64 not_before;    /* clock time of the next call */
-  gint64 started_at;    /* clock time of the call in progress */
-  gboolean is_keeper;   /* as told last */
-  gint64 load_at;       /* as in the options; G_MAXINT64: peers have told it */
-  guint source;         /* GLib source: on_hurry; 0: none */
+  gboolean busy;           /* a call is in progress */
+  gboolean is_known;       /* VERSION is that of the object */
+  guint64 version;         /* 0: there is no object */
+  guint64 through;         /* last change that the call in progress saves */
+  guint max;               /* crashes that the store has room for */
+  guint failures;          /* in a row */
+  gboolean save_failed;    /* the last save, and no call since has shown that it
+                              would work */
+  gint64 not_before;       /* clock time of the next call */
+  gint64 started_at;       /* clock time of the call in progress */
+  gboolean is_responsible; /* as told last */
+  gint64 load_at; /* as in the options; G_MAXINT64: peers have told it */
+  guint source;   /* GLib source: on_hurry; 0: none */
 };
 
 struct crash_keeper *
@@ -232,17 +232,17 @@
   g_bytes_unref (text);
 }
 
-/* Starts the call that is due, if one is. Called regularly. IS_KEEPER: this
-   instance saves what the others have left.  */
+/* Starts the call that is due, if one is. Called regularly. IS_RESPONSIBLE:
+   this instance saves what the others have left.  */
 void
-crash_keeper_step (struct crash_keeper *keeper, gboolean is_keeper)
+crash_keeper_step (struct crash_keeper *keeper, gboolean is_responsible)
 {
   gint64 now = clk_now (keeper->options.clk);
-  keeper->is_keeper = is_keeper;
+  keeper->is_responsible = is_responsible;
   if (keeper->busy || now < keeper->not_before)
     return;
   gboolean is_due
-      = crash_records_are_due (keeper->options.suspects, is_keeper, now);
+      = crash_records_are_due (keeper->options.suspects, is_responsible, now);
   if (!keeper->is_known && (is_due || now >= keeper->load_at))
     start_call (keeper, STORAGE_GET, NULL, on_loaded);
   else if (is_due)
@@ -266,7 +266,7 @@
 {
   struct crash_keeper *keeper = data;
   keeper->source = 0;
-  crash_keeper_step (keeper, keeper->is_keeper);
+  crash_keeper_step (keeper, keeper->is_responsible);
   return G_SOURCE_REMOVE;
 }
 
--- a/packages/jacinthward/crash_keeper.h
+++ b/packages/jacinthward/crash_keeper.h
@@ -25,7 +25,7 @@
 struct crash_keeper *
 crash_keeper_new (const struct crash_keeper_options *options);
 void crash_keeper_free (struct crash_keeper *keeper);
-void crash_keeper_step (struct crash_keeper *keeper, gboolean is_keeper);
+void crash_keeper_step (struct crash_keeper *keeper, gboolean is_responsible);
 void crash_keeper_peer_heard (struct crash_keeper *keeper);
 void crash_keeper_hurry (struct crash_keeper *keeper);
 void crash_keeper_store_changed (struct crash_keeper *keeper);
--- a/packages/policy/crash_records.c
+++ b/packages/policy/crash_records.c
@@ -10,8 +10,8 @@
    learned would be paid for with three more servers each time.  */
 
 #define FIRST_LINE "crashes 1"
-/* Until the keeper saves what nobody is known to have saved. */
-#define KEEPER_DELAY_US (1 * CLK_S)
+/* Until the responsible instance saves what nobody is known to have saved. */
+#define LEFT_OVER_DELAY_US (1 * CLK_S)
 #define FIELDS_MIN 3 /* of a line: id, server, time; then the parts */
 
 /* Returns whether CRASH makes a part so suspect that it matters if it is
@@ -63,9 +63,9 @@
 
 /* Returns whether this instance should save now. What a trial waits for and the
    further crashes of a series are saved at once by who wants or has seen them;
-   anything else by the keeper, one instance of all.  */
+   anything else by the one instance that is responsible for what is left.  */
 gboolean
-crash_records_are_due (const struct suspects *suspects, gboolean is_keeper,
+crash_records_are_due (const struct suspects *suspects, gboolean is_responsible,
                        gint64 now)
 {
   for (guint i = 0; i < suspects->n_crashes; i++)
@@ -76,7 +76,7 @@
             && suspects_highest_weight (crash) >= SUSPECTS_WEIGHT_DANGEROUS;
       if (crash->saved < crash->changed && suspects_is_storable (crash)
           && (crash->wanted || (is_series && crash->saved == 0)
-              || (is_keeper && now - crash->at >= KEEPER_DELAY_US)))
+              || (is_responsible && now - crash->at >= LEFT_OVER_DELAY_US)))
         return TRUE;
     }
   return FALSE;
--- a/packages/policy/crash_records.h
+++ b/packages/policy/crash_records.h
@@ -13,7 +13,7 @@
 };
 
 gboolean crash_records_are_due (const struct suspects *suspects,
-                                gboolean is_keeper, gint64 now);
+                                gboolean is_responsible, gint64 now);
 GBytes *crash_records_write (const struct suspects *suspects,
                              gint64 wall_offset, guint max,
                              struct crash_records_written *written);
--- a/tests/proc/test_memory_bound.c
+++ b/tests/proc/test_memory_bound.c
@@ -292,8 +292,9 @@
 static void
 testbed_free (struct testbed *testbed)
 {
-  while (testbed->connections.head != NULL)
-    connection_free (testbed->connections.head->data);
+  struct faulty_connection *connection;
+  while ((connection = g_queue_peek_head (&testbed->connections)) != NULL)
+    connection_free (connection);
   for (guint i = 0; i < testbed->load->faulty; i++)
     tcp_listener_free (testbed->faulty[i].listener);
   for (guint i = 0; i < testbed->sound->len; i++)
@@ -438,8 +439,10 @@
           "/proc/%d/status", harness_pid (fleet->instances[i].proc));
       g_autofree char *text = NULL;
       CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, NULL, NULL));
-      const char *peak = strstr (text, "VmHWM:");
+      const char *peak = text != NULL ? strstr (text, "VmHWM:") : NULL;
       CU_ASSERT_PTR_NOT_NULL_FATAL (peak);
+      if (peak == NULL)
+        return 0;
       most = MAX (most, (guint)atoi (peak + strlen ("VmHWM:")));
     }
   return most;
