--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -128,9 +128,9 @@
 
 /* The memory that is kept for clients and servers. */
 void memory_relief_add (struct reverse_proxy *reverse_proxy,
-                        struct memory_owner *keeper);
+                        struct memory_owner *owner);
 void memory_relief_remove (struct reverse_proxy *reverse_proxy,
-                           struct memory_owner *keeper);
+                           struct memory_owner *owner);
 void memory_relief_note (struct downstream *downstream);
 gsize memory_relief_output_max (const struct reverse_proxy *reverse_proxy);
 gboolean memory_relief_is_tight (const struct reverse_proxy *reverse_proxy);
--- a/tests/unit/test_crash_records.c
+++ b/tests/unit/test_crash_records.c
@@ -172,7 +172,7 @@
 }
 
 /* Further crashes of a series are saved at once by who has seen them, and what
-   nobody saves by the keeper.  */
+   nobody saves by the responsible instance.  */
 static void
 test_who_saves (void)
 {
