--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -233,7 +233,8 @@
   registry_tick (daemon->registry, now);
   suspects_expire (daemon->suspects, now);
   crash_keeper_step (daemon->crash_keeper,
-                     gossip_reader_rank (daemon->gossip, now) == 0);
+                     suspects_is_active (daemon->suspects)
+                         && gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
   send_state_to_peers (daemon, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
