Revert "Give an instance its share of the retry budget in the course of its first window"

That is what callers of an instance that was restarted beside faulty servers would see, and it weighs more than a retry budget that is used twice after all instances have lost power within one window.

What would mend both: the used budget in the store, or told by peers.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -255,9 +255,9 @@
 {
   const struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   return reverse_proxy->options.limits.key_freshness_limit_us == 0
-         || freshness_is_within (
-             &reverse_proxy->freshness, exchange_now (exchange),
-             reverse_proxy->options.limits.key_freshness_limit_us);
+         || freshness_is_within (&reverse_proxy->freshness,
+                                 exchange_now (exchange),
+                                 reverse_proxy->options.limits.key_freshness_limit_us);
 }
 
 /* Finds route and team in the newest routing table. Returns FALSE if the
@@ -323,7 +323,7 @@
     {
       retry_budget = g_new0 (struct retry_budget, 1);
       retry_budget_init (retry_budget, &reverse_proxy->options.limits.budget,
-                         reverse_proxy->started_at, exchange_now (exchange));
+                         exchange_now (exchange));
       g_hash_table_insert (reverse_proxy->retry_budgets,
                            g_strdup (exchange->queue_entry.service),
                            retry_budget);
--- a/packages/sched/retry_budget.c
+++ b/packages/sched/retry_budget.c
@@ -8,29 +8,12 @@
    together they must stay within the budget. */
 #define USABLE_SHARE 0.8
 
-/* Share of the slack that may be used at the start of the process: the instance
-   may have used USABLE_SHARE of it just before. The rest comes in the course of
-   the first window. */
-#define START_SHARE 0.25
-
-/* Begins an empty window. STARTED is the clock time of the process's start.  */
+/* Starts with an empty window.  */
 void
 retry_budget_init (struct retry_budget *budget,
-                   const struct retry_budget_options *options, gint64 started,
-                   gint64 now)
-{
-  *budget = (struct retry_budget){ .options = *options,
-                                   .current_start = now,
-                                   .started = started };
-}
-
-/* Returns the share of the slack that may be used at NOW.  */
-static double
-slack_share (const struct retry_budget *budget, gint64 now)
+                   const struct retry_budget_options *options, gint64 now)
 {
-  double elapsed = (double)(now - budget->started)
-                   / (double)MAX (budget->options.window_us, 1);
-  return START_SHARE + (1 - START_SHARE) * CLAMP (elapsed, 0, 1);
+  *budget = (struct retry_budget){ .options = *options, .current_start = now };
 }
 
 /* Moves the window to NOW and clears the buckets that have expired.  */
@@ -70,8 +53,7 @@
       retries += budget->buckets[i].retries;
     }
   double allowed = budget->options.ratio * requests
-                   + slack_share (budget, now) * budget->options.slack
-                         / MAX (instances, 1);
+                   + budget->options.slack / MAX (instances, 1);
   return retries + 1 <= USABLE_SHARE * allowed;
 }
 
--- a/packages/sched/retry_budget.h
+++ b/packages/sched/retry_budget.h
@@ -27,12 +27,10 @@
   struct retry_budget_bucket buckets[RETRY_BUDGET_BUCKETS];
   guint current;
   gint64 current_start; /* clock time */
-  gint64 started;       /* clock time of the process's start */
 };
 
 void retry_budget_init (struct retry_budget *budget,
-                        const struct retry_budget_options *options,
-                        gint64 started, gint64 now);
+                        const struct retry_budget_options *options, gint64 now);
 void retry_budget_count_request (struct retry_budget *budget, gint64 now);
 gboolean retry_budget_allows (struct retry_budget *budget, guint instances,
                               gint64 now);
