--- a/packages/fleet/start_evidence.c
+++ b/packages/fleet/start_evidence.c
@@ -7,9 +7,9 @@
    the newest, although others know better.  */
 
 /* From the start until the store alone is evidence: peers that run have been
-   heard by then, if there are any. As long as a request waits for the first
-   configuration. */
-#define ALONE_US (600 * CLK_MS)
+   heard by then, if there are any, also those of other regions. When all start
+   at once, requests wait so long. */
+#define ALONE_US (300 * CLK_MS)
 /* A peer's word of a newer version, which may be damaged, counts so long. */
 #define NEWER_KEPT_US (3 * CLK_S)
 
--- a/packages/jacinthward/crash_keeper.c
+++ b/packages/jacinthward/crash_keeper.c
@@ -35,8 +35,7 @@
   gint64 not_before;       /* clock time of the next call */
   gint64 started_at;       /* clock time of the call in progress */
   gboolean is_responsible; /* as told last */
-  gint64 load_at; /* as in the options; G_MAXINT64: peers have told it */
-  guint source;   /* GLib source: on_hurry; 0: none */
+  guint source;            /* GLib source: on_hurry; 0: none */
 };
 
 struct crash_keeper *
@@ -48,7 +47,6 @@
           .counter_set = options->counter_set };
   keeper->options = *options;
   keeper->max = CRASHES_MAX;
-  keeper->load_at = options->load_at;
   keeper->client = object_client_new (&client_options);
   return keeper;
 }
@@ -241,26 +239,13 @@
   keeper->is_responsible = is_responsible;
   if (keeper->busy || now < keeper->not_before)
     return;
-  gboolean is_due
-      = crash_records_are_due (keeper->options.suspects, is_responsible, now);
-  if (!keeper->is_known && (is_due || now >= keeper->load_at))
+  if (!keeper->is_known)
     start_call (keeper, STORAGE_GET, NULL, on_loaded);
-  else if (is_due)
+  else if (crash_records_are_due (keeper->options.suspects, is_responsible,
+                                  now))
     save (keeper);
 }
 
-/* A peer that has run for a while has been heard, and with it what it knows of
-   crashes: nothing need be loaded.  */
-void
-crash_keeper_peer_heard (struct crash_keeper *keeper)
-{
-  if (keeper->is_known || keeper->load_at == G_MAXINT64)
-    return;
-  keeper->load_at = G_MAXINT64;
-  crash_records_loaded (keeper->options.suspects);
-  keeper->options.loaded (keeper->options.ctx);
-}
-
 static gboolean
 on_hurry (gpointer data)
 {
--- a/packages/jacinthward/crash_keeper.h
+++ b/packages/jacinthward/crash_keeper.h
@@ -15,8 +15,6 @@
   const struct clk *clk;           /* borrowed */
   struct counter_set *counter_set; /* borrowed */
   struct suspects *suspects;       /* borrowed */
-  gint64 load_at; /* clock time from which on it loads what was saved, unless a
-                     peer that has it is heard before */
   /* What was saved has been loaded. */
   void (*loaded) (void *ctx);
   void *ctx;
@@ -26,7 +24,6 @@
 crash_keeper_new (const struct crash_keeper_options *options);
 void crash_keeper_free (struct crash_keeper *keeper);
 void crash_keeper_step (struct crash_keeper *keeper, gboolean is_responsible);
-void crash_keeper_peer_heard (struct crash_keeper *keeper);
 void crash_keeper_hurry (struct crash_keeper *keeper);
 void crash_keeper_store_changed (struct crash_keeper *keeper);
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -22,9 +22,6 @@
 /* From the start, requests wait so long at most for the crashes that were saved
    before. */
 #define CRASHES_LOAD_US (1500 * CLK_MS)
-/* Until an instance that is no seed and hears nobody loads them itself. */
-#define CRASHES_WAIT_US (700 * CLK_MS)
-#define CRASHES_SPREAD_US 700000
 #define PAUSE_THRESHOLD_US                                                     \
   (1 * CLK_S) /* a tick this late means that the process was suspended or      \
                  starved */
@@ -392,18 +389,6 @@
   return 0;
 }
 
-/* Returns the clock time from which on this instance loads the crashes that
-   were saved: a seed at once, others later and not all together, if they have
-   heard nobody.  */
-static gint64
-crashes_load_at (struct proxy_daemon *daemon, gint64 now)
-{
-  return proxy_daemon_is_seed (daemon->settings)
-             ? now
-             : now + CRASHES_WAIT_US
-                   + g_rand_int_range (daemon->rand, 0, CRASHES_SPREAD_US);
-}
-
 int
 proxy_daemon_new (const struct proxy_settings *settings,
                   struct proxy_daemon **result, struct err *err)
@@ -443,7 +428,6 @@
           .clk = daemon->clk,
           .counter_set = &daemon->counter_set,
           .suspects = daemon->suspects,
-          .load_at = crashes_load_at (daemon, now),
           .loaded = on_crashes_loaded,
           .ctx = daemon };
   daemon->crash_keeper = crash_keeper_new (&keeper_options);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -96,7 +96,6 @@
 
 /* Synchronization of the configuration and the server list with the store and
    with peers. */
-gboolean proxy_daemon_is_seed (const struct proxy_settings *settings);
 void proxy_daemon_sync_init (struct proxy_daemon *daemon, gint64 now);
 void proxy_daemon_sync_step (struct proxy_daemon *daemon, gint64 now);
 void proxy_daemon_handle_peer_update (struct proxy_daemon *daemon, guint32 ip,
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -193,19 +193,6 @@
                                      : G_MAXINT64;
 }
 
-/* Returns whether this instance is one of the seeds of its settings.  */
-gboolean
-proxy_daemon_is_seed (const struct proxy_settings *settings)
-{
-  guint32 own = 0;
-  guint32 seed;
-  udp_ip_parse (settings->listen_peers, &own);
-  for (guint i = 0; settings->seeds && settings->seeds[i]; i++)
-    if (udp_ip_parse (settings->seeds[i], &seed) && seed == own)
-      return TRUE;
-  return settings->seeds == NULL || settings->seeds[0] == NULL;
-}
-
 void
 proxy_daemon_sync_init (struct proxy_daemon *daemon, gint64 now)
 {
@@ -384,8 +371,6 @@
 {
   start_evidence_of_peer (&daemon->evidence, update->config_version,
                           update->config_age_us, now);
-  if (daemon->evidence.heard)
-    crash_keeper_peer_heard (daemon->crash_keeper);
   confirm_proved (daemon, now);
   if (update->freshness.confirmed_after > 0)
     proxy_confirm_version (daemon->reverse_proxy,
