--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -255,9 +255,9 @@
 {
   const struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   return reverse_proxy->options.limits.key_freshness_limit_us == 0
-         || freshness_is_within (&reverse_proxy->freshness,
-                                 exchange_now (exchange),
-                                 reverse_proxy->options.limits.key_freshness_limit_us);
+         || freshness_is_within (
+             &reverse_proxy->freshness, exchange_now (exchange),
+             reverse_proxy->options.limits.key_freshness_limit_us);
 }
 
 /* Finds route and team in the newest routing table. Returns FALSE if the
