--- a/review/rig.py
+++ b/review/rig.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -302,3 +303,17 @@
 
 def temporary_folder():
     return tempfile.mkdtemp(prefix="jw-review-")
+
+
+def exit_with(case):
+    """Exits with what CASE returns, or 2 if it could not run. SIGTERM ends it,
+    and what it has started, too."""
+    def end(*_):
+        raise RuntimeError("the script was told to end")
+    signal.signal(signal.SIGTERM, end)
+    try:
+        status = asyncio.run(case)
+    except (OSError, RuntimeError, IndexError, KeyboardInterrupt) as error:
+        print("the case could not run:", error)
+        status = 2
+    sys.exit(status)
