review: scripts end what they started also if told twice

Cause: a second SIGTERM interrupted the clean-up of cases 6 and 7, and six processes were left (seen once, ended by their ids). Done: the signal cancels the case once, in the event loop.

--- a/review/rig.py
+++ b/review/rig.py
@@ -306,14 +306,27 @@
 
 
 def exit_with(case):
-    """Exits with what CASE returns, or 2 if it could not run. SIGTERM ends it,
-    and what it has started, too."""
-    def end(*_):
-        raise RuntimeError("the script was told to end")
-    signal.signal(signal.SIGTERM, end)
+    """Exits with what CASE returns, or 2 if it could not run. A signal that
+    ends it, also if it comes again, ends what it has started too."""
+    async def play():
+        task = asyncio.ensure_future(case)
+        told = []
+
+        def end():
+            if not told:
+                task.cancel()
+            told.append(True)
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, end)
+        return await task
+
     try:
-        status = asyncio.run(case)
-    except (OSError, RuntimeError, IndexError, KeyboardInterrupt) as error:
+        status = asyncio.run(play())
+    except asyncio.CancelledError:
+        print("the case could not run: it was told to end")
+        status = 2
+    except (OSError, IndexError, subprocess.SubprocessError) as error:
         print("the case could not run:", error)
         status = 2
     sys.exit(status)
