--- /dev/null
+++ b/packages/usage/usage_reports.h
@@ -0,0 +1,40 @@
+/* Which usage reports are due, and what they say. What is sent for a window is
+   fixed by a conditional write to the store before the first send, and repeated
+   unchanged by every later holder of the duty. No I/O.  */
+#ifndef USAGE_REPORTS_H
+#define USAGE_REPORTS_H
+
+#include "usage/usage_account.h"
+
+struct usage_reports;
+
+struct usage_reports_options
+{
+  gint64 window_us;
+  gint64 late_us; /* after the end of a window, its report is due */
+  struct usage_account *account; /* borrowed */
+};
+
+/* A report that is to be sent. */
+struct usage_call
+{
+  guint64 window;
+  const struct usage_count *counts; /* borrowed until usage_reports_done */
+  guint n;
+};
+
+struct usage_reports *
+usage_reports_new (const struct usage_reports_options *options);
+void usage_reports_free (struct usage_reports *reports);
+void usage_reports_load (struct usage_reports *reports, struct str section,
+                         gboolean era_changed, gint64 true_now);
+gboolean usage_reports_prepare (struct usage_reports *reports, gint64 true_now,
+                                GString *section);
+void usage_reports_stored (struct usage_reports *reports, gint64 true_now);
+gboolean usage_reports_next (struct usage_reports *reports, gint64 true_now,
+                             struct usage_call *call);
+void usage_reports_done (struct usage_reports *reports,
+                         const struct usage_call *call, int code,
+                         gint64 true_now);
+
+#endif
