usage: count requests by team and window, and fix their reports

Nobody counts the requests of the teams, so no report can be sent.

Change: packages/usage has the estimate of true time, the account of one instance and of what others tell, the message between them, and the reports (load, prepare, stored, next, done as the agreed header has them). packages/gate tells of each request once, at its first event or at the head of a response without events; exchange_usage.c alone decides which requests count. packages/jacinthward/usage_keeper.c sends to the collectors and takes what comes. gossip_collectors and gossip_list_members say who collects and who lives.

A message has what has changed since the last change that the collector confirms, by numbers of the sender, and not all windows of 30 s, most of which the collector has already.

Nothing is active before the settings have the group [duties]: usage_is_wanted in usage_keeper.c returns FALSE.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -86,6 +86,17 @@
   X (ORDER_ERRORS, "order_errors", "failed requests that carry orders")        \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
+  X (USAGE_MSG_IN, "usage_msg_in", "messages about usage from instances")      \
+  X (USAGE_MSG_OUT, "usage_msg_out", "messages about usage to collectors")     \
+  X (USAGE_BYTES_IN, "usage_bytes_in", "bytes of those from instances")        \
+  X (USAGE_BYTES_OUT, "usage_bytes_out", "bytes of those to collectors")       \
+  X (USAGE_COUNTED, "usage_counted", "requests counted for a team")            \
+  X (USAGE_FIXED, "usage_fixed", "windows whose usage report was fixed")       \
+  X (USAGE_INCOMPLETE, "usage_incomplete",                                     \
+     "of those, fixed without the counts of some instance")                    \
+  X (USAGE_REPORTED, "usage_reported", "usage reports accepted")               \
+  X (USAGE_MISSED, "usage_missed",                                             \
+     "windows not reported: counts lost, or too late")                         \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
 
 enum counter_id
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -69,6 +69,7 @@
   http_head_get (head, downstream->reverse_proxy->header_names->last_event,
                  &last_event);
   stream_position_init (&exchange->position, last_event);
+  exchange->is_continuation = last_event.n > 0;
   if (http_head_get (head, downstream->reverse_proxy->header_names->request_id,
                      &id)
       && id.n <= EXCHANGE_ID_MAX)
@@ -531,6 +532,7 @@
                                  : "none");
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
+  exchange->uncached_tokens = choice->prefill_tokens;
   part_trial_begin (exchange, choice->server);
   if (reverse_proxy->options.request_sent != NULL && prompt->n > 0)
     reverse_proxy->options.request_sent (
@@ -577,6 +579,9 @@
              queue_entry->tier, decision->ahead, decision->choice.usable,
              decision->choice.busy, decision->wait_us / CLK_MS,
              decision->retry_after_us / CLK_MS);
+  if (decision->reason == SCHEDULER_OVERLOAD
+      || decision->reason == SCHEDULER_QUEUE_FULL)
+    exchange_usage_rejected (exchange);
   if (exchange->head_sent)
     exchange_abort (exchange, scheduler_reason_name (decision->reason));
   else if (exchange->may_have_run)
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -158,6 +158,7 @@
     exchange->first_event_us = now - exchange->arrived;
   exchange->last_event_at = now;
   exchange->events += n;
+  exchange_usage_events (exchange, n);
   exchange->began_event = FALSE;
   exchange->attempt_events += n;
 }
--- /dev/null
+++ b/packages/gate/exchange_usage.c
@@ -0,0 +1,86 @@
+/* What requests use of the services: which of them count for their team, and
+   what they ask of a service.  */
+#include "gate/exchange_internal.h"
+
+/* Whether requests to services without engines count for their teams, too. */
+#define COUNTS_PLAIN_SERVICES TRUE
+
+static const struct routing_service *
+service_of (const struct exchange *exchange)
+{
+  return routing_service (exchange->routing_table,
+                          exchange->queue_entry.service);
+}
+
+/* Returns whether this instance accounts for the request: another one that has
+   passed it on does so itself, since it may have had the first token from
+   elsewhere.  */
+static gboolean
+is_accounted (const struct exchange *exchange)
+{
+  return exchange->reverse_proxy->options.used != NULL && !exchange->was_relayed
+         && exchange->routing_table != NULL;
+}
+
+/* Returns whether the first token of this request counts for its team. A client
+   that names its last event continues a request whose first token has come
+   before.  */
+static gboolean
+is_billed (const struct exchange *exchange)
+{
+  const struct routing_service *service = service_of (exchange);
+  if (exchange->is_continuation && exchange->route->resumable)
+    return FALSE;
+  return COUNTS_PLAIN_SERVICES || (service != NULL && service->has_engine);
+}
+
+static void
+tell (const struct exchange *exchange, const struct proxy_usage *usage)
+{
+  const struct proxy_options *options = &exchange->reverse_proxy->options;
+  options->used (options->ctx, usage);
+}
+
+/* The first token of a run has come, or the head of a response that has no
+   events. What follows at another server does not count again.  */
+void
+exchange_usage_started (struct exchange *exchange)
+{
+  if (exchange->is_counted || !is_accounted (exchange))
+    return;
+  exchange->is_counted = TRUE;
+  gboolean billed = is_billed (exchange);
+  const struct proxy_usage usage
+      = { .service = exchange->queue_entry.service,
+          .team
+          = billed && exchange->team != NULL ? exchange->team->name : NULL,
+          .requests = billed,
+          .uncached_tokens = exchange->uncached_tokens };
+  tell (exchange, &usage);
+}
+
+/* N events have come together.  */
+void
+exchange_usage_events (struct exchange *exchange, guint n)
+{
+  exchange_usage_started (exchange);
+  if (!is_accounted (exchange))
+    return;
+  const struct routing_service *service = service_of (exchange);
+  if (service == NULL || !service->has_engine)
+    return;
+  const struct proxy_usage usage
+      = { .service = exchange->queue_entry.service,
+          .output_tokens = (guint64)n * service->engine.stride };
+  tell (exchange, &usage);
+}
+
+/* The request is rejected for overload.  */
+void
+exchange_usage_rejected (struct exchange *exchange)
+{
+  const struct proxy_usage usage
+      = { .service = exchange->queue_entry.service, .rejections = 1 };
+  if (is_accounted (exchange))
+    tell (exchange, &usage);
+}
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -38,6 +38,17 @@
   gint64 shutdown_limit_us;
 };
 
+/* What a request has asked of a service. */
+struct proxy_usage
+{
+  const char *service;     /* borrowed */
+  const char *team;        /* borrowed; NULL: no request of a team is counted */
+  guint64 requests;        /* whose first token or response has come */
+  guint64 uncached_tokens; /* of the prompt, as placement has estimated */
+  guint64 output_tokens;
+  guint64 rejections; /* for overload */
+};
+
 struct proxy_options
 {
   const char *listen;                      /* address for clients, IP:PORT */
@@ -60,6 +71,8 @@
   /* A brittle server has turned a request away, which the other instances are
      to know at once. May be NULL. */
   void (*brittle_full) (void *ctx);
+  /* A request has used a service, now. May be NULL. */
+  void (*used) (void *ctx, const struct proxy_usage *usage);
   /* Returns a lower bound of the clock time at which another instance was
      last sure to reach servers; 0: unknown. NULL: there is no other instance.
    */
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -222,11 +222,14 @@
   struct event_splitter event_splitter; /* of the response, if is_sse */
   struct stream_position position;      /* of the client in the stream */
   guint events;                         /* with data or an id, relayed */
-  gboolean began_event;   /* an attempt has ended inside the event after the
-                             position */
-  guint attempt_events;   /* those of the present attempt */
-  gint64 last_event_at;   /* clock time; before the first event: of the
-                             attempt's start */
+  gboolean began_event;     /* an attempt has ended inside the event after the
+                               position */
+  gboolean is_continuation; /* the client has events of an earlier request */
+  gboolean is_counted;      /* its first token has been counted */
+  guint64 uncached_tokens;  /* of the prompt, at the server chosen last */
+  guint attempt_events;     /* those of the present attempt */
+  gint64 last_event_at;     /* clock time; before the first event: of the
+                               attempt's start */
   gint64 first_event_us;  /* from the arrival to the first event; 0: none yet */
   gint64 longest_gap_us;  /* longest inter-event gap */
   guint status;           /* of the response */
@@ -296,6 +299,11 @@
                          struct registry_server *server);
 void server_check_free_all (struct reverse_proxy *reverse_proxy);
 
+/* What requests use of the services. */
+void exchange_usage_started (struct exchange *exchange);
+void exchange_usage_events (struct exchange *exchange, guint n);
+void exchange_usage_rejected (struct exchange *exchange);
+
 /* Called by the attempt at a backend server. */
 gboolean exchange_begin_response (struct exchange *exchange,
                                   const struct http_head *head);
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -208,7 +208,11 @@
                     || (head->has_length
                         && head->length > UPSTREAM_BUFFERED_BODY_MAX))));
   if (!upstream->relaying || exchange_begin_response (upstream->exchange, head))
-    return TRUE;
+    {
+      if (is_success (head) && !upstream->exchange->is_sse)
+        exchange_usage_started (upstream->exchange);
+      return TRUE;
+    }
   log_write (&(struct log_entry){ .level = LOG_WARN,
                                   .event = "stream.mismatch",
                                   .request_id = upstream->exchange->id,
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -153,6 +153,8 @@
   struct err err = { 0 };
   counter_add (&daemon->counter_set, COUNTER_MSG_IN, 1);
   counter_add (&daemon->counter_set, COUNTER_BYTES_IN, bytes.n);
+  if (usage_keeper_receive (daemon->usage_keeper, ip, bytes, now))
+    return;
   int code = gossip_receive (daemon->gossip, ip, bytes, now, daemon->registry,
                              scheduler_loads (daemon->scheduler),
                              scheduler_prefix_directory (daemon->scheduler),
@@ -234,6 +236,7 @@
                          && gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
   send_state_to_peers (daemon, now);
+  usage_keeper_step (daemon->usage_keeper, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
     {
       daemon->health_reviewed_at = now;
@@ -259,6 +262,7 @@
 on_shutdown_done (void *ctx)
 {
   struct proxy_daemon *daemon = ctx;
+  usage_keeper_flush (daemon->usage_keeper, clk_now (daemon->clk));
   g_main_loop_quit (daemon->loop);
 }
 
@@ -284,6 +288,13 @@
   gossip_add_placement (daemon->gossip, server, prompt, at_home);
 }
 
+static void
+on_used (void *ctx, const struct proxy_usage *usage)
+{
+  struct proxy_daemon *daemon = ctx;
+  usage_keeper_count (daemon->usage_keeper, usage);
+}
+
 static gint64
 on_peers_sure_at (void *ctx)
 {
@@ -354,6 +365,7 @@
           .shutdown_done = on_shutdown_done,
           .request_sent = on_request_sent,
           .brittle_full = on_brittle_full,
+          .used = on_used,
           .peers_sure_at = on_peers_sure_at,
           .choose_peer = on_choose_peer,
           .ctx = daemon };
@@ -386,6 +398,16 @@
   if (daemon->udp == NULL)
     return ERR_IO;
   daemon->peer_port = udp_port (daemon->udp);
+  const struct usage_keeper_options usage_options
+      = { .settings = settings,
+          .clk = daemon->clk,
+          .counter_set = &daemon->counter_set,
+          .gossip = daemon->gossip,
+          .ip = daemon->ip,
+          .incarnation = options.incarnation,
+          .send = send_datagram,
+          .ctx = daemon };
+  daemon->usage_keeper = usage_keeper_new (&usage_options);
   return 0;
 }
 
@@ -461,6 +483,7 @@
   proxy_free (daemon->reverse_proxy);
   adapter_free (daemon->adapter);
   udp_free (daemon->udp);
+  usage_keeper_free (daemon->usage_keeper);
   gossip_free (daemon->gossip);
   g_array_unref (daemon->limit_members);
   g_array_unref (daemon->relays);
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -28,6 +28,7 @@
   proxy_dump (daemon->reverse_proxy, json);
   json_builder_set_member_name (json, "counters");
   counter_set_dump (&daemon->counter_set, json);
+  usage_keeper_dump (daemon->usage_keeper, json);
   json_builder_end_object (json);
   JsonNode *root = json_builder_get_root (json);
   char *text = json_to_string (root, TRUE);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -11,6 +11,7 @@
 #include "http/server.h"
 #include "jacinthward/crash_keeper.h"
 #include "jacinthward/proxy_daemon.h"
+#include "jacinthward/usage_keeper.h"
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
 #include "peer/gossip.h"
@@ -50,9 +51,10 @@
   struct scheduler *scheduler;
   struct suspects *suspects;
   struct crash_keeper *crash_keeper;
-  guint news_source;    /* GLib source: on_news_due; 0: none */
-  gboolean news_is_own; /* something was seen here since */
-  gint64 news_sent_at;  /* clock time */
+  struct usage_keeper *usage_keeper; /* NULL: usage is not accounted */
+  guint news_source;                 /* GLib source: on_news_due; 0: none */
+  gboolean news_is_own;              /* something was seen here since */
+  gint64 news_sent_at;               /* clock time */
   struct reverse_proxy *reverse_proxy;
   struct gossip *gossip;
   struct udp *udp;
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -53,6 +53,14 @@
   gboolean is_local;
 };
 
+/* Another instance. */
+struct gossip_member
+{
+  guint32 ip;         /* host byte order */
+  const char *domain; /* borrowed; "": unknown */
+  gint64 alive_at;    /* clock time of the last sign of life */
+};
+
 /* Age up to which it counts that an instance has reached servers. */
 #define GOSSIP_REACHED_MAX_US (3 * CLK_S)
 
@@ -109,6 +117,9 @@
 guint gossip_local_peer_count (const struct gossip *gossip, gint64 now);
 guint gossip_domain_rank (const struct gossip *gossip, gint64 now);
 guint gossip_reader_rank (const struct gossip *gossip, gint64 now);
+guint gossip_collectors (const struct gossip *gossip, gint64 now, guint32 *ips,
+                         guint max);
+void gossip_list_members (const struct gossip *gossip, GArray *members);
 guint gossip_limit_members (const struct gossip *gossip, gint64 now,
                             GArray *members);
 guint gossip_contenders (const struct gossip *gossip, gint64 now,
--- a/packages/peer/gossip_members.c
+++ b/packages/peer/gossip_members.c
@@ -248,3 +248,77 @@
     }
   return (guint)(version ^ (version >> 32));
 }
+
+/* The live instance with the lowest address of a domain. */
+struct collector
+{
+  const char *domain;
+  guint32 ip;
+};
+
+/* Takes the instance at IP into the first MAX domains by name, if it belongs
+   there. Returns the new number of domains.  */
+static guint
+add_collector (struct collector *collectors, guint n, guint max,
+               const char *domain, guint32 ip)
+{
+  guint at = 0;
+  while (at < n && strcmp (collectors[at].domain, domain) < 0)
+    at++;
+  if (at < n && g_str_equal (collectors[at].domain, domain))
+    {
+      collectors[at].ip = MIN (collectors[at].ip, ip);
+      return n;
+    }
+  if (at >= max)
+    return n;
+  n = MIN (n + 1, max);
+  memmove (&collectors[at + 1], &collectors[at],
+           (n - at - 1) * sizeof *collectors);
+  collectors[at] = (struct collector){ domain, ip };
+  return n;
+}
+
+/* Fills IPS with the live instance of the lowest address in each of the first
+   MAX live domains by name; this instance may be one of them. Returns how many
+   there are.  */
+guint
+gossip_collectors (const struct gossip *gossip, gint64 now, guint32 *ips,
+                   guint max)
+{
+  struct collector *collectors = g_newa (struct collector, max);
+  guint n = add_collector (collectors, 0, max, gossip->domain.s, gossip->ip);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, gossip->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (peer->domain[0] != '\0'
+          && gossip_is_recent (peer, now, MEMBER_LIST_AGE_US)
+          && (peer->last_heard == 0 || !gossip_is_unresponsive (peer, now)))
+        n = add_collector (collectors, n, max, peer->domain, peer->ip);
+    }
+  for (guint i = 0; i < n; i++)
+    ips[i] = collectors[i].ip;
+  return n;
+}
+
+/* Fills MEMBERS, of struct gossip_member, with all other instances that are
+   known.  */
+void
+gossip_list_members (const struct gossip *gossip, GArray *members)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_array_set_size (members, 0);
+  g_hash_table_iter_init (&iter, gossip->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+      const struct gossip_member member
+          = { peer->ip, peer->domain,
+              MAX (peer->last_heard, peer->last_reported) };
+      g_array_append_val (members, member);
+    }
+}
--- a/packages/usage/usage_reports.h
+++ b/packages/usage/usage_reports.h
@@ -1,9 +1,12 @@
 /* Which usage reports are due, and what they say. What is sent for a window is
    fixed by a conditional write to the store before the first send, and repeated
-   unchanged by every later holder of the duty. No I/O.  */
+   unchanged by every later holder of the duty. Times are true time. No I/O.  */
 #ifndef USAGE_REPORTS_H
 #define USAGE_REPORTS_H
 
+#include <json-glib/json-glib.h>
+
+#include "base/counter.h"
 #include "usage/usage_account.h"
 
 struct usage_reports;
@@ -12,14 +15,16 @@
 {
   gint64 window_us;
   gint64 late_us; /* after the end of a window, its report is due */
-  struct usage_account *account; /* borrowed */
+  struct usage_account *account;   /* borrowed */
+  struct counter_set *counter_set; /* borrowed; NULL: nothing is counted */
 };
 
 /* A report that is to be sent. */
 struct usage_call
 {
   guint64 window;
-  const struct usage_count *counts; /* borrowed until usage_reports_done */
+  const struct usage_count *counts; /* borrowed until usage_reports_done, but
+                                       for 10 s at most */
   guint n;
 };
 
@@ -36,5 +41,7 @@
 void usage_reports_done (struct usage_reports *reports,
                          const struct usage_call *call, int code,
                          gint64 true_now);
+void usage_reports_dump (const struct usage_reports *reports,
+                         JsonBuilder *json);
 
 #endif
