--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -84,6 +84,14 @@
   X (ORDERS, "orders", "orders sent to engines")                               \
   X (ORDER_CONFLICTS, "order_conflicts", "orders rejected as outranked")       \
   X (ORDER_ERRORS, "order_errors", "failed requests that carry orders")        \
+  X (SCALE_ACCEPTED, "scale_accepted",                                         \
+     "orders for numbers of servers that the platform accepted")               \
+  X (SCALE_REFUSED, "scale_refused",                                           \
+     "orders for numbers of servers refused for lack of capacity")             \
+  X (SCALE_FAILED, "scale_failed",                                             \
+     "failed requests that order numbers of servers")                          \
+  X (SPOT_RECLAIMS, "spot_reclaims",                                           \
+     "times that spot servers of a failure domain were reclaimed")             \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -455,6 +455,8 @@
   server->missing_since = 0;
   server->entry.slots = entry->slots;
   server->entry.warming_until = entry->warming_until;
+  server->entry.is_spot = entry->is_spot;
+  server->entry.leaving_at = entry->leaving_at;
   if (entry->leaving && server->state == REGISTRY_READY)
     {
       server->entry.leaving = TRUE;
--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -24,6 +24,8 @@
   guint slots;          /* concurrent requests */
   gint64 warming_until; /* clock time until which it is slow; 0: not slow */
   gboolean leaving;
+  gboolean is_spot;  /* of the cheaper kind, which may be reclaimed */
+  gint64 leaving_at; /* clock time at which it ends; 0: not stated */
 };
 
 /* X (NAME, "name") */
--- a/packages/peer/peer_server_list.c
+++ b/packages/peer/peer_server_list.c
@@ -6,7 +6,11 @@
 
 #include <string.h>
 
-#define FIELDS 8 /* of an encoded entry */
+#define FIELDS 8 /* of an encoded entry of a regular server */
+/* The entries of spot servers, and of servers with a stated end, have two more
+   fields, which older instances ignore. */
+#define FIELDS_SPOT 10
+#define LEAVING_MAX_US (G_GINT64_CONSTANT (1000000) * CLK_S)
 #define CHANGES_NAME "changes"
 #define CHANGES_FIELDS 4 /* of encoded changes */
 #define HISTORY_KEPT 32  /* changes kept */
@@ -31,7 +35,8 @@
 static void
 pack_entry (msgpack_packer *pk, const struct registry_entry *entry, gint64 now)
 {
-  msgpack_pack_array (pk, FIELDS);
+  gboolean extended = entry->is_spot || entry->leaving_at != 0;
+  msgpack_pack_array (pk, extended ? FIELDS_SPOT : FIELDS);
   peer_msgpack_pack_text (pk, entry->id);
   peer_msgpack_pack_text (pk, entry->service);
   peer_msgpack_pack_text (pk, entry->address);
@@ -40,6 +45,12 @@
   msgpack_pack_uint32 (pk, entry->slots);
   msgpack_pack_int64 (pk, MAX (entry->warming_until - now, 0));
   entry->leaving ? msgpack_pack_true (pk) : msgpack_pack_false (pk);
+  if (!extended)
+    return;
+  entry->is_spot ? msgpack_pack_true (pk) : msgpack_pack_false (pk);
+  /* 0: not stated; an end that is due is 1 microsecond ahead. */
+  msgpack_pack_int64 (
+      pk, entry->leaving_at != 0 ? MAX (entry->leaving_at - now, 1) : 0);
 }
 
 /* Appends LIST to OUT.  */
@@ -77,6 +88,23 @@
   return TRUE;
 }
 
+/* Reads the fields of an entry that older instances do not send.  */
+static gboolean
+read_spot (const msgpack_object_array *fields, gint64 requested_at,
+           struct registry_entry *entry)
+{
+  gint64 left;
+  if (fields->size < FIELDS_SPOT)
+    return TRUE;
+  if (fields->ptr[FIELDS].type != MSGPACK_OBJECT_BOOLEAN
+      || !read_number (&fields->ptr[FIELDS + 1], &left)
+      || left > LEAVING_MAX_US)
+    return FALSE;
+  entry->is_spot = fields->ptr[FIELDS].via.boolean;
+  entry->leaving_at = left > 0 ? requested_at + left : 0;
+  return TRUE;
+}
+
 static gboolean
 read_entry (const msgpack_object *object, gint64 requested_at,
             struct registry_entry *entry)
@@ -97,6 +125,8 @@
   entry->slots = (guint)slots;
   entry->warming_until = cold > 0 ? requested_at + cold : 0;
   entry->leaving = f[7].via.boolean;
+  if (!read_spot (&object->via.array, requested_at, entry))
+    return FALSE;
   return entry->id[0] != '\0' && str_id_ok (str_of (entry->id));
 }
 
@@ -263,7 +293,8 @@
 same_entry (const struct registry_entry *a, const struct registry_entry *b)
 {
   return a->start_time_ms == b->start_time_ms && a->leaving == b->leaving
-         && a->slots == b->slots && strcmp (a->service, b->service) == 0
+         && a->slots == b->slots && a->is_spot == b->is_spot
+         && strcmp (a->service, b->service) == 0
          && strcmp (a->address, b->address) == 0
          && strcmp (a->domain, b->domain) == 0;
 }
--- a/packages/route/routing_table.c
+++ b/packages/route/routing_table.c
@@ -47,6 +47,8 @@
 {
   struct routing_service *service = data;
   g_free (service->name);
+  if (service->scaling.prices != NULL)
+    g_array_unref (service->scaling.prices);
   g_free (service);
 }
 
@@ -228,6 +230,33 @@
   return g_hash_table_lookup (routing_table->services, name);
 }
 
+/* Calls VISIT for each service, in no particular order.  */
+void
+routing_table_foreach_service (
+    const struct routing_table *routing_table,
+    void (*visit) (void *ctx, const struct routing_service *service), void *ctx)
+{
+  GHashTableIter iter;
+  gpointer service;
+  g_hash_table_iter_init (&iter, routing_table->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    visit (ctx, service);
+}
+
+/* Returns the price of a regular server in DOMAIN; 1 if none is stated.  */
+double
+routing_domain_price (const struct routing_scaling *scaling, const char *domain)
+{
+  for (guint i = 0; scaling->prices != NULL && i < scaling->prices->len; i++)
+    {
+      const struct routing_domain_price *price
+          = &g_array_index (scaling->prices, struct routing_domain_price, i);
+      if (g_str_equal (price->domain, domain))
+        return price->price;
+    }
+  return 1;
+}
+
 /* Returns whether there are teams; if not, clients need no API key.  */
 gboolean
 routing_table_has_teams (const struct routing_table *routing_table)
--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -57,12 +57,32 @@
   gboolean can_fetch_prefixes; /* from the KV caches of other servers */
 };
 
+/* What a server costs in a failure domain. */
+struct routing_domain_price
+{
+  char domain[STR_ID_MAX + 1];
+  double price; /* of a regular server, relative to other domains */
+};
+
+/* How many servers of a service may be ordered, and what they cost. */
+struct routing_scaling
+{
+  guint min_servers; /* in each domain, regular and spot ones together */
+  guint max_servers; /* likewise */
+  gint64 startup_us; /* from an order until a server serves */
+  double spot_share; /* price of a spot server as a share of that of a regular
+                        one; 1: there are none */
+  GArray *prices;    /* of struct routing_domain_price; NULL: none stated */
+};
+
 struct routing_service
 {
-  char *name;          /* owned */
-  guint connections;   /* accepted by one server in total; 0: no limit */
-  gboolean has_engine; /* ENGINE is valid */
+  char *name;           /* owned */
+  guint connections;    /* accepted by one server in total; 0: no limit */
+  gboolean has_engine;  /* ENGINE is valid */
+  gboolean has_scaling; /* SCALING is valid; if not, no server is ordered */
   struct routing_engine engine;
+  struct routing_scaling scaling;
 };
 
 struct routing_team
@@ -88,7 +108,8 @@
 void routing_table_unref (struct routing_table *routing_table);
 
 /* Functions to build a table. It takes ownership of the strings of ROUTE,
-   SERVICE and TEAM, and of the array of ROUTE, but not of the structs. */
+   SERVICE and TEAM, and of the arrays of ROUTE and SERVICE, but not of the
+   structs. */
 void routing_table_add_route (struct routing_table *routing_table,
                               struct routing_route *route);
 void routing_table_add_service (struct routing_table *routing_table,
@@ -110,6 +131,12 @@
                     struct str path);
 const struct routing_service *
 routing_service (const struct routing_table *routing_table, const char *name);
+void routing_table_foreach_service (
+    const struct routing_table *routing_table,
+    void (*visit) (void *ctx, const struct routing_service *service),
+    void *ctx);
+double routing_domain_price (const struct routing_scaling *scaling,
+                             const char *domain);
 gboolean routing_table_has_teams (const struct routing_table *routing_table);
 const struct routing_team *
 routing_table_team_of (const struct routing_table *routing_table,
--- a/packages/scale/server_orders.h
+++ b/packages/scale/server_orders.h
@@ -2,6 +2,7 @@
 #ifndef SERVER_ORDERS_H
 #define SERVER_ORDERS_H
 
+#include "base/counter.h"
 #include "fleet/registry.h"
 #include "route/routing_table.h"
 #include "sched/server_load.h"
@@ -16,13 +17,17 @@
   guint n_servers;
   const struct routing_table *routing_table;
   struct server_load_table *server_load_table;
-  double us_per_token; /* measured prefill time per token */
+  double us_per_token; /* prefill time; used if PREFILL_US is NULL */
+  /* Measured prefill time per token of the engines of SERVICE; may be NULL. */
+  double (*prefill_us) (const void *prefill_ctx, const char *service);
+  const void *prefill_ctx;
   /* Demand for SERVICE from DOMAIN (NULL: all): uncached prompt tokens and
      output tokens a second. NULL: unknown, go by the loads. */
   gboolean (*demand) (void *ctx, const char *service, const char *domain,
                       double *uncached_tokens_per_s,
                       double *output_tokens_per_s);
   void *ctx;
+  struct counter_set *counter_set; /* kept; NULL: none */
 };
 
 /* An order that is to be sent. */
@@ -49,5 +54,6 @@
 void server_orders_done (struct server_orders *orders,
                          const struct server_order *order, int code,
                          gint64 now);
+void server_orders_dump (const struct server_orders *orders, JsonBuilder *json);
 
 #endif
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -596,6 +596,16 @@
   return (gint64)(service->us_per_token * (double)entry->prefill_ahead);
 }
 
+/* Returns the prefill time per token of the engines of the service called NAME,
+   as measured by this instance, or the default.  */
+double
+scheduler_us_per_token (const struct scheduler *scheduler, const char *name)
+{
+  const struct service *service
+      = g_hash_table_lookup (scheduler->services, name);
+  return service != NULL ? service->us_per_token : PREFILL_US_DEFAULT;
+}
+
 /* Records the first event of ENTRY, ELAPSED_US after the request was sent: its
    prefill is complete. The elapsed time is a sample of the engines' prefill
    time per token.  */
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -105,6 +105,8 @@
                         const struct placement_choice *choice, gint64 now);
 gint64 scheduler_expected_prefill_us (struct scheduler *scheduler,
                                       const struct scheduler_entry *entry);
+double scheduler_us_per_token (const struct scheduler *scheduler,
+                               const char *name);
 void scheduler_first_event (struct scheduler *scheduler,
                             struct scheduler_entry *entry, gint64 elapsed_us);
 void scheduler_ended (struct scheduler *scheduler,
