--- a/packages/scale/server_orders_internal.h
+++ b/packages/scale/server_orders_internal.h
@@ -83,12 +83,25 @@
   struct counter_set *counter_set; /* borrowed; NULL: none */
 };
 
+/* What one look at the fleet is about.  */
+struct order_round
+{
+  struct server_orders *orders;
+  const struct server_orders_view *view;
+  gint64 now;
+};
+
 struct order_subject *server_orders_subject (struct server_orders *orders,
                                              const char *service,
                                              const char *domain);
 const char *server_orders_reason_name (enum order_reason reason);
 guint server_orders_current (const struct order_kind *kind);
 void server_orders_refuse (struct order_kind *kind, guint limit, gint64 now);
+void server_orders_measure (const struct order_round *round);
+void server_orders_share_demand (const struct order_round *round, guint from,
+                                 guint n);
+void server_orders_decide (const struct order_round *round, guint from, guint n,
+                           const struct routing_scaling *scaling);
 void server_orders_count (struct server_orders *orders, enum counter_id id);
 
 #endif
