--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -84,6 +84,16 @@
   X (ORDERS, "orders", "orders sent to engines")                               \
   X (ORDER_CONFLICTS, "order_conflicts", "orders rejected as outranked")       \
   X (ORDER_ERRORS, "order_errors", "failed requests that carry orders")        \
+  X (DUTIES_ACQUIRED, "duties_acquired",                                       \
+     "times that this instance became the holder of the duties")               \
+  X (DUTIES_LOST, "duties_lost", "times that it ceased to be")                 \
+  X (DUTY_CALLS_FAILED, "duty_calls_failed",                                   \
+     "usage reports and server orders without success")                        \
+  X (USAGE_FIXED, "usage_fixed", "times that usage counts were stored")        \
+  X (USAGE_REPORTED, "usage_reported", "usage reports that were accepted")     \
+  X (SERVERS_ORDERED, "servers_ordered", "server orders that were accepted")   \
+  X (SERVERS_REFUSED, "servers_refused",                                       \
+     "server orders refused for lack of capacity")                             \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -34,7 +34,10 @@
 {
   struct client_conn *conn = data;
   g_clear_handle_id (&conn->timer, g_source_remove);
-  tcp_conn_close (conn->tcp);
+  if (conn->client->options.resets && conn->done != NULL)
+    tcp_conn_reset (conn->tcp);
+  else
+    tcp_conn_close (conn->tcp);
   http_reader_free (conn->reader);
   g_string_free (conn->body, TRUE);
   g_free (conn);
@@ -288,6 +291,8 @@
       http_put_field (text, "Content-Length", "%" G_GSIZE_FORMAT,
                       request->body.n);
     }
+  if (request->fields != NULL)
+    g_string_append (text, request->fields);
   g_string_append (text, "\r\n");
   g_string_append_len (text, request->body.p, (gssize)request->body.n);
   tcp_conn_write (conn->tcp, text->str, text->len);
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -15,6 +15,8 @@
   guint silence_ms;    /* longest time without a TCP acknowledgement */
   guint connect_ms;    /* connect timeout */
   gsize body_max;      /* longest response body */
+  gboolean resets; /* a connection whose request has failed is reset, so that
+                      the kernel sends no more of the request */
 };
 
 struct http_client_request
@@ -23,6 +25,7 @@
   const char *target; /* path and query */
   struct str body;    /* empty: none */
   const char *type;   /* media type of the body */
+  const char *fields; /* further header lines, each with CRLF; NULL: none */
   guint timeout_ms;   /* until the response is complete; 0: none */
 };
 
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -85,6 +85,7 @@
   state.servers_reached_at = server_reach_sure_at (reach);
   state.asks_for_servers = server_reach_is_doubtful (reach);
   state.client_port = daemon->stopping ? 0 : daemon->client_port;
+  state.duty_fence = duty_keeper_fence (daemon->duty_keeper);
   state.n_rejections
       = scheduler_rejections (daemon->scheduler, now, state.rejections,
                               G_N_ELEMENTS (state.rejections));
@@ -233,6 +234,8 @@
                      suspects_is_active (daemon->suspects)
                          && gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
+  duty_keeper_step (daemon->duty_keeper, daemon->store_era.known,
+                    daemon->stopping);
   send_state_to_peers (daemon, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
     {
@@ -374,7 +377,8 @@
                                     .domain = settings->domain.s,
                                     .incarnation = g_rand_int (daemon->rand),
                                     .seeds = seeds,
-                                    .suspects = daemon->suspects };
+                                    .suspects = daemon->suspects,
+                                    .duty_term_us = settings->duties.lease_us };
   udp_ip_parse (settings->listen_peers, &options.ip);
   daemon->ip = options.ip;
   for (guint i = 0; i < n; i++)
@@ -386,6 +390,15 @@
   if (daemon->udp == NULL)
     return ERR_IO;
   daemon->peer_port = udp_port (daemon->udp);
+  const struct duty_keeper_options keeper_options
+      = { .settings = settings,
+          .clk = daemon->clk,
+          .counter_set = &daemon->counter_set,
+          .gossip = daemon->gossip,
+          .incarnation = options.incarnation,
+          .seed = g_rand_int (daemon->rand),
+          .ctx = daemon };
+  daemon->duty_keeper = duty_keeper_new (&keeper_options);
   return 0;
 }
 
@@ -456,6 +469,7 @@
     return;
   g_clear_handle_id (&daemon->tick_timer, g_source_remove);
   g_clear_handle_id (&daemon->news_source, g_source_remove);
+  duty_keeper_free (daemon->duty_keeper);
   proxy_daemon_endpoints_free (daemon);
   proxy_daemon_sync_free (daemon);
   proxy_free (daemon->reverse_proxy);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -10,6 +10,7 @@
 #include "gate/reverse_proxy.h"
 #include "http/server.h"
 #include "jacinthward/crash_keeper.h"
+#include "jacinthward/duty_keeper.h"
 #include "jacinthward/proxy_daemon.h"
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
@@ -50,9 +51,10 @@
   struct scheduler *scheduler;
   struct suspects *suspects;
   struct crash_keeper *crash_keeper;
-  guint news_source;    /* GLib source: on_news_due; 0: none */
-  gboolean news_is_own; /* something was seen here since */
-  gint64 news_sent_at;  /* clock time */
+  struct duty_keeper *duty_keeper; /* NULL: there are no duties */
+  guint news_source;               /* GLib source: on_news_due; 0: none */
+  gboolean news_is_own;            /* something was seen here since */
+  gint64 news_sent_at;             /* clock time */
   struct reverse_proxy *reverse_proxy;
   struct gossip *gossip;
   struct udp *udp;
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -90,6 +90,7 @@
   gossip->ip = options->ip;
   gossip->incarnation = options->incarnation;
   gossip->suspects = options->suspects;
+  gossip->duty_term_us = options->duty_term_us;
   gossip->started_at = now;
   gossip->seeds = g_array_new (FALSE, FALSE, sizeof (guint32));
   g_array_append_vals (gossip->seeds, options->seeds, options->n_seeds);
@@ -213,6 +214,7 @@
   message->wants_reply = round->is_leader || round->n_local_peers == 0
                          || (state->config_age_us < 0
                              && gossip_is_starting (gossip, round->now));
+  gossip_add_duty (gossip, message, round->now);
   gossip_add_contents (gossip, peer, message, round);
   peer->sent_at[message->seq % SENT_TIMES_KEPT] = round->now;
   gossip_encode_within_limit (gossip, peer, round->now);
@@ -304,6 +306,10 @@
   GHashTableIter iter;
   gpointer value;
   gossip->state = *state;
+  if (state->duty_fence != 0)
+    gossip_note_duty (gossip, &(struct gossip_duty){ .fence = state->duty_fence,
+                                                     .ip = gossip->ip,
+                                                     .held_at = now });
   g_hash_table_iter_init (&iter, gossip->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     round.n_contenders += gossip_is_contender (gossip, value, now);
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -23,8 +23,24 @@
   const guint32 *seeds; /* host byte order; borrowed for the call */
   guint n_seeds;
   struct suspects *suspects; /* borrowed; NULL: not exchanged */
+  gint64 duty_term_us; /* of the duties' lease; 0: this instance has none */
 };
 
+/* What is known of the holder of the duties' lease. */
+struct gossip_duty
+{
+  guint64 fence;  /* highest one known; 0: none */
+  guint32 ip;     /* of its holder, host byte order */
+  gint64 held_at; /* clock time at which it was last known to hold it; 0:
+                     unknown */
+};
+
+/* Instances that collect usage, besides the holder; they are the candidates for
+   the lease. */
+#define GOSSIP_DUTY_CANDIDATES 3
+/* Between the turns of two candidates: more than reads of the record take. */
+#define GOSSIP_DUTY_TURN_US (500 * CLK_MS)
+
 /* State of this instance that its messages carry; the fields have the same
    meaning as in struct gossip_message. */
 struct gossip_local_state
@@ -42,7 +58,8 @@
   /* It cannot reach any: peers find out if they can, and are not told of those
      that it cannot reach. */
   gboolean asks_for_servers;
-  guint client_port; /* where it takes requests; 0: nowhere */
+  guint client_port;  /* where it takes requests; 0: nowhere */
+  guint64 duty_fence; /* while it holds the duties' lease; 0: it does not */
 };
 
 /* An instance to which requests can be passed on. */
@@ -116,6 +133,10 @@
 gint64 gossip_servers_reached_at (const struct gossip *gossip);
 void gossip_relays (const struct gossip *gossip, gint64 now, GArray *relays);
 gint64 gossip_local_interval_us (const struct gossip *gossip, gint64 now);
+struct gossip_duty gossip_duty (const struct gossip *gossip);
+guint gossip_collectors (const struct gossip *gossip, gint64 now, guint32 *ips,
+                         guint max);
+gboolean gossip_duty_is_due (const struct gossip *gossip, gint64 now);
 guint64 gossip_instance_hash (guint32 ip);
 guint32 gossip_server_key (const struct registry_server *server);
 
--- a/packages/peer/gossip_internal.h
+++ b/packages/peer/gossip_internal.h
@@ -109,7 +109,9 @@
   struct gossip_message scratch_message; /* to encode and decode */
   GByteArray *scratch_bytes;             /* encoded message */
   struct gossip_local_state state;       /* at the last tick */
-  guint64 n_load_changes;                /* number of the last one */
+  struct gossip_duty duty;
+  gint64 duty_term_us;
+  guint64 n_load_changes; /* number of the last one */
   struct load_changes *own_loads;
   gint64 own_loads_at;              /* clock time up to which they are set */
   struct load_changes *own_summary; /* of this domain, for other domains */
@@ -163,6 +165,9 @@
                         const struct gossip_round *round);
 void gossip_apply_relays (struct gossip *gossip, struct peer *peer,
                           const struct gossip_message *message, gint64 sent);
+void gossip_add_duty (const struct gossip *gossip,
+                      struct gossip_message *message, gint64 now);
+void gossip_note_duty (struct gossip *gossip, const struct gossip_duty *duty);
 void gossip_encode_within_limit (struct gossip *gossip, struct peer *to,
                                  gint64 now);
 gboolean gossip_has_more_placements (const struct gossip *gossip,
--- a/packages/peer/gossip_members.c
+++ b/packages/peer/gossip_members.c
@@ -248,3 +248,128 @@
     }
   return (guint)(version ^ (version >> 32));
 }
+
+/* Adds what is known of the holder of the duties' lease to MESSAGE.  */
+void
+gossip_add_duty (const struct gossip *gossip, struct gossip_message *message,
+                 gint64 now)
+{
+  const struct gossip_duty *duty = &gossip->duty;
+  message->duty_fence = duty->fence;
+  message->duty_ip = duty->ip;
+  if (duty->held_at != 0)
+    message->duty_age
+        = 1 + (guint)CLAMP ((now - duty->held_at) / CLK_MS, 0, G_MAXINT32 - 1);
+}
+
+/* Takes over DUTY if it is of a later holder, or later of the same one.  */
+void
+gossip_note_duty (struct gossip *gossip, const struct gossip_duty *duty)
+{
+  if (duty->fence > gossip->duty.fence)
+    gossip->duty = *duty;
+  else if (duty->fence == gossip->duty.fence && duty->ip == gossip->duty.ip)
+    gossip->duty.held_at = MAX (gossip->duty.held_at, duty->held_at);
+}
+
+struct gossip_duty
+gossip_duty (const struct gossip *gossip)
+{
+  return gossip->duty;
+}
+
+/* A domain and its live instance with the lowest address.  */
+struct domain_first
+{
+  const char *domain; /* borrowed */
+  guint32 ip;
+};
+
+/* Enters the instance at IP of DOMAIN into FIRSTS, which has the first domains
+   by name, in this order. Returns how many there are.  */
+static guint
+enter_domain (struct domain_first *firsts, guint n, const char *domain,
+              guint32 ip)
+{
+  guint at = 0;
+  while (at < n && strcmp (firsts[at].domain, domain) < 0)
+    at++;
+  if (at < n && g_str_equal (firsts[at].domain, domain))
+    {
+      firsts[at].ip = MIN (firsts[at].ip, ip);
+      return n;
+    }
+  if (at == GOSSIP_DUTY_CANDIDATES)
+    return n;
+  guint moved = MIN (n, GOSSIP_DUTY_CANDIDATES - 1) - at;
+  memmove (&firsts[at + 1], &firsts[at], moved * sizeof *firsts);
+  firsts[at] = (struct domain_first){ domain, ip };
+  return MIN (n + 1, GOSSIP_DUTY_CANDIDATES);
+}
+
+/* Fills IPS with the candidates for the duties' lease, in their order: the
+   first live instance of each of the first live domains by name. Leaders hear
+   each other and soon notice that a whole domain has failed; the others have to
+   go by the lists of members, which may be as old as these get.  */
+static guint
+candidates (const struct gossip *gossip, gint64 now, guint32 *ips)
+{
+  struct domain_first firsts[GOSSIP_DUTY_CANDIDATES];
+  gboolean hears_all = gossip_is_full_mesh (gossip, now)
+                       || gossip_domain_rank (gossip, now) == 0;
+  gint64 age = hears_all ? UNRESPONSIVE_AFTER_US : MEMBER_LIST_AGE_US;
+  guint n = enter_domain (firsts, 0, gossip->domain.s, gossip->ip);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, gossip->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+      gboolean is_local = gossip_is_local_peer (gossip, peer);
+      if (peer->domain[0] != '\0'
+          && (is_local ? !gossip_is_unresponsive (peer, now)
+                       : gossip_is_recent (peer, now, age)))
+        n = enter_domain (firsts, n, peer->domain, peer->ip);
+    }
+  for (guint i = 0; i < n; i++)
+    ips[i] = firsts[i].ip;
+  return n;
+}
+
+/* Fills IPS with the instances that collect usage, without duplicates and in
+   this order: the holder of the duties' lease, if it was known to hold it
+   within the last term, and the candidates. This instance may be one of them.
+   Returns how many there are, MAX at most.  */
+guint
+gossip_collectors (const struct gossip *gossip, gint64 now, guint32 *ips,
+                   guint max)
+{
+  const struct gossip_duty *duty = &gossip->duty;
+  guint32 found[GOSSIP_DUTY_CANDIDATES];
+  guint n_found = candidates (gossip, now, found);
+  guint n = 0;
+  if (n < max && duty->held_at != 0
+      && now - duty->held_at < gossip->duty_term_us)
+    ips[n++] = duty->ip;
+  for (guint i = 0; i < n_found && n < max; i++)
+    if (n == 0 || found[i] != ips[0])
+      ips[n++] = found[i];
+  return n;
+}
+
+/* Returns whether it is this instance's turn to acquire the duties' lease: it
+   is a candidate, and no holder was heard of for a term and, for each candidate
+   before it, GOSSIP_DUTY_TURN_US.  */
+gboolean
+gossip_duty_is_due (const struct gossip *gossip, gint64 now)
+{
+  guint32 found[GOSSIP_DUTY_CANDIDATES];
+  gint64 since = MAX (gossip->duty.held_at, gossip->started_at);
+  if (gossip->duty_term_us == 0 || now - since < gossip->duty_term_us)
+    return FALSE;
+  guint n = candidates (gossip, now, found);
+  for (guint i = 0; i < n; i++)
+    if (found[i] == gossip->ip)
+      return now - since >= gossip->duty_term_us + i * GOSSIP_DUTY_TURN_US;
+  return FALSE;
+}
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 36 /* of a message in the current format */
+#define FIELDS 37 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -221,6 +221,13 @@
       msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].room);
       msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].full_age_ms);
     }
+  msgpack_pack_array (&pk, gossip_message->duty_fence != 0 ? 3 : 0);
+  if (gossip_message->duty_fence != 0)
+    {
+      msgpack_pack_uint64 (&pk, gossip_message->duty_fence);
+      msgpack_pack_uint32 (&pk, gossip_message->duty_ip);
+      msgpack_pack_unsigned_int (&pk, gossip_message->duty_age);
+    }
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -525,6 +532,19 @@
   c->bad |= relays.bad;
 }
 
+static void
+read_duty (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor duty = read_array (c, 3);
+  if (duty.left > 0)
+    {
+      gossip_message->duty_fence = read_number (&duty, G_MAXINT64);
+      gossip_message->duty_ip = (guint32)read_number (&duty, G_MAXUINT32);
+      gossip_message->duty_age = (guint)read_number (&duty, G_MAXINT32);
+    }
+  c->bad |= duty.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -587,6 +607,8 @@
     read_relays (&c, gossip_message);
   if (c.left > 0)
     read_brittle (&c, gossip_message);
+  if (c.left > 0)
+    read_duty (&c, gossip_message);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -143,6 +143,11 @@
   gboolean wants_reply; /* even if the receiver is in another domain */
   guint n_waiting;      /* requests queued at the sender */
   guint64 store_era;    /* newest one that the sender knows; 0: none */
+  guint64 duty_fence;   /* highest one known of the duties' lease; 0: none */
+  guint32 duty_ip;      /* of its holder */
+  /* Milliseconds since the holder was last known to hold it, plus 1; 0:
+     unknown. */
+  guint duty_age;
   struct gossip_message_range loads_range; /* of the list of loads */
   guint64 loads_held; /* last change that the sender holds of the receiver's
                          loads; 0: it needs the complete list */
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -6,9 +6,9 @@
    keep repeating to each other, age until they are dropped.  */
 #define MEMBER_HOP_AGE_US (500 * CLK_MS)
 
-/* Added to the age of the list of servers with each forwarding, for the same
-   reason. */
-#define LIST_HOP_AGE_US (100 * CLK_MS)
+/* Added to the ages of the list of servers and of what is known of the duties'
+   lease with each forwarding, for the same reason. */
+#define HOP_AGE_US (100 * CLK_MS)
 
 /* Longest time between a message to a peer and the peer's next one. */
 #define LIST_ECHO_WAIT_US (500 * CLK_MS)
@@ -308,26 +308,48 @@
   return freshness;
 }
 
-/* Estimates the clock time at which the peer's list of servers was read; 0:
-   unknown. The age does not include the delay of the message, so instances that
-   repeat it to each other would make the list newer and newer: each message
-   counts as delayed by more than most are. One that has waited here, as while
-   this process was frozen, is told by what it echoes.  */
+/* Estimates the clock time at which PEER sent MESSAGE; 0: unknown. Ages in a
+   message do not include its delay, so instances that repeat them to each other
+   would make what they know newer and newer: each message counts as delayed by
+   more than most are. One that has waited here, as while this process was
+   frozen, is told by what it echoes.  */
 static gint64
-list_read_at (const struct gossip *gossip, const struct peer *peer,
-              const struct gossip_message *message, gint64 now)
+sent_about (const struct gossip *gossip, const struct peer *peer,
+            const struct gossip_message *message, gint64 now)
 {
   gint64 wait
       = gossip_is_full_mesh (gossip, now)
             ? LIST_ECHO_WAIT_US
             : MAX (gossip_local_interval_us (gossip, now), LIST_ECHO_WAIT_US);
   gint64 echoed = sent_after (gossip, peer, message);
-  if (message->server_list_age_us < 0 || echoed == 0)
+  return echoed == 0 ? 0 : MIN (now - HOP_AGE_US, echoed + wait);
+}
+
+/* Estimates the clock time at which the peer's list of servers was read; 0:
+   unknown.  */
+static gint64
+list_read_at (const struct gossip *gossip, const struct peer *peer,
+              const struct gossip_message *message, gint64 now)
+{
+  gint64 sent = sent_about (gossip, peer, message, now);
+  if (message->server_list_age_us < 0 || sent == 0)
     return 0;
-  gint64 sent = MIN (now - LIST_HOP_AGE_US, echoed + wait);
   return MAX (sent - message->server_list_age_us, 0);
 }
 
+/* Takes over what MESSAGE says of the holder of the duties' lease.  */
+static void
+apply_duty (struct gossip *gossip, const struct peer *peer,
+            const struct gossip_message *message, gint64 now)
+{
+  gint64 sent = sent_about (gossip, peer, message, now);
+  struct gossip_duty duty
+      = { .fence = message->duty_fence, .ip = message->duty_ip };
+  if (message->duty_age > 0 && sent > 0)
+    duty.held_at = MAX (sent - (gint64)(message->duty_age - 1) * CLK_MS, 0);
+  gossip_note_duty (gossip, &duty);
+}
+
 /* Sends the next message to PEER at once if MESSAGE shows that it has just
    started: it has an older configuration than this instance, or no confirmation
    that its configuration is the newest. Clients reach it before its next
@@ -396,6 +418,7 @@
                      now - (gint64)message->members[i].age_ms * CLK_MS
                          - MEMBER_HOP_AGE_US);
   help_starting_peer (gossip, peer, message, now);
+  apply_duty (gossip, peer, message, now);
   gboolean is_local = gossip_is_local_peer (gossip, peer);
   for (guint i = 0; is_local && i < message->n_rejections; i++)
     update->rejections[update->n_rejections++] = (struct overload_rejection){
--- a/packages/settings/proxy_settings.c
+++ b/packages/settings/proxy_settings.c
@@ -61,6 +61,30 @@
   KEY (MS, "timeout_ms", store_timeout_us, OPTIONAL, 10, HOUR_MS, 1000),
 };
 
+static const struct ini_key duties_keys[] = {
+  KEY (ADDRESS, "address", duties.address, REQUIRED),
+  /* Calls need 800 ms of the term, and a renewal a third of it. */
+  KEY (MS, "lease_ms", duties.lease_us, OPTIONAL, 1500, HOUR_MS, 3000),
+  KEY (MS, "usage_window_ms", duties.usage_window_us, OPTIONAL, 1000, HOUR_MS,
+       5000, .in_seconds = "usage_window_s"),
+  KEY (MS, "usage_late_ms", duties.usage_late_us, OPTIONAL, 0, HOUR_MS, 10000,
+       .in_seconds = "usage_late_s"),
+  KEY (NUMBER, "calls_per_s", duties.calls_per_s, OPTIONAL, 1, 100000, 50),
+};
+
+/* The duties themselves, by their own names and by those that the template's
+   list gives.  */
+static const struct duty_key
+{
+  const char *name;
+  gsize offset; /* of a gboolean */
+} duty_keys[] = {
+  { "reports", offsetof (struct proxy_settings, duties.reports) },
+  { "usage_report", offsetof (struct proxy_settings, duties.reports) },
+  { "orders", offsetof (struct proxy_settings, duties.orders) },
+  { "autoscale", offsetof (struct proxy_settings, duties.orders) },
+};
+
 struct group
 {
   const char *name;
@@ -111,19 +135,70 @@
   settings->domain_regions = (char **)g_ptr_array_free (list, FALSE);
 }
 
+static gboolean
+is_duties_key (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (duties_keys); i++)
+    if (strcmp (name, duties_keys[i].name) == 0
+        || g_strcmp0 (name, duties_keys[i].in_seconds) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Reads which duties there are. A duty that is not known is left to others: the
+   instance starts, as it can serve without.  */
+static void
+read_duty_names (struct ini *ini, struct proxy_settings *settings)
+{
+  g_auto (GStrv) names = g_key_file_get_keys (ini->file, "duties", NULL, NULL);
+  for (guint i = 0; names != NULL && names[i] != NULL; i++)
+    {
+      g_autofree char *text
+          = g_key_file_get_value (ini->file, "duties", names[i], NULL);
+      gboolean on = strcmp (g_strstrip (text), "1") == 0;
+      gboolean known = is_duties_key (names[i]);
+      for (guint k = 0; k < G_N_ELEMENTS (duty_keys); k++)
+        if (strcmp (names[i], duty_keys[k].name) == 0)
+          {
+            known = TRUE;
+            if (on)
+              G_STRUCT_MEMBER (gboolean, settings, duty_keys[k].offset) = TRUE;
+            else if (strcmp (text, "0") != 0)
+              ini_problem (ini, "duties", names[i],
+                           "is wrong; allowed: 0 or 1");
+          }
+      if (!known && ini->tolerated != NULL)
+        g_ptr_array_add (
+            ini->tolerated,
+            g_strdup_printf ("group [duties], key %s: is unknown and ignored",
+                             names[i]));
+    }
+}
+
+static void
+read_duties (struct ini *ini, struct proxy_settings *settings)
+{
+  if (!g_key_file_has_group (ini->file, "duties"))
+    return;
+  ini_read_group (ini, "duties", duties_keys, G_N_ELEMENTS (duties_keys), "",
+                  settings);
+  read_duty_names (ini, settings);
+}
+
 static void
 check_groups (struct ini *ini)
 {
   g_auto (GStrv) names = g_key_file_get_groups (ini->file, NULL);
   for (guint i = 0; names[i] != NULL; i++)
     {
-      gboolean known = strcmp (names[i], "domains") == 0;
+      gboolean known = strcmp (names[i], "domains") == 0
+                       || strcmp (names[i], "duties") == 0;
       for (guint g = 0; g < G_N_ELEMENTS (groups) && !known; g++)
         known = strcmp (names[i], groups[g].name) == 0;
       if (!known)
         ini_problem (ini, names[i], NULL,
                      "is unknown; allowed: instance, gate, peers, store, "
-                     "domains");
+                     "domains, duties");
     }
 }
 
@@ -135,6 +210,7 @@
     ini_read_group (ini, groups[i].name, groups[i].keys, groups[i].n_keys, NULL,
                     settings);
   read_domains (ini, settings);
+  read_duties (ini, settings);
   if (settings->chart_folder != NULL && *settings->chart_folder != '\0'
       && !g_file_test (settings->chart_folder, G_FILE_TEST_IS_DIR))
     ini_problem (ini, "instance", "charts",
--- a/packages/settings/proxy_settings.h
+++ b/packages/settings/proxy_settings.h
@@ -52,6 +52,19 @@
   double memory_mb; /* of the machine, 2^20 bytes each; 0: no limit */
 
   char **domain_regions; /* DOMAIN=REGION */
+
+  /* The duties that one instance performs for all; with an empty address, there
+     are none. */
+  struct proxy_settings_duties
+  {
+    char address[ERR_PEER_MAX]; /* of the platform's API */
+    gboolean reports;           /* usage is reported */
+    gboolean orders;            /* servers are ordered */
+    gint64 lease_us;
+    gint64 usage_window_us;
+    gint64 usage_late_us; /* after the end of a window, its report is due */
+    double calls_per_s;   /* limit for all instances together */
+  } duties;
 };
 
 gboolean proxy_settings_detect (const char *path);
--- a/packages/store/storage.h
+++ b/packages/store/storage.h
@@ -48,6 +48,8 @@
   GBytes *body;          /* GET, WATCH: the value, borrowed; ERR_CONFLICT: the
                             one that is stored, NULL if not given; else NULL */
   gint64 retry_after_us; /* ERR_LIMIT, ERR_UNAVAILABLE: 0 if not given */
+  guint64 era; /* of the store, which rises when it is restored from an
+                  older copy; 0: not stated */
 };
 
 typedef void (*storage_callback) (void *ctx,
--- a/tests/unit/test_proxy_settings.c
+++ b/tests/unit/test_proxy_settings.c
@@ -58,8 +58,14 @@
   { "listen", "127.0.0.1:7340" },
   { "seeds", "127.0.0.1:8229;" },
   { "address", "127.0.0.1:8223" },
+  { "lease_ms", "3000" },
+  { "usage_window_s", "5" },
+  { "usage_late_s", "10" },
+  { "calls_per_s", "50" },
 };
 
+static gboolean has_duties; /* the platform's API of the duties is there */
+
 /* Returns the text of KEY; NULL: it is not filled in.  */
 static const char *
 text_of (const char *key, const struct figure *changed)
@@ -91,30 +97,45 @@
   return text != NULL;
 }
 
+/* Returns whether the section that LINE opens is shown.  */
+static gboolean
+shows (const char *line, gboolean strict)
+{
+  if (g_str_has_prefix (line, "{{#cloud_api"))
+    return has_duties;
+  if (strcmp (line, "{{#zones}}") == 0)
+    return FALSE;
+  return g_str_has_prefix (line, "{{#") == strict;
+}
+
 /* Stores the template as a.ini in the test folder, filled in with the usual
    figures except CHANGED. STRICT: sections for what is present are shown, not
-   those for the opposite; there are no domains.  */
+   those for the opposite; there are no domains, and duties if HAS_DUTIES.  */
 static void
 write_settings (const struct figure *changed, gboolean strict)
 {
   g_autofree char *template = NULL;
   g_autofree char *path = file_path ();
   GString *out = g_string_new (NULL);
-  gboolean shown = TRUE;
-  gboolean in_domains = FALSE;
+  guint depth = 0;  /* of sections */
+  guint hidden = 0; /* depth of the outermost one that is not shown; 0: none */
   CU_ASSERT_TRUE_FATAL (g_file_get_contents (
       JW_SOURCE_DIR "/platform/settings.ini", &template, NULL, NULL));
   g_auto (GStrv) lines = g_strsplit (template, "\n", -1);
   for (guint i = 0; lines[i] != NULL; i++)
     {
-      in_domains |= strcmp (lines[i], "[domains]") == 0;
-      if (g_str_has_prefix (lines[i], "{{#"))
-        shown = strict && !in_domains;
-      else if (g_str_has_prefix (lines[i], "{{^"))
-        shown = !strict;
+      if (g_str_has_prefix (lines[i], "{{#")
+          || g_str_has_prefix (lines[i], "{{^"))
+        {
+          depth++;
+          if (hidden == 0 && !shows (lines[i], strict))
+            hidden = depth;
+        }
       else if (g_str_has_prefix (lines[i], "{{/"))
-        shown = TRUE;
-      else if (shown)
+        hidden = depth-- == hidden ? 0 : hidden;
+      else if (hidden == 0 && strcmp (lines[i], "{{.}}=1") == 0)
+        g_string_append (out, "usage_report=1\nautoscale=1\n");
+      else if (hidden == 0)
         CU_ASSERT_TRUE (append_line (out, lines[i], changed));
     }
   CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, out->str, -1, NULL));
@@ -253,6 +274,31 @@
   reading_clear (&reading);
 }
 
+/* Without [duties] an instance has none and does not ask the store; with a duty
+   that it does not know it has to serve all the same.  */
+static void
+test_duties (void)
+{
+  const struct figure other = { "calls_per_s", "50\nunheard_of=1" };
+  struct reading none = read_settings (NULL, TRUE);
+  has_duties = TRUE;
+  struct reading all = read_settings (&other, TRUE);
+  has_duties = FALSE;
+  CU_ASSERT_EQUAL (none.settings.duties.address[0], '\0');
+  CU_ASSERT_FALSE (none.settings.duties.reports);
+  CU_ASSERT_EQUAL (all.code, 0);
+  CU_ASSERT_EQUAL (all.tolerated->len, 1);
+  CU_ASSERT_STRING_EQUAL (all.settings.duties.address, "127.0.0.1:8223");
+  CU_ASSERT_TRUE (all.settings.duties.reports);
+  CU_ASSERT_TRUE (all.settings.duties.orders);
+  CU_ASSERT_EQUAL (all.settings.duties.lease_us, 3000000);
+  CU_ASSERT_EQUAL (all.settings.duties.usage_window_us, 5000000);
+  CU_ASSERT_EQUAL (all.settings.duties.usage_late_us, 10000000);
+  CU_ASSERT_EQUAL (all.settings.duties.calls_per_s, 50);
+  reading_clear (&none);
+  reading_clear (&all);
+}
+
 static void
 test_both_units (void)
 {
@@ -279,6 +325,7 @@
   { "what is no number", test_wrong_numbers },
   { "a required setting is missing", test_required },
   { "a time in both units", test_both_units },
+  { "duties", test_duties },
   CU_TEST_INFO_NULL,
 };
 
