Join lease, usage accounts and server orders

Cause: the three parts were written side by side. Change: the keeper of the duties uses the reports of the usage keeper and shows the fleet, with the demand, to the orders; counters and the functions that both sides had are there once.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -92,6 +92,11 @@
      "failed requests that order numbers of servers")                          \
   X (SPOT_RECLAIMS, "spot_reclaims",                                           \
      "times that spot servers of a failure domain were reclaimed")             \
+  X (DUTIES_ACQUIRED, "duties_acquired",                                       \
+     "times that this instance became the holder of the duties")               \
+  X (DUTIES_LOST, "duties_lost", "times that it ceased to be")                 \
+  X (DUTY_CALLS_FAILED, "duty_calls_failed",                                   \
+     "usage reports and server orders without success")                        \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
   X (USAGE_MSG_IN, "usage_msg_in", "messages about usage from instances")      \
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -85,6 +85,7 @@
   state.servers_reached_at = server_reach_sure_at (reach);
   state.asks_for_servers = server_reach_is_doubtful (reach);
   state.client_port = daemon->stopping ? 0 : daemon->client_port;
+  state.duty_fence = duty_keeper_fence (daemon->duty_keeper);
   state.n_rejections
       = scheduler_rejections (daemon->scheduler, now, state.rejections,
                               G_N_ELEMENTS (state.rejections));
@@ -235,6 +236,8 @@
                      suspects_is_active (daemon->suspects)
                          && gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
+  duty_keeper_step (daemon->duty_keeper, daemon->store_era.known,
+                    daemon->stopping);
   send_state_to_peers (daemon, now);
   usage_keeper_step (daemon->usage_keeper, now);
   if (now - daemon->health_reviewed_at >= REVIEW_INTERVAL_US)
@@ -376,6 +379,46 @@
   return code;
 }
 
+static gint64
+on_true_now (void *ctx)
+{
+  const struct proxy_daemon *daemon = ctx;
+  return daemon->usage_keeper != NULL ? usage_keeper_true_time (
+             daemon->usage_keeper, clk_now (daemon->clk))
+                                      : clk_wall (daemon->clk);
+}
+
+static gboolean
+on_demand (void *ctx, const char *service, const char *domain,
+           double *uncached_tokens_per_s, double *output_tokens_per_s)
+{
+  const struct proxy_daemon *daemon = ctx;
+  if (daemon->usage_keeper == NULL)
+    return FALSE;
+  const struct usage_demand demand
+      = usage_account_demand (usage_keeper_account (daemon->usage_keeper),
+                              service, domain, on_true_now (ctx));
+  *uncached_tokens_per_s = demand.uncached_tokens_per_s;
+  *output_tokens_per_s = demand.output_tokens_per_s;
+  return TRUE;
+}
+
+/* Shows the fleet to ORDERS.  */
+static void
+on_observe (void *ctx, struct server_orders *orders, gint64 now)
+{
+  struct proxy_daemon *daemon = ctx;
+  const struct order_view_sources sources
+      = { .registry = daemon->registry,
+          .routing_table = scheduler_routing_table (daemon->scheduler),
+          .scheduler = daemon->scheduler,
+          .counter_set = &daemon->counter_set };
+  struct server_orders_view view = order_view_of (&sources);
+  view.demand = on_demand;
+  view.ctx = daemon;
+  server_orders_observe (orders, &view, now);
+}
+
 static int
 open_peers (struct proxy_daemon *daemon, gint64 now, struct err *err)
 {
@@ -386,7 +429,8 @@
                                     .domain = settings->domain.s,
                                     .incarnation = g_rand_int (daemon->rand),
                                     .seeds = seeds,
-                                    .suspects = daemon->suspects };
+                                    .suspects = daemon->suspects,
+                                    .duty_term_us = settings->duties.lease_us };
   udp_ip_parse (settings->listen_peers, &options.ip);
   daemon->ip = options.ip;
   for (guint i = 0; i < n; i++)
@@ -408,6 +452,18 @@
           .send = send_datagram,
           .ctx = daemon };
   daemon->usage_keeper = usage_keeper_new (&usage_options);
+  const struct duty_keeper_options keeper_options
+      = { .settings = settings,
+          .clk = daemon->clk,
+          .counter_set = &daemon->counter_set,
+          .gossip = daemon->gossip,
+          .reports = usage_keeper_reports (daemon->usage_keeper),
+          .incarnation = options.incarnation,
+          .seed = g_rand_int (daemon->rand),
+          .true_now = on_true_now,
+          .observe = on_observe,
+          .ctx = daemon };
+  daemon->duty_keeper = duty_keeper_new (&keeper_options);
   return 0;
 }
 
@@ -478,6 +534,7 @@
     return;
   g_clear_handle_id (&daemon->tick_timer, g_source_remove);
   g_clear_handle_id (&daemon->news_source, g_source_remove);
+  duty_keeper_free (daemon->duty_keeper);
   proxy_daemon_endpoints_free (daemon);
   proxy_daemon_sync_free (daemon);
   proxy_free (daemon->reverse_proxy);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -10,6 +10,8 @@
 #include "gate/reverse_proxy.h"
 #include "http/server.h"
 #include "jacinthward/crash_keeper.h"
+#include "jacinthward/duty_keeper.h"
+#include "jacinthward/order_view.h"
 #include "jacinthward/proxy_daemon.h"
 #include "jacinthward/usage_keeper.h"
 #include "net/udp.h"
@@ -52,6 +54,7 @@
   struct suspects *suspects;
   struct crash_keeper *crash_keeper;
   struct usage_keeper *usage_keeper; /* NULL: usage is not accounted */
+  struct duty_keeper *duty_keeper;   /* NULL: there are no duties */
   guint news_source;                 /* GLib source: on_news_due; 0: none */
   gboolean news_is_own;              /* something was seen here since */
   gint64 news_sent_at;               /* clock time */
--- a/packages/jacinthward/usage_keeper.c
+++ b/packages/jacinthward/usage_keeper.c
@@ -5,11 +5,7 @@
 #include "usage/true_time.h"
 #include "usage/usage_message.h"
 
-#define WINDOW_US (5 * CLK_S)
-#define LATE_US (10 * CLK_S)
-/* The first live instances of as many domains, and the holder. */
-#define COLLECTOR_DOMAINS 3
-#define COLLECTORS_MAX (COLLECTOR_DOMAINS + 1)
+#define COLLECTORS_MAX (GOSSIP_DUTY_CANDIDATES + 1) /* and the holder */
 #define INTERVAL_MIN_US (500 * CLK_MS)
 /* A collector gets 100 messages a second from all instances together. */
 #define INTERVAL_PER_INSTANCE_US (10 * CLK_MS)
@@ -30,7 +26,6 @@
   struct usage_reports *reports;
   struct collector collectors[COLLECTORS_MAX];
   guint n_collectors;
-  guint32 holder; /* IP; 0: not known */
   gint64 interval_us;
   gint64 next_send;  /* clock time */
   gint64 members_at; /* clock time at which the members were looked at */
@@ -39,39 +34,21 @@
   GByteArray *bytes;
 };
 
-/* What the settings say about usage reports. */
-struct usage_settings
-{
-  gint64 window_us;
-  gint64 late_us;
-};
-
-/* Returns whether the settings ask for usage reports, and how. Until the group
-   [duties] exists, none do.  */
-static gboolean
-usage_is_wanted (const struct proxy_settings *settings,
-                 struct usage_settings *usage)
-{
-  (void)settings;
-  *usage = (struct usage_settings){ WINDOW_US, LATE_US };
-  return FALSE;
-}
-
 struct usage_keeper *
 usage_keeper_new (const struct usage_keeper_options *options)
 {
-  struct usage_settings usage;
-  if (!usage_is_wanted (options->settings, &usage))
+  const struct proxy_settings_duties *duties = &options->settings->duties;
+  if (duties->address[0] == '\0' || !duties->reports)
     return NULL;
   struct usage_keeper *keeper = g_new0 (struct usage_keeper, 1);
   gint64 now = clk_now (options->clk);
   keeper->options = *options;
   keeper->true_time = true_time_new (clk_wall (options->clk), now);
-  keeper->account = usage_account_new (usage.window_us, options->settings->id.s,
-                                       options->incarnation);
+  keeper->account = usage_account_new (
+      duties->usage_window_us, options->settings->id.s, options->incarnation);
   const struct usage_reports_options reports_options
-      = { .window_us = usage.window_us,
-          .late_us = usage.late_us,
+      = { .window_us = duties->usage_window_us,
+          .late_us = duties->usage_late_us,
           .account = keeper->account,
           .counter_set = options->counter_set };
   keeper->reports = usage_reports_new (&reports_options);
@@ -112,15 +89,7 @@
 struct usage_reports *
 usage_keeper_reports (struct usage_keeper *keeper)
 {
-  return keeper->reports;
-}
-
-/* The holder of the duties is at IP; 0: it is not known. It collects, too.  */
-void
-usage_keeper_set_holder (struct usage_keeper *keeper, guint32 ip)
-{
-  if (keeper != NULL)
-    keeper->holder = ip;
+  return keeper != NULL ? keeper->reports : NULL;
 }
 
 /* Counts what a request uses, now.  */
@@ -201,16 +170,15 @@
 find_collectors (struct usage_keeper *keeper, gint64 now)
 {
   struct collector known[COLLECTORS_MAX];
-  guint32 ips[COLLECTOR_DOMAINS];
+  guint32 ips[COLLECTORS_MAX];
   guint n_known = keeper->n_collectors;
   guint n
-      = gossip_collectors (keeper->options.gossip, now, ips, COLLECTOR_DOMAINS);
+      = gossip_collectors (keeper->options.gossip, now, ips, COLLECTORS_MAX);
   for (guint i = 0; i < n_known; i++)
     known[i] = keeper->collectors[i];
   keeper->n_collectors = 0;
   for (guint i = 0; i < n; i++)
     add_collector (keeper, known, n_known, ips[i]);
-  add_collector (keeper, known, n_known, keeper->holder);
 }
 
 /* Tells the account which instances live.  */
--- a/packages/jacinthward/usage_keeper.h
+++ b/packages/jacinthward/usage_keeper.h
@@ -41,8 +41,7 @@
 void usage_keeper_flush (struct usage_keeper *keeper, gint64 now);
 void usage_keeper_dump (const struct usage_keeper *keeper, JsonBuilder *json);
 
-/* For the holder of the duties. KEEPER is not NULL for these. */
-void usage_keeper_set_holder (struct usage_keeper *keeper, guint32 ip);
+/* For the holder of the duties. */
 gint64 usage_keeper_true_time (struct usage_keeper *keeper, gint64 now);
 struct usage_account *usage_keeper_account (struct usage_keeper *keeper);
 struct usage_reports *usage_keeper_reports (struct usage_keeper *keeper);
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -125,6 +125,14 @@
   routing_table_unref (old);
 }
 
+/* Returns the configuration in force, borrowed until the next one; NULL: none
+   yet.  */
+const struct routing_table *
+scheduler_routing_table (const struct scheduler *scheduler)
+{
+  return scheduler->routing_table;
+}
+
 static struct service *
 service_of (struct scheduler *scheduler, const char *name, gint64 now)
 {
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -89,6 +89,8 @@
                          gint64 shared_clock);
 void scheduler_set_table (struct scheduler *scheduler,
                           struct routing_table *routing_table);
+const struct routing_table *
+scheduler_routing_table (const struct scheduler *scheduler);
 void scheduler_submit (struct scheduler *scheduler,
                        struct scheduler_entry *entry, gint64 now,
                        struct scheduler_decision *decision);
