sched: a pool of engines for streams with the shortest gaps

Cause: streams with a gap of at most 400 ms share the first engines of each domain.

Other prompts of over 600 uncached tokens go there only if no other engine of the region would be in time, or if they would be rejected. The count of isolated streams is a field of its own in the messages, which older instances ignore.

No test of the pool itself yet.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -52,6 +52,14 @@
      "requests rejected as one of these is held")                              \
   X (CRASHES_SAVED, "crashes_saved", "times that crashes were saved")          \
   X (CRASHES_UNSAVED, "crashes_unsaved", "failures to save or load crashes")   \
+  X (POOL_RESIZES, "pool_resizes",                                             \
+     "changes of the pools of engines for isolated streams")                   \
+  X (ISOLATED_STREAMS, "isolated_streams",                                     \
+     "attempts of isolated streams sent to their pool")                        \
+  X (ISOLATED_OUTSIDE, "isolated_outside",                                     \
+     "attempts of isolated streams sent elsewhere")                            \
+  X (POOL_PROMPTS, "pool_prompts",                                             \
+     "other long prompts sent to a pool for isolated streams")                 \
   X (BACKOFFS, "backoffs", "503 responses of servers with a Retry-After")      \
   X (LIMITS_NAMED, "limits_named", "changes of limits that servers name")      \
   X (LIMITS_INVALID, "limits_invalid",                                         \
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -462,6 +462,22 @@
   exchange_attempt_failed (exchange, RETRY_RESULT_NOT_SENT, NULL, none, &err);
 }
 
+/* Counts an attempt that concerns the pools for isolated streams.  */
+static void
+count_isolation (struct counter_set *counter_set,
+                 const struct placement_request *request,
+                 const struct placement_choice *choice)
+{
+  gboolean is_isolated = placement_pace (request->gap_us) == PLACEMENT_ISOLATED;
+  if (is_isolated)
+    counter_add (counter_set,
+                 choice->in_isolated_pool ? COUNTER_ISOLATED_STREAMS
+                                          : COUNTER_ISOLATED_OUTSIDE,
+                 1);
+  else if (choice->breaks_isolation)
+    counter_add (counter_set, COUNTER_POOL_PROMPTS, 1);
+}
+
 /* Sends the request to the server that the scheduler has chosen. While it was
    queued the configuration may have changed, so route, key and freshness are
    checked again. A response that has begun is continued under the route and
@@ -531,6 +547,8 @@
                                  : "none");
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
+  count_isolation (reverse_proxy->options.counter_set,
+                   &exchange->queue_entry.request, choice);
   part_trial_begin (exchange, choice->server);
   if (reverse_proxy->options.request_sent != NULL && prompt->n > 0)
     reverse_proxy->options.request_sent (
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -215,6 +215,17 @@
   };
 }
 
+static void
+on_pool_resized (void *ctx, const struct stream_pool_change *change)
+{
+  struct proxy_daemon *daemon = ctx;
+  counter_add (&daemon->counter_set, COUNTER_POOL_RESIZES, 1);
+  log_event (LOG_INFO, "pool.resized",
+             "service=%s domain=%s before=%u after=%u engines=%u streams=%u",
+             change->service, change->domain, change->before, change->after,
+             change->demand.engines, change->demand.streams);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -408,7 +419,9 @@
   const struct scheduler_options scheduler_options
       = { .registry = daemon->registry,
           .topology = daemon->topology,
-          .seed = g_rand_int (daemon->rand) };
+          .seed = g_rand_int (daemon->rand),
+          .pool_resized = on_pool_resized,
+          .pool_resized_ctx = daemon };
   const struct adapter_options adapter_options
       = { .address = settings->store_address,
           .clk = daemon->clk,
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 36 /* of a message in the current format */
+#define FIELDS 37 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -137,6 +137,45 @@
     }
 }
 
+/* Returns the load number I of a message: the loads of the sender come first,
+   then those of the summaries. NULL: there are fewer.  */
+static struct gossip_message_load *
+load_at (struct gossip_message *gossip_message, guint i)
+{
+  if (i < gossip_message->n_loads)
+    return &gossip_message->loads[i];
+  i -= gossip_message->n_loads;
+  for (guint k = 0; k < gossip_message->n_summaries; k++)
+    {
+      struct gossip_message_summary *summary = &gossip_message->summaries[k];
+      if (i < summary->n)
+        return &summary->loads[i];
+      i -= summary->n;
+    }
+  return NULL;
+}
+
+/* Packs the counts of isolated streams as pairs of the load's number and the
+   count. They have a field of their own because older instances reject a load
+   of more than six values; few engines have such streams.  */
+static void
+pack_isolated (msgpack_packer *pk, const struct gossip_message *gossip_message)
+{
+  const struct gossip_message_load *load;
+  size_t n = 0;
+  /* load_at only reads. */
+  struct gossip_message *readable = (struct gossip_message *)gossip_message;
+  for (guint i = 0; (load = load_at (readable, i)) != NULL; i++)
+    n += load->load.isolated > 0;
+  msgpack_pack_array (pk, 2 * n);
+  for (guint i = 0; n > 0 && (load = load_at (readable, i)) != NULL; i++)
+    if (load->load.isolated > 0)
+      {
+        msgpack_pack_unsigned_int (pk, i);
+        msgpack_pack_unsigned_int (pk, load->load.isolated);
+      }
+}
+
 /* Appends a message to OUT as one msgpack array.  */
 void
 gossip_message_encode (const struct gossip_message *gossip_message,
@@ -221,6 +260,7 @@
       msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].room);
       msgpack_pack_unsigned_int (&pk, gossip_message->brittle[i].full_age_ms);
     }
+  pack_isolated (&pk, gossip_message);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -304,6 +344,7 @@
 read_load (struct cursor *list, struct gossip_message_load *load)
 {
   struct cursor c = read_array (list, 6);
+  load->load.isolated = 0;
   load->server_key = (guint32)read_number (&c, G_MAXUINT32);
   load->load.requests = (guint)read_number (&c, G_MAXUINT16);
   load->load.sensitive = (guint)read_number (&c, G_MAXUINT16);
@@ -525,6 +566,27 @@
   c->bad |= relays.bad;
 }
 
+static void
+read_isolated (struct cursor *c, struct gossip_message *gossip_message)
+{
+  struct cursor list
+      = read_array (c, 2
+                           * (GOSSIP_MESSAGE_LOADS_MAX
+                              + GOSSIP_MESSAGE_SUMMARIES_MAX
+                                    * GOSSIP_MESSAGE_SUMMARY_LOADS_MAX));
+  list.bad |= list.left % 2 != 0;
+  while (!list.bad && list.left > 0)
+    {
+      struct gossip_message_load *load
+          = load_at (gossip_message, (guint)read_number (&list, G_MAXUINT16));
+      guint isolated = (guint)read_number (&list, G_MAXUINT16);
+      list.bad |= load == NULL;
+      if (!list.bad)
+        load->load.isolated = MIN (isolated, load->load.sensitive);
+    }
+  c->bad |= list.bad;
+}
+
 static gboolean
 read_message (const msgpack_object *root, struct gossip_message *gossip_message)
 {
@@ -587,6 +649,8 @@
     read_relays (&c, gossip_message);
   if (c.left > 0)
     read_brittle (&c, gossip_message);
+  if (c.left > 0)
+    read_isolated (&c, gossip_message);
   return !c.bad;
 }
 
--- a/packages/peer/load_changes.c
+++ b/packages/peer/load_changes.c
@@ -83,6 +83,7 @@
   return (told->requests == 0) != (now->requests == 0)
          || is_off (told->requests, now->requests, 1, tolerance)
          || is_off (told->sensitive, now->sensitive, 1, tolerance)
+         || is_off (told->isolated, now->isolated, 1, tolerance)
          || is_off (told->paced, now->paced, 1, tolerance)
          || is_off (told->prefill_tokens, now->prefill_tokens,
                     PREFILL_CHANGE_MIN, tolerance)
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -189,6 +189,12 @@
   limit_share_spend (&server->limit_share, &query);
 }
 
+static gboolean
+is_isolated (const struct placement_request *request)
+{
+  return placement_pace (request->gap_us) == PLACEMENT_ISOLATED;
+}
+
 /* Returns the rendezvous hashing score of a server for the request; lower is
    better. All instances compute the same order of the servers without
    exchanging messages, and requests with the same shared prefix get the same
@@ -201,6 +207,20 @@
       ^ (request->affinity_hash * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)));
 }
 
+/* Returns a score that is another one for each request and instance. Among
+   engines with about as many isolated streams it decides, so that instances
+   with the same, slightly outdated loads do not all choose the same engine.  */
+static guint64
+random_score (const struct placement_view *view,
+              const struct placement_request *request, guint64 rank)
+{
+  const struct prefix_prompt *prompt = &request->prompt;
+  guint64 own
+      = prompt->n > 0 ? prompt->blocks[prompt->n - 1].key : (guint64)view->now;
+  return hash_mix_bits (
+      rank ^ hash_mix_bits (own ^ hash_mix_bits (view->self.hash)));
+}
+
 /* Servers are compared of the first group that has usable ones. */
 enum placement_group
 {
@@ -241,7 +261,9 @@
       c->distance = topology_distance (view->topology, server->entry.domain);
       c->trial_running = server->backoff.trial && server->backoff.trials > 0;
       c->rank = str_hash (str_of (server->entry.id), 0);
-      c->rendezvous_score = rendezvous_score (request, c->rank);
+      c->rendezvous_score = is_isolated (request)
+                                ? random_score (view, request, c->rank)
+                                : rendezvous_score (request, c->rank);
       if (view->engine != NULL)
         c->cached_tokens
             = directory_cached_tokens (view->prefix_directory, server->number,
@@ -297,31 +319,61 @@
   return n;
 }
 
-/* Marks the engines of each domain that form its pool for latency-sensitive
-   streams: the first ones by rank, as many as the running streams fill.  */
+/* Returns the size of the isolated pool of the domain of C, of whose N_ENGINES
+   candidates STREAMS isolated streams run on.  */
+static guint
+isolated_pool_size (const struct placement_view *view,
+                    const struct placement_request *request,
+                    const struct placement_candidate *c, guint n_engines,
+                    guint streams)
+{
+  const struct stream_pool_demand demand
+      = { .engines = n_engines,
+          .streams
+          = streams
+            + (is_isolated (request) && c->distance == TOPOLOGY_SAME_DOMAIN) };
+  if (view->stream_pools == NULL)
+    return 0;
+  /* The servers that a request was sent to are no candidates, so the demand is
+     not known. */
+  return stream_pools_update (
+      view->stream_pools, view->service, c->server->entry.domain,
+      request->n_tried == 0 ? &demand : NULL, view->now);
+}
+
+/* Marks the engines of each domain that form its pools: for isolated streams
+   the last ones by rank, for the other latency-sensitive streams the first
+   ones, as many as the running streams fill.  */
 static void
-mark_sensitive_pools (const struct placement_view *view,
-                      struct placement_candidate *c, guint n)
+mark_pools (const struct placement_view *view,
+            const struct placement_request *request,
+            struct placement_candidate *c, guint n)
 {
   for (guint i = 0; i < n; i++)
     {
       guint size = 0;
       guint before = 0;
       guint sensitive = 0;
+      guint isolated = 0;
       for (guint k = 0; k < n; k++)
         {
           if (!g_str_equal (c[k].server->entry.domain,
                             c[i].server->entry.domain))
             continue;
           size++;
-          sensitive += c[k].load.sensitive;
+          isolated += c[k].load.isolated;
+          sensitive += c[k].load.sensitive
+                       - MIN (c[k].load.isolated, c[k].load.sensitive);
           before += c[k].rank < c[i].rank;
         }
       double pool_wanted
           = ceil ((sensitive + 1)
                   / (SENSITIVE_BATCH_SHARE * MAX (view->engine->batch, 1)));
       guint pool = size < 2 ? 0 : MIN ((guint)pool_wanted, size - 1);
-      c[i].in_sensitive_pool = before < pool;
+      c[i].in_isolated_pool
+          = before + isolated_pool_size (view, request, &c[i], size, isolated)
+            >= size;
+      c[i].in_sensitive_pool = before < pool && !c[i].in_isolated_pool;
       c[i].reserved = (double)before < RESERVED_SHARE * size && size > 1;
     }
 }
@@ -370,7 +422,8 @@
 {
   struct preferred_servers preferred_servers = { NULL, NULL };
   guint shared = prefix_shared_tokens (&request->prompt);
-  if (view->engine == NULL || shared < PREFIX_LARGE_TOKENS)
+  if (view->engine == NULL || shared < PREFIX_LARGE_TOKENS
+      || is_isolated (request))
     return preferred_servers;
   for (guint i = 0; i < n; i++)
     {
@@ -378,7 +431,7 @@
           = c[i].distance == TOPOLOGY_OTHER_REGION
                 ? &preferred_servers.other_region
                 : &preferred_servers.region;
-      if (c[i].reserved)
+      if (c[i].reserved || c[i].in_isolated_pool)
         continue;
       if (*preferred == NULL
           || c[i].rendezvous_score < (*preferred)->rendezvous_score)
@@ -405,10 +458,15 @@
 preference_of (const struct placement_request *request,
                const struct placement_candidate *c, gboolean region_wide)
 {
-  gboolean sensitive = placement_pace (request->gap_us) == PLACEMENT_SENSITIVE;
-  gboolean matches
-      = sensitive ? c->in_sensitive_pool
-                  : !c->in_sensitive_pool && !(region_wide && c->reserved);
+  enum placement_pace pace = placement_pace (request->gap_us);
+  gboolean matches;
+  if (pace == PLACEMENT_ISOLATED)
+    matches = c->in_isolated_pool;
+  else if (pace == PLACEMENT_SENSITIVE)
+    matches = c->in_sensitive_pool;
+  else
+    matches = !c->in_sensitive_pool && !c->in_isolated_pool
+              && !(region_wide && c->reserved);
   switch (c->distance)
     {
     case TOPOLOGY_SAME_DOMAIN:
@@ -440,7 +498,8 @@
                     const struct placement_request *request,
                     struct placement_candidate *c, guint n)
 {
-  gboolean region_wide = is_large_new_prefix (view, request);
+  gboolean region_wide
+      = !is_isolated (request) && is_large_new_prefix (view, request);
   for (guint i = 0; i < n; i++)
     c[i].preference = preference_of (request, &c[i], region_wide);
   qsort (c, n, sizeof *c, by_preference);
@@ -503,12 +562,61 @@
                 <= FIRST_EVENT_SLACK_SHARE * (double)request->left_us;
 }
 
+/* Returns whether a request that goes to a server of which E is the estimate
+   has its first event by its target, if it waits for capacity first.  */
+static gboolean
+meets_target (const struct placement_request *request,
+              const struct placement_estimate *e)
+{
+  return request->left_us <= 0
+         || e->capacity_wait_us + e->first_event_us <= (double)request->left_us;
+}
+
+/* Returns the better one of SUITABLE and BREAKS_ISOLATION, servers that are
+   chosen last. An isolated stream does not wait for its pool. Other requests
+   break the isolation only if none of the other servers of the region
+   (OTHERS_IN_TIME: some) would meet their target, also after a wait, or if they
+   would be rejected otherwise.  */
+static const struct selection *
+select_by_isolation (const struct placement_request *request,
+                     const struct selection *suitable,
+                     const struct selection *breaks_isolation,
+                     gboolean others_in_time)
+{
+  if (breaks_isolation->best == NULL)
+    return suitable;
+  if (request->or_reject && !is_isolated (request))
+    return breaks_isolation;
+  if (suitable->best == NULL)
+    return is_isolated (request) || !others_in_time ? breaks_isolation
+                                                    : suitable;
+  return !is_isolated (request) && !others_in_time
+                 && !meets_target (request, &suitable->estimate)
+                 && meets_target (request, &breaks_isolation->estimate)
+             ? breaks_isolation
+             : suitable;
+}
+
+/* Updates the pools for isolated streams without a request.  */
+void
+placement_update_pools (const struct placement_view *view)
+{
+  static struct placement_candidate candidates[CANDIDATES_MAX];
+  const struct placement_request none = { 0 };
+  if (view->engine == NULL)
+    return;
+  guint n = collect (view, &none, GROUP_SOUND, candidates);
+  mark_pools (view, &none, candidates, n);
+}
+
 /* Chooses the cheapest server that has capacity, of the few that are compared.
    Servers that peers could not reach, and those that are leaving, are compared
    only if no other one is usable, even if those have no capacity: the latter
    may end before a new request does. A server of the sensitive pool whose
    streams would be delayed is chosen only if there are no servers outside the
-   pool; otherwise the request waits until another server has capacity.  */
+   pool, and one where the request would break the isolation of streams only if
+   no other one of the region would be in time; otherwise the request waits
+   until another server has capacity.  */
 void
 placement_choose (const struct placement_view *view,
                   const struct placement_request *request,
@@ -531,6 +639,8 @@
   guint n_compared = 0;
   struct selection suitable = { 0 };
   struct selection delays_streams = { 0 };
+  struct selection breaks_isolation = { 0 };
+  gboolean others_in_time = FALSE;
   *choice = (struct placement_choice){ .usable = n,
                                        .first_event_us = G_MAXINT64,
                                        .capacity_wait_us = G_MAXINT64,
@@ -539,7 +649,7 @@
     choice->backoff_us = backoff_left (view);
   if (view->engine != NULL)
     {
-      mark_sensitive_pools (view, candidates, n);
+      mark_pools (view, request, candidates, n);
       sort_by_preference (view, request, candidates, n);
     }
   struct preferred_servers preferred_servers
@@ -570,25 +680,40 @@
       e.capacity_wait_us
           = MAX (e.capacity_wait_us,
                  (double)MAX (c->limit_wait_us, c->brittle_wait_us));
-      choice->first_event_us
-          = MIN (choice->first_event_us, (gint64)e.first_event_us);
       choice->full |= e.full;
-      choice->capacity_wait_us
-          = MIN (choice->capacity_wait_us, (gint64)e.capacity_wait_us);
+      /* Requests do not wait for servers that break the isolation. */
+      if (!e.breaks_isolation || is_isolated (request))
+        {
+          choice->first_event_us
+              = MIN (choice->first_event_us, (gint64)e.first_event_us);
+          choice->capacity_wait_us
+              = MIN (choice->capacity_wait_us, (gint64)e.capacity_wait_us);
+          others_in_time |= c->distance != TOPOLOGY_OTHER_REGION
+                            && meets_target (request, &e);
+        }
       if (e.full)
         continue;
       if (c->limited_per_s > 0)
         e.cost -= LIMITED_PREFERENCE_US;
       gboolean is_cached = c->cached_tokens >= PREFIX_LARGE_TOKENS
                            && c->cached_tokens == best_cached;
-      if (view->engine == NULL || is_cached || c->limited_per_s > 0
-          || n_compared < COMPARED_MIN || !is_in_time (request, &suitable))
-        consider (e.delays_streams ? &delays_streams : &suitable, c, &e);
-      n_compared += !e.delays_streams;
+      gboolean is_own_pool = is_isolated (request) && c->in_isolated_pool
+                             && c->distance == TOPOLOGY_SAME_DOMAIN;
+      struct selection *selection = &suitable;
+      if (e.delays_streams)
+        selection = &delays_streams;
+      else if (e.breaks_isolation)
+        selection = &breaks_isolation;
+      if (view->engine == NULL || is_cached || is_own_pool || request->or_reject
+          || c->limited_per_s > 0 || n_compared < COMPARED_MIN
+          || !is_in_time (request, &suitable))
+        consider (selection, c, &e);
+      n_compared += selection == &suitable;
     }
-  const struct selection *chosen = suitable.best != NULL || n_outside_pool > 0
-                                       ? &suitable
-                                       : &delays_streams;
+  const struct selection *chosen = select_by_isolation (
+      request, &suitable, &breaks_isolation, others_in_time);
+  if (chosen->best == NULL && n_outside_pool == 0)
+    chosen = &delays_streams;
   if (chosen->best == NULL)
     return;
   choice->full = FALSE;
@@ -605,5 +730,7 @@
     choice->fetch_from = guess_cached_server (
         view, request, candidates, n_sources, &preferred_servers, chosen->best);
   choice->cached_tokens = chosen->best->cached_tokens;
+  choice->in_isolated_pool = chosen->best->in_isolated_pool;
+  choice->breaks_isolation = chosen->estimate.breaks_isolation;
   choice->at_home = chosen->best == preferred_servers.region;
 }
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -8,6 +8,7 @@
 #include "route/routing_table.h"
 #include "sched/prefix_directory.h"
 #include "sched/server_load.h"
+#include "sched/stream_pool.h"
 
 #define PLACEMENT_TRIED_MAX 8
 /* Length of a time slice. Within it, the other instances of the domain learn
@@ -25,6 +26,8 @@
   gint64 gap_us;         /* longest tolerated inter-event gap; 0: any */
   gint64 left_us;        /* until the first event is due; 0: unknown */
   guint64 affinity_hash; /* determines the preferred server */
+  gboolean or_reject;    /* without a server it will be rejected: it may use
+                            the pools of isolated streams */
   guint tried[PLACEMENT_TRIED_MAX]; /* numbers of servers that must not be used
                                        again */
   guint n_tried;
@@ -33,9 +36,10 @@
 /* How sensitive a stream is to gaps between its events.  */
 enum placement_pace
 {
-  PLACEMENT_UNPACED,  /* tolerates any gap that engines cause */
-  PLACEMENT_PACED,    /* tolerates a few long prompts in a row */
-  PLACEMENT_SENSITIVE /* latency-sensitive: tolerates hardly one */
+  PLACEMENT_UNPACED,   /* tolerates any gap that engines cause */
+  PLACEMENT_PACED,     /* tolerates a few long prompts in a row */
+  PLACEMENT_SENSITIVE, /* latency-sensitive: tolerates hardly one */
+  PLACEMENT_ISOLATED   /* latency-sensitive, and tolerates none */
 };
 
 /* Another instance of the own domain that has requests queued. */
@@ -72,6 +76,7 @@
   const struct topology *topology;
   struct server_load_table *server_load_table;
   const struct prefix_directory *prefix_directory;
+  struct stream_pools *stream_pools; /* NULL: no pools */
   double reuse_share; /* share of shared prefixes that were used recently */
   struct placement_self self;
   gint64 shared_now;   /* microseconds of a clock that is about the same at all
@@ -98,6 +103,10 @@
                               prefix,        which all instances of the region can
                               compute */
   gboolean full;           /* no server has capacity; the request should wait */
+  gboolean in_isolated_pool; /* SERVER is */
+  gboolean breaks_isolation; /* an isolated stream that is not in a pool of the
+                                region or will be late there, or another long
+                                prompt in a pool */
   guint usable; /* number of usable servers that the request was not sent to */
   /* Time until the first of the servers may be used that have asked this
      instance to send nothing; G_MAXINT64: there is none. */
@@ -116,5 +125,6 @@
 void placement_choose (const struct placement_view *view,
                        const struct placement_request *request,
                        struct placement_choice *choice);
+void placement_update_pools (const struct placement_view *view);
 
 #endif
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -40,6 +40,21 @@
 #define PENDING_COST_SHARE                                                     \
   0.15 /* cost of pending prefill while the request is on time */
 #define LATE_FACTOR 3.0 /* cost of each microsecond beyond that */
+/* Streams with at most this inter-event gap are isolated. A step of a slow
+   engine with one chunk of a long prompt takes up to 80 ms: an event of six
+   steps exceeds 250 ms with three chunks, 400 ms only with five. */
+#define ISOLATED_GAP_US 250000
+/* Uncached tokens above which a prompt is kept out of the isolated pool: about
+   7 ms of prefill, less than a chunk takes. */
+#define ISOLATED_PROMPT_TOKENS 600
+/* Uninterrupted prefill that an isolated stream tolerates, also on an engine
+   that is 2.5 times slower for a moment. */
+#define ISOLATED_PREFILL_US 50000.0
+/* Cost of each isolated stream that runs on an engine, to spread them. Two of
+   them cost less than EQUAL_COST_US in placement.c. */
+#define ISOLATED_STREAM_COST_US 1500.0
+/* Cost of a short prompt in the isolated pool, to use other engines first. */
+#define ISOLATED_POOL_COST_US 20000.0
 #define SENSITIVE_GAP_US                                                       \
   400000 /* streams with at most this inter-event gap are latency-sensitive */
 #define PACED_GAP_US                                                           \
@@ -133,7 +148,9 @@
 {
   if (gap_us <= 0 || gap_us > PACED_GAP_US)
     return PLACEMENT_UNPACED;
-  return gap_us > SENSITIVE_GAP_US ? PLACEMENT_PACED : PLACEMENT_SENSITIVE;
+  if (gap_us > SENSITIVE_GAP_US)
+    return PLACEMENT_PACED;
+  return gap_us > ISOLATED_GAP_US ? PLACEMENT_SENSITIVE : PLACEMENT_ISOLATED;
 }
 
 /* Returns how long an engine of the pool may prefill without interruption
@@ -146,8 +163,10 @@
 sensitive_prefill_limit_us (const struct placement_view *view,
                             const struct placement_request *request)
 {
-  if (placement_pace (request->gap_us) == PLACEMENT_SENSITIVE)
-    return SENSITIVE_PREFILL_US;
+  enum placement_pace pace = placement_pace (request->gap_us);
+  if (pace >= PLACEMENT_SENSITIVE)
+    return pace == PLACEMENT_ISOLATED ? ISOLATED_PREFILL_US
+                                      : SENSITIVE_PREFILL_US;
   return SENSITIVE_PREFILL_US
          / MAX (1.0, view->self.domain_instances / INSTANCES_PER_LIMIT);
 }
@@ -163,12 +182,12 @@
 {
   enum placement_pace pace = placement_pace (request->gap_us);
   double cost = 0;
-  double sensitive_limit_us = c->in_sensitive_pool
+  double sensitive_limit_us = c->in_sensitive_pool || c->in_isolated_pool
                                   ? sensitive_prefill_limit_us (view, request)
                                   : SENSITIVE_PREFILL_US;
   if (prefill_us > sensitive_limit_us)
     cost += SENSITIVE_DELAY_COST_US
-            * (c->load.sensitive + (pace == PLACEMENT_SENSITIVE));
+            * (c->load.sensitive + (pace >= PLACEMENT_SENSITIVE));
   if (prefill_us > PACED_PREFILL_US)
     cost += PACED_DELAY_COST_US * (c->load.paced + (pace == PLACEMENT_PACED));
   return cost;
@@ -185,15 +204,22 @@
              const struct placement_request *request,
              const struct placement_candidate *c, guint prefill_tokens)
 {
-  if (placement_pace (request->gap_us) != PLACEMENT_SENSITIVE)
+  enum placement_pace pace = placement_pace (request->gap_us);
+  if (pace < PLACEMENT_SENSITIVE && c->in_isolated_pool)
+    return ISOLATED_POOL_COST_US;
+  if (pace < PLACEMENT_SENSITIVE)
     return c->in_sensitive_pool && prefill_tokens > LONG_PREFILL_TOKENS
                ? POOL_PREFILL_COST_US
                : 0;
-  if (c->in_sensitive_pool)
+  if (pace == PLACEMENT_ISOLATED && c->in_isolated_pool)
+    return ISOLATED_STREAM_COST_US * c->load.isolated;
+  if (pace == PLACEMENT_SENSITIVE && c->in_sensitive_pool)
     return 0;
   double recent_tokens = (double)directory_recent_prefill (
       view->prefix_directory, c->server->number, view->now);
-  return OUTSIDE_POOL_COST_US + 0.25 * view->us_per_token * recent_tokens;
+  return OUTSIDE_POOL_COST_US
+         + (pace == PLACEMENT_ISOLATED ? 1.0 : 0.25) * view->us_per_token
+               * recent_tokens;
 }
 
 /* Returns the cost of waiting: low while the first event is expected in time,
@@ -204,7 +230,39 @@
 {
   double slack_us = FIRST_EVENT_SLACK_SHARE * (double)request->left_us;
   double late = request->left_us > 0 ? MAX (first_event_us - slack_us, 0) : 0;
-  return PENDING_COST_SHARE * pending_us + LATE_FACTOR * late;
+  double share = placement_pace (request->gap_us) == PLACEMENT_ISOLATED
+                     ? 1.0
+                     : PENDING_COST_SHARE;
+  return share * pending_us + LATE_FACTOR * late;
+}
+
+/* Returns whether the request at C would break the isolation of streams: a
+   stream that is not in a pool of the region for it, or would be late there, or
+   another prompt with many uncached tokens in the pool.  */
+static gboolean
+breaks_isolation (const struct placement_request *request,
+                  const struct placement_candidate *c,
+                  const struct placement_estimate *e)
+{
+  if (placement_pace (request->gap_us) != PLACEMENT_ISOLATED)
+    return c->in_isolated_pool && e->prefill_tokens > ISOLATED_PROMPT_TOKENS;
+  return !c->in_isolated_pool || c->distance == TOPOLOGY_OTHER_REGION
+         || (request->left_us > 0
+             && e->first_event_us > (double)request->left_us);
+}
+
+/* Returns whether the request must not go to C because of latency-sensitive
+   streams that run there, if the engine then prefills for PREFILL_US.  */
+static gboolean
+delays_streams (const struct placement_view *view,
+                const struct placement_request *request,
+                const struct placement_candidate *c, double prefill_us)
+{
+  enum placement_pace pace = placement_pace (request->gap_us);
+  gboolean is_guest = (c->in_sensitive_pool && pace < PLACEMENT_SENSITIVE)
+                      || (c->in_isolated_pool && pace < PLACEMENT_ISOLATED);
+  return is_guest && c->load.sensitive > 0
+         && prefill_us > sensitive_prefill_limit_us (view, request);
 }
 
 /* Returns the time at which an instance with N_WAITING queued requests arrives
@@ -303,7 +361,9 @@
      of its own prefill time is pending. */
   double limit_us = MAX (PENDING_LIMIT_US, 1.5 * prefill_us);
   double wait_us = MAX (pending_us + prefill_us - limit_us, 0);
-  if (e->prefill_tokens > LONG_PREFILL_TOKENS
+  gboolean is_isolated = placement_pace (request->gap_us) == PLACEMENT_ISOLATED
+                         && c->in_isolated_pool;
+  if (e->prefill_tokens > LONG_PREFILL_TOKENS && !is_isolated
       && !may_send_long_prompt (view, request, c, pending_us))
     wait_us = MAX (wait_us, PLACEMENT_SLICE_US);
   if (c->load.requests >= batch)
@@ -359,10 +419,8 @@
            + stream_delay_cost (view, request, c, pending_us + prefill_us)
            + distance_cost (request, c->distance)
            + mixing_cost (view, request, c, e.prefill_tokens);
-  e.delays_streams
-      = placement_pace (request->gap_us) != PLACEMENT_SENSITIVE
-        && c->in_sensitive_pool && c->load.sensitive > 0
-        && pending_us + prefill_us > sensitive_prefill_limit_us (view, request);
+  e.breaks_isolation = breaks_isolation (request, c, &e);
+  e.delays_streams = delays_streams (view, request, c, pending_us + prefill_us);
   e.capacity_wait_us
       = capacity_wait_us (view, request, c, &e, pending_us, prefill_us);
   e.full = e.capacity_wait_us > 0 && !e.delays_streams;
--- a/packages/sched/placement_internal.h
+++ b/packages/sched/placement_internal.h
@@ -14,8 +14,8 @@
 
 /* Order in which engines are compared for a request, by how well they suit it.
    Engines of one class are ordered by rendezvous score. An engine matches if
-   it is in the sensitive pool and the request is a latency-sensitive stream,
-   or if it is outside and the request is anything else.  */
+   it is in the pool for the request's kind of stream, or if it is outside of
+   the pools and the request is anything else.  */
 enum placement_preference
 {
   PLACEMENT_NEAR_MATCH,   /* match, in the own domain or at an equal distance */
@@ -42,6 +42,7 @@
   guint expected_cached; /* CACHED_TOKENS, or what a preferred server is assumed
                             to have cached */
   gboolean in_sensitive_pool;
+  gboolean in_isolated_pool; /* then not in the sensitive pool */
   gboolean trial_running; /* its only request after a backoff is in progress */
   gint64 limit_wait_us;   /* until the limit that it has named allows this
                              instance a request; 0: now */
@@ -62,8 +63,10 @@
   guint prefill_tokens;  /* tokens to be prefilled at the engine */
   guint fetched_tokens;  /* tokens to be fetched from another engine */
   gboolean full;
-  double capacity_wait_us; /* predicted wait for capacity; 0: none */
-  gboolean delays_streams; /* latency-sensitive ones */
+  double capacity_wait_us;   /* predicted wait for capacity; 0: none */
+  gboolean delays_streams;   /* latency-sensitive ones */
+  gboolean breaks_isolation; /* a stream outside the pool for its kind, or late
+                                there, or another long prompt in the pool */
 };
 
 struct placement_estimate
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -26,6 +26,9 @@
 /* Drain rate that is assumed while nothing has waited. */
 #define DRAIN_DEFAULT_PER_S 50.0
 #define DRAIN_MIN_PER_S 2.0 /* lowest drain rate that is assumed */
+/* Interval at which the pools for isolated streams are updated if no request is
+   placed. */
+#define POOLS_UPDATE_US (500 * CLK_MS)
 /* Prefill time per token until it is measured, and the limits of a sample. */
 #define PREFILL_US_DEFAULT 25.0
 #define PREFILL_US_MIN 5.0
@@ -61,7 +64,9 @@
       *routing_table; /* referenced; NULL: no configuration yet */
   struct server_load_table *server_load_table;
   struct prefix_directory *prefix_directory;
-  GHashTable *services; /* name: struct service, owned */
+  struct stream_pools *stream_pools;
+  gint64 pools_updated_at; /* clock time */
+  GHashTable *services;    /* name: struct service, owned */
   guint n_waiting;
   struct placement_self self;
   /* Offset in microseconds from this instance's clock to a clock that is about
@@ -84,6 +89,8 @@
   scheduler->options = *options;
   scheduler->server_load_table = server_load_table_new ();
   scheduler->prefix_directory = directory_new ();
+  scheduler->stream_pools
+      = stream_pools_new (options->pool_resized, options->pool_resized_ctx);
   scheduler->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   scheduler->rand = g_rand_new_with_seed (options->seed);
@@ -97,6 +104,7 @@
     return;
   server_load_table_free (scheduler->server_load_table);
   directory_free (scheduler->prefix_directory);
+  stream_pools_free (scheduler->stream_pools);
   g_hash_table_unref (scheduler->services);
   routing_table_unref (scheduler->routing_table);
   g_rand_free (scheduler->rand);
@@ -163,6 +171,7 @@
           .topology = scheduler->options.topology,
           .server_load_table = scheduler->server_load_table,
           .prefix_directory = scheduler->prefix_directory,
+          .stream_pools = scheduler->stream_pools,
           .reuse_share = directory_reuse_share (scheduler->prefix_directory),
           .self = scheduler->self,
           .n_waiting
@@ -221,6 +230,16 @@
   return entry->request.n_tried > 0;
 }
 
+/* Returns whether ENTRY is an isolated stream, whose engines AHEAD must not
+   use.  */
+static gboolean
+uses_other_pool (const struct scheduler_entry *entry,
+                 const struct scheduler_entry *ahead)
+{
+  return placement_pace (entry->request.gap_us) == PLACEMENT_ISOLATED
+         && placement_pace (ahead->request.gap_us) != PLACEMENT_ISOLATED;
+}
+
 /* Returns whether ENTRY, which arrives, may start at SERVER before the queued
    entries that go first. Those that must not use SERVER do not wait for it.  */
 static gboolean
@@ -234,7 +253,8 @@
     for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
       {
         const struct scheduler_entry *ahead = l->data;
-        if (!placement_was_tried (&ahead->request, server))
+        if (!placement_was_tried (&ahead->request, server)
+            && !uses_other_pool (entry, ahead))
           backfill_add_waiting (&backfill, ahead->request.prompt_tokens);
       }
   return backfill_allows (&backfill, entry->request.prompt_tokens);
@@ -299,7 +319,7 @@
 competes_for_prefill (const struct scheduler_entry *entry)
 {
   return entry->request.prompt_tokens > 0
-         && placement_pace (entry->request.gap_us) != PLACEMENT_SENSITIVE;
+         && placement_pace (entry->request.gap_us) < PLACEMENT_SENSITIVE;
 }
 
 /* Returns whether ENTRY must not start because more urgent requests of its
@@ -313,6 +333,26 @@
                                    entry->request.prompt_tokens, now);
 }
 
+/* Chooses again for ENTRY, which is about to be rejected: engines of the pools
+   for isolated streams may be used too then. Returns whether it may start.  */
+static gboolean
+choose_or_reject (struct scheduler *scheduler, const struct service *service,
+                  struct scheduler_entry *entry, gint64 now,
+                  struct placement_choice *choice)
+{
+  if (!stream_pools_any (scheduler->stream_pools)
+      || is_held (service, entry, now))
+    return FALSE;
+  struct placement_choice last;
+  entry->request.or_reject = TRUE;
+  choose (scheduler, service, entry, now, &last);
+  entry->request.or_reject = FALSE;
+  if (last.server == NULL || !last.breaks_isolation)
+    return FALSE;
+  *choice = last;
+  return TRUE;
+}
+
 /* Fills DECISION with the rejection of ENTRY for overload.  */
 static void
 reject_for_overload (struct scheduler *scheduler, struct service *service,
@@ -385,9 +425,14 @@
   gint64 waited = head_waited (service, entry, now);
   decision->wait_us = MAX (wait, waited);
   gint64 left = entry->target - now;
-  if (scheduler->n_waiting >= WAITING_MAX)
+  gboolean too_late
+      = wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left;
+  if ((too_late || scheduler->n_waiting >= WAITING_MAX)
+      && choose_or_reject (scheduler, service, entry, now, &decision->choice))
+    decision->verdict = SCHEDULER_START;
+  else if (scheduler->n_waiting >= WAITING_MAX)
     reject (scheduler, decision, SCHEDULER_QUEUE_FULL, decision->wait_us);
-  else if (wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left)
+  else if (too_late)
     reject_for_overload (scheduler, service, entry, now, decision);
   else
     enqueue (scheduler, service, entry, now);
@@ -452,10 +497,13 @@
       gboolean too_late = now + decision.wait_us > entry->target;
       if (decision.choice.usable == 0)
         reject_without_server (scheduler, &decision);
-      else if (too_late)
-        reject_for_overload (scheduler, service, entry, now, &decision);
-      else
+      else if (!too_late)
         return FALSE;
+      else if (!choose_or_reject (scheduler, service, entry, now,
+                                  &decision.choice)
+               || !retry_groups_allow (retry_groups, &entry->request,
+                                       decision.choice.server))
+        reject_for_overload (scheduler, service, entry, now, &decision);
     }
   scheduler_withdraw (scheduler, entry);
   decided (ctx, entry, &decision);
@@ -515,6 +563,26 @@
   service->n_held = count_held (service, now);
 }
 
+/* Updates the pools for isolated streams while no request is placed, so that
+   they shrink after the last stream.  */
+static void
+update_pools (struct scheduler *scheduler, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  if (now - scheduler->pools_updated_at < POOLS_UPDATE_US
+      || !stream_pools_any (scheduler->stream_pools))
+    return;
+  scheduler->pools_updated_at = now;
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      struct placement_view view = view_of (scheduler, value, name, now);
+      placement_update_pools (&view);
+    }
+}
+
 /* Starts or rejects queued requests, most urgent first. DECIDED may submit and
    withdraw entries.  */
 void
@@ -524,6 +592,7 @@
   GHashTableIter iter;
   gpointer value;
   server_load_expire (scheduler->server_load_table, now);
+  update_pools (scheduler, now);
   if (scheduler->n_waiting == 0)
     return;
   GPtrArray *services = g_ptr_array_new ();
@@ -565,7 +634,8 @@
   entry->first_event_seen = FALSE;
   entry->load = (struct server_load){
     .requests = 1,
-    .sensitive = placement_pace (request->gap_us) == PLACEMENT_SENSITIVE,
+    .sensitive = placement_pace (request->gap_us) >= PLACEMENT_SENSITIVE,
+    .isolated = placement_pace (request->gap_us) == PLACEMENT_ISOLATED,
     .paced = placement_pace (request->gap_us) == PLACEMENT_PACED,
     .prefill_tokens = choice->prefill_tokens,
     .memory = choice->prefill_tokens + request->output_tokens,
@@ -574,6 +644,7 @@
       = server_load_own (scheduler->server_load_table, number);
   own->requests++;
   own->sensitive += entry->load.sensitive;
+  own->isolated += entry->load.isolated;
   own->paced += entry->load.paced;
   own->prefill_tokens += entry->load.prefill_tokens;
   own->memory += entry->load.memory;
@@ -632,6 +703,7 @@
       = server_load_own (scheduler->server_load_table, entry->server->number);
   own->requests -= MIN (own->requests, 1);
   own->sensitive -= MIN (own->sensitive, entry->load.sensitive);
+  own->isolated -= MIN (own->isolated, entry->load.isolated);
   own->paced -= MIN (own->paced, entry->load.paced);
   own->prefill_tokens -= MIN (own->prefill_tokens, entry->load.prefill_tokens);
   own->memory -= MIN (own->memory, entry->load.memory);
@@ -645,6 +717,12 @@
   return scheduler->server_load_table;
 }
 
+const struct stream_pools *
+scheduler_stream_pools (const struct scheduler *scheduler)
+{
+  return scheduler->stream_pools;
+}
+
 struct prefix_directory *
 scheduler_prefix_directory (struct scheduler *scheduler)
 {
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -73,6 +73,8 @@
   struct registry *registry;       /* borrowed */
   const struct topology *topology; /* borrowed */
   guint32 seed;
+  stream_pool_resized pool_resized; /* NULL: none */
+  void *pool_resized_ctx;
 };
 
 /* Called by scheduler_poll for each entry that it starts or rejects. */
@@ -110,6 +112,8 @@
 void scheduler_ended (struct scheduler *scheduler,
                       struct scheduler_entry *entry);
 struct server_load_table *scheduler_loads (struct scheduler *scheduler);
+const struct stream_pools *
+scheduler_stream_pools (const struct scheduler *scheduler);
 struct prefix_directory *
 scheduler_prefix_directory (struct scheduler *scheduler);
 void scheduler_record_rejection (struct scheduler *scheduler,
--- a/packages/sched/server_load.c
+++ b/packages/sched/server_load.c
@@ -141,6 +141,7 @@
     return;
   sum->requests += load->requests;
   sum->sensitive += load->sensitive;
+  sum->isolated += load->isolated;
   sum->paced += load->paced;
   sum->prefill_tokens += load->prefill_tokens;
   sum->memory += load->memory;
--- a/packages/sched/server_load.h
+++ b/packages/sched/server_load.h
@@ -8,7 +8,9 @@
 struct server_load
 {
   guint requests;         /* sent and not ended */
-  guint sensitive;        /* of these, latency-sensitive streams */
+  guint sensitive;        /* of these, latency-sensitive streams, including the
+                             isolated ones */
+  guint isolated;         /* of these, isolated streams */
   guint paced;            /* of these, paced streams */
   guint64 prefill_tokens; /* pending prefill: prompt tokens of requests without
                              a first event yet */
