--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -319,9 +319,9 @@
   return n;
 }
 
-/* Returns the size of the isolated pool of the domain of C, of whose N_ENGINES
-   candidates STREAMS isolated streams run on.  */
-static guint
+/* Returns the size of the isolated pool of the domain of C, which has N_ENGINES
+   candidates with STREAMS isolated streams.  */
+static struct stream_pool_size
 isolated_pool_size (const struct placement_view *view,
                     const struct placement_request *request,
                     const struct placement_candidate *c, guint n_engines,
@@ -333,7 +333,7 @@
           = streams
             + (is_isolated (request) && c->distance == TOPOLOGY_SAME_DOMAIN) };
   if (view->stream_pools == NULL)
-    return 0;
+    return (struct stream_pool_size){ 0, 0 };
   /* The servers that a request was sent to are no candidates, so the demand is
      not known. */
   return stream_pools_update (
@@ -370,9 +370,11 @@
           = ceil ((sensitive + 1)
                   / (SENSITIVE_BATCH_SHARE * MAX (view->engine->batch, 1)));
       guint pool = size < 2 ? 0 : MIN ((guint)pool_wanted, size - 1);
-      c[i].in_isolated_pool
-          = before + isolated_pool_size (view, request, &c[i], size, isolated)
-            >= size;
+      struct stream_pool_size isolated_pool
+          = isolated_pool_size (view, request, &c[i], size, isolated);
+      c[i].in_isolated_pool = before + isolated_pool.pool >= size;
+      c[i].guarded
+          = before + isolated_pool.guard >= size || c[i].load.isolated > 0;
       c[i].in_sensitive_pool = before < pool && !c[i].in_isolated_pool;
       c[i].reserved = (double)before < RESERVED_SHARE * size && size > 1;
     }
@@ -431,7 +433,7 @@
           = c[i].distance == TOPOLOGY_OTHER_REGION
                 ? &preferred_servers.other_region
                 : &preferred_servers.region;
-      if (c[i].reserved || c[i].in_isolated_pool)
+      if (c[i].reserved || c[i].guarded)
         continue;
       if (*preferred == NULL
           || c[i].rendezvous_score < (*preferred)->rendezvous_score)
@@ -465,8 +467,8 @@
   else if (pace == PLACEMENT_SENSITIVE)
     matches = c->in_sensitive_pool;
   else
-    matches = !c->in_sensitive_pool && !c->in_isolated_pool
-              && !(region_wide && c->reserved);
+    matches
+        = !c->in_sensitive_pool && !c->guarded && !(region_wide && c->reserved);
   switch (c->distance)
     {
     case TOPOLOGY_SAME_DOMAIN:
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -167,6 +167,8 @@
   if (pace >= PLACEMENT_SENSITIVE)
     return pace == PLACEMENT_ISOLATED ? ISOLATED_PREFILL_US
                                       : SENSITIVE_PREFILL_US;
+  if (request->or_reject)
+    return SENSITIVE_PREFILL_US;
   return SENSITIVE_PREFILL_US
          / MAX (1.0, view->self.domain_instances / INSTANCES_PER_LIMIT);
 }
@@ -182,7 +184,7 @@
 {
   enum placement_pace pace = placement_pace (request->gap_us);
   double cost = 0;
-  double sensitive_limit_us = c->in_sensitive_pool || c->in_isolated_pool
+  double sensitive_limit_us = c->in_sensitive_pool || c->guarded
                                   ? sensitive_prefill_limit_us (view, request)
                                   : SENSITIVE_PREFILL_US;
   if (prefill_us > sensitive_limit_us)
@@ -205,8 +207,11 @@
              const struct placement_candidate *c, guint prefill_tokens)
 {
   enum placement_pace pace = placement_pace (request->gap_us);
-  if (pace < PLACEMENT_SENSITIVE && c->in_isolated_pool)
-    return ISOLATED_POOL_COST_US;
+  if (pace < PLACEMENT_SENSITIVE && c->guarded)
+    return ISOLATED_POOL_COST_US
+           + (c->in_isolated_pool && prefill_tokens > ISOLATED_PROMPT_TOKENS
+                  ? POOL_PREFILL_COST_US
+                  : 0);
   if (pace < PLACEMENT_SENSITIVE)
     return c->in_sensitive_pool && prefill_tokens > LONG_PREFILL_TOKENS
                ? POOL_PREFILL_COST_US
@@ -245,7 +250,7 @@
                   const struct placement_estimate *e)
 {
   if (placement_pace (request->gap_us) != PLACEMENT_ISOLATED)
-    return c->in_isolated_pool && e->prefill_tokens > ISOLATED_PROMPT_TOKENS;
+    return c->guarded && e->prefill_tokens > ISOLATED_PROMPT_TOKENS;
   return !c->in_isolated_pool || c->distance == TOPOLOGY_OTHER_REGION
          || (request->left_us > 0
              && e->first_event_us > (double)request->left_us);
@@ -260,7 +265,7 @@
 {
   enum placement_pace pace = placement_pace (request->gap_us);
   gboolean is_guest = (c->in_sensitive_pool && pace < PLACEMENT_SENSITIVE)
-                      || (c->in_isolated_pool && pace < PLACEMENT_ISOLATED);
+                      || (c->guarded && pace < PLACEMENT_ISOLATED);
   return is_guest && c->load.sensitive > 0
          && prefill_us > sensitive_prefill_limit_us (view, request);
 }
@@ -361,9 +366,11 @@
      of its own prefill time is pending. */
   double limit_us = MAX (PENDING_LIMIT_US, 1.5 * prefill_us);
   double wait_us = MAX (pending_us + prefill_us - limit_us, 0);
-  gboolean is_isolated = placement_pace (request->gap_us) == PLACEMENT_ISOLATED
-                         && c->in_isolated_pool;
-  if (e->prefill_tokens > LONG_PREFILL_TOKENS && !is_isolated
+  /* Prompts that would be rejected otherwise are few. */
+  gboolean is_exempt = placement_pace (request->gap_us) == PLACEMENT_ISOLATED
+                           ? c->in_isolated_pool
+                           : c->guarded && request->or_reject;
+  if (e->prefill_tokens > LONG_PREFILL_TOKENS && !is_exempt
       && !may_send_long_prompt (view, request, c, pending_us))
     wait_us = MAX (wait_us, PLACEMENT_SLICE_US);
   if (c->load.requests >= batch)
--- a/packages/sched/server_load.h
+++ b/packages/sched/server_load.h
@@ -8,13 +8,12 @@
 struct server_load
 {
   guint requests;         /* sent and not ended */
-  guint sensitive;        /* of these, latency-sensitive streams, including the
-                             isolated ones */
-  guint isolated;         /* of these, isolated streams */
+  guint sensitive;        /* of these, latency-sensitive streams */
   guint paced;            /* of these, paced streams */
   guint64 prefill_tokens; /* pending prefill: prompt tokens of requests without
                              a first event yet */
   guint64 memory; /* tokens that the requests occupy in the server's memory */
+  guint isolated; /* of the latency-sensitive streams, the isolated ones */
 };
 
 struct server_load_table;
--- a/packages/sched/stream_pool.c
+++ b/packages/sched/stream_pool.c
@@ -11,23 +11,36 @@
 /* Streams side by side on one engine, as a target: with 24 a step takes 5 ms,
    and the short prompts of 24 streams of 1.5 s use a tenth of an engine. */
 #define STREAMS_PER_ENGINE 24
+/* Streams that a pool must have room for before other long prompts use its next
+   engine. Instances that know more streams use that engine already. */
+#define STREAMS_SPARE 12
 /* Time for which a pool must be too large before it shrinks; longer than the
    calm between two bursts of seconds. */
 #define SHRINK_AFTER_US (5 * CLK_S)
+/* The same for the guarded engines; longer, so that no instance sends a long
+   prompt to an engine that is still in the pool at another one. */
+#define UNGUARD_AFTER_US (7 * CLK_S)
 /* Age of loads that peers report. What the number of streams has grown by in
-   this time is added, for the streams that they have started since. */
+   this time is guarded for as well, as peers have started more since. */
 #define REPORT_AGE_US (250 * CLK_MS)
 
+/* A number of engines that grows at once and shrinks late.  */
+struct held_size
+{
+  guint size;
+  gint64 surplus_since; /* clock time since which fewer do; 0: they do not */
+  guint surplus_peak;   /* engines needed at most since then */
+};
+
 struct stream_pool
 {
   char service[STR_ID_MAX + 1];
   char domain[STR_ID_MAX + 1];
-  guint size;           /* engines */
-  gint64 surplus_since; /* clock time since which fewer do; 0: they do not */
-  guint surplus_peak;   /* engines needed at most since then */
-  gint64 sampled_at;    /* clock time of SAMPLE */
-  guint sample;         /* streams at that time */
-  guint sample_before;  /* streams about REPORT_AGE_US earlier */
+  struct held_size pool;
+  struct held_size guard;
+  gint64 sampled_at;                /* clock time of SAMPLE */
+  guint sample;                     /* streams at that time */
+  guint sample_before;              /* streams about REPORT_AGE_US earlier */
   struct stream_pool_demand demand; /* at the last update */
 };
 
@@ -73,10 +86,9 @@
   return NULL;
 }
 
-/* Returns the number of streams to provide for: those in progress, and those
-   that peers are assumed to have started since their reports.  */
+/* Returns what STREAMS has grown by since about REPORT_AGE_US ago.  */
 static guint
-expected_streams (struct stream_pool *pool, guint streams, gint64 now)
+recent_growth (struct stream_pool *pool, guint streams, gint64 now)
 {
   if (now - pool->sampled_at >= REPORT_AGE_US)
     {
@@ -85,10 +97,7 @@
       pool->sample = streams;
       pool->sampled_at = now;
     }
-  return streams
-         + (streams > pool->sample_before && pool->sample_before > 0
-                ? streams - pool->sample_before
-                : 0);
+  return streams - MIN (streams, pool->sample_before);
 }
 
 /* Returns how many of ENGINES the pool needs for STREAMS. At most half of a
@@ -100,24 +109,42 @@
               engines / 2);
 }
 
+/* Updates HELD for NEEDED engines. It shrinks to the most that were needed once
+   all were not needed for AFTER_US.  */
+static void
+hold (struct held_size *held, guint needed, gint64 after_us, gint64 now)
+{
+  if (needed >= held->size)
+    {
+      *held = (struct held_size){ .size = needed };
+      return;
+    }
+  if (held->surplus_since == 0)
+    {
+      held->surplus_since = now;
+      held->surplus_peak = 0;
+    }
+  held->surplus_peak = MAX (held->surplus_peak, needed);
+  if (now - held->surplus_since >= after_us)
+    *held = (struct held_size){ .size = held->surplus_peak };
+}
+
 static void
-resize (struct stream_pools *pools, struct stream_pool *pool, guint size)
+report_change (const struct stream_pools *pools, const struct stream_pool *pool,
+               guint before)
 {
   const struct stream_pool_change change = { .service = pool->service,
                                              .domain = pool->domain,
-                                             .before = pool->size,
-                                             .after = size,
+                                             .before = before,
+                                             .after = pool->pool.size,
                                              .demand = pool->demand };
-  pool->size = size;
-  pool->surplus_since = 0;
-  if (pools->resized != NULL)
+  if (pools->resized != NULL && change.before != change.after)
     pools->resized (pools->ctx, &change);
 }
 
 /* Updates the pool of SERVICE in DOMAIN; DEMAND is NULL if it is not known.
-   Returns its size in engines; 0: there are no isolated streams, or too few
-   engines.  */
-guint
+   Returns no engines if there are no isolated streams, or too few engines.  */
+struct stream_pool_size
 stream_pools_update (struct stream_pools *pools, const char *service,
                      const char *domain,
                      const struct stream_pool_demand *demand, gint64 now)
@@ -126,33 +153,28 @@
   if (pool == NULL)
     {
       if (demand == NULL || demand->streams == 0)
-        return 0;
+        return (struct stream_pool_size){ 0, 0 };
       pool = g_new0 (struct stream_pool, 1);
       g_strlcpy (pool->service, service, sizeof pool->service);
       g_strlcpy (pool->domain, domain, sizeof pool->domain);
       g_ptr_array_add (pools->pools, pool);
     }
-  if (demand == NULL)
-    return MIN (pool->size, pool->demand.engines / 2);
-  pool->demand = *demand;
-  guint needed = needed_size (expected_streams (pool, demand->streams, now),
-                              demand->engines);
-  if (needed >= pool->size)
+  if (demand != NULL)
     {
-      pool->surplus_since = 0;
-      if (needed > pool->size)
-        resize (pools, pool, needed);
-      return pool->size;
+      guint before = pool->pool.size;
+      guint growth = recent_growth (pool, demand->streams, now);
+      guint guarded
+          = demand->streams > 0 ? demand->streams + growth + STREAMS_SPARE : 0;
+      pool->demand = *demand;
+      hold (&pool->pool, needed_size (demand->streams, demand->engines),
+            SHRINK_AFTER_US, now);
+      hold (&pool->guard, needed_size (guarded, demand->engines),
+            UNGUARD_AFTER_US, now);
+      report_change (pools, pool, before);
     }
-  if (pool->surplus_since == 0)
-    {
-      pool->surplus_since = now;
-      pool->surplus_peak = 0;
-    }
-  pool->surplus_peak = MAX (pool->surplus_peak, needed);
-  if (now - pool->surplus_since >= SHRINK_AFTER_US)
-    resize (pools, pool, pool->surplus_peak);
-  return MIN (pool->size, demand->engines / 2);
+  guint max = pool->demand.engines / 2;
+  return (struct stream_pool_size){ MIN (pool->pool.size, max),
+                                    MIN (pool->guard.size, max) };
 }
 
 /* Returns whether there is a pool.  */
@@ -160,9 +182,11 @@
 stream_pools_any (const struct stream_pools *pools)
 {
   for (guint i = 0; i < pools->pools->len; i++)
-    if (((const struct stream_pool *)g_ptr_array_index (pools->pools, i))->size
-        > 0)
-      return TRUE;
+    {
+      const struct stream_pool *pool = g_ptr_array_index (pools->pools, i);
+      if (pool->guard.size > 0)
+        return TRUE;
+    }
   return FALSE;
 }
 
@@ -187,7 +211,8 @@
       json_builder_add_string_value (json, pool->service);
       json_builder_set_member_name (json, "domain");
       json_builder_add_string_value (json, pool->domain);
-      add_number (json, "size", pool->size);
+      add_number (json, "size", pool->pool.size);
+      add_number (json, "guarded", pool->guard.size);
       add_number (json, "engines", pool->demand.engines);
       add_number (json, "streams", pool->demand.streams);
       json_builder_end_object (json);
--- a/packages/sched/stream_pool.h
+++ b/packages/sched/stream_pool.h
@@ -15,6 +15,14 @@
   guint streams; /* isolated ones in progress or about to start there */
 };
 
+/* The last engines of a domain by rank.  */
+struct stream_pool_size
+{
+  guint pool;  /* engines that isolated streams run on */
+  guint guard; /* engines that other long prompts avoid: the pool and those that
+                  it is about to take */
+};
+
 /* A change of a pool's size at this instance.  */
 struct stream_pool_change
 {
@@ -32,9 +40,10 @@
 
 struct stream_pools *stream_pools_new (stream_pool_resized resized, void *ctx);
 void stream_pools_free (struct stream_pools *pools);
-guint stream_pools_update (struct stream_pools *pools, const char *service,
-                           const char *domain,
-                           const struct stream_pool_demand *demand, gint64 now);
+struct stream_pool_size
+stream_pools_update (struct stream_pools *pools, const char *service,
+                     const char *domain,
+                     const struct stream_pool_demand *demand, gint64 now);
 gboolean stream_pools_any (const struct stream_pools *pools);
 void stream_pools_dump (const struct stream_pools *pools, JsonBuilder *json);
 
