--- a/packages/sched/server_load.h
+++ b/packages/sched/server_load.h
@@ -13,6 +13,7 @@
   guint64 prefill_tokens; /* pending prefill: prompt tokens of requests without
                              a first event yet */
   guint64 memory; /* tokens that the requests occupy in the server's memory */
+  guint isolated; /* of the latency-sensitive streams, the isolated ones */
 };
 
 struct server_load_table;
