Log a usage report once

Cause: the keeper of the duties and the reports both logged each window. Change: only the reports do, which have the inputs of the decision.

--- a/packages/jacinthward/duty_keeper.c
+++ b/packages/jacinthward/duty_keeper.c
@@ -152,8 +152,6 @@
       server_orders_stored (keeper->orders, clock_now (keeper));
       return;
     }
-  log_event (LOG_INFO, "usage.fixed", "fence=%" G_GUINT64_FORMAT,
-             duty_lease_fence (keeper->lease));
   usage_reports_stored (keeper->reports, true_now (keeper));
 }
 
@@ -298,12 +296,6 @@
   g_snprintf (keeper->last_report, sizeof keeper->last_report,
               "window %" G_GUINT64_FORMAT ", %u teams: %s", report->window,
               report->n, code == 0 ? "accepted" : err_name (code));
-  if (code == 0)
-    {
-      log_event (LOG_INFO, "usage.reported",
-                 "window=%" G_GUINT64_FORMAT " teams=%u ms=%" G_GINT64_FORMAT,
-                 report->window, report->n, (now - keeper->called_at) / CLK_MS);
-    }
   end_call (keeper, "report", code, code != 0, now);
   usage_reports_done (keeper->reports, report, code, true_now (keeper));
 }
