--- a/packages/duty/duty_lease.c
+++ b/packages/duty/duty_lease.c
@@ -12,6 +12,7 @@
 /* Writes without a response that are kept to be recognized when they take
    effect. */
 #define WRITES_MAX 8
+#define FIRST_ERA 1   /* of a store that was never restored, or 0 */
 #define NONCE_BITS 62 /* JSON integers are signed */
 
 /* The part of the record that the lease itself uses. */
@@ -532,15 +533,16 @@
 
 /* Returns the text of SECTION, borrowed until the next call of this lease; for
    a holder. ERA_CHANGED: it was set before the store was restored from an
-   older copy. A record that is the first one is told from one that the store
-   has lost by whether a holder was heard of.  */
+   older copy. The first record of all is told from one that the store has lost
+   by the era, and by whether a holder was heard of.  */
 struct str
 duty_lease_section (const struct duty_lease *lease, enum duty_section section,
                     gboolean *era_changed)
 {
   const struct section *of = &lease->sections[section];
-  gboolean is_first
-      = of->era == 0 && lease->seen.serial == 1 && lease->view.heard_fence == 0;
+  gboolean is_first = of->era == 0 && lease->seen.serial == 1
+                      && lease->era <= FIRST_ERA
+                      && lease->view.heard_fence == 0;
   *era_changed = of->era != lease->era && !is_first;
   return str_of (of->text);
 }
