--- a/tests/unit/gossip_world.h
+++ b/tests/unit/gossip_world.h
@@ -106,6 +106,7 @@
           .incarnation = g_rand_int (net.rand),
           .seeds = seeds,
           .n_seeds = 3,
+          .duty_term_us = 3 * CLK_S,
           .suspects = net.suspects != NULL ? net.suspects[i] : NULL };
   memset (node, 0, sizeof *node);
   node->ip = ip_of (i);
