--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -7,6 +7,7 @@
 gint64 (*proxy_test_peers_sure_at) (void *ctx);
 gboolean (*proxy_test_choose_peer) (void *ctx, const struct proxy_peer *tried,
                                     guint n_tried, struct proxy_peer *peer);
+void (*proxy_test_used) (void *ctx, const struct proxy_usage *usage);
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
 gint64 proxy_test_timeout_us = 1500 * CLK_MS;
 
@@ -319,6 +320,7 @@
           .suspects = proxy_test_suspects,
           .peers_sure_at = proxy_test_peers_sure_at,
           .choose_peer = proxy_test_choose_peer,
+          .used = proxy_test_used,
           .limits
           = { .budget = { .ratio = 0.2, .slack = 20, .window_us = 10 * CLK_S },
               .key_freshness_limit_us = 2 * CLK_S,
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -108,6 +108,8 @@
                                            guint n_tried,
                                            struct proxy_peer *peer);
 
+extern void (*proxy_test_used) (void *ctx, const struct proxy_usage *usage);
+
 #define PROXY_TEST_SIGNED "X-Signature: sig\r\n"
 
 typedef gboolean (*proxy_test_condition) (void *ctx);
