--- a/tests/unit/test_server_orders.c
+++ b/tests/unit/test_server_orders.c
@@ -317,7 +317,7 @@
 {
   for (guint s = 0; s < seconds; s++)
     {
-      double phase = (double)(world->now / CLK_S) * 2 * G_PI / 11;
+      double phase = (double)world->now / CLK_S * 2 * G_PI / 11;
       for (guint i = 0; i < world->n_domains; i++)
         world->load[i] = ORDINARY_LOAD * (1 + share * sin (phase + i))
                          * g_rand_double_range (rand, 0.95, 1.05);
