--- a/packages/scale/order_sending.c
+++ b/packages/scale/order_sending.c
@@ -46,9 +46,9 @@
           = server_orders_subject (orders, fields[0], fields[1]);
       for (guint k = 0; k < SERVER_KINDS; k++)
         {
-          subject->kinds[k].wanted = numbers[k];
-          subject->kinds[k].stored = numbers[k];
-          subject->kinds[k].told = (guint)MAX (numbers[k], 0);
+          struct order_kind *kind = &subject->kinds[k];
+          kind->wanted = kind->stored = numbers[k];
+          kind->told = MAX (kind->told, (guint)MAX (numbers[k], 0));
         }
     }
   g_strfreev (fields);
