sched: pools for streams follow the engines' batch

Cause: 24 streams do not fit onto an engine with a smaller batch; they would leave the pool before it grows. Change: at most 3/4 of the batch, 24 at most.

--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -329,6 +329,7 @@
 {
   const struct stream_pool_demand demand
       = { .engines = n_engines,
+          .batch = MIN (view->engine->batch, c->server->entry.slots),
           .streams
           = streams
             + (is_isolated (request) && c->distance == TOPOLOGY_SAME_DOMAIN) };
--- a/packages/sched/stream_pool.c
+++ b/packages/sched/stream_pool.c
@@ -11,9 +11,12 @@
 /* Streams side by side on one engine, as a target: with 24 a step takes 5 ms,
    and the short prompts of 24 streams of 1.5 s use a tenth of an engine. */
 #define STREAMS_PER_ENGINE 24
-/* Streams that a pool must have room for before other long prompts use its next
-   engine. Instances that know more streams use that engine already. */
-#define STREAMS_SPARE 12
+/* Share of an engine's batch that the streams fill at most, as a target. */
+#define BATCH_SHARE 0.75
+/* Share of an engine's streams that a pool must have room for before other long
+   prompts use its next engine. Instances that know more streams use that engine
+   already. */
+#define SPARE_SHARE 0.5
 /* Time for which a pool must be too large before it shrinks; longer than the
    calm between two bursts of seconds. */
 #define SHRINK_AFTER_US (5 * CLK_S)
@@ -100,13 +103,20 @@
   return streams - MIN (streams, pool->sample_before);
 }
 
-/* Returns how many of ENGINES the pool needs for STREAMS. At most half of a
-   domain's engines form its pool; the others are for all other requests.  */
+/* Returns how many streams are to run side by side on an engine.  */
 static guint
-needed_size (guint streams, guint engines)
+streams_per_engine (const struct stream_pool_demand *demand)
 {
-  return MIN ((streams + STREAMS_PER_ENGINE - 1) / STREAMS_PER_ENGINE,
-              engines / 2);
+  return CLAMP ((guint)(BATCH_SHARE * demand->batch), 1, STREAMS_PER_ENGINE);
+}
+
+/* Returns how many engines are needed for STREAMS. At most half of a domain's
+   engines form its pool; the others are for all other requests.  */
+static guint
+needed_size (guint streams, const struct stream_pool_demand *demand)
+{
+  guint each = streams_per_engine (demand);
+  return MIN ((streams + each - 1) / each, demand->engines / 2);
 }
 
 /* Updates HELD for NEEDED engines. It shrinks to the most that were needed once
@@ -163,13 +173,13 @@
     {
       guint before = pool->pool.size;
       guint growth = recent_growth (pool, demand->streams, now);
+      guint spare = (guint)(SPARE_SHARE * streams_per_engine (demand));
       guint guarded
-          = demand->streams > 0 ? demand->streams + growth + STREAMS_SPARE : 0;
+          = demand->streams > 0 ? demand->streams + growth + spare : 0;
       pool->demand = *demand;
-      hold (&pool->pool, needed_size (demand->streams, demand->engines),
-            SHRINK_AFTER_US, now);
-      hold (&pool->guard, needed_size (guarded, demand->engines),
-            UNGUARD_AFTER_US, now);
+      hold (&pool->pool, needed_size (demand->streams, demand), SHRINK_AFTER_US,
+            now);
+      hold (&pool->guard, needed_size (guarded, demand), UNGUARD_AFTER_US, now);
       report_change (pools, pool, before);
     }
   guint max = pool->demand.engines / 2;
--- a/packages/sched/stream_pool.h
+++ b/packages/sched/stream_pool.h
@@ -12,6 +12,7 @@
 struct stream_pool_demand
 {
   guint engines; /* of the domain that may be used */
+  guint batch;   /* requests side by side on each, at most */
   guint streams; /* isolated ones in progress or about to start there */
 };
 
--- a/tests/unit/test_stream_pool.c
+++ b/tests/unit/test_stream_pool.c
@@ -444,7 +444,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (steps); i++)
     {
       const struct stream_pool_demand demand
-          = { .engines = 10, .streams = steps[i].streams };
+          = { .engines = 10, .batch = 64, .streams = steps[i].streams };
       now += steps[i].after_us;
       struct stream_pool_size size
           = stream_pools_update (pools, "llm", "d0", &demand, now);
@@ -454,6 +454,11 @@
       CU_ASSERT_EQUAL (size.guard, steps[i].guard);
     }
   CU_ASSERT_FALSE (stream_pools_any (pools));
+  /* 24 streams do not fit onto an engine with a batch of 16. */
+  const struct stream_pool_demand small
+      = { .engines = 10, .batch = 16, .streams = 24 };
+  CU_ASSERT_EQUAL (stream_pools_update (pools, "llm", "d0", &small, now).pool,
+                   2);
   stream_pools_free (pools);
 }
 
