sched: decide by load when requests leave the failure domain

Cause: the costs of another domain are fixed, so an instance cannot tell a free domain from a full one, all instances may send to the same one, and nothing limits the bytes between two regions.

Change: sched/domain_exit.[ch] decides for each service whether requests leave, for which domain and at what rate, from the queues at home, the loads that gossip reports by server, and a shared budget for the link between regions. [gate] leave_domain = fixed (default) or adaptive, region_mbps. Counters exits_region, exits_remote, exit_bytes, exits_denied; log lines domain.leaving and domain.returned; dump member exits. With fixed, the costs are the same figures as before, which placement_cost.c now takes from domain_exit.c.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -86,6 +86,12 @@
   X (ORDER_ERRORS, "order_errors", "failed requests that carry orders")        \
   X (ADMIN_REQUESTS, "admin_requests", "requests to the administration API")   \
   X (ADMIN_DENIED, "admin_denied", "requests with a wrong operator token")     \
+  X (EXITS_REGION, "exits_region",                                             \
+     "requests sent to another domain of the region")                          \
+  X (EXITS_REMOTE, "exits_remote", "requests sent to another region")          \
+  X (EXIT_BYTES, "exit_bytes", "body bytes of requests sent to other domains") \
+  X (EXITS_DENIED, "exits_denied",                                             \
+     "requests kept from another region by the budget of its link")            \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
 
 enum counter_id
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -505,6 +505,7 @@
                 reverse_proxy->awaiting_parts.length);
   if (reverse_proxy->options.suspects != NULL)
     suspects_dump (reverse_proxy->options.suspects, json, now);
+  scheduler_dump_exits (reverse_proxy->options.scheduler, json);
   json_add_bool (json, "cut_off", reverse_proxy->reach.cut_off);
   json_add_int (json, "servers_heard_ms",
                 reverse_proxy->reach.heard_at != 0
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -408,7 +408,11 @@
   const struct scheduler_options scheduler_options
       = { .registry = daemon->registry,
           .topology = daemon->topology,
-          .seed = g_rand_int (daemon->rand) };
+          .seed = g_rand_int (daemon->rand),
+          .counter_set = &daemon->counter_set,
+          .decides_exits
+          = settings->leave_domain == PROXY_SETTINGS_LEAVE_ADAPTIVE,
+          .region_mbps = settings->region_mbps };
   const struct adapter_options adapter_options
       = { .address = settings->store_address,
           .clk = daemon->clk,
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -16,11 +16,6 @@
 /* Between two messages that are sent to a peer before they are due. */
 #define HELP_INTERVAL_US (100 * CLK_MS)
 
-/* Set in the key under which the load of a complete domain is stored among the
-   loads of single peers, which have their IP addresses as keys. The addresses
-   from 240.0.0.0 on are reserved, so no instance has such a key.  */
-#define DOMAIN_PEER_FLAG 0xf0000000u
-
 /* Lets all peers send complete lists of loads: those of servers that were
    removed here are lost, and a server may come back.  */
 static void
@@ -194,9 +189,7 @@
         continue;
       const struct told_loads told
           = { received->loads, received->n, received->range, TRUE };
-      guint32 peer
-          = DOMAIN_PEER_FLAG
-            | (guint32)(str_hash (str_of (received->domain), 0) & 0xfffffff);
+      guint32 peer = server_load_domain_peer (received->domain);
       summary->held = apply_loads (servers_by_key, peer, &told, summary->held,
                                    server_load_table, now);
       if (summary->changes != NULL)
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -468,6 +468,48 @@
   return preferred != NULL ? preferred->server : NULL;
 }
 
+/* Returns the most of the prompt's tokens that a server of the own domain has
+   cached, or G_MAXUINT if no server of the own domain may be used.  */
+static guint
+cached_in_domain (const struct placement_candidate *c, guint n)
+{
+  guint cached = 0;
+  for (guint i = 0; i < n; i++)
+    if (c[i].no_local_server)
+      return G_MAXUINT;
+    else if (c[i].distance == TOPOLOGY_SAME_DOMAIN)
+      cached = MAX (cached, c[i].expected_cached);
+  return cached;
+}
+
+/* Returns whether the request may leave the own domain for the server of C,
+   where it would cost E. HOME_CACHED is the result of cached_in_domain.  */
+static gboolean
+may_leave (const struct placement_view *view,
+           const struct placement_request *request,
+           const struct placement_candidate *c,
+           const struct placement_estimate *e, guint home_cached,
+           struct placement_choice *choice)
+{
+  if (view->domain_exit == NULL || home_cached == G_MAXUINT
+      || c->distance == TOPOLOGY_SAME_DOMAIN)
+    return TRUE;
+  double saved = (double)c->expected_cached - home_cached;
+  const struct domain_exit_query query
+      = { .domain = c->server->entry.domain,
+          .work_us = view->us_per_token * e->prefill_tokens,
+          .saved_us = view->us_per_token * saved,
+          .body_bytes = request->body_bytes,
+          .left_us = request->left_us,
+          .keeps_prefix = saved >= PREFIX_LARGE_TOKENS,
+          .is_last_resort = view->is_last_resort };
+  enum domain_exit_verdict verdict
+      = domain_exit_decide (view->domain_exit, view->exit_budget, &query);
+  choice->must_stay |= verdict != DOMAIN_EXIT_LEAVE;
+  choice->over_budget |= verdict == DOMAIN_EXIT_OVER_BUDGET;
+  return verdict == DOMAIN_EXIT_LEAVE;
+}
+
 /* The best server found so far.  */
 struct selection
 {
@@ -529,6 +571,7 @@
   guint n_outside_pool = 0; /* servers that are not in a sensitive pool */
   guint n_limited = 0;
   guint n_compared = 0;
+  guint n_exits = 0; /* of these, servers that an excess may leave for */
   struct selection suitable = { 0 };
   struct selection delays_streams = { 0 };
   *choice = (struct placement_choice){ .usable = n,
@@ -546,6 +589,7 @@
       = find_preferred_servers (view, request, candidates, n);
   for (guint i = 0; i < n_sources; i++)
     best_cached = MAX (best_cached, candidates[i].cached_tokens);
+  guint home_cached = cached_in_domain (candidates, n);
   for (guint i = 0; i < n; i++)
     {
       slots += candidates[i].server->entry.slots;
@@ -570,6 +614,8 @@
       e.capacity_wait_us
           = MAX (e.capacity_wait_us,
                  (double)MAX (c->limit_wait_us, c->brittle_wait_us));
+      if (!e.full && !may_leave (view, request, c, &e, home_cached, choice))
+        continue;
       choice->first_event_us
           = MIN (choice->first_event_us, (gint64)e.first_event_us);
       choice->full |= e.full;
@@ -577,11 +623,14 @@
           = MIN (choice->capacity_wait_us, (gint64)e.capacity_wait_us);
       if (e.full)
         continue;
+      gboolean is_exit = view->domain_exit != NULL
+                         && c->distance != TOPOLOGY_SAME_DOMAIN
+                         && n_exits++ < COMPARED_MIN;
       if (c->limited_per_s > 0)
         e.cost -= LIMITED_PREFERENCE_US;
       gboolean is_cached = c->cached_tokens >= PREFIX_LARGE_TOKENS
                            && c->cached_tokens == best_cached;
-      if (view->engine == NULL || is_cached || c->limited_per_s > 0
+      if (view->engine == NULL || is_cached || c->limited_per_s > 0 || is_exit
           || n_compared < COMPARED_MIN || !is_in_time (request, &suitable))
         consider (e.delays_streams ? &delays_streams : &suitable, c, &e);
       n_compared += !e.delays_streams;
@@ -590,7 +639,10 @@
                                        ? &suitable
                                        : &delays_streams;
   if (chosen->best == NULL)
-    return;
+    {
+      choice->full |= choice->must_stay;
+      return;
+    }
   choice->full = FALSE;
   choice->server = chosen->best->server;
   choice->load = chosen->best->load;
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -6,6 +6,7 @@
 #include "fleet/topology.h"
 #include "policy/prompt_parts.h"
 #include "route/routing_table.h"
+#include "sched/domain_exit.h"
 #include "sched/prefix_directory.h"
 #include "sched/server_load.h"
 
@@ -82,6 +83,10 @@
                           at other instances too */
   double us_per_token; /* measured prefill time per token */
   gint64 now;
+  /* What decides on leaving the domain; NULL: the fixed costs alone. */
+  const struct domain_exit *domain_exit;
+  const struct domain_exit_budget *exit_budget;
+  gboolean is_last_resort; /* the request would be rejected otherwise */
 };
 
 /* The result of placement.  */
@@ -98,6 +103,9 @@
                               prefix,        which all instances of the region can
                               compute */
   gboolean full;           /* no server has capacity; the request should wait */
+  gboolean must_stay;      /* a server of another domain has capacity, but the
+                              request may not leave for it */
+  gboolean over_budget;    /* likewise, because of the link between regions */
   guint usable; /* number of usable servers that the request was not sent to */
   /* Time until the first of the servers may be used that have asked this
      instance to send nothing; G_MAXINT64: there is none. */
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -30,13 +30,6 @@
   0.12 /* cost of fetching a token relative to prefilling it */
 /* Prefilling fewer tokens is faster than fetching them. */
 #define FETCH_MIN_TOKENS 256
-#define REGION_COST_US 8000.0 /* added cost of another domain of the region */
-#define REMOTE_COST_US                                                         \
-  30000.0 /* added cost of another region, besides its round trip */
-#define REMOTE_ROUND_TRIP_US 70000.0 /* round trip to another region */
-#define REGION_ROUND_TRIP_US                                                   \
-  3000.0                 /* round trip to another domain of the region */
-#define BYTE_COST_US 0.5 /* cost per byte sent to another domain */
 #define PENDING_COST_SHARE                                                     \
   0.15 /* cost of pending prefill while the request is on time */
 #define LATE_FACTOR 3.0 /* cost of each microsecond beyond that */
@@ -75,40 +68,6 @@
 #define PLAIN_REQUEST_US                                                       \
   15000.0 /* cost of each earlier request at a plain server */
 
-/* Returns the network round trip to a server at DISTANCE.  */
-static double
-round_trip_us (enum topology_distance distance)
-{
-  switch (distance)
-    {
-    case TOPOLOGY_SAME_DOMAIN:
-      return 1000.0;
-    case TOPOLOGY_SAME_REGION:
-      return REGION_ROUND_TRIP_US;
-    case TOPOLOGY_OTHER_REGION:
-      break;
-    }
-  return REMOTE_ROUND_TRIP_US;
-}
-
-/* Returns the added cost of sending the request to a server at DISTANCE.  */
-static double
-distance_cost (const struct placement_request *request,
-               enum topology_distance distance)
-{
-  double bytes = BYTE_COST_US * (double)request->body_bytes;
-  switch (distance)
-    {
-    case TOPOLOGY_SAME_DOMAIN:
-      return 0;
-    case TOPOLOGY_SAME_REGION:
-      return REGION_COST_US + bytes;
-    case TOPOLOGY_OTHER_REGION:
-      break;
-    }
-  return REMOTE_COST_US + bytes;
-}
-
 /* Estimates the cost of a request at a server without an engine.  */
 struct placement_estimate
 placement_estimate_plain (const struct placement_request *request,
@@ -117,8 +76,8 @@
   struct placement_estimate e = { 0 };
   guint slots = MAX (c->server->entry.slots, 1);
   double pending_us = PLAIN_REQUEST_US * c->load.requests / slots;
-  e.first_event_us = round_trip_us (c->distance) + pending_us;
-  e.cost = pending_us + distance_cost (request, c->distance);
+  e.first_event_us = domain_exit_round_trip_us (c->distance) + pending_us;
+  e.cost = pending_us + domain_exit_price_us (c->distance, request->body_bytes);
   e.full = c->load.requests >= 2 * slots;
   if (e.full)
     e.capacity_wait_us
@@ -347,8 +306,8 @@
   double queue_us = c->load.requests >= batch
                         ? DECODE_STEP_US * 50.0 * (c->load.requests + 1 - batch)
                         : 0;
-  e.first_event_us = round_trip_us (c->distance) + pending_us + prefill_us
-                     + fetch_us + queue_us
+  e.first_event_us = domain_exit_round_trip_us (c->distance) + pending_us
+                     + prefill_us + fetch_us + queue_us
                      + DECODE_STEP_US * MAX (engine->stride, 1);
   double copy_cost = c->adds_copy
                          ? PREFERRED_CACHED_SHARE * view->us_per_token
@@ -357,7 +316,7 @@
   e.cost = prefill_us + fetch_us + queue_us + copy_cost
            + wait_cost (request, pending_us, e.first_event_us)
            + stream_delay_cost (view, request, c, pending_us + prefill_us)
-           + distance_cost (request, c->distance)
+           + domain_exit_price_us (c->distance, request->body_bytes)
            + mixing_cost (view, request, c, e.prefill_tokens);
   e.delays_streams
       = placement_pace (request->gap_us) != PLACEMENT_SENSITIVE
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -1,10 +1,14 @@
 #include "sched/scheduler.h"
 
 #include "sched/backfill.h"
+#include "sched/exit_inputs.h"
 #include "sched/retry_groups.h"
 
 #include <string.h>
 
+#include "base/json_add.h"
+#include "base/log.h"
+
 /* Addresses this load pattern: more work than the servers can take, in bursts
    of seconds. Requests wait at the instance instead of at the engines. There,
    more urgent requests can still overtake them, they can still be placed
@@ -47,11 +51,12 @@
 {
   GQueue waiting[SCHEDULER_TIERS]; /* of struct scheduler_entry, by target */
   guint n_waiting;
-  guint n_held;                  /* of these, held back at the last poll */
-  struct overload_hold hold;     /* rejections in the own domain */
-  struct overload_hold own_hold; /* those of this instance */
-  struct rate_window rate;       /* of starts */
-  double us_per_token;           /* measured prefill time per token */
+  guint n_held;                    /* of these, held back at the last poll */
+  struct overload_hold hold;       /* rejections in the own domain */
+  struct overload_hold own_hold;   /* those of this instance */
+  struct rate_window rate;         /* of starts */
+  double us_per_token;             /* measured prefill time per token */
+  struct domain_exit *domain_exit; /* NULL: the fixed costs decide */
 };
 
 struct scheduler
@@ -67,6 +72,7 @@
   /* Offset in microseconds from this instance's clock to a clock that is about
      the same at all instances. */
   gint64 shared_clock;
+  struct domain_exit_budget exit_budget; /* of all services */
   GRand *rand;
 };
 
@@ -76,17 +82,26 @@
   return reason_names[reason];
 }
 
+static void
+service_free (gpointer data)
+{
+  struct service *service = data;
+  domain_exit_free (service->domain_exit);
+  g_free (service);
+}
+
 struct scheduler *
 scheduler_new (const struct scheduler_options *options, gint64 now)
 {
-  (void)now;
   struct scheduler *scheduler = g_new0 (struct scheduler, 1);
   scheduler->options = *options;
   scheduler->server_load_table = server_load_table_new ();
   scheduler->prefix_directory = directory_new ();
   scheduler->services
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, service_free);
   scheduler->rand = g_rand_new_with_seed (options->seed);
+  domain_exit_budget_refill (&scheduler->exit_budget, options->region_mbps, 1,
+                             now);
   return scheduler;
 }
 
@@ -136,6 +151,8 @@
         g_queue_init (&service->waiting[i]);
       rate_window_init (&service->rate, now);
       service->us_per_token = PREFILL_US_DEFAULT;
+      if (scheduler->options.decides_exits)
+        service->domain_exit = domain_exit_new ();
       g_hash_table_insert (scheduler->services, g_strdup (name), service);
     }
   return service;
@@ -169,7 +186,9 @@
           = service->n_waiting > 0 ? MAX (n_contending (service), 1) : 0,
           .shared_now = now + scheduler->shared_clock,
           .us_per_token = service->us_per_token,
-          .now = now };
+          .now = now,
+          .domain_exit = service->domain_exit,
+          .exit_budget = &scheduler->exit_budget };
   view.time_slice = (guint64)view.shared_now / PLACEMENT_SLICE_US;
   view.engine = service_config != NULL && service_config->has_engine
                     ? &service_config->engine
@@ -179,6 +198,77 @@
   return view;
 }
 
+static void
+on_exit_changed (void *ctx, const struct domain_exit_target *target,
+                 const struct domain_exit_inputs *inputs)
+{
+  const char *service = ctx;
+  log_event (
+      LOG_INFO, target->leaving ? "domain.leaving" : "domain.returned",
+      "service=%s target=%s waiting=%u waiters=%u "
+      "queue_wait_ms=%" G_GINT64_FORMAT " servers=%u busy=%.1f prefill_ms=%.0f"
+      " target_wait_ms=%.0f target_free=%.1f target_age_ms=%" G_GINT64_FORMAT
+      " senders=%u sent=%.2f",
+      service, target->name, inputs->n_waiting, inputs->n_waiters,
+      inputs->queue_wait_us / CLK_MS, inputs->home.n_servers, inputs->home.busy,
+      inputs->home.prefill_us / CLK_MS, target->wait_us / CLK_MS, target->free,
+      target->age_us >= 0 ? target->age_us / CLK_MS : target->age_us,
+      target->n_senders, target->sent);
+}
+
+/* Brings the decision on leaving the domain for requests of SERVICE, called
+   NAME, up to date, if it is due.  */
+static void
+update_exit (struct scheduler *scheduler, struct service *service,
+             const char *name, gint64 now)
+{
+  struct domain_exit_inputs inputs;
+  if (service->domain_exit == NULL
+      || !domain_exit_is_due (service->domain_exit, now))
+    return;
+  struct placement_view view = view_of (scheduler, service, name, now);
+  double per_s = rate_window_drain_per_s (&service->rate);
+  per_s = per_s > 0 ? MAX (per_s, DRAIN_MIN_PER_S) : DRAIN_DEFAULT_PER_S;
+  exit_inputs_collect (&view, (gint64)(1e6 * view.n_waiting / per_s), &inputs);
+  domain_exit_budget_refill (&scheduler->exit_budget,
+                             scheduler->options.region_mbps,
+                             scheduler->self.all_instances, now);
+  domain_exit_update (service->domain_exit, &inputs, now, on_exit_changed,
+                      (gpointer)name);
+}
+
+static void
+count (const struct scheduler *scheduler, enum counter_id id, guint64 n)
+{
+  if (scheduler->options.counter_set != NULL)
+    counter_add (scheduler->options.counter_set, id, n);
+}
+
+/* Records that the request of ENTRY is sent to SERVER, in this domain or in
+   another one.  */
+static void
+record_exit (struct scheduler *scheduler, const struct service *service,
+             const struct scheduler_entry *entry,
+             const struct placement_choice *choice)
+{
+  const char *domain = choice->server->entry.domain;
+  gsize bytes = entry->request.body_bytes;
+  enum topology_distance distance
+      = topology_distance (scheduler->options.topology, domain);
+  if (service->domain_exit != NULL)
+    domain_exit_record (service->domain_exit, domain,
+                        service->us_per_token * choice->prefill_tokens);
+  if (distance == TOPOLOGY_SAME_DOMAIN)
+    return;
+  count (scheduler,
+         distance == TOPOLOGY_SAME_REGION ? COUNTER_EXITS_REGION
+                                          : COUNTER_EXITS_REMOTE,
+         1);
+  count (scheduler, COUNTER_EXIT_BYTES, bytes);
+  if (distance == TOPOLOGY_OTHER_REGION)
+    domain_exit_budget_charge (&scheduler->exit_budget, bytes);
+}
+
 /* Chooses a server for ENTRY with the current state of the scheduler.  */
 static void
 choose (struct scheduler *scheduler, const struct service *service,
@@ -189,6 +279,27 @@
   struct placement_view view
       = view_of (scheduler, service, entry->service, now);
   placement_choose (&view, &entry->request, choice);
+  if (!choice->over_budget || choice->server != NULL || entry->exit_denied)
+    return;
+  entry->exit_denied = TRUE;
+  count (scheduler, COUNTER_EXITS_DENIED, 1);
+}
+
+/* Chooses a server for ENTRY, which would be rejected otherwise, among all that
+   have capacity. Returns whether there is one that it had to stay away from
+   before.  */
+static gboolean
+choose_last_resort (struct scheduler *scheduler, const struct service *service,
+                    struct scheduler_entry *entry, gint64 now,
+                    struct placement_choice *choice)
+{
+  if (choice->server != NULL || !choice->must_stay)
+    return FALSE;
+  struct placement_view view
+      = view_of (scheduler, service, entry->service, now);
+  view.is_last_resort = TRUE;
+  placement_choose (&view, &entry->request, choice);
+  return choice->server != NULL;
 }
 
 static guint
@@ -367,6 +478,7 @@
   struct service *service = service_of (scheduler, entry->service, now);
   *decision = (struct scheduler_decision){ .verdict = SCHEDULER_WAIT };
   rate_window_update (&service->rate, now, service->n_waiting > 0);
+  update_exit (scheduler, service, entry->service, now);
   decision->ahead = count_ahead (service, entry);
   choose (scheduler, service, entry, now, &decision->choice);
   if (decision->choice.server != NULL
@@ -385,9 +497,15 @@
   gint64 waited = head_waited (service, entry, now);
   decision->wait_us = MAX (wait, waited);
   gint64 left = entry->target - now;
-  if (scheduler->n_waiting >= WAITING_MAX)
+  gboolean too_late
+      = wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left;
+  if ((too_late || scheduler->n_waiting >= WAITING_MAX)
+      && choose_last_resort (scheduler, service, entry, now, &decision->choice)
+      && !is_held (service, entry, now))
+    decision->verdict = SCHEDULER_START;
+  else if (scheduler->n_waiting >= WAITING_MAX)
     reject (scheduler, decision, SCHEDULER_QUEUE_FULL, decision->wait_us);
-  else if (wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left)
+  else if (too_late)
     reject_for_overload (scheduler, service, entry, now, decision);
   else
     enqueue (scheduler, service, entry, now);
@@ -450,11 +568,17 @@
     {
       decision.wait_us = predict_wait (service, 0, &decision.choice);
       gboolean too_late = now + decision.wait_us > entry->target;
+      gboolean leaves = too_late && decision.choice.server == NULL
+                        && !is_held (service, entry, now)
+                        && choose_last_resort (scheduler, service, entry, now,
+                                               &decision.choice)
+                        && retry_groups_allow (retry_groups, &entry->request,
+                                               decision.choice.server);
       if (decision.choice.usable == 0)
         reject_without_server (scheduler, &decision);
-      else if (too_late)
+      else if (too_late && !leaves)
         reject_for_overload (scheduler, service, entry, now, &decision);
-      else
+      else if (!leaves)
         return FALSE;
     }
   scheduler_withdraw (scheduler, entry);
@@ -515,6 +639,21 @@
   service->n_held = count_held (service, now);
 }
 
+/* Brings the decisions on leaving the domain up to date, so that requests that
+   arrive later find them so.  */
+static void
+update_exits (struct scheduler *scheduler, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  if (!scheduler->options.decides_exits)
+    return;
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    update_exit (scheduler, value, name, now);
+}
+
 /* Starts or rejects queued requests, most urgent first. DECIDED may submit and
    withdraw entries.  */
 void
@@ -524,6 +663,7 @@
   GHashTableIter iter;
   gpointer value;
   server_load_expire (scheduler->server_load_table, now);
+  update_exits (scheduler, now);
   if (scheduler->n_waiting == 0)
     return;
   GPtrArray *services = g_ptr_array_new ();
@@ -560,6 +700,7 @@
   struct placement_view view
       = view_of (scheduler, service, entry->service, now);
   placement_record_sent (&view, choice->server);
+  record_exit (scheduler, service, entry, choice);
   rate_window_add_start (&service->rate);
   entry->server = registry_server_ref (choice->server);
   entry->first_event_seen = FALSE;
@@ -705,6 +846,29 @@
   return n;
 }
 
+/* Adds the member "exits" to JSON: by service, what is known of leaving the
+   domain; empty if the fixed costs decide.  */
+void
+scheduler_dump_exits (const struct scheduler *scheduler, JsonBuilder *json)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  json_builder_set_member_name (json, "exits");
+  json_builder_begin_object (json);
+  g_hash_table_iter_init (&iter, scheduler->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct service *service = value;
+      if (service->domain_exit == NULL)
+        continue;
+      json_builder_set_member_name (json, name);
+      domain_exit_dump (service->domain_exit, json);
+    }
+  json_builder_end_object (json);
+  json_add_double (json, "exit_budget_bytes", scheduler->exit_budget.bytes);
+}
+
 guint
 scheduler_n_waiting (const struct scheduler *scheduler)
 {
--- a/packages/sched/scheduler.h
+++ b/packages/sched/scheduler.h
@@ -3,6 +3,7 @@
 #ifndef SCHEDULER_H
 #define SCHEDULER_H
 
+#include "base/counter.h"
 #include "policy/rate_window.h"
 #include "sched/overload_hold.h"
 #include "sched/placement.h"
@@ -55,6 +56,7 @@
      own. */
   guint64 prefill_ahead;
   gboolean first_event_seen;
+  gboolean exit_denied; /* counted as denied by the budget */
 };
 
 /* What the scheduler decided for an entry.  */
@@ -73,6 +75,11 @@
   struct registry *registry;       /* borrowed */
   const struct topology *topology; /* borrowed */
   guint32 seed;
+  struct counter_set *counter_set; /* borrowed; NULL: nothing is counted */
+  gboolean decides_exits; /* when and how much leaves the domain; otherwise the
+                             fixed costs decide */
+  double region_mbps;     /* of the link between two regions, shared by all
+                             instances; 0: no limit */
 };
 
 /* Called by scheduler_poll for each entry that it starts or rejects. */
@@ -118,6 +125,8 @@
                             struct overload_rejection *rejections, guint max);
 guint scheduler_n_contending (const struct scheduler *scheduler);
 guint scheduler_n_waiting (const struct scheduler *scheduler);
+void scheduler_dump_exits (const struct scheduler *scheduler,
+                           JsonBuilder *json);
 const char *scheduler_reason_name (enum scheduler_reason reason);
 
 #endif
--- a/packages/sched/server_load.c
+++ b/packages/sched/server_load.c
@@ -1,9 +1,15 @@
 #include "sched/server_load.h"
 
+#include "base/str.h"
+
 /* Addresses this load pattern: several instances that send to the same servers
    at the same time. The load that an instance itself has placed is exact; that
    of the others arrives with the delay of their reports.  */
 
+/* Set in the key under which the load of a complete domain is stored among the
+   loads of single peers, which have their IP addresses as keys. The addresses
+   from 240.0.0.0 on are reserved, so no instance has such a key.  */
+#define DOMAIN_PEER_FLAG 0xf0000000u
 /* A peer's report expires after this time. */
 #define REPORT_VALID_US (2000 * CLK_MS)
 
@@ -180,6 +186,24 @@
   return sum_loads (table, server, FALSE);
 }
 
+/* Returns the key under which the summary of DOMAIN is reported.  */
+guint32
+server_load_domain_peer (const char *domain)
+{
+  return DOMAIN_PEER_FLAG
+         | (guint32)(str_hash (str_of (domain), 0) & 0xfffffff);
+}
+
+/* Returns the clock time of the last report of PEER; 0: there is none that has
+   not expired.  */
+gint64
+server_load_reported_at (const struct server_load_table *table, guint32 peer)
+{
+  const struct peer_report *report
+      = g_hash_table_lookup (table->reports, GUINT_TO_POINTER (peer));
+  return report != NULL ? report->received_at : 0;
+}
+
 /* Drops all load of SERVER, which was removed.  */
 void
 server_load_forget (struct server_load_table *table, guint server)
--- a/packages/sched/server_load.h
+++ b/packages/sched/server_load.h
@@ -34,6 +34,9 @@
                                       guint server);
 struct server_load server_load_direct (const struct server_load_table *table,
                                        guint server);
+guint32 server_load_domain_peer (const char *domain);
+gint64 server_load_reported_at (const struct server_load_table *table,
+                                guint32 peer);
 void server_load_forget (struct server_load_table *table, guint server);
 
 #endif
--- a/packages/settings/proxy_settings.c
+++ b/packages/settings/proxy_settings.c
@@ -26,6 +26,13 @@
       NULL
 };
 
+static const char *const leave_choices[] = {
+#define PROXY_SETTINGS_LEAVE_TEXT(id, name) name,
+  PROXY_SETTINGS_LEAVE (PROXY_SETTINGS_LEAVE_TEXT)
+#undef PROXY_SETTINGS_LEAVE_TEXT
+      NULL
+};
+
 static const struct ini_key instance_keys[] = {
   KEY (ID, "id", id, REQUIRED),
   KEY (ID, "domain", domain, REQUIRED),
@@ -48,6 +55,9 @@
   KEY (NUMBER, "retry_slack", retry_slack, OPTIONAL, 0, 100000, 20),
   KEY (MS, "retry_window_ms", retry_window_us, OPTIONAL, 1000, HOUR_MS, 10000,
        .in_seconds = "retry_window_s"),
+  KEY (CHOICE, "leave_domain", leave_domain, OPTIONAL, 0, 0,
+       PROXY_SETTINGS_LEAVE_FIXED, leave_choices),
+  KEY (NUMBER, "region_mbps", region_mbps, OPTIONAL, 0, 1e6, 60),
   KEY (NUMBER, "memory_mb", memory_mb, OPTIONAL, 0, 1e6, 256),
 };
 
--- a/packages/settings/proxy_settings.h
+++ b/packages/settings/proxy_settings.h
@@ -21,6 +21,18 @@
 #undef PROXY_SETTINGS_HEADER_NAMES_ENUM
 };
 
+/* X (NAME, "name"): what decides when requests leave the failure domain */
+#define PROXY_SETTINGS_LEAVE(X)                                                \
+  X (FIXED, "fixed")       /* fixed costs of each request */                   \
+  X (ADAPTIVE, "adaptive") /* the load here and there */
+
+enum proxy_settings_leave
+{
+#define PROXY_SETTINGS_LEAVE_ENUM(id, name) PROXY_SETTINGS_LEAVE_##id,
+  PROXY_SETTINGS_LEAVE (PROXY_SETTINGS_LEAVE_ENUM)
+#undef PROXY_SETTINGS_LEAVE_ENUM
+};
+
 struct proxy_settings
 {
   struct str_id id;
@@ -49,7 +61,10 @@
   double retry_slack; /* retries allowed beyond that ratio, for all instances
                          together in one window */
   gint64 retry_window_us;
-  double memory_mb; /* of the machine, 2^20 bytes each; 0: no limit */
+  enum proxy_settings_leave leave_domain;
+  double region_mbps; /* of the link between two regions, shared by all
+                         instances; 0: unknown, no limit */
+  double memory_mb;   /* of the machine, 2^20 bytes each; 0: no limit */
 
   char **domain_regions; /* DOMAIN=REGION */
 };
