sched: unit test of leaving the failure domain

Cause: the decision had no test, and the time slices of long prompts blocked exits whose rate is shared out already.

With adaptive, a long prompt that leaves needs no time slice.

--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -232,6 +232,10 @@
 {
   guint shared = prefix_shared_tokens (&request->prompt);
   gboolean is_local = c->distance == TOPOLOGY_SAME_DOMAIN;
+  /* The rate at which an excess leaves is shared out already. */
+  if (view->domain_exit != NULL && !is_local && !c->no_local_server
+      && !view->is_last_resort)
+    return pending_us <= LOW_PENDING_US;
   gboolean has_prefix
       = shared >= PREFIX_LARGE_TOKENS && c->cached_tokens >= shared;
   gboolean is_exempt = is_local || c->is_preferred || has_prefix
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1178,7 +1178,83 @@
   tear_down ();
 }
 
+/* Reports PREFILL tokens at the engines of domain "a", and none at the others,
+   to SCHEDULER, which decides itself what leaves "a".  */
+static void
+report_home (struct scheduler *scheduler, guint64 prefill)
+{
+  server_load_report_begin (scheduler_loads (scheduler), 1, FALSE, world.now);
+  for (guint i = 0; i < ENGINES / 2; i++)
+    {
+      char id[8];
+      g_snprintf (id, sizeof id, "e-%u", i);
+      const struct server_load load
+          = { .requests = 8, .prefill_tokens = prefill };
+      server_load_report_add (scheduler_loads (scheduler), 1,
+                              registry_find (world.registry, id)->number,
+                              &load);
+    }
+}
+
+/* The full domain "a" beside the idle "b". With fixed costs a request leaves at
+   once. Otherwise it must not leave before that has paid for a while, has to
+   leave then, and must not be rejected because it had to stay.  */
+static void
+test_leaving_domain (void)
+{
+  struct scheduler_decision d;
+  struct counter_set counters = { 0 };
+  set_up ();
+  struct scheduler_options options = { .registry = world.registry,
+                                       .topology = world.topology,
+                                       .seed = 7,
+                                       .counter_set = &counters };
+  for (guint adaptive = 0; adaptive < 2; adaptive++)
+    {
+      options.decides_exits = adaptive;
+      struct scheduler *scheduler = scheduler_new (&options, world.now);
+      scheduler_set_table (scheduler, world.routing_table);
+      scheduler_set_self (
+          scheduler,
+          &(struct placement_self){ .domain_instances = 1,
+                                    .all_instances = 2,
+                                    .has_direct_reports = TRUE },
+          0);
+      report_home (scheduler, 40000); /* 1 s each */
+      struct scheduler_entry *patient = make_entry (2, 1, 0, 1200, FALSE);
+      struct scheduler_entry *urgent = make_entry (2, 2, 0, 1200, FALSE);
+      patient->target = world.now + 10 * CLK_S;
+      urgent->target = world.now + 400 * CLK_MS;
+      scheduler_submit (scheduler, patient, world.now, &d);
+      CU_ASSERT_EQUAL (d.verdict, adaptive ? SCHEDULER_WAIT : SCHEDULER_START);
+      if (!adaptive)
+        CU_ASSERT_STRING_EQUAL (d.choice.server->entry.domain, "b");
+      scheduler_submit (scheduler, urgent, world.now, &d);
+      CU_ASSERT_EQUAL_FATAL (d.verdict, SCHEDULER_START);
+      CU_ASSERT_STRING_EQUAL (d.choice.server->entry.domain, "b");
+      scheduler_started (scheduler, urgent, &d.choice, world.now);
+      CU_ASSERT_EQUAL (counters.v[COUNTER_EXITS_REGION], adaptive + 1);
+      order = g_ptr_array_new ();
+      for (guint i = 1; adaptive && i <= 5; i++)
+        {
+          world.now += 100 * CLK_MS;
+          report_home (scheduler, 40000);
+          scheduler_poll (scheduler, world.now, on_decided, NULL);
+          CU_ASSERT_TRUE (i > 1 || order->len == 0);
+        }
+      CU_ASSERT_EQUAL (order->len, adaptive);
+      g_ptr_array_unref (order);
+      scheduler_withdraw (scheduler, patient);
+      scheduler_ended (scheduler, urgent);
+      g_free (patient);
+      g_free (urgent);
+      scheduler_free (scheduler);
+    }
+  tear_down ();
+}
+
 static CU_TestInfo tests[] = {
+  { "what leaves a full domain, and when", test_leaving_domain },
   { "servers doubted by peers", test_servers_doubted_by_peers },
   { "requests with one prefix go to one engine", test_preferred_server },
   { "sensitive streams stay apart", test_sensitive_streams_apart },
