jacinthctl: config check

Cause: a configuration may be valid and still hold entries that can never match or limits that contradict each other; nothing told an operator before it was in force.

Change: config check FILE [--against FILE] for the cluster configuration (INI, each preset) and for the routing configuration of reverse proxies (JSON).

On the examples it finds one key each that is never used: link_bytes_per_s of class interactive (authority) and summary (cooperative), whose spill is region.

--- a/packages/jacinthctl/config_commands.c
+++ b/packages/jacinthctl/config_commands.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "jacinthctl/config_check.h"
 #include "jacinthctl/diff.h"
 
 /* Reads the configuration in force; its version and text are in RESPONSE.  */
@@ -127,9 +128,8 @@
 }
 
 static void
-print_diff_json (const GArray *lines, gint64 version)
+add_diff_json (JsonBuilder *json, const GArray *lines)
 {
-  JsonBuilder *json = json_with_version (version);
   json_builder_set_member_name (json, "lines");
   json_builder_begin_array (json);
   for (guint i = 0; i < lines->len; i++)
@@ -144,15 +144,23 @@
       json_builder_end_object (json);
     }
   json_builder_end_array (json);
+}
+
+static void
+print_diff_json (const GArray *lines, gint64 version)
+{
+  JsonBuilder *json = json_with_version (version);
+  add_diff_json (json, lines);
   json_builder_end_object (json);
   print_json (json);
 }
 
+/* Prints LINES, by which a text differs from the one called OTHER.  */
 static void
-print_diff (const GArray *lines, gint64 version)
+print_diff (const GArray *lines, const char *other)
 {
   if (lines->len == 0)
-    g_print ("no differences from version %" G_GINT64_FORMAT "\n", version);
+    g_print ("no differences from %s\n", other);
   for (guint i = 0; i < lines->len; i++)
     {
       const struct diff_line *line
@@ -181,12 +189,101 @@
       if (ctl_options->json)
         print_diff_json (lines, response.version);
       else
-        print_diff (lines, response.version);
+        {
+          g_autofree char *other
+              = g_strdup_printf ("version %" G_GINT64_FORMAT, response.version);
+          print_diff (lines, other);
+        }
+    }
+  ctl_response_clear (&response);
+  return status;
+}
+
+/* Prints FINDINGS, and by what NEW_TEXT differs from OLD_TEXT, which is called
+   OTHER; NULL: nothing is compared.  */
+static void
+print_check (const struct ctl_options *ctl_options, const GPtrArray *findings,
+             const char *old_text, const char *other, const char *new_text)
+{
+  g_auto (GStrv) old_lines = g_strsplit (old_text ? old_text : "", "\n", -1);
+  g_auto (GStrv) new_lines = g_strsplit (new_text, "\n", -1);
+  g_autoptr (GArray) lines
+      = old_text != NULL ? diff_lines (old_lines, new_lines) : NULL;
+  if (!ctl_options->json)
+    {
+      for (guint i = 0; i < findings->len; i++)
+        g_print ("%s\n", (const char *)g_ptr_array_index (findings, i));
+      if (lines != NULL)
+        print_diff (lines, other);
+      else
+        g_printerr ("jacinthctl: not compared with another version\n");
+      return;
+    }
+  JsonBuilder *json = json_builder_new ();
+  json_builder_begin_object (json);
+  json_builder_set_member_name (json, "findings");
+  json_builder_begin_array (json);
+  for (guint i = 0; i < findings->len; i++)
+    json_builder_add_string_value (json, g_ptr_array_index (findings, i));
+  json_builder_end_array (json);
+  json_add_str (json, "against", other);
+  if (lines != NULL)
+    add_diff_json (json, lines);
+  json_builder_end_object (json);
+  print_json (json);
+}
+
+/* Reads the text to compare with, a file or the configuration in force, and its
+   name; both are NULL if neither is given. They are freed with g_free.  */
+static enum ctl_exit_code
+read_other (const struct ctl_options *ctl_options, char **text, char **name)
+{
+  gsize n;
+  *text = *name = NULL;
+  if (ctl_options->against != NULL)
+    {
+      *text = read_file (ctl_options->against, &n);
+      *name = g_strdup (ctl_options->against);
+      return *text != NULL ? CTL_EXIT_OK : CTL_EXIT_USAGE;
+    }
+  if (ctl_options->address == NULL)
+    return CTL_EXIT_OK;
+  struct ctl_response response;
+  enum ctl_exit_code status = read_config (ctl_options, &response);
+  if (status == CTL_EXIT_OK)
+    {
+      *text = dup_body_text (response.body);
+      *name = g_strdup_printf ("version %" G_GINT64_FORMAT, response.version);
     }
   ctl_response_clear (&response);
   return status;
 }
 
+/* config check FILE: prints what is wrong or without effect in FILE, and by
+   what lines it differs from another file or from the configuration in force.
+   The exit code says whether there are findings; differences are none.  */
+enum ctl_exit_code
+ctl_config_check (const struct ctl_options *ctl_options, const char *file)
+{
+  gsize n;
+  g_autofree char *text = read_file (file, &n);
+  g_autofree char *old_text = NULL;
+  g_autofree char *other = NULL;
+  g_autoptr (GPtrArray) findings = g_ptr_array_new_with_free_func (g_free);
+  if (text == NULL)
+    return CTL_EXIT_USAGE;
+  if (!config_check ((struct str){ text, n }, findings))
+    {
+      g_printerr ("jacinthctl: %s is neither INI nor JSON text\n", file);
+      return CTL_EXIT_USAGE;
+    }
+  enum ctl_exit_code status = read_other (ctl_options, &old_text, &other);
+  print_check (ctl_options, findings, old_text, other, text);
+  if (status != CTL_EXIT_OK)
+    return status;
+  return findings->len > 0 ? CTL_EXIT_REJECTED : CTL_EXIT_OK;
+}
+
 /* Adds the boolean member "behind" to each of INSTANCES: its version is older
    than the newest one in the list. Returns the newest version.  */
 static gint64
--- a/packages/jacinthctl/jacinthctl.h
+++ b/packages/jacinthctl/jacinthctl.h
@@ -38,6 +38,8 @@
   gint64 version;      /* a change applies only to this version; -1: the one
                           in force */
   guint timeout_ms;
+  const char *against; /* config check: file to compare with; NULL: the version
+                          in force, if ADDRESS is not NULL */
 };
 
 struct ctl_request
@@ -86,6 +88,8 @@
                                      const char *file);
 enum ctl_exit_code ctl_config_diff (const struct ctl_options *ctl_options,
                                     const char *file);
+enum ctl_exit_code ctl_config_check (const struct ctl_options *ctl_options,
+                                     const char *file);
 enum ctl_exit_code ctl_config_status (const struct ctl_options *ctl_options,
                                       const char *unused);
 enum ctl_exit_code ctl_preset_use (const struct ctl_options *ctl_options,
--- a/packages/jacinthctl/main.c
+++ b/packages/jacinthctl/main.c
@@ -19,6 +19,7 @@
   enum ctl_exit_code (*run) (const struct ctl_options *ctl_options,
                              const char *argument);
   const char *help;
+  gboolean works_offline; /* it needs no address */
 };
 
 static enum ctl_exit_code
@@ -95,6 +96,8 @@
   { "config", "apply", "FILE", ctl_config_apply, "put FILE in force" },
   { "config", "diff", "FILE", ctl_config_diff,
     "how FILE differs from the one in force" },
+  { "config", "check", "FILE", ctl_config_check,
+    "what is wrong or without effect in FILE", TRUE },
   { "config", "status", NULL, ctl_config_status,
     "which version each instance has" },
   { "preset", "list", NULL, preset_list, "presets and which is in force" },
@@ -163,6 +166,7 @@
 {
   char *address;
   char *token_file;
+  char *against;
   gboolean json;
   gboolean show_version;
   int timeout_ms;
@@ -185,6 +189,9 @@
       "Time limit of a request", "N" },
     { "expect", 0, 0, G_OPTION_ARG_INT64, &a->expected_version,
       "Apply only to this version; default: the one in force", "VERSION" },
+    { "against", 0, 0, G_OPTION_ARG_FILENAME, &a->against,
+      "config check: compare with this file; default: the version in force",
+      "FILE" },
     { "version", 0, 0, G_OPTION_ARG_NONE, &a->show_version,
       "Print the version of jacinthctl and exit", NULL },
     { NULL },
@@ -273,13 +280,16 @@
       return CTL_EXIT_USAGE;
     }
   const char *address = a->address ? a->address : g_getenv (ADDRESS_VARIABLE);
-  if (!check_arguments (a, address))
+  gboolean is_offline
+      = command->works_offline && (address == NULL || a->against != NULL);
+  if (!is_offline && !check_arguments (a, address))
     return CTL_EXIT_USAGE;
   g_autofree char *token = read_token (a->token_file, &ok);
   if (!ok)
     return CTL_EXIT_USAGE;
   struct ctl_options ctl_options
-      = { address, token, a->json, a->expected_version, (guint)a->timeout_ms };
+      = { address,   token, a->json, a->expected_version, (guint)a->timeout_ms,
+          a->against };
   return (int)command->run (&ctl_options, argument);
 }
 
@@ -297,5 +307,6 @@
     status = run (&a, argc, argv);
   g_free (a.address);
   g_free (a.token_file);
+  g_free (a.against);
   return status;
 }
--- a/packages/route/routing_table.c
+++ b/packages/route/routing_table.c
@@ -303,3 +303,50 @@
 {
   return routing_table->n_routes;
 }
+
+void
+routing_table_each_route (const struct routing_table *routing_table,
+                          void (*visit) (void *ctx,
+                                         const struct routing_route *),
+                          void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, routing_table->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (guint i = 0; i < ((GPtrArray *)value)->len; i++)
+      visit (ctx, g_ptr_array_index ((GPtrArray *)value, i));
+}
+
+void
+routing_table_each_service (const struct routing_table *routing_table,
+                            void (*visit) (void *ctx,
+                                           const struct routing_service *),
+                            void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, routing_table->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (ctx, value);
+}
+
+void
+routing_table_each_team (const struct routing_table *routing_table,
+                         void (*visit) (void *ctx, const struct routing_team *,
+                                        guint n_keys),
+                         void *ctx)
+{
+  for (guint i = 0; i < routing_table->team_list->len; i++)
+    {
+      const struct routing_team *team
+          = g_ptr_array_index (routing_table->team_list, i);
+      guint n_keys = 0;
+      GHashTableIter iter;
+      gpointer value;
+      g_hash_table_iter_init (&iter, routing_table->teams);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        n_keys += value == team;
+      visit (ctx, team, n_keys);
+    }
+}
--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -120,4 +120,20 @@
 gboolean routing_may_repeat (const struct routing_route *route);
 guint routing_table_n_routes (const struct routing_table *routing_table);
 
+/* Call VISIT for each entry, in no particular order. N_KEYS is the number of
+   API keys that lead to the team.  */
+void routing_table_each_route (const struct routing_table *routing_table,
+                               void (*visit) (void *ctx,
+                                              const struct routing_route *),
+                               void *ctx);
+void routing_table_each_service (const struct routing_table *routing_table,
+                                 void (*visit) (void *ctx,
+                                                const struct routing_service *),
+                                 void *ctx);
+void routing_table_each_team (const struct routing_table *routing_table,
+                              void (*visit) (void *ctx,
+                                             const struct routing_team *,
+                                             guint n_keys),
+                              void *ctx);
+
 #endif
--- a/tests/unit/test_ctl.c
+++ b/tests/unit/test_ctl.c
@@ -128,6 +128,85 @@
   fake_close (&fake);
 }
 
+/* Replaces the first OLD in the example configuration by NEW and runs config
+   check; OUT is in its output.  */
+static void
+expect_finding (const struct fake *fake, const char *old, const char *new,
+                const char *out)
+{
+  g_autofree char *text = example_text ();
+  g_auto (GStrv) parts = g_strsplit (text, old, 2);
+  CU_ASSERT_EQUAL_FATAL (g_strv_length (parts), 2);
+  g_autofree char *edited = g_strconcat (parts[0], new, parts[1], NULL);
+  expect_run (fake, "config check -", edited, 1, out, "");
+}
+
+/* A configuration that is accepted although part of it has no effect, or that
+   is rejected only once it is put in force.  */
+static void
+test_config_check (void)
+{
+  struct fake fake;
+  fake_open (&fake, 0);
+  g_autofree char *text = example_text ();
+  const char *link = "\nlink_bytes_per_s=150000\nspill=region\n";
+  g_auto (GStrv) parts = g_strsplit (text, link, 2);
+  g_autofree char *clean = g_strjoinv ("\nspill=region\n", parts);
+  expect_run (&fake, "config check -", clean, 0, "-75: link_bytes_per_s", "");
+  expect_run (&fake, "config check -", text, 1,
+              "line 75, group [class:interactive], key link_bytes_per_s: is "
+              "never used",
+              "");
+  expect_run (&fake, "--json config check -", clean, 0, "{\"findings\":[]", "");
+  expect_finding (&fake, "\ntier=0\n", "\ntier=9\n", "key tier: ");
+  expect_finding (&fake, "\n[operator:ops]\n",
+                  "\n[service:new]\n[operator:ops]\n",
+                  "group [service:new]: can never be reached");
+  expect_finding (&fake, "\npool=account\ndomain=mbj-1\n",
+                  "\npool=assistant\ndomain=mbj-1\n",
+                  "group [service:account]: can't be reached by class urgent "
+                  "from domain mbj-1: its servers are further than the spill "
+                  "(presets: ordinary)");
+  expect_finding (&fake, "\nlink_bytes_per_s=400000\n",
+                  "\nlink_bytes_per_s=0\n", "key spill: is anywhere, but");
+  expect_finding (&fake, "\nttft_ms=", "\nttft_ms=3600000\n#",
+                  "key ttft_ms: is above deadline_ms");
+  expect_finding (&fake, "\nwrite=yes", "\nwrite=no",
+                  "no operator may change the configuration");
+  expect_run (&fake, "config check -", "not a configuration", 2, "",
+              "neither INI nor JSON");
+  expect_run (&fake, "config check -", "{\"spec\":", 2, "",
+              "neither INI nor JSON");
+  expect_run (&fake, "config check /nonexistent", NULL, 2, "", "/nonexistent");
+  expect_run (&fake, "--against=/nonexistent config check -", clean, 2, "",
+              "/nonexistent");
+  fake_close (&fake);
+}
+
+/* The same for routes, which a proxy takes from the platform.  */
+static void
+test_routing_check (void)
+{
+  struct fake fake;
+  fake_open (&fake, 0);
+#define FOLDER JW_SOURCE_DIR "/platform/config-check/"
+  const char *check = "--against=" FOLDER "clean.json config check " FOLDER;
+  g_autofree char *clean = g_strconcat (check, "clean.json", NULL);
+  g_autofree char *findings = g_strconcat (check, "findings.json", NULL);
+#undef FOLDER
+  expect_run (&fake, clean, NULL, 0, "no differences from /", "");
+  expect_run (&fake, findings, NULL, 1,
+              "line 2, service idle: can never be reached: no route leads to "
+              "it\nline 3, team t: can never match: it has no key, or another "
+              "team has the same\nline 6, route r2: can never match: route r1 "
+              "has the same host and prefix\nline 6, route r2: its target is "
+              "above its timeout: the client has left by then\n-2: ",
+              "");
+  expect_run (&fake, "config check -", "{\"spec\":{\"version\":1}}", 1,
+              "configuration: the list of routes is missing", "");
+  fake_close (&fake);
+}
+
 static void
 test_changes (void)
 {
@@ -244,6 +323,8 @@
 static CU_TestInfo tests[] = {
   { "lists are printed as tables or JSON", test_lists },
   { "config get, diff and apply", test_config },
+  { "config check of a cluster configuration", test_config_check },
+  { "config check of routes", test_routing_check },
   { "each outcome of a change has its exit code", test_changes },
   { "tokens without access exit with 5", test_tokens },
   { "an invalid command line exits with 2", test_usage },
--- a/tests/unit/test_domain_exit.c
+++ b/tests/unit/test_domain_exit.c
@@ -233,12 +233,13 @@
   double phase = 2 * G_PI * ((double)sim.now / (13.0 * CLK_S) + d / 6.0);
   double mean = domain->load * (1 + domain->swing * sin (phase)) * SERVERS
                 * STEP_US / WORK_US;
-  /* Exponential gaps make the arrivals of one step. */
-  for (double t = -log (1 - g_rand_double (sim.rand)); t < mean;
-       t -= log (1 - g_rand_double (sim.rand)))
+  /* The gaps between arrivals are exponential. */
+  double t = -log (1 - g_rand_double (sim.rand));
+  while (t < mean)
     {
       struct instance *instance = &domain->instances[g_rand_int_range (
           sim.rand, 0, (gint32)sim.n_instances)];
+      t -= log (1 - g_rand_double (sim.rand));
       if (instance->n == QUEUE_MAX)
         continue;
       instance->queue[instance->n]
