sched: leaving ends at half the cost that starts it, cheaper inputs

Cause: leaving ended only when the own domain's wait was within half the path's cost of the target's for 1 s, less than waits differ by chance, so requests of a recovered domain still left (48 of 2023 in 20 s). The inputs looked up each server in each report.

Change: it ends below half of the cost that starts it, one mean request included. server_load_totals sums all reports in one pass. In the test, an instance without queued requests does not know how many others have some, as in the scheduler; the bounds for flapping (20 changes instead of 60) and for the use of the link (a third instead of an eighth) are closer.

--- a/packages/sched/domain_exit.c
+++ b/packages/sched/domain_exit.c
@@ -34,7 +34,8 @@
 /* Leaving ends when the own domain has recovered for this time, which is the
    age of what other domains know. */
 #define END_AFTER_US (1 * CLK_S)
-/* Share of the path's cost below which the own domain counts as recovered. */
+/* Share of the cost of leaving below which the own domain counts as recovered.
+ */
 #define END_SHARE 0.5
 /* Pending work of a server that is no excess, and the time in which an excess
    is to be sent away; several times the age of the information about the own
@@ -189,12 +190,12 @@
 switch_leaving (const struct domain_exit *domain_exit,
                 struct domain_exit_target *target, gint64 now)
 {
-  double path_us = path_cost_us (target->distance, 0);
   double gain_us = domain_exit->home_wait_us - target->wait_us;
   /* A wait for one request is usual and no reason to leave. */
-  gboolean pays = gain_us > path_us + domain_exit->mean_work_us
-                  && (target->leaving || target->free > 0);
-  gboolean recovered = gain_us < END_SHARE * path_us;
+  double cost_us
+      = path_cost_us (target->distance, 0) + domain_exit->mean_work_us;
+  gboolean pays = gain_us > cost_us && (target->leaving || target->free > 0);
+  gboolean recovered = gain_us < END_SHARE * cost_us;
   if (!pays)
     target->above_since = 0;
   else if (target->above_since == 0)
--- a/packages/sched/exit_inputs.c
+++ b/packages/sched/exit_inputs.c
@@ -3,19 +3,21 @@
 #include <string.h>
 
 static void
-add_server (const struct placement_view *view,
+add_server (const struct placement_view *view, GHashTable *totals,
             const struct registry_server *server, struct domain_exit_load *load)
 {
-  struct server_load total
-      = server_load_total (view->server_load_table, server->number);
+  const struct server_load *total
+      = g_hash_table_lookup (totals, GUINT_TO_POINTER (server->number));
   guint slots = MAX (server->entry.slots, 1);
-  double used;
+  load->n_servers++;
+  if (total == NULL)
+    return;
   if (view->engine != NULL)
     slots = MAX (MIN (view->engine->batch, slots), 1);
-  used = MIN ((double)total.requests / slots, 1.0);
-  load->n_servers++;
-  load->busy += total.prefill_tokens > 0 ? 1.0 : used;
-  load->prefill_us += view->us_per_token * (double)total.prefill_tokens;
+  load->busy += total->prefill_tokens > 0
+                    ? 1.0
+                    : MIN ((double)total->requests / slots, 1.0);
+  load->prefill_us += view->us_per_token * (double)total->prefill_tokens;
 }
 
 /* Returns the age of what is known of the load of DOMAIN. Where each instance
@@ -59,6 +61,7 @@
                      struct domain_exit_inputs *inputs)
 {
   const struct placement_self *self = &view->self;
+  g_autoptr (GHashTable) totals = server_load_totals (view->server_load_table);
   memset (inputs, 0, sizeof *inputs);
   inputs->queue_wait_us = queue_wait_us;
   inputs->n_waiting = view->n_waiting;
@@ -78,11 +81,11 @@
         continue;
       if (topology_distance (view->topology, name) == TOPOLOGY_SAME_DOMAIN)
         {
-          add_server (view, server, &inputs->home);
+          add_server (view, totals, server, &inputs->home);
           continue;
         }
       struct domain_exit_domain *domain = domain_of (view, name, inputs);
       if (domain != NULL)
-        add_server (view, server, &domain->load);
+        add_server (view, totals, server, &domain->load);
     }
 }
--- a/packages/sched/server_load.c
+++ b/packages/sched/server_load.c
@@ -178,6 +178,42 @@
   return sum_loads (table, server, TRUE);
 }
 
+static void
+add_loads (GHashTable *totals, GHashTable *loads)
+{
+  GHashTableIter iter;
+  gpointer server;
+  gpointer load;
+  g_hash_table_iter_init (&iter, loads);
+  while (g_hash_table_iter_next (&iter, &server, &load))
+    {
+      struct server_load *total = g_hash_table_lookup (totals, server);
+      if (total == NULL)
+        {
+          total = g_new0 (struct server_load, 1);
+          g_hash_table_insert (totals, server, total);
+        }
+      add_load (total, load);
+    }
+}
+
+/* Returns the results of server_load_total for all servers that have load, by
+   number, as a new table. Calls for each of them would look up each in every
+   report, although most reports have few.  */
+GHashTable *
+server_load_totals (const struct server_load_table *table)
+{
+  GHashTable *totals
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
+  add_loads (totals, table->own);
+  g_hash_table_iter_init (&iter, table->reports);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    add_loads (totals, ((const struct peer_report *)value)->loads);
+  return totals;
+}
+
 /* Returns the load of SERVER from this instance and from those that report to
    it directly, not through a summary.  */
 struct server_load
--- a/packages/sched/server_load.h
+++ b/packages/sched/server_load.h
@@ -32,6 +32,7 @@
 void server_load_expire (struct server_load_table *table, gint64 now);
 struct server_load server_load_total (const struct server_load_table *table,
                                       guint server);
+GHashTable *server_load_totals (const struct server_load_table *table);
 struct server_load server_load_direct (const struct server_load_table *table,
                                        guint server);
 guint32 server_load_domain_peer (const char *domain);
--- a/tests/unit/test_domain_exit.c
+++ b/tests/unit/test_domain_exit.c
@@ -134,7 +134,8 @@
   const struct snapshot *home = &sim.domains[d].snapshots[HOME_AGE];
   inputs.home = home->load;
   inputs.n_waiting = MAX (home->waiting, instance->n);
-  inputs.n_waiters = home->waiters > 0 ? home->waiters : sim.n_instances;
+  /* An instance asks for the others only while it has requests waiting. */
+  inputs.n_waiters = instance->n > 0 ? MAX (home->waiters, 1) : sim.n_instances;
   inputs.queue_wait_us = instance->n > 0 ? sim.now - instance->queued_at[0] : 0;
   for (guint k = 0; k < DOMAINS; k++)
     if (k != d)
@@ -409,7 +410,7 @@
   run (300 * CLK_S);
   double per_target = (double)sim.changes / (DOMAINS * 4 * (DOMAINS - 1));
   g_print ("border: changes per target %.1f\n", per_target);
-  CU_ASSERT_TRUE (per_target <= 60);
+  CU_ASSERT_TRUE (per_target <= 20);
   tear_down ();
 }
 
@@ -428,7 +429,7 @@
   g_print ("budget: %.0f of %.0f bytes, %u denied\n", (double)sim.region_bytes,
            limit, sim.denied);
   CU_ASSERT_TRUE ((double)sim.region_bytes <= limit);
-  CU_ASSERT_TRUE ((double)sim.region_bytes > limit / 8);
+  CU_ASSERT_TRUE ((double)sim.region_bytes > limit / 3);
   CU_ASSERT_TRUE (sim.denied > 0);
   tear_down ();
 }
