--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1245,6 +1245,7 @@
       CU_ASSERT_EQUAL (order->len, adaptive);
       g_ptr_array_unref (order);
       scheduler_withdraw (scheduler, patient);
+      scheduler_ended (world.scheduler, patient); /* started by on_decided */
       scheduler_ended (scheduler, urgent);
       g_free (patient);
       g_free (urgent);
