sched: a retry that would be rejected waits for its turn if it may leave

Cause: a queued retry that found a server as a last resort, but behind another of its group, was rejected, while with fixed prices it waits. The debt of a target's bucket outlived the end of leaving.

Change: the last resort is chosen before the check of the group; the bucket is emptied when leaving ends. Tests for the fixed prices and the two settings.

--- a/packages/sched/domain_exit.c
+++ b/packages/sched/domain_exit.c
@@ -210,6 +210,8 @@
   if (leaving == target->leaving)
     return FALSE;
   target->leaving = leaving;
+  if (!leaving)
+    target->bucket_us = 0; /* a debt of requests that left anyway */
   return TRUE;
 }
 
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -560,6 +560,8 @@
 {
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
+  if (now + predict_wait (service, 0, &decision.choice) > entry->target)
+    choose_last_resort (scheduler, service, entry, now, &decision.choice);
   if (decision.choice.server != NULL
       && !retry_groups_allow (retry_groups, &entry->request,
                               decision.choice.server))
@@ -568,17 +570,11 @@
     {
       decision.wait_us = predict_wait (service, 0, &decision.choice);
       gboolean too_late = now + decision.wait_us > entry->target;
-      gboolean leaves = too_late && decision.choice.server == NULL
-                        && !is_held (service, entry, now)
-                        && choose_last_resort (scheduler, service, entry, now,
-                                               &decision.choice)
-                        && retry_groups_allow (retry_groups, &entry->request,
-                                               decision.choice.server);
       if (decision.choice.usable == 0)
         reject_without_server (scheduler, &decision);
-      else if (too_late && !leaves)
+      else if (too_late)
         reject_for_overload (scheduler, service, entry, now, &decision);
-      else if (!leaves)
+      else
         return FALSE;
     }
   scheduler_withdraw (scheduler, entry);
--- a/tests/unit/test_domain_exit.c
+++ b/tests/unit/test_domain_exit.c
@@ -434,7 +434,22 @@
   tear_down ();
 }
 
+/* The default takes its costs from here: they must stay what they were before
+   leaving could be decided otherwise.  */
+static void
+test_fixed_prices (void)
+{
+  static const double prices[] = { 0, 8000 + 5000, 30000 + 5000 };
+  static const double round_trips[] = { 1000, 3000, 70000 };
+  for (guint d = TOPOLOGY_SAME_DOMAIN; d <= TOPOLOGY_OTHER_REGION; d++)
+    {
+      CU_ASSERT_EQUAL (domain_exit_price_us (d, 10000), prices[d]);
+      CU_ASSERT_EQUAL (domain_exit_round_trip_us (d), round_trips[d]);
+    }
+}
+
 static CU_TestInfo tests[] = {
+  { "the fixed prices", test_fixed_prices },
   { "waves with spread phases share the capacity", test_waves },
   { "a domain that loses half of its servers", test_half_lost },
   { "nobody leaves when all domains are full", test_all_full },
--- a/tests/unit/test_proxy_settings.c
+++ b/tests/unit/test_proxy_settings.c
@@ -273,7 +273,34 @@
   g_ptr_array_unref (problems);
 }
 
+/* A file without the keys, as all are that were written before there was a
+   choice, must leave the decision as it was.  */
+static void
+test_leave_domain (void)
+{
+  /* The template has neither key: they follow the last of their group. */
+  static const struct figure chosen
+      = { "memory_mb", "110\nleave_domain=adaptive\nregion_mbps=0" };
+  static const struct figure wrong
+      = { "memory_mb", "110\nleave_domain=sometimes" };
+  struct reading reading = read_settings (NULL, TRUE);
+  CU_ASSERT_EQUAL (reading.code, 0);
+  CU_ASSERT_EQUAL (reading.settings.leave_domain, PROXY_SETTINGS_LEAVE_FIXED);
+  CU_ASSERT_EQUAL (reading.settings.region_mbps, 60);
+  reading_clear (&reading);
+  reading = read_settings (&chosen, TRUE);
+  CU_ASSERT_EQUAL (reading.code, 0);
+  CU_ASSERT_EQUAL (reading.settings.leave_domain,
+                   PROXY_SETTINGS_LEAVE_ADAPTIVE);
+  CU_ASSERT_EQUAL (reading.settings.region_mbps, 0);
+  reading_clear (&reading);
+  reading = read_settings (&wrong, TRUE);
+  CU_ASSERT_TRUE (reading.code < 0);
+  reading_clear (&reading);
+}
+
 static CU_TestInfo tests[] = {
+  { "what decides on leaving the domain", test_leave_domain },
   { "numbers in each form", test_forms },
   { "keys that need no confirmation", test_not_strict },
   { "what is no number", test_wrong_numbers },
