--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -118,6 +118,12 @@
   X (USAGE_REPORTED, "usage_reported", "usage reports accepted")               \
   X (USAGE_MISSED, "usage_missed",                                             \
      "windows not reported: counts lost, or too late")                         \
+  X (EXITS_REGION, "exits_region",                                             \
+     "requests sent to another domain of the region")                          \
+  X (EXITS_REMOTE, "exits_remote", "requests sent to another region")          \
+  X (EXIT_BYTES, "exit_bytes", "body bytes of requests sent to other domains") \
+  X (EXITS_DENIED, "exits_denied",                                             \
+     "requests kept from another region by the budget of its link")            \
   X (LINK_BYTES, "link_bytes", "payload bytes over the link between regions")
 
 enum counter_id
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -499,7 +499,11 @@
           .topology = daemon->topology,
           .seed = g_rand_int (daemon->rand),
           .pool_resized = on_pool_resized,
-          .pool_resized_ctx = daemon };
+          .pool_resized_ctx = daemon,
+          .counter_set = &daemon->counter_set,
+          .decides_exits
+          = settings->leave_domain == PROXY_SETTINGS_LEAVE_ADAPTIVE,
+          .region_mbps = settings->region_mbps };
   const struct adapter_options adapter_options
       = { .address = settings->store_address,
           .clk = daemon->clk,
