Duties: sections of the first record count as set; abort calls by the boot clock

Cause: on two instances with a stand-in platform, the second holder took the sections for older than a restore, as the first one had ended before it set any; it would have left out windows that had ended. And the time-out of a call runs on a timer that may not count suspension of the machine, so a call could go on after it. Change: the first holder of all marks both sections with its era.

--- a/packages/duty/duty_lease.c
+++ b/packages/duty/duty_lease.c
@@ -273,6 +273,18 @@
   lease->next_at = now_of (lease) + wait;
 }
 
+/* Has the sections count as set in this era if the record is the first one of
+   all. One that the store has lost is told by the era, and by whether a holder
+   was heard of.  */
+static void
+begin_sections (struct duty_lease *lease)
+{
+  gboolean is_first = lease->seen.serial == 1 && lease->era <= FIRST_ERA
+                      && lease->view.heard_fence == 0;
+  for (guint i = 0; i < DUTY_SECTION_N && is_first; i++)
+    lease->sections[i].era = lease->era;
+}
+
 /* Handles WRITE, which has taken effect and made VERSION of the object.  */
 static void
 on_written (struct duty_lease *lease, const struct write *write,
@@ -300,6 +312,7 @@
   if (is_new)
     {
       lease->acquired_at = now;
+      begin_sections (lease);
       lease->options.acquired (lease->options.ctx);
     }
   for (guint i = 0; i < DUTY_SECTION_N && lease->held; i++)
@@ -533,17 +546,13 @@
 
 /* Returns the text of SECTION, borrowed until the next call of this lease; for
    a holder. ERA_CHANGED: it was set before the store was restored from an
-   older copy. The first record of all is told from one that the store has lost
-   by the era, and by whether a holder was heard of.  */
+   older copy.  */
 struct str
 duty_lease_section (const struct duty_lease *lease, enum duty_section section,
                     gboolean *era_changed)
 {
   const struct section *of = &lease->sections[section];
-  gboolean is_first = of->era == 0 && lease->seen.serial == 1
-                      && lease->era <= FIRST_ERA
-                      && lease->view.heard_fence == 0;
-  *era_changed = of->era != lease->era && !is_first;
+  *era_changed = of->era != lease->era;
   return str_of (of->text);
 }
 
--- a/packages/jacinthward/duty_keeper.c
+++ b/packages/jacinthward/duty_keeper.c
@@ -13,6 +13,9 @@
    former holder, whose calls may still be in flight, and for the platform's own
    counting. */
 #define CALLS_SHARE 10
+/* A call that outlasts its time-out by this was suspended with the process, and
+   timers did not count it. */
+#define ABORT_SLACK_US (50 * CLK_MS)
 #define RETRY_MIN_US (200 * CLK_MS)
 #define RETRY_MAX_US (2 * CLK_S)
 /* How long an instance that does not reach the platform's API leaves the lease
@@ -403,6 +406,9 @@
   else
     view.wanted = !stopping && now >= keeper->barred_until
                   && gossip_duty_is_due (keeper->options.gossip, now);
+  if (keeper->in_call != CALL_NONE
+      && now - keeper->called_at > DUTY_CLIENT_TIMEOUT_US + ABORT_SLACK_US)
+    duty_client_abort (keeper->duty_client);
   duty_lease_tick (keeper->lease, &view);
   if (!duty_lease_is_held (keeper->lease) || stopping || keeper->gives_up)
     return;
--- a/tests/unit/test_duty_client.c
+++ b/tests/unit/test_duty_client.c
@@ -16,7 +16,7 @@
   struct tcp_conn *conn;
   const char *answer; /* NULL: none */
   GString *got;
-  guint resets, ends;
+  guint reads, resets, ends;
   guint results;
   int code;
 } stub;
@@ -25,6 +25,7 @@
 on_data (void *ctx, struct str data)
 {
   (void)ctx;
+  stub.reads++;
   g_string_append_len (stub.got, data.p, (gssize)data.n);
   if (stub.answer != NULL && g_str_has_suffix (stub.got->str, "}"))
     tcp_conn_write (stub.conn, stub.answer, strlen (stub.answer));
@@ -84,6 +85,9 @@
     duty_client_report (client, TOKEN, &report, on_done, NULL);
   else
     duty_client_order (client, TOKEN, &order, on_done, NULL);
+  endless_wait (&stub.reads, 1, WAIT_MS);
+  if (answer == NULL && is_report)
+    duty_client_abort (client);
   endless_wait (&stub.results, 1, WAIT_MS);
   if (answer == NULL)
     endless_wait (&stub.resets, 1, WAIT_MS);
@@ -146,6 +150,12 @@
   CU_ASSERT_EQUAL (stub.resets, 1);
   CU_ASSERT_EQUAL (stub.ends, 0);
   expect_got ("POST /scale HTTP/1.1\r\n", "\"desired\":6}");
+  /* Likewise if the caller's clock says so before the timer. */
+  call (NULL, TRUE);
+  CU_ASSERT_EQUAL (stub.code, ERR_TIMEOUT);
+  CU_ASSERT_EQUAL (stub.results, 1);
+  CU_ASSERT_EQUAL (stub.resets, 1);
+  expect_got ("POST /usage-reports HTTP/1.1\r\n", "\"blue\":7}}");
 }
 
 static CU_TestInfo tests[] = {
