usage: write the section for the store only when it has changed

Change: usage_reports keeps the text until something in it changes; the predicate asks for the service's engine only where it is needed.

--- a/packages/gate/exchange_usage.c
+++ b/packages/gate/exchange_usage.c
@@ -12,6 +12,13 @@
                           exchange->queue_entry.service);
 }
 
+static gboolean
+has_engine (const struct exchange *exchange)
+{
+  const struct routing_service *service = service_of (exchange);
+  return service != NULL && service->has_engine;
+}
+
 /* Returns whether this instance accounts for the request: another one that has
    passed it on does so itself, since it may have had the first token from
    elsewhere.  */
@@ -28,10 +35,8 @@
 static gboolean
 is_billed (const struct exchange *exchange)
 {
-  const struct routing_service *service = service_of (exchange);
-  if (exchange->is_continuation && exchange->route->resumable)
-    return FALSE;
-  return COUNTS_PLAIN_SERVICES || (service != NULL && service->has_engine);
+  return !(exchange->is_continuation && exchange->route->resumable)
+         && (COUNTS_PLAIN_SERVICES || has_engine (exchange));
 }
 
 static void
@@ -64,14 +69,11 @@
 exchange_usage_events (struct exchange *exchange, guint n)
 {
   exchange_usage_started (exchange);
-  if (!is_accounted (exchange))
-    return;
-  const struct routing_service *service = service_of (exchange);
-  if (service == NULL || !service->has_engine)
+  if (!is_accounted (exchange) || !has_engine (exchange))
     return;
   const struct proxy_usage usage
       = { .service = exchange->queue_entry.service,
-          .output_tokens = (guint64)n * service->engine.stride };
+          .output_tokens = (guint64)n * service_of (exchange)->engine.stride };
   tell (exchange, &usage);
 }
 
--- a/packages/usage/usage_reports.c
+++ b/packages/usage/usage_reports.c
@@ -46,6 +46,8 @@
   GPtrArray *reports;  /* of struct report, by window */
   GPtrArray *replaced; /* of struct report: a call may still borrow of them;
                           NULL: none */
+  GString *section;    /* as written last */
+  gboolean is_changed; /* since SECTION was written */
   guint64 last_reported;
   gint64 last_reported_at; /* true time; 0: never */
 };
@@ -88,6 +90,7 @@
   struct usage_reports *reports = g_new0 (struct usage_reports, 1);
   reports->options = *options;
   reports->reports = g_ptr_array_new_with_free_func (report_free);
+  reports->section = g_string_new (NULL);
   return reports;
 }
 
@@ -96,6 +99,7 @@
 {
   if (reports == NULL)
     return;
+  g_string_free (reports->section, TRUE);
   g_ptr_array_unref (reports->reports);
   g_clear_pointer (&reports->replaced, g_ptr_array_unref);
   g_free (reports);
@@ -280,7 +284,7 @@
   reports->through = through;
   reports->through_offered = reports->through_stored = 0;
   reports->must_store = era_changed;
-  reports->is_loaded = TRUE;
+  reports->is_loaded = reports->is_changed = TRUE;
   log_event (LOG_INFO, "usage.loaded",
              "reports=%u through=%" G_GUINT64_FORMAT
              " before=%" G_GUINT64_FORMAT " era_changed=%s",
@@ -361,6 +365,7 @@
       if (why == NULL)
         fix_window (reports, window, &state, true_now);
       reports->through = window;
+      reports->is_changed = TRUE;
     }
 }
 
@@ -374,7 +379,7 @@
       if (true_now >= due && !report->is_done)
         {
           miss_window (reports, report->window, "unsent", true_now);
-          report->is_done = TRUE;
+          report->is_done = reports->is_changed = TRUE;
         }
       if (true_now >= due + KEPT_US)
         g_ptr_array_remove_index (reports->reports, i - 1);
@@ -382,8 +387,10 @@
 }
 
 static void
-write_section (const struct usage_reports *reports, GString *section)
+write_section (struct usage_reports *reports)
 {
+  if (!reports->is_changed)
+    return;
   JsonBuilder *json = json_builder_new ();
   json_builder_begin_object (json);
   json_add_int (json, "through", (gint64)reports->through);
@@ -411,7 +418,8 @@
   json_builder_end_object (json);
   JsonNode *root = json_builder_get_root (json);
   char *text = json_to_string (root, FALSE);
-  g_string_append (section, text);
+  g_string_assign (reports->section, text);
+  reports->is_changed = FALSE;
   g_free (text);
   json_node_unref (root);
   g_object_unref (json);
@@ -437,7 +445,9 @@
       report->is_offered = TRUE;
     }
   reports->through_offered = reports->through;
-  write_section (reports, section);
+  write_section (reports);
+  g_string_append_len (section, reports->section->str,
+                       (gssize)reports->section->len);
   return is_new;
 }
 
@@ -499,7 +509,7 @@
           = true_now + MIN (RETRY_MIN_US << doublings, RETRY_MAX_US);
       return;
     }
-  report->is_done = TRUE;
+  report->is_done = reports->is_changed = TRUE;
   reports->last_reported = report->window;
   reports->last_reported_at = true_now;
   count_event (reports, COUNTER_USAGE_REPORTED, 1);
