--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1037,6 +1037,24 @@
   tear_down ();
 }
 
+/* Orders for servers go by the measured prefill time; a service that this
+   instance has not sent anything to must have a usable one too.  */
+static void
+test_measured_prefill (void)
+{
+  struct scheduler_decision d;
+  set_up ();
+  CU_ASSERT_DOUBLE_EQUAL (scheduler_us_per_token (world.scheduler, "llm"), 25,
+                          1e-9);
+  struct scheduler_entry *entry = make_entry (2, 77, 0, 4000, FALSE);
+  CU_ASSERT_PTR_NOT_NULL (submit (entry, &d));
+  scheduler_first_event (world.scheduler, entry, (30 + 200) * CLK_MS);
+  CU_ASSERT_DOUBLE_EQUAL (scheduler_us_per_token (world.scheduler, "llm"), 25.5,
+                          1e-6);
+  drop (entry);
+  tear_down ();
+}
+
 /* Blocks that newer ones have evicted from a server's memory do not count as
    cached.  */
 static void
@@ -1181,6 +1199,7 @@
 static CU_TestInfo tests[] = {
   { "servers doubted by peers", test_servers_doubted_by_peers },
   { "requests with one prefix go to one engine", test_preferred_server },
+  { "measured prefill time", test_measured_prefill },
   { "sensitive streams stay apart", test_sensitive_streams_apart },
   { "a burst beside sensitive streams", test_burst_beside_sensitive_streams },
   { "streams of a large domain", test_sensitive_streams_of_a_large_domain },
