--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1243,6 +1243,14 @@
           CU_ASSERT_TRUE (i > 1 || order->len == 0);
         }
       CU_ASSERT_EQUAL (order->len, adaptive);
+      g_autoptr (JsonBuilder) json = json_builder_new ();
+      json_builder_begin_object (json);
+      scheduler_dump_exits (scheduler, json);
+      json_builder_end_object (json);
+      g_autoptr (JsonNode) root = json_builder_get_root (json);
+      g_autofree char *dump = json_to_string (root, FALSE);
+      CU_ASSERT_EQUAL (
+          strstr (dump, "\"domain\":\"b\",\"leaving\":true") != NULL, adaptive);
       g_ptr_array_unref (order);
       scheduler_withdraw (scheduler, patient);
       scheduler_ended (world.scheduler, patient); /* started by on_decided */
