Order spot servers elsewhere when those of a domain cannot be had

Cause: the requirements ask for regular servers and other domains' spot servers at once after a reclaim; the plan ordered regular ones only. Change: the plan adds as many spot servers in the cheapest other domains as are lacking, within the limit to what one domain has for others.

--- a/packages/scale/server_plan.c
+++ b/packages/scale/server_plan.c
@@ -55,10 +55,10 @@
 
 /* Plans the servers of DOMAIN for its own load: spot ones but for a floor of
    regular ones, and one kind where the other is not available. Returns how many
-   servers are lacking.  */
+   servers are lacking, and adds to REPLACED how many spot ones are.  */
 static guint
 plan_home (const struct server_plan_limits *limits,
-           struct server_plan_domain *domain)
+           struct server_plan_domain *domain, guint *replaced)
 {
   guint *wanted = domain->wanted;
   guint least = domain->load > 0 ? MAX (limits->min, LOADED_MIN) : limits->min;
@@ -69,6 +69,7 @@
       = MIN (MIN (floor, total), domain->available[SERVER_REGULAR]);
   wanted[SERVER_SPOT]
       = MIN (total - wanted[SERVER_REGULAR], domain->available[SERVER_SPOT]);
+  *replaced += total - wanted[SERVER_REGULAR] - wanted[SERVER_SPOT];
   wanted[SERVER_REGULAR]
       = MIN (total - wanted[SERVER_SPOT], domain->available[SERVER_REGULAR]);
   return need - server_plan_total (domain);
@@ -82,24 +83,24 @@
          && domain->wanted[kind] < domain->available[kind];
 }
 
-/* Adds LACKING servers in the cheapest domains, spot ones if possible.  */
-static void
-add_extra (struct plan *plan, guint lacking)
+/* Adds N servers of KIND in the cheapest domains as far as possible. Returns
+   how many were added.  */
+static guint
+add_extra (struct plan *plan, enum server_kind kind, guint n)
 {
-  for (guint kind = SERVER_KINDS; kind-- > 0;)
-    for (guint i = 0; i < plan->n; i++)
-      {
-        guint index = plan->by_price[i];
-        struct server_plan_domain *domain = &plan->domains[index];
-        guint most = plan->home[index]
-                     + MAX ((guint)(plan->home[index] * EXTRA_SHARE), 1);
-        while (lacking > 0 && has_room (plan, domain, kind)
-               && server_plan_total (domain) < most)
-          {
-            domain->wanted[kind]++;
-            lacking--;
-          }
-      }
+  guint added = 0;
+  for (guint i = 0; i < plan->n; i++)
+    {
+      guint index = plan->by_price[i];
+      struct server_plan_domain *domain = &plan->domains[index];
+      guint most = plan->home[index]
+                   + MAX ((guint)(plan->home[index] * EXTRA_SHARE), 1);
+      for (; added < n && has_room (plan, domain, kind)
+             && server_plan_total (domain) < most;
+           added++)
+        domain->wanted[kind]++;
+    }
+  return added;
 }
 
 /* Returns the index of the domain with most spot servers.  */
@@ -192,11 +193,12 @@
   double load = 0;
   guint lacking = 0;
   guint total = 0;
+  guint replaced = 0;
   for (guint i = 0; i < n; i++)
     {
       plan.by_price[i] = i;
       load += domains[i].load;
-      lacking += plan_home (limits, &domains[i]);
+      lacking += plan_home (limits, &domains[i], &replaced);
       plan.home[i] = server_plan_total (&domains[i]);
       total += plan.home[i];
     }
@@ -207,7 +209,10 @@
       guint reserved
           = servers_for (load * RESERVE_FACTOR, SERVER_PLAN_UTILIZATION);
       lacking = MAX (lacking, reserved - MIN (total, reserved));
-      add_extra (&plan, lacking);
+      /* Where spot servers cannot be had, regular ones make up for them; spot
+         ones elsewhere start in any case. */
+      guint spot = add_extra (&plan, SERVER_SPOT, lacking + replaced);
+      add_extra (&plan, SERVER_REGULAR, lacking - MIN (spot, lacking));
       ensure_survival (&plan, load);
     }
   g_free (plan.by_price);
--- a/tests/unit/test_server_orders.c
+++ b/tests/unit/test_server_orders.c
@@ -413,15 +413,18 @@
   world_free (world);
 }
 
-/* All spot servers of a domain are reclaimed under load. Regular ones are
-   ordered in the same second, and spot ones again after a while; all domains
-   together never have less than the load.  */
+/* All spot servers of a domain are reclaimed under load. Regular ones, and spot
+   ones elsewhere, are ordered in the same second, and its spot ones again after
+   a while; all domains together never have less than the load.  */
 static void
 test_reclaim (void)
 {
   struct world *world = world_new (6, 15, 1, 30);
   run (world, 90);
   guint total = 0;
+  gint elsewhere = 0; /* spot servers ordered before less those ordered now */
+  for (guint i = 0; i < 6; i++)
+    elsewhere += i != 2 ? (gint)world->desired[i][SERVER_SPOT] : 0;
   CU_ASSERT_TRUE (count (world, 2, SERVER_SPOT, FALSE) >= 3);
   drain (world, 2, SERVER_SPOT, 30);
   world->desired[2][SERVER_SPOT] = 0;
@@ -429,6 +432,9 @@
   run (world, 1);
   CU_ASSERT_EQUAL (world->counters.v[COUNTER_SPOT_RECLAIMS], 1);
   CU_ASSERT_TRUE (world->desired[2][SERVER_REGULAR] >= 6);
+  for (guint i = 0; i < 6; i++)
+    elsewhere -= i != 2 ? (gint)world->desired[i][SERVER_SPOT] : 0;
+  CU_ASSERT_TRUE (elsewhere <= -3);
   for (guint i = 0; i < 6; i++)
     total += ready (world, i);
   CU_ASSERT_TRUE (total * 0.8 >= 6 * ORDINARY_LOAD);
