--- a/packages/sched/domain_exit.c
+++ b/packages/sched/domain_exit.c
@@ -398,12 +398,6 @@
   target->sent += work / SENT_SMOOTHING_US;
 }
 
-double
-domain_exit_home_wait_us (const struct domain_exit *domain_exit)
-{
-  return domain_exit->home_wait_us;
-}
-
 /* Adds an object with the state to JSON.  */
 void
 domain_exit_dump (const struct domain_exit *domain_exit, JsonBuilder *json)
--- a/packages/sched/domain_exit.h
+++ b/packages/sched/domain_exit.h
@@ -111,7 +111,6 @@
                     const struct domain_exit_query *query);
 void domain_exit_record (struct domain_exit *domain_exit, const char *domain,
                          double work_us);
-double domain_exit_home_wait_us (const struct domain_exit *domain_exit);
 void domain_exit_dump (const struct domain_exit *domain_exit,
                        JsonBuilder *json);
 
