--- a/packages/jacinthward/duty_keeper.c
+++ b/packages/jacinthward/duty_keeper.c
@@ -440,5 +440,10 @@
                                          : err_name (keeper->last_order_code))
                             : NULL;
   json_add_str (json, "last_order", text);
+  if (keeper->orders != NULL)
+    {
+      json_builder_set_member_name (json, "orders");
+      server_orders_dump (keeper->orders, json);
+    }
   json_builder_end_object (json);
 }
