Send no duty call after its time; split the comparison of servers

A second reader found placement_choose too long, two flags with one meaning, a function that stood twice, and comments that were hard to follow. Change: a client that resets its connections checks the boot clock when the connection is open. placement_choose is split; or_reject and is_last_resort are named after the rule that they lift; the drain rate is computed in one place.

--- a/packages/gate/exchange_usage.c
+++ b/packages/gate/exchange_usage.c
@@ -2,9 +2,6 @@
    what they ask of a service.  */
 #include "gate/exchange_internal.h"
 
-/* Whether requests to services without engines count for their teams, too. */
-#define COUNTS_PLAIN_SERVICES TRUE
-
 static const struct routing_service *
 service_of (const struct exchange *exchange)
 {
@@ -29,25 +26,24 @@
          && exchange->routing_table != NULL;
 }
 
-/* Returns whether the first token of this request counts for its team. A client
-   that names its last event continues a request whose first token has come
-   before.  */
+/* Returns whether the first token or the response of this request counts for
+   its team, also at services without engines. A client that names its last
+   event continues a request that was counted before.  */
 static gboolean
 is_billed (const struct exchange *exchange)
 {
-  return !(exchange->is_continuation && exchange->route->resumable)
-         && (COUNTS_PLAIN_SERVICES || has_engine (exchange));
+  return !(exchange->is_continuation && exchange->route->resumable);
 }
 
 static void
-tell (const struct exchange *exchange, const struct proxy_usage *usage)
+report_usage (const struct exchange *exchange, const struct proxy_usage *usage)
 {
   const struct proxy_options *options = &exchange->reverse_proxy->options;
   options->used (options->ctx, usage);
 }
 
-/* The first token of a run has come, or the head of a response that has no
-   events. What follows at another server does not count again.  */
+/* The first token has come, or the head of a response without events. Tokens
+   that another server sends after a retry are not counted as a new request.  */
 void
 exchange_usage_started (struct exchange *exchange)
 {
@@ -61,7 +57,7 @@
           = billed && exchange->team != NULL ? exchange->team->name : NULL,
           .requests = billed,
           .uncached_tokens = exchange->uncached_tokens };
-  tell (exchange, &usage);
+  report_usage (exchange, &usage);
 }
 
 /* N events have come together.  */
@@ -74,7 +70,7 @@
   const struct proxy_usage usage
       = { .service = exchange->queue_entry.service,
           .output_tokens = (guint64)n * service_of (exchange)->engine.stride };
-  tell (exchange, &usage);
+  report_usage (exchange, &usage);
 }
 
 /* The request is rejected for overload.  */
@@ -84,5 +80,5 @@
   const struct proxy_usage usage
       = { .service = exchange->queue_entry.service, .rejections = 1 };
   if (is_accounted (exchange))
-    tell (exchange, &usage);
+    report_usage (exchange, &usage);
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "http/reader.h"
 #include "net/tcp_conn.h"
@@ -18,6 +19,7 @@
   void *ctx;
   guint timer;            /* GLib source; 0: none */
   gboolean complete;      /* the response has been read */
+  gint64 send_before;     /* boot time; 0: no limit */
   struct err start_error; /* why the request could not be sent */
 };
 
@@ -187,8 +189,23 @@
   fail_conn (conn, &err);
 }
 
-static const struct tcp_conn_handler tcp_callbacks
-    = { .data = on_data, .ended = on_ended, .failed = on_failed };
+/* A process that was suspended while it connected must not send a request
+   whose time is over: timers may not count the suspension, or run later.  */
+static void
+on_opened (void *ctx)
+{
+  struct client_conn *conn = ctx;
+  struct err err = { 0 };
+  if (conn->send_before == 0 || clk_now (clk_boottime ()) < conn->send_before)
+    return;
+  err_set (&err, ERR_TIMEOUT, "http.call", conn->client->address,
+           "connected too late to send the request");
+  fail_conn (conn, &err);
+}
+
+static const struct tcp_conn_handler tcp_callbacks = {
+  .opened = on_opened, .data = on_data, .ended = on_ended, .failed = on_failed
+};
 
 static gboolean
 on_timeout (gpointer data)
@@ -332,6 +349,9 @@
     }
   conn->done = done;
   conn->ctx = ctx;
+  if (client->options.resets && request->timeout_ms > 0)
+    conn->send_before
+        = clk_now (clk_boottime ()) + request->timeout_ms * CLK_MS;
   if (request->timeout_ms > 0)
     conn->timer = g_timeout_add (request->timeout_ms, on_timeout, conn);
   g_string_truncate (conn->body, 0);
--- a/packages/route/routing_table.c
+++ b/packages/route/routing_table.c
@@ -230,19 +230,6 @@
   return g_hash_table_lookup (routing_table->services, name);
 }
 
-/* Calls VISIT for each service, in no particular order.  */
-void
-routing_table_foreach_service (
-    const struct routing_table *routing_table,
-    void (*visit) (void *ctx, const struct routing_service *service), void *ctx)
-{
-  GHashTableIter iter;
-  gpointer service;
-  g_hash_table_iter_init (&iter, routing_table->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    visit (ctx, service);
-}
-
 /* Returns the price of a regular server in DOMAIN; 1 if none is stated.  */
 double
 routing_domain_price (const struct routing_scaling *scaling, const char *domain)
--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -131,10 +131,6 @@
                     struct str path);
 const struct routing_service *
 routing_service (const struct routing_table *routing_table, const char *name);
-void routing_table_foreach_service (
-    const struct routing_table *routing_table,
-    void (*visit) (void *ctx, const struct routing_service *service),
-    void *ctx);
 double routing_domain_price (const struct routing_scaling *scaling,
                              const char *domain);
 gboolean routing_table_has_teams (const struct routing_table *routing_table);
--- a/packages/sched/domain_exit.c
+++ b/packages/sched/domain_exit.c
@@ -197,16 +197,17 @@
   gboolean pays = gain_us > cost_us && (target->leaving || target->free > 0);
   gboolean recovered = gain_us < END_SHARE * cost_us;
   if (!pays)
-    target->above_since = 0;
-  else if (target->above_since == 0)
-    target->above_since = now;
+    target->pays_since = 0;
+  else if (target->pays_since == 0)
+    target->pays_since = now;
   if (!recovered)
-    target->below_since = 0;
-  else if (target->below_since == 0)
-    target->below_since = now;
+    target->recovered_since = 0;
+  else if (target->recovered_since == 0)
+    target->recovered_since = now;
   gboolean leaving
-      = target->leaving ? !recovered || now - target->below_since < END_AFTER_US
-                        : pays && now - target->above_since >= START_AFTER_US;
+      = target->leaving
+            ? !recovered || now - target->recovered_since < END_AFTER_US
+            : pays && now - target->pays_since >= START_AFTER_US;
   if (leaving == target->leaving)
     return FALSE;
   target->leaving = leaving;
@@ -220,7 +221,7 @@
 static double
 rate_limit (const struct domain_exit_target *target, guint n_waiters)
 {
-  if (!target->leaving && target->above_since == 0)
+  if (!target->leaving && target->pays_since == 0)
     return 0;
   double share = target->free / ((double)target->n_senders * n_waiters);
   return MAX (target->sent + GAIN * share, 0);
@@ -347,7 +348,7 @@
   gboolean at_risk
       = query->left_us > 0
         && wait_us + query->work_us > RISK_SHARE * (double)query->left_us;
-  if (!target->leaving && !(at_risk && target->above_since != 0))
+  if (!target->leaving && !(at_risk && target->pays_since != 0))
     return FALSE;
   double lost_us = MAX (-query->saved_us, 0) * (at_risk ? 1 : 2);
   double gain_us = wait_us - target->wait_us;
@@ -369,11 +370,11 @@
   const struct domain_exit_target *target
       = find_target (domain_exit, query->domain);
   if (target == NULL)
-    return query->is_last_resort ? DOMAIN_EXIT_LEAVE : DOMAIN_EXIT_STAY;
+    return query->may_leave_freely ? DOMAIN_EXIT_LEAVE : DOMAIN_EXIT_STAY;
   gboolean saves
       = query->keeps_prefix
         && query->saved_us > path_cost_us (target->distance, query->body_bytes);
-  if (!query->is_last_resort && !saves
+  if (!query->may_leave_freely && !saves
       && !is_excess (domain_exit, target, query))
     return DOMAIN_EXIT_STAY;
   return target->distance == TOPOLOGY_OTHER_REGION && budget->bytes_per_s > 0
--- a/packages/sched/domain_exit.h
+++ b/packages/sched/domain_exit.h
@@ -48,18 +48,18 @@
 {
   char name[STR_ID_MAX + 1];
   enum topology_distance distance;
-  gboolean leaving;   /* requests leave the own domain for it */
-  gint64 above_since; /* clock time since which leaving pays; 0: it does not */
-  gint64 below_since; /* clock time since which the own domain has clearly
+  gboolean leaving;  /* requests leave the own domain for it */
+  gint64 pays_since; /* clock time since which leaving pays; 0: it does not */
+  gint64 recovered_since; /* clock time since which the own domain has clearly
                          recovered; 0: it has not */
-  gint64 age_us;      /* as in struct domain_exit_domain */
-  double wait_us;     /* predicted wait there */
-  double busy;        /* smoothed */
-  double free;        /* servers' worth of capacity, less the reserve */
-  guint n_senders;    /* domains that may send there, including the own one */
-  double rate;        /* that this instance may send */
-  double sent;        /* rate that it has sent lately */
-  double bucket_us;   /* work that it may send now */
+  gint64 age_us;          /* as in struct domain_exit_domain */
+  double wait_us;         /* predicted wait there */
+  double busy;            /* smoothed */
+  double free;            /* servers' worth of capacity, less the reserve */
+  guint n_senders;  /* domains that may send there, including the own one */
+  double rate;      /* that this instance may send */
+  double sent;      /* rate that it has sent lately */
+  double bucket_us; /* work that it may send now */
   double bucket_max_us;
 };
 
@@ -72,9 +72,9 @@
                       blocks of the prefix are cached there; negative:
                       more */
   gsize body_bytes;
-  gint64 left_us;          /* until the first event is due; 0: unknown */
-  gboolean keeps_prefix;   /* SAVED_US is that of a large shared prefix */
-  gboolean is_last_resort; /* the request would be rejected otherwise */
+  gint64 left_us;            /* until the first event is due; 0: unknown */
+  gboolean keeps_prefix;     /* SAVED_US is that of a large shared prefix */
+  gboolean may_leave_freely; /* the request would be rejected otherwise */
 };
 
 /* Shares the link between two regions among all instances.  */
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -207,9 +207,9 @@
       ^ (request->affinity_hash * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)));
 }
 
-/* Returns a score that is another one for each request and instance. Among
-   engines with about as many isolated streams it decides, so that instances
-   with the same, slightly outdated loads do not all choose the same engine.  */
+/* Returns a score that differs by request and instance. It decides between
+   engines with about as many isolated streams, so that instances with the same
+   outdated loads do not all choose the same engine.  */
 static guint64
 random_score (const struct placement_view *view,
               const struct placement_request *request, guint64 rank)
@@ -584,7 +584,7 @@
           .body_bytes = request->body_bytes,
           .left_us = request->left_us,
           .keeps_prefix = saved >= PREFIX_LARGE_TOKENS,
-          .is_last_resort = view->is_last_resort };
+          .may_leave_freely = view->may_leave_freely };
   enum domain_exit_verdict verdict
       = domain_exit_decide (view->domain_exit, view->exit_budget, &query);
   choice->must_stay |= verdict != DOMAIN_EXIT_LEAVE;
@@ -650,7 +650,7 @@
 {
   if (breaks_isolation->best == NULL)
     return suitable;
-  if (request->or_reject && !is_isolated (request))
+  if (request->may_break_isolation && !is_isolated (request))
     return breaks_isolation;
   if (suitable->best == NULL)
     return is_isolated (request) || !others_in_time ? breaks_isolation
@@ -674,6 +674,95 @@
   mark_pools (view, &none, candidates, n);
 }
 
+/* Sets the shares of CHOICE that concern all N candidates. Returns how many are
+   not in a sensitive pool.  */
+static guint
+summarize (const struct placement_candidate *c, guint n,
+           struct placement_choice *choice)
+{
+  guint64 slots = 0;
+  guint64 busy_slots = 0;
+  guint n_outside_pool = 0;
+  guint n_limited = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      slots += c[i].server->entry.slots;
+      busy_slots += MIN (c[i].load.requests, c[i].server->entry.slots);
+      n_outside_pool += !c[i].in_sensitive_pool;
+      n_limited += c[i].server->limit.report.per_s > 0;
+      choice->limited_per_s += c[i].limited_per_s;
+    }
+  if (n_limited < n)
+    choice->limited_per_s = 0;
+  choice->busy = slots ? (double)busy_slots / (double)slots : 1.0;
+  return n_outside_pool;
+}
+
+/* The state of the comparison of all candidates for a request.  */
+struct comparison
+{
+  guint best_cached; /* most tokens of the prompt that a server has cached */
+  guint home_cached; /* result of cached_in_domain */
+  guint n_compared;  /* suitable servers */
+  guint n_exits;     /* servers of other domains with capacity */
+  struct selection suitable;
+  struct selection delays_streams;
+  struct selection breaks_isolation;
+  gboolean others_in_time; /* as in select_by_isolation */
+};
+
+/* Compares C with the best servers so far.  */
+static void
+compare_candidate (const struct placement_view *view,
+                   const struct placement_request *request,
+                   struct placement_candidate *c, struct comparison *comparison,
+                   struct placement_choice *choice)
+{
+  struct placement_estimate e
+      = view->engine != NULL ? placement_estimate_engine (
+            view, request, c, comparison->best_cached)
+                             : placement_estimate_plain (request, c);
+  e.full |= c->trial_running || c->limit_wait_us > 0 || c->brittle_wait_us > 0;
+  e.capacity_wait_us = MAX (e.capacity_wait_us,
+                            (double)MAX (c->limit_wait_us, c->brittle_wait_us));
+  if (!e.full
+      && !may_leave (view, request, c, &e, comparison->home_cached, choice))
+    return;
+  choice->full |= e.full;
+  /* Requests do not wait for servers that break the isolation. */
+  if (!e.breaks_isolation || is_isolated (request))
+    {
+      choice->first_event_us
+          = MIN (choice->first_event_us, (gint64)e.first_event_us);
+      choice->capacity_wait_us
+          = MIN (choice->capacity_wait_us, (gint64)e.capacity_wait_us);
+      comparison->others_in_time
+          |= c->distance != TOPOLOGY_OTHER_REGION && meets_target (request, &e);
+    }
+  if (e.full)
+    return;
+  gboolean is_exit = view->domain_exit != NULL
+                     && c->distance != TOPOLOGY_SAME_DOMAIN
+                     && comparison->n_exits++ < COMPARED_MIN;
+  if (c->limited_per_s > 0)
+    e.cost -= LIMITED_PREFERENCE_US;
+  gboolean is_cached = c->cached_tokens >= PREFIX_LARGE_TOKENS
+                       && c->cached_tokens == comparison->best_cached;
+  gboolean is_own_pool = is_isolated (request) && c->in_isolated_pool
+                         && c->distance == TOPOLOGY_SAME_DOMAIN;
+  struct selection *selection = &comparison->suitable;
+  if (e.delays_streams)
+    selection = &comparison->delays_streams;
+  else if (e.breaks_isolation)
+    selection = &comparison->breaks_isolation;
+  if (view->engine == NULL || is_cached || is_own_pool
+      || request->may_break_isolation || c->limited_per_s > 0 || is_exit
+      || comparison->n_compared < COMPARED_MIN
+      || !is_in_time (request, &comparison->suitable))
+    consider (selection, c, &e);
+  comparison->n_compared += selection == &comparison->suitable;
+}
+
 /* Chooses the cheapest server that has capacity, of the few that are compared.
    Servers that peers could not reach, and those that are leaving, are compared
    only if no other one is usable, even if those have no capacity: the latter
@@ -696,17 +785,7 @@
   n_sources = group <= GROUP_LEAVING
                   ? add_leaving_sources (view, request, candidates, n)
                   : n;
-  guint best_cached = 0;
-  guint64 slots = 0;
-  guint64 busy_slots = 0;
-  guint n_outside_pool = 0; /* servers that are not in a sensitive pool */
-  guint n_limited = 0;
-  guint n_compared = 0;
-  guint n_exits = 0; /* of these, servers that an excess may leave for */
-  struct selection suitable = { 0 };
-  struct selection delays_streams = { 0 };
-  struct selection breaks_isolation = { 0 };
-  gboolean others_in_time = FALSE;
+  struct comparison comparison = { 0 };
   *choice = (struct placement_choice){ .usable = n,
                                        .first_event_us = G_MAXINT64,
                                        .capacity_wait_us = G_MAXINT64,
@@ -723,71 +802,17 @@
   struct preferred_servers preferred_servers
       = find_preferred_servers (view, request, candidates, n);
   for (guint i = 0; i < n_sources; i++)
-    best_cached = MAX (best_cached, candidates[i].cached_tokens);
-  guint home_cached = cached_in_domain (candidates, n);
+    comparison.best_cached
+        = MAX (comparison.best_cached, candidates[i].cached_tokens);
+  comparison.home_cached = cached_in_domain (candidates, n);
+  guint n_outside_pool = summarize (candidates, n, choice);
   for (guint i = 0; i < n; i++)
-    {
-      slots += candidates[i].server->entry.slots;
-      busy_slots += MIN (candidates[i].load.requests,
-                         candidates[i].server->entry.slots);
-      n_outside_pool += !candidates[i].in_sensitive_pool;
-      n_limited += candidates[i].server->limit.report.per_s > 0;
-      choice->limited_per_s += candidates[i].limited_per_s;
-    }
-  if (n_limited < n)
-    choice->limited_per_s = 0;
-  choice->busy = slots ? (double)busy_slots / (double)slots : 1.0;
-  for (guint i = 0; i < n; i++)
-    {
-      const struct placement_candidate *c = &candidates[i];
-      struct placement_estimate e
-          = view->engine != NULL
-                ? placement_estimate_engine (view, request, c, best_cached)
-                : placement_estimate_plain (request, c);
-      e.full
-          |= c->trial_running || c->limit_wait_us > 0 || c->brittle_wait_us > 0;
-      e.capacity_wait_us
-          = MAX (e.capacity_wait_us,
-                 (double)MAX (c->limit_wait_us, c->brittle_wait_us));
-      if (!e.full && !may_leave (view, request, c, &e, home_cached, choice))
-        continue;
-      choice->full |= e.full;
-      /* Requests do not wait for servers that break the isolation. */
-      if (!e.breaks_isolation || is_isolated (request))
-        {
-          choice->first_event_us
-              = MIN (choice->first_event_us, (gint64)e.first_event_us);
-          choice->capacity_wait_us
-              = MIN (choice->capacity_wait_us, (gint64)e.capacity_wait_us);
-          others_in_time |= c->distance != TOPOLOGY_OTHER_REGION
-                            && meets_target (request, &e);
-        }
-      if (e.full)
-        continue;
-      gboolean is_exit = view->domain_exit != NULL
-                         && c->distance != TOPOLOGY_SAME_DOMAIN
-                         && n_exits++ < COMPARED_MIN;
-      if (c->limited_per_s > 0)
-        e.cost -= LIMITED_PREFERENCE_US;
-      gboolean is_cached = c->cached_tokens >= PREFIX_LARGE_TOKENS
-                           && c->cached_tokens == best_cached;
-      gboolean is_own_pool = is_isolated (request) && c->in_isolated_pool
-                             && c->distance == TOPOLOGY_SAME_DOMAIN;
-      struct selection *selection = &suitable;
-      if (e.delays_streams)
-        selection = &delays_streams;
-      else if (e.breaks_isolation)
-        selection = &breaks_isolation;
-      if (view->engine == NULL || is_cached || is_own_pool || request->or_reject
-          || c->limited_per_s > 0 || is_exit || n_compared < COMPARED_MIN
-          || !is_in_time (request, &suitable))
-        consider (selection, c, &e);
-      n_compared += selection == &suitable;
-    }
+    compare_candidate (view, request, &candidates[i], &comparison, choice);
   const struct selection *chosen = select_by_isolation (
-      request, &suitable, &breaks_isolation, others_in_time);
+      request, &comparison.suitable, &comparison.breaks_isolation,
+      comparison.others_in_time);
   if (chosen->best == NULL && n_outside_pool == 0)
-    chosen = &delays_streams;
+    chosen = &comparison.delays_streams;
   if (chosen->best == NULL)
     {
       choice->full |= choice->must_stay;
@@ -799,8 +824,8 @@
   choice->prefill_tokens = chosen->estimate.prefill_tokens;
   choice->first_event_us = (gint64)chosen->estimate.first_event_us;
   if (chosen->estimate.fetched_tokens > 0)
-    choice->fetch_from = find_cached_server (candidates, n_sources, best_cached,
-                                             chosen->best->server);
+    choice->fetch_from = find_cached_server (
+        candidates, n_sources, comparison.best_cached, chosen->best->server);
   else if (view->engine != NULL && view->engine->can_fetch_prefixes
            && chosen->best->cached_tokens
                   < prefix_shared_tokens (&request->prompt))
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -24,11 +24,11 @@
   guint prompt_tokens;
   guint output_tokens; /* estimated */
   gsize body_bytes;
-  gint64 gap_us;         /* longest tolerated inter-event gap; 0: any */
-  gint64 left_us;        /* until the first event is due; 0: unknown */
-  guint64 affinity_hash; /* determines the preferred server */
-  gboolean or_reject;    /* without a server it will be rejected: it may use
-                            the pools of isolated streams */
+  gint64 gap_us;                /* longest tolerated inter-event gap; 0: any */
+  gint64 left_us;               /* until the first event is due; 0: unknown */
+  guint64 affinity_hash;        /* determines the preferred server */
+  gboolean may_break_isolation; /* would be rejected otherwise: it may use the
+                                   pools of isolated streams */
   guint tried[PLACEMENT_TRIED_MAX]; /* numbers of servers that must not be used
                                        again */
   guint n_tried;
@@ -91,7 +91,8 @@
   /* What decides on leaving the domain; NULL: the fixed costs alone. */
   const struct domain_exit *domain_exit;
   const struct domain_exit_budget *exit_budget;
-  gboolean is_last_resort; /* the request would be rejected otherwise */
+  gboolean may_leave_freely; /* would be rejected otherwise: only the budget of
+                                the link between regions keeps it at home */
 };
 
 /* The result of placement.  */
--- a/packages/sched/placement_cost.c
+++ b/packages/sched/placement_cost.c
@@ -68,6 +68,9 @@
 /* Cost of a latency-sensitive stream outside the pool, where long prompts will
    be placed later. */
 #define OUTSIDE_POOL_COST_US 100000.0
+/* Share of the recent prefill of an engine that a stream outside its pool is
+   charged for; an isolated stream is charged for all of it. */
+#define RECENT_PREFILL_SHARE 0.25
 /* Prefill that may be pending at one engine. With more of it the engine would
    prefill without a pause and stall its streams. */
 #define PENDING_LIMIT_US 450000.0
@@ -128,7 +131,7 @@
   if (pace >= PLACEMENT_SENSITIVE)
     return pace == PLACEMENT_ISOLATED ? ISOLATED_PREFILL_US
                                       : SENSITIVE_PREFILL_US;
-  if (request->or_reject)
+  if (request->may_break_isolation)
     return SENSITIVE_PREFILL_US;
   return SENSITIVE_PREFILL_US
          / MAX (1.0, view->self.domain_instances / INSTANCES_PER_LIMIT);
@@ -184,9 +187,8 @@
     return 0;
   double recent_tokens = (double)directory_recent_prefill (
       view->prefix_directory, c->server->number, view->now);
-  return OUTSIDE_POOL_COST_US
-         + (pace == PLACEMENT_ISOLATED ? 1.0 : 0.25) * view->us_per_token
-               * recent_tokens;
+  double share = pace == PLACEMENT_ISOLATED ? 1.0 : RECENT_PREFILL_SHARE;
+  return OUTSIDE_POOL_COST_US + share * view->us_per_token * recent_tokens;
 }
 
 /* Returns the cost of waiting: low while the first event is expected in time,
@@ -300,7 +302,7 @@
   gboolean is_local = c->distance == TOPOLOGY_SAME_DOMAIN;
   /* The rate at which an excess leaves is shared out already. */
   if (view->domain_exit != NULL && !is_local && !c->no_local_server
-      && !view->is_last_resort)
+      && !view->may_leave_freely)
     return pending_us <= LOW_PENDING_US;
   gboolean has_prefix
       = shared >= PREFIX_LARGE_TOKENS && c->cached_tokens >= shared;
@@ -335,7 +337,7 @@
   /* Prompts that would be rejected otherwise are few. */
   gboolean is_exempt = placement_pace (request->gap_us) == PLACEMENT_ISOLATED
                            ? c->in_isolated_pool
-                           : c->guarded && request->or_reject;
+                           : c->guarded && request->may_break_isolation;
   if (e->prefill_tokens > LONG_PREFILL_TOKENS && !is_exempt
       && !may_send_long_prompt (view, request, c, pending_us))
     wait_us = MAX (wait_us, PLACEMENT_SLICE_US);
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -233,6 +233,15 @@
       target->n_senders, target->sent);
 }
 
+/* Returns the assumed rate at which queued requests of SERVICE start, per
+   second.  */
+static double
+drain_per_s (const struct service *service)
+{
+  double per_s = rate_window_drain_per_s (&service->rate);
+  return per_s > 0 ? MAX (per_s, DRAIN_MIN_PER_S) : DRAIN_DEFAULT_PER_S;
+}
+
 /* Brings the decision on leaving the domain for requests of SERVICE, called
    NAME, up to date, if it is due.  */
 static void
@@ -244,9 +253,8 @@
       || !domain_exit_is_due (service->domain_exit, now))
     return;
   struct placement_view view = view_of (scheduler, service, name, now);
-  double per_s = rate_window_drain_per_s (&service->rate);
-  per_s = per_s > 0 ? MAX (per_s, DRAIN_MIN_PER_S) : DRAIN_DEFAULT_PER_S;
-  exit_inputs_collect (&view, (gint64)(1e6 * view.n_waiting / per_s), &inputs);
+  exit_inputs_collect (
+      &view, (gint64)(1e6 * view.n_waiting / drain_per_s (service)), &inputs);
   domain_exit_budget_refill (&scheduler->exit_budget,
                              scheduler->options.region_mbps,
                              scheduler->self.all_instances, now);
@@ -261,8 +269,8 @@
     counter_add (scheduler->options.counter_set, id, n);
 }
 
-/* Records that the request of ENTRY is sent to SERVER, in this domain or in
-   another one.  */
+/* Records that the request of ENTRY is sent to the server of CHOICE, in this
+   domain or in another one.  */
 static void
 record_exit (struct scheduler *scheduler, const struct service *service,
              const struct scheduler_entry *entry,
@@ -306,15 +314,16 @@
    have capacity. Returns whether there is one that it had to stay away from
    before.  */
 static gboolean
-choose_last_resort (struct scheduler *scheduler, const struct service *service,
-                    struct scheduler_entry *entry, gint64 now,
-                    struct placement_choice *choice)
+choose_leaving_freely (struct scheduler *scheduler,
+                       const struct service *service,
+                       struct scheduler_entry *entry, gint64 now,
+                       struct placement_choice *choice)
 {
   if (choice->server != NULL || !choice->must_stay)
     return FALSE;
   struct placement_view view
       = view_of (scheduler, service, entry->service, now);
-  view.is_last_resort = TRUE;
+  view.may_leave_freely = TRUE;
   placement_choose (&view, &entry->request, choice);
   return choice->server != NULL;
 }
@@ -385,8 +394,7 @@
 predict_wait (const struct service *service, guint ahead,
               const struct placement_choice *choice)
 {
-  double per_s = rate_window_drain_per_s (&service->rate);
-  per_s = per_s > 0 ? MAX (per_s, DRAIN_MIN_PER_S) : DRAIN_DEFAULT_PER_S;
+  double per_s = drain_per_s (service);
   if (choice->limited_per_s > 0)
     per_s = MIN (per_s, choice->limited_per_s);
   gint64 capacity_us
@@ -455,17 +463,18 @@
 /* Chooses again for ENTRY, which is about to be rejected: engines of the pools
    for isolated streams may be used too then. Returns whether it may start.  */
 static gboolean
-choose_or_reject (struct scheduler *scheduler, const struct service *service,
-                  struct scheduler_entry *entry, gint64 now,
-                  struct placement_choice *choice)
+choose_breaking_isolation (struct scheduler *scheduler,
+                           const struct service *service,
+                           struct scheduler_entry *entry, gint64 now,
+                           struct placement_choice *choice)
 {
   if (!stream_pools_any (scheduler->stream_pools)
       || is_held (service, entry, now))
     return FALSE;
   struct placement_choice last;
-  entry->request.or_reject = TRUE;
+  entry->request.may_break_isolation = TRUE;
   choose (scheduler, service, entry, now, &last);
-  entry->request.or_reject = FALSE;
+  entry->request.may_break_isolation = FALSE;
   if (last.server == NULL || !last.breaks_isolation)
     return FALSE;
   *choice = last;
@@ -548,11 +557,11 @@
   gboolean too_late
       = wait > left || (double)waited > HEAD_WAIT_SHARE * (double)left;
   if ((too_late || scheduler->n_waiting >= WAITING_MAX)
-      && ((choose_last_resort (scheduler, service, entry, now,
-                               &decision->choice)
+      && ((choose_leaving_freely (scheduler, service, entry, now,
+                                  &decision->choice)
            && !is_held (service, entry, now))
-          || choose_or_reject (scheduler, service, entry, now,
-                               &decision->choice)))
+          || choose_breaking_isolation (scheduler, service, entry, now,
+                                        &decision->choice)))
     decision->verdict = SCHEDULER_START;
   else if (scheduler->n_waiting >= WAITING_MAX)
     reject (scheduler, decision, SCHEDULER_QUEUE_FULL, decision->wait_us);
@@ -612,7 +621,7 @@
   struct scheduler_decision decision = { .verdict = SCHEDULER_START };
   choose (scheduler, service, entry, now, &decision.choice);
   if (now + predict_wait (service, 0, &decision.choice) > entry->target)
-    choose_last_resort (scheduler, service, entry, now, &decision.choice);
+    choose_leaving_freely (scheduler, service, entry, now, &decision.choice);
   if (decision.choice.server != NULL
       && !retry_groups_allow (retry_groups, &entry->request,
                               decision.choice.server))
@@ -625,8 +634,8 @@
         reject_without_server (scheduler, &decision);
       else if (!too_late)
         return FALSE;
-      else if (!choose_or_reject (scheduler, service, entry, now,
-                                  &decision.choice)
+      else if (!choose_breaking_isolation (scheduler, service, entry, now,
+                                           &decision.choice)
                || !retry_groups_allow (retry_groups, &entry->request,
                                        decision.choice.server))
         reject_for_overload (scheduler, service, entry, now, &decision);
--- a/packages/sched/stream_pool.c
+++ b/packages/sched/stream_pool.c
@@ -13,9 +13,8 @@
 #define STREAMS_PER_ENGINE 24
 /* Share of an engine's batch that the streams fill at most, as a target. */
 #define BATCH_SHARE 0.75
-/* Share of an engine's streams that a pool must have room for before other long
-   prompts use its next engine. Instances that know more streams use that engine
-   already. */
+/* Room for further streams, as a share of an engine's, that the guarded engines
+   include: peers with newer loads may already use the next engine. */
 #define SPARE_SHARE 0.5
 /* Time for which a pool must be too large before it shrinks; longer than the
    calm between two bursts of seconds. */
@@ -119,8 +118,8 @@
   return MIN ((streams + each - 1) / each, demand->engines / 2);
 }
 
-/* Updates HELD for NEEDED engines. It shrinks to the most that were needed once
-   all were not needed for AFTER_US.  */
+/* Updates HELD for NEEDED engines: grows at once; shrinks after AFTER_US of
+   surplus, to the most that was needed meanwhile.  */
 static void
 hold (struct held_size *held, guint needed, gint64 after_us, gint64 now)
 {
--- a/tests/unit/test_duty_client.c
+++ b/tests/unit/test_duty_client.c
@@ -158,9 +158,37 @@
   expect_got ("POST /usage-reports HTTP/1.1\r\n", "\"blue\":7}}");
 }
 
+/* A process that is suspended while it connects sends nothing once the time of
+   the call is over. It sent the call with a token that was outdated by then, as
+   the socket came before the timer.  */
+static void
+test_suspended_connect (void)
+{
+  const struct server_order order = { "chat", "b", FALSE, 6 };
+  struct err err = { 0 };
+  memset (&stub, 0, sizeof stub);
+  stub.got = g_string_new (NULL);
+  stub.listener = tcp_listener_new ("127.0.0.1:0", on_accepted, NULL, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (stub.listener);
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", tcp_listener_port (stub.listener));
+  struct duty_client *client = duty_client_new (address, "edge-a-1");
+  duty_client_order (client, TOKEN, &order, on_done, NULL);
+  g_usleep (DUTY_CLIENT_TIMEOUT_US + 100 * CLK_MS);
+  endless_wait (&stub.results, 1, WAIT_MS);
+  endless_wait (&stub.resets, 1, WAIT_MS);
+  CU_ASSERT_EQUAL (stub.code, ERR_TIMEOUT);
+  CU_ASSERT_EQUAL (stub.got->len, 0);
+  duty_client_free (client);
+  g_clear_pointer (&stub.conn, tcp_conn_close);
+  tcp_listener_free (stub.listener);
+  g_string_free (stub.got, TRUE);
+}
+
 static CU_TestInfo tests[] = {
   { "calls and their results", test_results },
   { "a time-out resets the connection", test_timeout },
+  { "nothing is sent after a suspension", test_suspended_connect },
   CU_TEST_INFO_NULL,
 };
 
