Decode the versions of servers, and log what streams resume

Change: registry entries have the version of the server's software, from the store or a peer; an entry whose version is no text names no server, and one under the same id with another version is another life. server.appeared and request.placed say it, request.placed also the field Resumes. No decision rests on it yet.

--- a/packages/fleet/registry.c
+++ b/packages/fleet/registry.c
@@ -426,6 +426,16 @@
   server->backoff.trials = 0;
 }
 
+/* Returns whether the versions of A and B differ. Older instances pass entries
+   on without one.  */
+static gboolean
+has_other_version (const struct registry_entry *a,
+                   const struct registry_entry *b)
+{
+  return a->version[0] != '\0' && b->version[0] != '\0'
+         && strcmp (a->version, b->version) != 0;
+}
+
 /* Updates the server of ENTRY. Its health and other measurements are kept until
    it restarts. An entry with an older start time than the present one arrived
    late and is ignored.  */
@@ -444,6 +454,7 @@
   gboolean restarted
       = server != NULL
         && (entry->start_time_ms != server->entry.start_time_ms
+            || has_other_version (entry, &server->entry)
             || strcmp (entry->service, server->entry.service) != 0
             || strcmp (entry->address, server->entry.address) != 0);
   if (restarted)
@@ -453,6 +464,9 @@
   if (server == NULL || restarted)
     return;
   server->missing_since = 0;
+  if (server->entry.version[0] == '\0')
+    g_strlcpy (server->entry.version, entry->version,
+               sizeof server->entry.version);
   server->entry.slots = entry->slots;
   server->entry.warming_until = entry->warming_until;
   server->entry.is_spot = entry->is_spot;
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -531,7 +531,8 @@
       " running=%u tight=%u unread_ahead=%" G_GUINT64_FORMAT
       " shared_key=%08x parts=%s fingerprints=%s"
       " predicted_ms=%" G_GINT64_FORMAT " fetch=%s waited_ms=%" G_GINT64_FORMAT
-      " resume_after=\"%s\" resume_from=%s",
+      " resume_after=\"%s\" resume_from=%s resumes=\"%s\""
+      " software=\"%s\"",
       exchange->queue_entry.service, exchange->tier,
       routing_table_version (exchange->routing_table),
       proxy_config_age (reverse_proxy, now) / CLK_MS, exchange->attempts + 1,
@@ -545,7 +546,8 @@
       (now - exchange->arrived) / CLK_MS, position.text,
       exchange->position.relayed ? "events"
       : position.text[0] != '\0' ? "client"
-                                 : "none");
+                                 : "none",
+      exchange_logged_resumes (exchange).text, choice->server->entry.version);
   scheduler_started (reverse_proxy->options.scheduler, &exchange->queue_entry,
                      choice, now);
   exchange->uncached_tokens = choice->prefill_tokens;
--- a/packages/gate/exchange_internal.h
+++ b/packages/gate/exchange_internal.h
@@ -32,6 +32,7 @@
 exchange_logged_fingerprints (const struct exchange *exchange);
 struct logged_id exchange_logged_id (struct str id);
 struct logged_id exchange_logged_position (const struct exchange *exchange);
+struct logged_id exchange_logged_resumes (const struct exchange *exchange);
 struct log_entry exchange_log_record (const struct exchange *exchange,
                                       const char *event, const char *peer);
 
--- a/packages/gate/exchange_log.c
+++ b/packages/gate/exchange_log.c
@@ -30,6 +30,16 @@
   return exchange_logged_id (stream_position_id (&exchange->position));
 }
 
+/* Returns the id of the request whose stream this one resumes for the log.  */
+struct logged_id
+exchange_logged_resumes (const struct exchange *exchange)
+{
+  struct str id = { "", 0 };
+  http_head_get (exchange->head, exchange->reverse_proxy->header_names->resumes,
+                 &id);
+  return exchange_logged_id (id);
+}
+
 /* Returns the shared parts of the prompt for the log, the first ones.  */
 struct logged_parts
 exchange_logged_parts (const struct exchange *exchange)
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -38,6 +38,8 @@
     .relayed = "X-Relayed",
     /* Id of the event after which a stream is resumed. */
     .last_event = "Last-Event-ID",
+    /* Id of the request with which the client got the stream's first event. */
+    .resumes = "X-Resumes",
     .model = "X-Model",
     /* Prompt tokens, maximum of output tokens. */
     .token_counts = "X-Tokens",
--- a/packages/gate/header_names.h
+++ b/packages/gate/header_names.h
@@ -19,6 +19,7 @@
   X (brittle)                                                                  \
   X (limit)                                                                    \
   X (last_event)                                                               \
+  X (resumes)                                                                  \
   X (model)                                                                    \
   X (token_counts)                                                             \
   X (prefix_blocks)                                                            \
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -37,9 +37,10 @@
       &(struct log_entry){ .level = LOG_INFO,
                            .event = names[change->kind],
                            .peer = server->entry.id },
-      "service=%s domain=%s address=%s born=%" G_GINT64_FORMAT " source=%s",
+      "service=%s domain=%s address=%s version=%s born=%" G_GINT64_FORMAT
+      " source=%s",
       server->entry.service, server->entry.domain, server->entry.address,
-      server->entry.start_time_ms, registry_source_name (change->source));
+      server->entry.version, server->entry.start_time_ms, registry_source_name (change->source));
   if (daemon->reverse_proxy != NULL)
     proxy_server_changed (daemon->reverse_proxy, change);
 }
--- a/packages/peer/peer_server_list.c
+++ b/packages/peer/peer_server_list.c
@@ -10,6 +10,9 @@
 /* The entries of spot servers, and of servers with a stated end, have two more
    fields, which older instances ignore. */
 #define FIELDS_SPOT 10
+/* The entries of servers that state the version of their software have a
+   further one. */
+#define FIELDS_VERSION 11
 #define LEAVING_MAX_US (G_GINT64_CONSTANT (1000000) * CLK_S)
 #define CHANGES_NAME "changes"
 #define CHANGES_FIELDS 4 /* of encoded changes */
@@ -24,6 +27,9 @@
   for (guint i = 0; i < n; i++)
     {
       guint64 seed = (guint64)entries[i].start_time_ms * 2 + entries[i].leaving;
+      /* Otherwise a version lasts as long as the life. */
+      if (entries[i].start_time_ms == 0 && entries[i].version[0] != '\0')
+        seed = str_hash (str_of (entries[i].version), seed);
       digest ^= str_hash (str_of (entries[i].id), seed);
     }
   return digest;
@@ -35,8 +41,11 @@
 static void
 pack_entry (msgpack_packer *pk, const struct registry_entry *entry, gint64 now)
 {
-  gboolean extended = entry->is_spot || entry->leaving_at != 0;
-  msgpack_pack_array (pk, extended ? FIELDS_SPOT : FIELDS);
+  gboolean versioned = entry->version[0] != '\0';
+  gboolean extended = versioned || entry->is_spot || entry->leaving_at != 0;
+  msgpack_pack_array (pk, versioned  ? FIELDS_VERSION
+                          : extended ? FIELDS_SPOT
+                                     : FIELDS);
   peer_msgpack_pack_text (pk, entry->id);
   peer_msgpack_pack_text (pk, entry->service);
   peer_msgpack_pack_text (pk, entry->address);
@@ -51,6 +60,8 @@
   /* 0: not stated; an end that is due is 1 microsecond ahead. */
   msgpack_pack_int64 (
       pk, entry->leaving_at != 0 ? MAX (entry->leaving_at - now, 1) : 0);
+  if (versioned)
+    peer_msgpack_pack_text (pk, entry->version);
 }
 
 /* Appends LIST to OUT.  */
@@ -90,7 +101,7 @@
 
 /* Reads the fields of an entry that older instances do not send.  */
 static gboolean
-read_spot (const msgpack_object_array *fields, gint64 requested_at,
+read_extension (const msgpack_object_array *fields, gint64 requested_at,
            struct registry_entry *entry)
 {
   gint64 left;
@@ -102,7 +113,10 @@
     return FALSE;
   entry->is_spot = fields->ptr[FIELDS].via.boolean;
   entry->leaving_at = left > 0 ? requested_at + left : 0;
-  return TRUE;
+  return fields->size < FIELDS_VERSION
+         || (read_text (&fields->ptr[FIELDS_SPOT], entry->version,
+                        sizeof entry->version)
+             && str_id_ok (str_of (entry->version)));
 }
 
 static gboolean
@@ -125,7 +139,7 @@
   entry->slots = (guint)slots;
   entry->warming_until = cold > 0 ? requested_at + cold : 0;
   entry->leaving = f[7].via.boolean;
-  if (!read_spot (&object->via.array, requested_at, entry))
+  if (!read_extension (&object->via.array, requested_at, entry))
     return FALSE;
   return entry->id[0] != '\0' && str_id_ok (str_of (entry->id));
 }
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -247,6 +247,7 @@
   CU_ASSERT_STRING_EQUAL (entry.domain, "a-1");
   CU_ASSERT_EQUAL (entry.start_time_ms, G_GINT64_CONSTANT (1700000000000));
   CU_ASSERT_EQUAL (entry.slots, 64);
+  CU_ASSERT_STRING_EQUAL (entry.version, "v1");
   CU_ASSERT_FALSE (entry.leaving);
   CU_ASSERT_FALSE (entry.is_spot);
   CU_ASSERT_EQUAL (entry.leaving_at, 0);
@@ -265,6 +266,7 @@
     { "\"max_batch\":64", "\"max_batch\":\"64\"" },
     { "\"max_batch\":64", "\"max_batch\":0" },
     { "\"zone\":\"a-1\",", "" },
+    { "\"v1\"", "1" },
     { "\"s1\"", "{}" },
     { "\"s1\"", "\"\"" },
   };
--- a/tests/unit/test_server_list.c
+++ b/tests/unit/test_server_list.c
@@ -153,6 +153,36 @@
   g_byte_array_unref (spot);
 }
 
+/* The version of a server's software survives the way to another instance. The
+   digest does not contain it, unless nothing else tells two lives apart.  */
+static void
+test_versions (void)
+{
+  struct peer_server_list list = make_list (3, 10 * CLK_S);
+  struct peer_server_list decoded;
+  GByteArray *bytes = g_byte_array_new ();
+  struct err err = { 0 };
+  guint64 digest = list.digest;
+  strcpy (entry_of (&list, 0)->version, "v1.1");
+  update_digest (&list);
+  CU_ASSERT_EQUAL (list.digest, digest);
+  entry_of (&list, 0)->start_time_ms = 0;
+  update_digest (&list);
+  digest = list.digest;
+  strcpy (entry_of (&list, 0)->version, "v1.2");
+  update_digest (&list);
+  CU_ASSERT_NOT_EQUAL (list.digest, digest);
+  server_list_encode (&list, 10 * CLK_S, bytes);
+  struct str encoded = { (const char *)bytes->data, bytes->len };
+  CU_ASSERT_EQUAL_FATAL (
+      server_list_decode (encoded, 50 * CLK_S, NULL, &decoded, &err), 0);
+  CU_ASSERT_STRING_EQUAL (entry_of (&decoded, 0)->version, "v1.2");
+  CU_ASSERT_STRING_EQUAL (entry_of (&decoded, 1)->version, "");
+  g_array_unref (decoded.entries);
+  g_array_unref (list.entries);
+  g_byte_array_unref (bytes);
+}
+
 /* Lists change at random, back to earlier states too. Whichever list a peer
    still has, the changes lead to the newest one, or it gets the whole list.  */
 static void
@@ -302,6 +332,7 @@
   { "digest", test_digest },
   { "changes since a list", test_changes },
   { "entries of spot servers", test_spot_entries },
+  { "versions of the software", test_versions },
   { "random changes", test_changes_random },
   { "damaged changes", test_damaged_changes },
   { "a list spreads over a fleet that starts", test_transfers_spread },
