--- a/tests/harness/fleet_clients.c
+++ b/tests/harness/fleet_clients.c
@@ -14,8 +14,8 @@
 static gboolean
 on_body (void *ctx, struct str bytes)
 {
-  (void)ctx;
-  (void)bytes;
+  g_string_append_len (((struct fleet_request *)ctx)->body, bytes.p,
+                       (gssize)bytes.n);
   return TRUE;
 }
 
@@ -59,6 +59,7 @@
   struct fleet_request *request = data;
   g_clear_pointer (&request->tcp_conn, tcp_conn_close);
   http_reader_free (request->http_reader);
+  g_string_free (request->body, TRUE);
   g_free (request);
 }
 
@@ -118,6 +119,7 @@
   const struct tcp_conn_options options
       = { .handler = &connection, .ctx = request };
   request->kind = message->kind;
+  request->body = g_string_new (NULL);
   request->instance
       = message->instance >= 0
             ? (guint)message->instance
@@ -139,6 +141,9 @@
   if (message->prompt != NULL)
     g_string_append_printf (text, "X-Prompt-Parts: %s\r\nX-Tokens: 400,40\r\n",
                             message->prompt);
+  if (message->resumes != NULL)
+    g_string_append_printf (text, "X-Resumes: %s\r\nLast-Event-ID: %u\r\n",
+                            message->resumes, message->last_event);
   append_body (message->body, message->chunked, text);
   if (request->tcp_conn != NULL)
     tcp_conn_write (request->tcp_conn, text->str, text->len);
--- a/tests/harness/fleet_clients.h
+++ b/tests/harness/fleet_clients.h
@@ -11,8 +11,10 @@
 struct fleet_message
 {
   const char *path;
-  const char *key;    /* of the caller */
-  const char *prompt; /* its parts; NULL: none */
+  const char *key;     /* of the caller */
+  const char *prompt;  /* its parts; NULL: none */
+  const char *resumes; /* id of the request whose stream goes on; NULL: none */
+  guint last_event;    /* after which it goes on */
   struct str body;
   gboolean chunked; /* the body is sent in chunks */
   guint timeout_ms;
@@ -29,6 +31,7 @@
   guint executions;  /* by servers; for the test to count */
   guint status;      /* of the response; 0: none */
   gboolean answered; /* the response is complete */
+  GString *body;     /* of the response */
   struct tcp_conn *tcp_conn;
   struct http_reader *http_reader;
 };
--- a/tests/harness/proxy_fleet.c
+++ b/tests/harness/proxy_fleet.c
@@ -61,10 +61,11 @@
   char *name = server_name (number, life);
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
-      "\"max_batch\":%u,\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT "}",
+      "\"version\":\"%s\",\"max_batch\":%u,\"state\":\"ready\","
+      "\"born\":%" G_GINT64_FORMAT "}",
       fleet->service ? fleet->service : "pool", port,
-      number % PROXY_FLEET_DOMAINS, fleet->slots ? fleet->slots : 64,
-      g_get_real_time () / 1000);
+      number % PROXY_FLEET_DOMAINS, fleet->version ? fleet->version : "v1",
+      fleet->slots ? fleet->slots : 64, g_get_real_time () / 1000);
   put (fleet, name, body);
   g_free (body);
   g_free (name);
--- a/tests/harness/proxy_fleet.h
+++ b/tests/harness/proxy_fleet.h
@@ -31,6 +31,7 @@
   struct proxy_fleet_instance instances[PROXY_FLEET_INSTANCES];
   guint slots;         /* of servers listed from now on; 0: 64 */
   const char *service; /* of servers listed from now on; NULL: pool */
+  const char *version; /* of their software; NULL: v1 */
   guint memory_mb;     /* setting of the instances; 0: the default */
   guint n_killed;      /* instances */
   guint n_frozen;      /* instances, now and before */
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -10,6 +10,7 @@
 void (*proxy_test_used) (void *ctx, const struct proxy_usage *usage);
 gint64 proxy_test_shutdown_limit_us = 8 * CLK_S;
 gsize proxy_test_body_limit = 5000;
+const char *proxy_test_versions[PROXY_TEST_SERVERS];
 gint64 proxy_test_timeout_us = 1500 * CLK_MS;
 
 gint64
@@ -288,6 +289,9 @@
       g_strlcpy (entry->address, proxy_test.servers[i].address,
                  sizeof entry->address);
       g_strlcpy (entry->domain, "here", sizeof entry->domain);
+      if (proxy_test_versions[i] != NULL)
+        g_strlcpy (entry->version, proxy_test_versions[i],
+                   sizeof entry->version);
       entry->slots = 8;
       entry->leaving = leaving >> i & 1;
     }
