--- a/packages/fleet/registry.h
+++ b/packages/fleet/registry.h
@@ -22,8 +22,8 @@
   char address[ERR_PEER_MAX]; /* IP:PORT */
   char domain[STR_ID_MAX + 1];
   char version[STR_ID_MAX + 1]; /* of its software; "": not stated */
-  gint64 start_time_ms; /* reported by the server; 0: unknown */
-  guint slots;          /* concurrent requests */
+  gint64 start_time_ms;         /* reported by the server; 0: unknown */
+  guint slots;                  /* concurrent requests */
   gint64 warming_until; /* clock time until which it is slow; 0: not slow */
   gboolean leaving;
   gboolean is_spot;  /* of the cheaper kind, which may be reclaimed */
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -33,14 +33,14 @@
       = { "server.appeared", "server.leaving", "server.gone" };
   struct proxy_daemon *daemon = ctx;
   const struct registry_server *server = change->server;
-  log_write (
-      &(struct log_entry){ .level = LOG_INFO,
-                           .event = names[change->kind],
-                           .peer = server->entry.id },
-      "service=%s domain=%s address=%s version=%s born=%" G_GINT64_FORMAT
-      " source=%s",
-      server->entry.service, server->entry.domain, server->entry.address,
-      server->entry.version, server->entry.start_time_ms, registry_source_name (change->source));
+  log_write (&(struct log_entry){ .level = LOG_INFO,
+                                  .event = names[change->kind],
+                                  .peer = server->entry.id },
+             "service=%s domain=%s address=%s version=%s born=%" G_GINT64_FORMAT
+             " source=%s",
+             server->entry.service, server->entry.domain, server->entry.address,
+             server->entry.version, server->entry.start_time_ms,
+             registry_source_name (change->source));
   if (daemon->reverse_proxy != NULL)
     proxy_server_changed (daemon->reverse_proxy, change);
 }
--- a/packages/peer/peer_server_list.c
+++ b/packages/peer/peer_server_list.c
@@ -102,7 +102,7 @@
 /* Reads the fields of an entry that older instances do not send.  */
 static gboolean
 read_extension (const msgpack_object_array *fields, gint64 requested_at,
-           struct registry_entry *entry)
+                struct registry_entry *entry)
 {
   gint64 left;
   if (fields->size < FIELDS_SPOT)
