--- a/packages/config/follower.c
+++ b/packages/config/follower.c
@@ -64,6 +64,7 @@
   switch (op)
     {
     case STORAGE_GET:
+    case STORAGE_LIST:
       return FOLLOWER_READ_US;
     case STORAGE_PUT:
       return FOLLOWER_WRITE_US;
--- a/packages/store/storage.h
+++ b/packages/store/storage.h
@@ -16,7 +16,8 @@
 #define STORAGE_OPS(X)                                                         \
   X (GET, "get")                                                               \
   X (PUT, "put")     /* if the object is at the expected version */            \
-  X (WATCH, "watch") /* responds once the version is above EXPECTED */
+  X (WATCH, "watch") /* responds once the version is above EXPECTED */         \
+  X (LIST, "list")   /* all objects, of any name */
 
 enum storage_op
 {
@@ -34,19 +35,29 @@
   gint64 timeout_us;
 };
 
+/* An object in the response to a LIST. */
+struct storage_object
+{
+  const char *name;
+  guint64 version;
+  GBytes *body;
+};
+
 struct storage_response
 {
-  int code;              /* 0: success;
-                            ERR_NOT_FOUND, ERR_CONFLICT: definite;
-                            ERR_LIMIT: rate limited, nothing changed;
-                            ERR_UNAVAILABLE: not accepted, nothing changed;
-                            ERR_INVALID, ERR_AUTH, ERR_TOO_LARGE: rejected,
-                            nothing changed;
-                            ERR_TIMEOUT, ERR_IO: a PUT may have taken effect;
-                            ERR_TIMEOUT also ends a WATCH without a change */
-  guint64 version;       /* of the object, if known */
-  GBytes *body;          /* GET, WATCH: the value, borrowed; ERR_CONFLICT: the
-                            one that is stored, NULL if not given; else NULL */
+  int code;        /* 0: success;
+                      ERR_NOT_FOUND, ERR_CONFLICT: definite;
+                      ERR_LIMIT: rate limited, nothing changed;
+                      ERR_UNAVAILABLE: not accepted, nothing changed;
+                      ERR_INVALID, ERR_AUTH, ERR_TOO_LARGE: rejected,
+                      nothing changed;
+                      ERR_TIMEOUT, ERR_IO: a PUT may have taken effect;
+                      ERR_TIMEOUT also ends a WATCH without a change */
+  guint64 version; /* of the object, if known */
+  GBytes *body;    /* GET, WATCH: the value, borrowed; ERR_CONFLICT: the
+                      one that is stored, NULL if not given; else NULL */
+  const struct storage_object *objects; /* LIST; borrowed */
+  guint n_objects;
   gint64 retry_after_us; /* ERR_LIMIT, ERR_UNAVAILABLE: 0 if not given */
   guint64 era; /* of the store, which rises when it is restored from an
                   older copy; 0: not stated */
--- a/tests/unit/follower_sim.h
+++ b/tests/unit/follower_sim.h
@@ -302,6 +302,8 @@
     case STORAGE_WATCH:
       store_watch (sim, call);
       break;
+    case STORAGE_LIST:
+      break; /* the follower lists nothing */
     }
 }
 
--- a/tests/unit/test_pob.c
+++ b/tests/unit/test_pob.c
@@ -29,6 +29,7 @@
   char address[32];
   enum store_mode mode;
   guint status;
+  gboolean lists; /* reads are of the list of all objects */
   guint requests;
   guint64 version; /* of the only object; 0: it does not exist */
   char value[64];
@@ -45,6 +46,8 @@
   guint64 version;
   gint64 retry_after_us;
   char body[64];
+  guint listed;
+  char names[64]; /* of the listed objects, joined */
 };
 
 static struct fake_store fake_store;
@@ -100,6 +103,23 @@
   g_free (text);
 }
 
+/* Sends the first page of a list, or the last one after object "b".  */
+static void
+send_page (SoupServerMessage *msg)
+{
+  gboolean is_last = strstr (fake_store.last_query, "after_rev=b") != NULL;
+  send_text (msg, 200,
+             is_last ? "{\"items\":[{\"metadata\":{\"name\":\"c\","
+                       "\"revision\":9},\"spec\":{\"text\":\"3\"}}],"
+                       "\"has_more\":false,\"at\":9}"
+                     : "{\"items\":[{\"metadata\":{\"name\":\"a\","
+                       "\"revision\":2},\"spec\":{\"text\":\"1\"}},"
+                       "{\"metadata\":{\"name\":\"x\"},\"spec\":null},17,"
+                       "{\"metadata\":{\"name\":\"b\",\"revision\":4},"
+                       "\"spec\":{\"base64\":\"Mg==\"}}],"
+                       "\"has_more\":true,\"at\":9}");
+}
+
 static void
 handle_request (SoupServerMessage *msg)
 {
@@ -108,6 +128,8 @@
     handle_write (msg, strcmp (method, "POST") == 0);
   else if (strstr (fake_store.last_query, "watch="))
     send_text (msg, 200, "{\"events\":[],\"at\":7}");
+  else if (fake_store.lists)
+    send_page (msg);
   else if (fake_store.version)
     send_object (msg, 200);
   else
@@ -213,6 +235,10 @@
   gsize n = 0;
   const char *p = response->body ? g_bytes_get_data (response->body, &n) : NULL;
   outcome->completions++;
+  outcome->listed = response->n_objects;
+  for (guint i = 0; i < response->n_objects; i++)
+    g_strlcat (outcome->names, response->objects[i].name,
+               sizeof outcome->names);
   outcome->code = response->code;
   outcome->version = response->version;
   outcome->retry_after_us = response->retry_after_us;
@@ -437,8 +463,32 @@
   stop_fake_store ();
 }
 
+/* Objects of another writer are left out of a list.  */
+static void
+test_list (void)
+{
+  start_fake_store ();
+  fake_store.lists = TRUE;
+  struct object_client *client = new_client ();
+  struct outcome outcome = run (client, STORAGE_LIST, 0, NULL, LONG_US);
+  CU_ASSERT_EQUAL (outcome.code, 0);
+  CU_ASSERT_EQUAL (outcome.listed, 3);
+  CU_ASSERT_STRING_EQUAL (outcome.names, "abc");
+  CU_ASSERT_EQUAL (fake_store.requests, 2);
+  fake_store.lists = FALSE;
+  outcome = run (client, STORAGE_LIST, 0, NULL, LONG_US);
+  CU_ASSERT_EQUAL (outcome.code, ERR_NOT_FOUND);
+  fake_store.mode = MODE_STATUS;
+  fake_store.status = 429;
+  outcome = run (client, STORAGE_LIST, 0, NULL, LONG_US);
+  CU_ASSERT_EQUAL (outcome.code, ERR_LIMIT);
+  object_client_free (client);
+  stop_fake_store ();
+}
+
 static CU_TestInfo tests[] = {
   { "reads and conditional writes", test_get_and_put },
+  { "a list of several pages", test_list },
   { "a watch without changes", test_watch },
   { "a watch without history", test_watch_without_history },
   { "a watch and reads without history", test_watch_gone_for_good },
