Let a stream go on only at the version that began it

Cause: callers got streams of which the first part came from one software version of the servers and the rest from another, with nothing to show it. Nothing knew the version: an answer that broke off was resumed at any server of the service, and so was a stream that its client took up again. It needs no loss of instances; that only makes many clients come back at once. Change: the stream is bound to the version of the server that sends its first event (gate/stream_version.c), and placement leaves out servers of others, within one response, when it is passed on to another instance, and over a client's requests, which name the first one in Resumes. Where that one has begun, an instance knows - from the table of versions (streams/version_table.c), an object of the store that changes only with a release: while a service has one version, every stream has begun there, also after a loss of all instances; - while it has several, from what it has seen, else from its peers (peer/stream_inquiry.c), else from the store, where two collectors of each failure domain save what all have reported (jacinthward/version_keeper.c). A stream whose version nobody knows, or that no server has any more, is refused with 503 at once, so that its client can begin anew. Two Resumes fields are refused with 400. test_stream_pool took the isolated counts for the last field of a message; it checks and drops the one that follows as well.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -31,6 +31,14 @@
   X (RESUMES, "resumes", "streams resumed on another engine")                  \
   X (STREAM_REPEATS, "stream_repeats",                                         \
      "resumed servers that began at or before the position")                   \
+  X (STREAM_SEARCHES, "stream_searches",                                       \
+     "resumed streams whose version had to be searched for")                   \
+  X (STREAM_VERSION_REJECTED, "stream_version_refused",                        \
+     "resumed streams whose version is unknown or not served any more")        \
+  X (VERSION_TABLES, "version_tables", "changes of the table of versions")     \
+  X (STREAMS_SAVED, "streams_saved",                                           \
+     "times that the versions of streams were saved")                          \
+  X (STREAMS_UNSAVED, "streams_unsaved", "failures to save or read them")      \
   X (CANCELS, "cancels", "attempts cancelled")                                 \
   X (TOKENS, "tokens", "tokens relayed to clients")                            \
   X (TOKENS_WASTED, "tokens_wasted", "generated tokens that were discarded")   \
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -87,6 +87,7 @@
     *exchange->freed = TRUE;
   config_wait_cancel (exchange);
   part_trial_cancel (exchange);
+  stream_version_cancel (exchange);
   part_trial_end (exchange);
   g_clear_handle_id (&exchange->timer, g_source_remove);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
@@ -130,6 +131,7 @@
 {
   struct downstream *downstream = exchange->downstream;
   part_trial_cancel (exchange);
+  stream_version_cancel (exchange);
   exchange_end_attempt (exchange);
   scheduler_withdraw (exchange->reverse_proxy->options.scheduler,
                       &exchange->queue_entry);
@@ -357,7 +359,13 @@
 {
   struct scheduler_entry *queue_entry = &exchange->queue_entry;
   const struct routing_route *route = exchange->route;
-  guint64 id_hash = str_hash (str_of (exchange->id), 0);
+  struct str begun_by;
+  stream_version_resumes (exchange, &begun_by);
+  /* A stream goes on at the service at which it has begun. */
+  guint64 id_hash = str_hash (exchange->is_continuation && begun_by.n > 0
+                                  ? begun_by
+                                  : str_of (exchange->id),
+                              0);
   g_strlcpy (queue_entry->service, routing_pick (route, id_hash),
              sizeof queue_entry->service);
   exchange->tier = routing_tier (route, exchange->team);
@@ -387,6 +395,8 @@
     return;
   set_deadline (exchange);
   fill_queue_entry (exchange);
+  if (!stream_version_admit (exchange))
+    return;
   /* The instance that it is passed on to counts it. */
   if (exchange->attempts == 0 && exchange->sent == 0
       && !relay_is_wanted (exchange))
@@ -421,6 +431,14 @@
       exchange_reject (exchange, 400, "repeated_last_event_id", 0);
       return;
     }
+  struct str begun_by;
+  if (!stream_version_resumes (exchange, &begun_by))
+    {
+      counter_add (reverse_proxy->options.counter_set, COUNTER_INVALID_REQUEST,
+                   1);
+      exchange_reject (exchange, 400, "repeated_resumes", 0);
+      return;
+    }
   exchange_route_request (exchange);
 }
 
@@ -500,7 +518,11 @@
           return;
         }
       fill_queue_entry (exchange);
-      if (!g_str_equal (service, exchange->queue_entry.service))
+      if (!stream_version_admit (exchange))
+        return;
+      if (!g_str_equal (service, exchange->queue_entry.service)
+          || placement_excludes (&exchange->queue_entry.request,
+                                 choice->server))
         {
           exchange_enqueue (exchange);
           return;
@@ -631,6 +653,7 @@
     return;
   config_wait_cancel (exchange);
   part_trial_cancel (exchange);
+  stream_version_cancel (exchange);
   exchange_transition (exchange, EXCHANGE_ON_DISCONNECT);
   exchange_log_end (exchange, "caller_gone");
   counter_add (exchange->reverse_proxy->options.counter_set,
--- a/packages/gate/exchange_attempt.c
+++ b/packages/gate/exchange_attempt.c
@@ -105,7 +105,8 @@
     .may_have_run = exchange->may_have_run,
     .response_begun = exchange->head_sent,
     .can_resume = exchange->is_sse && exchange->route->resumable
-                  && exchange->position.state == STREAM_POSITION_KNOWN,
+                  && exchange->position.state == STREAM_POSITION_KNOWN
+                  && stream_version_can_resume (exchange),
     .has_response = head != NULL && may_forward (exchange, head),
     .sent = exchange->sent,
     .attempts_max = exchange->route->attempts,
--- a/packages/gate/exchange_response.c
+++ b/packages/gate/exchange_response.c
@@ -13,14 +13,18 @@
 #define JOINED_BODY_MAX (64 * 1024) /* bytes, in one write with the head */
 
 static void
-append_response_head (const struct http_head *head, GString *out)
+append_response_head (const struct exchange *exchange,
+                      const struct http_head *head, GString *out)
 {
+  const char *between_instances
+      = exchange->reverse_proxy->header_names->software;
   g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", head->status,
                           http_reason_phrase (head->status));
   for (guint i = 0; i < head->fields->len; i++)
     {
       struct str name = http_head_field_name (head, i);
-      if (!http_head_is_hop_by_hop (head, name))
+      if (!http_head_is_hop_by_hop (head, name)
+          && !http_equals_ignore_case (name, between_instances))
         http_put_field_str (out, name, http_head_field_value (head, i));
     }
 }
@@ -57,13 +61,15 @@
 {
   struct str type = media_type (head);
   exchange_transition (exchange, EXCHANGE_ON_RESPONSE_START);
+  stream_version_read_response (exchange, head);
   if (exchange->head_sent)
     return head->status == exchange->status
            && type.n == strlen (exchange->media_type)
            && g_ascii_strncasecmp (type.p, exchange->media_type, type.n) == 0;
   exchange->media_type = str_dup (type);
   GString *out = g_string_new (NULL);
-  append_response_head (head, out);
+  append_response_head (exchange, head, out);
+  stream_version_put_response (exchange, out);
   exchange->status = head->status;
   exchange->is_sse
       = exchange->route->kind == ROUTING_STREAM
@@ -210,7 +216,10 @@
       n += event.has_data || event.id_kind != STREAM_ID_ABSENT;
     }
   if (n > 0)
-    record_events (exchange, n);
+    {
+      stream_version_began (exchange);
+      record_events (exchange, n);
+    }
   write_to_client (exchange,
                    (struct str){ complete_events->str, complete_events->len });
   g_string_free (complete_events, TRUE);
@@ -274,7 +283,7 @@
                  exchange_now (exchange) - exchange->attempt_started);
   GString *out = g_string_new (NULL);
   gboolean no_body = !upstream_has_body (exchange, head);
-  append_response_head (head, out);
+  append_response_head (exchange, head, out);
   if (has_run (head->status))
     part_trial_completed (exchange);
   exchange->status = head->status;
--- a/packages/gate/header_names.c
+++ b/packages/gate/header_names.c
@@ -2,9 +2,10 @@
 
 #include <stddef.h>
 
-static const char *const default_reserved[]
-    = { "X-Team",       "X-Priority", "X-Expect-Server",
-        "X-Fetch-From", "X-Relayed",  NULL };
+static const char *const default_reserved[] = {
+  "X-Team",     "X-Priority", "X-Expect-Server", "X-Fetch-From", "X-Relayed",
+  "X-Software", NULL
+};
 
 /* Returns the default header names. The result is static.  */
 const struct header_names *
@@ -36,6 +37,9 @@
     /* Attempts that another instance has made of a request before it has passed
        it on. */
     .relayed = "X-Relayed",
+    /* Version of the software at which a stream has begun, between instances.
+     */
+    .software = "X-Software",
     /* Id of the event after which a stream is resumed. */
     .last_event = "Last-Event-ID",
     /* Id of the request with which the client got the stream's first event. */
--- a/packages/gate/header_names.h
+++ b/packages/gate/header_names.h
@@ -16,6 +16,7 @@
   X (signature)                                                                \
   X (leaving)                                                                  \
   X (relayed)                                                                  \
+  X (software)                                                                 \
   X (brittle)                                                                  \
   X (limit)                                                                    \
   X (last_event)                                                               \
--- a/packages/gate/relay.c
+++ b/packages/gate/relay.c
@@ -60,6 +60,7 @@
                       exchange->reverse_proxy->header_names->relayed, &value))
     return;
   exchange->was_relayed = TRUE;
+  stream_version_read_request (exchange);
   if (http_parse_number (value, &sent))
     exchange->sent = (guint)MIN (sent, G_MAXUINT16);
 }
--- a/packages/gate/reverse_proxy.c
+++ b/packages/gate/reverse_proxy.c
@@ -209,6 +209,7 @@
   config_wait_check (reverse_proxy);
   reachability_review (reverse_proxy);
   part_trial_check (reverse_proxy);
+  stream_version_check (reverse_proxy);
   scheduler_poll (reverse_proxy->options.scheduler,
                   clk_now (reverse_proxy->options.clk), exchange_on_decision,
                   NULL);
--- a/packages/gate/reverse_proxy.h
+++ b/packages/gate/reverse_proxy.h
@@ -18,6 +18,7 @@
 #include "route/routing_table.h"
 #include "sched/retry_budget.h"
 #include "sched/scheduler.h"
+#include "streams/stream_versions.h"
 
 struct reverse_proxy;
 
@@ -57,9 +58,11 @@
   struct counter_set *counter_set;     /* borrowed */
   struct histogram_set *histogram_set; /* borrowed */
   const char *chart; /* path of exchange.chart, not used after the call */
-  struct registry *registry;   /* borrowed */
-  struct scheduler *scheduler; /* borrowed */
-  struct suspects *suspects;   /* borrowed; NULL: no part is held */
+  struct registry *registry;        /* borrowed */
+  struct scheduler *scheduler;      /* borrowed */
+  struct suspects *suspects;        /* borrowed; NULL: no part is held */
+  struct stream_versions *versions; /* borrowed; NULL: streams begin and go on
+                                       at any version of the software */
   struct proxy_limits limits;
   gsize memory_limit; /* bytes kept for clients and servers; 0: no limit */
   void (*shutdown_done) (
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -45,7 +45,9 @@
   GQueue awaiting_parts; /* of struct exchange: requests that wait for the trial
                             of a suspected part */
   guint parts_source;    /* GLib source: checks them; 0: none waits */
-  GQueue server_checks;  /* of struct server_check */
+  GQueue awaiting_versions;  /* of struct exchange: requests that wait for the
+                                version of their stream */
+  GQueue server_checks;      /* of struct server_check */
   struct server_reach reach; /* of the servers from here */
   guint probe_timer;         /* GLib source; 0: not in doubt */
   struct tcp_conn *probe;    /* being opened, owned; NULL: none */
@@ -174,6 +176,19 @@
 #undef EXCHANGE_ENUM
 };
 
+/* X (NAME): whether a stream must go on at a version of the software */
+#define STREAM_BINDINGS(X)                                                     \
+  X (UNBOUND) /* it has not begun */                                           \
+  X (BOUND)                                                                    \
+  X (UNKNOWN) /* it has begun at an unknown one: no other server may go on */
+
+enum stream_binding
+{
+#define STREAM_BINDING_ENUM(id) STREAM_##id,
+  STREAM_BINDINGS (STREAM_BINDING_ENUM)
+#undef STREAM_BINDING_ENUM
+};
+
 struct upstream;
 
 /* A request and its response, from the arrival of the request's head to the
@@ -202,8 +217,14 @@
   gboolean waited_for_config;
   GList parts_link; /* in awaiting_parts; data is NULL if it is not there */
   struct suspects_attempt suspects_attempt;
-  gboolean awaited_trial; /* has been logged as waiting for one */
-  gboolean trial_broke;   /* the trial of a part has broken off under it */
+  GList
+      version_link; /* in awaiting_versions; data is NULL if it is not there */
+  enum stream_binding binding;
+  char software[STR_ID_MAX + 1]; /* BOUND: version of the stream's servers; else
+                                    the one at which it may begin */
+  char relay_software[STR_ID_MAX + 1]; /* as another instance says; "": not */
+  gboolean awaited_trial;              /* has been logged as waiting for one */
+  gboolean trial_broke; /* the trial of a part has broken off under it */
   /* Keys of the servers' lives that broke it off without an event, the first
      ones. */
   guint64 broken_servers[PART_TRIAL_SERVERS_MAX];
@@ -276,6 +297,21 @@
 void part_trial_server_removed (struct reverse_proxy *reverse_proxy,
                                 const struct registry_server *server);
 
+/* Versions of the software at which streams begin and go on. */
+gboolean stream_version_admit (struct exchange *exchange);
+gboolean stream_version_resumes (const struct exchange *exchange,
+                                 struct str *id);
+gboolean stream_version_can_resume (const struct exchange *exchange);
+void stream_version_began (struct exchange *exchange);
+void stream_version_cancel (struct exchange *exchange);
+void stream_version_check (struct reverse_proxy *reverse_proxy);
+void stream_version_read_request (struct exchange *exchange);
+void stream_version_read_response (struct exchange *exchange,
+                                   const struct http_head *head);
+void stream_version_put_request (const struct exchange *exchange, GString *out);
+void stream_version_put_response (const struct exchange *exchange,
+                                  GString *out);
+
 /* Whether the backend servers can be reached. */
 void reachability_heard (struct reverse_proxy *reverse_proxy);
 void reachability_accepted (struct reverse_proxy *reverse_proxy);
@@ -333,6 +369,7 @@
 gboolean upstream_has_body (const struct exchange *exchange,
                             const struct http_head *head);
 gboolean upstream_request_was_sent (const struct upstream *upstream);
+gboolean upstream_is_relay (const struct upstream *upstream);
 gboolean upstream_response_started (const struct upstream *upstream);
 const struct registry_server *upstream_server (const struct upstream *upstream);
 void upstream_build_request_head (struct exchange *exchange,
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -282,6 +282,13 @@
          && tcp_conn_sent (upstream->tcp_conn) > upstream->sent_before;
 }
 
+/* Returns whether another instance serves the request.  */
+gboolean
+upstream_is_relay (const struct upstream *upstream)
+{
+  return upstream->is_relay;
+}
+
 /* Returns whether the head of the response has arrived.  */
 gboolean
 upstream_response_started (const struct upstream *upstream)
--- a/packages/gate/upstream_request.c
+++ b/packages/gate/upstream_request.c
@@ -108,7 +108,10 @@
   if (choice != NULL)
     put_server_fields (exchange, choice, out);
   else
-    http_put_field (out, header_names->relayed, "%u", exchange->sent);
+    {
+      http_put_field (out, header_names->relayed, "%u", exchange->sent);
+      stream_version_put_request (exchange, out);
+    }
   if (position.n > 0)
     http_put_field_str (out, str_of (header_names->last_event), position);
   if (exchange->body->len > 0 || head->chunked || head->has_length)
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -96,6 +96,14 @@
              && memcmp (target.p, PROXY_DAEMON_SERVERS_SINCE_PATH, n) == 0);
 }
 
+static void
+append_bytes (GBytes *bytes, GString *out)
+{
+  gsize n;
+  const char *text = g_bytes_get_data (bytes, &n);
+  g_string_append_len (out, text, (gssize)n);
+}
+
 static void
 on_peer_request (void *ctx, const struct http_head *head,
                  struct http_server_response *response)
@@ -105,7 +113,12 @@
                           && daemon->config_text != NULL;
   gboolean wants_servers
       = targets_servers (head) && daemon->server_list.entries != NULL;
-  if (!wants_config && !wants_servers)
+  g_autoptr (GBytes) versions
+      = targets_path (head, PROXY_DAEMON_VERSIONS_PATH)
+            ? version_table_text (stream_versions_table (
+                version_keeper_versions (daemon->version_keeper)))
+            : NULL;
+  if (!wants_config && !wants_servers && versions == NULL)
     return;
   if (!transfer_budget_allows (&daemon->transfer_budget, clk_now (daemon->clk)))
     {
@@ -114,11 +127,9 @@
     }
   response->status = 200;
   if (wants_config)
-    {
-      gsize n;
-      const char *text = g_bytes_get_data (daemon->config_text, &n);
-      g_string_append_len (response->body, text, (gssize)n);
-    }
+    append_bytes (daemon->config_text, response->body);
+  else if (versions != NULL)
+    append_bytes (versions, response->body);
   else
     write_servers (daemon, http_head_target (head), response->body);
   transfer_budget_count (&daemon->transfer_budget, response->body->len);
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -14,6 +14,7 @@
 #include "jacinthward/order_view.h"
 #include "jacinthward/proxy_daemon.h"
 #include "jacinthward/usage_keeper.h"
+#include "jacinthward/version_keeper.h"
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
 #include "peer/gossip.h"
@@ -35,6 +36,7 @@
 #define PROXY_DAEMON_CONFIG_PATH "/config"
 #define PROXY_DAEMON_SERVERS_PATH "/servers"
 #define PROXY_DAEMON_SERVERS_SINCE_PATH "/servers/since/"
+#define PROXY_DAEMON_VERSIONS_PATH "/versions"
 
 /* Instances of the domain that are considered for the time slices. */
 #define PROXY_DAEMON_CONTENDERS_MAX 64
@@ -53,6 +55,7 @@
   struct scheduler *scheduler;
   struct suspects *suspects;
   struct crash_keeper *crash_keeper;
+  struct version_keeper *version_keeper;
   struct usage_keeper *usage_keeper; /* NULL: usage is not accounted */
   struct duty_keeper *duty_keeper;   /* NULL: there are no duties */
   guint news_source;                 /* GLib source: on_news_due; 0: none */
@@ -68,8 +71,9 @@
   GRand *rand;
   struct read_schedule config_schedule;
   struct read_schedule servers_schedule;
-  struct fetch *config_fetch;  /* owned; NULL: none in progress */
-  struct fetch *servers_fetch; /* owned; NULL: none in progress */
+  struct fetch *config_fetch;   /* owned; NULL: none in progress */
+  struct fetch *servers_fetch;  /* owned; NULL: none in progress */
+  struct fetch *versions_fetch; /* owned; NULL: none in progress */
   struct store_era store_era;
   struct start_evidence evidence; /* that a configuration is the newest */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -18,6 +18,31 @@
 #define LIST_GAP_US (2500 * CLK_MS)
 #define FETCH_MAX (4 * 1024 * 1024) /* bytes */
 
+/* X (NAME, "name", "path") */
+#define FETCH_KINDS(X)                                                         \
+  X (CONFIG, "config", PROXY_DAEMON_CONFIG_PATH)                               \
+  X (SERVERS, "servers", PROXY_DAEMON_SERVERS_PATH)                            \
+  X (VERSIONS, "versions", PROXY_DAEMON_VERSIONS_PATH)
+
+enum fetch_kind
+{
+#define FETCH_ENUM(id, name, path) FETCH_##id,
+  FETCH_KINDS (FETCH_ENUM)
+#undef FETCH_ENUM
+};
+
+static const char *const fetch_names[] = {
+#define FETCH_NAME(id, name, path) name,
+  FETCH_KINDS (FETCH_NAME)
+#undef FETCH_NAME
+};
+
+static const char *const fetch_paths[] = {
+#define FETCH_PATH(id, name, path) path,
+  FETCH_KINDS (FETCH_PATH)
+#undef FETCH_PATH
+};
+
 struct fetch
 {
   struct proxy_daemon *daemon;
@@ -25,7 +50,7 @@
   struct http_client *http_client; /* owned */
   gint64 requested_at; /* clock time at which the request was sent */
   guint32 ip;
-  gboolean config; /* TRUE: fetches the configuration; FALSE: the server list */
+  enum fetch_kind kind;
   gboolean changes_only; /* of the server list */
 };
 
@@ -60,6 +85,7 @@
       <= proxy_config_version (daemon->reverse_proxy))
     return;
   proxy_set_table (daemon->reverse_proxy, routing_table);
+  version_keeper_set_routes (daemon->version_keeper, routing_table);
   daemon->config_applied_at = clk_now (daemon->clk);
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   daemon->config_text = g_bytes_ref (text);
@@ -88,6 +114,7 @@
           "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT, era, before);
       registry_store_failed (daemon->registry, clk_now (daemon->clk));
       crash_keeper_store_changed (daemon->crash_keeper);
+      version_keeper_store_changed (daemon->version_keeper, era);
       break;
     case STORE_ERA_OLDER:
       log_write (&(struct log_entry){ .level = peer ? LOG_DEBUG : LOG_WARN,
@@ -166,6 +193,7 @@
   *list = newer;
   registry_update (daemon->registry,
                    (const struct registry_entry *)list->entries->data, n, now);
+  version_keeper_observe (daemon->version_keeper);
   proxy_poll (daemon->reverse_proxy);
 }
 
@@ -283,14 +311,38 @@
                       const struct err *err)
 {
   log_event (LOG_WARN, "peer.fetch_failed", "what=%s cause=\"%s\"",
-             fetch->config ? "config" : "servers", err->text);
-  if (++daemon->fetches_failed < FETCH_FAILURES_MAX)
+             fetch_names[fetch->kind], err->text);
+  /* The keeper of the table of versions turns to the store by itself. */
+  if (fetch->kind == FETCH_VERSIONS
+      || ++daemon->fetches_failed < FETCH_FAILURES_MAX)
     return;
-  read_schedule_peers_failed (fetch->config ? &daemon->config_schedule
-                                            : &daemon->servers_schedule,
+  read_schedule_peers_failed (fetch->kind == FETCH_CONFIG
+                                  ? &daemon->config_schedule
+                                  : &daemon->servers_schedule,
                               clk_now (daemon->clk));
 }
 
+static void
+apply_fetched (const struct fetch *fetch, struct str body, struct err *err)
+{
+  struct proxy_daemon *daemon = fetch->daemon;
+  switch (fetch->kind)
+    {
+    case FETCH_CONFIG:
+      apply_fetched_config (daemon, body, err);
+      gossip_ask (daemon->gossip, fetch->ip);
+      break;
+    case FETCH_SERVERS:
+      apply_fetched_servers (daemon, body, fetch->requested_at, err);
+      break;
+    case FETCH_VERSIONS:
+      if (version_keeper_take (daemon->version_keeper, body) < 0)
+        err_set (err, ERR_PROTOCOL, "peer.fetch", "",
+                 "malformed table of versions");
+      break;
+    }
+}
+
 static void
 on_fetched (void *ctx, const struct http_client_response *response)
 {
@@ -304,24 +356,19 @@
   else if (response->head->status != 200)
     err_set (&err, ERR_NOT_FOUND, "peer.fetch", "", "status %u",
              response->head->status);
-  else if (fetch->config)
-    {
-      apply_fetched_config (daemon, response->body, &err);
-      gossip_ask (daemon->gossip, fetch->ip);
-    }
   else
-    apply_fetched_servers (daemon, response->body, fetch->requested_at, &err);
+    apply_fetched (fetch, response->body, &err);
   /* A peer without budget for the transfer is no failure: another one will
      announce the same data. */
   if (is_busy)
-    log_event (LOG_DEBUG, "peer.busy", "what=%s",
-               fetch->config ? "config" : "servers");
+    log_event (LOG_DEBUG, "peer.busy", "what=%s", fetch_names[fetch->kind]);
   else if (err.code != 0)
     record_fetch_failure (daemon, fetch, &err);
   else
     daemon->fetches_failed = 0;
   /* Instances of an older version do not know how to send changes. */
-  daemon->no_changes = fetch->changes_only && !is_busy && err.code != 0;
+  if (fetch->kind == FETCH_SERVERS)
+    daemon->no_changes = fetch->changes_only && !is_busy && err.code != 0;
   fetch_free (fetch);
 }
 
@@ -329,7 +376,7 @@
    is still in progress.  */
 static void
 start_fetch (struct proxy_daemon *daemon, struct fetch **owner_slot, guint32 ip,
-             gboolean config, gint64 now)
+             enum fetch_kind kind, gint64 now)
 {
   char address[ERR_PEER_MAX];
   if (*owner_slot != NULL)
@@ -341,22 +388,21 @@
           .silence_ms = FETCH_SILENCE_MS,
           .connect_ms = FETCH_CONNECT_TIMEOUT_MS,
           .body_max = FETCH_MAX };
-  gboolean changes_only
-      = !config && daemon->server_list.entries != NULL && !daemon->no_changes;
+  gboolean changes_only = kind == FETCH_SERVERS
+                          && daemon->server_list.entries != NULL
+                          && !daemon->no_changes;
   char target[64];
   if (changes_only)
     g_snprintf (target, sizeof target,
                 PROXY_DAEMON_SERVERS_SINCE_PATH "%" G_GINT64_MODIFIER "x",
                 daemon->server_list.digest);
   else
-    g_strlcpy (target,
-               config ? PROXY_DAEMON_CONFIG_PATH : PROXY_DAEMON_SERVERS_PATH,
-               sizeof target);
+    g_strlcpy (target, fetch_paths[kind], sizeof target);
   const struct http_client_request request
       = { .method = "GET", .target = target, .timeout_ms = FETCH_TIMEOUT_MS };
   struct fetch *fetch = g_new0 (struct fetch, 1);
   *fetch = (struct fetch){ daemon,      owner_slot, http_client_new (&options),
-                           now,         ip,         config,
+                           now,         ip,         kind,
                            changes_only };
   *owner_slot = fetch;
   http_client_send (fetch->http_client, &request, on_fetched, fetch);
@@ -381,7 +427,9 @@
       && update->config_age_us <= READ_SCHEDULE_FRESH_US)
     daemon->fresh_peer_at = now;
   if (update->config_version > proxy_config_version (daemon->reverse_proxy))
-    start_fetch (daemon, &daemon->config_fetch, ip, TRUE, now);
+    start_fetch (daemon, &daemon->config_fetch, ip, FETCH_CONFIG, now);
+  if (version_keeper_heard (daemon->version_keeper, update->version_table))
+    start_fetch (daemon, &daemon->versions_fetch, ip, FETCH_VERSIONS, now);
   gint64 peer_read_at = update->server_list_read_at;
   if (!accept_era (daemon, update->store_era, update->id)
       || update->server_list_age_us < 0
@@ -395,7 +443,7 @@
       registry_list_confirmed (daemon->registry, peer_read_at, now);
     }
   else
-    start_fetch (daemon, &daemon->servers_fetch, ip, FALSE, now);
+    start_fetch (daemon, &daemon->servers_fetch, ip, FETCH_SERVERS, now);
 }
 
 void
@@ -403,6 +451,7 @@
 {
   fetch_free (daemon->config_fetch);
   fetch_free (daemon->servers_fetch);
+  fetch_free (daemon->versions_fetch);
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   g_clear_pointer (&daemon->server_list.entries, g_array_unref);
   server_list_history_free (daemon->server_list_history);
--- a/packages/peer/gossip.c
+++ b/packages/peer/gossip.c
@@ -203,6 +203,7 @@
   message->server_list_age_us = state->server_list_age_us;
   message->n_waiting = state->n_waiting;
   message->store_era = state->store_era;
+  message->version_table = state->version_table;
   message->n_rejections = state->n_rejections;
   for (guint i = 0; i < state->n_rejections; i++)
     message->rejections[i] = (struct gossip_message_rejection){
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -53,6 +53,7 @@
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
   guint64 store_era;         /* newest one known; 0: none */
+  guint64 version_table;     /* number of the table of versions; 0: none */
   gint64 servers_reached_at; /* clock time at which this instance was last
                                 sure to reach backend servers; 0: never */
   /* It cannot reach any: peers find out if they can, and are not told of those
@@ -99,6 +100,7 @@
   gint64 server_list_age_us;
   gint64 server_list_read_at; /* estimated clock time; 0: unknown */
   guint64 store_era;          /* newest one that the peer knows; 0: none */
+  guint64 version_table;      /* as in struct gossip_local_state */
   /* Rejections for overload at a peer of the own domain. */
   struct overload_rejection rejections[GOSSIP_MESSAGE_REJECTIONS_MAX];
   guint n_rejections;
--- a/packages/peer/gossip_message.c
+++ b/packages/peer/gossip_message.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FIELDS 38 /* of a message in the current format */
+#define FIELDS 39 /* of a message in the current format */
 /* Older instances omit some or all of n_own_placements, n_home_placements,
    n_waiting, store_era, leaving and what follows it, and ignore those that they
    do not know. */
@@ -268,6 +268,7 @@
       msgpack_pack_unsigned_int (&pk, gossip_message->duty_age);
     }
   pack_isolated (&pk, gossip_message);
+  msgpack_pack_uint64 (&pk, gossip_message->version_table);
 }
 
 /* Reads the fields of an array in order. BAD is set by the first invalid field
@@ -673,6 +674,8 @@
     read_duty (&c, gossip_message);
   if (c.left > 0)
     read_isolated (&c, gossip_message);
+  if (c.left > 0)
+    gossip_message->version_table = read_number (&c, G_MAXINT64);
   return !c.bad;
 }
 
--- a/packages/peer/gossip_message.h
+++ b/packages/peer/gossip_message.h
@@ -140,11 +140,12 @@
   gint64 config_age_us;
   guint64 server_list_digest; /* 0: none read */
   gint64 server_list_age_us;
-  gboolean wants_reply; /* even if the receiver is in another domain */
-  guint n_waiting;      /* requests queued at the sender */
-  guint64 store_era;    /* newest one that the sender knows; 0: none */
-  guint64 duty_fence;   /* highest one known of the duties' lease; 0: none */
-  guint32 duty_ip;      /* of its holder */
+  gboolean wants_reply;  /* even if the receiver is in another domain */
+  guint n_waiting;       /* requests queued at the sender */
+  guint64 store_era;     /* newest one that the sender knows; 0: none */
+  guint64 version_table; /* number of the sender's table of versions; 0: none */
+  guint64 duty_fence;    /* highest one known of the duties' lease; 0: none */
+  guint32 duty_ip;       /* of its holder */
   /* Milliseconds since the holder was last known to hold it, plus 1; 0:
      unknown. */
   guint duty_age;
--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -393,6 +393,7 @@
     .server_list_age_us = message->server_list_age_us,
     .server_list_read_at = list_read_at (gossip, peer, message, now),
     .store_era = message->store_era,
+    .version_table = message->version_table,
     .joined = !same,
     .asks_for_servers = message->asks_for_servers
   };
--- a/packages/sched/placement.c
+++ b/packages/sched/placement.c
@@ -35,17 +35,29 @@
 #define LIMITED_PREFERENCE_US 30000.0
 #define EQUAL_COST_US 4000.0 /* costs that differ by no more count as equal */
 
-/* Returns whether the request was sent to SERVER before.  */
+/* Returns whether the request must not be sent to SERVER: it was before, or
+   SERVER has another version than the request needs.  */
 gboolean
-placement_was_tried (const struct placement_request *request,
-                     const struct registry_server *server)
+placement_excludes (const struct placement_request *request,
+                    const struct registry_server *server)
 {
+  if (request->version != NULL
+      && !g_str_equal (server->entry.version, request->version))
+    return TRUE;
   for (guint i = 0; i < request->n_tried; i++)
     if (request->tried[i] == server->number)
       return TRUE;
   return FALSE;
 }
 
+/* Returns whether there may be servers that the request must not be sent to,
+   while others of its service may get it.  */
+gboolean
+placement_is_restricted (const struct placement_request *request)
+{
+  return request->n_tried > 0 || request->version != NULL;
+}
+
 /* Returns whether SERVER may get requests, serves the service, and its health
    allows another request of this instance.  */
 static gboolean
@@ -253,7 +265,7 @@
     {
       struct registry_server *server = view->servers[i];
       if (group_of (view, server) != group || !is_usable (view, server)
-          || placement_was_tried (request, server))
+          || placement_excludes (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
@@ -308,7 +320,7 @@
     {
       struct registry_server *server = view->servers[i];
       if (!is_leaving_source (view, server)
-          || placement_was_tried (request, server))
+          || placement_excludes (request, server))
         continue;
       struct placement_candidate *c = &candidates[n++];
       *c = (struct placement_candidate){ .server = server };
--- a/packages/sched/placement.h
+++ b/packages/sched/placement.h
@@ -32,6 +32,9 @@
   guint tried[PLACEMENT_TRIED_MAX]; /* numbers of servers that must not be used
                                        again */
   guint n_tried;
+  /* Only servers of this version of the software may be used; borrowed. NULL:
+     any. */
+  const char *version;
 };
 
 /* How sensitive a stream is to gaps between its events.  */
@@ -127,8 +130,9 @@
 };
 
 enum placement_pace placement_pace (gint64 gap_us);
-gboolean placement_was_tried (const struct placement_request *request,
-                              const struct registry_server *server);
+gboolean placement_excludes (const struct placement_request *request,
+                             const struct registry_server *server);
+gboolean placement_is_restricted (const struct placement_request *request);
 void placement_record_sent (const struct placement_view *view,
                             struct registry_server *server);
 void placement_choose (const struct placement_view *view,
--- a/packages/sched/retry_groups.c
+++ b/packages/sched/retry_groups.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* Returns the group of requests that were sent to the same servers as REQUEST,
+/* Returns the group of requests that must not use the same servers as REQUEST,
    NULL if there is none.  */
 struct retry_group *
 retry_groups_find (struct retry_groups *retry_groups,
@@ -12,6 +12,7 @@
     {
       const struct placement_request *other = retry_groups->groups[i].request;
       if (other->n_tried == request->n_tried
+          && g_strcmp0 (other->version, request->version) == 0
           && memcmp (other->tried, request->tried,
                      request->n_tried * sizeof request->tried[0])
                  == 0)
@@ -46,7 +47,7 @@
                     const struct registry_server *server)
 {
   for (guint i = 0; i < retry_groups->n; i++)
-    if (!placement_was_tried (retry_groups->groups[i].request, server)
+    if (!placement_excludes (retry_groups->groups[i].request, server)
         && !backfill_allows (&retry_groups->groups[i].backfill,
                              request->prompt_tokens))
       return FALSE;
--- a/packages/sched/retry_groups.h
+++ b/packages/sched/retry_groups.h
@@ -1,5 +1,5 @@
-/* Queued requests that were sent to a server before, grouped by the servers
-   that they must not use again, in one pass over a queue. Does no I/O.  */
+/* Queued requests that must not use all servers of their service, grouped by
+   those that they must not use, in one pass over a queue. Does no I/O.  */
 #ifndef RETRY_GROUPS_H
 #define RETRY_GROUPS_H
 
--- a/packages/sched/scheduler.c
+++ b/packages/sched/scheduler.c
@@ -351,11 +351,12 @@
   return ahead;
 }
 
-/* Returns whether ENTRY, which is queued, was sent to a server before.  */
+/* Returns whether ENTRY, which is queued, must not use some servers of its
+   service, so that those behind it need not wait for it.  */
 static gboolean
-is_retry (const struct scheduler_entry *entry)
+is_restricted (const struct scheduler_entry *entry)
 {
-  return entry->request.n_tried > 0;
+  return placement_is_restricted (&entry->request);
 }
 
 /* Returns whether ENTRY is an isolated stream, whose engines AHEAD must not
@@ -381,7 +382,7 @@
     for (const GList *l = service->waiting[tier].head; l != NULL; l = l->next)
       {
         const struct scheduler_entry *ahead = l->data;
-        if (!placement_was_tried (&ahead->request, server)
+        if (!placement_excludes (&ahead->request, server)
             && !uses_other_pool (entry, ahead))
           backfill_add_waiting (&backfill, ahead->request.prompt_tokens);
       }
@@ -659,7 +660,7 @@
       {
         struct scheduler_entry *entry = l->data;
         const struct retry_group *group
-            = is_retry (entry)
+            = is_restricted (entry)
                   ? retry_groups_find (&retry_groups, &entry->request)
                   : NULL;
         if (!backfill_allows (&backfill, entry->request.prompt_tokens)
@@ -670,7 +671,7 @@
         if (poll_entry (scheduler, service, entry, &retry_groups, now, decided,
                         ctx))
           return TRUE;
-        if (!is_retry (entry)
+        if (!is_restricted (entry)
             || !retry_groups_add (&retry_groups, &entry->request))
           backfill_add_waiting (&backfill, entry->request.prompt_tokens);
       }
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -4,6 +4,8 @@
 #include "base/json_text.h"
 #include "peer/gossip_message.h"
 #include "peer/peer_server_list.h"
+#include "peer/stream_inquiry.h"
+#include "streams/stream_versions.h"
 
 /* Walks over TEXT as a page of the store's list, and decodes its items.  */
 static void
@@ -37,12 +39,26 @@
     g_array_unref (list.entries);
 }
 
+/* Reads TEXT as both kinds of objects that concern versions.  */
+static void
+decode_versions (struct str text)
+{
+  struct version_table *table = version_table_new ();
+  struct begun_streams *streams = begun_streams_new (0);
+  version_table_read (table, text, 1, 0);
+  begun_streams_read (streams, text, BEGUN_SAVED);
+  begun_streams_free (streams);
+  version_table_free (table);
+}
+
 /* Decodes the N BYTES, of which the first says as what: a configuration, a page
-   of servers, a message of a peer or its list of servers.  */
+   of servers, a message of a peer or its list of servers, a table of versions
+   or streams that have begun, a question or an answer about a stream.  */
 int
 LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t n)
 {
   static struct gossip_message message;
+  struct stream_inquiry inquiry;
   struct err err = { 0 };
   if (n == 0)
     return 0;
@@ -61,6 +77,12 @@
     case 'l':
       decode_list (text);
       break;
+    case 'v':
+      decode_versions (text);
+      break;
+    case 'q':
+      stream_inquiry_decode (text, &inquiry, &err);
+      break;
     default:
       break;
     }
--- a/tests/unit/proxy_fixture.c
+++ b/tests/unit/proxy_fixture.c
@@ -4,6 +4,7 @@
 
 struct proxy_test proxy_test;
 struct suspects *proxy_test_suspects;
+struct stream_versions *proxy_test_stream_versions;
 gint64 (*proxy_test_peers_sure_at) (void *ctx);
 gboolean (*proxy_test_choose_peer) (void *ctx, const struct proxy_peer *tried,
                                     guint n_tried, struct proxy_peer *peer);
@@ -323,6 +324,7 @@
           .registry = proxy_test.registry,
           .scheduler = proxy_test.scheduler,
           .suspects = proxy_test_suspects,
+          .versions = proxy_test_stream_versions,
           .peers_sure_at = proxy_test_peers_sure_at,
           .choose_peer = proxy_test_choose_peer,
           .used = proxy_test_used,
--- a/tests/unit/proxy_fixture.h
+++ b/tests/unit/proxy_fixture.h
@@ -95,6 +95,9 @@
 /* Longest request body of configurations made from now on. */
 extern gsize proxy_test_body_limit;
 
+/* Option versions of proxies started from now on, borrowed; NULL: none. */
+extern struct stream_versions *proxy_test_stream_versions;
+
 /* Versions of the servers' software as listed from now on; NULL: none. */
 extern const char *proxy_test_versions[PROXY_TEST_SERVERS];
 
--- a/tests/unit/test_stream_pool.c
+++ b/tests/unit/test_stream_pool.c
@@ -603,10 +603,12 @@
   m->loads[1].load.isolated = m->summaries[0].loads[0].load.isolated = 0;
   g_byte_array_set_size (bytes, 0);
   gossip_message_encode (m, bytes);
-  /* Without the last field, an empty list, as earlier versions send it. */
-  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 1], 0x90);
-  bytes->data[2]--;
-  all = (struct str){ (const char *)bytes->data, bytes->len - 1 };
+  /* Without the last two fields, an empty list and the number of the table of
+     versions, as earlier versions send it. */
+  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 2], 0x90);
+  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 1], 0);
+  bytes->data[2] -= 2;
+  all = (struct str){ (const char *)bytes->data, bytes->len - 2 };
   CU_ASSERT_EQUAL (gossip_message_decode (all, decoded, &err), 0);
   CU_ASSERT_EQUAL (decoded->loads[1].load.sensitive, 9);
   CU_ASSERT_EQUAL (decoded->loads[1].load.isolated, 0);
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -48,6 +48,12 @@
 static void
 start (const char *first, const char *second, const char *third)
 {
+  const struct stream_versions_options options = { .ctx = NULL };
+  proxy_test_stream_versions = stream_versions_new (&options, 0);
+  CU_ASSERT_EQUAL (
+      version_table_read (stream_versions_table (proxy_test_stream_versions),
+                          STR_LIT ("versions 1 1 0\npool ?\n"), 0, 0),
+      0);
   proxy_test_versions[0] = first;
   proxy_test_versions[1] = second;
   proxy_test_versions[2] = third;
@@ -56,6 +62,13 @@
   proxy_test_script_all (stream_versions);
 }
 
+static void
+stop (void)
+{
+  proxy_test_stop ();
+  g_clear_pointer (&proxy_test_stream_versions, stream_versions_free);
+}
+
 /* Returns the only version in BODY, borrowed; NULL if there are two or none. */
 static const char *
 only_version (const struct proxy_test_response *response)
@@ -86,7 +99,7 @@
       /* One server of v1, which has broken off, and two of v2. */
       CU_ASSERT_EQUAL (response.complete, g_str_equal (version, "v2"));
       proxy_test_response_clear (&response);
-      proxy_test_stop ();
+      stop ();
     }
 }
 
@@ -124,7 +137,7 @@
         }
       g_free (id);
       proxy_test_response_clear (&first);
-      proxy_test_stop ();
+      stop ();
     }
   CU_ASSERT_TRUE (resumed > 0);
 }
@@ -140,7 +153,7 @@
                                               "X-Resumes: a\r\n"
                                               "X-Resumes: b\r\n"),
                    400);
-  proxy_test_stop ();
+  stop ();
 }
 
 static CU_TestInfo tests[] = {
