Explorer: servers of two software versions, and a client that names what it resumes

Change: two events of an instance, servers of two versions side by side and a restart of all others as a newer one; a client that comes back names the request that brought its first event; the oracle checks that all events of a stream, over the client's requests, come from one version. Two planted faults: a response goes on at any version, a client resumes at any version.

--- a/tests/explore/explore.h
+++ b/tests/explore/explore.h
@@ -87,7 +87,9 @@
   X (TABLE, "table")       /* a new version of the configuration */            \
   X (ONCE_NOW, "once_now") /* one that allows no second attempt */             \
   X (GONE, "gone")         /* the first server leaves the list */              \
-  X (LEAVING, "leaving")
+  X (LEAVING, "leaving")                                                       \
+  X (VERSIONS, "versions") /* servers of two versions of the software serve */ \
+  X (RELEASE, "release")   /* all other servers restart as a newer version */
 
 #define EXPLORE_ENUM(prefix, id) EXPLORE_##prefix##_##id,
 enum explore_route
@@ -161,6 +163,8 @@
   GString *why; /* a line for each; owned */
 };
 
+gboolean explore_has_versions (enum explore_event event);
+
 void explore_result_init (struct explore_result *result);
 void explore_result_clear (struct explore_result *result);
 void explore_break (struct explore_result *result, enum explore_rule rule,
@@ -199,8 +203,10 @@
   X (19, "an attempt that has ended stays a trial of its parts")               \
   X (20, "an earlier refusal is taken for the response")                       \
   X (21, "an error response is sent inside a stream")                          \
-  X (22, "a head that breaks off is taken for a whole one")
-#define EXPLORE_PLANT_N 22
+  X (22, "a head that breaks off is taken for a whole one")                    \
+  X (23, "a response goes on at any version of the software")                  \
+  X (24, "a client resumes its stream at any version of the software")
+#define EXPLORE_PLANT_N 24
 const char *explore_plant_name (guint plant);
 
 #endif
--- a/tests/explore/explore_client.c
+++ b/tests/explore/explore_client.c
@@ -35,6 +35,8 @@
       explore_path (explore_world.c.route), request->id);
   if (request->after[0] != '\0')
     g_string_append_printf (text, "Last-Event-ID: %s\r\n", request->after);
+  if (request->resumes != NULL)
+    g_string_append_printf (text, "X-Resumes: %s\r\n", request->resumes);
   if (request->deadline_ms > 0)
     g_string_append_printf (text, "X-Deadline-Ms: %u\r\n",
                             request->deadline_ms);
@@ -162,6 +164,21 @@
   return id;
 }
 
+/* Returns the id of the first request that has brought an event, borrowed;
+   NULL: none has.  */
+static const char *
+first_with_event (void)
+{
+  for (guint i = 0; i < explore_world.requests->len; i++)
+    {
+      const struct explore_request *request
+          = g_ptr_array_index (explore_world.requests, i);
+      if (strstr (request->body->str, "data: ") != NULL)
+        return request->id;
+    }
+  return NULL;
+}
+
 static void
 come_back (void)
 {
@@ -176,6 +193,7 @@
         return;
       g_strlcpy (after[i], id[0] != '\0' ? id : before->after, sizeof after[i]);
       struct explore_request *request = new_request (after[i]);
+      request->resumes = first_with_event ();
       struct proxy_test_client *client = proxy_test_open_client ();
       send_request (client, request);
       await_response (client, request);
--- a/tests/explore/explore_main.c
+++ b/tests/explore/explore_main.c
@@ -67,8 +67,13 @@
           add_case (cases, r, c, a, EXPLORE_SERVER_COMPLETE,
                     EXPLORE_EVENT_NONE);
         for (guint e = 1; e < EXPLORE_EVENT_N; e++)
-          add_case (cases, r, EXPLORE_CLIENT_READ, a, EXPLORE_SERVER_COMPLETE,
-                    e);
+          {
+            add_case (cases, r, EXPLORE_CLIENT_READ, a, EXPLORE_SERVER_COMPLETE,
+                      e);
+            if (explore_has_versions (e))
+              add_case (cases, r, EXPLORE_CLIENT_BACK, a,
+                        EXPLORE_SERVER_EVENTS_CLOSE, e);
+          }
       }
   return cases;
 }
@@ -179,6 +184,10 @@
              && c->servers[1] == EXPLORE_SERVER_NOTHING_END;
     case 19:
       return c->servers[0] == EXPLORE_SERVER_HEAD_END;
+    case 23:
+    case 24:
+      return explore_has_versions (c->event)
+             && c->servers[0] == EXPLORE_SERVER_EVENTS_CLOSE;
     case 21:
       return c->servers[1] == EXPLORE_SERVER_FAILS_STREAM;
     default:
--- a/tests/explore/explore_oracle.c
+++ b/tests/explore/explore_oracle.c
@@ -165,6 +165,28 @@
   g_array_unref (walk.events);
 }
 
+/* Checks that the events of a stream come from servers of one version. VERSION
+   is that of the events before, NULL: none, and gets that of REQUEST's.  */
+static void
+check_versions (const struct explore_request *request, const char **version)
+{
+  GArray *events = g_array_new (FALSE, FALSE, sizeof (struct event));
+  parse_events (request->body->str, events);
+  for (guint i = 0; i < events->len; i++)
+    {
+      guint run = g_array_index (events, struct event, i).run;
+      const char *own = run > 0 && run <= explore_world.arrivals->len
+                            ? arrival_at (run - 1)->version
+                            : NULL;
+      if (*version != NULL && own != NULL && !g_str_equal (own, *version))
+        broken (EXPLORE_RULE_ORDER, "%s: run %u goes on at %s after %s",
+                request->id, run, own, *version);
+      if (own != NULL)
+        *version = own;
+    }
+  g_array_unref (events);
+}
+
 static void
 check_body (const struct explore_request *request)
 {
@@ -332,8 +354,18 @@
 {
   for (guint i = 0; i < explore_world.arrivals->len; i++)
     check_arrival (arrival_at (i));
+  const char *version = NULL;
   for (guint i = 0; i < explore_world.requests->len; i++)
-    check_request (g_ptr_array_index (explore_world.requests, i));
+    {
+      const struct explore_request *request
+          = g_ptr_array_index (explore_world.requests, i);
+      check_request (request);
+      if (explore_world.c.client != EXPLORE_CLIENT_BACK)
+        version = NULL;
+      if (explore_may_repeat (explore_world.c.route)
+          && explore_is_stream (explore_world.c.route))
+        check_versions (request, &version);
+    }
   if (explore_world.surplus->len > 0)
     broken (EXPLORE_RULE_MIXED, "bytes that are no response: \"%.40s\"",
             explore_world.surplus->str);
--- a/tests/explore/explore_plant.c
+++ b/tests/explore/explore_plant.c
@@ -13,6 +13,10 @@
      (struct stream_position *, gboolean))                                     \
   X (gboolean, stream_position_advance,                                        \
      (struct stream_position *, const struct stream_event *))                  \
+  X (void, stream_version_began, (struct exchange *))                          \
+  X (enum stream_search_result, stream_versions_find,                          \
+     (struct stream_versions *, struct str, const char *, gint64,              \
+      const char **))                                                          \
   X (void, splitter_restart, (struct event_splitter *))                        \
   X (gboolean, exchange_begin_response,                                        \
      (struct exchange *, const struct http_head *))                            \
@@ -79,6 +83,24 @@
   return ok;
 }
 
+void
+__wrap_stream_version_began (struct exchange *exchange)
+{
+  if (explore_plant != 23)
+    __real_stream_version_began (exchange);
+}
+
+enum stream_search_result
+__wrap_stream_versions_find (struct stream_versions *versions, struct str id,
+                             const char *service, gint64 now,
+                             const char **version)
+{
+  *version = "v2";
+  return explore_plant == 24 ? STREAM_SEARCH_FOUND
+                             : __real_stream_versions_find (
+                                 versions, id, service, now, version);
+}
+
 void
 __wrap_splitter_restart (struct event_splitter *event_splitter)
 {
--- a/tests/explore/explore_run.c
+++ b/tests/explore/explore_run.c
@@ -78,6 +78,34 @@
   return a_server_ends () ? EXPLORE_TRIAL_SHORT_MS : EXPLORE_SHORT_MS;
 }
 
+/* Returns whether servers of several versions of the software serve in cases
+   with EVENT.  */
+gboolean
+explore_has_versions (enum explore_event event)
+{
+  return event == EXPLORE_EVENT_VERSIONS || event == EXPLORE_EVENT_RELEASE;
+}
+
+/* Sets up servers of two versions, or of one that others replace later.  */
+static void
+set_up_versions (void)
+{
+  const struct stream_versions_options options = { .ctx = NULL };
+  gboolean has_versions = explore_has_versions (explore_world.c.event);
+  proxy_test_stream_versions
+      = has_versions ? stream_versions_new (&options, proxy_test_now (NULL))
+                     : NULL;
+  for (guint i = 0; i < PROXY_TEST_SERVERS; i++)
+    proxy_test_versions[i]
+        = !has_versions                                              ? NULL
+          : explore_world.c.event == EXPLORE_EVENT_VERSIONS && i > 1 ? "v2"
+                                                                     : "v1";
+  if (has_versions)
+    version_table_read (stream_versions_table (proxy_test_stream_versions),
+                        STR_LIT ("versions 1 1 0\npool ?\n"), 0,
+                        proxy_test_now (NULL));
+}
+
 static guint
 count_descriptors (void)
 {
@@ -114,6 +142,7 @@
   const struct suspects_options suspects_options
       = { .seed = 1, .counter_set = &counter_set };
   proxy_test_suspects = suspects_new (&suspects_options);
+  set_up_versions ();
   proxy_test_timeout_us = explore_timeout_ms () * CLK_MS;
   /* With one server the next request gets the connection of the one before. */
   proxy_test_start (
@@ -167,6 +196,7 @@
   check_remains (result);
   proxy_test_stop ();
   g_clear_pointer (&proxy_test_suspects, suspects_free);
+  g_clear_pointer (&proxy_test_stream_versions, stream_versions_free);
   if (count_descriptors () > descriptors)
     explore_break (result, EXPLORE_RULE_REMAINS, "%u descriptors more",
                    count_descriptors () - descriptors);
--- a/tests/explore/explore_server.c
+++ b/tests/explore/explore_server.c
@@ -498,6 +498,13 @@
       else
         proxy_test_list_servers (0, server - 1, 0);
       return;
+    case EXPLORE_EVENT_VERSIONS:
+      return;
+    case EXPLORE_EVENT_RELEASE:
+      for (guint i = 0; i < PROXY_TEST_SERVERS; i++)
+        proxy_test_versions[i] = i == server ? "v1" : "v2";
+      proxy_test_list_servers (0, PROXY_TEST_SERVERS - 1, 0);
+      return;
     case EXPLORE_EVENT_LEAVING:
       proxy_test_list_servers (0, PROXY_TEST_SERVERS - 1, 1U << server);
       return;
@@ -541,6 +548,7 @@
   if (arrival->position != NULL)
     w.first = (guint)g_ascii_strtoull (arrival->position, NULL, 10) + 1;
   guint server = (guint)(link->server - proxy_test.servers);
+  arrival->version = proxy_test_versions[server];
   if (n == 0 && explore_world.c.event != EXPLORE_EVENT_STALL)
     happen (server);
   respond (&w);
--- a/tests/explore/explore_world.h
+++ b/tests/explore/explore_world.h
@@ -23,10 +23,11 @@
   struct proxy_test_request *request; /* borrowed from the fixture */
   struct explore_request *of;         /* NULL: no client sent it */
   char *position;                     /* Last-Event-ID; owned; NULL: none */
-  GString *body;    /* what it sent: whole events, or the body; owned */
-  guint status;     /* of its response; 0: none */
-  gboolean full;    /* it sent a whole proper response */
-  gboolean not_run; /* it said that it has not executed the request */
+  const char *version; /* of the server's software; static; NULL: none */
+  GString *body;       /* what it sent: whole events, or the body; owned */
+  guint status;        /* of its response; 0: none */
+  gboolean full;       /* it sent a whole proper response */
+  gboolean not_run;    /* it said that it has not executed the request */
   gboolean sent_head;
   gint64 at; /* monotonic microseconds */
 };
@@ -35,13 +36,15 @@
 struct explore_request
 {
   char id[16];
-  const char *after; /* the last event that it names; static or owned by the
-                        case; "": none */
-  guint deadline_ms; /* 0: names none */
-  gboolean sent;     /* completely */
-  gint64 left_at;    /* the client has closed its connection; 0: not */
-  gboolean ended;    /* the connection ended, by the proxy */
-  guint status;      /* 0: no head of a response */
+  const char *after;   /* the last event that it names; static or owned by the
+                          case; "": none */
+  const char *resumes; /* id of the request whose stream it resumes; borrowed;
+                          NULL: none */
+  guint deadline_ms;   /* 0: names none */
+  gboolean sent;       /* completely */
+  gint64 left_at;      /* the client has closed its connection; 0: not */
+  gboolean ended;      /* the connection ended, by the proxy */
+  guint status;        /* 0: no head of a response */
   gboolean is_signed;
   gboolean complete;  /* the response, by its framing */
   gboolean malformed; /* likewise */
