Soak: two software versions, and clients that name what they resume

Change: half of the servers are of version v1, half of v2; clients name the request that brought a stream's first event; a run that goes on at another version than that of the server that sent the first event is a violation.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -85,7 +85,7 @@
 {
   char *name = g_strdup_printf ("servers/i-%u", i);
   char *body = soak_server_text (fault_proxy_port (soak.server_proxies[i]),
-                                 i % 2, leaving);
+                                 i % 2, soak_server_version (i), leaving);
   put_object (name, body, create);
   if (!leaving)
     server_hints_restart (soak_traffic_hints (soak.traffic, i));
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -178,8 +178,17 @@
 {
   const struct request *request = client->request;
   if (client->status == 200 && !client->complete)
-    request->stream->last_event
-        = stream_check_part (client->traffic, request, client->body);
+    {
+      struct stream *stream = request->stream;
+      gboolean is_first = stream->last_event == 0;
+      stream->last_event
+          = stream_check_part (client->traffic, request, client->body);
+      if (is_first && stream->last_event > 0)
+        {
+          g_strlcpy (stream->first_id, request->id, sizeof stream->first_id);
+          stream->version = request->version;
+        }
+    }
   stream_attempt_ended (request, client->status, client->complete,
                         client->retry_after_us);
 }
@@ -413,7 +422,8 @@
       soak_route_path (request->route), request->id, request->deadline_ms,
       request->key, client->single_use ? "Connection: close\r\n" : "");
   if (request->after > 0)
-    g_string_append_printf (text, "Last-Event-Id: %u\r\n", request->after);
+    g_string_append_printf (text, "Last-Event-Id: %u\r\nX-Resumes: %s\r\n",
+                            request->after, request->stream->first_id);
   g_string_append (text, "Content-Length: 4\r\n\r\nbody");
   if (client->slow)
     request->padding = request->route == SOAK_ROUTE_STREAM
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -35,13 +35,14 @@
 }
 
 char *
-soak_server_text (guint port, guint domain, gboolean leaving)
+soak_server_text (guint port, guint domain, guint version, gboolean leaving)
 {
   static gint64 born;
   if (!leaving)
     born = MAX (born + 1, g_get_real_time () / 1000);
   return g_strdup_printf (
       "{\"service\":\"pool\",\"address\":\"127.0.0.1:%u\",\"zone\":\"d%u\","
-      "\"max_batch\":8,\"state\":\"%s\",\"born\":%" G_GINT64_FORMAT "}",
-      port, domain, leaving ? "draining" : "ready", born);
+      "\"version\":\"v%u\",\"max_batch\":8,\"state\":\"%s\",\"born\":"
+      "%" G_GINT64_FORMAT "}",
+      port, domain, version, leaving ? "draining" : "ready", born);
 }
--- a/tests/soak/soak_config.h
+++ b/tests/soak/soak_config.h
@@ -12,7 +12,8 @@
                         guint timeout_ms);
 /* Returns the registration of a backend server, freed by g_free. A server that
    is ready gets a new start time ("born"), as one that was draining only
-   becomes ready again after a restart.  */
-char *soak_server_text (guint port, guint domain, gboolean leaving);
+   becomes ready again after a restart. VERSION is that of its software.  */
+char *soak_server_text (guint port, guint domain, guint version,
+                        gboolean leaving);
 
 #endif
--- a/tests/soak/soak_stream.c
+++ b/tests/soak/soak_stream.c
@@ -123,6 +123,24 @@
       names[response->broken]);
 }
 
+/* Checks the version of SERVER, which runs REQUEST from the event after
+   POSITION on: that of the server that has sent the first event.  */
+void
+stream_check_version (const struct server *server, struct request *request,
+                      guint position)
+{
+  guint number = (guint)(server - server->traffic->servers);
+  guint version = soak_server_version (number);
+  if (request->stream == NULL)
+    return;
+  if (position == 0)
+    request->version = version;
+  guint want = request->after > 0 ? request->stream->version : request->version;
+  if (want != version)
+    record_violation (server->traffic, request,
+                      "a stream goes on at another software version");
+}
+
 /* Checks BODY of an incomplete response: it must begin with the events after
    the one that REQUEST names. Returns the last event that it has whole.  */
 guint
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -214,8 +214,11 @@
                               server->faults == 0 ? &sender : NULL);
     }
   else
-    execute (server, connection, request,
-             (guint)g_ascii_strtoull (last_event_id, NULL, 10));
+    {
+      guint position = (guint)g_ascii_strtoull (last_event_id, NULL, 10);
+      stream_check_version (server, request, position);
+      execute (server, connection, request, position);
+    }
 }
 
 static void
--- a/tests/soak/soak_traffic.h
+++ b/tests/soak/soak_traffic.h
@@ -12,6 +12,13 @@
 #include "harness/server_hints.h"
 
 #define SOAK_SERVERS 4
+
+/* Returns the version of the software of server I. Two serve side by side.  */
+static inline guint
+soak_server_version (guint i)
+{
+  return 1 + i / (SOAK_SERVERS / 2);
+}
 #define SOAK_INSTANCES_MAX 40
 /* Settings grace_ms and drain_ms of the instances.  */
 #define SOAK_GRACE_MS 8000
--- a/tests/soak/soak_traffic_internal.h
+++ b/tests/soak/soak_traffic_internal.h
@@ -18,6 +18,8 @@
   char key[32];
   guint attempts;
   guint last_event;   /* that the client has; 0: none */
+  char first_id[32];  /* of the request that brought the first one; "": none */
+  guint version;      /* of the server that sent the first one; 0: none */
   gint64 deadline_at; /* of all attempts; monotonic microseconds */
   guint patience_ms;  /* longest wait for bytes */
   guint timer;        /* GLib source of the next attempt; 0: none */
@@ -33,6 +35,7 @@
   struct stream *stream; /* that it is an attempt at; NULL: none */
   guint after;           /* the event that its Last-Event-Id names; 0: none */
   guint deadline_ms;     /* that it states; then the client disconnects */
+  guint version;         /* of the server that began the stream anew; 0: none */
   guint parts[SOAK_SERVERS];          /* that each server has sent */
   const struct soak_process *process; /* that it was sent to */
   char key[32];
@@ -87,6 +90,8 @@
                   struct scripted_response *response);
 void stream_attempt_ended (const struct request *request, guint status,
                            gboolean complete, gint64 retry_after_us);
+void stream_check_version (const struct server *server, struct request *request,
+                           guint position);
 guint stream_check_part (struct soak_traffic *traffic,
                          const struct request *request, const GString *body);
 void stream_trace_ids (const struct request *request, const GString *body);
