Show the table of versions in the dump; read its first line strictly

Cause: a number beyond what messages between instances can carry would make peers reject them; and operators cannot see at which versions streams may begin. Change: the number of a table has a bound, signs and missing fields are malformed; /dump has the table, the collectors and what is not reported yet. A test of two versions while the store is away.

--- a/packages/gate/stream_version.c
+++ b/packages/gate/stream_version.c
@@ -14,7 +14,7 @@
    reach. */
 #define TABLE_WAIT_US (600 * CLK_MS)
 #define STARTUP_US (1500 * CLK_MS)
-#define NOT_STATED "*"          /* between instances: a version is not stated */
+#define NOT_STATED "*" /* between instances: a version is not stated */
 
 static gboolean
 is_resumable (const struct exchange *exchange)
@@ -283,6 +283,6 @@
 stream_version_put_response (const struct exchange *exchange, GString *out)
 {
   if (exchange->was_relayed && is_resumable (exchange))
-    put_software (exchange,
-                  upstream_server (exchange->upstream)->entry.version, out);
+    put_software (exchange, upstream_server (exchange->upstream)->entry.version,
+                  out);
 }
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -27,6 +27,7 @@
   json_builder_begin_object (json);
   proxy_dump (daemon->reverse_proxy, json);
   duty_keeper_dump (daemon->duty_keeper, json);
+  version_keeper_dump (daemon->version_keeper, json);
   json_builder_set_member_name (json, "counters");
   counter_set_dump (&daemon->counter_set, json);
   usage_keeper_dump (daemon->usage_keeper, json);
--- a/packages/jacinthward/version_keeper.c
+++ b/packages/jacinthward/version_keeper.c
@@ -1,5 +1,6 @@
 #include "jacinthward/version_keeper.h"
 
+#include "base/json_add.h"
 #include "base/log.h"
 #include "peer/stream_inquiry.h"
 #include "platform/object_client.h"
@@ -24,7 +25,9 @@
 /* Instances that save what the others have seen, in each failure domain, or of
    all if there are few. */
 #define COLLECTORS_MAX 2
-#define COLLECTORS_INTERVAL_US (500 * CLK_MS) /* between two choices of them */
+#define COLLECTORS_INTERVAL_US                                                 \
+  (500 * CLK_MS) /* between two choices of them                                \
+                  */
 /* Between two reports to the collectors. */
 #define REPORT_INTERVAL_US (100 * CLK_MS)
 #define REPORT_INTERVAL_LARGE_US (250 * CLK_MS)
@@ -77,12 +80,13 @@
   GBytes *proposed;    /* that is being written, owned; NULL: none */
   gint64 behind_since; /* clock time since which a peer has a newer table; 0:
                           none has */
-  gint64 asked_store_at; /* clock time at which it was looked for in the store */
+  gint64
+      asked_store_at; /* clock time at which it was looked for in the store */
   struct caller streams;
   gboolean is_changed;  /* streams have become known since the last save */
-  gboolean read_wanted;  /* by a search */
-  gint64 saved_at;       /* clock time of the last save */
-  gboolean was_mixed;    /* at the last step */
+  gboolean read_wanted; /* by a search */
+  gint64 saved_at;      /* clock time of the last save */
+  gboolean was_mixed;   /* at the last step */
   guint32 collectors[COLLECTORS_MAX]; /* IPs; this instance may be one */
   guint n_collectors;
   gint64 collectors_at; /* clock time at which they were chosen */
@@ -134,9 +138,9 @@
   counter_add (keeper->options.counter_set, COUNTER_STREAM_SEARCHES, 1);
   list_companions (keeper, clk_now (keeper->options.clk));
   for (guint i = 0; i < keeper->members->len; i++)
-    send_inquiry (
-        keeper, g_array_index (keeper->members, struct gossip_member, i).ip,
-        &question);
+    send_inquiry (keeper,
+                  g_array_index (keeper->members, struct gossip_member, i).ip,
+                  &question);
   return keeper->members->len;
 }
 
@@ -227,8 +231,7 @@
 {
   struct version_keeper *keeper = ctx;
   if (route->kind == ROUTING_STREAM && route->resumable)
-    keeper->keep_us
-        = MAX (keeper->keep_us, KEEP_TIMEOUTS * route->timeout_us);
+    keeper->keep_us = MAX (keeper->keep_us, KEEP_TIMEOUTS * route->timeout_us);
 }
 
 /* Takes over how long streams may last. An earlier configuration may have
@@ -298,9 +301,9 @@
   struct version_table *table = stream_versions_table (keeper->versions);
   g_autoptr (GBytes) text = version_table_text (table);
   g_autofree char *shown
-      = text != NULL ? g_strndup (g_bytes_get_data (text, NULL),
-                                  g_bytes_get_size (text))
-                     : g_strdup ("");
+      = text != NULL
+            ? g_strndup (g_bytes_get_data (text, NULL), g_bytes_get_size (text))
+            : g_strdup ("");
   log_event (LOG_INFO, "versions.changed",
              "number=%" G_GUINT64_FORMAT " source=%s table=\"%s\"",
              version_table_number (table), source,
@@ -399,8 +402,8 @@
   guint64 number = MAX (version_table_number (table), keeper->heard) + 1;
   keeper->proposed = version_table_propose (table, number, keeper->era,
                                             keeper->keep_us, now);
-  start_call (keeper, &keeper->table, STORAGE_PUT, TABLE_NAME,
-              keeper->proposed, on_table_written);
+  start_call (keeper, &keeper->table, STORAGE_PUT, TABLE_NAME, keeper->proposed,
+              on_table_written);
 }
 
 /* Returns whether a peer has a newer table, which is not lost yet.  */
@@ -417,9 +420,8 @@
 has_turn (struct version_keeper *keeper, gint64 now)
 {
   const struct version_table *table = stream_versions_table (keeper->versions);
-  gboolean is_due
-      = version_table_is_due (table, keeper->keep_us, now)
-        || (keeper->must_write && version_table_number (table) > 0);
+  gboolean is_due = version_table_is_due (table, keeper->keep_us, now)
+                    || (keeper->must_write && version_table_number (table) > 0);
   if (!is_due || is_behind (keeper, now))
     {
       keeper->due_since = 0;
@@ -427,9 +429,8 @@
     }
   if (keeper->due_since == 0)
     keeper->due_since = now;
-  guint rank = keeper->gossip != NULL
-                   ? gossip_reader_rank (keeper->gossip, now)
-                   : 0;
+  guint rank
+      = keeper->gossip != NULL ? gossip_reader_rank (keeper->gossip, now) : 0;
   return now - keeper->due_since >= (gint64)rank * TURN_US;
 }
 
@@ -565,9 +566,9 @@
 static void
 step_reports (struct version_keeper *keeper, gint64 now)
 {
-  gboolean is_large = keeper->gossip != NULL
-                      && gossip_instance_count (keeper->gossip, now)
-                             > ALL_TOGETHER_MAX;
+  gboolean is_large
+      = keeper->gossip != NULL
+        && gossip_instance_count (keeper->gossip, now) > ALL_TOGETHER_MAX;
   GArray *keys = keeper->unreported;
   if (now - keeper->reported_at
       < (is_large ? REPORT_INTERVAL_LARGE_US : REPORT_INTERVAL_US))
@@ -679,9 +680,8 @@
 gboolean
 version_keeper_heard (struct version_keeper *keeper, guint64 number)
 {
-  gboolean is_newer
-      = number
-        > version_table_number (stream_versions_table (keeper->versions));
+  gboolean is_newer = number > version_table_number (
+                          stream_versions_table (keeper->versions));
   keeper->heard = MAX (keeper->heard, number);
   if (is_newer && keeper->behind_since == 0)
     keeper->behind_since = clk_now (keeper->options.clk);
@@ -694,8 +694,7 @@
 {
   struct version_table *table = stream_versions_table (keeper->versions);
   guint64 before = version_table_number (table);
-  int code
-      = version_table_read (table, text, 0, clk_now (keeper->options.clk));
+  int code = version_table_read (table, text, 0, clk_now (keeper->options.clk));
   if (version_table_number (table) >= keeper->heard)
     keeper->behind_since = 0;
   if (version_table_number (table) > before)
@@ -764,3 +763,23 @@
       }
   return TRUE;
 }
+
+/* Appends the member "versions" to JSON: the table, and who collects the
+   streams that have begun.  */
+void
+version_keeper_dump (const struct version_keeper *keeper, JsonBuilder *json)
+{
+  const struct version_table *table = stream_versions_table (keeper->versions);
+  json_builder_set_member_name (json, "versions");
+  json_builder_begin_object (json);
+  json_add_int (json, "table", (gint64)version_table_number (table));
+  json_builder_set_member_name (json, "services");
+  json_builder_begin_object (json);
+  version_table_dump (table, json);
+  json_builder_end_object (json);
+  json_add_int (json, "collectors", keeper->n_collectors);
+  json_add_int (json, "unreported", keeper->unreported->len);
+  json_add_int (json, "store_failures",
+                keeper->table.failures + keeper->streams.failures);
+  json_builder_end_object (json);
+}
--- a/packages/jacinthward/version_keeper.h
+++ b/packages/jacinthward/version_keeper.h
@@ -17,10 +17,10 @@
   const char *store_address; /* IP:PORT */
   const char *id;            /* of this instance */
   const char *domain;
-  guint32 ip; /* own, host byte order */
-  const struct clk *clk;            /* borrowed */
-  struct counter_set *counter_set;  /* borrowed */
-  const struct registry *registry;  /* borrowed */
+  guint32 ip;                      /* own, host byte order */
+  const struct clk *clk;           /* borrowed */
+  struct counter_set *counter_set; /* borrowed */
+  const struct registry *registry; /* borrowed */
   gossip_send_fn send;
   /* Searches may have ended, or the table has changed. */
   void (*changed) (void *ctx);
@@ -36,6 +36,8 @@
 void version_keeper_set_routes (struct version_keeper *keeper,
                                 const struct routing_table *routing_table);
 void version_keeper_observe (struct version_keeper *keeper);
+void version_keeper_dump (const struct version_keeper *keeper,
+                          JsonBuilder *json);
 void version_keeper_step (struct version_keeper *keeper);
 void version_keeper_store_changed (struct version_keeper *keeper, guint64 era);
 gboolean version_keeper_heard (struct version_keeper *keeper, guint64 number);
--- a/packages/peer/stream_inquiry.c
+++ b/packages/peer/stream_inquiry.c
@@ -3,9 +3,9 @@
 #include "base/msgpack_check.h"
 #include "peer/peer_msgpack.h"
 
-#define FIELDS 4     /* kind, key, service, version */
+#define FIELDS 4        /* kind, key, service, version */
 #define REPORT_FIELDS 2 /* kind, text */
-#define FIXARRAY 0x90 /* msgpack: an array of up to 15 elements */
+#define FIXARRAY 0x90   /* msgpack: an array of up to 15 elements */
 
 /* Returns whether a datagram is such a message, by its first element. It may
    still be malformed.  */
@@ -93,11 +93,10 @@
   size_t at = 0;
   *inquiry = (struct stream_inquiry){ 0 };
   msgpack_unpacked_init (&unpacked);
-  gboolean ok
-      = stream_inquiry_is (bytes) && msgpack_check (bytes) == bytes.n
-        && msgpack_unpack_next (&unpacked, bytes.p, bytes.n, &at)
-               == MSGPACK_UNPACK_SUCCESS
-        && at == bytes.n && read_inquiry (&unpacked.data, inquiry);
+  gboolean ok = stream_inquiry_is (bytes) && msgpack_check (bytes) == bytes.n
+                && msgpack_unpack_next (&unpacked, bytes.p, bytes.n, &at)
+                       == MSGPACK_UNPACK_SUCCESS
+                && at == bytes.n && read_inquiry (&unpacked.data, inquiry);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
     return err_set (err, ERR_PROTOCOL, "peer.decode", "",
--- a/packages/streams/begun_streams.c
+++ b/packages/streams/begun_streams.c
@@ -114,8 +114,8 @@
   for (guint i = 0; i < GENERATIONS; i++)
     for (guint k = 0; k < BEGUN_SOURCES_N; k++)
       {
-        const struct begun_place *place = g_hash_table_lookup (
-            streams->generations[i].places[k], &key);
+        const struct begun_place *place
+            = g_hash_table_lookup (streams->generations[i].places[k], &key);
         if (place != NULL && found != NULL && place != found)
           return &streams->ambiguous;
         if (place != NULL)
@@ -128,8 +128,7 @@
 insert (struct begun_streams *streams, guint64 key,
         const struct begun_place *place, enum begun_source source)
 {
-  GHashTable *places
-      = streams->generations[streams->current].places[source];
+  GHashTable *places = streams->generations[streams->current].places[source];
   if (g_hash_table_size (places) >= ENTRIES_MAX)
     return;
   g_hash_table_insert (places, g_memdup2 (&key, sizeof key), (gpointer)place);
--- a/packages/streams/begun_streams.h
+++ b/packages/streams/begun_streams.h
@@ -18,8 +18,8 @@
 
 /* X (NAME): who has seen a stream begin */
 #define BEGUN_SOURCES(X)                                                       \
-  X (OWN)  /* this instance, now or before its last start */                   \
-  X (TOLD) /* another one, which has told this one, to save it */              \
+  X (OWN)   /* this instance, now or before its last start */                  \
+  X (TOLD)  /* another one, which has told this one, to save it */             \
   X (SAVED) /* read from the store, or an answer to a question */
 
 enum begun_source
@@ -40,8 +40,8 @@
 void begun_streams_add (struct begun_streams *streams, guint64 key,
                         const char *service, const char *version,
                         enum begun_source source);
-const struct begun_place *begun_streams_find (const struct begun_streams *streams,
-                                              guint64 key);
+const struct begun_place *
+begun_streams_find (const struct begun_streams *streams, guint64 key);
 void begun_streams_own_keys (const struct begun_streams *streams, GArray *keys);
 GBytes *begun_streams_write (const struct begun_streams *streams);
 GBytes *begun_streams_write_keys (const struct begun_streams *streams,
--- a/packages/streams/version_table.c
+++ b/packages/streams/version_table.c
@@ -1,11 +1,11 @@
 #include "streams/version_table.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #define FIRST_LINE "versions 1 " /* number and era follow */
 #define SERVICES_MAX 1000
-#define NOT_STATED "*" /* no version can be called so */
+#define NUMBER_MAX (G_MAXUINT64 / 4) /* of a table; each change adds 1 */
+#define NOT_STATED "*"               /* no version can be called so */
 #define ANY_VERSION "?"
 
 struct service
@@ -24,7 +24,7 @@
 
 struct version_table
 {
-  guint64 number; /* counts the changes; 0: no table is known */
+  guint64 number;      /* counts the changes; 0: no table is known */
   GPtrArray *services; /* of struct service, owned */
 };
 
@@ -104,11 +104,26 @@
   return TRUE;
 }
 
+/* Parses the first line, which has the number of the table and the era of the
+   store that it was written for.  */
+static gboolean
+read_first_line (const char *line, guint64 *number, guint64 *era)
+{
+  if (!g_str_has_prefix (line, FIRST_LINE))
+    return FALSE;
+  g_auto (GStrv) fields = g_strsplit (line + strlen (FIRST_LINE), " ", 2);
+  return g_strv_length (fields) == 2
+         && g_ascii_string_to_unsigned (fields[0], 10, 1, NUMBER_MAX, number,
+                                        NULL)
+         && g_ascii_string_to_unsigned (fields[1], 10, 0, G_MAXUINT64, era,
+                                        NULL);
+}
+
 /* Takes over TEXT, read at clock time NOW from a store in ERA (0: not stated),
    if it is a newer table than the one known. A table of an earlier era is from
    before what that copy of the store lacks, so streams may have begun at other
    versions since. Returns 0, ERR_CONFLICT if the table is older than the one
-   known, or ERR_PROTOCOL.  */
+   known, or ERR_PROTOCOL; then lines before the malformed one may count.  */
 int
 version_table_read (struct version_table *table, struct str text, guint64 era,
                     gint64 now)
@@ -118,12 +133,7 @@
   guint64 number;
   guint64 table_era;
   if (strlen (copy) != text.n || lines[0] == NULL
-      || !g_str_has_prefix (lines[0], FIRST_LINE)
-      || sscanf (lines[0] + strlen (FIRST_LINE),
-                 "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT, &number,
-                 &table_era)
-             != 2
-      || number == 0)
+      || !read_first_line (lines[0], &number, &table_era))
     return ERR_PROTOCOL;
   if (number <= table->number)
     return number < table->number ? ERR_CONFLICT : 0;
@@ -182,6 +192,21 @@
   return found != NULL ? found->rule : VERSION_RULE_UNKNOWN;
 }
 
+/* Appends the rule of each service to JSON, an object: a version, or "any".  */
+void
+version_table_dump (const struct version_table *table, JsonBuilder *json)
+{
+  for (guint i = 0; i < table->services->len; i++)
+    {
+      const struct service *service = table->services->pdata[i];
+      if (service->rule == VERSION_RULE_UNKNOWN)
+        continue;
+      json_builder_set_member_name (json, service->name);
+      json_builder_add_string_value (
+          json, service->rule == VERSION_RULE_ANY ? "any" : service->version);
+    }
+}
+
 /* Returns whether servers of SERVICE are listed whose version is not the one at
    which its streams may begin.  */
 gboolean
@@ -228,8 +253,7 @@
         service = find_or_add (table, entry->service);
       if (service->is_listed)
         {
-          service->has_several
-              |= !g_str_equal (service->only, entry->version);
+          service->has_several |= !g_str_equal (service->only, entry->version);
           continue;
         }
       g_strlcpy (before, service->only, sizeof before);
--- a/packages/streams/version_table.h
+++ b/packages/streams/version_table.h
@@ -5,6 +5,8 @@
 #ifndef VERSION_TABLE_H
 #define VERSION_TABLE_H
 
+#include <json-glib/json-glib.h>
+
 #include "fleet/registry.h"
 
 /* X (NAME) */
@@ -33,6 +35,7 @@
                                       const char **version);
 gboolean version_table_has_several (const struct version_table *table,
                                     const char *service);
+void version_table_dump (const struct version_table *table, JsonBuilder *json);
 gboolean version_table_is_mixed (const struct version_table *table);
 void version_table_observe (struct version_table *table,
                             const struct registry *registry, gint64 now);
--- a/tests/proc/test_rejoined_streams.c
+++ b/tests/proc/test_rejoined_streams.c
@@ -17,6 +17,10 @@
 #define RETURN_MS 100   /* from the end of a response to the client's return */
 #define SETTLED_MS 3000 /* until all instances know all */
 
+/* When the store is away, from the begin of the traffic on. */
+#define STORE_AWAY_MS 2500
+#define STORE_BACK_MS 6500
+
 /* The users' rule: of so many resumed streams, such a share goes on, relative
    to that of the streams that begin. */
 #define RESUMED_COUNTED 12
@@ -32,6 +36,7 @@
   guint run_ms;
   guint crash_ms; /* the connections of a server are reset so often; 0: never */
   guint kill_ms;  /* an instance is killed and restarted so often; 0: never */
+  gboolean store_away; /* from STORE_AWAY_MS to STORE_BACK_MS */
   struct power_plan losses;
 };
 
@@ -240,6 +245,10 @@
   while ((us = g_get_monotonic_time () - start) < (gint64)ms * 1000)
     {
       power_losses_run (&testbed->losses, testbed->fleet);
+      gboolean is_away = scenario->store_away && us / 1000 >= STORE_AWAY_MS
+                         && us / 1000 < STORE_BACK_MS;
+      if (is_away != testbed->fleet->store_is_down && scenario->store_away)
+        proxy_fleet_set_store_down (testbed->fleet, is_away);
       for (; begun < us * STREAMS_PER_S / G_USEC_PER_SEC; begun++)
         {
           struct stream *stream = g_new0 (struct stream, 1);
@@ -317,6 +326,16 @@
       .old = 4, .joins_ms = 500, .run_ms = 8000, .crash_ms = 600 });
 }
 
+static void
+test_store_away (void)
+{
+  check_scenario (&(struct scenario){ .old = 4,
+                                      .joins_ms = 500,
+                                      .run_ms = 8000,
+                                      .crash_ms = 600,
+                                      .store_away = TRUE });
+}
+
 static void
 test_killed_instances (void)
 {
@@ -346,6 +365,7 @@
 
 static CU_TestInfo tests[] = {
   { "two versions side by side, servers break off", test_side_by_side },
+  { "the same while the store is away", test_store_away },
   { "instances are killed one by one", test_killed_instances },
   { "all instances lose power", test_power },
   { "all instances lose power during a release", test_power_after_release },
--- a/tests/unit/test_begun_streams.c
+++ b/tests/unit/test_begun_streams.c
@@ -14,7 +14,7 @@
 version_of (const struct begun_streams *streams, guint64 key)
 {
   const struct begun_place *place = begun_streams_find (streams, key);
-  return place == NULL          ? "unknown"
+  return place == NULL         ? "unknown"
          : place->is_ambiguous ? "ambiguous"
                                : place->version;
 }
@@ -89,8 +89,8 @@
   CU_ASSERT_STRING_EQUAL (version_of (first, 4), "v2");
   g_bytes_unref (text);
   static const char *const malformed[]
-      = { "", "streams 2\n", "streams 1\npool v1\n", "streams 1\npool v1 AAAA\n",
-          "streams 1\n/ v1 AAAAAAAAAAA=\n" };
+      = { "", "streams 2\n", "streams 1\npool v1\n",
+          "streams 1\npool v1 AAAA\n", "streams 1\n/ v1 AAAAAAAAAAA=\n" };
   for (guint i = 0; i < G_N_ELEMENTS (malformed); i++)
     CU_ASSERT_EQUAL (
         begun_streams_read (second, str_of (malformed[i]), BEGUN_SAVED),
@@ -139,9 +139,9 @@
   struct stream_versions *versions = stream_versions_new (&options, 0);
   memset (&observed, 0, sizeof observed);
   observed.peers = peers;
-  CU_ASSERT_EQUAL (version_table_read (stream_versions_table (versions),
-                                       MIXED_TABLE, 0, 0),
-                   0);
+  CU_ASSERT_EQUAL (
+      version_table_read (stream_versions_table (versions), MIXED_TABLE, 0, 0),
+      0);
   return versions;
 }
 
@@ -241,9 +241,9 @@
   CU_ASSERT_STRING_EQUAL (decoded.place.version, inquiry->place.version);
   CU_ASSERT_EQUAL (decoded.place.is_ambiguous, inquiry->place.is_ambiguous);
   for (gsize n = 0; n < text.n; n++)
-    CU_ASSERT_EQUAL (stream_inquiry_decode ((struct str){ text.p, n },
-                                            &decoded, &err),
-                     ERR_PROTOCOL);
+    CU_ASSERT_EQUAL (
+        stream_inquiry_decode ((struct str){ text.p, n }, &decoded, &err),
+        ERR_PROTOCOL);
   g_byte_array_unref (bytes);
 }
 
@@ -254,19 +254,17 @@
                                            .key = G_MAXUINT64 });
   check_inquiry (
       &(struct stream_inquiry){ .kind = STREAM_INQUIRY_ANSWER, .key = 1 });
-  check_inquiry (
-      &(struct stream_inquiry){ .kind = STREAM_INQUIRY_REPORT,
-                                .report = STR_LIT ("streams 1\n") });
+  check_inquiry (&(struct stream_inquiry){ .kind = STREAM_INQUIRY_REPORT,
+                                           .report = STR_LIT ("streams 1\n") });
   check_inquiry (&(struct stream_inquiry){
       .kind = STREAM_INQUIRY_ANSWER,
       .key = 2,
       .is_known = TRUE,
       .place = { .service = "pool", .version = "v1.2" } });
-  check_inquiry (
-      &(struct stream_inquiry){ .kind = STREAM_INQUIRY_ANSWER,
-                                .key = 3,
-                                .is_known = TRUE,
-                                .place = { .is_ambiguous = TRUE } });
+  check_inquiry (&(struct stream_inquiry){ .kind = STREAM_INQUIRY_ANSWER,
+                                           .key = 3,
+                                           .is_known = TRUE,
+                                           .place = { .is_ambiguous = TRUE } });
 }
 
 static CU_TestInfo tests[] = {
--- a/tests/unit/test_version_table.c
+++ b/tests/unit/test_version_table.c
@@ -70,9 +70,9 @@
 {
   if (!version_table_is_due (world->table, SETTLE_US, world->now))
     return FALSE;
-  GBytes *text = version_table_propose (
-      world->table, version_table_number (world->table) + 1, era, SETTLE_US,
-      world->now);
+  GBytes *text = version_table_propose (world->table,
+                                        version_table_number (world->table) + 1,
+                                        era, SETTLE_US, world->now);
   gsize n;
   const char *bytes = g_bytes_get_data (text, &n);
   CU_ASSERT_EQUAL (version_table_read (world->table, (struct str){ bytes, n },
@@ -176,6 +176,9 @@
           "versions",
           "versions 2 1 0\npool v1\n",
           "versions 1 0 0\npool v1\n",
+          "versions 1 -1 0\npool v1\n",
+          "versions 1 18446744073709551615 0\npool v1\n",
+          "versions 1 1\npool v1\n",
           "versions 1 1 0\npool\n",
           "versions 1 1 0\npool v1 v2\n",
           "versions 1 1 0\npool \"\n",
