Split the keeper of the table of versions from that of streams

Cause: one file had the table, the collectors and the calls of both. Reading it showed that a newer table that came from the store left the instance behind its peers for good, so that it could have written before a later one had reached it. Taking a table over from anywhere ends the wait for a peer's. Half as many streams are remembered at most.

--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -77,8 +77,8 @@
     .config_age_us = age == G_MAXINT64 ? GOSSIP_AGE_UNKNOWN : age,
     .n_waiting = scheduler_n_contending (daemon->scheduler),
     .store_era = daemon->store_era.known,
-    .version_table = version_table_number (stream_versions_table (
-        version_keeper_versions (daemon->version_keeper))),
+    .version_table = version_table_number (
+        stream_versions_table (stream_keeper_versions (daemon->stream_keeper))),
     .server_list_digest = daemon->server_list.digest,
     .server_list_age_us = daemon->server_list.entries
                               ? now - daemon->server_list.requested_at
@@ -167,7 +167,7 @@
   counter_add (&daemon->counter_set, COUNTER_MSG_IN, 1);
   counter_add (&daemon->counter_set, COUNTER_BYTES_IN, bytes.n);
   if (usage_keeper_receive (daemon->usage_keeper, ip, bytes, now)
-      || version_keeper_receive (daemon->version_keeper, ip, bytes))
+      || stream_keeper_receive (daemon->stream_keeper, ip, bytes))
     return;
   int code = gossip_receive (daemon->gossip, ip, bytes, now, daemon->registry,
                              scheduler_loads (daemon->scheduler),
@@ -261,6 +261,7 @@
                          && gossip_reader_rank (daemon->gossip, now) == 0);
   proxy_daemon_sync_step (daemon, now);
   version_keeper_step (daemon->version_keeper);
+  stream_keeper_step (daemon->stream_keeper);
   duty_keeper_step (daemon->duty_keeper, daemon->store_era.known,
                     daemon->stopping);
   send_state_to_peers (daemon, now);
@@ -387,7 +388,7 @@
           .registry = daemon->registry,
           .scheduler = daemon->scheduler,
           .suspects = daemon->suspects,
-          .versions = version_keeper_versions (daemon->version_keeper),
+          .versions = stream_keeper_versions (daemon->stream_keeper),
           .limits = limits_of (settings),
           .memory_limit
           = (gsize)(settings->memory_mb * MEGABYTE * MEMORY_KEPT_SHARE),
@@ -463,8 +464,8 @@
     if (udp_ip_parse (settings->seeds[i], &seeds[options.n_seeds]))
       options.n_seeds++;
   daemon->gossip = gossip_new (&options, now);
-  version_keeper_set_gossip (daemon->version_keeper, daemon->gossip,
-                             daemon->ip);
+  version_keeper_set_gossip (daemon->version_keeper, daemon->gossip);
+  stream_keeper_set_gossip (daemon->stream_keeper, daemon->gossip, daemon->ip);
   g_free (seeds);
   daemon->udp = udp_new (settings->listen_peers, on_datagram, daemon, err);
   if (daemon->udp == NULL)
@@ -543,16 +544,24 @@
           .loaded = on_crashes_loaded,
           .ctx = daemon };
   daemon->crash_keeper = crash_keeper_new (&keeper_options);
-  const struct version_keeper_options version_options
+  const struct stream_keeper_options stream_options
       = { .store_address = settings->store_address,
           .id = settings->id.s,
           .domain = settings->domain.s,
           .clk = daemon->clk,
           .counter_set = &daemon->counter_set,
-          .registry = daemon->registry,
           .send = send_datagram,
           .changed = on_versions_changed,
           .ctx = daemon };
+  daemon->stream_keeper = stream_keeper_new (&stream_options);
+  const struct version_keeper_options version_options
+      = { .store_address = settings->store_address,
+          .clk = daemon->clk,
+          .counter_set = &daemon->counter_set,
+          .registry = daemon->registry,
+          .versions = stream_keeper_versions (daemon->stream_keeper),
+          .changed = on_versions_changed,
+          .ctx = daemon };
   daemon->version_keeper = version_keeper_new (&version_options);
   daemon->adapter = adapter_new (&adapter_options);
   int code = open_proxy (daemon, err);
@@ -592,6 +601,7 @@
   scheduler_free (daemon->scheduler);
   crash_keeper_free (daemon->crash_keeper);
   version_keeper_free (daemon->version_keeper);
+  stream_keeper_free (daemon->stream_keeper);
   suspects_free (daemon->suspects);
   registry_free (daemon->registry);
   topology_free (daemon->topology);
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -28,6 +28,7 @@
   proxy_dump (daemon->reverse_proxy, json);
   duty_keeper_dump (daemon->duty_keeper, json);
   version_keeper_dump (daemon->version_keeper, json);
+  stream_keeper_dump (daemon->stream_keeper, json);
   json_builder_set_member_name (json, "counters");
   counter_set_dump (&daemon->counter_set, json);
   usage_keeper_dump (daemon->usage_keeper, json);
@@ -117,7 +118,7 @@
   g_autoptr (GBytes) versions
       = targets_path (head, PROXY_DAEMON_VERSIONS_PATH)
             ? version_table_text (stream_versions_table (
-                version_keeper_versions (daemon->version_keeper)))
+                stream_keeper_versions (daemon->stream_keeper)))
             : NULL;
   if (!wants_config && !wants_servers && versions == NULL)
     return;
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -13,6 +13,7 @@
 #include "jacinthward/duty_keeper.h"
 #include "jacinthward/order_view.h"
 #include "jacinthward/proxy_daemon.h"
+#include "jacinthward/stream_keeper.h"
 #include "jacinthward/usage_keeper.h"
 #include "jacinthward/version_keeper.h"
 #include "net/udp.h"
@@ -55,6 +56,7 @@
   struct scheduler *scheduler;
   struct suspects *suspects;
   struct crash_keeper *crash_keeper;
+  struct stream_keeper *stream_keeper;
   struct version_keeper *version_keeper;
   struct usage_keeper *usage_keeper; /* NULL: usage is not accounted */
   struct duty_keeper *duty_keeper;   /* NULL: there are no duties */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -115,6 +115,7 @@
       registry_store_failed (daemon->registry, clk_now (daemon->clk));
       crash_keeper_store_changed (daemon->crash_keeper);
       version_keeper_store_changed (daemon->version_keeper, era);
+      stream_keeper_store_changed (daemon->stream_keeper);
       break;
     case STORE_ERA_OLDER:
       log_write (&(struct log_entry){ .level = peer ? LOG_DEBUG : LOG_WARN,
--- a/packages/streams/begun_streams.c
+++ b/packages/streams/begun_streams.c
@@ -10,7 +10,7 @@
 #define KEEP_DEFAULT_US (60 * (gint64)G_USEC_PER_SEC)
 /* Of one generation, by one source. Beyond it the streams that begin are not
    remembered, and their clients have to begin anew. */
-#define ENTRIES_MAX 100000
+#define ENTRIES_MAX 50000
 #define FIRST_LINE "streams 1"
 #define NOT_STATED "*" /* no version can be called so */
 
