Name what the proxy does with Resumes

Change: the id by which a route's services are drawn has a function of its own; words of the glossary. No change of behaviour.

--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -359,13 +359,7 @@
 {
   struct scheduler_entry *queue_entry = &exchange->queue_entry;
   const struct routing_route *route = exchange->route;
-  struct str begun_by;
-  stream_version_resumes (exchange, &begun_by);
-  /* A stream goes on at the service at which it has begun. */
-  guint64 id_hash = str_hash (exchange->is_continuation && begun_by.n > 0
-                                  ? begun_by
-                                  : str_of (exchange->id),
-                              0);
+  guint64 id_hash = str_hash (stream_version_first_id (exchange), 0);
   g_strlcpy (queue_entry->service, routing_pick (route, id_hash),
              sizeof queue_entry->service);
   exchange->tier = routing_tier (route, exchange->team);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -217,8 +217,7 @@
   gboolean waited_for_config;
   GList parts_link; /* in awaiting_parts; data is NULL if it is not there */
   struct suspects_attempt suspects_attempt;
-  GList
-      version_link; /* in awaiting_versions; data is NULL if it is not there */
+  GList version_link; /* in awaiting_versions; data is NULL: not there */
   enum stream_binding binding;
   char software[STR_ID_MAX + 1]; /* BOUND: version of the stream's servers; else
                                     the one at which it may begin */
@@ -301,6 +300,7 @@
 gboolean stream_version_admit (struct exchange *exchange);
 gboolean stream_version_resumes (const struct exchange *exchange,
                                  struct str *id);
+struct str stream_version_first_id (const struct exchange *exchange);
 gboolean stream_version_can_resume (const struct exchange *exchange);
 void stream_version_began (struct exchange *exchange);
 void stream_version_cancel (struct exchange *exchange);
--- a/packages/gate/stream_version.c
+++ b/packages/gate/stream_version.c
@@ -45,6 +45,18 @@
   return http_head_count (exchange->head, name) <= 1;
 }
 
+/* Returns the id of the request that has begun the stream, as far as the client
+   says: the services of a route are drawn by it, as a stream goes on at the one
+   at which it has begun. Borrowed.  */
+struct str
+stream_version_first_id (const struct exchange *exchange)
+{
+  struct str id = { "", 0 };
+  if (exchange->is_continuation)
+    stream_version_resumes (exchange, &id);
+  return id.n > 0 ? id : str_of (exchange->id);
+}
+
 /* Rejects the request to resume a stream, at once and without a time to return:
    it has not run, and the client can begin anew. Frees EXCHANGE.  */
 static void
@@ -64,7 +76,7 @@
 }
 
 static void
-wait (struct exchange *exchange)
+wait_for_version (struct exchange *exchange)
 {
   exchange->version_link.data = exchange;
   g_queue_push_tail_link (&exchange->reverse_proxy->awaiting_versions,
@@ -143,7 +155,7 @@
         case STREAM_SEARCH_SEARCHING:
           if (exchange_now (exchange) - exchange->arrived < WAIT_US)
             {
-              wait (exchange);
+              wait_for_version (exchange);
               return FALSE;
             }
           /* fall through */
@@ -177,7 +189,7 @@
     case VERSION_RULE_UNKNOWN:
       if (may_wait_for_table (exchange))
         {
-          wait (exchange);
+          wait_for_version (exchange);
           return FALSE;
         }
       request->version = NULL;
--- a/packages/jacinthward/store_caller.h
+++ b/packages/jacinthward/store_caller.h
@@ -11,9 +11,9 @@
 
 struct store_caller_options
 {
-  const char *address; /* of the store, IP:PORT */
-  const char *kind;    /* of the objects; static; NULL: jacinthward */
-  const struct clk *clk;           /* borrowed */
+  const char *address;   /* of the store, IP:PORT */
+  const char *kind;      /* of the objects; static; NULL: jacinthward */
+  const struct clk *clk; /* borrowed */
   struct counter_set *counter_set; /* borrowed */
 };
 
--- a/packages/jacinthward/stream_keeper.c
+++ b/packages/jacinthward/stream_keeper.c
@@ -42,7 +42,7 @@
   gboolean is_changed;  /* streams have become known since the last save */
   gboolean read_wanted; /* by a search */
   gint64 saved_at;      /* clock time of the last save */
-  gboolean was_mixed;   /* streams could begin at any version at the last step */
+  gboolean was_mixed; /* streams could begin at any version at the last step */
   guint32 collectors[COLLECTORS_MAX]; /* IPs; this instance may be one */
   guint n_collectors;
   gint64 collectors_at; /* clock time at which they were chosen */
@@ -329,7 +329,8 @@
   else if (keeper->read_wanted || (saves && !caller->is_known))
     {
       keeper->read_wanted = FALSE;
-      store_caller_start (caller, STORAGE_LIST, "", NULL, on_streams_listed, keeper);
+      store_caller_start (caller, STORAGE_LIST, "", NULL, on_streams_listed,
+                          keeper);
     }
   else if (saves && keeper->is_changed
            && now - keeper->saved_at
@@ -402,7 +403,7 @@
    is.  */
 gboolean
 stream_keeper_receive (struct stream_keeper *keeper, guint32 ip,
-                        struct str bytes)
+                       struct str bytes)
 {
   struct stream_inquiry inquiry;
   struct err err = { 0 };
