Copy no text of length 0 from a message

Without the sanitizer it does no harm. Change: an empty text is set, not copied. Result: test_begun_streams, test_decoders, test_stream_versions under ASan and UBSan.

--- a/packages/peer/stream_inquiry.c
+++ b/packages/peer/stream_inquiry.c
@@ -50,7 +50,10 @@
   if (object->type != MSGPACK_OBJECT_STR)
     return FALSE;
   struct str s = { object->via.str.ptr, object->via.str.size };
-  if (s.n > 0 && !str_id_ok (s))
+  text[0] = '\0';
+  if (s.n == 0)
+    return TRUE;
+  if (!str_id_ok (s))
     return FALSE;
   memcpy (text, s.p, s.n);
   text[s.n] = '\0';
