Read an object or a report without a text as malformed

Cause: an empty object in the store, or an empty report of a peer, has a null pointer for a text; reading it would have ended every instance that gets it. Change: the text is copied by str_dup, which knows that. Result: test_version_table and test_begun_streams failed with it under UBSan before (null pointer passed to strlen) and pass.

--- a/packages/streams/begun_streams.c
+++ b/packages/streams/begun_streams.c
@@ -282,7 +282,7 @@
 begun_streams_read (struct begun_streams *streams, struct str text,
                     enum begun_source source)
 {
-  g_autofree char *copy = g_strndup (text.p, text.n);
+  g_autofree char *copy = str_dup (text);
   g_auto (GStrv) lines = g_strsplit (copy, "\n", -1);
   if (strlen (copy) != text.n || lines[0] == NULL
       || !g_str_equal (lines[0], FIRST_LINE))
--- a/packages/streams/version_table.c
+++ b/packages/streams/version_table.c
@@ -128,7 +128,7 @@
 version_table_read (struct version_table *table, struct str text, guint64 era,
                     gint64 now)
 {
-  g_autofree char *copy = g_strndup (text.p, text.n);
+  g_autofree char *copy = str_dup (text);
   g_auto (GStrv) lines = g_strsplit (copy, "\n", SERVICES_MAX + 2);
   guint64 number;
   guint64 table_era;
--- a/tests/unit/test_begun_streams.c
+++ b/tests/unit/test_begun_streams.c
@@ -95,6 +95,9 @@
     CU_ASSERT_EQUAL (
         begun_streams_read (second, str_of (malformed[i]), BEGUN_SAVED),
         ERR_PROTOCOL);
+  const struct str none = { NULL, 0 };
+  CU_ASSERT_EQUAL (begun_streams_read (second, none, BEGUN_SAVED),
+                   ERR_PROTOCOL);
   begun_streams_free (first);
   begun_streams_free (second);
 }
--- a/tests/unit/test_version_table.c
+++ b/tests/unit/test_version_table.c
@@ -150,6 +150,16 @@
   world_free (&world);
 }
 
+/* The object has no text at all.  */
+static void
+test_empty (void)
+{
+  struct version_table *table = version_table_new ();
+  const struct str none = { NULL, 0 };
+  CU_ASSERT_EQUAL (version_table_read (table, none, 0, 0), ERR_PROTOCOL);
+  version_table_free (table);
+}
+
 /* A store that is back from an older copy may have a table from before a
    release.  */
 static void
@@ -199,6 +209,7 @@
   { "an instance that has started", test_started },
   { "an older copy of the store", test_older_copy },
   { "malformed tables", test_malformed },
+  { "an object without a text", test_empty },
   CU_TEST_INFO_NULL,
 };
 
