Send no request on whose client has left unread

After a pause the request and the end of its connection are both waiting in the socket; one read takes the request, which goes to a server at once, the next one the end.

An attempt begins, is passed on to another instance, or is sent on a connection that has just opened only if the client has not closed its connection by then, which one recv with MSG_PEEK tells. test_gate_left_behind, "a request on a kept connection", fails without it (2 requests at the server, 1 expected).

--- a/packages/gate/downstream.c
+++ b/packages/gate/downstream.c
@@ -308,6 +308,20 @@
   release (downstream);
 }
 
+/* Ends the request in progress if the client has closed its connection, which
+   may not have been read yet: after a pause of the process the request and the
+   end of its connection arrive together. Returns whether it was ended; then
+   DOWNSTREAM and its exchange may have been freed.  */
+gboolean
+downstream_end_if_left (struct downstream *downstream)
+{
+  if (downstream->tcp_conn == NULL
+      || !tcp_conn_peer_has_ended (downstream->tcp_conn))
+    return FALSE;
+  client_disconnected (downstream);
+  return TRUE;
+}
+
 static void
 on_ended (void *ctx)
 {
--- a/packages/gate/exchange.c
+++ b/packages/gate/exchange.c
@@ -501,6 +501,8 @@
   struct reverse_proxy *reverse_proxy = exchange->reverse_proxy;
   gint64 now = exchange_now (exchange);
   char service[sizeof exchange->queue_entry.service];
+  if (downstream_end_if_left (exchange->downstream))
+    return;
   g_strlcpy (service, exchange->queue_entry.service, sizeof service);
   if (!exchange->head_sent)
     {
--- a/packages/gate/relay.c
+++ b/packages/gate/relay.c
@@ -125,6 +125,8 @@
       || !options->choose_peer (options->ctx, exchange->relays,
                                 exchange->n_relays, &peer))
     return FALSE;
+  if (downstream_end_if_left (exchange->downstream))
+    return TRUE;
   exchange->relays[exchange->n_relays++] = peer;
   struct log_entry e
       = exchange_log_record (exchange, "request.relayed", peer.address);
--- a/packages/gate/reverse_proxy_internal.h
+++ b/packages/gate/reverse_proxy_internal.h
@@ -118,6 +118,7 @@
 void downstream_give_up_body (struct downstream *downstream, guint status,
                               const char *code, gint64 retry_after_us);
 void downstream_read_on (struct downstream *downstream);
+gboolean downstream_end_if_left (struct downstream *downstream);
 
 /* Connections of clients that are being closed: the last response is being
    sent, or the client's FIN is awaited. */
--- a/packages/gate/upstream.c
+++ b/packages/gate/upstream.c
@@ -523,6 +523,7 @@
   const struct upstream *upstream = ctx;
   if (!upstream->is_relay)
     reachability_accepted (upstream->reverse_proxy);
+  downstream_end_if_left (upstream->exchange->downstream);
 }
 
 static void
--- a/packages/net/tcp_conn.c
+++ b/packages/net/tcp_conn.c
@@ -600,6 +600,21 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* Returns whether the end of the peer's output has arrived, or the connection
+   has failed, although neither may have been read yet. Bytes that have not been
+   read either hide it.  */
+gboolean
+tcp_conn_peer_has_ended (const struct tcp_conn *conn)
+{
+  char byte;
+  if (conn->source == NULL || conn->ended)
+    return TRUE;
+  gssize n = recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0
+         || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK
+             && errno != EINTR);
+}
+
 /* Copies up to SIZE bytes that have arrived to BUFFER, and leaves them to be
    read. Returns their number.  */
 gsize
--- a/packages/net/tcp_conn.h
+++ b/packages/net/tcp_conn.h
@@ -60,6 +60,7 @@
 guint64 tcp_conn_sent (const struct tcp_conn *conn);
 void tcp_conn_pause (struct tcp_conn *conn, gboolean paused);
 gboolean tcp_conn_is_idle (const struct tcp_conn *conn);
+gboolean tcp_conn_peer_has_ended (const struct tcp_conn *conn);
 gsize tcp_conn_peek (const struct tcp_conn *conn, char *buffer, gsize size);
 void tcp_conn_close (struct tcp_conn *conn);
 void tcp_conn_reset (struct tcp_conn *conn);
