Show that an instance out of step joins streams of two versions

An instance that stood still from before servers of v2 joined until after their streams' clients had come back to it sends these to v1: its table of versions still says that all streams begin at v1.

--- a/tests/proc/test_rejoined_streams.c
+++ b/tests/proc/test_rejoined_streams.c
@@ -21,6 +21,11 @@
 #define STORE_AWAY_MS 2500
 #define STORE_BACK_MS 6500
 
+/* How often clients leave for an instance that is frozen, the last time so long
+   before its end. */
+#define FROZEN_LEAVES 3
+#define FROZEN_LEAVE_MS 400
+
 /* The users' rule: of so many resumed streams, such a share goes on, relative
    to that of the streams that begin. */
 #define RESUMED_COUNTED 12
@@ -37,6 +42,10 @@
   guint crash_ms; /* the connections of a server are reset so often; 0: never */
   guint kill_ms;  /* an instance is killed and restarted so often; 0: never */
   gboolean store_away; /* from STORE_AWAY_MS to STORE_BACK_MS */
+  /* An instance stands still in this span, and clients of streams in progress
+     leave and come back to it. 0: none does. */
+  guint freeze_ms;
+  guint thaw_ms;
   struct power_plan losses;
 };
 
@@ -75,6 +84,8 @@
   GPtrArray *streams; /* of struct stream, owned */
   guint n_crashed;
   guint n_joined; /* servers of v2 */
+  guint n_left;   /* times that clients left for the frozen instance */
+  gboolean is_frozen;
   struct power_losses losses;
 };
 
@@ -172,7 +183,10 @@
           .resumes = stream->last_event > 0 ? stream->first_id : NULL,
           .last_event = stream->last_event,
           .timeout_ms = TIMEOUT_MS,
-          .instance = -1 };
+          .instance
+          = testbed->is_frozen && stream->last_event > 0
+                ? (int)((testbed->fleet->n_frozen - 1) % PROXY_FLEET_INSTANCES)
+                : -1 };
   stream->return_at = 0;
   stream->request = fleet_clients_send (&testbed->clients, &message);
 }
@@ -233,6 +247,42 @@
   scripted_server_set_down (server->scripted, FALSE);
 }
 
+/* Lets the clients of all streams in progress leave and come back.  */
+static void
+leave_streams (struct testbed *testbed)
+{
+  for (guint i = 0; i < testbed->streams->len; i++)
+    {
+      struct stream *stream = testbed->streams->pdata[i];
+      if (!stream->is_over && stream->return_at == 0
+          && stream->request->status == 200 && !stream->request->answered)
+        tcp_conn_close (g_steal_pointer (&stream->request->tcp_conn));
+    }
+}
+
+/* Freezes and resumes an instance, and lets clients leave for it while it is
+   frozen.  */
+static void
+step_freeze (struct testbed *testbed, guint ms)
+{
+  const struct scenario *scenario = testbed->scenario;
+  gboolean freezes = ms >= scenario->freeze_ms && ms < scenario->thaw_ms;
+  if (freezes != testbed->is_frozen)
+    {
+      if (freezes)
+        proxy_fleet_freeze_next (testbed->fleet);
+      else
+        proxy_fleet_resume (testbed->fleet);
+      testbed->is_frozen = freezes;
+    }
+  if (!freezes
+      || ms + (FROZEN_LEAVES - testbed->n_left) * FROZEN_LEAVE_MS
+             < scenario->thaw_ms)
+    return;
+  testbed->n_left++;
+  leave_streams (testbed);
+}
+
 static void
 run_traffic (struct testbed *testbed, guint ms)
 {
@@ -245,6 +295,7 @@
   while ((us = g_get_monotonic_time () - start) < (gint64)ms * 1000)
     {
       power_losses_run (&testbed->losses, testbed->fleet);
+      step_freeze (testbed, (guint)(us / 1000));
       gboolean is_away = scenario->store_away && us / 1000 >= STORE_AWAY_MS
                          && us / 1000 < STORE_BACK_MS;
       if (is_away != testbed->fleet->store_is_down && scenario->store_away)
@@ -363,10 +414,23 @@
                                       .losses = { .at_ms = { 2900, 6000 } } });
 }
 
+/* An instance that stood still while servers of a new version joined said that
+   all streams had begun at the one version that it knew.  */
+static void
+test_frozen_while_joining (void)
+{
+  check_scenario (&(struct scenario){ .old = 4,
+                                      .joins_ms = 600,
+                                      .run_ms = 6000,
+                                      .freeze_ms = 300,
+                                      .thaw_ms = 4000 });
+}
+
 static CU_TestInfo tests[] = {
   { "two versions side by side, servers break off", test_side_by_side },
   { "the same while the store is away", test_store_away },
   { "instances are killed one by one", test_killed_instances },
+  { "an instance is frozen while a version joins", test_frozen_while_joining },
   { "all instances lose power", test_power },
   { "all instances lose power during a release", test_power_after_release },
   CU_TEST_INFO_NULL,
