Use the table of versions for resumed streams only while it is known to be the newest

Callers got streams of two software versions: an instance that had stood still, or was cut off, while servers of a new version joined, said of each stream that clients took up that it had begun at the one version that its table named.

The table was used without its age. Now a stream that is resumed while the table names one version needs a confirmation by the store that began less than a second ago; one read serves all that wait. If the store does not answer, an instance that hears most of the others goes by the table after .3 s, as they would have told it of a newer one; one that does not refuses the stream. For that second after it has learned that streams may begin at any version, an instance still begins them at the one before, so a confirmation is never older than the first stream at another version.

--- a/packages/gate/stream_version.c
+++ b/packages/gate/stream_version.c
@@ -184,7 +184,8 @@
   if (exchange->binding == STREAM_BOUND)
     return TRUE;
   switch (stream_versions_may_begin (exchange->reverse_proxy->options.versions,
-                                     exchange->queue_entry.service, &version))
+                                     exchange->queue_entry.service,
+                                     exchange_now (exchange), &version))
     {
     case VERSION_RULE_UNKNOWN:
       if (may_wait_for_table (exchange))
--- a/packages/jacinthward/proxy_daemon.c
+++ b/packages/jacinthward/proxy_daemon.c
@@ -141,6 +141,13 @@
   proxy_poll (daemon->reverse_proxy);
 }
 
+static void
+on_confirm_table (void *ctx)
+{
+  struct proxy_daemon *daemon = ctx;
+  version_keeper_confirm (daemon->version_keeper);
+}
+
 /* Requests may have waited for the version of a stream.  */
 static void
 on_versions_changed (void *ctx)
@@ -551,6 +558,7 @@
           .clk = daemon->clk,
           .counter_set = &daemon->counter_set,
           .send = send_datagram,
+          .confirm_table = on_confirm_table,
           .changed = on_versions_changed,
           .ctx = daemon };
   daemon->stream_keeper = stream_keeper_new (&stream_options);
--- a/packages/jacinthward/stream_keeper.c
+++ b/packages/jacinthward/stream_keeper.c
@@ -115,6 +115,13 @@
     g_array_append_val (keeper->unreported, key);
 }
 
+static void
+confirm_table (void *ctx)
+{
+  struct stream_keeper *keeper = ctx;
+  keeper->options.confirm_table (keeper->options.ctx);
+}
+
 static void
 note_changed (void *ctx)
 {
@@ -130,6 +137,7 @@
       = { .ask_peers = ask_peers,
           .read_saved = want_saved,
           .began = note_began,
+          .confirm_table = confirm_table,
           .changed = note_changed,
           .ctx = keeper };
   const struct store_caller_options caller_options
--- a/packages/jacinthward/stream_keeper.h
+++ b/packages/jacinthward/stream_keeper.h
@@ -17,6 +17,8 @@
   const struct clk *clk;           /* borrowed */
   struct counter_set *counter_set; /* borrowed */
   gossip_send_fn send;
+  /* As in struct stream_versions_options. */
+  void (*confirm_table) (void *ctx);
   /* Searches may have ended. */
   void (*changed) (void *ctx);
   void *ctx;
--- a/packages/jacinthward/version_keeper.c
+++ b/packages/jacinthward/version_keeper.c
@@ -18,6 +18,10 @@
    lost with the peer. */
 #define NEWER_LOST_US (3 * CLK_S)
 
+/* From the question whether the table is the newest one until the peers answer
+   it if the store has not. */
+#define CONFIRM_US (300 * CLK_MS)
+
 struct version_keeper
 {
   struct version_keeper_options options;
@@ -35,6 +39,8 @@
   gint64 behind_since; /* clock time since which a peer has a newer table; 0:
                           none has */
   gint64 sought_at; /* clock time at which that was looked for in the store */
+  gint64 confirm_since; /* clock time since which it is asked whether the table
+                           is the newest one; 0: it is not */
 };
 
 struct version_keeper *
@@ -113,10 +119,23 @@
   keeper->options.changed (keeper->options.ctx);
 }
 
-/* Takes over TEXT, a table in the store of ERA. One that is older than that
-   known, or that cannot be read, is to be replaced.  */
+/* The table that is known was the newest one at the clock time AT.  */
 static void
-take_stored (struct version_keeper *keeper, struct str text, guint64 era)
+note_confirmed (struct version_keeper *keeper, gint64 at)
+{
+  stream_versions_confirmed (keeper->options.versions, at);
+  if (keeper->confirm_since == 0)
+    return;
+  keeper->confirm_since = 0;
+  keeper->options.changed (keeper->options.ctx);
+}
+
+/* Takes over TEXT, a table in the store of ERA, which a call has read that
+   began at the clock time READ_AT. One that is older than that known, or that
+   cannot be read, is to be replaced.  */
+static void
+take_stored (struct version_keeper *keeper, struct str text, guint64 era,
+             gint64 read_at)
 {
   struct version_table *table
       = stream_versions_table (keeper->options.versions);
@@ -125,10 +144,12 @@
   switch (version_table_read (table, text, era, now))
     {
     case 0:
-      if (version_table_number (table) == before)
-        return;
-      keeper->must_write = FALSE;
-      table_changed (keeper, "store");
+      if (version_table_number (table) != before)
+        {
+          keeper->must_write = FALSE;
+          table_changed (keeper, "store");
+        }
+      note_confirmed (keeper, read_at);
       return;
     case ERR_CONFLICT:
       break;
@@ -154,7 +175,8 @@
   caller->is_known = TRUE;
   caller->version = response->version;
   if (response->version > 0)
-    take_stored (keeper, store_caller_text (response), response->era);
+    take_stored (keeper, store_caller_text (response), response->era,
+                 caller->started_at);
   else
     keeper->must_write = TRUE;
 }
@@ -266,6 +288,30 @@
                            keeper->options.registry, keeper->observed_at);
 }
 
+/* Finds out whether the table is the newest one: from the store or, if that
+   does not answer, from the peers, who hear of a newer one soon. An instance
+   that is cut off from most of them gets no answer.  */
+void
+version_keeper_confirm (struct version_keeper *keeper)
+{
+  gint64 now = clk_now (keeper->options.clk);
+  if (keeper->confirm_since != 0)
+    return;
+  keeper->confirm_since = now;
+  keeper->must_read = TRUE;
+  step_table (keeper, now);
+}
+
+static void
+step_confirmation (struct version_keeper *keeper, gint64 now)
+{
+  if (keeper->confirm_since == 0 || now - keeper->confirm_since < CONFIRM_US
+      || is_behind (keeper, now) || keeper->gossip == NULL
+      || !gossip_hears_most (keeper->gossip, now))
+    return;
+  note_confirmed (keeper, now);
+}
+
 /* Does what is due. Called regularly.  */
 void
 version_keeper_step (struct version_keeper *keeper)
@@ -274,6 +320,7 @@
   if (now - keeper->observed_at >= OBSERVE_INTERVAL_US)
     version_keeper_observe (keeper);
   step_table (keeper, now);
+  step_confirmation (keeper, now);
 }
 
 /* The store has come back from an older copy, in ERA: the table may be an older
--- a/packages/jacinthward/version_keeper.h
+++ b/packages/jacinthward/version_keeper.h
@@ -32,6 +32,7 @@
 void version_keeper_observe (struct version_keeper *keeper);
 void version_keeper_step (struct version_keeper *keeper);
 void version_keeper_store_changed (struct version_keeper *keeper, guint64 era);
+void version_keeper_confirm (struct version_keeper *keeper);
 gboolean version_keeper_heard (struct version_keeper *keeper, guint64 number);
 int version_keeper_take (struct version_keeper *keeper, struct str text);
 void version_keeper_dump (const struct version_keeper *keeper,
--- a/packages/peer/gossip.h
+++ b/packages/peer/gossip.h
@@ -133,6 +133,7 @@
 gboolean gossip_is_full_mesh (const struct gossip *gossip, gint64 now);
 guint gossip_instance_count (const struct gossip *gossip, gint64 now);
 guint gossip_alive_count (const struct gossip *gossip, gint64 now);
+gboolean gossip_hears_most (const struct gossip *gossip, gint64 now);
 guint gossip_local_peer_count (const struct gossip *gossip, gint64 now);
 guint gossip_domain_rank (const struct gossip *gossip, gint64 now);
 guint gossip_reader_rank (const struct gossip *gossip, gint64 now);
--- a/packages/peer/gossip_members.c
+++ b/packages/peer/gossip_members.c
@@ -12,6 +12,9 @@
    longer counts as a user of shared budgets.  */
 #define INSTANCE_COUNT_AGE_US (30 * CLK_S)
 
+/* Between the messages of a peer that sends to all others, at most. */
+#define HEARD_US (1 * CLK_S)
+
 /* Time after its start in which an instance may not know most of the others
    yet, and asks the seeds for the configuration.  */
 #define STARTING_US (3 * CLK_S)
@@ -76,6 +79,17 @@
               gossip->seeds->len);
 }
 
+/* Returns whether this instance is in touch with most of the others: signs of
+   life of more than half of all instances have reached it lately.  */
+gboolean
+gossip_hears_most (const struct gossip *gossip, gint64 now)
+{
+  gint64 age
+      = gossip_is_full_mesh (gossip, now) ? HEARD_US : UNRESPONSIVE_AFTER_US;
+  return 2 * count_recent (gossip, now, age)
+         > count_recent (gossip, now, INSTANCE_COUNT_AGE_US);
+}
+
 /* Returns the number of responsive instances, including this one.  */
 guint
 gossip_alive_count (const struct gossip *gossip, gint64 now)
--- a/packages/streams/stream_versions.c
+++ b/packages/streams/stream_versions.c
@@ -28,6 +28,7 @@
   struct version_table *table;
   struct begun_streams *begun;
   GHashTable *searches; /* key: struct search, owned */
+  gint64 confirmed_at;  /* clock time at which the table was the newest one */
 };
 
 struct stream_versions *
@@ -84,15 +85,40 @@
   g_hash_table_foreach_remove (versions->searches, is_search_over, &now);
 }
 
+/* Records that the table was the newest one at the clock time AT.  */
+void
+stream_versions_confirmed (struct stream_versions *versions, gint64 at)
+{
+  versions->confirmed_at = MAX (versions->confirmed_at, at);
+}
+
+/* Returns whether the table says where all streams have begun: no other
+   instance can have begun one at another version since it was confirmed. Else
+   has that done.  */
+static gboolean
+is_table_current (const struct stream_versions *versions, gint64 now)
+{
+  const struct stream_versions_options *options = &versions->options;
+  if (options->confirm_table == NULL
+      || (versions->confirmed_at != 0
+          && now - versions->confirmed_at < VERSION_TABLE_HOLD_US))
+    return TRUE;
+  options->confirm_table (options->ctx);
+  return FALSE;
+}
+
 /* Returns at which versions a stream of SERVICE may begin, as
    version_table_rule; also VERSION_RULE_ANY if all its servers have the one
-   version.  */
+   version, and VERSION_RULE_ONE shortly after the rule has changed.  */
 enum version_rule
 stream_versions_may_begin (const struct stream_versions *versions,
-                           const char *service, const char **version)
+                           const char *service, gint64 now,
+                           const char **version)
 {
   enum version_rule rule
       = version_table_rule (versions->table, service, version);
+  if (version_table_holds (versions->table, service, now, version))
+    return VERSION_RULE_ONE;
   return rule == VERSION_RULE_ONE
                  && !version_table_has_several (versions->table, service)
              ? VERSION_RULE_ANY
@@ -180,7 +206,8 @@
   switch (version_table_rule (versions->table, service, version))
     {
     case VERSION_RULE_ONE:
-      return STREAM_SEARCH_FOUND;
+      return is_table_current (versions, now) ? STREAM_SEARCH_FOUND
+                                              : STREAM_SEARCH_SEARCHING;
     case VERSION_RULE_UNKNOWN:
       return STREAM_SEARCH_SEARCHING;
     case VERSION_RULE_ANY:
--- a/packages/streams/stream_versions.h
+++ b/packages/streams/stream_versions.h
@@ -30,6 +30,9 @@
   void (*read_saved) (void *ctx);
   /* This instance has seen the stream with KEY begin. NULL: not wanted. */
   void (*began) (void *ctx, guint64 key);
+  /* Finds out soon whether the table is the newest one, and says so by
+     stream_versions_confirmed. NULL: it always is. */
+  void (*confirm_table) (void *ctx);
   /* Searches may have ended. NULL: not wanted. */
   void (*changed) (void *ctx);
   void *ctx;
@@ -45,7 +48,9 @@
 void stream_versions_expire (struct stream_versions *versions, gint64 now);
 enum version_rule
 stream_versions_may_begin (const struct stream_versions *versions,
-                           const char *service, const char **version);
+                           const char *service, gint64 now,
+                           const char **version);
+void stream_versions_confirmed (struct stream_versions *versions, gint64 at);
 void stream_versions_record (struct stream_versions *versions, struct str id,
                              const char *service, const char *version);
 enum stream_search_result
--- a/packages/streams/version_table.c
+++ b/packages/streams/version_table.c
@@ -13,11 +13,13 @@
   char name[STR_ID_MAX + 1];
   /* As in the table. */
   enum version_rule rule;
-  char version[STR_ID_MAX + 1]; /* ONE */
+  char version[STR_ID_MAX + 1]; /* ONE; ANY: the one before */
   gint64 any_since;             /* ANY: clock time at which it became known */
+  gint64 hold_until; /* ANY: clock time until which streams begin at VERSION */
   /* As in the list of servers. */
   gboolean is_listed;
   gboolean has_several;
+  gboolean has_version;      /* a server of VERSION that is not leaving */
   char only[STR_ID_MAX + 1]; /* version of all its servers */
   gint64 only_since; /* clock time since which that has been so; 0: it is not */
 };
@@ -76,12 +78,20 @@
 }
 
 static void
-set_rule (struct service *service, enum version_rule rule, const char *version,
-          gint64 now)
+set_any (struct service *service, gint64 now)
 {
-  if (rule == VERSION_RULE_ANY && service->rule != VERSION_RULE_ANY)
+  if (service->rule != VERSION_RULE_ANY)
     service->any_since = now;
-  service->rule = rule;
+  if (service->rule == VERSION_RULE_ONE)
+    service->hold_until = now + VERSION_TABLE_HOLD_US;
+  service->rule = VERSION_RULE_ANY;
+}
+
+static void
+set_one (struct service *service, const char *version)
+{
+  service->rule = VERSION_RULE_ONE;
+  service->hold_until = 0;
   g_strlcpy (service->version, version, sizeof service->version);
 }
 
@@ -98,9 +108,9 @@
   if (!is_any && version[0] != '\0' && !str_id_ok (str_of (version)))
     return FALSE;
   if (is_any || !is_current)
-    set_rule (find_or_add (table, fields[0]), VERSION_RULE_ANY, "", now);
+    set_any (find_or_add (table, fields[0]), now);
   else
-    set_rule (find_or_add (table, fields[0]), VERSION_RULE_ONE, version, now);
+    set_one (find_or_add (table, fields[0]), version);
   return TRUE;
 }
 
@@ -188,10 +198,26 @@
                     const char **version)
 {
   const struct service *found = find (table, service);
-  *version = found != NULL ? found->version : "";
+  *version
+      = found != NULL && found->rule == VERSION_RULE_ONE ? found->version : "";
   return found != NULL ? found->rule : VERSION_RULE_UNKNOWN;
 }
 
+/* Returns whether streams of SERVICE, which may begin at any version, still
+   begin at the one before, VERSION (borrowed until the table changes), which a
+   server has that may get them.  */
+gboolean
+version_table_holds (const struct version_table *table, const char *service,
+                     gint64 now, const char **version)
+{
+  const struct service *found = find (table, service);
+  if (found == NULL || found->rule != VERSION_RULE_ANY
+      || now >= found->hold_until || !found->has_version)
+    return FALSE;
+  *version = found->version;
+  return TRUE;
+}
+
 /* Appends the rule of each service to JSON, an object: a version, or "any".  */
 void
 version_table_dump (const struct version_table *table, JsonBuilder *json)
@@ -245,12 +271,16 @@
     {
       service = table->services->pdata[i];
       service->is_listed = service->has_several = FALSE;
+      service->has_version = FALSE;
     }
   for (guint i = 0; i < n; i++)
     {
       const struct registry_entry *entry = &servers[i]->entry;
       if (service == NULL || !g_str_equal (service->name, entry->service))
         service = find_or_add (table, entry->service);
+      service->has_version |= g_str_equal (service->version, entry->version)
+                              && registry_may_serve (servers[i], now)
+                              && !registry_is_leaving (servers[i]);
       if (service->is_listed)
         {
           service->has_several |= !g_str_equal (service->only, entry->version);
@@ -276,7 +306,7 @@
 version_table_distrust (struct version_table *table, gint64 now)
 {
   for (guint i = 0; i < table->services->len; i++)
-    set_rule (table->services->pdata[i], VERSION_RULE_ANY, "", now);
+    set_any (table->services->pdata[i], now);
 }
 
 /* Returns the rule that SERVICE should have, and its version in VERSION. The
--- a/packages/streams/version_table.h
+++ b/packages/streams/version_table.h
@@ -22,6 +22,12 @@
 #undef VERSION_RULE_ENUM
 };
 
+/* For this time after an instance has learned that streams may begin at any
+   version, it still begins them at the one that was in force before. So no
+   stream has begun at another one within this time of a moment at which the
+   store had the table before. */
+#define VERSION_TABLE_HOLD_US (1 * CLK_S)
+
 struct version_table;
 
 struct version_table *version_table_new (void);
@@ -33,6 +39,9 @@
 enum version_rule version_table_rule (const struct version_table *table,
                                       const char *service,
                                       const char **version);
+gboolean version_table_holds (const struct version_table *table,
+                              const char *service, gint64 now,
+                              const char **version);
 gboolean version_table_has_several (const struct version_table *table,
                                     const char *service);
 void version_table_dump (const struct version_table *table, JsonBuilder *json);
--- a/tests/unit/test_begun_streams.c
+++ b/tests/unit/test_begun_streams.c
@@ -108,6 +108,7 @@
   guint questions;
   guint reads;
   guint changes;
+  guint confirmations;
 } observed;
 
 static guint
@@ -228,6 +229,42 @@
   stream_versions_free (versions);
 }
 
+static void
+confirm_table (void *ctx)
+{
+  (void)ctx;
+  observed.confirmations++;
+}
+
+/* An instance that was cut off or stood still knows of one version only, while
+   streams have begun at another one: it does not say where a stream began
+   before it knows that its table is the newest.  */
+static void
+test_old_table (void)
+{
+  const struct stream_versions_options options
+      = { .confirm_table = confirm_table };
+  struct stream_versions *versions = stream_versions_new (&options, 0);
+  const char *version;
+  gint64 now = 10 * CLK_S;
+  memset (&observed, 0, sizeof observed);
+  CU_ASSERT_EQUAL (version_table_read (stream_versions_table (versions),
+                                       STR_LIT ("versions 1 1 0\npool v1\n"), 0,
+                                       0),
+                   0);
+  CU_ASSERT_EQUAL (find (versions, now, &version), STREAM_SEARCH_SEARCHING);
+  CU_ASSERT_EQUAL (observed.confirmations, 1);
+  stream_versions_confirmed (versions, now);
+  CU_ASSERT_EQUAL (find (versions, now + VERSION_TABLE_HOLD_US - 1, &version),
+                   STREAM_SEARCH_FOUND);
+  CU_ASSERT_STRING_EQUAL (version, "v1");
+  CU_ASSERT_EQUAL (observed.confirmations, 1);
+  CU_ASSERT_EQUAL (find (versions, now + VERSION_TABLE_HOLD_US, &version),
+                   STREAM_SEARCH_SEARCHING);
+  CU_ASSERT_EQUAL (observed.confirmations, 2);
+  stream_versions_free (versions);
+}
+
 static void
 check_inquiry (const struct stream_inquiry *inquiry)
 {
@@ -278,6 +315,7 @@
   { "only the store knows", test_saved_read },
   { "nobody answers", test_no_answer },
   { "a client that names no stream", test_not_named },
+  { "a table that is not known to be the newest", test_old_table },
   { "questions and answers", test_messages },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit/test_version_table.c
+++ b/tests/unit/test_version_table.c
@@ -118,6 +118,34 @@
   world_free (&world);
 }
 
+/* After the rule has changed, streams go on to begin at the version before for
+   a while, so that an instance with the table of before is not wrong yet; but
+   only if a server of it may get them.  */
+static void
+test_hold (void)
+{
+  struct world world = world_new ();
+  const char *version = "";
+  list (&world, "v1", 0);
+  write_due (&world, 0);
+  list (&world, "v1,v2", 0);
+  CU_ASSERT_FALSE (
+      version_table_holds (world.table, "pool", world.now, &version));
+  write_due (&world, 0);
+  gint64 changed_at = world.now;
+  CU_ASSERT_TRUE (
+      version_table_holds (world.table, "pool", changed_at, &version));
+  CU_ASSERT_STRING_EQUAL (version, "v1");
+  CU_ASSERT_TRUE (version_table_holds (
+      world.table, "pool", changed_at + VERSION_TABLE_HOLD_US - 1, &version));
+  CU_ASSERT_FALSE (version_table_holds (
+      world.table, "pool", changed_at + VERSION_TABLE_HOLD_US, &version));
+  list (&world, "v2", 0);
+  CU_ASSERT_FALSE (
+      version_table_holds (world.table, "pool", changed_at, &version));
+  world_free (&world);
+}
+
 /* All servers are replaced between two reads of the list.  */
 static void
 test_replaced_at_once (void)
@@ -205,6 +233,7 @@
 
 static CU_TestInfo tests[] = {
   { "a release", test_release },
+  { "streams begin at the version before for a while", test_hold },
   { "all servers replaced at once", test_replaced_at_once },
   { "an instance that has started", test_started },
   { "an older copy of the store", test_older_copy },
