--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -156,6 +156,37 @@
   return FALSE;
 }
 
+/* Removes the next member of OBJECT, the text of an object or what is left of
+   one, and stores its name, without quotes and as it is written, and the text
+   of its value. Returns FALSE at the end, which leaves "}", or if the text is
+   malformed.  */
+gboolean
+json_text_next_member (struct str *object, struct str *name, struct str *value)
+{
+  struct str rest = *object;
+  skip_spaces (&rest);
+  if (rest.n == 0 || (*rest.p != '{' && *rest.p != ','))
+    return FALSE;
+  gboolean is_first = *rest.p == '{';
+  advance (&rest, 1);
+  skip_spaces (&rest);
+  if (is_first && rest.n > 0 && *rest.p == '}')
+    {
+      *object = rest;
+      return FALSE;
+    }
+  if (rest.n == 0 || *rest.p != '"' || !next_item (&rest, name) || rest.n == 0
+      || *rest.p != ':')
+    return FALSE;
+  advance (&rest, 1);
+  if (!next_item (&rest, value))
+    return FALSE;
+  advance (name, 1);
+  name->n--;
+  *object = rest;
+  return TRUE;
+}
+
 /* Removes the next element of ARRAY, the text of an array or what is left of
    one, and stores its text. Returns FALSE at the end, or if the text is
    malformed.  */
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -18,6 +18,8 @@
   http_client_done done;      /* NULL while the connection is idle */
   void *ctx;
   guint timer;            /* GLib source; 0: none */
+  gint64 started_at;      /* of the request, boot time */
+  guint timeout_ms;       /* of the request; 0: none */
   gboolean complete;      /* the response has been read */
   gint64 send_before;     /* boot time; 0: no limit */
   struct err start_error; /* why the request could not be sent */
@@ -207,12 +209,30 @@
   .opened = on_opened, .data = on_data, .ended = on_ended, .failed = on_failed
 };
 
+/* Returns for how long the request may still take, by what has arrived of the
+   response.  */
+static gint64
+left_us (const struct client_conn *conn)
+{
+  guint rate = conn->client->options.bytes_per_s_min;
+  gint64 allowed = conn->timeout_ms * CLK_MS;
+  if (rate > 0)
+    allowed += (gint64)conn->body->len * CLK_S / rate;
+  return conn->started_at + allowed - clk_now (clk_boottime ());
+}
+
 static gboolean
 on_timeout (gpointer data)
 {
   struct client_conn *conn = data;
   struct err err = { 0 };
+  gint64 left = left_us (conn);
   conn->timer = 0;
+  if (conn->client->options.bytes_per_s_min > 0 && left > CLK_MS)
+    {
+      conn->timer = g_timeout_add ((guint)(left / CLK_MS), on_timeout, conn);
+      return G_SOURCE_REMOVE;
+    }
   err_set (&err, ERR_TIMEOUT, "http.call", conn->client->address,
            "no complete response in time");
   fail_conn (conn, &err);
@@ -349,9 +369,10 @@
     }
   conn->done = done;
   conn->ctx = ctx;
+  conn->started_at = clk_now (clk_boottime ());
+  conn->timeout_ms = request->timeout_ms;
   if (client->options.resets && request->timeout_ms > 0)
-    conn->send_before
-        = clk_now (clk_boottime ()) + request->timeout_ms * CLK_MS;
+    conn->send_before = conn->started_at + request->timeout_ms * CLK_MS;
   if (request->timeout_ms > 0)
     conn->timer = g_timeout_add (request->timeout_ms, on_timeout, conn);
   g_string_truncate (conn->body, 0);
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -15,6 +15,9 @@
   guint silence_ms;    /* longest time without a TCP acknowledgement */
   guint connect_ms;    /* connect timeout */
   gsize body_max;      /* longest response body */
+  /* A response that comes at this rate at least may take longer than the
+     time-out of its request; 0: it may not. */
+  guint bytes_per_s_min;
   gboolean resets; /* a connection whose request has failed is reset, so that
                       the kernel sends no more of the request */
 };
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -79,11 +79,14 @@
   struct store_era store_era;
   struct start_evidence evidence; /* that a configuration is the newest */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
+  guint64 config_arriving;    /* version of a configuration from a peer that is
+                                 being decoded; 0: none is */
+  guint32 config_from;        /* IP of that peer */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
                              one has been read */
   struct server_list_history *server_list_history;
   struct transfer_budget transfer_budget; /* for what peers fetch */
-  gint64 config_applied_at;               /* clock time */
+  gint64 config_applied_at; /* clock time */
   gint64 fresh_peer_at; /* clock time of the last message from a peer that has a
                            fresh confirmation of this configuration */
   guint fetches_failed; /* consecutive fetches from peers */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -16,7 +16,9 @@
 /* Two lists that were read with a longer time between them mean that the store
    was unavailable: entries may have expired although their servers live. */
 #define LIST_GAP_US (2500 * CLK_MS)
-#define FETCH_MAX (4 * 1024 * 1024) /* bytes */
+#define FETCH_MAX (8 * 1024 * 1024) /* bytes */
+/* Of a response that may take longer than the time-out. */
+#define FETCH_BYTES_PER_S (100 * 1024)
 
 /* X (NAME, "name", "path") */
 #define FETCH_KINDS(X)                                                         \
@@ -51,7 +53,8 @@
   gint64 requested_at; /* clock time at which the request was sent */
   guint32 ip;
   enum fetch_kind kind;
-  gboolean changes_only; /* of the server list */
+  gboolean changes_only;
+  guint64 version; /* of the configuration that the peer has announced */
 };
 
 static void
@@ -160,9 +163,9 @@
                    now - config->requested_at);
   if (config->code != 0)
     return;
-  apply_config (daemon, config->routing_table, config->text);
-  start_evidence_of_store (&daemon->evidence,
-                           routing_table_version (config->routing_table),
+  if (config->decoded.routing_table != NULL)
+    apply_config (daemon, config->decoded.routing_table, config->decoded.text);
+  start_evidence_of_store (&daemon->evidence, config->decoded.version,
                            config->requested_at);
   confirm_proved (daemon, now);
 }
@@ -278,20 +281,6 @@
     }
 }
 
-static void
-apply_fetched_config (struct proxy_daemon *daemon, struct str body,
-                      struct err *err)
-{
-  struct routing_table *routing_table = adapter_decode_text (body, err);
-  if (routing_table == NULL)
-    return;
-  GBytes *text = g_bytes_new (body.p, body.n);
-  apply_config (daemon, routing_table, text);
-  g_bytes_unref (text);
-  routing_table_unref (routing_table);
-  proxy_poll (daemon->reverse_proxy);
-}
-
 static void
 apply_fetched_servers (struct proxy_daemon *daemon, struct str body,
                        gint64 requested_at, struct err *err)
@@ -308,30 +297,59 @@
 /* Records that a fetch has failed. After several in a row the store is read
    instead.  */
 static void
-record_fetch_failure (struct proxy_daemon *daemon, const struct fetch *fetch,
+record_fetch_failure (struct proxy_daemon *daemon, enum fetch_kind kind,
                       const struct err *err)
 {
   log_event (LOG_WARN, "peer.fetch_failed", "what=%s cause=\"%s\"",
-             fetch_names[fetch->kind], err->text);
+             fetch_names[kind], err->text);
   /* The keeper of the table of versions turns to the store by itself. */
-  if (fetch->kind == FETCH_VERSIONS
-      || ++daemon->fetches_failed < FETCH_FAILURES_MAX)
+  if (kind == FETCH_VERSIONS || ++daemon->fetches_failed < FETCH_FAILURES_MAX)
     return;
-  read_schedule_peers_failed (fetch->kind == FETCH_CONFIG
-                                  ? &daemon->config_schedule
-                                  : &daemon->servers_schedule,
+  read_schedule_peers_failed (kind == FETCH_CONFIG ? &daemon->config_schedule
+                                                   : &daemon->servers_schedule,
                               clk_now (daemon->clk));
 }
 
+/* The configuration of a peer has been decoded.  */
+static void
+on_config_decoded (void *ctx, const struct adapter_decoded *decoded,
+                   const struct err *err)
+{
+  struct proxy_daemon *daemon = ctx;
+  daemon->config_arriving = 0;
+  gossip_ask (daemon->gossip, daemon->config_from);
+  if (decoded == NULL)
+    {
+      record_fetch_failure (daemon, FETCH_CONFIG, err);
+      return;
+    }
+  if (decoded->routing_table != NULL)
+    apply_config (daemon, decoded->routing_table, decoded->text);
+  proxy_poll (daemon->reverse_proxy);
+}
+
+static void
+decode_fetched_config (const struct fetch *fetch,
+                       const struct http_client_response *response)
+{
+  struct proxy_daemon *daemon = fetch->daemon;
+  g_autoptr (GBytes) text
+      = g_bytes_new (response->body.p, response->body.n);
+  daemon->config_arriving = fetch->version;
+  daemon->config_from = fetch->ip;
+  adapter_decode (daemon->adapter, text, on_config_decoded, daemon);
+}
+
 static void
-apply_fetched (const struct fetch *fetch, struct str body, struct err *err)
+apply_fetched (const struct fetch *fetch,
+               const struct http_client_response *response, struct err *err)
 {
   struct proxy_daemon *daemon = fetch->daemon;
+  struct str body = response->body;
   switch (fetch->kind)
     {
     case FETCH_CONFIG:
-      apply_fetched_config (daemon, body, err);
-      gossip_ask (daemon->gossip, fetch->ip);
+      decode_fetched_config (fetch, response);
       break;
     case FETCH_SERVERS:
       apply_fetched_servers (daemon, body, fetch->requested_at, err);
@@ -358,13 +376,13 @@
     err_set (&err, ERR_NOT_FOUND, "peer.fetch", "", "status %u",
              response->head->status);
   else
-    apply_fetched (fetch, response->body, &err);
+    apply_fetched (fetch, response, &err);
   /* A peer without budget for the transfer is no failure: another one will
      announce the same data. */
   if (is_busy)
     log_event (LOG_DEBUG, "peer.busy", "what=%s", fetch_names[fetch->kind]);
   else if (err.code != 0)
-    record_fetch_failure (daemon, fetch, &err);
+    record_fetch_failure (daemon, fetch->kind, &err);
   else
     daemon->fetches_failed = 0;
   /* Instances of an older version do not know how to send changes. */
@@ -373,13 +391,37 @@
   fetch_free (fetch);
 }
 
+/* Writes the target of a fetch of KIND to TARGET: that of the changes if this
+   instance has something to which they can be applied. Returns whether it has.
+ */
+static gboolean
+choose_target (const struct proxy_daemon *daemon, enum fetch_kind kind,
+               char *target, gsize size)
+{
+  const char *path = NULL;
+  guint64 digest = 0;
+  if (kind == FETCH_SERVERS && daemon->server_list.entries != NULL
+      && !daemon->no_changes)
+    {
+      path = PROXY_DAEMON_SERVERS_SINCE_PATH;
+      digest = daemon->server_list.digest;
+    }
+  if (path != NULL)
+    g_snprintf (target, size, "%s%" G_GINT64_MODIFIER "x", path, digest);
+  else
+    g_strlcpy (target, fetch_paths[kind], size);
+  return path != NULL;
+}
+
 /* Starts a fetch from the peer at IP, unless the previous one of the same kind
-   is still in progress.  */
+   is still in progress. VERSION is that of the configuration, for FETCH_CONFIG.
+ */
 static void
 start_fetch (struct proxy_daemon *daemon, struct fetch **owner_slot, guint32 ip,
-             enum fetch_kind kind, gint64 now)
+             enum fetch_kind kind, guint64 version, gint64 now)
 {
   char address[ERR_PEER_MAX];
+  char target[64];
   if (*owner_slot != NULL)
     return;
   g_snprintf (address, sizeof address, "%u.%u.%u.%u:%u", ip >> 24,
@@ -388,24 +430,20 @@
       = { .address = address,
           .silence_ms = FETCH_SILENCE_MS,
           .connect_ms = FETCH_CONNECT_TIMEOUT_MS,
-          .body_max = FETCH_MAX };
-  gboolean changes_only = kind == FETCH_SERVERS
-                          && daemon->server_list.entries != NULL
-                          && !daemon->no_changes;
-  char target[64];
-  if (changes_only)
-    g_snprintf (target, sizeof target,
-                PROXY_DAEMON_SERVERS_SINCE_PATH "%" G_GINT64_MODIFIER "x",
-                daemon->server_list.digest);
-  else
-    g_strlcpy (target, fetch_paths[kind], sizeof target);
-  const struct http_client_request request
-      = { .method = "GET", .target = target, .timeout_ms = FETCH_TIMEOUT_MS };
+          .body_max = FETCH_MAX,
+          .bytes_per_s_min = FETCH_BYTES_PER_S };
   struct fetch *fetch = g_new0 (struct fetch, 1);
-  *fetch = (struct fetch){ daemon,      owner_slot, http_client_new (&options),
-                           now,         ip,         kind,
-                           changes_only };
+  *fetch = (struct fetch){ .daemon = daemon,
+                           .owner_slot = owner_slot,
+                           .http_client = http_client_new (&options),
+                           .requested_at = now,
+                           .ip = ip,
+                           .kind = kind,
+                           .version = version };
+  fetch->changes_only = choose_target (daemon, kind, target, sizeof target);
   *owner_slot = fetch;
+  const struct http_client_request request
+      = { .method = "GET", .target = target, .timeout_ms = FETCH_TIMEOUT_MS };
   http_client_send (fetch->http_client, &request, on_fetched, fetch);
 }
 
@@ -427,10 +465,12 @@
       && update->config_age_us >= 0
       && update->config_age_us <= READ_SCHEDULE_FRESH_US)
     daemon->fresh_peer_at = now;
-  if (update->config_version > proxy_config_version (daemon->reverse_proxy))
-    start_fetch (daemon, &daemon->config_fetch, ip, FETCH_CONFIG, now);
+  if (update->config_version > proxy_config_version (daemon->reverse_proxy)
+      && update->config_version > daemon->config_arriving)
+    start_fetch (daemon, &daemon->config_fetch, ip, FETCH_CONFIG,
+                 update->config_version, now);
   if (version_keeper_heard (daemon->version_keeper, update->version_table))
-    start_fetch (daemon, &daemon->versions_fetch, ip, FETCH_VERSIONS, now);
+    start_fetch (daemon, &daemon->versions_fetch, ip, FETCH_VERSIONS, 0, now);
   gint64 peer_read_at = update->server_list_read_at;
   if (!accept_era (daemon, update->store_era, update->id)
       || update->server_list_age_us < 0
@@ -444,7 +484,7 @@
       registry_list_confirmed (daemon->registry, peer_read_at, now);
     }
   else
-    start_fetch (daemon, &daemon->servers_fetch, ip, FETCH_SERVERS, now);
+    start_fetch (daemon, &daemon->servers_fetch, ip, FETCH_SERVERS, 0, now);
 }
 
 void
--- a/packages/route/routing_table.c
+++ b/packages/route/routing_table.c
@@ -10,12 +10,39 @@
 /* Route priorities that are distinguished among teams of the same priority.  */
 #define TIERS_PER_TEAM_PRIORITY 3
 
+#define PREFIX_HASH_BASE 16777619u /* of a polynomial hash of a prefix */
+
+/* The first N bytes of a path, and their hash. */
+struct prefix_key
+{
+  const char *p;
+  gsize n;
+  guint hash;
+};
+
+/* A prefix of a host, and its routes: of several the one with the first name is
+   used. */
+struct prefix_routes
+{
+  struct prefix_key key; /* the bytes are of the first route added */
+  GPtrArray *routes;     /* of struct routing_route, a reference each */
+};
+
+/* The routes of a host. The time to find one grows with the length of the path
+   and not with the number of routes. */
+struct host
+{
+  char *name;
+  GHashTable *prefixes; /* struct prefix_key: struct prefix_routes, owned */
+  GHashTable *sizes;    /* lengths of the prefixes */
+};
+
 struct routing_table
 {
   guint refs;
   guint64 version;
   struct routing_limits limits;
-  GHashTable *hosts; /* host name: GPtrArray of routes, longest prefix first */
+  GHashTable *hosts;    /* host name: struct host, owned */
   GHashTable *services; /* name: struct routing_service, owned */
   GHashTable *teams;    /* hexadecimal SHA-256 of an API key: team, borrowed */
   GPtrArray *team_list; /* of struct routing_team, owned */
@@ -35,11 +62,68 @@
   *route = (struct routing_route){ 0 };
 }
 
+struct routing_route *
+routing_route_ref (struct routing_route *route)
+{
+  route->refs++;
+  return route;
+}
+
+void
+routing_route_unref (gpointer data)
+{
+  struct routing_route *route = data;
+  if (route == NULL || --route->refs > 0)
+    return;
+  routing_route_clear (route);
+  g_free (route);
+}
+
+static guint
+prefix_hash (gconstpointer key)
+{
+  return ((const struct prefix_key *)key)->hash;
+}
+
+static gboolean
+prefix_equal (gconstpointer a, gconstpointer b)
+{
+  const struct prefix_key *x = a;
+  const struct prefix_key *y = b;
+  return x->n == y->n && memcmp (x->p, y->p, x->n) == 0;
+}
+
+static guint
+hash_byte (guint hash, char byte)
+{
+  return hash * PREFIX_HASH_BASE + (guchar)byte + 1;
+}
+
+static struct prefix_key
+prefix_key_of (const char *prefix)
+{
+  struct prefix_key key = { .p = prefix, .n = strlen (prefix) };
+  for (gsize i = 0; i < key.n; i++)
+    key.hash = hash_byte (key.hash, prefix[i]);
+  return key;
+}
+
 static void
-route_free (gpointer data)
+prefix_routes_free (gpointer data)
 {
-  routing_route_clear (data);
-  g_free (data);
+  struct prefix_routes *prefix_routes = data;
+  g_ptr_array_unref (prefix_routes->routes);
+  g_free (prefix_routes);
+}
+
+static void
+host_free (gpointer data)
+{
+  struct host *host = data;
+  g_hash_table_unref (host->prefixes);
+  g_hash_table_unref (host->sizes);
+  g_free (host->name);
+  g_free (host);
 }
 
 static void
@@ -72,8 +156,8 @@
                                  .body_bytes = BODY_BYTES_DEFAULT,
                                  .header_timeout_us = HEADER_TIMEOUT_US_DEFAULT,
                                  .idle_timeout_us = IDLE_TIMEOUT_US_DEFAULT };
-  routing_table->hosts = g_hash_table_new_full (
-      g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  routing_table->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, host_free);
   routing_table->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   routing_table->teams
@@ -101,32 +185,61 @@
   g_free (routing_table);
 }
 
-static gint
-compare_prefix_length (gconstpointer a, gconstpointer b)
+static struct host *
+find_or_add_host (struct routing_table *routing_table, const char *name)
 {
-  const struct routing_route *x = *(const struct routing_route *const *)a;
-  const struct routing_route *y = *(const struct routing_route *const *)b;
-  gsize nx = strlen (x->prefix);
-  gsize ny = strlen (y->prefix);
-  return nx < ny ? 1 : nx > ny ? -1 : strcmp (x->name, y->name);
+  struct host *host = g_hash_table_lookup (routing_table->hosts, name);
+  if (host != NULL)
+    return host;
+  host = g_new0 (struct host, 1);
+  host->name = g_strdup (name);
+  host->prefixes = g_hash_table_new_full (prefix_hash, prefix_equal, NULL,
+                                          prefix_routes_free);
+  host->sizes = g_hash_table_new (NULL, NULL);
+  g_hash_table_insert (routing_table->hosts, host->name, host);
+  return host;
 }
 
+/* Adds ROUTE, of which another table may have a reference.  */
 void
-routing_table_add_route (struct routing_table *routing_table,
-                         struct routing_route *route)
+routing_table_share_route (struct routing_table *routing_table,
+                           struct routing_route *route)
 {
-  GPtrArray *routes = g_hash_table_lookup (routing_table->hosts, route->host);
-  if (routes == NULL)
+  struct host *host = find_or_add_host (routing_table, route->host);
+  struct prefix_key key = prefix_key_of (route->prefix);
+  struct prefix_routes *found = g_hash_table_lookup (host->prefixes, &key);
+  if (found == NULL)
+    {
+      gpointer size = GSIZE_TO_POINTER (key.n);
+      found = g_new0 (struct prefix_routes, 1);
+      found->key = key;
+      found->routes = g_ptr_array_new_with_free_func (routing_route_unref);
+      g_hash_table_insert (host->prefixes, &found->key, found);
+      g_hash_table_add (host->sizes, size);
+    }
+  g_ptr_array_add (found->routes, routing_route_ref (route));
+  /* The first one by name takes the first place. */
+  const struct routing_route *first = g_ptr_array_index (found->routes, 0);
+  if (strcmp (route->name, first->name) < 0)
     {
-      routes = g_ptr_array_new_with_free_func (route_free);
-      g_hash_table_insert (routing_table->hosts, g_strdup (route->host),
-                           routes);
+      guint last = found->routes->len - 1;
+      found->routes->pdata[last] = found->routes->pdata[0];
+      found->routes->pdata[0] = route;
     }
-  g_ptr_array_add (routes, g_memdup2 (route, sizeof *route));
-  g_ptr_array_sort (routes, compare_prefix_length);
   routing_table->n_routes++;
 }
 
+/* Returns the route as the table has it, borrowed.  */
+struct routing_route *
+routing_table_add_route (struct routing_table *routing_table,
+                         struct routing_route *route)
+{
+  struct routing_route *copy = g_memdup2 (route, sizeof *route);
+  copy->refs = 0;
+  routing_table_share_route (routing_table, copy);
+  return copy;
+}
+
 void
 routing_table_add_service (struct routing_table *routing_table,
                            struct routing_service *service)
@@ -161,29 +274,19 @@
   routing_table->limits = *limits;
 }
 
-/* Checks that all services of routes exist, which is known only when the table
-   is complete. Returns 0 or ERR_INVALID.  */
+/* Checks that the services of ROUTE exist. Returns 0 or ERR_INVALID.  */
 int
-routing_table_check (const struct routing_table *routing_table, struct err *err)
+routing_table_check_route (const struct routing_table *routing_table,
+                           const struct routing_route *route, struct err *err)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, routing_table->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    for (guint i = 0; i < ((GPtrArray *)value)->len; i++)
-      {
-        const GPtrArray *routes = value;
-        const struct routing_route *route = g_ptr_array_index (routes, i);
-        for (guint k = 0; k < route->shares->len; k++)
-          {
-            const char *service
-                = g_array_index (route->shares, struct routing_share, k)
-                      .service;
-            if (!g_hash_table_contains (routing_table->services, service))
-              return err_set (err, ERR_INVALID, "config.check", route->name,
-                              "route refers to unknown service %s", service);
-          }
-      }
+  for (guint i = 0; i < route->shares->len; i++)
+    {
+      const char *service
+          = g_array_index (route->shares, struct routing_share, i).service;
+      if (!g_hash_table_contains (routing_table->services, service))
+        return err_set (err, ERR_INVALID, "config.check", route->name,
+                        "route refers to unknown service %s", service);
+    }
   return 0;
 }
 
@@ -199,6 +302,25 @@
   return &routing_table->limits;
 }
 
+static const struct routing_route *
+find_longest (const struct host *host, struct str path)
+{
+  const struct prefix_routes *longest = NULL;
+  struct prefix_key key = { .p = path.p };
+  for (;;)
+    {
+      const struct prefix_routes *found
+          = g_hash_table_contains (host->sizes, GSIZE_TO_POINTER (key.n))
+                ? g_hash_table_lookup (host->prefixes, &key)
+                : NULL;
+      if (found != NULL)
+        longest = found;
+      if (key.n == path.n)
+        return longest != NULL ? g_ptr_array_index (longest->routes, 0) : NULL;
+      key.hash = hash_byte (key.hash, path.p[key.n++]);
+    }
+}
+
 /* Returns the route of HOST with the longest prefix that matches PATH, or NULL.
    A port in HOST and a query in PATH are ignored.  */
 const struct routing_route *
@@ -212,16 +334,9 @@
   if (query != NULL)
     path.n = (gsize)(query - path.p);
   char *name = g_ascii_strdown (host.p, (gssize)host.n);
-  const GPtrArray *routes = g_hash_table_lookup (routing_table->hosts, name);
+  const struct host *found = g_hash_table_lookup (routing_table->hosts, name);
   g_free (name);
-  for (guint i = 0; routes != NULL && i < routes->len; i++)
-    {
-      const struct routing_route *route = g_ptr_array_index (routes, i);
-      gsize n = strlen (route->prefix);
-      if (n <= path.n && memcmp (route->prefix, path.p, n) == 0)
-        return route;
-    }
-  return NULL;
+  return found != NULL ? find_longest (found, path) : NULL;
 }
 
 const struct routing_service *
@@ -326,12 +441,22 @@
                                          const struct routing_route *),
                           void *ctx)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, routing_table->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    for (guint i = 0; i < ((GPtrArray *)value)->len; i++)
-      visit (ctx, g_ptr_array_index ((GPtrArray *)value, i));
+  GHashTableIter hosts;
+  gpointer host;
+  g_hash_table_iter_init (&hosts, routing_table->hosts);
+  while (g_hash_table_iter_next (&hosts, NULL, &host))
+    {
+      GHashTableIter prefixes;
+      gpointer prefix;
+      g_hash_table_iter_init (&prefixes, ((const struct host *)host)->prefixes);
+      while (g_hash_table_iter_next (&prefixes, NULL, &prefix))
+        {
+          const GPtrArray *routes
+              = ((const struct prefix_routes *)prefix)->routes;
+          for (guint i = 0; i < routes->len; i++)
+            visit (ctx, g_ptr_array_index (routes, i));
+        }
+    }
 }
 
 void
--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -10,7 +10,7 @@
 
 #define ROUTING_TEAM_PRIORITY_NONE (-1)
 #define ROUTING_TIERS 10         /* of requests; 0 is served first */
-#define ROUTING_ROUTES_MAX 20000 /* in one configuration */
+#define ROUTING_ROUTES_MAX 50000 /* in one configuration */
 
 /* X (NAME, "name"): whether a request may be executed more than once */
 #define ROUTING_KINDS(X)                                                       \
@@ -46,6 +46,7 @@
   guint attempts;      /* maximum number of servers tried for a request */
   guint priority;      /* 0: served first */
   GArray *shares;      /* of struct routing_share */
+  guint refs; /* of a route that tables share; 0 before it is added to one */
 };
 
 /* Inference engines of a service. */
@@ -109,9 +110,12 @@
 
 /* Functions to build a table. It takes ownership of the strings of ROUTE,
    SERVICE and TEAM, and of the arrays of ROUTE and SERVICE, but not of the
-   structs. */
-void routing_table_add_route (struct routing_table *routing_table,
-                              struct routing_route *route);
+   structs. routing_table_share_route instead adds a route of another table. */
+struct routing_route *
+routing_table_add_route (struct routing_table *routing_table,
+                         struct routing_route *route);
+void routing_table_share_route (struct routing_table *routing_table,
+                                struct routing_route *route);
 void routing_table_add_service (struct routing_table *routing_table,
                                 struct routing_service *service);
 void routing_table_add_team (struct routing_table *routing_table,
@@ -119,9 +123,12 @@
                              guint n_keys);
 void routing_table_set_limits (struct routing_table *routing_table,
                                const struct routing_limits *limits);
-int routing_table_check (const struct routing_table *routing_table,
-                         struct err *err);
+int routing_table_check_route (const struct routing_table *routing_table,
+                               const struct routing_route *route,
+                               struct err *err);
 void routing_route_clear (struct routing_route *route);
+struct routing_route *routing_route_ref (struct routing_route *route);
+void routing_route_unref (gpointer route);
 
 guint64 routing_table_version (const struct routing_table *routing_table);
 const struct routing_limits *
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -38,16 +38,8 @@
 static struct routing_table *
 decode (const char *text, struct err *err)
 {
-  JsonNode *root = json_from_string (text, NULL);
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    {
-      g_clear_pointer (&root, json_node_unref);
-      return NULL;
-    }
-  struct routing_table *routing_table
-      = adapter_decode_config (json_node_get_object (root), err);
-  json_node_unref (root);
-  return routing_table;
+  g_autofree char *object = g_strdup_printf ("{\"spec\":%s}", text);
+  return adapter_decode_text (str_of (object), err);
 }
 
 static void
@@ -327,7 +319,7 @@
   observed.requested_at = config->requested_at;
   observed.era = config->era;
   if (config->code == 0)
-    observed.version = routing_table_version (config->routing_table);
+    observed.version = config->decoded.version;
 }
 
 static void
