Send peers what has changed of a configuration

Each new version went whole to each instance: 1 MB for a changed time-out, over links of 10 Mbit/s and 30 Mbit/s between regions, which the clients' traffic shares.

A peer now names the digest of the text that it has, and gets the changes to it, compressed: the texts are compared by parts that end with a brace, so the time grows with their length only. What an instance has received so it passes on as it is. Up to eight earlier texts, 3 MB together, are kept; without the right one, and to instances of an older version, the whole text is sent. Configurations and server lists have budgets of their own, so that a long transfer does not hold up the notice of a server that leaves.

--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -64,6 +64,29 @@
     }
 }
 
+/* Returns the digest that follows PATH in the target of a request for changes;
+   0 if it is not such a request.  */
+static guint64
+digest_after (struct str target, const char *path)
+{
+  gsize n = strlen (path);
+  guint64 digest = 0;
+  if (target.n <= n || memcmp (target.p, path, n) != 0)
+    return 0;
+  g_autofree char *text = g_strndup (target.p + n, target.n - n);
+  g_ascii_string_to_unsigned (text, 16, 0, G_MAXUINT64, &digest, NULL);
+  return digest;
+}
+
+static gboolean
+targets (const struct http_head *head, const char *path, const char *since_path)
+{
+  gsize n = strlen (since_path);
+  struct str target = http_head_target (head);
+  return targets_path (head, path)
+         || (target.n > n && memcmp (target.p, since_path, n) == 0);
+}
+
 /* Appends the server list, or only what has changed since the list that the
    peer already has.  */
 static void
@@ -72,15 +95,8 @@
 {
   GByteArray *bytes = g_byte_array_new ();
   gint64 now = clk_now (daemon->clk);
-  guint64 base_digest = 0;
-  gsize prefix = strlen (PROXY_DAEMON_SERVERS_SINCE_PATH);
-  g_autofree char *digest
-      = target.n > prefix ? g_strndup (target.p + prefix, target.n - prefix)
-                          : NULL;
-  gboolean has_base = digest != NULL
-                      && g_ascii_string_to_unsigned (digest, 16, 0, G_MAXUINT64,
-                                                     &base_digest, NULL);
-  if (!has_base
+  guint64 base_digest = digest_after (target, PROXY_DAEMON_SERVERS_SINCE_PATH);
+  if (base_digest == 0
       || !server_list_history_encode (daemon->server_list_history, base_digest,
                                       &daemon->server_list, now, bytes))
     server_list_encode (&daemon->server_list, now, bytes);
@@ -88,16 +104,6 @@
   g_byte_array_unref (bytes);
 }
 
-static gboolean
-targets_servers (const struct http_head *head)
-{
-  struct str target = http_head_target (head);
-  gsize n = strlen (PROXY_DAEMON_SERVERS_SINCE_PATH);
-  return targets_path (head, PROXY_DAEMON_SERVERS_PATH)
-         || (target.n > n
-             && memcmp (target.p, PROXY_DAEMON_SERVERS_SINCE_PATH, n) == 0);
-}
-
 static void
 append_bytes (GBytes *bytes, GString *out)
 {
@@ -106,35 +112,54 @@
   g_string_append_len (out, text, (gssize)n);
 }
 
+/* Appends the configuration, or only what has changed since that which the peer
+   already has; RESPONSE says which.  */
+static void
+write_config (const struct proxy_daemon *daemon, struct str target,
+              struct http_server_response *response)
+{
+  guint64 base_digest = digest_after (target, PROXY_DAEMON_CONFIG_SINCE_PATH);
+  GBytes *delta = base_digest != 0
+                      ? text_history_delta (daemon->config_history, base_digest)
+                      : NULL;
+  response->type = delta != NULL ? PROXY_DAEMON_CHANGES_TYPE : NULL;
+  append_bytes (delta != NULL ? delta : daemon->config_text, response->body);
+}
+
 static void
 on_peer_request (void *ctx, const struct http_head *head,
                  struct http_server_response *response)
 {
   struct proxy_daemon *daemon = ctx;
-  gboolean wants_config = targets_path (head, PROXY_DAEMON_CONFIG_PATH)
-                          && daemon->config_text != NULL;
-  gboolean wants_servers
-      = targets_servers (head) && daemon->server_list.entries != NULL;
+  struct str target = http_head_target (head);
+  gboolean wants_config
+      = targets (head, PROXY_DAEMON_CONFIG_PATH, PROXY_DAEMON_CONFIG_SINCE_PATH)
+        && daemon->config_text != NULL;
+  gboolean wants_servers = targets (head, PROXY_DAEMON_SERVERS_PATH,
+                                    PROXY_DAEMON_SERVERS_SINCE_PATH)
+                           && daemon->server_list.entries != NULL;
   g_autoptr (GBytes) versions
       = targets_path (head, PROXY_DAEMON_VERSIONS_PATH)
             ? version_table_text (stream_versions_table (
                 stream_keeper_versions (daemon->stream_keeper)))
             : NULL;
+  struct transfer_budget *budget
+      = wants_config ? &daemon->config_budget : &daemon->servers_budget;
   if (!wants_config && !wants_servers && versions == NULL)
     return;
-  if (!transfer_budget_allows (&daemon->transfer_budget, clk_now (daemon->clk)))
+  if (!transfer_budget_allows (budget, clk_now (daemon->clk)))
     {
       response->status = 503;
       return;
     }
   response->status = 200;
   if (wants_config)
-    append_bytes (daemon->config_text, response->body);
+    write_config (daemon, target, response);
   else if (versions != NULL)
     append_bytes (versions, response->body);
   else
-    write_servers (daemon, http_head_target (head), response->body);
-  transfer_budget_count (&daemon->transfer_budget, response->body->len);
+    write_servers (daemon, target, response->body);
+  transfer_budget_count (budget, response->body->len);
 }
 
 static struct http_server *
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -19,6 +19,7 @@
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
 #include "peer/gossip.h"
+#include "peer/text_delta.h"
 #include "peer/transfer_budget.h"
 #include "platform/adapter.h"
 
@@ -32,9 +33,11 @@
              : header_names_default ();
 }
 
-/* What peers fetch from each other. The digest of the list that the peer has,
-   in hexadecimal, follows the path of the changes. */
+/* What peers fetch from each other. The digest of the configuration or the list
+   that the peer has, in hexadecimal, follows the path of the changes. */
 #define PROXY_DAEMON_CONFIG_PATH "/config"
+#define PROXY_DAEMON_CONFIG_SINCE_PATH "/config/since/"
+#define PROXY_DAEMON_CHANGES_TYPE "application/x-text-delta"
 #define PROXY_DAEMON_SERVERS_PATH "/servers"
 #define PROXY_DAEMON_SERVERS_SINCE_PATH "/servers/since/"
 #define PROXY_DAEMON_VERSIONS_PATH "/versions"
@@ -79,13 +82,19 @@
   struct store_era store_era;
   struct start_evidence evidence; /* that a configuration is the newest */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
-  guint64 config_arriving;    /* version of a configuration from a peer that is
-                                 being decoded; 0: none is */
-  guint32 config_from;        /* IP of that peer */
+  struct text_history *config_history; /* of that JSON */
+  guint64 config_arriving; /* version of a configuration from a peer that is
+                              being decoded; 0: none is */
+  guint32 config_from;     /* IP of that peer */
+  GBytes *config_delta;    /* from which it was made; NULL: from a whole text */
+  guint64 config_delta_base;  /* digest of the text to which that applies */
+  gboolean no_config_changes; /* the last fetch of changes failed: the next one
+                                 asks for the whole text */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
                              one has been read */
   struct server_list_history *server_list_history;
-  struct transfer_budget transfer_budget; /* for what peers fetch */
+  struct transfer_budget config_budget; /* for what peers fetch of each kind */
+  struct transfer_budget servers_budget;
   gint64 config_applied_at; /* clock time */
   gint64 fresh_peer_at; /* clock time of the last message from a peer that has a
                            fresh confirmation of this configuration */
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -55,6 +55,8 @@
   enum fetch_kind kind;
   gboolean changes_only;
   guint64 version; /* of the configuration that the peer has announced */
+  GBytes *base;    /* text to which the changes are; NULL: none */
+  guint64 base_digest;
 };
 
 static void
@@ -63,6 +65,7 @@
   if (fetch == NULL)
     return;
   http_client_free (fetch->http_client);
+  g_clear_pointer (&fetch->base, g_bytes_unref);
   g_free (fetch);
 }
 
@@ -92,6 +95,7 @@
   daemon->config_applied_at = clk_now (daemon->clk);
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   daemon->config_text = g_bytes_ref (text);
+  text_history_add (daemon->config_history, text);
 }
 
 /* Takes note of ERA, which the store or PEER (NULL: the store) states. In a new
@@ -244,6 +248,7 @@
   read_schedule_init (&daemon->config_schedule, &options);
   read_schedule_init (&daemon->servers_schedule, &options);
   daemon->server_list_history = server_list_history_new ();
+  daemon->config_history = text_history_new ();
   start_evidence_init (&daemon->evidence, has_peers, now);
 }
 
@@ -325,16 +330,47 @@
     }
   if (decoded->routing_table != NULL)
     apply_config (daemon, decoded->routing_table, decoded->text);
+  if (daemon->config_delta != NULL && daemon->config_text == decoded->text)
+    text_history_note_delta (daemon->config_history, daemon->config_delta_base,
+                             daemon->config_delta);
   proxy_poll (daemon->reverse_proxy);
 }
 
+static gboolean
+has_changes (const struct http_client_response *response)
+{
+  struct str type;
+  return http_head_get (response->head, "content-type", &type)
+         && str_eq (type, STR_LIT (PROXY_DAEMON_CHANGES_TYPE));
+}
+
+/* Returns the text of the configuration in RESPONSE, owned by the caller; NULL
+   with ERR set if its changes cannot be applied.  */
+static GBytes *
+fetched_text (const struct fetch *fetch,
+              const struct http_client_response *response, struct err *err)
+{
+  gsize n;
+  if (!has_changes (response) || fetch->base == NULL)
+    return g_bytes_new (response->body.p, response->body.n);
+  const char *base = g_bytes_get_data (fetch->base, &n);
+  return text_delta_apply ((struct str){ base, n }, response->body, FETCH_MAX,
+                           err);
+}
+
 static void
 decode_fetched_config (const struct fetch *fetch,
-                       const struct http_client_response *response)
+                       const struct http_client_response *response,
+                       struct err *err)
 {
   struct proxy_daemon *daemon = fetch->daemon;
-  g_autoptr (GBytes) text
-      = g_bytes_new (response->body.p, response->body.n);
+  g_autoptr (GBytes) text = fetched_text (fetch, response, err);
+  if (text == NULL)
+    return;
+  g_clear_pointer (&daemon->config_delta, g_bytes_unref);
+  if (has_changes (response))
+    daemon->config_delta = g_bytes_new (response->body.p, response->body.n);
+  daemon->config_delta_base = fetch->base_digest;
   daemon->config_arriving = fetch->version;
   daemon->config_from = fetch->ip;
   adapter_decode (daemon->adapter, text, on_config_decoded, daemon);
@@ -349,7 +385,7 @@
   switch (fetch->kind)
     {
     case FETCH_CONFIG:
-      decode_fetched_config (fetch, response);
+      decode_fetched_config (fetch, response, err);
       break;
     case FETCH_SERVERS:
       apply_fetched_servers (daemon, body, fetch->requested_at, err);
@@ -386,8 +422,11 @@
   else
     daemon->fetches_failed = 0;
   /* Instances of an older version do not know how to send changes. */
+  gboolean no_changes = fetch->changes_only && !is_busy && err.code != 0;
   if (fetch->kind == FETCH_SERVERS)
-    daemon->no_changes = fetch->changes_only && !is_busy && err.code != 0;
+    daemon->no_changes = no_changes;
+  if (fetch->kind == FETCH_CONFIG)
+    daemon->no_config_changes = no_changes;
   fetch_free (fetch);
 }
 
@@ -406,6 +445,12 @@
       path = PROXY_DAEMON_SERVERS_SINCE_PATH;
       digest = daemon->server_list.digest;
     }
+  else if (kind == FETCH_CONFIG && daemon->config_text != NULL
+           && !daemon->no_config_changes)
+    {
+      path = PROXY_DAEMON_CONFIG_SINCE_PATH;
+      digest = text_history_digest (daemon->config_history);
+    }
   if (path != NULL)
     g_snprintf (target, size, "%s%" G_GINT64_MODIFIER "x", path, digest);
   else
@@ -441,6 +486,11 @@
                            .kind = kind,
                            .version = version };
   fetch->changes_only = choose_target (daemon, kind, target, sizeof target);
+  if (kind == FETCH_CONFIG && fetch->changes_only)
+    {
+      fetch->base = g_bytes_ref (daemon->config_text);
+      fetch->base_digest = text_history_digest (daemon->config_history);
+    }
   *owner_slot = fetch;
   const struct http_client_request request
       = { .method = "GET", .target = target, .timeout_ms = FETCH_TIMEOUT_MS };
@@ -496,4 +546,6 @@
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   g_clear_pointer (&daemon->server_list.entries, g_array_unref);
   server_list_history_free (daemon->server_list_history);
+  g_clear_pointer (&daemon->config_delta, g_bytes_unref);
+  text_history_free (daemon->config_history);
 }
