Never take the list of servers for newer than it is

Each instance estimated when a peer's list had been read: messages counted as delayed by .1 s, or up to .5 s after the message that they echo. Where messages wait longer than .1 s, as at an instance with too little of a core, the estimate is too new, and as the newest estimate wins and is told on, it grows from instance to instance and back: the list ages more slowly than time, so the designated reader and those that take over read it too late. One slow instance is enough to delay the notice at all others.

The time is now a lower bound, that of the message that the peer echoes, as it is for the configuration. The same holds for the last sign of the holder of the duties' lease.

That this is what the users saw is likely, as their log has no time of a list, but not shown.

--- a/packages/peer/gossip_receive.c
+++ b/packages/peer/gossip_receive.c
@@ -6,13 +6,6 @@
    keep repeating to each other, age until they are dropped.  */
 #define MEMBER_HOP_AGE_US (500 * CLK_MS)
 
-/* Added to the ages of the list of servers and of what is known of the duties'
-   lease with each forwarding, for the same reason. */
-#define HOP_AGE_US (100 * CLK_MS)
-
-/* Longest time between a message to a peer and the peer's next one. */
-#define LIST_ECHO_WAIT_US (500 * CLK_MS)
-
 /* Between two messages that are sent to a peer before they are due. */
 #define HELP_INTERVAL_US (100 * CLK_MS)
 
@@ -301,30 +294,14 @@
   return freshness;
 }
 
-/* Estimates the clock time at which PEER sent MESSAGE; 0: unknown. Ages in a
-   message do not include its delay, so instances that repeat them to each other
-   would make what they know newer and newer: each message counts as delayed by
-   more than most are. One that has waited here, as while this process was
-   frozen, is told by what it echoes.  */
-static gint64
-sent_about (const struct gossip *gossip, const struct peer *peer,
-            const struct gossip_message *message, gint64 now)
-{
-  gint64 wait
-      = gossip_is_full_mesh (gossip, now)
-            ? LIST_ECHO_WAIT_US
-            : MAX (gossip_local_interval_us (gossip, now), LIST_ECHO_WAIT_US);
-  gint64 echoed = sent_after (gossip, peer, message);
-  return echoed == 0 ? 0 : MIN (now - HOP_AGE_US, echoed + wait);
-}
-
-/* Estimates the clock time at which the peer's list of servers was read; 0:
-   unknown.  */
+/* Returns a lower bound for the time at which the peer's list of servers was
+   read; 0: unknown. An estimate that may be too high would be repeated between
+   instances, each time a little higher, and an old list would pass for new.  */
 static gint64
 list_read_at (const struct gossip *gossip, const struct peer *peer,
-              const struct gossip_message *message, gint64 now)
+              const struct gossip_message *message)
 {
-  gint64 sent = sent_about (gossip, peer, message, now);
+  gint64 sent = sent_after (gossip, peer, message);
   if (message->server_list_age_us < 0 || sent == 0)
     return 0;
   return MAX (sent - message->server_list_age_us, 0);
@@ -333,9 +310,9 @@
 /* Takes over what MESSAGE says of the holder of the duties' lease.  */
 static void
 apply_duty (struct gossip *gossip, const struct peer *peer,
-            const struct gossip_message *message, gint64 now)
+            const struct gossip_message *message)
 {
-  gint64 sent = sent_about (gossip, peer, message, now);
+  gint64 sent = sent_after (gossip, peer, message);
   struct gossip_duty duty
       = { .fence = message->duty_fence, .ip = message->duty_ip };
   if (message->duty_age > 0 && sent > 0)
@@ -391,7 +368,7 @@
     .config_age_us = message->config_age_us,
     .server_list_digest = message->server_list_digest,
     .server_list_age_us = message->server_list_age_us,
-    .server_list_read_at = list_read_at (gossip, peer, message, now),
+    .server_list_read_at = list_read_at (gossip, peer, message),
     .store_era = message->store_era,
     .version_table = message->version_table,
     .joined = !same,
@@ -412,7 +389,7 @@
                      now - (gint64)message->members[i].age_ms * CLK_MS
                          - MEMBER_HOP_AGE_US);
   help_starting_peer (gossip, peer, message, now);
-  apply_duty (gossip, peer, message, now);
+  apply_duty (gossip, peer, message);
   gboolean is_local = gossip_is_local_peer (gossip, peer);
   for (guint i = 0; is_local && i < message->n_rejections; i++)
     update->rejections[update->n_rejections++] = (struct overload_rejection){
--- a/tests/unit/test_gossip_list_age.c
+++ b/tests/unit/test_gossip_list_age.c
@@ -61,6 +61,20 @@
   check_age (60, 6, 60 * CLK_MS, 4 * CLK_S);
 }
 
+/* Messages wait at instances that have too little of a core.  */
+static void
+test_starved_instances (void)
+{
+  check_age (7, 3, 250 * CLK_MS, 2 * CLK_S);
+  check_age (7, 3, 450 * CLK_MS, 2 * CLK_S);
+}
+
+static void
+test_starved_large_fleet (void)
+{
+  check_age (60, 6, 300 * CLK_MS, 5 * CLK_S);
+}
+
 /* An instance that was frozen handles messages that were sent before.  */
 static void
 test_resumed (void)
@@ -86,6 +100,8 @@
   { "seven instances", test_small_fleet },
   { "a slow network", test_slow_network },
   { "sixty instances", test_large_fleet },
+  { "starved instances", test_starved_instances },
+  { "sixty starved instances", test_starved_large_fleet },
   { "messages held back", test_resumed },
   CU_TEST_INFO_NULL,
 };
