Give up a fetch from a peer that sends nothing after .8 s

A peer that announces newer data and then hangs held up the only fetch for 2 s, and with it the notice of a server that leaves.

In deployments of more instances, most of which do not read the store themselves, the waits add up to more.

--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -8,7 +8,8 @@
 #include "base/log.h"
 #include "http/client.h"
 
-#define FETCH_TIMEOUT_MS 2000 /* limit for one fetch from a peer */
+/* Limit for one fetch from a peer that sends nothing. */
+#define FETCH_TIMEOUT_MS 800
 #define FETCH_SILENCE_MS 800
 #define FETCH_CONNECT_TIMEOUT_MS 400
 /* Consecutive failed fetches after which the store is read instead. */
