--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -156,12 +156,12 @@
   return FALSE;
 }
 
-/* Removes the next member of OBJECT, the text of an object or what is left of
-   one, and stores its name, without quotes and as it is written, and the text
-   of its value. Returns FALSE at the end, which leaves "}", or if the text is
+/* Removes the name of the next member of OBJECT, the text of an object or what
+   is left of one, and stores it without quotes, as it is written; its value
+   comes next. Returns FALSE at the end, which leaves "}", or if the text is
    malformed.  */
 gboolean
-json_text_next_member (struct str *object, struct str *name, struct str *value)
+json_text_next_name (struct str *object, struct str *name)
 {
   struct str rest = *object;
   skip_spaces (&rest);
@@ -179,14 +179,20 @@
       || *rest.p != ':')
     return FALSE;
   advance (&rest, 1);
-  if (!next_item (&rest, value))
-    return FALSE;
+  skip_spaces (&rest);
   advance (name, 1);
   name->n--;
   *object = rest;
   return TRUE;
 }
 
+/* Removes the value of the member whose name was removed from OBJECT.  */
+gboolean
+json_text_next_value (struct str *object, struct str *value)
+{
+  return next_item (object, value);
+}
+
 /* Removes the next element of ARRAY, the text of an array or what is left of
    one, and stores its text. Returns FALSE at the end, or if the text is
    malformed.  */
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -14,8 +14,8 @@
 JsonNode *json_text_parse_object (struct str text);
 gboolean json_text_member (struct str object, const char *name,
                            struct str *value);
-gboolean json_text_next_member (struct str *object, struct str *name,
-                                struct str *value);
+gboolean json_text_next_name (struct str *object, struct str *name);
+gboolean json_text_next_value (struct str *object, struct str *value);
 gboolean json_text_next_element (struct str *array, struct str *element);
 
 #endif
--- a/tools/names.sh
+++ b/tools/names.sh
@@ -11,7 +11,7 @@
 bad=0
 for name in $names bind_addrs port_range seed_nodes contract_params /-/; do
   found=$(git grep -nF -e "$name" -- packages emulator bench tests tools \
-    ':!tests/unit/test_adapter.c' ':!tests/unit/test_duty_client.c' ':!tests/unit/test_pob.c' ':!tests/unit/test_standin_platform.c' \
+    ':!tests/unit/test_adapter.c' ':!tests/unit/test_config_watch.c' ':!tests/unit/test_duty_client.c' ':!tests/unit/test_pob.c' ':!tests/unit/test_standin_platform.c' \
     ':!tests/soak/soak_config.c' \
     ':!emulator/standin/platform.c' ':!emulator/standin/published.c' \
     ':!emulator/standin/published.h' ':!tools/names.sh' |
