--- a/packages/route/routing_table.h
+++ b/packages/route/routing_table.h
@@ -128,7 +128,7 @@
                                struct err *err);
 void routing_route_clear (struct routing_route *route);
 struct routing_route *routing_route_ref (struct routing_route *route);
-void routing_route_unref (gpointer route);
+void routing_route_unref (gpointer data);
 
 guint64 routing_table_version (const struct routing_table *routing_table);
 const struct routing_limits *
