Ask a second peer beside a fetch that takes long

One fetch at a time held up the notice of a server that leaves, or of a version, for as long as its peer sent nothing. After .3 s a second one may begin, from another peer that announces newer data. What a configuration was made of is kept with its own decoding, so two that arrive at once are not mixed up.

--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -47,6 +47,14 @@
 
 struct fetch; /* a request to a peer */
 
+/* Requests to peers for data of one kind that are in progress: a second one
+   begins if the first takes long. */
+#define PROXY_DAEMON_FETCHES_MAX 2
+struct fetches
+{
+  struct fetch *slots[PROXY_DAEMON_FETCHES_MAX]; /* owned; NULL: unused */
+};
+
 struct proxy_daemon
 {
   const struct proxy_settings *settings; /* borrowed */
@@ -76,18 +84,15 @@
   GRand *rand;
   struct read_schedule config_schedule;
   struct read_schedule servers_schedule;
-  struct fetch *config_fetch;   /* owned; NULL: none in progress */
-  struct fetch *servers_fetch;  /* owned; NULL: none in progress */
-  struct fetch *versions_fetch; /* owned; NULL: none in progress */
+  struct fetches config_fetches;
+  struct fetches servers_fetches;
+  struct fetches versions_fetches;
   struct store_era store_era;
   struct start_evidence evidence; /* that a configuration is the newest */
   GBytes *config_text; /* JSON of the configuration in force; NULL: none yet */
   struct text_history *config_history; /* of that JSON */
-  guint64 config_arriving; /* version of a configuration from a peer that is
-                              being decoded; 0: none is */
-  guint32 config_from;     /* IP of that peer */
-  GBytes *config_delta;    /* from which it was made; NULL: from a whole text */
-  guint64 config_delta_base;  /* digest of the text to which that applies */
+  guint64 config_arriving;    /* version of a configuration from a peer that is
+                                 being decoded; 0: none is */
   gboolean no_config_changes; /* the last fetch of changes failed: the next one
                                  asks for the whole text */
   struct peer_server_list server_list; /* the newest list; entries is NULL until
--- a/packages/jacinthward/proxy_daemon_sync.c
+++ b/packages/jacinthward/proxy_daemon_sync.c
@@ -11,6 +11,9 @@
 /* Limit for one fetch from a peer that sends nothing. */
 #define FETCH_TIMEOUT_MS 800
 #define FETCH_SILENCE_MS 800
+/* A fetch that has taken so long does not keep another peer from being asked.
+ */
+#define FETCH_SECOND_US (300 * CLK_MS)
 #define FETCH_CONNECT_TIMEOUT_MS 400
 /* Consecutive failed fetches after which the store is read instead. */
 #define FETCH_FAILURES_MAX 2
@@ -70,6 +73,13 @@
   g_free (fetch);
 }
 
+static void
+fetches_free (struct fetches *fetches)
+{
+  for (guint i = 0; i < PROXY_DAEMON_FETCHES_MAX; i++)
+    fetch_free (fetches->slots[i]);
+}
+
 /* Logs when the store becomes unavailable and when it is available again.  */
 static void
 log_store_state (struct proxy_daemon *daemon, gboolean lost)
@@ -316,27 +326,6 @@
                               clk_now (daemon->clk));
 }
 
-/* The configuration of a peer has been decoded.  */
-static void
-on_config_decoded (void *ctx, const struct adapter_decoded *decoded,
-                   const struct err *err)
-{
-  struct proxy_daemon *daemon = ctx;
-  daemon->config_arriving = 0;
-  gossip_ask (daemon->gossip, daemon->config_from);
-  if (decoded == NULL)
-    {
-      record_fetch_failure (daemon, FETCH_CONFIG, err);
-      return;
-    }
-  if (decoded->routing_table != NULL)
-    apply_config (daemon, decoded->routing_table, decoded->text);
-  if (daemon->config_delta != NULL && daemon->config_text == decoded->text)
-    text_history_note_delta (daemon->config_history, daemon->config_delta_base,
-                             daemon->config_delta);
-  proxy_poll (daemon->reverse_proxy);
-}
-
 static gboolean
 has_changes (const struct http_client_response *response)
 {
@@ -359,6 +348,43 @@
                            err);
 }
 
+/* A configuration from a peer that is being decoded.  */
+struct arriving_config
+{
+  struct proxy_daemon *daemon;
+  guint32 ip;          /* of the peer */
+  GBytes *delta;       /* from which it was made; NULL: from a whole text */
+  guint64 base_digest; /* of the text to which DELTA applies */
+};
+
+static void
+arriving_config_free (gpointer data)
+{
+  struct arriving_config *arriving = data;
+  g_clear_pointer (&arriving->delta, g_bytes_unref);
+  g_free (arriving);
+}
+
+static void
+on_config_decoded (void *ctx, const struct adapter_decoded *decoded,
+                   const struct err *err)
+{
+  struct arriving_config *arriving = ctx;
+  struct proxy_daemon *daemon = arriving->daemon;
+  daemon->config_arriving = 0;
+  gossip_ask (daemon->gossip, arriving->ip);
+  if (decoded == NULL)
+    record_fetch_failure (daemon, FETCH_CONFIG, err);
+  else if (decoded->routing_table != NULL)
+    apply_config (daemon, decoded->routing_table, decoded->text);
+  if (decoded != NULL && arriving->delta != NULL
+      && daemon->config_text == decoded->text)
+    text_history_note_delta (daemon->config_history, arriving->base_digest,
+                             arriving->delta);
+  arriving_config_free (arriving);
+  proxy_poll (daemon->reverse_proxy);
+}
+
 static void
 decode_fetched_config (const struct fetch *fetch,
                        const struct http_client_response *response,
@@ -368,13 +394,15 @@
   g_autoptr (GBytes) text = fetched_text (fetch, response, err);
   if (text == NULL)
     return;
-  g_clear_pointer (&daemon->config_delta, g_bytes_unref);
+  struct arriving_config *arriving = g_new0 (struct arriving_config, 1);
+  *arriving = (struct arriving_config){ .daemon = daemon,
+                                        .ip = fetch->ip,
+                                        .base_digest = fetch->base_digest };
   if (has_changes (response))
-    daemon->config_delta = g_bytes_new (response->body.p, response->body.n);
-  daemon->config_delta_base = fetch->base_digest;
+    arriving->delta = g_bytes_new (response->body.p, response->body.n);
   daemon->config_arriving = fetch->version;
-  daemon->config_from = fetch->ip;
-  adapter_decode (daemon->adapter, text, on_config_decoded, daemon);
+  adapter_decode (daemon->adapter, text, on_config_decoded, arriving,
+                  arriving_config_free);
 }
 
 static void
@@ -459,16 +487,35 @@
   return path != NULL;
 }
 
-/* Starts a fetch from the peer at IP, unless the previous one of the same kind
-   is still in progress. VERSION is that of the configuration, for FETCH_CONFIG.
- */
+/* Returns an unused slot for a fetch from the peer at IP; NULL if none may
+   begin: one from the same peer is in progress, or another one that has not
+   taken long yet.  */
+static struct fetch **
+find_slot (struct fetches *fetches, guint32 ip, gint64 now)
+{
+  struct fetch **unused = NULL;
+  for (guint i = 0; i < PROXY_DAEMON_FETCHES_MAX; i++)
+    {
+      struct fetch *fetch = fetches->slots[i];
+      if (fetch == NULL)
+        unused = &fetches->slots[i];
+      else if (fetch->ip == ip || now - fetch->requested_at < FETCH_SECOND_US)
+        return NULL;
+    }
+  return unused;
+}
+
+/* Starts a fetch from the peer at IP, unless one of the same kind is in
+   progress that may still end soon. VERSION is that of the configuration, for
+   FETCH_CONFIG.  */
 static void
-start_fetch (struct proxy_daemon *daemon, struct fetch **owner_slot, guint32 ip,
+start_fetch (struct proxy_daemon *daemon, struct fetches *fetches, guint32 ip,
              enum fetch_kind kind, guint64 version, gint64 now)
 {
   char address[ERR_PEER_MAX];
   char target[64];
-  if (*owner_slot != NULL)
+  struct fetch **owner_slot = find_slot (fetches, ip, now);
+  if (owner_slot == NULL)
     return;
   g_snprintf (address, sizeof address, "%u.%u.%u.%u:%u", ip >> 24,
               ip >> 16 & 255, ip >> 8 & 255, ip & 255, daemon->peer_port);
@@ -518,10 +565,10 @@
     daemon->fresh_peer_at = now;
   if (update->config_version > proxy_config_version (daemon->reverse_proxy)
       && update->config_version > daemon->config_arriving)
-    start_fetch (daemon, &daemon->config_fetch, ip, FETCH_CONFIG,
+    start_fetch (daemon, &daemon->config_fetches, ip, FETCH_CONFIG,
                  update->config_version, now);
   if (version_keeper_heard (daemon->version_keeper, update->version_table))
-    start_fetch (daemon, &daemon->versions_fetch, ip, FETCH_VERSIONS, 0, now);
+    start_fetch (daemon, &daemon->versions_fetches, ip, FETCH_VERSIONS, 0, now);
   gint64 peer_read_at = update->server_list_read_at;
   if (!accept_era (daemon, update->store_era, update->id)
       || update->server_list_age_us < 0
@@ -535,18 +582,17 @@
       registry_list_confirmed (daemon->registry, peer_read_at, now);
     }
   else
-    start_fetch (daemon, &daemon->servers_fetch, ip, FETCH_SERVERS, 0, now);
+    start_fetch (daemon, &daemon->servers_fetches, ip, FETCH_SERVERS, 0, now);
 }
 
 void
 proxy_daemon_sync_free (struct proxy_daemon *daemon)
 {
-  fetch_free (daemon->config_fetch);
-  fetch_free (daemon->servers_fetch);
-  fetch_free (daemon->versions_fetch);
+  fetches_free (&daemon->config_fetches);
+  fetches_free (&daemon->servers_fetches);
+  fetches_free (&daemon->versions_fetches);
   g_clear_pointer (&daemon->config_text, g_bytes_unref);
   g_clear_pointer (&daemon->server_list.entries, g_array_unref);
   server_list_history_free (daemon->server_list_history);
-  g_clear_pointer (&daemon->config_delta, g_bytes_unref);
   text_history_free (daemon->config_history);
 }
