--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -89,6 +89,12 @@
   X (STORE_ERAS, "store_eras",                                                 \
      "times that the store came back from an older copy")                      \
   X (CONFIG_APPLIED, "config_applied", "configuration versions applied")       \
+  X (CONFIG_WATCHED, "config_watched",                                         \
+     "confirmations of a large configuration by a watch")                      \
+  X (CONFIG_WHOLE_SENT, "config_whole_sent",                                   \
+     "bytes of whole configurations sent to peers")                            \
+  X (CONFIG_CHANGES_SENT, "config_changes_sent",                               \
+     "bytes of changes of configurations sent to peers")                       \
   X (CONFIG_STALE, "config_stale", "older configuration versions ignored")     \
   X (CONFIG_REJECTED, "config_rejected",                                       \
      "configurations that failed validation")                                  \
--- a/packages/jacinthward/proxy_daemon_endpoints.c
+++ b/packages/jacinthward/proxy_daemon_endpoints.c
@@ -2,6 +2,8 @@
    and a state dump, and for peers the configuration and the server list.  */
 #include "jacinthward/proxy_daemon_internal.h"
 
+#include "base/json_add.h"
+
 #include <string.h>
 
 static gboolean
@@ -20,6 +22,30 @@
     response->status = proxy_is_ready (daemon->reverse_proxy) ? 200 : 503;
 }
 
+/* Appends the member "config" to JSON: the configuration in force, and what is
+   on its way.  */
+static void
+dump_config (const struct proxy_daemon *daemon, JsonBuilder *json)
+{
+  gint64 now = clk_now (daemon->clk);
+  json_builder_set_member_name (json, "config");
+  json_builder_begin_object (json);
+  json_add_int (json, "version",
+                (gint64)proxy_config_version (daemon->reverse_proxy));
+  json_add_int (json, "bytes",
+                daemon->config_text != NULL
+                    ? (gint64)g_bytes_get_size (daemon->config_text)
+                    : 0);
+  json_add_int (json, "in_force_ms",
+                daemon->config_applied_at != 0
+                    ? (now - daemon->config_applied_at) / CLK_MS
+                    : -1);
+  json_add_int (json, "arriving_version", (gint64)daemon->config_arriving);
+  json_add_int (json, "earlier_bytes",
+                (gint64)text_history_kept (daemon->config_history));
+  json_builder_end_object (json);
+}
+
 static void
 write_dump (const struct proxy_daemon *daemon, GString *out)
 {
@@ -27,6 +53,7 @@
   json_builder_begin_object (json);
   proxy_dump (daemon->reverse_proxy, json);
   duty_keeper_dump (daemon->duty_keeper, json);
+  dump_config (daemon, json);
   version_keeper_dump (daemon->version_keeper, json);
   stream_keeper_dump (daemon->stream_keeper, json);
   json_builder_set_member_name (json, "counters");
@@ -115,7 +142,7 @@
 /* Appends the configuration, or only what has changed since that which the peer
    already has; RESPONSE says which.  */
 static void
-write_config (const struct proxy_daemon *daemon, struct str target,
+write_config (struct proxy_daemon *daemon, struct str target,
               struct http_server_response *response)
 {
   guint64 base_digest = digest_after (target, PROXY_DAEMON_CONFIG_SINCE_PATH);
@@ -124,6 +151,10 @@
                       : NULL;
   response->type = delta != NULL ? PROXY_DAEMON_CHANGES_TYPE : NULL;
   append_bytes (delta != NULL ? delta : daemon->config_text, response->body);
+  counter_add (&daemon->counter_set,
+               delta != NULL ? COUNTER_CONFIG_CHANGES_SENT
+                             : COUNTER_CONFIG_WHOLE_SENT,
+               response->body->len);
 }
 
 static void
--- a/packages/peer/text_delta.h
+++ b/packages/peer/text_delta.h
@@ -18,6 +18,7 @@
 void text_history_free (struct text_history *history);
 void text_history_add (struct text_history *history, GBytes *text);
 guint64 text_history_digest (const struct text_history *history);
+gsize text_history_kept (const struct text_history *history);
 void text_history_note_delta (struct text_history *history, guint64 base_digest,
                               GBytes *delta);
 GBytes *text_history_delta (struct text_history *history, guint64 base_digest);
--- a/packages/peer/text_history.c
+++ b/packages/peer/text_history.c
@@ -84,6 +84,13 @@
   return history->present.digest;
 }
 
+/* Returns the bytes of the earlier texts.  */
+gsize
+text_history_kept (const struct text_history *history)
+{
+  return history->n_bytes;
+}
+
 static struct known_text *
 find (struct text_history *history, guint64 digest)
 {
