--- a/bench/config/bench_config.c
+++ b/bench/config/bench_config.c
@@ -2,7 +2,7 @@
    time on the main loop, memory, and bytes between instances. Prints one line
    for each size, with the routes at one host and at many.  */
 #include "base/clock.h"
-#include "peer/text_delta.h"
+#include "transfer/text_delta.h"
 #include "platform/config_decode.h"
 
 #include <malloc.h>
--- a/packages/jacinthward/proxy_daemon_internal.h
+++ b/packages/jacinthward/proxy_daemon_internal.h
@@ -19,7 +19,7 @@
 #include "net/udp.h"
 #include "peer/peer_server_list.h"
 #include "peer/gossip.h"
-#include "peer/text_delta.h"
+#include "transfer/text_delta.h"
 #include "peer/transfer_budget.h"
 #include "platform/adapter.h"
 
--- a/packages/peer/text_delta.c
+++ b/packages/transfer/text_delta.c
@@ -1,4 +1,4 @@
-#include "peer/text_delta.h"
+#include "transfer/text_delta.h"
 
 #include "base/msgpack_check.h"
 
--- a/packages/peer/text_history.c
+++ b/packages/transfer/text_history.c
@@ -1,5 +1,5 @@
 /* The latest texts, and what has changed since each of them.  */
-#include "peer/text_delta.h"
+#include "transfer/text_delta.h"
 
 #define TEXTS_MAX 8                 /* before the present one */
 #define BYTES_MAX (3 * 1024 * 1024) /* of these together */
--- a/tests/unit/test_text_delta.c
+++ b/tests/unit/test_text_delta.c
@@ -3,7 +3,7 @@
    fills the links.  */
 #include "unit/unit.h"
 
-#include "peer/text_delta.h"
+#include "transfer/text_delta.h"
 
 #include <string.h>
 
